--- /dev/null
+++ b/src/yokeline/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one module per group."""
--- /dev/null
+++ b/src/yokeline/consensus/election.py
@@ -0,0 +1,125 @@
+"""When to stand for election, when to refuse votes, and the count of votes."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from yokeline.consensus.quorum import is_quorum
+from yokeline.consensus.settings import RaftSettings
+from yokeline.identifiers import ReplicaId
+
+DEAD_LEADER_JITTER = 0.2
+"""Share of the election timeout over which the followers of a dead leader spread out."""
+
+PRE_VOTE_RETRY = 0.5
+"""Share of a random election timeout after which a pre-vote without majority is repeated."""
+
+IDLE_SILENCE_HEARTBEATS = 3
+"""Idle heartbeats a leader may miss while its node is alive."""
+
+
+class ElectionTimer:
+    """Evidence of a leader's life, and the deadlines that follow from it.
+
+    Two kinds of evidence are kept apart. A message of the leader *in this group* binds: for
+    the minimum election timeout after it this replica neither votes nor stands, since the
+    leader's lease counts on that. A sign of life *of its node* only postpones an election.
+    """
+
+    __slots__ = ("_heard_at", "_node_alive_at", "_source", "_stand_at", "_started_at", "_timeout")
+
+    def __init__(self, source: random.Random, now: float) -> None:
+        """Create a timer that has heard of no leader."""
+        self._source = source
+        self._heard_at = -math.inf
+        self._node_alive_at = -math.inf
+        self._started_at = now
+        self._timeout = 0.0
+        self._stand_at: float | None = None
+
+    def restart(self, settings: RaftSettings, now: float) -> None:
+        """Start a fresh random timeout; what was heard of a leader still binds."""
+        self._started_at = now
+        self._timeout = settings.election_timeout_seconds * (1.0 + self._source.random())
+        self._stand_at = None
+
+    def heard(self, now: float) -> None:
+        """Note a message of the group's leader."""
+        self._heard_at = max(self._heard_at, now)
+        self._node_alive_at = max(self._node_alive_at, now)
+        self._stand_at = None
+
+    def node_alive(self, now: float) -> None:
+        """Note a sign of life of the leader's node."""
+        if now > self._node_alive_at:
+            self._node_alive_at = now
+            self._stand_at = None
+
+    def forget_leader(self) -> None:
+        """Drop all evidence: the leader itself has said that it leads no more."""
+        self._heard_at = -math.inf
+        self._node_alive_at = -math.inf
+
+    def stand_soon(self, settings: RaftSettings, now: float) -> None:
+        """Plan an early election, since the leader's node is dead."""
+        timeout = settings.election_timeout_seconds
+        jitter = self._source.random() * DEAD_LEADER_JITTER * timeout
+        self._node_alive_at = -math.inf
+        self._stand_at = max(now + jitter, self._heard_at + timeout)
+
+    def lone_deadline(self, settings: RaftSettings) -> float:
+        """Return when the only member may stand: at once, unless a leader still binds it."""
+        return max(self._started_at, self._heard_at + settings.election_timeout_seconds)
+
+    def deadline(self, settings: RaftSettings, *, leader_known: bool) -> float:
+        """Return when to stand for election.
+
+        Args:
+            settings: Settings of the group.
+            leader_known: The leader is known and a member, so that signs of life of its
+                node count.
+        """
+        if self._stand_at is not None:
+            return self._stand_at
+        base = max(self._started_at, self._heard_at) + self._timeout
+        if not leader_known:
+            return base
+        postponed = self._node_alive_at + self._timeout
+        return max(base, min(postponed, self._silence_limit(settings) + self._timeout))
+
+    def pre_vote_deadline(self) -> float:
+        """Return when a pre-vote without majority is repeated."""
+        return self._started_at + PRE_VOTE_RETRY * self._timeout
+
+    def refuses_votes(self, settings: RaftSettings, now: float, *, leader_known: bool) -> bool:
+        """Return whether a vote is refused because the leader seems to live."""
+        timeout = settings.election_timeout_seconds
+        if now < self._heard_at + timeout:
+            return True
+        if not leader_known:
+            return False
+        limit = min(self._node_alive_at + timeout, self._silence_limit(settings))
+        return now < limit
+
+    def _silence_limit(self, settings: RaftSettings) -> float:
+        return self._heard_at + IDLE_SILENCE_HEARTBEATS * settings.idle_heartbeat_seconds
+
+
+class VoteTally:
+    """Votes of one election or pre-vote."""
+
+    __slots__ = ("_granted", "transfer")
+
+    def __init__(self, replica: ReplicaId, *, transfer: bool = False) -> None:
+        """Count our own vote; ``transfer`` marks an election that the leader asked for."""
+        self._granted = {replica}
+        self.transfer = transfer
+
+    def grant(self, voter: ReplicaId) -> None:
+        """Count a vote once."""
+        self._granted.add(voter)
+
+    def is_won(self, members: tuple[ReplicaId, ...]) -> bool:
+        """Return whether a majority of ``members`` has voted for us."""
+        return is_quorum(self._granted, members)
--- a/src/yokeline/errors.py
+++ b/src/yokeline/errors.py
@@ -81,6 +81,7 @@
         remedy: What to do about it; one line.
         execution: For requests: whether anything ran.
         retry_after: Seconds after which a retry may succeed; None where a retry is useless.
+        details: Where there are several problems: one line for each.
     """
 
     kind: ErrorKind
@@ -88,6 +89,7 @@
     remedy: str
     execution: Execution = Execution.NOT_RUN
     retry_after: float | None = None
+    details: tuple[str, ...] = ()
 
     def line(self) -> str:
         """Return the error as one line for the command line or a log."""
--- /dev/null
+++ b/src/yokeline/experiment/report.py
@@ -0,0 +1,128 @@
+"""The report of an experiment: means with confidence intervals, and changes to the baseline."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.experiment.experiment import Outcomes, Plan, best_baseline
+from yokeline.experiment.metrics import RunMetrics
+from yokeline.experiment.policies import BASELINES
+from yokeline.experiment.saturation import Saturation
+from yokeline.experiment.statistics import Estimate, estimate, paired_change
+
+MEASURES: tuple[str, ...] = RunMetrics.__struct_fields__
+SHOWN = (
+    "latency_mean",
+    "latency_p50",
+    "latency_p95",
+    "latency_p99",
+    "on_time_worth",
+    "rebuilt_tokens",
+    "wasted_hold",
+    "wasted_engine_seconds",
+    "throughput",
+    "utilization",
+    "unanswered",
+)
+
+
+class Measure(msgspec.Struct, frozen=True, kw_only=True):
+    """A measure of a policy.
+
+    Attributes:
+        change: Paired difference to the best baseline, relative to the baseline's mean; None
+            without a baseline, and where the baseline's mean is 0.
+    """
+
+    value: Estimate
+    change: Estimate | None = None
+
+
+class PolicyReport(msgspec.Struct, frozen=True, kw_only=True):
+    """All measures of a policy at a load."""
+
+    load: float
+    policy: str
+    baseline: str | None
+    measures: dict[str, Measure]
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """The report of an experiment."""
+
+    workload: str
+    seeds: tuple[int, ...]
+    saturation: Saturation
+    policies: tuple[PolicyReport, ...]
+
+
+def make_report(plan: Plan, saturation: Saturation, outcomes: Outcomes) -> Report:
+    """Return the report of the results of a plan."""
+    rows = [
+        _policy_report(outcomes, load, name, best_baseline(outcomes, load, BASELINES))
+        for load in plan.loads
+        for name in plan.policies
+    ]
+    return Report(
+        workload=plan.workload.name,
+        seeds=plan.seeds,
+        saturation=saturation,
+        policies=tuple(rows),
+    )
+
+
+def _policy_report(
+    outcomes: Outcomes, load: float, name: str, baseline: str | None
+) -> PolicyReport:
+    runs = outcomes.metrics[load, name]
+    reference = outcomes.metrics[load, baseline] if baseline is not None else None
+    measures = {
+        field: _measure(
+            [getattr(run, field) for run in runs],
+            [getattr(run, field) for run in reference] if reference is not None else None,
+        )
+        for field in MEASURES
+    }
+    return PolicyReport(load=load, policy=name, baseline=baseline, measures=measures)
+
+
+def _measure(samples: list[float], reference: list[float] | None) -> Measure:
+    change = paired_change(samples, reference) if reference is not None else None
+    return Measure(value=estimate(samples), change=change)
+
+
+def table_rows(report: Report) -> list[list[str]]:
+    """Return the rows of the table for people: load, policy and the measures shown."""
+    return [
+        [
+            f"{entry.load:g}",
+            entry.policy,
+            *(
+                _cell(entry.measures[field], with_change=entry.policy != entry.baseline)
+                for field in SHOWN
+            ),
+        ]
+        for entry in report.policies
+    ]
+
+
+def _cell(measure: Measure, *, with_change: bool) -> str:
+    text = _with_interval(measure.value, "")
+    if not with_change or measure.change is None:
+        return text
+    percent = Estimate(
+        mean=measure.change.mean * 100,
+        half_width=measure.change.half_width * 100 if measure.change.half_width else None,
+    )
+    return f"{text} ({_with_interval(percent, '%', signed=True)})"
+
+
+def _with_interval(value: Estimate, unit: str, *, signed: bool = False) -> str:
+    shown = f"{value.mean:+.3g}" if signed else _number(value.mean)
+    if value.half_width is None:
+        return f"{shown}{unit}"
+    return f"{shown}±{_number(value.half_width)}{unit}"
+
+
+def _number(value: float) -> str:
+    return f"{value:.0f}" if abs(value) >= 100 else f"{value:.3g}"
--- /dev/null
+++ b/src/yokeline/labels/checks.py
@@ -0,0 +1,313 @@
+"""Checks of one configuration object, from JSON text to a typed object.
+
+Every problem is reported, each as one line that names the field, what is allowed and the
+remedy. What an object says about *other* objects is checked in :mod:`labels.references`.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.addresses import ADDRESS_FORM, parse_address
+from yokeline.errors import ErrorKind, YokelineError
+from yokeline.field_checks import FieldProblem, check_fields
+from yokeline.labels.objects import (
+    OBJECT_TYPES,
+    App,
+    ConfigurationObject,
+    EnginePool,
+    ObjectKind,
+    Policy,
+    Program,
+    Tenant,
+    Tool,
+)
+from yokeline.labels.selectors import (
+    KEY_FORM,
+    VALUE_FORM,
+    is_label_key,
+    is_label_value,
+    parse_selector,
+)
+
+MAX_NAME_LENGTH = 63
+MAX_LABELS = 64
+MAX_ITEMS = 1000
+MAX_SYSTEM_PROMPT_LENGTH = 65_536
+MAX_MODEL_NAME_LENGTH = 128
+MAX_PATH_LENGTH = 512
+MAX_COMPLETION_TOKENS = 1_000_000
+MAX_TIMEOUT_SECONDS = 3600.0
+MAX_DEADLINE_SECONDS = 86_400.0
+MAX_PRIORITY = 1000
+MAX_COUNT = 2**53
+"""Largest whole number that every JSON reader keeps exactly."""
+
+NAME_FORM = "1 to 63 letters, digits, '-', '_' or '.', with a letter or digit at both ends"
+DIGEST_FORM = "64 lower-case hex digits, the SHA-256 of the token"
+PATH_FORM = "'/' and visible ASCII characters other than '?' and '#'"
+
+_NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9_.-]*[A-Za-z0-9])?")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_PATH = re.compile(r"/[!-\"$->@-~]*")
+_MODEL = re.compile(r"[!-~]+")
+
+Problems = list[FieldProblem]
+
+
+def is_object_name(text: str) -> bool:
+    """Return whether ``text`` may name a configuration object."""
+    return len(text) <= MAX_NAME_LENGTH and _NAME.fullmatch(text) is not None
+
+
+def qualified_name(item: ConfigurationObject) -> str:
+    """Return the name under which an object is stored: ``tenant/name`` where it has an owner."""
+    tenant = "" if isinstance(item, Tenant | EnginePool) else item.tenant
+    return f"{tenant}/{item.name}" if tenant else item.name
+
+
+def decode_object(
+    kind: ObjectKind, text: str | bytes
+) -> Result[ConfigurationObject, YokelineError]:
+    """Decode and check the JSON text of an object.
+
+    Returns:
+        The typed object, or a ``BAD_REQUEST`` whose ``details`` has one line per problem.
+    """
+    object_type = OBJECT_TYPES[kind]
+    try:
+        raw = msgspec.json.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as found:
+        problem = FieldProblem("the body", f"not JSON ({found})", "send one JSON object")
+        return Failure(problems_error(kind.value, [problem]))
+    problems = check_fields(raw, object_type)
+    if problems:
+        return Failure(problems_error(kind.value, problems))
+    decoded: ConfigurationObject = msgspec.convert(raw, object_type)
+    problems = check_object(decoded)
+    if problems:
+        return Failure(problems_error(kind.value, problems))
+    return Success(decoded)
+
+
+def problems_error(
+    subject: str, problems: list[FieldProblem], kind: ErrorKind = ErrorKind.BAD_REQUEST
+) -> YokelineError:
+    """Return the error that lists ``problems``: the first in its message, all in ``details``."""
+    first = problems[0]
+    more = f" (and {len(problems) - 1} more problems)" if len(problems) > 1 else ""
+    return YokelineError(
+        kind=kind,
+        message=f"{subject}: {first.path}: {first.message}{more}",
+        remedy=first.remedy,
+        details=tuple(f"{subject}: {problem.line()}" for problem in problems),
+    )
+
+
+def check_object(item: ConfigurationObject) -> Problems:
+    """Return the problems of names, ranges, addresses and selectors in a decoded object."""
+    problems = _name_problems("name", item.name)
+    problems.extend(_label_problems(item.labels))
+    if not isinstance(item, Tenant | EnginePool) and item.tenant:
+        problems.extend(_name_problems("tenant", item.tenant))
+    checks: dict[type, Callable[..., Problems]] = {
+        Tenant: _check_tenant,
+        Program: _check_program,
+        EnginePool: _check_engine_pool,
+        Tool: _check_tool,
+        App: _check_app,
+        Policy: _check_policy,
+    }
+    problems.extend(checks[type(item)](item))
+    return problems
+
+
+def _check_tenant(tenant: Tenant) -> Problems:
+    problems: Problems = []
+    digests = [token.digest for token in tenant.tokens]
+    for position, digest in enumerate(digests):
+        if not _DIGEST.fullmatch(digest):
+            path = f"tokens[{position}].digest"
+            problems.append(FieldProblem(path, "not a digest", f"write {DIGEST_FORM}"))
+    problems.extend(_duplicate_problems("tokens", digests, shown=False))
+    limits = tenant.limits
+    problems.extend(_range("limits.requests_per_second", limits.requests_per_second, 0, MAX_COUNT))
+    problems.extend(_range("limits.burst", limits.burst, 1, MAX_COUNT))
+    problems.extend(_range("limits.active_runs", limits.active_runs, 0, MAX_COUNT))
+    problems.extend(_range("limits.tokens_per_minute", limits.tokens_per_minute, 0, MAX_COUNT))
+    return problems
+
+
+def _check_program(program: Program) -> Problems:
+    problems: Problems = []
+    if not program.tenant:
+        problems.append(FieldProblem("tenant", "empty", "name the tenant that owns the program"))
+    if bool(program.model) == bool(program.app):
+        message = "both are set" if program.model else "neither is set"
+        problems.append(
+            FieldProblem("model, app", message, "set 'model' for an agent or 'app' for a request")
+        )
+    if program.app:
+        problems.extend(_name_problems("app", program.app))
+        problems.extend(_agent_only_problems(program))
+    if program.model:
+        problems.extend(_model_problems("model", program.model))
+    for field, names in (("tools", program.tools), ("children", program.children)):
+        problems.extend(_name_list_problems(field, names))
+    for name in sorted(set(program.tools) & set(program.children)):
+        message = f"{name!r} is also a tool, and a model could not tell them apart"
+        problems.append(FieldProblem("children", message, "rename one of them"))
+    if len(program.system_prompt) > MAX_SYSTEM_PROMPT_LENGTH:
+        message = f"{len(program.system_prompt)} characters; at most {MAX_SYSTEM_PROMPT_LENGTH}"
+        problems.append(FieldProblem("system_prompt", message, "shorten it"))
+    tokens = program.max_completion_tokens
+    problems.extend(_range("max_completion_tokens", tokens, 1, MAX_COMPLETION_TOKENS))
+    return problems
+
+
+def _agent_only_problems(program: Program) -> Problems:
+    used = {
+        "tools": bool(program.tools),
+        "children": bool(program.children),
+        "system_prompt": bool(program.system_prompt),
+        "conversation": program.conversation,
+    }
+    return [
+        FieldProblem(field, "set, but a program with 'app' is one request", "remove it")
+        for field, is_set in used.items()
+        if is_set
+    ]
+
+
+def _check_engine_pool(pool: EnginePool) -> Problems:
+    problems = _address_problems(pool.addresses)
+    if not pool.addresses and not pool.machine_selector:
+        message = "both are empty, so that the pool has no engine"
+        problems.append(FieldProblem("addresses, machine_selector", message, "set one of them"))
+    problems.extend(_selector_problems("machine_selector", pool.machine_selector))
+    if not pool.models:
+        problems.append(FieldProblem("models", "empty", "list the models the engines may serve"))
+    for position, model in enumerate(pool.models):
+        problems.extend(_model_problems(f"models[{position}]", model))
+    problems.extend(_duplicate_problems("models", pool.models))
+    problems.extend(_range("cache_tokens", pool.cache_tokens, 1, MAX_COUNT))
+    problems.extend(_range("slots", pool.slots, 1, MAX_COUNT))
+    return problems
+
+
+def _check_tool(tool: Tool) -> Problems:
+    return _check_back_end(tool.addresses, tool.path, tool.timeout_seconds)
+
+
+def _check_app(app: App) -> Problems:
+    return _check_back_end(app.addresses, app.path, app.timeout_seconds)
+
+
+def _check_back_end(addresses: tuple[str, ...], path: str, timeout_seconds: float) -> Problems:
+    problems = _address_problems(addresses)
+    if not addresses:
+        problems.append(FieldProblem("addresses", "empty", f"list at least one, {ADDRESS_FORM}"))
+    if len(path) > MAX_PATH_LENGTH or not _PATH.fullmatch(path):
+        problems.append(FieldProblem("path", f"{path!r} is not allowed", f"write {PATH_FORM}"))
+    problems.extend(_range("timeout_seconds", timeout_seconds, 0, MAX_TIMEOUT_SECONDS))
+    if timeout_seconds == 0:
+        problems.append(FieldProblem("timeout_seconds", "0 is no time", "set more than 0"))
+    return problems
+
+
+def _check_policy(policy: Policy) -> Problems:
+    problems = _selector_problems("program_selector", policy.program_selector)
+    problems.extend(_selector_problems("engine_selector", policy.engine_selector))
+    problems.extend(_range("order", policy.order, -MAX_COUNT, MAX_COUNT))
+    if policy.priority is not None:
+        problems.extend(_range("priority", policy.priority, -MAX_PRIORITY, MAX_PRIORITY))
+    if policy.worth is not None:
+        problems.extend(_range("worth", policy.worth, 0, MAX_COUNT))
+    if policy.deadline_seconds is not None:
+        problems.extend(
+            _range("deadline_seconds", policy.deadline_seconds, 0, MAX_DEADLINE_SECONDS)
+        )
+    if policy.budget is not None:
+        for field, limit in msgspec.structs.asdict(policy.budget).items():
+            problems.extend(_range(f"budget.{field}", limit, 0, MAX_COUNT))
+    return problems
+
+
+def _name_problems(field: str, name: str) -> Problems:
+    if is_object_name(name):
+        return []
+    return [FieldProblem(field, f"{name[:MAX_NAME_LENGTH]!r} is no name", f"write {NAME_FORM}")]
+
+
+def _name_list_problems(field: str, names: tuple[str, ...]) -> Problems:
+    problems = _duplicate_problems(field, names)
+    for position, name in enumerate(names):
+        problems.extend(_name_problems(f"{field}[{position}]", name))
+    return problems
+
+
+def _model_problems(field: str, model: str) -> Problems:
+    if len(model) <= MAX_MODEL_NAME_LENGTH and _MODEL.fullmatch(model):
+        return []
+    message = f"{model[:MAX_NAME_LENGTH]!r} is no model name"
+    remedy = f"write 1 to {MAX_MODEL_NAME_LENGTH} visible ASCII characters"
+    return [FieldProblem(field, message, remedy)]
+
+
+def _label_problems(labels: Mapping[str, str]) -> Problems:
+    problems: Problems = []
+    if len(labels) > MAX_LABELS:
+        message = f"{len(labels)} labels; at most {MAX_LABELS}"
+        problems.append(FieldProblem("labels", message, "remove some"))
+    for key, value in labels.items():
+        if not is_label_key(key):
+            message = f"{key[:MAX_NAME_LENGTH]!r} is no label key"
+            problems.append(FieldProblem("labels", message, f"write {KEY_FORM}"))
+        if not is_label_value(value):
+            message = f"{value[:MAX_NAME_LENGTH]!r} is no label value"
+            problems.append(FieldProblem(f"labels[{key!r}]", message, f"write {VALUE_FORM}"))
+    return problems
+
+
+def _address_problems(addresses: tuple[str, ...]) -> Problems:
+    problems = _duplicate_problems("addresses", addresses)
+    for position, address in enumerate(addresses):
+        parsed = parse_address(address)
+        if isinstance(parsed, Failure):
+            error = parsed.failure()
+            problems.append(FieldProblem(f"addresses[{position}]", error.message, error.remedy))
+    return problems
+
+
+def _selector_problems(field: str, selector: str) -> Problems:
+    parsed = parse_selector(selector)
+    if isinstance(parsed, Success):
+        return []
+    error = parsed.failure()
+    return [FieldProblem(field, error.message, error.remedy)]
+
+
+def _duplicate_problems(field: str, items: Iterable[str], *, shown: bool = True) -> Problems:
+    listed = list(items)
+    if len(listed) > MAX_ITEMS:
+        message = f"{len(listed)} items; at most {MAX_ITEMS}"
+        return [FieldProblem(field, message, "remove some")]
+    repeated = sorted({item for item in listed if listed.count(item) > 1})
+    return [
+        FieldProblem(
+            field, f"{item!r} is there twice" if shown else "one is there twice", "remove one"
+        )
+        for item in repeated
+    ]
+
+
+def _range(field: str, number: float, lowest: float, highest: float) -> Problems:
+    if math.isfinite(number) and lowest <= number <= highest:
+        return []
+    message = f"{number} is not allowed; allowed is {lowest:g} to {highest:g}"
+    return [FieldProblem(field, message, "correct it")]
--- /dev/null
+++ b/src/yokeline/logs.py
@@ -0,0 +1,79 @@
+"""Log lines in JSON, one flat object a line, through ``absl.logging``."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from typing import TextIO
+
+import absl.logging
+from pythonjsonlogger.json import JsonFormatter
+
+from yokeline.effects import LogRecord
+
+_LEVELS = {
+    "debug": absl.logging.DEBUG,
+    "info": absl.logging.INFO,
+    "warning": absl.logging.WARNING,
+    "error": absl.logging.ERROR,
+}
+_FORMAT = "%(asctime)s %(levelname)s"
+_RENAMED = {"asctime": "time", "levelname": "level"}
+_TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
+_SECRET_PARTS = ("authorization", "password", "secret", "api_key", "credential", "cookie")
+_SECRET_NAMES = ("token", "bearer")
+REDACTED = "[redacted]"
+
+LogValue = str | int | float | bool | None
+
+
+def set_up_logs(level: str = "info", file: str = "", stream: TextIO | None = None) -> None:
+    """Send all log lines of the process to a file, or to a stream (standard error).
+
+    Args:
+        level: ``debug``, ``info``, ``warning`` or ``error``.
+        file: File to append to; empty for the stream.
+        stream: Used when no file is given; standard error by default.
+
+    Raises:
+        OSError: The file cannot be opened.
+    """
+    target = open(file, "a", encoding="utf-8") if file else stream or sys.stderr  # noqa: SIM115
+    output = logging.StreamHandler(target)
+    output.setFormatter(_UtcJsonFormatter(_FORMAT, rename_fields=_RENAMED, datefmt=_TIME_FORMAT))
+    root = logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(output)
+    absl.logging.set_verbosity(_LEVELS[level])
+
+
+def write_record(record: LogRecord) -> None:
+    """Write a :class:`~yokeline.effects.LogRecord` as one line."""
+    level = _LEVELS.get(record.level, absl.logging.INFO)
+    absl.logging.log(level, {"event": record.event, **redacted(record.fields)})
+
+
+def redacted(fields: dict[str, LogValue]) -> dict[str, LogValue]:
+    """Return the fields with the text of those that look like secrets left out."""
+    return {
+        name: REDACTED if isinstance(value, str) and _is_secret(name) else value
+        for name, value in fields.items()
+    }
+
+
+def _is_secret(name: str) -> bool:
+    lowered = name.lower().replace("-", "_")
+    if lowered in _SECRET_NAMES or lowered.endswith("_token"):
+        return True
+    return any(part in lowered for part in _SECRET_PARTS)
+
+
+class _UtcJsonFormatter(JsonFormatter):
+    """Gives UTC times with milliseconds (RFC 3339)."""
+
+    def formatTime(self, record: logging.LogRecord, datefmt: str | None = None) -> str:  # noqa: N802
+        """Return the record's time."""
+        seconds = time.strftime(datefmt or _TIME_FORMAT, time.gmtime(record.created))
+        return f"{seconds}.{int(record.msecs):03d}Z"
--- /dev/null
+++ b/src/yokeline/node/connection.py
@@ -0,0 +1,266 @@
+"""Non-blocking TCP connections and listeners on the process's poller."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import socket
+from typing import Protocol
+
+from yokeline.effects import Address
+from yokeline.node.poller import SocketPoller
+from yokeline.node.sockets import check_ip_number
+
+READ_BYTES = 65_536
+_PROBES = 4
+"""Unanswered keep-alive probes after which the other machine counts as gone."""
+CLOSED_BY_PEER = "closed by the other end"
+
+
+class ConnectionOwner(Protocol):
+    """What a connection tells its owner; all calls come from the event loop."""
+
+    def connection_made(self) -> None:
+        """The outgoing connection is there (never called for an accepted one)."""
+        ...
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes arrived."""
+        ...
+
+    def connection_lost(self, reason: str) -> None:
+        """The connection ended other than by our own ``close``; called at most once."""
+        ...
+
+
+class Connection:
+    """A TCP connection that sends all output of a loop turn with one call.
+
+    Attributes:
+        bytes_sent: Bytes that the kernel took so far.
+    """
+
+    def __init__(
+        self,
+        poller: SocketPoller,
+        sock: socket.socket,
+        owner: ConnectionOwner,
+        *,
+        max_unsent_bytes: int,
+        connecting: bool = False,
+    ) -> None:
+        """Watch an accepted socket, or one whose connection is being made."""
+        self.bytes_sent = 0
+        self._poller = poller
+        self._sock = sock
+        self._owner: ConnectionOwner = owner
+        self._connecting = connecting
+        self._max_unsent = max_unsent_bytes
+        self._pending: list[bytes] = []
+        self._unsent = memoryview(b"")
+        self._pending_bytes = 0
+        self._flush_due = False
+        self._reading = not connecting
+        self._writing = connecting
+        self._discarding = False
+        self._sending_broken = False
+        self._finish_after_output = False
+        self.closed = False
+        poller.watch(sock, self, reading=self._reading, writing=self._writing)
+
+    @classmethod
+    def open(
+        cls,
+        poller: SocketPoller,
+        address: Address,
+        owner: ConnectionOwner,
+        *,
+        max_unsent_bytes: int,
+    ) -> Connection:
+        """Begin to connect.
+
+        Raises:
+            OSError: The address is unusable or refused at once.
+        """
+        check_ip_number(address.host)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            result = sock.connect_ex((address.host, address.port))
+            if result not in (0, errno.EINPROGRESS):
+                raise OSError(result, errno.errorcode.get(result, "connect failed"))
+        except BaseException:
+            sock.close()
+            raise
+        return cls(poller, sock, owner, max_unsent_bytes=max_unsent_bytes, connecting=True)
+
+    def set_silent_limit(self, seconds: float) -> None:
+        """Give the connection up when the other machine is silent for about that long.
+
+        Either bytes stay unacknowledged (TCP_USER_TIMEOUT), or probes of a connection
+        without traffic do (keep-alive).
+        """
+        milliseconds = int(seconds * 1000)
+        pause = max(1, int(seconds) // _PROBES)
+        options = (
+            (socket.TCP_USER_TIMEOUT, milliseconds),
+            (socket.TCP_KEEPIDLE, pause),
+            (socket.TCP_KEEPINTVL, pause),
+            (socket.TCP_KEEPCNT, _PROBES),
+        )
+        with contextlib.suppress(OSError):  # it may be reset already; reading will tell
+            for option, value in options:
+                self._sock.setsockopt(socket.IPPROTO_TCP, option, value)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes at the end of this turn of the loop."""
+        if self.closed or not data:
+            return
+        if self._sending_broken:
+            return
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+        if self._pending_bytes > self._max_unsent:
+            self._fail("the other end reads too slowly")
+            return
+        self._schedule_flush()
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes the kernel has not taken yet."""
+        return self._pending_bytes
+
+    def pause_reading(self) -> None:
+        """Leave further bytes in the kernel until :meth:`resume_reading`."""
+        self._set_interest(reading=False, writing=self._writing)
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        self._set_interest(reading=True, writing=self._writing)
+
+    def close(self) -> None:
+        """Close at once; unsent output is lost and the owner is not told."""
+        if not self.closed:
+            self.closed = True
+            self._poller.retire(self._sock)
+
+    def finish_when_sent(self) -> None:
+        """Send all output, then no more, and throw away what still arrives.
+
+        Closing with unread bytes would make the kernel reset the connection, and the other
+        end lose the answer that says why. The owner hears of the end or closes by deadline.
+        """
+        self._discarding = True
+        self._finish_after_output = True
+        self.resume_reading()
+        self._schedule_flush()
+
+    def flush_output(self) -> None:
+        """Send what was collected (called by the poller)."""
+        self._flush_due = False
+        if not self.closed and not self._connecting:
+            self._send()
+
+    def socket_ready(self, *, readable: bool, writable: bool) -> None:
+        """Read and write what is possible (called by the poller)."""
+        if self.closed:
+            return
+        if self._connecting:
+            self._finish_connecting()
+            return
+        if writable and (self._pending_bytes or self._finish_after_output):
+            self._send()
+        if readable and not self.closed:
+            self._receive()
+
+    def abandon(self) -> None:
+        """Close after a fault of our own (called by the poller)."""
+        self._fail("a fault in this process")
+
+    def _schedule_flush(self) -> None:
+        if not self._flush_due and not self.closed:
+            self._flush_due = True
+            self._poller.flush_later(self)
+
+    def _finish_connecting(self) -> None:
+        result = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if result != 0:
+            self._fail(f"cannot connect: {errno.errorcode.get(result, str(result))}")
+            return
+        self._connecting = False
+        self._set_interest(reading=True, writing=False)
+        self._owner.connection_made()
+        self._schedule_flush()
+
+    def _receive(self) -> None:
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._fail(f"receive failed: {_name(error)}")
+            return
+        if not data:
+            self._fail(CLOSED_BY_PEER)
+        elif not self._discarding:
+            self._owner.data_received(data)
+
+    def _send(self) -> None:
+        if len(self._pending) == 1 and not self._unsent:
+            self._unsent = memoryview(self._pending[0])
+        elif self._pending:
+            self._unsent = memoryview(b"".join([self._unsent, *self._pending]))
+        self._pending.clear()
+        try:
+            self._send_some()
+        except (BlockingIOError, InterruptedError):
+            pass
+        except OSError:
+            self._stop_sending()
+            return
+        if self._unsent:
+            self._set_interest(reading=self._reading, writing=True)
+            return
+        self._set_interest(reading=self._reading, writing=False)
+        self._output_sent()
+
+    def _stop_sending(self) -> None:
+        """Drop all output; the end, or an answer sent before it, is still to be read."""
+        self._pending.clear()
+        self._unsent = memoryview(b"")
+        self._pending_bytes = 0
+        self._sending_broken = True
+        self._set_interest(reading=True, writing=False)
+
+    def _send_some(self) -> None:
+        if not self._unsent:
+            return
+        count = self._sock.send(self._unsent)
+        self.bytes_sent += count
+        self._pending_bytes -= count
+        self._unsent = self._unsent[count:] if count < len(self._unsent) else memoryview(b"")
+
+    def _output_sent(self) -> None:
+        if self._finish_after_output:
+            self._finish_after_output = False
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_WR)
+
+    def _set_interest(self, *, reading: bool, writing: bool) -> None:
+        if self.closed or (reading, writing) == (self._reading, self._writing):
+            return
+        self._reading = reading
+        self._writing = writing
+        self._poller.change(self._sock, reading=reading, writing=writing)
+
+    def _fail(self, reason: str) -> None:
+        if not self.closed:
+            self.close()
+            self._owner.connection_lost(reason)
+
+
+def _name(error: OSError) -> str:
+    if error.errno is None:
+        return str(error)
+    return errno.errorcode.get(error.errno, str(error.errno))
--- /dev/null
+++ b/src/yokeline/node/http_call.py
@@ -0,0 +1,292 @@
+"""One outgoing HTTP request: from the connection to the last byte of its response."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+from urllib.parse import quote
+
+import h11
+
+from yokeline.effects import (
+    Event,
+    Framing,
+    HttpFailed,
+    HttpRequest,
+    HttpResponse,
+    HttpStreamEnded,
+    HttpStreamItem,
+)
+from yokeline.node.deadlines import Deadline, DeadlineQueue
+from yokeline.node.http_heads import FRAMING_HEADERS, HEADER_ENCODING, joined_headers
+from yokeline.node.http_pool import ClientConnection, ConnectionPool
+from yokeline.node.limits import ClientLimits
+from yokeline.node.stream_items import ItemReader, ItemTooLargeError, item_reader
+
+_SUCCESS = range(200, 300)
+_OWN_HEADERS = ("host", "connection", *FRAMING_HEADERS)
+_PATH_SAFE = "/?&=%:@!$'()*+,;~#[]"
+_BODILESS_METHODS = ("GET", "HEAD", "DELETE", "OPTIONS")
+
+
+class CallOwner(Protocol):
+    """The client, as a call sees it."""
+
+    def submit(self, event: Event) -> None:
+        """Hand an event to the service."""
+        ...
+
+    def call_ended(self, call: HttpCall) -> None:
+        """Forget a call that gives no further event."""
+        ...
+
+
+class HttpCall:
+    """A request under way.
+
+    ``sent`` of a failure is False only while the kernel has taken no byte of the request;
+    what the kernel took may have reached the other end.
+    """
+
+    def __init__(
+        self,
+        request: HttpRequest,
+        owner: CallOwner,
+        pool: ConnectionPool,
+        deadlines: DeadlineQueue,
+        limits: ClientLimits,
+    ) -> None:
+        """Create it; :meth:`begin` starts it."""
+        self.request = request
+        self._owner = owner
+        self._pool = pool
+        self._deadlines = deadlines
+        self._limits = limits
+        self._connection: ClientConnection | None = None
+        self._connecting = False
+        self._sent_at_start = 0
+        self._sent_on_lost_connection = False
+        self._response: h11.Response | None = None
+        self._reader: ItemReader | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._due = 0.0
+        self._deadline: Deadline | None = None
+        self._ended = False
+
+    # ------------------------------------------------------------ start
+
+    def begin(self) -> None:
+        """Take a kept connection or open one, and send the request.
+
+        A kept connection may be closed by the other end at the very moment it is used; what
+        may not be repeated therefore always goes over a fresh one.
+        """
+        self._await_silence(self.request.timeout)
+        kept = self._pool.take_idle(self.request.address) if self.request.allow_retry else None
+        if kept is None:
+            self._connect()
+            return
+        self._use(kept)
+        self._send()
+
+    def cancel(self) -> None:
+        """Close the connection without an event."""
+        self._end()
+        if self._connection is not None:
+            self._pool.discard(self._connection)
+
+    def _connect(self) -> None:
+        if not self._pool.has_room(self.request.address):
+            self._fail(f"too many connections are open, also to {self.request.address}")
+            return
+        try:
+            connection = self._pool.connect(self.request.address)
+        except (OSError, OverflowError, UnicodeError) as error:
+            self._fail(f"cannot connect to {self.request.address}: {error}")
+            return
+        self._use(connection)
+        self._connecting = True
+        self._set_deadline(min(self._due, time.monotonic() + self._limits.connect_seconds))
+
+    def _use(self, connection: ClientConnection) -> None:
+        self._connection = connection
+        self._sent_at_start = connection.link.bytes_sent
+        connection.user = self
+
+    def _send(self) -> None:
+        assert self._connection is not None
+        codec = self._connection.codec
+        try:
+            output = codec.send(self._head())
+            if self.request.body:
+                output += codec.send(h11.Data(data=self.request.body))
+            output += codec.send(h11.EndOfMessage())
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            self._fail(f"the request is not valid HTTP: {error}")
+            return
+        self._connection.link.write(output)
+
+    def _head(self) -> h11.Request:
+        request = self.request
+        headers = [(b"host", str(request.address).encode())]
+        for name, value in request.headers.items():
+            if name.lower() not in _OWN_HEADERS:
+                headers.append((name.encode("ascii"), value.encode(HEADER_ENCODING)))
+        if request.body or request.method not in _BODILESS_METHODS:
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        target = quote(request.path, safe=_PATH_SAFE)
+        return h11.Request(method=request.method, target=target, headers=headers)
+
+    # ------------------------------------------------------------ from the connection
+
+    def connection_made(self) -> None:
+        """Send the request on the fresh connection."""
+        self._connecting = False
+        self._set_deadline(self._due)
+        self._send()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of the response."""
+        assert self._connection is not None
+        self._connection.codec.receive_data(data)
+        self._parse()
+
+    def connection_lost(self, reason: str) -> None:
+        """Finish a body that ends with the connection; else repeat if allowed, or fail."""
+        connection = self._connection
+        assert connection is not None
+        self._sent_on_lost_connection = self._sent()
+        if self._response is None:
+            if self._may_repeat(connection):
+                self._connection = None
+                self._connect()
+            else:
+                self._fail(f"{reason} (before a response)")
+            return
+        if connection.peer_closed(reason) and self._reader is None:
+            connection.codec.receive_data(b"")
+            self._parse()
+        if not self._ended:
+            self._fail(f"{reason} (before the end of the response)")
+
+    def _may_repeat(self, connection: ClientConnection) -> bool:
+        """Return whether a kept connection turned out stale, with no byte of a response."""
+        untouched = not connection.codec.trailing_data[0]
+        return connection.used_before and untouched and self.request.allow_retry
+
+    # ------------------------------------------------------------ response
+
+    def _parse(self) -> None:
+        assert self._connection is not None
+        codec = self._connection.codec
+        try:
+            while not self._ended:
+                event = codec.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            self._fail(f"malformed response: {error}")
+        except ItemTooLargeError as error:
+            self._fail(str(error))
+
+    def _take(self, event: object) -> None:
+        if isinstance(event, h11.Response):
+            self._take_head(event)
+        elif isinstance(event, h11.Data):
+            self._take_body(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._complete()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail("closed by the other end")
+
+    def _take_head(self, response: h11.Response) -> None:
+        self._response = response
+        streamed = self.request.framing is not Framing.WHOLE
+        if streamed and response.status_code in _SUCCESS:
+            self._reader = item_reader(self.request.framing, self._limits.max_item_bytes)
+            self._owner.submit(self._response_event(b""))
+            self._await_silence(self.request.timeout)
+
+    def _take_body(self, data: bytes) -> None:
+        if self._reader is None:
+            self._body_bytes += len(data)
+            if self._body_bytes > self._limits.max_body_bytes:
+                self._fail(f"the response is over {self._limits.max_body_bytes} bytes")
+                return
+            self._body.append(data)
+            return
+        for item in self._reader.feed(data):
+            self._submit_item(item.data, item.event_id)
+
+    def _submit_item(self, data: bytes, event_id: str) -> None:
+        self._due = time.monotonic() + self.request.timeout
+        self._owner.submit(
+            HttpStreamItem(request=self.request.request, data=data, event_id=event_id)
+        )
+
+    def _complete(self) -> None:
+        assert self._connection is not None
+        if self._reader is None:
+            self._owner.submit(self._response_event(b"".join(self._body)))
+        else:
+            for item in self._reader.finish():
+                self._submit_item(item.data, item.event_id)
+            self._owner.submit(HttpStreamEnded(self.request.request))
+        self._end()
+        self._pool.give_back(self._connection)
+
+    def _response_event(self, body: bytes) -> HttpResponse:
+        assert self._response is not None
+        return HttpResponse(
+            request=self.request.request,
+            status=self._response.status_code,
+            headers=joined_headers(self._response.headers),
+            body=body,
+        )
+
+    # ------------------------------------------------------------ ends
+
+    def _sent(self) -> bool:
+        if self._sent_on_lost_connection:
+            return True
+        if self._connection is None:
+            return False
+        return self._connection.link.bytes_sent > self._sent_at_start
+
+    def _fail(self, reason: str) -> None:
+        if self._ended:
+            return
+        sent = self._sent()
+        self._end()
+        if self._connection is not None:
+            self._pool.discard(self._connection)
+        failure = HttpFailed(request=self.request.request, sent=sent, reason=reason)
+        self._owner.submit(failure)
+
+    def _end(self) -> None:
+        self._ended = True
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+        self._owner.call_ended(self)
+
+    def _await_silence(self, seconds: float) -> None:
+        """Fail after that time without progress; items only move ``_due``."""
+        self._due = time.monotonic() + seconds
+        self._set_deadline(self._due)
+
+    def _set_deadline(self, when: float) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+        self._deadline = self._deadlines.call_at(when, self._on_deadline)
+
+    def _on_deadline(self) -> None:
+        self._deadline = None
+        if self._connecting:
+            self._fail(f"no connection to {self.request.address} in time")
+        elif self._due > time.monotonic():
+            self._set_deadline(self._due)
+        else:
+            self._fail(f"no answer within {self.request.timeout:g} seconds")
--- /dev/null
+++ b/src/yokeline/node/http_client.py
@@ -0,0 +1,70 @@
+"""The HTTP client: requests of a service to back ends, the store and the machine list.
+
+``circuits.web.client`` has one request under way per client and hands over no streamed
+body, and ``TCPClient`` of circuits polls for its connection on a 0.1 second tick and does not
+see a refusal before its time-out; ``h11`` over the process's poller is the nearest kin.
+"""
+
+from __future__ import annotations
+
+from circuits import BaseComponent, handler
+
+from yokeline.effects import Event, HttpCancel, HttpRequest
+from yokeline.identifiers import RequestId
+from yokeline.node.bridge import Bridge
+from yokeline.node.deadlines import DeadlineQueue
+from yokeline.node.http_call import HttpCall
+from yokeline.node.http_pool import ConnectionPool
+from yokeline.node.limits import ClientLimits
+from yokeline.node.poller import SocketPoller
+
+
+class HttpClient(BaseComponent):
+    """Sends requests and reports what became of them."""
+
+    channel = "http_client"
+
+    def __init__(
+        self,
+        bridge: Bridge,
+        poller: SocketPoller,
+        deadlines: DeadlineQueue,
+        limits: ClientLimits,
+    ) -> None:
+        """Take the outgoing requests of a service."""
+        super().__init__(channel=bridge.channel)
+        self._bridge = bridge
+        self._deadlines = deadlines
+        self._limits = limits
+        self._calls: dict[RequestId, HttpCall] = {}
+        self._pool = ConnectionPool(poller, deadlines, limits)
+        bridge.carry_out_with(HttpRequest, self.send_request)
+        bridge.carry_out_with(HttpCancel, self.cancel_request)
+
+    def send_request(self, request: HttpRequest) -> None:
+        """Begin a request."""
+        call = HttpCall(request, self, self._pool, self._deadlines, self._limits)
+        self._calls[request.request] = call
+        call.begin()
+
+    def cancel_request(self, effect: HttpCancel) -> None:
+        """Give a request up; unknown ones are a no-op."""
+        call = self._calls.get(effect.request)
+        if call is not None:
+            call.cancel()
+
+    def submit(self, event: Event) -> None:
+        """Hand an event to the service."""
+        self._bridge.submit(event)
+
+    def call_ended(self, call: HttpCall) -> None:
+        """Forget a call that gives no further event."""
+        self._calls.pop(call.request.request, None)
+
+    def pool(self) -> ConnectionPool:
+        """Return the connections (for metrics and tests)."""
+        return self._pool
+
+    @handler("service_stopped")
+    def _on_service_stopped(self, exit_code: int) -> None:
+        self._pool.close_all()
--- /dev/null
+++ b/src/yokeline/node/http_exchange.py
@@ -0,0 +1,276 @@
+"""One connection of the HTTP server: requests in, and their answers out, in order."""
+
+from __future__ import annotations
+
+import enum
+import socket
+from typing import TYPE_CHECKING
+
+import absl.logging
+import h11
+
+from yokeline.effects import HttpArrived, HttpGone, HttpReply, HttpStreamStart
+from yokeline.identifiers import ExchangeId
+from yokeline.node.connection import Connection
+from yokeline.node.deadlines import Deadline
+from yokeline.node.http_heads import RawHeaders, reason_phrase, response_headers
+from yokeline.node.http_requests import IncomingRequest, RequestReader, RequestRefusedError
+from yokeline.node.refusals import NOT_WHOLE_IN_TIME, REQUEST_TIMEOUT, refusal_of
+
+if TYPE_CHECKING:
+    from yokeline.node.http_server import HttpServer
+
+_BODILESS_STATUSES = (204, 304)
+_CONTINUE = 100
+
+
+class _Phase(enum.Enum):
+    """What a connection is doing."""
+
+    IDLE = enum.auto()
+    """Between two requests."""
+    RECEIVING = enum.auto()
+    """A request has begun to arrive."""
+    ANSWERING = enum.auto()
+    """A whole request was handed to the service."""
+    STREAMING = enum.auto()
+    """The head of a streamed answer is out."""
+    FINISHING = enum.auto()
+    """Nothing more is read or answered; output is being sent."""
+
+
+class ServerConnection:
+    """The exchanges of one caller's connection, one after the other.
+
+    h11 follows both directions: it refuses what breaks the protocol, and does not give out
+    a next request before the answer to the last one is complete.
+    """
+
+    def __init__(self, server: HttpServer, sock: socket.socket) -> None:
+        """Serve an accepted socket."""
+        self._server = server
+        self._limits = server.limits
+        self._codec = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.max_header_bytes
+        )
+        self._requests = RequestReader(self._codec, server.limits)
+        self._phase = _Phase.IDLE
+        self._exchange: ExchangeId | None = None
+        self._closes_after_answer = False
+        self._sends_body = True
+        self._pieces: list[bytes] = []
+        self._deadline: Deadline | None = None
+        self._sent_before = 0
+        self._connection = Connection(
+            server.poller, sock, self, max_unsent_bytes=server.limits.max_unsent_bytes
+        )
+        self._connection.set_silent_limit(self._limits.silent_seconds)
+        self._set_deadline(self._limits.idle_seconds)
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of answers the kernel has not taken yet."""
+        return self._connection.unsent_bytes()
+
+    # ------------------------------------------------------------ requests in
+
+    def connection_made(self) -> None:
+        """Unused: accepted connections are there from the start."""
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of the caller."""
+        if self._phase is _Phase.FINISHING or self._requests.too_large:
+            return
+        self._codec.receive_data(data)
+        if self._phase in (_Phase.IDLE, _Phase.RECEIVING):
+            self._read_request()
+        elif len(self._codec.trailing_data[0]) > self._limits.max_header_bytes:
+            self._connection.pause_reading()
+
+    def connection_lost(self, reason: str) -> None:
+        """Tell the service that the caller of an open exchange is gone."""
+        self._clear_deadline()
+        self._server.forget(self)
+        self._phase = _Phase.FINISHING
+        exchange = self._exchange
+        self._close_exchange()
+        if exchange is not None:
+            self._server.submit(HttpGone(exchange))
+
+    def _read_request(self) -> None:
+        try:
+            request = self._requests.next_request()
+        except RequestRefusedError as refused:
+            self._refuse(refused)
+            return
+        if request is not None:
+            self._deliver(request)
+            return
+        if self._phase is _Phase.IDLE and self._requests.has_begun():
+            self._phase = _Phase.RECEIVING
+            self._set_deadline(self._limits.request_seconds)
+        if self._codec.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=_CONTINUE, headers=[])
+            self._connection.write(self._codec.send(go_on))
+
+    def _deliver(self, request: IncomingRequest) -> None:
+        self._clear_deadline()
+        self._phase = _Phase.ANSWERING
+        self._closes_after_answer = request.too_large
+        self._exchange = self._server.open_exchange(self)
+        self._server.submit(
+            HttpArrived(
+                exchange=self._exchange,
+                method=request.method,
+                path=request.path,
+                query=request.query,
+                headers=request.headers,
+                body=request.body,
+                too_large=request.too_large,
+            )
+        )
+
+    # ------------------------------------------------------------ answers out
+
+    def reply(self, effect: HttpReply) -> None:
+        """Write a whole answer."""
+        if self._phase is not _Phase.ANSWERING:
+            return
+        headers = response_headers(effect.headers)
+        if effect.status not in _BODILESS_STATUSES:
+            headers.append(_content_length(effect.body))
+        if self._write_head(effect.status, headers):
+            self._write_end(effect.body if self._sends_body else b"")
+
+    def start_stream(self, effect: HttpStreamStart) -> None:
+        """Write the head of an answer whose body follows in pieces."""
+        if self._phase is not _Phase.ANSWERING:
+            return
+        written = self._write_head(effect.status, response_headers(effect.headers))
+        if written and not self._connection.closed:
+            self._phase = _Phase.STREAMING
+
+    def stream_data(self, data: bytes) -> None:
+        """Collect a piece; the pieces of one turn of the loop go out as one chunk."""
+        if self._phase is not _Phase.STREAMING or not data or not self._sends_body:
+            return
+        if not self._pieces:
+            self._server.poller.flush_later(self)
+        self._pieces.append(data)
+
+    def flush_output(self) -> None:
+        """Write the collected pieces as one chunk (called by the poller)."""
+        if self._phase is not _Phase.STREAMING or not self._pieces:
+            return
+        chunk = h11.Data(data=b"".join(self._pieces))
+        self._pieces.clear()
+        self._connection.write(self._codec.send(chunk))
+
+    def end_stream(self, *, aborted: bool) -> None:
+        """End a streamed answer; without its last chunk if it is not whole."""
+        self.flush_output()
+        if self._phase is not _Phase.STREAMING:
+            return
+        if aborted:
+            self._finish()
+        else:
+            self._write_end(b"")
+
+    def _write_head(self, status: int, headers: RawHeaders) -> bool:
+        """Write a response head; False if the service gave one that is not HTTP."""
+        if self._closes_after_answer:
+            headers.append((b"connection", b"close"))
+        try:
+            response = h11.Response(
+                status_code=status, headers=headers, reason=reason_phrase(status)
+            )
+            head = self._codec.send(response)
+        except h11.LocalProtocolError as error:
+            absl.logging.error({"event": "bad_response_head", "reason": str(error)})
+            self._finish()
+            return False
+        self._connection.write(head)
+        bodiless = status in _BODILESS_STATUSES or self._requests.is_head_request()
+        self._sends_body = not bodiless
+        return True
+
+    def _write_end(self, body: bytes) -> None:
+        """Write the last bytes of an answer and turn to the next request."""
+        self._connection.write(self._end_of_answer(body))
+        if self._phase is _Phase.FINISHING:
+            return
+        self._close_exchange()
+        if self._codec.our_state is h11.MUST_CLOSE or self._closes_after_answer:
+            self._finish()
+        else:
+            self._turn_to_next_request()
+
+    def _end_of_answer(self, body: bytes) -> bytes:
+        output: bytes = self._codec.send(h11.Data(data=body)) if body else b""
+        return output + self._codec.send(h11.EndOfMessage())
+
+    def _turn_to_next_request(self) -> None:
+        self._requests.start_over()
+        self._phase = _Phase.IDLE
+        self._set_deadline(self._limits.idle_seconds)
+        self._connection.resume_reading()
+        self._read_request()
+
+    # ------------------------------------------------------------ ends
+
+    def shut_down(self) -> None:
+        """Send what is written, then close; an open exchange gets no (more) answer."""
+        if self._phase is not _Phase.FINISHING:
+            self.flush_output()
+            self._finish()
+
+    def _refuse(self, refused: RequestRefusedError) -> None:
+        """Answer a request that never reaches the service, and close."""
+        if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            answer = refusal_of(refused.error, refused.status)
+            headers = response_headers(answer.headers)
+            headers.append(_content_length(answer.body))
+            self._closes_after_answer = True
+            if self._write_head(answer.status, headers):
+                body = answer.body if self._sends_body else b""
+                self._connection.write(self._end_of_answer(body))
+        self._finish()
+
+    def _finish(self) -> None:
+        """Send what is written, read no more requests, and close within a bound."""
+        self._close_exchange()
+        self._phase = _Phase.FINISHING
+        self._connection.finish_when_sent()
+        if not self._connection.closed:
+            self._set_deadline(self._limits.linger_seconds)
+
+    def _close_exchange(self) -> None:
+        if self._exchange is not None:
+            self._server.close_exchange(self._exchange)
+            self._exchange = None
+
+    def _set_deadline(self, seconds: float) -> None:
+        self._clear_deadline()
+        self._sent_before = self._connection.bytes_sent
+        self._deadline = self._server.deadlines.call_after(seconds, self._on_deadline)
+
+    def _clear_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+
+    def _on_deadline(self) -> None:
+        """Refuse a half request; close a connection without a request or progress."""
+        self._deadline = None
+        if self._phase is _Phase.RECEIVING:
+            self._refuse(self._requests.refused(NOT_WHOLE_IN_TIME, REQUEST_TIMEOUT))
+            return
+        unsent = self._connection.unsent_bytes() > 0
+        if unsent and self._connection.bytes_sent > self._sent_before:
+            self._set_deadline(self._limits.linger_seconds)
+            return
+        self._connection.close()
+        self._server.forget(self)
+
+
+def _content_length(body: bytes) -> tuple[bytes, bytes]:
+    return b"content-length", str(len(body)).encode()
--- /dev/null
+++ b/src/yokeline/node/http_server.py
@@ -0,0 +1,113 @@
+r"""The HTTP server: requests of callers become events, replies and streams become bytes.
+
+Why not ``circuits.web`` itself (trials with 3.2.5; the reasons go to docs/DESIGN.md): its
+protocol component keeps the open request per connection and hands the *same* request out
+again when more bytes arrive before the answer (one posting would run twice, and a HEAD is
+answered again in place of the next GET); it takes the bytes after a request as its body or
+loses them; it decodes ``\\x41`` escapes in header values; it takes Content-Length together
+with Transfer-Encoding, and a negative length; it buffers bodies without a limit. Its own
+``stream`` events do push chunks, at four circuits events a chunk. ``h11``, the codec of
+the client side, is the nearest kin and checks both directions.
+"""
+
+from __future__ import annotations
+
+import itertools
+import socket
+
+from circuits import BaseComponent, handler
+
+from yokeline.effects import Event, HttpReply, HttpStreamData, HttpStreamEnd, HttpStreamStart
+from yokeline.identifiers import ExchangeId
+from yokeline.node.bridge import Bridge
+from yokeline.node.deadlines import DeadlineQueue
+from yokeline.node.http_exchange import ServerConnection
+from yokeline.node.limits import ServerLimits
+from yokeline.node.listener import Listener
+from yokeline.node.poller import SocketPoller
+
+
+class HttpServer(BaseComponent):
+    """Listens for callers and keeps their connections."""
+
+    channel = "http_server"
+
+    def __init__(
+        self,
+        bridge: Bridge,
+        poller: SocketPoller,
+        deadlines: DeadlineQueue,
+        sock: socket.socket,
+        limits: ServerLimits,
+    ) -> None:
+        """Serve on a listening socket."""
+        super().__init__(channel=bridge.channel)
+        self.limits = limits
+        self.deadlines = deadlines
+        self.poller = poller
+        self._bridge = bridge
+        self._connections: set[ServerConnection] = set()
+        self._exchanges: dict[ExchangeId, ServerConnection] = {}
+        self._numbers = itertools.count(1)
+        self._listener = Listener(poller, deadlines, sock, self._accept)
+        self.refused_connections = 0
+        bridge.carry_out_with(HttpReply, self._reply)
+        bridge.carry_out_with(HttpStreamStart, self._start_stream)
+        bridge.carry_out_with(HttpStreamData, self._stream_data)
+        bridge.carry_out_with(HttpStreamEnd, self._end_stream)
+
+    def open_exchange(self, connection: ServerConnection) -> ExchangeId:
+        """Name a new exchange."""
+        exchange = ExchangeId(f"x{next(self._numbers)}")
+        self._exchanges[exchange] = connection
+        return exchange
+
+    def close_exchange(self, exchange: ExchangeId) -> None:
+        """Forget an exchange whose answer ended or whose caller is gone."""
+        self._exchanges.pop(exchange, None)
+
+    def forget(self, connection: ServerConnection) -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+
+    def submit(self, event: Event) -> None:
+        """Hand an event to the service."""
+        self._bridge.submit(event)
+
+    def _accept(self, sock: socket.socket) -> None:
+        if len(self._connections) >= self.limits.max_connections:
+            self.refused_connections += 1
+            sock.close()
+            return
+        self._connections.add(ServerConnection(self, sock))
+
+    def _reply(self, effect: HttpReply) -> None:
+        connection = self._exchanges.get(effect.exchange)
+        if connection is not None:
+            connection.reply(effect)
+
+    def _start_stream(self, effect: HttpStreamStart) -> None:
+        connection = self._exchanges.get(effect.exchange)
+        if connection is not None:
+            connection.start_stream(effect)
+
+    def _stream_data(self, effect: HttpStreamData) -> None:
+        connection = self._exchanges.get(effect.exchange)
+        if connection is not None:
+            connection.stream_data(effect.data)
+
+    def _end_stream(self, effect: HttpStreamEnd) -> None:
+        connection = self._exchanges.get(effect.exchange)
+        if connection is not None:
+            connection.end_stream(aborted=effect.aborted)
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of answers the kernel has not taken yet."""
+        return sum(connection.unsent_bytes() for connection in self._connections)
+
+    @handler("service_stopped")
+    def _on_service_stopped(self, exit_code: int) -> None:
+        """Take no more connections; what is written is sent before the process ends."""
+        self._listener.close()
+        for connection in list(self._connections):
+            connection.shut_down()
--- /dev/null
+++ b/src/yokeline/node/peer_transport.py
@@ -0,0 +1,171 @@
+"""Messages between nodes: one outgoing TCP connection per peer, any number of incoming."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections import Counter
+
+import absl.logging
+from circuits import BaseComponent, handler
+from returns.result import Success
+
+from yokeline.effects import Address, PeerMessage, SendPeer
+from yokeline.errors import YokelineException
+from yokeline.identifiers import ReplicaId
+from yokeline.messages.codec import decode_peer, encode_peer
+from yokeline.messages.framing import FrameReader, encode_frame
+from yokeline.node.bridge import Bridge
+from yokeline.node.connection import Connection
+from yokeline.node.deadlines import DeadlineQueue
+from yokeline.node.limits import PeerLimits
+from yokeline.node.listener import Listener
+from yokeline.node.peer_link import PeerLink
+from yokeline.node.poller import SocketPoller
+
+LAST_SEND_SECONDS = 2.0
+"""Time for the last messages of a stopped service to leave."""
+
+
+class PeerTransport(BaseComponent):
+    """Sends and receives peer messages of one process start.
+
+    Attributes:
+        counters: Frames dropped, by reason.
+    """
+
+    channel = "peer_transport"
+
+    def __init__(
+        self,
+        bridge: Bridge,
+        poller: SocketPoller,
+        deadlines: DeadlineQueue,
+        sock: socket.socket,
+        replica: ReplicaId,
+        limits: PeerLimits,
+    ) -> None:
+        """Listen for other nodes on a listening socket."""
+        super().__init__(channel=bridge.channel)
+        self.replica = replica
+        self.limits = limits
+        self.poller = poller
+        self.counters: Counter[str] = Counter()
+        self._bridge = bridge
+        self._deadlines = deadlines
+        self._random = random.Random(replica)
+        self._links: dict[Address, PeerLink] = {}
+        self._incoming: set[IncomingPeer] = set()
+        self._listener = Listener(poller, deadlines, sock, self._accept)
+        bridge.carry_out_with(SendPeer, self.send_message)
+
+    def send_message(self, effect: SendPeer) -> None:
+        """Queue a message for another node."""
+        payload = encode_peer(self.replica, effect.to, effect.message)  # type: ignore[arg-type]
+        try:
+            frame = encode_frame(payload, self.limits.max_frame_bytes)
+        except YokelineException as error:
+            self.counters["frame_too_large"] += 1
+            absl.logging.error({"event": "peer_frame_too_large", "reason": str(error)})
+            return
+        self._link(effect.address).send(frame)
+
+    def take_payload(self, payload: bytes) -> None:
+        """Hand a received message to the service, if it is whole and meant for us."""
+        decoded = decode_peer(payload)
+        if not isinstance(decoded, Success):
+            self.counters["malformed"] += 1
+            absl.logging.log_every_n_seconds(
+                absl.logging.WARNING,
+                {"event": "peer_frame_malformed", "reason": decoded.failure().message},
+                1,
+            )
+            return
+        frame = decoded.unwrap()
+        if frame.recipient != self.replica:
+            self.counters["other_recipient"] += 1
+            return
+        self._bridge.submit(PeerMessage(sender=frame.sender, message=frame.message))
+
+    def forget(self, peer: IncomingPeer) -> None:
+        """Forget a closed incoming connection."""
+        self._incoming.discard(peer)
+
+    def dropped_frames(self) -> int:
+        """Return how many outgoing frames were dropped for age or size of the queue."""
+        return sum(link.dropped_frames for link in self._links.values())
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of messages the kernel has not taken yet."""
+        return sum(link.unsent_bytes() for link in self._links.values())
+
+    def _link(self, address: Address) -> PeerLink:
+        link = self._links.get(address)
+        if link is None:
+            link = PeerLink(
+                address, self.poller, self._deadlines, self.limits, self._random, self._unused
+            )
+            self._links[address] = link
+        return link
+
+    def _unused(self, address: Address) -> None:
+        self._links.pop(address, None)
+
+    def _accept(self, sock: socket.socket) -> None:
+        if len(self._incoming) >= self.limits.max_connections:
+            self.counters["refused_connections"] += 1
+            sock.close()
+            return
+        self._incoming.add(IncomingPeer(self, sock))
+
+    @handler("service_stopped")
+    def _on_service_stopped(self, exit_code: int) -> None:
+        self._listener.close()
+        for peer in list(self._incoming):
+            peer.close()
+        self._incoming.clear()
+        self._deadlines.call_after(LAST_SEND_SECONDS, self._close_links)
+
+    def _close_links(self) -> None:
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+
+class IncomingPeer:
+    """A connection that another node opened to send us messages."""
+
+    def __init__(self, transport: PeerTransport, sock: socket.socket) -> None:
+        """Read frames from an accepted socket."""
+        self._transport = transport
+        self._reader = FrameReader(transport.limits.max_frame_bytes)
+        self._connection = Connection(
+            transport.poller, sock, self, max_unsent_bytes=transport.limits.max_frame_bytes
+        )
+        self._connection.set_silent_limit(transport.limits.silent_seconds)
+
+    def connection_made(self) -> None:
+        """Unused: accepted connections are there from the start."""
+
+    def data_received(self, data: bytes) -> None:
+        """Take frames; a stream that is no yokeline peer's is closed."""
+        try:
+            payloads = self._reader.feed(data)
+        except YokelineException as error:
+            self._transport.counters["bad_stream"] += 1
+            absl.logging.log_every_n_seconds(
+                absl.logging.WARNING, {"event": "peer_stream_refused", "reason": str(error)}, 1
+            )
+            self.close()
+            self._transport.forget(self)
+            return
+        for payload in payloads:
+            self._transport.take_payload(payload)
+
+    def connection_lost(self, reason: str) -> None:
+        """Forget the connection."""
+        self._transport.forget(self)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
--- /dev/null
+++ b/src/yokeline/node/stream_items.py
@@ -0,0 +1,162 @@
+"""Cuts a streamed response body into items, as its pieces arrive.
+
+Pure code: the network client and the simulation use it alike.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from yokeline.effects import Framing
+
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+
+
+class StreamItem(msgspec.Struct, frozen=True):
+    """One server-sent event, or one line."""
+
+    data: bytes
+    event_id: str = ""
+
+
+class ItemTooLargeError(Exception):
+    """An item of the stream is over the limit."""
+
+
+class ItemReader(Protocol):
+    """Takes pieces of a body and gives out the items that are complete."""
+
+    def feed(self, data: bytes) -> list[StreamItem]:
+        """Add a piece and return the items it completes.
+
+        Raises:
+            ItemTooLargeError: The incomplete item is over the limit.
+        """
+        ...
+
+    def finish(self) -> list[StreamItem]:
+        """Return what is complete because the body ended in the orderly way."""
+        ...
+
+
+def item_reader(framing: Framing, max_item_bytes: int) -> ItemReader:
+    """Return a reader for a streamed framing."""
+    if framing is Framing.SERVER_SENT_EVENTS:
+        return ServerSentEventReader(max_item_bytes)
+    return JsonLineReader(max_item_bytes)
+
+
+class _Tail:
+    """The bytes after the last separator, joined only when a new one shows up."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._pieces: list[bytes] = []
+        self._size = 0
+
+    def add(self, data: bytes) -> None:
+        """Keep bytes of an incomplete item."""
+        if not data:
+            return
+        self._pieces.append(data)
+        self._size += len(data)
+        if self._size > self._max_bytes:
+            raise ItemTooLargeError(f"an item of the stream is over {self._max_bytes} bytes")
+
+    def take(self, data: bytes = b"") -> bytes:
+        """Return all kept bytes with ``data`` after them, and keep none."""
+        if not self._pieces:
+            return data
+        self._pieces.append(data)
+        whole = b"".join(self._pieces)
+        self._pieces.clear()
+        self._size = 0
+        return whole
+
+
+class JsonLineReader:
+    """One item per line that is not blank."""
+
+    def __init__(self, max_item_bytes: int) -> None:
+        """Refuse lines over ``max_item_bytes``."""
+        self._tail = _Tail(max_item_bytes)
+
+    def feed(self, data: bytes) -> list[StreamItem]:
+        """Return the lines that ``data`` completes."""
+        if b"\n" not in data:
+            self._tail.add(data)
+            return []
+        *lines, rest = self._tail.take(data).split(b"\n")
+        self._tail.add(rest)
+        return [StreamItem(line.strip()) for line in lines if line.strip()]
+
+    def finish(self) -> list[StreamItem]:
+        """Return the last line if it has no line end."""
+        line = self._tail.take().strip()
+        return [StreamItem(line)] if line else []
+
+
+class ServerSentEventReader:
+    """One item per event with data (WHATWG HTML, section 9.2, server-sent events).
+
+    ``event_id`` is the id field of that very event, not the last one of the stream. An
+    event that is incomplete when the body ends is dropped, as the standard says.
+    """
+
+    def __init__(self, max_item_bytes: int) -> None:
+        """Refuse events over ``max_item_bytes``."""
+        self._tail = _Tail(max_item_bytes)
+        self._held_return = False
+        self._started = False
+
+    def feed(self, data: bytes) -> list[StreamItem]:
+        """Return the events that ``data`` completes."""
+        data = self._with_plain_line_ends(data)
+        if b"\n" not in data:
+            self._tail.add(data)
+            return []
+        *blocks, rest = self._tail.take(data).split(b"\n\n")
+        self._tail.add(rest)
+        items = (_event(block) for block in blocks)
+        return [item for item in items if item is not None]
+
+    def finish(self) -> list[StreamItem]:
+        """Return the event whose blank line is a return that waited for a line feed."""
+        if not self._held_return:
+            return []
+        self._held_return = False
+        return self.feed(b"\n")
+
+    def _with_plain_line_ends(self, data: bytes) -> bytes:
+        """Turn all three kinds of line end into a line feed, also across pieces."""
+        if self._held_return:
+            data = b"\r" + data
+            self._held_return = False
+        if not self._started and data:
+            self._started = True
+            data = data.removeprefix(_BYTE_ORDER_MARK)
+        if b"\r" not in data:
+            return data
+        if data.endswith(b"\r"):
+            self._held_return = True
+            data = data[:-1]
+        return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
+
+def _event(block: bytes) -> StreamItem | None:
+    """Return the event that a block of lines is; None if it has no data."""
+    data: list[bytes] = []
+    event_id = ""
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        if value.startswith(b" "):
+            value = value[1:]
+        if name == b"data":
+            data.append(value)
+        elif name == b"id":
+            event_id = value.decode("utf-8", errors="replace")
+    if not data:
+        return None
+    return StreamItem(b"\n".join(data), event_id)
--- /dev/null
+++ b/src/yokeline/runs/engine_queue.py
@@ -0,0 +1,144 @@
+"""Gives waiting model calls to engines, in the queue's order, as engines have room."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.errors import YokelineError
+from yokeline.runs.activity import Activity, Stage
+from yokeline.runs.core import ExecutorCore
+from yokeline.runs.errors import overloaded
+from yokeline.runs.model import Run
+from yokeline.runs.next_step import StartCall
+from yokeline.runs.timers import Timer
+from yokeline.runs.waiting import QueueKey, WaitingCall, WaitingCalls, queue_key
+from yokeline.scheduling.interface import CallDemand, EngineChoice, EngineDirectoryInterface
+
+MAX_FAILED_CHOICES = 32
+"""Calls in a row (per kind of demand) that may find no room before the rest waits unasked."""
+SHED_RETRY_AFTER_SECONDS = 2.0
+MIN_PAUSE_SECONDS = 0.02
+
+CallStarter = Callable[[Activity, StartCall, CallDemand, EngineChoice], None]
+RunEnder = Callable[[Activity, Run, YokelineError], None]
+
+
+class EngineQueue:
+    """Chooses engines for model calls and keeps the calls that must wait."""
+
+    def __init__(
+        self, core: ExecutorCore, engines: EngineDirectoryInterface, end_run: RunEnder
+    ) -> None:
+        """Create it; ``end_run`` ends a run whose call is shed or cannot be served."""
+        self._core = core
+        self._engines = engines
+        self._end_run = end_run
+        self._waiting = WaitingCalls(core.settings.scheduling.queue_limit, engines.order)
+        self._resting: dict[str, float] = {}
+        self._starter: CallStarter | None = None
+        self._pump_timer: Timer | None = None
+
+    def start_with(self, starter: CallStarter) -> None:
+        """Install what starts a call once it has an engine (done once)."""
+        self._starter = starter
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return len(self._waiting)
+
+    # ------------------------------------------------------------ calls come and go
+
+    def submit(self, activity: Activity, run: Run, step: StartCall, demand: CallDemand) -> None:
+        """Start a call now if an engine has room and nobody else waits for it, else queue it.
+
+        Where others wait the policy's order decides, since a call of a program that is active
+        at an engine may go where a new program may not.
+        """
+        call = WaitingCall(activity=activity, step=step, demand=demand, shedable=not run.calls)
+        if self._waiting.anyone_waits(queue_key(demand)):
+            self._enqueue(call)
+            self.pump_soon()
+            return
+        choice = self._choose(demand)
+        if isinstance(choice, Success):
+            self._start(call, choice.unwrap())
+        elif choice.failure().retry_after is None:
+            self._end_run(activity, run, choice.failure())
+        else:
+            self._enqueue(call)
+            self._pump_after(choice.failure())
+
+    def _enqueue(self, call: WaitingCall) -> None:
+        call.activity.stage = Stage.WAITING
+        call.activity.cancel = lambda: self._waiting.remove(call.activity)
+        call.activity.detach = call.activity.cancel
+        self._waiting.add(call)
+        for shed in self._waiting.overflow():
+            self._shed(shed)
+
+    def _shed(self, call: WaitingCall) -> None:
+        self._core.context.counters["yokeline_calls_shed_total"] += 1
+        run = self._core.find(call.activity.shard, call.activity.run)
+        if run is not None:
+            error = overloaded("the queue for engines", SHED_RETRY_AFTER_SECONDS)
+            self._end_run(call.activity, run, error)
+
+    def engine_refused(self, engine: str, seconds: float) -> None:
+        """Note that an engine asked for a pause of some seconds."""
+        self._resting[engine] = self._core.context.now + seconds
+
+    # ------------------------------------------------------------ giving out engines
+
+    def pump_soon(self) -> None:
+        """Look for room for the waiting calls: something may have become free."""
+        if len(self._waiting):
+            self._schedule_pump(0.0)
+
+    def _pump_after(self, error: YokelineError) -> None:
+        self._schedule_pump(max(MIN_PAUSE_SECONDS, error.retry_after or 0.0))
+
+    def _schedule_pump(self, seconds: float) -> None:
+        due = self._core.context.now + seconds
+        if self._pump_timer is not None:
+            if self._pump_timer.due <= due:
+                return
+            self._pump_timer.cancel()
+        self._pump_timer = self._core.timers.schedule(due, self._pump)
+
+    def _pump(self) -> None:
+        self._pump_timer = None
+        failures: Counter[QueueKey] = Counter()
+        for call in self._waiting.ordered():
+            key = queue_key(call.demand)
+            if failures[key] < MAX_FAILED_CHOICES and not self._try_start(call):
+                failures[key] += 1
+
+    def _try_start(self, call: WaitingCall) -> bool:
+        choice = self._choose(call.demand)
+        if isinstance(choice, Success):
+            self._waiting.remove(call.activity)
+            self._start(call, choice.unwrap())
+            return True
+        self._pump_after(choice.failure())
+        return False
+
+    def _start(self, call: WaitingCall, choice: EngineChoice) -> None:
+        if self._starter is not None:
+            self._starter(call.activity, call.step, call.demand, choice)
+
+    def _choose(self, demand: CallDemand) -> Result[EngineChoice, YokelineError]:
+        """Choose an engine that did not ask for a pause."""
+        now = self._core.context.now
+        self._resting = {name: until for name, until in self._resting.items() if until > now}
+        avoided = dict.fromkeys((*demand.avoid, *self._resting))
+        choice = self._engines.choose(msgspec.structs.replace(demand, avoid=tuple(avoided)))
+        if isinstance(choice, Failure):
+            return choice
+        until = self._resting.get(choice.unwrap().engine)
+        if until is not None:
+            return Failure(overloaded("every allowed engine", until - now))
+        return choice
--- /dev/null
+++ b/src/yokeline/runs/executor.py
@@ -0,0 +1,158 @@
+"""The run executor: drives the runs of the shards that this node leads and serves callers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from yokeline.identifiers import RunId, ShardId
+from yokeline.runs.cache_actions import CacheActions
+from yokeline.runs.core import ExecutorCore
+from yokeline.runs.driver import RunDriver
+from yokeline.runs.model import CancelRun, Command, ForgetRuns, Run, RunStatus
+from yokeline.runs.ports import (
+    Configuration,
+    EventsHandler,
+    Host,
+    LeavingPredicate,
+    OperationDone,
+    nothing_leaves,
+)
+from yokeline.runs.retention import Retention
+from yokeline.runs.serving import OperationServer
+from yokeline.runs.state_machine import ApplyResult
+from yokeline.runs.tree import descendants
+from yokeline.runs.watchers import Watchers
+from yokeline.scheduling.interface import EngineDirectoryInterface
+from yokeline.server.context import NodeContext
+from yokeline.settings import Settings
+from yokeline.shards.operations import Operation
+
+
+class Executor:
+    """Listens to the host of the shards, drives runs and answers operations."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        settings: Settings,
+        host: Host,
+        configuration: Callable[[], Configuration],
+        engines: EngineDirectoryInterface,
+        leaving: LeavingPredicate = nothing_leaves,
+    ) -> None:
+        """Create an executor without runs.
+
+        Args:
+            context: The node's context.
+            settings: The node's settings.
+            host: The replicated shards.
+            configuration: Returns the configuration in force.
+            engines: Chooses engines for model calls.
+            leaving: Tells which tool and app addresses get no new work.
+        """
+        self._core = ExecutorCore(context, settings, host)
+        self._watchers = Watchers(self._core)
+        self._server = OperationServer(self._core, self._watchers)
+        cache = CacheActions(self._core, engines)
+        self._driver = RunDriver(
+            self._core, configuration, engines, cache, leaving, self._watchers.text_arrived
+        )
+        self._retention = Retention(self._core, engines, cache)
+
+    # ------------------------------------------------------------ operations
+
+    def serve(
+        self,
+        operation: Operation,
+        shard: ShardId,
+        *,
+        deadline_seconds: float,
+        done: OperationDone,
+        on_events: EventsHandler | None = None,
+    ) -> str:
+        """Serve an operation at the leader; see :meth:`OperationServer.serve`."""
+        return self._server.serve(
+            operation, shard, deadline_seconds=deadline_seconds, done=done, on_events=on_events
+        )
+
+    def abandon(self, ticket: str) -> None:
+        """Drop an operation's answer and events."""
+        self._server.abandon(ticket)
+
+    # ------------------------------------------------------------ ShardListener
+
+    def leadership_gained(self, shard: ShardId, term: int) -> None:
+        """Go on with the shard's runs: all that was committed before is applied."""
+        self._core.context.log("runs_taken_over", shard=shard, term=term)
+        # What an earlier term of this node left must not go on with an old fence.
+        self._driver.leadership_lost(shard)
+        self._retention.leadership_gained(shard)
+        self._driver.leadership_gained(shard)
+
+    def leadership_lost(self, shard: ShardId) -> None:
+        """Leave the shard's runs and callers to the next leader."""
+        self._driver.leadership_lost(shard)
+        self._retention.leadership_lost(shard)
+        self._watchers.leadership_lost(shard)
+
+    def command_applied(self, shard: ShardId, command: Command, result: ApplyResult) -> None:
+        """Tell callers what changed, and end what is done for runs that have ended."""
+        if not result.accepted or not self._core.host.leads(shard):
+            return
+        if isinstance(command, ForgetRuns):
+            self._watchers.runs_forgotten(command.runs)
+            return
+        run = self._core.find(shard, command.run)
+        if run is None:
+            return
+        machine = self._core.host.machine(shard)
+        cascades = isinstance(command, CancelRun) and machine is not None
+        changed = descendants(machine.runs, run) if cascades and machine is not None else [run]
+        for member in reversed(changed):
+            self._run_changed(shard, member)
+
+    def _run_changed(self, shard: ShardId, run: Run) -> None:
+        self._watchers.run_changed(run)
+        if run.status is RunStatus.ACTIVE:
+            return
+        self._count_end(run)
+        self._driver.run_ended(run)
+        self._retention.run_ended(shard, run)
+
+    def _count_end(self, run: Run) -> None:
+        name = f'yokeline_runs_ended_total{{status="{run.status.value}"}}'
+        self._core.context.counters[name] += 1
+
+    # ------------------------------------------------------------ time
+
+    def tick(self) -> None:
+        """Do what is due at the context's time."""
+        self._core.timers.run_due(self._core.context.now)
+
+    def next_deadline(self) -> float | None:
+        """Return when the next :meth:`tick` is due."""
+        return self._core.timers.next_due()
+
+    # ------------------------------------------------------------ planned stop
+
+    def begin_drain(self) -> None:
+        """Start no further tool, app or child call here: leadership is about to move."""
+        self._driver.begin_drain()
+
+    def blocks_hand_over(self, shard: ShardId) -> bool:
+        """Return whether handing the shard over now would leave an outcome in doubt."""
+        return self._driver.blocks_hand_over(shard)
+
+    # ------------------------------------------------------------ status
+
+    def active_runs(self) -> int:
+        """Return how many runs are being driven here."""
+        return len(self._core.activities)
+
+    def waiting_calls(self) -> int:
+        """Return how many model calls wait for an engine."""
+        return len(self._driver.queue)
+
+    def is_driven(self, run: RunId) -> bool:
+        """Return whether something is under way or waited for in a run."""
+        return run in self._core.activities
--- a/src/yokeline/runs/model.py
+++ b/src/yokeline/runs/model.py
@@ -187,6 +187,8 @@
         backend: Name of the engine, tool or app; for a child, its run id.
         fence: Fencing token: the term of the leader that started this attempt.
         reason: Why that back end was chosen, for people.
+        answered: Its message is in the history; no further attempt may follow.
+        may_have_run: Some attempt of it was not surely refused by the back end.
     """
 
     number: int
@@ -203,10 +205,19 @@
     tool_request: ToolRequest | None = None
     usage: Usage = Usage()
     error: YokelineError | None = None
+    answered: bool = False
+    may_have_run: bool = False
 
 
 class Run(msgspec.Struct, kw_only=True):
-    """The state of one run."""
+    """The state of one run.
+
+    Attributes:
+        spent: Used by the run and all its descendants.
+        reserved: Set aside for the started calls of the run and all its descendants.
+        turn_started_wall: Wall seconds at which the current turn's input was added.
+        turn_first_call: Number that the first call of the current turn has (or will have).
+    """
 
     run: RunId
     spec: RunSpec
@@ -226,6 +237,8 @@
     spent: Usage = Usage()
     reserved: Reservation = Reservation(calls=0)
     finished_wall: float | None = None
+    turn_started_wall: float = 0.0
+    turn_first_call: int = 1
 
 
 # ---------------------------------------------------------------- commands
--- /dev/null
+++ b/src/yokeline/runs/next_step.py
@@ -0,0 +1,192 @@
+"""What a run needs next: a pure function of its replicated state and the wall time."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.errors import ErrorKind, Execution, YokelineError
+from yokeline.runs import budget, rules
+from yokeline.runs.errors import deadline_exceeded
+from yokeline.runs.model import (
+    CallKind,
+    CallRecord,
+    CallStatus,
+    Role,
+    Run,
+    RunStatus,
+    ToolRequest,
+)
+
+DEADLINE_RETRY_AFTER_SECONDS = 1.0
+REFUSED_ATTEMPTS_FACTOR = 4
+"""Attempts that a back end surely refused cost little, so that many more are allowed."""
+
+
+class StepLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits that are settings of the node."""
+
+    call_attempts: int
+
+
+class StartCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Start a call, or a further attempt of it.
+
+    Attributes:
+        request: The model's tool request that it carries out, if any.
+        retried: For a further attempt: the call as it stands.
+    """
+
+    kind: CallKind
+    number: int
+    attempt: int
+    request: ToolRequest | None = None
+    retried: CallRecord | None = None
+
+
+class RecoverCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Find out what became of a started call (a leader before may have sent it)."""
+
+    call: CallRecord
+
+
+class EndRun(msgspec.Struct, frozen=True, kw_only=True):
+    """End the run, or its turn."""
+
+    status: RunStatus
+    answer: str = ""
+    error: YokelineError | None = None
+
+
+class RefuseAtOnce(msgspec.Struct, frozen=True, kw_only=True):
+    """Refuse the run: nothing was started and nothing will be."""
+
+    error: YokelineError
+
+
+NextStep = StartCall | RecoverCall | EndRun | RefuseAtOnce
+
+
+def next_step(run: Run, root: Run, limits: StepLimits, wall: float) -> NextStep | None:
+    """Return the next step of a run.
+
+    Args:
+        run: The run.
+        root: The root of its tree, whose budget it shares.
+        limits: Limits of the node.
+        wall: Wall seconds now.
+
+    Returns:
+        The step; None if the run waits for nothing but its caller.
+    """
+    if run.status is not RunStatus.ACTIVE:
+        return None
+    under_way = rules.call_under_way(run)
+    if under_way is not None:
+        return RecoverCall(call=under_way)
+    unknown = rules.unknown_call_of_turn(run)
+    if unknown is not None and unknown.error is not None:
+        return ended_with(run, unknown.error)
+    answer = turn_answer(run)
+    if answer is not None:
+        status = RunStatus.IDLE if run.spec.conversation else RunStatus.SUCCEEDED
+        return EndRun(status=status, answer=answer)
+    expired = expiry_error(run, root, wall)
+    if expired is not None:
+        return ended_with(run, expired)
+    return _next_call(run, limits)
+
+
+def _next_call(run: Run, limits: StepLimits) -> NextStep:
+    last = rules.last_call(run)
+    if last is not None and _awaits_retry(run, last):
+        return _retry(run, last, limits)
+    number = len(run.calls) + 1
+    if run.spec.app:
+        return StartCall(kind=CallKind.APP, number=number, attempt=1)
+    pending = rules.pending_requests(run)
+    if not pending:
+        return StartCall(kind=CallKind.MODEL, number=number, attempt=1)
+    request = pending[0]
+    kind = CallKind.CHILD if request.name in run.spec.children else CallKind.TOOL
+    return StartCall(kind=kind, number=number, attempt=1, request=request)
+
+
+def _awaits_retry(run: Run, last: CallRecord) -> bool:
+    unanswered = last.status is CallStatus.FAILED and not last.answered
+    return unanswered and last.number >= run.turn_first_call
+
+
+def _retry(run: Run, last: CallRecord, limits: StepLimits) -> NextStep:
+    error = last.error
+    if error is None or not may_retry(last.attempt, last.repeatable, error, limits):
+        return ended_with(run, error or deadline_exceeded(None))
+    return StartCall(
+        kind=last.kind,
+        number=last.number,
+        attempt=last.attempt + 1,
+        request=last.tool_request,
+        retried=last,
+    )
+
+
+def may_retry(attempt: int, repeatable: bool, error: YokelineError, limits: StepLimits) -> bool:
+    """Return whether a failed attempt may be followed by another one.
+
+    Args:
+        attempt: Number of the attempt that failed.
+        repeatable: Whether the call may be repeated at all.
+        error: How it failed.
+        limits: Limits of the node.
+    """
+    if not repeatable or error.execution is Execution.DONE:
+        return False
+    if error.kind is ErrorKind.BUDGET_EXHAUSTED:
+        return False
+    if error.execution is Execution.UNKNOWN:
+        return attempt < limits.call_attempts
+    if error.retry_after is None:
+        return False
+    return attempt < limits.call_attempts * REFUSED_ATTEMPTS_FACTOR
+
+
+def turn_answer(run: Run) -> str | None:
+    """Return the answer of the current turn once it is whole, else None."""
+    last = rules.last_call(run)
+    if last is None or last.number < run.turn_first_call:
+        return None
+    message = run.history[-1]
+    if message.role is not Role.ASSISTANT or message.tool_requests:
+        return None
+    return message.content
+
+
+def expiry_wall(run: Run, root: Run) -> float:
+    """Return the wall seconds at which a run's time is over."""
+    budget_end = root.turn_started_wall + root.spec.budget.wall_seconds
+    if run.spec.deadline_wall is None:
+        return budget_end
+    return min(budget_end, run.spec.deadline_wall)
+
+
+def expiry_error(run: Run, root: Run, wall: float) -> YokelineError | None:
+    """Return why a run's time is over, None while it is not."""
+    deadline = run.spec.deadline_wall
+    if deadline is not None and wall >= deadline:
+        return deadline_exceeded(DEADLINE_RETRY_AFTER_SECONDS)
+    in_time = budget.check_wall(root, wall)
+    return None if wall < expiry_wall(run, root) else in_time.failure()
+
+
+def ended_with(run: Run, error: YokelineError) -> EndRun | RefuseAtOnce:
+    """Return how a run (or its turn) ends with an error.
+
+    A run in which no call started is refused. A conversation outlives the failure of a
+    later turn, since its history is worth keeping, unless its budget is used up.
+    """
+    if not run.calls:
+        return RefuseAtOnce(error=error)
+    if run.spec.conversation and run.turn > 1 and error.kind is not ErrorKind.BUDGET_EXHAUSTED:
+        return EndRun(status=RunStatus.IDLE, error=error)
+    unknown = error.kind is ErrorKind.OUTCOME_UNKNOWN
+    status = RunStatus.OUTCOME_UNKNOWN if unknown else RunStatus.FAILED
+    return EndRun(status=status, error=error)
--- /dev/null
+++ b/src/yokeline/runs/retention.py
@@ -0,0 +1,151 @@
+"""Removal of runs whose retention is over, and release of engines' caches at their end."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+
+from returns.result import Failure, Result
+
+from yokeline.errors import YokelineError
+from yokeline.identifiers import RunId, ShardId
+from yokeline.runs import rules
+from yokeline.runs.cache_actions import CacheActions
+from yokeline.runs.core import ExecutorCore
+from yokeline.runs.model import CallKind, ForgetRuns, Run, RunStatus
+from yokeline.runs.state_machine import ApplyResult
+from yokeline.runs.tree import descendants
+from yokeline.scheduling.interface import EngineDirectoryInterface
+
+FORGET_BATCH = 100
+FORGET_PERIOD_SECONDS = 5.0
+RECENT_SECONDS = 60.0
+"""A leader before may have ended without releasing the caches of runs this young."""
+
+_Expiry = tuple[float, RunId]
+
+
+class Retention:
+    """Keeps track of ended runs of the shards that this node leads."""
+
+    def __init__(
+        self, core: ExecutorCore, engines: EngineDirectoryInterface, cache: CacheActions
+    ) -> None:
+        """Create it; it looks for runs to forget every few seconds."""
+        self._core = core
+        self._engines = engines
+        self._cache = cache
+        self._expiries: dict[ShardId, list[_Expiry]] = {}
+        self._scheduled = False
+
+    # ------------------------------------------------------------ ended runs
+
+    def run_ended(self, shard: ShardId, run: Run) -> None:
+        """Note a run that is idle or final; only root runs are kept track of."""
+        if run.parent is not None:
+            self._cache.run_ended(shard, run)
+            return
+        if rules.is_final(run):
+            self.release_caches(shard, run)
+        else:
+            self._cache.turn_ended(shard, run)
+        heap = self._expiries.setdefault(shard, [])
+        heapq.heappush(heap, (self._expiry_wall(run), run.run))
+        self._schedule()
+
+    def _expiry_wall(self, run: Run) -> float:
+        runs = self._core.settings.runs
+        kept = runs.retention_seconds if rules.is_final(run) else runs.idle_seconds
+        return (run.finished_wall or run.created_wall) + kept
+
+    def leadership_gained(self, shard: ShardId) -> None:
+        """Take over the ended runs of a shard."""
+        machine = self._core.host.machine(shard)
+        if machine is None:
+            return
+        recent = self._core.context.wall() - RECENT_SECONDS
+        ended = [
+            run
+            for run in machine.runs.values()
+            if run.parent is None and run.status is not RunStatus.ACTIVE
+        ]
+        heap = [(self._expiry_wall(run), run.run) for run in ended]
+        heapq.heapify(heap)
+        self._expiries[shard] = heap
+        for run in sorted(ended, key=lambda run: run.run):
+            if rules.is_final(run) and (run.finished_wall or 0.0) > recent:
+                self.release_caches(shard, run)
+        self._schedule()
+
+    def leadership_lost(self, shard: ShardId) -> None:
+        """Drop what is kept about a shard."""
+        self._expiries.pop(shard, None)
+
+    # ------------------------------------------------------------ caches
+
+    def release_caches(self, shard: ShardId, root: Run) -> None:
+        """Free the context of an ended tree at every engine that may still hold it.
+
+        This is done under every policy: no memory stays taken for programs that are gone.
+        """
+        machine = self._core.host.machine(shard)
+        tree = descendants(machine.runs, root) if machine is not None else [root]
+        used = {call.backend for run in tree for call in run.calls if call.kind is CallKind.MODEL}
+        used.update(self._engines.run_ended(root.run))
+        for engine in sorted(used):
+            address = self._engines.address_of(engine)
+            if address is not None:
+                self._cache.drop(address, root.run)
+
+    # ------------------------------------------------------------ forgetting
+
+    def _schedule(self) -> None:
+        if self._scheduled or not any(self._expiries.values()):
+            return
+        self._scheduled = True
+        due = self._core.context.now + FORGET_PERIOD_SECONDS
+        self._core.timers.schedule(due, self._forget_expired)
+
+    def _forget_expired(self) -> None:
+        self._scheduled = False
+        for shard in sorted(self._expiries):
+            self._forget_in(shard)
+        self._schedule()
+
+    def _forget_in(self, shard: ShardId) -> None:
+        wall = self._core.context.wall()
+        heap = self._expiries[shard]
+        expired: list[Run] = []
+        while heap and heap[0][0] <= wall and len(expired) < FORGET_BATCH:
+            run = self._core.find(shard, heapq.heappop(heap)[1])
+            if run is not None and self._still_expired(run, wall):
+                expired.append(run)
+        if expired:
+            self._propose(shard, expired, wall)
+
+    def _still_expired(self, run: Run, wall: float) -> bool:
+        return run.status is not RunStatus.ACTIVE and self._expiry_wall(run) <= wall
+
+    def _propose(self, shard: ShardId, expired: list[Run], wall: float) -> None:
+        for run in expired:
+            if not rules.is_final(run):
+                self.release_caches(shard, run)
+        command = ForgetRuns(runs=tuple(run.run for run in expired), wall=wall)
+        self._core.host.propose(shard, command, self._put_back(shard, expired))
+
+    def _put_back(
+        self, shard: ShardId, expired: list[Run]
+    ) -> Callable[[Result[ApplyResult, YokelineError]], None]:
+        """Return the handler that tries again later if the runs were not removed."""
+
+        def done(result: Result[ApplyResult, YokelineError]) -> None:
+            if not isinstance(result, Failure) and result.unwrap().accepted:
+                return
+            heap = self._expiries.get(shard)
+            if heap is None:
+                return
+            for run in expired:
+                heapq.heappush(heap, (self._expiry_wall(run), run.run))
+            self._schedule()
+
+        return done
--- /dev/null
+++ b/src/yokeline/runs/rules.py
@@ -0,0 +1,240 @@
+"""Which commands a run's state allows. Pure checks; ``state_machine`` applies what passes."""
+
+from __future__ import annotations
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.errors import Execution, YokelineError
+from yokeline.identifiers import RunId
+from yokeline.runs.errors import conflict, key_reused
+from yokeline.runs.model import (
+    FINAL_STATUSES,
+    AddTurn,
+    CallFinished,
+    CallKind,
+    CallRecord,
+    CallStarted,
+    CallStatus,
+    FinishRun,
+    Reservation,
+    Role,
+    Run,
+    RunSpec,
+    RunStatus,
+    ToolRequest,
+    Usage,
+)
+
+Check = Result[None, YokelineError]
+FINISH_STATUSES = FINAL_STATUSES - {RunStatus.CANCELLED, RunStatus.REFUSED} | {RunStatus.IDLE}
+"""Statuses that a run can be finished with; the others have commands of their own."""
+CALLS_PER_RESERVATION = 1
+
+
+def is_final(run: Run) -> bool:
+    """Return whether nothing more will ever happen in a run."""
+    return run.status in FINAL_STATUSES
+
+
+def last_call(run: Run) -> CallRecord | None:
+    """Return the run's newest call."""
+    return run.calls[-1] if run.calls else None
+
+
+def call_under_way(run: Run) -> CallRecord | None:
+    """Return the call that has started and not finished, if there is one."""
+    call = last_call(run)
+    if call is None or call.status is not CallStatus.STARTED:
+        return None
+    return call
+
+
+def unknown_call_of_turn(run: Run) -> CallRecord | None:
+    """Return the current turn's call whose outcome is unknown, if there is one."""
+    call = last_call(run)
+    if call is None or call.status is not CallStatus.UNKNOWN:
+        return None
+    return call if call.number >= run.turn_first_call else None
+
+
+def execution_of(run: Run) -> Execution:
+    """Return what may be said of a run that ends without an answer.
+
+    ``NOT_RUN`` only if no call has started or each was surely refused by its back end.
+    """
+    if all(not may_have_run(call) for call in run.calls):
+        return Execution.NOT_RUN
+    return Execution.UNKNOWN
+
+
+def may_have_run(call: CallRecord) -> bool:
+    """Return whether some attempt of a call may have had an effect."""
+    return call.may_have_run or call.status is CallStatus.STARTED
+
+
+def surely_not_run(status: CallStatus, error: YokelineError | None) -> bool:
+    """Return whether an attempt's outcome says that the back end did nothing."""
+    if status is not CallStatus.FAILED or error is None:
+        return False
+    return error.execution is Execution.NOT_RUN
+
+
+def check_same_request(run: Run, spec: RunSpec) -> Check:
+    """Check that a repeated request is the one that made the run."""
+    same_owner = run.spec.tenant == spec.tenant and run.spec.program == spec.program
+    if not same_owner or run.spec.request_digest != spec.request_digest:
+        return Failure(key_reused())
+    return Success(None)
+
+
+def check_same_turn(run: Run, command: AddTurn) -> Check:
+    """Check that a repeated turn carries the input that it had the first time."""
+    inputs = [message.content for message in run.history if message.role is Role.USER]
+    first_input = inputs[run.turn_keys.index(command.turn_key) + 1]
+    return Success(None) if first_input == command.input else Failure(key_reused())
+
+
+def check_refuse(run: Run, spec: RunSpec) -> Check:
+    """Check that a known run may be refused: it is the same request and nothing started."""
+    same = check_same_request(run, spec)
+    if isinstance(same, Failure):
+        return same
+    if run.calls:
+        return Failure(conflict(run.run, "a call has started, so the run cannot be refused"))
+    if run.status not in {RunStatus.ACTIVE, RunStatus.REFUSED}:
+        return Failure(conflict(run.run, f"the run is {run.status.value}"))
+    return Success(None)
+
+
+def not_run(error: YokelineError) -> YokelineError:
+    """Return the error with the statement that nothing was run."""
+    return msgspec.structs.replace(error, execution=Execution.NOT_RUN)
+
+
+def truthful(run: Run, error: YokelineError | None) -> YokelineError | None:
+    """Return the error without a claim of ``NOT_RUN`` that the run's calls do not support."""
+    if error is None:
+        return None
+    known = execution_of(run)
+    if known is Execution.NOT_RUN or error.execution is Execution.NOT_RUN:
+        return msgspec.structs.replace(error, execution=known)
+    return error
+
+
+def check_child(parent: Run | None, child: RunId, tenant: str) -> Check:
+    """Check that a parent has a started child call that waits for this child."""
+    if parent is None or is_final(parent):
+        return Failure(conflict(child, "no parent waits for this child"))
+    call = call_under_way(parent)
+    if call is None or call.kind is not CallKind.CHILD or call.backend != child:
+        return Failure(conflict(parent.run, f"no started call waits for child {child}"))
+    if parent.spec.tenant != tenant:
+        return Failure(conflict(parent.run, "a child belongs to its parent's tenant"))
+    return Success(None)
+
+
+def check_call_started(run: Run, command: CallStarted) -> Check:
+    """Check that a call (or a further attempt of the last one) may start now."""
+    if run.status is not RunStatus.ACTIVE:
+        return Failure(conflict(run.run, f"no call may start in a run that is {run.status.value}"))
+    if not _valid_reservation(command.reserved):
+        return Failure(conflict(run.run, "a reservation is one call and nothing negative"))
+    last = last_call(run)
+    if last is not None and command.fence < last.fence:
+        return Failure(conflict(run.run, "the fence is lower than that of the last call"))
+    if last is not None and command.number == last.number:
+        return _check_attempt(run, last, command)
+    return _check_new_call(run, command)
+
+
+def _check_new_call(run: Run, command: CallStarted) -> Check:
+    if command.number != len(run.calls) + 1:
+        return Failure(conflict(run.run, f"call {command.number} is not the next one"))
+    if command.attempt != 1:
+        return Failure(conflict(run.run, "the first attempt of a call has number 1"))
+    if call_under_way(run) is not None:
+        return Failure(conflict(run.run, "the call before has not finished"))
+    if unknown_call_of_turn(run) is not None:
+        return Failure(conflict(run.run, "the outcome of the call before is unknown"))
+    return Success(None)
+
+
+def _check_attempt(run: Run, last: CallRecord, command: CallStarted) -> Check:
+    if not (last.repeatable and command.repeatable):
+        return Failure(conflict(run.run, f"call {last.number} may not be repeated"))
+    if command.attempt != last.attempt + 1:
+        return Failure(conflict(run.run, f"attempt {command.attempt} is not the next one"))
+    if last.answered or last.status not in {CallStatus.STARTED, CallStatus.FAILED}:
+        return Failure(conflict(run.run, f"call {last.number} has its outcome"))
+    if command.kind is not last.kind or command.tool_request != last.tool_request:
+        return Failure(conflict(run.run, "an attempt repeats its call, it does not change it"))
+    return Success(None)
+
+
+def check_call_finished(run: Run, command: CallFinished, child: Run | None) -> Check:
+    """Check that an outcome belongs to the attempt that is under way.
+
+    Args:
+        run: The run.
+        command: The outcome.
+        child: For a child call: the child run, if it exists.
+    """
+    call = call_under_way(run)
+    if is_final(run) or call is None:
+        return Failure(conflict(run.run, "no call is under way"))
+    if (command.number, command.attempt) != (call.number, call.attempt):
+        return Failure(conflict(run.run, "the outcome is not of the attempt under way"))
+    if command.status is CallStatus.STARTED:
+        return Failure(conflict(run.run, "an outcome is succeeded, failed or unknown"))
+    if command.status is CallStatus.SUCCEEDED and command.message is None:
+        return Failure(conflict(run.run, "a call that succeeded has a message"))
+    if command.status is CallStatus.UNKNOWN and command.message is not None:
+        return Failure(conflict(run.run, "a call with unknown outcome has no message"))
+    if not _valid_usage(command.usage):
+        return Failure(conflict(run.run, "usage is never negative"))
+    if child is not None and not is_final(child):
+        return Failure(conflict(run.run, f"child {child.run} has not ended"))
+    return Success(None)
+
+
+def check_finish(run: Run, command: FinishRun) -> Check:
+    """Check that a run may get this final (or idle) status now."""
+    if run.status is not RunStatus.ACTIVE:
+        return Failure(conflict(run.run, f"the run is {run.status.value}"))
+    if command.status not in FINISH_STATUSES:
+        return Failure(conflict(run.run, f"a run is not finished as {command.status.value}"))
+    if call_under_way(run) is not None:
+        return Failure(conflict(run.run, "a call is under way"))
+    if command.status is RunStatus.IDLE and not run.spec.conversation:
+        return Failure(conflict(run.run, "only a conversation becomes idle"))
+    if command.error is None and command.status not in {RunStatus.SUCCEEDED, RunStatus.IDLE}:
+        return Failure(conflict(run.run, "a run that did not succeed has an error"))
+    honest = {RunStatus.OUTCOME_UNKNOWN, RunStatus.IDLE}
+    if unknown_call_of_turn(run) is not None and command.status not in honest:
+        return Failure(conflict(run.run, "the outcome of its last call is unknown"))
+    if unknown_call_of_turn(run) is not None and command.error is None:
+        return Failure(conflict(run.run, "an unknown outcome is an error of the turn"))
+    return Success(None)
+
+
+def _valid_reservation(reservation: Reservation) -> bool:
+    amounts_valid = reservation.tokens >= 0 and reservation.tool_seconds >= 0
+    return amounts_valid and reservation.calls == CALLS_PER_RESERVATION
+
+
+def _valid_usage(usage: Usage) -> bool:
+    counts = (usage.prompt_tokens, usage.cached_tokens, usage.completion_tokens, usage.calls)
+    return min(counts) >= 0 and usage.tool_seconds >= 0
+
+
+def pending_requests(run: Run) -> tuple[ToolRequest, ...]:
+    """Return the model's tool requests of this turn that have no answer yet, in order."""
+    answered: set[str] = set()
+    for message in reversed(run.history):
+        if message.tool_request:
+            answered.add(message.tool_request)
+            continue
+        requests = message.tool_requests
+        return tuple(request for request in requests if request.identity not in answered)
+    return ()
--- /dev/null
+++ b/src/yokeline/runs/spec.py
@@ -0,0 +1,55 @@
+"""What a run is created with: a program and the policies that apply to it, resolved."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from yokeline.labels.objects import Program
+from yokeline.labels.resolution import ResolvedPolicy
+from yokeline.runs.budget import smaller_budget
+from yokeline.runs.model import Run, RunSpec
+
+
+def request_digest(program: str, content: str) -> str:
+    """Return the digest that tells requests under one idempotency key apart."""
+    return xxhash.xxh3_128_hexdigest(f"{program}\x00{content}".encode())
+
+
+def spec_of_program(program: Program, policy: ResolvedPolicy) -> RunSpec:
+    """Return the spec of a run of a program, without what a single request adds."""
+    return RunSpec(
+        tenant=program.tenant,
+        program=program.name,
+        labels=dict(program.labels),
+        model=program.model,
+        app=program.app,
+        system_prompt=program.system_prompt,
+        tools=program.tools,
+        children=program.children,
+        engine_selector=",".join(policy.engine_selector),
+        repeatable=program.repeatable or not program.app,
+        priority=policy.priority,
+        worth=policy.worth,
+        budget=policy.budget,
+        max_completion_tokens=program.max_completion_tokens,
+        conversation=program.conversation,
+    )
+
+
+def child_spec(parent: Run, program: Program, policy: ResolvedPolicy, content: str) -> RunSpec:
+    """Return the spec of a child run.
+
+    A child works for its parent's caller: it has the parent's priority, worth and deadline,
+    and it shares the root's budget (its own limits count where they are smaller).
+    """
+    spec = spec_of_program(program, policy)
+    return msgspec.structs.replace(
+        spec,
+        request_digest=request_digest(program.name, content),
+        priority=parent.spec.priority,
+        worth=parent.spec.worth,
+        budget=smaller_budget(parent.spec.budget, spec.budget),
+        deadline_wall=parent.spec.deadline_wall,
+        conversation=False,
+    )
--- /dev/null
+++ b/src/yokeline/runs/state_machine.py
@@ -0,0 +1,297 @@
+"""The replicated state machine of a shard's runs.
+
+Commands are applied in log order on every replica. Applying is deterministic: it reads no
+clock and draws nothing at random. A command that the state does not allow is rejected with a
+typed error and changes nothing.
+"""
+
+from __future__ import annotations
+
+from typing import assert_never
+
+import msgspec
+from returns.result import Failure, Result
+
+from yokeline.errors import YokelineError
+from yokeline.identifiers import RunId, root_run_id
+from yokeline.runs import budget, rules
+from yokeline.runs.changes import (
+    abandoned_record,
+    created_run,
+    end_run,
+    record_of,
+    refused_run,
+    set_answer,
+)
+from yokeline.runs.errors import conflict, run_not_found
+from yokeline.runs.model import (
+    AddTurn,
+    CallFinished,
+    CallKind,
+    CallRecord,
+    CallStarted,
+    CallStatus,
+    CancelRun,
+    ChatMessage,
+    Command,
+    CreateRun,
+    FinishRun,
+    ForgetRuns,
+    RefuseRun,
+    Reservation,
+    Role,
+    Run,
+    RunStatus,
+    Usage,
+)
+from yokeline.runs.snapshot import decode_runs, encode_runs
+from yokeline.runs.tree import ancestors, descendants
+
+
+class ApplyResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What applying a command did.
+
+    Attributes:
+        accepted: The command took effect, or had taken effect before.
+        run: The run it was about.
+        created: This very command created the run or added the turn.
+    """
+
+    accepted: bool
+    run: RunId | None
+    error: YokelineError | None = None
+    created: bool = False
+
+
+class RunStateMachine:
+    """All runs of one shard.
+
+    Attributes:
+        runs: Runs by id. Read only for everybody else.
+    """
+
+    def __init__(self) -> None:
+        """Create a shard without runs."""
+        self.runs: dict[RunId, Run] = {}
+
+    def apply(self, command: Command) -> ApplyResult:
+        """Apply one committed command.
+
+        Args:
+            command: The next command of the log.
+
+        Returns:
+            Whether it was accepted, and why not.
+        """
+        match command:
+            case CreateRun():
+                return self.transition_create_run(command)
+            case AddTurn():
+                return self.transition_add_turn(command)
+            case RefuseRun():
+                return self.transition_refuse_run(command)
+            case CallStarted():
+                return self.transition_call_started(command)
+            case CallFinished():
+                return self.transition_call_finished(command)
+            case FinishRun():
+                return self.transition_finish_run(command)
+            case CancelRun():
+                return self.transition_cancel_run(command)
+            case ForgetRuns():
+                return self.transition_forget_runs(command)
+            case _:
+                assert_never(command)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes; equal states give equal bytes."""
+        return encode_runs(self.runs)
+
+    @classmethod
+    def restore(cls, data: bytes) -> RunStateMachine:
+        """Return the state machine that a snapshot was taken of."""
+        machine = cls()
+        machine.runs = decode_runs(data)
+        return machine
+
+    # ------------------------------------------------------------ transitions
+
+    def transition_create_run(self, command: CreateRun) -> ApplyResult:
+        """Create a run, or find the one that the same request created before."""
+        existing = self.runs.get(command.run)
+        if existing is not None:
+            return _checked(command.run, rules.check_same_request(existing, command.spec))
+        if command.parent is not None:
+            parent = self.runs.get(command.parent)
+            check = rules.check_child(parent, command.run, command.spec.tenant)
+            if isinstance(check, Failure) or parent is None:
+                return _rejected(command.run, check.failure())
+            parent.children += 1
+        elif root_run_id(command.run) != command.run:
+            return _rejected(command.run, conflict(command.run, "a child names its parent"))
+        self.runs[command.run] = created_run(command)
+        return ApplyResult(accepted=True, run=command.run, created=True)
+
+    def transition_add_turn(self, command: AddTurn) -> ApplyResult:
+        """Append a user message to an idle conversation."""
+        run = self.runs.get(command.run)
+        if run is None:
+            return _rejected(command.run, run_not_found())
+        if command.turn_key and command.turn_key in run.turn_keys:
+            return _checked(command.run, rules.check_same_turn(run, command))
+        if run.status is not RunStatus.IDLE:
+            return _rejected(command.run, conflict(run.run, f"the run is {run.status.value}"))
+        run.history.append(ChatMessage(role=Role.USER, content=command.input))
+        run.turn += 1
+        run.turn_keys.append(command.turn_key)
+        run.turn_started_wall = command.wall
+        run.turn_first_call = len(run.calls) + 1
+        run.spec = msgspec.structs.replace(run.spec, deadline_wall=command.deadline_wall)
+        run.status = RunStatus.ACTIVE
+        set_answer(run, "", None)
+        run.finished_wall = None
+        return ApplyResult(accepted=True, run=command.run, created=True)
+
+    def transition_refuse_run(self, command: RefuseRun) -> ApplyResult:
+        """Record that a request was not run and never will be."""
+        run = self.runs.get(command.run)
+        if run is None:
+            self.runs[command.run] = refused_run(command)
+            return ApplyResult(accepted=True, run=command.run, created=True)
+        check = rules.check_refuse(run, command.spec)
+        if isinstance(check, Failure):
+            return _rejected(command.run, check.failure())
+        if run.status is RunStatus.REFUSED:
+            return ApplyResult(accepted=True, run=command.run)
+        run.error = rules.not_run(command.error)
+        end_run(run, RunStatus.REFUSED, command.wall)
+        return ApplyResult(accepted=True, run=command.run)
+
+    def transition_call_started(self, command: CallStarted) -> ApplyResult:
+        """Record a call (or a further attempt) and reserve its budget."""
+        run = self.runs.get(command.run)
+        if run is None:
+            return _rejected(command.run, run_not_found())
+        check = rules.check_call_started(run, command)
+        if isinstance(check, Failure):
+            return _rejected(command.run, check.failure())
+        covered = budget.check_call(self.runs[root_run_id(run.run)], run, command)
+        if isinstance(covered, Failure):
+            return _rejected(command.run, covered.failure())
+        previous = rules.last_call(run)
+        repeats = previous is not None and previous.number == command.number
+        if repeats and previous is not None:
+            self._supersede(run, previous)
+        record = record_of(command, rules.may_have_run(previous) if repeats and previous else False)
+        if repeats:
+            run.calls[-1] = record
+        else:
+            run.calls.append(record)
+        for member in ancestors(self.runs, run):
+            budget.reserve(member, command.reserved)
+        return ApplyResult(accepted=True, run=command.run)
+
+    def transition_call_finished(self, command: CallFinished) -> ApplyResult:
+        """Record an attempt's outcome, settle its budget and append its message."""
+        run = self.runs.get(command.run)
+        if run is None:
+            return _rejected(command.run, run_not_found())
+        call = rules.call_under_way(run)
+        child = self.runs.get(RunId(call.backend)) if call is not None else None
+        check = rules.check_call_finished(run, command, child)
+        if isinstance(check, Failure) or call is None:
+            return _rejected(command.run, check.failure())
+        harmless = rules.surely_not_run(command.status, command.error)
+        usage = budget.charged_usage(command.usage, surely_not_run=harmless)
+        run.calls[-1] = msgspec.structs.replace(
+            call,
+            status=command.status,
+            finished_wall=command.wall,
+            usage=usage,
+            error=command.error,
+            answered=command.message is not None,
+            may_have_run=call.may_have_run or not harmless,
+        )
+        if command.message is not None:
+            run.history.append(command.message)
+        self._settle(run, call.reserved, usage)
+        return ApplyResult(accepted=True, run=command.run)
+
+    def transition_finish_run(self, command: FinishRun) -> ApplyResult:
+        """Give a run its final (or idle) status and its answer."""
+        run = self.runs.get(command.run)
+        if run is None:
+            return _rejected(command.run, run_not_found())
+        check = rules.check_finish(run, command)
+        if isinstance(check, Failure):
+            return _rejected(command.run, check.failure())
+        set_answer(run, command.answer, rules.truthful(run, command.error))
+        end_run(run, command.status, command.wall)
+        return ApplyResult(accepted=True, run=command.run)
+
+    def transition_cancel_run(self, command: CancelRun) -> ApplyResult:
+        """Cancel a run and its descendants; a no-op if it has ended already."""
+        run = self.runs.get(command.run)
+        if run is None:
+            return _rejected(command.run, run_not_found())
+        if rules.is_final(run):
+            return ApplyResult(accepted=True, run=command.run)
+        for member in reversed(descendants(self.runs, run)):
+            if not rules.is_final(member):
+                self._cancel(member, command)
+        return ApplyResult(accepted=True, run=command.run)
+
+    def transition_forget_runs(self, command: ForgetRuns) -> ApplyResult:
+        """Remove whole trees of runs; rejected as a whole if one of them is active."""
+        roots = [self.runs[run] for run in dict.fromkeys(command.runs) if run in self.runs]
+        for root in roots:
+            if root.parent is not None or root.status is RunStatus.ACTIVE:
+                return _rejected(root.run, conflict(root.run, "only ended root runs are removed"))
+        for root in roots:
+            for member in descendants(self.runs, root):
+                del self.runs[member.run]
+        return ApplyResult(accepted=True, run=None)
+
+    # ------------------------------------------------------------ parts of transitions
+
+    def _supersede(self, run: Run, call: CallRecord) -> None:
+        """Charge an attempt that never got an outcome with all that it had reserved."""
+        if call.status is CallStatus.STARTED:
+            self._settle(run, call.reserved, budget.usage_of_reservation(call.reserved))
+
+    def _settle(self, run: Run, reserved: Reservation, usage: Usage) -> None:
+        for member in ancestors(self.runs, run):
+            budget.settle(member, reserved, usage)
+
+    def _cancel(self, run: Run, command: CancelRun) -> None:
+        call = rules.call_under_way(run)
+        status = RunStatus.CANCELLED
+        if call is not None and self._leaves_doubt(call):
+            status = RunStatus.OUTCOME_UNKNOWN
+        set_answer(run, "", rules.truthful(run, command.error))
+        if call is not None:
+            self._abandon_call(run, call, command.wall)
+        end_run(run, status, command.wall)
+
+    def _leaves_doubt(self, call: CallRecord) -> bool:
+        """Return whether a call under way may have an effect that will not be undone."""
+        if call.kind is not CallKind.CHILD:
+            return not call.repeatable
+        child = self.runs.get(RunId(call.backend))
+        return child is not None and child.status is RunStatus.OUTCOME_UNKNOWN
+
+    def _abandon_call(self, run: Run, call: CallRecord, wall: float) -> None:
+        abandoned = abandoned_record(call, wall, run.error)
+        run.calls[-1] = abandoned
+        self._settle(run, call.reserved, abandoned.usage)
+
+
+def _checked(run: RunId, check: Result[None, YokelineError]) -> ApplyResult:
+    """Return an accepted repetition, or the rejection of a different request."""
+    if isinstance(check, Failure):
+        return _rejected(run, check.failure())
+    return ApplyResult(accepted=True, run=run)
+
+
+def _rejected(run: RunId, error: YokelineError) -> ApplyResult:
+    return ApplyResult(accepted=False, run=run, error=error)
--- /dev/null
+++ b/src/yokeline/scheduling/affinity.py
@@ -0,0 +1,170 @@
+"""The product's policy."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from yokeline.scheduling import caching
+from yokeline.scheduling.baselines import LEFT_ALONE, NO_ENGINE
+from yokeline.scheduling.estimate import finish_seconds, memory_tokens
+from yokeline.scheduling.interface import (
+    CacheDecision,
+    CallDemand,
+    ChoiceCause,
+    EngineChoice,
+    EngineView,
+    PauseContext,
+    PauseKind,
+    WaitCause,
+    WaitForEngine,
+)
+from yokeline.scheduling.ordering import OrderRules, aged_priority, order_key
+
+ADMITTED_SHARE = 0.95
+"""Share of an engine's cache that the contexts of its active programs may take."""
+
+PATIENCE_SECONDS = 30.0
+"""Waiting time after which the caps on memory and on leaving a context do not apply."""
+
+
+class Mechanisms(msgspec.Struct, frozen=True, kw_only=True):
+    """What the policy does; each part can be switched off to measure what it is worth.
+
+    Attributes:
+        affinity: Cached context counts in the choice of engine.
+        queue: Calls beyond an engine's slots wait here, where their order can still change.
+        admission: New programs wait while their context does not fit beside the active ones.
+        wait_for_context: A call may wait for the engine that holds its context.
+        service: Least attained service first.
+        deadlines: Programs that are late anyway go behind.
+        ageing: Waiting lifts the priority.
+        drop: The context of ended programs is dropped.
+        holds: Contexts are held at pauses.
+    """
+
+    affinity: bool = True
+    queue: bool = True
+    admission: bool = True
+    wait_for_context: bool = True
+    service: bool = True
+    deadlines: bool = True
+    ageing: bool = True
+    drop: bool = True
+    holds: bool = True
+
+
+class AffinityPolicy:
+    """Least estimated finish, least attained service of programs, caps, holds and drops."""
+
+    name = "affinity"
+
+    def __init__(
+        self, mechanisms: Mechanisms | None = None, *, aging_seconds: float = 10.0
+    ) -> None:
+        """Create it; without ``mechanisms`` all of them are on."""
+        self._on = mechanisms or Mechanisms()
+        self._rules = OrderRules(
+            aging_seconds=aging_seconds,
+            by_service=self._on.service,
+            by_deadline=self._on.deadlines,
+            by_ageing=self._on.ageing,
+        )
+
+    # ------------------------------------------------------------ which
+
+    def choose(
+        self, demand: CallDemand, engines: Sequence[EngineView], now: float
+    ) -> EngineChoice | WaitForEngine:
+        """Return the engine with the least estimated finish among those that admit the call."""
+        usable = [self._seen(engine) for engine in engines if engine.usable]
+        if not usable:
+            return NO_ENGINE
+        patient = now - demand.waiting_since < PATIENCE_SECONDS
+        free = [engine for engine in usable if self._has_slot(engine)]
+        admitting = [engine for engine in free if not patient or self._admits(demand, engine)]
+        if not admitting:
+            return _wait(usable, free)
+        best = _least_finish(demand, admitting)
+        holder = self._worth_waiting_for(demand, usable, best) if patient else None
+        if holder is not None:
+            return WaitForEngine(
+                cause=WaitCause.CONTEXT_ELSEWHERE,
+                reason=f"{holder.name} holds {holder.cached_tokens} tokens and is sooner free",
+            )
+        return _choice(demand, best, len(usable))
+
+    def _seen(self, engine: EngineView) -> EngineView:
+        if self._on.affinity:
+            return engine
+        return msgspec.structs.replace(engine, cached_tokens=0)
+
+    def _has_slot(self, engine: EngineView) -> bool:
+        return not self._on.queue or engine.running < engine.slots
+
+    def _admits(self, demand: CallDemand, engine: EngineView) -> bool:
+        """Return whether a program may become active there; one that is goes on."""
+        if not self._on.admission or engine.member or not engine.active_programs:
+            return True
+        needed = engine.active_tokens + memory_tokens(demand)
+        return needed <= ADMITTED_SHARE * engine.cache_tokens
+
+    def _worth_waiting_for(
+        self, demand: CallDemand, engines: list[EngineView], best: EngineView
+    ) -> EngineView | None:
+        """Return an engine that holds context and would finish earlier, though it is full."""
+        if not self._on.wait_for_context:
+            return None
+        holders = [engine for engine in engines if engine.cached_tokens]
+        if not holders:
+            return None
+        holder = _least_finish(demand, holders)
+        sooner = finish_seconds(demand, holder) < finish_seconds(demand, best)
+        return holder if sooner and not self._has_slot(holder) else None
+
+    # ------------------------------------------------------------ when
+
+    def order(self, waiting: Sequence[CallDemand], now: float) -> tuple[int, ...]:
+        """Return the calls by priority, lateness, service of their program, and arrival."""
+        keys = [order_key(demand, index, now, self._rules) for index, demand in enumerate(waiting)]
+        return tuple(key[-1] for key in sorted(keys))
+
+    def engine_priority(self, demand: CallDemand, now: float) -> int:
+        """Return the aged priority."""
+        return aged_priority(demand, now, self._rules)
+
+    # ------------------------------------------------------------ cache
+
+    def cache_decision(self, pause: PauseContext) -> CacheDecision:
+        """Return what becomes of a context; see :mod:`yokeline.scheduling.caching`."""
+        switched_on = self._on.drop if pause.kind is PauseKind.END else self._on.holds
+        return caching.cache_decision(pause) if switched_on else LEFT_ALONE
+
+
+def _least_finish(demand: CallDemand, engines: list[EngineView]) -> EngineView:
+    return min(engines, key=lambda engine: (finish_seconds(demand, engine), engine.name))
+
+
+def _choice(demand: CallDemand, best: EngineView, count: int) -> EngineChoice:
+    seconds = finish_seconds(demand, best)
+    cached = min(best.cached_tokens, demand.prompt_tokens)
+    reason = (
+        f"least estimated finish {seconds:.2f} s of {count}; "
+        f"{cached} of {demand.prompt_tokens} tokens cached"
+    )
+    return EngineChoice(
+        engine=best.name,
+        address=best.address,
+        reason=reason,
+        expected_seconds=seconds,
+        cause=ChoiceCause.CACHED_CONTEXT if cached else ChoiceCause.LEAST_FINISH,
+    )
+
+
+def _wait(usable: list[EngineView], free: list[EngineView]) -> WaitForEngine:
+    if not free:
+        reason = f"all {len(usable)} allowed engines are full"
+        return WaitForEngine(cause=WaitCause.SLOTS, reason=reason)
+    reason = f"the context does not fit beside the active programs of {len(free)} engines"
+    return WaitForEngine(cause=WaitCause.MEMORY, reason=reason)
--- /dev/null
+++ b/src/yokeline/scheduling/directory.py
@@ -0,0 +1,268 @@
+"""The engine directory: engines, ledger, policy and load readings behind one object."""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Callable, Sequence
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.backends.engine import LOAD_PATH
+from yokeline.effects import Address, HttpRequest, HttpResponse
+from yokeline.errors import ErrorKind, YokelineError
+from yokeline.identifiers import RunId
+from yokeline.labels.objects import EnginePool
+from yokeline.scheduling.account import LoadState
+from yokeline.scheduling.engines import EngineRecord, EngineRoster, LoadReport, MachineEntry
+from yokeline.scheduling.interface import (
+    CacheAction,
+    CallDemand,
+    EngineChoice,
+    PauseKind,
+    PlannedCacheAction,
+    ProgramPause,
+    SchedulingPolicy,
+    WaitCause,
+    WaitForEngine,
+)
+from yokeline.scheduling.ledger import CallEnd, EngineLedger
+from yokeline.scheduling.steward import (
+    CacheSteward,
+    PresenceHandler,
+    RunExists,
+    RunPresence,
+    nothing_known,
+    stewards_nothing,
+)
+from yokeline.server.context import HttpAnswer, NodeContext
+from yokeline.settings import Settings
+
+__all__ = [
+    "EngineDirectory",
+    "EngineRecord",
+    "LoadReport",
+    "MachineEntry",
+    "PresenceHandler",
+    "RunPresence",
+]
+
+LOAD_TIMEOUT_SECONDS = 2.0
+RETRY_AFTER_SECONDS = 0.2
+NO_ENGINE_RETRY_SECONDS = 1.0
+HTTP_OK = 200
+
+
+class EngineDirectory:
+    """Chooses engines and plans cache actions from what this node knows of the engines."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        settings: Settings,
+        policy: SchedulingPolicy,
+        pools: Callable[[], tuple[EnginePool, ...]],
+        machines: Callable[[], tuple[MachineEntry, ...]],
+        *,
+        stewards: Callable[[str], bool] = stewards_nothing,
+        run_exists: RunExists = nothing_known,
+    ) -> None:
+        """Create an empty directory.
+
+        Args:
+            context: The node's context.
+            settings: The node's settings.
+            policy: Decides.
+            pools: Returns the configured engine pools; read by :meth:`refresh`.
+            machines: Returns the machine list; read by :meth:`refresh`.
+            stewards: Tells whether this node is the steward of an engine, by its name.
+            run_exists: Asks the leader of a run's shard whether a root run is still needed.
+        """
+        self._context = context
+        self._settings = settings.scheduling
+        self._policy = policy
+        self._ledger = EngineLedger()
+        self._roster = EngineRoster(pools, machines)
+        self._steward = CacheSteward(context, self._roster, self._ledger, stewards, run_exists)
+
+    # ------------------------------------------------------------ which engines exist
+
+    def refresh(self) -> None:
+        """Take over the engines of the configuration and the machine list."""
+        for gone in self._roster.refresh():
+            self._ledger.forget_engine(gone)
+
+    def address_of(self, engine: str) -> Address | None:
+        """Return where an engine listens, None if it is not known (any more)."""
+        record = self._roster.records.get(engine)
+        return record.address if record is not None else None
+
+    def views(self) -> tuple[EngineRecord, ...]:
+        """Return the engines for the admin API, by name."""
+        records = self._roster.records
+        return tuple(records[name] for name in sorted(records))
+
+    def sent_to(self, engine: str) -> int:
+        """Return how many calls of this node are under way at an engine."""
+        return self._ledger.account(engine).calls
+
+    # ------------------------------------------------------------ decisions
+
+    def choose(self, demand: CallDemand) -> Result[EngineChoice, YokelineError]:
+        """Choose an engine; a failure with ``retry_after`` means that the call must wait."""
+        allowed = self._roster.allowed(demand.model, demand.engine_selector)
+        if not allowed:
+            return Failure(_no_engine(demand))
+        preferred = [record for record in allowed if record.name not in demand.avoid] or allowed
+        demand = self._ledger.with_expected_answer(demand)
+        now = self._context.now
+        views = [self._ledger.view(record.facts(), demand, now) for record in preferred]
+        choice = self._policy.choose(demand, views, now)
+        if isinstance(choice, WaitForEngine):
+            self._count("waits", choice.cause.value)
+            return Failure(_must_wait(choice))
+        self._count("choices", choice.cause.value)
+        return Success(choice)
+
+    def order(self, waiting: Sequence[CallDemand]) -> tuple[int, ...]:
+        """Return the indices of the waiting calls, the one to serve first in front."""
+        return self._policy.order(waiting, self._context.now)
+
+    def engine_priority(self, demand: CallDemand) -> int:
+        """Return the priority to give a call at its engine."""
+        return self._policy.engine_priority(demand, self._context.now)
+
+    def pause_started(self, pause: ProgramPause) -> PlannedCacheAction | None:
+        """Decide what becomes of a pausing program's context; None: nothing is to be done."""
+        record = self._roster.records.get(pause.engine)
+        if record is None:
+            return None
+        now = self._context.now
+        context = self._ledger.pause_context(
+            pause, record.facts(), hold_max_seconds=self._settings.hold_max_seconds, now=now
+        )
+        decision = self._policy.cache_decision(context)
+        self._ledger.pause_started(context, decision, now)
+        self._count("cache_decisions", f"{decision.action.value}_{decision.cause.value}")
+        if decision.action is CacheAction.LEAVE:
+            return None
+        return PlannedCacheAction(engine=record.name, address=record.address, decision=decision)
+
+    def hold_ended(self, engine: str, cache_key: RunId) -> Address | None:
+        """Forget a hold whose context is in use again; return where it is to be released."""
+        had_hold = self._ledger.account(engine).hold_ended(cache_key)
+        return self.address_of(engine) if had_hold else None
+
+    def pause_ended(self, kind: PauseKind, name: str, seconds: float) -> None:
+        """Learn from a finished pause (a tool call, a child run, the time between turns)."""
+        self._ledger.pauses.observe(kind, name, seconds)
+
+    def _count(self, what: str, cause: str) -> None:
+        name = f'yokeline_scheduling_{what}_total{{cause="{cause}"}}'
+        self._context.counters[name] += 1
+
+    # ------------------------------------------------------------ calls
+
+    def call_sent(self, engine: str, demand: CallDemand, call_id: str) -> None:
+        """Note that a call was sent."""
+        self._ledger.call_sent(engine, demand, call_id, self._context.now)
+
+    def text_received(self, call_id: str) -> None:
+        """Note that text of a call's answer arrived: its prefill is over."""
+        self._ledger.text_received(call_id, self._context.now)
+
+    def call_ended(
+        self,
+        call_id: str,
+        *,
+        prompt_tokens: int,
+        cached_tokens: int,
+        ok: bool,
+        completion_tokens: int = 0,
+    ) -> None:
+        """Note that a call ended; on success its context is in the engine's cache."""
+        end = CallEnd(
+            ok=ok,
+            prompt_tokens=prompt_tokens,
+            cached_tokens=cached_tokens,
+            completion_tokens=completion_tokens,
+        )
+        self._ledger.call_ended(call_id, end, self._context.now)
+
+    def run_ended(self, cache_key: RunId) -> tuple[str, ...]:
+        """Forget a run's cached context; return the engines that may still hold it."""
+        return self._ledger.program_ended(cache_key)
+
+    # ------------------------------------------------------------ readings
+
+    def next_deadline(self) -> float | None:
+        """Return when the next reading is due."""
+        records = self._roster.records.values()
+        due = [record.next_reading for record in records if not record.reading]
+        return min([*due, self._steward.next_deadline()])
+
+    def tick(self) -> None:
+        """Read the loads and inventories that are due."""
+        for record in self._roster.records.values():
+            if not record.reading and record.next_reading <= self._context.now:
+                self._read_load(record)
+        self._steward.tick()
+
+    def _read_load(self, record: EngineRecord) -> None:
+        record.reading = True
+        request = HttpRequest(
+            request=self._context.new_request_id(),
+            address=record.address,
+            method="GET",
+            path=LOAD_PATH,
+            timeout=LOAD_TIMEOUT_SECONDS,
+            allow_retry=True,
+        )
+        self._context.send_http(request, functools.partial(self._load_read, record))
+
+    def _load_read(self, record: EngineRecord, answer: HttpAnswer) -> None:
+        now = self._context.now
+        record.reading = False
+        record.next_reading = now + self._settings.load_period_seconds
+        report = _decode_report(answer)
+        if report is None:
+            record.failures += 1
+            return
+        record.failures = 0
+        record.report = report
+        record.reported_at = now
+        state = LoadState(
+            running=report.running,
+            waiting=report.waiting,
+            cache_tokens_used=report.cache_tokens_used,
+            cache_tokens=report.cache_tokens,
+        )
+        self._ledger.report_received(record.name, state, now - report.age_seconds)
+
+
+def _decode_report(answer: HttpAnswer) -> LoadReport | None:
+    if not isinstance(answer, HttpResponse) or answer.status != HTTP_OK:
+        return None
+    try:
+        return msgspec.json.decode(answer.body, type=LoadReport)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
+
+
+def _no_engine(demand: CallDemand) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.UNAVAILABLE,
+        message=f"no live engine serves model {demand.model!r} under the selectors that apply",
+        remedy="check the policies' engine selectors and the engine pools, or wait for engines",
+        retry_after=NO_ENGINE_RETRY_SECONDS,
+    )
+
+
+def _must_wait(wait: WaitForEngine) -> YokelineError:
+    no_engine = wait.cause is WaitCause.NO_ENGINE
+    return YokelineError(
+        kind=ErrorKind.OVERLOADED,
+        message=wait.reason,
+        remedy="wait; the call is queued",
+        retry_after=NO_ENGINE_RETRY_SECONDS if no_engine else RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/src/yokeline/scheduling/ledger.py
@@ -0,0 +1,280 @@
+"""The ledger of calls, contexts and pauses that the policies' views are built from.
+
+Load reports lag, so the ledger combines them with what this node sent and saw end. A run's
+context is known from the run's own log (its last model call) and from what ended here, so a
+new leader needs no transfer of this state. Lookups cost no more than the engines they are for.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.effects import Address
+from yokeline.identifiers import RunId
+from yokeline.scheduling.account import EngineAccount, LoadState, SentCall
+from yokeline.scheduling.answers import AnswerLengths
+from yokeline.scheduling.cache_types import (
+    CacheAction,
+    CacheDecision,
+    PauseContext,
+    PauseKind,
+    ProgramPause,
+)
+from yokeline.scheduling.forecast import PauseForecast
+from yokeline.scheduling.interface import CallDemand, EngineView
+from yokeline.scheduling.pauses import PausePredictor
+
+UNKNOWN_PAUSE_SECONDS = 10.0
+"""Time for which a paused program counts as active where no forecast is known."""
+COUNTED_QUANTILE = 0.9
+COUNTED_MAX_SECONDS = 60.0
+MAX_PROGRAMS = 20_000
+"""Programs whose contexts are remembered; their logs know the rest."""
+
+
+class EngineFacts(msgspec.Struct, frozen=True, kw_only=True):
+    """What the configuration says of an engine, and whether new calls may go there."""
+
+    name: str
+    address: Address
+    pool: str
+    labels: dict[str, str]
+    slots: int
+    cache_tokens: int
+    usable: bool = True
+
+
+class CallEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """How a call ended.
+
+    Attributes:
+        prompt_tokens: Tokens of the prompt, without the answer.
+        cached_tokens: Those among them that the engine had in its cache.
+    """
+
+    ok: bool
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class EngineLedger:
+    """Bookkeeping over all engines; see the module's docstring.
+
+    Attributes:
+        pauses: The predictor of pauses.
+        answers: The predictor of lengths of answers.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty ledger."""
+        self.pauses = PausePredictor()
+        self.answers = AnswerLengths()
+        self._accounts: dict[str, EngineAccount] = {}
+        self._sent: dict[str, SentCall] = {}
+        self._contexts: dict[RunId, dict[str, dict[RunId, int]]] = {}
+
+    def account(self, engine: str) -> EngineAccount:
+        """Return the account of an engine."""
+        account = self._accounts.get(engine)
+        if account is None:
+            account = self._accounts[engine] = EngineAccount()
+        return account
+
+    def forget_engine(self, engine: str) -> None:
+        """Drop an engine that does not exist any more."""
+        if not self.account(engine).calls:
+            del self._accounts[engine]
+        for contexts in self._contexts.values():
+            contexts.pop(engine, None)
+
+    def report_received(self, engine: str, report: LoadState, taken_at: float) -> None:
+        """Take over a load report that shows the state at ``taken_at``."""
+        self.account(engine).report_received(report, taken_at)
+
+    # ------------------------------------------------------------ views
+
+    def view(self, facts: EngineFacts, demand: CallDemand, now: float) -> EngineView:
+        """Return what the policy may know of an engine for a call."""
+        account = self.account(facts.name)
+        account.expire(now)
+        report = account.report or LoadState()
+        return EngineView(
+            name=facts.name,
+            address=facts.address,
+            pool=facts.pool,
+            labels=facts.labels,
+            slots=facts.slots,
+            running=account.load,
+            waiting=report.waiting,
+            cached_tokens=self._cached(facts.name, demand),
+            cache_tokens=report.cache_tokens or facts.cache_tokens,
+            cache_used=report.cache_tokens_used,
+            prefill_rate=account.pace.prefill_rate,
+            decode_seconds=account.pace.decode_seconds,
+            pending_prefill=account.pending_prefill,
+            active_programs=account.active_programs,
+            active_tokens=account.active_tokens,
+            member=account.is_active(demand.cache_key),
+            usable=facts.usable,
+        )
+
+    def _cached(self, engine: str, demand: CallDemand) -> int:
+        known = self._contexts.get(demand.cache_key, {}).get(engine, {}).get(demand.run)
+        if known is None:
+            return demand.previous_tokens if engine == demand.previous_engine else 0
+        return known
+
+    def with_expected_answer(self, demand: CallDemand) -> CallDemand:
+        """Return the demand with the expected length of its answer, where it has none."""
+        expected = self.answers.expected(demand.program)
+        if demand.expected_completion_tokens or expected is None:
+            return demand
+        expected = min(expected, demand.completion_tokens)
+        return msgspec.structs.replace(demand, expected_completion_tokens=expected)
+
+    # ------------------------------------------------------------ calls
+
+    def call_sent(self, engine: str, demand: CallDemand, call_id: str, now: float) -> None:
+        """Note that a call was sent to an engine; a call sent before is replaced."""
+        self.call_ended(call_id, CallEnd(ok=False), now)
+        account = self.account(engine)
+        missing = max(0, demand.prompt_tokens - self._cached(engine, demand))
+        call = SentCall(
+            engine=engine,
+            demand=demand,
+            sent_at=now,
+            missing_tokens=missing,
+            alone=not account.pending_prefill,
+        )
+        self._sent[call_id] = call
+        account.call_sent(call, now)
+
+    def text_received(self, call_id: str, now: float) -> None:
+        """Note that text of a call arrived; only the first time matters."""
+        call = self._sent.get(call_id)
+        if call is not None and call.first_text_at is None:
+            self.account(call.engine).prefill_ended(call, now)
+
+    def call_ended(self, call_id: str, end: CallEnd, now: float) -> None:
+        """Note that a call ended; on success its context is in the engine's cache."""
+        call = self._sent.pop(call_id, None)
+        if call is None:
+            return
+        account = self.account(call.engine)
+        context = end.prompt_tokens + end.completion_tokens
+        if end.ok:
+            self._learn(account, call, end, now)
+            self._note_context(call, context)
+        else:
+            contexts = self._contexts.get(call.demand.cache_key, {}).get(call.engine, {})
+            contexts.pop(call.demand.run, None)
+        account.call_ended(call, context, now)
+
+    def _learn(self, account: EngineAccount, call: SentCall, end: CallEnd, now: float) -> None:
+        self.answers.observe(call.demand.program, end.completion_tokens)
+        if call.first_text_at is None:
+            return
+        if call.alone:
+            computed = end.prompt_tokens - end.cached_tokens
+            account.pace.observe_prefill(computed, call.first_text_at - call.sent_at)
+        account.pace.observe_decode(end.completion_tokens, now - call.first_text_at)
+
+    def _note_context(self, call: SentCall, tokens: int) -> None:
+        # Moved to the end, so that the first program is the one used longest ago.
+        engines = self._contexts.pop(call.demand.cache_key, {})
+        self._contexts[call.demand.cache_key] = engines
+        engines.setdefault(call.engine, {})[call.demand.run] = tokens
+        if len(self._contexts) > MAX_PROGRAMS:
+            del self._contexts[next(iter(self._contexts))]
+
+    # ------------------------------------------------------------ pauses and ends
+
+    def pause_context(
+        self,
+        pause: ProgramPause,
+        facts: EngineFacts,
+        *,
+        hold_max_seconds: float,
+        now: float,
+        forecast: PauseForecast | None = None,
+    ) -> PauseContext:
+        """Return what a cache decision may depend on; without a forecast the learned one."""
+        account = self.account(pause.engine)
+        account.expire(now)
+        report = account.report or LoadState()
+        return PauseContext(
+            run=pause.run,
+            cache_key=pause.cache_key,
+            tenant=pause.tenant,
+            kind=pause.kind,
+            name=pause.name,
+            engine=pause.engine,
+            context_tokens=pause.context_tokens,
+            forecast=forecast or self.pauses.forecast(pause.kind, pause.name),
+            prefill_rate=account.pace.prefill_rate,
+            cache_tokens=report.cache_tokens or facts.cache_tokens,
+            cache_used=report.cache_tokens_used,
+            active_tokens=account.active_tokens,
+            held_tokens=account.held_tokens(now),
+            hold_max_seconds=hold_max_seconds,
+            priority=pause.priority,
+            worth=pause.worth,
+        )
+
+    def pause_started(self, context: PauseContext, decision: CacheDecision, now: float) -> None:
+        """Note a pause and what was decided about the context."""
+        account = self.account(context.engine)
+        if decision.action is CacheAction.HOLD:
+            until = now + decision.hold_seconds
+            account.hold_made(context.cache_key, context.context_tokens, until)
+        if decision.action is CacheAction.DROP:
+            self.context_lost(context.engine, context.cache_key)
+        elif context.kind in (PauseKind.TOOL, PauseKind.CHILD):
+            until = now + counted_seconds(context.forecast)
+            tokens = context.context_tokens
+            account.run_paused(context.cache_key, context.run, tokens, until)
+        elif context.kind is PauseKind.END:
+            account.run_left(context.cache_key, context.run)
+        else:
+            account.program_left(context.cache_key)
+
+    def context_lost(self, engine: str, cache_key: RunId) -> None:
+        """Note that an engine does not hold a program's context any more."""
+        account = self.account(engine)
+        account.hold_ended(cache_key)
+        account.program_left(cache_key)
+        contexts = self._contexts.get(cache_key, {}).get(engine, {})
+        for run in contexts:
+            # Kept as zero: the log's last call would else count as cached again.
+            contexts[run] = 0
+
+    def idle_contexts_at(self, engine: str) -> tuple[RunId, ...]:
+        """Return the programs believed to have context at an engine and no call there."""
+        account = self.account(engine)
+        return tuple(
+            cache_key
+            for cache_key, engines in self._contexts.items()
+            if engine in engines and not account.is_active(cache_key)
+        )
+
+    def contexts_of(self, cache_key: RunId) -> tuple[str, ...]:
+        """Return the engines that may hold a program's context, by name."""
+        return tuple(sorted(self._contexts.get(cache_key, {})))
+
+    def program_ended(self, cache_key: RunId) -> tuple[str, ...]:
+        """Forget a program; return the engines that may still hold its context."""
+        engines = self.contexts_of(cache_key)
+        for engine in engines:
+            account = self.account(engine)
+            account.hold_ended(cache_key)
+            account.program_left(cache_key)
+        self._contexts.pop(cache_key, None)
+        return engines
+
+
+def counted_seconds(forecast: PauseForecast | None) -> float:
+    """Return for how long a paused program counts as active."""
+    if forecast is None:
+        return UNKNOWN_PAUSE_SECONDS
+    return min(COUNTED_MAX_SECONDS, forecast.quantile(COUNTED_QUANTILE))
--- /dev/null
+++ b/src/yokeline/scheduling/ordering.py
@@ -0,0 +1,58 @@
+"""The order in which waiting calls get an engine."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from yokeline.scheduling.interface import CallDemand
+
+SMALLEST_WORTH = 1e-9
+LEVEL_BASE_TOKENS = 1024.0
+"""Service below this is one level; each further level covers twice as much.
+
+Programs of one level take turns by arrival instead of leapfrogging each other at every call,
+as in multi-level feedback queues over whole programs (Luo et al. 2025, "Autellix").
+"""
+
+
+class OrderRules(msgspec.Struct, frozen=True, kw_only=True):
+    """What counts in the order.
+
+    Attributes:
+        aging_seconds: Waiting time that lifts a call by one priority step.
+        by_service: Least attained service of the whole program first; else by arrival.
+        by_deadline: Programs whose deadline has passed go behind those of their priority.
+        by_ageing: Waiting lifts the priority.
+    """
+
+    aging_seconds: float = 10.0
+    by_service: bool = True
+    by_deadline: bool = True
+    by_ageing: bool = True
+
+
+OrderKey = tuple[int, bool, float, float, str, int]
+
+
+def service_level(demand: CallDemand) -> float:
+    """Return the level of service attained by the whole program, weighted by its worth."""
+    served = demand.attained_service / max(demand.worth, SMALLEST_WORTH)
+    return max(0.0, math.floor(math.log2(max(served, 1.0) / LEVEL_BASE_TOKENS)) + 1.0)
+
+
+def aged_priority(demand: CallDemand, now: float, rules: OrderRules) -> int:
+    """Return the priority of a call, lifted by one step per ``aging_seconds`` of waiting."""
+    if not rules.by_ageing:
+        return demand.priority
+    waited = max(0.0, now - demand.waiting_since)
+    return demand.priority + math.floor(waited / rules.aging_seconds)
+
+
+def order_key(demand: CallDemand, index: int, now: float, rules: OrderRules) -> OrderKey:
+    """Return the place of a call in the queue; the lowest goes first."""
+    late = rules.by_deadline and demand.deadline is not None and demand.deadline < now
+    level = service_level(demand) if rules.by_service else 0.0
+    since = demand.program_since if rules.by_service else demand.waiting_since
+    return (-aged_priority(demand, now, rules), late, level, since, demand.run, index)
--- /dev/null
+++ b/src/yokeline/scheduling/pace.py
@@ -0,0 +1,59 @@
+"""The pace of an engine, observed from the calls that ended there."""
+
+from __future__ import annotations
+
+DEFAULT_PREFILL_RATE = 8000.0
+"""Tokens a second until an engine's own pace has been observed."""
+DEFAULT_DECODE_SECONDS = 0.02
+"""Seconds per generated token until an engine's own pace has been observed."""
+
+SMOOTHING = 0.1
+"""Weight of a new observation in the exponentially weighted mean."""
+MIN_PREFILL_TOKENS = 500
+"""Prefills below this say more about the step time than about the rate."""
+MIN_DECODED_TOKENS = 8
+MIN_SECONDS = 1e-4
+RATE_DECAY = 0.98
+"""Factor by which the rate of prefill is forgotten at an observation below it."""
+
+
+class EnginePace:
+    """Smoothed pace of one engine.
+
+    Attributes:
+        prefill_rate: Tokens a second. The time to the first token contains queueing, which
+            only ever makes the rate look lower, so high observations count at once and low
+            ones slowly.
+        decode_seconds: Seconds per generated token.
+    """
+
+    __slots__ = ("_decode_observed", "_prefill_observed", "decode_seconds", "prefill_rate")
+
+    def __init__(self) -> None:
+        """Start with the defaults."""
+        self.prefill_rate = DEFAULT_PREFILL_RATE
+        self.decode_seconds = DEFAULT_DECODE_SECONDS
+        self._prefill_observed = False
+        self._decode_observed = False
+
+    def observe_prefill(self, tokens: int, seconds: float) -> None:
+        """Learn from a call that computed ``tokens`` before its first token."""
+        if tokens < MIN_PREFILL_TOKENS or seconds < MIN_SECONDS:
+            return
+        rate = tokens / seconds
+        if not self._prefill_observed:
+            self._prefill_observed = True
+            self.prefill_rate = rate
+            return
+        self.prefill_rate = max(rate, self.prefill_rate * RATE_DECAY)
+
+    def observe_decode(self, tokens: int, seconds: float) -> None:
+        """Learn from a call that generated ``tokens`` after its first token."""
+        if tokens < MIN_DECODED_TOKENS or seconds < MIN_SECONDS:
+            return
+        pace = seconds / tokens
+        if not self._decode_observed:
+            self._decode_observed = True
+            self.decode_seconds = pace
+            return
+        self.decode_seconds += SMOOTHING * (pace - self.decode_seconds)
--- /dev/null
+++ b/src/yokeline/scheduling/steward.py
@@ -0,0 +1,136 @@
+"""Reconciles the caches of engines with the runs that exist.
+
+Each engine has one steward: the node that leads the shard of the engine's name. At a slow
+period it reads the engine's inventory and drops what belongs to runs that are over or
+forgotten, so that a missed release costs one period and no more. It asks the leader of the
+run's shard first, and keeps the entries of every run that it gets no clear answer about.
+"""
+
+from __future__ import annotations
+
+import enum
+import functools
+from collections.abc import Callable
+
+from returns.result import Result, Success
+
+from yokeline.backends.engine import EngineClient
+from yokeline.backends.engine_messages import Accepted, CacheEntry, CacheInventory
+from yokeline.errors import YokelineError
+from yokeline.identifiers import RUN_PREFIX, RunId
+from yokeline.scheduling.engines import EngineRecord, EngineRoster
+from yokeline.scheduling.ledger import EngineLedger
+from yokeline.server.context import NodeContext
+
+INVENTORY_PERIOD_SECONDS = 20.0
+FIRST_INVENTORY_SECONDS = 5.0
+QUESTIONS_PER_INVENTORY = 200
+"""Runs asked about per reading; the next reading goes on behind them."""
+
+
+class RunPresence(enum.Enum):
+    """What the leader of a run's shard says of the run."""
+
+    NEEDED = "needed"
+    """It is active, or an idle conversation."""
+    GONE = "gone"
+    """It has ended, or the shard (read linearizably) has no such run."""
+    UNKNOWN = "unknown"
+    """There was no answer."""
+
+
+PresenceHandler = Callable[[RunPresence], None]
+RunExists = Callable[[RunId, str, PresenceHandler], None]
+"""Asks about a root run of a tenant; the handler may be called at once or later."""
+
+
+def nothing_known(_run: RunId, _tenant: str, done: PresenceHandler) -> None:
+    """Answer that a run's presence is unknown, so that its entries are kept."""
+    done(RunPresence.UNKNOWN)
+
+
+def stewards_nothing(_engine: str) -> bool:
+    """Return that another node is the steward of an engine."""
+    return False
+
+
+class CacheSteward:
+    """Reads inventories of the engines that this node is the steward of."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        roster: EngineRoster,
+        ledger: EngineLedger,
+        stewards: Callable[[str], bool],
+        run_exists: RunExists,
+    ) -> None:
+        """Create it; the first inventories are read some seconds later."""
+        self._context = context
+        self._roster = roster
+        self._ledger = ledger
+        self._stewards = stewards
+        self._run_exists = run_exists
+        self._client = EngineClient(context)
+        self._next_round = context.now + FIRST_INVENTORY_SECONDS
+        self._cursors: dict[str, str] = {}
+
+    def next_deadline(self) -> float:
+        """Return when inventories are due."""
+        return self._next_round
+
+    def tick(self) -> None:
+        """Read the inventories, if they are due."""
+        if self._context.now < self._next_round:
+            return
+        self._next_round = self._context.now + INVENTORY_PERIOD_SECONDS
+        for record in self._roster.records.values():
+            if self._stewards(record.name):
+                read = functools.partial(self._inventory_read, record)
+                self._client.inventory(record.address, read)
+
+    def _inventory_read(
+        self, record: EngineRecord, result: Result[CacheInventory, YokelineError]
+    ) -> None:
+        if not isinstance(result, Success):
+            return
+        entries = result.unwrap().entries
+        self._correct_beliefs(record.name, entries)
+        for entry in self._to_ask_about(record.name, entries):
+            done = functools.partial(self._presence_known, record, entry)
+            self._run_exists(RunId(entry.cache_key), entry.cache_salt, done)
+
+    def _correct_beliefs(self, engine: str, entries: tuple[CacheEntry, ...]) -> None:
+        there = {entry.cache_key for entry in entries}
+        for cache_key in self._ledger.idle_contexts_at(engine):
+            if cache_key not in there:
+                self._ledger.context_lost(engine, cache_key)
+
+    def _to_ask_about(self, engine: str, entries: tuple[CacheEntry, ...]) -> list[CacheEntry]:
+        """Return the entries of runs that may be gone, the next ones in turn."""
+        account = self._ledger.account(engine)
+        cursor = self._cursors.get(engine, "")
+        candidates = [
+            entry
+            for entry in entries
+            if entry.cache_key.startswith(RUN_PREFIX)
+            and not account.is_active(RunId(entry.cache_key))
+        ]
+        # Those behind the cursor first, then from the start again.
+        candidates.sort(key=lambda entry: (entry.cache_key <= cursor, entry.cache_key))
+        asked = candidates[:QUESTIONS_PER_INVENTORY]
+        self._cursors[engine] = asked[-1].cache_key if asked else ""
+        return asked
+
+    def _presence_known(
+        self, record: EngineRecord, entry: CacheEntry, presence: RunPresence
+    ) -> None:
+        if presence is not RunPresence.GONE:
+            return
+        self._context.counters["yokeline_cache_reconciled_total"] += 1
+        self._ledger.context_lost(record.name, RunId(entry.cache_key))
+        self._client.drop_entries(record.address, RunId(entry.cache_key), _ignore)
+
+
+def _ignore(_result: Result[Accepted, YokelineError]) -> None:
+    """A drop that failed is repeated after the next inventory."""
--- /dev/null
+++ b/src/yokeline/server/node.py
@@ -0,0 +1,321 @@
+"""The node: composes all components into one sans-I/O service.
+
+Every event goes to the component that it is for; then each component whose deadline has come
+gets its ``tick``; then the Raft messages of the event leave in one batch per peer.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Protocol
+
+import msgspec
+
+from yokeline.addresses import parse_address
+from yokeline.effects import (
+    Address,
+    DatagramArrived,
+    Effect,
+    Event,
+    HttpArrived,
+    HttpFailed,
+    HttpGone,
+    HttpResponse,
+    HttpStreamEnded,
+    HttpStreamItem,
+    PeerMessage,
+    SendPeer,
+    StopRequested,
+)
+from yokeline.gateway.gateway import Gateway
+from yokeline.identifiers import NodeName, ReplicaId, ShardId, new_replica_id
+from yokeline.membership.detector import Membership
+from yokeline.membership.machine_list import MachineListReader
+from yokeline.membership.view import Member, MemberState
+from yokeline.messages.types import (
+    ConfigurationDelta,
+    ConfigurationPull,
+    Heartbeat,
+    HeartbeatReply,
+    RaftBatch,
+    RunEvents,
+    ShardCancel,
+    ShardReply,
+    ShardRequest,
+)
+from yokeline.runs.executor import Executor
+from yokeline.scheduling.directory import EngineDirectory, MachineEntry
+from yokeline.scheduling.policies import make_policy
+from yokeline.server.admin import NodeAdmin
+from yokeline.server.bootstrap import PlacementBootstrap
+from yokeline.server.context import NodeContext
+from yokeline.server.planned_stop import PlannedStop
+from yokeline.settings import Settings
+from yokeline.shards.host import ShardHost
+from yokeline.shards.router import ShardRouter
+from yokeline.shards.server_side import ShardServer
+from yokeline.store.client import KeyValueClient
+from yokeline.store.configuration import ConfigurationSync
+from yokeline.store.writer import ConfigurationWriter
+
+MAX_TICK_ROUNDS = 8
+"""Rounds of ticks in one event; a component that stays due waits for the next event."""
+
+
+class Component(Protocol):
+    """A part of the node that does things at times of its own."""
+
+    def tick(self) -> None:
+        """Do what is due at ``context.now``."""
+        ...
+
+    def next_deadline(self) -> float | None:
+        """Return when the next tick is due; None if none is."""
+        ...
+
+
+class Node:
+    """One process start of a node; implements :class:`yokeline.effects.Service`.
+
+    Attributes:
+        replica: Identity of this process start.
+        context: What the components share.
+        membership: Who is alive.
+        configuration: The configuration in force here.
+        host: The shard replicas of this node.
+        executor: Drives the runs of the shards that this node leads.
+        gateway: The HTTP API.
+        stop: The planned stop.
+    """
+
+    def __init__(
+        self, settings: Settings, *, source: random.Random, now: float, wall_offset: float
+    ) -> None:
+        """Start a node: a new replica id, no state.
+
+        Args:
+            settings: Checked settings.
+            source: The node's only source of randomness; must differ for each start.
+            now: Monotonic seconds.
+            wall_offset: Wall seconds minus monotonic seconds.
+        """
+        self.settings = settings
+        name = NodeName(settings.node.name)
+        self.replica = new_replica_id(name, source)
+        self.context = NodeContext(
+            name=name,
+            replica=self.replica,
+            zone=settings.node.zone,
+            source=source,
+            wall_offset=wall_offset,
+        )
+        self.context.now = now
+        self.context.set_peer_sender(self._send_peer)
+        self._build_platform_parts()
+        self._build_run_parts()
+        self._build_edges()
+        self._components: tuple[Component, ...] = (
+            self.membership,
+            self.machine_list,
+            self.store,
+            self.configuration,
+            self.writer,
+            self.bootstrap,
+            self.host,
+            self.engines,
+            self.executor,
+            self.router,
+            self.gateway,
+            self.stop,
+        )
+        self.context.log("node_started", replica=self.replica, zone=settings.node.zone)
+
+    # ------------------------------------------------------------ building
+
+    def _build_platform_parts(self) -> None:
+        settings = self.settings
+        context = self.context
+        self.membership = Membership(context, settings, self._own_member())
+        self.machine_list = MachineListReader(context, settings)
+        store_address = parse_address(settings.platform.store).unwrap()
+        self.store = KeyValueClient(context, store_address, settings.platform)
+        self.configuration = ConfigurationSync(context, self.store, settings, self.membership)
+        self.writer = ConfigurationWriter(
+            context, self.store, settings.platform.store_prefix, self.configuration.note_written
+        )
+
+    def _build_run_parts(self) -> None:
+        settings = self.settings
+        context = self.context
+        self.host = ShardHost(context, settings, self.membership)
+        self.bootstrap = PlacementBootstrap(
+            context, settings, self.store, self.membership, self.host, self._any_leader_known
+        )
+        self.engines = EngineDirectory(
+            context,
+            settings,
+            make_policy(settings.scheduling.policy),
+            lambda: self.configuration.view().pools(),
+            self._machine_entries,
+        )
+        self.executor = Executor(
+            context,
+            settings,
+            self.host,
+            self.configuration.view,
+            self.engines,
+            self._is_leaving,
+        )
+        self.host.set_listener(self.executor)
+        self.host.heartbeats.configuration_revision = self.configuration.revision
+        self.configuration.on_change(lambda _view: self.engines.refresh())
+        self.machine_list.on_change.append(self.engines.refresh)
+        self.membership.on_change.append(lambda _member: self.host.peers_changed())
+
+    def _build_edges(self) -> None:
+        settings = self.settings
+        context = self.context
+        self.router = ShardRouter(context, self.host, self.executor)
+        self.shard_server = ShardServer(context, self.host, self.executor)
+        self.stop = PlannedStop(
+            context,
+            self.membership,
+            self.host,
+            in_flight=lambda: self.gateway.waiting(),
+            stop_accepting=self._stop_accepting,
+            others_stay=self._others_stay,
+        )
+        self.admin = NodeAdmin(
+            self.membership,
+            self.host,
+            self.engines,
+            self.configuration,
+            self.store,
+            settings.cluster.shards,
+            lambda: context.now,
+            self.stop.transition_draining,
+        )
+        self.gateway = Gateway(
+            context, settings, self.router, self.configuration, self.writer, self.admin
+        )
+
+    def _own_member(self) -> Member:
+        node = self.settings.node
+        return Member(
+            replica=self.replica,
+            name=self.context.name,
+            zone=node.zone,
+            region=node.region,
+            address=Address(node.host, node.peer_port),
+            http_address=Address(node.host, node.http_port),
+            started_wall=self.context.wall(),
+        )
+
+    # ------------------------------------------------------------ Service
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take one event in and return the effects to carry out, in order."""
+        self.context.now = max(now, self.context.now)
+        self._dispatch(event)
+        self._tick_due()
+        self.host.flush()
+        return self.context.take_outbox()
+
+    def next_deadline(self) -> float | None:
+        """Return when a tick is due at the latest."""
+        times = [component.next_deadline() for component in self._components]
+        return min((time for time in times if time is not None), default=None)
+
+    def _tick_due(self) -> None:
+        for _ in range(MAX_TICK_ROUNDS):
+            due = [component for component in self._components if self._is_due(component)]
+            if not due:
+                return
+            for component in due:
+                component.tick()
+
+    def _is_due(self, component: Component) -> bool:
+        deadline = component.next_deadline()
+        return deadline is not None and deadline <= self.context.now
+
+    # ------------------------------------------------------------ dispatch
+
+    def _dispatch(self, event: Event) -> None:
+        if isinstance(event, PeerMessage):
+            self._receive_peer(event.sender, event.message)
+        elif isinstance(event, HttpResponse | HttpStreamItem | HttpStreamEnded | HttpFailed):
+            self.context.dispatch_http(event)
+        elif isinstance(event, HttpArrived):
+            self.gateway.handle(event)
+        elif isinstance(event, HttpGone):
+            self.gateway.gone(event)
+        elif isinstance(event, DatagramArrived):
+            self.membership.receive(event)
+        elif isinstance(event, StopRequested):
+            self.stop.transition_draining()
+
+    def _receive_peer(self, sender: ReplicaId, message: msgspec.Struct) -> None:
+        if isinstance(message, RaftBatch):
+            self.host.receive_batch(sender, message)
+        elif isinstance(message, Heartbeat):
+            self.configuration.receive_revision(sender, message.configuration_revision)
+            self.host.receive_heartbeat(sender, message)
+        elif isinstance(message, HeartbeatReply):
+            self.configuration.receive_revision(sender, message.configuration_revision)
+            self.host.receive_heartbeat_reply(sender, message)
+        elif isinstance(message, ShardRequest):
+            self.shard_server.receive_request(sender, message)
+        elif isinstance(message, ShardCancel):
+            self.shard_server.receive_cancel(sender, message)
+        elif isinstance(message, ShardReply):
+            self.router.receive_reply(sender, message)
+        elif isinstance(message, RunEvents):
+            self.router.receive_events(sender, message)
+        elif isinstance(message, ConfigurationPull):
+            self.configuration.receive_pull(sender, message)
+        elif isinstance(message, ConfigurationDelta):
+            self.configuration.receive_delta(sender, message)
+
+    # ------------------------------------------------------------ what the components ask
+
+    def _send_peer(self, to: ReplicaId, message: msgspec.Struct) -> None:
+        address = self.membership.address_of(to)
+        if address is None:
+            self.context.counters["yokeline_peer_messages_unroutable_total"] += 1
+            return
+        self.context.emit(SendPeer(to=to, address=address, message=message))
+
+    def _machine_entries(self) -> tuple[MachineEntry, ...]:
+        entries = []
+        for machine in self.machine_list.machines():
+            address = parse_address(machine.address).value_or(None)
+            if address is not None:
+                entry = MachineEntry(
+                    address=address, labels=machine.labels, leaving=machine.leaving
+                )
+                entries.append(entry)
+        return tuple(entries)
+
+    def _is_leaving(self, address: Address) -> bool:
+        return str(address) in self.machine_list.leaving()
+
+    def _any_leader_known(self) -> bool:
+        shards = range(self.settings.cluster.shards)
+        return any(self.host.leader_of(ShardId(shard)) is not None for shard in shards)
+
+    def _others_stay(self) -> bool:
+        return any(
+            member.replica != self.replica and member.state is not MemberState.LEAVING
+            for member in self.membership.alive()
+        )
+
+    def _stop_accepting(self) -> None:
+        self.gateway.stop_accepting()
+        self.executor.begin_drain()
+
+
+def build_node(
+    settings: Settings, *, source: random.Random, now: float, wall_offset: float
+) -> Node:
+    """Return a node that is ready to be bound; see :class:`Node`."""
+    return Node(settings, source=source, now=now, wall_offset=wall_offset)
--- /dev/null
+++ b/src/yokeline/shards/batches.py
@@ -0,0 +1,59 @@
+"""Joins all Raft messages of one event to one node into few messages."""
+
+from __future__ import annotations
+
+from yokeline.consensus.messages import AppendEntries, InstallSnapshot, RaftMessage
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.messages.types import GroupMessage, RaftBatch
+from yokeline.server.context import NodeContext
+
+BATCH_BYTES = 1_048_576
+"""A batch is closed when its payload reaches this; one message may exceed it."""
+
+
+class RaftBatcher:
+    """Collects messages by receiver until :meth:`flush`."""
+
+    def __init__(self, context: NodeContext) -> None:
+        """Send through ``context``."""
+        self._context = context
+        self._waiting: dict[ReplicaId, list[GroupMessage]] = {}
+
+    def add(self, shard: ShardId, to: ReplicaId, message: RaftMessage) -> None:
+        """Put a message into the batch of its receiver."""
+        self._waiting.setdefault(to, []).append(GroupMessage(shard, message))
+
+    def flush(self) -> None:
+        """Send everything collected; messages to one receiver stay in order."""
+        if not self._waiting:
+            return
+        waiting = self._waiting
+        self._waiting = {}
+        for to, messages in waiting.items():
+            for batch in _split(messages):
+                self._context.counters["yokeline_raft_batches_sent_total"] += 1
+                self._context.send_peer(to, batch)
+
+
+def _split(messages: list[GroupMessage]) -> list[RaftBatch]:
+    batches: list[RaftBatch] = []
+    part: list[GroupMessage] = []
+    size = 0
+    for item in messages:
+        part.append(item)
+        size += _payload_bytes(item.message)
+        if size >= BATCH_BYTES:
+            batches.append(RaftBatch(tuple(part)))
+            part = []
+            size = 0
+    if part:
+        batches.append(RaftBatch(tuple(part)))
+    return batches
+
+
+def _payload_bytes(message: RaftMessage) -> int:
+    if isinstance(message, AppendEntries):
+        return sum(len(entry.command) for entry in message.entries)
+    if isinstance(message, InstallSnapshot):
+        return len(message.data)
+    return 0
--- /dev/null
+++ b/src/yokeline/shards/deadlines.py
@@ -0,0 +1,46 @@
+"""A queue of deadlines by key, for components with many timers."""
+
+from __future__ import annotations
+
+import heapq
+from typing import Generic, TypeVar
+
+K = TypeVar("K", bound=int | str)
+
+
+class DeadlineQueue(Generic[K]):
+    """Keeps one deadline per key; superseded ones are skipped when they come up."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._deadlines: dict[K, float] = {}
+        self._heap: list[tuple[float, K]] = []
+
+    def set(self, key: K, deadline: float) -> None:
+        """Set or move the deadline of ``key``."""
+        if self._deadlines.get(key) != deadline:
+            self._deadlines[key] = deadline
+            heapq.heappush(self._heap, (deadline, key))
+
+    def remove(self, key: K) -> None:
+        """Forget ``key``."""
+        self._deadlines.pop(key, None)
+
+    def next(self) -> float | None:
+        """Return the earliest deadline, None if there is none."""
+        while self._heap and self._superseded(self._heap[0]):
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def take_due(self, now: float) -> list[K]:
+        """Remove and return the keys whose deadline is reached, earliest first."""
+        due: list[K] = []
+        while (first := self.next()) is not None and first <= now:
+            _, key = heapq.heappop(self._heap)
+            del self._deadlines[key]
+            due.append(key)
+        return due
+
+    def _superseded(self, item: tuple[float, K]) -> bool:
+        deadline, key = item
+        return self._deadlines.get(key) != deadline
--- /dev/null
+++ b/src/yokeline/shards/disk_writer.py
@@ -0,0 +1,121 @@
+"""Keeps copies of this node's replicas in the data folder, for the loss of a majority.
+
+The copies are written behind: nothing waits for them, so they may lack the last moments
+before a crash. A replica is written from the moment on at which it has applied its own
+membership, so that the copy of an earlier process start is not replaced by an emptier one.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.consensus.messages import LogEntry
+from yokeline.consensus.types import Snapshot
+from yokeline.effects import DeleteFile, WriteFile
+from yokeline.identifiers import ShardId
+from yokeline.server.context import NodeContext
+from yokeline.shards.disk import encode_entries, encode_snapshot, log_file, snapshot_file
+from yokeline.shards.replica import ShardReplica
+
+DISK_SECONDS = 0.5
+"""Time between two rounds of writing; bounds what a copy may lack, and the writes."""
+
+
+class _Copy(msgspec.Struct):
+    """What is known of one shard's files.
+
+    Attributes:
+        snapshot_index: Index of the snapshot on disk; None if this process wrote none.
+        entries: Committed entries not yet written.
+    """
+
+    snapshot_index: int | None = None
+    last_term: int = 0
+    entries: list[LogEntry] = []
+
+
+class ShardDisk:
+    """Writes snapshots and log entries of replicas that have changed."""
+
+    def __init__(self, context: NodeContext) -> None:
+        """Write through ``context``."""
+        self._context = context
+        self._copies: dict[ShardId, _Copy] = {}
+        self._dirty: dict[ShardId, ShardReplica] = {}
+        self._next: float | None = None
+
+    def note_committed(self, replica: ShardReplica, entries: tuple[LogEntry, ...]) -> None:
+        """Remember entries that a replica has applied."""
+        copy = self._copies.setdefault(replica.shard, _Copy())
+        copy.last_term = entries[-1].term
+        if copy.snapshot_index is not None:
+            copy.entries.extend(entries)
+        self._mark(replica)
+
+    def note_restored(self, replica: ShardReplica, snapshot: Snapshot) -> None:
+        """Remember that a replica's state was replaced by a snapshot of its leader."""
+        copy = self._copies.setdefault(replica.shard, _Copy())
+        copy.last_term = snapshot.last_term
+        copy.snapshot_index = None
+        copy.entries.clear()
+        self._mark(replica)
+
+    def forget(self, shard: ShardId) -> None:
+        """Delete the copy of a shard that this node no longer holds."""
+        self._copies.pop(shard, None)
+        self._dirty.pop(shard, None)
+        self._context.emit(DeleteFile(log_file(shard)))
+        self._context.emit(DeleteFile(snapshot_file(shard)))
+
+    def tick(self) -> None:
+        """Write what has changed, if it is time."""
+        if self._next is None or self._context.now < self._next:
+            return
+        self._next = None
+        dirty = self._dirty
+        self._dirty = {}
+        for replica in dirty.values():
+            self._write(replica)
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`tick` is due."""
+        return self._next
+
+    def _mark(self, replica: ShardReplica) -> None:
+        self._dirty[replica.shard] = replica
+        if self._next is None:
+            self._next = self._context.now + DISK_SECONDS
+
+    def _write(self, replica: ShardReplica) -> None:
+        if self._context.replica not in replica.committed_members:
+            return
+        copy = self._copies[replica.shard]
+        compacted = replica.group.snapshot
+        if copy.snapshot_index is None:
+            self._write_snapshot(replica, copy, self._current_state(replica, copy))
+        elif compacted is not None and compacted.last_index > copy.snapshot_index:
+            self._write_snapshot(replica, copy, compacted)
+        if copy.entries:
+            self._append(replica.shard, copy)
+
+    def _current_state(self, replica: ShardReplica, copy: _Copy) -> Snapshot:
+        return Snapshot(
+            last_index=replica.applied_index,
+            last_term=copy.last_term,
+            members=replica.committed_members,
+            data=replica.machine.snapshot(),
+        )
+
+    def _write_snapshot(self, replica: ShardReplica, copy: _Copy, snapshot: Snapshot) -> None:
+        """Replace the snapshot first, then empty the log: entries it covers do no harm."""
+        shard = replica.shard
+        data = encode_snapshot(shard, self._context.replica, snapshot)
+        self._context.emit(WriteFile(name=snapshot_file(shard), data=data))
+        self._context.emit(WriteFile(name=log_file(shard), data=b""))
+        copy.snapshot_index = snapshot.last_index
+        copy.entries = [entry for entry in copy.entries if entry.index > snapshot.last_index]
+
+    def _append(self, shard: ShardId, copy: _Copy) -> None:
+        data = encode_entries(tuple(copy.entries))
+        copy.entries = []
+        self._context.emit(WriteFile(name=log_file(shard), data=data, append=True))
