--- /dev/null
+++ b/src/yokeline/shards/host.py
@@ -0,0 +1,434 @@
+"""The shard replicas of one node: routes Raft messages, applies logs, tells who leads."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from returns.result import Failure
+
+from yokeline.consensus.group import RaftGroup
+from yokeline.consensus.messages import (
+    AppendEntries,
+    InstallSnapshot,
+    LogEntry,
+    RaftMessage,
+)
+from yokeline.consensus.settings import RaftSettings
+from yokeline.consensus.types import HardState, RaftRole, Snapshot
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.membership.view import PeerView
+from yokeline.messages.types import (
+    GroupMessage,
+    Heartbeat,
+    HeartbeatReply,
+    RaftBatch,
+    ShardLeader,
+)
+from yokeline.runs.model import Command
+from yokeline.runs.state_machine import ApplyResult, RunStateMachine
+from yokeline.server.context import NodeContext
+from yokeline.settings import Settings
+from yokeline.shards.batches import RaftBatcher
+from yokeline.shards.deadlines import DeadlineQueue
+from yokeline.shards.disk_writer import ShardDisk
+from yokeline.shards.errors import not_leading
+from yokeline.shards.maintenance import GroupMaintenance
+from yokeline.shards.news import LeadershipNews
+from yokeline.shards.placement import Placement
+from yokeline.shards.removed import RemovedReplicas
+from yokeline.shards.replica import ProposalDone, ReadDone, ShardReplica
+from yokeline.shards.status import ShardStatus, shard_status
+
+_RETAINED_SHARE = 8
+"""Of the entries after which a log is compacted, one in so many is kept for those that lag."""
+
+REMOVED_SILENCE_SECONDS = 3.0
+"""Silence of a group after which a replica that it seems to have removed asks its leader."""
+MEMBER_SILENCE_SECONDS = 12.0
+"""The same for a member; idle groups speak more often than this."""
+
+
+class ShardListener(Protocol):
+    """Learns what becomes of the shards of this node."""
+
+    def leadership_gained(self, shard: ShardId, term: int) -> None:
+        """This node leads, and everything committed before is applied."""
+        ...
+
+    def leadership_lost(self, shard: ShardId) -> None:
+        """This node leads no longer."""
+        ...
+
+    def command_applied(self, shard: ShardId, command: Command, result: ApplyResult) -> None:
+        """A command was applied to this node's replica."""
+        ...
+
+
+class ShardHost:
+    """Runs the shard replicas of this node; implements ``replica.ReplicaObserver``.
+
+    The node calls :meth:`flush` after each event, and :meth:`tick` when
+    :meth:`next_deadline` is reached.
+
+    Attributes:
+        heartbeats: Set its ``configuration_revision`` to let heartbeats carry it.
+    """
+
+    def __init__(
+        self,
+        context: NodeContext,
+        settings: Settings,
+        peers: PeerView,
+        listener: ShardListener | None = None,
+    ) -> None:
+        """Host no replica yet."""
+        self._context = context
+        self._settings = settings
+        self._peers = peers
+        self._listener = listener
+        self._raft_settings = _raft_settings(settings)
+        self._replicas: dict[ShardId, ShardReplica] = {}
+        self._removed = RemovedReplicas()
+        self._deadlines: DeadlineQueue[ShardId] = DeadlineQueue()
+        self._batcher = RaftBatcher(context)
+        self._news = LeadershipNews(context, settings.consensus.heartbeat_seconds)
+        self._death_observers: list[Callable[[ReplicaId], None]] = []
+        self._alive: tuple[ReplicaId, ...] = ()
+        self._disk = ShardDisk(context) if settings.node.data_folder else None
+        self.heartbeats = self._news.heartbeats
+        self._maintenance = GroupMaintenance(
+            context, settings, peers, self._news.directory, self._replicas, self._finish
+        )
+
+    def set_listener(self, listener: ShardListener) -> None:
+        """Install the listener (where it is made after the host)."""
+        self._listener = listener
+
+    def observe_leaders(self, observer: Callable[[ShardId], None]) -> None:
+        """Call ``observer`` whenever the believed leader of a shard may have changed."""
+        self._news.observe(observer)
+
+    def observe_deaths(self, observer: Callable[[ReplicaId], None]) -> None:
+        """Call ``observer`` when a node that was alive is dead."""
+        self._death_observers.append(observer)
+
+    # ------------------------------------------------------------ requests
+
+    def propose(self, shard: ShardId, command: Command, done: ProposalDone) -> None:
+        """Commit a command; ``done`` gets the outcome, perhaps before this returns.
+
+        It is called with a failure of execution NOT_RUN if the command was surely not
+        appended, and UNKNOWN if the leadership was lost before the outcome was known.
+        """
+        replica = self._replicas.get(shard)
+        if replica is None:
+            done(Failure(not_leading(shard)))
+            return
+        replica.propose(command, self._context.now, done)
+        self._finish(replica)
+
+    def read(self, shard: ShardId, done: ReadDone) -> None:
+        """Hand over the state machine once it holds all that was committed before."""
+        replica = self._replicas.get(shard)
+        if replica is None:
+            done(Failure(not_leading(shard)))
+            return
+        replica.read(self._context.now, done)
+        self._finish(replica)
+
+    def machine(self, shard: ShardId) -> RunStateMachine | None:
+        """Return the local state of a shard, None if this node holds no replica."""
+        replica = self._replicas.get(shard)
+        return None if replica is None else replica.machine
+
+    def leads(self, shard: ShardId) -> bool:
+        """Return whether this node leads a shard and has applied all of its past."""
+        replica = self._replicas.get(shard)
+        return replica is not None and replica.leads
+
+    def led_shards(self) -> list[ShardId]:
+        """Return the shards that this node leads, in ascending order."""
+        return sorted(shard for shard, replica in self._replicas.items() if replica.leads)
+
+    def term(self, shard: ShardId) -> int:
+        """Return the term of this node's replica of a shard, 0 if it holds none."""
+        replica = self._replicas.get(shard)
+        return 0 if replica is None else replica.group.term
+
+    def may_send(self, shard: ShardId) -> bool:
+        """Return whether a quorum has confirmed this node's leadership just now."""
+        replica = self._replicas.get(shard)
+        if replica is None or not replica.leads:
+            return False
+        return replica.group.lease_valid(self._context.now)
+
+    def leader_of(self, shard: ShardId) -> ShardLeader | None:
+        """Return the best known leader of a shard."""
+        return self._news.directory.leader_of(shard)
+
+    def members_of(self, shard: ShardId) -> tuple[ReplicaId, ...]:
+        """Return the last known members of a shard's group; empty if nothing is known."""
+        return self._news.directory.members_of(shard)
+
+    def note_leader(self, sender: ReplicaId, news: ShardLeader) -> None:
+        """Take in what another node said of a shard's leader."""
+        self._learn(sender, news)
+
+    def is_dead(self, replica: ReplicaId) -> bool:
+        """Return whether a process start is believed to be over."""
+        return self._peers.is_dead(replica)
+
+    def alive_nodes(self) -> tuple[ReplicaId, ...]:
+        """Return the process starts that are not dead, this one included."""
+        return tuple(member.replica for member in self._peers.alive())
+
+    def status(self) -> list[ShardStatus]:
+        """Return the status of this node's replicas, by shard."""
+        now = self._context.now
+        return [
+            shard_status(self._replicas[shard], self._peers.is_dead, now)
+            for shard in sorted(self._replicas)
+        ]
+
+    # ------------------------------------------------------------ life of the groups
+
+    def start_groups(self, placement: Placement) -> None:
+        """Take part in the groups of the first placement that name this process start."""
+        self._news.directory.start(placement)
+        for number, members in enumerate(placement.groups):
+            shard = ShardId(number)
+            known = shard in self._replicas or shard in self._removed
+            if self._context.replica in members and not known:
+                self._finish(self._create(shard, members))
+        self._update_peers()
+
+    def set_hand_over_guard(self, guard: Callable[[ShardId], bool]) -> None:
+        """Keep leading a shard, in a planned stop and for balance, while ``guard`` says so."""
+        self._maintenance.hand_over_blocked = guard
+
+    def hand_over_all(self) -> None:
+        """Begin the planned stop: lead nothing any more, as far as others can take over."""
+        self._maintenance.handing_over = True
+        self._maintenance.run_round()
+
+    def replicas_left(self) -> int:
+        """Return how many replicas this node still holds."""
+        return len(self._replicas)
+
+    def peers_changed(self) -> None:
+        """Act on a change in the membership view without waiting for the next round."""
+        self._maintenance.run_round()
+        self._update_peers()
+
+    def _create(self, shard: ShardId, members: tuple[ReplicaId, ...]) -> ShardReplica:
+        hard_state = self._removed.take_hard_state(shard)
+        group = RaftGroup(
+            replica=self._context.replica,
+            members=members,
+            settings=self._raft_settings,
+            source=self._context.random,
+            now=self._context.now,
+            hard_state=hard_state,
+        )
+        snapshot_entries = self._settings.consensus.snapshot_entries
+        replica = ShardReplica(shard, group, self, snapshot_entries, hard_state or HardState())
+        self._replicas[shard] = replica
+        return replica
+
+    def _leave(self, replica: ShardReplica) -> None:
+        """Stop taking part in a group that has removed this node."""
+        del self._replicas[replica.shard]
+        self._deadlines.remove(replica.shard)
+        replica.close()
+        self._removed.keep(replica, self._context.now)
+        self._context.log("replica_left", shard=replica.shard, term=replica.group.term)
+        self._update_peers()
+
+    def _drop_removed(self) -> None:
+        for shard in self._removed.drop_old(self._context.now):
+            if self._disk is not None:
+                self._disk.forget(shard)
+
+    def _finish(self, replica: ShardReplica) -> None:
+        """Do what is due after a group was called."""
+        if replica.busy or self._replicas.get(replica.shard) is not replica:
+            return
+        self._deadlines.set(replica.shard, replica.group.next_deadline())
+
+    # ------------------------------------------------------------ events
+
+    def receive_batch(self, sender: ReplicaId, batch: RaftBatch) -> None:
+        """Take in the Raft messages of another node."""
+        self.heartbeats.heard(sender)
+        for item in batch.messages:
+            replica = self._replicas.get(item.shard) or self._create_for(sender, item)
+            if replica is None:
+                continue
+            replica.heard_at = self._context.now
+            replica.carry_out(replica.group.step(sender, item.message, self._context.now))
+            self._finish(replica)
+
+    def _create_for(self, sender: ReplicaId, item: GroupMessage) -> ShardReplica | None:
+        """Join a group whose leader has added this node."""
+        message = item.message
+        if not isinstance(message, AppendEntries | InstallSnapshot) or message.leader != sender:
+            return None
+        replica = self._removed.revive(item.shard)
+        if replica is None:
+            replica = self._create(item.shard, ())
+        self._replicas[item.shard] = replica
+        self._update_peers()
+        return replica
+
+    def receive_heartbeat(self, sender: ReplicaId, heartbeat: Heartbeat) -> None:
+        """Take in a heartbeat of another node."""
+        for news in self.heartbeats.receive(sender, heartbeat):
+            self._learn(sender, news)
+        for shard in heartbeat.wanted:
+            self._tell_wanted(sender, shard)
+        self._confirm_alive(sender)
+
+    def receive_heartbeat_reply(self, sender: ReplicaId, reply: HeartbeatReply) -> None:
+        """Take in the answer to a heartbeat."""
+        self.heartbeats.receive_reply(sender, reply)
+        self._confirm_alive(sender)
+
+    def tick(self) -> None:
+        """Do what is due by now."""
+        for shard in self._deadlines.take_due(self._context.now):
+            replica = self._replicas[shard]
+            replica.carry_out(replica.group.tick(self._context.now))
+            self._finish(replica)
+        if self._context.now >= self._maintenance.next_deadline():
+            self.peers_changed()
+            self._review_silent_groups()
+            self._drop_removed()
+        self.heartbeats.tick()
+        if self._disk is not None:
+            self._disk.tick()
+
+    def next_deadline(self) -> float:
+        """Return when :meth:`tick` is due."""
+        times = [
+            self._maintenance.next_deadline(),
+            self.heartbeats.next_deadline(),
+            self._deadlines.next(),
+            None if self._disk is None else self._disk.next_deadline(),
+        ]
+        return min(time for time in times if time is not None)
+
+    def flush(self) -> None:
+        """Send the Raft messages of this event."""
+        self._batcher.flush()
+
+    def _confirm_alive(self, sender: ReplicaId) -> None:
+        for replica in self._replicas.values():
+            if replica.group.leader == sender:
+                replica.group.node_alive(sender, self._context.now)
+
+    # ------------------------------------------------------------ news and peers
+
+    def _learn(self, sender: ReplicaId, news: ShardLeader) -> None:
+        if self._news.learn(sender, news):
+            self._leave_if_removed(news)
+
+    def _leave_if_removed(self, news: ShardLeader) -> None:
+        replica = self._replicas.get(news.shard)
+        if replica is not None and not replica.busy and replica.removed_by(news):
+            self._leave(replica)
+
+    def _review_silent_groups(self) -> None:
+        """Find out whether groups that have fallen silent have removed this node."""
+        for replica in list(self._replicas.values()):
+            news = self._news.directory.leader_of(replica.shard)
+            if news is None or news.leader == self._context.replica:
+                continue
+            in_group = self._context.replica in replica.group.members
+            patience = MEMBER_SILENCE_SECONDS if in_group else REMOVED_SILENCE_SECONDS
+            if self._context.now - replica.heard_at < patience:
+                continue
+            if replica.removed_by(news):
+                self._leave(replica)
+            else:
+                self.heartbeats.want_news(news.leader, replica.shard)
+
+    def _tell_wanted(self, sender: ReplicaId, shard: ShardId) -> None:
+        replica = self._replicas.get(shard)
+        if replica is not None and replica.leads:
+            self._news.announce(replica, (sender,))
+        else:
+            self._news.directory.tell(sender, shard)
+
+    def _update_peers(self) -> None:
+        alive = self.alive_nodes()
+        self._report_deaths(alive)
+        groups = (replica.group.members for replica in self._replicas.values())
+        self._news.update_peers(groups, alive, self.led_shards())
+
+    def _report_deaths(self, alive: tuple[ReplicaId, ...]) -> None:
+        gone = sorted(set(self._alive) - set(alive))
+        self._alive = alive
+        for replica in gone:
+            for observer in self._death_observers:
+                observer(replica)
+
+    # ------------------------------------------------------------ ReplicaObserver
+
+    def replica_sends(self, shard: ShardId, to: ReplicaId, message: RaftMessage) -> None:
+        """Put a message into the batch of its receiver."""
+        self._batcher.add(shard, to, message)
+
+    def replica_gained(self, replica: ShardReplica) -> None:
+        """Announce the leadership and tell the listener."""
+        self._context.counters["yokeline_leaderships_gained_total"] += 1
+        self._news.announce_to_all(replica)
+        if self._listener is not None:
+            self._listener.leadership_gained(replica.shard, replica.group.term)
+
+    def replica_lost(self, replica: ShardReplica) -> None:
+        """Tell the listener that the leadership is lost."""
+        self._context.counters["yokeline_leaderships_lost_total"] += 1
+        if self._listener is not None:
+            self._listener.leadership_lost(replica.shard)
+
+    def replica_changed(self, replica: ShardReplica) -> None:
+        """Tell others of new members, or note a new leader."""
+        if replica.leads:
+            self._news.announce_to_all(replica)
+        elif replica.group.role is not RaftRole.LEADER:
+            self._news.note_leader(replica)
+
+    def replica_members_committed(
+        self, replica: ShardReplica, removed: tuple[ReplicaId, ...]
+    ) -> None:
+        """Tell others of new members, the removed ones too."""
+        if replica.leads:
+            self._news.announce(replica, (*self.heartbeats.peers, *removed))
+
+    def replica_applied(self, replica: ShardReplica, command: Command, result: ApplyResult) -> None:
+        """Tell the listener about an applied command."""
+        if self._listener is not None:
+            self._listener.command_applied(replica.shard, command, result)
+
+    def replica_committed(self, replica: ShardReplica, entries: tuple[LogEntry, ...]) -> None:
+        """Keep committed entries on disk, where there is one."""
+        if self._disk is not None:
+            self._disk.note_committed(replica, entries)
+
+    def replica_restored(self, replica: ShardReplica, snapshot: Snapshot) -> None:
+        """Keep a leader's snapshot on disk, where there is one."""
+        if self._disk is not None:
+            self._disk.note_restored(replica, snapshot)
+
+
+def _raft_settings(settings: Settings) -> RaftSettings:
+    """Return the settings of all groups."""
+    consensus = settings.consensus
+    return RaftSettings(
+        heartbeat_seconds=consensus.heartbeat_seconds,
+        election_timeout_seconds=consensus.election_timeout_seconds,
+        append_bytes=consensus.append_bytes,
+        snapshot_chunk_bytes=consensus.snapshot_chunk_bytes,
+        retained_entries=consensus.snapshot_entries // _RETAINED_SHARE,
+    )
--- /dev/null
+++ b/src/yokeline/shards/leadership.py
@@ -0,0 +1,33 @@
+"""Where a leader hands its leadership to: pure decisions for balance and planned stops."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.shards.placement import rank
+
+BALANCE_DIFFERENCE = 2
+"""A hand-over to a node that leads at least so many fewer makes the two more even."""
+
+
+def successor(
+    shard: ShardId, healthy: Sequence[ReplicaId], led_by: Callable[[ReplicaId], int]
+) -> ReplicaId | None:
+    """Return the member to hand a shard to: the least loaded, then the highest rank."""
+    if not healthy:
+        return None
+    return min(healthy, key=lambda member: (led_by(member), -rank(shard, member)))
+
+
+def better_leader(
+    shard: ShardId,
+    own_led: int,
+    healthy: Sequence[ReplicaId],
+    led_by: Callable[[ReplicaId], int],
+) -> ReplicaId | None:
+    """Return a member that should lead instead of us, None if we are even enough."""
+    chosen = successor(shard, healthy, led_by)
+    if chosen is None or own_led - led_by(chosen) < BALANCE_DIFFERENCE:
+        return None
+    return chosen
--- /dev/null
+++ b/src/yokeline/shards/maintenance.py
@@ -0,0 +1,239 @@
+"""Keeps the groups of a node in shape: repair, balance of leadership, planned stop."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.membership.view import Member, MemberState, PeerView
+from yokeline.server.context import NodeContext
+from yokeline.settings import Settings
+from yokeline.shards.directory import LeaderDirectory
+from yokeline.shards.leadership import better_leader, successor
+from yokeline.shards.placement import NodePlace
+from yokeline.shards.repair import (
+    AddMember,
+    GroupCondition,
+    MemberCondition,
+    RepairStep,
+    next_step,
+)
+from yokeline.shards.replica import ShardReplica
+
+MAINTENANCE_SECONDS = 0.5
+"""Time between two rounds."""
+CHANGES_PER_ROUND = 8
+"""Membership changes that a node starts in one round; bounds the snapshots under way."""
+BALANCE_SECONDS = 2.0
+"""Time between two balancing rounds; a random share of up to the same again is added."""
+TRANSFERS_PER_BALANCE = 4
+SETTLE_SECONDS = 3.0
+"""A leadership is not moved for balance before it has lasted so long."""
+
+_STAYING_STATES = (MemberState.ALIVE, MemberState.JOINING)
+
+
+class GroupMaintenance:
+    """Decides on the groups that this node leads.
+
+    Attributes:
+        handing_over: This node is in a planned stop: it leads nothing where it can be helped.
+        hand_over_blocked: Tells the shards that are better kept for a moment.
+    """
+
+    def __init__(
+        self,
+        context: NodeContext,
+        settings: Settings,
+        peers: PeerView,
+        directory: LeaderDirectory,
+        replicas: Mapping[ShardId, ShardReplica],
+        finish: Callable[[ShardReplica], None],
+    ) -> None:
+        """Look after ``replicas``; ``finish`` is called with each that was acted on."""
+        self.handing_over = False
+        self.hand_over_blocked: Callable[[ShardId], bool] = _nothing_blocked
+        self._context = context
+        self._settings = settings
+        self._peers = peers
+        self._directory = directory
+        self._replicas = replicas
+        self._finish = finish
+        self._next_round = 0.0
+        self._next_balance = 0.0
+        self._members: dict[ReplicaId, Member] = {}
+        self._dead_since: dict[ReplicaId, float] = {}
+        self._led_since: dict[ShardId, float] = {}
+
+    def next_deadline(self) -> float:
+        """Return when the next round is due."""
+        return self._next_round
+
+    def tick(self) -> None:
+        """Do a round if one is due."""
+        if self._context.now >= self._next_round:
+            self.run_round()
+
+    def run_round(self) -> None:
+        """Look at all groups now."""
+        self._next_round = self._context.now + MAINTENANCE_SECONDS
+        self._members = {member.replica: member for member in self._peers.alive()}
+        self._note_deaths()
+        self._note_leaderships()
+        if self.handing_over:
+            self.hand_over()
+        self._repair()
+        if self._context.now >= self._next_balance and not self.handing_over:
+            self._balance()
+
+    # ------------------------------------------------------------ what is known
+
+    def _note_deaths(self) -> None:
+        """Keep since when each member of our groups is dead; tell groups whose leader died."""
+        now = self._context.now
+        involved = {
+            member for replica in self._replicas.values() for member in replica.group.members
+        }
+        dead = sorted(member for member in involved if self._peers.is_dead(member))
+        fresh = [member for member in dead if member not in self._dead_since]
+        self._dead_since = {member: self._dead_since.get(member, now) for member in dead}
+        for member in fresh:
+            self._tell_groups_dead(member)
+
+    def _tell_groups_dead(self, member: ReplicaId) -> None:
+        for replica in list(self._replicas.values()):
+            if replica.group.leader == member:
+                replica.carry_out(replica.group.node_dead(member, self._context.now))
+                self._finish(replica)
+
+    def _note_leaderships(self) -> None:
+        led = sorted(shard for shard, replica in self._replicas.items() if replica.leads)
+        now = self._context.now
+        self._led_since = {shard: self._led_since.get(shard, now) for shard in led}
+
+    def _condition(self, replica: ReplicaId) -> MemberCondition:
+        if replica == self._context.replica and self.handing_over:
+            return MemberCondition.LEAVING
+        dead_since = self._dead_since.get(replica)
+        if dead_since is not None:
+            patience = self._settings.consensus.replace_after_seconds
+            dead = self._context.now - dead_since >= patience
+            return MemberCondition.DEAD if dead else MemberCondition.DOUBTFUL
+        member = self._members.get(replica)
+        if member is not None and member.state is MemberState.LEAVING:
+            return MemberCondition.LEAVING
+        if member is not None and member.state in _STAYING_STATES:
+            return MemberCondition.HEALTHY
+        return MemberCondition.DOUBTFUL
+
+    def _healthy_others(self, replica: ShardReplica) -> list[ReplicaId]:
+        return [
+            member
+            for member in replica.committed_members
+            if member != self._context.replica
+            and self._condition(member) is MemberCondition.HEALTHY
+        ]
+
+    # ------------------------------------------------------------ repair
+
+    def _repair(self) -> None:
+        changes = 0
+        loads = self._directory.loads()
+        for shard in self._led_since:
+            if changes >= CHANGES_PER_ROUND:
+                return
+            replica = self._replicas[shard]
+            if self._may_change(replica) and self._repair_group(replica, loads):
+                changes += 1
+
+    def _may_change(self, replica: ShardReplica) -> bool:
+        """Return whether a membership change could commit now."""
+        valid = replica.leads and replica.group.lease_valid(self._context.now)
+        return valid and replica.membership_settled
+
+    def _repair_group(self, replica: ShardReplica, loads: Mapping[ReplicaId, int]) -> bool:
+        step = next_step(self._group_condition(replica, loads))
+        if step is None:
+            return False
+        accepted = self._change(replica, step)
+        self._finish(replica)
+        return accepted
+
+    def _change(self, replica: ShardReplica, step: RepairStep) -> bool:
+        now = self._context.now
+        adds = isinstance(step, AddMember)
+        change = replica.group.add_member if adds else replica.group.remove_member
+        accepted = replica.change_members(change(step.member, now))
+        if accepted:
+            event = "replica_added" if adds else "replica_removed"
+            self._context.counters[f"yokeline_{event}_total"] += 1
+            self._context.log(event, shard=replica.shard, member=step.member)
+        return accepted
+
+    def _group_condition(
+        self, replica: ShardReplica, loads: Mapping[ReplicaId, int]
+    ) -> GroupCondition:
+        members = {member: self._condition(member) for member in replica.committed_members}
+        spares = tuple(
+            NodePlace(replica=member.replica, zone=member.zone)
+            for member in self._members.values()
+            if member.state is MemberState.ALIVE and member.replica not in members
+        )
+        return GroupCondition(
+            shard=replica.shard,
+            leader=self._context.replica,
+            members=members,
+            zones={member: self._peers.zone_of(member) or "" for member in members},
+            spares=spares,
+            loads=loads,
+            replicas=self._settings.cluster.replicas,
+        )
+
+    # ------------------------------------------------------------ leadership
+
+    def hand_over(self) -> None:
+        """Hand every led shard to a healthy member of another node."""
+        for shard in sorted(self._replicas):
+            replica = self._replicas[shard]
+            if not replica.leads or self.hand_over_blocked(shard):
+                continue
+            chosen = successor(shard, self._healthy_others(replica), self._directory.led_by)
+            if chosen is not None:
+                self._transfer(replica, chosen)
+
+    def _balance(self) -> None:
+        """Hand some shards to nodes that lead fewer."""
+        pause = BALANCE_SECONDS * (1.0 + self._context.random.random())
+        self._next_balance = self._context.now + pause
+        own_led = len(self._led_since)
+        given: dict[ReplicaId, int] = {}
+        for shard, since in self._led_since.items():
+            if sum(given.values()) >= TRANSFERS_PER_BALANCE:
+                return
+            if self._context.now - since < SETTLE_SECONDS:
+                continue
+            chosen = self._balance_target(self._replicas[shard], own_led, given)
+            if chosen is not None:
+                given[chosen] = given.get(chosen, 0) + 1
+                own_led -= 1
+                self._transfer(self._replicas[shard], chosen)
+
+    def _balance_target(
+        self, replica: ShardReplica, own_led: int, given: Mapping[ReplicaId, int]
+    ) -> ReplicaId | None:
+        if not self._may_change(replica) or self.hand_over_blocked(replica.shard):
+            return None
+
+        def led_by(member: ReplicaId) -> int:
+            return self._directory.led_by(member) + given.get(member, 0)
+
+        return better_leader(replica.shard, own_led, self._healthy_others(replica), led_by)
+
+    def _transfer(self, replica: ShardReplica, to: ReplicaId) -> None:
+        self._context.counters["yokeline_leadership_transfers_total"] += 1
+        replica.carry_out(replica.group.transfer_leadership(to, self._context.now))
+        self._finish(replica)
+
+
+def _nothing_blocked(_shard: ShardId) -> bool:
+    return False
--- /dev/null
+++ b/src/yokeline/shards/news.py
@@ -0,0 +1,104 @@
+"""Leadership news: what this node tells others of the shards it leads, and passes on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.messages.types import ShardLeader
+from yokeline.server.context import NodeContext
+from yokeline.shards.directory import LeaderDirectory
+from yokeline.shards.heartbeats import Heartbeats
+from yokeline.shards.neighbours import heartbeat_peers, ring_neighbours
+from yokeline.shards.replica import ShardReplica
+
+
+class LeadershipNews:
+    """Decides who is told what, through the heartbeats.
+
+    Attributes:
+        directory: What is known of all shards.
+        heartbeats: Carry the news.
+    """
+
+    def __init__(self, context: NodeContext, heartbeat_seconds: float) -> None:
+        """Start without knowledge."""
+        self.directory = LeaderDirectory(context.replica)
+        self.heartbeats = Heartbeats(context, self.directory, heartbeat_seconds)
+        self._context = context
+        self._observers: list[Callable[[ShardId], None]] = []
+        self._neighbours: tuple[ReplicaId, ...] = ()
+
+    def observe(self, observer: Callable[[ShardId], None]) -> None:
+        """Call ``observer`` whenever the believed leader of a shard may have changed."""
+        self._observers.append(observer)
+
+    def learn(self, sender: ReplicaId, news: ShardLeader) -> bool:
+        """Take in what another node said, and pass it on; return whether it was new."""
+        if not self.directory.learn(news):
+            return False
+        for peer in self._neighbours:
+            if peer not in (sender, news.leader):
+                self.directory.tell(peer, news.shard)
+        self._report(news.shard)
+        return True
+
+    def announce(self, replica: ShardReplica, listeners: Iterable[ReplicaId]) -> None:
+        """Tell others that this node leads a shard, and who its members are."""
+        news = ShardLeader(
+            replica.shard,
+            replica.group.term,
+            self._context.replica,
+            replica.announced_members,
+            replica.applied_index,
+        )
+        self.directory.learn(news)
+        for peer in listeners:
+            self.directory.tell(peer, replica.shard)
+        self._report(replica.shard)
+
+    def announce_to_all(self, replica: ShardReplica) -> None:
+        """Tell all peers and all members about a shard that this node leads."""
+        self.announce(replica, (*self.heartbeats.peers, *replica.announced_members))
+
+    def note_leader(self, replica: ShardReplica) -> None:
+        """Note whom a replica of this node follows."""
+        group = replica.group
+        if group.leader is None:
+            return
+        news = ShardLeader(replica.shard, group.term, group.leader, replica.announced_members)
+        if self.directory.learn(news):
+            self._report(replica.shard)
+
+    def _report(self, shard: ShardId) -> None:
+        for observer in self._observers:
+            observer(shard)
+
+    # ------------------------------------------------------------ peers
+
+    def update_peers(
+        self,
+        groups: Iterable[tuple[ReplicaId, ...]],
+        alive: tuple[ReplicaId, ...],
+        led: Iterable[ShardId],
+    ) -> None:
+        """Recompute whom heartbeats are exchanged with, and greet who is new."""
+        own = self._context.replica
+        self._neighbours = ring_neighbours(own, alive)
+        before = self.heartbeats.peers
+        peers = heartbeat_peers(own, groups, self._neighbours, alive)
+        if peers == before:
+            return
+        self.heartbeats.set_peers(peers)
+        for peer in sorted(set(before) - set(alive)):
+            self.heartbeats.forget_peer(peer)
+        self._greet(sorted(set(peers) - set(before)), tuple(led))
+
+    def _greet(self, peers: Iterable[ReplicaId], led: Iterable[ShardId]) -> None:
+        """Tell new peers what this node leads, and new ring neighbours all it knows."""
+        for peer in peers:
+            for shard in led:
+                self.directory.tell(peer, shard)
+            if peer in self._neighbours:
+                for news in self.directory.known():
+                    self.directory.tell(peer, news.shard)
--- /dev/null
+++ b/src/yokeline/shards/pending.py
@@ -0,0 +1,148 @@
+"""State of one request of a router, from the caller's call to its one answer."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+
+from yokeline.errors import ErrorKind, Execution, YokelineError
+from yokeline.identifiers import ReplicaId, RequestId, ShardId
+from yokeline.runs.events import EventId, RunEvent, TextEvent
+from yokeline.shards.errors import no_answer, no_leader, read_timed_out
+from yokeline.shards.operations import Operation, WatchRun
+from yokeline.shards.serving import EventsReceived, OperationDone, changes_state
+
+_TRUE_OF_ANY_ATTEMPT = (
+    ErrorKind.BAD_REQUEST,
+    ErrorKind.FORBIDDEN,
+    ErrorKind.IDEMPOTENCY_KEY_REUSED,
+)
+"""Kinds that depend on the request and on what is committed already: every attempt of the
+request meets the same refusal."""
+
+
+class PendingRequest:
+    """What is known of the attempts of one request.
+
+    Attributes:
+        request: What the caller knows the request by.
+        wire: The id that the request travels under; a new one after a gap in its events.
+        target: The node that is to answer; None while none is known.
+        ticket: Ticket of the local executor, while this node serves the request itself.
+        attempts: Attempts so far, for the pauses between them.
+        hops: Hints followed at once since the last pause.
+        maybe_done: Some leader did not know what became of the request.
+        refused_by: The last node that answered that it does not lead.
+    """
+
+    def __init__(
+        self,
+        request: RequestId,
+        shard: ShardId,
+        operation: Operation,
+        deadline: float,
+        done: OperationDone,
+        on_events: EventsReceived | None,
+    ) -> None:
+        """Create a request that nothing was done for yet."""
+        self.request = request
+        self.wire = request
+        self.shard = shard
+        self.operation = operation
+        self.deadline = deadline
+        self.done = done
+        self.on_events = on_events
+        self.target: ReplicaId | None = None
+        self.ticket: str | None = None
+        self.attempts = 0
+        self.resends = 0
+        self.hops = 0
+        self.gaps = 0
+        self.maybe_done = False
+        self.refused_by: ReplicaId | None = None
+        self._unanswered: Counter[ReplicaId] = Counter()
+        self._position = _first_position(operation)
+
+    # ------------------------------------------------------------ what may have happened
+
+    def note_sent(self, to: ReplicaId) -> None:
+        """Note that the request has gone to a node."""
+        self._unanswered[to] += 1
+
+    def note_refused(self, sender: ReplicaId) -> None:
+        """Note that one copy of the request had no effect at a node."""
+        self._unanswered[sender] -= 1
+        self.refused_by = sender
+
+    def note_in_doubt(self, sender: ReplicaId) -> None:
+        """Note that a node does not know what became of the request."""
+        self._unanswered[sender] -= 1
+        self.maybe_done = True
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some copy of the request may have had, or may yet have, an effect."""
+        return self.maybe_done or any(count > 0 for count in self._unanswered.values())
+
+    def refusal(self, sender: ReplicaId, error: YokelineError) -> YokelineError:
+        """Return a leader's refusal, as far as it is true of all copies of the request."""
+        self._unanswered[sender] -= 1
+        if error.execution is not Execution.NOT_RUN or error.kind in _TRUE_OF_ANY_ATTEMPT:
+            return error
+        if not changes_state(self.operation) or not self.may_have_run:
+            return error
+        return msgspec.structs.replace(error, execution=Execution.UNKNOWN)
+
+    def expiry(self) -> YokelineError:
+        """Return what is true of the request when its deadline comes without an answer."""
+        if not changes_state(self.operation):
+            return read_timed_out(self.shard)
+        return no_answer(self.shard) if self.may_have_run else no_leader(self.shard)
+
+    # ------------------------------------------------------------ events
+
+    def operation_now(self) -> Operation:
+        """Return the operation to send: a watch goes on after the last event seen."""
+        if not isinstance(self.operation, WatchRun):
+            return self.operation
+        return msgspec.structs.replace(
+            self.operation,
+            after_call=self._position.call,
+            after_offset=self._position.offset,
+        )
+
+    def take_events(self, events: tuple[RunEvent, ...]) -> tuple[tuple[RunEvent, ...], bool]:
+        """Return the events that are new, and whether text is missing after them."""
+        fresh: list[RunEvent] = []
+        for event in events:
+            if isinstance(event, TextEvent):
+                if self._misses_text_before(event):
+                    return tuple(fresh), True
+                new_text = self._unseen(event)
+                if new_text is None:
+                    continue
+                event = new_text
+            self._position = event.id
+            fresh.append(event)
+        return tuple(fresh), False
+
+    def _misses_text_before(self, event: TextEvent) -> bool:
+        start = event.id.offset - len(event.text)
+        seen = self._position.offset if event.id.call == self._position.call else 0
+        return start > seen
+
+    def _unseen(self, event: TextEvent) -> TextEvent | None:
+        """Return the part of a text that is new, None if there is none."""
+        if event.id.call != self._position.call:
+            return event
+        length = event.id.offset - self._position.offset
+        if length <= 0:
+            return None
+        return TextEvent(id=event.id, text=event.text[-length:])
+
+
+def _first_position(operation: Operation) -> EventId:
+    if isinstance(operation, WatchRun):
+        return EventId(operation.after_call, operation.after_offset)
+    return EventId(0, 0)
--- /dev/null
+++ b/src/yokeline/shards/placement.py
@@ -0,0 +1,197 @@
+"""Which nodes hold the replicas of each shard: pure functions over zones.
+
+A node's rank for a shard is its rendezvous hash (Thaler and Ravishankar, "Using name-based
+mappings to increase hit rates", 1998). Small clusters are filled greedily, so that each node
+gets the same share. Large ones use copysets (Cidon et al., "Copysets: Reducing the Frequency
+of Data Loss in Cloud Storage", 2013): few distinct groups of nodes, so that a node has few
+peers to exchange heartbeats with, and few combinations of crashes lose a majority.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Mapping, Sequence
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from yokeline.errors import ErrorKind, YokelineError
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.membership.view import Member, MemberState
+from yokeline.settings import Settings
+
+GREEDY_LIMIT = 25
+"""Clusters of up to so many nodes are placed greedily; a node's peers are few anyway."""
+COPYSET_PERMUTATIONS = 4
+"""Each adds ``replicas - 1`` peers to a node."""
+LOAD_SLACK = 1.25
+"""A new member is chosen among nodes that hold at most this times the mean load."""
+
+
+class Placement(msgspec.Struct, frozen=True, kw_only=True):
+    """The members of every shard's group.
+
+    Attributes:
+        groups: Member ids; the position is the shard's number.
+    """
+
+    groups: tuple[tuple[ReplicaId, ...], ...]
+
+
+class NodePlace(msgspec.Struct, frozen=True, kw_only=True):
+    """A node that may hold replicas, and its zone."""
+
+    replica: ReplicaId
+    zone: str
+
+
+def rank(shard: ShardId, replica: ReplicaId) -> int:
+    """Return the rendezvous rank of a node for a shard; the highest is preferred."""
+    return xxhash.xxh3_64_intdigest(f"{shard}/{replica}".encode())
+
+
+def first_placement(members: Sequence[Member], settings: Settings) -> Placement:
+    """Return the placement of a new deployment over the members that are alive."""
+    places = tuple(
+        NodePlace(replica=member.replica, zone=member.zone)
+        for member in members
+        if member.state is MemberState.ALIVE
+    )
+    return place(places, settings.cluster.shards, settings.cluster.replicas)
+
+
+def place(places: Sequence[NodePlace], shards: int, replicas: int) -> Placement:
+    """Return groups of ``replicas`` nodes each (fewer nodes: all), spread over zones."""
+    ordered = sorted(places, key=lambda node: node.replica)
+    size = min(replicas, len(ordered))
+    if len(ordered) <= GREEDY_LIMIT:
+        return _place_greedily(ordered, shards, size)
+    return _place_copysets(ordered, shards, size)
+
+
+def choose_member(
+    shard: ShardId,
+    zones: Mapping[str, int],
+    candidates: Sequence[NodePlace],
+    loads: Mapping[ReplicaId, int],
+) -> ReplicaId | None:
+    """Return the best new member of a group, None if there is no candidate.
+
+    The zone with the fewest members first; then, among the nodes that do not hold much more
+    than the mean, the highest rank. (Always taking the least loaded node would send all the
+    groups that lost a member at one moment to the same node.)
+
+    Args:
+        shard: The group's shard.
+        zones: Number of staying members by zone.
+        candidates: Nodes that are alive and not members.
+        loads: Replicas that each node is believed to hold.
+    """
+    if not candidates:
+        return None
+    fewest = min(zones.get(node.zone, 0) for node in candidates)
+    spread = [node for node in candidates if zones.get(node.zone, 0) == fewest]
+    mean = sum(loads.get(node.replica, 0) for node in spread) / len(spread)
+    bound = math.ceil(mean * LOAD_SLACK)
+    light = [node for node in spread if loads.get(node.replica, 0) <= bound]
+    return max(light, key=lambda node: rank(shard, node.replica)).replica
+
+
+def encode_placement(placement: Placement) -> str:
+    """Return a placement as the JSON text that the key-value service keeps."""
+    return msgspec.json.encode(placement).decode()
+
+
+def decode_placement(text: str, settings: Settings) -> Result[Placement, YokelineError]:
+    """Return the placement in ``text`` if it fits the deployment's number of shards."""
+    try:
+        placement = msgspec.json.decode(text, type=Placement)
+    except msgspec.MsgspecError as error:
+        return Failure(_unusable(f"the placement in the key-value service is malformed: {error}"))
+    if len(placement.groups) != settings.cluster.shards:
+        found = len(placement.groups)
+        wanted = settings.cluster.shards
+        return Failure(_unusable(f"the placement has {found} shards, the settings say {wanted}"))
+    return Success(placement)
+
+
+def _unusable(message: str) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.BAD_SETTING,
+        message=message,
+        remedy="give all nodes the same cluster.shards and platform.store_prefix",
+    )
+
+
+def _place_greedily(places: Sequence[NodePlace], shards: int, size: int) -> Placement:
+    """Fill each group with the least loaded nodes, within a bound on members per zone."""
+    zone_bound = _zone_bound(places, size)
+    loads: Counter[ReplicaId] = Counter()
+    groups: list[tuple[ReplicaId, ...]] = []
+    for number in range(shards):
+        group = _greedy_group(ShardId(number), places, size, zone_bound, loads)
+        loads.update(group)
+        groups.append(group)
+    return Placement(groups=tuple(groups))
+
+
+def _greedy_group(
+    shard: ShardId,
+    places: Sequence[NodePlace],
+    size: int,
+    zone_bound: int,
+    loads: Mapping[ReplicaId, int],
+) -> tuple[ReplicaId, ...]:
+    zones: Counter[str] = Counter()
+    left = list(places)
+    group: list[ReplicaId] = []
+    while len(group) < size:
+        best = min(
+            left,
+            key=lambda node: (
+                zones[node.zone] >= zone_bound,
+                loads.get(node.replica, 0),
+                zones[node.zone],
+                -rank(shard, node.replica),
+            ),
+        )
+        left.remove(best)
+        zones[best.zone] += 1
+        group.append(best.replica)
+    return tuple(group)
+
+
+def _zone_bound(places: Sequence[NodePlace], size: int) -> int:
+    zones = {node.zone for node in places}
+    return math.ceil(size / max(1, len(zones)))
+
+
+def _place_copysets(places: Sequence[NodePlace], shards: int, size: int) -> Placement:
+    """Deal the shards over few groups of nodes, cut from permutations of all nodes."""
+    copysets: list[tuple[ReplicaId, ...]] = []
+    for permutation in range(COPYSET_PERMUTATIONS):
+        order = _interleaved(places, permutation)
+        copysets.extend(_cut(order, size))
+    groups = tuple(copysets[number % len(copysets)] for number in range(shards))
+    return Placement(groups=groups)
+
+
+def _interleaved(places: Sequence[NodePlace], permutation: int) -> list[ReplicaId]:
+    """Return all nodes shuffled, so that neighbours are of different zones where possible."""
+    zones: dict[str, list[NodePlace]] = {}
+    for node in sorted(places, key=lambda node: rank(ShardId(permutation), node.replica)):
+        zones.setdefault(node.zone, []).append(node)
+    positions: list[tuple[float, int, ReplicaId]] = []
+    for nodes in zones.values():
+        for position, node in enumerate(nodes):
+            share = (position + 0.5) / len(nodes)
+            positions.append((share, rank(ShardId(permutation), node.replica), node.replica))
+    return [replica for _, _, replica in sorted(positions)]
+
+
+def _cut(order: Sequence[ReplicaId], size: int) -> list[tuple[ReplicaId, ...]]:
+    """Cut ``order`` into groups; the last one is filled up from the beginning."""
+    padded = [*order, *order[:size]]
+    return [tuple(padded[start : start + size]) for start in range(0, len(order), size)]
--- /dev/null
+++ b/src/yokeline/shards/replica.py
@@ -0,0 +1,316 @@
+"""One replica of a shard: its Raft group, its state machine, and who waits for what."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Protocol, assert_never
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.consensus.effects import (
+    Committed,
+    HardStateChanged,
+    MembersChanged,
+    Proposal,
+    RaftEffect,
+    ReadFailed,
+    ReadReady,
+    Restored,
+    RoleChanged,
+    Send,
+)
+from yokeline.consensus.group import RaftGroup
+from yokeline.consensus.messages import EntryKind, LogEntry, RaftMessage
+from yokeline.consensus.types import HardState, RaftRole, Snapshot
+from yokeline.errors import YokelineError, YokelineException
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.messages.codec import decode_command, encode_command
+from yokeline.messages.types import ShardLeader
+from yokeline.runs.model import Command
+from yokeline.runs.state_machine import ApplyResult, RunStateMachine
+from yokeline.shards.errors import leadership_lost, not_leading
+
+ProposalDone = Callable[[Result[ApplyResult, YokelineError]], None]
+ReadDone = Callable[[Result[RunStateMachine, YokelineError]], None]
+
+
+class ReplicaObserver(Protocol):
+    """What a replica reports to its host."""
+
+    def replica_sends(self, shard: ShardId, to: ReplicaId, message: RaftMessage) -> None:
+        """A message is to be sent."""
+        ...
+
+    def replica_gained(self, replica: ShardReplica) -> None:
+        """The replica leads, and everything committed before is applied."""
+        ...
+
+    def replica_lost(self, replica: ShardReplica) -> None:
+        """The replica leads no longer."""
+        ...
+
+    def replica_changed(self, replica: ShardReplica) -> None:
+        """Role, leader or members of the replica changed."""
+        ...
+
+    def replica_members_committed(
+        self, replica: ShardReplica, removed: tuple[ReplicaId, ...]
+    ) -> None:
+        """Another configuration was committed; it leaves ``removed`` out."""
+        ...
+
+    def replica_applied(self, replica: ShardReplica, command: Command, result: ApplyResult) -> None:
+        """A command was applied."""
+        ...
+
+    def replica_committed(self, replica: ShardReplica, entries: tuple[LogEntry, ...]) -> None:
+        """Entries were committed and applied."""
+        ...
+
+    def replica_restored(self, replica: ShardReplica, snapshot: Snapshot) -> None:
+        """The state was replaced by a snapshot of the leader."""
+        ...
+
+
+class _PendingProposal(msgspec.Struct, frozen=True):
+    term: int
+    done: ProposalDone
+
+
+class ShardReplica:
+    """Carries out the effects of one group, in order and never nested.
+
+    Attributes:
+        shard: The shard.
+        group: The Raft group.
+        machine: State after the entry ``applied_index``.
+        committed_members: Members by the last applied configuration.
+        hard_state: What must be remembered if this replica leaves the group.
+        heard_at: When the last message of the group came.
+    """
+
+    def __init__(
+        self,
+        shard: ShardId,
+        group: RaftGroup,
+        observer: ReplicaObserver,
+        snapshot_entries: int,
+        hard_state: HardState,
+    ) -> None:
+        """Run ``group``; compact its log after ``snapshot_entries`` entries."""
+        self.shard = shard
+        self.group = group
+        self.machine = RunStateMachine()
+        self.applied_index = 0
+        self.committed_members = group.members
+        self.hard_state = hard_state
+        self.heard_at = 0.0
+        self._observer = observer
+        self._snapshot_entries = snapshot_entries
+        self._ready_term: int | None = None
+        self._gained_reported = False
+        self._queue: deque[RaftEffect] = deque()
+        self._carrying_out = False
+        self._proposals: dict[int, _PendingProposal] = {}
+        self._reads: dict[str, ReadDone] = {}
+        self._next_read = 0
+
+    @property
+    def leads(self) -> bool:
+        """Whether this replica leads and has applied everything committed before."""
+        group = self.group
+        return group.role is RaftRole.LEADER and group.term == self._ready_term
+
+    @property
+    def membership_settled(self) -> bool:
+        """Whether the members in force are committed and applied."""
+        return set(self.committed_members) == set(self.group.members)
+
+    @property
+    def busy(self) -> bool:
+        """Whether effects are being carried out (we are inside a callback of them)."""
+        return self._carrying_out
+
+    @property
+    def announced_members(self) -> tuple[ReplicaId, ...]:
+        """Members as a leader tells them: nobody that may still count is left out."""
+        if self.membership_settled:
+            return self.committed_members
+        return tuple(sorted({*self.committed_members, *self.group.members}))
+
+    def removed_by(self, news: ShardLeader) -> bool:
+        """Return whether a leader's news prove that this replica was removed for good.
+
+        A removed replica may never see the entry that removes it, and one that is added
+        again passes its old removal while it catches up, so that its own log proves nothing.
+        News without this replica say that no configuration with it was in force at the
+        leader when everything up to ``news.revision`` was committed: a quorum of others
+        holds all that. If our log ends there or earlier, nobody depends on what we hold.
+        """
+        if self.group.replica in news.members or not news.members:
+            return False
+        if self.group.role is RaftRole.LEADER or news.term < self.group.term:
+            return False
+        return news.revision >= self.group.last_index
+
+    # ------------------------------------------------------------ requests
+
+    def propose(self, command: Command, now: float, done: ProposalDone) -> None:
+        """Append a command; ``done`` gets its outcome, perhaps before this returns."""
+        if not self.leads:
+            done(Failure(not_leading(self.shard)))
+            return
+        proposal = self.group.propose(encode_command(command), now)
+        if proposal.accepted:
+            self._proposals[proposal.index] = _PendingProposal(proposal.term, done)
+        self.carry_out(proposal.effects)
+        if not proposal.accepted:
+            done(Failure(not_leading(self.shard)))
+
+    def read(self, now: float, done: ReadDone) -> None:
+        """Hand over the state machine once this replica is known to still lead."""
+        if not self.leads:
+            done(Failure(not_leading(self.shard)))
+            return
+        self._next_read += 1
+        token = str(self._next_read)
+        self._reads[token] = done
+        self.carry_out(self.group.read(token, now))
+
+    def change_members(self, proposal: Proposal) -> bool:
+        """Carry out the outcome of a proposed membership change; return if accepted."""
+        self.carry_out(proposal.effects)
+        return proposal.accepted
+
+    # ------------------------------------------------------------ effects
+
+    def carry_out(self, effects: Iterable[RaftEffect]) -> None:
+        """Carry effects out after those that are under way already."""
+        self._queue.extend(effects)
+        if self._carrying_out:
+            return
+        self._carrying_out = True
+        try:
+            while self._queue:
+                self._carry_out_one(self._queue.popleft())
+        finally:
+            self._carrying_out = False
+
+    def _carry_out_one(self, effect: RaftEffect) -> None:
+        match effect:
+            case Send():
+                self._observer.replica_sends(self.shard, effect.to, effect.message)
+            case Committed():
+                self._apply_all(effect.entries)
+            case Restored():
+                self._restore(effect.snapshot)
+            case RoleChanged():
+                self._role_changed(effect)
+            case MembersChanged():
+                self._observer.replica_changed(self)
+            case ReadReady():
+                self._finish_read(effect.token, Success(self.machine))
+            case ReadFailed():
+                self._finish_read(effect.token, Failure(not_leading(self.shard)))
+            case HardStateChanged():
+                self.hard_state = effect.hard_state
+            case _:
+                assert_never(effect)
+
+    def _role_changed(self, change: RoleChanged) -> None:
+        still_leads = change.role is RaftRole.LEADER and change.term == self._ready_term
+        if self._gained_reported and not still_leads:
+            self._transition_lost()
+        if change.role is not RaftRole.LEADER:
+            self._fail_waiting()
+        self._observer.replica_changed(self)
+
+    def _transition_gained(self, term: int) -> None:
+        self._ready_term = term
+        self._gained_reported = True
+        self._observer.replica_gained(self)
+
+    def _transition_lost(self) -> None:
+        self._ready_term = None
+        self._gained_reported = False
+        self._observer.replica_lost(self)
+
+    def _fail_waiting(self) -> None:
+        """Answer everything that waits for an outcome which this replica will not learn."""
+        proposals = self._proposals
+        reads = self._reads
+        self._proposals = {}
+        self._reads = {}
+        for proposal in proposals.values():
+            proposal.done(Failure(leadership_lost(self.shard)))
+        for read in reads.values():
+            read(Failure(not_leading(self.shard)))
+
+    def _finish_read(self, token: str, result: Result[RunStateMachine, YokelineError]) -> None:
+        done = self._reads.pop(token, None)
+        if done is not None:
+            done(result)
+
+    # ------------------------------------------------------------ applying
+
+    def _apply_all(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            self._apply(entry)
+        self._compact_if_due()
+        self._observer.replica_committed(self, entries)
+
+    def _apply(self, entry: LogEntry) -> None:
+        self.applied_index = entry.index
+        match entry.kind:
+            case EntryKind.COMMAND:
+                self._apply_command(entry)
+            case EntryKind.MEMBERSHIP:
+                removed = tuple(m for m in self.committed_members if m not in entry.members)
+                self.committed_members = entry.members
+                self._observer.replica_members_committed(self, removed)
+            case EntryKind.EMPTY:
+                pass
+            case _:
+                assert_never(entry.kind)
+        if self._leads_term(entry.term) and not self._gained_reported:
+            self._transition_gained(entry.term)
+
+    def _leads_term(self, term: int) -> bool:
+        return self.group.role is RaftRole.LEADER and self.group.term == term
+
+    def _apply_command(self, entry: LogEntry) -> None:
+        decoded = decode_command(entry.command)
+        if not isinstance(decoded, Success):
+            # Skipping it would let this replica's state differ from the others': stop instead.
+            raise YokelineException(decoded.failure())
+        command = decoded.unwrap()
+        result = self.machine.apply(command)
+        self._observer.replica_applied(self, command, result)
+        pending = self._proposals.pop(entry.index, None)
+        if pending is None:
+            return
+        if pending.term == entry.term:
+            pending.done(Success(result))
+        else:
+            pending.done(Failure(not_leading(self.shard)))
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self.machine = RunStateMachine.restore(snapshot.data)
+        self.applied_index = snapshot.last_index
+        self.committed_members = snapshot.members
+        self._observer.replica_restored(self, snapshot)
+        self._observer.replica_changed(self)
+
+    def _compact_if_due(self) -> None:
+        snapshot = self.group.snapshot
+        compacted_index = 0 if snapshot is None else snapshot.last_index
+        if self.applied_index - compacted_index >= self._snapshot_entries:
+            self.group.compact(self.applied_index, self.machine.snapshot())
+
+    def close(self) -> None:
+        """Answer everything that waits; the replica leaves its group."""
+        if self._gained_reported:
+            self._transition_lost()
+        self._fail_waiting()
--- /dev/null
+++ b/src/yokeline/shards/router.py
@@ -0,0 +1,358 @@
+"""Brings operations to the leaders of their shards and tells the truth about the outcome.
+
+A request that got no answer is sent again under the same id, to the same leader (which
+serves an id once) or to the next one (operations are idempotent by the ids in them). At the
+deadline it is "not run" only if every copy that left this node was refused unserved.
+"""
+
+from __future__ import annotations
+
+from returns.result import Failure, Result, Success
+
+from yokeline.errors import Execution, YokelineError
+from yokeline.identifiers import ReplicaId, RequestId, ShardId
+from yokeline.messages.codec import decode_events, decode_result, encode_operation
+from yokeline.messages.types import RunEvents, ShardCancel, ShardReply, ShardRequest
+from yokeline.runs.events import RunEvent
+from yokeline.server.context import NodeContext
+from yokeline.shards.deadlines import DeadlineQueue
+from yokeline.shards.host import ShardHost
+from yokeline.shards.operations import Operation, OperationResult
+from yokeline.shards.pending import PendingRequest
+from yokeline.shards.serving import (
+    EventsReceived,
+    OperationDone,
+    OperationServer,
+    is_for_next_leader,
+)
+
+RETRY_BASE_SECONDS = 0.05
+RETRY_MAX_SECONDS = 1.0
+RESEND_BASE_SECONDS = 1.0
+"""Silence of a leader after which the request is sent to it again; doubles."""
+RESEND_MAX_SECONDS = 8.0
+MAX_HOPS = 3
+"""Hints that are followed at once before a pause; two nodes may point at each other."""
+MAX_GAPS = 3
+"""Gaps in a request's events after which its watch is not started anew any more."""
+DEADLINE_MARGIN_SECONDS = 0.2
+"""A leader answers so much before the asker's deadline, to let the answer arrive."""
+LATE_REPLIES = "yokeline_late_replies_total"
+
+
+class ShardRouter:
+    """Sends requests, follows hints, retries, and drops answers that nobody waits for."""
+
+    def __init__(self, context: NodeContext, host: ShardHost, server: OperationServer) -> None:
+        """Route by what ``host`` knows; ``server`` serves what this node leads itself."""
+        self._context = context
+        self._host = host
+        self._server = server
+        self._pending: dict[RequestId, PendingRequest] = {}
+        self._by_wire: dict[RequestId, PendingRequest] = {}
+        self._by_shard: dict[ShardId, dict[RequestId, PendingRequest]] = {}
+        self._due: DeadlineQueue[RequestId] = DeadlineQueue()
+        host.observe_leaders(self._leader_changed)
+        host.observe_deaths(self._node_died)
+
+    # ------------------------------------------------------------ the caller's side
+
+    def request(
+        self,
+        shard: ShardId,
+        operation: Operation,
+        *,
+        deadline_seconds: float,
+        done: OperationDone,
+        on_events: EventsReceived | None = None,
+    ) -> RequestId:
+        """Send an operation; ``done`` is called once, perhaps before this returns.
+
+        Args:
+            shard: The shard that the operation is about.
+            operation: What is asked.
+            deadline_seconds: Seconds until ``done`` is called at the latest.
+            done: Gets the result, or an error whose ``execution`` is true.
+            on_events: Gets the events of a watched run.
+        """
+        request = self._context.new_request_id()
+        deadline = self._context.now + deadline_seconds
+        pending = PendingRequest(request, shard, operation, deadline, done, on_events)
+        self._pending[request] = pending
+        self._by_wire[request] = pending
+        self._by_shard.setdefault(shard, {})[request] = pending
+        self._dispatch(pending)
+        return request
+
+    def cancel(self, request: RequestId) -> None:
+        """Give a request up; nothing of it is called any more. What it did stays done."""
+        pending = self._pending.get(request)
+        if pending is None:
+            return
+        self._forget(pending)
+        self._stop_target(pending)
+
+    def waiting(self) -> int:
+        """Return how many requests wait for an answer."""
+        return len(self._pending)
+
+    # ------------------------------------------------------------ sending
+
+    def _dispatch(self, pending: PendingRequest) -> None:
+        """Send a request to the leader, as far as one is known."""
+        target = self._choose_target(pending)
+        pending.target = target
+        if target is None:
+            self._pause(pending)
+        elif target == self._context.replica:
+            self._serve_here(pending)
+        else:
+            self._send(pending, target)
+
+    def _choose_target(self, pending: PendingRequest) -> ReplicaId | None:
+        own = self._context.replica
+        if self._host.leads(pending.shard):
+            return own
+        leader = self._host.leader_of(pending.shard)
+        if leader is not None and self._may_ask(leader.leader, pending):
+            return leader.leader
+        return self._someone_who_may_know(pending)
+
+    def _may_ask(self, replica: ReplicaId, pending: PendingRequest) -> bool:
+        if replica in (self._context.replica, pending.refused_by):
+            return False
+        return not self._host.is_dead(replica)
+
+    def _someone_who_may_know(self, pending: PendingRequest) -> ReplicaId | None:
+        """Return a member of the group, else any node: its refusal carries a hint."""
+        members = self._host.members_of(pending.shard)
+        if self._context.replica in members:
+            return None
+        asked = [member for member in members if self._may_ask(member, pending)]
+        if not asked:
+            alive = self._host.alive_nodes()
+            asked = [replica for replica in alive if self._may_ask(replica, pending)]
+        return asked[pending.attempts % len(asked)] if asked else None
+
+    def _send(self, pending: PendingRequest, target: ReplicaId) -> None:
+        pending.note_sent(target)
+        message = ShardRequest(
+            request=pending.wire,
+            shard=pending.shard,
+            operation=encode_operation(pending.operation_now()),
+            deadline=self._seconds_for_leader(pending),
+        )
+        self._context.send_peer(target, message)
+        wait = min(RESEND_BASE_SECONDS * 2.0**pending.resends, RESEND_MAX_SECONDS)
+        self._set_due(pending, wait)
+
+    def _serve_here(self, pending: PendingRequest) -> None:
+        own = self._context.replica
+        attempt = pending.attempts
+        pending.note_sent(own)
+        self._due.set(pending.request, pending.deadline)
+
+        def done(result: Result[OperationResult, YokelineError]) -> None:
+            if attempt == pending.attempts:
+                pending.ticket = None
+            self._answered(pending, own, result)
+
+        def push(events: tuple[RunEvent, ...]) -> None:
+            if attempt == pending.attempts and pending.target == own:
+                self._deliver(pending, events)
+
+        ticket = self._server.serve(
+            pending.operation_now(),
+            pending.shard,
+            deadline_seconds=self._seconds_for_leader(pending),
+            done=done,
+            on_events=push,
+        )
+        if attempt == pending.attempts and pending.request in self._pending:
+            pending.ticket = ticket
+
+    def _seconds_for_leader(self, pending: PendingRequest) -> float:
+        left = max(0.0, pending.deadline - self._context.now)
+        return left - min(DEADLINE_MARGIN_SECONDS, left / 2.0)
+
+    def _pause(self, pending: PendingRequest) -> None:
+        """Wait before the next attempt: doubling, with jitter."""
+        pending.target = None
+        pending.hops = 0
+        longest = min(RETRY_BASE_SECONDS * 2.0**pending.attempts, RETRY_MAX_SECONDS)
+        pending.attempts += 1
+        self._set_due(pending, longest * (0.5 + 0.5 * self._context.random.random()))
+
+    def _set_due(self, pending: PendingRequest, seconds: float) -> None:
+        self._due.set(pending.request, min(pending.deadline, self._context.now + seconds))
+
+    # ------------------------------------------------------------ time
+
+    def tick(self) -> None:
+        """Do what is due by now."""
+        for request in self._due.take_due(self._context.now):
+            pending = self._pending[request]
+            if self._context.now >= pending.deadline:
+                self._expire(pending)
+            else:
+                self._try_again(pending)
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`tick` is due."""
+        return self._due.next()
+
+    def _expire(self, pending: PendingRequest) -> None:
+        self._context.counters["yokeline_requests_expired_total"] += 1
+        self._stop_target(pending)
+        self._finish(pending, Failure(pending.expiry()))
+
+    def _try_again(self, pending: PendingRequest) -> None:
+        """After a pause, or after a silence of the node that was asked."""
+        pending.refused_by = None
+        if pending.target is not None:
+            pending.resends += 1
+            self._context.counters["yokeline_requests_resent_total"] += 1
+        self._dispatch(pending)
+
+    def _leader_changed(self, shard: ShardId) -> None:
+        """Bring the requests of a shard to its new leader without waiting."""
+        leader = self._host.leader_of(shard)
+        if leader is None:
+            return
+        own = self._context.replica
+        if leader.leader == own and not self._host.leads(shard):
+            return
+        for pending in list(self._by_shard.get(shard, {}).values()):
+            if pending.target != leader.leader:
+                self._redirect(pending)
+
+    def _node_died(self, replica: ReplicaId) -> None:
+        """Ask elsewhere what was asked of a node that is dead."""
+        for pending in list(self._pending.values()):
+            if pending.target == replica:
+                self._redirect(pending)
+
+    def _redirect(self, pending: PendingRequest) -> None:
+        if self._pending.get(pending.request) is not pending:
+            return
+        self._leave_local_server(pending)
+        pending.refused_by = None
+        pending.resends = 0
+        pending.attempts += 1
+        self._dispatch(pending)
+
+    def _leave_local_server(self, pending: PendingRequest) -> None:
+        if pending.ticket is not None:
+            self._server.abandon(pending.ticket)
+            pending.ticket = None
+
+    def _stop_target(self, pending: PendingRequest) -> None:
+        """Tell the node that serves a request that no answer is wanted any more."""
+        if pending.ticket is not None:
+            self._leave_local_server(pending)
+        elif pending.target not in (None, self._context.replica):
+            self._context.send_peer(pending.target, ShardCancel(request=pending.wire))
+
+    # ------------------------------------------------------------ answers
+
+    def receive_reply(self, sender: ReplicaId, reply: ShardReply) -> None:
+        """Take in the answer of another node."""
+        pending = self._by_wire.get(reply.request)
+        if pending is None:
+            self._context.counters[LATE_REPLIES] += 1
+            return
+        if reply.leader is not None:
+            self._host.note_leader(sender, reply.leader)
+        if self._pending.get(pending.request) is not pending:
+            return
+        if reply.not_leader:
+            self._refused(pending, sender)
+        elif reply.error is not None:
+            self._answered(pending, sender, Failure(reply.error))
+        else:
+            self._answered(pending, sender, decode_result(reply.result))
+
+    def _refused(self, pending: PendingRequest, sender: ReplicaId) -> None:
+        """A node does not lead the shard and did nothing."""
+        pending.note_refused(sender)
+        if pending.target != sender:
+            return
+        leader = self._host.leader_of(pending.shard)
+        known = leader is not None and leader.leader not in (sender, self._context.replica)
+        if known and pending.hops < MAX_HOPS:
+            pending.hops += 1
+            pending.attempts += 1
+            self._dispatch(pending)
+        else:
+            self._pause(pending)
+
+    def _answered(
+        self,
+        pending: PendingRequest,
+        sender: ReplicaId,
+        result: Result[OperationResult, YokelineError],
+    ) -> None:
+        if self._pending.get(pending.request) is not pending:
+            self._context.counters[LATE_REPLIES] += 1
+            return
+        if isinstance(result, Success):
+            self._finish(pending, result)
+            return
+        error = result.failure()
+        if not is_for_next_leader(error):
+            self._finish(pending, Failure(pending.refusal(sender, error)))
+        elif error.execution is Execution.NOT_RUN:
+            self._refused(pending, sender)
+        else:
+            pending.note_in_doubt(sender)
+            if pending.target == sender:
+                self._pause(pending)
+
+    def _finish(
+        self, pending: PendingRequest, result: Result[OperationResult, YokelineError]
+    ) -> None:
+        self._forget(pending)
+        pending.done(result)
+
+    def _forget(self, pending: PendingRequest) -> None:
+        del self._pending[pending.request]
+        del self._by_wire[pending.wire]
+        of_shard = self._by_shard[pending.shard]
+        del of_shard[pending.request]
+        if not of_shard:
+            del self._by_shard[pending.shard]
+        self._due.remove(pending.request)
+
+    # ------------------------------------------------------------ events
+
+    def receive_events(self, sender: ReplicaId, message: RunEvents) -> None:
+        """Take in events of a watched run."""
+        pending = self._by_wire.get(message.request)
+        if pending is None or pending.target != sender:
+            self._context.counters["yokeline_late_events_total"] += 1
+            return
+        decoded = decode_events(message.events)
+        if isinstance(decoded, Success):
+            self._deliver(pending, decoded.unwrap())
+        else:
+            self._context.warn("events_malformed", reason=decoded.failure().line())
+
+    def _deliver(self, pending: PendingRequest, events: tuple[RunEvent, ...]) -> None:
+        fresh, gap = pending.take_events(events)
+        if fresh and pending.on_events is not None:
+            pending.on_events(fresh)
+        if gap and self._pending.get(pending.request) is pending:
+            self._watch_anew(pending)
+
+    def _watch_anew(self, pending: PendingRequest) -> None:
+        """Text is missing: start the watch again, where the last event seen ends."""
+        self._context.counters["yokeline_event_gaps_total"] += 1
+        pending.gaps += 1
+        if pending.gaps > MAX_GAPS:
+            return
+        self._stop_target(pending)
+        del self._by_wire[pending.wire]
+        pending.wire = self._context.new_request_id()
+        self._by_wire[pending.wire] = pending
+        pending.attempts += 1
+        self._dispatch(pending)
--- /dev/null
+++ b/src/yokeline/shards/status.py
@@ -0,0 +1,79 @@
+"""What the admin API shows of the shards of a node."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+
+import msgspec
+
+from yokeline.consensus.types import RaftRole
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.shards.replica import ShardReplica
+
+
+class ShardState(enum.Enum):
+    """Whether a shard serves, as this node sees it."""
+
+    LEADING = "leading"
+    """This node leads it and a quorum answers."""
+    FOLLOWING = "following"
+    ELECTING = "electing"
+    """No leader is known at this moment."""
+    MAJORITY_LOST = "majority_lost"
+    """So many members are dead that no quorum is left: it stays unavailable until enough of
+    them return, or until an operator recovers it (``yokeline recover``)."""
+
+
+class ShardStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """One replica of a shard.
+
+    Attributes:
+        members: Members by the last committed configuration.
+        dead: Those of them that are dead.
+        applied_index: Last log entry applied here.
+        log_entries: Entries kept since the last compaction.
+        runs: Runs in the shard.
+    """
+
+    shard: ShardId
+    state: ShardState
+    role: str
+    term: int
+    leader: ReplicaId | None
+    members: tuple[ReplicaId, ...]
+    dead: tuple[ReplicaId, ...]
+    applied_index: int
+    log_entries: int
+    runs: int
+
+
+def shard_status(
+    replica: ShardReplica, is_dead: Callable[[ReplicaId], bool], now: float
+) -> ShardStatus:
+    """Return the status of a replica."""
+    group = replica.group
+    members = replica.committed_members
+    dead = tuple(member for member in members if is_dead(member))
+    return ShardStatus(
+        shard=replica.shard,
+        state=_state(replica, len(members), len(dead), now),
+        role=group.role.value,
+        term=group.term,
+        leader=group.leader,
+        members=members,
+        dead=dead,
+        applied_index=replica.applied_index,
+        log_entries=group.last_index - group.first_index + 1,
+        runs=len(replica.machine.runs),
+    )
+
+
+def _state(replica: ShardReplica, members: int, dead: int, now: float) -> ShardState:
+    group = replica.group
+    quorum = members // 2 + 1
+    if members - dead < quorum:
+        return ShardState.MAJORITY_LOST
+    if group.role is RaftRole.LEADER:
+        return ShardState.LEADING if group.lease_valid(now) else ShardState.ELECTING
+    return ShardState.ELECTING if group.leader is None else ShardState.FOLLOWING
--- /dev/null
+++ b/src/yokeline/simulation/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of what must always hold, from outside: books in, violations out."""
--- /dev/null
+++ b/src/yokeline/store/protocol.py
@@ -0,0 +1,342 @@
+"""Requests and answers of the etcd v3 JSON gateway, and the typed results made of them.
+
+The gateway is protobuf's JSON mapping of etcd's gRPC API: 64-bit numbers are strings, bytes
+are base64, and fields that hold their zero value are left out.
+"""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+RANGE_PATH = "/v3/kv/range"
+TXN_PATH = "/v3/kv/txn"
+WATCH_PATH = "/v3/watch"
+LEASE_GRANT_PATH = "/v3/lease/grant"
+LEASE_KEEPALIVE_PATH = "/v3/lease/keepalive"
+LEASE_REVOKE_PATH = "/v3/lease/revoke"
+
+DELETE_EVENT = "DELETE"
+
+
+class KeyValue(msgspec.Struct, frozen=True, kw_only=True):
+    """A key as it stands in the store.
+
+    Attributes:
+        create_revision: Store revision that created it.
+        mod_revision: Store revision that last wrote it.
+        version: Number of writes since its creation.
+        lease: Lease that it is bound to; 0 for none.
+    """
+
+    key: str
+    value: bytes = b""
+    create_revision: int = 0
+    mod_revision: int = 0
+    version: int = 0
+    lease: int = 0
+
+
+class RangeResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Keys that were read.
+
+    Attributes:
+        revision: Store revision at which they were read.
+        more: Whether further keys of the range were left out by the limit.
+    """
+
+    revision: int
+    items: tuple[KeyValue, ...]
+    more: bool = False
+
+
+class SwapResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Outcome of a compare-and-swap or a compared delete.
+
+    Attributes:
+        applied: Whether the comparison held and the write was made.
+        revision: Store revision of the write; where it was not applied, of the comparison.
+        current: Where it was not applied: the key as it stands, None if there is none.
+    """
+
+    applied: bool
+    revision: int
+    current: KeyValue | None = None
+
+
+class LeaseResult(msgspec.Struct, frozen=True, kw_only=True):
+    """A lease that was granted or renewed.
+
+    Attributes:
+        seconds: Time it lives from now; 0 if it has lapsed.
+    """
+
+    lease: int
+    seconds: int
+
+
+class WatchEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """A change of a key; ``value`` is None where it was deleted."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class WatchBatch(msgspec.Struct, frozen=True, kw_only=True):
+    """One message of a watch stream.
+
+    Attributes:
+        upto: All changes up to this revision have been delivered; 0 if that is not known.
+        compacted: The asked-for revisions are gone; the range must be read anew.
+        ended: The store ended the watch or reported an error.
+    """
+
+    events: tuple[WatchEvent, ...] = ()
+    upto: int = 0
+    compacted: bool = False
+    ended: bool = False
+
+
+# ---------------------------------------------------------------- wire structs
+
+
+class _Header(msgspec.Struct):
+    revision: int = 0
+
+
+class _WireKeyValue(msgspec.Struct):
+    key: bytes = b""
+    value: bytes = b""
+    create_revision: int = 0
+    mod_revision: int = 0
+    version: int = 0
+    lease: int = 0
+
+
+class _RangeAnswer(msgspec.Struct):
+    header: _Header
+    kvs: list[_WireKeyValue] = []
+    more: bool = False
+
+
+class _ReadInTxn(msgspec.Struct):
+    kvs: list[_WireKeyValue] = []
+
+
+class _TxnPart(msgspec.Struct):
+    response_range: _ReadInTxn | None = None
+
+
+class _TxnAnswer(msgspec.Struct):
+    header: _Header
+    succeeded: bool = False
+    responses: list[_TxnPart] = []
+
+
+class _LeaseAnswer(msgspec.Struct):
+    lease: int = msgspec.field(name="ID", default=0)
+    seconds: int = msgspec.field(name="TTL", default=0)
+
+
+class _LeaseStreamAnswer(msgspec.Struct):
+    result: _LeaseAnswer
+
+
+class _WireEvent(msgspec.Struct):
+    kv: _WireKeyValue
+    type: str = ""
+
+
+class _WatchAnswer(msgspec.Struct):
+    header: _Header = msgspec.field(default_factory=_Header)
+    created: bool = False
+    canceled: bool = False
+    compact_revision: int = 0
+    events: list[_WireEvent] = []
+
+
+class _WatchLine(msgspec.Struct):
+    result: _WatchAnswer | None = None
+
+
+_Answer = TypeVar("_Answer")
+
+# ---------------------------------------------------------------- requests
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Return the first key after all keys with ``prefix`` (etcd's ``range_end``)."""
+    key = prefix.encode().rstrip(b"\xff")
+    if not key:
+        return b"\0"
+    return key[:-1] + bytes([key[-1] + 1])
+
+
+def range_body(
+    key: str, *, range_end: bytes = b"", limit: int = 0, revision: int = 0, keys_only: bool = False
+) -> bytes:
+    """Return the body of a range request.
+
+    Args:
+        key: The key, or the first key of a range.
+        range_end: Where the range ends; empty for the single key.
+        limit: Most keys in the answer; 0 for all.
+        revision: Store revision to read at; 0 for the newest (linearizable).
+        keys_only: Leave the values out.
+    """
+    body: dict[str, object] = {"key": key.encode(), "sort_order": "ASCEND", "sort_target": "KEY"}
+    if range_end:
+        body["range_end"] = range_end
+    if limit:
+        body["limit"] = str(limit)
+    if revision:
+        body["revision"] = str(revision)
+    if keys_only:
+        body["keys_only"] = True
+    return msgspec.json.encode(body)
+
+
+def swap_body(key: str, expected_revision: int, value: bytes, lease: int = 0) -> bytes:
+    """Return the body of a compare-and-swap; an expected revision of 0 means "no such key"."""
+    put: dict[str, object] = {"key": key.encode(), "value": value}
+    if lease:
+        put["lease"] = str(lease)
+    return _txn_body(key, expected_revision, {"request_put": put})
+
+
+def delete_body(key: str, expected_revision: int) -> bytes:
+    """Return the body of a delete that is done only at the expected revision."""
+    delete = {"request_delete_range": {"key": key.encode()}}
+    return _txn_body(key, expected_revision, delete)
+
+
+def _txn_body(key: str, expected_revision: int, success: dict[str, dict]) -> bytes:
+    compare = {
+        "key": key.encode(),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(expected_revision),
+    }
+    read = {"request_range": {"key": key.encode()}}
+    body = {"compare": [compare], "success": [success], "failure": [read]}
+    return msgspec.json.encode(body)
+
+
+def watch_body(prefix: str, from_revision: int) -> bytes:
+    """Return the body that opens a watch on a prefix."""
+    create = {
+        "key": prefix.encode(),
+        "range_end": prefix_end(prefix),
+        "start_revision": str(from_revision),
+        "progress_notify": True,
+    }
+    return msgspec.json.encode({"create_request": create})
+
+
+def lease_grant_body(seconds: int) -> bytes:
+    """Return the body that asks for a lease; the store chooses its id."""
+    return msgspec.json.encode({"TTL": str(seconds), "ID": "0"})
+
+
+def lease_body(lease: int) -> bytes:
+    """Return the body of a keepalive or revoke request."""
+    return msgspec.json.encode({"ID": str(lease)})
+
+
+# ---------------------------------------------------------------- answers
+
+
+def decode_range(body: bytes) -> Result[RangeResult, str]:
+    """Decode the answer to a range request."""
+    return _decode(body, _RangeAnswer).map(
+        lambda answer: RangeResult(
+            revision=answer.header.revision,
+            items=tuple(_key_value(wire) for wire in answer.kvs),
+            more=answer.more,
+        )
+    )
+
+
+def decode_swap(body: bytes) -> Result[SwapResult, str]:
+    """Decode the answer to a compare-and-swap or a compared delete."""
+    return _decode(body, _TxnAnswer).map(_swap_result)
+
+
+def decode_lease(body: bytes) -> Result[LeaseResult, str]:
+    """Decode the answer to a lease grant or revoke."""
+    return _decode(body, _LeaseAnswer).map(
+        lambda answer: LeaseResult(lease=answer.lease, seconds=answer.seconds)
+    )
+
+
+def decode_keepalive(body: bytes) -> Result[LeaseResult, str]:
+    """Decode the first message of a keepalive answer (the gateway streams it)."""
+    first_line = body.strip().partition(b"\n")[0]
+    return _decode(first_line, _LeaseStreamAnswer).map(
+        lambda answer: LeaseResult(lease=answer.result.lease, seconds=answer.result.seconds)
+    )
+
+
+def decode_watch_line(line: bytes) -> Result[WatchBatch, str]:
+    """Decode one line of a watch stream.
+
+    The header's revision counts as progress only in a message without events that is not
+    the one that opens the watch: with events it may lie ahead of what was delivered.
+    """
+    return _decode(line, _WatchLine).map(_watch_batch)
+
+
+def _decode(body: bytes, answer_type: type[_Answer]) -> Result[_Answer, str]:
+    try:
+        return Success(msgspec.json.decode(body, type=answer_type, strict=False))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as found:
+        return Failure(str(found))
+
+
+def _key_value(wire: _WireKeyValue) -> KeyValue:
+    return KeyValue(
+        key=_key_text(wire.key),
+        value=wire.value,
+        create_revision=wire.create_revision,
+        mod_revision=wire.mod_revision,
+        version=wire.version,
+        lease=wire.lease,
+    )
+
+
+def _key_text(key: bytes) -> str:
+    return key.decode(errors="backslashreplace")
+
+
+def _swap_result(answer: _TxnAnswer) -> SwapResult:
+    if answer.succeeded:
+        return SwapResult(applied=True, revision=answer.header.revision)
+    found = [part.response_range for part in answer.responses if part.response_range]
+    current = _key_value(found[0].kvs[0]) if found and found[0].kvs else None
+    return SwapResult(applied=False, revision=answer.header.revision, current=current)
+
+
+def _watch_batch(line: _WatchLine) -> WatchBatch:
+    answer = line.result
+    if answer is None:
+        return WatchBatch(ended=True)
+    if answer.compact_revision:
+        return WatchBatch(compacted=True, ended=True)
+    events = tuple(_watch_event(event) for event in answer.events)
+    if events:
+        upto = max(event.revision for event in events)
+    else:
+        upto = 0 if answer.created or answer.canceled else answer.header.revision
+    return WatchBatch(events=events, upto=upto, ended=answer.canceled)
+
+
+def _watch_event(wire: _WireEvent) -> WatchEvent:
+    deleted = wire.type == DELETE_EVENT
+    return WatchEvent(
+        key=_key_text(wire.kv.key),
+        revision=wire.kv.mod_revision,
+        value=None if deleted else wire.kv.value,
+    )
--- /dev/null
+++ b/src/yokeline/store/writer.py
@@ -0,0 +1,453 @@
+"""Writes configuration objects by compare-and-swap, and finds out what became of each write.
+
+Each write carries an **operation id** inside the stored value. When the answer to a write is
+lost, the key is read back. If it still has the expected revision, the same compare-and-swap
+is sent again, which is safe: at most one write can follow a revision. If it has moved on, the
+history of the key tells whether this operation is the one that followed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.errors import ErrorKind, Execution, YokelineError
+from yokeline.labels.objects import ObjectKind, StoredObject
+from yokeline.server.context import NodeContext
+from yokeline.store.client import KeyValueClient
+from yokeline.store.keys import encode_value, object_key, stored_from_item
+from yokeline.store.limits import StoreLimits, backoff_seconds
+from yokeline.store.protocol import KeyValue, RangeResult, SwapResult
+
+DEFAULT_DEADLINE_SECONDS = 10.0
+MAX_HISTORY_STEPS = 16
+"""Later writes of other operators that are walked back over to find an operation."""
+
+
+class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
+    """A write that is known to be in the store.
+
+    Attributes:
+        revision: Store revision that it made.
+        operation: Its operation id.
+    """
+
+    revision: int
+    operation: str
+
+
+class OperationStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What reading back tells of an operation.
+
+    Attributes:
+        applied: True or False where it is certain; None where the store's history no longer
+            tells (or the write may still be on its way).
+        revision: Store revision that it made, if it was applied.
+        current_revision: Revision of the object now; 0 if there is none.
+    """
+
+    operation: str
+    applied: bool | None
+    revision: int = 0
+    current_revision: int = 0
+
+
+WriteDone = Callable[[Result[WriteResult, YokelineError]], None]
+StatusDone = Callable[[Result[OperationStatus, YokelineError]], None]
+
+
+class _Write(msgspec.Struct):
+    """One write under way.
+
+    Attributes:
+        expected: Revision that the key must have; moves on from 0 to a tombstone's.
+        asked: Revision that the operator expects, 0 for "does not exist".
+        may_be_applied: An attempt went out and its outcome is not known.
+        due: When the next step is to be taken; None while an answer is awaited.
+    """
+
+    kind: ObjectKind
+    name: str
+    key: str
+    body: str
+    operation: str
+    asked: int
+    expected: int
+    deadline: float
+    done: WriteDone
+    may_be_applied: bool = False
+    failures: int = 0
+    due: float | None = None
+    finished: bool = False
+
+
+class ConfigurationWriter:
+    """Writes and deletes configuration objects for operators."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        client: KeyValueClient,
+        store_prefix: str,
+        applied: Callable[[StoredObject], None] | None = None,
+    ) -> None:
+        """Create a writer.
+
+        Args:
+            context: The node's context.
+            client: Client of the store.
+            store_prefix: Prefix of all keys of the deployment.
+            applied: Called with each object that is known to be in the store.
+        """
+        self._context = context
+        self._client = client
+        self._store_prefix = store_prefix
+        self._applied = applied
+        self._limits = StoreLimits()
+        self._writes: list[_Write] = []
+
+    # ------------------------------------------------------------ requests
+
+    def put(
+        self,
+        kind: ObjectKind,
+        name: str,
+        body: str,
+        expected_revision: int,
+        operation: str,
+        done: WriteDone,
+        *,
+        deadline_seconds: float = DEFAULT_DEADLINE_SECONDS,
+    ) -> None:
+        """Write an object if it has the expected revision.
+
+        Args:
+            kind: Kind of the object.
+            name: Qualified name.
+            body: JSON text that passed the checks.
+            expected_revision: Its revision as the operator saw it; 0: it must not exist.
+            operation: Id that no other write has; the same id again is the same write.
+            done: Called once: with the new revision; with ``PRECONDITION_FAILED`` (surely
+                not applied); ``NOT_APPLIED`` (surely not applied, the store was not reached);
+                or ``OUTCOME_UNKNOWN``, which names the operation id. It may be called
+                before this method returns.
+            deadline_seconds: Time to find out.
+        """
+        key = object_key(self._store_prefix, kind, name)
+        write = _Write(
+            kind=kind,
+            name=name,
+            key=key,
+            body=body,
+            operation=operation,
+            asked=expected_revision,
+            expected=expected_revision,
+            deadline=self._context.now + deadline_seconds,
+            done=done,
+        )
+        self._writes.append(write)
+        self._attempt(write)
+
+    def delete(
+        self,
+        kind: ObjectKind,
+        name: str,
+        expected_revision: int,
+        operation: str,
+        done: WriteDone,
+        *,
+        deadline_seconds: float = DEFAULT_DEADLINE_SECONDS,
+    ) -> None:
+        """Delete an object if it has the expected revision; as :meth:`put`."""
+        self.put(
+            kind, name, "", expected_revision, operation, done, deadline_seconds=deadline_seconds
+        )
+
+    def resolve(
+        self,
+        kind: ObjectKind,
+        name: str,
+        operation: str,
+        done: StatusDone,
+        *,
+        expected_revision: int | None = None,
+    ) -> None:
+        """Read from the store whether an operation on an object was applied.
+
+        Args:
+            kind: Kind of the object.
+            name: Qualified name.
+            operation: Id of the write.
+            done: Called once with what is certain.
+            expected_revision: What the write expected; without it, "not applied" is never
+                certain, since the write may still be on its way.
+        """
+        key = object_key(self._store_prefix, kind, name)
+
+        def read(result: Result[RangeResult, YokelineError]) -> None:
+            if isinstance(result, Failure):
+                done(result)
+                return
+            current = _only_item(result.unwrap())
+            _HistoryWalk(self, key, operation, expected_revision, current, done).start()
+
+        self._client.get(key, read)
+
+    # ------------------------------------------------------------ time
+
+    def tick(self) -> None:
+        """Give up writes whose deadline has come, and take steps that are due."""
+        now = self._context.now
+        for write in list(self._writes):
+            if write.finished:
+                continue
+            if now >= write.deadline:
+                self._give_up(write)
+            elif write.due is not None and now >= write.due:
+                write.due = None
+                if write.may_be_applied:
+                    self._read_back(write)
+                else:
+                    self._attempt(write)
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`tick` is due."""
+        times = [min(w.deadline, w.due or w.deadline) for w in self._writes]
+        return min(times, default=None)
+
+    # ------------------------------------------------------------ attempts
+
+    def _attempt(self, write: _Write) -> None:
+        value = encode_value(write.operation, write.body)
+
+        def done(result: Result[SwapResult, YokelineError]) -> None:
+            if not write.finished:
+                self._attempt_answered(write, result)
+
+        self._client.compare_and_swap(write.key, write.expected, value, done)
+
+    def _attempt_answered(self, write: _Write, result: Result[SwapResult, YokelineError]) -> None:
+        if isinstance(result, Failure):
+            self._attempt_failed(write, result.failure())
+            return
+        swap = result.unwrap()
+        if swap.applied:
+            self._succeed(write, swap.revision)
+        else:
+            self._examine(write, swap.current)
+
+    def _attempt_failed(self, write: _Write, error: YokelineError) -> None:
+        if error.execution is Execution.UNKNOWN:
+            write.may_be_applied = True
+        elif error.kind is ErrorKind.BACKEND_FAILED and not write.may_be_applied:
+            self._finish(write, Failure(error))
+            return
+        self._pause(write, error)
+
+    def _pause(self, write: _Write, error: YokelineError) -> None:
+        write.failures += 1
+        pause = backoff_seconds(write.failures, self._limits, self._context.random)
+        due = self._context.now + max(pause, error.retry_after or 0.0)
+        if due >= write.deadline and not write.may_be_applied:
+            self._finish(write, Failure(_not_applied(write, error.retry_after or pause)))
+            return
+        write.due = due
+
+    def _read_back(self, write: _Write) -> None:
+        def done(result: Result[RangeResult, YokelineError]) -> None:
+            if write.finished:
+                return
+            if isinstance(result, Failure):
+                self._pause(write, result.failure())
+            else:
+                self._examine(write, _only_item(result.unwrap()))
+
+        self._client.get(write.key, done)
+
+    def _examine(self, write: _Write, current: KeyValue | None) -> None:
+        """Decide by the key as it stands now."""
+        stored = self._stored(current)
+        revision = current.mod_revision if current else 0
+        if stored is not None and stored.operation == write.operation:
+            self._succeed(write, revision)
+        elif revision == write.expected:
+            self._attempt(write)
+        else:
+            self._walk_history(write, current)
+
+    def _walk_history(self, write: _Write, current: KeyValue | None) -> None:
+        def done(result: Result[OperationStatus, YokelineError]) -> None:
+            if write.finished:
+                return
+            if isinstance(result, Failure):
+                self._pause(write, result.failure())
+                return
+            status = result.unwrap()
+            if status.applied:
+                self._succeed(write, status.revision)
+            elif status.applied is None and write.may_be_applied:
+                self._finish(write, Failure(_unknown(write)))
+            else:
+                self._superseded(write, current)
+
+        _HistoryWalk(self, write.key, write.operation, write.expected, current, done).start()
+
+    def _superseded(self, write: _Write, current: KeyValue | None) -> None:
+        """Another write took the place of this one, which can never be applied now."""
+        stored = self._stored(current)
+        write.may_be_applied = False
+        if write.asked == 0 and stored is not None and stored.deleted:
+            write.expected = stored.revision
+            self._attempt(write)
+        else:
+            self._finish(write, Failure(_precondition_failed(write, stored)))
+
+    # ------------------------------------------------------------ outcomes
+
+    def _succeed(self, write: _Write, revision: int) -> None:
+        if self._applied is not None:
+            item = StoredObject(
+                kind=write.kind,
+                name=write.name,
+                revision=revision,
+                body=write.body,
+                operation=write.operation,
+            )
+            self._applied(item)
+        self._finish(write, Success(WriteResult(revision=revision, operation=write.operation)))
+
+    def _give_up(self, write: _Write) -> None:
+        unsure = write.may_be_applied or write.due is None
+        retry_after = self._limits.backoff_max_seconds
+        error = _unknown(write) if unsure else _not_applied(write, retry_after)
+        self._finish(write, Failure(error))
+
+    def _finish(self, write: _Write, result: Result[WriteResult, YokelineError]) -> None:
+        write.finished = True
+        self._writes = [other for other in self._writes if other is not write]
+        outcome = "applied" if isinstance(result, Success) else result.failure().kind.value
+        self._context.counters[f'yokeline_configuration_writes{{outcome="{outcome}"}}'] += 1
+        write.done(result)
+
+    def _stored(self, item: KeyValue | None) -> StoredObject | None:
+        return None if item is None else stored_from_item(self._store_prefix, item)
+
+    def read_at(
+        self, key: str, revision: int, done: Callable[[Result[RangeResult, YokelineError]], None]
+    ) -> None:
+        """Read a key as it was at a store revision."""
+        self._client.get(key, done, revision=revision)
+
+    def operation_of(self, item: KeyValue) -> str:
+        """Return the operation id in a key's value."""
+        stored = self._stored(item)
+        return "" if stored is None else stored.operation
+
+
+class _HistoryWalk:
+    """Looks through a key's versions for an operation.
+
+    A write that expected no object can only have created the key; any other one is the first
+    version after the expected revision. Yokeline never removes keys; where someone else did,
+    the answer is "not certain" unless a version says it.
+    """
+
+    def __init__(
+        self,
+        writer: ConfigurationWriter,
+        key: str,
+        operation: str,
+        expected: int | None,
+        current: KeyValue | None,
+        done: StatusDone,
+    ) -> None:
+        self._writer = writer
+        self._key = key
+        self._operation = operation
+        self._expected = expected
+        self._current = current
+        self._done = done
+        self._steps = 0
+
+    def start(self) -> None:
+        """Begin with the key as it stands."""
+        self._step(self._current)
+
+    def _step(self, item: KeyValue | None) -> None:
+        """Look at one version; ask for the one before it unless all is clear."""
+        if item is None:
+            self._finish(applied=None)
+        elif self._writer.operation_of(item) == self._operation:
+            self._finish(applied=True, revision=item.mod_revision)
+        elif self._expected is not None and item.mod_revision < self._expected:
+            self._finish(applied=None)
+        elif item.mod_revision == self._expected:
+            # Still (or again) what was expected: only a later version could be the write's.
+            self._finish(applied=None if item is self._current else False)
+        elif item.mod_revision == item.create_revision:
+            self._finish(applied=False if self._expected == 0 else None)
+        elif self._steps >= MAX_HISTORY_STEPS:
+            self._finish(applied=None)
+        else:
+            self._steps += 1
+            earlier = item.create_revision if self._expected == 0 else item.mod_revision - 1
+            self._writer.read_at(self._key, earlier, lambda result: self._arrived(item, result))
+
+    def _arrived(self, later: KeyValue, result: Result[RangeResult, YokelineError]) -> None:
+        if isinstance(result, Failure):
+            if result.failure().kind is ErrorKind.BACKEND_FAILED:  # compacted
+                self._finish(applied=None)
+            else:
+                self._done(result)
+            return
+        earlier = _only_item(result.unwrap())
+        if earlier is not None and earlier.mod_revision >= later.mod_revision:
+            self._finish(applied=None)  # the store does not read at old revisions
+            return
+        self._step(earlier)
+
+    def _finish(self, *, applied: bool | None, revision: int = 0) -> None:
+        status = OperationStatus(
+            operation=self._operation,
+            applied=applied,
+            revision=revision,
+            current_revision=self._current.mod_revision if self._current else 0,
+        )
+        self._done(Success(status))
+
+
+def _only_item(found: RangeResult) -> KeyValue | None:
+    return found.items[0] if found.items else None
+
+
+def _precondition_failed(write: _Write, stored: StoredObject | None) -> YokelineError:
+    exists = stored is not None and not stored.deleted
+    now = f"has revision {stored.revision}" if exists and stored else "does not exist"
+    wanted = f"revision {write.asked}" if write.asked else "a new object"
+    return YokelineError(
+        kind=ErrorKind.PRECONDITION_FAILED,
+        message=f"{write.kind.value}/{write.name} {now}, not {wanted}; nothing was written",
+        remedy="read it, and write again with its present revision",
+        execution=Execution.NOT_RUN,
+    )
+
+
+def _not_applied(write: _Write, retry_after: float) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.NOT_APPLIED,
+        message=f"{write.kind.value}/{write.name} was not written: the store was not reached",
+        remedy="try again later; the configuration in force stays",
+        execution=Execution.NOT_RUN,
+        retry_after=retry_after,
+    )
+
+
+def _unknown(write: _Write) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.OUTCOME_UNKNOWN,
+        message=f"operation {write.operation} on {write.kind.value}/{write.name} may be applied",
+        remedy="read the object later, or ask for the operation by its id",
+        execution=Execution.UNKNOWN,
+    )
--- /dev/null
+++ b/tests/processes/test_process.py
@@ -0,0 +1,150 @@
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from circuits.core.manager import Manager
+
+from tests.processes.support import (
+    LOOPBACK,
+    PATIENCE_SECONDS,
+    Running,
+    ScriptedService,
+    read_until,
+    wait_for,
+)
+from yokeline.effects import Address, DeleteFile, WriteFile
+from yokeline.errors import EXIT_USAGE
+from yokeline.node import (
+    bridge,
+    data_folder,
+    datagrams,
+    http_client,
+    http_server,
+    peer_transport,
+    poller,
+    process,
+)
+from yokeline.node.data_folder import read_all
+from yokeline.node.process import ServiceBinding, run_service
+
+ECHO = [sys.executable, "-m", "tests.processes.echo_service"]
+
+
+class Signals(unittest.TestCase):
+    def test_a_planned_stop_answers_what_is_in_flight_and_exits_0(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with subprocess.Popen([*ECHO, "0"], stdout=subprocess.PIPE) as echo:
+                assert echo.stdout is not None
+                port = int(echo.stdout.readline())
+                with socket.create_connection(("127.0.0.1", port)) as caller:
+                    caller.settimeout(PATIENCE_SECONDS)
+                    caller.sendall(
+                        b"POST /now HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nok"
+                        b"GET /later HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+                    )
+                    self.assertIn(b" 200 ", read_until(caller, b"ok"))
+                    with socket.create_connection(("127.0.0.1", port)) as other:
+                        other.sendall(b"GET /now HTTP/1.1\r\nhost: x\r\n\r\n")
+                        self.assertIn(b" 200 ", other.recv(1000))
+                    echo.send_signal(number)
+                    self.assertEqual(read_until(caller).count(b"x"), 3_000_000)
+                self.assertEqual(echo.wait(PATIENCE_SECONDS), 0)
+
+    def test_an_address_in_use_ends_with_one_line_and_code_2(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            port = str(taken.getsockname()[1])
+            done = subprocess.run([*ECHO, port], capture_output=True, timeout=PATIENCE_SECONDS)
+        self.assertEqual(done.returncode, EXIT_USAGE)
+        self.assertEqual(done.stderr.count(b"\n"), 1)
+        self.assertIn(b"set another port", done.stderr)
+
+    def test_unusable_addresses_and_folders_are_settings_errors(self) -> None:
+        bad = [
+            ServiceBinding(http=Address("192.0.2.1", 0)),
+            ServiceBinding(peer=Address("not a number", 0)),
+            ServiceBinding(http=LOOPBACK, data_folder="/proc/none"),
+        ]
+        for binding in bad:
+            self.assertEqual(run_service(ScriptedService(), binding), EXIT_USAGE)
+
+
+class Files(unittest.TestCase):
+    def test_file_effects_are_carried_out_in_order_and_confined(self) -> None:
+        with tempfile.TemporaryDirectory() as parent:
+            folder = Path(parent) / "data"
+            binding = ServiceBinding(data_folder=str(folder))
+            with (
+                self.assertLogs("absl", "ERROR") as logs,
+                Running(ScriptedService(), binding) as running,
+            ):
+                running.emit(
+                    WriteFile(name="shards/1/log", data=b"one", append=True),
+                    WriteFile(name="shards/1/log", data=b"two", append=True),
+                    WriteFile(name="snapshot", data=b"old"),
+                    WriteFile(name="snapshot", data=b"new"),
+                    WriteFile(name="gone", data=b"x"),
+                    DeleteFile("gone"),
+                    DeleteFile("never there"),
+                    WriteFile(name="../outside", data=b"x"),
+                    WriteFile(name="/tmp/outside", data=b"x"),
+                )
+                wait_for(lambda: len(logs.records) == 2, "both refusals")
+            (folder / "interrupted.tmp").write_bytes(b"half")
+            files = read_all(str(folder)).unwrap()
+            self.assertEqual(files, {"shards/1/log": b"onetwo", "snapshot": b"new"})
+            self.assertEqual(sorted(path.name for path in Path(parent).iterdir()), ["data"])
+
+
+class Components(unittest.TestCase):
+    def test_no_component_replaces_a_name_of_the_circuits_manager(self) -> None:
+        """A method named as one of the manager's own silently replaces it."""
+        meant = {"__init__", "__module__", "__doc__", "channel", "__annotations__"}
+        modules = (
+            bridge,
+            data_folder,
+            datagrams,
+            http_client,
+            http_server,
+            peer_transport,
+            poller,
+            process,
+        )
+        for module in modules:
+            for name, kind in vars(module).items():
+                if isinstance(kind, type) and issubclass(kind, Manager):
+                    if kind.__module__ != module.__name__:
+                        continue
+                    clashes = set(vars(kind)) & set(dir(Manager)) - meant
+                    self.assertEqual(clashes, set(), name)
+
+
+class Logs(unittest.TestCase):
+    def test_a_record_is_one_flat_json_line_without_secrets(self) -> None:
+        program = (
+            "from yokeline.logs import *; from yokeline.effects import LogRecord; set_up_logs();"
+            "write_record(LogRecord(event='e', fields={'name': 'n', 'api_key': 's3cret',"
+            " 'tokens': 7, 'session_token': 's3cret'}, level='warning'))"
+        )
+        done = subprocess.run([sys.executable, "-c", program], capture_output=True, check=True)
+        line = json.loads(done.stderr)
+        self.assertRegex(line.pop("time"), r"^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z$")
+        expected = {
+            "level": "WARNING",
+            "event": "e",
+            "name": "n",
+            "tokens": 7,
+            "api_key": "[redacted]",
+            "session_token": "[redacted]",
+        }
+        self.assertEqual(line, expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/property/test_stream_items.py
@@ -0,0 +1,61 @@
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yokeline.effects import Framing
+from yokeline.node.stream_items import ItemTooLargeError, StreamItem, item_reader
+
+LIMIT = 1000
+LINE_ENDS = st.sampled_from(["\n", "\r\n", "\r"])
+TEXT = st.text(alphabet=st.characters(codec="utf-8", exclude_characters="\r\n\0"), max_size=20)
+EVENTS = st.lists(st.tuples(TEXT, st.lists(TEXT, min_size=1, max_size=3)), max_size=6)
+
+
+def read_in_pieces(framing: Framing, body: bytes, cuts: list[int]) -> list[StreamItem]:
+    reader = item_reader(framing, LIMIT)
+    items: list[StreamItem] = []
+    edges = [0, *sorted(cut % (len(body) + 1) for cut in cuts), len(body)]
+    for begin, end in zip(edges, edges[1:], strict=False):
+        items.extend(reader.feed(body[begin:end]))
+    return items + reader.finish()
+
+
+class Items(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(
+        EVENTS,
+        LINE_ENDS,
+        st.sampled_from([b"", b"data: incomplete"]),
+        st.lists(st.integers(0, 2000), max_size=12),
+    )
+    def test_events_do_not_depend_on_line_ends_or_pieces(
+        self, events: list[tuple[str, list[str]]], end: str, rest: bytes, cuts: list[int]
+    ) -> None:
+        lines: list[str] = []
+        for event_id, data in events:
+            lines += [": comment", f"id: {event_id}", *(f"data: {line}" for line in data), ""]
+        body = "".join(line + end for line in lines).encode() + rest
+        items = read_in_pieces(Framing.SERVER_SENT_EVENTS, body, cuts)
+        expected = [StreamItem("\n".join(data).encode(), name) for name, data in events]
+        self.assertEqual(items, expected)
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.binary(max_size=300), st.lists(st.integers(0, 2000), max_size=8))
+    def test_lines_do_not_depend_on_pieces(self, body: bytes, cuts: list[int]) -> None:
+        items = read_in_pieces(Framing.JSON_LINES, body, cuts)
+        lines = [line.strip() for line in body.split(b"\n")]
+        self.assertEqual([item.data for item in items], [line for line in lines if line])
+
+    def test_an_endless_item_is_refused(self) -> None:
+        for framing in (Framing.SERVER_SENT_EVENTS, Framing.JSON_LINES):
+            reader = item_reader(framing, LIMIT)
+            with self.assertRaises(ItemTooLargeError):
+                for _ in range(LIMIT + 1):
+                    reader.feed(b"x")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scheduling policies and their bookkeeping."""
--- /dev/null
+++ b/tests/unit/shards/test_host.py
@@ -0,0 +1,171 @@
+from __future__ import annotations
+
+import unittest
+
+from returns.result import Success
+
+from tests.unit.shards.cluster import Cluster, Outcome
+from yokeline.errors import Execution
+from yokeline.identifiers import ShardId
+from yokeline.membership.view import MemberState
+from yokeline.shards.status import ShardState
+
+FAILOVER = 12.0
+"""Virtual seconds for detection, election, replacement and balance."""
+
+
+class HostTest(unittest.TestCase):
+    def assert_accepted(self, outcomes: list[Outcome]) -> None:
+        self.assertEqual(len(outcomes), 1, "the outcome is known exactly once")
+        self.assertIsInstance(outcomes[0], Success)
+        self.assertTrue(outcomes[0].unwrap().accepted)
+
+    def test_commands_commit_on_every_replica(self) -> None:
+        cluster = Cluster()
+        cluster.run(5.0)
+        outcomes = [cluster.propose(shard, f"run-{shard}") for shard in range(4)]
+        cluster.run(6.0)
+        for shard in range(4):
+            self.assert_accepted(outcomes[shard])
+            for node in cluster.nodes.values():
+                self.assertEqual(cluster.runs_at(node, shard), {f"run-{shard}"})
+
+    def test_crash_moves_leaders_and_replaces_the_member(self) -> None:
+        cluster = Cluster(nodes=6)
+        cluster.run(5.0)
+        for shard in range(4):
+            cluster.propose(shard, f"run-{shard}")
+        cluster.run(1.0)
+        crashed = cluster.leaders(0)[0]
+        cluster.kill(crashed)
+        cluster.run(FAILOVER)
+        for shard in range(4):
+            members = cluster.group_members(shard)
+            self.assertEqual(len(members), 5)
+            self.assertNotIn(crashed, members)
+            self.assert_accepted_after(cluster, shard)
+            for replica in members:
+                self.assertIn(f"run-{shard}", cluster.runs_at(cluster.nodes[replica], shard))
+
+    def assert_accepted_after(self, cluster: Cluster, shard: int) -> None:
+        outcomes = cluster.propose(shard, f"late-{shard}")
+        cluster.run(1.0)
+        self.assert_accepted(outcomes)
+
+    def test_two_crashes_and_restarts_bring_all_members_back(self) -> None:
+        cluster = Cluster()
+        cluster.run(5.0)
+        cluster.propose(0, "run-0")
+        cluster.run(1.0)
+        crashed = sorted(cluster.nodes)[:2]
+        for replica in crashed:
+            cluster.kill(replica)
+        cluster.run(FAILOVER)
+        self.assertEqual(len(cluster.group_members(0)), 3)
+        for number, replica in enumerate(crashed):
+            cluster.start(replica.partition("~")[0], f"zone-{number}", start=1)
+        cluster.run(FAILOVER)
+        self.assertEqual(cluster.group_members(0), set(cluster.nodes))
+        for node in cluster.nodes.values():
+            self.assertEqual(cluster.runs_at(node, 0), {"run-0"})
+
+    def test_planned_stop_moves_leaders_and_replicas(self) -> None:
+        cluster = Cluster(nodes=6)
+        cluster.run(5.0)
+        node = cluster.leader(0)
+        replica = node.context.replica
+        cluster.set_state(replica, MemberState.LEAVING)
+        cluster.act(node, node.host.hand_over_all)
+        cluster.run(1.0)
+        self.assertEqual(node.host.led_shards(), [])
+        cluster.run(FAILOVER)
+        self.assertEqual(node.host.replicas_left(), 0)
+        for shard in range(4):
+            self.assertEqual(cluster.group_members(shard), set(cluster.nodes) - {replica})
+
+    def test_planned_stop_without_spare_node_shrinks_the_groups(self) -> None:
+        cluster = Cluster(nodes=3, replicas=3)
+        cluster.run(5.0)
+        node = cluster.leader(0)
+        cluster.set_state(node.context.replica, MemberState.LEAVING)
+        cluster.act(node, node.host.hand_over_all)
+        cluster.run(FAILOVER)
+        self.assertEqual(node.host.replicas_left(), 0)
+        self.assertEqual(len(cluster.group_members(0)), 2)
+
+    def test_lost_majority_stays_unavailable_and_says_so(self) -> None:
+        cluster = Cluster()
+        cluster.run(5.0)
+        for replica in sorted(cluster.nodes)[:3]:
+            cluster.kill(replica)
+        cluster.run(FAILOVER)
+        for node in cluster.nodes.values():
+            states = {status.state for status in node.host.status()}
+            self.assertEqual(states, {ShardState.MAJORITY_LOST})
+            self.assertEqual(node.host.led_shards(), [])
+
+    def test_lost_leadership_makes_the_outcome_unknown(self) -> None:
+        cluster = Cluster()
+        cluster.run(5.0)
+        node = cluster.leader(0)
+        own = node.context.replica
+        cluster.cut = lambda sender, to: own in (sender, to)
+        outcomes = cluster.propose(0, "run-0")
+        cluster.run(5.0)
+        self.assertFalse(node.host.may_send(ShardId(0)))
+        self.assertEqual(len(outcomes), 1)
+        self.assertIs(outcomes[0].failure().execution, Execution.UNKNOWN)
+        refused: list[Outcome] = []
+        cluster.act(node, lambda: node.host.propose(ShardId(0), None, refused.append))
+        self.assertIs(refused[0].failure().execution, Execution.NOT_RUN)
+
+    def test_leadership_spreads_over_the_nodes(self) -> None:
+        cluster = Cluster(shards=20)
+        cluster.run(40.0)
+        counts = [len(node.host.led_shards()) for node in cluster.nodes.values()]
+        self.assertEqual(sum(counts), 20)
+        self.assertLessEqual(max(counts) - min(counts), 2)
+
+    def test_compacted_log_reaches_a_new_member_as_snapshot(self) -> None:
+        cluster = Cluster(shards=1, snapshot_entries=16, snapshot_chunk_bytes=512)
+        cluster.run(5.0)
+        for number in range(60):
+            cluster.propose(0, f"run-{number}")
+            cluster.run(0.05)
+        status = cluster.leader(0).host.status()[0]
+        self.assertLess(status.log_entries, 40)
+        crashed = next(replica for replica in cluster.nodes if replica not in cluster.leaders(0))
+        cluster.kill(crashed)
+        restarted = cluster.start(crashed.partition("~")[0], "zone-0", start=1)
+        cluster.run(FAILOVER)
+        self.assertEqual(len(cluster.runs_at(restarted, 0)), 60)
+
+    def test_read_is_served_by_the_leader_only(self) -> None:
+        cluster = Cluster()
+        cluster.run(5.0)
+        cluster.propose(0, "run-0")
+        answers = []
+        leader = cluster.leader(0)
+        follower = next(node for node in cluster.nodes.values() if node is not leader)
+        cluster.act(leader, lambda: leader.host.read(ShardId(0), answers.append))
+        cluster.act(follower, lambda: follower.host.read(ShardId(0), answers.append))
+        cluster.run(1.0)
+        self.assertIsNot(answers[0], None)
+        failed, served = answers
+        self.assertIs(failed.failure().execution, Execution.NOT_RUN)
+        self.assertEqual(set(served.unwrap().runs), {"run-0"})
+
+    def test_quiet_cluster_sends_two_messages_per_pair_and_period(self) -> None:
+        cluster = Cluster(nodes=5, shards=8)
+        cluster.run(30.0)
+        cluster.sent.clear()
+        cluster.run(10.0)
+        pairs = 10
+        periods = 40
+        batches = [sent for sent in cluster.sent if type(sent[2]).__name__ == "RaftBatch"]
+        self.assertLessEqual(len(cluster.sent) - len(batches), 2 * pairs * (periods + 1))
+        self.assertLessEqual(len(batches), 8 * 4 * 2 * 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/shards/test_router.py
@@ -0,0 +1,201 @@
+from __future__ import annotations
+
+import unittest
+
+from tests.unit.shards.cluster import create
+from tests.unit.shards.routed import SHARD, Answer, RoutedCluster, start
+from yokeline.errors import ErrorKind, Execution, YokelineError
+from yokeline.identifiers import RunId
+from yokeline.messages.types import RaftBatch, ShardReply, ShardRequest
+from yokeline.runs.events import RunEvent, TextEvent
+from yokeline.shards.operations import RunResult, WatchRun
+from yokeline.shards.pending import PendingRequest
+
+WATCH = WatchRun(run=RunId("run-1"), tenant="t")
+
+
+class RouterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = RoutedCluster(shards=1)
+        self.cluster.run(5.0)
+
+    def assert_started(self, answers: list[Answer], run: str) -> None:
+        self.assertEqual(len(answers), 1, "answered exactly once")
+        result = answers[0].unwrap()
+        assert isinstance(result, RunResult)
+        self.assertEqual(result.run.run, run)
+
+    def test_leader_serves_itself_and_others_ask_it(self) -> None:
+        for node in list(self.cluster.nodes.values()):
+            run = f"run-{node.context.name}"
+            _, answers = self.cluster.ask(node, start(run))
+            self.cluster.run(1.0)
+            self.assert_started(answers, run)
+        self.assertEqual(len(self.cluster.routed_leader().executor.served), 5)
+
+    def test_request_survives_the_leaders_crash(self) -> None:
+        asker = self.cluster.follower()
+        leader = self.cluster.routed_leader()
+        leader.executor.silent = True
+        _, answers = self.cluster.ask(asker, start("run-1"))
+        self.cluster.run(0.1)
+        self.assertEqual(answers, [])
+        self.cluster.kill(leader.context.replica)
+        self.cluster.run(8.0)
+        self.assert_started(answers, "run-1")
+
+    def test_committed_start_whose_answer_was_lost_is_found_again(self) -> None:
+        asker = self.cluster.follower()
+        leader = self.cluster.routed_leader()
+        _, answers = self.cluster.ask(asker, start("run-1"))
+        own, other = leader.context.replica, asker.context.replica
+        self.cluster.cut = lambda sender, to: (sender, to) == (own, other)
+        self.cluster.run(0.5)
+        self.assertEqual(answers, [])
+        self.cluster.cut = lambda sender, to: False
+        self.cluster.run(2.0)
+        self.assert_started(answers, "run-1")
+        self.assertEqual(len(leader.executor.served), 1, "the same id is served once")
+
+    def test_late_replies_are_dropped_and_counted(self) -> None:
+        asker = self.cluster.follower()
+        request, answers = self.cluster.ask(asker, start("run-1"))
+        self.cluster.run(1.0)
+        leader = self.cluster.routed_leader().context.replica
+        reply = ShardReply(request=request, not_leader=True)
+        self.cluster.act(asker, lambda: asker.router.receive_reply(leader, reply))
+        self.assertEqual(len(answers), 1)
+        self.assertEqual(asker.context.counters["yokeline_late_replies_total"], 1)
+
+    def test_cancelled_request_is_not_answered_and_stops_at_the_leader(self) -> None:
+        asker = self.cluster.follower()
+        leader = self.cluster.routed_leader()
+        request, answers = self.cluster.ask(asker, WATCH)
+        self.cluster.run(0.1)
+        self.cluster.act(asker, lambda: asker.router.cancel(request))
+        self.cluster.run(0.1)
+        self.assertEqual(leader.executor.abandoned, ["1"])
+        self.assertEqual((asker.router.waiting(), leader.server.under_way()), (0, 0))
+        self.assertEqual(answers, [])
+
+    def test_unserved_request_is_surely_not_run(self) -> None:
+        cluster = RoutedCluster(nodes=6, shards=1)
+        cluster.run(5.0)
+        asker = next(node for node in cluster.nodes.values() if not node.host.status())
+        for replica in cluster.group_members(0):
+            cluster.kill(replica)
+        cluster.run(5.0)
+        _, answers = cluster.ask(asker, start("run-1"), deadline=2.0)
+        cluster.run(3.0)
+        self.assertIs(answers[0].failure().execution, Execution.NOT_RUN)
+        self.assertIs(answers[0].failure().kind, ErrorKind.UNAVAILABLE)
+
+    def test_unanswered_request_is_of_unknown_outcome(self) -> None:
+        asker = self.cluster.follower()
+        own = asker.context.replica
+        _, answers = self.cluster.ask(asker, start("run-1"), deadline=2.0)
+        self.cluster.cut = lambda sender, to: to == own
+        self.cluster.run(3.0)
+        self.assertIs(answers[0].failure().execution, Execution.UNKNOWN)
+        self.assertIs(answers[0].failure().kind, ErrorKind.OUTCOME_UNKNOWN)
+
+    def test_leader_cut_off_before_commit_is_resolved_by_the_next_leader(self) -> None:
+        leader = self.cluster.routed_leader()
+        own = leader.context.replica
+        raft_only = self.cluster.cut
+        self.cluster.cut = lambda sender, to: own in (sender, to) or raft_only(sender, to)
+        _, answers = self.cluster.ask(leader, start("run-1"))
+        self.cluster.run(4.0)
+        self.assertEqual(answers, [], "the outcome is unknown at the cut-off leader")
+        self.cluster.cut = lambda sender, to: False
+        self.cluster.run(4.0)
+        self.assert_started(answers, "run-1")
+        for node in self.cluster.nodes.values():
+            self.assertEqual(self.cluster.runs_at(node, 0), {"run-1"})
+
+    def test_events_continue_at_the_next_leader_where_they_ended(self) -> None:
+        asker = self.cluster.follower()
+        leader = self.cluster.routed_leader()
+        events: list[RunEvent] = []
+        self.cluster.ask(asker, WATCH, events=events)
+        self.cluster.run(0.1)
+        self.cluster.act(leader, lambda: leader.executor.push((5, "Hello")))
+        self.cluster.run(0.1)
+        self.cluster.kill(leader.context.replica)
+        self.cluster.run(8.0)
+        following = self.cluster.routed_leader()
+        (resumed,) = following.executor.served
+        assert isinstance(resumed, WatchRun)
+        self.assertEqual((resumed.after_call, resumed.after_offset), (1, 5))
+        self.cluster.act(following, lambda: following.executor.push((8, "lo wo"), (11, "rld")))
+        self.cluster.run(0.1)
+        texts = [event.text for event in events if isinstance(event, TextEvent)]
+        self.assertEqual("".join(texts), "Hello world")
+
+    def test_gap_in_the_events_restarts_the_watch(self) -> None:
+        asker = self.cluster.follower()
+        leader = self.cluster.routed_leader()
+        events: list[RunEvent] = []
+        self.cluster.ask(asker, WATCH, events=events)
+        self.cluster.run(0.1)
+        self.cluster.cut = lambda sender, to: to == asker.context.replica
+        self.cluster.act(leader, lambda: leader.executor.push((5, "Hello")))
+        self.cluster.cut = lambda sender, to: False
+        self.cluster.act(leader, lambda: leader.executor.push((11, " world")))
+        self.cluster.run(0.1)
+        self.assertEqual(events, [], "text after a gap is held back")
+        self.assertEqual(leader.executor.served, [WATCH, WATCH])
+        self.assertEqual(leader.executor.abandoned, ["1"])
+
+    def test_first_refusal_after_an_unanswered_copy_is_not_called_not_run(self) -> None:
+        pending = PendingRequest("r/1", SHARD, start("run-1"), 1.0, lambda result: None, None)
+        refusal = YokelineError(kind=ErrorKind.OVERLOADED, message="m", remedy="r")
+        pending.note_sent("a")
+        pending.note_sent("b")
+        self.assertIs(pending.refusal("b", refusal).execution, Execution.UNKNOWN)
+        pending.note_refused("a")
+        pending.note_sent("b")
+        self.assertIs(pending.refusal("b", refusal).execution, Execution.NOT_RUN)
+
+
+class ServerTest(unittest.TestCase):
+    def test_follower_refuses_with_the_leader_as_hint(self) -> None:
+        cluster = RoutedCluster(shards=1)
+        cluster.run(5.0)
+        follower = cluster.follower()
+        leader = cluster.leaders(0)[0]
+        request = ShardRequest(request="x/1", shard=SHARD, operation=b"", deadline=1.0)
+        cluster.sent.clear()
+        cluster.act(follower, lambda: follower.server.receive_request(leader, request))
+        (reply,) = [item for _, _, item in cluster.sent if isinstance(item, ShardReply)]
+        self.assertTrue(reply.not_leader)
+        self.assertEqual(reply.leader.leader, leader)
+
+    def test_malformed_operation_is_refused(self) -> None:
+        cluster = RoutedCluster(shards=1)
+        cluster.run(5.0)
+        leader = cluster.routed_leader()
+        sender = cluster.follower().context.replica
+        request = ShardRequest(request="x/1", shard=SHARD, operation=b"\xc1", deadline=1.0)
+        cluster.sent.clear()
+        cluster.act(leader, lambda: leader.server.receive_request(sender, request))
+        replies = [item for _, _, item in cluster.sent if isinstance(item, ShardReply)]
+        self.assertIs(replies[0].error.kind, ErrorKind.BAD_REQUEST)
+
+    def test_messages_of_one_event_to_one_node_travel_together(self) -> None:
+        cluster = RoutedCluster(shards=1)
+        cluster.run(5.0)
+        leader = cluster.routed_leader()
+        cluster.sent.clear()
+
+        def propose_twice() -> None:
+            for run in ("run-1", "run-2"):
+                leader.host.propose(SHARD, create(run), lambda result: None)
+
+        cluster.act(leader, propose_twice)
+        batches = [item for _, _, item in cluster.sent if isinstance(item, RaftBatch)]
+        self.assertEqual(len(batches), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
