--- a/src/yokeline/consensus/progress.py
+++ b/src/yokeline/consensus/progress.py
@@ -84,7 +84,7 @@
     def transition_to_probe(self, next_index: int) -> None:
         """Look for the matching point from ``next_index`` on."""
         self.state = ProgressState.PROBE
-        self.next_index = max(next_index, self.match_index + 1)
+        self.next_index = next_index
         self.probing = False
         self.snapshot = None
         self._clear_flights()
--- a/src/yokeline/consensus/replication.py
+++ b/src/yokeline/consensus/replication.py
@@ -175,10 +175,13 @@
             progress.transition_to_replicate()
 
     def _rejected(self, progress: Progress, message: AppendReply) -> None:
-        stale = message.match_index + 1 >= progress.next_index
-        if progress.state is ProgressState.SNAPSHOT or stale:
+        """Probe further back, unless the answer is late or tells nothing new."""
+        next_index = max(message.match_index, progress.match_index) + 1
+        is_late = message.match_index + 1 >= progress.next_index
+        is_probed = progress.state is ProgressState.PROBE and next_index >= progress.next_index
+        if progress.state is ProgressState.SNAPSHOT or is_late or is_probed:
             return
-        progress.transition_to_probe(message.match_index + 1)
+        progress.transition_to_probe(next_index)
 
     # ------------------------------------------------------------ what a quorum proves
 
--- a/src/yokeline/experiment/policies.py
+++ b/src/yokeline/experiment/policies.py
@@ -54,7 +54,7 @@
 
 def _unknown(name: str) -> YokelineError:
     return YokelineError(
-        kind=ErrorKind.BAD_REQUEST,
+        kind=ErrorKind.BAD_SETTING,
         message=f"there is no policy {name!r}",
         remedy=f"use some of {', '.join(known_names())}",
     )
--- a/src/yokeline/experiment/world.py
+++ b/src/yokeline/experiment/world.py
@@ -91,6 +91,10 @@
         self._environment.run(until=drained | limit)
         return self._result(cache)
 
+    def cache_totals(self) -> CacheTotals:
+        """Return what the engines did so far."""
+        return self._fleet.cache_totals()
+
     def _result(self, cache: CacheTotals) -> RunResult:
         workload = self._workload
         window = Window(
--- a/src/yokeline/field_checks.py
+++ b/src/yokeline/field_checks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import difflib
+import functools
 import math
 from typing import Any
 
@@ -43,9 +44,20 @@
         struct_type: The ``msgspec`` struct that the data is meant for.
         path: Prefix of the paths in the problems.
     """
+    return _check_struct(raw, _described(struct_type), path)
+
+
+def known_fields_only(raw: dict[str, Any], struct_type: type) -> dict[str, Any]:
+    """Return ``raw`` without the keys that the struct does not have (top level only)."""
+    known = {field.encode_name for field in _described(struct_type).fields}
+    return {key: value for key, value in raw.items() if key in known}
+
+
+@functools.cache
+def _described(struct_type: type) -> inspect.StructType:
     described = inspect.type_info(struct_type)
     assert isinstance(described, inspect.StructType)
-    return _check_struct(raw, described, path)
+    return described
 
 
 def allowed_text(described: inspect.Type) -> str:
--- a/src/yokeline/labels/checks.py
+++ b/src/yokeline/labels/checks.py
@@ -15,7 +15,7 @@
 
 from yokeline.addresses import ADDRESS_FORM, parse_address
 from yokeline.errors import ErrorKind, YokelineError
-from yokeline.field_checks import FieldProblem, check_fields
+from yokeline.field_checks import FieldProblem, check_fields, known_fields_only
 from yokeline.labels.objects import (
     OBJECT_TYPES,
     App,
@@ -95,6 +95,31 @@
     return Success(decoded)
 
 
+def decode_stored(kind: ObjectKind, text: str) -> Result[ConfigurationObject, YokelineError]:
+    """Decode an object from the store, which passed the checks of the node that wrote it.
+
+    Unlike :func:`decode_object` it leaves out top-level keys that it does not know: a node
+    of a later version may have written them.
+    """
+    object_type = OBJECT_TYPES[kind]
+    try:
+        decoded: ConfigurationObject = msgspec.json.decode(text, type=object_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return decode_object(kind, _without_unknown_keys(text, object_type))
+    problems = check_object(decoded)
+    return Failure(problems_error(kind.value, problems)) if problems else Success(decoded)
+
+
+def _without_unknown_keys(text: str, object_type: type) -> str | bytes:
+    try:
+        raw = msgspec.json.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return text
+    if not isinstance(raw, dict):
+        return text
+    return msgspec.json.encode(known_fields_only(raw, object_type))
+
+
 def problems_error(
     subject: str, problems: list[FieldProblem], kind: ErrorKind = ErrorKind.BAD_REQUEST
 ) -> YokelineError:
--- a/src/yokeline/labels/objects.py
+++ b/src/yokeline/labels/objects.py
@@ -43,7 +43,12 @@
 
 
 class AccessToken(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A bearer token, kept as its SHA-256 digest in hex."""
+    """A bearer token, kept as its SHA-256 digest in hex.
+
+    Attributes:
+        digest: SHA-256 of the token, 64 lower-case hex digits.
+        role: ``operator`` may also write the tenant's configuration.
+    """
 
     digest: str
     role: TokenRole = TokenRole.CALLER
@@ -66,7 +71,14 @@
 
 
 class Tenant(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A tenant, its tokens and its limits."""
+    """A tenant, its tokens and its limits.
+
+    Attributes:
+        name: Name of the tenant, unique in the deployment.
+        labels: Labels for people; no selector looks at them.
+        tokens: Bearer tokens of its callers and operators.
+        limits: What it may use.
+    """
 
     name: str
     labels: dict[str, str] = {}
@@ -75,7 +87,20 @@
 
 
 class Program(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A program: an agent (``model`` set) or a one-call request to an app (``app`` set)."""
+    """A program: an agent (``model`` set) or a one-call request to an app (``app`` set).
+
+    Attributes:
+        name: Name of the program, unique among its tenant's.
+        tenant: Owner.
+        labels: What the program selectors of policies look at.
+        model: Model that an agent calls; empty for an app request.
+        system_prompt: First message of an agent's history.
+        tools: Tools that the model may call.
+        children: Programs of the tenant that the model may run as sub-agents.
+        app: App that the request goes to; empty for an agent.
+        conversation: Wait for further turns after an answer.
+        max_completion_tokens: Most tokens of one answer of the model.
+    """
 
     name: str
     tenant: str
@@ -95,6 +120,8 @@
     """Model engines that are alike.
 
     Attributes:
+        name: Name of the pool.
+        labels: What the engine selectors of policies look at.
         addresses: Engines by ``ip:port``.
         machine_selector: Engines found in the machine list by this selector on the labels
             there; empty for none.
@@ -113,7 +140,17 @@
 
 
 class Tool(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A tool service that models may call."""
+    """A tool service that models may call.
+
+    Attributes:
+        name: Name that models call it by.
+        labels: Labels for people; no selector looks at them.
+        addresses: Where it listens, each ``ip:port``.
+        path: Path before the tool's name in its URL.
+        timeout_seconds: Longest wait for an answer.
+        repeatable: The same call may be sent twice without harm.
+        lookup: Whether it can say what became of a call, by its idempotency key.
+    """
 
     name: str
     tenant: str = ""
@@ -127,7 +164,17 @@
 
 
 class App(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """An app engine that requests are posted to, one call a run."""
+    """An app engine that requests are posted to, one call a run.
+
+    Attributes:
+        name: Name that programs refer to.
+        tenant: Owner; empty: any tenant's programs may use it.
+        labels: Labels for people; no selector looks at them.
+        addresses: Where it listens, each ``ip:port``.
+        path: Path that requests are posted to.
+        timeout_seconds: Longest wait for an answer.
+        lookup: Whether it can say what became of a request, by its idempotency key.
+    """
 
     name: str
     tenant: str = ""
@@ -145,6 +192,13 @@
     the fields it sets. Engine selectors add up: an engine must match all of them.
 
     Attributes:
+        name: Name of the policy, unique among its owner's.
+        labels: Labels for people; no selector looks at them.
+        order: Place among its owner's policies; a higher one is applied later.
+        priority: Higher runs first.
+        worth: Weight of an answer in time.
+        deadline_seconds: Deadline of a request that names none.
+        budget: Limits of a run with all its children, as a whole.
         tenant: Owner; a tenant's policy matches only its own programs. Empty for a
             platform policy, which matches all programs and is applied after tenants' ones.
         program_selector: Selector on the program's labels; empty matches all.
--- a/src/yokeline/labels/view.py
+++ b/src/yokeline/labels/view.py
@@ -10,10 +10,14 @@
 from collections.abc import Iterable, Mapping
 from typing import TypeVar, cast
 
-import msgspec
-from returns.result import Failure
-
-from yokeline.labels.checks import decode_object, qualified_name
+from yokeline.labels.checks import qualified_name
+from yokeline.labels.indexes import (
+    Indexes,
+    InvalidObject,
+    ObjectKey,
+    TokenGrant,
+    updated_indexes,
+)
 from yokeline.labels.objects import (
     App,
     ConfigurationObject,
@@ -23,52 +27,20 @@
     Program,
     StoredObject,
     Tenant,
-    TokenRole,
     Tool,
 )
 from yokeline.labels.resolution import (
     CompiledPolicy,
     PolicyReason,
     ResolvedPolicy,
-    compile_policy,
     explain_policies,
     resolve_policies,
 )
 
-ObjectKey = tuple[ObjectKind, str]
-_Object = TypeVar("_Object", bound=ConfigurationObject)
-
-
-class TokenGrant(msgspec.Struct, frozen=True):
-    """What a bearer token is good for."""
-
-    tenant: str
-    role: TokenRole
-
-
-class InvalidObject(msgspec.Struct, frozen=True):
-    """An object in the store that does not pass the checks and is therefore left out."""
-
-    kind: ObjectKind
-    name: str
-    revision: int
-    problem: str
+MAX_REORDERED = 64
+"""Changed objects up to which the order by revision is mended instead of made anew."""
 
-
-class _Indexes(msgspec.Struct):
-    """Lookup tables over the decoded objects; copied on write, table by table.
-
-    Attributes:
-        decoded: Valid live objects of each kind by qualified name.
-        invalid: Live objects that could not be decoded.
-        tokens: Owners of each token digest, as (tenant, role).
-        policies: Compiled policies of each owner in order; the platform's under "".
-    """
-
-    decoded: dict[ObjectKind, dict[str, ConfigurationObject]]
-    invalid: dict[ObjectKey, InvalidObject]
-    tokens: dict[str, tuple[TokenGrant, ...]]
-    policies: dict[str, tuple[CompiledPolicy, ...]]
+_Object = TypeVar("_Object", bound=ConfigurationObject)
 
 
 class ConfigurationView:
@@ -82,7 +54,7 @@
         """Create the empty view of revision 0."""
         self.revision = 0
         self._objects: dict[ObjectKey, StoredObject] = {}
-        self._indexes = _Indexes(
+        self._indexes = Indexes(
             decoded={kind: {} for kind in ObjectKind}, invalid={}, tokens={}, policies={}
         )
         self._resolved: dict[str, ResolvedPolicy] = {}
@@ -115,7 +87,8 @@
             changed._by_revision = self._by_revision
             return changed
         changed._objects = self._objects | {(item.kind, item.name): item for item in newer}
-        changed._indexes = _updated_indexes(self._indexes, newer)
+        changed._indexes = updated_indexes(self._indexes, newer)
+        changed._by_revision = self._reordered(newer)
         changed._tombstones += sum(item.deleted for item in newer)
         changed._tombstones -= sum(self._is_tombstone(item.kind, item.name) for item in newer)
         return changed
@@ -136,6 +109,18 @@
         changed._tombstones = sum(item.deleted for item in kept.values())
         return changed
 
+    def _reordered(self, newer: list[StoredObject]) -> tuple[StoredObject, ...] | None:
+        """Return the order by revision after a small change; None to sort it when asked."""
+        if self._by_revision is None or len(newer) > MAX_REORDERED:
+            return None
+        ordered = list(self._by_revision)
+        for item in newer:
+            held = self._objects.get((item.kind, item.name))
+            if held is not None:
+                del ordered[bisect.bisect_left(ordered, _revision_order(held), key=_revision_order)]
+            bisect.insort(ordered, item, key=_revision_order)
+        return tuple(ordered)
+
     def _is_tombstone(self, kind: ObjectKind, name: str) -> bool:
         held = self._objects.get((kind, name))
         return held is not None and held.deleted
@@ -290,90 +275,3 @@
 
 def _by_name(table: Mapping[str, _Object]) -> tuple[_Object, ...]:
     return tuple(table[name] for name in sorted(table))
-
-
-# ---------------------------------------------------------------- index updates
-
-
-def _updated_indexes(indexes: _Indexes, items: list[StoredObject]) -> _Indexes:
-    """Return indexes with ``items`` applied; only the tables that change are copied."""
-    decoded = dict(indexes.decoded)
-    for kind in {item.kind for item in items}:
-        decoded[kind] = dict(decoded[kind])
-    updated = _Indexes(
-        decoded=decoded,
-        invalid=dict(indexes.invalid),
-        tokens=indexes.tokens,
-        policies=indexes.policies,
-    )
-    old_tenants: list[Tenant] = []
-    new_tenants: list[Tenant] = []
-    policy_owners: set[str] = set()
-    for item in items:
-        old = decoded[item.kind].pop(item.name, None)
-        new = _decoded(updated, item)
-        if new is not None:
-            decoded[item.kind][item.name] = new
-        for found, tenants in ((old, old_tenants), (new, new_tenants)):
-            if isinstance(found, Tenant):
-                tenants.append(found)
-            if isinstance(found, Policy):
-                policy_owners.add(found.tenant)
-    if old_tenants or new_tenants:
-        updated.tokens = _updated_tokens(indexes.tokens, old_tenants, new_tenants)
-    if policy_owners:
-        updated.policies = _updated_policies(indexes, updated, policy_owners)
-    return updated
-
-
-def _decoded(indexes: _Indexes, item: StoredObject) -> ConfigurationObject | None:
-    """Decode a live object; note one that does not pass the checks as invalid."""
-    key = (item.kind, item.name)
-    indexes.invalid.pop(key, None)
-    if item.deleted:
-        return None
-    result = decode_object(item.kind, item.body)
-    if isinstance(result, Failure):
-        problem = result.failure().line()
-        indexes.invalid[key] = InvalidObject(item.kind, item.name, item.revision, problem)
-        return None
-    found = result.unwrap()
-    if qualified_name(found) != item.name:
-        problem = f"stored as {item.name!r} but calls itself {qualified_name(found)!r}"
-        indexes.invalid[key] = InvalidObject(item.kind, item.name, item.revision, problem)
-        return None
-    return found
-
-
-def _updated_tokens(
-    tokens: dict[str, tuple[TokenGrant, ...]], old: list[Tenant], new: list[Tenant]
-) -> dict[str, tuple[TokenGrant, ...]]:
-    updated = dict(tokens)
-    for tenant in old:
-        for token in tenant.tokens:
-            rest = tuple(g for g in updated[token.digest] if g.tenant != tenant.name)
-            updated[token.digest] = rest
-            if not rest:
-                del updated[token.digest]
-    for tenant in new:
-        for token in tenant.tokens:
-            grants = [*updated.get(token.digest, ()), TokenGrant(tenant.name, token.role)]
-            updated[token.digest] = tuple(sorted(grants, key=lambda grant: grant.tenant))
-    return updated
-
-
-def _updated_policies(
-    old: _Indexes, updated: _Indexes, owners: set[str]
-) -> dict[str, tuple[CompiledPolicy, ...]]:
-    policies = dict(old.policies)
-    kept = {(o, c.policy.name): c for o in sorted(owners) for c in old.policies.get(o, ())}
-    grouped: dict[str, list[CompiledPolicy]] = {owner: [] for owner in sorted(owners)}
-    for policy in updated.decoded[ObjectKind.POLICY].values():
-        if isinstance(policy, Policy) and policy.tenant in grouped:
-            compiled = kept.get((policy.tenant, policy.name))
-            if compiled is None or compiled.policy is not policy:
-                compiled = compile_policy(policy)
-            grouped[policy.tenant].append(compiled)
-    for owner, found in grouped.items():
-        policies[owner] = tuple(sorted(found, key=lambda c: (c.policy.order, c.policy.name)))
-    return policies
--- a/src/yokeline/messages/types.py
+++ b/src/yokeline/messages/types.py
@@ -42,7 +42,7 @@
     revision: int = 0
 
 
-class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag="heartbeat"):
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="heartbeat"):
     """One coalesced heartbeat for a pair of nodes.
 
     Attributes:
@@ -58,7 +58,9 @@
     wanted: tuple[ShardId, ...] = ()
 
 
-class HeartbeatReply(msgspec.Struct, frozen=True, kw_only=True, tag="heartbeat_reply"):
+class HeartbeatReply(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="heartbeat_reply"
+):
     """Answer to a :class:`Heartbeat`."""
 
     sequence: int
--- a/src/yokeline/node/http_requests.py
+++ b/src/yokeline/node/http_requests.py
@@ -16,6 +16,8 @@
 _IDEMPOTENCY_KEY = b"idempotency-key"
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
+_FIELD_EXTRA_BYTES = 4
+"""Colon, space and line end of a header field."""
 _MAX_BODY_PIECES = 8192
 """Chunks of one request body; each costs time, however small it is."""
 
@@ -112,6 +114,9 @@
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
+        # The codec limits only a head that comes in pieces.
+        if _head_bytes(head) > self._limits.max_header_bytes:
+            raise self.refused(HEAD_OVER_LIMIT, HEAD_TOO_LARGE)
         if head.method == _CONNECT:
             raise ValueError("CONNECT makes a tunnel, and this is no proxy")
         fields = dict(head.headers)
@@ -144,3 +149,11 @@
             body=body,
             too_large=self.too_large,
         )
+
+
+def _head_bytes(head: h11.Request) -> int:
+    """Return the size of a request's head, white space around values not counted."""
+    request_line = len(head.method) + len(head.target) + len(head.http_version)
+    return request_line + sum(
+        len(name) + len(value) + _FIELD_EXTRA_BYTES for name, value in head.headers
+    )
--- a/src/yokeline/runs/serving.py
+++ b/src/yokeline/runs/serving.py
@@ -94,7 +94,8 @@
             case ContinueRun():
                 self._continue(operation, request)
             case ReadRun():
-                self._with_run(operation.run, operation.tenant, request, request.answer_with)
+                answer = request.answer_with if operation.with_history else request.answer_briefly
+                self._with_run(operation.run, operation.tenant, request, answer)
             case AwaitRun():
                 self._await(operation, request)
             case WatchRun():
@@ -234,6 +235,10 @@
         """Answer with the run as it stands."""
         self.done(Success(RunResult(run=copy_of(run))))
 
+    def answer_briefly(self, run: Run) -> None:
+        """Answer with the run as it stands, without its history."""
+        self.done(Success(RunResult(run=summary_of(run))))
+
     def watcher(self, run: RunId) -> Watcher:
         """Return the caller as one who waits for news of a run."""
         return Watcher(ticket=self.ticket, shard=self.shard, run=run, done=self.done)
--- a/src/yokeline/scheduling/estimate.py
+++ b/src/yokeline/scheduling/estimate.py
@@ -15,6 +15,10 @@
 evicted would never have been used again."""
 
 
+STALL_WEIGHT = 1.0
+"""A prefill stalls every call that decodes beside it: how much their delay counts."""
+
+
 def expected_answer(demand: CallDemand) -> float:
     """Return the expected tokens of the call's answer."""
     if demand.expected_completion_tokens:
@@ -57,6 +61,8 @@
     Queue wait, prefill of the missing tokens behind the prefill already sent, decoding, and
     a share of the cost of rebuilding what would be evicted.
     """
-    prefill = (engine.pending_prefill + missing_tokens(demand, engine)) / engine.prefill_rate
+    missing = missing_tokens(demand, engine) / engine.prefill_rate
+    prefill = engine.pending_prefill / engine.prefill_rate + missing
+    harm = STALL_WEIGHT * missing * engine.running + eviction_seconds(demand, engine)
     waiting = queue_seconds(demand, engine)
-    return waiting + prefill + decode_seconds(demand, engine) + eviction_seconds(demand, engine)
+    return waiting + prefill + decode_seconds(demand, engine) + harm
--- a/src/yokeline/scheduling/pace.py
+++ b/src/yokeline/scheduling/pace.py
@@ -56,4 +56,4 @@
             self._decode_observed = True
             self.decode_seconds = pace
             return
-        self.decode_seconds += SMOOTHING * (pace - self.decode_seconds)
+        self.decode_seconds = min(pace, self.decode_seconds / RATE_DECAY)
--- a/src/yokeline/server/node.py
+++ b/src/yokeline/server/node.py
@@ -28,7 +28,14 @@
     StopRequested,
 )
 from yokeline.gateway.gateway import Gateway
-from yokeline.identifiers import NodeName, ReplicaId, ShardId, new_replica_id
+from yokeline.identifiers import (
+    NodeName,
+    ReplicaId,
+    RunId,
+    ShardId,
+    new_replica_id,
+    shard_of_name,
+)
 from yokeline.membership.detector import Membership
 from yokeline.membership.machine_list import MachineListReader
 from yokeline.membership.view import Member, MemberState
@@ -46,10 +53,12 @@
 from yokeline.runs.executor import Executor
 from yokeline.scheduling.directory import EngineDirectory, MachineEntry
 from yokeline.scheduling.policies import make_policy
+from yokeline.scheduling.steward import PresenceHandler
 from yokeline.server.admin import NodeAdmin
 from yokeline.server.bootstrap import PlacementBootstrap
 from yokeline.server.context import NodeContext
 from yokeline.server.planned_stop import PlannedStop
+from yokeline.server.run_presence import RunPresenceReader
 from yokeline.settings import Settings
 from yokeline.shards.host import ShardHost
 from yokeline.shards.router import ShardRouter
@@ -157,6 +166,8 @@
             make_policy(settings.scheduling.policy),
             lambda: self.configuration.view().pools(),
             self._machine_entries,
+            stewards=self._is_steward_of,
+            run_exists=self._read_presence,
         )
         self.executor = Executor(
             context,
@@ -177,6 +188,7 @@
         context = self.context
         self.router = ShardRouter(context, self.host, self.executor)
         self.shard_server = ShardServer(context, self.host, self.executor)
+        self.presence = RunPresenceReader(self.router, settings.cluster.shards)
         self.stop = PlannedStop(
             context,
             self.membership,
@@ -299,6 +311,12 @@
     def _is_leaving(self, address: Address) -> bool:
         return str(address) in self.machine_list.leaving()
 
+    def _is_steward_of(self, engine: str) -> bool:
+        return self.host.leads(shard_of_name(engine, self.settings.cluster.shards))
+
+    def _read_presence(self, run: RunId, tenant: str, done: PresenceHandler) -> None:
+        self.presence.read(run, tenant, done)
+
     def _any_leader_known(self) -> bool:
         shards = range(self.settings.cluster.shards)
         return any(self.host.leader_of(ShardId(shard)) is not None for shard in shards)
--- a/src/yokeline/settings_docs.py
+++ b/src/yokeline/settings_docs.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import ast
 import inspect as python_inspect
+import itertools
 import re
+import textwrap
 
 import msgspec
 from msgspec import inspect
@@ -78,19 +81,35 @@
     return text.replace("|", "\\|").replace("<", "&lt;").replace("\n", " ")
 
 
-def _rows(section: str, described: inspect.StructType) -> list[SettingRow]:
+def _rows(section: str, described: inspect.StructType, prefix: str = "") -> list[SettingRow]:
     docs = _attribute_docs(described.cls)
-    return [
-        SettingRow(
+    rows: list[SettingRow] = []
+    for field in described.fields:
+        row = SettingRow(
             section=section,
-            key=field.name,
+            key=prefix + field.name,
             allowed=allowed_text(field.type),
             default=_default_text(field),
             unit=_unit_of(field.name),
             docs=docs.get(field.name, ""),
         )
-        for field in described.fields
-    ]
+        rows.append(row)
+        inner, suffix = _inner_struct(field.type)
+        if inner is not None:
+            rows.extend(_rows(section, inner, f"{row.key}{suffix}."))
+    return rows
+
+
+def _inner_struct(described: inspect.Type) -> tuple[inspect.StructType | None, str]:
+    """Return the struct inside a field's type and what its path adds to the key."""
+    if isinstance(described, inspect.StructType):
+        return described, ""
+    if isinstance(described, inspect.VarTupleType):
+        return _inner_struct(described.item_type)[0], "[]"
+    if isinstance(described, inspect.UnionType):
+        found = (_inner_struct(part) for part in described.types)
+        return next((pair for pair in found if pair[0] is not None), (None, ""))
+    return None, ""
 
 
 def _default_text(field: inspect.Field) -> str:
@@ -107,8 +126,12 @@
 
 
 def _attribute_docs(struct_type: type) -> dict[str, str]:
-    """Return the ``Attributes:`` section of a struct's docstring, joined to one line each."""
-    docs: dict[str, str] = {}
+    """Return what is said of each attribute, one line each.
+
+    It stands in the ``Attributes:`` section of the class's docstring, or as a string right
+    below the attribute.
+    """
+    docs = _strings_below_attributes(struct_type)
     current = ""
     text = python_inspect.getdoc(struct_type) or ""
     for line in text.partition("Attributes:\n")[2].splitlines():
@@ -120,3 +143,16 @@
         elif continuation and current:
             docs[current] += " " + continuation[1]
     return docs
+
+
+def _strings_below_attributes(struct_type: type) -> dict[str, str]:
+    source = textwrap.dedent(python_inspect.getsource(struct_type))
+    definition = ast.parse(source).body[0]
+    assert isinstance(definition, ast.ClassDef)
+    docs: dict[str, str] = {}
+    for attribute, below in itertools.pairwise(definition.body):
+        if not isinstance(attribute, ast.AnnAssign) or not isinstance(attribute.target, ast.Name):
+            continue
+        if isinstance(below, ast.Expr) and isinstance(below.value, ast.Constant):
+            docs[attribute.target.id] = " ".join(str(below.value.value).split())
+    return docs
--- a/src/yokeline/shards/host.py
+++ b/src/yokeline/shards/host.py
@@ -7,15 +7,13 @@
 
 from returns.result import Failure
 
-from yokeline.consensus.group import RaftGroup
 from yokeline.consensus.messages import (
     AppendEntries,
     InstallSnapshot,
     LogEntry,
     RaftMessage,
 )
-from yokeline.consensus.settings import RaftSettings
-from yokeline.consensus.types import HardState, RaftRole, Snapshot
+from yokeline.consensus.types import RaftRole, Snapshot
 from yokeline.identifiers import ReplicaId, ShardId
 from yokeline.membership.view import PeerView
 from yokeline.messages.types import (
@@ -30,24 +28,16 @@
 from yokeline.server.context import NodeContext
 from yokeline.settings import Settings
 from yokeline.shards.batches import RaftBatcher
-from yokeline.shards.deadlines import DeadlineQueue
 from yokeline.shards.disk_writer import ShardDisk
 from yokeline.shards.errors import not_leading
 from yokeline.shards.maintenance import GroupMaintenance
 from yokeline.shards.news import LeadershipNews
 from yokeline.shards.placement import Placement
-from yokeline.shards.removed import RemovedReplicas
+from yokeline.shards.removal import RemovalReview
 from yokeline.shards.replica import ProposalDone, ReadDone, ShardReplica
+from yokeline.shards.replica_set import ReplicaSet
 from yokeline.shards.status import ShardStatus, shard_status
 
-_RETAINED_SHARE = 8
-"""Of the entries after which a log is compacted, one in so many is kept for those that lag."""
-
-REMOVED_SILENCE_SECONDS = 3.0
-"""Silence of a group after which a replica that it seems to have removed asks its leader."""
-MEMBER_SILENCE_SECONDS = 12.0
-"""The same for a member; idle groups speak more often than this."""
-
 
 class ShardListener(Protocol):
     """Learns what becomes of the shards of this node."""
@@ -84,21 +74,19 @@
     ) -> None:
         """Host no replica yet."""
         self._context = context
-        self._settings = settings
         self._peers = peers
         self._listener = listener
-        self._raft_settings = _raft_settings(settings)
-        self._replicas: dict[ShardId, ShardReplica] = {}
-        self._removed = RemovedReplicas()
-        self._deadlines: DeadlineQueue[ShardId] = DeadlineQueue()
+        self._set = ReplicaSet(context, settings, self)
+        self._replicas = self._set.replicas
         self._batcher = RaftBatcher(context)
         self._news = LeadershipNews(context, settings.consensus.heartbeat_seconds)
         self._death_observers: list[Callable[[ReplicaId], None]] = []
         self._alive: tuple[ReplicaId, ...] = ()
         self._disk = ShardDisk(context) if settings.node.data_folder else None
         self.heartbeats = self._news.heartbeats
+        self._removal = RemovalReview(context, self._set, self._news, self._leave)
         self._maintenance = GroupMaintenance(
-            context, settings, peers, self._news.directory, self._replicas, self._finish
+            context, settings, peers, self._news.directory, self._replicas, self._set.finish
         )
 
     def set_listener(self, listener: ShardListener) -> None:
@@ -126,7 +114,7 @@
             done(Failure(not_leading(shard)))
             return
         replica.propose(command, self._context.now, done)
-        self._finish(replica)
+        self._set.finish(replica)
 
     def read(self, shard: ShardId, done: ReadDone) -> None:
         """Hand over the state machine once it holds all that was committed before."""
@@ -135,7 +123,7 @@
             done(Failure(not_leading(shard)))
             return
         replica.read(self._context.now, done)
-        self._finish(replica)
+        self._set.finish(replica)
 
     def machine(self, shard: ShardId) -> RunStateMachine | None:
         """Return the local state of a shard, None if this node holds no replica."""
@@ -173,7 +161,7 @@
 
     def note_leader(self, sender: ReplicaId, news: ShardLeader) -> None:
         """Take in what another node said of a shard's leader."""
-        self._learn(sender, news)
+        self._removal.learn(sender, news)
 
     def is_dead(self, replica: ReplicaId) -> bool:
         """Return whether a process start is believed to be over."""
@@ -197,10 +185,8 @@
         """Take part in the groups of the first placement that name this process start."""
         self._news.directory.start(placement)
         for number, members in enumerate(placement.groups):
-            shard = ShardId(number)
-            known = shard in self._replicas or shard in self._removed
-            if self._context.replica in members and not known:
-                self._finish(self._create(shard, members))
+            if self._context.replica in members:
+                self._set.found(ShardId(number), members)
         self._update_peers()
 
     def set_hand_over_guard(self, guard: Callable[[ShardId], bool]) -> None:
@@ -217,45 +203,18 @@
         return len(self._replicas)
 
     def peers_changed(self) -> None:
-        """Act on a change in the membership view without waiting for the next round."""
-        self._maintenance.run_round()
-        self._update_peers()
-
-    def _create(self, shard: ShardId, members: tuple[ReplicaId, ...]) -> ShardReplica:
-        hard_state = self._removed.take_hard_state(shard)
-        group = RaftGroup(
-            replica=self._context.replica,
-            members=members,
-            settings=self._raft_settings,
-            source=self._context.random,
-            now=self._context.now,
-            hard_state=hard_state,
-        )
-        snapshot_entries = self._settings.consensus.snapshot_entries
-        replica = ShardReplica(shard, group, self, snapshot_entries, hard_state or HardState())
-        self._replicas[shard] = replica
-        return replica
+        """Act on a change in the membership view at the next tick, which is due now."""
+        self._maintenance.schedule_now()
 
     def _leave(self, replica: ShardReplica) -> None:
-        """Stop taking part in a group that has removed this node."""
-        del self._replicas[replica.shard]
-        self._deadlines.remove(replica.shard)
-        replica.close()
-        self._removed.keep(replica, self._context.now)
-        self._context.log("replica_left", shard=replica.shard, term=replica.group.term)
+        self._set.leave(replica)
         self._update_peers()
 
     def _drop_removed(self) -> None:
-        for shard in self._removed.drop_old(self._context.now):
+        for shard in self._set.drop_removed():
             if self._disk is not None:
                 self._disk.forget(shard)
 
-    def _finish(self, replica: ShardReplica) -> None:
-        """Do what is due after a group was called."""
-        if replica.busy or self._replicas.get(replica.shard) is not replica:
-            return
-        self._deadlines.set(replica.shard, replica.group.next_deadline())
-
     # ------------------------------------------------------------ events
 
     def receive_batch(self, sender: ReplicaId, batch: RaftBatch) -> None:
@@ -267,26 +226,22 @@
                 continue
             replica.heard_at = self._context.now
             replica.carry_out(replica.group.step(sender, item.message, self._context.now))
-            self._finish(replica)
+            self._set.finish(replica)
 
     def _create_for(self, sender: ReplicaId, item: GroupMessage) -> ShardReplica | None:
         """Join a group whose leader has added this node."""
         message = item.message
         if not isinstance(message, AppendEntries | InstallSnapshot) or message.leader != sender:
             return None
-        replica = self._removed.revive(item.shard)
-        if replica is None:
-            replica = self._create(item.shard, ())
-        self._replicas[item.shard] = replica
+        replica = self._set.join(item.shard)
         self._update_peers()
         return replica
 
     def receive_heartbeat(self, sender: ReplicaId, heartbeat: Heartbeat) -> None:
         """Take in a heartbeat of another node."""
         for news in self.heartbeats.receive(sender, heartbeat):
-            self._learn(sender, news)
-        for shard in heartbeat.wanted:
-            self._tell_wanted(sender, shard)
+            self._removal.learn(sender, news)
+        self._removal.tell_wanted(sender, heartbeat.wanted)
         self._confirm_alive(sender)
 
     def receive_heartbeat_reply(self, sender: ReplicaId, reply: HeartbeatReply) -> None:
@@ -296,13 +251,11 @@
 
     def tick(self) -> None:
         """Do what is due by now."""
-        for shard in self._deadlines.take_due(self._context.now):
-            replica = self._replicas[shard]
-            replica.carry_out(replica.group.tick(self._context.now))
-            self._finish(replica)
+        self._set.tick()
         if self._context.now >= self._maintenance.next_deadline():
-            self.peers_changed()
-            self._review_silent_groups()
+            self._maintenance.run_round()
+            self._update_peers()
+            self._removal.review_silent()
             self._drop_removed()
         self.heartbeats.tick()
         if self._disk is not None:
@@ -313,7 +266,7 @@
         times = [
             self._maintenance.next_deadline(),
             self.heartbeats.next_deadline(),
-            self._deadlines.next(),
+            self._set.next_deadline(),
             None if self._disk is None else self._disk.next_deadline(),
         ]
         return min(time for time in times if time is not None)
@@ -327,38 +280,7 @@
             if replica.group.leader == sender:
                 replica.group.node_alive(sender, self._context.now)
 
-    # ------------------------------------------------------------ news and peers
-
-    def _learn(self, sender: ReplicaId, news: ShardLeader) -> None:
-        if self._news.learn(sender, news):
-            self._leave_if_removed(news)
-
-    def _leave_if_removed(self, news: ShardLeader) -> None:
-        replica = self._replicas.get(news.shard)
-        if replica is not None and not replica.busy and replica.removed_by(news):
-            self._leave(replica)
-
-    def _review_silent_groups(self) -> None:
-        """Find out whether groups that have fallen silent have removed this node."""
-        for replica in list(self._replicas.values()):
-            news = self._news.directory.leader_of(replica.shard)
-            if news is None or news.leader == self._context.replica:
-                continue
-            in_group = self._context.replica in replica.group.members
-            patience = MEMBER_SILENCE_SECONDS if in_group else REMOVED_SILENCE_SECONDS
-            if self._context.now - replica.heard_at < patience:
-                continue
-            if replica.removed_by(news):
-                self._leave(replica)
-            else:
-                self.heartbeats.want_news(news.leader, replica.shard)
-
-    def _tell_wanted(self, sender: ReplicaId, shard: ShardId) -> None:
-        replica = self._replicas.get(shard)
-        if replica is not None and replica.leads:
-            self._news.announce(replica, (sender,))
-        else:
-            self._news.directory.tell(sender, shard)
+    # ------------------------------------------------------------ peers
 
     def _update_peers(self) -> None:
         alive = self.alive_nodes()
@@ -420,15 +342,3 @@
         """Keep a leader's snapshot on disk, where there is one."""
         if self._disk is not None:
             self._disk.note_restored(replica, snapshot)
-
-
-def _raft_settings(settings: Settings) -> RaftSettings:
-    """Return the settings of all groups."""
-    consensus = settings.consensus
-    return RaftSettings(
-        heartbeat_seconds=consensus.heartbeat_seconds,
-        election_timeout_seconds=consensus.election_timeout_seconds,
-        append_bytes=consensus.append_bytes,
-        snapshot_chunk_bytes=consensus.snapshot_chunk_bytes,
-        retained_entries=consensus.snapshot_entries // _RETAINED_SHARE,
-    )
--- a/src/yokeline/shards/maintenance.py
+++ b/src/yokeline/shards/maintenance.py
@@ -69,10 +69,9 @@
         """Return when the next round is due."""
         return self._next_round
 
-    def tick(self) -> None:
-        """Do a round if one is due."""
-        if self._context.now >= self._next_round:
-            self.run_round()
+    def schedule_now(self) -> None:
+        """Make the next round due at once."""
+        self._next_round = self._context.now
 
     def run_round(self) -> None:
         """Look at all groups now."""
--- a/src/yokeline/shards/operations.py
+++ b/src/yokeline/shards/operations.py
@@ -35,6 +35,8 @@
 
     run: RunId
     tenant: str
+    with_history: bool = True
+    """Without it the result has no messages, which is cheap for long runs."""
 
 
 class AwaitRun(msgspec.Struct, frozen=True, kw_only=True, tag="await_run"):
--- /dev/null
+++ b/src/yokeline/shards/removal.py
@@ -0,0 +1,68 @@
+"""Finds out that groups have removed this node, which their logs may never tell it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.messages.types import ShardLeader
+from yokeline.server.context import NodeContext
+from yokeline.shards.news import LeadershipNews
+from yokeline.shards.replica import ShardReplica
+from yokeline.shards.replica_set import ReplicaSet
+
+REMOVED_SILENCE_SECONDS = 3.0
+"""Silence of a group after which a replica that it seems to have removed asks its leader."""
+MEMBER_SILENCE_SECONDS = 12.0
+"""The same for a member; idle groups speak more often than this."""
+
+
+class RemovalReview:
+    """Compares leadership news with the replicas held, and asks for news where needed."""
+
+    def __init__(
+        self,
+        context: NodeContext,
+        replicas: ReplicaSet,
+        news: LeadershipNews,
+        leave: Callable[[ShardReplica], None],
+    ) -> None:
+        """Call ``leave`` with each replica that its group has surely removed."""
+        self._context = context
+        self._replicas = replicas.replicas
+        self._news = news
+        self._leave = leave
+
+    def learn(self, sender: ReplicaId, news: ShardLeader) -> None:
+        """Take news in; they may say that this node is out of a group."""
+        if not self._news.learn(sender, news):
+            return
+        replica = self._replicas.get(news.shard)
+        if replica is not None and not replica.busy and replica.removed_by(news):
+            self._leave(replica)
+
+    def tell_wanted(self, sender: ReplicaId, shards: tuple[ShardId, ...]) -> None:
+        """Give a node the news that it asked for; fresh ones of what this node leads."""
+        for shard in shards:
+            replica = self._replicas.get(shard)
+            if replica is not None and replica.leads:
+                self._news.announce(replica, (sender,))
+            else:
+                self._news.directory.tell(sender, shard)
+
+    def review_silent(self) -> None:
+        """Leave silent groups that have removed this node; ask where that is not clear."""
+        for replica in list(self._replicas.values()):
+            news = self._news.directory.leader_of(replica.shard)
+            if news is None or news.leader == self._context.replica:
+                continue
+            if self._context.now - replica.heard_at < self._patience(replica):
+                continue
+            if replica.removed_by(news):
+                self._leave(replica)
+            else:
+                self._news.heartbeats.want_news(news.leader, replica.shard)
+
+    def _patience(self, replica: ShardReplica) -> float:
+        is_member = self._context.replica in replica.group.members
+        return MEMBER_SILENCE_SECONDS if is_member else REMOVED_SILENCE_SECONDS
--- /dev/null
+++ b/src/yokeline/shards/replica_set.py
@@ -0,0 +1,106 @@
+"""The replicas that a node holds: joining and leaving groups, and their timers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from yokeline.consensus.group import RaftGroup
+from yokeline.consensus.settings import RaftSettings
+from yokeline.consensus.types import HardState
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.server.context import NodeContext
+from yokeline.settings import ConsensusSection, Settings
+from yokeline.shards.deadlines import DeadlineQueue
+from yokeline.shards.removed import RemovedReplicas
+from yokeline.shards.replica import ReplicaObserver, ShardReplica
+
+_RETAINED_SHARE = 8
+"""Of the entries after which a log is compacted, one in so many is kept for those that lag."""
+
+
+class ReplicaSet:
+    """Replicas by shard.
+
+    Attributes:
+        replicas: The replicas of groups that this node is in. Read only for everybody else.
+    """
+
+    def __init__(self, context: NodeContext, settings: Settings, observer: ReplicaObserver) -> None:
+        """Hold no replica yet; new ones report to ``observer``."""
+        self.replicas: dict[ShardId, ShardReplica] = {}
+        self._context = context
+        self._observer = observer
+        self._snapshot_entries = settings.consensus.snapshot_entries
+        self._raft_settings = _raft_settings(settings.consensus)
+        self._removed = RemovedReplicas()
+        self._deadlines: DeadlineQueue[ShardId] = DeadlineQueue()
+
+    def found(self, shard: ShardId, members: tuple[ReplicaId, ...]) -> None:
+        """Begin a group of the first placement, unless this node is or was in it."""
+        if shard not in self.replicas and shard not in self._removed:
+            self.finish(self._create(shard, members))
+
+    def join(self, shard: ShardId) -> ShardReplica:
+        """Take part in a group that has added this node."""
+        replica = self._removed.revive(shard)
+        if replica is None:
+            return self._create(shard, ())
+        self.replicas[shard] = replica
+        return replica
+
+    def leave(self, replica: ShardReplica) -> None:
+        """Stop taking part in a group that has removed this node."""
+        del self.replicas[replica.shard]
+        self._deadlines.remove(replica.shard)
+        replica.close()
+        self._removed.keep(replica, self._context.now)
+        self._context.log("replica_left", shard=replica.shard, term=replica.group.term)
+
+    def drop_removed(self) -> Iterable[ShardId]:
+        """Drop replicas that left their groups long ago; return their shards."""
+        return self._removed.drop_old(self._context.now)
+
+    def finish(self, replica: ShardReplica) -> None:
+        """Set the timer of a group after it was called."""
+        if not replica.busy and self.replicas.get(replica.shard) is replica:
+            self._deadlines.set(replica.shard, replica.group.next_deadline())
+
+    def tick(self) -> None:
+        """Tick the groups whose time has come."""
+        for shard in self._deadlines.take_due(self._context.now):
+            replica = self.replicas.get(shard)
+            if replica is not None:
+                replica.carry_out(replica.group.tick(self._context.now))
+                self.finish(replica)
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`tick` is due."""
+        return self._deadlines.next()
+
+    def _create(self, shard: ShardId, members: tuple[ReplicaId, ...]) -> ShardReplica:
+        hard_state = self._removed.take_hard_state(shard)
+        group = RaftGroup(
+            replica=self._context.replica,
+            members=members,
+            settings=self._raft_settings,
+            source=self._context.random,
+            now=self._context.now,
+            hard_state=hard_state,
+        )
+        replica = ShardReplica(
+            shard, group, self._observer, self._snapshot_entries, hard_state or HardState()
+        )
+        replica.heard_at = self._context.now
+        self.replicas[shard] = replica
+        return replica
+
+
+def _raft_settings(consensus: ConsensusSection) -> RaftSettings:
+    """Return the settings of all groups."""
+    return RaftSettings(
+        heartbeat_seconds=consensus.heartbeat_seconds,
+        election_timeout_seconds=consensus.election_timeout_seconds,
+        append_bytes=consensus.append_bytes,
+        snapshot_chunk_bytes=consensus.snapshot_chunk_bytes,
+        retained_entries=consensus.snapshot_entries // _RETAINED_SHARE,
+    )
--- a/src/yokeline/shards/router.py
+++ b/src/yokeline/shards/router.py
@@ -25,6 +25,7 @@
     OperationServer,
     is_for_next_leader,
 )
+from yokeline.shards.targets import TargetChooser
 
 RETRY_BASE_SECONDS = 0.05
 RETRY_MAX_SECONDS = 1.0
@@ -48,6 +49,7 @@
         self._context = context
         self._host = host
         self._server = server
+        self._targets = TargetChooser(context.replica, host)
         self._pending: dict[RequestId, PendingRequest] = {}
         self._by_wire: dict[RequestId, PendingRequest] = {}
         self._by_shard: dict[ShardId, dict[RequestId, PendingRequest]] = {}
@@ -100,7 +102,7 @@
 
     def _dispatch(self, pending: PendingRequest) -> None:
         """Send a request to the leader, as far as one is known."""
-        target = self._choose_target(pending)
+        target = self._targets.choose(pending)
         pending.target = target
         if target is None:
             self._pause(pending)
@@ -109,31 +111,6 @@
         else:
             self._send(pending, target)
 
-    def _choose_target(self, pending: PendingRequest) -> ReplicaId | None:
-        own = self._context.replica
-        if self._host.leads(pending.shard):
-            return own
-        leader = self._host.leader_of(pending.shard)
-        if leader is not None and self._may_ask(leader.leader, pending):
-            return leader.leader
-        return self._someone_who_may_know(pending)
-
-    def _may_ask(self, replica: ReplicaId, pending: PendingRequest) -> bool:
-        if replica in (self._context.replica, pending.refused_by):
-            return False
-        return not self._host.is_dead(replica)
-
-    def _someone_who_may_know(self, pending: PendingRequest) -> ReplicaId | None:
-        """Return a member of the group, else any node: its refusal carries a hint."""
-        members = self._host.members_of(pending.shard)
-        if self._context.replica in members:
-            return None
-        asked = [member for member in members if self._may_ask(member, pending)]
-        if not asked:
-            alive = self._host.alive_nodes()
-            asked = [replica for replica in alive if self._may_ask(replica, pending)]
-        return asked[pending.attempts % len(asked)] if asked else None
-
     def _send(self, pending: PendingRequest, target: ReplicaId) -> None:
         pending.note_sent(target)
         message = ShardRequest(
--- a/src/yokeline/store/client.py
+++ b/src/yokeline/store/client.py
@@ -20,7 +20,7 @@
 from yokeline.errors import ErrorKind, Execution, YokelineError
 from yokeline.server.context import HttpAnswer, NodeContext
 from yokeline.settings import PlatformSection
-from yokeline.store import protocol
+from yokeline.store import protocol, request_bodies
 from yokeline.store.limits import CircuitBreaker, StoreLimits, TokenBucket
 from yokeline.store.protocol import LeaseResult, RangeResult, SwapResult
 from yokeline.store.watch import StoreWatch, WatchListener
@@ -91,7 +91,7 @@
 
     def get(self, key: str, done: RangeDone, *, revision: int = 0) -> None:
         """Read one key, linearizable; or as it was at a store revision."""
-        self._read(protocol.range_body(key, revision=revision), done)
+        self._read(request_bodies.range_body(key, revision=revision), done)
 
     def get_range(
         self,
@@ -112,13 +112,13 @@
             keys_only: Leave the values out.
         """
         start = f"{after}\0" if after else prefix
-        end = protocol.prefix_end(prefix)
+        end = request_bodies.prefix_end(prefix)
         self._read(
-            protocol.range_body(start, range_end=end, limit=limit, keys_only=keys_only), done
+            request_bodies.range_body(start, range_end=end, limit=limit, keys_only=keys_only), done
         )
 
     def _read(self, body: bytes, done: RangeDone) -> None:
-        self._ask(protocol.RANGE_PATH, body, protocol.decode_range, done, writes=False)
+        self._ask(request_bodies.RANGE_PATH, body, protocol.decode_range, done, writes=False)
 
     # ------------------------------------------------------------ writes
 
@@ -134,30 +134,30 @@
             done: Gets the outcome.
             lease: Bind the key to this lease; 0 for none.
         """
-        body = protocol.swap_body(key, expected_revision, value, lease)
-        self._ask(protocol.TXN_PATH, body, protocol.decode_swap, done, writes=True)
+        body = request_bodies.swap_body(key, expected_revision, value, lease)
+        self._ask(request_bodies.TXN_PATH, body, protocol.decode_swap, done, writes=True)
 
     def delete(self, key: str, expected_revision: int, done: SwapDone) -> None:
         """Delete a key if its modification revision is the expected one."""
-        body = protocol.delete_body(key, expected_revision)
-        self._ask(protocol.TXN_PATH, body, protocol.decode_swap, done, writes=True)
+        body = request_bodies.delete_body(key, expected_revision)
+        self._ask(request_bodies.TXN_PATH, body, protocol.decode_swap, done, writes=True)
 
     def grant_lease(self, seconds: int, done: LeaseDone) -> None:
         """Ask for a lease; an unanswered one lapses by itself."""
-        body = protocol.lease_grant_body(seconds)
-        path = protocol.LEASE_GRANT_PATH
+        body = request_bodies.lease_grant_body(seconds)
+        path = request_bodies.LEASE_GRANT_PATH
         self._ask(path, body, protocol.decode_lease, done, writes=True)
 
     def keep_lease_alive(self, lease: int, done: LeaseDone) -> None:
         """Renew a lease; a result of 0 seconds means that it has lapsed."""
-        body = protocol.lease_body(lease)
-        path = protocol.LEASE_KEEPALIVE_PATH
+        body = request_bodies.lease_body(lease)
+        path = request_bodies.LEASE_KEEPALIVE_PATH
         self._ask(path, body, protocol.decode_keepalive, done, writes=True)
 
     def revoke_lease(self, lease: int, done: LeaseDone) -> None:
         """End a lease and delete the keys bound to it."""
-        body = protocol.lease_body(lease)
-        path = protocol.LEASE_REVOKE_PATH
+        body = request_bodies.lease_body(lease)
+        path = request_bodies.LEASE_REVOKE_PATH
         self._ask(path, body, protocol.decode_lease, done, writes=True)
 
     # ------------------------------------------------------------ watch
--- a/src/yokeline/store/watch.py
+++ b/src/yokeline/store/watch.py
@@ -10,7 +10,7 @@
 from yokeline.effects import Address, Framing, HttpRequest, HttpResponse, HttpStreamItem
 from yokeline.identifiers import RequestId
 from yokeline.server.context import HTTP_OK, HttpAnswer, NodeContext
-from yokeline.store import protocol
+from yokeline.store import protocol, request_bodies
 from yokeline.store.limits import StoreLimits, backoff_seconds
 from yokeline.store.protocol import WatchEvent
 
@@ -109,9 +109,9 @@
             request=self._context.new_request_id(),
             address=self._address,
             method="POST",
-            path=protocol.WATCH_PATH,
+            path=request_bodies.WATCH_PATH,
             headers={"content-type": "application/json"},
-            body=protocol.watch_body(self._prefix, self._next_revision),
+            body=request_bodies.watch_body(self._prefix, self._next_revision),
             framing=Framing.JSON_LINES,
             timeout=SILENCE_SECONDS,
             allow_retry=True,
--- a/src/yokeline/store/writer.py
+++ b/src/yokeline/store/writer.py
@@ -4,6 +4,10 @@
 lost, the key is read back. If it still has the expected revision, the same compare-and-swap
 is sent again, which is safe: at most one write can follow a revision. If it has moved on, the
 history of the key tells whether this operation is the one that followed.
+
+Yokeline itself never removes a key (a deleted object stays as a value without an object). Who
+removes keys with another tool while a new object is being written can make a lost write be
+made again.
 """
 
 from __future__ import annotations
@@ -17,13 +21,18 @@
 from yokeline.labels.objects import ObjectKind, StoredObject
 from yokeline.server.context import NodeContext
 from yokeline.store.client import KeyValueClient
+from yokeline.store.history import (
+    HistoryWalk,
+    OperationStatus,
+    ReadDone,
+    StatusDone,
+    only_item,
+)
 from yokeline.store.keys import encode_value, object_key, stored_from_item
 from yokeline.store.limits import StoreLimits, backoff_seconds
 from yokeline.store.protocol import KeyValue, RangeResult, SwapResult
 
 DEFAULT_DEADLINE_SECONDS = 10.0
-MAX_HISTORY_STEPS = 16
-"""Later writes of other operators that are walked back over to find an operation."""
 
 
 class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,24 +47,7 @@
     operation: str
 
 
-class OperationStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """What reading back tells of an operation.
-
-    Attributes:
-        applied: True or False where it is certain; None where the store's history no longer
-            tells (or the write may still be on its way).
-        revision: Store revision that it made, if it was applied.
-        current_revision: Revision of the object now; 0 if there is none.
-    """
-
-    operation: str
-    applied: bool | None
-    revision: int = 0
-    current_revision: int = 0
-
-
 WriteDone = Callable[[Result[WriteResult, YokelineError]], None]
-StatusDone = Callable[[Result[OperationStatus, YokelineError]], None]
 
 
 class _Write(msgspec.Struct):
@@ -190,8 +182,8 @@
             if isinstance(result, Failure):
                 done(result)
                 return
-            current = _only_item(result.unwrap())
-            _HistoryWalk(self, key, operation, expected_revision, current, done).start()
+            current = only_item(result.unwrap())
+            self._walk(key, operation, expected_revision, current, done)
 
         self._client.get(key, read)
 
@@ -262,7 +254,7 @@
             if isinstance(result, Failure):
                 self._pause(write, result.failure())
             else:
-                self._examine(write, _only_item(result.unwrap()))
+                self._examine(write, only_item(result.unwrap()))
 
         self._client.get(write.key, done)
 
@@ -292,7 +284,7 @@
             else:
                 self._superseded(write, current)
 
-        _HistoryWalk(self, write.key, write.operation, write.expected, current, done).start()
+        self._walk(write.key, write.operation, write.expected, current, done)
 
     def _superseded(self, write: _Write, current: KeyValue | None) -> None:
         """Another write took the place of this one, which can never be applied now."""
@@ -334,92 +326,22 @@
     def _stored(self, item: KeyValue | None) -> StoredObject | None:
         return None if item is None else stored_from_item(self._store_prefix, item)
 
-    def read_at(
-        self, key: str, revision: int, done: Callable[[Result[RangeResult, YokelineError]], None]
-    ) -> None:
-        """Read a key as it was at a store revision."""
-        self._client.get(key, done, revision=revision)
-
-    def operation_of(self, item: KeyValue) -> str:
-        """Return the operation id in a key's value."""
-        stored = self._stored(item)
-        return "" if stored is None else stored.operation
-
-
-class _HistoryWalk:
-    """Looks through a key's versions for an operation.
-
-    A write that expected no object can only have created the key; any other one is the first
-    version after the expected revision. Yokeline never removes keys; where someone else did,
-    the answer is "not certain" unless a version says it.
-    """
-
-    def __init__(
+    def _walk(
         self,
-        writer: ConfigurationWriter,
         key: str,
         operation: str,
         expected: int | None,
         current: KeyValue | None,
         done: StatusDone,
     ) -> None:
-        self._writer = writer
-        self._key = key
-        self._operation = operation
-        self._expected = expected
-        self._current = current
-        self._done = done
-        self._steps = 0
-
-    def start(self) -> None:
-        """Begin with the key as it stands."""
-        self._step(self._current)
-
-    def _step(self, item: KeyValue | None) -> None:
-        """Look at one version; ask for the one before it unless all is clear."""
-        if item is None:
-            self._finish(applied=None)
-        elif self._writer.operation_of(item) == self._operation:
-            self._finish(applied=True, revision=item.mod_revision)
-        elif self._expected is not None and item.mod_revision < self._expected:
-            self._finish(applied=None)
-        elif item.mod_revision == self._expected:
-            # Still (or again) what was expected: only a later version could be the write's.
-            self._finish(applied=None if item is self._current else False)
-        elif item.mod_revision == item.create_revision:
-            self._finish(applied=False if self._expected == 0 else None)
-        elif self._steps >= MAX_HISTORY_STEPS:
-            self._finish(applied=None)
-        else:
-            self._steps += 1
-            earlier = item.create_revision if self._expected == 0 else item.mod_revision - 1
-            self._writer.read_at(self._key, earlier, lambda result: self._arrived(item, result))
+        def read_at(key: str, revision: int, arrived: ReadDone) -> None:
+            self._client.get(key, arrived, revision=revision)
 
-    def _arrived(self, later: KeyValue, result: Result[RangeResult, YokelineError]) -> None:
-        if isinstance(result, Failure):
-            if result.failure().kind is ErrorKind.BACKEND_FAILED:  # compacted
-                self._finish(applied=None)
-            else:
-                self._done(result)
-            return
-        earlier = _only_item(result.unwrap())
-        if earlier is not None and earlier.mod_revision >= later.mod_revision:
-            self._finish(applied=None)  # the store does not read at old revisions
-            return
-        self._step(earlier)
-
-    def _finish(self, *, applied: bool | None, revision: int = 0) -> None:
-        status = OperationStatus(
-            operation=self._operation,
-            applied=applied,
-            revision=revision,
-            current_revision=self._current.mod_revision if self._current else 0,
-        )
-        self._done(Success(status))
+        HistoryWalk(read_at, self._operation_of, key, operation, expected, current, done).start()
 
-
-def _only_item(found: RangeResult) -> KeyValue | None:
-    return found.items[0] if found.items else None
+    def _operation_of(self, item: KeyValue) -> str:
+        stored = self._stored(item)
+        return "" if stored is None else stored.operation
 
 
 def _precondition_failed(write: _Write, stored: StoredObject | None) -> YokelineError:
--- a/tests/unit/labels/test_view.py
+++ b/tests/unit/labels/test_view.py
@@ -111,6 +111,21 @@
             view.with_objects([gone(ObjectKind.TOOL, 9, "clubs")]).invalid()[0], view.invalid()[0]
         )
 
+    def test_keys_of_a_later_version_are_left_out(self) -> None:
+        later = stored(ObjectKind.TENANT, 7, name="dallim", colour="red", tokens=[])
+        self.assertIsNone(self.view.with_objects([later]).token(DIGEST))
+        self.assertEqual(self.view.with_objects([later]).tenant("dallim").tokens, ())
+
+    def test_the_order_by_revision_is_kept_through_changes(self) -> None:
+        view = self.view
+        for revision in range(7, 30):
+            view.stored_objects()
+            name = f"t{revision % 5}"
+            view = view.with_objects([stored(ObjectKind.TENANT, revision, name=name)])
+            fresh = ConfigurationView().with_objects(view._objects.values())
+            self.assertEqual(view.stored_objects(), fresh.stored_objects())
+        self.assertEqual([item.revision for item in view.objects_after(26)], [27, 28, 29])
+
 
 class PolicyTest(unittest.TestCase):
     def resolve(self, *policies: StoredObject):
--- a/tests/unit/settings/test_loader.py
+++ b/tests/unit/settings/test_loader.py
@@ -11,7 +11,12 @@
 
 from yokeline.errors import ErrorKind
 from yokeline.settings import Settings
-from yokeline.settings_docs import NO_DEFAULT, describe_settings, render_configuration_page
+from yokeline.settings_docs import (
+    NO_DEFAULT,
+    describe_objects,
+    describe_settings,
+    render_configuration_page,
+)
 from yokeline.settings_loader import load_settings
 
 GOOD = '[node]\nname = "n1"\nhost = "10.0.0.1"\n'
@@ -106,6 +111,11 @@
         self.assertEqual(keys, expected)
         self.assertEqual([row.key for row in rows if not row.docs], [])
         self.assertEqual([row.key for row in rows if row.default == NO_DEFAULT], ["name"])
+        objects = {(row.section, row.key): row for row in describe_objects()}
+        self.assertIn(("tenants", "tokens[].digest"), objects)
+        self.assertIn("tokens", objects["policies", "budget.tokens"].key)
+        undocumented = [key for key, row in objects.items() if not row.docs]
+        self.assertLessEqual({key.rpartition(".")[0] for _, key in undocumented}, {"budget"})
         page = render_configuration_page()
         self.assertIn("| consensus | `heartbeat_seconds` | a number > 0 | `0.25` |", page)
 
--- a/tests/unit/store/test_client.py
+++ b/tests/unit/store/test_client.py
@@ -9,7 +9,8 @@
 from tests.unit.store.bench import Bench
 from yokeline.emulator.settings import StoreSettings
 from yokeline.errors import Execution
-from yokeline.store.protocol import decode_range, decode_watch_line, prefix_end
+from yokeline.store.protocol import decode_range, decode_watch_line
+from yokeline.store.request_bodies import prefix_end
 
 
 class ClientTest(unittest.TestCase):
--- a/tests/unit/store/test_writer.py
+++ b/tests/unit/store/test_writer.py
@@ -84,6 +84,16 @@
         self.assertIs(self.error_of(outcome).kind, ErrorKind.PRECONDITION_FAILED)
         self.assertEqual(applied_values(self.bench, "op-1"), 0)
 
+    def test_a_lost_write_whose_history_is_gone_stays_unknown(self) -> None:
+        start = self.revision_of(self.put(tenant("club", 1), 0, "op-0"))
+        self.bench.faults(lose_answers=1)
+        outcome = self.put(tenant("club", 2), start, "op-1")
+        stored = self.bench.store.books[-1].revision
+        self.revision_of(self.put(tenant("club", 3), stored, "op-2", self.other))
+        self.bench.store.state.compact(self.bench.store.state.revision)
+        self.bench.run(3.0)
+        self.assertIs(self.error_of(outcome).kind, ErrorKind.OUTCOME_UNKNOWN)
+
     def test_the_same_operation_again_is_the_same_write(self) -> None:
         first = self.revision_of(self.put(tenant("club", 1), 0, "op-1"))
         self.revision_of(self.put(tenant("club", 2), first, "op-2"))
