--- a/benchmarks/scale/memory.py
+++ b/benchmarks/scale/memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import gc
 import time
 import tracemalloc
@@ -53,7 +54,7 @@
 def _runs() -> None:
     for turns in (0, 5, 20, 80):
         made: list[RunStateMachine] = []
-        used = _bytes_of(lambda turns=turns: made.append(_machine(turns)))  # type: ignore[misc]
+        used = _bytes_of(functools.partial(_add_machine, made, turns))
         started = time.thread_time()
         data = made[0].snapshot()
         snapshot_seconds = time.thread_time() - started
@@ -69,6 +70,10 @@
         )
 
 
+def _add_machine(made: list[RunStateMachine], turns: int) -> None:
+    made.append(_machine(turns))
+
+
 def _machine(turns: int) -> RunStateMachine:
     """Return a shard's state with some runs, each with its own texts."""
     machine = RunStateMachine()
--- a/src/yokeline/cli.py
+++ b/src/yokeline/cli.py
@@ -12,7 +12,15 @@
 import defopt
 
 from yokeline import __version__
-from yokeline.commands import cluster, configuration, emulate, experiment, node, runs
+from yokeline.commands import (
+    cluster,
+    configuration,
+    emulate,
+    experiment,
+    node,
+    recover,
+    runs,
+)
 from yokeline.errors import EXIT_FAILURE, EXIT_USAGE, ErrorKind, YokelineError, YokelineException
 
 PROGRAM = "yokeline"
@@ -22,7 +30,7 @@
     "Exit codes: 0 ok, 1 failure, 2 wrong usage or settings. "
     "Commands towards a node take --url and --token (or YOKELINE_URL and YOKELINE_TOKEN)."
 )
-REPEATED_FLAGS = ("--set", "--label")
+REPEATED_FLAGS = ("--set", "--label", "--shard")
 """Flags that may be given several times, each with one value."""
 
 Command = Callable[..., int]
@@ -51,6 +59,7 @@
     "shards": cluster.shards,
     "engines": cluster.engines,
     "drain": cluster.drain,
+    "recover": recover.recover,
 }
 """Each new command has its module in ``yokeline.commands`` and one line here."""
 
--- a/src/yokeline/commands/client.py
+++ b/src/yokeline/commands/client.py
@@ -51,6 +51,10 @@
         self._host, self._port = _host_and_port(url)
         self._token = token
 
+    def towards(self, url: str) -> Client:
+        """Return a client of another node with the same token."""
+        return Client(url, self._token)
+
     def request(
         self,
         method: str,
--- a/src/yokeline/commands/experiment.py
+++ b/src/yokeline/commands/experiment.py
@@ -18,6 +18,7 @@
     ablate: bool = False,
     json: bool = False,
     plot: str = "",
+    engine: str = "",
     live: str = "",
     token: str = "",
     program: str = "",
@@ -46,6 +47,8 @@
         ablate: Measure also the product's policy with each mechanism switched off alone.
         json: Print the report as JSON.
         plot: Folder for plots.
+        engine: TOML file with the engines' parameters, as for yokeline emulate engine; a
+            70-billion-parameter model on two accelerators if left out.
         live: URL of a node on this machine; the request rate is then load times saturation
             times time scale, with a saturation of 1 if left out.
         token: Bearer token for --live; YOKELINE_TOKEN if left out.
@@ -69,6 +72,7 @@
         ablate=ablate,
         as_json=json,
         plot=plot,
+        engine=engine,
     )
     if not live:
         return run_simulated(choice)
--- a/src/yokeline/commands/node.py
+++ b/src/yokeline/commands/node.py
@@ -7,11 +7,12 @@
 import sys
 import time
 
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
 from yokeline.effects import Address
 from yokeline.errors import EXIT_OK, ErrorKind, YokelineError, YokelineException
 from yokeline.logs import set_up_logs
+from yokeline.node.data_folder import read_all
 from yokeline.node.limits import ServerLimits, TransportLimits
 from yokeline.node.process import ServiceBinding, run_service
 from yokeline.settings import Settings
@@ -55,8 +56,19 @@
     _set_up_logs(settings)
     source = random.Random(secrets.randbits(SEED_BITS))
     now = time.monotonic()
-    built = build_node(settings, source=source, now=now, wall_offset=time.time() - now)
     section = settings.node
+    files: Result[dict[str, bytes], YokelineError] = Success({})
+    if section.data_folder:
+        files = read_all(section.data_folder)
+    if isinstance(files, Failure):
+        raise YokelineException(files.failure())
+    built = build_node(
+        settings,
+        source=source,
+        now=now,
+        wall_offset=time.time() - now,
+        files=files.unwrap(),
+    )
     binding = ServiceBinding(
         http=Address(section.host, section.http_port),
         peer=Address(section.host, section.peer_port),
--- a/src/yokeline/consensus/group.py
+++ b/src/yokeline/consensus/group.py
@@ -149,6 +149,11 @@
         """The latest snapshot, from :meth:`compact` or from a leader."""
         return self._state.snapshot
 
+    def entries_after(self, index: int) -> tuple[LogEntry, ...]:
+        """Return the entries after ``index`` that are in the log, committed or not."""
+        log = self._state.log
+        return log.between(max(index, log.base_index) + 1, log.last_index)
+
     def may_change_members(self) -> bool:
         """Return whether :meth:`add_member` or :meth:`remove_member` would be taken now."""
         return self._roles.leadership is not None and self._roles.leadership.may_change_members
--- a/src/yokeline/consensus/progress.py
+++ b/src/yokeline/consensus/progress.py
@@ -48,6 +48,7 @@
         "commit_known",
         "contact_at",
         "departs_at",
+        "first_round",
         "follower",
         "match_index",
         "next_index",
@@ -60,9 +61,20 @@
         "waiting_since",
     )
 
-    def __init__(self, follower: ReplicaId, next_index: int, now: float) -> None:
-        """Start by probing at the end of the leader's log."""
+    def __init__(
+        self, follower: ReplicaId, next_index: int, now: float, *, first_round: int
+    ) -> None:
+        """Start by probing at the end of the leader's log.
+
+        Args:
+            follower: The follower.
+            next_index: Index of the first entry to send.
+            now: Current time; the first message is due.
+            first_round: Answers to earlier rounds are none of this membership: a replica
+                that was removed and added again may have lost its log in between.
+        """
         self.follower = follower
+        self.first_round = first_round
         self.state = ProgressState.PROBE
         self.match_index = 0
         self.next_index = next_index
--- a/src/yokeline/consensus/replication.py
+++ b/src/yokeline/consensus/replication.py
@@ -56,9 +56,8 @@
     def tell_removed(self, replica: ReplicaId, now: float) -> None:
         """Replicate to a replica outside the group until it knows that it was removed."""
         if replica not in self._progress:
-            progress = Progress(replica, self._state.log.last_index, now)
+            progress = self._start(replica, now)
             progress.departs_at = now + self._departure_seconds()
-            self._progress[replica] = progress
 
     def nudge(self, replica: ReplicaId, now: float) -> None:
         """Let a follower that doubts its leader hear from us at the next tick."""
@@ -75,12 +74,21 @@
             progress.next_send_at = min(progress.next_send_at, soon)
 
     def _keep(self, member: ReplicaId, now: float) -> None:
+        """Replicate to a member; one that was removed and comes back starts anew."""
         progress = self._progress.get(member)
-        if progress is None:
-            next_index = max(self._state.log.last_index, self._state.log.first_index)
-            self._progress[member] = Progress(member, next_index, now)
-        else:
-            progress.departs_at = None
+        if progress is None or progress.departs_at is not None:
+            self._start(member, now)
+
+    def _start(self, replica: ReplicaId, now: float) -> Progress:
+        log = self._state.log
+        progress = Progress(
+            replica,
+            max(log.last_index, log.first_index),
+            now,
+            first_round=self.current_round + 1,
+        )
+        self._progress[replica] = progress
+        return progress
 
     def _departure_seconds(self) -> float:
         return DEPARTURE_TIMEOUTS * self._state.settings.election_timeout_seconds
@@ -130,7 +138,7 @@
 
     def on_append_reply(self, message: AppendReply, now: float) -> None:
         """Take a follower's answer of this term in, and send what it lacks."""
-        progress = self._progress.get(message.follower)
+        progress = self._answering(message)
         if progress is None:
             return
         progress.answered(message.round, self._sender.rounds.sent_at(message.round), now)
@@ -143,7 +151,7 @@
 
     def on_snapshot_reply(self, message: SnapshotReply, now: float) -> None:
         """Take the answer to a chunk in, and send the next one or go on with the log."""
-        progress = self._progress.get(message.follower)
+        progress = self._answering(message)
         if progress is None:
             return
         progress.answered(message.round, self._sender.rounds.sent_at(message.round), now)
@@ -154,6 +162,13 @@
             self._continue_snapshot(progress, sender, message, now)
         self._sender.schedule(progress, now)
 
+    def _answering(self, message: AppendReply | SnapshotReply) -> Progress | None:
+        """Return whose progress an answer is about; None for one of an earlier membership."""
+        progress = self._progress.get(message.follower)
+        if progress is None or message.round < progress.first_round:
+            return None
+        return progress
+
     def _continue_snapshot(
         self, progress: Progress, sender: SnapshotSender, message: SnapshotReply, now: float
     ) -> None:
--- a/src/yokeline/experiment/dispatcher.py
+++ b/src/yokeline/experiment/dispatcher.py
@@ -10,6 +10,7 @@
 from yokeline.emulator.engine.calls import EngineOutput as Output
 from yokeline.experiment.cache_actions import CacheActions
 from yokeline.experiment.fleet import Fleet
+from yokeline.experiment.metrics import CallSeconds
 from yokeline.scheduling.interface import CallDemand, EngineChoice, SchedulingPolicy
 
 MAX_FAILED_CHOICES = 16
@@ -30,11 +31,16 @@
     demand: CallDemand
     call: EngineCall
     done: simpy.Event
-    engine: str = ""
+    sent_at: float = 0.0
+    first_token_at: float = 0.0
 
 
 class Dispatcher:
-    """The queue of waiting calls and the calls under way."""
+    """The queue of waiting calls and the calls under way.
+
+    Attributes:
+        seconds: Where the time of the calls that ended went.
+    """
 
     def __init__(
         self,
@@ -48,6 +54,7 @@
         self._policy = policy
         self._fleet = fleet
         self._actions = actions
+        self.seconds = CallSeconds()
         self._waiting: list[PendingCall] = []
         self._sent: dict[str, PendingCall] = {}
         self._pump_scheduled = False
@@ -57,7 +64,10 @@
         done = self._environment.event()
         known = self._fleet.ledger.with_expected_answer(demand)
         pending = PendingCall(demand=known, call=call, done=done)
-        if self._waiting or not self._try_send(pending):
+        if self._waiting:
+            self._waiting.append(pending)
+            self.pump_soon()
+        elif not self._try_send(pending):
             self._waiting.append(pending)
         return done
 
@@ -72,12 +82,19 @@
         if isinstance(output, CallProgress):
             pending = self._sent.get(output.call_id)
             if pending is not None:
+                pending.first_token_at = output.at
                 self._actions.resumed(pending.demand, engine)
         elif isinstance(output, CallEnded):
             pending = self._sent.pop(output.call_id)
+            self._count(pending, output.at)
             pending.done.succeed(CallOutcome(engine=engine, usage=output.usage))
             self.pump_soon()
 
+    def _count(self, pending: PendingCall, ended_at: float) -> None:
+        self.seconds.queue += pending.sent_at - pending.demand.waiting_since
+        self.seconds.first_token += pending.first_token_at - pending.sent_at
+        self.seconds.decode += ended_at - pending.first_token_at
+
     def _pump(self) -> None:
         self._pump_scheduled = False
         now = self._environment.now
@@ -103,7 +120,7 @@
 
     def _send(self, pending: PendingCall, engine: str) -> None:
         demand, now = pending.demand, self._environment.now
-        pending.engine = engine
+        pending.sent_at = now
         priority = self._policy.engine_priority(demand, now)
         call = msgspec.structs.replace(pending.call, priority=priority)
         self._sent[call.call_id] = pending
--- a/src/yokeline/experiment/engines.py
+++ b/src/yokeline/experiment/engines.py
@@ -20,6 +20,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import simpy
 
 from yokeline.emulator.engine.books import ContextHistory
@@ -46,6 +47,18 @@
 """Only the first token of a stream is reported (``steps_per_event``): nobody reads the text.
 The queue is long enough to refuse nothing, so that no baseline loses calls by it."""
 
+
+def for_experiments(parameters: EngineParameters) -> EngineParameters:
+    """Return an engine's parameters with what experiments need (see :data:`AGENT_ENGINE`)."""
+    return msgspec.structs.replace(
+        parameters,
+        models=AGENT_ENGINE.models,
+        queue_limit=AGENT_ENGINE.queue_limit,
+        steps_per_event=AGENT_ENGINE.steps_per_event,
+        books_limit=AGENT_ENGINE.books_limit,
+    )
+
+
 OutputHandler = Callable[[str, EngineOutput], None]
 
 
--- a/src/yokeline/experiment/live.py
+++ b/src/yokeline/experiment/live.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from yokeline.commands.client import ERROR_STATUS, Client, path_of
+from yokeline.commands.client import ERROR_STATUS, Client, error_of, path_of
 from yokeline.errors import ErrorKind, YokelineError, YokelineException
 from yokeline.experiment.metrics import MILLISECONDS, histogram
 from yokeline.experiment.script import Arrival, ChildUse, ToolUse, Turn
@@ -143,7 +143,7 @@
     except YokelineException as error:
         return error.error.kind.value
     if reply.status >= ERROR_STATUS:
-        return f"status {reply.status}"
+        return error_of(reply).kind.value
     status = str(reply.json().get("status", ""))
     return "" if status in ("succeeded", "idle") else status
 
--- a/src/yokeline/experiment/program_run.py
+++ b/src/yokeline/experiment/program_run.py
@@ -9,8 +9,10 @@
 import simpy
 
 from yokeline.emulator.engine.calls import EngineCall
+from yokeline.emulator.engine.parameters import EngineParameters
 from yokeline.emulator.engine.prompt import Prompt
 from yokeline.emulator.engine.script import Answer
+from yokeline.experiment.bound import turn_seconds
 from yokeline.experiment.cache_actions import CacheActions
 from yokeline.experiment.dispatcher import CallOutcome, Dispatcher
 from yokeline.experiment.engines import MODEL_NAME
@@ -76,7 +78,7 @@
         dispatcher: Dispatcher,
         actions: CacheActions,
         *,
-        block_tokens: int,
+        parameters: EngineParameters,
         tool_timeout_seconds: float,
         horizon_seconds: float,
         idle_seconds: float,
@@ -87,7 +89,7 @@
         self._environment = environment
         self._dispatcher = dispatcher
         self._actions = actions
-        self._block_tokens = block_tokens
+        self._parameters = parameters
         self._tool_timeout_seconds = tool_timeout_seconds
         self._horizon_seconds = horizon_seconds
         self._idle_seconds = idle_seconds
@@ -127,6 +129,9 @@
             issued_at=self._environment.now,
             deadline_seconds=script.deadline_seconds,
             worth=script.worth,
+            alone_seconds=turn_seconds(
+                turn, run.prompt.tokens, self._parameters, self._tool_timeout_seconds
+            ),
         )
         self.records.append(record)
         state.issued_at = record.issued_at
@@ -249,7 +254,7 @@
     def _system_prompt(self, script: ProgramScript) -> Prompt:
         known = self._system_prompts.get(script.program)
         if known is None:
-            empty = empty_prompt(script.tenant, self._block_tokens)
+            empty = empty_prompt(script.tenant, self._parameters.block_tokens)
             words = segment_words(f"system/{script.program}", script.system_tokens)
             known = self._system_prompts[script.program] = extended(empty, words)
         return known
--- a/src/yokeline/gateway/admin.py
+++ b/src/yokeline/gateway/admin.py
@@ -93,15 +93,15 @@
 
     def list_nodes(self, call: ApiCall) -> None:
         """``GET /admin/v1/nodes``."""
-        self._reply_items(call, self._parts.admin.nodes())
+        self.reply_items(call, self._parts.admin.nodes())
 
     def list_shards(self, call: ApiCall) -> None:
         """``GET /admin/v1/shards``."""
-        self._reply_items(call, self._parts.admin.shards())
+        self.reply_items(call, self._parts.admin.shards())
 
     def list_engines(self, call: ApiCall) -> None:
         """``GET /admin/v1/engines``."""
-        self._reply_items(call, self._parts.admin.engines())
+        self.reply_items(call, self._parts.admin.engines())
 
     def list_tenant_runs(self, call: ApiCall) -> None:
         """``GET /admin/v1/runs``."""
@@ -186,7 +186,8 @@
         headers = {"content-type": JSON_TYPE}
         self._table.reply(call.exchange, STATUS_OK, headers, openapi_json())
 
-    def _reply_items(self, call: ApiCall, items: Sequence[msgspec.Struct]) -> None:
+    def reply_items(self, call: ApiCall, items: Sequence[msgspec.Struct]) -> None:
+        """Answer with the page of ``items`` that is asked for."""
         page = value_of(parse_page(call.request.query))
         if page.after and not page.after.isdecimal():
             raise YokelineException(
--- a/src/yokeline/gateway/gateway.py
+++ b/src/yokeline/gateway/gateway.py
@@ -32,6 +32,7 @@
     unknown_run,
 )
 from yokeline.gateway.public import PublicApi
+from yokeline.gateway.recovery import RecoveryApi
 from yokeline.gateway.requests import IDEMPOTENCY_KEY_HEADER
 from yokeline.gateway.routes import Access, NoMatch, Route, find_route
 from yokeline.gateway.timers import Timers
@@ -171,6 +172,7 @@
     public = PublicApi(parts)
     lister = RunLister(parts)
     admin = AdminApi(parts, lister)
+    recovery = RecoveryApi(parts, admin)
     objects = ObjectApi(parts)
     return {
         "start_run": public.start_run,
@@ -181,6 +183,8 @@
         "list_runs": lister.list_own,
         "list_nodes": admin.list_nodes,
         "list_shards": admin.list_shards,
+        "list_copies": recovery.list_copies,
+        "recover_shard": recovery.recover_shard,
         "list_engines": admin.list_engines,
         "list_tenant_runs": admin.list_tenant_runs,
         "read_revisions": admin.read_revisions,
--- a/src/yokeline/gateway/interfaces.py
+++ b/src/yokeline/gateway/interfaces.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 from returns.result import Result
 
 from yokeline.errors import YokelineError
+from yokeline.gateway.requests import RecoverBody
 from yokeline.identifiers import RequestId, ShardId
 from yokeline.labels.objects import ObjectKind
 from yokeline.labels.view import ConfigurationView
@@ -17,6 +18,7 @@
 from yokeline.store.writer import StatusDone, WriteDone
 
 OperationDone = Callable[[Result[OperationResult, YokelineError]], None]
+RecoveryDone = Callable[[Result[Any, YokelineError]], None]
 EventsReceived = Callable[[tuple[RunEvent, ...]], None]
 
 
@@ -71,6 +73,14 @@
         """Return the shards with their leaders as far as they are known here."""
         ...
 
+    def copies(self) -> Sequence[msgspec.Struct]:
+        """Return the copies of shards that this node holds for a recovery."""
+        ...
+
+    def recover(self, shard: ShardId, body: RecoverBody, done: RecoveryDone) -> None:
+        """Start a shard that lost its majority from a copy; ``done`` is called once."""
+        ...
+
     def engines(self) -> Sequence[msgspec.Struct]:
         """Return the engines with their load as far as it is known here."""
         ...
--- a/src/yokeline/gateway/requests.py
+++ b/src/yokeline/gateway/requests.py
@@ -53,6 +53,23 @@
     wait: bool | None = None
 
 
+class RecoverBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Body of ``POST /admin/v1/shards/{shard}/recover``.
+
+    Attributes:
+        last_term: Term of the last entry of the copy to start from, as listed at this node.
+        last_index: Its index.
+        seen_term: Highest term of the shard that any node has told.
+        doubt_seconds: Time for which requests that may have run before are not sent; as long
+            as a key is remembered if left out.
+    """
+
+    last_term: int
+    last_index: int
+    seen_term: int = 0
+    doubt_seconds: float | None = None
+
+
 class RunInput(msgspec.Struct, frozen=True, kw_only=True):
     """A run's input.
 
--- a/src/yokeline/gateway/routes.py
+++ b/src/yokeline/gateway/routes.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from yokeline.gateway.requests import RunBody, TurnBody
+from yokeline.gateway.requests import RecoverBody, RunBody, TurnBody
 
 OBJECT_KINDS = "{kind}"
 
@@ -144,6 +144,22 @@
         summary="List the shards and their leaders",
         query=PAGE,
     ),
+    Route(
+        method="GET",
+        template="/admin/v1/recovery",
+        handler="list_copies",
+        access=Access.PLATFORM,
+        summary="List the copies of shards at this node, for the loss of a majority",
+        query=PAGE,
+    ),
+    Route(
+        method="POST",
+        template="/admin/v1/shards/{shard}/recover",
+        handler="recover_shard",
+        access=Access.PLATFORM,
+        summary="Start a shard that lost its majority from this node's copy; may lose runs",
+        body=RecoverBody,
+    ),
     Route(
         method="GET",
         template="/admin/v1/engines",
--- a/src/yokeline/runs/executor.py
+++ b/src/yokeline/runs/executor.py
@@ -8,7 +8,14 @@
 from yokeline.runs.cache_actions import CacheActions
 from yokeline.runs.core import ExecutorCore
 from yokeline.runs.driver import RunDriver
-from yokeline.runs.model import CancelRun, Command, ForgetRuns, Run, RunStatus
+from yokeline.runs.model import (
+    CancelRun,
+    Command,
+    ForgetRuns,
+    RecoverShard,
+    Run,
+    RunStatus,
+)
 from yokeline.runs.ports import (
     Configuration,
     EventsHandler,
@@ -102,6 +109,8 @@
         if isinstance(command, ForgetRuns):
             self._watchers.runs_forgotten(command.runs)
             return
+        if isinstance(command, RecoverShard):
+            return  # Comes before anybody leads the recovered group.
         run = self._core.find(shard, command.run)
         if run is None:
             return
--- a/src/yokeline/runs/model.py
+++ b/src/yokeline/runs/model.py
@@ -328,6 +328,24 @@
     wall: float
 
 
+class RecoverShard(msgspec.Struct, frozen=True, kw_only=True, tag="recover_shard"):
+    """First command of a group that was started anew from a copy; see ``runs.recovery``.
+
+    Attributes:
+        copy_of: The process start whose copy it was.
+        last_index: Last log entry of the copy.
+        wall: Wall seconds of the recovery.
+        keyed_until_wall: Until then a request with a key may be one that was lost.
+        unkeyed_until_wall: The same for a request without one.
+    """
+
+    copy_of: ReplicaId
+    last_index: int
+    wall: float
+    keyed_until_wall: float
+    unkeyed_until_wall: float
+
+
 Command = (
     CreateRun
     | AddTurn
@@ -337,4 +355,5 @@
     | FinishRun
     | CancelRun
     | ForgetRuns
+    | RecoverShard
 )
--- a/src/yokeline/runs/snapshot.py
+++ b/src/yokeline/runs/snapshot.py
@@ -9,23 +9,32 @@
 
 from yokeline.identifiers import RunId
 from yokeline.runs.model import Run
+from yokeline.runs.recovery import Doubt
 
 
-class _Snapshot(msgspec.Struct, frozen=True):
+class ShardContent(msgspec.Struct, frozen=True):
+    """All state of a shard.
+
+    Attributes:
+        runs: In the order of their ids.
+        doubt: What is in doubt since the shard was recovered from a copy.
+    """
+
     runs: tuple[Run, ...]
+    doubt: Doubt = Doubt()
 
 
-def encode_runs(runs: Mapping[RunId, Run]) -> bytes:
-    """Return all runs as bytes, in the order of their ids: equal runs give equal bytes."""
+def encode_runs(runs: Mapping[RunId, Run], doubt: Doubt) -> bytes:
+    """Return a shard's state as bytes: equal states give equal bytes."""
     ordered = tuple(runs[run] for run in sorted(runs))
-    return ormsgpack.packb(msgspec.to_builtins(_Snapshot(ordered)))
+    return ormsgpack.packb(msgspec.to_builtins(ShardContent(ordered, doubt)))
 
 
-def decode_runs(data: bytes) -> dict[RunId, Run]:
-    """Return the runs that :func:`encode_runs` was given.
+def decode_runs(data: bytes) -> ShardContent:
+    """Return the state that :func:`encode_runs` was given.
 
     Raises:
         msgspec.ValidationError: The bytes are no such snapshot.
+        ormsgpack.MsgpackDecodeError: They are not even MessagePack.
     """
-    snapshot = msgspec.convert(ormsgpack.unpackb(data), _Snapshot)
-    return {run.run: run for run in snapshot.runs}
+    return msgspec.convert(ormsgpack.unpackb(data), ShardContent)
--- a/src/yokeline/runs/state_machine.py
+++ b/src/yokeline/runs/state_machine.py
@@ -37,6 +37,7 @@
     CreateRun,
     FinishRun,
     ForgetRuns,
+    RecoverShard,
     RefuseRun,
     Reservation,
     Role,
@@ -44,6 +45,13 @@
     RunStatus,
     Usage,
 )
+from yokeline.runs.recovery import (
+    Doubt,
+    goes_on,
+    is_under_way,
+    lost_with_majority,
+    turn_lost_with_majority,
+)
 from yokeline.runs.snapshot import decode_runs, encode_runs
 from yokeline.runs.tree import ancestors, descendants
 
@@ -68,11 +76,13 @@
 
     Attributes:
         runs: Runs by id. Read only for everybody else.
+        doubt: What is in doubt since the shard was recovered from a copy.
     """
 
     def __init__(self) -> None:
         """Create a shard without runs."""
         self.runs: dict[RunId, Run] = {}
+        self.doubt = Doubt()
 
     def apply(self, command: Command) -> ApplyResult:
         """Apply one committed command.
@@ -100,18 +110,22 @@
                 return self.transition_cancel_run(command)
             case ForgetRuns():
                 return self.transition_forget_runs(command)
+            case RecoverShard():
+                return self.transition_recover_shard(command)
             case _:
                 assert_never(command)
 
     def snapshot(self) -> bytes:
         """Return the whole state as bytes; equal states give equal bytes."""
-        return encode_runs(self.runs)
+        return encode_runs(self.runs, self.doubt)
 
     @classmethod
     def restore(cls, data: bytes) -> RunStateMachine:
         """Return the state machine that a snapshot was taken of."""
         machine = cls()
-        machine.runs = decode_runs(data)
+        content = decode_runs(data)
+        machine.runs = {run.run: run for run in content.runs}
+        machine.doubt = content.doubt
         return machine
 
     # ------------------------------------------------------------ transitions
@@ -129,7 +143,10 @@
             parent.children += 1
         elif root_run_id(command.run) != command.run:
             return _rejected(command.run, conflict(command.run, "a child names its parent"))
-        self.runs[command.run] = created_run(command)
+        run = created_run(command)
+        self.runs[command.run] = run
+        if command.parent is None and self.doubt.covers_request(command.spec, command.wall):
+            self._end_in_doubt(run, command.wall)
         return ApplyResult(accepted=True, run=command.run, created=True)
 
     def transition_add_turn(self, command: AddTurn) -> ApplyResult:
@@ -141,6 +158,8 @@
             return _checked(command.run, rules.check_same_turn(run, command))
         if run.status is not RunStatus.IDLE:
             return _rejected(command.run, conflict(run.run, f"the run is {run.status.value}"))
+        if self.doubt.covers_turn(run, command.wall):
+            return _rejected(command.run, turn_lost_with_majority())
         run.history.append(ChatMessage(role=Role.USER, content=command.input))
         run.turn += 1
         run.turn_keys.append(command.turn_key)
@@ -252,6 +271,18 @@
                 del self.runs[member.run]
         return ApplyResult(accepted=True, run=None)
 
+    def transition_recover_shard(self, command: RecoverShard) -> ApplyResult:
+        """End what may have gone further than the copy knows, and note what is in doubt."""
+        self.doubt = self.doubt.after(command)
+        for root in [run for run in self.runs.values() if run.parent is None]:
+            tree = descendants(self.runs, root)
+            if goes_on(tree):
+                continue
+            for member in reversed(tree):
+                if is_under_way(member):
+                    self._end_in_doubt(member, command.wall)
+        return ApplyResult(accepted=True, run=None)
+
     # ------------------------------------------------------------ parts of transitions
 
     def _supersede(self, run: Run, call: CallRecord) -> None:
@@ -273,6 +304,14 @@
             self._abandon_call(run, call, command.wall)
         end_run(run, status, command.wall)
 
+    def _end_in_doubt(self, run: Run, wall: float) -> None:
+        """End a run of which nobody knows how far it went."""
+        set_answer(run, "", lost_with_majority())
+        call = rules.call_under_way(run)
+        if call is not None:
+            self._abandon_call(run, call, wall)
+        end_run(run, RunStatus.OUTCOME_UNKNOWN, wall)
+
     def _leaves_doubt(self, call: CallRecord) -> bool:
         """Return whether a call under way may have an effect that will not be undone."""
         if call.kind is not CallKind.CHILD:
--- a/src/yokeline/runs/watchers.py
+++ b/src/yokeline/runs/watchers.py
@@ -38,6 +38,10 @@
         self.on_events: EventsHandler | None = None
         self.timer: Timer | None = None
 
+    def waits_for_text(self) -> bool:
+        """Return whether it watches and has no text of the current call yet."""
+        return self.cursor is not None and self.cursor.offset == 0
+
 
 class Watchers:
     """All waiting callers of the shards that this node leads."""
@@ -84,8 +88,15 @@
             self._update(watcher, run)
 
     def text_arrived(self, run: RunId) -> None:
-        """Tell the callers of a run about new text soon, together with what follows."""
-        if run not in self._by_run:
+        """Tell the callers of a run about new text soon, together with what follows.
+
+        The first text of a call is not held back: callers wait for it.
+        """
+        waiting = self._by_run.get(run)
+        if waiting is None:
+            return
+        if any(watcher.waits_for_text() for watcher in waiting.values()):
+            self._tell(run)
             return
         self._grown[run] = None
         if self._flush_timer is None:
@@ -97,10 +108,13 @@
         grown = list(self._grown)
         self._grown.clear()
         for run_id in grown:
-            for watcher in list(self._by_run.get(run_id, {}).values()):
-                run = self._core.find(watcher.shard, run_id)
-                if run is not None:
-                    self._update(watcher, run)
+            self._tell(run_id)
+
+    def _tell(self, run_id: RunId) -> None:
+        for watcher in list(self._by_run.get(run_id, {}).values()):
+            run = self._core.find(watcher.shard, run_id)
+            if run is not None:
+                self._update(watcher, run)
 
     def _update(self, watcher: Watcher, run: Run) -> None:
         if watcher.cursor is None:
--- a/src/yokeline/server/admin.py
+++ b/src/yokeline/server/admin.py
@@ -6,16 +6,22 @@
 
 import msgspec
 
+from yokeline.gateway.interfaces import RecoveryDone
+from yokeline.gateway.requests import RecoverBody
 from yokeline.identifiers import ShardId
 from yokeline.membership.detector import Membership
 from yokeline.membership.view import MemberState
 from yokeline.messages.types import ShardLeader
 from yokeline.scheduling.directory import EngineDirectory, EngineRecord
+from yokeline.server.copy_rows import CopyRow, copy_rows
+from yokeline.server.recovery import RecoveryOrder, ShardRecovery
 from yokeline.shards.host import ShardHost
-from yokeline.shards.status import ShardStatus
+from yokeline.shards.status import ShardState, ShardStatus
 from yokeline.store.client import KeyValueClient
 from yokeline.store.configuration import ConfigurationSync
 
+ELSEWHERE = "elsewhere"
+
 
 class NodeRow(msgspec.Struct, frozen=True, kw_only=True):
     """A node as the answering node sees it."""
@@ -34,7 +40,8 @@
     """A shard as the answering node sees it; details where it holds a replica.
 
     Attributes:
-        state: State of the local replica; ``elsewhere`` where there is none.
+        state: State of the local replica; where there is none, ``elsewhere``, or
+            ``majority_lost`` once this node knows that no quorum is left.
     """
 
     shard: int
@@ -82,8 +89,10 @@
         shard_count: int,
         clock: Callable[[], float],
         drain: Callable[[], None],
+        recovery: ShardRecovery,
+        wall: Callable[[], float],
     ) -> None:
-        """Create the reader; ``clock`` gives the time of the current event."""
+        """Create the reader; ``clock`` and ``wall`` give the time of the current event."""
         self._membership = membership
         self._host = host
         self._directory = directory
@@ -92,6 +101,8 @@
         self._shard_count = shard_count
         self._clock = clock
         self._drain = drain
+        self._recovery = recovery
+        self._wall = wall
 
     def nodes(self) -> tuple[NodeRow, ...]:
         """Return the members of the deployment, dead ones too."""
@@ -131,15 +142,32 @@
                 runs=status.runs,
             )
         leader = self._host.leader_of(shard)
-        if leader is None:
-            return ShardRow(shard=shard, state="elsewhere", leader=None, term=0, members=())
+        lost = self._recovery.is_lost(shard)
+        members = self._host.members_of(shard)
         return ShardRow(
             shard=shard,
-            state="elsewhere",
-            leader=leader.leader,
-            term=leader.term,
-            members=leader.members,
+            state=ShardState.MAJORITY_LOST.value if lost else ELSEWHERE,
+            leader=None if leader is None or lost else leader.leader,
+            term=0 if leader is None else leader.term,
+            members=members,
+            dead=tuple(member for member in members if lost and self._host.is_dead(member)),
+        )
+
+    def copies(self) -> tuple[CopyRow, ...]:
+        """Return the copies of shards that this node holds for a recovery."""
+        shards = [ShardId(number) for number in range(self._shard_count)]
+        name = self._membership.own.name
+        return copy_rows(self._recovery, self._host.copies, shards, name, self._wall())
+
+    def recover(self, shard: ShardId, body: RecoverBody, done: RecoveryDone) -> None:
+        """Start a shard that lost its majority from a copy; ``done`` is called once."""
+        order = RecoveryOrder(
+            last_term=body.last_term,
+            last_index=body.last_index,
+            seen_term=body.seen_term,
+            doubt_seconds=body.doubt_seconds,
         )
+        self._recovery.recover(shard, order, done)
 
     def engines(self) -> tuple[EngineRow, ...]:
         """Return the engines that the configuration and the machine list name."""
@@ -177,7 +205,7 @@
             "yokeline_shards_led": float(len(self._host.led_shards())),
             "yokeline_shard_replicas": float(len(statuses)),
             "yokeline_shards_majority_lost": float(
-                sum(1 for status in statuses if status.state.value == "majority_lost")
+                sum(1 for row in self.shards() if row.state == ShardState.MAJORITY_LOST.value)
             ),
             "yokeline_runs_held": float(sum(status.runs for status in statuses)),
             "yokeline_configuration_revision": float(self._configuration.revision()),
--- a/src/yokeline/server/node.py
+++ b/src/yokeline/server/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from typing import Protocol
 
 import msgspec
@@ -58,8 +59,10 @@
 from yokeline.server.bootstrap import PlacementBootstrap
 from yokeline.server.context import NodeContext
 from yokeline.server.planned_stop import PlannedStop
+from yokeline.server.recovery import ShardRecovery
 from yokeline.server.run_presence import RunPresenceReader
 from yokeline.settings import Settings
+from yokeline.shards.copies import CopySet, read_copies
 from yokeline.shards.host import ShardHost
 from yokeline.shards.router import ShardRouter
 from yokeline.shards.server_side import ShardServer
@@ -92,13 +95,20 @@
         membership: Who is alive.
         configuration: The configuration in force here.
         host: The shard replicas of this node.
+        recovery: Starts shards anew that lost their majority, on an operator's order.
         executor: Drives the runs of the shards that this node leads.
         gateway: The HTTP API.
         stop: The planned stop.
     """
 
     def __init__(
-        self, settings: Settings, *, source: random.Random, now: float, wall_offset: float
+        self,
+        settings: Settings,
+        *,
+        source: random.Random,
+        now: float,
+        wall_offset: float,
+        files: Mapping[str, bytes] | None = None,
     ) -> None:
         """Start a node: a new replica id, no state.
 
@@ -107,6 +117,7 @@
             source: The node's only source of randomness; must differ for each start.
             now: Monotonic seconds.
             wall_offset: Wall seconds minus monotonic seconds.
+            files: Content of the data folder; read only for the copies of lost shards.
         """
         self.settings = settings
         name = NodeName(settings.node.name)
@@ -121,7 +132,7 @@
         self.context.now = now
         self.context.set_peer_sender(self._send_peer)
         self._build_platform_parts()
-        self._build_run_parts()
+        self._build_run_parts(self._read_copies(files or {}))
         self._build_edges()
         self._components: tuple[Component, ...] = (
             self.membership,
@@ -137,6 +148,8 @@
             self.gateway,
             self.stop,
         )
+        # Due at once: the components' first ticks.
+        self._deadline: float | None = now
         self.context.log("node_started", replica=self.replica, zone=settings.node.zone)
 
     # ------------------------------------------------------------ building
@@ -153,10 +166,19 @@
             context, self.store, settings.platform.store_prefix, self.configuration.note_written
         )
 
-    def _build_run_parts(self) -> None:
+    def _read_copies(self, files: Mapping[str, bytes]) -> CopySet:
+        copies = read_copies(files)
+        for shard, damaged in copies.damaged.items():
+            self.context.warn("copy_damaged", shard=shard, error=damaged.error.line())
+        if copies.usable:
+            self.context.log("copies_found", shards=len(copies.usable))
+        return copies
+
+    def _build_run_parts(self, copies: CopySet) -> None:
         settings = self.settings
         context = self.context
-        self.host = ShardHost(context, settings, self.membership)
+        self.host = ShardHost(context, settings, self.membership, copies=copies)
+        self.recovery = ShardRecovery(context, settings, self.store, self.host)
         self.bootstrap = PlacementBootstrap(
             context, settings, self.store, self.membership, self.host, self._any_leader_known
         )
@@ -178,6 +200,7 @@
             self._is_leaving,
         )
         self.host.set_listener(self.executor)
+        self.host.set_hand_over_guard(self.executor.blocks_hand_over)
         self.host.heartbeats.configuration_revision = self.configuration.revision
         self.configuration.on_change(lambda _view: self.engines.refresh())
         self.machine_list.on_change.append(self.engines.refresh)
@@ -206,6 +229,8 @@
             settings.cluster.shards,
             lambda: context.now,
             self.stop.transition_draining,
+            self.recovery,
+            context.wall,
         )
         self.gateway = Gateway(
             context, settings, self.router, self.configuration, self.writer, self.admin
@@ -229,26 +254,25 @@
         """Take one event in and return the effects to carry out, in order."""
         self.context.now = max(now, self.context.now)
         self._dispatch(event)
-        self._tick_due()
+        self._deadline = self._tick_due()
         self.host.flush()
         return self.context.take_outbox()
 
     def next_deadline(self) -> float | None:
         """Return when a tick is due at the latest."""
-        times = [component.next_deadline() for component in self._components]
-        return min((time for time in times if time is not None), default=None)
+        return self._deadline
 
-    def _tick_due(self) -> None:
+    def _tick_due(self) -> float | None:
+        """Tick the components that are due; return when the next one will be."""
         for _ in range(MAX_TICK_ROUNDS):
-            due = [component for component in self._components if self._is_due(component)]
-            if not due:
-                return
-            for component in due:
-                component.tick()
-
-    def _is_due(self, component: Component) -> bool:
-        deadline = component.next_deadline()
-        return deadline is not None and deadline <= self.context.now
+            deadlines = [component.next_deadline() for component in self._components]
+            earliest = min((time for time in deadlines if time is not None), default=None)
+            if earliest is None or earliest > self.context.now:
+                return earliest
+            for component, deadline in zip(self._components, deadlines, strict=True):
+                if deadline is not None and deadline <= self.context.now:
+                    component.tick()
+        return self.context.now
 
     # ------------------------------------------------------------ dispatch
 
@@ -333,7 +357,12 @@
 
 
 def build_node(
-    settings: Settings, *, source: random.Random, now: float, wall_offset: float
+    settings: Settings,
+    *,
+    source: random.Random,
+    now: float,
+    wall_offset: float,
+    files: Mapping[str, bytes] | None = None,
 ) -> Node:
     """Return a node that is ready to be bound; see :class:`Node`."""
-    return Node(settings, source=source, now=now, wall_offset=wall_offset)
+    return Node(settings, source=source, now=now, wall_offset=wall_offset, files=files)
--- a/src/yokeline/shards/disk.py
+++ b/src/yokeline/shards/disk.py
@@ -61,6 +61,11 @@
         """Return the index of the last entry that is stored."""
         return self.entries[-1].index if self.entries else self.snapshot.last_index
 
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry that is stored."""
+        return self.entries[-1].term if self.entries else self.snapshot.last_term
+
 
 class _Records(msgspec.Struct, frozen=True):
     payloads: tuple[bytes, ...]
--- a/src/yokeline/shards/disk_writer.py
+++ b/src/yokeline/shards/disk_writer.py
@@ -3,6 +3,8 @@
 The copies are written behind: nothing waits for them, so they may lack the last moments
 before a crash. A replica is written from the moment on at which it has applied its own
 membership, so that the copy of an earlier process start is not replaced by an emptier one.
+Files that cannot be read, and a copy that a recovery elsewhere has made obsolete, are set
+aside before they are replaced.
 """
 
 from __future__ import annotations
@@ -14,7 +16,15 @@
 from yokeline.effects import DeleteFile, WriteFile
 from yokeline.identifiers import ShardId
 from yokeline.server.context import NodeContext
-from yokeline.shards.disk import encode_entries, encode_snapshot, log_file, snapshot_file
+from yokeline.shards.copies import CopySet, set_aside, set_aside_damaged
+from yokeline.shards.disk import (
+    StoredShard,
+    encode_entries,
+    encode_snapshot,
+    log_file,
+    snapshot_file,
+)
+from yokeline.shards.lineage import is_obsolete
 from yokeline.shards.replica import ShardReplica
 
 DISK_SECONDS = 0.5
@@ -37,9 +47,10 @@
 class ShardDisk:
     """Writes snapshots and log entries of replicas that have changed."""
 
-    def __init__(self, context: NodeContext) -> None:
-        """Write through ``context``."""
+    def __init__(self, context: NodeContext, earlier: CopySet) -> None:
+        """Write through ``context``; ``earlier`` starts' copies go once they are replaced."""
         self._context = context
+        self._earlier = earlier
         self._copies: dict[ShardId, _Copy] = {}
         self._dirty: dict[ShardId, ShardReplica] = {}
         self._next: float | None = None
@@ -61,12 +72,24 @@
         self._mark(replica)
 
     def forget(self, shard: ShardId) -> None:
-        """Delete the copy of a shard that this node no longer holds."""
+        """Delete the copy of a shard that this node no longer holds, if this start wrote it."""
         self._copies.pop(shard, None)
         self._dirty.pop(shard, None)
+        if shard in self._earlier.usable or shard in self._earlier.damaged:
+            return
         self._context.emit(DeleteFile(log_file(shard)))
         self._context.emit(DeleteFile(snapshot_file(shard)))
 
+    def set_aside(self, copy: StoredShard) -> None:
+        """Keep a copy that a recovery has made obsolete; the shard's files begin anew."""
+        self._copies.pop(copy.shard, None)
+        self._dirty.pop(copy.shard, None)
+        self._keep(copy)
+
+    def _keep(self, copy: StoredShard) -> None:
+        for effect in set_aside(copy):
+            self._context.emit(effect)
+
     def tick(self) -> None:
         """Write what has changed, if it is time."""
         if self._next is None or self._context.now < self._next:
@@ -109,12 +132,23 @@
     def _write_snapshot(self, replica: ShardReplica, copy: _Copy, snapshot: Snapshot) -> None:
         """Replace the snapshot first, then empty the log: entries it covers do no harm."""
         shard = replica.shard
+        self._replace_earlier(replica)
         data = encode_snapshot(shard, self._context.replica, snapshot)
         self._context.emit(WriteFile(name=snapshot_file(shard), data=data))
         self._context.emit(WriteFile(name=log_file(shard), data=b""))
         copy.snapshot_index = snapshot.last_index
         copy.entries = [entry for entry in copy.entries if entry.index > snapshot.last_index]
 
+    def _replace_earlier(self, replica: ShardReplica) -> None:
+        """Let go of an earlier start's copy: the shard is live again here."""
+        damaged = self._earlier.damaged.pop(replica.shard, None)
+        if damaged is not None:
+            for effect in set_aside_damaged(damaged, self._context.replica):
+                self._context.emit(effect)
+        copy = self._earlier.usable.pop(replica.shard, None)
+        if copy is not None and is_obsolete(copy.stored.last_term, replica.group.term):
+            self._keep(copy.stored)
+
     def _append(self, shard: ShardId, copy: _Copy) -> None:
         data = encode_entries(tuple(copy.entries))
         copy.entries = []
--- a/src/yokeline/shards/host.py
+++ b/src/yokeline/shards/host.py
@@ -28,15 +28,19 @@
 from yokeline.server.context import NodeContext
 from yokeline.settings import Settings
 from yokeline.shards.batches import RaftBatcher
+from yokeline.shards.copies import CopySet
+from yokeline.shards.disk import StoredShard
 from yokeline.shards.disk_writer import ShardDisk
 from yokeline.shards.errors import not_leading
+from yokeline.shards.lineage import is_obsolete
 from yokeline.shards.maintenance import GroupMaintenance
 from yokeline.shards.news import LeadershipNews
 from yokeline.shards.placement import Placement
+from yokeline.shards.recovery import RecoveryLog
 from yokeline.shards.removal import RemovalReview
 from yokeline.shards.replica import ProposalDone, ReadDone, ShardReplica
 from yokeline.shards.replica_set import ReplicaSet
-from yokeline.shards.status import ShardStatus, shard_status
+from yokeline.shards.status import ShardStatus, lost_majority, shard_status
 
 
 class ShardListener(Protocol):
@@ -63,6 +67,7 @@
 
     Attributes:
         heartbeats: Set its ``configuration_revision`` to let heartbeats carry it.
+        copies: Copies of earlier process starts whose shards are not live again here.
     """
 
     def __init__(
@@ -71,8 +76,10 @@
         settings: Settings,
         peers: PeerView,
         listener: ShardListener | None = None,
+        copies: CopySet | None = None,
     ) -> None:
-        """Host no replica yet."""
+        """Host no replica yet; ``copies`` are what the data folder held at the start."""
+        self.copies = copies or CopySet()
         self._context = context
         self._peers = peers
         self._listener = listener
@@ -82,7 +89,7 @@
         self._news = LeadershipNews(context, settings.consensus.heartbeat_seconds)
         self._death_observers: list[Callable[[ReplicaId], None]] = []
         self._alive: tuple[ReplicaId, ...] = ()
-        self._disk = ShardDisk(context) if settings.node.data_folder else None
+        self._disk = ShardDisk(context, self.copies) if settings.node.data_folder else None
         self.heartbeats = self._news.heartbeats
         self._removal = RemovalReview(context, self._set, self._news, self._leave)
         self._maintenance = GroupMaintenance(
@@ -189,6 +196,30 @@
                 self._set.found(ShardId(number), members)
         self._update_peers()
 
+    def recover(self, shard: ShardId, log: RecoveryLog) -> None:
+        """Begin a shard's group anew, of this node alone; see ``server.recovery``."""
+        old = self._replicas.get(shard)
+        if old is not None:
+            self._drop_obsolete(old)
+        self._context.counters["yokeline_shards_recovered_total"] += 1
+        self._set.recover(shard, log)
+        self._update_peers()
+
+    def copy_of(self, shard: ShardId) -> StoredShard | None:
+        """Return what the replica at this node holds, committed or not."""
+        replica = self._replicas.get(shard)
+        return None if replica is None else replica.copy()
+
+    def majority_lost(self, shard: ShardId) -> bool:
+        """Return whether all that is known here of a group says that its majority is dead."""
+        known = [self._news.directory.members_of(shard)]
+        replica = self._replicas.get(shard)
+        if replica is not None:
+            known += [replica.committed_members, replica.group.members]
+        groups = [members for members in known if members]
+        lost = all(lost_majority(members, self._peers.is_dead) for members in groups)
+        return bool(groups) and lost
+
     def set_hand_over_guard(self, guard: Callable[[ShardId], bool]) -> None:
         """Keep leading a shard, in a planned stop and for balance, while ``guard`` says so."""
         self._maintenance.hand_over_blocked = guard
@@ -207,9 +238,20 @@
         self._maintenance.schedule_now()
 
     def _leave(self, replica: ShardReplica) -> None:
-        self._set.leave(replica)
+        news = self.leader_of(replica.shard)
+        if news is not None and is_obsolete(replica.group.term, news.term):
+            self._drop_obsolete(replica)
+        else:
+            self._set.leave(replica)
         self._update_peers()
 
+    def _drop_obsolete(self, replica: ShardReplica) -> None:
+        """Leave a group that an operator's recovery has replaced."""
+        if self._disk is not None:
+            self._disk.set_aside(replica.copy())
+        self._context.warn("replica_obsolete", shard=replica.shard, term=replica.group.term)
+        self._set.leave(replica)
+
     def _drop_removed(self) -> None:
         for shard in self._set.drop_removed():
             if self._disk is not None:
@@ -221,20 +263,31 @@
         """Take in the Raft messages of another node."""
         self.heartbeats.heard(sender)
         for item in batch.messages:
-            replica = self._replicas.get(item.shard) or self._create_for(sender, item)
+            replica = self._replica_for(sender, item)
             if replica is None:
                 continue
             replica.heard_at = self._context.now
             replica.carry_out(replica.group.step(sender, item.message, self._context.now))
             self._set.finish(replica)
 
+    def _replica_for(self, sender: ReplicaId, item: GroupMessage) -> ShardReplica | None:
+        """Return the replica that a message is for, of its lineage or a higher one."""
+        term = item.message.term
+        replica = self._replicas.get(item.shard)
+        if replica is not None and is_obsolete(replica.group.term, term):
+            self._set.note_term(item.shard, term)
+            self._drop_obsolete(replica)
+            replica = None
+        return replica or self._create_for(sender, item)
+
     def _create_for(self, sender: ReplicaId, item: GroupMessage) -> ShardReplica | None:
         """Join a group whose leader has added this node."""
         message = item.message
         if not isinstance(message, AppendEntries | InstallSnapshot) or message.leader != sender:
             return None
-        replica = self._set.join(item.shard)
-        self._update_peers()
+        replica = self._set.join(item.shard, message.term)
+        if replica is not None:
+            self._update_peers()
         return replica
 
     def receive_heartbeat(self, sender: ReplicaId, heartbeat: Heartbeat) -> None:
--- /dev/null
+++ b/src/yokeline/shards/recovery.py
@@ -0,0 +1,41 @@
+"""The log that a recovered group starts with: a copy, and two entries of a new lineage."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.consensus.messages import EntryKind, LogEntry
+from yokeline.consensus.types import Snapshot
+from yokeline.identifiers import ReplicaId
+from yokeline.messages.codec import encode_command
+from yokeline.runs.model import RecoverShard
+from yokeline.shards.disk import StoredShard
+
+
+class RecoveryLog(msgspec.Struct, frozen=True, kw_only=True):
+    """What a group is started anew from.
+
+    Attributes:
+        term: First term of the new lineage.
+        snapshot: State to start from; None if the entries begin at index 1.
+        entries: All entries after it.
+    """
+
+    term: int
+    snapshot: Snapshot | None
+    entries: tuple[LogEntry, ...]
+
+
+def recovery_log(
+    copy: StoredShard, own: ReplicaId, term: int, command: RecoverShard
+) -> RecoveryLog:
+    """Return the copy's log, extended so that ``own`` is the only member.
+
+    The command comes before the new leader's own first entry, so that no run goes on before
+    it was applied.
+    """
+    last = copy.last_index
+    recovered = LogEntry(last + 1, term, EntryKind.COMMAND, command=encode_command(command))
+    alone = LogEntry(last + 2, term, EntryKind.MEMBERSHIP, members=(own,))
+    snapshot = copy.snapshot if copy.snapshot.last_index else None
+    return RecoveryLog(term=term, snapshot=snapshot, entries=(*copy.entries, recovered, alone))
--- a/src/yokeline/shards/removal.py
+++ b/src/yokeline/shards/removal.py
@@ -29,12 +29,14 @@
     ) -> None:
         """Call ``leave`` with each replica that its group has surely removed."""
         self._context = context
+        self._set = replicas
         self._replicas = replicas.replicas
         self._news = news
         self._leave = leave
 
     def learn(self, sender: ReplicaId, news: ShardLeader) -> None:
         """Take news in; they may say that this node is out of a group."""
+        self._set.note_term(news.shard, news.term)
         if not self._news.learn(sender, news):
             return
         replica = self._replicas.get(news.shard)
--- a/src/yokeline/shards/replica.py
+++ b/src/yokeline/shards/replica.py
@@ -30,7 +30,9 @@
 from yokeline.messages.types import ShardLeader
 from yokeline.runs.model import Command
 from yokeline.runs.state_machine import ApplyResult, RunStateMachine
+from yokeline.shards.disk import StoredShard
 from yokeline.shards.errors import leadership_lost, not_leading
+from yokeline.shards.lineage import is_obsolete
 
 ProposalDone = Callable[[Result[ApplyResult, YokelineError]], None]
 ReadDone = Callable[[Result[RunStateMachine, YokelineError]], None]
@@ -148,7 +150,11 @@
         News without this replica say that no configuration with it was in force at the
         leader when everything up to ``news.revision`` was committed: a quorum of others
         holds all that. If our log ends there or earlier, nobody depends on what we hold.
+
+        News of a higher lineage always do: a recovery has replaced the group.
         """
+        if is_obsolete(self.group.term, news.term):
+            return True
         if self.group.replica in news.members or not news.members:
             return False
         if self.group.role is RaftRole.LEADER or news.term < self.group.term:
@@ -309,6 +315,17 @@
         if self.applied_index - compacted_index >= self._snapshot_entries:
             self.group.compact(self.applied_index, self.machine.snapshot())
 
+    def copy(self) -> StoredShard:
+        """Return all that is in the log here, committed or not, as a copy to start from."""
+        empty = Snapshot(0, 0, self.group.members, RunStateMachine().snapshot())
+        snapshot = self.group.snapshot or empty
+        return StoredShard(
+            shard=self.shard,
+            replica=self.group.replica,
+            snapshot=snapshot,
+            entries=self.group.entries_after(snapshot.last_index),
+        )
+
     def close(self) -> None:
         """Answer everything that waits; the replica leaves its group."""
         if self._gained_reported:
--- a/src/yokeline/shards/replica_set.py
+++ b/src/yokeline/shards/replica_set.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from yokeline.consensus.effects import Restored
 from yokeline.consensus.group import RaftGroup
 from yokeline.consensus.settings import RaftSettings
 from yokeline.consensus.types import HardState
@@ -11,6 +12,8 @@
 from yokeline.server.context import NodeContext
 from yokeline.settings import ConsensusSection, Settings
 from yokeline.shards.deadlines import DeadlineQueue
+from yokeline.shards.lineage import is_obsolete, lineage_of
+from yokeline.shards.recovery import RecoveryLog
 from yokeline.shards.removed import RemovedReplicas
 from yokeline.shards.replica import ReplicaObserver, ShardReplica
 
@@ -34,20 +37,39 @@
         self._raft_settings = _raft_settings(settings.consensus)
         self._removed = RemovedReplicas()
         self._deadlines: DeadlineQueue[ShardId] = DeadlineQueue()
+        self._highest_terms: dict[ShardId, int] = {}
 
     def found(self, shard: ShardId, members: tuple[ReplicaId, ...]) -> None:
         """Begin a group of the first placement, unless this node is or was in it."""
-        if shard not in self.replicas and shard not in self._removed:
+        recovered = lineage_of(self._highest_terms.get(shard, 0)) > 0
+        if shard not in self.replicas and shard not in self._removed and not recovered:
             self.finish(self._create(shard, members))
 
-    def join(self, shard: ShardId) -> ShardReplica:
-        """Take part in a group that has added this node."""
+    def join(self, shard: ShardId, term: int) -> ShardReplica | None:
+        """Take part in a group that has added this node, unless a recovery has replaced it."""
+        if is_obsolete(term, self._highest_terms.get(shard, 0)):
+            return None
         replica = self._removed.revive(shard)
-        if replica is None:
+        if replica is None or is_obsolete(replica.group.term, term):
             return self._create(shard, ())
         self.replicas[shard] = replica
         return replica
 
+    def recover(self, shard: ShardId, log: RecoveryLog) -> ShardReplica:
+        """Begin a group of this node alone, from the copy of one that lost its majority."""
+        self.note_term(shard, log.term)
+        self._removed.revive(shard)
+        self._removed.take_hard_state(shard)
+        replica = self._create(shard, (), log)
+        if log.snapshot is not None:
+            replica.carry_out([Restored(log.snapshot)])
+        self.finish(replica)
+        return replica
+
+    def note_term(self, shard: ShardId, term: int) -> None:
+        """Remember the highest term heard of, which may make what is held here obsolete."""
+        self._highest_terms[shard] = max(term, self._highest_terms.get(shard, 0))
+
     def leave(self, replica: ShardReplica) -> None:
         """Stop taking part in a group that has removed this node."""
         del self.replicas[replica.shard]
@@ -77,14 +99,20 @@
         """Return when :meth:`tick` is due."""
         return self._deadlines.next()
 
-    def _create(self, shard: ShardId, members: tuple[ReplicaId, ...]) -> ShardReplica:
+    def _create(
+        self, shard: ShardId, members: tuple[ReplicaId, ...], log: RecoveryLog | None = None
+    ) -> ShardReplica:
         hard_state = self._removed.take_hard_state(shard)
+        if log is not None:
+            hard_state = HardState(term=log.term)
         group = RaftGroup(
             replica=self._context.replica,
             members=members,
             settings=self._raft_settings,
             source=self._context.random,
             now=self._context.now,
+            snapshot=None if log is None else log.snapshot,
+            entries=() if log is None else log.entries,
             hard_state=hard_state,
         )
         replica = ShardReplica(
--- a/src/yokeline/shards/status.py
+++ b/src/yokeline/shards/status.py
@@ -57,7 +57,7 @@
     dead = tuple(member for member in members if is_dead(member))
     return ShardStatus(
         shard=replica.shard,
-        state=_state(replica, len(members), len(dead), now),
+        state=_state(replica, lost=lost_majority(members, is_dead), now=now),
         role=group.role.value,
         term=group.term,
         leader=group.leader,
@@ -69,10 +69,15 @@
     )
 
 
-def _state(replica: ShardReplica, members: int, dead: int, now: float) -> ShardState:
+def lost_majority(members: tuple[ReplicaId, ...], is_dead: Callable[[ReplicaId], bool]) -> bool:
+    """Return whether so many members are dead that no quorum is left."""
+    living = sum(1 for member in members if not is_dead(member))
+    return living < len(members) // 2 + 1
+
+
+def _state(replica: ShardReplica, *, lost: bool, now: float) -> ShardState:
     group = replica.group
-    quorum = members // 2 + 1
-    if members - dead < quorum:
+    if lost:
         return ShardState.MAJORITY_LOST
     if group.role is RaftRole.LEADER:
         return ShardState.LEADING if group.lease_valid(now) else ShardState.ELECTING
--- a/src/yokeline/simulation/callers.py
+++ b/src/yokeline/simulation/callers.py
@@ -31,6 +31,8 @@
 
 MAX_ATTEMPTS = 25
 DEADLINE_SECONDS = 20.0
+SHORT_DEADLINE_SECONDS = 2.5
+SHORT_DEADLINE_SHARE = 0.15
 PATIENT_SECONDS = 22.0
 IMPATIENT_SECONDS = 3.0
 IMPATIENT_SHARE = 0.3
@@ -198,8 +200,10 @@
                 return last_id
 
     def _submit(self, record: RunRecord, turn: TurnRecord, path: str, *, wait: bool) -> Steps:
+        hasty = self._source.random() < SHORT_DEADLINE_SHARE
+        deadline = SHORT_DEADLINE_SECONDS if hasty else DEADLINE_SECONDS
         body = f'{{"input":{turn.input if _is_app(record) else _quoted(turn.input)},'
-        body += f'"deadline_seconds":{DEADLINE_SECONDS},"wait":{str(wait).lower()}}}'
+        body += f'"deadline_seconds":{deadline},"wait":{str(wait).lower()}}}'
         for _ in range(MAX_ATTEMPTS):
             impatient = self._source.random() < IMPATIENT_SHARE
             timeout = IMPATIENT_SECONDS if impatient else PATIENT_SECONDS
--- a/tests/unit/consensus/invariants.py
+++ b/tests/unit/consensus/invariants.py
@@ -34,6 +34,10 @@
     def highest_committed(self) -> int:
         return max(self.committed, default=0)
 
+    def forgot(self, replica: ReplicaId) -> None:
+        """A removed replica starts anew."""
+        self._next_index.pop(replica, None)
+
     def saw_role(self, group: RaftGroup, effect: RoleChanged) -> None:
         """Election safety and leader completeness."""
         if effect.role is not RaftRole.LEADER:
--- a/tests/unit/shards/test_host.py
+++ b/tests/unit/shards/test_host.py
@@ -81,6 +81,19 @@
         for shard in range(4):
             self.assertEqual(cluster.group_members(shard), set(cluster.nodes) - {replica})
 
+    def test_guarded_shard_is_handed_over_once_the_guard_lets_go(self) -> None:
+        cluster = Cluster(nodes=6)
+        cluster.run(5.0)
+        node = cluster.leader(0)
+        guarded = {ShardId(0)}
+        node.host.set_hand_over_guard(lambda shard: shard in guarded)
+        cluster.leave(node)
+        cluster.run(3.0)
+        self.assertEqual(node.host.led_shards(), [ShardId(0)])
+        guarded.clear()
+        cluster.run(FAILOVER)
+        self.assertEqual(node.host.replicas_left(), 0)
+
     def test_planned_stop_without_spare_node_shrinks_the_groups(self) -> None:
         cluster = Cluster(nodes=3, replicas=3)
         cluster.run(5.0)
--- /dev/null
+++ b/tests/unit/shards/test_recovery.py
@@ -0,0 +1,213 @@
+"""Copies at the start, and groups that an operator starts anew from one."""
+
+from __future__ import annotations
+
+import unittest
+from typing import cast
+
+from tests.unit.shards.cluster import Cluster, HostNode, create
+from tests.unit.shards.test_disk import SHARD, DiskCluster, DiskNode
+from yokeline.consensus.messages import AppendEntries, EntryKind, LogEntry
+from yokeline.consensus.types import Snapshot
+from yokeline.effects import Effect, WriteFile
+from yokeline.identifiers import ReplicaId, ShardId
+from yokeline.messages.codec import encode_command
+from yokeline.messages.types import GroupMessage, Heartbeat, RaftBatch, ShardLeader
+from yokeline.runs.model import RecoverShard
+from yokeline.runs.state_machine import RunStateMachine
+from yokeline.shards.copies import read_copies
+from yokeline.shards.disk import encode_entries, encode_snapshot, log_file, snapshot_file
+from yokeline.shards.lineage import TERMS_PER_LINEAGE, lineage_of, recovery_term
+from yokeline.shards.recovery import recovery_log
+from yokeline.shards.status import ShardState
+
+OWN = ReplicaId("node~1")
+ZERO = ShardId(0)
+SETTLED = 14.0
+
+
+def files_of(shard: ShardId, *entries: LogEntry) -> dict[str, bytes]:
+    snapshot = Snapshot(4, 2, (OWN,), RunStateMachine().snapshot())
+    return {
+        snapshot_file(shard): encode_snapshot(shard, OWN, snapshot),
+        log_file(shard): encode_entries(entries),
+    }
+
+
+def command(index: int) -> LogEntry:
+    return LogEntry(index, 3, EntryKind.COMMAND, encode_command(create(f"run-{index}")))
+
+
+class FileCluster(DiskCluster):
+    """Carries out what nodes write while they take a message in, too."""
+
+    def _carry_out(self, sender: ReplicaId, effect: Effect) -> None:
+        if isinstance(effect, WriteFile):
+            cast(DiskNode, self.nodes[sender]).files[effect.name] = effect.data
+        super()._carry_out(sender, effect)
+
+
+class ReadTest(unittest.TestCase):
+    def test_copies_tell_what_is_in_them(self) -> None:
+        files = files_of(SHARD, command(5), command(6))
+        copy = read_copies({**files, "set-aside/3-x.log": b"?", "notes": b"?"}).usable[SHARD]
+        self.assertEqual((copy.position, copy.runs, copy.active), ((3, 6), 2, 2))
+        self.assertEqual(copy.latest_wall, 1.0)
+        torn = {**files, log_file(SHARD): files[log_file(SHARD)][:-1]}
+        self.assertEqual(read_copies(torn).usable[SHARD].position, (3, 5))
+
+    def test_unreadable_copies_are_kept_with_their_remedy(self) -> None:
+        good = files_of(SHARD, command(5))
+        foreign = LogEntry(5, 3, EntryKind.COMMAND, b"not a command")
+        cases = {
+            "damaged": {**good, snapshot_file(SHARD): good[snapshot_file(SHARD)] + b"x"},
+            "not a command": files_of(SHARD, foreign),
+            "log only": {log_file(SHARD): good[log_file(SHARD)]},
+        }
+        for name, files in cases.items():
+            with self.subTest(name):
+                found = read_copies(files)
+                self.assertEqual(found.usable, {})
+                damaged = found.damaged[SHARD]
+                self.assertEqual(damaged.log, files[log_file(SHARD)])
+                self.assertIn("the", damaged.error.remedy)
+
+
+class TermTest(unittest.TestCase):
+    def test_a_recovery_is_above_every_term_of_lineages_before(self) -> None:
+        self.assertEqual(recovery_term([]), TERMS_PER_LINEAGE)
+        later = recovery_term([3, TERMS_PER_LINEAGE + 7, 0])
+        self.assertEqual(later, 2 * TERMS_PER_LINEAGE)
+        self.assertEqual(lineage_of(later), 2)
+
+
+class RecoveryTest(unittest.TestCase):
+    def recover(self, cluster: Cluster, node: HostNode, seen: int) -> None:
+        stored = node.host.copy_of(ZERO)
+        assert stored is not None
+        order = RecoverShard(
+            copy_of=stored.replica,
+            last_index=stored.last_index,
+            wall=2.0,
+            keyed_until_wall=2.0,
+            unkeyed_until_wall=2.0,
+        )
+        log = recovery_log(stored, node.context.replica, recovery_term([seen]), order)
+        cluster.act(node, lambda: node.host.recover(ZERO, log))
+
+    def lost_cluster(self, cluster: Cluster) -> list[HostNode]:
+        """Commit a run, kill the leader and two others, and return the two that are left."""
+        cluster.run(5.0)
+        cluster.propose(0, "run-1")
+        cluster.run(1.0)
+        leader = cluster.leaders(0)[0]
+        others = sorted(set(cluster.nodes) - {leader})
+        for replica in [leader, *others[:2]]:
+            cluster.kill(replica)
+        cluster.run(SETTLED)
+        return [cluster.nodes[replica] for replica in others[2:]]
+
+    def test_survivors_memory_is_a_copy(self) -> None:
+        cluster = Cluster(shards=1)
+        left, right = self.lost_cluster(cluster)
+        for node in (left, right):
+            self.assertEqual(node.host.status()[0].state, ShardState.MAJORITY_LOST)
+            self.assertTrue(node.host.majority_lost(ZERO))
+        self.assertEqual(cluster.leaders(0), [])
+        self.recover(cluster, left, left.host.term(ZERO))
+        cluster.run(SETTLED)
+        self.assertEqual(cluster.leader(0), left)
+        self.assertFalse(right.host.majority_lost(ZERO))
+        self.assertEqual(cluster.group_members(0), {n.context.replica for n in (left, right)})
+        self.assertEqual(lineage_of(right.host.term(ZERO)), 1)
+        outcomes = cluster.propose(0, "run-2")
+        cluster.run(6.0)
+        self.assertTrue(outcomes[0].unwrap().accepted)
+        for node in (left, right):
+            self.assertEqual(cluster.runs_at(node, 0), {"run-1", "run-2"})
+
+    def test_a_majority_that_was_only_cut_off_gives_way(self) -> None:
+        """The old group serves on its side of the cut, and never after it."""
+        cluster = Cluster(shards=1)
+        cluster.run(5.0)
+        cluster.propose(0, "run-1")
+        cluster.run(1.0)
+        leader = cluster.leaders(0)[0]
+        members = sorted(set(cluster.nodes) - {leader})
+        minority = set(members[2:])
+        cluster.cut = lambda sender, to: (sender in minority) != (to in minority)
+        node = cluster.nodes[members[2]]
+        cluster.run(3.0)
+        node.view.dead = set(cluster.nodes) - minority
+        self.assertTrue(node.host.majority_lost(ZERO))
+        self.recover(cluster, node, node.host.term(ZERO))
+        old = cluster.nodes[leader]
+        cluster.act(old, lambda: old.host.propose(ZERO, create("old-side"), lambda _: None))
+        cluster.run(2.0)
+        self.assertIn("old-side", cluster.runs_at(old, 0))
+        node.view.dead = cluster.dead
+        cluster.cut = lambda sender, to: False
+        cluster.run(SETTLED)
+        self.assertEqual(cluster.leader(0).host.term(ZERO) // TERMS_PER_LINEAGE, 1)
+        self.assertFalse(old.host.may_send(ZERO) and old.host.term(ZERO) < TERMS_PER_LINEAGE)
+        cluster.run(SETTLED)
+        for member in cluster.group_members(0):
+            self.assertEqual(cluster.runs_at(cluster.nodes[member], 0), {"run-1"})
+        self.assertEqual(len(cluster.group_members(0)), 5)
+
+    def test_news_of_a_recovery_ends_the_old_group_at_each_node_that_hears_it(self) -> None:
+        """Whether it leads, follows, or would be drawn in by an old leader's message."""
+        cluster = Cluster(nodes=6, shards=1)
+        cluster.run(5.0)
+        cluster.propose(0, "run-1")
+        cluster.run(6.0)
+        leader = cluster.leader(0)
+        members = sorted(cluster.group_members(0))
+        follower = cluster.nodes[next(m for m in members if m != leader.context.replica)]
+        (spare,) = [node for replica, node in cluster.nodes.items() if replica not in members]
+        other = ReplicaId("other~1")
+        news = ShardLeader(ZERO, TERMS_PER_LINEAGE + 1, other, (other, members[0]), 1)
+        heartbeat = Heartbeat(sequence=1, leaders=(news,))
+        sender = leader.context.replica
+        stale = RaftBatch((GroupMessage(ZERO, self.append_of(leader)),))
+        for node in (leader, follower, spare):
+            cluster.act(node, lambda node=node: node.host.receive_heartbeat(other, heartbeat))
+            self.assertIsNone(node.host.machine(ZERO))
+            self.assertFalse(node.host.may_send(ZERO))
+            cluster.act(node, lambda node=node: node.host.receive_batch(sender, stale))
+            self.assertIsNone(node.host.machine(ZERO))
+        self.assertEqual(leader.listener.events[-1], ("lost", ZERO))
+
+    def append_of(self, leader: HostNode) -> AppendEntries:
+        replica = leader.context.replica
+        return AppendEntries(leader.host.term(ZERO), replica, 0, 0, 0, 1, (command(1),))
+
+    def test_obsolete_copies_are_set_aside_and_never_overwritten(self) -> None:
+        cluster = FileCluster(shards=1)
+        left, right = cast(list[DiskNode], self.lost_cluster(cluster))
+        files = dict(right.files)
+        self.recover(cluster, left, left.host.term(ZERO))
+        cluster.run(SETTLED)
+        self.assertNotEqual(right.files[snapshot_file(ZERO)], files[snapshot_file(ZERO)])
+        kept = [name for name in right.files if name.startswith("set-aside/0-")]
+        self.assertEqual(len(kept), 2)
+        copy = read_copies(right.files).usable[ZERO]
+        self.assertEqual(lineage_of(copy.stored.last_term), 1)
+
+    def test_damaged_files_are_set_aside_byte_for_byte(self) -> None:
+        cluster = DiskCluster(shards=1)
+        cluster.run(5.0)
+        crashed = next(node for node in cluster.nodes.values() if not node.host.led_shards())
+        cluster.kill(crashed.context.replica)
+        restarted = cast(DiskNode, cluster.start(crashed.context.name, "zone-1", start=1))
+        files = {snapshot_file(ZERO): b"damaged", log_file(ZERO): b"log"}
+        restarted.files.update(files)
+        restarted.host.copies.damaged.update(read_copies(files).damaged)
+        cluster.run(SETTLED)
+        kept = {data for name, data in restarted.files.items() if "damaged" in name}
+        self.assertEqual(kept, set(files.values()))
+        self.assertEqual(restarted.host.copies.damaged, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
