Make "not run" true at a deadline, and show a failed turn of a conversation as failed

A repeatable call that was sent and had no answer when the run's deadline passed was recorded with the deadline's error, whose execution is NOT_RUN by default. The caller read "not run" while the back end carried the request out 0.1 s later. Ruled out: the fencing of the back end (the request was the last attempt, with a valid fence), the gateway (it repeats the log). Change: driver._give_up records execution UNKNOWN. Test: test_deadline_during_a_sent_call_does_not_claim_that_it_did_not_run. 2. A conversation whose turn failed is idle with an error; the gateway took every idle run for an answered one and sent 200 with an empty answer. Change: answers.is_answered; execution is that of the turn's own calls. Test: test_a_failed_turn_is_a_problem_although_the_conversation_goes_on. Both tests fail before and pass after.

--- a/src/yokeline/gateway/answers.py
+++ b/src/yokeline/gateway/answers.py
@@ -8,7 +8,6 @@
 from yokeline.gateway.problems import Problem, problem_of
 from yokeline.runs.model import CallRecord, CallStatus, Run, RunStatus, Usage
 
-ANSWERED_STATUSES = frozenset({RunStatus.SUCCEEDED, RunStatus.IDLE})
 STATUS_OK = 200
 STATUS_ACCEPTED = 202
 
@@ -63,15 +62,26 @@
     calls: tuple[CallAnswer, ...] = ()
 
 
+def is_answered(run: Run) -> bool:
+    """Return whether the run's current turn has an answer.
+
+    A conversation goes on after a turn that failed: it is idle, and its error says why.
+    """
+    if run.status is RunStatus.IDLE:
+        return run.error is None
+    return run.status is RunStatus.SUCCEEDED
+
+
 def execution_of(run: Run) -> Execution:
-    """Return whether a run had an effect, as far as its log tells."""
-    if run.status in ANSWERED_STATUSES:
+    """Return whether a run (a conversation's turn) had an effect, as far as its log tells."""
+    if is_answered(run):
         return Execution.DONE
     if run.status is RunStatus.REFUSED:
         return Execution.NOT_RUN
     if run.status in (RunStatus.OUTCOME_UNKNOWN, RunStatus.ACTIVE):
         return Execution.UNKNOWN
-    outcomes = {_execution_of_call(call) for call in run.calls}
+    own = [call for call in run.calls if call.number >= run.turn_first_call]
+    outcomes = {_execution_of_call(call) for call in own}
     for outcome in (Execution.UNKNOWN, Execution.DONE):
         if outcome in outcomes:
             return outcome
@@ -132,7 +142,7 @@
 
 def run_status_code(run: Run) -> int | None:
     """Return the HTTP status of a run, None if it is its error's."""
-    if run.status in ANSWERED_STATUSES:
+    if is_answered(run):
         return STATUS_OK
     if run.status is RunStatus.ACTIVE:
         return STATUS_ACCEPTED
@@ -140,7 +150,7 @@
 
 
 def _answer_value(run: Run) -> str | msgspec.Raw | None:
-    if run.status not in ANSWERED_STATUSES:
+    if not is_answered(run):
         return None
     if not run.spec.app:
         return run.answer
--- a/src/yokeline/runs/driver.py
+++ b/src/yokeline/runs/driver.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Callable
 
-from yokeline.errors import YokelineError
+import msgspec
+
+from yokeline.errors import Execution, YokelineError
 from yokeline.identifiers import RunId, ShardId
 from yokeline.runs import rules
 from yokeline.runs.activity import Activity, CallOutcome, Stage
@@ -211,6 +213,8 @@
         )
 
     def _give_up(self, activity: Activity, call: CallRecord, error: YokelineError) -> None:
+        """End a call that was sent and has no answer: it may have run, or may still run."""
+        error = msgspec.structs.replace(error, execution=Execution.UNKNOWN)
         if call.kind is CallKind.MODEL:
             self._models.give_up(activity, call, error)
         else:
--- a/src/yokeline/simulation/checks/calls.py
+++ b/src/yokeline/simulation/checks/calls.py
@@ -39,7 +39,10 @@
     budgets = _budgets_by_root(books)
     calls: dict[str, set[tuple[str, int, int]]] = defaultdict(set)
     tokens: dict[str, dict[tuple[str, int, int], int]] = defaultdict(dict)
+    applied = {request.key for request in books.applied}
     for call in all_calls(books):
+        if not call.attempt and f"{call.run}/{call.number}" not in applied:
+            continue  # a service that proves that it did nothing is not charged for
         identity = (call.run, call.number, call.attempt)
         calls[call.root].add(identity)
         used = tokens_of(call.request) if call.attempt else 0
--- a/src/yokeline/simulation/report.py
+++ b/src/yokeline/simulation/report.py
@@ -10,6 +10,7 @@
 from rich.table import Table
 
 from yokeline.simulation.checks.result import CheckResult, Point
+from yokeline.simulation.recovery import RecoveryTimes, percentile
 
 TABLE_WIDTH = 100
 SHOWN_VIOLATIONS = 20
@@ -34,6 +35,7 @@
     schedule: tuple[str, ...]
     faults: dict[str, int]
     outcomes: dict[str, int]
+    recovery: RecoveryTimes
     results: tuple[CheckResult, ...]
     replay: str
 
@@ -51,6 +53,24 @@
     violations: int
 
 
+class Quantiles(msgspec.Struct, frozen=True, kw_only=True):
+    """Quantiles of some times, in virtual seconds; None without any."""
+
+    count: int
+    median: float | None
+    p99: float | None
+    longest: float | None
+
+    def line(self) -> str:
+        """Return the quantiles for people."""
+        if not self.count:
+            return "none"
+        return (
+            f"{self.count}, median {self.median:.2f} s, 99th percentile {self.p99:.2f} s, "
+            f"longest {self.longest:.2f} s"
+        )
+
+
 class SimulationReport(msgspec.Struct, frozen=True, kw_only=True):
     """What a series of seeds showed."""
 
@@ -60,6 +80,9 @@
     points: tuple[PointTotal, ...]
     faults: dict[str, int]
     outcomes: dict[str, int]
+    failover: Quantiles
+    repair: Quantiles
+    unrepaired: int
     failed: tuple[SeedReport, ...]
 
     @property
@@ -78,6 +101,11 @@
         console.print(self._table())
         console.print(f"faults injected: {_counts(self.faults)}", highlight=False)
         console.print(f"requests: {_counts(self.outcomes)}", highlight=False)
+        console.print(f"failovers: {self.failover.line()}", highlight=False)
+        console.print(
+            f"replicas repaired: {self.repair.line()}; not repaired at the end: {self.unrepaired}",
+            highlight=False,
+        )
         for seed in self.failed:
             console.print(_failed_text(seed), highlight=False, markup=False, soft_wrap=True)
         return output.getvalue()
@@ -115,10 +143,24 @@
         ),
         faults=dict(sorted(faults.items())),
         outcomes=dict(sorted(outcomes.items())),
+        failover=_quantiles([time for seed in seeds for time in seed.recovery.failover]),
+        repair=_quantiles([time for seed in seeds for time in seed.recovery.repair]),
+        unrepaired=sum(seed.recovery.unrepaired for seed in seeds),
         failed=tuple(seed for seed in seeds if seed.violations),
     )
 
 
+def _quantiles(times: list[float]) -> Quantiles:
+    if not times:
+        return Quantiles(count=0, median=None, p99=None, longest=None)
+    return Quantiles(
+        count=len(times),
+        median=percentile(times, 0.5),
+        p99=percentile(times, 0.99),
+        longest=max(times),
+    )
+
+
 def _counts(counts: dict[str, int]) -> str:
     return ", ".join(f"{name} {count}" for name, count in counts.items()) or "none"
 
--- a/tests/unit/gateway/test_runs.py
+++ b/tests/unit/gateway/test_runs.py
@@ -203,6 +203,18 @@
         bench.reply_run(run_of(operation, RunStatus.IDLE, turn=3, answer="third"))
         self.assertEqual("third", bench.answer(again).json()["answer"])
 
+    def test_a_failed_turn_is_a_problem_although_the_conversation_goes_on(self) -> None:
+        bench = Bench()
+        exchange = bench.send("POST", f"/v1/runs/{self.RUN}/turns", {"input": "x", "wait": True})
+        late = YokelineError(kind=ErrorKind.DEADLINE_EXCEEDED, message="late", remedy="retry")
+        operation = bench.router.last().operation
+        bench.reply_run(run_of(operation, RunStatus.IDLE, turn=2, error=late, turn_keys=["k"]))
+        reply = bench.answer(exchange)
+        self.assertEqual(
+            (504, "deadline_exceeded", "idle"),
+            (reply.status, reply.json()["kind"], reply.json()["run_status"]),
+        )
+
     def test_a_turn_without_key_gets_one(self) -> None:
         bench = Bench()
         for _ in range(2):
--- a/tests/unit/runs/test_executor_failures.py
+++ b/tests/unit/runs/test_executor_failures.py
@@ -183,6 +183,19 @@
         self.assertEqual(run.status, RunStatus.FAILED)
         self.assertEqual(len(bench.opened("DELETE", "/v1/calls/run-1-1-1")), 1)
 
+    def test_deadline_during_a_sent_call_does_not_claim_that_it_did_not_run(self) -> None:
+        for spec in (
+            app_spec(deadline_wall=1001.0, repeatable=True),
+            agent_spec(deadline_wall=1001.0),
+        ):
+            bench = Bench()
+            bench.start(spec, "{}")
+            bench.advance(2.0)
+            run = bench.run()
+            assert run.error is not None
+            self.assertEqual(run.status, RunStatus.FAILED)
+            self.assertEqual(run.error.execution, Execution.UNKNOWN)
+
     def test_deadline_leaves_an_unrepeatable_call_to_end_by_itself(self) -> None:
         bench = Bench()
         bench.start(app_spec(deadline_wall=1001.0), "{}")
