Replace a lost member of an idle group without waiting for its next heartbeat

Cause: a membership change was started only while the leader's lease was valid; an idle group lets its lease lapse for about 4 of every 5 seconds, so a repair waited for the next slow heartbeat. Change: ask the group (may_change_members), which asks for a live quorum itself. Test: test_a_lost_member_of_an_idle_group_is_replaced_without_waiting... fails before, passes after.

--- a/src/yokeline/shards/maintenance.py
+++ b/src/yokeline/shards/maintenance.py
@@ -147,8 +147,9 @@
 
     def _may_change(self, replica: ShardReplica) -> bool:
         """Return whether a membership change could commit now."""
-        valid = replica.leads and replica.group.lease_valid(self._context.now)
-        return valid and replica.membership_settled
+        # Not its lease: an idle group lets that lapse; the group itself asks for a live quorum.
+        ready = replica.leads and replica.group.may_change_members()
+        return ready and replica.membership_settled
 
     def _repair_group(self, replica: ShardReplica, loads: Mapping[ReplicaId, int]) -> bool:
         step = next_step(self._group_condition(replica, loads))
--- a/src/yokeline/simulation/callers.py
+++ b/src/yokeline/simulation/callers.py
@@ -8,8 +8,8 @@
 import msgspec
 import simpy
 
-from yokeline.effects import Address, Framing, HttpResponse, HttpStreamItem
-from yokeline.simulation.outcomes import Verdict, note_answer
+from yokeline.effects import Address, Framing, HttpFailed, HttpResponse, HttpStreamItem
+from yokeline.simulation.outcomes import STATUS_OK, Verdict, note_answer
 from yokeline.simulation.port import Call, ClientPort, Steps, response_to
 from yokeline.simulation.records import (
     Attempt,
@@ -189,7 +189,8 @@
         streamed = msgspec.structs.replace(
             call, headers=headers, framing=Framing.SERVER_SENT_EVENTS
         )
-        watch.connections += 1
+        connection = Attempt(node=node.name, sent_at=self._environment.now)
+        watch.connections.append(connection)
         dropping = self._source.random() < DROP_SHARE
         remaining = self._source.randint(*WATCH_ITEMS) if dropping else None
         pending = self._port.send(streamed)
@@ -202,9 +203,12 @@
                     remaining -= 1
                     if remaining <= 0:
                         pending.cancel()
-                        return last_id
-            elif not isinstance(answer, HttpResponse) or answer.status != 200:
-                return last_id
+                        break
+            elif not isinstance(answer, HttpResponse) or answer.status != STATUS_OK:
+                connection.failure = answer.reason if isinstance(answer, HttpFailed) else ""
+                break
+        connection.answered_at = self._environment.now
+        return last_id
 
     def _submit(self, record: RunRecord, turn: TurnRecord, path: str, *, wait: bool) -> Steps:
         hasty = self._source.random() < SHORT_DEADLINE_SHARE
--- a/src/yokeline/simulation/checks/platform.py
+++ b/src/yokeline/simulation/checks/platform.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from yokeline.simulation.checks.backend_view import model_calls, was_taken
+from yokeline.simulation.checks.backend_view import model_calls
 from yokeline.simulation.checks.history import run_status_of
 from yokeline.simulation.checks.result import CheckResult, Point
 from yokeline.simulation.faults import NODE_FAULTS
@@ -52,11 +52,11 @@
         result.checks += 1
         for model in model_calls(books):
             request = model.call.request
-            if request.host != leaving.host or not since < request.arrived_at < leaving.until:
+            if not since < request.arrived_at < leaving.until:
                 continue
             identity = (model.call.run, model.call.number, model.call.attempt)
             result.expect(
-                identity in known or not was_taken(request),
+                request.host != leaving.host or identity in known,
                 f"{leaving.host}: leaving since {leaving.since:.3f}, got call "
                 f"{model.call.run}-{model.call.number} at {request.arrived_at:.3f}",
             )
@@ -101,13 +101,15 @@
 
 def _check_requests(result: CheckResult, books: Books, stop: PlannedStop) -> None:
     for record in books.runs:
-        for turn in record.turns:
-            for attempt in turn.attempts:
-                ended = attempt.answered_at if attempt.answered_at is not None else books.ended_at
-                in_flight = attempt.sent_at < stop.asked_at < ended
-                if attempt.node == stop.node and in_flight:
-                    result.expect(
-                        not attempt.failure or attempt.failure == "timeout",
-                        f"{turn.marker}: in flight at {stop.node} when it was stopped at "
-                        f"{stop.asked_at:.3f}: {attempt.failure} at {ended:.3f}",
-                    )
+        attempts = [attempt for turn in record.turns for attempt in turn.attempts]
+        if record.watch is not None:
+            attempts.extend(record.watch.connections)
+        for attempt in attempts:
+            ended = attempt.answered_at if attempt.answered_at is not None else books.ended_at
+            if attempt.node != stop.node or not attempt.sent_at < stop.asked_at < ended:
+                continue
+            result.expect(
+                attempt.failure in ("", "timeout"),
+                f"{record.turns[0].marker}: in flight at {stop.node} when it was stopped at "
+                f"{stop.asked_at:.3f}: {attempt.failure} at {ended:.3f}",
+            )
--- a/src/yokeline/simulation/records.py
+++ b/src/yokeline/simulation/records.py
@@ -68,13 +68,13 @@
     """What a watcher put together from the events of a run.
 
     Attributes:
-        connections: Times that it connected.
+        connections: The requests it made for the stream.
         texts: Text by call number.
         finished: The ``finished`` events, as JSON text.
         problems: What was wrong with the order or offsets of the events.
     """
 
-    connections: int = 0
+    connections: list[Attempt] = []
     texts: dict[int, str] = {}
     finished: list[bytes] = []
     problems: list[str] = []
--- a/tests/unit/shards/test_host.py
+++ b/tests/unit/shards/test_host.py
@@ -12,6 +12,9 @@
 FAILOVER = 12.0
 """Virtual seconds for detection, election, replacement and balance."""
 
+REPAIR = 7.5
+"""Virtual seconds for detection, the patience before replacement, and the replacement."""
+
 
 class HostTest(unittest.TestCase):
     def assert_accepted(self, outcomes: list[Outcome]) -> None:
@@ -61,6 +64,18 @@
             for replica in members:
                 self.assertIn(f"run-{shard}", cluster.runs_at(cluster.nodes[replica], shard))
 
+    def test_a_lost_member_of_an_idle_group_is_replaced_without_waiting_for_a_heartbeat(
+        self,
+    ) -> None:
+        for idle in (5.0, 6.1, 7.2, 8.3):
+            cluster = Cluster(nodes=6)
+            cluster.run(idle)
+            crashed = sorted(cluster.nodes)[0]
+            cluster.kill(crashed)
+            cluster.run(REPAIR)
+            for shard in range(4):
+                self.assertEqual(len(cluster.group_members(shard) - {crashed}), 5)
+
     def assert_accepted_after(self, cluster: Cluster, shard: int) -> None:
         outcomes = cluster.propose(shard, f"late-{shard}")
         cluster.run(1.0)
