--- a/src/yokeline/cli.py
+++ b/src/yokeline/cli.py
@@ -20,6 +20,7 @@
     node,
     recover,
     runs,
+    simulate,
 )
 from yokeline.errors import EXIT_FAILURE, EXIT_USAGE, ErrorKind, YokelineError, YokelineException
 
@@ -60,6 +61,7 @@
     "engines": cluster.engines,
     "drain": cluster.drain,
     "recover": recover.recover,
+    "simulate": simulate.simulate,
 }
 """Each new command has its module in ``yokeline.commands`` and one line here."""
 
--- a/src/yokeline/gateway/public.py
+++ b/src/yokeline/gateway/public.py
@@ -8,9 +8,7 @@
 from yokeline.gateway.answers import run_answer
 from yokeline.gateway.authentication import Identity
 from yokeline.gateway.calls import ApiCall, GatewayParts, value_of
-from yokeline.gateway.event_stream import (
-    Watch,
-)
+from yokeline.gateway.event_stream import Watch
 from yokeline.gateway.limits import Importance
 from yokeline.gateway.problems import not_found, unknown_run
 from yokeline.gateway.requests import (
@@ -35,11 +33,7 @@
 )
 from yokeline.identifiers import RunId
 from yokeline.labels.objects import TenantLimits
-from yokeline.shards.operations import (
-    ContinueRun,
-    StartRun,
-    StopRun,
-)
+from yokeline.shards.operations import ContinueRun, StartRun, StopRun
 
 STATUS_OK = 200
 
--- a/src/yokeline/gateway/run_requests.py
+++ b/src/yokeline/gateway/run_requests.py
@@ -1,4 +1,4 @@
-"""From a request to what a shard is asked: run id, digest, specification, turns."""
+"""From a request to what a shard is asked: run id, specification, turns."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 from yokeline.labels.objects import Program
 from yokeline.labels.resolution import ResolvedPolicy
 from yokeline.runs.model import Role, Run, RunSpec, RunStatus
+from yokeline.runs.spec import request_digest, spec_of_program
 
 RANDOM_ID_BITS = 128
 _RUN_ID = re.compile(re.escape(RUN_PREFIX) + r"[0-9a-f]{32}(\.[0-9]{1,9})*")
-_SEPARATOR = b"\x00"
 _FIRST_TURN = 1
 
 
@@ -36,15 +36,6 @@
     return f"turn-{source.getrandbits(RANDOM_ID_BITS):032x}"
 
 
-def request_digest(program: str, run_input: str) -> str:
-    """Return the xxh3 hex of a request's content."""
-    digest = xxhash.xxh3_64()
-    digest.update(program.encode())
-    digest.update(_SEPARATOR)
-    digest.update(run_input.encode())
-    return digest.hexdigest()
-
-
 def run_spec(
     program: Program,
     policy: ResolvedPolicy,
@@ -54,26 +45,23 @@
     labels: dict[str, str],
     deadline_wall: float,
 ) -> RunSpec:
-    """Return what a run is created with: program and policies as they are now."""
-    return RunSpec(
-        tenant=program.tenant,
-        program=program.name,
+    """Return what a run is created with: program and policies as they are now.
+
+    Args:
+        program: The program to run.
+        policy: What the policies say about it, resolved.
+        idempotency_key: The caller's key; empty for none.
+        run_input: Text for an agent, JSON text for an app.
+        labels: The caller's labels; the program's own win.
+        deadline_wall: Unix time in seconds by which the run ends.
+    """
+    spec = spec_of_program(program, policy)
+    return msgspec.structs.replace(
+        spec,
         idempotency_key=idempotency_key,
         request_digest=request_digest(program.name, run_input),
         labels={**labels, **program.labels},
-        model=program.model,
-        app=program.app,
-        system_prompt=program.system_prompt,
-        tools=program.tools,
-        children=program.children,
-        engine_selector=",".join(policy.engine_selector),
-        repeatable=program.repeatable if program.app else True,
-        priority=policy.priority,
-        worth=policy.worth,
-        budget=policy.budget,
-        max_completion_tokens=program.max_completion_tokens,
         deadline_wall=deadline_wall,
-        conversation=program.conversation,
     )
 
 
--- a/tests/unit/gateway/test_runs.py
+++ b/tests/unit/gateway/test_runs.py
@@ -9,7 +9,6 @@
 from tests.unit.gateway.support import Bench, run_of
 from yokeline.errors import ErrorKind, Execution, YokelineError
 from yokeline.gateway.answers import execution_of
-from yokeline.gateway.run_requests import request_digest
 from yokeline.identifiers import RunId, run_id_for_key, shard_of_run
 from yokeline.runs.model import (
     CallKind,
@@ -21,6 +20,7 @@
     RunStatus,
     ToolRequest,
 )
+from yokeline.runs.spec import request_digest
 from yokeline.shards.operations import (
     AwaitRun,
     ContinueRun,
