--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -30,6 +30,8 @@
 
 LOAD_LIMIT_SECONDS = 120.0
 SETTLE_SECONDS = 15.0
+BALANCED_SECONDS = 60.0
+"""Time after which leaderships no longer move for balance, with 40 nodes and 512 shards."""
 SLICE_SECONDS = 0.5
 ZONES = ("zone-1", "zone-2", "zone-3")
 TENANTS = ("tenant-1",)
@@ -115,7 +117,7 @@
         """Return the virtual time."""
         return self.simulation.schedule.now
 
-    def start(self) -> None:
+    def start(self, settle_seconds: float = SETTLE_SECONDS) -> None:
         """Start everything, load the configuration and let the cluster settle."""
         self.deployment.start()
         operator = self.operator("loader")
@@ -124,7 +126,7 @@
         environment.run(until=loading | environment.timeout(LOAD_LIMIT_SECONDS))
         if loading.is_alive:
             raise RuntimeError("the configuration could not be loaded")
-        self.run(SETTLE_SECONDS)
+        self.run(settle_seconds)
 
     def operator(self, name: str) -> Operator:
         """Return an operator who reaches all nodes."""
--- a/benchmarks/scale/memory.py
+++ b/benchmarks/scale/memory.py
@@ -16,7 +16,7 @@
 from yokeline.identifiers import NodeName, ReplicaId, RunId
 from yokeline.labels.objects import AccessToken, ObjectKind, Policy, Program, StoredObject, Tenant
 from yokeline.labels.view import ConfigurationView
-from yokeline.membership.roster import Roster
+from yokeline.membership.member_table import MemberTable
 from yokeline.membership.view import Member, MemberState
 from yokeline.runs.model import (
     CallFinished,
@@ -193,13 +193,13 @@
 
 
 def _members() -> None:
-    rosters: list[Roster] = []
+    tables: list[MemberTable] = []
 
     def build() -> None:
-        roster = Roster()
+        table = MemberTable()
         for number in range(MEMBERS):
-            roster.merge(_member(number), 0.0)
-        rosters.append(roster)
+            table.merge(_member(number), 0.0)
+        tables.append(table)
 
     used = _bytes_of(build)
     print(f"- {used / MEMBERS:.0f} bytes per member", flush=True)
--- a/benchmarks/scale/scenarios.py
+++ b/benchmarks/scale/scenarios.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from benchmarks.scale.changes import ChangeWriter
-from benchmarks.scale.hollow import HollowCluster, Window
+from benchmarks.scale.hollow import BALANCED_SECONDS, HollowCluster, Window
 from benchmarks.scale.load import LoadGenerator, RequestMaker, agent, long_input, posting
 from benchmarks.scale.tables import print_slope, print_table
 from yokeline.settings import Settings
@@ -236,7 +236,7 @@
     windows = []
     for _ in range(REPEATS):
         cluster = HollowCluster(nodes=nodes, shards=shards, engines=engines, adjust=adjust)
-        cluster.start()
+        cluster.start(BALANCED_SECONDS)
         windows.append(cluster.measure(IDLE_SECONDS))
     return sorted(windows, key=Window.total_seconds)[REPEATS // 2]
 
--- a/src/yokeline/backends/app.py
+++ b/src/yokeline/backends/app.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from yokeline.backends.keyed import (
     KeyedRequest,
@@ -15,9 +15,9 @@
     send_keyed,
     send_lookup,
 )
-from yokeline.backends.outcomes import decode_json, malformed
+from yokeline.backends.outcomes import decode_applied
 from yokeline.effects import Address, HttpResponse
-from yokeline.errors import Execution, YokelineError
+from yokeline.errors import YokelineError
 from yokeline.identifiers import RequestId, RunId
 from yokeline.server.context import NodeContext
 
@@ -89,9 +89,6 @@
 
 
 def app_answer(app: str, body: bytes) -> Result[AppAnswer, YokelineError]:
-    """Check that an app's answer is JSON; one that is not is of a request that surely ran."""
-    decoded = decode_json(body, msgspec.Raw, f"app {app}")
-    if isinstance(decoded, Failure):
-        detail = decoded.failure().message
-        return Failure(malformed(f"app {app}", detail, Execution.DONE))
-    return Success(AppAnswer(content=bytes(decoded.unwrap()).decode()))
+    """Check that the body of an app's 2xx answer is JSON."""
+    decoded = decode_applied(body, msgspec.Raw, f"app {app}")
+    return decoded.map(lambda content: AppAnswer(content=bytes(content).decode()))
--- a/src/yokeline/backends/outcomes.py
+++ b/src/yokeline/backends/outcomes.py
@@ -75,6 +75,17 @@
         return Failure(malformed(backend, str(error)))
 
 
+def decode_applied(body: bytes, expected: type[Body], backend: str) -> Result[Body, YokelineError]:
+    """Decode the body of a 2xx answer; one that cannot be read is of a request that ran.
+
+    Returns:
+        The body, or a ``BACKEND_FAILED`` failure with the execution ``DONE``.
+    """
+    return decode_json(body, expected, backend).alt(
+        lambda error: msgspec.structs.replace(error, execution=Execution.DONE)
+    )
+
+
 def malformed(backend: str, detail: str, execution: Execution = Execution.UNKNOWN) -> YokelineError:
     """Return the error for an answer that does not follow the protocol."""
     return YokelineError(
--- a/src/yokeline/backends/tool.py
+++ b/src/yokeline/backends/tool.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from yokeline.backends.keyed import (
     KeyedRequest,
@@ -15,9 +15,9 @@
     send_keyed,
     send_lookup,
 )
-from yokeline.backends.outcomes import decode_json, malformed
+from yokeline.backends.outcomes import decode_applied
 from yokeline.effects import Address, HttpResponse
-from yokeline.errors import Execution, YokelineError
+from yokeline.errors import YokelineError
 from yokeline.identifiers import RequestId, RunId
 from yokeline.server.context import NodeContext
 
@@ -107,9 +107,5 @@
 
 
 def tool_answer(tool: str, body: bytes) -> Result[ToolAnswer, YokelineError]:
-    """Decode a tool's answer; one that cannot be read is of a call that surely ran."""
-    decoded = decode_json(body, ToolAnswer, f"tool {tool}")
-    if isinstance(decoded, Failure):
-        detail = decoded.failure().message
-        return Failure(malformed(f"tool {tool}", detail, Execution.DONE))
-    return Success(decoded.unwrap())
+    """Decode the body of a tool's 2xx answer."""
+    return decode_applied(body, ToolAnswer, f"tool {tool}")
--- a/src/yokeline/commands/cluster.py
+++ b/src/yokeline/commands/cluster.py
@@ -18,8 +18,7 @@
     Args:
         session: The node to ask, and where the result goes.
     """
-    session.output.rows(session.client.pages("/admin/v1/nodes", "items", {}))
-    return EXIT_OK
+    return _list(session, "/admin/v1/nodes")
 
 
 @connected
@@ -29,8 +28,7 @@
     Args:
         session: The node to ask, and where the result goes.
     """
-    session.output.rows(session.client.pages("/admin/v1/shards", "items", {}))
-    return EXIT_OK
+    return _list(session, "/admin/v1/shards")
 
 
 @connected
@@ -40,8 +38,7 @@
     Args:
         session: The node to ask, and where the result goes.
     """
-    session.output.rows(session.client.pages("/admin/v1/engines", "items", {}))
-    return EXIT_OK
+    return _list(session, "/admin/v1/engines")
 
 
 @connected
@@ -70,3 +67,8 @@
         time.sleep(POLL_SECONDS)
     session.output.note(f"the node {started['node']} has not gone within {wait:g} seconds")
     return EXIT_FAILURE
+
+
+def _list(session: Session, path: str) -> int:
+    session.output.rows(session.client.pages(path, "items", {}))
+    return EXIT_OK
--- a/src/yokeline/commands/node.py
+++ b/src/yokeline/commands/node.py
@@ -7,14 +7,15 @@
 import sys
 import time
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure
 
 from yokeline.effects import Address
 from yokeline.errors import EXIT_OK, ErrorKind, YokelineError, YokelineException
+from yokeline.identifiers import ReplicaId
 from yokeline.logs import set_up_logs
 from yokeline.node.data_folder import read_all
 from yokeline.node.limits import ServerLimits, TransportLimits
-from yokeline.node.process import ServiceBinding, run_service
+from yokeline.node.process import BoundService, ServiceBinding, run_service
 from yokeline.settings import Settings
 from yokeline.settings_loader import load_settings
 
@@ -56,23 +57,37 @@
     _set_up_logs(settings)
     source = random.Random(secrets.randbits(SEED_BITS))
     now = time.monotonic()
-    section = settings.node
-    files: Result[dict[str, bytes], YokelineError] = Success({})
-    if section.data_folder:
-        files = read_all(section.data_folder)
-    if isinstance(files, Failure):
-        raise YokelineException(files.failure())
     built = build_node(
         settings,
         source=source,
         now=now,
         wall_offset=time.time() - now,
-        files=files.unwrap(),
+        files=_read_data_folder(settings),
     )
-    binding = ServiceBinding(
+
+    def show_transport_counters(bound: BoundService) -> None:
+        built.admin.transport_counters = bound.transport_counters
+
+    binding = _binding(settings, built.replica)
+    return run_service(built, binding, on_bound=show_transport_counters)
+
+
+def _read_data_folder(settings: Settings) -> dict[str, bytes]:
+    """Return the content of the data folder by file name; empty if there is no folder."""
+    if not settings.node.data_folder:
+        return {}
+    files = read_all(settings.node.data_folder)
+    if isinstance(files, Failure):
+        raise YokelineException(files.failure())
+    return files.unwrap()
+
+
+def _binding(settings: Settings, replica: ReplicaId) -> ServiceBinding:
+    section = settings.node
+    return ServiceBinding(
         http=Address(section.host, section.http_port),
         peer=Address(section.host, section.peer_port),
-        replica=built.context.replica,
+        replica=replica,
         data_folder=section.data_folder,
         limits=TransportLimits(
             server=ServerLimits(
@@ -81,7 +96,6 @@
             )
         ),
     )
-    return run_service(built, binding)
 
 
 def _set_up_logs(settings: Settings) -> None:
--- a/src/yokeline/gateway/admin.py
+++ b/src/yokeline/gateway/admin.py
@@ -178,7 +178,8 @@
             **self._parts.admin.gauges(),
             WAITING_GAUGE: float(len(self._table)),
         }
-        body = render(self._parts.context.counters, gauges, self._table.durations)
+        counters = {**self._parts.context.counters, **self._parts.admin.transport_counters()}
+        body = render(counters, gauges, self._table.durations)
         self._table.reply(call.exchange, STATUS_OK, {"content-type": CONTENT_TYPE}, body)
 
     def read_openapi(self, call: ApiCall) -> None:
--- a/src/yokeline/gateway/admin_objects.py
+++ b/src/yokeline/gateway/admin_objects.py
@@ -27,7 +27,8 @@
 from yokeline.gateway.reserved_addresses import check_addresses
 from yokeline.labels.objects import ConfigurationObject, ObjectKind, StoredObject
 from yokeline.labels.references import check_clashes, check_references
-from yokeline.store.writer import OperationStatus, WriteResult
+from yokeline.store.history import OperationStatus
+from yokeline.store.writes import WriteResult
 
 STATUS_OK = 200
 STATUS_CREATED = 201
--- a/src/yokeline/gateway/calls.py
+++ b/src/yokeline/gateway/calls.py
@@ -14,9 +14,9 @@
 from yokeline.gateway.exchange import Exchange, ExchangeTable
 from yokeline.gateway.interfaces import AdminReader, ConfigurationReader, ConfigurationWriter
 from yokeline.gateway.limits import Admission
-from yokeline.gateway.timers import Timers
 from yokeline.server.context import NodeContext
 from yokeline.settings import Settings
+from yokeline.timers import TimerQueue
 
 Value = TypeVar("Value")
 
@@ -49,7 +49,7 @@
     context: NodeContext
     settings: Settings
     table: ExchangeTable
-    timers: Timers
+    timers: TimerQueue
     configuration: ConfigurationReader
     writer: ConfigurationWriter
     admin: AdminReader
--- a/src/yokeline/gateway/event_stream.py
+++ b/src/yokeline/gateway/event_stream.py
@@ -15,13 +15,13 @@
 from yokeline.errors import ErrorKind, Execution, YokelineError
 from yokeline.gateway.exchange import Exchange, ExchangeTable, PendingOperation
 from yokeline.gateway.problems import problem_of, unknown_run
-from yokeline.gateway.timers import TimerId, Timers
 from yokeline.gateway.watch_position import MissingEvents, ResumePoint, WatchPosition
 from yokeline.identifiers import RunId, ShardId
 from yokeline.runs.events import EventId, FinishedEvent, RunEvent
 from yokeline.runs.model import Run, RunStatus
 from yokeline.server.context import NodeContext
 from yokeline.shards.operations import OperationResult, RunResult, WatchRun
+from yokeline.timers import Timer, TimerQueue
 
 EVENT_STREAM_HEADERS = {
     "content-type": "text/event-stream",
@@ -63,7 +63,7 @@
     def __init__(
         self,
         context: NodeContext,
-        timers: Timers,
+        timers: TimerQueue,
         table: ExchangeTable,
         exchange: Exchange,
         watch: Watch,
@@ -81,8 +81,8 @@
         self._ends_at = context.now + watch.seconds
         self._fruitless = 0
         self._pending: PendingOperation | None = None
-        self._timer: TimerId | None = None
-        exchange.on_close.append(self._stop)
+        self._timer: Timer | None = None
+        exchange.on_close.append(self._cancel_timer)
 
     def begin(self) -> None:
         """Watch the run, and send the head once the run is known to exist."""
@@ -155,7 +155,7 @@
         self._watch_later()
 
     def _watch_later(self) -> None:
-        self._timers.at(self._context.now + REWATCH_DELAY_SECONDS, self._watch_again)
+        self._timers.schedule(self._context.now + REWATCH_DELAY_SECONDS, self._watch_again)
 
     def _fail(self, error: YokelineError) -> None:
         if not self._exchange.streaming:
@@ -165,8 +165,8 @@
         self._table.end_stream(self._exchange, aborted=True)
 
     def _set_timer(self, seconds: float) -> None:
-        self._timers.cancel(self._timer)
-        self._timer = self._timers.at(self._context.now + seconds, self._keep_alive)
+        self._cancel_timer()
+        self._timer = self._timers.schedule(self._context.now + seconds, self._keep_alive)
 
     def _keep_alive(self) -> None:
         if self._exchange.answered:
@@ -175,8 +175,9 @@
         self._table.send(self._exchange, KEEPALIVE_COMMENT)
         self._set_timer(self._keepalive_seconds)
 
-    def _stop(self) -> None:
-        self._timers.cancel(self._timer)
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
 
 
 def stream_headers(run: RunId) -> dict[str, str]:
--- a/src/yokeline/gateway/exchange.py
+++ b/src/yokeline/gateway/exchange.py
@@ -17,11 +17,11 @@
 from yokeline.errors import ErrorKind, Execution, YokelineError
 from yokeline.gateway.interfaces import EventsReceived, OperationDone, RunRouter
 from yokeline.gateway.problems import Problem, problem_headers, problem_of
-from yokeline.gateway.timers import TimerId, Timers
 from yokeline.identifiers import ExchangeId, RequestId, ShardId
 from yokeline.metrics import Histogram
 from yokeline.server.context import NodeContext
 from yokeline.shards.operations import Operation, OperationResult
+from yokeline.timers import Timer, TimerQueue
 
 JSON_TYPE = "application/json"
 ROUTER_GRACE_SECONDS = 5.0
@@ -51,7 +51,7 @@
         self.streaming = False
         self.status = 0
         self.on_close: list[Callable[[], None]] = []
-        self.asked: dict[RequestId, TimerId] = {}
+        self.asked: dict[RequestId, Timer] = {}
 
     @property
     def id(self) -> ExchangeId:
@@ -62,7 +62,7 @@
 class ExchangeTable:
     """The exchanges under way; answers each of them once."""
 
-    def __init__(self, context: NodeContext, timers: Timers, router: RunRouter) -> None:
+    def __init__(self, context: NodeContext, timers: TimerQueue, router: RunRouter) -> None:
         """Create an empty table."""
         self._context = context
         self._timers = timers
@@ -113,14 +113,16 @@
         if pending.finished:
             return pending
         when = self._context.now + deadline_seconds + ROUTER_GRACE_SECONDS
-        exchange.asked[request] = self._timers.at(when, lambda: self._give_up(pending, request))
+        give_up = self._timers.schedule(when, lambda: self._give_up(pending, request))
+        exchange.asked[request] = give_up
         pending.request = request
         return pending
 
     def settle(self, exchange: Exchange, request: RequestId | None) -> None:
         """Forget an operation that is answered."""
-        if request is not None:
-            self._timers.cancel(exchange.asked.pop(request, None))
+        timer = exchange.asked.pop(request, None) if request is not None else None
+        if timer is not None:
+            timer.cancel()
 
     def abandon(self, exchange: Exchange, request: RequestId | None) -> None:
         """Stop waiting for an operation."""
@@ -206,7 +208,7 @@
         exchange.answered = True
         self._open.pop(exchange.id, None)
         for request, timer in exchange.asked.items():
-            self._timers.cancel(timer)
+            timer.cancel()
             self._router.cancel(request)
         exchange.asked.clear()
         for action in exchange.on_close:
--- a/src/yokeline/gateway/gateway.py
+++ b/src/yokeline/gateway/gateway.py
@@ -35,9 +35,9 @@
 from yokeline.gateway.recovery import RecoveryApi
 from yokeline.gateway.requests import IDEMPOTENCY_KEY_HEADER
 from yokeline.gateway.routes import Access, NoMatch, Route, find_route
-from yokeline.gateway.timers import Timers
 from yokeline.server.context import NodeContext
 from yokeline.settings import Settings
+from yokeline.timers import TimerQueue
 
 STATUS_METHOD_NOT_ALLOWED = 405
 MAX_PATH_LENGTH = 2048
@@ -67,7 +67,7 @@
         self._settings = settings
         self._configuration = configuration
         self._admin = admin
-        self._timers = Timers()
+        self._timers = TimerQueue()
         self._table = ExchangeTable(context, self._timers, router)
         self._stopping = False
         self._admission = Admission(settings.gateway.max_waiting_requests, context.random)
@@ -109,7 +109,7 @@
 
     def next_deadline(self) -> float | None:
         """Return when :meth:`tick` is due."""
-        return self._timers.next_deadline()
+        return self._timers.next_due()
 
     def waiting(self) -> int:
         """Return the number of requests under way here."""
--- a/src/yokeline/gateway/interfaces.py
+++ b/src/yokeline/gateway/interfaces.py
@@ -15,7 +15,8 @@
 from yokeline.labels.view import ConfigurationView
 from yokeline.runs.events import RunEvent
 from yokeline.shards.operations import Operation, OperationResult
-from yokeline.store.writer import StatusDone, WriteDone
+from yokeline.store.history import StatusDone
+from yokeline.store.writes import WriteDone
 
 OperationDone = Callable[[Result[OperationResult, YokelineError]], None]
 RecoveryDone = Callable[[Result[Any, YokelineError]], None]
@@ -93,6 +94,10 @@
         """Return current values by metric name (``name`` or ``name{label="value"}``)."""
         ...
 
+    def transport_counters(self) -> Mapping[str, float]:
+        """Return counters of the transports by metric name; they only rise."""
+        ...
+
     def unready_reasons(self) -> Sequence[str]:
         """Return why this node should get no requests; empty if it is ready."""
         ...
--- a/src/yokeline/gateway/object_requests.py
+++ b/src/yokeline/gateway/object_requests.py
@@ -13,8 +13,9 @@
 from yokeline.gateway.authentication import Identity
 from yokeline.gateway.problems import bad_request, forbidden, not_found
 from yokeline.gateway.requests import MAX_SHOWN
-from yokeline.labels.checks import decode_object, is_object_name
+from yokeline.labels.checks import decode_object
 from yokeline.labels.objects import ConfigurationObject, ObjectKind, StoredObject
+from yokeline.labels.value_checks import is_object_name
 
 OPERATION_PREFIX = "op"
 OPERATION_NONCE_BITS = 64
--- a/src/yokeline/gateway/operation_outcome.py
+++ b/src/yokeline/gateway/operation_outcome.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from yokeline.gateway.object_requests import ABSENT_REVISION, OperationId
-from yokeline.store.writer import OperationStatus
+from yokeline.store.history import OperationStatus
 
 OUTCOME_APPLIED = "applied"
 OUTCOME_NOT_APPLIED = "not_applied"
--- a/src/yokeline/gateway/public.py
+++ b/src/yokeline/gateway/public.py
@@ -32,7 +32,7 @@
     turn_of_key,
 )
 from yokeline.identifiers import RunId
-from yokeline.labels.objects import TenantLimits
+from yokeline.labels.objects import Program, TenantLimits
 from yokeline.shards.operations import ContinueRun, StartRun, StopRun
 
 STATUS_OK = 200
@@ -58,11 +58,8 @@
         run_input = value_of(parse_input(body.input))
         labels = value_of(check_labels(body.labels))
         tenant = call.identity.tenant
-        view = self._parts.configuration.view()
-        program = view.program(tenant, call.arguments["name"])
-        if program is None:
-            raise YokelineException(_no_program(call.arguments["name"]))
-        policy = view.resolve(program)
+        program = self._program(tenant, call.arguments["name"])
+        policy = self._parts.configuration.view().resolve(program)
         deadline = self._deadline(body.deadline_seconds, policy.deadline_seconds)
         self._admit(call, Importance.of(policy.worth, deadline))
         text = run_input.json if program.app else run_input.text
@@ -76,12 +73,7 @@
         )
         run = new_run_id(tenant, key, self._context.random)
         wait = bool(program.app) if body.wait is None else body.wait
-        delivery = Delivery(
-            key=key,
-            deadline_seconds=deadline,
-            wait=wait,
-            events=wants_events(call.request.headers),
-        )
+        delivery = _delivery(call, key, deadline, wait=wait)
         self._delivery.ask_new(
             call,
             StartRun(run=run, spec=spec, input=text),
@@ -105,12 +97,7 @@
             input=run_input.text,
             deadline_wall=self._context.wall() + deadline,
         )
-        delivery = Delivery(
-            key=key,
-            deadline_seconds=deadline,
-            wait=bool(body.wait),
-            events=wants_events(call.request.headers),
-        )
+        delivery = _delivery(call, key, deadline, wait=bool(body.wait))
         self._delivery.ask_new(
             call,
             operation,
@@ -155,6 +142,12 @@
             lambda error: self._delivery.run_failed(call.exchange, run, error),
         )
 
+    def _program(self, tenant: str, name: str) -> Program:
+        program = self._parts.configuration.view().program(tenant, name)
+        if program is None:
+            raise YokelineException(_no_program(name))
+        return program
+
     def _deadline(self, requested: float | None, policy: float | None) -> float:
         return value_of(
             parse_deadline(
@@ -186,6 +179,15 @@
         return tenant.limits if tenant is not None else TenantLimits()
 
 
+def _delivery(call: ApiCall, key: str, deadline_seconds: float, *, wait: bool) -> Delivery:
+    return Delivery(
+        key=key,
+        deadline_seconds=deadline_seconds,
+        wait=wait,
+        events=wants_events(call.request.headers),
+    )
+
+
 def _run_argument(call: ApiCall) -> RunId:
     text = call.arguments["id"]
     if not is_run_id(text):
--- a/src/yokeline/labels/checks.py
+++ b/src/yokeline/labels/checks.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import math
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from yokeline.addresses import ADDRESS_FORM, parse_address
+from yokeline.addresses import ADDRESS_FORM
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.field_checks import FieldProblem, check_fields, known_fields_only
 from yokeline.labels.objects import (
@@ -27,19 +26,19 @@
     Tenant,
     Tool,
 )
-from yokeline.labels.selectors import (
-    KEY_FORM,
-    VALUE_FORM,
-    is_label_key,
-    is_label_value,
-    parse_selector,
+from yokeline.labels.value_checks import (
+    Problems,
+    address_problems,
+    duplicate_problems,
+    label_problems,
+    model_problems,
+    name_list_problems,
+    name_problems,
+    range_problems,
+    selector_problems,
 )
 
-MAX_NAME_LENGTH = 63
-MAX_LABELS = 64
-MAX_ITEMS = 1000
 MAX_SYSTEM_PROMPT_LENGTH = 65_536
-MAX_MODEL_NAME_LENGTH = 128
 MAX_PATH_LENGTH = 512
 MAX_COMPLETION_TOKENS = 1_000_000
 MAX_TIMEOUT_SECONDS = 3600.0
@@ -48,21 +47,11 @@
 MAX_COUNT = 2**53
 """Largest whole number that every JSON reader keeps exactly."""
 
-NAME_FORM = "1 to 63 letters, digits, '-', '_' or '.', with a letter or digit at both ends"
 DIGEST_FORM = "64 lower-case hex digits, the SHA-256 of the token"
 PATH_FORM = "'/' and visible ASCII characters other than '?' and '#'"
 
-_NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9_.-]*[A-Za-z0-9])?")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _PATH = re.compile(r"/[!-\"$->@-~]*")
-_MODEL = re.compile(r"[!-~]+")
-
-Problems = list[FieldProblem]
-
-
-def is_object_name(text: str) -> bool:
-    """Return whether ``text`` may name a configuration object."""
-    return len(text) <= MAX_NAME_LENGTH and _NAME.fullmatch(text) is not None
 
 
 def qualified_name(item: ConfigurationObject) -> str:
@@ -136,10 +125,10 @@
 
 def check_object(item: ConfigurationObject) -> Problems:
     """Return the problems of names, ranges, addresses and selectors in a decoded object."""
-    problems = _name_problems("name", item.name)
-    problems.extend(_label_problems(item.labels))
+    problems = name_problems("name", item.name)
+    problems.extend(label_problems(item.labels))
     if not isinstance(item, Tenant | EnginePool) and item.tenant:
-        problems.extend(_name_problems("tenant", item.tenant))
+        problems.extend(name_problems("tenant", item.tenant))
     checks: dict[type, Callable[..., Problems]] = {
         Tenant: _check_tenant,
         Program: _check_program,
@@ -159,12 +148,16 @@
         if not _DIGEST.fullmatch(digest):
             path = f"tokens[{position}].digest"
             problems.append(FieldProblem(path, "not a digest", f"write {DIGEST_FORM}"))
-    problems.extend(_duplicate_problems("tokens", digests, shown=False))
+    problems.extend(duplicate_problems("tokens", digests, shown=False))
     limits = tenant.limits
-    problems.extend(_range("limits.requests_per_second", limits.requests_per_second, 0, MAX_COUNT))
-    problems.extend(_range("limits.burst", limits.burst, 1, MAX_COUNT))
-    problems.extend(_range("limits.active_runs", limits.active_runs, 0, MAX_COUNT))
-    problems.extend(_range("limits.tokens_per_minute", limits.tokens_per_minute, 0, MAX_COUNT))
+    problems.extend(
+        range_problems("limits.requests_per_second", limits.requests_per_second, 0, MAX_COUNT)
+    )
+    problems.extend(range_problems("limits.burst", limits.burst, 1, MAX_COUNT))
+    problems.extend(range_problems("limits.active_runs", limits.active_runs, 0, MAX_COUNT))
+    problems.extend(
+        range_problems("limits.tokens_per_minute", limits.tokens_per_minute, 0, MAX_COUNT)
+    )
     return problems
 
 
@@ -178,12 +171,12 @@
             FieldProblem("model, app", message, "set 'model' for an agent or 'app' for a request")
         )
     if program.app:
-        problems.extend(_name_problems("app", program.app))
+        problems.extend(name_problems("app", program.app))
         problems.extend(_agent_only_problems(program))
     if program.model:
-        problems.extend(_model_problems("model", program.model))
+        problems.extend(model_problems("model", program.model))
     for field, names in (("tools", program.tools), ("children", program.children)):
-        problems.extend(_name_list_problems(field, names))
+        problems.extend(name_list_problems(field, names))
     for name in sorted(set(program.tools) & set(program.children)):
         message = f"{name!r} is also a tool, and a model could not tell them apart"
         problems.append(FieldProblem("children", message, "rename one of them"))
@@ -191,7 +184,7 @@
         message = f"{len(program.system_prompt)} characters; at most {MAX_SYSTEM_PROMPT_LENGTH}"
         problems.append(FieldProblem("system_prompt", message, "shorten it"))
     tokens = program.max_completion_tokens
-    problems.extend(_range("max_completion_tokens", tokens, 1, MAX_COMPLETION_TOKENS))
+    problems.extend(range_problems("max_completion_tokens", tokens, 1, MAX_COMPLETION_TOKENS))
     return problems
 
 
@@ -210,18 +203,18 @@
 
 
 def _check_engine_pool(pool: EnginePool) -> Problems:
-    problems = _address_problems(pool.addresses)
+    problems = address_problems(pool.addresses)
     if not pool.addresses and not pool.machine_selector:
         message = "both are empty, so that the pool has no engine"
         problems.append(FieldProblem("addresses, machine_selector", message, "set one of them"))
-    problems.extend(_selector_problems("machine_selector", pool.machine_selector))
+    problems.extend(selector_problems("machine_selector", pool.machine_selector))
     if not pool.models:
         problems.append(FieldProblem("models", "empty", "list the models the engines may serve"))
     for position, model in enumerate(pool.models):
-        problems.extend(_model_problems(f"models[{position}]", model))
-    problems.extend(_duplicate_problems("models", pool.models))
-    problems.extend(_range("cache_tokens", pool.cache_tokens, 1, MAX_COUNT))
-    problems.extend(_range("slots", pool.slots, 1, MAX_COUNT))
+        problems.extend(model_problems(f"models[{position}]", model))
+    problems.extend(duplicate_problems("models", pool.models))
+    problems.extend(range_problems("cache_tokens", pool.cache_tokens, 1, MAX_COUNT))
+    problems.extend(range_problems("slots", pool.slots, 1, MAX_COUNT))
     return problems
 
 
@@ -234,105 +227,30 @@
 
 
 def _check_back_end(addresses: tuple[str, ...], path: str, timeout_seconds: float) -> Problems:
-    problems = _address_problems(addresses)
+    problems = address_problems(addresses)
     if not addresses:
         problems.append(FieldProblem("addresses", "empty", f"list at least one, {ADDRESS_FORM}"))
     if len(path) > MAX_PATH_LENGTH or not _PATH.fullmatch(path):
         problems.append(FieldProblem("path", f"{path!r} is not allowed", f"write {PATH_FORM}"))
-    problems.extend(_range("timeout_seconds", timeout_seconds, 0, MAX_TIMEOUT_SECONDS))
+    problems.extend(range_problems("timeout_seconds", timeout_seconds, 0, MAX_TIMEOUT_SECONDS))
     if timeout_seconds == 0:
         problems.append(FieldProblem("timeout_seconds", "0 is no time", "set more than 0"))
     return problems
 
 
 def _check_policy(policy: Policy) -> Problems:
-    problems = _selector_problems("program_selector", policy.program_selector)
-    problems.extend(_selector_problems("engine_selector", policy.engine_selector))
-    problems.extend(_range("order", policy.order, -MAX_COUNT, MAX_COUNT))
+    problems = selector_problems("program_selector", policy.program_selector)
+    problems.extend(selector_problems("engine_selector", policy.engine_selector))
+    problems.extend(range_problems("order", policy.order, -MAX_COUNT, MAX_COUNT))
     if policy.priority is not None:
-        problems.extend(_range("priority", policy.priority, -MAX_PRIORITY, MAX_PRIORITY))
+        problems.extend(range_problems("priority", policy.priority, -MAX_PRIORITY, MAX_PRIORITY))
     if policy.worth is not None:
-        problems.extend(_range("worth", policy.worth, 0, MAX_COUNT))
+        problems.extend(range_problems("worth", policy.worth, 0, MAX_COUNT))
     if policy.deadline_seconds is not None:
         problems.extend(
-            _range("deadline_seconds", policy.deadline_seconds, 0, MAX_DEADLINE_SECONDS)
+            range_problems("deadline_seconds", policy.deadline_seconds, 0, MAX_DEADLINE_SECONDS)
         )
     if policy.budget is not None:
         for field, limit in msgspec.structs.asdict(policy.budget).items():
-            problems.extend(_range(f"budget.{field}", limit, 0, MAX_COUNT))
-    return problems
-
-
-def _name_problems(field: str, name: str) -> Problems:
-    if is_object_name(name):
-        return []
-    return [FieldProblem(field, f"{name[:MAX_NAME_LENGTH]!r} is no name", f"write {NAME_FORM}")]
-
-
-def _name_list_problems(field: str, names: tuple[str, ...]) -> Problems:
-    problems = _duplicate_problems(field, names)
-    for position, name in enumerate(names):
-        problems.extend(_name_problems(f"{field}[{position}]", name))
-    return problems
-
-
-def _model_problems(field: str, model: str) -> Problems:
-    if len(model) <= MAX_MODEL_NAME_LENGTH and _MODEL.fullmatch(model):
-        return []
-    message = f"{model[:MAX_NAME_LENGTH]!r} is no model name"
-    remedy = f"write 1 to {MAX_MODEL_NAME_LENGTH} visible ASCII characters"
-    return [FieldProblem(field, message, remedy)]
-
-
-def _label_problems(labels: Mapping[str, str]) -> Problems:
-    problems: Problems = []
-    if len(labels) > MAX_LABELS:
-        message = f"{len(labels)} labels; at most {MAX_LABELS}"
-        problems.append(FieldProblem("labels", message, "remove some"))
-    for key, value in labels.items():
-        if not is_label_key(key):
-            message = f"{key[:MAX_NAME_LENGTH]!r} is no label key"
-            problems.append(FieldProblem("labels", message, f"write {KEY_FORM}"))
-        if not is_label_value(value):
-            message = f"{value[:MAX_NAME_LENGTH]!r} is no label value"
-            problems.append(FieldProblem(f"labels[{key!r}]", message, f"write {VALUE_FORM}"))
+            problems.extend(range_problems(f"budget.{field}", limit, 0, MAX_COUNT))
     return problems
-
-
-def _address_problems(addresses: tuple[str, ...]) -> Problems:
-    problems = _duplicate_problems("addresses", addresses)
-    for position, address in enumerate(addresses):
-        parsed = parse_address(address)
-        if isinstance(parsed, Failure):
-            error = parsed.failure()
-            problems.append(FieldProblem(f"addresses[{position}]", error.message, error.remedy))
-    return problems
-
-
-def _selector_problems(field: str, selector: str) -> Problems:
-    parsed = parse_selector(selector)
-    if isinstance(parsed, Success):
-        return []
-    error = parsed.failure()
-    return [FieldProblem(field, error.message, error.remedy)]
-
-
-def _duplicate_problems(field: str, items: Iterable[str], *, shown: bool = True) -> Problems:
-    listed = list(items)
-    if len(listed) > MAX_ITEMS:
-        message = f"{len(listed)} items; at most {MAX_ITEMS}"
-        return [FieldProblem(field, message, "remove some")]
-    repeated = sorted({item for item in listed if listed.count(item) > 1})
-    return [
-        FieldProblem(
-            field, f"{item!r} is there twice" if shown else "one is there twice", "remove one"
-        )
-        for item in repeated
-    ]
-
-
-def _range(field: str, number: float, lowest: float, highest: float) -> Problems:
-    if math.isfinite(number) and lowest <= number <= highest:
-        return []
-    message = f"{number} is not allowed; allowed is {lowest:g} to {highest:g}"
-    return [FieldProblem(field, message, "correct it")]
--- a/src/yokeline/membership/detector.py
+++ b/src/yokeline/membership/detector.py
@@ -4,22 +4,15 @@
 
 from collections.abc import Callable
 
-import msgspec
-
 from yokeline.addresses import parse_address
-from yokeline.effects import Address, DatagramArrived, SendDatagram
+from yokeline.effects import Address, DatagramArrived
 from yokeline.identifiers import ReplicaId, node_name_of
 from yokeline.membership.dissemination import Dissemination
-from yokeline.membership.messages import (
-    Ack,
-    Ping,
-    PingRequest,
-    SyncChunk,
-    SyncRequest,
-    member_bytes,
-)
+from yokeline.membership.member_table import MemberTable, started_after
+from yokeline.membership.messages import Ack, Ping, PingRequest, SyncChunk, SyncRequest
 from yokeline.membership.probes import ProbeOrder, ProbeTable
-from yokeline.membership.roster import Roster, started_after
+from yokeline.membership.relays import RelayTable
+from yokeline.membership.sender import MembershipSender
 from yokeline.membership.synchronization import ViewTransfers
 from yokeline.membership.view import Member, MemberState, with_state
 from yokeline.server.context import NodeContext
@@ -39,8 +32,6 @@
 """Time between two tries to reach a dead member or a seed, to heal a partition."""
 PAUSE_SECONDS = 1.0
 """A deadline missed by more than this means that this process was paused."""
-RELAY_SECONDS = 5.0
-"""Time that a probe on behalf of another member is remembered."""
 DEPARTURE_NOTICES = 5
 """Members that are told at once when this node ends a planned stop."""
 _START_MARGIN_SECONDS = 0.001
@@ -48,14 +39,6 @@
 ChangeListener = Callable[[Member], None]
 
 
-class _Relay(msgspec.Struct, frozen=True):
-    """A probe made on behalf of another member."""
-
-    asker: Address
-    sequence: int
-    expires: float
-
-
 class Membership:
     """SWIM-style membership of one node; implements ``membership.view.PeerView``.
 
@@ -75,12 +58,13 @@
         self._settings = settings.membership
         self._own = own
         self._seeds = _other_seeds(settings.cluster.seeds, own.address)
-        self._roster = Roster()
+        self._table = MemberTable()
         self._news = Dissemination()
         self._probes = ProbeTable(settings.membership)
         self._order = ProbeOrder(context.random)
         self._transfers = ViewTransfers()
-        self._relays: dict[int, _Relay] = {}
+        self._relays = RelayTable()
+        self._sender = MembershipSender(context, self._table, self._news, lambda: self._own)
         self._suspicions: dict[ReplicaId, float] = {}
         self._started = context.now
         self._next_probe = context.now
@@ -100,21 +84,21 @@
 
     def members(self) -> tuple[Member, ...]:
         """Return all members known, dead ones too, in the order of their ids."""
-        return tuple(self._roster.members())
+        return tuple(self._table.members())
 
     def alive(self) -> tuple[Member, ...]:
         """Return the members that are not dead (this node too), in the order of their ids."""
         return tuple(
-            member for member in self._roster.members() if member.state is not MemberState.DEAD
+            member for member in self._table.members() if member.state is not MemberState.DEAD
         )
 
     def member(self, replica: ReplicaId) -> Member | None:
         """Return what is believed of a process start, None if it is not known."""
-        return self._roster.get(replica)
+        return self._table.get(replica)
 
     def address_of(self, replica: ReplicaId) -> Address | None:
         """Return where a member that is not dead listens for other nodes."""
-        member = self._roster.get(replica)
+        member = self._table.get(replica)
         if member is None or member.state is MemberState.DEAD:
             return None
         return member.address
@@ -125,16 +109,16 @@
         A replica id that is not known is dead if its node has another process start, or
         once this node has been up long enough to have heard of it.
         """
-        member = self._roster.get(replica)
+        member = self._table.get(replica)
         if member is not None:
             return member.state is MemberState.DEAD
-        if self._roster.latest_start(node_name_of(replica)) is not None:
+        if self._table.latest_start(node_name_of(replica)) is not None:
             return True
         return self._context.now - self._started >= UNKNOWN_GRACE_SECONDS
 
     def zone_of(self, replica: ReplicaId) -> str | None:
         """Return the zone of a member, None if it is not known."""
-        member = self._roster.get(replica)
+        member = self._table.get(replica)
         return None if member is None else member.zone
 
     # ------------------------------------------------------------ planned stop
@@ -148,7 +132,7 @@
         """Tell some members that this process ends now, so that none has to detect it."""
         self._transition_own(MemberState.DEAD)
         for member in self._random_peers(DEPARTURE_NOTICES, ()):
-            self._send(member.address, self._ack(0, ()))
+            self._sender.acknowledge(member.address, 0)
 
     # ------------------------------------------------------------ events
 
@@ -196,33 +180,29 @@
     def _receive_ping(self, ping: Ping, source: Address) -> None:
         self._merge_all((ping.sender, *ping.updates))
         sequence = ping.sequence if ping.target == self._own.replica else 0
-        self._send(source, self._ack(sequence, self._doubts_about(ping.sender)))
+        self._sender.acknowledge(source, sequence, ping.sender)
 
     def _receive_ack(self, ack: Ack) -> None:
         self._merge_all((ack.sender, *ack.updates))
-        relay = self._relays.pop(ack.sequence, None)
+        relay = self._relays.answered(ack.sequence)
         if relay is not None:
-            passed_on = Ack(sequence=relay.sequence, sender=ack.sender)
-            self._send(relay.asker, passed_on)
+            self._sender.send(relay.asker, Ack(sequence=relay.sequence, sender=ack.sender))
             return
         self._probes.answered(ack.sequence)
 
     def _receive_ping_request(self, request: PingRequest, source: Address) -> None:
         self._merge_all((request.sender, *request.updates))
-        now = self._context.now
-        for old in [key for key, relay in self._relays.items() if relay.expires <= now]:
-            del self._relays[old]
         sequence = self._probes.new_sequence()
-        self._relays[sequence] = _Relay(source, request.sequence, now + RELAY_SECONDS)
-        self._send(request.target_address, self._ping(sequence, request.target))
+        self._relays.start(sequence, source, request.sequence, self._context.now)
+        self._sender.ping(request.target_address, sequence, request.target)
 
     def _receive_sync_request(self, request: SyncRequest, source: Address) -> None:
         self._merge_all((request.sender,))
-        if request.digest == self._roster.digest():
+        if request.digest == self._table.digest():
             chunk = SyncChunk(sender=self._own, members=(), last=True, answer_wanted=False)
-            self._send(source, chunk)
+            self._sender.send(source, chunk)
             return
-        self._transfers.start(source, self._roster.members(), answer_wanted=True)
+        self._transfers.start(source, self._table.members(), answer_wanted=True)
 
     def _receive_sync_chunk(self, chunk: SyncChunk, source: Address) -> None:
         self._merge_all((chunk.sender, *chunk.members))
@@ -231,7 +211,7 @@
         if self._own.state is MemberState.JOINING:
             self._transition_own(MemberState.ALIVE)
         if chunk.answer_wanted:
-            self._transfers.start(source, self._roster.members(), answer_wanted=False)
+            self._transfers.start(source, self._table.members(), answer_wanted=False)
 
     # ------------------------------------------------------------ what is due
 
@@ -245,7 +225,7 @@
 
     def _fail_probes(self, now: float) -> None:
         for replica in self._probes.take_failed(now):
-            member = self._roster.get(replica)
+            member = self._table.get(replica)
             if member is not None and member.state is not MemberState.DEAD:
                 self._merge(with_state(member, MemberState.SUSPECT))
 
@@ -256,18 +236,12 @@
                 continue
             count = self._settings.indirect_probes
             for helper in self._random_peers(count, (probe.target,)):
-                request = PingRequest(
-                    sequence=sequence,
-                    target=probe.target,
-                    target_address=address,
-                    sender=self._own,
-                )
-                self._send(helper.address, request)
+                self._sender.request_probe(helper.address, sequence, probe.target, address)
 
     def _expire_suspicions(self, now: float) -> None:
         expired = [replica for replica, due in self._suspicions.items() if now >= due]
         for replica in sorted(expired):
-            member = self._roster.get(replica)
+            member = self._table.get(replica)
             del self._suspicions[replica]
             if member is not None and member.state is MemberState.SUSPECT:
                 self._merge(with_state(member, MemberState.DEAD))
@@ -276,20 +250,20 @@
         if now < self._next_probe:
             return
         self._next_probe = now + self._settings.probe_period_seconds
-        self._roster.prune(now, DEAD_RETENTION_SECONDS)
+        self._table.prune(now, DEAD_RETENTION_SECONDS)
         target = self._order.next(member.replica for member in self._peers())
         address = None if target is None else self.address_of(target)
         if target is None or address is None:
             return
         sequence = self._probes.start(target, now)
-        self._send(address, self._ping(sequence, target))
+        self._sender.ping(address, sequence, target)
 
     def _join(self, now: float) -> None:
         if self._own.state is not MemberState.JOINING or now < self._next_join:
             return
         self._next_join = now + JOIN_PERIOD_SECONDS
         for seed in self._seeds:
-            self._request_sync(seed)
+            self._sender.request_sync(seed)
         if now - self._started >= JOIN_PATIENCE_SECONDS:
             self._transition_own(MemberState.ALIVE)
 
@@ -298,7 +272,7 @@
             return
         self._next_sync = now + SYNC_PERIOD_SECONDS
         for peer in self._random_peers(1, ()):
-            self._request_sync(peer.address)
+            self._sender.request_sync(peer.address)
 
     def _reconnect(self, now: float) -> None:
         if now < self._next_reconnect:
@@ -307,18 +281,18 @@
         known = {member.address for member in self.alive()}
         lost = [
             member.address
-            for member in self._roster.members()
+            for member in self._table.members()
             if member.state is MemberState.DEAD and member.address not in known
         ]
         lost.extend(seed for seed in self._seeds if seed not in known)
         if lost:
-            self._request_sync(self._context.random.choice(lost))
+            self._sender.request_sync(self._context.random.choice(lost))
 
     def _send_chunk(self, now: float) -> None:
         due = self._transfers.take_due(self._own, now)
         if due is not None:
             to, chunk = due
-            self._send(to, chunk)
+            self._sender.send(to, chunk)
 
     # ------------------------------------------------------------ changes
 
@@ -330,7 +304,7 @@
                 self._merge(claim)
 
     def _merge(self, claim: Member) -> None:
-        for member in self._roster.merge(claim, self._context.now):
+        for member in self._table.merge(claim, self._context.now):
             self._transition_member(member)
 
     def _transition_member(self, member: Member) -> None:
@@ -367,7 +341,7 @@
 
         A node that has just started is the later one even if its wall clock is behind.
         """
-        if self._roster.latest_start(self._own.name) == self._own:
+        if self._table.latest_start(self._own.name) == self._own:
             return
         if self._own.state is MemberState.JOINING or other.state is MemberState.DEAD:
             self._own = started_after(self._own, other, _START_MARGIN_SECONDS)
@@ -376,7 +350,7 @@
         self.superseded = True
         self._context.warn("membership_superseded", by=other.replica)
 
-    # ------------------------------------------------------------ datagrams out
+    # ------------------------------------------------------------ other members
 
     def _peers(self) -> list[Member]:
         return [member for member in self.alive() if member.replica != self._own.replica]
@@ -385,41 +359,6 @@
         peers = [peer for peer in self._peers() if peer.replica not in excluded]
         return self._context.random.sample(peers, min(count, len(peers)))
 
-    def _doubts_about(self, sender: Member) -> tuple[Member, ...]:
-        believed = self._roster.get(sender.replica)
-        if believed is None or believed == sender:
-            return ()
-        latest = self._roster.latest_start(sender.name)
-        if latest is not None and latest.replica != sender.replica:
-            return (believed, latest)
-        return (believed,)
-
-    def _updates(self, first: tuple[Member, ...]) -> tuple[Member, ...]:
-        count = len(self._roster.members())
-        own_bytes = member_bytes(self._own)
-        return self._news.take(self._roster.get, count, first, own_bytes)
-
-    def _ping(self, sequence: int, target: ReplicaId) -> Ping:
-        believed = self._roster.get(target)
-        suspect = believed is not None and believed.state is MemberState.SUSPECT
-        first = (believed,) if believed is not None and suspect else ()
-        return Ping(
-            sequence=sequence,
-            target=target,
-            sender=self._own,
-            updates=self._updates(first),
-        )
-
-    def _ack(self, sequence: int, first: tuple[Member, ...]) -> Ack:
-        return Ack(sequence=sequence, sender=self._own, updates=self._updates(first))
-
-    def _request_sync(self, to: Address) -> None:
-        self._send(to, SyncRequest(digest=self._roster.digest(), sender=self._own))
-
-    def _send(self, to: Address, message: msgspec.Struct) -> None:
-        self._context.counters["yokeline_membership_datagrams_sent_total"] += 1
-        self._context.emit(SendDatagram(address=to, message=message))
-
 
 def _other_seeds(seeds: tuple[str, ...], own: Address) -> tuple[Address, ...]:
     addresses = tuple(parse_address(seed).unwrap() for seed in seeds)
--- a/src/yokeline/membership/roster.py
+++ b/src/yokeline/membership/member_table.py
@@ -15,7 +15,7 @@
 )
 
 
-class Roster:
+class MemberTable:
     """All members known, dead ones too until they are pruned.
 
     The table keeps the merged claims as they came; that an older process start of a node is
--- /dev/null
+++ b/src/yokeline/metric_help.py
@@ -0,0 +1,109 @@
+"""What each metric of a node counts or measures, for the HELP lines of ``GET /metrics``.
+
+The first words of a line name the unit: of a counter what is counted, of a gauge what it is
+a number of. Seconds are said so.
+"""
+
+from __future__ import annotations
+
+_HTTP = {
+    "yokeline_http_requests_total": "HTTP requests answered, by route and class of status.",
+    "yokeline_http_request_duration_seconds": (
+        "Seconds from the arrival of an HTTP request to the end of its answer, by route."
+    ),
+    "yokeline_http_problems_total": "Error answers, by kind of error.",
+    "yokeline_http_requests_waiting": "HTTP requests under way at this node.",
+    "yokeline_http_callers_gone_total": "Callers that closed before their answer ended.",
+    "yokeline_http_connections_refused_total": (
+        "Connections of callers refused because this node had as many as it takes."
+    ),
+    "yokeline_requests_shed_total": "Requests refused by a limit of this node, by reason.",
+    "yokeline_event_stream_gaps_total": "Gaps in event streams to callers, each fetched again.",
+    "yokeline_internal_errors_total": "HTTP requests that met a fault of the code.",
+}
+
+_RUNS = {
+    "yokeline_runs_held": "Runs in the shard replicas of this node.",
+    "yokeline_runs_ended_total": "Runs that ended at this leader, by status.",
+    "yokeline_calls_total": "Changes of calls at this leader, by kind of call and what changed.",
+    "yokeline_call_retries_total": "Calls tried again after a failure.",
+    "yokeline_calls_recovered_total": "Calls taken over unfinished from an earlier leader.",
+    "yokeline_calls_shed_total": "Calls refused because the queue for engines was full.",
+    "yokeline_lookups_total": "Questions to tools and apps what became of a request.",
+    "yokeline_stream_resumes_total": "Streams of engines resumed after a lost connection.",
+    "yokeline_commands_rejected_total": "Commands that a shard's state machine refused.",
+}
+
+_SCHEDULING = {
+    "yokeline_engines_usable": "Engines that may get a call from this node.",
+    "yokeline_scheduling_choices_total": "Engines chosen for calls, by cause.",
+    "yokeline_scheduling_waits_total": "Decisions to let a call wait, by cause.",
+    "yokeline_scheduling_cache_decisions_total": (
+        "Decisions on a context in a pause, by action and cause."
+    ),
+    "yokeline_cache_actions_total": "Cache requests to engines, by action and outcome.",
+    "yokeline_cache_reconciled_total": "Cache entries of runs that are gone, found and dropped.",
+}
+
+_NODES_AND_SHARDS = {
+    "yokeline_nodes_alive": "Nodes that this node takes to be alive, itself included.",
+    "yokeline_shards_led": "Shards that this node leads.",
+    "yokeline_shard_replicas": "Shard replicas at this node.",
+    "yokeline_shards_majority_lost": "Shards that this node knows to be without a quorum.",
+    "yokeline_shards_recovered_total": "Shards started anew here on an operator's order.",
+    "yokeline_leaderships_gained_total": "Shards whose leader this node became.",
+    "yokeline_leaderships_lost_total": "Shards whose leader this node ceased to be.",
+    "yokeline_leadership_transfers_total": "Leaderships that this node offered to another.",
+    "yokeline_replica_added_total": "Replicas added to groups that this node leads.",
+    "yokeline_replica_removed_total": "Replicas removed from groups that this node leads.",
+    "yokeline_requests_resent_total": "Shard requests sent again after a silence.",
+    "yokeline_requests_expired_total": "Shard requests without an answer at their deadline.",
+    "yokeline_late_replies_total": "Replies to shard requests that nobody waits for.",
+    "yokeline_late_events_total": "Messages with run events that nobody waits for.",
+    "yokeline_event_gaps_total": "Gaps in run events between nodes, each fetched again.",
+}
+
+_MESSAGES = {
+    "yokeline_heartbeats_sent_total": "Heartbeats sent to other nodes.",
+    "yokeline_raft_batches_sent_total": "Batches of Raft messages sent to other nodes.",
+    "yokeline_membership_datagrams_sent_total": "Membership datagrams sent.",
+    "yokeline_membership_unexpected_datagrams_total": "Datagrams of no kind that is known.",
+    "yokeline_peer_messages_unroutable_total": "Messages to nodes that membership does not know.",
+    "yokeline_peer_frames_dropped_total": "Frames from and to other nodes dropped, by reason.",
+    "yokeline_peer_connections_refused_total": (
+        "Connections of other nodes refused because this node had as many as it takes."
+    ),
+    "yokeline_datagrams_dropped_total": "Datagrams dropped, by reason.",
+    "yokeline_unexpected_http_answers_total": "Answers of back ends that nobody waits for.",
+}
+
+_CONFIGURATION_AND_PLATFORM = {
+    "yokeline_configuration_revision": "Revision of the configuration in force at this node.",
+    "yokeline_configuration_advances_total": "Rises of the revision at this node.",
+    "yokeline_configuration_deltas_total": "Configuration deltas received, by outcome.",
+    "yokeline_configuration_pulls_total": "Configuration deltas asked for.",
+    "yokeline_configuration_writes_total": "Writes of configuration objects, by outcome.",
+    "yokeline_configuration_listings_failed_total": (
+        "Attempts to read the whole configuration from the key-value service that failed."
+    ),
+    "yokeline_store_available": "Whether the key-value service is taken to answer: 1 or 0.",
+    "yokeline_store_requests_total": (
+        "Requests to the key-value service: sent, and those without success by outcome."
+    ),
+    "yokeline_store_watch_connects_total": "Watches opened at the key-value service.",
+    "yokeline_store_watch_malformed_total": "Lines of a watch that cannot be read.",
+    "yokeline_store_regressions_total": (
+        "Listings whose revision was lower than one known before: the service lost writes."
+    ),
+    "yokeline_machine_list_failures_total": "Attempts to read the machine list that failed.",
+}
+
+METRIC_HELP = {
+    **_HTTP,
+    **_RUNS,
+    **_SCHEDULING,
+    **_NODES_AND_SHARDS,
+    **_MESSAGES,
+    **_CONFIGURATION_AND_PLATFORM,
+}
+"""Help text by metric name."""
--- a/src/yokeline/metrics.py
+++ b/src/yokeline/metrics.py
@@ -17,6 +17,8 @@
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector, CollectorRegistry
 
+from yokeline.metric_help import METRIC_HELP
+
 CONTENT_TYPE = CONTENT_TYPE_LATEST
 DURATION_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0)
 """Upper bounds in seconds."""
@@ -28,15 +30,6 @@
 _SERIES = re.compile(r"([a-zA-Z_:][a-zA-Z0-9_:]*)(?:\{(.*)\})?")
 _LABEL = re.compile(r'([a-zA-Z_][a-zA-Z0-9_]*)="((?:[^"\\]|\\.)*)"')
 
-HELP = {
-    "yokeline_http_requests_total": "HTTP requests answered, by route and class of status.",
-    "yokeline_http_request_duration_seconds": "Time from a request to the end of its answer.",
-    "yokeline_http_problems_total": "Error answers, by kind.",
-    "yokeline_http_requests_waiting": "HTTP requests under way.",
-    "yokeline_http_callers_gone_total": "Callers that closed before their answer ended.",
-    "yokeline_requests_shed_total": "New runs refused by a limit of this node, by reason.",
-}
-
 
 class Histogram:
     """Counts of observed values by bucket."""
@@ -142,4 +135,4 @@
 
 
 def _help(name: str) -> str:
-    return HELP.get(name, name.removeprefix("yokeline_").replace("_", " ") + ".")
+    return METRIC_HELP.get(name, name.removeprefix("yokeline_").replace("_", " ") + ".")
--- a/src/yokeline/node/peer_transport.py
+++ b/src/yokeline/node/peer_transport.py
@@ -31,7 +31,9 @@
     """Sends and receives peer messages of one process start.
 
     Attributes:
-        counters: Frames dropped, by reason.
+        counters: Frames dropped, by reason (those that waited too long or in too long a
+            queue are in :meth:`dropped_frames`).
+        refused_connections: Connections refused because there were as many as allowed.
     """
 
     channel = "peer_transport"
@@ -51,6 +53,8 @@
         self.limits = limits
         self.poller = poller
         self.counters: Counter[str] = Counter()
+        self.refused_connections = 0
+        self._dropped_by_closed_links = 0
         self._bridge = bridge
         self._deadlines = deadlines
         self._random = random.Random(replica)
@@ -93,7 +97,8 @@
 
     def dropped_frames(self) -> int:
         """Return how many outgoing frames were dropped for age or size of the queue."""
-        return sum(link.dropped_frames for link in self._links.values())
+        open_links = sum(link.dropped_frames for link in self._links.values())
+        return self._dropped_by_closed_links + open_links
 
     def unsent_bytes(self) -> int:
         """Return how many bytes of messages the kernel has not taken yet."""
@@ -109,11 +114,13 @@
         return link
 
     def _unused(self, address: Address) -> None:
-        self._links.pop(address, None)
+        link = self._links.pop(address, None)
+        if link is not None:
+            self._dropped_by_closed_links += link.dropped_frames
 
     def _accept(self, sock: socket.socket) -> None:
         if len(self._incoming) >= self.limits.max_connections:
-            self.counters["refused_connections"] += 1
+            self.refused_connections += 1
             sock.close()
             return
         self._incoming.add(IncomingPeer(self, sock))
--- a/src/yokeline/node/process.py
+++ b/src/yokeline/node/process.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import threading
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,12 @@
 DRAIN_SECONDS = 2.0
 """Longest wait for output to be read after the service has exited."""
 _DRAIN_CHECK_SECONDS = 0.01
+
+HTTP_REFUSED = "yokeline_http_connections_refused_total"
+PEERS_REFUSED = "yokeline_peer_connections_refused_total"
+FRAMES_DROPPED = "yokeline_peer_frames_dropped_total"
+DATAGRAMS_DROPPED = "yokeline_datagrams_dropped_total"
+
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -176,6 +183,7 @@
         self.client.register(self.bridge)
         self.server: HttpServer | None = None
         self.peers: PeerTransport | None = None
+        self.datagrams: DatagramEndpoint | None = None
         if sockets.http is not None:
             self.server = HttpServer(
                 self.bridge, poller, deadlines, sockets.http, _within_descriptors(limits.server)
@@ -184,18 +192,35 @@
             self.peers = PeerTransport(
                 self.bridge, poller, deadlines, sockets.peer, binding.replica, limits.peers
             ).register(self.bridge)
-            DatagramEndpoint(self.bridge, poller, sockets.datagrams, limits.peers).register(
-                self.bridge
-            )
+            self.datagrams = DatagramEndpoint(
+                self.bridge, poller, sockets.datagrams, limits.peers
+            ).register(self.bridge)
         if folder is not None:
             DataFolder(self.bridge, folder).register(self.bridge)
 
+    def transport_counters(self) -> dict[str, float]:
+        """Return what the transports refused and dropped so far, by metric name."""
+        counters: dict[str, float] = {}
+        if self.server is not None:
+            counters[HTTP_REFUSED] = self.server.refused_connections
+        if self.peers is not None:
+            counters[PEERS_REFUSED] = self.peers.refused_connections
+            dropped = {**self.peers.counters, "queue_limit": self.peers.dropped_frames()}
+            counters.update(_by_reason(FRAMES_DROPPED, dropped))
+        if self.datagrams is not None:
+            counters.update(_by_reason(DATAGRAMS_DROPPED, self.datagrams.counters))
+        return counters
+
     def unsent_bytes(self) -> int:
         """Return how many bytes of answers and messages the kernel has not taken yet."""
         outputs = (self.server, self.peers)
         return sum(output.unsent_bytes() for output in outputs if output is not None)
 
 
+def _by_reason(name: str, counts: Mapping[str, int]) -> dict[str, float]:
+    return {f'{name}{{reason="{reason}"}}': count for reason, count in counts.items()}
+
+
 def _within_descriptors(limits: ServerLimits) -> ServerLimits:
     """Return limits that leave half of the file descriptors to outgoing connections."""
     soft, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -203,22 +228,36 @@
     return msgspec.structs.replace(limits, max_connections=most)
 
 
+BoundHandler = Callable[[BoundService], None]
+
+
 def run_service(
-    service: Service, binding: ServiceBinding, sockets: OpenSockets | None = None
+    service: Service,
+    binding: ServiceBinding,
+    sockets: OpenSockets | None = None,
+    *,
+    on_bound: BoundHandler | None = None,
 ) -> int:
     """Run a service until it exits; return the exit code.
 
+    ``on_bound`` is called once with the bound service before the event loop begins.
+
     SIGTERM and SIGINT reach the service as ``StopRequested``; it ends with an ``Exit``
     effect. When an address or the data folder cannot be used, one line on standard error
     says why and what to do, and the exit code is 2.
     """
-    return run_services([(service, binding, sockets)])
+    return run_services([(service, binding, sockets)], on_bound=on_bound)
 
 
 def run_services(
     services: list[tuple[Service, ServiceBinding, OpenSockets | None]],
+    *,
+    on_bound: BoundHandler | None = None,
 ) -> int:
-    """Run several services in one process until all have exited; return the highest code."""
+    """Run several services in one process until all have exited; return the highest code.
+
+    ``on_bound`` is called with each bound service before the event loop begins.
+    """
     application = Application()
     for service, binding, sockets in services:
         bound = application.add_service(service, binding, sockets)
@@ -226,5 +265,7 @@
             error = bound.failure()
             print(error.line(), file=sys.stderr)
             return EXIT_USAGE if error.kind is ErrorKind.BAD_SETTING else EXIT_FAILURE
+        if on_bound is not None:
+            on_bound(bound.unwrap())
     application.run()
     return application.exit_code
--- a/src/yokeline/runs/activity.py
+++ b/src/yokeline/runs/activity.py
@@ -15,7 +15,7 @@
 from yokeline.errors import YokelineError
 from yokeline.identifiers import RunId, ShardId
 from yokeline.runs.model import CallStatus, ChatMessage, Reservation, Usage
-from yokeline.runs.timers import Timer
+from yokeline.timers import Timer
 
 
 def _nothing() -> None:
--- a/src/yokeline/runs/core.py
+++ b/src/yokeline/runs/core.py
@@ -21,9 +21,9 @@
 from yokeline.runs.next_step import StartCall, StepLimits
 from yokeline.runs.ports import Host
 from yokeline.runs.state_machine import ApplyResult
-from yokeline.runs.timers import TimerQueue
 from yokeline.server.context import NodeContext
 from yokeline.settings import Settings
+from yokeline.timers import TimerQueue
 
 LEASE_CHECK_SECONDS = 0.05
 """Time until the lease is looked at again where it did not allow to send."""
--- a/src/yokeline/runs/driver.py
+++ b/src/yokeline/runs/driver.py
@@ -31,8 +31,8 @@
 )
 from yokeline.runs.pauses import started_pause
 from yokeline.runs.ports import Configuration, LeavingPredicate
-from yokeline.runs.timers import Timer
 from yokeline.scheduling.interface import EngineDirectoryInterface
+from yokeline.timers import Timer
 
 GIVE_UP_STAGES = frozenset({Stage.WAITING, Stage.PAUSED, Stage.HELD})
 """Stages in which nothing has been sent, so that a run whose time is over ends at once."""
--- a/src/yokeline/runs/engine_queue.py
+++ b/src/yokeline/runs/engine_queue.py
@@ -14,9 +14,9 @@
 from yokeline.runs.errors import overloaded
 from yokeline.runs.model import Run
 from yokeline.runs.next_step import StartCall
-from yokeline.runs.timers import Timer
 from yokeline.runs.waiting import QueueKey, WaitingCall, WaitingCalls, queue_key
 from yokeline.scheduling.interface import CallDemand, EngineChoice, EngineDirectoryInterface
+from yokeline.timers import Timer
 
 MAX_FAILED_CHOICES = 32
 """Calls in a row (per kind of demand) that may find no room before the rest waits unasked."""
--- a/src/yokeline/runs/watchers.py
+++ b/src/yokeline/runs/watchers.py
@@ -13,8 +13,8 @@
 from yokeline.runs.errors import leadership_lost, run_not_found
 from yokeline.runs.model import Run, RunStatus
 from yokeline.runs.ports import EventsHandler, OperationDone
-from yokeline.runs.timers import Timer
 from yokeline.shards.operations import RunResult
+from yokeline.timers import Timer
 
 
 class Watcher:
--- a/src/yokeline/scheduling/affinity.py
+++ b/src/yokeline/scheduling/affinity.py
@@ -22,10 +22,11 @@
 )
 from yokeline.scheduling.ordering import OrderRules, aged_priority, order_key
 
-ADMITTED_SHARE = 0.95
-"""Share of an engine's cache that the contexts of its active programs may take."""
+ADMITTED_SHARE = 1.2
+"""Share of an engine's cache that the contexts of its active programs may take. Above one,
+since paused programs count until their pause is over with high probability."""
 
-PATIENCE_SECONDS = 30.0
+PATIENCE_SECONDS = 120.0
 """Waiting time after which the caps on memory and on leaving a context do not apply."""
 
 
--- a/src/yokeline/scheduling/caching.py
+++ b/src/yokeline/scheduling/caching.py
@@ -19,8 +19,13 @@
 )
 
 CROWDED_SHARE = 0.8
-"""Share of the cache in use from which eviction threatens what is idle."""
+"""Share of the cache from which the need of the active programs threatens paused ones. What
+is merely used tells nothing: an engine keeps idle context until it needs the room."""
 TURNOVER_SECONDS = 30.0
+LRU_SECONDS = 300.0
+"""Time after which a crowded cache has evicted an unused context by itself."""
+DROPPED_SHARE = 0.02
+"""Chance of being used within that time below which a context only takes others' room."""
 HOLD_QUANTILE = 0.9
 """A hold covers the pause with this probability."""
 HOLD_MARGIN = 1.25
@@ -35,9 +40,10 @@
         return _ended(pause)
     if not pause.context_tokens:
         return _leave(CacheCause.CHEAP_REBUILD, "no context there")
-    used = max(pause.active_tokens, pause.cache_used)
-    if used < CROWDED_SHARE * pause.cache_tokens:
-        return _leave(CacheCause.ROOM, f"{used} of {pause.cache_tokens} tokens of cache in use")
+    needed = pause.active_tokens
+    if needed < CROWDED_SHARE * pause.cache_tokens and not _is_useless(pause):
+        figures = f"active programs need {needed} of {pause.cache_tokens} tokens of cache"
+        return _leave(CacheCause.ROOM, figures)
     if pause.forecast is None:
         return _leave(CacheCause.UNKNOWN_PAUSE, f"no forecast for {pause.kind.value} {pause.name}")
     return _crowded(pause)
@@ -51,6 +57,16 @@
     )
 
 
+def _is_useless(pause: PauseContext) -> bool:
+    """Return whether the engine would evict the context before it is used, at a full cache."""
+    if pause.run != pause.cache_key:
+        # A drop is by the cache key and would take the parents' context as well.
+        return False
+    if pause.forecast is None or pause.cache_used < CROWDED_SHARE * pause.cache_tokens:
+        return False
+    return pause.forecast.share_within(LRU_SECONDS) < DROPPED_SHARE
+
+
 def _crowded(pause: PauseContext) -> CacheDecision:
     assert pause.forecast is not None
     wanted = max(MIN_HOLD_SECONDS, pause.forecast.quantile(HOLD_QUANTILE) * HOLD_MARGIN)
@@ -58,6 +74,8 @@
     occupied = pause.forecast.expected_within(seconds)
     saved = pause.forecast.share_within(seconds) * TURNOVER_SECONDS
     figures = f"{occupied:.1f} s of memory for {saved:.1f} s worth of rebuild"
+    if _is_useless(pause):
+        return CacheDecision(action=CacheAction.DROP, cause=CacheCause.LONG_PAUSE, reason=figures)
     if saved <= occupied:
         return _leave(CacheCause.LONG_PAUSE, figures)
     if pause.held_tokens + pause.context_tokens > HOLD_SHARE * pause.cache_tokens:
--- a/src/yokeline/scheduling/clairvoyant.py
+++ b/src/yokeline/scheduling/clairvoyant.py
@@ -22,12 +22,17 @@
     name = "clairvoyant"
 
     def order(self, waiting: Sequence[CallDemand], now: float) -> tuple[int, ...]:
-        """Return the calls by priority, then least remaining service by worth."""
+        """Return the calls by priority, started programs, least remaining service by worth."""
         keys = [
-            (-aged_priority(demand, now, self._rules), _remaining(demand), index)
+            (
+                -aged_priority(demand, now, self._rules),
+                not demand.attained_service,
+                _remaining(demand),
+                index,
+            )
             for index, demand in enumerate(waiting)
         ]
-        return tuple(index for _priority, _remaining, index in sorted(keys))
+        return tuple(key[-1] for key in sorted(keys))
 
 
 def _remaining(demand: CallDemand) -> float:
--- a/src/yokeline/scheduling/ordering.py
+++ b/src/yokeline/scheduling/ordering.py
@@ -33,7 +33,7 @@
     by_ageing: bool = True
 
 
-OrderKey = tuple[int, bool, float, float, str, int]
+OrderKey = tuple[int, bool, bool, float, float, str, int]
 
 
 def service_level(demand: CallDemand) -> float:
@@ -51,8 +51,13 @@
 
 
 def order_key(demand: CallDemand, index: int, now: float, rules: OrderRules) -> OrderKey:
-    """Return the place of a call in the queue; the lowest goes first."""
+    """Return the place of a call in the queue; the lowest goes first.
+
+    Within a priority, programs that have been served go before new ones: their contexts take
+    memory already, and a new program among them makes all of them thrash.
+    """
+    new = not demand.attained_service
     late = rules.by_deadline and demand.deadline is not None and demand.deadline < now
     level = service_level(demand) if rules.by_service else 0.0
     since = demand.program_since if rules.by_service else demand.waiting_since
-    return (-aged_priority(demand, now, rules), late, level, since, demand.run, index)
+    return (-aged_priority(demand, now, rules), new, late, level, since, demand.run, index)
--- a/src/yokeline/scheduling/pace.py
+++ b/src/yokeline/scheduling/pace.py
@@ -7,23 +7,23 @@
 DEFAULT_DECODE_SECONDS = 0.02
 """Seconds per generated token until an engine's own pace has been observed."""
 
-SMOOTHING = 0.1
-"""Weight of a new observation in the exponentially weighted mean."""
 MIN_PREFILL_TOKENS = 500
 """Prefills below this say more about the step time than about the rate."""
 MIN_DECODED_TOKENS = 8
 MIN_SECONDS = 1e-4
-RATE_DECAY = 0.98
-"""Factor by which the rate of prefill is forgotten at an observation below it."""
+BEST_DECAY = 0.98
+"""Factor by which the best pace is forgotten at an observation below it."""
 
 
 class EnginePace:
-    """Smoothed pace of one engine.
+    """The pace of one engine while nothing is in a call's way.
+
+    Times contain queueing and the prefill of other calls, which only ever make an engine look
+    slower. So good observations count at once and bad ones slowly; a mean would follow the
+    load of the moment, and programs would leave their contexts because of it.
 
     Attributes:
-        prefill_rate: Tokens a second. The time to the first token contains queueing, which
-            only ever makes the rate look lower, so high observations count at once and low
-            ones slowly.
+        prefill_rate: Tokens a second.
         decode_seconds: Seconds per generated token.
     """
 
@@ -45,7 +45,7 @@
             self._prefill_observed = True
             self.prefill_rate = rate
             return
-        self.prefill_rate = max(rate, self.prefill_rate * RATE_DECAY)
+        self.prefill_rate = max(rate, self.prefill_rate * BEST_DECAY)
 
     def observe_decode(self, tokens: int, seconds: float) -> None:
         """Learn from a call that generated ``tokens`` after its first token."""
@@ -56,4 +56,4 @@
             self._decode_observed = True
             self.decode_seconds = pace
             return
-        self.decode_seconds = min(pace, self.decode_seconds / RATE_DECAY)
+        self.decode_seconds = min(pace, self.decode_seconds / BEST_DECAY)
--- a/src/yokeline/server/admin.py
+++ b/src/yokeline/server/admin.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -77,7 +77,12 @@
 
 
 class NodeAdmin:
-    """Reads the components of a node for its admin API."""
+    """Reads the components of a node for its admin API.
+
+    Attributes:
+        transport_counters: Returns the counters of the transports that the node is bound to,
+            by metric name; set by whoever binds the node.
+    """
 
     def __init__(
         self,
@@ -103,6 +108,7 @@
         self._drain = drain
         self._recovery = recovery
         self._wall = wall
+        self.transport_counters: Callable[[], Mapping[str, float]] = dict
 
     def nodes(self) -> tuple[NodeRow, ...]:
         """Return the members of the deployment, dead ones too."""
--- a/src/yokeline/server/node.py
+++ b/src/yokeline/server/node.py
@@ -254,9 +254,16 @@
         """Take one event in and return the effects to carry out, in order."""
         self.context.now = max(now, self.context.now)
         self._dispatch(event)
-        self._deadline = self._tick_due()
+        effects = self.context.take_outbox()
+        if isinstance(event, HttpStreamItem) and not effects:
+            # Most items are text that waits to be joined with more. The components are asked
+            # for their deadlines by the tick that is due now: once for all items of a turn.
+            self._deadline = self.context.now
+        else:
+            self._deadline = self._tick_due()
         self.host.flush()
-        return self.context.take_outbox()
+        effects.extend(self.context.take_outbox())
+        return effects
 
     def next_deadline(self) -> float | None:
         """Return when a tick is due at the latest."""
--- a/src/yokeline/settings_loader.py
+++ b/src/yokeline/settings_loader.py
@@ -17,7 +17,7 @@
 from yokeline.addresses import ADDRESS_FORM, is_ip_number, parse_address
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.field_checks import FieldProblem, check_fields
-from yokeline.labels.checks import NAME_FORM, is_object_name
+from yokeline.labels.value_checks import NAME_FORM, is_object_name
 from yokeline.settings import Settings
 
 ALLOWED_REPLICAS = (1, 3, 5)
--- a/src/yokeline/shards/deadlines.py
+++ b/src/yokeline/shards/deadlines.py
@@ -5,22 +5,36 @@
 import heapq
 from typing import Generic, TypeVar
 
+COMPACTION_MINIMUM = 256
+"""Entries from which the heap is rebuilt once superseded ones are the majority."""
+
 K = TypeVar("K", bound=int | str)
 
 
 class DeadlineQueue(Generic[K]):
-    """Keeps one deadline per key; superseded ones are skipped when they come up."""
+    """Keeps one deadline per key, in monotonic seconds; equal ones come by key.
+
+    Superseded deadlines are skipped when they come up, or dropped once they are the majority.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
         self._deadlines: dict[K, float] = {}
         self._heap: list[tuple[float, K]] = []
 
+    def __len__(self) -> int:
+        """Return how many entries the heap holds, superseded ones that are left included."""
+        return len(self._heap)
+
     def set(self, key: K, deadline: float) -> None:
         """Set or move the deadline of ``key``."""
-        if self._deadlines.get(key) != deadline:
-            self._deadlines[key] = deadline
-            heapq.heappush(self._heap, (deadline, key))
+        if self._deadlines.get(key) == deadline:
+            return
+        self._deadlines[key] = deadline
+        heapq.heappush(self._heap, (deadline, key))
+        if len(self._heap) > max(COMPACTION_MINIMUM, 2 * len(self._deadlines)):
+            self._heap = [(due, known) for known, due in self._deadlines.items()]
+            heapq.heapify(self._heap)
 
     def remove(self, key: K) -> None:
         """Forget ``key``."""
--- a/src/yokeline/shards/repair.py
+++ b/src/yokeline/shards/repair.py
@@ -1,12 +1,17 @@
 """Which membership change a group needs next: a pure decision of the group's leader.
 
-The order keeps the number of crashes that the group can bear from falling:
-
-* A dead member is removed before its replacement is added. With 1 of 5 dead, removing first
-  leaves 4 members of which all live (quorum 3, bears 1 crash); adding first would make 6
-  members (quorum 4) of which one is dead and one has no log yet (bears none until that one
-  has caught up). With 2 of 5 dead, an added member would have to catch up before anything at
-  all commits again, and its crash would cost the majority for good.
+The order keeps the number of crashes that the group can bear from falling, also where a member
+that counts as dead was only cut off and comes back with its log:
+
+* With one dead member and an odd number of members, its replacement is added first. Of 5 with
+  1 dead, 6 members then have quorum 4 of which 5 live: they bear 1 crash, and 2 once the dead
+  one turns out to be alive. Removing first leaves 4 members (quorum 3): they bear 1 crash too,
+  but the one that comes back no longer counts, and two crashes cost the majority for good.
+* Where the number of members is even, removing a dead one lowers the quorum: it goes.
+* With several dead members, one is removed first: an added member would have to catch up before
+  anything at all commits again, and its crash would cost the majority for good.
+* One dead member of an odd number stays while there is no spare node: its removal would not
+  lower the quorum.
 * A leaving member still lives and holds the log, so its replacement is added first: the
   group never has fewer live copies than before.
 * Where there is no spare node, a leaving member is removed without replacement: its process
@@ -24,6 +29,7 @@
 
 import msgspec
 
+from yokeline.consensus.quorum import quorum_size
 from yokeline.identifiers import ReplicaId, ShardId
 from yokeline.shards.placement import NodePlace, choose_member, rank
 
@@ -77,7 +83,7 @@
 def next_step(group: GroupCondition) -> RepairStep | None:
     """Return the next membership change, None if the group is as it should be."""
     dead = _members_in(group, MemberCondition.DEAD)
-    if dead:
+    if len(dead) > 1 or (dead and _removal_lowers_quorum(group)):
         return RemoveMember(dead[0])
     staying = _staying(group)
     if len(staying) < group.replicas and group.spares:
@@ -96,6 +102,11 @@
     return sorted(member for member, found in group.members.items() if found is condition)
 
 
+def _removal_lowers_quorum(group: GroupCondition) -> bool:
+    members = len(group.members)
+    return quorum_size(members - 1) < quorum_size(members)
+
+
 def _staying(group: GroupCondition) -> list[ReplicaId]:
     """Return the members that count towards the wanted number."""
     kept = (MemberCondition.HEALTHY, MemberCondition.DOUBTFUL)
--- a/src/yokeline/simulation/checks/platform.py
+++ b/src/yokeline/simulation/checks/platform.py
@@ -12,6 +12,7 @@
 """What "a few seconds" means, after the list shows the mark to its readers."""
 LIST_BLOCKING = frozenset({"list_down", "cut", "one_way_cut", "freeze", "loss"})
 """Faults that keep nodes from reading the machine list."""
+ENGINE_HANG = "engine_hang"
 LIVING_STATUSES = frozenset({"active", "idle"})
 
 
@@ -54,6 +55,8 @@
             request = model.call.request
             if not since < request.arrived_at < leaving.until:
                 continue
+            if _was_held_back(books, request.arrived_at, since):
+                continue
             identity = (model.call.run, model.call.number, model.call.attempt)
             result.expect(
                 request.host != leaving.host or identity in known,
@@ -63,6 +66,17 @@
     return result
 
 
+def _was_held_back(books: Books, arrived_at: float, since: float) -> bool:
+    """Return whether a request may have been sent in time to an engine that hung then.
+
+    What reaches an engine while it hangs is delivered at the moment it goes on.
+    """
+    return any(
+        fault.kind == ENGINE_HANG and fault.ended_at == arrived_at and fault.started_at <= since
+        for fault in books.faults
+    )
+
+
 def _known_since(books: Books, leaving: Leaving) -> float:
     """Return when every node can have read the mark: nothing kept it from the list."""
     since = leaving.since
--- a/src/yokeline/store/configuration.py
+++ b/src/yokeline/store/configuration.py
@@ -148,7 +148,8 @@
         before = self._state.view
         revision = self._state.revision
         outcome = self._receiver.receive(sender, delta, self._context.now)
-        self._context.counters[f'yokeline_configuration_deltas{{outcome="{outcome.value}"}}'] += 1
+        name = f'yokeline_configuration_deltas_total{{outcome="{outcome.value}"}}'
+        self._context.counters[name] += 1
         if outcome is DeltaOutcome.CONTINUES:
             self._pull(sender)
         if self._state.revision > revision:
--- a/src/yokeline/store/writer.py
+++ b/src/yokeline/store/writer.py
@@ -14,7 +14,6 @@
 
 from collections.abc import Callable
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from yokeline.errors import ErrorKind, Execution, YokelineError
@@ -31,50 +30,18 @@
 from yokeline.store.keys import encode_value, object_key, stored_from_item
 from yokeline.store.limits import StoreLimits, backoff_seconds
 from yokeline.store.protocol import KeyValue, RangeResult, SwapResult
+from yokeline.store.writes import (
+    Write,
+    WriteDone,
+    WriteResult,
+    not_applied,
+    outcome_unknown,
+    precondition_failed,
+)
 
 DEFAULT_DEADLINE_SECONDS = 10.0
 
 
-class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
-    """A write that is known to be in the store.
-
-    Attributes:
-        revision: Store revision that it made.
-        operation: Its operation id.
-    """
-
-    revision: int
-    operation: str
-
-
-WriteDone = Callable[[Result[WriteResult, YokelineError]], None]
-
-
-class _Write(msgspec.Struct):
-    """One write under way.
-
-    Attributes:
-        expected: Revision that the key must have; moves on from 0 to a tombstone's.
-        asked: Revision that the operator expects, 0 for "does not exist".
-        may_be_applied: An attempt went out and its outcome is not known.
-        due: When the next step is to be taken; None while an answer is awaited.
-    """
-
-    kind: ObjectKind
-    name: str
-    key: str
-    body: str
-    operation: str
-    asked: int
-    expected: int
-    deadline: float
-    done: WriteDone
-    may_be_applied: bool = False
-    failures: int = 0
-    due: float | None = None
-    finished: bool = False
-
-
 class ConfigurationWriter:
     """Writes and deletes configuration objects for operators."""
 
@@ -98,7 +65,7 @@
         self._store_prefix = store_prefix
         self._applied = applied
         self._limits = StoreLimits()
-        self._writes: list[_Write] = []
+        self._writes: list[Write] = []
 
     # ------------------------------------------------------------ requests
 
@@ -128,7 +95,7 @@
             deadline_seconds: Time to find out.
         """
         key = object_key(self._store_prefix, kind, name)
-        write = _Write(
+        write = Write(
             kind=kind,
             name=name,
             key=key,
@@ -211,7 +178,7 @@
 
     # ------------------------------------------------------------ attempts
 
-    def _attempt(self, write: _Write) -> None:
+    def _attempt(self, write: Write) -> None:
         value = encode_value(write.operation, write.body)
 
         def done(result: Result[SwapResult, YokelineError]) -> None:
@@ -220,7 +187,7 @@
 
         self._client.compare_and_swap(write.key, write.expected, value, done)
 
-    def _attempt_answered(self, write: _Write, result: Result[SwapResult, YokelineError]) -> None:
+    def _attempt_answered(self, write: Write, result: Result[SwapResult, YokelineError]) -> None:
         if isinstance(result, Failure):
             self._attempt_failed(write, result.failure())
             return
@@ -230,7 +197,7 @@
         else:
             self._examine(write, swap.current)
 
-    def _attempt_failed(self, write: _Write, error: YokelineError) -> None:
+    def _attempt_failed(self, write: Write, error: YokelineError) -> None:
         if error.execution is Execution.UNKNOWN:
             write.may_be_applied = True
         elif error.kind is ErrorKind.BACKEND_FAILED and not write.may_be_applied:
@@ -238,16 +205,16 @@
             return
         self._pause(write, error)
 
-    def _pause(self, write: _Write, error: YokelineError) -> None:
+    def _pause(self, write: Write, error: YokelineError) -> None:
         write.failures += 1
         pause = backoff_seconds(write.failures, self._limits, self._context.random)
         due = self._context.now + max(pause, error.retry_after or 0.0)
         if due >= write.deadline and not write.may_be_applied:
-            self._finish(write, Failure(_not_applied(write, error.retry_after or pause)))
+            self._finish(write, Failure(not_applied(write, error.retry_after or pause)))
             return
         write.due = due
 
-    def _read_back(self, write: _Write) -> None:
+    def _read_back(self, write: Write) -> None:
         def done(result: Result[RangeResult, YokelineError]) -> None:
             if write.finished:
                 return
@@ -258,7 +225,7 @@
 
         self._client.get(write.key, done)
 
-    def _examine(self, write: _Write, current: KeyValue | None) -> None:
+    def _examine(self, write: Write, current: KeyValue | None) -> None:
         """Decide by the key as it stands now."""
         stored = self._stored(current)
         revision = current.mod_revision if current else 0
@@ -269,7 +236,7 @@
         else:
             self._walk_history(write, current)
 
-    def _walk_history(self, write: _Write, current: KeyValue | None) -> None:
+    def _walk_history(self, write: Write, current: KeyValue | None) -> None:
         def done(result: Result[OperationStatus, YokelineError]) -> None:
             if write.finished:
                 return
@@ -280,13 +247,13 @@
             if status.applied:
                 self._succeed(write, status.revision)
             elif status.applied is None and write.may_be_applied:
-                self._finish(write, Failure(_unknown(write)))
+                self._finish(write, Failure(outcome_unknown(write)))
             else:
                 self._superseded(write, current)
 
         self._walk(write.key, write.operation, write.expected, current, done)
 
-    def _superseded(self, write: _Write, current: KeyValue | None) -> None:
+    def _superseded(self, write: Write, current: KeyValue | None) -> None:
         """Another write took the place of this one, which can never be applied now."""
         stored = self._stored(current)
         write.may_be_applied = False
@@ -294,11 +261,11 @@
             write.expected = stored.revision
             self._attempt(write)
         else:
-            self._finish(write, Failure(_precondition_failed(write, stored)))
+            self._finish(write, Failure(precondition_failed(write, stored)))
 
     # ------------------------------------------------------------ outcomes
 
-    def _succeed(self, write: _Write, revision: int) -> None:
+    def _succeed(self, write: Write, revision: int) -> None:
         if self._applied is not None:
             item = StoredObject(
                 kind=write.kind,
@@ -310,17 +277,18 @@
             self._applied(item)
         self._finish(write, Success(WriteResult(revision=revision, operation=write.operation)))
 
-    def _give_up(self, write: _Write) -> None:
+    def _give_up(self, write: Write) -> None:
         unsure = write.may_be_applied or write.due is None
         retry_after = self._limits.backoff_max_seconds
-        error = _unknown(write) if unsure else _not_applied(write, retry_after)
+        error = outcome_unknown(write) if unsure else not_applied(write, retry_after)
         self._finish(write, Failure(error))
 
-    def _finish(self, write: _Write, result: Result[WriteResult, YokelineError]) -> None:
+    def _finish(self, write: Write, result: Result[WriteResult, YokelineError]) -> None:
         write.finished = True
         self._writes = [other for other in self._writes if other is not write]
         outcome = "applied" if isinstance(result, Success) else result.failure().kind.value
-        self._context.counters[f'yokeline_configuration_writes{{outcome="{outcome}"}}'] += 1
+        name = f'yokeline_configuration_writes_total{{outcome="{outcome}"}}'
+        self._context.counters[name] += 1
         write.done(result)
 
     def _stored(self, item: KeyValue | None) -> StoredObject | None:
@@ -342,34 +310,3 @@
     def _operation_of(self, item: KeyValue) -> str:
         stored = self._stored(item)
         return "" if stored is None else stored.operation
-
-
-def _precondition_failed(write: _Write, stored: StoredObject | None) -> YokelineError:
-    exists = stored is not None and not stored.deleted
-    now = f"has revision {stored.revision}" if exists and stored else "does not exist"
-    wanted = f"revision {write.asked}" if write.asked else "a new object"
-    return YokelineError(
-        kind=ErrorKind.PRECONDITION_FAILED,
-        message=f"{write.kind.value}/{write.name} {now}, not {wanted}; nothing was written",
-        remedy="read it, and write again with its present revision",
-        execution=Execution.NOT_RUN,
-    )
-
-
-def _not_applied(write: _Write, retry_after: float) -> YokelineError:
-    return YokelineError(
-        kind=ErrorKind.NOT_APPLIED,
-        message=f"{write.kind.value}/{write.name} was not written: the store was not reached",
-        remedy="try again later; the configuration in force stays",
-        execution=Execution.NOT_RUN,
-        retry_after=retry_after,
-    )
-
-
-def _unknown(write: _Write) -> YokelineError:
-    return YokelineError(
-        kind=ErrorKind.OUTCOME_UNKNOWN,
-        message=f"operation {write.operation} on {write.kind.value}/{write.name} may be applied",
-        remedy="read the object later, or ask for the operation by its id",
-        execution=Execution.UNKNOWN,
-    )
--- a/src/yokeline/timers.py
+++ b/src/yokeline/timers.py
@@ -9,22 +9,39 @@
 """Cancelled timers left in the queue before it is worth rebuilding."""
 
 
+def _nothing() -> None:
+    """Stand for the action of a cancelled timer."""
+
+
 class Timer:
-    """An action that is due at a time, until it has run or is cancelled."""
+    """An action that is due at a time.
+
+    Attributes:
+        due: Monotonic seconds.
+        action: Called once, without arguments.
+        cancelled: The action is not to be run.
+    """
 
-    __slots__ = ("_queue", "action", "due")
+    __slots__ = ("_queue", "action", "cancelled", "due")
 
     def __init__(self, queue: TimerQueue, due: float, action: Callable[[], None]) -> None:
         """Create a timer; use :meth:`TimerQueue.schedule`."""
-        self._queue = queue
+        self._queue: TimerQueue | None = queue
         self.due = due
-        self.action: Callable[[], None] | None = action
+        self.action = action
+        self.cancelled = False
 
     def cancel(self) -> None:
         """Make sure that the action does not run (any more)."""
-        if self.action is not None:
-            self.action = None
+        self.cancelled = True
+        self.action = _nothing  # the queue must not keep alive what the action refers to
+        if self._queue is not None:
             self._queue.count_cancelled()
+            self._queue = None
+
+    def leave_queue(self) -> None:
+        """Note that the queue has taken the timer out."""
+        self._queue = None
 
 
 class TimerQueue:
@@ -59,18 +76,20 @@
     def run_due(self, now: float) -> None:
         """Run the actions that are due; those they schedule for now run as well."""
         while (timer := self.pop_due(now)) is not None:
-            run_action(timer)
+            timer.action()
 
     def pop_due(self, now: float) -> Timer | None:
         """Take out the first timer that is due at ``now``; None if there is none."""
         due = self.next_due()
         if due is None or due > now:
             return None
-        return heapq.heappop(self._heap)[2]
+        timer = heapq.heappop(self._heap)[2]
+        timer.leave_queue()
+        return timer
 
     def next_due(self) -> float | None:
         """Return when the next action is due (monotonic seconds), None if there is none."""
-        while self._heap and self._heap[0][2].action is None:
+        while self._heap and self._heap[0][2].cancelled:
             heapq.heappop(self._heap)
             self._cancelled -= 1
         return self._heap[0][0] if self._heap else None
@@ -79,14 +98,6 @@
         """Note that one more timer of the heap is cancelled; rebuild it when most are."""
         self._cancelled += 1
         if self._cancelled > max(COMPACTION_MINIMUM, len(self._heap) // 2):
-            self._heap = [entry for entry in self._heap if entry[2].action is not None]
+            self._heap = [entry for entry in self._heap if not entry[2].cancelled]
             heapq.heapify(self._heap)
             self._cancelled = 0
-
-
-def run_action(timer: Timer) -> None:
-    """Run the action of a timer that was taken out of its queue."""
-    action = timer.action
-    timer.action = None
-    if action is not None:
-        action()
--- a/tests/processes/test_peers.py
+++ b/tests/processes/test_peers.py
@@ -109,6 +109,10 @@
                 self.assertEqual(not_framed.recv(1), b"")
                 not_decodable.sendall(struct.pack(">I", 4) + b"\xc1\xc1\xc1\xc1")
                 wait_for(lambda: peers.counters["malformed"] == 1, "the malformed frame")
+                shown = b.bound.transport_counters()
+                for reason in ("malformed", "bad_stream"):
+                    metric = f'yokeline_peer_frames_dropped_total{{reason="{reason}"}}'
+                    self.assertEqual(shown[metric], 1, reason)
                 a.emit(heartbeat(B, peer_address(b), 7))
                 wait_for(lambda: sequences(b) == [7], "the message of a real peer")
 
--- a/tests/processes/test_service.py
+++ b/tests/processes/test_service.py
@@ -69,6 +69,12 @@
         self.assertEqual([run["answer"] for run in runs], [runs[0]["answer"]] * 3)
         self.assertEqual(self.applied(runs[0]["run"]), [f"{runs[0]['run']}/1"])
 
+    def test_metrics_include_what_the_transports_refused_and_dropped(self) -> None:
+        for node in self.cluster.nodes[:2]:
+            shown = node.client().ask("GET", "/metrics").body.decode()
+            self.assertIn("\nyokeline_http_connections_refused_total 0.0\n", shown)
+            self.assertIn('\nyokeline_peer_frames_dropped_total{reason="queue_limit"} ', shown)
+
     # ------------------------------------------------------------ outages of the store
 
     def set_faults(self, **faults: object) -> None:
--- a/tests/unit/cli/support.py
+++ b/tests/unit/cli/support.py
@@ -16,7 +16,7 @@
 from yokeline.identifiers import ExchangeId
 from yokeline.labels.objects import StoredObject
 from yokeline.node.http_target import split_target
-from yokeline.store.writer import WriteResult
+from yokeline.store.writes import WriteResult
 
 
 class CommandResult:
--- a/tests/unit/cli/test_commands.py
+++ b/tests/unit/cli/test_commands.py
@@ -17,7 +17,7 @@
 from yokeline.errors import ErrorKind, Execution, YokelineError
 from yokeline.runs.model import RunStatus
 from yokeline.shards.operations import ListRuns, RunList, RunResult, StartRun, WatchRun
-from yokeline.store.writer import OperationStatus
+from yokeline.store.history import OperationStatus
 
 OBJECTS = """
 [[programs]]
--- a/tests/unit/gateway/support.py
+++ b/tests/unit/gateway/support.py
@@ -41,7 +41,7 @@
 from yokeline.server.context import NodeContext
 from yokeline.settings import ClusterSection, GatewaySection, NodeSection, Settings
 from yokeline.shards.operations import Operation, OperationResult, RunResult, StartRun
-from yokeline.store.writer import WriteDone
+from yokeline.store.writes import WriteDone
 
 PLATFORM = "platform-secret"
 CALLER = "caller-secret"
@@ -233,6 +233,9 @@
     def gauges(self) -> dict[str, float]:
         return {'yokeline_shards_led{zone="a"}': 4.0}
 
+    def transport_counters(self) -> dict[str, float]:
+        return {'yokeline_datagrams_dropped_total{reason="malformed"}': 3.0}
+
     def unready_reasons(self) -> list[str]:
         return []
 
--- a/tests/unit/gateway/test_admin.py
+++ b/tests/unit/gateway/test_admin.py
@@ -14,7 +14,8 @@
 from yokeline.gateway.openapi import build_document, openapi_json
 from yokeline.gateway.routes import ROUTES
 from yokeline.labels.objects import ObjectKind, StoredObject
-from yokeline.store.writer import OperationStatus, WriteResult
+from yokeline.store.history import OperationStatus
+from yokeline.store.writes import WriteResult
 
 TALK = "/admin/v1/programs/talk"
 UNKNOWN = YokelineError(
@@ -216,6 +217,8 @@
         self.assertEqual(2.0, samples["yokeline_odd_total", (("a", "1"),)])
         self.assertEqual(1.0, samples["yokeline_odd_total", ()])
         self.assertEqual(4.0, samples["yokeline_shards_led", (("zone", "a"),)])
+        dropped = ("yokeline_datagrams_dropped_total", (("reason", "malformed"),))
+        self.assertEqual(3.0, samples[dropped])
 
     def test_every_route_has_a_handler_and_is_described(self) -> None:
         handlers = Bench().gateway._handlers
--- /dev/null
+++ b/tests/unit/timers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the timers."""
