--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -10,6 +10,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -86,6 +87,11 @@
         except YokelineException:
             return False
 
+    def has_revision(self, revision: int) -> bool:
+        """Return whether a revision of the configuration, or a later one, is in force here."""
+        found = self.client().ask("GET", "/admin/v1/revisions").json()
+        return bool(found["revision"] >= revision)
+
     def listed(self, what: str) -> list[dict[str, Any]]:
         """Return ``nodes``, ``shards`` or ``engines`` as it sees them."""
         return list(self.client().pages(f"/admin/v1/{what}", "items", {}))
@@ -164,7 +170,7 @@
         """Wait until all nodes are ready, and every shard has all its replicas alive."""
         for node in self.nodes:
             wait_until(node.ready, f"{node.name} is ready")
-            wait_until(lambda node=node: self.whole_at(node), f"{node.name} sees all shards whole")
+            wait_until(partial(self.whole_at, node), f"{node.name} sees all shards whole")
 
     def whole_at(self, node: NodeProcess) -> bool:
         """Return whether a node sees every shard led, with a replica on each living node."""
@@ -256,12 +262,7 @@
     def wait_revision(self, revision: int) -> None:
         """Wait until every node has a revision of the configuration in force."""
         for node in self.nodes:
-            wait_until(
-                lambda node=node: (
-                    node.client().ask("GET", "/admin/v1/revisions").json()["revision"] >= revision
-                ),
-                f"{node.name} has revision {revision}",
-            )
+            wait_until(partial(node.has_revision, revision), f"{node.name} has {revision}")
 
     # ------------------------------------------------------------ who leads what
 
--- a/tests/processes/follower.py
+++ b/tests/processes/follower.py
@@ -49,7 +49,7 @@
     def take(self, received: ServerSentEvent) -> None:
         """Check an event against those before it."""
         assert self.finished is None, "an event came after the last one"
-        event = msgspec.json.decode(received.data, type=RunEvent)  # type: ignore[arg-type]
+        event = msgspec.json.decode(received.data, type=RunEvent)
         self.last_id = received.id
         match event:
             case CallStartedEvent():
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from tests.processes.case import (
     AGENT,
@@ -168,7 +169,7 @@
             self.assertEqual(waiting.result().status, 200)
         for node in self.cluster.others(leaving):
             wait_until(
-                lambda node=node: not self.holds_shards(replica, node),
+                partial(self.holds_no_shards, replica, node),
                 f"{node.name} sees no shard at {leaving.name}",
             )
         self.check_run(led, gateway, other)
@@ -183,9 +184,10 @@
         rows = [row for row in seen_by.listed("nodes") if row["state"] == "alive"]
         return str(next(row["replica"] for row in rows if row["name"] == node.name))
 
-    def holds_shards(self, replica: str, seen_by: NodeProcess) -> bool:
-        """Return whether a process start leads a shard or has a part in one."""
-        return any(replica in (row["leader"], *row["members"]) for row in seen_by.listed("shards"))
+    def holds_no_shards(self, replica: str, seen_by: NodeProcess) -> bool:
+        """Return whether a process start neither leads a shard nor has a part in one."""
+        rows = seen_by.listed("shards")
+        return all(replica not in (row["leader"], *row["members"]) for row in rows)
 
     def check_takes_no_new_work(self, leaving: NodeProcess) -> None:
         """Check that a node in a planned stop refuses new requests, and says so truthfully."""
--- a/tests/processes/test_service.py
+++ b/tests/processes/test_service.py
@@ -23,7 +23,7 @@
 from tests.processes.cluster import PATIENCE_SECONDS, NodeProcess, wait_until
 from yokeline.commands.client import Reply, path_of
 from yokeline.errors import EXIT_USAGE, ErrorKind, Execution
-from yokeline.identifiers import child_run_id
+from yokeline.identifiers import RunId, child_run_id
 
 ANSWER_TOKENS = 60
 LONG_ANSWER_TOKENS = 1000
@@ -54,7 +54,7 @@
             found = self.read_run(node, run)
             self.check_calls(found, kinds)
             self.assertEqual((found["status"], found["answer"]), ("succeeded", finished.answer))
-        child = self.read_run(self.cluster.nodes[2], child_run_id(run, 1))
+        child = self.read_run(self.cluster.nodes[2], child_run_id(RunId(run), 1))
         self.check_calls(child, ["model"])
         self.assertEqual(self.applied(run, "tool"), [f"{run}/2", f"{run}/6"])
 
