--- a/benchmarks/live/calls.py
+++ b/benchmarks/live/calls.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
+_ACCEPTED = b"HTTP/1.1 200 "
 _LAST_CHUNK = b"0\r\n\r\n"
+_LINE_END = b"\r\n"
 _TAIL = len(_LAST_CHUNK)
 
 
@@ -65,6 +67,10 @@
         """Note a piece."""
         pieces = self._record.pieces
         pieces.append((time.monotonic(), data))
+        if len(pieces) == 1 and not data.startswith(_ACCEPTED) and self._transport is not None:
+            self._finish(f"refused: {data.partition(_LINE_END)[0].decode(errors='replace')}")
+            self._transport.close()
+            return
         tail = data if len(data) >= _TAIL else b"".join(piece for _, piece in pieces[-_TAIL:])
         if tail.endswith(_LAST_CHUNK) and self._transport is not None:
             self._finish("")
--- a/benchmarks/live/deployment.py
+++ b/benchmarks/live/deployment.py
@@ -17,6 +17,8 @@
 PROGRAM = "reconcile"
 MODEL = "small-1"
 SHARDS = 8
+TENANT_RUNS_PER_SECOND = 200.0
+"""The one tenant is all callers; its limit must be above the load."""
 
 
 class LiveDeployment(Cluster):
@@ -75,6 +77,7 @@
     def objects(self) -> list[tuple[str, str, dict[str, Any]]]:
         """Return the configuration: a tenant, a pool of all engines, and a program."""
         token = {"digest": digest_of(TENANT_TOKEN), "role": "operator"}
+        limits = {"requests_per_second": TENANT_RUNS_PER_SECOND}
         pool = {
             "name": "reconcilers",
             "labels": {"work": "reconcile"},
@@ -82,7 +85,7 @@
             "models": [MODEL],
         }
         return [
-            ("tenants", "", {"name": TENANT, "tokens": [token]}),
+            ("tenants", "", {"name": TENANT, "tokens": [token], "limits": limits}),
             ("engine-pools", "", pool),
             ("programs", TENANT, {"name": PROGRAM, "model": MODEL}),
         ]
