--- a/src/yokeline/server/node.py
+++ b/src/yokeline/server/node.py
@@ -293,10 +293,15 @@
         elif isinstance(event, HttpGone):
             self.gateway.gone(event)
         elif isinstance(event, DatagramArrived):
-            self.membership.receive(event)
+            self._receive_datagram(event)
         elif isinstance(event, StopRequested):
             self.stop.transition_draining()
 
+    def _receive_datagram(self, event: DatagramArrived) -> None:
+        self.membership.receive(event)
+        if self.membership.superseded:
+            self.stop.transition_superseded()
+
     def _receive_peer(self, sender: ReplicaId, message: msgspec.Struct) -> None:
         if isinstance(message, RaftBatch):
             self.host.receive_batch(sender, message)
--- a/src/yokeline/server/planned_stop.py
+++ b/src/yokeline/server/planned_stop.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from yokeline.effects import Exit
+from yokeline.errors import EXIT_FAILURE
 from yokeline.membership.detector import Membership
 from yokeline.server.context import NodeContext
 from yokeline.shards.host import ShardHost
@@ -71,6 +72,14 @@
         self._membership.leave()
         self._host.hand_over_all()
 
+    def transition_superseded(self) -> None:
+        """End at once: a later process start of this node runs, and this one counts as dead."""
+        if self.state is StopState.STOPPED:
+            return
+        self.state = StopState.STOPPED
+        self._context.warn("process_superseded", replicas_left=self._host.replicas_left())
+        self._context.emit(Exit(EXIT_FAILURE))
+
     def tick(self) -> None:
         """End the stop once nothing depends on this node."""
         if self.state is not StopState.DRAINING or self._context.now < self._next_check:
