Remove four pieces that nothing calls

Found by reading the whole change once more: Executor.is_driven, HttpPool.idle_count, ConfigurationView.policies_for (explain and resolve do its work) and the protocol EventSink (the transports take the bridge itself). Left on purpose: the clients of leases and of cache export and import, which are the published protocols' and wait for the mechanisms that DESIGN.md names as not built; the tool and app clients, alike in shape and apart in path and body.

--- a/src/yokeline/labels/view.py
+++ b/src/yokeline/labels/view.py
@@ -239,14 +239,6 @@
         """Return all policies by qualified name."""
         return _by_name(self._typed(ObjectKind.POLICY, Policy))
 
-    def policies_for(self, program: Program) -> tuple[Policy, ...]:
-        """Return the policies that match a program, in the order in which they apply."""
-        return tuple(
-            compiled.policy
-            for compiled in self._candidates(program.tenant)
-            if compiled.program_selector.matches(program.labels)
-        )
-
     def resolve(self, program: Program) -> ResolvedPolicy:
         """Return what all matching policies together say about a program."""
         name = qualified_name(program)
--- a/src/yokeline/node/bridge.py
+++ b/src/yokeline/node/bridge.py
@@ -6,7 +6,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import absl.logging
 from circuits import BaseComponent, handler
@@ -54,14 +54,6 @@
     """
 
 
-class EventSink(Protocol):
-    """Where transports put what they received."""
-
-    def submit(self, event: Event) -> None:
-        """Queue an event for the service; it is handled in the next turn of the loop."""
-        ...
-
-
 class Bridge(BaseComponent):
     """Runs one service: events in, effects out, and the timer for its next deadline.
 
--- a/src/yokeline/node/http_pool.py
+++ b/src/yokeline/node/http_pool.py
@@ -145,10 +145,6 @@
         for connection in list(self._open):
             self.discard(connection)
 
-    def idle_count(self) -> int:
-        """Return how many connections are kept."""
-        return len(self._idle)
-
     def open_count(self) -> int:
         """Return how many connections are open."""
         return len(self._open)
--- a/src/yokeline/runs/executor.py
+++ b/src/yokeline/runs/executor.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from yokeline.identifiers import RunId, ShardId
+from yokeline.identifiers import ShardId
 from yokeline.runs.cache_actions import CacheActions
 from yokeline.runs.core import ExecutorCore
 from yokeline.runs.driver import RunDriver
@@ -161,7 +161,3 @@
     def waiting_calls(self) -> int:
         """Return how many model calls wait for an engine."""
         return len(self._driver.queue)
-
-    def is_driven(self, run: RunId) -> bool:
-        """Return whether something is under way or waited for in a run."""
-        return run in self._core.activities
