--- a/src/yokeline/server/node.py
+++ b/src/yokeline/server/node.py
@@ -185,7 +185,9 @@
         self.engines = EngineDirectory(
             context,
             settings,
-            make_policy(settings.scheduling.policy),
+            make_policy(
+                settings.scheduling.policy, aging_seconds=settings.scheduling.aging_seconds
+            ),
             lambda: self.configuration.view().pools(),
             self._machine_entries,
             stewards=self._is_steward_of,
