--- a/src/yokeline/consensus/election.py
+++ b/src/yokeline/consensus/election.py
@@ -120,6 +120,8 @@
         """Count a vote once."""
         self._granted.add(voter)
 
-    def is_won(self, members: tuple[ReplicaId, ...]) -> bool:
-        """Return whether a majority of ``members`` has voted for us."""
-        return is_quorum(self._granted, members)
+    def is_won(
+        self, members: tuple[ReplicaId, ...], lost: frozenset[ReplicaId] = frozenset()
+    ) -> bool:
+        """Return whether a majority of ``members`` has voted for us; see :func:`is_quorum`."""
+        return is_quorum(self._granted, members, lost)
--- a/src/yokeline/consensus/group.py
+++ b/src/yokeline/consensus/group.py
@@ -154,6 +154,33 @@
         log = self._state.log
         return log.between(max(index, log.base_index) + 1, log.last_index)
 
+    def take_unsaved_entries(self) -> tuple[LogEntry, ...]:
+        """Return the entries to write to disk before this call's effects are carried out."""
+        return self._state.log.take_unsaved()
+
+    @property
+    def hard_state(self) -> HardState:
+        """Term and vote, as a restart under the same id needs them."""
+        return HardState(self._state.term, self._state.voted_for)
+
+    @property
+    def membership_pending(self) -> bool:
+        """Whether the configuration in force is not committed yet."""
+        return self._state.membership_pending
+
+    def follower_silence(self, now: float) -> dict[ReplicaId, float]:
+        """Return how long each follower has left a message unanswered; empty if not leading."""
+        return {} if self._roles.leadership is None else self._roles.leadership.silence(now)
+
+    def has_caught_up(self, replica: ReplicaId) -> bool:
+        """Return whether this replica leads and a follower holds every committed entry."""
+        leadership = self._roles.leadership
+        return leadership is not None and leadership.has_caught_up(replica)
+
+    def set_lost(self, lost: frozenset[ReplicaId]) -> None:
+        """Name the replicas that are known to have lost their disks, and never come back."""
+        self._state.lost = lost
+
     def may_change_members(self) -> bool:
         """Return whether :meth:`add_member` or :meth:`remove_member` would be taken now."""
         return self._roles.leadership is not None and self._roles.leadership.may_change_members
--- a/src/yokeline/consensus/leadership.py
+++ b/src/yokeline/consensus/leadership.py
@@ -81,6 +81,14 @@
     def _own_term_committed(self) -> bool:
         return self._state.commit_index >= self._term_start
 
+    def silence(self, now: float) -> dict[ReplicaId, float]:
+        """Return for each follower how long a message to it has gone unanswered (seconds)."""
+        return self._replicator.silence(now)
+
+    def has_caught_up(self, replica: ReplicaId) -> bool:
+        """Return whether a follower holds every committed entry."""
+        return self._replicator.has_caught_up(replica)
+
     # ------------------------------------------------------------ requests
 
     def propose(self, command: bytes, now: float) -> LogEntry:
--- a/src/yokeline/consensus/log.py
+++ b/src/yokeline/consensus/log.py
@@ -35,7 +35,7 @@
     the log keeps the configurations that its entries hold.
     """
 
-    __slots__ = ("_configurations", "_entries", "base_index", "base_term")
+    __slots__ = ("_configurations", "_entries", "_unsaved_from", "base_index", "base_term")
 
     def __init__(
         self,
@@ -50,9 +50,22 @@
         self.base_term = base_term
         self._entries: list[LogEntry] = []
         self._configurations = [Configuration(base_index, members)]
+        self._unsaved_from: int | None = None
         for entry in entries:
             if entry.index == self.last_index + 1:
                 self.append(entry)
+        self._unsaved_from = None
+
+    def take_unsaved(self) -> tuple[LogEntry, ...]:
+        """Return the entries from the first one added since the last call on, in order.
+
+        On disk they replace all entries from the first one's index on.
+        """
+        first = self._unsaved_from
+        self._unsaved_from = None
+        if first is None or first > self.last_index:
+            return ()
+        return self.between(max(first, self.first_index), self.last_index)
 
     @property
     def first_index(self) -> int:
@@ -122,6 +135,8 @@
     def append(self, entry: LogEntry) -> None:
         """Append the next entry."""
         self._entries.append(entry)
+        if self._unsaved_from is None or entry.index < self._unsaved_from:
+            self._unsaved_from = entry.index
         if entry.kind is EntryKind.MEMBERSHIP:
             self._configurations.append(Configuration(entry.index, entry.members))
 
--- a/src/yokeline/consensus/quorum.py
+++ b/src/yokeline/consensus/quorum.py
@@ -25,9 +25,21 @@
     return ordered[quorum_size(len(ordered)) - 1]
 
 
-def is_quorum(granted: set[ReplicaId], members: tuple[ReplicaId, ...]) -> bool:
-    """Return whether ``granted`` holds a majority of ``members``."""
-    if not members:
+def is_quorum(
+    granted: set[ReplicaId],
+    members: tuple[ReplicaId, ...],
+    lost: frozenset[ReplicaId] = frozenset(),
+) -> bool:
+    """Return whether the votes in ``granted`` elect a leader of ``members``.
+
+    A member that is known to have lost its disk never votes or answers again, so a majority
+    of the others is as unique as one of all. It must also be large enough to meet every
+    majority of ``members`` that may have committed an entry: with four members two that are
+    left hold everything together, and of two members the one that is left does.
+    """
+    survivors = [member for member in members if member not in lost]
+    if not survivors:
         return False
-    count = sum(1 for member in members if member in granted)
-    return count >= quorum_size(len(members))
+    count = sum(1 for member in survivors if member in granted)
+    meets_all = len(members) - quorum_size(len(members)) + 1
+    return count >= max(quorum_size(len(survivors)), meets_all)
--- a/src/yokeline/consensus/replication.py
+++ b/src/yokeline/consensus/replication.py
@@ -227,6 +227,19 @@
                 silent += 1
         return len(members) - silent >= quorum_size(len(members))
 
+    def silence(self, now: float) -> dict[ReplicaId, float]:
+        """Return for each follower how long a message to it has gone unanswered (seconds)."""
+        return {
+            progress.follower: max(0.0, now - _waiting_since(progress))
+            for progress in self._progress.values()
+            if progress.departs_at is None
+        }
+
+    def has_caught_up(self, replica: ReplicaId) -> bool:
+        """Return whether a follower holds every committed entry."""
+        progress = self._progress.get(replica)
+        return progress is not None and progress.match_index >= self._state.commit_index
+
     def best_successor(self) -> ReplicaId | None:
         """Return the member with the longest matching log."""
         others = [item for item in self._progress.values() if item.departs_at is None]
@@ -237,6 +250,8 @@
     def _per_member(self, own: Number, value: Callable[[Progress], Number]) -> list[Number]:
         values: list[Number] = []
         for member in self._state.members:
+            if member in self._state.lost:
+                continue
             progress = self._progress.get(member)
             values.append(own if progress is None else value(progress))
         return values
--- a/src/yokeline/consensus/state.py
+++ b/src/yokeline/consensus/state.py
@@ -30,6 +30,7 @@
         "commit_index",
         "leader",
         "log",
+        "lost",
         "replica",
         "role",
         "settings",
@@ -60,6 +61,7 @@
         self.role = RaftRole.FOLLOWER
         self.leader: ReplicaId | None = None
         self.commit_index = log.base_index
+        self.lost: frozenset[ReplicaId] = frozenset()
         self._reported_members = log.configuration.members
         self._reported_term = self.term
         self._effects: list[RaftEffect] = []
--- a/src/yokeline/consensus/voting.py
+++ b/src/yokeline/consensus/voting.py
@@ -118,7 +118,9 @@
         self._conclude(now)
 
     def _conclude(self, now: float) -> None:
-        if self._tally is None or not self._tally.is_won(self._state.members):
+        if self._tally is None:
+            return
+        if not self._tally.is_won(self._state.members, self._state.lost):
             return
         if self._state.role is RaftRole.PRE_CANDIDATE:
             self._stand_for_term(now, transfer=False)
--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -38,6 +38,9 @@
     """One :class:`HttpStreamItem` per server-sent event (its ``data`` and ``id``)."""
     JSON_LINES = "json_lines"
     """One :class:`HttpStreamItem` per line of the body."""
+    RAW_EVENTS = "raw_events"
+    """One :class:`HttpStreamItem` per server-sent event, its bytes exactly as received; a
+    response that is no event stream comes as one :class:`HttpResponse`."""
 
 
 # ---------------------------------------------------------------- events in
@@ -55,6 +58,8 @@
         headers: Header names in lower case.
         query: Decoded query parameters (last value wins).
         too_large: The body was over the limit and has been dropped.
+        target: The request target exactly as it was received.
+        header_items: All header fields in their order, names in lower case.
     """
 
     exchange: ExchangeId
@@ -64,6 +69,8 @@
     headers: dict[str, str] = {}
     body: bytes = b""
     too_large: bool = False
+    target: str = ""
+    header_items: tuple[tuple[str, str], ...] = ()
 
 
 class HttpGone(msgspec.Struct, frozen=True):
@@ -104,11 +111,14 @@
 
     Attributes:
         sent: False only if it is certain that no byte of the request left this process.
+        stale: A kept connection turned out closed by the other end: it ended without one byte
+            of an answer after this request was written to it.
     """
 
     request: RequestId
     sent: bool
     reason: str
+    stale: bool = False
 
 
 class PeerMessage(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,6 +135,16 @@
     message: msgspec.Struct
 
 
+class FileSynced(msgspec.Struct, frozen=True):
+    """A :class:`SyncFile` and all before it are on the disk, their names included."""
+
+    ticket: int
+
+
+class ReloadRequested(msgspec.Struct, frozen=True):
+    """The settings file has changed (SIGHUP)."""
+
+
 class StopRequested(msgspec.Struct, frozen=True):
     """A planned stop was asked for (SIGTERM, or the admin API)."""
 
@@ -139,6 +159,8 @@
     | HttpFailed
     | PeerMessage
     | DatagramArrived
+    | FileSynced
+    | ReloadRequested
     | StopRequested
 )
 
@@ -155,6 +177,12 @@
             longest silence between two items.
         allow_retry: The transport may send it again on a fresh connection if a pooled one
             turned out to be closed. False for anything that may not be repeated.
+        use_kept: Take a kept connection also where ``allow_retry`` is false.
+        target: The request target to send unchanged; overrides ``path``.
+        header_items: Further header fields, in order (may repeat a name).
+        echo_header: Name of a header field that the answer carries back; an answer with
+            another value belongs to an earlier request and is passed over.
+        echo_value: The value that belongs to this request.
     """
 
     request: RequestId
@@ -166,6 +194,11 @@
     framing: Framing = Framing.WHOLE
     timeout: float = 30.0
     allow_retry: bool = False
+    use_kept: bool = False
+    target: str = ""
+    header_items: tuple[tuple[str, str], ...] = ()
+    echo_header: str = ""
+    echo_value: str = ""
 
 
 class HttpCancel(msgspec.Struct, frozen=True):
@@ -175,20 +208,30 @@
 
 
 class HttpReply(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer an exchange with a whole body."""
+    """Answer an exchange with a whole body.
+
+    Attributes:
+        last: Close the connection after this answer, and say so in it.
+    """
 
     exchange: ExchangeId
     status: int
     headers: dict[str, str] = {}
     body: bytes = b""
+    last: bool = False
 
 
 class HttpStreamStart(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer an exchange with headers now; the body follows in pieces."""
+    """Answer an exchange with headers now; the body follows in pieces.
+
+    Attributes:
+        last: Close the connection after this answer, and say so in it.
+    """
 
     exchange: ExchangeId
     status: int = 200
     headers: dict[str, str] = {}
+    last: bool = False
 
 
 class HttpStreamData(msgspec.Struct, frozen=True):
@@ -243,6 +286,21 @@
     name: str
 
 
+class SyncFile(msgspec.Struct, frozen=True, kw_only=True):
+    """Write a file below the synced folder and report when it is on the disk.
+
+    Attributes:
+        ticket: Echoed by :class:`FileSynced`; writes are carried out in order.
+        data: Appended to the file, or its whole new content.
+        replace: Replace the file atomically.
+    """
+
+    ticket: int
+    name: str
+    data: bytes
+    replace: bool = False
+
+
 class LogRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Write one JSON log line: an event name and flat fields (no bodies, no secrets)."""
 
@@ -251,6 +309,22 @@
     level: str = "info"
 
 
+class SetServerLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Change what callers may send and how long they may rest, from now on.
+
+    Attributes:
+        max_header_bytes: Largest request head taken.
+        max_body_bytes: Largest request body taken.
+        request_seconds: Time from a request's first byte until it must be whole.
+        idle_seconds: Time a connection is kept without a request.
+    """
+
+    max_header_bytes: int
+    max_body_bytes: int
+    request_seconds: float
+    idle_seconds: float
+
+
 class Exit(msgspec.Struct, frozen=True):
     """End the process with this exit code: a planned stop is complete."""
 
@@ -268,7 +342,9 @@
     | SendDatagram
     | WriteFile
     | DeleteFile
+    | SyncFile
     | LogRecord
+    | SetServerLimits
     | Exit
 )
 
--- /dev/null
+++ b/src/yokeline/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to engines: routes, limits, choice of engine, retries, resumption."""
--- /dev/null
+++ b/src/yokeline/forwarding/choice.py
@@ -0,0 +1,116 @@
+"""Which engine serves a request: the least estimated cost among those with room."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.forwarding.engines import EngineState
+from yokeline.forwarding.model import Call, ModelTraits
+from yokeline.forwarding.prefixes import PrefixBeliefs
+
+READ_TOKENS_PER_SECOND = 270_000.0
+"""Pace at which an engine reads a prompt that it has not cached."""
+SHARED_STEP_SECONDS = 0.0021
+"""Time that each other running request adds to a turn."""
+FULL_TURN_SECONDS = 0.35
+"""Time until a place comes free at an engine whose places are all taken, times its places."""
+OTHER_ZONE_SECONDS = 0.002
+SUSPECT_SECONDS = 0.5
+"""Cost of an engine that failed a moment ago."""
+MODEL_HEADROOM = 1.25
+APP_HEADROOM = 2.0
+"""Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
+AFFINITY_SECONDS = 0.02
+"""Gain of the engine that saw a request's subject last."""
+
+
+class Choice(msgspec.Struct, frozen=True, kw_only=True):
+    """The engine chosen, and what decided it.
+
+    Attributes:
+        cost: Estimated seconds.
+        load: Requests it had under way.
+        cached: Prompt tokens that it probably has.
+    """
+
+    state: EngineState
+    cost: float
+    load: int
+    cached: int
+
+
+class ChoiceInputs(msgspec.Struct, frozen=True, kw_only=True):
+    """What a choice depends on beside the engines.
+
+    Attributes:
+        traits: Of model engines; None for apps.
+        zone: Of this node.
+        excluded: Engines that have had this request.
+        affine: The engine that saw the subject last; empty for none.
+    """
+
+    call: Call
+    traits: ModelTraits | None
+    zone: str
+    excluded: frozenset[str] = frozenset()
+    affine: str = ""
+
+
+def choose(
+    engines: list[EngineState], beliefs: PrefixBeliefs, inputs: ChoiceInputs, now: float
+) -> Choice | None:
+    """Return the best engine with room; None if there is none."""
+    best: Choice | None = None
+    usual_pace = _usual_pace(engines)
+    for state in engines:
+        if state.engine.engine_id in inputs.excluded or now < state.full_until:
+            continue
+        if state.load >= room(state, inputs.traits):
+            continue
+        choice = _estimate(state, beliefs, inputs, usual_pace, now)
+        if best is None or choice.cost < best.cost:
+            best = choice
+    return best
+
+
+def room(state: EngineState, traits: ModelTraits | None) -> int:
+    """Return how many requests an engine may have under way."""
+    headroom = APP_HEADROOM if traits is None else MODEL_HEADROOM
+    return max(1, int(state.engine.slots * headroom))
+
+
+def _estimate(
+    state: EngineState,
+    beliefs: PrefixBeliefs,
+    inputs: ChoiceInputs,
+    usual_pace: float,
+    now: float,
+) -> Choice:
+    call = inputs.call
+    load = state.load
+    slots = max(1, state.engine.slots)
+    cached = 0
+    cost = 0.0
+    if inputs.traits is not None:
+        cached = beliefs.cached_tokens(state.engine.engine_id, call.parts)
+        cost += max(0, call.prompt_tokens - cached) / READ_TOKENS_PER_SECOND
+        cost += load * SHARED_STEP_SECONDS
+    else:
+        cost += load / slots * (state.pace or AFFINITY_SECONDS)
+    if load >= slots:
+        cost += (load - slots + 1) * FULL_TURN_SECONDS / slots
+    if usual_pace and state.pace > usual_pace:
+        cost += state.pace - usual_pace if inputs.traits is None else 10 * (state.pace - usual_pace)
+    if state.engine.zone != inputs.zone:
+        cost += OTHER_ZONE_SECONDS
+    if inputs.affine == state.engine.engine_id:
+        cost -= AFFINITY_SECONDS
+    if now < state.suspect_until:
+        cost += SUSPECT_SECONDS
+    return Choice(state=state, cost=cost, load=load, cached=cached)
+
+
+def _usual_pace(engines: list[EngineState]) -> float:
+    """Return the median pace of a pool; 0 if it is not known."""
+    paces = sorted(state.pace for state in engines if state.pace)
+    return paces[len(paces) // 2] if paces else 0.0
--- /dev/null
+++ b/src/yokeline/forwarding/dialect.py
@@ -0,0 +1,56 @@
+"""How calls and engines' answers are spelled; implemented once for each kind of deployment."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+from returns.result import Result
+
+from yokeline.effects import HttpArrived, HttpResponse
+from yokeline.errors import YokelineError
+from yokeline.forwarding.model import Call, Engine
+
+
+class EngineOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """What an engine is told beside the caller's own request.
+
+    Attributes:
+        remaining: Seconds that the engine may work.
+        priority: 0 (most urgent) to 9.
+        last_event_id: Continue the stream after this event; empty from its start.
+    """
+
+    engine: Engine
+    remaining: float
+    priority: int
+    last_event_id: str = ""
+
+
+class Dialect(Protocol):
+    """Header names and their meaning."""
+
+    echo_header: str
+    """Header that an engine's answer carries back, with the request's id (lower case)."""
+
+    def parse_call(self, arrived: HttpArrived) -> Result[Call, YokelineError]:
+        """Return what a request says of itself."""
+        ...
+
+    def engine_headers(
+        self, arrived: HttpArrived, call: Call, order: EngineOrder
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the header fields to send to an engine, ``host`` included."""
+        ...
+
+    def answer_headers(self, response: HttpResponse) -> dict[str, str]:
+        """Return the header fields of an engine's answer that the caller gets."""
+        ...
+
+    def was_not_run(self, response: HttpResponse) -> bool:
+        """Return whether an engine's answer promises that the request did not run."""
+        ...
+
+    def refusal_headers(self, call_id: str, retry_after: float | None) -> dict[str, str]:
+        """Return the header fields of a refusal of our own."""
+        ...
--- /dev/null
+++ b/src/yokeline/forwarding/edge_node.py
@@ -0,0 +1,274 @@
+"""The service of a node that forwards requests: configuration, engines, load, stops."""
+
+from __future__ import annotations
+
+from returns.result import Success
+
+from yokeline.effects import (
+    DatagramArrived,
+    Effect,
+    Event,
+    Exit,
+    HttpArrived,
+    HttpFailed,
+    HttpGone,
+    HttpResponse,
+    HttpStreamEnded,
+    HttpStreamItem,
+    LogRecord,
+    PeerMessage,
+    ReloadRequested,
+    SendDatagram,
+    SetServerLimits,
+    StopRequested,
+)
+from yokeline.forwarding.engines import EngineBook
+from yokeline.forwarding.forwarder import Forwarder
+from yokeline.identifiers import NodeName
+from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.messages import LedgerReply, LoadReport
+from yokeline.registry.client import RegistryClient
+from yokeline.registry.formats import DeploymentFormats
+from yokeline.registry.nodes import (
+    NODE_PREFIX,
+    NodeRecord,
+    NodeRole,
+    decode_node,
+    encode_node,
+    node_key,
+)
+from yokeline.registry.protocol import StoredItem
+
+REPORT_SECONDS = 0.1
+"""Pause between two reports of load to the other nodes."""
+MAX_REPORTED_NODES = 32
+"""Nodes that get a report; with more nodes each reports to the next ones in a ring."""
+CLOSING_AFTER_SECONDS = 2.2
+"""Time after a stop was asked for, until the entry sends no new connections here."""
+QUIET_SECONDS = 0.6
+"""A stop is complete when nothing was under way for this long."""
+LIMIT_MARGIN_SECONDS = 0.5
+"""What is left of the time for a stop when the process ends in any case."""
+
+
+class EdgeNode:
+    """A forwarding node, without I/O."""
+
+    def __init__(
+        self,
+        *,
+        record: NodeRecord,
+        registry: RegistryClient,
+        formats: DeploymentFormats,
+        forwarder: Forwarder,
+        engines: EngineBook,
+        ledger: LedgerClient,
+        grace_seconds: float,
+        now: float,
+    ) -> None:
+        """Create the service."""
+        self.forwarder = forwarder
+        self.ledger = ledger
+        self._record = record
+        self._registry = registry
+        self._formats = formats
+        self._engines = engines
+        self._grace_seconds = grace_seconds
+        self._sequence = 0
+        self._next_report = now
+        self._reported_idle = False
+        self._peers: list[NodeRecord] = []
+        self._stop_asked_at: float | None = None
+        self._busy_at = now
+        registry.write(node_key(record.name), encode_node(record), now)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node wants new connections."""
+        known = self.forwarder.table is not None and self._registry.complete
+        return known and self._stop_asked_at is None
+
+    # ------------------------------------------------------------ service
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take an event in and return effects."""
+        ours, changed, effects = self._registry.take(event, now)
+        effects = list(effects)
+        for item in changed:
+            effects.extend(self._take_change(item, now))
+        if not ours:
+            effects.extend(self._take(event, now))
+        effects.extend(self._registry.tick(now))
+        effects.extend(self.ledger.tick(now))
+        effects.extend(self.forwarder.tick(now))
+        effects.extend(self._report_load(now))
+        effects.extend(self._continue_stop(now))
+        return effects
+
+    def next_deadline(self) -> float | None:
+        """Return when a tick is due."""
+        dues = [
+            self._registry.next_deadline(),
+            self.ledger.next_deadline(),
+            self.forwarder.next_deadline(),
+            self._next_report,
+        ]
+        if self._stop_asked_at is not None:
+            dues.append(self._next_report)
+        return min(due for due in dues if due is not None)
+
+    def _take(self, event: Event, now: float) -> list[Effect]:
+        if isinstance(event, HttpArrived):
+            return self.forwarder.arrived(event, now)
+        if isinstance(event, HttpGone):
+            return self.forwarder.caller_gone(event.exchange, now)
+        if isinstance(event, HttpResponse | HttpStreamItem | HttpStreamEnded | HttpFailed):
+            return self.forwarder.engine_event(event, now)
+        if isinstance(event, PeerMessage) and isinstance(event.message, LedgerReply):
+            return self.ledger.take_reply(event.message, now)
+        if isinstance(event, DatagramArrived) and isinstance(event.message, LoadReport):
+            self._engines.take_report(event.message, now)
+            return []
+        if isinstance(event, StopRequested):
+            return self._begin_stop(now)
+        if isinstance(event, ReloadRequested):
+            return [LogRecord(event="reloaded", fields={"node": self._record.name})]
+        return []
+
+    # ------------------------------------------------------------ what the registry says
+
+    def _take_change(self, item: StoredItem, now: float) -> list[Effect]:
+        if item.key == self._formats.configuration_key:
+            return self._take_configuration(item, now)
+        if item.key.startswith(self._formats.engine_prefix):
+            return self._take_engine(item, now)
+        if item.key.startswith(NODE_PREFIX):
+            self._take_nodes()
+        return []
+
+    def _take_configuration(self, item: StoredItem, now: float) -> list[Effect]:
+        """Apply a configuration, unless it is older than the one in force."""
+        if item.value is None:
+            return []
+        read = self._formats.read_routing(item.value)
+        if not isinstance(read, Success):
+            return [
+                LogRecord(
+                    event="configuration_refused",
+                    fields={"revision": item.revision, "reason": read.failure().message},
+                    level="error",
+                )
+            ]
+        table = read.unwrap()
+        current = self.forwarder.table
+        if current is not None and table.version <= current.version:
+            return []
+        self.forwarder.table = table
+        limits = table.limits
+        return [
+            LogRecord(
+                event="configuration_applied",
+                fields={
+                    "version": table.version,
+                    "before": current.version if current else None,
+                    "revision": item.revision,
+                    "routes": len(table.routes),
+                },
+            ),
+            SetServerLimits(
+                max_header_bytes=limits.max_header_bytes,
+                max_body_bytes=limits.max_body_bytes,
+                request_seconds=limits.header_seconds,
+                idle_seconds=limits.idle_seconds,
+            ),
+        ]
+
+    def _take_engine(self, item: StoredItem, now: float) -> list[Effect]:
+        engine_id = item.key.removeprefix(self._formats.engine_prefix)
+        fields: dict[str, str | int | float | bool | None] = {
+            "engine": engine_id,
+            "revision": item.revision,
+        }
+        if item.value is None:
+            self.forwarder.beliefs.forget(engine_id)
+            if not self._engines.remove(engine_id):
+                return []
+            return [LogRecord(event="engine_gone", fields=fields)]
+        read = self._formats.read_engine(item.key, item.value)
+        if not isinstance(read, Success):
+            return [LogRecord(event="engine_refused", fields=fields, level="error")]
+        engine = read.unwrap()
+        if not self._engines.put(engine):
+            return []
+        fields.update(pool=engine.pool, address=str(engine.address), draining=engine.draining)
+        return [LogRecord(event="engine_changed", fields=fields)]
+
+    def _take_nodes(self) -> None:
+        records: list[NodeRecord] = []
+        for item in self._registry.items(NODE_PREFIX).values():
+            read = decode_node(item.value or b"")
+            if isinstance(read, Success):
+                records.append(read.unwrap())
+        storage = [record for record in records if record.role is NodeRole.STORAGE]
+        self.ledger.set_storage({record.replica: record.address for record in storage})
+        edges = [record for record in records if record.role is NodeRole.EDGE]
+        self._peers = self._neighbours(edges)
+
+    def _neighbours(self, edges: list[NodeRecord]) -> list[NodeRecord]:
+        """Return the nodes that get our reports: all, or the next ones in the ring of names."""
+        ring = sorted(edges, key=lambda record: record.name)
+        own = self._record.name
+        later = [record for record in ring if record.name > own]
+        earlier = [record for record in ring if record.name < own]
+        return (later + earlier)[:MAX_REPORTED_NODES]
+
+    # ------------------------------------------------------------ load reports
+
+    def _report_load(self, now: float) -> list[Effect]:
+        if now < self._next_report:
+            return []
+        self._next_report = now + REPORT_SECONDS
+        loads = self._engines.own_loads()
+        if not loads and self._reported_idle:
+            return []
+        self._reported_idle = not loads
+        self._sequence += 1
+        report = LoadReport(
+            node=NodeName(self._record.name),
+            sequence=self._sequence,
+            loads=loads,
+            waiting=self.forwarder.waiting(),
+        )
+        return [SendDatagram(address=peer.address, message=report) for peer in self._peers]
+
+    # ------------------------------------------------------------ stops
+
+    def _begin_stop(self, now: float) -> list[Effect]:
+        if self._stop_asked_at is not None:
+            return []
+        self._stop_asked_at = now
+        self._busy_at = now
+        fields: dict[str, str | int | float | bool | None] = {
+            "node": self._record.name,
+            "under_way": self.forwarder.under_way,
+        }
+        return [LogRecord(event="stopping", fields=fields)]
+
+    def _continue_stop(self, now: float) -> list[Effect]:
+        """End when the entry sends nothing more and nothing is under way."""
+        if self._stop_asked_at is None:
+            return []
+        elapsed = now - self._stop_asked_at
+        self.forwarder.closing = elapsed >= CLOSING_AFTER_SECONDS
+        if self.forwarder.under_way or self.ledger.under_way:
+            self._busy_at = now
+        is_quiet = self.forwarder.closing and now - self._busy_at >= QUIET_SECONDS
+        is_late = elapsed >= self._grace_seconds - LIMIT_MARGIN_SECONDS
+        if not is_quiet and not is_late:
+            return []
+        fields: dict[str, str | int | float | bool | None] = {
+            "node": self._record.name,
+            "under_way": self.forwarder.under_way,
+            "seconds": round(elapsed, 2),
+        }
+        return [LogRecord(event="stopped", fields=fields), Exit()]
--- /dev/null
+++ b/src/yokeline/forwarding/engines.py
@@ -0,0 +1,144 @@
+"""The engines that this node knows, and what it believes of each: load, pace, health."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from yokeline.forwarding.model import Engine
+from yokeline.identifiers import NodeName
+from yokeline.ledger.messages import EngineLoad, LoadReport
+
+REPORT_FRESH_SECONDS = 1.0
+"""Age after which another node's report of its load counts for nothing."""
+FULL_SECONDS = 0.08
+"""Time for which an engine that rejected a request gets no other one."""
+SUSPECT_SECONDS = 1.0
+"""Time for which an engine that broke off or fell silent is a last resort."""
+MAX_SUSPECT_SECONDS = 4.0
+_PACE_WEIGHT = 0.15
+"""Weight of a new observation in the moving average of an engine's pace."""
+
+
+class EngineState(msgspec.Struct, kw_only=True):
+    """Beliefs about one engine.
+
+    Attributes:
+        running: Requests of this node that it has under way.
+        tokens: Prompt tokens of these that it had to read.
+        others: Requests of other nodes, from their reports.
+        full_until: It rejected a request; until then it gets no other one.
+        suspect_until: It failed; until then others are preferred.
+        failures: Failures in a row.
+        pace: Moving average of seconds for a unit of work (an event, or a call); 0 unknown.
+    """
+
+    engine: Engine
+    running: int = 0
+    tokens: int = 0
+    others: int = 0
+    full_until: float = 0.0
+    suspect_until: float = 0.0
+    failures: int = 0
+    pace: float = 0.0
+
+    @property
+    def load(self) -> int:
+        """Requests of all nodes that it has under way, as far as known."""
+        return self.running + self.others
+
+    def note_pace(self, seconds: float) -> None:
+        """Take an observation of the time for a unit of work in."""
+        if not self.pace:
+            self.pace = seconds
+        self.pace += _PACE_WEIGHT * (seconds - self.pace)
+
+    def note_failure(self, now: float) -> None:
+        """Prefer others for a time that grows with the failures in a row."""
+        self.failures += 1
+        seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * self.failures)
+        self.suspect_until = max(self.suspect_until, now + seconds)
+
+    def note_success(self) -> None:
+        """Trust it again."""
+        self.failures = 0
+        self.suspect_until = 0.0
+
+
+class EngineBook:
+    """All engines, by id and by pool."""
+
+    def __init__(self) -> None:
+        """Know no engine yet."""
+        self._engines: dict[str, EngineState] = {}
+        self._by_pool: dict[str, list[EngineState]] = {}
+        self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
+
+    def get(self, engine_id: str) -> EngineState | None:
+        """Return an engine that is known."""
+        return self._engines.get(engine_id)
+
+    def put(self, engine: Engine) -> bool:
+        """Note what an engine says of itself; return whether that is news."""
+        known = self._engines.get(engine.engine_id)
+        if known is None:
+            self._engines[engine.engine_id] = EngineState(engine=engine)
+            self._index()
+            return True
+        if known.engine == engine:
+            return False
+        known.engine = engine
+        self._index()
+        return True
+
+    def remove(self, engine_id: str) -> bool:
+        """Forget an engine that is gone; return whether it was known."""
+        if self._engines.pop(engine_id, None) is None:
+            return False
+        self._index()
+        return True
+
+    def in_pool(self, pool: str) -> list[EngineState]:
+        """Return the engines of a pool that take new work, in the order of their ids."""
+        return self._by_pool.get(pool, [])
+
+    def all(self) -> Iterable[EngineState]:
+        """Return every engine."""
+        return self._engines.values()
+
+    def own_loads(self) -> tuple[EngineLoad, ...]:
+        """Return what this node has under way."""
+        return tuple(
+            EngineLoad(state.engine.engine_id, state.running, state.tokens)
+            for state in self._engines.values()
+            if state.running
+        )
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Note another node's load, unless a later report came before."""
+        known = self._reports.get(report.node)
+        if known is not None and known[1].sequence >= report.sequence:
+            if now - known[0] <= REPORT_FRESH_SECONDS:
+                return
+        self._reports[report.node] = (now, report)
+        self._sum_reports(now)
+
+    def _sum_reports(self, now: float) -> None:
+        stale = [node for node, (at, _) in self._reports.items() if now - at > REPORT_FRESH_SECONDS]
+        for node in stale:
+            del self._reports[node]
+        for state in self._engines.values():
+            state.others = 0
+        for _, report in self._reports.values():
+            for load in report.loads:
+                state_of = self._engines.get(load.engine_id)
+                if state_of is not None:
+                    state_of.others += load.running
+
+    def _index(self) -> None:
+        self._by_pool = {}
+        for engine_id in sorted(self._engines):
+            state = self._engines[engine_id]
+            if not state.engine.draining:
+                self._by_pool.setdefault(state.engine.pool, []).append(state)
--- /dev/null
+++ b/src/yokeline/forwarding/exchange.py
@@ -0,0 +1,88 @@
+"""What a node knows of one caller's request while it is under way."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from yokeline.effects import HttpArrived, HttpResponse
+from yokeline.forwarding.engines import EngineState
+from yokeline.forwarding.model import Call, Route
+from yokeline.identifiers import ExchangeId, RequestId
+from yokeline.ledger.messages import Operation
+from yokeline.timers import Timer
+
+
+class Phase(enum.Enum):
+    """Where a request stands."""
+
+    RESERVING = "reserving"
+    """The ledger is asked for budget and history."""
+    WAITING = "waiting"
+    """For an engine with room."""
+    SENT = "sent"
+    """At an engine, without an answer."""
+    STREAMING = "streaming"
+    """The head of the answer is out; events follow."""
+    KEEPING = "keeping"
+    """The stream is whole; the ledger is asked to keep the turn."""
+    ENDED = "ended"
+
+
+class Exchange(msgspec.Struct, kw_only=True, eq=False):
+    """One request of a caller.
+
+    Attributes:
+        due: When it must have its final answer.
+        pool: The pool that serves it.
+        body: What an engine receives: the history of its chain, then the caller's body.
+        reserved: The ledger counts its most until it is settled.
+        sends: Requests to engines so far.
+        runs: Of those, how many may have run.
+        rejections: How many said that they did not.
+        tried: Engines that failed or rejected it.
+        engine: Where it is now.
+        head: The answer's head, held back until the first event.
+        last_event_id: Of the last event passed on.
+        events: Events passed on.
+        text: Data of the events, for a turn that is kept.
+        kept_event_id: Of the last event whose data is in ``text``.
+        sent_at: When it was last sent to an engine.
+        item_at: When the engine's last event came.
+    """
+
+    exchange: ExchangeId
+    arrived: HttpArrived
+    call: Call
+    route: Route
+    due: float
+    started: float
+    pool: str = ""
+    body: bytes = b""
+    phase: Phase = Phase.WAITING
+    reserved: bool = False
+    spent: int = 0
+    operation: Operation | None = None
+    sends: int = 0
+    runs: int = 0
+    rejections: int = 0
+    tried: set[str] = msgspec.field(default_factory=set)
+    engine: EngineState | None = None
+    uncached: int = 0
+    request: RequestId | None = None
+    head: HttpResponse | None = None
+    last_event_id: str = ""
+    events: int = 0
+    text: list[bytes] = msgspec.field(default_factory=list)
+    kept_event_id: str = ""
+    waiting_since: float = 0.0
+    sent_at: float = 0.0
+    item_at: float = 0.0
+    first_event_at: float | None = None
+    timers: list[Timer] = msgspec.field(default_factory=list)
+
+    @property
+    def begun(self) -> bool:
+        """Whether it belongs to a program that has had a turn before."""
+        return self.spent > 0 or bool(self.call.previous_turn)
--- /dev/null
+++ b/src/yokeline/forwarding/history.py
@@ -0,0 +1,66 @@
+"""Turns that this node has seen whole, so that a chain is fetched from the ledger only once."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from yokeline.ledger.messages import KeptTurn
+
+MAX_CACHED_BYTES = 24 * 1024 * 1024
+
+
+class TurnCache:
+    """Kept turns by id, bounded by size; the one unused the longest goes first.
+
+    A turn never changes, so what is cached is right as long as the ledger says that the turn
+    exists.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty cache."""
+        self._turns: OrderedDict[str, KeptTurn] = OrderedDict()
+        self._bytes = 0
+
+    def put(self, turn: KeptTurn) -> None:
+        """Keep a turn."""
+        if turn.turn_id in self._turns:
+            self._turns.move_to_end(turn.turn_id)
+            return
+        self._turns[turn.turn_id] = turn
+        self._bytes += len(turn.text)
+        while self._bytes > MAX_CACHED_BYTES and len(self._turns) > 1:
+            _, oldest = self._turns.popitem(last=False)
+            self._bytes -= len(oldest.text)
+
+    def missing_from(self, turn_id: str) -> str:
+        """Return the latest turn of a chain that is not cached; empty if all are."""
+        current = turn_id
+        while current:
+            turn = self._turns.get(current)
+            if turn is None:
+                return current
+            self._turns.move_to_end(current)
+            current = turn.previous
+        return ""
+
+    def history(self, turn_id: str) -> bytes | None:
+        """Return the text of a chain, the oldest turn first; None if one is missing."""
+        texts: list[bytes] = []
+        current = turn_id
+        while current:
+            turn = self._turns.get(current)
+            if turn is None:
+                return None
+            texts.append(turn.text)
+            current = turn.previous
+        return b"".join(reversed(texts))
+
+
+def event_data(block: bytes) -> bytes:
+    """Return the data of a server-sent event with a line feed after it."""
+    values = []
+    for line in block.replace(b"\r\n", b"\n").split(b"\n"):
+        name, colon, value = line.partition(b":")
+        if colon and name == b"data":
+            values.append(value.removeprefix(b" "))
+    return b"\n".join(values) + b"\n"
--- /dev/null
+++ b/src/yokeline/forwarding/prefixes.py
@@ -0,0 +1,60 @@
+"""Which parts of prompts each engine has probably cached, from this node's own requests."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from yokeline.forwarding.model import PromptPart
+
+PrefixKey = str
+"""The ids of a prompt's parts up to one of them; a part is of use only after all before it."""
+
+
+class _EngineCache:
+    """Prefixes of one engine, the one unused the longest first."""
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.prefixes: OrderedDict[PrefixKey, int] = OrderedDict()
+
+
+class PrefixBeliefs:
+    """What each engine has read, bounded by its memory."""
+
+    def __init__(self) -> None:
+        """Believe that nothing is cached."""
+        self._caches: dict[str, _EngineCache] = {}
+
+    def cached_tokens(self, engine_id: str, parts: tuple[PromptPart, ...]) -> int:
+        """Return how many leading tokens of a prompt an engine probably has."""
+        cache = self._caches.get(engine_id)
+        if cache is None:
+            return 0
+        tokens = 0
+        key = ""
+        for part in parts:
+            key = _extended(key, part)
+            if key not in cache.prefixes:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def note_read(self, engine_id: str, parts: tuple[PromptPart, ...], memory_tokens: int) -> None:
+        """Note that an engine reads a prompt; what does not fit its memory gives way."""
+        cache = self._caches.setdefault(engine_id, _EngineCache())
+        key = ""
+        for part in parts:
+            key = _extended(key, part)
+            cache.tokens += part.tokens - cache.prefixes.pop(key, 0)
+            cache.prefixes[key] = part.tokens
+        while cache.tokens > memory_tokens and cache.prefixes:
+            _, tokens = cache.prefixes.popitem(last=False)
+            cache.tokens -= tokens
+
+    def forget(self, engine_id: str) -> None:
+        """Forget an engine that is gone."""
+        self._caches.pop(engine_id, None)
+
+
+def _extended(key: PrefixKey, part: PromptPart) -> PrefixKey:
+    return f"{key}/{part.part_id}"
--- /dev/null
+++ b/src/yokeline/forwarding/waiting.py
@@ -0,0 +1,52 @@
+"""Requests that wait for an engine with room: bounded, the most urgent first."""
+
+from __future__ import annotations
+
+from yokeline.forwarding.exchange import Exchange
+
+MAX_WAITING = 512
+"""Requests of one pool that may wait at a node; beyond it the least urgent is refused."""
+
+OrderKey = tuple[int, int, int, float]
+
+
+def order_of(exchange: Exchange) -> OrderKey:
+    """Return the place of a request in the queue; the least is served first.
+
+    A stream that broke off comes first, since its caller is already reading. Then the
+    operator's priority; then programs that have begun, so that what was spent on them is not
+    lost; then the order of arrival.
+    """
+    interrupted = 0 if exchange.events else 1
+    new_program = 0 if exchange.begun else 1
+    return (interrupted, exchange.route.priority, new_program, exchange.started)
+
+
+class WaitingRequests:
+    """The queue of one pool."""
+
+    def __init__(self) -> None:
+        """Create an empty queue."""
+        self._waiting: list[Exchange] = []
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return len(self._waiting)
+
+    def add(self, exchange: Exchange) -> Exchange | None:
+        """Add a request; return the one that must give way, if there are too many."""
+        self._waiting.append(exchange)
+        if len(self._waiting) <= MAX_WAITING:
+            return None
+        last = max(self._waiting, key=order_of)
+        self._waiting.remove(last)
+        return last
+
+    def remove(self, exchange: Exchange) -> None:
+        """Take a request out; one that does not wait is a no-op."""
+        if exchange in self._waiting:
+            self._waiting.remove(exchange)
+
+    def in_order(self) -> list[Exchange]:
+        """Return the requests, the most urgent first."""
+        return sorted(self._waiting, key=order_of)
--- /dev/null
+++ b/src/yokeline/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated ledger of programs: token budgets and retained turns, on the storage nodes."""
--- /dev/null
+++ b/src/yokeline/ledger/codec.py
@@ -0,0 +1,56 @@
+"""Frames and datagrams of the ledger's nodes, for the transports."""
+
+from __future__ import annotations
+
+import msgspec
+from returns.result import Result
+
+from yokeline.errors import YokelineError
+from yokeline.identifiers import ReplicaId
+from yokeline.ledger.messages import LedgerFrame, LedgerMessage, LoadFrame, LoadReport
+from yokeline.ledger.state import LedgerCommand, LedgerState
+from yokeline.messages.structs import decode_struct, encode_struct
+
+
+class LedgerCodec:
+    """Encodes the messages of :mod:`yokeline.ledger.messages`."""
+
+    def encode_peer(
+        self, sender: ReplicaId, recipient: ReplicaId, message: msgspec.Struct
+    ) -> bytes:
+        """Return the payload of a frame."""
+        assert isinstance(message, LedgerMessage)
+        return encode_struct(LedgerFrame(sender, recipient, message))
+
+    def decode_peer(self, data: bytes) -> Result[LedgerFrame, YokelineError]:
+        """Return the frame in ``data``."""
+        return decode_struct(data, LedgerFrame)
+
+    def encode_datagram(self, message: msgspec.Struct) -> bytes:
+        """Return the bytes of a datagram."""
+        assert isinstance(message, LoadReport)
+        return encode_struct(LoadFrame(message))
+
+    def decode_datagram(self, data: bytes) -> Result[LoadReport, YokelineError]:
+        """Return the message in a datagram."""
+        return decode_struct(data, LoadFrame).map(lambda frame: frame.message)
+
+
+def encode_command(command: LedgerCommand) -> bytes:
+    """Return a command as the bytes of a log entry."""
+    return encode_struct(command)
+
+
+def decode_command(data: bytes) -> Result[LedgerCommand, YokelineError]:
+    """Return the command of a log entry."""
+    return decode_struct(data, LedgerCommand)
+
+
+def encode_state(state: LedgerState) -> bytes:
+    """Return the state as the data of a snapshot."""
+    return encode_struct(state)
+
+
+def decode_state(data: bytes) -> Result[LedgerState, YokelineError]:
+    """Return the state in a snapshot's data."""
+    return decode_struct(data, LedgerState)
--- /dev/null
+++ b/src/yokeline/ledger/disk_records.py
@@ -0,0 +1,170 @@
+"""Records of a replica's log file: identity, hard state, entries, snapshot, addresses.
+
+The file is a sequence of records, each a length, a checksum and a MessagePack payload. It is
+only appended to, or replaced as a whole. A torn tail, as a loss of power leaves it, is cut off
+at the first record that is not whole; what was synced is never in that tail.
+"""
+
+from __future__ import annotations
+
+import struct
+
+import msgspec
+import ormsgpack
+import xxhash
+from returns.result import Failure, Result, Success
+
+from yokeline.consensus.messages import LogEntry
+from yokeline.consensus.types import HardState, Snapshot
+from yokeline.effects import Address
+from yokeline.errors import ErrorKind, YokelineError
+from yokeline.identifiers import ReplicaId
+
+_PREFIX = struct.Struct(">II")
+
+
+class IdentityRecord(msgspec.Struct, frozen=True, tag="identity"):
+    """The replica whose file this is; the first record."""
+
+    replica: ReplicaId
+
+
+class FoundedRecord(msgspec.Struct, frozen=True, tag="founded"):
+    """The group began with these members."""
+
+    members: tuple[ReplicaId, ...]
+
+
+class HardStateRecord(msgspec.Struct, frozen=True, tag="hard_state"):
+    """Term and vote; the latest counts."""
+
+    hard_state: HardState
+
+
+class EntriesRecord(msgspec.Struct, frozen=True, tag="entries"):
+    """Log entries; they replace all entries from the first one's index on."""
+
+    entries: tuple[LogEntry, ...]
+
+
+class SnapshotRecord(msgspec.Struct, frozen=True, tag="snapshot"):
+    """State up to an index; entries after it stay if they follow from it."""
+
+    snapshot: Snapshot
+
+
+class AddressesRecord(msgspec.Struct, frozen=True, tag="addresses"):
+    """Where the other replicas were last seen."""
+
+    addresses: dict[ReplicaId, Address]
+
+
+DiskRecord = (
+    IdentityRecord
+    | FoundedRecord
+    | HardStateRecord
+    | EntriesRecord
+    | SnapshotRecord
+    | AddressesRecord
+)
+
+
+class _Box(msgspec.Struct, frozen=True, array_like=True):
+    record: DiskRecord
+
+
+class RecoveredLog(msgspec.Struct, kw_only=True):
+    """What a replica's file says.
+
+    Attributes:
+        valid_bytes: Length of the part that is whole; the rest is to be cut off.
+    """
+
+    replica: ReplicaId | None = None
+    founders: tuple[ReplicaId, ...] = ()
+    hard_state: HardState | None = None
+    snapshot: Snapshot | None = None
+    entries: list[LogEntry] = []
+    addresses: dict[ReplicaId, Address] = {}
+    valid_bytes: int = 0
+
+
+def encode_record(record: DiskRecord) -> bytes:
+    """Return the bytes of one record."""
+    plain = msgspec.to_builtins(_Box(record), builtin_types=(bytes,))
+    payload = ormsgpack.packb(plain, option=ormsgpack.OPT_NON_STR_KEYS)
+    return _PREFIX.pack(len(payload), xxhash.xxh32_intdigest(payload)) + payload
+
+
+def recover(data: bytes) -> Result[RecoveredLog, YokelineError]:
+    """Return what a log file says.
+
+    A failure means that a whole record is not understood: a file of another release, or of
+    another program. It is not to be overwritten.
+    """
+    log = RecoveredLog()
+    offset = 0
+    while (payload := _payload_at(data, offset)) is not None:
+        try:
+            plain = ormsgpack.unpackb(payload, option=ormsgpack.OPT_NON_STR_KEYS)
+            box = msgspec.convert(plain, _Box, builtin_types=(bytes,))
+        except (ormsgpack.MsgpackDecodeError, msgspec.ValidationError) as error:
+            return Failure(_not_understood(offset, error))
+        _take(log, box.record)
+        offset += _PREFIX.size + len(payload)
+    log.valid_bytes = offset
+    if log.replica is None and log.valid_bytes:
+        return Failure(_not_understood(0, ValueError("the first record is no identity")))
+    return Success(log)
+
+
+def _payload_at(data: bytes, offset: int) -> bytes | None:
+    """Return the payload of the record at ``offset``; None if no whole one begins there."""
+    start = offset + _PREFIX.size
+    if start > len(data):
+        return None
+    length, checksum = _PREFIX.unpack_from(data, offset)
+    payload = data[start : start + length]
+    if not length or len(payload) < length or xxhash.xxh32_intdigest(payload) != checksum:
+        return None
+    return payload
+
+
+def _take(log: RecoveredLog, record: DiskRecord) -> None:
+    if isinstance(record, IdentityRecord):
+        log.replica = record.replica
+    elif isinstance(record, FoundedRecord):
+        log.founders = record.members
+    elif isinstance(record, HardStateRecord):
+        log.hard_state = record.hard_state
+    elif isinstance(record, EntriesRecord):
+        _take_entries(log, record.entries)
+    elif isinstance(record, SnapshotRecord):
+        _take_snapshot(log, record.snapshot)
+    else:
+        log.addresses = record.addresses
+
+
+def _take_entries(log: RecoveredLog, entries: tuple[LogEntry, ...]) -> None:
+    if not entries:
+        return
+    first = entries[0].index
+    while log.entries and log.entries[-1].index >= first:
+        log.entries.pop()
+    log.entries.extend(entries)
+
+
+def _take_snapshot(log: RecoveredLog, snapshot: Snapshot) -> None:
+    log.snapshot = snapshot
+    at_end = [entry for entry in log.entries if entry.index == snapshot.last_index]
+    follows = bool(at_end) and at_end[0].term == snapshot.last_term
+    later = [entry for entry in log.entries if entry.index > snapshot.last_index]
+    log.entries = later if follows else []
+
+
+def _not_understood(offset: int, error: Exception) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.BAD_SETTING,
+        message=f"the replica's log file is damaged or of another release, at byte {offset}: {error}",
+        remedy="start the release that wrote it, or empty the data folder: the node then joins as new",
+    )
--- /dev/null
+++ b/src/yokeline/ledger/members.py
@@ -0,0 +1,125 @@
+"""Which storage nodes are members of the ledger's group: one change at a time, decided purely."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.effects import Address
+from yokeline.identifiers import NodeName, ReplicaId, node_name_of
+
+MAX_MEMBERS = 5
+MIN_MEMBERS_AFTER_REPLACEMENT = 3
+"""A silent member is removed only if that many are left."""
+REPLACE_AFTER_SECONDS = 2.0
+"""Silence after which a member is replaced by a node that waits to join."""
+JOIN_FRESH_SECONDS = 1.5
+"""A node that asked to join within this time counts as alive."""
+LOST_SILENCE_SECONDS = 0.3
+"""A replica that was heard within this time has not lost its disk, whatever a request says."""
+
+
+class JoinRequest(msgspec.Struct, frozen=True):
+    """The latest request of a storage node to become a member."""
+
+    replica: ReplicaId
+    address: Address
+    heard_at: float
+
+
+class AddMember(msgspec.Struct, frozen=True):
+    """Add a replica to the group."""
+
+    replica: ReplicaId
+
+
+class RemoveMember(msgspec.Struct, frozen=True):
+    """Remove a replica from the group; ``reason`` is for the log."""
+
+    replica: ReplicaId
+    reason: str
+
+
+class HandOver(msgspec.Struct, frozen=True):
+    """Hand leadership to another member, since this node is to be emptied."""
+
+    replica: ReplicaId
+
+
+MembershipStep = AddMember | RemoveMember | HandOver
+
+
+class GroupView(msgspec.Struct, frozen=True, kw_only=True):
+    """What the leader knows when it decides.
+
+    Attributes:
+        own: The leader's replica id.
+        members: The configuration in force, committed.
+        joins: Requests to join, by node.
+        silence: Seconds for which each follower has left a message unanswered.
+        retiring: Nodes that are to be emptied.
+        lost: Replicas that are known to have lost their disks.
+        caught_up: Members that hold every committed entry.
+    """
+
+    own: ReplicaId
+    members: tuple[ReplicaId, ...]
+    joins: dict[NodeName, JoinRequest]
+    silence: dict[ReplicaId, float]
+    retiring: frozenset[NodeName]
+    lost: frozenset[ReplicaId]
+    caught_up: frozenset[ReplicaId]
+
+
+def next_step(view: GroupView, now: float) -> MembershipStep | None:
+    """Return the next change of members, or None if all is as it should be.
+
+    A replica that lost its disk goes first: it counts in no majority and its node waits to
+    come back as a new member. Newcomers come before a silent member goes, so that the group
+    does not shrink more than it must.
+    """
+    return (
+        _remove_lost(view)
+        or _add_waiting(view, now)
+        or _empty_retiring(view)
+        or _replace_silent(view)
+    )
+
+
+def _remove_lost(view: GroupView) -> MembershipStep | None:
+    for member in view.members:
+        if member in view.lost and member != view.own:
+            return RemoveMember(member, "disk lost")
+    return None
+
+
+def _add_waiting(view: GroupView, now: float) -> MembershipStep | None:
+    if len(view.members) >= MAX_MEMBERS:
+        return None
+    for node in sorted(view.joins):
+        request = view.joins[node]
+        is_fresh = now - request.heard_at <= JOIN_FRESH_SECONDS
+        if is_fresh and request.replica not in view.members and node not in view.retiring:
+            return AddMember(request.replica)
+    return None
+
+
+def _empty_retiring(view: GroupView) -> MembershipStep | None:
+    for member in view.members:
+        if node_name_of(member) not in view.retiring or len(view.members) == 1:
+            continue
+        staying = [other for other in view.members if other != member]
+        if any(other not in view.caught_up and other != view.own for other in staying):
+            continue
+        if member != view.own:
+            return RemoveMember(member, "to be emptied")
+        return HandOver(staying[0])
+    return None
+
+
+def _replace_silent(view: GroupView) -> MembershipStep | None:
+    if len(view.members) <= MIN_MEMBERS_AFTER_REPLACEMENT:
+        return None
+    for member in view.members:
+        if view.silence.get(member, 0.0) > REPLACE_AFTER_SECONDS:
+            return RemoveMember(member, "silent, and enough others are members")
+    return None
--- /dev/null
+++ b/src/yokeline/ledger/messages.py
@@ -0,0 +1,180 @@
+"""Messages between forwarding nodes and storage nodes, and among storage nodes."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.consensus.messages import RaftMessage
+from yokeline.effects import Address
+from yokeline.identifiers import NodeName, ReplicaId
+
+# ---------------------------------------------------------------- operations
+
+
+class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag="reserve"):
+    """Reserve the most that a turn may generate, and fetch what it continues.
+
+    Attributes:
+        request_id: Names the turn; a repeated reservation of it is the same one.
+        program: Whose budget; empty for none (only ``previous`` is looked up then).
+        budget: Tokens that the program may generate in all.
+        tokens: The most that this turn generates.
+        retention: Seconds for which the program is kept after its last turn.
+        previous: The turn that this one continues; empty for none.
+        missing_from: The latest turn of the chain whose text the asker lacks; empty if it
+            has them all.
+    """
+
+    request_id: str
+    program: str = ""
+    budget: int = 0
+    tokens: int = 0
+    retention: float = 60.0
+    previous: str = ""
+    missing_from: str = ""
+
+
+class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
+    """A turn that was answered whole.
+
+    Attributes:
+        turn_id: Its request id.
+        previous: The turn that it continued; empty for none.
+        text: Its input followed by what it generated.
+        retention: Seconds for which it is kept, with its chain.
+    """
+
+    turn_id: str
+    previous: str
+    text: bytes
+    retention: float
+
+
+class Settle(msgspec.Struct, frozen=True, kw_only=True, tag="settle"):
+    """Replace a reservation by what was really generated, and keep the turn if asked."""
+
+    request_id: str
+    program: str = ""
+    tokens: int = 0
+    turn: KeptTurn | None = None
+
+
+Operation = Reserve | Settle
+
+
+class Granted(msgspec.Struct, frozen=True, kw_only=True, tag="granted"):
+    """The reservation stands.
+
+    Attributes:
+        spent: Tokens of the program that count so far, this reservation not included.
+        turns: The turns asked for with ``missing_from``, the oldest first.
+    """
+
+    spent: int = 0
+    turns: tuple[KeptTurn, ...] = ()
+
+
+class BudgetSpent(msgspec.Struct, frozen=True, kw_only=True, tag="budget_spent"):
+    """The turn does not fit the budget; nothing was reserved."""
+
+    spent: int
+
+
+class NoSuchTurn(msgspec.Struct, frozen=True, kw_only=True, tag="no_such_turn"):
+    """There is no turn of that name (any more); nothing was reserved."""
+
+    turn_id: str
+
+
+class Settled(msgspec.Struct, frozen=True, tag="settled"):
+    """What was generated counts, and the turn is kept."""
+
+
+OperationResult = Granted | BudgetSpent | NoSuchTurn | Settled
+
+# ---------------------------------------------------------------- messages
+
+
+class LedgerRequest(msgspec.Struct, frozen=True, kw_only=True, tag="request"):
+    """Operations for the ledger's leader; ``number`` is the asker's own."""
+
+    number: int
+    asker: Address
+    operations: tuple[Operation, ...]
+
+
+class LeaderHint(msgspec.Struct, frozen=True, array_like=True):
+    """Where the leader is."""
+
+    replica: ReplicaId
+    address: Address
+
+
+class LedgerReply(msgspec.Struct, frozen=True, kw_only=True, tag="reply"):
+    """Answer to a request: one result for each operation, or who leads instead.
+
+    Attributes:
+        results: Empty if the receiver does not lead, and then nothing was done.
+    """
+
+    number: int
+    results: tuple[OperationResult, ...] = ()
+    leader: LeaderHint | None = None
+
+
+class ReplicaMessage(msgspec.Struct, frozen=True, kw_only=True, tag="raft"):
+    """A Raft message, with where its sender listens."""
+
+    sender_address: Address
+    message: RaftMessage
+
+
+class Join(msgspec.Struct, frozen=True, kw_only=True, tag="join"):
+    """A storage node that is no member asks to become one.
+
+    A replica id belongs to one disk. So a request under a new id from a known node says that
+    the disk of the earlier replica is lost, and that it will never vote or answer again.
+    """
+
+    node: NodeName
+    replica: ReplicaId
+    address: Address
+
+
+LedgerMessage = LedgerRequest | LedgerReply | ReplicaMessage | Join
+
+
+class EngineLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of one node that an engine has under way."""
+
+    engine_id: str
+    running: int
+    tokens: int
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag="load"):
+    """What a forwarding node has under way (a datagram to the others).
+
+    Attributes:
+        sequence: Rises with each report of one process.
+        waiting: Requests that wait at the node, by pool.
+    """
+
+    node: NodeName
+    sequence: int
+    loads: tuple[EngineLoad, ...]
+    waiting: dict[str, int] = {}
+
+
+class LedgerFrame(msgspec.Struct, frozen=True, array_like=True):
+    """What travels in one frame between two processes; see ``messages.codec.PeerFrame``."""
+
+    sender: ReplicaId
+    recipient: ReplicaId
+    message: LedgerMessage
+
+
+class LoadFrame(msgspec.Struct, frozen=True, array_like=True):
+    """What one datagram holds."""
+
+    message: LoadReport
--- /dev/null
+++ b/src/yokeline/ledger/replica.py
@@ -0,0 +1,342 @@
+"""One replica of the ledger: the Raft group, its state machine, and what is on the disk.
+
+Nothing that follows from a change of term, vote or log leaves this replica before the change
+is on the disk: effects wait, in order, behind the write that they follow from. Writes of one
+moment share a sync. While a disk hangs the replica is silent, and the others elect a leader.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Success
+
+from yokeline.consensus.effects import (
+    Committed,
+    HardStateChanged,
+    MembersChanged,
+    RaftEffect,
+    Restored,
+    RoleChanged,
+    Send,
+)
+from yokeline.consensus.group import RaftGroup
+from yokeline.consensus.messages import EntryKind, LogEntry, RaftMessage
+from yokeline.consensus.settings import RaftSettings
+from yokeline.consensus.types import RaftRole
+from yokeline.effects import Address, Effect, LogRecord, SendPeer, SyncFile
+from yokeline.identifiers import ReplicaId
+from yokeline.ledger.codec import decode_command, decode_state, encode_command, encode_state
+from yokeline.ledger.disk_records import (
+    AddressesRecord,
+    DiskRecord,
+    EntriesRecord,
+    FoundedRecord,
+    HardStateRecord,
+    IdentityRecord,
+    RecoveredLog,
+    SnapshotRecord,
+    encode_record,
+)
+from yokeline.ledger.messages import Operation, OperationResult, ReplicaMessage
+from yokeline.ledger.state import LedgerCommand, LedgerState
+
+LOG_FILE = "ledger.log"
+COMPACT_BYTES = 32 * 1024 * 1024
+"""Size of the log file after which it is replaced by a snapshot and what follows."""
+
+RAFT_SETTINGS = RaftSettings(
+    heartbeat_seconds=0.06,
+    idle_heartbeat_seconds=0.1,
+    election_timeout_seconds=0.4,
+    append_bytes=1024 * 1024,
+    snapshot_chunk_bytes=512 * 1024,
+    retained_entries=512,
+)
+
+ResultsReady = Callable[[tuple[OperationResult, ...] | None], list[Effect]]
+"""Told the results of proposed operations; None if they may not have been taken."""
+
+
+class _Held(msgspec.Struct):
+    """Effects that wait until the write with this ticket is on the disk."""
+
+    ticket: int
+    effects: list[RaftEffect]
+
+
+class _Pending(msgspec.Struct):
+    """Operations proposed in a term, waiting for their entry to be committed."""
+
+    term: int
+    ready: ResultsReady
+
+
+class LedgerReplica:
+    """A replica with its disk; the host routes messages and tickets to it.
+
+    Attributes:
+        addresses: Where the other replicas listen.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: ReplicaId,
+        address: Address,
+        recovered: RecoveredLog,
+        source: random.Random,
+        now: float,
+        settings: RaftSettings = RAFT_SETTINGS,
+    ) -> None:
+        """Start from what was recovered; an empty log makes a newcomer."""
+        self.replica = replica
+        self.addresses = dict(recovered.addresses)
+        self._address = address
+        self._source = source
+        self._settings = settings
+        self._founders = recovered.founders
+        self._ticket = 0
+        self._synced_ticket = 0
+        self._held: deque[_Held] = deque()
+        self._file_bytes = recovered.valid_bytes
+        self._pending: dict[int, _Pending] = {}
+        self._state = self._recovered_state(recovered)
+        self._applied = recovered.snapshot.last_index if recovered.snapshot else 0
+        self.group = self._new_group(recovered, now)
+        self._effects: list[Effect] = []
+        self._saved_addresses = dict(self.addresses)
+        if recovered.replica is None:
+            self._write([IdentityRecord(replica)], [])
+
+    # ------------------------------------------------------------ what is known
+
+    @property
+    def leads(self) -> bool:
+        """Whether this replica leads its group."""
+        return self.group.role is RaftRole.LEADER
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this replica is in the configuration that it knows."""
+        return self.replica in self.group.members
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether this replica holds nothing and belongs to no group yet."""
+        return not self.group.members and self.group.last_index == 0
+
+    def leader_address(self) -> Address | None:
+        """Return where the leader listens, if it is known."""
+        leader = self.group.leader
+        if leader is None:
+            return None
+        return self._address if leader == self.replica else self.addresses.get(leader)
+
+    def state(self) -> LedgerState:
+        """Return the state machine (read only)."""
+        return self._state
+
+    def next_deadline(self) -> float:
+        """Return when :meth:`tick` is due."""
+        return self.group.next_deadline()
+
+    # ------------------------------------------------------------ events
+
+    def found(self, now: float) -> list[Effect]:
+        """Begin the group with this replica as its only member."""
+        self._founders = (self.replica,)
+        self.group = self._new_group(RecoveredLog(founders=self._founders), now)
+        self._write([FoundedRecord(self._founders)], [])
+        return self._absorb(self.group.tick(now))
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do what is due."""
+        return self._absorb(self.group.tick(now))
+
+    def step(self, sender: ReplicaId, envelope: ReplicaMessage, now: float) -> list[Effect]:
+        """Take a message of another replica in."""
+        self.learn_address(sender, envelope.sender_address)
+        return self._absorb(self.group.step(sender, envelope.message, now))
+
+    def learn_address(self, replica: ReplicaId, address: Address) -> None:
+        """Note where a replica listens."""
+        self.addresses[replica] = address
+
+    def propose(
+        self, operations: tuple[Operation, ...], ready: ResultsReady, now: float, wall: float
+    ) -> list[Effect]:
+        """Propose operations; ``ready`` is called once with their results or None."""
+        command = encode_command(LedgerCommand(time=wall, operations=operations))
+        proposal = self.group.propose(command, now)
+        if not proposal.accepted:
+            return [*self._absorb(list(proposal.effects)), *ready(None)]
+        self._pending[proposal.index] = _Pending(proposal.term, ready)
+        return self._absorb(list(proposal.effects))
+
+    def add_member(self, member: ReplicaId, now: float) -> list[Effect]:
+        """Add a member, if this replica leads and may."""
+        return self._absorb(list(self.group.add_member(member, now).effects))
+
+    def remove_member(self, member: ReplicaId, now: float) -> list[Effect]:
+        """Remove a member, if this replica leads and may."""
+        return self._absorb(list(self.group.remove_member(member, now).effects))
+
+    def hand_over(self, member: ReplicaId, now: float) -> list[Effect]:
+        """Hand leadership over."""
+        return self._absorb(self.group.transfer_leadership(member, now))
+
+    def synced(self, ticket: int) -> list[Effect]:
+        """Carry out what waited for a write, now that it is on the disk."""
+        self._synced_ticket = max(self._synced_ticket, ticket)
+        while self._held and self._held[0].ticket <= self._synced_ticket:
+            self._release(self._held.popleft().effects)
+        self._compact_if_large()
+        return self._take_effects()
+
+    # ------------------------------------------------------------ disk
+
+    def _absorb(self, effects: list[RaftEffect]) -> list[Effect]:
+        """Write what changed, and let the effects follow once it is on the disk."""
+        records: list[DiskRecord] = []
+        for effect in effects:
+            if isinstance(effect, HardStateChanged):
+                records.append(HardStateRecord(effect.hard_state))
+            elif isinstance(effect, Restored):
+                records.append(SnapshotRecord(effect.snapshot))
+        unsaved = self.group.take_unsaved_entries()
+        if unsaved:
+            records.append(EntriesRecord(unsaved))
+        if self.addresses != self._saved_addresses:
+            self._saved_addresses = dict(self.addresses)
+            records.append(AddressesRecord(self._saved_addresses))
+        self._write(records, effects)
+        return self._take_effects()
+
+    def _write(self, records: list[DiskRecord], effects: list[RaftEffect]) -> None:
+        if records:
+            data = b"".join(encode_record(record) for record in records)
+            self._ticket += 1
+            self._file_bytes += len(data)
+            self._effects.append(SyncFile(ticket=self._ticket, name=LOG_FILE, data=data))
+        if records or self._held:
+            if effects:
+                self._held.append(_Held(self._ticket, effects))
+            return
+        self._release(effects)
+
+    def _compact_if_large(self) -> None:
+        """Replace the file by a snapshot and what follows it."""
+        if self._file_bytes < COMPACT_BYTES or self._applied == 0:
+            return
+        self.group.compact(self._applied, encode_state(self._state))
+        snapshot = self.group.snapshot
+        if snapshot is None:
+            return
+        records: list[DiskRecord] = [IdentityRecord(self.replica)]
+        if self._founders:
+            records.append(FoundedRecord(self._founders))
+        records.append(AddressesRecord(dict(self.addresses)))
+        records.append(SnapshotRecord(snapshot))
+        entries = self.group.entries_after(snapshot.last_index)
+        if entries:
+            records.append(EntriesRecord(entries))
+        records.append(HardStateRecord(self.group.hard_state))
+        data = b"".join(encode_record(record) for record in records)
+        self._ticket += 1
+        self._file_bytes = len(data)
+        self._effects.append(SyncFile(ticket=self._ticket, name=LOG_FILE, data=data, replace=True))
+        self._log("ledger_compacted", index=snapshot.last_index, bytes=len(data))
+
+    # ------------------------------------------------------------ effects
+
+    def _release(self, effects: list[RaftEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect.to, effect.message)
+            elif isinstance(effect, Committed):
+                self._apply(effect.entries)
+            elif isinstance(effect, Restored):
+                self._restore(effect)
+            elif isinstance(effect, RoleChanged):
+                self._role_changed(effect)
+            elif isinstance(effect, MembersChanged):
+                self._log("members_changed", members=" ".join(effect.members))
+
+    def _send(self, to: ReplicaId, message: RaftMessage) -> None:
+        address = self.addresses.get(to)
+        if address is not None:
+            envelope = ReplicaMessage(sender_address=self._address, message=message)
+            self._effects.append(SendPeer(to=to, address=address, message=envelope))
+
+    def _apply(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            self._applied = entry.index
+            results: tuple[OperationResult, ...] = ()
+            if entry.kind is EntryKind.COMMAND:
+                results = self._apply_command(entry.command)
+            pending = self._pending.pop(entry.index, None)
+            if pending is not None:
+                taken = pending.term == entry.term
+                self._effects.extend(pending.ready(results if taken else None))
+
+    def _apply_command(self, data: bytes) -> tuple[OperationResult, ...]:
+        command = decode_command(data)
+        if not isinstance(command, Success):
+            self._log("command_not_understood", level="error", reason=str(command.failure()))
+            return ()
+        return self._state.transition_apply(command.unwrap())
+
+    def _restore(self, effect: Restored) -> None:
+        state = decode_state(effect.snapshot.data)
+        if isinstance(state, Success):
+            self._state = state.unwrap()
+        self._applied = effect.snapshot.last_index
+        self._log("ledger_restored", index=self._applied, bytes=len(effect.snapshot.data))
+
+    def _role_changed(self, effect: RoleChanged) -> None:
+        self._log(
+            "ledger_role_changed",
+            role=effect.role.value,
+            term=effect.term,
+            leader=effect.leader,
+            last_index=self.group.last_index,
+        )
+        if effect.role is RaftRole.LEADER:
+            return
+        pending = list(self._pending.values())
+        self._pending.clear()
+        for item in pending:
+            self._effects.extend(item.ready(None))
+
+    def _log(self, event: str, level: str = "info", **fields: str | int | float | None) -> None:
+        self._effects.append(LogRecord(event=event, fields=dict(fields), level=level))
+
+    def _take_effects(self) -> list[Effect]:
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    # ------------------------------------------------------------ start
+
+    def _new_group(self, recovered: RecoveredLog, now: float) -> RaftGroup:
+        has_run = recovered.hard_state is not None
+        return RaftGroup(
+            replica=self.replica,
+            members=recovered.founders if recovered.snapshot is None else (),
+            settings=self._settings,
+            source=self._source,
+            now=now,
+            snapshot=recovered.snapshot,
+            entries=recovered.entries,
+            hard_state=recovered.hard_state if has_run else None,
+        )
+
+    def _recovered_state(self, recovered: RecoveredLog) -> LedgerState:
+        if recovered.snapshot is None:
+            return LedgerState()
+        state = decode_state(recovered.snapshot.data)
+        return state.unwrap() if isinstance(state, Success) else LedgerState()
--- /dev/null
+++ b/src/yokeline/ledger/state.py
@@ -0,0 +1,151 @@
+"""The ledger's state machine: budgets of programs and retained turns.
+
+A transition is a function of the state and the command alone; every replica applies the same
+commands in the same order. Ledger time is what the leader's clock said, made monotonic.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.ledger.messages import (
+    BudgetSpent,
+    Granted,
+    KeptTurn,
+    NoSuchTurn,
+    Operation,
+    OperationResult,
+    Reserve,
+    Settle,
+    Settled,
+)
+
+EXPIRY_SLACK_SECONDS = 20.0
+"""Kept beyond the retention, since clocks differ and a change of leader takes time."""
+EXPIRY_PERIOD_SECONDS = 5.0
+DEFAULT_RETENTION_SECONDS = 60.0
+
+
+class LedgerCommand(msgspec.Struct, frozen=True, kw_only=True):
+    """One log entry: operations, and the leader's time (seconds since the epoch)."""
+
+    time: float
+    operations: tuple[Operation, ...]
+
+
+class Program(msgspec.Struct, kw_only=True):
+    """The account of one program, in tokens.
+
+    Attributes:
+        spent: Generated in turns that are settled.
+        reserved: The most of each turn that is not, by request id.
+        settled: Request ids that were settled, so that a late repetition changes nothing.
+        retention: Seconds kept after the last operation.
+        expires: Ledger time at which it may be forgotten.
+    """
+
+    spent: int = 0
+    reserved: dict[str, int] = {}
+    settled: list[str] = []
+    retention: float = DEFAULT_RETENTION_SECONDS
+    expires: float = 0.0
+
+    def counted(self) -> int:
+        """Return the tokens that count against the budget, open turns at their most."""
+        return self.spent + sum(self.reserved.values())
+
+
+class StoredTurn(msgspec.Struct, kw_only=True):
+    """A kept turn and the ledger time at which it may be forgotten."""
+
+    turn: KeptTurn
+    expires: float
+
+
+class LedgerState(msgspec.Struct, kw_only=True):
+    """The whole state; also its snapshot form."""
+
+    time: float = 0.0
+    next_expiry: float = 0.0
+    programs: dict[str, Program] = {}
+    turns: dict[str, StoredTurn] = {}
+
+    def transition_apply(self, command: LedgerCommand) -> tuple[OperationResult, ...]:
+        """Apply a command and return a result for each of its operations."""
+        self.time = max(self.time, command.time)
+        results = tuple(self._apply(operation) for operation in command.operations)
+        if self.time >= self.next_expiry:
+            self._expire()
+        return results
+
+    def _apply(self, operation: Operation) -> OperationResult:
+        if isinstance(operation, Reserve):
+            return self.transition_reserve(operation)
+        return self.transition_settle(operation)
+
+    def transition_reserve(self, operation: Reserve) -> OperationResult:
+        """Reserve a turn's most, unless it does not fit or continues an unknown turn."""
+        if operation.previous and operation.previous not in self.turns:
+            return NoSuchTurn(turn_id=operation.previous)
+        turns = self._chain(operation.missing_from)
+        if not operation.program:
+            return Granted(turns=turns)
+        program = self.programs.setdefault(operation.program, Program())
+        self._touch(program, operation.retention)
+        request_id = operation.request_id
+        if request_id in program.reserved or request_id in program.settled:
+            return Granted(spent=program.counted(), turns=turns)
+        spent = program.counted()
+        if spent + operation.tokens > operation.budget:
+            return BudgetSpent(spent=spent)
+        program.reserved[request_id] = operation.tokens
+        return Granted(spent=spent, turns=turns)
+
+    def transition_settle(self, operation: Settle) -> OperationResult:
+        """Count what was generated instead of the reservation; keep the turn if there is one."""
+        if operation.program:
+            program = self.programs.setdefault(operation.program, Program())
+            self._touch(program, program.retention)
+            if operation.request_id not in program.settled:
+                program.reserved.pop(operation.request_id, None)
+                program.settled.append(operation.request_id)
+                program.spent += operation.tokens
+        if operation.turn is not None:
+            self._keep(operation.turn)
+        return Settled()
+
+    def _touch(self, program: Program, retention: float) -> None:
+        program.retention = retention
+        program.expires = max(program.expires, self.time + retention + EXPIRY_SLACK_SECONDS)
+
+    def _keep(self, turn: KeptTurn) -> None:
+        """Keep a turn, and its chain at least as long."""
+        expires = self.time + turn.retention + EXPIRY_SLACK_SECONDS
+        if turn.turn_id not in self.turns:
+            self.turns[turn.turn_id] = StoredTurn(turn=turn, expires=expires)
+        current: str = turn.turn_id
+        while current:
+            stored = self.turns.get(current)
+            if stored is None:
+                return
+            stored.expires = max(stored.expires, expires)
+            current = stored.turn.previous
+
+    def _chain(self, last: str) -> tuple[KeptTurn, ...]:
+        """Return the turns up to and including ``last``, the oldest first."""
+        chain: list[KeptTurn] = []
+        current = last
+        while current:
+            stored = self.turns.get(current)
+            if stored is None:
+                break
+            chain.append(stored.turn)
+            current = stored.turn.previous
+        return tuple(reversed(chain))
+
+    def _expire(self) -> None:
+        self.next_expiry = self.time + EXPIRY_PERIOD_SECONDS
+        for name in [name for name, item in self.programs.items() if item.expires < self.time]:
+            del self.programs[name]
+        for name in [name for name, item in self.turns.items() if item.expires < self.time]:
+            del self.turns[name]
--- /dev/null
+++ b/src/yokeline/ledger/storage_node.py
@@ -0,0 +1,346 @@
+"""The service of a storage node: a ledger replica, its requests, and its group's members."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from returns.result import Success
+
+from yokeline.effects import (
+    Address,
+    Effect,
+    Event,
+    Exit,
+    FileSynced,
+    LogRecord,
+    PeerMessage,
+    ReloadRequested,
+    SendPeer,
+    StopRequested,
+)
+from yokeline.identifiers import NodeName, ReplicaId, node_name_of
+from yokeline.ledger.members import (
+    LOST_SILENCE_SECONDS,
+    AddMember,
+    GroupView,
+    HandOver,
+    JoinRequest,
+    MembershipStep,
+    next_step,
+)
+from yokeline.ledger.messages import (
+    Join,
+    LeaderHint,
+    LedgerReply,
+    LedgerRequest,
+    OperationResult,
+    ReplicaMessage,
+)
+from yokeline.ledger.replica import LedgerReplica
+from yokeline.registry.client import RegistryClient
+from yokeline.registry.formats import DeploymentFormats
+from yokeline.registry.nodes import (
+    FOUNDER_KEY,
+    NODE_PREFIX,
+    NodeRecord,
+    NodeRole,
+    decode_node,
+    encode_node,
+    node_key,
+)
+
+JOIN_PERIOD_SECONDS = 0.25
+MEMBERS_PERIOD_SECONDS = 0.1
+LEADER_SILENCE_SECONDS = 1.0
+"""A member that knows no leader for this long asks to join, in case it was removed."""
+STOP_SECONDS = 0.5
+"""Time that a planned stop leaves to a hand-over of leadership."""
+
+
+class StorageNode:
+    """A storage node, without I/O."""
+
+    def __init__(
+        self,
+        *,
+        record: NodeRecord,
+        replica: LedgerReplica,
+        registry: RegistryClient,
+        formats: DeploymentFormats,
+        first_start: bool,
+        wall: Callable[[], float],
+        now: float,
+    ) -> None:
+        """Create the service; ``wall`` reads the time of day (seconds since the epoch)."""
+        self.replica = replica
+        self._record = record
+        self._registry = registry
+        self._formats = formats
+        self._first_start = first_start
+        self._wall = wall
+        self._joins: dict[NodeName, JoinRequest] = {}
+        self._lost: frozenset[ReplicaId] = frozenset()
+        self._superseded: set[ReplicaId] = set()
+        self._next_join = now
+        self._next_members = now
+        self._leader_seen_at = now
+        self._founding = False
+        self._retire_written: dict[NodeName, bool] = {}
+        self._stop_at: float | None = None
+        self.requests = 0
+        registry.write(node_key(record.name), encode_node(record), now)
+
+    # ------------------------------------------------------------ service
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take an event in and return effects."""
+        effects: list[Effect] = []
+        ours, _changed, log = self._registry.take(event, now)
+        effects.extend(log)
+        if not ours:
+            effects.extend(self._take(event, now))
+        effects.extend(self._registry.tick(now))
+        if now >= self.replica.next_deadline():
+            effects.extend(self.replica.tick(now))
+        effects.extend(self._found_if_first(now))
+        effects.extend(self._ask_to_join(now))
+        effects.extend(self._tend_members(now))
+        if self._stop_at is not None and now >= self._stop_at:
+            effects.append(LogRecord(event="stopped", fields={"node": self._record.name}))
+            effects.append(Exit())
+        return effects
+
+    def next_deadline(self) -> float | None:
+        """Return when a tick is due."""
+        dues = [self.replica.next_deadline(), self._next_members]
+        registry_due = self._registry.next_deadline()
+        if registry_due is not None:
+            dues.append(registry_due)
+        if self._stop_at is not None:
+            dues.append(self._stop_at)
+        return min(dues)
+
+    # ------------------------------------------------------------ events
+
+    def _take(self, event: Event, now: float) -> list[Effect]:
+        if isinstance(event, PeerMessage):
+            return self._take_message(event, now)
+        if isinstance(event, FileSynced):
+            return self.replica.synced(event.ticket)
+        if isinstance(event, StopRequested):
+            return self._begin_stop(now)
+        if isinstance(event, ReloadRequested):
+            return [LogRecord(event="reloaded", fields={"node": self._record.name})]
+        return []
+
+    def _take_message(self, event: PeerMessage, now: float) -> list[Effect]:
+        message = event.message
+        if isinstance(message, ReplicaMessage):
+            return self.replica.step(event.sender, message, now)
+        if isinstance(message, LedgerRequest):
+            return self._take_request(event.sender, message, now)
+        if isinstance(message, Join):
+            return self._take_join(message, now)
+        return []
+
+    def _take_request(self, asker: ReplicaId, request: LedgerRequest, now: float) -> list[Effect]:
+        self.requests += len(request.operations)
+
+        def answer(results: tuple[OperationResult, ...] | None) -> list[Effect]:
+            return [self._reply(asker, request, results)]
+
+        return self.replica.propose(request.operations, answer, now, self._wall())
+
+    def _reply(
+        self,
+        asker: ReplicaId,
+        request: LedgerRequest,
+        results: tuple[OperationResult, ...] | None,
+    ) -> Effect:
+        leader = self.replica.group.leader
+        address = self.replica.leader_address()
+        hint = LeaderHint(leader, address) if leader is not None and address else None
+        reply = LedgerReply(number=request.number, results=results or (), leader=hint)
+        return SendPeer(to=asker, address=request.asker, message=reply)
+
+    def _begin_stop(self, now: float) -> list[Effect]:
+        """Hand leadership over, then end."""
+        if self._stop_at is not None:
+            return []
+        self._stop_at = now + STOP_SECONDS
+        effects: list[Effect] = [LogRecord(event="stopping", fields={"node": self._record.name})]
+        others = [item for item in self.replica.group.members if item != self.replica.replica]
+        if self.replica.leads and others:
+            silence = self.replica.group.follower_silence(now)
+            best = min(others, key=lambda item: silence.get(item, 0.0))
+            effects.extend(self.replica.hand_over(best, now))
+        return effects
+
+    # ------------------------------------------------------------ founding and joining
+
+    def _found_if_first(self, now: float) -> list[Effect]:
+        """Begin the group if no other node has: the key-value service picks one founder."""
+        if self._founding or not self.replica.is_empty or not self._registry.complete:
+            return []
+        founder = self._registry.items(FOUNDER_KEY).get(FOUNDER_KEY)
+        own = self._record.replica.encode()
+        if founder is not None:
+            if founder.value != own:
+                return []
+            self._founding = True
+            return self._found(now)
+        if not self._first_start:
+            return []
+        self._founding = True
+        self._registry.write(FOUNDER_KEY, own, now, expected=0, done=self._founder_chosen)
+        return []
+
+    def _founder_chosen(self, won: bool) -> None:
+        """Go on at the next event; the watch tells who was chosen."""
+        self._founding = False
+
+    def _found(self, now: float) -> list[Effect]:
+        log = LogRecord(event="ledger_founded", fields={"replica": self._record.replica})
+        return [log, *self.replica.found(now)]
+
+    def _ask_to_join(self, now: float) -> list[Effect]:
+        """Tell the other storage nodes that this one is no member, or knows no leader."""
+        if self.replica.group.leader is not None:
+            self._leader_seen_at = now
+        knows_leader = now - self._leader_seen_at < LEADER_SILENCE_SECONDS
+        if now < self._next_join or (self.replica.is_member and knows_leader):
+            return []
+        self._next_join = now + JOIN_PERIOD_SECONDS
+        record = self._record
+        message = Join(node=record.name, replica=record.replica, address=record.address)
+        return [
+            SendPeer(to=replica, address=address, message=message)
+            for replica, address in self._storage_addresses().items()
+        ]
+
+    def _storage_addresses(self) -> dict[ReplicaId, Address]:
+        """Return every storage replica known from the registry or from messages."""
+        known = dict(self.replica.addresses)
+        for item in self._registry.items(NODE_PREFIX).values():
+            decoded = decode_node(item.value or b"")
+            if not isinstance(decoded, Success):
+                continue
+            node = decoded.unwrap()
+            if node.role is NodeRole.STORAGE:
+                known[node.replica] = node.address
+        known.pop(self._record.replica, None)
+        return known
+
+    def _take_join(self, request: Join, now: float) -> list[Effect]:
+        """Note a request; a new id from a member's node says that the member's disk is lost."""
+        if request.replica in self._superseded:
+            return []
+        known = self._joins.get(request.node)
+        if known is not None and known.replica != request.replica:
+            self._superseded.add(known.replica)
+        self._joins[request.node] = JoinRequest(request.replica, request.address, now)
+        self.replica.learn_address(request.replica, request.address)
+        silence = self.replica.group.follower_silence(now)
+        lost = {
+            member
+            for member in self.replica.group.members
+            if node_name_of(member) == request.node
+            and member != request.replica
+            and (not self.replica.leads or silence.get(member, 0.0) > LOST_SILENCE_SECONDS)
+        }
+        if not lost - self._lost:
+            return []
+        self._lost = self._lost | lost
+        self.replica.group.set_lost(self._lost)
+        return [
+            LogRecord(
+                event="replica_lost",
+                fields={"replicas": " ".join(sorted(lost)), "successor": request.replica},
+                level="warning",
+            )
+        ]
+
+    # ------------------------------------------------------------ members
+
+    def _tend_members(self, now: float) -> list[Effect]:
+        """Take the next step of membership, as the leader."""
+        if now < self._next_members:
+            return []
+        self._next_members = now + MEMBERS_PERIOD_SECONDS
+        group = self.replica.group
+        if not self.replica.leads or not group.may_change_members():
+            return []
+        retiring = self._retiring()
+        effects = self._report_retired(retiring, now)
+        view = GroupView(
+            own=self.replica.replica,
+            members=group.members,
+            joins=self._joins,
+            silence=group.follower_silence(now),
+            retiring=frozenset(retiring),
+            lost=self._lost,
+            caught_up=frozenset(item for item in group.members if group.has_caught_up(item)),
+        )
+        step = next_step(view, now)
+        if step is not None:
+            effects.append(_membership_line(step, view))
+            effects.extend(self._take_step(step, now))
+        return effects
+
+    def _take_step(self, step: MembershipStep, now: float) -> list[Effect]:
+        if isinstance(step, AddMember):
+            return self.replica.add_member(step.replica, now)
+        if isinstance(step, HandOver):
+            return self.replica.hand_over(step.replica, now)
+        return self.replica.remove_member(step.replica, now)
+
+    def _retiring(self) -> set[NodeName]:
+        nodes: set[NodeName] = set()
+        for key, item in self._registry.items(self._formats.retire_prefix).items():
+            order = self._formats.read_retire_order(key, item.value or b"")
+            if isinstance(order, Success):
+                nodes.add(NodeName(order.unwrap().node))
+        return nodes
+
+    def _report_retired(self, retiring: set[NodeName], now: float) -> list[Effect]:
+        """Tell the operator how far each order has come, once for each change."""
+        effects: list[Effect] = []
+        members = {node_name_of(member) for member in self.replica.group.members}
+        for node in sorted(retiring):
+            completed = node not in members
+            if self._retire_written.get(node) is completed:
+                continue
+            self._retire_written[node] = completed
+            key, value = self._formats.retire_status(node, completed=completed)
+            self._registry.write(key, value, now)
+            fields: dict[str, str | int | float | bool | None] = {
+                "node": node,
+                "completed": completed,
+                "term": self.replica.group.term,
+            }
+            effects.append(LogRecord(event="retire_step", fields=fields))
+        return effects
+
+
+def _membership_line(step: MembershipStep, view: GroupView) -> LogRecord:
+    fields: dict[str, str | int | float | bool | None] = {
+        "step": type(step).__name__,
+        "replica": step.replica,
+        "members": " ".join(view.members),
+        "silence": round(view.silence.get(step.replica, 0.0), 3),
+    }
+    fields["reason"] = getattr(step, "reason", "")
+    return LogRecord(event="membership_step", fields=fields)
+
+
+def load_summary(node: StorageNode) -> dict[str, float]:
+    """Return the figures of a storage node, by metric name."""
+    state = node.replica.state()
+    return {
+        "yokeline_ledger_operations_total": float(node.requests),
+        "yokeline_ledger_programs": float(len(state.programs)),
+        "yokeline_ledger_turns": float(len(state.turns)),
+        "yokeline_ledger_term": float(node.replica.group.term),
+        "yokeline_ledger_commit_index": float(node.replica.group.commit_index),
+        "yokeline_ledger_leads": float(node.replica.leads),
+    }
--- a/src/yokeline/messages/codec.py
+++ b/src/yokeline/messages/codec.py
@@ -8,25 +8,34 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
-
 import msgspec
-import ormsgpack
 from returns.result import Failure, Result, Success
 
-from yokeline.errors import ErrorKind, YokelineError
+from yokeline.errors import YokelineError
 from yokeline.identifiers import ReplicaId
+from yokeline.membership.messages import Datagram
+from yokeline.messages.structs import decode_struct, encode_struct
 from yokeline.messages.types import PeerMessageBody
 from yokeline.runs.events import RunEvent
 from yokeline.runs.model import Command
 from yokeline.shards.operations import Operation, OperationResult
 
-_NATIVE = (bytes,)
-_PACK_OPTIONS = ormsgpack.OPT_REPLACE_SURROGATES
-"""Text with lone surrogates (legal in JSON escapes, not in UTF-8) must not stop a node."""
-_REASON_LENGTH = 200
-
-T = TypeVar("T")
+__all__ = [
+    "MessageCodec",
+    "PeerFrame",
+    "decode_command",
+    "decode_events",
+    "decode_operation",
+    "decode_peer",
+    "decode_result",
+    "decode_struct",
+    "encode_command",
+    "encode_events",
+    "encode_operation",
+    "encode_peer",
+    "encode_result",
+    "encode_struct",
+]
 
 
 class PeerFrame(msgspec.Struct, frozen=True, array_like=True):
@@ -58,30 +67,6 @@
     value: Command
 
 
-def encode_struct(value: msgspec.Struct) -> bytes:
-    """Return the MessagePack form of any struct.
-
-    Raises:
-        TypeError: A value does not fit MessagePack (an integer beyond 64 bits): a fault of
-            the code that made the struct.
-    """
-    plain = msgspec.to_builtins(value, builtin_types=_NATIVE)
-    return ormsgpack.packb(plain, option=_PACK_OPTIONS)
-
-
-def decode_struct(data: bytes, expected: type[T]) -> Result[T, YokelineError]:
-    """Return the value that ``data`` begins with, if it is a well-typed ``expected``.
-
-    Bytes after a whole value are ignored, as ``ormsgpack`` does; frames say where a message
-    ends, and records on disk carry a checksum.
-    """
-    try:
-        plain: Any = ormsgpack.unpackb(data)
-        return Success(msgspec.convert(plain, expected, builtin_types=_NATIVE))
-    except (ormsgpack.MsgpackDecodeError, msgspec.ValidationError) as error:
-        return Failure(_malformed(expected, str(error)))
-
-
 def encode_peer(sender: ReplicaId, recipient: ReplicaId, message: PeerMessageBody) -> bytes:
     """Return the payload of a frame from one node to another."""
     return encode_struct(PeerFrame(sender, recipient, message))
@@ -138,10 +123,29 @@
     return decode_struct(data, _CommandBox).map(lambda box: box.value)
 
 
-def _malformed(expected: type, reason: str) -> YokelineError:
-    """Return the error for bytes that are not an ``expected``."""
-    return YokelineError(
-        kind=ErrorKind.BAD_REQUEST,
-        message=f"malformed {expected.__name__.lstrip('_')}: {reason[:_REASON_LENGTH]}",
-        remedy="run the same release of yokeline on all nodes",
-    )
+class DatagramFrame(msgspec.Struct, frozen=True, array_like=True):
+    """What one membership datagram holds."""
+
+    message: Datagram
+
+
+class MessageCodec:
+    """Messages and membership datagrams of the nodes that keep runs, for the transports."""
+
+    def encode_peer(
+        self, sender: ReplicaId, recipient: ReplicaId, message: msgspec.Struct
+    ) -> bytes:
+        """Return the payload of a frame."""
+        return encode_peer(sender, recipient, message)  # type: ignore[arg-type]
+
+    def decode_peer(self, data: bytes) -> Result[PeerFrame, YokelineError]:
+        """Return the frame in ``data``."""
+        return decode_peer(data)
+
+    def encode_datagram(self, message: msgspec.Struct) -> bytes:
+        """Return the bytes of a datagram."""
+        return encode_struct(DatagramFrame(message))  # type: ignore[arg-type]
+
+    def decode_datagram(self, data: bytes) -> Result[Datagram, YokelineError]:
+        """Return the message in a datagram."""
+        return decode_struct(data, DatagramFrame).map(lambda frame: frame.message)
--- a/src/yokeline/node/datagrams.py
+++ b/src/yokeline/node/datagrams.py
@@ -10,27 +10,19 @@
 import socket
 from collections import Counter
 
-import msgspec
 from circuits import BaseComponent, handler
 from returns.result import Success
 
 from yokeline.effects import Address, DatagramArrived, SendDatagram
-from yokeline.membership.messages import Datagram
-from yokeline.messages.codec import decode_struct, encode_struct
 from yokeline.node.bridge import Bridge
 from yokeline.node.limits import PeerLimits
 from yokeline.node.poller import SocketPoller
 from yokeline.node.sockets import check_ip_number
+from yokeline.node.wire_codec import WireCodec, default_codec
 
 DATAGRAMS_PER_TURN = 256
 
 
-class DatagramFrame(msgspec.Struct, frozen=True, array_like=True):
-    """What one datagram holds."""
-
-    message: Datagram
-
-
 class DatagramEndpoint(BaseComponent):
     """Sends and receives the datagrams of one service.
 
@@ -41,11 +33,17 @@
     channel = "datagrams"
 
     def __init__(
-        self, bridge: Bridge, poller: SocketPoller, sock: socket.socket, limits: PeerLimits
+        self,
+        bridge: Bridge,
+        poller: SocketPoller,
+        sock: socket.socket,
+        limits: PeerLimits,
+        codec: WireCodec | None = None,
     ) -> None:
         """Serve a bound socket."""
         super().__init__(channel=bridge.channel)
         self.counters: Counter[str] = Counter()
+        self._codec = codec or default_codec()
         self._bridge = bridge
         self._poller = poller
         self._sock = sock
@@ -56,7 +54,7 @@
 
     def send_datagram(self, effect: SendDatagram) -> None:
         """Send a datagram, or drop it when the kernel has no room."""
-        data = encode_struct(DatagramFrame(effect.message))  # type: ignore[arg-type]
+        data = self._codec.encode_datagram(effect.message)
         try:
             check_ip_number(effect.address.host)
             self._sock.sendto(data, (effect.address.host, effect.address.port))
@@ -79,11 +77,11 @@
         """Go on: what met the fault has been taken from the socket."""
 
     def _take(self, data: bytes, source: Address) -> None:
-        decoded = decode_struct(data, DatagramFrame)
+        decoded = self._codec.decode_datagram(data)
         if not isinstance(decoded, Success):
             self.counters["malformed"] += 1
             return
-        self._bridge.submit(DatagramArrived(source=source, message=decoded.unwrap().message))
+        self._bridge.submit(DatagramArrived(source=source, message=decoded.unwrap()))
 
     @handler("service_stopped")
     def _on_service_stopped(self, exit_code: int) -> None:
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from typing import Protocol
 from urllib.parse import quote
@@ -29,6 +30,20 @@
 _BODILESS_METHODS = ("GET", "HEAD", "DELETE", "OPTIONS")
 
 
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+
+
+def kept_seconds(headers: dict[str, str]) -> float | None:
+    """Return how long a server keeps an idle connection, if it says so (RFC 2068, 19.7.1)."""
+    found = _KEEP_ALIVE_TIMEOUT.search(headers.get("keep-alive", "").lower())
+    return float(found.group(1)) if found else None
+
+
+def _is_event_stream(response: h11.Response) -> bool:
+    content_type = joined_headers(response.headers).get("content-type", "")
+    return content_type.startswith("text/event-stream")
+
+
 class CallOwner(Protocol):
     """The client, as a call sees it."""
 
@@ -67,6 +82,7 @@
         self._sent_at_start = 0
         self._sent_on_lost_connection = False
         self._response: h11.Response | None = None
+        self._passed_over = False
         self._reader: ItemReader | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -80,10 +96,12 @@
         """Take a kept connection or open one, and send the request.
 
         A kept connection may be closed by the other end at the very moment it is used; what
-        may not be repeated therefore always goes over a fresh one.
+        may not be repeated goes over a fresh one, unless the service takes that risk
+        (``use_kept``).
         """
         self._await_silence(self.request.timeout)
-        kept = self._pool.take_idle(self.request.address) if self.request.allow_retry else None
+        may_keep = self.request.allow_retry or self.request.use_kept
+        kept = self._pool.take_idle(self.request.address) if may_keep else None
         if kept is None:
             self._connect()
             return
@@ -116,26 +134,32 @@
 
     def _send(self) -> None:
         assert self._connection is not None
-        codec = self._connection.codec
         try:
-            output = codec.send(self._head())
-            if self.request.body:
-                output += codec.send(h11.Data(data=self.request.body))
-            output += codec.send(h11.EndOfMessage())
+            output = self._encoded(self._connection.codec)
         except (h11.LocalProtocolError, UnicodeError) as error:
             self._fail(f"the request is not valid HTTP: {error}")
             return
         self._connection.link.write(output)
 
+    def _encoded(self, codec: h11.Connection) -> bytes:
+        """Return the request's bytes as ``codec`` sends them."""
+        output: bytes = codec.send(self._head())
+        if self.request.body:
+            output += codec.send(h11.Data(data=self.request.body))
+        return output + codec.send(h11.EndOfMessage())
+
     def _head(self) -> h11.Request:
         request = self.request
-        headers = [(b"host", str(request.address).encode())]
+        host = request.headers.get("host") or str(request.address)
+        headers = [(b"host", host.encode(HEADER_ENCODING))]
+        for name, value in request.header_items:
+            headers.append((name.encode("ascii"), value.encode(HEADER_ENCODING)))
         for name, value in request.headers.items():
             if name.lower() not in _OWN_HEADERS:
                 headers.append((name.encode("ascii"), value.encode(HEADER_ENCODING)))
         if request.body or request.method not in _BODILESS_METHODS:
             headers.append((b"content-length", str(len(request.body)).encode()))
-        target = quote(request.path, safe=_PATH_SAFE)
+        target = request.target or quote(request.path, safe=_PATH_SAFE)
         return h11.Request(method=request.method, target=target, headers=headers)
 
     # ------------------------------------------------------------ from the connection
@@ -158,31 +182,26 @@
         assert connection is not None
         self._sent_on_lost_connection = self._sent()
         if self._response is None:
-            if self._may_repeat(connection):
+            untouched = connection.used_before and not connection.codec.trailing_data[0]
+            if untouched and self.request.allow_retry:
                 self._connection = None
                 self._connect()
             else:
-                self._fail(f"{reason} (before a response)")
+                self._fail(f"{reason} (before a response)", stale=untouched)
             return
-        if connection.peer_closed(reason) and self._reader is None:
+        if connection.peer_closed(reason):
             connection.codec.receive_data(b"")
             self._parse()
         if not self._ended:
             self._fail(f"{reason} (before the end of the response)")
 
-    def _may_repeat(self, connection: ClientConnection) -> bool:
-        """Return whether a kept connection turned out stale, with no byte of a response."""
-        untouched = not connection.codec.trailing_data[0]
-        return connection.used_before and untouched and self.request.allow_retry
-
     # ------------------------------------------------------------ response
 
     def _parse(self) -> None:
         assert self._connection is not None
-        codec = self._connection.codec
         try:
             while not self._ended:
-                event = codec.next_event()
+                event = self._connection.codec.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 self._take(event)
@@ -203,12 +222,33 @@
 
     def _take_head(self, response: h11.Response) -> None:
         self._response = response
-        streamed = self.request.framing is not Framing.WHOLE
+        self._passed_over = self._is_of_other_request(response)
+        streamed = self.request.framing is not Framing.WHOLE and not self._passed_over
+        if self.request.framing is Framing.RAW_EVENTS and not _is_event_stream(response):
+            streamed = False
         if streamed and response.status_code in _SUCCESS:
             self._reader = item_reader(self.request.framing, self._limits.max_item_bytes)
             self._owner.submit(self._response_event(b""))
             self._await_silence(self.request.timeout)
 
+    def _is_of_other_request(self, response: h11.Response) -> bool:
+        """Return whether the answer names another request than this one."""
+        if not self.request.echo_header:
+            return False
+        echoed = joined_headers(response.headers).get(self.request.echo_header)
+        return echoed is not None and echoed != self.request.echo_value
+
+    def _await_own_answer(self) -> None:
+        """Forget an answer to another request; ours is still due on this connection."""
+        assert self._connection is not None
+        rest = self._connection.codec.trailing_data[0]
+        codec = self._connection.fresh_codec()
+        self._encoded(codec)
+        codec.receive_data(rest)
+        self._response = None
+        self._body = []
+        self._body_bytes = 0
+
     def _take_body(self, data: bytes) -> None:
         if self._reader is None:
             self._body_bytes += len(data)
@@ -228,6 +268,11 @@
 
     def _complete(self) -> None:
         assert self._connection is not None
+        assert self._response is not None
+        if self._passed_over:
+            self._await_own_answer()
+            return
+        self._connection.keep_seconds = kept_seconds(joined_headers(self._response.headers))
         if self._reader is None:
             self._owner.submit(self._response_event(b"".join(self._body)))
         else:
@@ -255,14 +300,16 @@
             return False
         return self._connection.link.bytes_sent > self._sent_at_start
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, *, stale: bool = False) -> None:
         if self._ended:
             return
         sent = self._sent()
         self._end()
         if self._connection is not None:
             self._pool.discard(self._connection)
-        failure = HttpFailed(request=self.request.request, sent=sent, reason=reason)
+        failure = HttpFailed(
+            request=self.request.request, sent=sent, reason=reason, stale=stale and sent
+        )
         self._owner.submit(failure)
 
     def _end(self) -> None:
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -4,6 +4,7 @@
 
 import enum
 import socket
+import time
 from typing import TYPE_CHECKING
 
 import absl.logging
@@ -61,11 +62,12 @@
         self._pieces: list[bytes] = []
         self._deadline: Deadline | None = None
         self._sent_before = 0
+        self._resting_since = 0.0
         self._connection = Connection(
             server.poller, sock, self, max_unsent_bytes=server.limits.max_unsent_bytes
         )
         self._connection.set_silent_limit(self._limits.silent_seconds)
-        self._set_deadline(self._limits.idle_seconds)
+        self._rest()
 
     def unsent_bytes(self) -> int:
         """Return how many bytes of answers the kernel has not taken yet."""
@@ -126,6 +128,8 @@
                 headers=request.headers,
                 body=request.body,
                 too_large=request.too_large,
+                target=request.target,
+                header_items=request.header_items,
             )
         )
 
@@ -135,6 +139,7 @@
         """Write a whole answer."""
         if self._phase is not _Phase.ANSWERING:
             return
+        self._closes_after_answer = self._closes_after_answer or effect.last
         headers = response_headers(effect.headers)
         if effect.status not in _BODILESS_STATUSES:
             headers.append(_content_length(effect.body))
@@ -145,6 +150,7 @@
         """Write the head of an answer whose body follows in pieces."""
         if self._phase is not _Phase.ANSWERING:
             return
+        self._closes_after_answer = self._closes_after_answer or effect.last
         written = self._write_head(effect.status, response_headers(effect.headers))
         if written and not self._connection.closed:
             self._phase = _Phase.STREAMING
@@ -211,7 +217,7 @@
     def _turn_to_next_request(self) -> None:
         self._requests.start_over()
         self._phase = _Phase.IDLE
-        self._set_deadline(self._limits.idle_seconds)
+        self._rest()
         self._connection.resume_reading()
         self._read_request()
 
@@ -248,6 +254,19 @@
             self._server.close_exchange(self._exchange)
             self._exchange = None
 
+    def limits_changed(self) -> None:
+        """Follow the server's limits; the rest under way is measured by the new ones."""
+        self._limits = self._server.limits
+        self._requests.limits = self._limits
+        if self._phase is _Phase.IDLE and not self._connection.closed:
+            rested = time.monotonic() - self._resting_since
+            self._set_deadline(max(0.0, self._limits.idle_seconds - rested))
+
+    def _rest(self) -> None:
+        """Wait for the next request, within the idle limit."""
+        self._resting_since = time.monotonic()
+        self._set_deadline(self._limits.idle_seconds)
+
     def _set_deadline(self, seconds: float) -> None:
         self._clear_deadline()
         self._sent_before = self._connection.bytes_sent
--- a/src/yokeline/node/http_pool.py
+++ b/src/yokeline/node/http_pool.py
@@ -14,6 +14,10 @@
 from yokeline.node.poller import SocketPoller
 
 
+_KEEP_MARGIN_SECONDS = 0.8
+"""A kept connection is closed this much before its server would close it."""
+
+
 class ClientConnection:
     """A connection to a back end with its codec; used by one call at a time."""
 
@@ -30,8 +34,16 @@
         self.user: ConnectionOwner | None = None
         self.idle_deadline: Deadline | None = None
         self.used_before = False
+        self.keep_seconds: float | None = None
+        self._max_header_bytes = limits.max_header_bytes
         self._pool = pool
         self.link = Connection.open(poller, address, self, max_unsent_bytes=limits.max_unsent_bytes)
+        self.link.set_silent_limit(limits.silent_seconds)
+
+    def fresh_codec(self) -> h11.Connection:
+        """Follow the connection with a codec that has seen nothing yet, and return it."""
+        self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=self._max_header_bytes)
+        return self.codec
 
     def connection_made(self) -> None:
         """Pass it on to the call."""
@@ -126,7 +138,7 @@
         kept.append(connection)
         self._idle[connection] = None
         connection.idle_deadline = self._deadlines.call_after(
-            self._limits.idle_seconds, self._closer(connection)
+            self._idle_seconds(connection), self._closer(connection)
         )
 
     def discard(self, connection: ClientConnection) -> None:
@@ -155,6 +167,13 @@
         quiet = not codec.trailing_data[0] and not connection.link.unsent_bytes()
         return done and quiet and not connection.link.closed
 
+    def _idle_seconds(self, connection: ClientConnection) -> float:
+        """Return how long to keep a connection: less than the server says it does."""
+        if connection.keep_seconds is None:
+            return self._limits.idle_seconds
+        safe = connection.keep_seconds - _KEEP_MARGIN_SECONDS
+        return max(0.0, min(self._limits.idle_seconds, safe))
+
     def _closer(self, connection: ClientConnection) -> Callable[[], None]:
         return lambda: self.discard(connection)
 
--- a/src/yokeline/node/http_requests.py
+++ b/src/yokeline/node/http_requests.py
@@ -31,6 +31,8 @@
     headers: dict[str, str]
     body: bytes
     too_large: bool
+    target: str
+    header_items: tuple[tuple[str, str], ...]
 
 
 class RequestRefusedError(Exception):
@@ -48,13 +50,14 @@
 
     Attributes:
         too_large: The request was over the limit; its connection cannot be used again.
+        limits: Limits for what is read from now on.
     """
 
     def __init__(self, codec: h11.Connection, limits: ServerLimits) -> None:
         """Read from the codec of a connection."""
         self.too_large = False
         self._codec = codec
-        self._limits = limits
+        self.limits = limits
         self._head: h11.Request | None = None
         self._pieces: list[bytes] = []
         self._size = 0
@@ -115,7 +118,7 @@
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
         # The codec limits only a head that comes in pieces.
-        if _head_bytes(head) > self._limits.max_header_bytes:
+        if _head_bytes(head) > self.limits.max_header_bytes:
             raise self.refused(HEAD_OVER_LIMIT, HEAD_TOO_LARGE)
         if head.method == _CONNECT:
             raise ValueError("CONNECT makes a tunnel, and this is no proxy")
@@ -123,11 +126,11 @@
         if _CONTENT_LENGTH in fields and _TRANSFER_ENCODING in fields:
             raise ValueError("it has both Content-Length and Transfer-Encoding")
         length = int(fields.get(_CONTENT_LENGTH, b"0"))
-        self.too_large = length > self._limits.max_body_bytes
+        self.too_large = length > self.limits.max_body_bytes
 
     def _take_piece(self, piece: bytes) -> None:
         self._size += len(piece)
-        if self._size > self._limits.max_body_bytes:
+        if self._size > self.limits.max_body_bytes:
             self._pieces.clear()
             self.too_large = True
             return
@@ -137,7 +140,8 @@
 
     def _whole_request(self) -> IncomingRequest:
         assert self._head is not None
-        path, query = split_target(self._head.target.decode(HEADER_ENCODING))
+        target = self._head.target.decode(HEADER_ENCODING)
+        path, query = split_target(target)
         body = b"".join(self._pieces)
         self._pieces.clear()
         self._size = 0
@@ -148,6 +152,11 @@
             headers=joined_headers(self._head.headers),
             body=body,
             too_large=self.too_large,
+            target=target,
+            header_items=tuple(
+                (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
+                for name, value in self._head.headers
+            ),
         )
 
 
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -15,9 +15,17 @@
 import itertools
 import socket
 
+import msgspec
 from circuits import BaseComponent, handler
 
-from yokeline.effects import Event, HttpReply, HttpStreamData, HttpStreamEnd, HttpStreamStart
+from yokeline.effects import (
+    Event,
+    HttpReply,
+    HttpStreamData,
+    HttpStreamEnd,
+    HttpStreamStart,
+    SetServerLimits,
+)
 from yokeline.identifiers import ExchangeId
 from yokeline.node.bridge import Bridge
 from yokeline.node.deadlines import DeadlineQueue
@@ -55,6 +63,7 @@
         bridge.carry_out_with(HttpStreamStart, self._start_stream)
         bridge.carry_out_with(HttpStreamData, self._stream_data)
         bridge.carry_out_with(HttpStreamEnd, self._end_stream)
+        bridge.carry_out_with(SetServerLimits, self._set_limits)
 
     def open_exchange(self, connection: ServerConnection) -> ExchangeId:
         """Name a new exchange."""
@@ -101,6 +110,17 @@
         if connection is not None:
             connection.end_stream(aborted=effect.aborted)
 
+    def _set_limits(self, effect: SetServerLimits) -> None:
+        self.limits = msgspec.structs.replace(
+            self.limits,
+            max_header_bytes=effect.max_header_bytes,
+            max_body_bytes=effect.max_body_bytes,
+            request_seconds=effect.request_seconds,
+            idle_seconds=effect.idle_seconds,
+        )
+        for connection in list(self._connections):
+            connection.limits_changed()
+
     def unsent_bytes(self) -> int:
         """Return how many bytes of answers the kernel has not taken yet."""
         return sum(connection.unsent_bytes() for connection in self._connections)
--- a/src/yokeline/node/limits.py
+++ b/src/yokeline/node/limits.py
@@ -48,6 +48,7 @@
         max_body_bytes: Largest whole response body taken.
         max_item_bytes: Largest item of a streamed response taken.
         max_unsent_bytes: Largest request sent, and the most a slow server may leave unread.
+        silent_seconds: Time that the other machine may be silent (TCP_USER_TIMEOUT, probes).
     """
 
     connect_seconds: float = 3.0
@@ -60,6 +61,7 @@
     max_body_bytes: int = 16 * MEBIBYTE
     max_item_bytes: int = 4 * MEBIBYTE
     max_unsent_bytes: int = 32 * MEBIBYTE
+    silent_seconds: float = 60.0
 
 
 class PeerLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/node/peer_transport.py
+++ b/src/yokeline/node/peer_transport.py
@@ -13,7 +13,6 @@
 from yokeline.effects import Address, PeerMessage, SendPeer
 from yokeline.errors import YokelineException
 from yokeline.identifiers import ReplicaId
-from yokeline.messages.codec import decode_peer, encode_peer
 from yokeline.messages.framing import FrameReader, encode_frame
 from yokeline.node.bridge import Bridge
 from yokeline.node.connection import Connection
@@ -22,6 +21,7 @@
 from yokeline.node.listener import Listener
 from yokeline.node.peer_link import PeerLink
 from yokeline.node.poller import SocketPoller
+from yokeline.node.wire_codec import WireCodec, default_codec
 
 LAST_SEND_SECONDS = 2.0
 """Time for the last messages of a stopped service to leave."""
@@ -46,6 +46,7 @@
         sock: socket.socket,
         replica: ReplicaId,
         limits: PeerLimits,
+        codec: WireCodec | None = None,
     ) -> None:
         """Listen for other nodes on a listening socket."""
         super().__init__(channel=bridge.channel)
@@ -55,6 +56,7 @@
         self.counters: Counter[str] = Counter()
         self.refused_connections = 0
         self._dropped_by_closed_links = 0
+        self._codec = codec or default_codec()
         self._bridge = bridge
         self._deadlines = deadlines
         self._random = random.Random(replica)
@@ -65,7 +67,7 @@
 
     def send_message(self, effect: SendPeer) -> None:
         """Queue a message for another node."""
-        payload = encode_peer(self.replica, effect.to, effect.message)  # type: ignore[arg-type]
+        payload = self._codec.encode_peer(self.replica, effect.to, effect.message)
         try:
             frame = encode_frame(payload, self.limits.max_frame_bytes)
         except YokelineException as error:
@@ -76,7 +78,7 @@
 
     def take_payload(self, payload: bytes) -> None:
         """Hand a received message to the service, if it is whole and meant for us."""
-        decoded = decode_peer(payload)
+        decoded = self._codec.decode_peer(payload)
         if not isinstance(decoded, Success):
             self.counters["malformed"] += 1
             absl.logging.log_every_n_seconds(
--- a/src/yokeline/node/process.py
+++ b/src/yokeline/node/process.py
@@ -16,7 +16,7 @@
 from circuits import Event as CircuitsEvent
 from returns.result import Failure, Result, Success
 
-from yokeline.effects import Address, Service
+from yokeline.effects import Address, ReloadRequested, Service
 from yokeline.errors import EXIT_FAILURE, EXIT_USAGE, ErrorKind, YokelineError
 from yokeline.identifiers import ReplicaId
 from yokeline.node.bridge import Bridge, DeadlineTimer
@@ -28,6 +28,8 @@
 from yokeline.node.peer_transport import PeerTransport
 from yokeline.node.poller import SocketPoller
 from yokeline.node.sockets import OpenSockets, open_sockets
+from yokeline.node.synced_files import SyncedFiles
+from yokeline.node.wire_codec import WireCodec
 
 DRAIN_SECONDS = 2.0
 """Longest wait for output to be read after the service has exited."""
@@ -39,6 +41,7 @@
 DATAGRAMS_DROPPED = "yokeline_datagrams_dropped_total"
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_RELOAD_SIGNAL = signal.SIGHUP
 
 
 class ServiceBinding(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,6 +53,9 @@
         replica: This process start; needed with ``peer``.
         data_folder: Folder for file effects; empty for none (they are then an error).
         limits: Limits of the transports.
+        codec: Messages between nodes; None for those of the nodes that keep runs.
+        synced_folder: Folder for :class:`~yokeline.effects.SyncFile`; empty for none.
+        auxiliary: The process does not wait for this service to exit.
     """
 
     http: Address | None = None
@@ -57,6 +63,9 @@
     replica: ReplicaId = ReplicaId("")
     data_folder: str = ""
     limits: TransportLimits = TransportLimits()
+    codec: WireCodec | None = None
+    synced_folder: str = ""
+    auxiliary: bool = False
 
 
 class stop_wanted(CircuitsEvent):  # noqa: N801 - circuits names events in lower case
@@ -111,13 +120,18 @@
         )
         bound.bridge.register(self)
         self._services.append(bound)
-        self._running_services += 1
+        self._running_services += 0 if binding.auxiliary else 1
         return Success(bound)
 
     def request_stop(self) -> None:
         """Ask all services for a planned stop; may be called from any thread."""
         self.fire(stop_wanted())
 
+    def reload(self, number: int, stack: Any) -> None:
+        """Tell all services that their settings have changed (a signal handler)."""
+        for bound in self._services:
+            bound.bridge.submit(ReloadRequested())
+
     @handler("started", channel="*")
     def _on_started(self, manager: Any) -> None:
         self.started_running.set()
@@ -190,13 +204,21 @@
             ).register(self.bridge)
         if sockets.peer is not None and sockets.datagrams is not None:
             self.peers = PeerTransport(
-                self.bridge, poller, deadlines, sockets.peer, binding.replica, limits.peers
+                self.bridge,
+                poller,
+                deadlines,
+                sockets.peer,
+                binding.replica,
+                limits.peers,
+                binding.codec,
             ).register(self.bridge)
             self.datagrams = DatagramEndpoint(
-                self.bridge, poller, sockets.datagrams, limits.peers
+                self.bridge, poller, sockets.datagrams, limits.peers, binding.codec
             ).register(self.bridge)
         if folder is not None:
             DataFolder(self.bridge, folder).register(self.bridge)
+        if binding.synced_folder:
+            SyncedFiles(self.bridge, poller, Path(binding.synced_folder)).register(self.bridge)
 
     def transport_counters(self) -> dict[str, float]:
         """Return what the transports refused and dropped so far, by metric name."""
@@ -267,5 +289,6 @@
             return EXIT_USAGE if error.kind is ErrorKind.BAD_SETTING else EXIT_FAILURE
         if on_bound is not None:
             on_bound(bound.unwrap())
+    signal.signal(_RELOAD_SIGNAL, application.reload)
     application.run()
     return application.exit_code
--- a/src/yokeline/node/stream_items.py
+++ b/src/yokeline/node/stream_items.py
@@ -5,12 +5,15 @@
 
 from __future__ import annotations
 
+import re
 from typing import Protocol
 
 import msgspec
 
 from yokeline.effects import Framing
 
+_AFTER_BLANK_LINE = re.compile(rb"(?<=\n\n)|(?<=\n\r\n)")
+_ID_FIELD = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -45,6 +48,8 @@
     """Return a reader for a streamed framing."""
     if framing is Framing.SERVER_SENT_EVENTS:
         return ServerSentEventReader(max_item_bytes)
+    if framing is Framing.RAW_EVENTS:
+        return RawEventReader(max_item_bytes)
     return JsonLineReader(max_item_bytes)
 
 
@@ -98,6 +103,34 @@
         return [StreamItem(line)] if line else []
 
 
+class RawEventReader:
+    """One item per block up to a blank line, its bytes unchanged (the blank line included).
+
+    Lines must end with a line feed, alone or after a return. What is incomplete when the
+    body ends is dropped.
+    """
+
+    def __init__(self, max_item_bytes: int) -> None:
+        """Refuse events over ``max_item_bytes``."""
+        self._tail = _Tail(max_item_bytes)
+
+    def feed(self, data: bytes) -> list[StreamItem]:
+        """Return the events that ``data`` completes."""
+        *blocks, rest = _AFTER_BLANK_LINE.split(self._tail.take(data))
+        self._tail.add(rest)
+        return [StreamItem(block, _raw_event_id(block)) for block in blocks]
+
+    def finish(self) -> list[StreamItem]:
+        """Return nothing: an event without its blank line is not whole."""
+        return []
+
+
+def _raw_event_id(block: bytes) -> str:
+    """Return the id field of a raw event; empty if it has none."""
+    found = _ID_FIELD.search(block)
+    return found.group(1).decode("utf-8", errors="replace") if found else ""
+
+
 class ServerSentEventReader:
     """One item per event with data (WHATWG HTML, section 9.2, server-sent events).
 
--- /dev/null
+++ b/src/yokeline/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls. Nothing in here decides."""
--- /dev/null
+++ b/src/yokeline/platform/__main__.py
@@ -0,0 +1,33 @@
+"""Runs a role on the users' platform: ``python -m yokeline.platform edge|storage``."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from returns.result import Failure
+
+from yokeline.errors import EXIT_USAGE
+from yokeline.platform.documents import PlatformDocuments
+from yokeline.platform.headers import HeaderDialect
+from yokeline.platform.store import KeyValueStore
+from yokeline.role_settings import read_role_settings
+from yokeline.roles import Adapter, run_role
+
+SETTINGS_VARIABLE = "YOKELINE_NODE_FILE"
+"""Environment variable that holds the path of the settings file."""
+
+
+def main(arguments: list[str]) -> int:
+    """Run the role named by the first argument; return the exit code."""
+    role = arguments[0] if arguments else ""
+    settings = read_role_settings(os.environ.get(SETTINGS_VARIABLE, ""))
+    if isinstance(settings, Failure):
+        print(settings.failure().line(), file=sys.stderr)
+        return EXIT_USAGE
+    adapter = Adapter(store=KeyValueStore, formats=PlatformDocuments(), dialect=HeaderDialect())
+    return run_role(role, settings.unwrap(), adapter)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/yokeline/platform/documents.py
@@ -0,0 +1,197 @@
+"""Documents that the operator and the engines keep in the platform's store (PROTOCOL.md)."""
+
+from __future__ import annotations
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.effects import Address
+from yokeline.errors import ErrorKind, YokelineError
+from yokeline.forwarding.model import (
+    CallerLimits,
+    Engine,
+    ModelTraits,
+    Pool,
+    PoolWeight,
+    Route,
+    RouteKind,
+    RoutingTable,
+)
+from yokeline.registry.formats import RetireOrder
+
+_MILLISECONDS = 1000.0
+_DRAINING = "draining"
+
+
+class _Document(msgspec.Struct, kw_only=True, rename="kebab"):
+    """Fields are spelled with dashes; unknown ones are skipped."""
+
+
+class _Share(_Document):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(_Document):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Share] = []
+    max_attempts: int = 1
+    retain: bool = False
+    retention_s: float = 60.0
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Traits(_Document):
+    slots: int
+    kv_tokens: int = 0
+    stride: int = 1
+
+
+class _Service(_Document):
+    name: str
+    max_conns: int = 100
+    engine: _Traits | None = None
+
+
+class _Limits(_Document):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Configuration(_Document):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Engine(_Document):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+
+
+class _Retire(_Document):
+    duration_s: float = 10.0
+
+
+class PlatformDocuments:
+    """Keys and documents, as :class:`yokeline.registry.formats.DeploymentFormats`."""
+
+    configuration_key = "op/config"
+    engine_prefix = "servers/"
+    retire_prefix = "op/retire/"
+
+    def read_routing(self, value: bytes) -> Result[RoutingTable, YokelineError]:
+        """Return the configuration in ``op/config``."""
+        try:
+            document = msgspec.json.decode(value, type=_Configuration)
+            return Success(_routing_table(document))
+        except (msgspec.DecodeError, ValueError) as error:
+            return Failure(_unreadable(self.configuration_key, error))
+
+    def read_engine(self, key: str, value: bytes) -> Result[Engine, YokelineError]:
+        """Return the engine in ``servers/ID``."""
+        try:
+            document = msgspec.json.decode(value, type=_Engine)
+            return Success(
+                Engine(
+                    engine_id=key.removeprefix(self.engine_prefix),
+                    pool=document.service,
+                    address=address_of(document.address),
+                    zone=document.zone,
+                    slots=document.slots,
+                    draining=document.state == _DRAINING,
+                )
+            )
+        except (msgspec.DecodeError, ValueError) as error:
+            return Failure(_unreadable(key, error))
+
+    def read_retire_order(self, key: str, value: bytes) -> Result[RetireOrder, YokelineError]:
+        """Return the order in ``op/retire/NODE``."""
+        try:
+            document = msgspec.json.decode(value, type=_Retire)
+        except msgspec.DecodeError as error:
+            return Failure(_unreadable(key, error))
+        return Success(RetireOrder(key.removeprefix(self.retire_prefix), document.duration_s))
+
+    def retire_status(self, node: str, *, completed: bool) -> tuple[str, bytes]:
+        """Return key and document of ``status/retire/NODE``."""
+        state = "completed" if completed else "running"
+        return f"status/retire/{node}", msgspec.json.encode({"state": state})
+
+
+def address_of(text: str) -> Address:
+    """Return the address in ``IP:PORT``.
+
+    Raises:
+        ValueError: There is none.
+    """
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+def _routing_table(document: _Configuration) -> RoutingTable:
+    limits = document.limits
+    return RoutingTable(
+        version=document.version,
+        routes=tuple(_route(route) for route in document.routes),
+        pools={service.name: _pool(service) for service in document.services},
+        limits=CallerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_seconds=limits.header_timeout_ms / _MILLISECONDS,
+            idle_seconds=limits.idle_timeout_ms / _MILLISECONDS,
+        ),
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(PoolWeight(share.service, share.weight) for share in route.traffic_split)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=RouteKind(route.kind),
+        pools=shares or (PoolWeight(route.service, 1.0),),
+        timeout=route.timeout_ms / _MILLISECONDS,
+        target_latency=route.target_latency_ms / _MILLISECONDS,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        retain=route.retain,
+        retention=route.retention_s,
+        sticky=route.sticky,
+        resumable=route.resumable,
+    )
+
+
+def _pool(service: _Service) -> Pool:
+    traits = service.engine
+    model = None
+    if traits is not None:
+        model = ModelTraits(
+            slots=traits.slots,
+            memory_tokens=traits.kv_tokens,
+            tokens_per_event=traits.stride,
+        )
+    return Pool(name=service.name, max_connections=service.max_conns, model=model)
+
+
+def _unreadable(key: str, error: Exception) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.BAD_REQUEST,
+        message=f"the document {key} cannot be read: {error}",
+        remedy="write it again as the protocol page says",
+    )
--- /dev/null
+++ b/src/yokeline/platform/headers.py
@@ -0,0 +1,147 @@
+"""Header names of the platform, and calls and answers read from them (PROTOCOL.md)."""
+
+from __future__ import annotations
+
+import re
+
+from returns.result import Failure, Result, Success
+
+from yokeline.effects import HttpArrived, HttpResponse
+from yokeline.errors import ErrorKind, YokelineError
+from yokeline.forwarding.dialect import EngineOrder
+from yokeline.forwarding.model import Call, PromptPart
+
+REQUEST_ID = "x-yokeline-request-id"
+DEADLINE_MS = "x-yokeline-deadline-ms"
+AFFINITY_KEY = "X-Yokeline-Affinity-Key"
+PROMPT_PREFIX = "x-yokeline-prompt-prefix"
+LAST_EVENT_ID = "last-event-id"
+EXPECT_INSTANCE = "x-yokeline-expect-instance"
+NOT_EXECUTED = "x-yokeline-not-executed"
+TOKEN_USAGE = "x-yokeline-token-usage"
+REQUEST_PRIORITY = "x-yokeline-request-priority"
+PROGRAM_ID = "x-yokeline-program-id"
+SESSION_ID = "x-yokeline-session-id"
+FINISH_MS = "x-yokeline-finish-ms"
+TOKEN_BUDGET = "x-yokeline-token-budget"
+PREVIOUS_TURN = "x-yokeline-previous-turn"
+
+MISDIRECTED = 421
+DEFAULT_DEADLINE_SECONDS = 30.0
+_MILLISECONDS = 1000.0
+_CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "upgrade",
+        "transfer-encoding",
+        "content-length",
+        "expect",
+    )
+)
+_OWN_HEADERS = frozenset((DEADLINE_MS, EXPECT_INSTANCE, REQUEST_PRIORITY, LAST_EVENT_ID))
+_AFFINITY = re.compile(rf"(?:^|;\s*){re.escape(AFFINITY_KEY)}=([^;]*)")
+
+
+class HeaderDialect:
+    """The platform's headers, as :class:`yokeline.forwarding.dialect.Dialect`."""
+
+    echo_header = REQUEST_ID
+
+    def parse_call(self, arrived: HttpArrived) -> Result[Call, YokelineError]:
+        """Return what a request says of itself; a failure names the field."""
+        headers = arrived.headers
+        request_id = headers.get(REQUEST_ID, "")
+        if not request_id:
+            return Failure(_bad_field(REQUEST_ID, "is missing"))
+        try:
+            return Success(_parse(headers, request_id))
+        except ValueError as error:
+            return Failure(_bad_field("a header", f"cannot be read: {error}"))
+
+    def engine_headers(
+        self, arrived: HttpArrived, call: Call, order: EngineOrder
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the caller's end-to-end fields with those that the system sets."""
+        dropped = _CONNECTION_HEADERS | _OWN_HEADERS | _named_by_connection(arrived)
+        fields = [(name, value) for name, value in arrived.header_items if name not in dropped]
+        remaining_ms = max(1, int(order.remaining * _MILLISECONDS))
+        fields.append((DEADLINE_MS, str(remaining_ms)))
+        fields.append((EXPECT_INSTANCE, order.engine.engine_id))
+        fields.append((REQUEST_PRIORITY, str(order.priority)))
+        if order.last_event_id:
+            fields.append((LAST_EVENT_ID, order.last_event_id))
+        return tuple(fields)
+
+    def answer_headers(self, response: HttpResponse) -> dict[str, str]:
+        """Return an answer's end-to-end fields."""
+        named = response.headers.get("connection", "").lower()
+        dropped = {item.strip() for item in named.split(",")} | _CONNECTION_HEADERS | {"date"}
+        return {name: value for name, value in response.headers.items() if name not in dropped}
+
+    def was_not_run(self, response: HttpResponse) -> bool:
+        """Return whether the engine says that it did not run the request."""
+        return response.status == MISDIRECTED or NOT_EXECUTED in response.headers
+
+    def refusal_headers(self, call_id: str, retry_after: float | None) -> dict[str, str]:
+        """Return the fields of a refusal: the request's id, and when to come back."""
+        headers = {"content-type": "application/json"}
+        if call_id:
+            headers[REQUEST_ID] = call_id
+        if retry_after is not None:
+            headers["retry-after"] = f"{retry_after:.2f}"
+        return headers
+
+
+def _parse(headers: dict[str, str], request_id: str) -> Call:
+    prompt_tokens, most_tokens = _usage(headers.get(TOKEN_USAGE, ""))
+    deadline_ms = headers.get(DEADLINE_MS)
+    finish_ms = headers.get(FINISH_MS)
+    budget = headers.get(TOKEN_BUDGET)
+    affinity = _AFFINITY.search(headers.get("cookie", ""))
+    return Call(
+        request_id=request_id,
+        deadline=float(deadline_ms) / _MILLISECONDS if deadline_ms else DEFAULT_DEADLINE_SECONDS,
+        program=headers.get(PROGRAM_ID, ""),
+        session=headers.get(SESSION_ID, ""),
+        finish=float(finish_ms) / _MILLISECONDS if finish_ms else None,
+        budget=int(budget) if budget else None,
+        prompt_tokens=prompt_tokens,
+        most_tokens=most_tokens,
+        parts=_parts(headers.get(PROMPT_PREFIX, "")),
+        last_event_id=headers.get(LAST_EVENT_ID, ""),
+        previous_turn=headers.get(PREVIOUS_TURN, ""),
+        affinity_key=affinity.group(1) if affinity else "",
+    )
+
+
+def _usage(text: str) -> tuple[int, int]:
+    if not text:
+        return 0, 0
+    prompt, _, most = text.partition(",")
+    return int(prompt), int(most or "0")
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in text.split(","):
+        part_id, colon, tokens = item.strip().partition(":")
+        if colon:
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _named_by_connection(arrived: HttpArrived) -> set[str]:
+    named = arrived.headers.get("connection", "")
+    return {item.strip().lower() for item in named.split(",") if item.strip()}
+
+
+def _bad_field(name: str, what: str) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.BAD_REQUEST,
+        message=f"{name} {what}",
+        remedy="send the request with the header fields of the protocol page",
+    )
--- /dev/null
+++ b/src/yokeline/platform/store.py
@@ -0,0 +1,138 @@
+"""Calls of the platform's key-value store and the items in its answers (PROTOCOL.md)."""
+
+from __future__ import annotations
+
+import base64
+from urllib.parse import quote
+
+import msgspec
+
+from yokeline.effects import Address, HttpRequest, HttpResponse
+from yokeline.identifiers import RequestId
+from yokeline.registry.protocol import (
+    HistoryLost,
+    Page,
+    RegistryAnswer,
+    StoredItem,
+    StoreRefused,
+    WatchEvents,
+    Written,
+)
+
+_MILLISECONDS = 1000
+_JSON = {"content-type": "application/json"}
+_CALL_SECONDS = 1.5
+_WATCH_SLACK_SECONDS = 1.0
+_HISTORY_GONE = 410
+_CONDITION_FAILED = 412
+_OK = 200
+
+
+class _Item(msgspec.Struct, kw_only=True, rename={"key": "private-key"}):
+    key: str
+    value: str = ""
+    rev: int = 0
+    gone: bool = False
+
+
+class _Range(msgspec.Struct, kw_only=True):
+    items: list[_Item]
+    more: bool = False
+    at: int
+
+
+class _Events(msgspec.Struct, kw_only=True):
+    events: list[_Item]
+    at: int
+
+
+class _Conflict(msgspec.Struct, kw_only=True):
+    items: list[_Item] = []
+
+
+class _Revision(msgspec.Struct, kw_only=True):
+    rev: int
+
+
+class KeyValueStore:
+    """Spells the calls of :class:`yokeline.registry.protocol.StoreProtocol`."""
+
+    def __init__(self, address: Address) -> None:
+        """Call the store at ``address``."""
+        self._address = address
+
+    def list_call(self, request: RequestId, prefix: str, after_key: str) -> HttpRequest:
+        """Read a page of the items below a prefix, linearizable."""
+        path = f"/-/kv-range?path-prefix={quote(prefix, safe='/')}"
+        if after_key:
+            path += f"&after={quote(after_key, safe='/')}"
+        return self._get(request, path, _CALL_SECONDS)
+
+    def watch_call(
+        self, request: RequestId, prefix: str, revision: int, wait: float
+    ) -> HttpRequest:
+        """Wait for changes below a prefix after a revision, at most ``wait`` seconds."""
+        wait_ms = int(wait * _MILLISECONDS)
+        path = f"/-/kv-watch?path-prefix={quote(prefix, safe='/')}"
+        path += f"&after={revision}&wait-ms={wait_ms}"
+        return self._get(request, path, wait + _WATCH_SLACK_SECONDS)
+
+    def write_call(
+        self, request: RequestId, key: str, value: bytes, expected: int | None
+    ) -> HttpRequest:
+        """Write one item, under the condition of its present revision if one is given."""
+        encoded = base64.b64encode(value).decode()
+        body: dict[str, object] = {"put": [{"private-key": key, "value": encoded, "lease": 0}]}
+        if expected is not None:
+            body["expected-rev"] = [{"private-key": key, "rev": expected}]
+        return HttpRequest(
+            request=request,
+            address=self._address,
+            method="POST",
+            path="/-/kv-txn",
+            headers=_JSON,
+            body=msgspec.json.encode(body),
+            timeout=_CALL_SECONDS,
+            use_kept=True,
+        )
+
+    def read_answer(self, response: HttpResponse) -> RegistryAnswer:
+        """Return what an answer says; the caller knows what it asked for."""
+        if response.status == _HISTORY_GONE:
+            return HistoryLost()
+        if response.status == _CONDITION_FAILED:
+            conflict = msgspec.json.decode(response.body, type=_Conflict)
+            return StoreRefused(response.status, tuple(_stored(item) for item in conflict.items))
+        if response.status != _OK:
+            return StoreRefused(response.status, ())
+        try:
+            return _read_success(response.body)
+        except (msgspec.DecodeError, ValueError):
+            return StoreRefused(response.status, ())
+
+    def _get(self, request: RequestId, path: str, timeout: float) -> HttpRequest:
+        return HttpRequest(
+            request=request,
+            address=self._address,
+            method="GET",
+            path="",
+            target=path,
+            timeout=timeout,
+            allow_retry=True,
+        )
+
+
+def _read_success(body: bytes) -> RegistryAnswer:
+    fields = msgspec.json.decode(body)
+    if "items" in fields:
+        page = msgspec.convert(fields, _Range)
+        return Page(tuple(_stored(item) for item in page.items), page.more, page.at)
+    if "events" in fields:
+        events = msgspec.convert(fields, _Events)
+        return WatchEvents(tuple(_stored(item) for item in events.events), events.at)
+    return Written(msgspec.convert(fields, _Revision).rev)
+
+
+def _stored(item: _Item) -> StoredItem:
+    value = None if item.gone else base64.b64decode(item.value)
+    return StoredItem(item.key, value, item.rev)
--- /dev/null
+++ b/src/yokeline/registry/client.py
@@ -0,0 +1,157 @@
+"""A node's dealings with the key-value service: its watches, and its few writes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from yokeline.effects import Effect, Event, HttpFailed, HttpResponse, LogRecord
+from yokeline.identifiers import RequestId
+from yokeline.registry.protocol import StoredItem, StoreProtocol, StoreRefused, Written
+from yokeline.registry.watch import PrefixWatch
+
+WRITE_RETRY_SECONDS = 0.4
+LOST_AFTER_FAILURES = 3
+"""Failed calls in a row after which the service counts as lost (for the log)."""
+_CONDITION_FAILED = 412
+
+WriteDone = Callable[[bool], None]
+"""Told whether a conditional write took effect (False: the condition did not hold)."""
+
+
+class _Write(msgspec.Struct, kw_only=True):
+    key: str
+    value: bytes
+    expected: int | None
+    done: WriteDone | None
+    due: float
+    request: RequestId | None = None
+
+
+class RegistryClient:
+    """Follows prefixes and repeats writes until they are known to be done.
+
+    A write without an answer may have been done. It is repeated: unconditional writes of one
+    key always carry the same value, and a conditional one that meets its own value has won.
+    """
+
+    def __init__(
+        self, store: StoreProtocol, prefixes: tuple[str, ...], source: random.Random
+    ) -> None:
+        """Follow ``prefixes``."""
+        self._store = store
+        self._watches = [PrefixWatch(prefix, store, source) for prefix in prefixes]
+        self._writes: dict[str, _Write] = {}
+        self._write_count = 0
+        self._available: bool | None = None
+
+    @property
+    def complete(self) -> bool:
+        """Whether every prefix has been read whole."""
+        return all(watch.complete for watch in self._watches)
+
+    def heard_at(self) -> float:
+        """Return when the least fresh of the watches was last confirmed (monotonic seconds)."""
+        return min(watch.heard_at for watch in self._watches)
+
+    def items(self, prefix: str) -> dict[str, StoredItem]:
+        """Return the items known below a prefix (one of those followed, or below one)."""
+        return {
+            key: item
+            for watch in self._watches
+            for key, item in watch.items.items()
+            if key.startswith(prefix)
+        }
+
+    def write(
+        self,
+        key: str,
+        value: bytes,
+        now: float,
+        *,
+        expected: int | None = None,
+        done: WriteDone | None = None,
+    ) -> None:
+        """Write an item as soon as the service lets us."""
+        self._writes[key] = _Write(key=key, value=value, expected=expected, done=done, due=now)
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`tick` is due."""
+        dues = [due for watch in self._watches if (due := watch.next_deadline()) is not None]
+        dues.extend(write.due for write in self._writes.values() if write.request is None)
+        return min(dues, default=None)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Return the calls that are due."""
+        calls: list[Effect] = []
+        for watch in self._watches:
+            call = watch.tick(now)
+            if call is not None:
+                calls.append(call)
+        for write in self._writes.values():
+            if write.request is None and now >= write.due:
+                self._write_count += 1
+                write.request = RequestId(f"write/{self._write_count}")
+                calls.append(
+                    self._store.write_call(write.request, write.key, write.value, write.expected)
+                )
+        return calls
+
+    def take(self, event: Event, now: float) -> tuple[bool, list[StoredItem], list[Effect]]:
+        """Take an answer in.
+
+        Returns:
+            Whether the event was ours, the items that changed, and effects (log lines).
+        """
+        if not isinstance(event, HttpResponse | HttpFailed):
+            return False, [], []
+        for watch in self._watches:
+            if watch.owns(event.request):
+                return True, self._take_watch(watch, event, now), self._note_health(watch, now)
+        for write in self._writes.values():
+            if write.request == event.request:
+                self._take_write(write, event, now)
+                return True, [], []
+        return False, [], []
+
+    def _take_watch(
+        self, watch: PrefixWatch, event: HttpResponse | HttpFailed, now: float
+    ) -> list[StoredItem]:
+        if isinstance(event, HttpFailed):
+            watch.on_failure(event, now)
+            return []
+        return watch.on_response(event, now)
+
+    def _note_health(self, watch: PrefixWatch, now: float) -> list[Effect]:
+        available = watch.failures < LOST_AFTER_FAILURES
+        if available == self._available or (not available and self._available is None):
+            return []
+        self._available = available
+        event = "dependency_regained" if available else "dependency_lost"
+        fields: dict[str, str | int | float | bool | None] = {
+            "dependency": "key_value_service",
+            "prefix": watch.prefix,
+            "revision": watch.revision,
+            "silent_seconds": round(now - watch.heard_at, 3) if watch.complete else None,
+        }
+        return [LogRecord(event=event, fields=fields, level="info" if available else "warning")]
+
+    def _take_write(self, write: _Write, event: HttpResponse | HttpFailed, now: float) -> None:
+        write.request = None
+        write.due = now + WRITE_RETRY_SECONDS
+        if isinstance(event, HttpFailed):
+            return
+        answer = self._store.read_answer(event)
+        if isinstance(answer, Written):
+            self._finish(write, True)
+        elif isinstance(answer, StoreRefused) and answer.status == _CONDITION_FAILED:
+            current = [item.value for item in answer.items if item.key == write.key]
+            self._finish(write, write.value in current)
+
+    def _finish(self, write: _Write, took_effect: bool) -> None:
+        if self._writes.get(write.key) is write:
+            del self._writes[write.key]
+        if write.done is not None:
+            write.done(took_effect)
--- /dev/null
+++ b/src/yokeline/registry/nodes.py
@@ -0,0 +1,60 @@
+"""Nodes as they register themselves in the key-value service."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.effects import Address
+from yokeline.errors import ErrorKind, YokelineError
+from yokeline.identifiers import NodeName, ReplicaId
+
+NODE_PREFIX = "yokeline/nodes/"
+FOUNDER_KEY = "yokeline/ledger/founder"
+
+
+class NodeRole(enum.Enum):
+    """What a node does."""
+
+    EDGE = "edge"
+    STORAGE = "storage"
+
+
+class NodeRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a node listens for other nodes.
+
+    Attributes:
+        replica: Its process start, or (storage) its disk.
+    """
+
+    name: NodeName
+    role: NodeRole
+    replica: ReplicaId
+    address: Address
+    zone: str = ""
+
+
+def node_key(name: NodeName) -> str:
+    """Return the key of a node's record."""
+    return NODE_PREFIX + name
+
+
+def encode_node(record: NodeRecord) -> bytes:
+    """Return a record's document."""
+    return msgspec.json.encode(record)
+
+
+def decode_node(value: bytes) -> Result[NodeRecord, YokelineError]:
+    """Return the record in a document."""
+    try:
+        return Success(msgspec.json.decode(value, type=NodeRecord))
+    except msgspec.DecodeError as error:
+        return Failure(
+            YokelineError(
+                kind=ErrorKind.BAD_REQUEST,
+                message=f"a node's record cannot be read: {error}",
+                remedy="run the same release of yokeline on all nodes",
+            )
+        )
--- /dev/null
+++ b/src/yokeline/registry/watch.py
@@ -0,0 +1,155 @@
+"""Follows the items below a prefix: list once, then watch; list again when history is lost."""
+
+from __future__ import annotations
+
+import enum
+import random
+
+from yokeline.effects import HttpFailed, HttpRequest, HttpResponse
+from yokeline.identifiers import RequestId
+from yokeline.registry.protocol import (
+    HistoryLost,
+    Page,
+    StoredItem,
+    StoreProtocol,
+    WatchEvents,
+)
+
+WATCH_SECONDS = 4.0
+"""Longest wait of one call. A call whose answer a cut has swallowed is noticed this late."""
+RETRY_SECONDS = 0.15
+MAX_RETRY_SECONDS = 0.8
+
+
+class WatchPhase(enum.Enum):
+    """What the next call asks for."""
+
+    LISTING = "listing"
+    WATCHING = "watching"
+
+
+class PrefixWatch:
+    """One prefix; a pure state machine.
+
+    Attributes:
+        items: The items by key, as far as known.
+        complete: A whole list has been read at least once.
+        heard_at: When the service last answered (monotonic seconds).
+        failures: Calls in a row without a useful answer.
+    """
+
+    def __init__(self, prefix: str, store: StoreProtocol, source: random.Random) -> None:
+        """Begin by listing."""
+        self.prefix = prefix
+        self.items: dict[str, StoredItem] = {}
+        self.complete = False
+        self.heard_at = float("-inf")
+        self.failures = 0
+        self._store = store
+        self._random = source
+        self._phase = WatchPhase.LISTING
+        self._revision = 0
+        self._listed: dict[str, StoredItem] = {}
+        self._list_revision: int | None = None
+        self._after_key = ""
+        self._pending: RequestId | None = None
+        self._next_call_at = 0.0
+        self._calls = 0
+
+    @property
+    def revision(self) -> int:
+        """Revision up to which everything is known."""
+        return self._revision
+
+    def next_deadline(self) -> float | None:
+        """Return when the next call is due; None while one is under way."""
+        return None if self._pending is not None else self._next_call_at
+
+    def tick(self, now: float) -> HttpRequest | None:
+        """Return the next call if it is due."""
+        if self._pending is not None or now < self._next_call_at:
+            return None
+        self._calls += 1
+        self._pending = RequestId(f"watch/{self.prefix}/{self._calls}")
+        if self._phase is WatchPhase.LISTING:
+            return self._store.list_call(self._pending, self.prefix, self._after_key)
+        return self._store.watch_call(self._pending, self.prefix, self._revision, WATCH_SECONDS)
+
+    def owns(self, request: RequestId) -> bool:
+        """Return whether an answer belongs to the call under way."""
+        return request == self._pending
+
+    def on_response(self, response: HttpResponse, now: float) -> list[StoredItem]:
+        """Take an answer in; return the items that changed, in order."""
+        self._pending = None
+        answer = self._store.read_answer(response)
+        if isinstance(answer, Page) and self._phase is WatchPhase.LISTING:
+            self._answered(now)
+            return self._take_page(answer)
+        if isinstance(answer, WatchEvents) and self._phase is WatchPhase.WATCHING:
+            self._answered(now)
+            return self._take_events(answer)
+        if isinstance(answer, HistoryLost):
+            self._transition_to_listing()
+            self._next_call_at = now
+            return []
+        self._back_off(now)
+        return []
+
+    def on_failure(self, failure: HttpFailed, now: float) -> None:
+        """Note that a call got no answer, and call again soon."""
+        self._pending = None
+        self._back_off(now)
+
+    def _answered(self, now: float) -> None:
+        self.heard_at = now
+        self.failures = 0
+        self._next_call_at = now
+
+    def _back_off(self, now: float) -> None:
+        self.failures += 1
+        pause = min(RETRY_SECONDS * 2 ** (self.failures - 1), MAX_RETRY_SECONDS)
+        self._next_call_at = now + pause * (0.5 + 0.5 * self._random.random())
+
+    def _transition_to_listing(self) -> None:
+        self._phase = WatchPhase.LISTING
+        self._listed = {}
+        self._list_revision = None
+        self._after_key = ""
+
+    def _take_page(self, page: Page) -> list[StoredItem]:
+        """Collect a page; the first one says from where to watch, since pages are no snapshot."""
+        if self._list_revision is None:
+            self._list_revision = page.revision
+        for item in page.items:
+            self._listed[item.key] = item
+        if page.more and page.items:
+            self._after_key = page.items[-1].key
+            return []
+        return self._finish_list()
+
+    def _finish_list(self) -> list[StoredItem]:
+        assert self._list_revision is not None
+        revision = self._list_revision
+        gone = [key for key in self.items if key not in self._listed]
+        changed = [StoredItem(key, None, revision) for key in sorted(gone)]
+        changed.extend(self._listed[key] for key in sorted(self._listed))
+        self._phase = WatchPhase.WATCHING
+        self._revision = max(self._revision, revision)
+        self._listed = {}
+        self.complete = True
+        return [item for item in changed if self._apply(item)]
+
+    def _take_events(self, events: WatchEvents) -> list[StoredItem]:
+        self._revision = max(self._revision, events.revision)
+        return [item for item in events.events if self._apply(item)]
+
+    def _apply(self, item: StoredItem) -> bool:
+        """Take a change in, unless a later one is known; return whether it is news."""
+        known = self.items.get(item.key)
+        if known is not None and known.revision >= item.revision and item.value is not None:
+            return False
+        if item.value is None:
+            return self.items.pop(item.key, None) is not None
+        self.items[item.key] = item
+        return True
--- /dev/null
+++ b/src/yokeline/role_settings.py
@@ -0,0 +1,80 @@
+"""Settings of a node that runs one role (``edge`` or ``storage``), from a TOML file."""
+
+from __future__ import annotations
+
+import tomllib
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.effects import Address
+from yokeline.errors import ErrorKind, YokelineError
+from yokeline.identifiers import NodeName
+
+
+class RoleSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node learns before it starts; unknown fields are skipped.
+
+    Attributes:
+        name: Name of the node; survives restarts.
+        host: IP number that the node listens on.
+        zone: Where it stands.
+        first_start: The whole system starts for the first time.
+        peer_port: Port for other nodes (TCP and UDP).
+        metrics_port: Port for metrics; 0 for none.
+        store: ``HOST:PORT`` of the key-value service.
+        data_folder: Folder on the disk (storage).
+        front: ``HOST:PORT`` for callers (edge).
+        ready: ``HOST:PORT`` where readiness is asked for (edge).
+        grace_seconds: Time between a stop's announcement and its end by force.
+        max_descriptors: File descriptors that the process may use.
+        log_level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+
+    name: NodeName
+    host: str
+    store: str
+    peer_port: int
+    zone: str = ""
+    first_start: bool = False
+    metrics_port: int = 0
+    data_folder: str = ""
+    front: str = ""
+    ready: str = ""
+    grace_seconds: float = 8.0
+    max_descriptors: int = 4096
+    log_level: str = "info"
+
+    @property
+    def peer_address(self) -> Address:
+        """Where the node listens for other nodes."""
+        return Address(self.host, self.peer_port)
+
+
+def read_role_settings(path: str) -> Result[RoleSettings, YokelineError]:
+    """Return the settings in a file; a failure names the field and the remedy."""
+    try:
+        with open(path, "rb") as file:
+            fields = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        return Failure(_bad_setting(f"the settings file {path} cannot be read: {error}"))
+    try:
+        return Success(msgspec.convert(fields, RoleSettings))
+    except msgspec.ValidationError as error:
+        return Failure(_bad_setting(f"the settings file {path}: {error}"))
+
+
+def parse_address(text: str, field: str) -> Result[Address, YokelineError]:
+    """Return the address in ``HOST:PORT``."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        return Failure(_bad_setting(f"{field} is {text!r}, not HOST:PORT"))
+    return Success(Address(host, int(port)))
+
+
+def _bad_setting(message: str) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.BAD_SETTING,
+        message=message,
+        remedy="correct the field as docs/CONFIGURATION.md says",
+    )
--- /dev/null
+++ b/src/yokeline/roles.py
@@ -0,0 +1,269 @@
+"""Puts the cores of a role together and runs them as a process."""
+
+from __future__ import annotations
+
+import random
+import resource
+import secrets
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from yokeline.effects import Address, Service
+from yokeline.errors import EXIT_USAGE, ErrorKind, YokelineError
+from yokeline.forwarding.dialect import Dialect
+from yokeline.identifiers import new_replica_id
+from yokeline.ledger.codec import LedgerCodec
+from yokeline.logs import set_up_logs
+from yokeline.node.limits import ClientLimits, PeerLimits, ServerLimits, TransportLimits
+from yokeline.node.process import ServiceBinding, run_services
+from yokeline.node.sockets import OpenSockets
+from yokeline.registry.client import RegistryClient
+from yokeline.registry.formats import DeploymentFormats
+from yokeline.registry.nodes import NODE_PREFIX, NodeRecord, NodeRole
+from yokeline.registry.protocol import StoreProtocol
+from yokeline.role_settings import RoleSettings, parse_address
+from yokeline.status_service import StatusService
+
+SEED_BITS = 128
+_DESCRIPTORS_FOR_CALLERS = 0.6
+
+BoundServices = list[tuple[Service, ServiceBinding, OpenSockets | None]]
+
+
+class Adapter(msgspec.Struct, frozen=True, kw_only=True):
+    """What a deployment spells in its own way."""
+
+    store: Callable[[Address], StoreProtocol]
+    formats: DeploymentFormats
+    dialect: Dialect
+
+
+def run_role(role: str, settings: RoleSettings, adapter: Adapter) -> int:
+    """Run a node until it is stopped; return the exit code."""
+    set_up_logs(settings.log_level, stream=sys.stdout)
+    builders = {"edge": _edge_services, "storage": _storage_services}
+    builder = builders.get(role)
+    if builder is None:
+        print(f"bad_setting: no role {role!r}; use edge or storage", file=sys.stderr)
+        return EXIT_USAGE
+    built = builder(settings, adapter)
+    if isinstance(built, Failure):
+        print(built.failure().line(), file=sys.stderr)
+        return EXIT_USAGE
+    _log_start(role, settings)
+    return run_services(built.unwrap())
+
+
+def _edge_services(
+    settings: RoleSettings, adapter: Adapter
+) -> Result[BoundServices, YokelineError]:
+    # Imported here, as the storage part below: a role loads only what it needs.
+    from yokeline.forwarding.edge_node import EdgeNode
+    from yokeline.forwarding.engines import EngineBook
+    from yokeline.forwarding.forwarder import Forwarder
+    from yokeline.forwarding.metrics import edge_figures
+    from yokeline.ledger.client import LedgerClient
+
+    front = parse_address(settings.front, "front")
+    ready = parse_address(settings.ready, "ready")
+    if isinstance(front, Failure):
+        return front
+    if isinstance(ready, Failure):
+        return ready
+    source = random.Random(secrets.randbits(SEED_BITS))
+    registry = _registry(
+        settings,
+        adapter,
+        (adapter.formats.configuration_key, adapter.formats.engine_prefix, NODE_PREFIX),
+        source,
+    )
+    if isinstance(registry, Failure):
+        return registry
+    now = time.monotonic()
+    record = NodeRecord(
+        name=settings.name,
+        role=NodeRole.EDGE,
+        replica=new_replica_id(settings.name, source),
+        address=settings.peer_address,
+        zone=settings.zone,
+    )
+    engines = EngineBook()
+    ledger = LedgerClient(settings.peer_address)
+    forwarder = Forwarder(
+        zone=settings.zone, dialect=adapter.dialect, ledger=ledger, engines=engines
+    )
+    node = EdgeNode(
+        record=record,
+        registry=registry.unwrap(),
+        formats=adapter.formats,
+        forwarder=forwarder,
+        engines=engines,
+        ledger=ledger,
+        grace_seconds=settings.grace_seconds,
+        now=now,
+    )
+    binding = ServiceBinding(
+        http=front.unwrap(),
+        peer=settings.peer_address,
+        replica=record.replica,
+        limits=_limits(settings),
+        codec=LedgerCodec(),
+    )
+    status = StatusService(ready=lambda: node.ready, figures=lambda: edge_figures(node))
+    services: BoundServices = [
+        (node, binding, None),
+        (status, ServiceBinding(http=ready.unwrap(), auxiliary=True), None),
+    ]
+    return Success(_with_metrics(services, status, settings))
+
+
+def _storage_services(
+    settings: RoleSettings, adapter: Adapter
+) -> Result[BoundServices, YokelineError]:
+    from yokeline.ledger.disk_records import recover
+    from yokeline.ledger.replica import LOG_FILE, LedgerReplica
+    from yokeline.ledger.storage_node import StorageNode, load_summary
+
+    source = random.Random(secrets.randbits(SEED_BITS))
+    folder = Path(settings.data_folder)
+    data = _read_log(folder, LOG_FILE)
+    if isinstance(data, Failure):
+        return data
+    recovered = recover(data.unwrap())
+    if isinstance(recovered, Failure):
+        return recovered
+    log = recovered.unwrap()
+    cut = _cut_tail(folder / LOG_FILE, log.valid_bytes, len(data.unwrap()))
+    if isinstance(cut, Failure):
+        return cut
+    registry = _registry(
+        settings, adapter, (adapter.formats.retire_prefix, NODE_PREFIX, _FOUNDER_PREFIX), source
+    )
+    if isinstance(registry, Failure):
+        return registry
+    now = time.monotonic()
+    replica_id = log.replica or new_replica_id(settings.name, source)
+    replica = LedgerReplica(
+        replica=replica_id,
+        address=settings.peer_address,
+        recovered=log,
+        source=source,
+        now=now,
+    )
+    record = NodeRecord(
+        name=settings.name,
+        role=NodeRole.STORAGE,
+        replica=replica_id,
+        address=settings.peer_address,
+        zone=settings.zone,
+    )
+    node = StorageNode(
+        record=record,
+        replica=replica,
+        registry=registry.unwrap(),
+        formats=adapter.formats,
+        first_start=settings.first_start,
+        wall=time.time,
+        now=now,
+    )
+    binding = ServiceBinding(
+        peer=settings.peer_address,
+        replica=replica_id,
+        limits=_limits(settings),
+        codec=LedgerCodec(),
+        synced_folder=settings.data_folder,
+    )
+    status = StatusService(ready=lambda: True, figures=lambda: load_summary(node))
+    return Success(_with_metrics([(node, binding, None)], status, settings))
+
+
+_FOUNDER_PREFIX = "yokeline/ledger/"
+
+
+def _registry(
+    settings: RoleSettings, adapter: Adapter, prefixes: tuple[str, ...], source: random.Random
+) -> Result[RegistryClient, YokelineError]:
+    return parse_address(settings.store, "store").map(
+        lambda address: RegistryClient(adapter.store(address), prefixes, source)
+    )
+
+
+def _with_metrics(
+    services: BoundServices, status: StatusService, settings: RoleSettings
+) -> BoundServices:
+    if settings.metrics_port:
+        address = Address(settings.host, settings.metrics_port)
+        services.append((status.twin(), ServiceBinding(http=address, auxiliary=True), None))
+    return services
+
+
+def _limits(settings: RoleSettings) -> TransportLimits:
+    for_callers = int(settings.max_descriptors * _DESCRIPTORS_FOR_CALLERS)
+    return TransportLimits(
+        server=ServerLimits(
+            max_connections=for_callers, silent_seconds=10.0, max_body_bytes=8 * 1024 * 1024
+        ),
+        client=ClientLimits(
+            connect_seconds=0.6,
+            max_connections=max(64, settings.max_descriptors - for_callers - 256),
+            max_connections_per_address=64,
+            idle_seconds=20.0,
+            silent_seconds=3.0,
+        ),
+        peers=PeerLimits(
+            connect_seconds=0.5,
+            max_backoff_seconds=0.3,
+            silent_seconds=1.0,
+            max_queue_seconds=1.0,
+        ),
+    )
+
+
+def _read_log(folder: Path, name: str) -> Result[bytes, YokelineError]:
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / name
+        return Success(path.read_bytes() if path.exists() else b"")
+    except OSError as error:
+        return Failure(_unusable(folder, error))
+
+
+def _cut_tail(path: Path, valid_bytes: int, found_bytes: int) -> Result[None, YokelineError]:
+    """Cut off what a loss of power left half written."""
+    if valid_bytes == found_bytes:
+        return Success(None)
+    try:
+        with open(path, "r+b") as file:
+            file.truncate(valid_bytes)
+    except OSError as error:
+        return Failure(_unusable(path, error))
+    return Success(None)
+
+
+def _unusable(path: Path, error: OSError) -> YokelineError:
+    return YokelineError(
+        kind=ErrorKind.BAD_SETTING,
+        message=f"{path} cannot be used: {error.strerror or error}",
+        remedy="set data_folder to a folder on a disk that this process may write",
+    )
+
+
+def _log_start(role: str, settings: RoleSettings) -> None:
+    import absl.logging
+
+    absl.logging.info(
+        {
+            "event": "started",
+            "role": role,
+            "node": settings.name,
+            "zone": settings.zone,
+            "first_start": settings.first_start,
+            "memory_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
+            "processor_seconds": round(time.process_time(), 3),
+        }
+    )
