--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -325,6 +325,10 @@
     idle_seconds: float
 
 
+class StopListening(msgspec.Struct, frozen=True):
+    """Take no more connections of callers; those that are open go on."""
+
+
 class Exit(msgspec.Struct, frozen=True):
     """End the process with this exit code: a planned stop is complete."""
 
@@ -345,6 +349,7 @@
     | SyncFile
     | LogRecord
     | SetServerLimits
+    | StopListening
     | Exit
 )
 
--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -10,16 +10,19 @@
 
 READ_TOKENS_PER_SECOND = 270_000.0
 """Pace at which an engine reads a prompt that it has not cached."""
-SHARED_STEP_SECONDS = 0.0021
-"""Time that each other running request adds to a turn."""
+SHARED_STEP_SECONDS = 0.008
+"""Time that each other running request adds to a turn (its step, and its context)."""
 FULL_TURN_SECONDS = 0.35
 """Time until a place comes free at an engine whose places are all taken, times its places."""
 OTHER_ZONE_SECONDS = 0.002
 SUSPECT_SECONDS = 0.5
 """Cost of an engine that failed a moment ago."""
-MODEL_HEADROOM = 1.25
+MODEL_HEADROOM = 1.0
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
+NEW_PROGRAM_HEADROOM = 0.6
+"""The same for first turns: the more requests run, the slower each, and a program that begins
+where all are slow ends late and makes the others late."""
 AFFINITY_SECONDS = 0.02
 """Gain of the engine that saw a request's subject last."""
 
@@ -47,6 +50,7 @@
         zone: Of this node.
         excluded: Engines that have had this request.
         affine: The engine that saw the subject last; empty for none.
+        is_new_program: It is the first turn of a program.
     """
 
     call: Call
@@ -54,6 +58,7 @@
     zone: str
     excluded: frozenset[str] = frozenset()
     affine: str = ""
+    is_new_program: bool = False
 
 
 def choose(
@@ -65,7 +70,7 @@
     for state in engines:
         if state.engine.engine_id in inputs.excluded or now < state.full_until:
             continue
-        if state.load >= room(state, inputs.traits):
+        if state.load >= room(state, inputs):
             continue
         choice = _estimate(state, beliefs, inputs, usual_pace, now)
         if best is None or choice.cost < best.cost:
@@ -73,9 +78,11 @@
     return best
 
 
-def room(state: EngineState, traits: ModelTraits | None) -> int:
-    """Return how many requests an engine may have under way."""
-    headroom = APP_HEADROOM if traits is None else MODEL_HEADROOM
+def room(state: EngineState, inputs: ChoiceInputs) -> int:
+    """Return how many requests an engine may have under way for this one to be added."""
+    headroom = APP_HEADROOM
+    if inputs.traits is not None:
+        headroom = NEW_PROGRAM_HEADROOM if inputs.is_new_program else MODEL_HEADROOM
     return max(1, int(state.engine.slots * headroom))
 
 
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -20,6 +20,7 @@
     ReloadRequested,
     SendDatagram,
     SetServerLimits,
+    StopListening,
     StopRequested,
 )
 from yokeline.forwarding.engines import EngineBook
@@ -47,6 +48,11 @@
 """Time after a stop was asked for, until the entry sends no new connections here."""
 QUIET_SECONDS = 0.6
 """A stop is complete when nothing was under way for this long."""
+REFUSING_QUIET_SECONDS = 0.15
+"""The same once nothing new is taken."""
+REFUSING_SHARE = 0.5
+"""Share of the time for a stop after which nothing new is taken: an entry that has too few
+nodes goes on sending connections to this one, and what runs must still end."""
 LIMIT_MARGIN_SECONDS = 0.5
 """What is left of the time for a stop when the process ends in any case."""
 
@@ -262,10 +268,15 @@
         self.forwarder.closing = elapsed >= CLOSING_AFTER_SECONDS
         if self.forwarder.under_way or self.ledger.under_way:
             self._busy_at = now
-        is_quiet = self.forwarder.closing and now - self._busy_at >= QUIET_SECONDS
+        effects: list[Effect] = []
+        if elapsed >= self._grace_seconds * REFUSING_SHARE and not self.forwarder.refusing:
+            self.forwarder.refusing = True
+            effects.append(StopListening())
+        wanted_quiet = REFUSING_QUIET_SECONDS if self.forwarder.refusing else QUIET_SECONDS
+        is_quiet = self.forwarder.closing and now - self._busy_at >= wanted_quiet
         is_late = elapsed >= self._grace_seconds - LIMIT_MARGIN_SECONDS
         if not is_quiet and not is_late:
-            return []
+            return effects
         fields: dict[str, str | int | float | bool | None] = {
             "node": self._record.name,
             "under_way": self.forwarder.under_way,
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -118,9 +118,9 @@
     def take_report(self, report: LoadReport, now: float) -> None:
         """Note another node's load, unless a later report came before."""
         known = self._reports.get(report.node)
-        if known is not None and known[1].sequence >= report.sequence:
-            if now - known[0] <= REPORT_FRESH_SECONDS:
-                return
+        is_older = known is not None and known[1].sequence >= report.sequence
+        if known is not None and is_older and now - known[0] <= REPORT_FRESH_SECONDS:
+            return
         self._reports[report.node] = (now, report)
         self._sum_reports(now)
 
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -58,6 +58,7 @@
 """Share of the target latency for which a request waits for an engine with room."""
 BEGUN_WAIT_SHARE = 1.0
 """The same for a turn of a program that has begun."""
+ENGINE_PRIORITY = 5
 MAX_REJECTIONS = 4
 MAX_RUNS = 3
 """Engines that a repeatable request may run on, one after the other has ended."""
@@ -68,6 +69,9 @@
 """Repeated sends per first send that the retry budget allows."""
 RETRY_RESERVE = 10.0
 MAX_AFFINITIES = 4096
+HOPELESS_SHARE = 0.6
+"""A turn is not begun with less than this share of an average turn's time left."""
+TURN_WEIGHT = 0.05
 
 OK = 200
 BAD_REQUEST = 400
@@ -89,6 +93,7 @@
     Attributes:
         table: The configuration in force; None before the first one.
         closing: Answers ask the caller to close its connection.
+        refusing: Nothing new is taken, since the process ends soon.
         counters: Requests by outcome, and other counts, by name.
     """
 
@@ -98,6 +103,7 @@
         """Serve in a zone."""
         self.table: RoutingTable | None = None
         self.closing = False
+        self.refusing = False
         self.counters: Counter[str] = Counter()
         self.beliefs = PrefixBeliefs()
         self._zone = zone
@@ -113,6 +119,7 @@
         self._timers = TimerQueue()
         self._numbers = itertools.count(1)
         self._retries_left = RETRY_RESERVE
+        self._turn_seconds: dict[str, float] = {}
         self._effects: list[Effect] = []
         self._now = 0.0
 
@@ -178,6 +185,9 @@
         if table is None:
             self._refuse_unparsed(event, UNAVAILABLE, "no_configuration", retry_after=0.3)
             return
+        if self.refusing:
+            self._refuse_unparsed(event, UNAVAILABLE, "stopping", retry_after=0.0)
+            return
         route = table.find(_host_of(event), event.path)
         if route is None:
             self._refuse_unparsed(event, NOT_FOUND, "no_route", version=table.version)
@@ -361,15 +371,25 @@
         if queue is None or not len(queue):
             return
         for exchange in queue.in_order():
+            if self._is_hopeless(exchange):
+                queue.remove(exchange)
+                self._give_up_waiting(exchange)
+                continue
             choice = self._choose(exchange)
             if choice is None and exchange.tried:
                 exchange.tried.clear()
                 choice = self._choose(exchange)
             if choice is None:
-                return
+                continue
             queue.remove(exchange)
             self._send(exchange, choice)
 
+    def _is_hopeless(self, exchange: Exchange) -> bool:
+        """Return whether a turn cannot end before its deadline; its work would be wasted."""
+        if exchange.route.kind is not RouteKind.STREAMING or exchange.events:
+            return False
+        return exchange.due - self._now < HOPELESS_SHARE * self._turn_seconds.get(exchange.pool, 0)
+
     def _choose(self, exchange: Exchange) -> Choice | None:
         affinity = (exchange.pool, exchange.call.affinity_key)
         inputs = ChoiceInputs(
@@ -378,10 +398,15 @@
             zone=self._zone,
             excluded=frozenset(exchange.tried),
             affine=self._affinities.get(affinity, "") if exchange.call.affinity_key else "",
+            is_new_program=self._is_new_program(exchange),
         )
         engines = self._engines.in_pool(exchange.pool)
         return choose(engines, self.beliefs, inputs, self._now)
 
+    def _is_new_program(self, exchange: Exchange) -> bool:
+        """Return whether nothing would be lost if this request's program did not begin."""
+        return bool(exchange.call.program) and not exchange.begun and not exchange.events
+
     def _pool(self, exchange: Exchange) -> Pool:
         assert self.table is not None
         pool = self.table.pools.get(exchange.pool)
@@ -461,10 +486,8 @@
         return exchange.kept_event_id if exchange.route.retain else exchange.last_event_id
 
     def _engine_priority(self, exchange: Exchange) -> int:
-        rank = 1 + 3 * exchange.route.priority
-        if not exchange.begun:
-            rank += 1
-        return max(0, min(9, rank - (1 if exchange.events else 0)))
+        """Return one priority for all: a more urgent request would displace one that runs."""
+        return ENGINE_PRIORITY
 
     def _note_affinity(self, pool: str, key: str, engine_id: str) -> None:
         self._affinities[(pool, key)] = engine_id
@@ -586,9 +609,9 @@
         self._schedule(exchange, due, self._check_silence)
 
     def _check_silence(self, exchange: Exchange) -> None:
-        if exchange.phase is Phase.STREAMING and exchange.request is not None:
-            if self._now - exchange.item_at >= EVENT_SECONDS:
-                self._cancel_and_repeat(exchange, "silent engine")
+        at_engine = exchange.phase is Phase.STREAMING and exchange.request is not None
+        if at_engine and self._now - exchange.item_at >= EVENT_SECONDS:
+            self._cancel_and_repeat(exchange, "silent engine")
         if exchange.phase in (Phase.STREAMING, Phase.WAITING, Phase.SENT):
             self._watch_silence(exchange)
 
@@ -600,6 +623,7 @@
             state.note_success()
         if exchange.phase is Phase.SENT:
             self._start_stream(exchange)
+        self._note_turn(exchange)
         tokens = self._tokens_of(exchange)
         if not exchange.route.retain:
             self._settle(exchange, tokens)
@@ -614,6 +638,14 @@
         )
         self._settle(exchange, tokens, turn)
 
+    def _note_turn(self, exchange: Exchange) -> None:
+        """Take the time of a whole turn at its engine into the pool's average."""
+        if exchange.sends > 1:
+            return
+        seconds = self._now - exchange.sent_at
+        average = self._turn_seconds.setdefault(exchange.pool, seconds)
+        self._turn_seconds[exchange.pool] = average + TURN_WEIGHT * (seconds - average)
+
     def _kept(self, exchange: Exchange, result: OperationResult | None) -> None:
         if exchange.phase is not Phase.KEEPING:
             return
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -104,7 +104,7 @@
     limits: CallerLimits = CallerLimits()
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route of ``host`` with the longest prefix of ``path``; None if there is none."""
+        """Return the route of ``host`` with the longest prefix of ``path``, if there is one."""
         best: Route | None = None
         for route in self.routes:
             if route.host != host or not path.startswith(route.path_prefix):
--- a/src/yokeline/forwarding/waiting.py
+++ b/src/yokeline/forwarding/waiting.py
@@ -7,19 +7,22 @@
 MAX_WAITING = 512
 """Requests of one pool that may wait at a node; beyond it the least urgent is refused."""
 
-OrderKey = tuple[int, int, int, float]
+OrderKey = tuple[int, int, int, int, float]
 
 
 def order_of(exchange: Exchange) -> OrderKey:
     """Return the place of a request in the queue; the least is served first.
 
-    A stream that broke off comes first, since its caller is already reading. Then the
-    operator's priority; then programs that have begun, so that what was spent on them is not
-    lost; then the order of arrival.
+    A stream that broke off comes first, since its caller is already reading; then programs
+    that can still end in time; then those that have begun, so that what was spent on them is
+    not lost; then the operator's priority; then the one that should be over first.
     """
     interrupted = 0 if exchange.events else 1
+    finish = exchange.call.finish
+    late = 0 if finish is None or finish > 0 else 1
     new_program = 0 if exchange.begun else 1
-    return (interrupted, exchange.route.priority, new_program, exchange.started)
+    over_at = exchange.started + (finish or 0.0)
+    return (interrupted, late, new_program, exchange.route.priority, over_at)
 
 
 class WaitingRequests:
--- a/src/yokeline/ledger/disk_records.py
+++ b/src/yokeline/ledger/disk_records.py
@@ -165,6 +165,6 @@
 def _not_understood(offset: int, error: Exception) -> YokelineError:
     return YokelineError(
         kind=ErrorKind.BAD_SETTING,
-        message=f"the replica's log file is damaged or of another release, at byte {offset}: {error}",
-        remedy="start the release that wrote it, or empty the data folder: the node then joins as new",
+        message=f"the replica's log file is not understood at byte {offset}: {error}",
+        remedy="start the release that wrote it, or empty the data folder to join as a new member",
     )
--- a/src/yokeline/node/http_pool.py
+++ b/src/yokeline/node/http_pool.py
@@ -13,7 +13,6 @@
 from yokeline.node.limits import ClientLimits
 from yokeline.node.poller import SocketPoller
 
-
 _KEEP_MARGIN_SECONDS = 0.8
 """A kept connection is closed this much before its server would close it."""
 
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -25,6 +25,7 @@
     HttpStreamEnd,
     HttpStreamStart,
     SetServerLimits,
+    StopListening,
 )
 from yokeline.identifiers import ExchangeId
 from yokeline.node.bridge import Bridge
@@ -64,6 +65,7 @@
         bridge.carry_out_with(HttpStreamData, self._stream_data)
         bridge.carry_out_with(HttpStreamEnd, self._end_stream)
         bridge.carry_out_with(SetServerLimits, self._set_limits)
+        bridge.carry_out_with(StopListening, self._stop_listening)
 
     def open_exchange(self, connection: ServerConnection) -> ExchangeId:
         """Name a new exchange."""
@@ -110,6 +112,9 @@
         if connection is not None:
             connection.end_stream(aborted=effect.aborted)
 
+    def _stop_listening(self, effect: StopListening) -> None:
+        self._listener.close()
+
     def _set_limits(self, effect: SetServerLimits) -> None:
         self.limits = msgspec.structs.replace(
             self.limits,
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -15,8 +15,9 @@
     WatchEvents,
 )
 
-WATCH_SECONDS = 4.0
-"""Longest wait of one call. A call whose answer a cut has swallowed is noticed this late."""
+WATCH_SECONDS = 1.0
+"""Longest wait of one call. The service may lose its history while a call waits, and tells it
+only to the next one; so this bounds how late a change is known."""
 RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.8
 
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -24,7 +24,7 @@
 from yokeline.node.sockets import OpenSockets
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
-from yokeline.registry.nodes import NODE_PREFIX, NodeRecord, NodeRole
+from yokeline.registry.nodes import NodeRecord, NodeRole
 from yokeline.registry.protocol import StoreProtocol
 from yokeline.role_settings import RoleSettings, parse_address
 from yokeline.status_service import StatusService
@@ -79,7 +79,7 @@
     registry = _registry(
         settings,
         adapter,
-        (adapter.formats.configuration_key, adapter.formats.engine_prefix, NODE_PREFIX),
+        ("",),
         source,
     )
     if isinstance(registry, Failure):
@@ -141,9 +141,7 @@
     cut = _cut_tail(folder / LOG_FILE, log.valid_bytes, len(data.unwrap()))
     if isinstance(cut, Failure):
         return cut
-    registry = _registry(
-        settings, adapter, (adapter.formats.retire_prefix, NODE_PREFIX, _FOUNDER_PREFIX), source
-    )
+    registry = _registry(settings, adapter, ("",), source)
     if isinstance(registry, Failure):
         return registry
     now = time.monotonic()
@@ -182,9 +180,6 @@
     return Success(_with_metrics([(node, binding, None)], status, settings))
 
 
-_FOUNDER_PREFIX = "yokeline/ledger/"
-
-
 def _registry(
     settings: RoleSettings, adapter: Adapter, prefixes: tuple[str, ...], source: random.Random
 ) -> Result[RegistryClient, YokelineError]:
