--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -772,7 +772,7 @@
         self._reply_error(
             exchange.exchange, exchange.call.request_id, status, reason, retry_after=retry_after
         )
-        self._end(exchange, "refused", status=status, reason=reason, **fields)
+        self._end(exchange, "refused", level="info", status=status, reason=reason, **fields)
 
     def _refuse_unparsed(
         self,
@@ -824,7 +824,7 @@
     # ------------------------------------------------------------ ends
 
     def _end(
-        self, exchange: Exchange, outcome: str, level: str = "info", **fields: LogField
+        self, exchange: Exchange, outcome: str, *, level: str = "info", **fields: LogField
     ) -> None:
         exchange.phase = Phase.ENDED
         self._exchanges.pop(exchange.exchange, None)
--- a/src/yokeline/node/wire_codec.py
+++ b/src/yokeline/node/wire_codec.py
@@ -57,4 +57,4 @@
     # Imported here: it loads the messages of the whole product, which not every role needs.
     from yokeline.messages.codec import MessageCodec
 
-    return MessageCodec()  # type: ignore[return-value]
+    return MessageCodec()
--- /dev/null
+++ b/tests/unit/ledger/cluster.py
@@ -0,0 +1,391 @@
+"""Storage nodes on a virtual clock: a network that drops, disks that forget what was not synced,
+and a key-value service that may be down."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from yokeline.effects import (
+    Address,
+    Effect,
+    Event,
+    Exit,
+    FileSynced,
+    HttpFailed,
+    HttpRequest,
+    HttpResponse,
+    PeerMessage,
+    SendPeer,
+    SyncFile,
+    Tick,
+)
+from yokeline.identifiers import NodeName, ReplicaId, RequestId, new_replica_id
+from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.disk_records import recover
+from yokeline.ledger.messages import LedgerReply, Operation, OperationResult
+from yokeline.ledger.replica import LedgerReplica
+from yokeline.ledger.storage_node import StorageNode
+from yokeline.platform.documents import PlatformDocuments
+from yokeline.registry.client import RegistryClient
+from yokeline.registry.nodes import NodeRecord, NodeRole
+from yokeline.registry.protocol import (
+    Page,
+    RegistryAnswer,
+    StoredItem,
+    StoreRefused,
+    WatchEvents,
+    Written,
+)
+
+WALL_START = 1_000_000.0
+_EDGE = ReplicaId("edge~1")
+_EDGE_ADDRESS = Address("10.0.9.9", 1)
+
+
+class MemoryStore:
+    """The items of the key-value service, with their changes."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, StoredItem] = {}
+        self.revision = 0
+        self.changes: list[StoredItem] = []
+        self.down = False
+
+    def put(self, key: str, value: bytes | None) -> None:
+        self.revision += 1
+        item = StoredItem(key, value, self.revision)
+        self.changes.append(item)
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+
+
+class StoreView:
+    """One process's calls; a call is spelled as the recipe of its answer."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self._recipes: dict[RequestId, Callable[[], RegistryAnswer | None]] = {}
+
+    def list_call(self, request: RequestId, prefix: str, after_key: str) -> HttpRequest:
+        def answer() -> RegistryAnswer:
+            items = sorted(self._store.items.items())
+            found = [item for key, item in items if key.startswith(prefix)]
+            return Page(tuple(found), False, self._store.revision)
+
+        return self._call(request, answer)
+
+    def watch_call(
+        self, request: RequestId, prefix: str, revision: int, wait: float
+    ) -> HttpRequest:
+        def answer() -> RegistryAnswer | None:
+            found = [
+                item
+                for item in self._store.changes
+                if item.revision > revision and item.key.startswith(prefix)
+            ]
+            return WatchEvents(tuple(found), self._store.revision) if found else None
+
+        return self._call(request, answer, wait)
+
+    def write_call(
+        self, request: RequestId, key: str, value: bytes, expected: int | None
+    ) -> HttpRequest:
+        def answer() -> RegistryAnswer:
+            current = self._store.items.get(key)
+            if expected is not None and expected != (current.revision if current else 0):
+                return StoreRefused(412, (current,) if current else ())
+            self._store.put(key, value)
+            return Written(self._store.revision)
+
+        return self._call(request, answer)
+
+    def read_answer(self, response: HttpResponse) -> RegistryAnswer:
+        answer = self._recipes.pop(response.request)()
+        return answer or WatchEvents((), self._store.revision)
+
+    def waits(self, request: HttpRequest) -> bool:
+        """Return whether a watch has nothing to say yet."""
+        return request.path == "watch" and self._recipes[request.request]() is None
+
+    def _call(
+        self, request: RequestId, answer: Callable[[], RegistryAnswer | None], wait: float = 0.0
+    ) -> HttpRequest:
+        self._recipes[request] = answer
+        path = "watch" if wait else "call"
+        return HttpRequest(
+            request=request, address=Address("s", 1), method="GET", path=path, timeout=wait or 1.0
+        )
+
+
+class Machine:
+    """A storage machine: its disk outlives its processes."""
+
+    def __init__(self, name: str, number: int) -> None:
+        self.name = NodeName(name)
+        self.address = Address(f"10.0.0.{number}", 7380)
+        self.disk = b""
+        self.node: StorageNode | None = None
+        self.frozen = False
+        self.cut = False
+        self.disk_hangs = False
+        self.sync_seconds = 0.001
+        self.started_before = False
+        self.generation = 0
+        self.unsynced: list[SyncFile] = []
+        self.view: StoreView | None = None
+
+    @property
+    def replica(self) -> ReplicaId:
+        assert self.node is not None
+        return self.node.replica.replica
+
+
+class Cluster:
+    """Machines, an asking edge, and the events between them."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.store = MemoryStore()
+        self.machines = [Machine(f"storage-{index}", index) for index in range(count)]
+        self.client = LedgerClient(_EDGE_ADDRESS)
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.frames = 0
+        for machine in self.machines:
+            self.start(machine)
+        self._schedule(0.01, self._drive_client)
+
+    # ------------------------------------------------------------ machines
+
+    def add_machine(self) -> Machine:
+        machine = Machine(f"storage-{len(self.machines)}", len(self.machines))
+        machine.started_before = True
+        self.machines.append(machine)
+        self.start(machine)
+        return machine
+
+    def start(self, machine: Machine) -> None:
+        """Start a process from the machine's disk."""
+        log = recover(machine.disk).unwrap()
+        machine.disk = machine.disk[: log.valid_bytes]
+        machine.generation += 1
+        machine.unsynced = []
+        replica_id = log.replica or new_replica_id(machine.name, self.random)
+        replica = LedgerReplica(
+            replica=replica_id,
+            address=machine.address,
+            recovered=log,
+            source=self.random,
+            now=self.now,
+        )
+        record = NodeRecord(
+            name=machine.name, role=NodeRole.STORAGE, replica=replica_id, address=machine.address
+        )
+        machine.view = StoreView(self.store)
+        machine.node = StorageNode(
+            record=record,
+            replica=replica,
+            registry=RegistryClient(machine.view, ("",), self.random),
+            formats=PlatformDocuments(),
+            first_start=not machine.started_before,
+            wall=lambda: WALL_START + self.now,
+            now=self.now,
+        )
+        machine.started_before = True
+        self._tick_soon(machine, machine.generation)
+
+    def kill(self, machine: Machine) -> None:
+        """End the process; what was written stays."""
+        for effect in machine.unsynced:
+            _write(machine, effect)
+        self._end(machine)
+
+    def power_off(self, machine: Machine) -> None:
+        """End the process; of the writes that were not synced a random part stays, maybe torn."""
+        for effect in machine.unsynced:
+            if effect.replace or self.random.random() < 0.4:
+                break
+            cut = self.random.randint(0, len(effect.data))
+            machine.disk += effect.data[:cut]
+            if cut < len(effect.data):
+                break
+        self._end(machine)
+
+    def wipe(self, machine: Machine) -> None:
+        """Lose the machine's disk with its process."""
+        self._end(machine)
+        machine.disk = b""
+
+    def _end(self, machine: Machine) -> None:
+        machine.node = None
+        machine.generation += 1
+        machine.unsynced = []
+
+    # ------------------------------------------------------------ time
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+    def run_until(self, condition: Callable[[], bool], limit: float) -> bool:
+        """Let time pass until something holds; return whether it did within ``limit``."""
+        end = self.now + limit
+        while not condition():
+            if not self._queue or self._queue[0][0] > end:
+                self.now = end
+                return False
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        return True
+
+    def leader(self) -> Machine | None:
+        """Return the machine whose replica leads in the highest term."""
+        leading = [
+            machine
+            for machine in self.machines
+            if machine.node is not None and machine.node.replica.leads and not machine.frozen
+        ]
+        return max(leading, key=lambda item: item.node.replica.group.term, default=None)
+
+    def members(self) -> set[ReplicaId]:
+        """Return the members that the leader knows."""
+        leader = self.leader()
+        if leader is None or leader.node is None:
+            return set()
+        return set(leader.node.replica.group.members)
+
+    def all_members(self) -> bool:
+        """Return whether every running machine is a member that holds all that is committed."""
+        leader = self.leader()
+        running = {item.replica for item in self.machines if item.node is not None}
+        if leader is None or leader.node is None or self.members() != running:
+            return False
+        group = leader.node.replica.group
+        others = running - {leader.replica}
+        return all(group.has_caught_up(other) for other in others)
+
+    # ------------------------------------------------------------ requests
+
+    def ask(self, operation: Operation, limit: float = 5.0) -> OperationResult | None:
+        """Ask the ledger as an edge does, and wait."""
+        answers: list[OperationResult | None] = []
+
+        def done(result: OperationResult | None) -> list[Effect]:
+            answers.append(result)
+            return []
+
+        self.client.set_storage(
+            {item.replica: item.address for item in self.machines if item.node is not None}
+        )
+        self._carry_out_edge(self.client.ask(operation, done, self.now, self.now + limit))
+        self.run_until(lambda: bool(answers), limit + 1)
+        return answers[0] if answers else None
+
+    def _drive_client(self) -> None:
+        self._carry_out_edge(self.client.tick(self.now))
+        self._schedule(0.01, self._drive_client)
+
+    def _carry_out_edge(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendPeer):
+                self._send(_EDGE, None, effect)
+
+    # ------------------------------------------------------------ events
+
+    def _schedule(self, delay: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (self.now + delay, next(self._order), action))
+
+    def _tick_soon(self, machine: Machine, generation: int) -> None:
+        if machine.generation != generation or machine.node is None:
+            return
+        if not machine.frozen:
+            self._hand(machine, Tick())
+        self._schedule(0.01, lambda: self._tick_soon(machine, generation))
+
+    def _hand(self, machine: Machine, event: Event) -> None:
+        assert machine.node is not None
+        generation = machine.generation
+        for effect in machine.node.handle(event, self.now):
+            self._carry_out(machine, generation, effect)
+
+    def _carry_out(self, machine: Machine, generation: int, effect: Effect) -> None:
+        if isinstance(effect, SendPeer):
+            self._send(machine.replica, machine, effect)
+        elif isinstance(effect, SyncFile):
+            machine.unsynced.append(effect)
+            delay = machine.sync_seconds * (0.5 + self.random.random())
+            self._schedule(delay, lambda: self._sync(machine, generation, effect))
+        elif isinstance(effect, HttpRequest):
+            self._schedule(0.004, lambda: self._answer(machine, generation, effect, self.now))
+        elif isinstance(effect, Exit):
+            self._schedule(0.0, lambda: self._end(machine))
+
+    def _sync(self, machine: Machine, generation: int, effect: SyncFile) -> None:
+        if machine.generation != generation:
+            return
+        if machine.disk_hangs:
+            self._schedule(0.05, lambda: self._sync(machine, generation, effect))
+            return
+        while machine.unsynced and machine.unsynced[0].ticket <= effect.ticket:
+            _write(machine, machine.unsynced.pop(0))
+        self._deliver(machine, generation, FileSynced(effect.ticket))
+
+    def _answer(
+        self, machine: Machine, generation: int, request: HttpRequest, asked_at: float
+    ) -> None:
+        if machine.generation != generation:
+            return
+        if self.store.down or machine.cut:
+            failed = HttpFailed(request=request.request, sent=True, reason="silent")
+            self._schedule(0.5, lambda: self._deliver(machine, generation, failed))
+            return
+        waited = self.now - asked_at
+        assert machine.view is not None
+        if machine.view.waits(request) and waited < request.timeout:
+            self._schedule(0.02, lambda: self._answer(machine, generation, request, asked_at))
+            return
+        self._deliver(machine, generation, HttpResponse(request=request.request, status=200))
+
+    def _deliver(self, machine: Machine, generation: int, event: Event) -> None:
+        if machine.generation != generation or machine.node is None:
+            return
+        if machine.frozen:
+            self._schedule(0.05, lambda: self._deliver(machine, generation, event))
+            return
+        self._hand(machine, event)
+
+    def _send(self, sender: ReplicaId, source: Machine | None, effect: SendPeer) -> None:
+        self.frames += 1
+        delay = 0.0005 + 0.002 * self.random.random()
+        if source is not None and source.cut:
+            return
+        if effect.to == _EDGE:
+            message = effect.message
+            assert isinstance(message, LedgerReply)
+            self._schedule(
+                delay, lambda: self._carry_out_edge(self.client.take_reply(message, self.now))
+            )
+            return
+        for machine in self.machines:
+            if machine.address == effect.address and not machine.cut:
+                event = PeerMessage(sender=sender, message=effect.message)
+                self._schedule(delay, lambda m=machine: self._arrive(m, effect.to, event))
+
+    def _arrive(self, machine: Machine, to: ReplicaId, event: PeerMessage) -> None:
+        if machine.node is None or machine.cut or machine.replica != to:
+            return
+        self._deliver(machine, machine.generation, event)
+
+
+def _write(machine: Machine, effect: SyncFile) -> None:
+    machine.disk = effect.data if effect.replace else machine.disk + effect.data
--- /dev/null
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -0,0 +1,221 @@
+from __future__ import annotations
+
+import json
+import unittest
+
+from tests.unit.ledger.cluster import Cluster, Machine
+from yokeline.ledger.messages import (
+    BudgetSpent,
+    Granted,
+    KeptTurn,
+    NoSuchTurn,
+    Reserve,
+    Settle,
+    Settled,
+)
+
+CATCH_UP_SECONDS = 4.0
+
+
+def turn(name: str, previous: str = "", text: bytes = b"text") -> Settle:
+    kept = KeptTurn(turn_id=name, previous=previous, text=text, retention=60.0)
+    return Settle(request_id=name, turn=kept)
+
+
+def lookup(name: str) -> Reserve:
+    return Reserve(request_id=f"look-{name}", previous=name, missing_from=name)
+
+
+class StorageCase(unittest.TestCase):
+    def cluster(self, count: int = 3, seed: int = 1) -> Cluster:
+        cluster = Cluster(count, seed)
+        whole = cluster.run_until(cluster.all_members, 10.0)
+        self.assertTrue(whole, f"seed {seed}: not all joined")
+        return cluster
+
+    def leader(self, cluster: Cluster) -> Machine:
+        cluster.run_until(lambda: cluster.leader() is not None, 5.0)
+        leader = cluster.leader()
+        assert leader is not None
+        return leader
+
+    def assert_kept(self, cluster: Cluster, *names: str) -> None:
+        for name in names:
+            found = cluster.ask(lookup(name), 10.0)
+            self.assertIsInstance(found, Granted, f"turn {name} is lost")
+
+
+class Founding(StorageCase):
+    def test_one_founder_is_chosen_and_all_join(self) -> None:
+        for seed in range(5):
+            cluster = self.cluster(4, seed)
+            self.assertEqual(len(cluster.members()), 4)
+
+    def test_a_node_that_is_not_of_the_first_start_never_founds(self) -> None:
+        cluster = Cluster(0, 1)
+        machine = cluster.add_machine()
+        cluster.run(5.0)
+        self.assertTrue(machine.node is not None and machine.node.replica.is_empty)
+
+
+class Operations(StorageCase):
+    def test_a_budget_holds_over_reservations_and_settlements(self) -> None:
+        cluster = self.cluster()
+
+        def reserve(name: str) -> object:
+            return cluster.ask(Reserve(request_id=name, program="p", budget=1000, tokens=400))
+
+        self.assertIsInstance(reserve("a"), Granted)
+        self.assertIsInstance(reserve("b"), Granted)
+        self.assertEqual(reserve("c"), BudgetSpent(spent=800))
+        self.assertIsInstance(reserve("a"), Granted)  # repeated, not counted twice
+        self.assertEqual(cluster.ask(Settle(request_id="a", program="p", tokens=100)), Settled())
+        self.assertEqual(reserve("c"), Granted(spent=500))
+
+    def test_a_chain_comes_back_the_oldest_turn_first(self) -> None:
+        cluster = self.cluster()
+        for name, previous in (("t1", ""), ("t2", "t1"), ("t3", "t2")):
+            cluster.ask(turn(name, previous, name.encode()))
+        found = cluster.ask(Reserve(request_id="n", previous="t3", missing_from="t2"))
+        assert isinstance(found, Granted)
+        self.assertEqual([item.text for item in found.turns], [b"t1", b"t2"])
+        self.assertEqual(
+            cluster.ask(Reserve(request_id="m", previous="t9")), NoSuchTurn(turn_id="t9")
+        )
+
+
+class Losses(StorageCase):
+    def test_the_leader_dies_and_another_answers_within_a_second_and_a_half(self) -> None:
+        cluster = self.cluster()
+        cluster.ask(turn("t1"))
+        cluster.kill(self.leader(cluster))
+        before = cluster.now
+        self.assert_kept(cluster, "t1")
+        self.assertLess(cluster.now - before, 1.5)
+
+    def test_all_power_goes_right_after_an_acknowledgement(self) -> None:
+        for seed in range(8):
+            cluster = self.cluster(seed=seed)
+            for machine in cluster.machines:
+                machine.sync_seconds = 0.03
+            for number in range(5):
+                self.assertEqual(cluster.ask(turn(f"t{number}")), Settled())
+            for machine in cluster.machines:
+                cluster.power_off(machine)
+            cluster.run(0.5)
+            for machine in cluster.machines:
+                cluster.start(machine)
+            self.assert_kept(cluster, *(f"t{number}" for number in range(5)))
+
+    def test_one_disk_is_lost_while_all_lose_power(self) -> None:
+        for seed in range(8):
+            cluster = self.cluster(seed=seed)
+            cluster.ask(turn("t1"))
+            victim = cluster.machines[seed % 3]
+            for machine in cluster.machines:
+                cluster.power_off(machine)
+            cluster.wipe(victim)
+            cluster.run(0.5)
+            for machine in cluster.machines:
+                cluster.start(machine)
+            self.assert_kept(cluster, "t1")
+            self.assertTrue(cluster.run_until(cluster.all_members, CATCH_UP_SECONDS))
+
+    def test_disk_after_disk_is_lost_the_leaders_too(self) -> None:
+        cluster = self.cluster()
+        names = []
+        for number in range(6):
+            names.append(f"t{number}")
+            cluster.ask(turn(names[-1]))
+            victim = self.leader(cluster) if number % 2 else cluster.machines[number % 3]
+            cluster.wipe(victim)
+            cluster.run(0.8)
+            cluster.start(victim)
+            self.assertTrue(
+                cluster.run_until(cluster.all_members, CATCH_UP_SECONDS), f"after wipe {number}"
+            )
+        self.assert_kept(cluster, *names)
+
+    def test_of_two_members_the_one_that_is_left_goes_on(self) -> None:
+        cluster = self.cluster(2)
+        cluster.ask(turn("t1"))
+        victim = self.leader(cluster)
+        cluster.wipe(victim)
+        cluster.run(1.0)
+        cluster.start(victim)
+        self.assert_kept(cluster, "t1")
+        self.assertTrue(cluster.run_until(cluster.all_members, CATCH_UP_SECONDS))
+
+    def test_a_disk_that_hangs_makes_its_replica_silent_not_wrong(self) -> None:
+        cluster = self.cluster()
+        leader = self.leader(cluster)
+        leader.disk_hangs = True
+        self.assertEqual(cluster.ask(turn("t1")), Settled())
+        self.assertIsNot(self.leader(cluster), leader)
+        leader.disk_hangs = False
+        self.assertTrue(cluster.run_until(cluster.all_members, CATCH_UP_SECONDS))
+
+    def test_a_cut_leader_acknowledges_nothing(self) -> None:
+        cluster = self.cluster()
+        leader = self.leader(cluster)
+        leader.cut = True
+        self.assertEqual(cluster.ask(turn("t1")), Settled())
+        cluster.run(1.0)
+        leader.cut = False
+        cluster.run(1.0)
+        self.assert_kept(cluster, "t1")
+
+    def test_the_store_is_down_while_a_disk_is_lost(self) -> None:
+        cluster = self.cluster()
+        cluster.ask(turn("t1"))
+        cluster.store.down = True
+        victim = self.leader(cluster)
+        cluster.wipe(victim)
+        cluster.run(0.5)
+        cluster.start(victim)
+        self.assert_kept(cluster, "t1")
+
+
+class Membership(StorageCase):
+    def test_a_machine_that_is_gone_is_replaced_by_one_at_another_address(self) -> None:
+        cluster = self.cluster()
+        cluster.ask(turn("t1"))
+        gone = self.leader(cluster)
+        cluster.wipe(gone)
+        cluster.machines.remove(gone)
+        cluster.run(1.0)
+        cluster.machines.append(gone)  # keeps its number; it never starts again
+        cluster.add_machine()
+        self.assertTrue(cluster.run_until(cluster.all_members, 6.0))
+        self.assert_kept(cluster, "t1")
+
+    def test_a_frozen_machine_of_four_is_replaced_and_comes_back(self) -> None:
+        cluster = self.cluster(4)
+        frozen = cluster.machines[2]
+        frozen.frozen = True
+        cluster.run(4.0)
+        self.assertEqual(len(cluster.members()), 3)
+        frozen.frozen = False
+        self.assertTrue(cluster.run_until(cluster.all_members, CATCH_UP_SECONDS))
+
+    def test_a_retired_machine_is_emptied_before_that_is_reported(self) -> None:
+        for seed in range(4):
+            cluster = self.cluster(seed=seed)
+            cluster.ask(turn("t1"))
+            retired = cluster.machines[seed % 3]
+            key = f"op/retire/{retired.name}"
+            cluster.store.put(key, json.dumps({"duration-s": 8}).encode())
+            status = f"status/retire/{retired.name}"
+
+            def completed(cluster: Cluster = cluster, status: str = status) -> bool:
+                item = cluster.store.items.get(status)
+                return item is not None and b"completed" in (item.value or b"")
+
+            self.assertTrue(cluster.run_until(completed, 6.0), f"seed {seed}")
+            self.assertNotIn(retired.replica, cluster.members())
+            cluster.wipe(retired)
+            others = [machine for machine in cluster.machines if machine is not retired]
+            cluster.wipe(others[0])
+            cluster.run(0.5)
+            cluster.start(others[0])
+            self.assert_kept(cluster, "t1")
--- /dev/null
+++ b/tests/unit/registry/test_watch.py
@@ -0,0 +1,148 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from yokeline.effects import Address, HttpFailed, HttpRequest, HttpResponse
+from yokeline.identifiers import RequestId
+from yokeline.registry.client import RegistryClient
+from yokeline.registry.protocol import (
+    HistoryLost,
+    Page,
+    RegistryAnswer,
+    StoredItem,
+    StoreRefused,
+    WatchEvents,
+    Written,
+)
+from yokeline.registry.watch import PrefixWatch
+
+
+class ScriptedStore:
+    """Names its calls, and answers what the test puts into ``next_answer``."""
+
+    def __init__(self) -> None:
+        self.next_answer: RegistryAnswer = HistoryLost()
+
+    def _call(self, request: RequestId, path: str) -> HttpRequest:
+        return HttpRequest(request=request, address=Address("s", 1), method="GET", path=path)
+
+    def list_call(self, request: RequestId, prefix: str, after_key: str) -> HttpRequest:
+        return self._call(request, f"list {prefix} {after_key}".strip())
+
+    def watch_call(
+        self, request: RequestId, prefix: str, revision: int, wait: float
+    ) -> HttpRequest:
+        return self._call(request, f"watch {prefix} {revision}")
+
+    def write_call(
+        self, request: RequestId, key: str, value: bytes, expected: int | None
+    ) -> HttpRequest:
+        return self._call(request, f"write {key} {expected}")
+
+    def read_answer(self, response: HttpResponse) -> RegistryAnswer:
+        return self.next_answer
+
+
+def item(key: str, revision: int, value: bytes | None = b"v") -> StoredItem:
+    return StoredItem(key, value, revision)
+
+
+class Watches(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = ScriptedStore()
+        self.watch = PrefixWatch("p/", self.store, random.Random(1))
+        self.now = 0.0
+
+    def call(self) -> HttpRequest:
+        due = self.watch.next_deadline()
+        assert due is not None
+        self.now = max(self.now, due)
+        made = self.watch.tick(self.now)
+        assert made is not None
+        return made
+
+    def answer(self, answer: RegistryAnswer) -> list[StoredItem]:
+        made = self.call()
+        self.assertTrue(self.watch.owns(made.request))
+        self.store.next_answer = answer
+        return self.watch.on_response(
+            HttpResponse(request=made.request, status=200), self.now
+        )
+
+    def test_it_lists_all_pages_and_watches_from_the_revision_of_the_first(self) -> None:
+        self.assertEqual(self.answer(Page((item("p/a", 3),), True, 10)), [])
+        self.assertFalse(self.watch.complete)
+        changed = self.answer(Page((item("p/b", 12),), False, 14))
+        self.assertEqual([entry.key for entry in changed], ["p/a", "p/b"])
+        self.assertEqual(self.call().path, "watch p/ 10")
+
+    def test_the_second_page_begins_after_the_last_key(self) -> None:
+        self.answer(Page((item("p/a", 3),), True, 10))
+        self.assertEqual(self.call().path, "list p/ p/a")
+
+    def test_an_event_that_a_page_already_showed_is_no_news(self) -> None:
+        self.answer(Page((item("p/a", 12),), False, 10))
+        self.assertEqual(self.answer(WatchEvents((item("p/a", 12),), 12)), [])
+        later = self.answer(WatchEvents((item("p/a", 13),), 13))
+        self.assertEqual(later, [item("p/a", 13)])
+
+    def test_lost_history_leads_to_a_new_list_that_shows_what_is_gone(self) -> None:
+        self.answer(Page((item("p/a", 3), item("p/b", 4)), False, 10))
+        self.answer(HistoryLost())
+        changed = self.answer(Page((item("p/b", 4), item("p/c", 20)), False, 21))
+        self.assertEqual([(entry.key, entry.value) for entry in changed], [("p/a", None), ("p/c", b"v")])
+        self.assertEqual(self.call().path, "watch p/ 21")
+
+    def test_a_refusal_or_a_silent_service_is_asked_again_later_and_keeps_what_is_known(self) -> None:
+        self.answer(Page((item("p/a", 3),), False, 10))
+        self.answer(StoreRefused(503, ()))
+        made = self.call()
+        self.watch.on_failure(
+            HttpFailed(request=made.request, sent=True, reason="silent"), self.now
+        )
+        self.assertEqual(self.watch.failures, 2)
+        due = self.watch.next_deadline()
+        assert due is not None
+        self.assertGreater(due, self.now)
+        self.assertIn("p/a", self.watch.items)
+        self.assertEqual(self.call().path, "watch p/ 10")
+
+
+class Writes(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = ScriptedStore()
+        self.client = RegistryClient(self.store, (), random.Random(1))
+        self.outcomes: list[bool] = []
+
+    def attempt(self, now: float, answer: RegistryAnswer | None) -> list[str]:
+        calls = [call for call in self.client.tick(now) if isinstance(call, HttpRequest)]
+        for call in calls:
+            if answer is None:
+                event: HttpFailed | HttpResponse = HttpFailed(
+                    request=call.request, sent=True, reason="answer lost"
+                )
+            else:
+                self.store.next_answer = answer
+                event = HttpResponse(request=call.request, status=200)
+            self.client.take(event, now)
+        return [call.path for call in calls]
+
+    def test_a_write_is_repeated_until_it_is_known_to_be_done(self) -> None:
+        self.client.write("k", b"mine", 0.0, done=self.outcomes.append)
+        self.assertEqual(self.attempt(0.0, None), ["write k None"])
+        self.assertEqual(self.attempt(0.1, None), [])
+        self.assertEqual(self.attempt(1.0, Written(5)), ["write k None"])
+        self.assertEqual(self.outcomes, [True])
+        self.assertIsNone(self.client.next_deadline())
+
+    def test_a_condition_that_its_own_lost_write_broke_counts_as_won(self) -> None:
+        self.client.write("k", b"mine", 0.0, expected=0, done=self.outcomes.append)
+        self.attempt(0.0, None)
+        self.attempt(1.0, StoreRefused(412, (item("k", 4, b"mine"),)))
+        self.assertEqual(self.outcomes, [True])
+
+    def test_a_condition_that_another_broke_counts_as_lost(self) -> None:
+        self.client.write("k", b"mine", 0.0, expected=0, done=self.outcomes.append)
+        self.attempt(0.0, StoreRefused(412, (item("k", 4, b"theirs"),)))
+        self.assertEqual(self.outcomes, [False])
