--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -234,6 +234,7 @@
         if now < self._next_report:
             return []
         self._next_report = now + REPORT_SECONDS
+        self._engines.sum_reports(now)
         loads = self._engines.own_loads()
         if not loads and self._reported_idle:
             return []
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -122,9 +122,10 @@
         if known is not None and is_older and now - known[0] <= REPORT_FRESH_SECONDS:
             return
         self._reports[report.node] = (now, report)
-        self._sum_reports(now)
+        self.sum_reports(now)
 
-    def _sum_reports(self, now: float) -> None:
+    def sum_reports(self, now: float) -> None:
+        """Add the other nodes' loads up anew, without reports that are too old."""
         stale = [node for node, (at, _) in self._reports.items() if now - at > REPORT_FRESH_SECONDS]
         for node in stale:
             del self._reports[node]
--- /dev/null
+++ b/tests/unit/forwarding/support.py
@@ -0,0 +1,238 @@
+"""A forwarder with two engines, whose ledger and engines are played by the test."""
+
+from __future__ import annotations
+
+import itertools
+import json
+
+from yokeline.effects import (
+    Address,
+    Effect,
+    HttpArrived,
+    HttpCancel,
+    HttpFailed,
+    HttpReply,
+    HttpRequest,
+    HttpResponse,
+    HttpStreamData,
+    HttpStreamEnd,
+    HttpStreamEnded,
+    HttpStreamItem,
+    HttpStreamStart,
+    SendPeer,
+)
+from yokeline.forwarding.engines import EngineBook
+from yokeline.forwarding.forwarder import Forwarder
+from yokeline.forwarding.model import (
+    Engine,
+    ModelTraits,
+    Pool,
+    PoolWeight,
+    Route,
+    RouteKind,
+    RoutingTable,
+)
+from yokeline.identifiers import ExchangeId, ReplicaId
+from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.messages import (
+    LeaderHint,
+    LedgerReply,
+    LedgerRequest,
+    Operation,
+    OperationResult,
+)
+from yokeline.platform.headers import HeaderDialect
+
+HOST = "a.example"
+STORAGE = LeaderHint(ReplicaId("storage~1"), Address("10.0.0.9", 1))
+NOT_RUN = {"x-yokeline-not-executed": "1"}
+
+
+def route(prefix: str, kind: RouteKind, pool: str, **fields: object) -> Route:
+    values = {"timeout": 3.0, "target_latency": 0.2, "priority": 0, **fields}
+    return Route(
+        name=prefix,
+        host=HOST,
+        path_prefix=prefix,
+        kind=kind,
+        pools=(PoolWeight(pool, 1.0),),
+        **values,  # type: ignore[arg-type]
+    )
+
+
+TABLE = RoutingTable(
+    version=3,
+    routes=(
+        route("/turn/", RouteKind.STREAMING, "models", resumable=True),
+        route("/once/", RouteKind.STREAMING, "models"),
+        route("/kept/", RouteKind.STREAMING, "models", retain=True),
+        route("/look/", RouteKind.IDEMPOTENT, "apps", timeout=1.2, max_attempts=1),
+        route("/fix/", RouteKind.NON_IDEMPOTENT, "apps", timeout=2.0),
+    ),
+    pools={
+        "models": Pool(
+            name="models",
+            max_connections=10,
+            model=ModelTraits(slots=4, memory_tokens=100_000, tokens_per_event=10),
+        ),
+        "apps": Pool(name="apps", max_connections=10),
+    },
+)
+
+
+class Played:
+    """The forwarder under test, and what it has done."""
+
+    def __init__(self, engines_per_pool: int = 2, slots: int = 4) -> None:
+        self.now = 100.0
+        self.ledger = LedgerClient(Address("10.0.0.1", 1))
+        self.ledger.set_storage({STORAGE.replica: STORAGE.address})
+        self.engines = EngineBook()
+        self.forwarder = Forwarder(
+            zone="a", dialect=HeaderDialect(), ledger=self.ledger, engines=self.engines
+        )
+        self.forwarder.table = TABLE
+        for pool in ("models", "apps"):
+            for number in range(engines_per_pool):
+                engine = Engine(
+                    engine_id=f"{pool}-{number}",
+                    pool=pool,
+                    address=Address(f"10.1.0.{number}", 80),
+                    zone="a",
+                    slots=slots,
+                )
+                self.engines.put(engine)
+        self.sent: list[HttpRequest] = []
+        self.cancelled: list[HttpCancel] = []
+        self.replies: list[HttpReply] = []
+        self.stream: list[Effect] = []
+        self.asked: list[tuple[int, Operation]] = []
+        self._numbers = itertools.count(1)
+
+    # ------------------------------------------------------------ callers
+
+    def request(self, path: str, body: bytes = b"", **headers: str) -> str:
+        """Let a request arrive; return its id."""
+        request_id = f"id{next(self._numbers)}"
+        fields = {
+            "host": HOST,
+            "x-yokeline-request-id": request_id,
+            "x-yokeline-deadline-ms": "3000",
+            **{f"x-yokeline-{name.replace('_', '-')}": value for name, value in headers.items()},
+        }
+        event = HttpArrived(
+            exchange=ExchangeId(request_id),
+            method="POST",
+            path=path,
+            target=path,
+            headers=fields,
+            header_items=tuple(fields.items()),
+            body=body,
+        )
+        self.take(self.forwarder.arrived(event, self.now))
+        return request_id
+
+    def turn(self, path: str = "/turn/x", body: bytes = b"", **headers: str) -> str:
+        """Let a turn of a program with a budget arrive."""
+        usual = {"program_id": "p", "token_budget": "1000", "token_usage": "100,50"}
+        return self.request(path, body, **{**usual, **headers})
+
+    def leave(self, request_id: str) -> None:
+        self.take(self.forwarder.caller_gone(ExchangeId(request_id), self.now))
+
+    # ------------------------------------------------------------ ledger
+
+    def operations(self) -> list[Operation]:
+        """Return the operations asked for, repetitions left out."""
+        return [operation for _, operation in self.asked]
+
+    def ledger_answers(self, result: OperationResult) -> None:
+        """Answer the latest operation."""
+        number, _ = self.asked[-1]
+        reply = LedgerReply(number=number, results=(result,), leader=STORAGE)
+        self.take(self.ledger.take_reply(reply, self.now))
+        self.take(self.forwarder.tick(self.now))
+
+    # ------------------------------------------------------------ engines
+
+    def engine_answers(
+        self, status: int = 200, body: bytes = b"ok", index: int = -1, **headers: str
+    ) -> None:
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        response = HttpResponse(
+            request=self.sent[index].request, status=status, headers=named, body=body
+        )
+        self.take(self.forwarder.engine_event(response, self.now))
+
+    def engine_rejects(self) -> None:
+        response = HttpResponse(request=self.sent[-1].request, status=503, headers=NOT_RUN)
+        self.take(self.forwarder.engine_event(response, self.now))
+
+    def engine_begins(self) -> None:
+        self.engine_answers(body=b"", x_yokeline_server_stamp="s")
+
+    def engine_sends(self, *numbers: int) -> None:
+        for number in numbers:
+            data = f"id: {number}\ndata: word{number}\n\n".encode()
+            item = HttpStreamItem(
+                request=self.sent[-1].request, data=data, event_id=str(number)
+            )
+            self.take(self.forwarder.engine_event(item, self.now))
+
+    def engine_ends(self) -> None:
+        ended = HttpStreamEnded(self.sent[-1].request)
+        self.take(self.forwarder.engine_event(ended, self.now))
+
+    def engine_breaks(self, *, sent: bool = True, stale: bool = False) -> None:
+        failed = HttpFailed(
+            request=self.sent[-1].request, sent=sent, reason="reset", stale=stale
+        )
+        self.take(self.forwarder.engine_event(failed, self.now))
+
+    # ------------------------------------------------------------ time and effects
+
+    def wait(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.01)
+            self.take(self.ledger.tick(self.now))
+            self.take(self.forwarder.tick(self.now))
+
+    def take(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, HttpRequest):
+                self.sent.append(effect)
+            elif isinstance(effect, HttpCancel):
+                self.cancelled.append(effect)
+            elif isinstance(effect, HttpReply):
+                self.replies.append(effect)
+            elif isinstance(effect, HttpStreamStart | HttpStreamData | HttpStreamEnd):
+                self.stream.append(effect)
+            elif isinstance(effect, SendPeer):
+                self._note_asked(effect)
+
+    def _note_asked(self, effect: SendPeer) -> None:
+        message = effect.message
+        assert isinstance(message, LedgerRequest)
+        if all(number != message.number for number, _ in self.asked):
+            self.asked.append((message.number, message.operations[0]))
+
+    # ------------------------------------------------------------ what was seen
+
+    def passed_on(self) -> bytes:
+        """Return the bytes of the stream that the caller got."""
+        return b"".join(item.data for item in self.stream if isinstance(item, HttpStreamData))
+
+    def stream_end(self) -> HttpStreamEnd | None:
+        """Return how the stream ended; None if it goes on."""
+        ends = [item for item in self.stream if isinstance(item, HttpStreamEnd)]
+        return ends[0] if ends else None
+
+    def refusal(self) -> dict[str, object]:
+        """Return the document of the last refusal."""
+        document: dict[str, object] = json.loads(self.replies[-1].body)
+        return document
+
+    def engine_of(self, index: int = -1) -> str:
+        """Return the engine that a request was sent to."""
+        return dict(self.sent[index].header_items)["x-yokeline-expect-instance"]
--- /dev/null
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -0,0 +1,348 @@
+from __future__ import annotations
+
+import unittest
+
+from tests.unit.forwarding.support import Played
+from yokeline.effects import HttpStreamStart
+from yokeline.identifiers import NodeName
+from yokeline.ledger.messages import (
+    BudgetSpent,
+    EngineLoad,
+    Granted,
+    KeptTurn,
+    LoadReport,
+    NoSuchTurn,
+    Reserve,
+    Settle,
+    Settled,
+)
+
+
+class AtMostOnce(unittest.TestCase):
+    def test_a_correction_whose_engine_breaks_off_is_never_sent_again(self) -> None:
+        played = Played()
+        played.request("/fix/x", b"body")
+        played.engine_breaks()
+        played.wait(2.5)
+        self.assertEqual(len(played.sent), 1)
+        self.assertEqual([reply.status for reply in played.replies], [502])
+
+    def test_a_correction_that_an_engine_says_it_did_not_run_goes_to_another(self) -> None:
+        played = Played()
+        played.request("/fix/x", b"body")
+        played.engine_rejects()
+        played.wait(0.01)
+        self.assertEqual(len(played.sent), 2)
+        self.assertNotEqual(played.engine_of(0), played.engine_of(1))
+        self.assertEqual(played.sent[1].body, b"body")
+        played.engine_answers()
+        self.assertEqual([reply.status for reply in played.replies], [200])
+
+    def test_a_correction_of_which_no_byte_left_is_sent_again(self) -> None:
+        played = Played()
+        played.request("/fix/x")
+        played.engine_breaks(sent=False)
+        played.wait(0.01)
+        self.assertEqual(len(played.sent), 2)
+
+    def test_a_kept_connection_that_closes_under_a_correction_proves_nothing(self) -> None:
+        played = Played()
+        played.request("/fix/x")
+        played.engine_breaks(stale=True)
+        self.assertEqual((len(played.sent), played.replies[-1].status), (1, 502))
+
+    def test_a_correction_goes_on_when_its_caller_leaves_and_a_look_up_does_not(self) -> None:
+        played = Played()
+        played.leave(played.request("/fix/x"))
+        self.assertEqual(played.cancelled, [])
+        played.leave(played.request("/look/x"))
+        self.assertEqual(len(played.cancelled), 1)
+
+    def test_a_look_up_is_repeated_at_another_engine(self) -> None:
+        played = Played()
+        played.request("/look/x")
+        played.engine_breaks()
+        played.wait(0.01)
+        self.assertNotEqual(played.engine_of(0), played.engine_of(1))
+
+    def test_repeats_end_with_the_retry_budget(self) -> None:
+        played = Played(engines_per_pool=8, slots=100)
+        for _ in range(40):
+            played.request("/look/x")
+            played.engine_breaks()
+            played.wait(0.01)
+            played.engine_breaks()
+            played.wait(0.01)
+        repeats = played.forwarder.counters["repeats"]
+        self.assertLessEqual(repeats, 10 + 0.2 * 40 + 1)
+
+
+class TrueRefusals(unittest.TestCase):
+    def test_a_refusal_says_when_to_come_back_and_nothing_was_sent(self) -> None:
+        played = Played(engines_per_pool=0)
+        played.request("/fix/x")
+        self.assertEqual(played.replies, [])
+        played.wait(0.06)
+        self.assertEqual(played.replies[-1].status, 503)
+        self.assertIn("retry-after", played.replies[-1].headers)
+        self.assertEqual(played.sent, [])
+
+    def test_what_was_sent_is_not_refused_with_a_promise_at_the_time_out(self) -> None:
+        played = Played()
+        played.request("/look/x")
+        played.wait(1.25)
+        self.assertEqual(played.replies[-1].status, 504)
+        self.assertEqual(len(played.cancelled), 1)
+
+    def test_the_routes_time_out_counts_though_the_caller_would_wait_longer(self) -> None:
+        played = Played()
+        played.request("/fix/x")
+        played.wait(1.9)
+        self.assertEqual(played.replies, [])
+        played.wait(0.15)
+        self.assertEqual(played.replies[-1].status, 504)
+
+    def test_unknown_paths_bodies_over_the_limit_and_missing_ids_get_a_clear_answer(self) -> None:
+        played = Played()
+        played.request("/nowhere/x")
+        self.assertEqual(played.replies[-1].status, 404)
+        played.request("/fix/x", request_id="")
+        self.assertEqual(played.replies[-1].status, 400)
+        self.assertEqual(played.sent, [])
+
+    def test_without_a_configuration_nothing_is_denied(self) -> None:
+        played = Played()
+        played.forwarder.table = None
+        played.request("/nowhere/x")
+        self.assertEqual(played.replies[-1].status, 503)
+
+    def test_nothing_new_is_taken_at_the_end_of_a_stop(self) -> None:
+        played = Played()
+        played.forwarder.refusing = True
+        played.request("/fix/x")
+        self.assertEqual((played.replies[-1].status, played.sent), (503, []))
+
+    def test_a_turn_that_cannot_end_in_time_is_refused_at_once(self) -> None:
+        played = Played()
+        played.turn("/turn/x")
+        played.ledger_answers(Granted())
+        played.engine_begins()
+        played.wait(1.0)
+        played.engine_sends(1)
+        played.engine_ends()
+        played.turn("/turn/x", deadline_ms="300")
+        played.ledger_answers(Granted())
+        self.assertEqual((played.replies[-1].status, len(played.sent)), (503, 1))
+
+
+class Budgets(unittest.TestCase):
+    def test_a_turn_is_reserved_before_it_runs_and_settled_by_what_was_handed_over(self) -> None:
+        played = Played()
+        name = played.turn()
+        self.assertEqual(played.sent, [])
+        reserve = played.operations()[0]
+        assert isinstance(reserve, Reserve)
+        self.assertEqual((reserve.program, reserve.budget, reserve.tokens), ("p", 1000, 50))
+        played.ledger_answers(Granted())
+        played.engine_begins()
+        played.engine_sends(1, 2, 3)
+        played.engine_ends()
+        settle = played.operations()[-1]
+        self.assertEqual(settle, Settle(request_id=name, program="p", tokens=30))
+
+    def test_a_spent_budget_is_402_and_nothing_runs(self) -> None:
+        played = Played()
+        played.turn()
+        played.ledger_answers(BudgetSpent(spent=990))
+        self.assertEqual((played.replies[-1].status, played.sent), (402, []))
+
+    def test_without_the_ledger_the_turn_does_not_run_and_its_reservation_is_released(self) -> None:
+        played = Played()
+        name = played.turn()
+        played.wait(1.1)
+        self.assertEqual((played.replies[-1].status, played.sent), (503, []))
+        self.assertEqual(played.operations()[-1], Settle(request_id=name, program="p", tokens=0))
+
+    def test_a_turn_refused_for_want_of_an_engine_does_not_count(self) -> None:
+        played = Played(engines_per_pool=0)
+        name = played.turn()
+        played.ledger_answers(Granted())
+        played.wait(0.3)
+        self.assertEqual(played.replies[-1].status, 503)
+        self.assertEqual(played.operations()[-1], Settle(request_id=name, program="p", tokens=0))
+
+    def test_a_caller_that_leaves_while_the_ledger_is_asked_leaves_nothing_reserved(self) -> None:
+        played = Played()
+        name = played.turn()
+        played.leave(name)
+        self.assertEqual(played.operations()[-1], Settle(request_id=name, program="p", tokens=0))
+
+
+class Streams(unittest.TestCase):
+    def begin(self, path: str = "/turn/x") -> Played:
+        played = Played()
+        played.turn(path)
+        played.ledger_answers(Granted())
+        played.engine_begins()
+        return played
+
+    def test_the_head_waits_for_the_first_event(self) -> None:
+        played = self.begin()
+        self.assertEqual(played.stream, [])
+        played.engine_sends(1)
+        self.assertIsInstance(played.stream[0], HttpStreamStart)
+
+    def test_a_broken_stream_goes_on_at_another_engine_without_a_gap_or_a_double(self) -> None:
+        played = self.begin()
+        played.engine_sends(1, 2)
+        played.engine_breaks()
+        played.wait(0.01)
+        self.assertEqual(dict(played.sent[-1].header_items)["last-event-id"], "2")
+        self.assertNotEqual(played.engine_of(0), played.engine_of(1))
+        played.engine_begins()
+        played.engine_sends(2, 3)
+        played.engine_ends()
+        words = played.passed_on().count
+        self.assertEqual([words(f"word{number}".encode()) for number in (1, 2, 3)], [1, 1, 1])
+        starts = [item for item in played.stream if isinstance(item, HttpStreamStart)]
+        self.assertEqual(len(starts), 1)
+        end = played.stream_end()
+        assert end is not None
+        self.assertFalse(end.aborted)
+
+    def test_a_silent_engine_loses_a_stream_that_may_be_resumed(self) -> None:
+        played = self.begin()
+        played.engine_sends(1)
+        played.wait(1.2)
+        self.assertEqual((len(played.cancelled), len(played.sent)), (1, 2))
+
+    def test_a_stream_that_may_not_be_resumed_is_cut_and_does_not_look_whole(self) -> None:
+        played = self.begin("/once/x")
+        played.engine_sends(1)
+        played.engine_breaks()
+        end = played.stream_end()
+        assert end is not None
+        self.assertTrue(end.aborted)
+        self.assertEqual(len(played.sent), 1)
+
+    def test_a_caller_that_leaves_stops_the_engine(self) -> None:
+        played = Played()
+        name = played.turn()
+        played.ledger_answers(Granted())
+        played.leave(name)
+        self.assertEqual(len(played.cancelled), 1)
+
+
+class KeptTurns(unittest.TestCase):
+    def test_the_engine_gets_the_chain_and_the_end_waits_until_the_turn_is_kept(self) -> None:
+        played = Played()
+        name = played.turn("/kept/x", b"new input", previous_turn="t1")
+        reserve = played.operations()[0]
+        assert isinstance(reserve, Reserve)
+        self.assertEqual((reserve.previous, reserve.missing_from), ("t1", "t1"))
+        first = KeptTurn(turn_id="t1", previous="", text=b"input word\n", retention=60.0)
+        played.ledger_answers(Granted(turns=(first,)))
+        self.assertEqual(played.sent[-1].body, b"input word\nnew input")
+        played.engine_begins()
+        played.engine_sends(1, 2)
+        played.engine_ends()
+        self.assertIsNone(played.stream_end())
+        settle = played.operations()[-1]
+        assert isinstance(settle, Settle)
+        assert settle.turn is not None
+        self.assertEqual((settle.turn.turn_id, settle.turn.previous), (name, "t1"))
+        self.assertEqual(settle.turn.text, b"new inputword1\nword2\n")
+        played.ledger_answers(Settled())
+        end = played.stream_end()
+        assert end is not None
+        self.assertFalse(end.aborted)
+
+    def test_a_chain_that_was_seen_whole_is_not_fetched_again(self) -> None:
+        played = Played()
+        name = played.turn("/kept/x", b"one")
+        played.ledger_answers(Granted())
+        played.engine_begins()
+        played.engine_sends(1)
+        played.engine_ends()
+        played.ledger_answers(Settled())
+        played.turn("/kept/x", b"two", previous_turn=name)
+        reserve = played.operations()[-1]
+        assert isinstance(reserve, Reserve)
+        self.assertEqual(reserve.missing_from, "")
+        played.ledger_answers(Granted())
+        self.assertEqual(played.sent[-1].body, b"oneword1\ntwo")
+
+    def test_a_turn_that_could_not_be_kept_does_not_look_whole(self) -> None:
+        played = Played()
+        played.turn("/kept/x")
+        played.ledger_answers(Granted())
+        played.engine_begins()
+        played.engine_sends(1)
+        played.engine_ends()
+        played.wait(3.1)
+        end = played.stream_end()
+        assert end is not None
+        self.assertTrue(end.aborted)
+
+    def test_an_unknown_turn_is_404_and_an_unsure_one_503(self) -> None:
+        played = Played()
+        played.turn("/kept/x", previous_turn="t9")
+        played.ledger_answers(NoSuchTurn(turn_id="t9"))
+        self.assertEqual(played.replies[-1].status, 404)
+        played.turn("/kept/x", previous_turn="t8")
+        played.wait(1.1)
+        self.assertEqual(played.replies[-1].status, 503)
+
+
+class Admission(unittest.TestCase):
+    def test_first_turns_leave_places_to_programs_that_have_begun(self) -> None:
+        played = Played(engines_per_pool=1, slots=10)
+        for _ in range(12):
+            played.turn()
+            played.ledger_answers(Granted(spent=0))
+        self.assertEqual(len(played.sent), 6)
+        played.turn()
+        played.ledger_answers(Granted(spent=40))
+        self.assertEqual(len(played.sent), 7)
+
+    def test_the_load_of_other_nodes_counts(self) -> None:
+        played = Played(engines_per_pool=1, slots=10)
+        loads = (EngineLoad("models-0", 10, 0),)
+        report = LoadReport(node=NodeName("other"), sequence=1, loads=loads)
+        played.engines.take_report(report, played.now)
+        played.turn()
+        played.ledger_answers(Granted(spent=40))
+        self.assertEqual(played.sent, [])
+        idle = LoadReport(node=NodeName("other"), sequence=2, loads=())
+        played.engines.take_report(idle, played.now)
+        played.wait(0.01)
+        self.assertEqual(len(played.sent), 1)
+
+    def test_the_load_of_a_node_that_fell_silent_counts_no_more(self) -> None:
+        played = Played(engines_per_pool=1, slots=10)
+        loads = (EngineLoad("models-0", 10, 0),)
+        report = LoadReport(node=NodeName("other"), sequence=1, loads=loads)
+        played.engines.take_report(report, played.now)
+        played.engines.sum_reports(played.now + 0.9)
+        state = played.engines.get("models-0")
+        assert state is not None
+        self.assertEqual(state.load, 10)
+        played.engines.sum_reports(played.now + 1.1)
+        self.assertEqual(state.load, 0)
+
+    def test_an_engine_that_drains_gets_nothing_new(self) -> None:
+        played = Played(engines_per_pool=1)
+        state = played.engines.get("apps-0")
+        assert state is not None
+        played.engines.put(
+            type(state.engine)(
+                engine_id="apps-0",
+                pool="apps",
+                address=state.engine.address,
+                zone="a",
+                slots=4,
+                draining=True,
+            )
+        )
+        played.request("/fix/x")
+        self.assertEqual(played.sent, [])
