--- a/src/yokeline/logs.py
+++ b/src/yokeline/logs.py
@@ -11,6 +11,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from yokeline.effects import LogRecord
+from yokeline.log_output import BoundedLogOutput
 
 _LEVELS = {
     "debug": absl.logging.DEBUG,
@@ -49,6 +50,17 @@
     absl.logging.set_verbosity(_LEVELS[level])
 
 
+def set_up_role_logs(level: str) -> BoundedLogOutput:
+    """Send all log lines of a role's process to standard output, bounded and never blocking."""
+    output = BoundedLogOutput(sys.stdout.fileno())
+    root = logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(output)
+    absl.logging.set_verbosity(_LEVELS[level])
+    return output
+
+
 def write_record(record: LogRecord) -> None:
     """Write a :class:`~yokeline.effects.LogRecord` as one line."""
     level = _LEVELS.get(record.level, absl.logging.INFO)
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -7,6 +7,7 @@
 import secrets
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -18,7 +19,7 @@
 from yokeline.forwarding.dialect import Dialect
 from yokeline.identifiers import new_replica_id
 from yokeline.ledger.codec import LedgerCodec
-from yokeline.logs import set_up_logs
+from yokeline.logs import set_up_role_logs
 from yokeline.node.limits import ClientLimits, PeerLimits, ServerLimits, TransportLimits
 from yokeline.node.process import ServiceBinding, run_services
 from yokeline.node.sockets import OpenSockets
@@ -45,13 +46,13 @@
 
 def run_role(role: str, settings: RoleSettings, adapter: Adapter) -> int:
     """Run a node until it is stopped; return the exit code."""
-    set_up_logs(settings.log_level, stream=sys.stdout)
+    logs = set_up_role_logs(settings.log_level)
     builders = {"edge": _edge_services, "storage": _storage_services}
     builder = builders.get(role)
     if builder is None:
         print(f"bad_setting: no role {role!r}; use edge or storage", file=sys.stderr)
         return EXIT_USAGE
-    built = builder(settings, adapter)
+    built = builder(settings, adapter, logs.dropped)
     if isinstance(built, Failure):
         print(built.failure().line(), file=sys.stderr)
         return EXIT_USAGE
@@ -60,7 +61,7 @@
 
 
 def _edge_services(
-    settings: RoleSettings, adapter: Adapter
+    settings: RoleSettings, adapter: Adapter, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     # Imported here, as the storage part below: a role loads only what it needs.
     from yokeline.forwarding.edge_node import EdgeNode
@@ -114,7 +115,10 @@
         limits=_limits(settings),
         codec=LedgerCodec(),
     )
-    status = StatusService(ready=lambda: node.ready, figures=lambda: edge_figures(node))
+    status = StatusService(
+        ready=lambda: node.ready,
+        figures=lambda: {**edge_figures(node), **_dropped_figures(dropped)},
+    )
     services: BoundServices = [
         (node, binding, None),
         (status, ServiceBinding(http=ready.unwrap(), auxiliary=True), None),
@@ -123,7 +127,7 @@
 
 
 def _storage_services(
-    settings: RoleSettings, adapter: Adapter
+    settings: RoleSettings, adapter: Adapter, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     from yokeline.ledger.disk_records import recover
     from yokeline.ledger.replica import LOG_FILE, LedgerReplica
@@ -176,10 +180,20 @@
         codec=LedgerCodec(),
         synced_folder=settings.data_folder,
     )
-    status = StatusService(ready=lambda: True, figures=lambda: load_summary(node))
+    status = StatusService(
+        ready=lambda: True, figures=lambda: {**load_summary(node), **_dropped_figures(dropped)}
+    )
     return Success(_with_metrics([(node, binding, None)], status, settings))
 
 
+def _dropped_figures(dropped: Counter[str]) -> dict[str, float]:
+    """Return the log lines dropped, by event."""
+    return {
+        f'yokeline_log_lines_dropped_total{{event="{event}"}}': float(count)
+        for event, count in sorted(dropped.items())
+    }
+
+
 def _registry(
     settings: RoleSettings, adapter: Adapter, prefixes: tuple[str, ...], source: random.Random
 ) -> Result[RegistryClient, YokelineError]:
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -174,9 +174,7 @@
     def engine_sends(self, *numbers: int) -> None:
         for number in numbers:
             data = f"id: {number}\ndata: word{number}\n\n".encode()
-            item = HttpStreamItem(
-                request=self.sent[-1].request, data=data, event_id=str(number)
-            )
+            item = HttpStreamItem(request=self.sent[-1].request, data=data, event_id=str(number))
             self.take(self.forwarder.engine_event(item, self.now))
 
     def engine_ends(self) -> None:
@@ -184,9 +182,7 @@
         self.take(self.forwarder.engine_event(ended, self.now))
 
     def engine_breaks(self, *, sent: bool = True, stale: bool = False) -> None:
-        failed = HttpFailed(
-            request=self.sent[-1].request, sent=sent, reason="reset", stale=stale
-        )
+        failed = HttpFailed(request=self.sent[-1].request, sent=sent, reason="reset", stale=stale)
         self.take(self.forwarder.engine_event(failed, self.now))
 
     # ------------------------------------------------------------ time and effects
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -376,9 +376,9 @@
                 delay, lambda: self._carry_out_edge(self.client.take_reply(message, self.now))
             )
             return
+        event = PeerMessage(sender=sender, message=effect.message)
         for machine in self.machines:
             if machine.address == effect.address and not machine.cut:
-                event = PeerMessage(sender=sender, message=effect.message)
                 self._schedule(delay, lambda m=machine: self._arrive(m, effect.to, event))
 
     def _arrive(self, machine: Machine, to: ReplicaId, event: PeerMessage) -> None:
--- a/tests/unit/platform/test_documents.py
+++ b/tests/unit/platform/test_documents.py
@@ -75,7 +75,9 @@
         self.assertEqual(table.version, 7)
         self.assertEqual(table.limits.idle_seconds, 15.0)
         first, second = table.routes
-        self.assertEqual((first.kind, first.timeout, first.retain), (RouteKind.STREAMING, 3.0, True))
+        self.assertEqual(
+            (first.kind, first.timeout, first.retain), (RouteKind.STREAMING, 3.0, True)
+        )
         self.assertEqual([part.weight for part in second.pools], [90, 10])
         traits = table.pools["huvo11a"].model
         assert traits is not None
@@ -123,9 +125,7 @@
 
     def answer(self, status: int, body: object) -> object:
         raw = json.dumps(body).encode()
-        return self.store.read_answer(
-            HttpResponse(request=RequestId("r"), status=status, body=raw)
-        )
+        return self.store.read_answer(HttpResponse(request=RequestId("r"), status=status, body=raw))
 
     def test_calls_are_spelled_as_the_page_says(self) -> None:
         listing = self.store.list_call(RequestId("r"), "servers/", "servers/i-1")
@@ -158,7 +158,9 @@
 class SettingsTemplate(unittest.TestCase):
     def test_the_template_names_only_fields_of_the_settings(self) -> None:
         text = (Path(__file__).parents[3] / "deploy" / "node.toml").read_text()
-        names = {line.split(" = ")[0].split("}}")[-1] for line in text.splitlines() if " = " in line}
+        names = {
+            line.split(" = ")[0].split("}}")[-1] for line in text.splitlines() if " = " in line
+        }
         known = {field.encode_name for field in msgspec.structs.fields(RoleSettings)}
         self.assertLessEqual(names, known)
 
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -66,9 +66,7 @@
         made = self.call()
         self.assertTrue(self.watch.owns(made.request))
         self.store.next_answer = answer
-        return self.watch.on_response(
-            HttpResponse(request=made.request, status=200), self.now
-        )
+        return self.watch.on_response(HttpResponse(request=made.request, status=200), self.now)
 
     def test_it_lists_all_pages_and_watches_from_the_revision_of_the_first(self) -> None:
         self.assertEqual(self.answer(Page((item("p/a", 3),), True, 10)), [])
@@ -91,10 +89,14 @@
         self.answer(Page((item("p/a", 3), item("p/b", 4)), False, 10))
         self.answer(HistoryLost())
         changed = self.answer(Page((item("p/b", 4), item("p/c", 20)), False, 21))
-        self.assertEqual([(entry.key, entry.value) for entry in changed], [("p/a", None), ("p/c", b"v")])
+        self.assertEqual(
+            [(entry.key, entry.value) for entry in changed], [("p/a", None), ("p/c", b"v")]
+        )
         self.assertEqual(self.call().path, "watch p/ 21")
 
-    def test_a_refusal_or_a_silent_service_is_asked_again_later_and_keeps_what_is_known(self) -> None:
+    def test_a_refusal_or_a_silent_service_is_asked_again_later_and_keeps_what_is_known(
+        self,
+    ) -> None:
         self.answer(Page((item("p/a", 3),), False, 10))
         self.answer(StoreRefused(503, ()))
         made = self.call()
--- /dev/null
+++ b/tests/unit/test_log_output.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+import fcntl
+import json
+import logging
+import os
+import unittest
+
+from yokeline.log_output import DROPPED_EVENT, MAX_WAITING_BYTES, BoundedLogOutput
+
+_SET_PIPE_SIZE = 1031
+
+
+def record(event: str, **fields: object) -> logging.LogRecord:
+    message = {"event": event, **fields}
+    return logging.LogRecord("n", logging.INFO, "f", 1, message, None, None)  # type: ignore[arg-type]
+
+
+class BoundedOutput(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        fcntl.fcntl(self.writer, _SET_PIPE_SIZE, 4096)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.output = BoundedLogOutput(self.writer)
+
+    def read_lines(self) -> list[dict[str, object]]:
+        os.set_blocking(self.reader, False)
+        data = b""
+        try:
+            while chunk := os.read(self.reader, 65536):
+                data += chunk
+        except BlockingIOError:
+            pass
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_a_record_is_one_json_line(self) -> None:
+        self.output.emit(record("engine_chosen", request="9c41", cost=0.5))
+        line = self.read_lines()[0]
+        self.assertEqual(
+            (line["event"], line["request"], line["cost"]), ("engine_chosen", "9c41", 0.5)
+        )
+        self.assertEqual(line["level"], "INFO")
+
+    def test_a_reader_that_is_away_blocks_nothing_and_drops_are_counted_by_event(self) -> None:
+        line_bytes = 1000
+        for _ in range(MAX_WAITING_BYTES // line_bytes + 200):
+            self.output.emit(record("busy", filler="x" * line_bytes))
+        self.assertGreater(self.output.dropped["busy"], 0)
+
+    def test_what_waited_comes_in_order_and_the_drops_are_told(self) -> None:
+        for number in range(1000):
+            self.output.emit(record("busy", number=number, filler="x" * 1000))
+        lines = []
+        fcntl.fcntl(self.writer, _SET_PIPE_SIZE, 1024 * 1024)
+        for _ in range(10):
+            lines.extend(self.read_lines())
+            self.output.emit(record("later"))
+            if any(line["event"] == DROPPED_EVENT for line in lines):
+                break
+        numbers = [line["number"] for line in lines if line["event"] == "busy"]
+        self.assertEqual(numbers, sorted(numbers))  # type: ignore[type-var]
+        told = [line for line in lines if line["event"] == DROPPED_EVENT]
+        self.assertEqual(told[0]["count"], sum(self.output.dropped.values()))
+
+    def test_a_line_that_is_too_long_is_cut_to_its_event(self) -> None:
+        self.output.emit(record("huge", filler="x" * 10_000))
+        line = self.read_lines()[0]
+        self.assertEqual(line["event"], "huge")
+        self.assertGreater(line["truncated"], 10_000)  # type: ignore[operator]
