--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -86,6 +86,7 @@
         self._peers: list[NodeRecord] = []
         self._stop_asked_at: float | None = None
         self._busy_at = now
+        self._now = now
         registry.write(node_key(record.name), encode_node(record), now)
 
     @property
@@ -94,10 +95,15 @@
         known = self.forwarder.table is not None and self._registry.complete
         return known and self._stop_asked_at is None
 
+    def registry_age(self) -> float:
+        """Return how long ago the key-value service last confirmed what is known (seconds)."""
+        return max(0.0, self._now - self._registry.heard_at())
+
     # ------------------------------------------------------------ service
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take an event in and return effects."""
+        self._now = now
         ours, changed, effects = self._registry.take(event, now)
         effects = list(effects)
         for item in changed:
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -37,6 +37,7 @@
 from yokeline.forwarding.model import Call, Pool, Route, RouteKind, RoutingTable
 from yokeline.forwarding.prefixes import PrefixBeliefs
 from yokeline.forwarding.waiting import WaitingRequests
+from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.messages import (
@@ -94,7 +95,9 @@
         table: The configuration in force; None before the first one.
         closing: Answers ask the caller to close its connection.
         refusing: Nothing new is taken, since the process ends soon.
-        counters: Requests by outcome, and other counts, by name.
+        counters: Requests by outcome, and other counts, by metric name.
+        added_seconds: Time from a request's arrival to its first send.
+        first_event_seconds: Time from a turn's arrival to its first event.
     """
 
     def __init__(
@@ -105,6 +108,8 @@
         self.closing = False
         self.refusing = False
         self.counters: Counter[str] = Counter()
+        self.added_seconds = Histogram()
+        self.first_event_seconds = Histogram()
         self.beliefs = PrefixBeliefs()
         self._zone = zone
         self._dialect = dialect
@@ -219,7 +224,6 @@
             last_event_id=call.last_event_id,
         )
         self._exchanges[event.exchange] = exchange
-        self.counters["requests"] += 1
         self._schedule(exchange, exchange.due, self._deadline_reached)
         return exchange
 
@@ -433,6 +437,7 @@
         if call.affinity_key:
             self._note_affinity(exchange.pool, call.affinity_key, state.engine.engine_id)
         if exchange.sends == 1:
+            self.added_seconds.observe(self._now - exchange.started)
             self._retries_left = min(RETRY_RESERVE, self._retries_left + RETRY_SHARE)
         self._log(
             "engine_chosen",
@@ -554,7 +559,7 @@
         state = exchange.engine
         self._leave_engine(exchange)
         exchange.rejections += 1
-        self.counters["rejections"] += 1
+        self.counters["yokeline_forwarding_rejections_total"] += 1
         if state is not None:
             exchange.tried.add(state.engine.engine_id)
             state.full_until = self._now + FULL_SECONDS
@@ -593,6 +598,7 @@
         if exchange.first_event_at is not None:
             return
         exchange.first_event_at = self._now
+        self.first_event_seconds.observe(self._now - exchange.started)
         if exchange.route.may_repeat:
             self._watch_silence(exchange)
         self._effects.append(
@@ -709,7 +715,7 @@
 
     def _repeat(self, exchange: Exchange, reason: str) -> None:
         self._retries_left = max(0.0, self._retries_left - 1)
-        self.counters["repeats"] += 1
+        self.counters["yokeline_forwarding_repeats_total"] += 1
         self._log(
             "request_repeated",
             exchange,
@@ -785,7 +791,7 @@
     ) -> None:
         """Refuse a request that no route or limit lets in."""
         request_id = event.headers.get(self._dialect.echo_header, "")
-        self.counters[f"refused_{status}"] += 1
+        self._count("refused", status)
         self._effects.append(
             LogRecord(
                 event="request_refused",
@@ -839,7 +845,7 @@
         for timer in exchange.timers:
             timer.cancel()
         exchange.timers.clear()
-        self.counters[f"ended_{outcome}"] += 1
+        self._count(outcome, fields.get("status"))
         engine = exchange.engine.engine.engine_id if exchange.engine else ""
         self._log(
             "request_ended",
@@ -853,6 +859,10 @@
             **fields,
         )
 
+    def _count(self, outcome: str, status: LogField) -> None:
+        series = f'yokeline_forwarding_requests_total{{outcome="{outcome}",status="{status}"}}'
+        self.counters[series] += 1
+
     def _schedule(self, exchange: Exchange, due: float, action: object) -> None:
         assert callable(action)
         timer = self._timers.schedule(due, lambda: action(exchange))
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 from yokeline.forwarding.edge_node import EdgeNode
+from yokeline.status_service import NodeFigures
 
 
-def edge_figures(node: EdgeNode) -> dict[str, float]:
-    """Return counters and gauges of a forwarding node."""
+def edge_figures(node: EdgeNode) -> NodeFigures:
+    """Return counters, gauges and histograms of a forwarding node."""
     forwarder = node.forwarder
-    figures = {
-        f"yokeline_forwarding_{name}_total": float(count)
-        for name, count in sorted(forwarder.counters.items())
+    counters = {name: float(count) for name, count in forwarder.counters.items()}
+    counters["yokeline_ledger_resends_total"] = float(node.ledger.resends)
+    table = forwarder.table
+    gauges = {
+        "yokeline_forwarding_under_way": float(forwarder.under_way),
+        "yokeline_forwarding_waiting": float(sum(forwarder.waiting().values())),
+        "yokeline_forwarding_configuration_version": float(table.version if table else 0),
+        "yokeline_registry_age_seconds": node.registry_age(),
     }
-    figures["yokeline_forwarding_under_way"] = float(forwarder.under_way)
-    figures["yokeline_forwarding_waiting"] = float(sum(forwarder.waiting().values()))
-    version = forwarder.table.version if forwarder.table is not None else 0
-    figures["yokeline_configuration_version"] = float(version)
-    figures["yokeline_ledger_resends_total"] = float(node.ledger.resends)
-    return figures
+    histograms = {
+        "yokeline_forwarding_added_seconds": forwarder.added_seconds,
+        "yokeline_forwarding_first_event_seconds": forwarder.first_event_seconds,
+        "yokeline_ledger_answer_seconds": node.ledger.answer_seconds,
+    }
+    return NodeFigures(counters=counters, gauges=gauges, histograms=histograms)
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from yokeline.effects import Address, Effect, LogRecord, SendPeer
+from yokeline.histogram import Histogram
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import (
     LeaderHint,
@@ -33,11 +34,17 @@
     done: OperationDone
     give_up_at: float
     send_at: float
+    asked_at: float
     sends: int = 0
 
 
 class LedgerClient:
-    """Operations under way; a pure state machine."""
+    """Operations under way; a pure state machine.
+
+    Attributes:
+        resends: Operations sent again.
+        answer_seconds: Time from the question to the leader's answer.
+    """
 
     def __init__(self, own_address: Address) -> None:
         """Ask from ``own_address``, where answers are to be sent."""
@@ -47,6 +54,7 @@
         self._next_candidate = 0
         self._asked: dict[int, _Asked] = {}
         self._numbers = 0
+        self.answer_seconds = Histogram()
         self.resends = 0
 
     def set_storage(self, storage: dict[ReplicaId, Address]) -> None:
@@ -63,7 +71,9 @@
     ) -> list[Effect]:
         """Send an operation; ``done`` is called once."""
         self._numbers += 1
-        asked = _Asked(operation=operation, done=done, give_up_at=give_up_at, send_at=now)
+        asked = _Asked(
+            operation=operation, done=done, give_up_at=give_up_at, send_at=now, asked_at=now
+        )
         self._asked[self._numbers] = asked
         return self._send(self._numbers, asked, now)
 
@@ -99,6 +109,7 @@
             return effects
         if reply.results:
             del self._asked[reply.number]
+            self.answer_seconds.observe(now - asked.asked_at)
             effects.extend(asked.done(reply.results[0]))
         elif reply.leader is not None:
             effects.extend(self._send(reply.number, asked, now))
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -48,6 +48,7 @@
     encode_node,
     node_key,
 )
+from yokeline.status_service import NodeFigures
 
 JOIN_PERIOD_SECONDS = 0.25
 MEMBERS_PERIOD_SECONDS = 0.1
@@ -333,14 +334,16 @@
     return LogRecord(event="membership_step", fields=fields)
 
 
-def load_summary(node: StorageNode) -> dict[str, float]:
+def storage_figures(node: StorageNode) -> NodeFigures:
     """Return the figures of a storage node, by metric name."""
     state = node.replica.state()
-    return {
-        "yokeline_ledger_operations_total": float(node.requests),
+    gauges = {
         "yokeline_ledger_programs": float(len(state.programs)),
         "yokeline_ledger_turns": float(len(state.turns)),
         "yokeline_ledger_term": float(node.replica.group.term),
         "yokeline_ledger_commit_index": float(node.replica.group.commit_index),
         "yokeline_ledger_leads": float(node.replica.leads),
+        "yokeline_ledger_members": float(len(node.replica.group.members)),
     }
+    counters = {"yokeline_ledger_operations_total": float(node.requests)}
+    return NodeFigures(counters=counters, gauges=gauges)
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -98,7 +98,38 @@
     "yokeline_machine_list_failures_total": "Attempts to read the machine list that failed.",
 }
 
+_FORWARDING_AND_LEDGER = {
+    "yokeline_forwarding_requests_total": "Requests ended at this node, by outcome and status.",
+    "yokeline_forwarding_under_way": "Requests at this node without a final answer.",
+    "yokeline_forwarding_waiting": "Requests that wait at this node for an engine with room.",
+    "yokeline_forwarding_rejections_total": "Requests that an engine said it did not run.",
+    "yokeline_forwarding_repeats_total": "Requests sent again after they may have run.",
+    "yokeline_forwarding_configuration_version": "Version of the configuration in force here.",
+    "yokeline_forwarding_added_seconds": (
+        "Seconds from the arrival of a request to its first send to an engine."
+    ),
+    "yokeline_forwarding_first_event_seconds": (
+        "Seconds from the arrival of a turn to its first event."
+    ),
+    "yokeline_registry_age_seconds": (
+        "Seconds since the key-value service last confirmed what this node knows."
+    ),
+    "yokeline_ledger_answer_seconds": (
+        "Seconds from a question to the ledger to its leader's answer."
+    ),
+    "yokeline_ledger_resends_total": "Questions to the ledger sent again, unanswered.",
+    "yokeline_ledger_operations_total": "Operations that other nodes asked this replica for.",
+    "yokeline_ledger_programs": "Programs whose budgets this replica keeps.",
+    "yokeline_ledger_turns": "Turns that this replica keeps.",
+    "yokeline_ledger_term": "Number of the ledger's current term.",
+    "yokeline_ledger_commit_index": "Number of the last entry known to be committed.",
+    "yokeline_ledger_leads": "Number 1 while this replica leads the ledger, otherwise 0.",
+    "yokeline_ledger_members": "Replicas in the ledger's configuration, as this one knows it.",
+    "yokeline_log_lines_dropped_total": "Log lines dropped for a slow reader, by event.",
+}
+
 METRIC_HELP = {
+    **_FORWARDING_AND_LEDGER,
     **_HTTP,
     **_RUNS,
     **_SCHEDULING,
--- a/src/yokeline/metrics.py
+++ b/src/yokeline/metrics.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import bisect
 import re
 from collections.abc import Iterable, Iterator, Mapping
 from typing import TypeVar
@@ -17,12 +16,12 @@
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector, CollectorRegistry
 
+from yokeline.histogram import DURATION_BUCKETS, Histogram
 from yokeline.metric_help import METRIC_HELP
 
-CONTENT_TYPE = CONTENT_TYPE_LATEST
-DURATION_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0)
-"""Upper bounds in seconds."""
+__all__ = ["DURATION_BUCKETS", "Histogram", "Series", "parse_series", "render"]
 
+CONTENT_TYPE = CONTENT_TYPE_LATEST
 COUNTER_SUFFIX = "_total"
 
 Value = TypeVar("Value")
@@ -31,30 +30,6 @@
 _LABEL = re.compile(r'([a-zA-Z_][a-zA-Z0-9_]*)="((?:[^"\\]|\\.)*)"')
 
 
-class Histogram:
-    """Counts of observed values by bucket."""
-
-    def __init__(self, bounds: tuple[float, ...] = DURATION_BUCKETS) -> None:
-        """Create an empty histogram with these ascending upper bounds."""
-        self.bounds = bounds
-        self.counts = [0] * (len(bounds) + 1)
-        self.total = 0.0
-
-    def observe(self, value: float) -> None:
-        """Count a value."""
-        self.counts[bisect.bisect_left(self.bounds, value)] += 1
-        self.total += value
-
-    def cumulative(self) -> list[tuple[str, float]]:
-        """Return the cumulative counts with their upper bounds, as Prometheus has them."""
-        rows: list[tuple[str, float]] = []
-        running = 0
-        for bound, count in zip([*self.bounds, float("inf")], self.counts, strict=True):
-            running += count
-            rows.append(("+Inf" if bound == float("inf") else repr(bound), running))
-        return rows
-
-
 class Series(msgspec.Struct, frozen=True):
     """A metric name with its labels, in order."""
 
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -28,7 +28,7 @@
 from yokeline.registry.nodes import NodeRecord, NodeRole
 from yokeline.registry.protocol import StoreProtocol
 from yokeline.role_settings import RoleSettings, parse_address
-from yokeline.status_service import StatusService
+from yokeline.status_service import NodeFigures, StatusService
 
 SEED_BITS = 128
 _DESCRIPTORS_FOR_CALLERS = 0.6
@@ -117,7 +117,7 @@
     )
     status = StatusService(
         ready=lambda: node.ready,
-        figures=lambda: {**edge_figures(node), **_dropped_figures(dropped)},
+        figures=lambda: _with_dropped(edge_figures(node), dropped),
     )
     services: BoundServices = [
         (node, binding, None),
@@ -131,7 +131,7 @@
 ) -> Result[BoundServices, YokelineError]:
     from yokeline.ledger.disk_records import recover
     from yokeline.ledger.replica import LOG_FILE, LedgerReplica
-    from yokeline.ledger.storage_node import StorageNode, load_summary
+    from yokeline.ledger.storage_node import StorageNode, storage_figures
 
     source = random.Random(secrets.randbits(SEED_BITS))
     folder = Path(settings.data_folder)
@@ -181,17 +181,17 @@
         synced_folder=settings.data_folder,
     )
     status = StatusService(
-        ready=lambda: True, figures=lambda: {**load_summary(node), **_dropped_figures(dropped)}
+        ready=lambda: True, figures=lambda: _with_dropped(storage_figures(node), dropped)
     )
     return Success(_with_metrics([(node, binding, None)], status, settings))
 
 
-def _dropped_figures(dropped: Counter[str]) -> dict[str, float]:
-    """Return the log lines dropped, by event."""
-    return {
-        f'yokeline_log_lines_dropped_total{{event="{event}"}}': float(count)
-        for event, count in sorted(dropped.items())
-    }
+def _with_dropped(figures: NodeFigures, dropped: Counter[str]) -> NodeFigures:
+    """Add the log lines dropped, by event."""
+    for event, count in sorted(dropped.items()):
+        series = f'yokeline_log_lines_dropped_total{{event="{event}"}}'
+        figures.counters[series] = float(count)
+    return figures
 
 
 def _registry(
--- a/src/yokeline/status_service.py
+++ b/src/yokeline/status_service.py
@@ -4,16 +4,27 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from yokeline.effects import Effect, Event, HttpArrived, HttpReply
+from yokeline.histogram import Histogram
 
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
-_TEXT = {"content-type": "text/plain; version=0.0.4"}
 READY_PATHS = ("/-/ready", "/readyz")
 METRICS_PATH = "/metrics"
 
-Figures = Callable[[], dict[str, float]]
+
+class NodeFigures(msgspec.Struct, kw_only=True):
+    """Counters, gauges and histograms, by name or ``name{label="value"}``."""
+
+    counters: dict[str, float] = {}
+    gauges: dict[str, float] = {}
+    histograms: dict[str, Histogram] = {}
+
+
+Figures = Callable[[], NodeFigures]
 
 
 class StatusService:
@@ -39,8 +50,16 @@
     def _answer(self, event: HttpArrived) -> Effect:
         if event.path in READY_PATHS:
             status = OK if self._ready() else UNAVAILABLE
-            return HttpReply(exchange=event.exchange, status=status, headers=_TEXT)
+            return HttpReply(exchange=event.exchange, status=status)
         if event.path == METRICS_PATH:
-            body = "".join(f"{name} {value:g}\n" for name, value in self._figures().items())
-            return HttpReply(exchange=event.exchange, status=OK, headers=_TEXT, body=body.encode())
-        return HttpReply(exchange=event.exchange, status=NOT_FOUND, headers=_TEXT)
+            return self._metrics(event)
+        return HttpReply(exchange=event.exchange, status=NOT_FOUND)
+
+    def _metrics(self, event: HttpArrived) -> Effect:
+        # Imported here: most starts end without anybody asking.
+        from yokeline.metrics import CONTENT_TYPE, render
+
+        figures = self._figures()
+        body = render(figures.counters, figures.gauges, figures.histograms)
+        headers = {"content-type": CONTENT_TYPE}
+        return HttpReply(exchange=event.exchange, status=OK, headers=headers, body=body)
--- /dev/null
+++ b/tests/processes/platform/deployment.py
@@ -0,0 +1,216 @@
+"""A small deployment on loopback: stand-ins in this process, each role a process of its own."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from tests.processes.child import ROOT
+from tests.processes.cluster import HOST, free_ports, wait_until
+from tests.processes.platform.stand_ins import EngineStandIn, StoreStandIn
+from tests.processes.support import Running
+
+CALLER_HOST = "a.example"
+UNAVAILABLE = 503
+REFUSALS_BORNE = 200
+REFUSAL_PAUSE_SECONDS = 0.1
+WORDS = "".join(f"word{number}\n" for number in range(1, 6)).encode()
+
+
+class RoleProcess:
+    """A role; it may be killed and started again with its settings and its disk."""
+
+    def __init__(self, role: str, settings: Path, log: Path) -> None:
+        self.role = role
+        self._settings = settings
+        self._log = log
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        environment = {**os.environ, "YOKELINE_NODE_FILE": str(self._settings)}
+        with self._log.open("ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "yokeline.platform", self.role],
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        assert self._process is not None
+        self._process.send_signal(number)
+
+    def kill(self) -> None:
+        self.send(signal.SIGKILL)
+        self.wait()
+
+    def wait(self) -> int:
+        assert self._process is not None
+        return self._process.wait(60)
+
+    def end(self) -> None:
+        if self._process is not None and self._process.poll() is None:
+            self.kill()
+
+    def lines(self, event: str) -> list[dict[str, object]]:
+        """Return the log lines of an event."""
+        rows = [json.loads(row) for row in self._log.read_text().splitlines() if row[:1] == "{"]
+        return [row for row in rows if row.get("event") == event]
+
+
+class Deployment:
+    """Three storage nodes, two edges, two model engines and an app."""
+
+    def __enter__(self) -> Deployment:
+        self._folder = tempfile.TemporaryDirectory()
+        self._ports = free_ports()
+        self._ready: list[int] = []
+        self.fronts: list[int] = []
+        self.store = StoreStandIn()
+        self._running: list[Running] = []
+        self._store_port = self._serve(self.store)
+        self.models = [EngineStandIn(f"model-{number}") for number in range(2)]
+        self.app = EngineStandIn("app-0")
+        for engine in self.models:
+            self._register(engine, "models", self._serve(engine))
+        self._register(self.app, "apps", self._serve(self.app))
+        self.configure(1)
+        self.storage = [self._role("storage", number) for number in range(3)]
+        self.edges = [self._role("edge", number) for number in range(2)]
+        for process in (*self.storage, *self.edges):
+            process.start()
+        wait_until(lambda: all(self.is_ready(number) for number in range(2)), "edges are ready")
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        for process in (*self.edges, *self.storage):
+            process.end()
+        for running in self._running:
+            running.__exit__()
+        self._folder.cleanup()
+
+    # ------------------------------------------------------------ operator
+
+    def configure(self, version: int, *, fix_prefix: str = "/fix/") -> None:
+        """Put a configuration in force."""
+        common = {"host": CALLER_HOST, "timeout-ms": 5000, "target-latency-ms": 1000}
+        turn = {**common, "kind": "streaming", "service": "models", "resumable": True}
+        kept = {**turn, "resumable": False, "retain": True, "retention-s": 60}
+        fix = {**common, "kind": "non_idempotent", "service": "apps"}
+        routes = [
+            {**turn, "name": "turn", "path-prefix": "/turn/"},
+            {**kept, "name": "kept", "path-prefix": "/kept/"},
+            {**fix, "name": "fix", "path-prefix": fix_prefix},
+        ]
+        engine = {"slots": 4, "kv-tokens": 100000, "stride": 10}
+        services = [
+            {"name": "models", "max-conns": 50, "engine": engine},
+            {"name": "apps", "max-conns": 50},
+        ]
+        self.store.put("op/config", {"version": version, "routes": routes, "services": services})
+
+    def forget_engine(self, engine: EngineStandIn) -> None:
+        self.store.remove(f"servers/{engine.engine_id}")
+
+    # ------------------------------------------------------------ callers
+
+    def ask(self, edge: int, path: str, request_id: str, **headers: str) -> tuple[int, bytes]:
+        """Send a request; return status and body, raising if the answer is cut."""
+        connection = http.client.HTTPConnection(HOST, self.fronts[edge], timeout=30)
+        fields = {
+            "Host": CALLER_HOST,
+            "X-Yokeline-Request-Id": request_id,
+            "X-Yokeline-Deadline-Ms": "5000",
+            **{f"X-Yokeline-{name.replace('_', '-')}": value for name, value in headers.items()},
+        }
+        try:
+            connection.request("POST", path, body=f"input-{request_id}", headers=fields)
+            response = connection.getresponse()
+            return response.status, response.read()
+        finally:
+            connection.close()
+
+    def turn(self, edge: int, path: str, request_id: str, **headers: str) -> tuple[int, bytes]:
+        """Send a turn of a program with a budget of 200 tokens, 50 at most each.
+
+        A 503 promises that it did not run: it is sent again under an id of its own, as often
+        as a busy machine needs it.
+        """
+        usual = {"program_id": "p", "token_budget": "200", "token_usage": "100,50"}
+        wanted = {**usual, **headers}
+        status, body = self.ask(edge, path, request_id, **wanted)
+        for number in range(REFUSALS_BORNE):
+            if status != UNAVAILABLE:
+                break
+            time.sleep(REFUSAL_PAUSE_SECONDS)
+            status, body = self.ask(edge, path, f"{request_id}.{number}", **wanted)
+        return status, body
+
+    def run_order(self, request_id: str) -> float:
+        """Return when an engine ran a request."""
+        return max(model.run_times.get(request_id, 0.0) for model in self.models)
+
+    def is_ready(self, edge: int) -> bool:
+        try:
+            connection = http.client.HTTPConnection(HOST, self._ready[edge], timeout=5)
+            connection.request("GET", "/-/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def metrics(self, edge: int) -> str:
+        connection = http.client.HTTPConnection(HOST, self._ready[edge], timeout=5)
+        connection.request("GET", "/metrics")
+        return connection.getresponse().read().decode()
+
+    # ------------------------------------------------------------ parts
+
+    def _serve(self, service: object) -> int:
+        running = Running(service)  # type: ignore[arg-type]
+        running.__enter__()
+        self._running.append(running)
+        address = running.bound.http_address
+        assert address is not None
+        return address.port
+
+    def _register(self, engine: EngineStandIn, pool: str, port: int) -> None:
+        document = {
+            "service": pool,
+            "address": f"{HOST}:{port}",
+            "zone": "a",
+            "slots": 4,
+            "state": "ready",
+        }
+        self.store.put(f"servers/{engine.engine_id}", document)
+
+    def _role(self, role: str, number: int) -> RoleProcess:
+        folder = Path(self._folder.name)
+        name = f"{role}-{number}"
+        lines = [
+            f'name = "{name}"',
+            f'host = "{HOST}"',
+            'zone = "a"',
+            "first_start = true",
+            f"peer_port = {next(self._ports)}",
+            f'store = "{HOST}:{self._store_port}"',
+            "grace_seconds = 6",
+            "a_field_of_later = 1",
+        ]
+        if role == "edge":
+            front, ready = next(self._ports), next(self._ports)
+            self.fronts.append(front)
+            self._ready.append(ready)
+            lines += [f'front = "{HOST}:{front}"', f'ready = "{HOST}:{ready}"']
+        else:
+            lines.append(f'data_folder = "{folder / name}"')
+        settings = folder / f"{name}.toml"
+        settings.write_text("\n".join(lines) + "\n")
+        return RoleProcess(role, settings, folder / f"{name}.log")
--- /dev/null
+++ b/tests/processes/platform/stand_ins.py
@@ -0,0 +1,181 @@
+"""Stand-ins of the users' platform, as PROTOCOL.md says: the store, model engines, an app."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+from yokeline.effects import (
+    Effect,
+    Event,
+    Exit,
+    HttpArrived,
+    HttpGone,
+    HttpReply,
+    HttpStreamData,
+    HttpStreamEnd,
+    HttpStreamStart,
+    StopRequested,
+)
+from yokeline.identifiers import ExchangeId
+
+JSON = {"content-type": "application/json"}
+EVENT_SECONDS = 0.02
+
+
+class StoreStandIn:
+    """The platform's key-value store; a watch is held until something changes."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict[str, Any]] = {}
+        self.changes: list[dict[str, Any]] = []
+        self.revision = 0
+        self.down = False
+        self._watches: dict[ExchangeId, tuple[str, int, float]] = {}
+
+    def put(self, key: str, value: object) -> None:
+        """Write as the operator or an engine does."""
+        self._put(key, json.dumps(value).encode())
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        self.items.pop(key, None)
+        self.changes.append({"private-key": key, "rev": self.revision, "gone": True})
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if isinstance(event, StopRequested):
+            return [Exit()]
+        if isinstance(event, HttpGone):
+            self._watches.pop(event.exchange, None)
+        if isinstance(event, HttpArrived):
+            effects.extend(self._call(event, now))
+        effects.extend(self._answer_watches(now))
+        return effects
+
+    def next_deadline(self) -> float | None:
+        return min((0.0,), default=None) if self._watches else None
+
+    def _call(self, event: HttpArrived, now: float) -> list[Effect]:
+        if self.down:
+            return [HttpReply(exchange=event.exchange, status=503)]
+        if event.path == "/-/kv-range":
+            prefix = event.query.get("path-prefix", "")
+            found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
+            return [self._json(event, {"items": found, "more": False, "at": self.revision})]
+        if event.path == "/-/kv-watch":
+            wait = float(event.query["wait-ms"]) / 1000
+            prefix = event.query.get("path-prefix", "")
+            after = int(event.query["after"])
+            self._watches[event.exchange] = (prefix, after, now + wait)
+            return []
+        if event.path == "/-/kv-txn":
+            return [self._transaction(event)]
+        return [HttpReply(exchange=event.exchange, status=404)]
+
+    def _transaction(self, event: HttpArrived) -> Effect:
+        body = json.loads(event.body)
+        for row in body.get("expected-rev", []):
+            current = self.items.get(row["private-key"])
+            if row["rev"] != (current["rev"] if current else 0):
+                items = [current] if current else []
+                return self._json(event, {"items": items}, 412)
+        for row in body.get("put", []):
+            self._put(row["private-key"], base64.b64decode(row["value"]))
+        return self._json(event, {"rev": self.revision})
+
+    def _put(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        item = {
+            "private-key": key,
+            "value": base64.b64encode(value).decode(),
+            "rev": self.revision,
+            "made": self.revision,
+            "lease": 0,
+        }
+        self.items[key] = item
+        self.changes.append(item)
+
+    def _answer_watches(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for exchange, (prefix, after, until) in list(self._watches.items()):
+            found = [
+                item
+                for item in self.changes
+                if item["rev"] > after and item["private-key"].startswith(prefix)
+            ]
+            if not found and now < until:
+                continue
+            del self._watches[exchange]
+            body = json.dumps({"events": found, "at": self.revision}).encode()
+            effects.append(HttpReply(exchange=exchange, status=200, headers=JSON, body=body))
+        return effects
+
+    def _json(self, event: HttpArrived, body: object, status: int = 200) -> Effect:
+        raw = json.dumps(body).encode()
+        return HttpReply(exchange=event.exchange, status=status, headers=JSON, body=raw)
+
+
+class EngineStandIn:
+    """An engine: a model's streams of ``events`` words, or an app's whole answers.
+
+    Attributes:
+        runs: Requests that it ran: id, body, and after which event it began.
+        break_after: Break the next stream off after that many events.
+    """
+
+    def __init__(self, engine_id: str, events: int = 5) -> None:
+        self.engine_id = engine_id
+        self.events = events
+        self.runs: list[tuple[str, bytes, int]] = []
+        self.run_times: dict[str, float] = {}
+        self.break_after: int | None = None
+        self.event_seconds = EVENT_SECONDS
+        self._streams: dict[ExchangeId, list[float]] = {}
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if isinstance(event, StopRequested):
+            return [Exit()]
+        if isinstance(event, HttpGone):
+            self._streams.pop(event.exchange, None)
+        if isinstance(event, HttpArrived):
+            effects.extend(self._request(event, now))
+        for exchange in list(self._streams):
+            effects.extend(self._continue(exchange, now))
+        return effects
+
+    def next_deadline(self) -> float | None:
+        return min((state[1] for state in self._streams.values()), default=None)
+
+    def _request(self, event: HttpArrived, now: float) -> list[Effect]:
+        request_id = event.headers["x-yokeline-request-id"]
+        headers = {"x-yokeline-request-id": request_id}
+        if event.headers.get("x-yokeline-expect-instance") != self.engine_id:
+            return [HttpReply(exchange=event.exchange, status=421, headers=headers)]
+        headers["x-yokeline-server-stamp"] = f"stamp-{self.engine_id}"
+        after = int(event.headers.get("last-event-id", "0"))
+        self.runs.append((request_id, event.body, after))
+        self.run_times[request_id] = now
+        if "x-yokeline-token-usage" not in event.headers:
+            return [HttpReply(exchange=event.exchange, status=200, headers=headers, body=b"done")]
+        headers["content-type"] = "text/event-stream"
+        self._streams[event.exchange] = [after, now + self.event_seconds]
+        return [HttpStreamStart(exchange=event.exchange, headers=headers)]
+
+    def _continue(self, exchange: ExchangeId, now: float) -> list[Effect]:
+        state = self._streams[exchange]
+        if now < state[1]:
+            return []
+        if self.break_after is not None and state[0] >= self.break_after:
+            self.break_after = None
+            del self._streams[exchange]
+            return [HttpStreamEnd(exchange=exchange, aborted=True)]
+        if state[0] >= self.events:
+            del self._streams[exchange]
+            return [HttpStreamEnd(exchange=exchange)]
+        state[0] += 1
+        state[1] = now + self.event_seconds
+        number = int(state[0])
+        return [HttpStreamData(exchange, f"id: {number}\ndata: word{number}\n\n".encode())]
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -73,7 +73,7 @@
             played.wait(0.01)
             played.engine_breaks()
             played.wait(0.01)
-        repeats = played.forwarder.counters["repeats"]
+        repeats = played.forwarder.counters["yokeline_forwarding_repeats_total"]
         self.assertLessEqual(repeats, 10 + 0.2 * 40 + 1)
 
 
