--- a/src/yokeline/status_service.py
+++ b/src/yokeline/status_service.py
@@ -12,7 +12,6 @@
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
-READY_PATHS = ("/-/ready", "/readyz")
 METRICS_PATH = "/metrics"
 
 
@@ -30,14 +29,17 @@
 class StatusService:
     """Tells the outside how a node is; it goes on as long as the process."""
 
-    def __init__(self, *, ready: Callable[[], bool], figures: Figures) -> None:
+    def __init__(
+        self, *, ready: Callable[[], bool], figures: Figures, ready_path: str = "/readyz"
+    ) -> None:
         """Ask ``ready`` and ``figures`` anew for each answer."""
+        self._ready_path = ready_path
         self._ready = ready
         self._figures = figures
 
     def twin(self) -> StatusService:
         """Return a service with the same answers, for another address."""
-        return StatusService(ready=self._ready, figures=self._figures)
+        return StatusService(ready=self._ready, figures=self._figures, ready_path=self._ready_path)
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Answer a request."""
@@ -48,7 +50,7 @@
         return None
 
     def _answer(self, event: HttpArrived) -> Effect:
-        if event.path in READY_PATHS:
+        if event.path == self._ready_path:
             status = OK if self._ready() else UNAVAILABLE
             return HttpReply(exchange=event.exchange, status=status)
         if event.path == METRICS_PATH:
