--- a/src/yokeline/platform/__main__.py
+++ b/src/yokeline/platform/__main__.py
@@ -14,6 +14,8 @@
 from yokeline.role_settings import read_role_settings
 from yokeline.roles import Adapter, run_role
 
+READY_PATH = "/-/ready"
+"""Where the entry asks whether a node wants connections."""
 SETTINGS_VARIABLE = "YOKELINE_NODE_FILE"
 """Environment variable that holds the path of the settings file."""
 
@@ -25,7 +27,12 @@
     if isinstance(settings, Failure):
         print(settings.failure().line(), file=sys.stderr)
         return EXIT_USAGE
-    adapter = Adapter(store=KeyValueStore, formats=PlatformDocuments(), dialect=HeaderDialect())
+    adapter = Adapter(
+        store=KeyValueStore,
+        formats=PlatformDocuments(),
+        dialect=HeaderDialect(),
+        ready_path=READY_PATH,
+    )
     return run_role(role, settings.unwrap(), adapter)
 
 
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -42,6 +42,7 @@
     store: Callable[[Address], StoreProtocol]
     formats: DeploymentFormats
     dialect: Dialect
+    ready_path: str
 
 
 def run_role(role: str, settings: RoleSettings, adapter: Adapter) -> int:
@@ -117,6 +118,7 @@
     )
     status = StatusService(
         ready=lambda: node.ready,
+        ready_path=adapter.ready_path,
         figures=lambda: _with_dropped(edge_figures(node), dropped),
     )
     services: BoundServices = [
--- a/tests/unit/platform/test_boundary.py
+++ b/tests/unit/platform/test_boundary.py
@@ -8,7 +8,7 @@
 
 SOURCE = Path(__file__).resolve().parents[3] / "src" / "yokeline"
 PLATFORM_NAMES = re.compile(
-    r"x-yokeline-(?!replica)|/-/kv-|private-key|path-prefix|op/config|op/retire|"
+    r"x-yokeline-(?!fence)|/-/|private-key|path-prefix|op/config|op/retire|"
     r"['\"]servers/|target-latency-ms|traffic-split|YOKELINE_NODE_FILE",
     re.IGNORECASE,
 )
