--- a/src/yokeline/cli.py
+++ b/src/yokeline/cli.py
@@ -17,6 +17,7 @@
     configuration,
     emulate,
     experiment,
+    explain,
     node,
     recover,
     runs,
@@ -60,6 +61,7 @@
     "shards": cluster.shards,
     "engines": cluster.engines,
     "drain": cluster.drain,
+    "explain": explain.explain,
     "recover": recover.recover,
     "simulate": simulate.simulate,
 }
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -73,6 +73,8 @@
 HOPELESS_SHARE = 0.6
 """A turn is not begun with less than this share of an average turn's time left."""
 TURN_WEIGHT = 0.05
+LEAST_SECONDS = 0.005
+"""Nothing is sent with less time left, as after a pause of the whole process."""
 
 OK = 200
 BAD_REQUEST = 400
@@ -390,6 +392,8 @@
 
     def _is_hopeless(self, exchange: Exchange) -> bool:
         """Return whether a turn cannot end before its deadline; its work would be wasted."""
+        if exchange.due - self._now <= LEAST_SECONDS:
+            return True
         if exchange.route.kind is not RouteKind.STREAMING or exchange.events:
             return False
         return exchange.due - self._now < HOPELESS_SHARE * self._turn_seconds.get(exchange.pool, 0)
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -135,6 +135,14 @@
         self.assertEqual((played.replies[-1].status, len(played.sent)), (503, 1))
 
 
+    def test_a_process_that_wakes_after_a_pause_sends_nothing_that_is_over(self) -> None:
+        played = Played()
+        played.turn("/turn/x")
+        played.now += 10.0
+        played.ledger_answers(Granted())
+        self.assertEqual((played.sent, played.replies[-1].status), ([], 503))
+
+
 class Budgets(unittest.TestCase):
     def test_a_turn_is_reserved_before_it_runs_and_settled_by_what_was_handed_over(self) -> None:
         played = Played()
