--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -272,9 +272,10 @@
         )
         exchange.operation = operation
 
-        def reserved(result: OperationResult | None) -> list[Effect]:
+        def reserved(result: OperationResult | None, now: float) -> list[Effect]:
+            self._now = now
             self._reserved(exchange, result)
-            return []
+            return self._take_effects()
 
         give_up_at = min(exchange.due, self._now + LEDGER_SECONDS)
         self._effects.extend(self._ledger.ask(operation, reserved, self._now, give_up_at))
@@ -323,12 +324,13 @@
             turn=turn,
         )
 
-        def settled(result: OperationResult | None) -> list[Effect]:
+        def settled(result: OperationResult | None, now: float) -> list[Effect]:
+            self._now = now
             if turn is not None:
                 self._kept(exchange, result)
             elif result is None:
                 self._log("settlement_unknown", exchange, level="warning", tokens=tokens)
-            return []
+            return self._take_effects()
 
         give_up_at = exchange.due if turn is not None else self._now + SETTLE_SECONDS
         self._effects.extend(self._ledger.ask(operation, settled, self._now, give_up_at))
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -25,8 +25,8 @@
 PAUSE_SECONDS = 0.03
 """Pause after the answer of a replica that neither leads nor knows who does."""
 
-OperationDone = Callable[[OperationResult | None], list[Effect]]
-"""Told the result of an operation; None if it was given up, and may have been taken."""
+OperationDone = Callable[[OperationResult | None, float], list[Effect]]
+"""Told the result of an operation and the time; None if it was given up, and may have been taken."""
 
 
 class _Asked(msgspec.Struct, kw_only=True):
@@ -95,7 +95,7 @@
         for number, asked in list(self._asked.items()):
             if now >= asked.give_up_at:
                 del self._asked[number]
-                effects.extend(asked.done(None))
+                effects.extend(asked.done(None, now))
             elif now >= asked.send_at:
                 self._leader = None
                 effects.extend(self._send(number, asked, now))
@@ -110,7 +110,7 @@
         if reply.results:
             del self._asked[reply.number]
             self.answer_seconds.observe(now - asked.asked_at)
-            effects.extend(asked.done(reply.results[0]))
+            effects.extend(asked.done(reply.results[0], now))
         elif reply.leader is not None:
             effects.extend(self._send(reply.number, asked, now))
         else:
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -134,7 +134,6 @@
         played.ledger_answers(Granted())
         self.assertEqual((played.replies[-1].status, len(played.sent)), (503, 1))
 
-
     def test_a_process_that_wakes_after_a_pause_sends_nothing_that_is_over(self) -> None:
         played = Played()
         played.turn("/turn/x")
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -280,7 +280,7 @@
         """Ask the ledger as an edge does, and wait."""
         answers: list[OperationResult | None] = []
 
-        def done(result: OperationResult | None) -> list[Effect]:
+        def done(result: OperationResult | None, now: float) -> list[Effect]:
             answers.append(result)
             return []
 
