--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -26,7 +26,7 @@
 """Pause after the answer of a replica that neither leads nor knows who does."""
 
 OperationDone = Callable[[OperationResult | None, float], list[Effect]]
-"""Told the result of an operation and the time; None if it was given up, and may have been taken."""
+"""Told the result of an operation and the time; None if given up (it may have been taken)."""
 
 
 class _Asked(msgspec.Struct, kw_only=True):
