--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -14,13 +14,14 @@
 """Time that each other running request adds to a turn (its step, and its context)."""
 FULL_TURN_SECONDS = 0.35
 """Time until a place comes free at an engine whose places are all taken, times its places."""
-OTHER_ZONE_SECONDS = 0.002
+OTHER_ZONE_SECONDS = 0.012
+"""Cost of another zone: the way there and back, and the prompt's bytes between zones."""
 SUSPECT_SECONDS = 0.5
 """Cost of an engine that failed a moment ago."""
-MODEL_HEADROOM = 1.0
+MODEL_HEADROOM = 1.25
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
-NEW_PROGRAM_HEADROOM = 0.6
+NEW_PROGRAM_HEADROOM = 0.7
 """The same for first turns: the more requests run, the slower each, and a program that begins
 where all are slow ends late and makes the others late."""
 AFFINITY_SECONDS = 0.02
--- a/src/yokeline/registry/client.py
+++ b/src/yokeline/registry/client.py
@@ -10,7 +10,7 @@
 from yokeline.effects import Effect, Event, HttpFailed, HttpResponse, LogRecord
 from yokeline.identifiers import RequestId
 from yokeline.registry.protocol import StoredItem, StoreProtocol, StoreRefused, Written
-from yokeline.registry.watch import PrefixWatch
+from yokeline.registry.watch import WATCH_SECONDS, PrefixWatch
 
 WRITE_RETRY_SECONDS = 0.4
 LOST_AFTER_FAILURES = 3
@@ -38,11 +38,15 @@
     """
 
     def __init__(
-        self, store: StoreProtocol, prefixes: tuple[str, ...], source: random.Random
+        self,
+        store: StoreProtocol,
+        prefixes: tuple[str, ...],
+        source: random.Random,
+        wait_seconds: float = WATCH_SECONDS,
     ) -> None:
-        """Follow ``prefixes``."""
+        """Follow ``prefixes``, each with calls that wait at most ``wait_seconds``."""
         self._store = store
-        self._watches = [PrefixWatch(prefix, store, source) for prefix in prefixes]
+        self._watches = [PrefixWatch(prefix, store, source, wait_seconds) for prefix in prefixes]
         self._writes: dict[str, _Write] = {}
         self._write_count = 0
         self._available: bool | None = None
--- a/src/yokeline/registry/nodes.py
+++ b/src/yokeline/registry/nodes.py
@@ -11,6 +11,8 @@
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.identifiers import NodeName, ReplicaId
 
+OWN_PREFIX = "yokeline/"
+"""Everything that nodes write for each other."""
 NODE_PREFIX = "yokeline/nodes/"
 FOUNDER_KEY = "yokeline/ledger/founder"
 
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -39,8 +39,15 @@
         failures: Calls in a row without a useful answer.
     """
 
-    def __init__(self, prefix: str, store: StoreProtocol, source: random.Random) -> None:
-        """Begin by listing."""
+    def __init__(
+        self,
+        prefix: str,
+        store: StoreProtocol,
+        source: random.Random,
+        wait_seconds: float = WATCH_SECONDS,
+    ) -> None:
+        """Begin by listing; a watching call waits at most ``wait_seconds``."""
+        self._wait_seconds = wait_seconds
         self.prefix = prefix
         self.items: dict[str, StoredItem] = {}
         self.complete = False
@@ -74,7 +81,9 @@
         self._pending = RequestId(f"watch/{self.prefix}/{self._calls}")
         if self._phase is WatchPhase.LISTING:
             return self._store.list_call(self._pending, self.prefix, self._after_key)
-        return self._store.watch_call(self._pending, self.prefix, self._revision, WATCH_SECONDS)
+        return self._store.watch_call(
+            self._pending, self.prefix, self._revision, self._wait_seconds
+        )
 
     def owns(self, request: RequestId) -> bool:
         """Return whether an answer belongs to the call under way."""
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -25,13 +25,16 @@
 from yokeline.node.sockets import OpenSockets
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
-from yokeline.registry.nodes import NodeRecord, NodeRole
+from yokeline.registry.nodes import OWN_PREFIX, NodeRecord, NodeRole
 from yokeline.registry.protocol import StoreProtocol
+from yokeline.registry.watch import WATCH_SECONDS
 from yokeline.role_settings import RoleSettings, parse_address
 from yokeline.status_service import NodeFigures, StatusService
 
 SEED_BITS = 128
 _DESCRIPTORS_FOR_CALLERS = 0.6
+_STORAGE_WATCH_SECONDS = 4.0
+"""A storage node is told of orders and of other nodes; neither is urgent, and calls cost."""
 
 BoundServices = list[tuple[Service, ServiceBinding, OpenSockets | None]]
 
@@ -147,7 +150,13 @@
     cut = _cut_tail(folder / LOG_FILE, log.valid_bytes, len(data.unwrap()))
     if isinstance(cut, Failure):
         return cut
-    registry = _registry(settings, adapter, ("",), source)
+    registry = _registry(
+        settings,
+        adapter,
+        (adapter.formats.retire_prefix, OWN_PREFIX),
+        source,
+        _STORAGE_WATCH_SECONDS,
+    )
     if isinstance(registry, Failure):
         return registry
     now = time.monotonic()
@@ -197,10 +206,14 @@
 
 
 def _registry(
-    settings: RoleSettings, adapter: Adapter, prefixes: tuple[str, ...], source: random.Random
+    settings: RoleSettings,
+    adapter: Adapter,
+    prefixes: tuple[str, ...],
+    source: random.Random,
+    wait_seconds: float = WATCH_SECONDS,
 ) -> Result[RegistryClient, YokelineError]:
     return parse_address(settings.store, "store").map(
-        lambda address: RegistryClient(adapter.store(address), prefixes, source)
+        lambda address: RegistryClient(adapter.store(address), prefixes, source, wait_seconds)
     )
 
 
