--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -14,7 +14,7 @@
 """Time that each other running request adds to a turn (its step, and its context)."""
 FULL_TURN_SECONDS = 0.35
 """Time until a place comes free at an engine whose places are all taken, times its places."""
-OTHER_ZONE_SECONDS = 0.012
+OTHER_ZONE_SECONDS = 0.016
 """Cost of another zone: the way there and back, and the prompt's bytes between zones."""
 SUSPECT_SECONDS = 0.5
 """Cost of an engine that failed a moment ago."""
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -41,7 +41,9 @@
 from yokeline.registry.protocol import StoredItem
 
 REPORT_SECONDS = 0.1
-"""Pause between two reports of load to the other nodes."""
+"""Pause between two reports of load to the other nodes while an engine is busy."""
+CALM_REPORT_SECONDS = 0.3
+"""The same while none is: then any engine has room, whatever the others do."""
 MAX_REPORTED_NODES = 32
 """Nodes that get a report; with more nodes each reports to the next ones in a ring."""
 CLOSING_AFTER_SECONDS = 2.2
@@ -239,8 +241,9 @@
     def _report_load(self, now: float) -> list[Effect]:
         if now < self._next_report:
             return []
-        self._next_report = now + REPORT_SECONDS
         self._engines.sum_reports(now)
+        pause = REPORT_SECONDS if self._engines.any_busy() else CALM_REPORT_SECONDS
+        self._next_report = now + pause
         loads = self._engines.own_loads()
         if not loads and self._reported_idle:
             return []
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -12,6 +12,7 @@
 
 REPORT_FRESH_SECONDS = 1.0
 """Age after which another node's report of its load counts for nothing."""
+BUSY_SHARE = 0.4
 FULL_SECONDS = 0.08
 """Time for which an engine that rejected a request gets no other one."""
 SUSPECT_SECONDS = 1.0
@@ -107,6 +108,10 @@
         """Return every engine."""
         return self._engines.values()
 
+    def any_busy(self) -> bool:
+        """Return whether an engine has more than a share of its places taken."""
+        return any(state.load > BUSY_SHARE * state.engine.slots for state in self._engines.values())
+
     def own_loads(self) -> tuple[EngineLoad, ...]:
         """Return what this node has under way."""
         return tuple(
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -15,7 +15,7 @@
     WatchEvents,
 )
 
-WATCH_SECONDS = 1.0
+WATCH_SECONDS = 1.3
 """Longest wait of one call. The service may lose its history while a call waits, and tells it
 only to the next one; so this bounds how late a change is known."""
 RETRY_SECONDS = 0.15
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -337,6 +337,16 @@
         played.engines.sum_reports(played.now + 1.1)
         self.assertEqual(state.load, 0)
 
+    def test_nodes_report_often_only_while_an_engine_is_busy(self) -> None:
+        played = Played(engines_per_pool=1, slots=10)
+        for _ in range(4):
+            played.turn()
+            played.ledger_answers(Granted())
+        self.assertFalse(played.engines.any_busy())
+        played.turn()
+        played.ledger_answers(Granted())
+        self.assertTrue(played.engines.any_busy())
+
     def test_an_engine_that_drains_gets_nothing_new(self) -> None:
         played = Played(engines_per_pool=1)
         state = played.engines.get("apps-0")
