--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(VENV)/bin/mypy
 
 lock:
-	$(VENV)/bin/python -m piptools compile --extra dev --strip-extras --no-emit-index-url --no-header -o requirements.lock pyproject.toml
+	$(VENV)/bin/python -m piptools compile --extra dev --strip-extras --no-emit-index-url --no-emit-find-links --no-header -o requirements.lock pyproject.toml
 
 clean:
 	rm -rf $(VENV) build var
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -204,7 +204,7 @@
             "revision": item.revision,
         }
         if item.value is None:
-            self.forwarder.beliefs.forget(engine_id)
+            self.forwarder.forget_engine(engine_id)
             if not self._engines.remove(engine_id):
                 return []
             return [LogRecord(event="engine_gone", fields=fields)]
--- /dev/null
+++ b/src/yokeline/forwarding/engine_request.py
@@ -0,0 +1,58 @@
+"""The request that an engine gets for a caller's."""
+
+from __future__ import annotations
+
+from yokeline.effects import Framing, HttpRequest
+from yokeline.forwarding.dialect import Dialect, EngineOrder
+from yokeline.forwarding.engines import EngineState
+from yokeline.forwarding.exchange import Exchange
+from yokeline.forwarding.model import RouteKind
+from yokeline.identifiers import RequestId
+
+ENGINE_PRIORITY = 5
+"""One priority for all: at an engine, a more urgent request would displace one that runs."""
+FIRST_EVENT_SECONDS = 1.5
+"""Silence before the first event after which a stream that may be resumed goes elsewhere."""
+_LEAST_REMAINING_SECONDS = 0.001
+_HOST = "host"
+
+
+def engine_request(
+    exchange: Exchange, request: RequestId, state: EngineState, dialect: Dialect, now: float
+) -> HttpRequest:
+    """Return the request to send: the caller's own, with what the engine is told."""
+    arrived = exchange.arrived
+    remaining = max(_LEAST_REMAINING_SECONDS, exchange.due - now)
+    order = EngineOrder(
+        engine=state.engine,
+        remaining=remaining,
+        priority=ENGINE_PRIORITY,
+        last_event_id=_resume_from(exchange),
+    )
+    headers = dialect.engine_headers(arrived, exchange.call, order)
+    streaming = exchange.route.kind is RouteKind.STREAMING
+    may_resume = streaming and exchange.route.may_repeat
+    return HttpRequest(
+        request=request,
+        address=state.engine.address,
+        method=arrived.method,
+        path="",
+        target=arrived.target,
+        headers={_HOST: arrived.headers.get(_HOST, "")},
+        header_items=tuple(item for item in headers if item[0] != _HOST),
+        body=exchange.body,
+        framing=Framing.RAW_EVENTS if streaming else Framing.WHOLE,
+        timeout=min(remaining, FIRST_EVENT_SECONDS) if may_resume else remaining,
+        use_kept=True,
+        echo_header=dialect.echo_header,
+        echo_value=exchange.call.request_id,
+    )
+
+
+def _resume_from(exchange: Exchange) -> str:
+    """Return after which event an engine is to continue.
+
+    A turn that is kept needs the data of all its events, so a caller's resumption of it runs
+    whole; what the caller has is not passed on again.
+    """
+    return exchange.kept_event_id if exchange.route.retain else exchange.last_event_id
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -7,20 +7,16 @@
 from __future__ import annotations
 
 import itertools
-import json
-from collections import Counter, OrderedDict
+from collections import Counter
 
-import xxhash
 from returns.result import Success
 
 from yokeline.effects import (
     Effect,
-    Framing,
     HttpArrived,
     HttpCancel,
     HttpFailed,
     HttpReply,
-    HttpRequest,
     HttpResponse,
     HttpStreamData,
     HttpStreamEnd,
@@ -29,13 +25,23 @@
     HttpStreamStart,
     LogRecord,
 )
-from yokeline.forwarding.choice import Choice, ChoiceInputs, choose
-from yokeline.forwarding.dialect import Dialect, EngineOrder
+from yokeline.forwarding.choice import Choice
+from yokeline.forwarding.dialect import Dialect
+from yokeline.forwarding.engine_request import engine_request
 from yokeline.forwarding.engines import FULL_SECONDS, EngineBook
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.history import TurnCache, event_data
+from yokeline.forwarding.http_parts import host_of, is_later, refusal_body
 from yokeline.forwarding.model import Call, Pool, Route, RouteKind, RoutingTable
-from yokeline.forwarding.prefixes import PrefixBeliefs
+from yokeline.forwarding.placement import Placement
+from yokeline.forwarding.pool_split import PoolSplit
+from yokeline.forwarding.retry_budget import RetryBudget
+from yokeline.forwarding.turn_operations import (
+    kept_turn_of,
+    needs_ledger,
+    reservation_of,
+    settlement_of,
+)
 from yokeline.forwarding.waiting import WaitingRequests
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId, RequestId
@@ -46,8 +52,6 @@
     KeptTurn,
     NoSuchTurn,
     OperationResult,
-    Reserve,
-    Settle,
 )
 from yokeline.timers import TimerQueue
 
@@ -59,22 +63,11 @@
 """Share of the target latency for which a request waits for an engine with room."""
 BEGUN_WAIT_SHARE = 1.0
 """The same for a turn of a program that has begun."""
-ENGINE_PRIORITY = 5
 MAX_REJECTIONS = 4
 MAX_RUNS = 3
 """Engines that a repeatable request may run on, one after the other has ended."""
-FIRST_EVENT_SECONDS = 1.5
 EVENT_SECONDS = 0.9
 """Silence after which a stream that may be resumed is taken from its engine."""
-RETRY_SHARE = 0.2
-"""Repeated sends per first send that the retry budget allows."""
-RETRY_RESERVE = 10.0
-MAX_AFFINITIES = 4096
-HOPELESS_SHARE = 0.6
-"""A turn is not begun with less than this share of an average turn's time left."""
-TURN_WEIGHT = 0.05
-LEAST_SECONDS = 0.005
-"""Nothing is sent with less time left, as after a pause of the whole process."""
 
 OK = 200
 BAD_REQUEST = 400
@@ -112,26 +105,26 @@
         self.counters: Counter[str] = Counter()
         self.added_seconds = Histogram()
         self.first_event_seconds = Histogram()
-        self.beliefs = PrefixBeliefs()
-        self._zone = zone
+        self._placement = Placement(zone, engines)
         self._dialect = dialect
         self._ledger = ledger
-        self._engines = engines
         self._exchanges: dict[ExchangeId, Exchange] = {}
         self._by_request: dict[RequestId, Exchange] = {}
         self._waiting: dict[str, WaitingRequests] = {}
         self._turns = TurnCache()
-        self._affinities: OrderedDict[tuple[str, str], str] = OrderedDict()
-        self._split_counts: dict[str, Counter[str]] = {}
+        self._split = PoolSplit()
         self._timers = TimerQueue()
         self._numbers = itertools.count(1)
-        self._retries_left = RETRY_RESERVE
-        self._turn_seconds: dict[str, float] = {}
+        self._retries = RetryBudget()
         self._effects: list[Effect] = []
         self._now = 0.0
 
     # ------------------------------------------------------------ service side
 
+    def forget_engine(self, engine_id: str) -> None:
+        """Forget what an engine that is gone had cached."""
+        self._placement.beliefs.forget(engine_id)
+
     @property
     def under_way(self) -> int:
         """Requests without a final answer."""
@@ -195,7 +188,7 @@
         if self.refusing:
             self._refuse_unparsed(event, UNAVAILABLE, "stopping", retry_after=0.0)
             return
-        route = table.find(_host_of(event), event.path)
+        route = table.find(host_of(event), event.path)
         if route is None:
             self._refuse_unparsed(event, NOT_FOUND, "no_route", version=table.version)
             return
@@ -207,7 +200,7 @@
             self._refuse_unparsed(event, BAD_REQUEST, parsed.failure().message)
             return
         exchange = self._open(event, parsed.unwrap(), route)
-        if self._needs_ledger(exchange):
+        if needs_ledger(exchange):
             self._reserve(exchange)
         else:
             self._wait(exchange)
@@ -221,7 +214,7 @@
             route=route,
             due=self._now + min(call.deadline, route.timeout),
             started=self._now,
-            pool=self._pool_of(route, call),
+            pool=self._split.pool_of(route, call),
             body=event.body,
             last_event_id=call.last_event_id,
         )
@@ -229,47 +222,12 @@
         self._schedule(exchange, exchange.due, self._deadline_reached)
         return exchange
 
-    def _pool_of(self, route: Route, call: Call) -> str:
-        """Return the pool for a request: by weight, and the same for all turns of a program."""
-        if len(route.pools) == 1:
-            return route.pools[0].pool
-        total = sum(part.weight for part in route.pools)
-        if call.program and route.kind is RouteKind.STREAMING:
-            point = xxhash.xxh32_intdigest(call.program.encode()) / 2**32 * total
-            for part in route.pools:
-                point -= part.weight
-                if point < 0:
-                    return part.pool
-            return route.pools[-1].pool
-        counts = self._split_counts.setdefault(route.name, Counter())
-        chosen = min(
-            (part for part in route.pools if part.weight > 0),
-            key=lambda part: (counts[part.pool] + 1) / part.weight,
-            default=route.pools[0],
-        )
-        counts[chosen.pool] += 1
-        return chosen.pool
-
     # ------------------------------------------------------------ ledger
 
-    def _needs_ledger(self, exchange: Exchange) -> bool:
-        call = exchange.call
-        if exchange.route.kind is not RouteKind.STREAMING:
-            return False
-        return call.budget is not None or bool(call.previous_turn)
-
     def _reserve(self, exchange: Exchange) -> None:
-        call = exchange.call
         exchange.phase = Phase.RESERVING
-        operation = Reserve(
-            request_id=call.request_id,
-            program=call.program if call.budget is not None else "",
-            budget=call.budget or 0,
-            tokens=call.most_tokens,
-            retention=exchange.route.retention,
-            previous=call.previous_turn,
-            missing_from=self._turns.missing_from(call.previous_turn),
-        )
+        missing_from = self._turns.missing_from(exchange.call.previous_turn)
+        operation = reservation_of(exchange, missing_from)
         exchange.operation = operation
 
         def reserved(result: OperationResult | None, now: float) -> list[Effect]:
@@ -316,13 +274,7 @@
         if not exchange.reserved and turn is None:
             return
         exchange.reserved = False
-        call = exchange.call
-        operation = Settle(
-            request_id=call.request_id,
-            program=call.program if call.budget is not None else "",
-            tokens=tokens,
-            turn=turn,
-        )
+        operation = settlement_of(exchange, tokens, turn)
 
         def settled(result: OperationResult | None, now: float) -> list[Effect]:
             self._now = now
@@ -379,44 +331,16 @@
         if queue is None or not len(queue):
             return
         for exchange in queue.in_order():
-            if self._is_hopeless(exchange):
+            if self._placement.is_hopeless(exchange, self._now):
                 queue.remove(exchange)
                 self._give_up_waiting(exchange)
                 continue
-            choice = self._choose(exchange)
-            if choice is None and exchange.tried:
-                exchange.tried.clear()
-                choice = self._choose(exchange)
+            choice = self._placement.choose(exchange, self._pool(exchange), self._now)
             if choice is None:
                 continue
             queue.remove(exchange)
             self._send(exchange, choice)
 
-    def _is_hopeless(self, exchange: Exchange) -> bool:
-        """Return whether a turn cannot end before its deadline; its work would be wasted."""
-        if exchange.due - self._now <= LEAST_SECONDS:
-            return True
-        if exchange.route.kind is not RouteKind.STREAMING or exchange.events:
-            return False
-        return exchange.due - self._now < HOPELESS_SHARE * self._turn_seconds.get(exchange.pool, 0)
-
-    def _choose(self, exchange: Exchange) -> Choice | None:
-        affinity = (exchange.pool, exchange.call.affinity_key)
-        inputs = ChoiceInputs(
-            call=exchange.call,
-            traits=self._pool(exchange).model,
-            zone=self._zone,
-            excluded=frozenset(exchange.tried),
-            affine=self._affinities.get(affinity, "") if exchange.call.affinity_key else "",
-            is_new_program=self._is_new_program(exchange),
-        )
-        engines = self._engines.in_pool(exchange.pool)
-        return choose(engines, self.beliefs, inputs, self._now)
-
-    def _is_new_program(self, exchange: Exchange) -> bool:
-        """Return whether nothing would be lost if this request's program did not begin."""
-        return bool(exchange.call.program) and not exchange.begun and not exchange.events
-
     def _pool(self, exchange: Exchange) -> Pool:
         assert self.table is not None
         pool = self.table.pools.get(exchange.pool)
@@ -427,7 +351,6 @@
     def _send(self, exchange: Exchange, choice: Choice) -> None:
         state = choice.state
         call = exchange.call
-        traits = self._pool(exchange).model
         exchange.phase = Phase.SENT
         exchange.engine = state
         exchange.sends += 1
@@ -438,13 +361,10 @@
         self._by_request[exchange.request] = exchange
         state.running += 1
         state.tokens += exchange.uncached
-        if traits is not None:
-            self.beliefs.note_read(state.engine.engine_id, call.parts, traits.memory_tokens)
-        if call.affinity_key:
-            self._note_affinity(exchange.pool, call.affinity_key, state.engine.engine_id)
+        self._placement.note_sent(exchange, choice, self._pool(exchange))
         if exchange.sends == 1:
             self.added_seconds.observe(self._now - exchange.started)
-            self._retries_left = min(RETRY_RESERVE, self._retries_left + RETRY_SHARE)
+            self._retries.note_first_send()
         self._log(
             "engine_chosen",
             exchange,
@@ -455,57 +375,10 @@
             waited=round(self._now - exchange.waiting_since, 4),
             send=exchange.sends,
         )
-        self._effects.append(self._engine_request(exchange, choice))
-
-    def _engine_request(self, exchange: Exchange, choice: Choice) -> HttpRequest:
-        assert exchange.request is not None
-        remaining = max(0.001, exchange.due - self._now)
-        order = EngineOrder(
-            engine=choice.state.engine,
-            remaining=remaining,
-            priority=self._engine_priority(exchange),
-            last_event_id=self._resume_from(exchange),
-        )
-        headers = self._dialect.engine_headers(exchange.arrived, exchange.call, order)
-        streaming = exchange.route.kind is RouteKind.STREAMING
-        timeout = remaining
-        if streaming and exchange.route.may_repeat:
-            timeout = min(remaining, FIRST_EVENT_SECONDS)
-        return HttpRequest(
-            request=exchange.request,
-            address=choice.state.engine.address,
-            method=exchange.arrived.method,
-            path="",
-            target=exchange.arrived.target,
-            headers={"host": exchange.arrived.headers.get("host", "")},
-            header_items=tuple(item for item in headers if item[0] != "host"),
-            body=exchange.body,
-            framing=Framing.RAW_EVENTS if streaming else Framing.WHOLE,
-            timeout=timeout,
-            allow_retry=False,
-            use_kept=True,
-            echo_header=self._dialect.echo_header,
-            echo_value=exchange.call.request_id,
+        self._effects.append(
+            engine_request(exchange, exchange.request, state, self._dialect, self._now)
         )
 
-    def _resume_from(self, exchange: Exchange) -> str:
-        """Return after which event an engine is to continue.
-
-        A turn that is kept needs the data of all its events, so a caller's resumption of it
-        runs whole; what the caller has is not passed on again.
-        """
-        return exchange.kept_event_id if exchange.route.retain else exchange.last_event_id
-
-    def _engine_priority(self, exchange: Exchange) -> int:
-        """Return one priority for all: a more urgent request would displace one that runs."""
-        return ENGINE_PRIORITY
-
-    def _note_affinity(self, pool: str, key: str, engine_id: str) -> None:
-        self._affinities[(pool, key)] = engine_id
-        self._affinities.move_to_end((pool, key))
-        if len(self._affinities) > MAX_AFFINITIES:
-            self._affinities.popitem(last=False)
-
     def _leave_engine(self, exchange: Exchange) -> None:
         """Note that a request is no longer at its engine."""
         if exchange.request is not None:
@@ -589,10 +462,10 @@
         if exchange.engine is not None and exchange.events:
             exchange.engine.note_pace(self._now - exchange.item_at)
         exchange.item_at = self._now
-        if exchange.route.retain and _is_later(item.event_id, exchange.kept_event_id):
+        if exchange.route.retain and is_later(item.event_id, exchange.kept_event_id):
             exchange.text.append(event_data(item.data))
             exchange.kept_event_id = item.event_id
-        if not _is_later(item.event_id, exchange.last_event_id):
+        if not is_later(item.event_id, exchange.last_event_id):
             return
         exchange.last_event_id = item.event_id or exchange.last_event_id
         exchange.events += 1
@@ -635,28 +508,14 @@
             state.note_success()
         if exchange.phase is Phase.SENT:
             self._start_stream(exchange)
-        self._note_turn(exchange)
+        self._placement.note_turn(exchange, self._now)
         tokens = self._tokens_of(exchange)
         if not exchange.route.retain:
             self._settle(exchange, tokens)
             self._finish_stream(exchange)
             return
         exchange.phase = Phase.KEEPING
-        turn = KeptTurn(
-            turn_id=exchange.call.request_id,
-            previous=exchange.call.previous_turn,
-            text=exchange.arrived.body + b"".join(exchange.text),
-            retention=exchange.route.retention,
-        )
-        self._settle(exchange, tokens, turn)
-
-    def _note_turn(self, exchange: Exchange) -> None:
-        """Take the time of a whole turn at its engine into the pool's average."""
-        if exchange.sends > 1:
-            return
-        seconds = self._now - exchange.sent_at
-        average = self._turn_seconds.setdefault(exchange.pool, seconds)
-        self._turn_seconds[exchange.pool] = average + TURN_WEIGHT * (seconds - average)
+        self._settle(exchange, tokens, kept_turn_of(exchange))
 
     def _kept(self, exchange: Exchange, result: OperationResult | None) -> None:
         if exchange.phase is not Phase.KEEPING:
@@ -664,14 +523,7 @@
         if result is None:
             self._fail(exchange, "turn_not_kept")
             return
-        self._turns.put(
-            KeptTurn(
-                turn_id=exchange.call.request_id,
-                previous=exchange.call.previous_turn,
-                text=exchange.arrived.body + b"".join(exchange.text),
-                retention=exchange.route.retention,
-            )
-        )
+        self._turns.put(kept_turn_of(exchange))
         self._finish_stream(exchange)
 
     def _finish_stream(self, exchange: Exchange) -> None:
@@ -717,10 +569,12 @@
         """Return whether another run is allowed, wanted and within the retry budget."""
         if not exchange.route.may_repeat or exchange.runs >= MAX_RUNS:
             return False
-        return exchange.due - self._now > 0.02 and (self._retries_left >= 1 or exchange.events > 0)
+        return exchange.due - self._now > 0.02 and (
+            self._retries.allows_repeat() or exchange.events > 0
+        )
 
     def _repeat(self, exchange: Exchange, reason: str) -> None:
-        self._retries_left = max(0.0, self._retries_left - 1)
+        self._retries.note_repeat()
         self.counters["yokeline_forwarding_repeats_total"] += 1
         self._log(
             "request_repeated",
@@ -728,7 +582,7 @@
             reason=reason,
             runs=exchange.runs,
             after_event=exchange.last_event_id,
-            budget_left=round(self._retries_left, 1),
+            budget_left=round(self._retries.left, 1),
         )
         self._wait(exchange)
 
@@ -822,14 +676,11 @@
         *,
         retry_after: float | None = None,
     ) -> None:
-        body = json.dumps({"error": reason, "request": request_id, "retry_after": retry_after})
+        headers = self._dialect.refusal_headers(request_id, retry_after)
+        body = refusal_body(request_id, reason, retry_after)
         self._effects.append(
             HttpReply(
-                exchange=exchange,
-                status=status,
-                headers=self._dialect.refusal_headers(request_id, retry_after),
-                body=body.encode(),
-                last=self.closing,
+                exchange=exchange, status=status, headers=headers, body=body, last=self.closing
             )
         )
 
@@ -890,19 +741,3 @@
         effects = self._effects
         self._effects = []
         return effects
-
-
-def _host_of(event: HttpArrived) -> str:
-    host = event.headers.get("host", "").lower()
-    name, colon, port = host.rpartition(":")
-    return name if colon and port.isdigit() else host
-
-
-def _is_later(event_id: str, than: str) -> bool:
-    """Return whether an event comes after another; ids without a number always do."""
-    if not event_id or not than:
-        return True
-    try:
-        return int(event_id) > int(than)
-    except ValueError:
-        return event_id != than
--- /dev/null
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -0,0 +1,53 @@
+"""What the ledger is asked for a turn: its reservation, its settlement, and to keep it."""
+
+from __future__ import annotations
+
+from yokeline.forwarding.exchange import Exchange
+from yokeline.forwarding.model import RouteKind
+from yokeline.ledger.messages import KeptTurn, Reserve, Settle
+
+
+def needs_ledger(exchange: Exchange) -> bool:
+    """Return whether a request counts against a budget or continues a kept turn."""
+    call = exchange.call
+    if exchange.route.kind is not RouteKind.STREAMING:
+        return False
+    return call.budget is not None or bool(call.previous_turn)
+
+
+def reservation_of(exchange: Exchange, missing_from: str) -> Reserve:
+    """Return the reservation of a turn's most tokens; see :class:`Reserve`."""
+    call = exchange.call
+    return Reserve(
+        request_id=call.request_id,
+        program=_charged_program(exchange),
+        budget=call.budget or 0,
+        tokens=call.most_tokens,
+        retention=exchange.route.retention,
+        previous=call.previous_turn,
+        missing_from=missing_from,
+    )
+
+
+def settlement_of(exchange: Exchange, tokens: int, turn: KeptTurn | None) -> Settle:
+    """Return what replaces the reservation: the tokens handed to the caller."""
+    return Settle(
+        request_id=exchange.call.request_id,
+        program=_charged_program(exchange),
+        tokens=tokens,
+        turn=turn,
+    )
+
+
+def kept_turn_of(exchange: Exchange) -> KeptTurn:
+    """Return a turn that was generated whole, as it is kept."""
+    return KeptTurn(
+        turn_id=exchange.call.request_id,
+        previous=exchange.call.previous_turn,
+        text=exchange.arrived.body + b"".join(exchange.text),
+        retention=exchange.route.retention,
+    )
+
+
+def _charged_program(exchange: Exchange) -> str:
+    return exchange.call.program if exchange.call.budget is not None else ""
