--- /dev/null
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -0,0 +1,126 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from tests.unit.forwarding.support import Played
+from tests.unit.registry.test_watch import ScriptedStore
+from yokeline.effects import (
+    Address,
+    Effect,
+    Exit,
+    HttpArrived,
+    HttpReply,
+    HttpRequest,
+    HttpResponse,
+    StopListening,
+    StopRequested,
+    Tick,
+)
+from yokeline.forwarding.edge_node import EdgeNode
+from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
+from yokeline.platform.documents import PlatformDocuments
+from yokeline.registry.client import RegistryClient
+from yokeline.registry.nodes import NodeRecord, NodeRole
+
+GRACE_SECONDS = 8.0
+
+
+class Stops(unittest.TestCase):
+    def setUp(self) -> None:
+        self.played = Played()
+        self.now = self.played.now
+        record = NodeRecord(
+            name=NodeName("edge-1"),
+            role=NodeRole.EDGE,
+            replica=ReplicaId("edge-1~1"),
+            address=Address("10.0.0.1", 1),
+        )
+        self.node = EdgeNode(
+            record=record,
+            registry=RegistryClient(ScriptedStore(), (), random.Random(1)),
+            formats=PlatformDocuments(),
+            forwarder=self.played.forwarder,
+            engines=self.played.engines,
+            ledger=self.played.ledger,
+            grace_seconds=GRACE_SECONDS,
+            now=self.now,
+        )
+        self.effects: list[tuple[float, Effect]] = []
+
+    def hand(self, event: object) -> list[Effect]:
+        effects = self.node.handle(event, self.now)  # type: ignore[arg-type]
+        self.effects.extend((self.now, effect) for effect in effects)
+        return effects
+
+    def wait(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.02
+            self.hand(Tick())
+
+    def when(self, kind: type) -> float | None:
+        """Return how long after the start an effect of a kind came first."""
+        times = [at for at, effect in self.effects if isinstance(effect, kind)]
+        return times[0] - self.played.now if times else None
+
+    def request(self, name: str, path: str = "/fix/x") -> list[HttpRequest]:
+        fields = {"host": "a.example", "x-yokeline-request-id": name}
+        event = HttpArrived(
+            exchange=ExchangeId(name),
+            method="POST",
+            path=path,
+            target=path,
+            headers=fields,
+            header_items=tuple(fields.items()),
+        )
+        return [effect for effect in self.hand(event) if isinstance(effect, HttpRequest)]
+
+    def test_it_is_not_ready_at_once_and_ends_when_it_was_quiet(self) -> None:
+        self.assertTrue(self.node.ready)
+        self.hand(StopRequested())
+        self.assertFalse(self.node.ready)
+        self.wait(5.0)
+        ended = self.when(Exit)
+        assert ended is not None
+        self.assertGreater(ended, 2.0)
+        self.assertLess(ended, 4.0)
+
+    def test_it_serves_while_the_entry_still_sends_and_then_refuses(self) -> None:
+        self.hand(StopRequested())
+        self.wait(1.0)
+        self.assertEqual(len(self.request("early")), 1)
+        self.wait(1.8)
+        self.assertEqual(len(self.request("middle")), 1)
+        self.wait(1.4)
+        self.assertIsNotNone(self.when(StopListening))
+        self.assertEqual(self.request("late"), [])
+        replies = [effect for _, effect in self.effects if isinstance(effect, HttpReply)]
+        self.assertIn(503, [reply.status for reply in replies])
+
+    def test_what_is_under_way_ends_before_the_process_does(self) -> None:
+        """An entry with too few nodes sends to the end; the end of a stop waits for what runs."""
+        self.hand(StopRequested())
+        sent: list[HttpRequest] = []
+        for number in range(18):
+            self.wait(0.2)
+            sent.extend(self.request(f"r{number}"))
+            for request in sent[:-1]:
+                self.hand(HttpResponse(request=request.request, status=200, body=b"ok"))
+            del sent[:-1]
+        self.wait(1.0)
+        self.assertIsNone(self.when(Exit))
+        self.hand(HttpResponse(request=sent[-1].request, status=200, body=b"ok"))
+        self.wait(0.5)
+        self.assertIsNotNone(self.when(Exit))
+
+    def test_it_ends_in_any_case_before_it_is_ended_by_force(self) -> None:
+        self.hand(StopRequested())
+        self.wait(2.5)
+        self.request("slow", "/turn/x")
+        self.wait(1.0)
+        self.request("slower", "/turn/x")
+        self.wait(GRACE_SECONDS)
+        ended = self.when(Exit)
+        assert ended is not None
+        self.assertLess(ended, GRACE_SECONDS)
