Let one of two storage replicas go on when the other is gone for good

Ruled out: a proof of the loss by the new machine (it does not know whom it replaces); a time limit alone (two halves would both go on). Change: the store picks one of two members, by a key for their committed configuration that only one can write.

--- a/src/yokeline/consensus/group.py
+++ b/src/yokeline/consensus/group.py
@@ -163,6 +163,11 @@
         """Term and vote, as a restart under the same id needs them."""
         return HardState(self._state.term, self._state.voted_for)
 
+    @property
+    def configuration_index(self) -> int:
+        """Index of the entry that holds the configuration in force."""
+        return self._state.log.configuration.index
+
     @property
     def membership_pending(self) -> bool:
         """Whether the configuration in force is not committed yet."""
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -42,6 +42,7 @@
 from yokeline.registry.nodes import (
     FOUNDER_KEY,
     NODE_PREFIX,
+    SURVIVOR_PREFIX,
     NodeRecord,
     NodeRole,
     decode_node,
@@ -54,6 +55,8 @@
 MEMBERS_PERIOD_SECONDS = 0.1
 LEADER_SILENCE_SECONDS = 1.0
 """A member that knows no leader for this long asks to join, in case it was removed."""
+SURVIVOR_SECONDS = 1.5
+"""Silence of the other one of two members after which this one asks to go on alone."""
 STOP_SECONDS = 0.5
 """Time that a planned stop leaves to a hand-over of leadership."""
 
@@ -82,6 +85,7 @@
         self._joins: dict[NodeName, JoinRequest] = {}
         self._lost: frozenset[ReplicaId] = frozenset()
         self._superseded: set[ReplicaId] = set()
+        self._claimed: set[str] = set()
         self._next_join = now
         self._next_members = now
         self._leader_seen_at = now
@@ -105,6 +109,7 @@
             effects.extend(self.replica.tick(now))
         effects.extend(self._found_if_first(now))
         effects.extend(self._ask_to_join(now))
+        effects.extend(self._go_on_alone(now))
         effects.extend(self._tend_members(now))
         if self._stop_at is not None and now >= self._stop_at:
             effects.append(LogRecord(event="stopped", fields={"node": self._record.name}))
@@ -249,17 +254,55 @@
             and member != request.replica
             and (not self.replica.leads or silence.get(member, 0.0) > LOST_SILENCE_SECONDS)
         }
+        return self._note_lost(lost, successor=request.replica, reason="its disk is empty")
+
+    def _note_lost(self, lost: set[ReplicaId], *, successor: str, reason: str) -> list[Effect]:
+        """Count replicas in no majority any more, until they are removed."""
         if not lost - self._lost:
             return []
         self._lost = self._lost | lost
         self.replica.group.set_lost(self._lost)
-        return [
-            LogRecord(
-                event="replica_lost",
-                fields={"replicas": " ".join(sorted(lost)), "successor": request.replica},
-                level="warning",
-            )
-        ]
+        fields: dict[str, str | int | float | bool | None] = {
+            "replicas": " ".join(sorted(lost)),
+            "successor": successor,
+            "reason": reason,
+        }
+        return [LogRecord(event="replica_lost", fields=fields, level="warning")]
+
+    def _forget_removed(self) -> None:
+        """Let a replica that was removed count again, should it be added again."""
+        still_members = self._lost & frozenset(self.replica.group.members)
+        if still_members != self._lost:
+            self._lost = still_members
+            self.replica.group.set_lost(still_members)
+
+    def _go_on_alone(self, now: float) -> list[Effect]:
+        """Of two members, let one go on without the other, which may be gone for good.
+
+        Each of two members holds everything that was committed while there were two, so either
+        may go on, but only one: the key-value service decides, by one key for each
+        configuration, written under the condition that it is absent. The configuration must
+        be known to be committed, or a group of more members could go on elsewhere.
+        """
+        group = self.replica.group
+        if len(group.members) != 2 or not self.replica.is_member or group.membership_pending:
+            return []
+        if now - self._leader_seen_at < SURVIVOR_SECONDS or not self._registry.complete:
+            return []
+        other = next(item for item in group.members if item != self.replica.replica)
+        if other in self._lost:
+            return []
+        key = f"{SURVIVOR_PREFIX}{group.configuration_index}"
+        own = self._record.replica.encode()
+        record = self._registry.items(key).get(key)
+        if record is None:
+            if key not in self._claimed:
+                self._claimed.add(key)
+                self._registry.write(key, own, now, expected=0)
+            return []
+        if record.value != own:
+            return []
+        return self._note_lost({other}, successor="", reason="the store lets this one go on")
 
     # ------------------------------------------------------------ members
 
@@ -269,6 +312,8 @@
             return []
         self._next_members = now + MEMBERS_PERIOD_SECONDS
         group = self.replica.group
+        if not group.membership_pending:
+            self._forget_removed()
         if not self.replica.leads or not group.may_change_members():
             return []
         retiring = self._retiring()
--- a/src/yokeline/registry/nodes.py
+++ b/src/yokeline/registry/nodes.py
@@ -15,6 +15,8 @@
 """Everything that nodes write for each other."""
 NODE_PREFIX = "yokeline/nodes/"
 FOUNDER_KEY = "yokeline/ledger/founder"
+SURVIVOR_PREFIX = "yokeline/ledger/survivor/"
+"""Below it, by index of a configuration of two members: the one that goes on without the other."""
 
 
 class NodeRole(enum.Enum):
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -132,6 +132,7 @@
         self.node: StorageNode | None = None
         self.frozen = False
         self.cut = False
+        self.cut_from_peers = False
         self.disk_hangs = False
         self.sync_seconds = 0.001
         self.started_before = False
@@ -367,7 +368,7 @@
     def _send(self, sender: ReplicaId, source: Machine | None, effect: SendPeer) -> None:
         self.frames += 1
         delay = 0.0005 + 0.002 * self.random.random()
-        if source is not None and source.cut:
+        if source is not None and (source.cut or (source.cut_from_peers and effect.to != _EDGE)):
             return
         if effect.to == _EDGE:
             message = effect.message
@@ -378,7 +379,9 @@
             return
         event = PeerMessage(sender=sender, message=effect.message)
         for machine in self.machines:
-            if machine.address == effect.address and not machine.cut:
+            from_peer = source is not None
+            unreachable = machine.cut or (machine.cut_from_peers and from_peer)
+            if machine.address == effect.address and not unreachable:
                 self._schedule(delay, lambda m=machine: self._arrive(m, effect.to, event))
 
     def _arrive(self, machine: Machine, to: ReplicaId, event: PeerMessage) -> None:
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -198,6 +198,72 @@
         frozen.frozen = False
         self.assertTrue(cluster.run_until(cluster.all_members, CATCH_UP_SECONDS))
 
+    def retire(self, cluster: Cluster, machine: Machine) -> None:
+        """Let a machine be emptied, and take it away."""
+        cluster.store.put(f"op/retire/{machine.name}", json.dumps({"duration-s": 8}).encode())
+        status = f"status/retire/{machine.name}"
+
+        def completed() -> bool:
+            item = cluster.store.items.get(status)
+            return item is not None and b"completed" in (item.value or b"")
+
+        self.assertTrue(cluster.run_until(completed, 6.0))
+        cluster.wipe(machine)
+
+    def test_of_two_members_one_is_gone_for_good_and_an_empty_one_comes(self) -> None:
+        for seed in range(6):
+            cluster = self.cluster(seed=seed)
+            self.retire(cluster, cluster.machines[seed % 3])
+            cluster.ask(turn("t1"))
+            leader = self.leader(cluster)
+            two = [item for item in cluster.machines if item.node is not None]
+            gone = leader if seed % 2 else next(item for item in two if item is not leader)
+            cluster.wipe(gone)
+            cluster.run(1.0)
+            cluster.add_machine()
+            self.assertTrue(cluster.run_until(cluster.all_members, 6.0), f"seed {seed}")
+            self.assert_kept(cluster, "t1")
+            self.assertEqual(cluster.ask(turn("t2")), Settled())
+
+    def test_of_two_members_one_sleeps_and_comes_back(self) -> None:
+        for seed in range(6):
+            cluster = self.cluster(2, seed=seed)
+            cluster.ask(turn("t1"))
+            sleeper = cluster.machines[seed % 2]
+            sleeper.frozen = True
+            self.assertEqual(cluster.ask(turn("t2"), 8.0), Settled(), f"seed {seed}")
+            cluster.run(2.0)
+            sleeper.frozen = False
+            self.assertTrue(cluster.run_until(cluster.all_members, 6.0), f"seed {seed}")
+            self.assert_kept(cluster, "t1", "t2")
+
+    def test_two_members_that_do_not_hear_each_other_never_both_go_on(self) -> None:
+        for seed in range(10):
+            cluster = self.cluster(2, seed=seed)
+            cluster.ask(turn("t1"))
+            for machine in cluster.machines:
+                machine.cut_from_peers = True
+            names = []
+            for number in range(6):
+                name = f"c{number}"
+                if cluster.ask(turn(name), 3.0) is not None:
+                    names.append(name)
+            self.assertTrue(names, f"seed {seed}: neither went on")
+            cluster.run(1.0)
+            sizes = [len(item.node.replica.group.members) for item in cluster.machines if item.node]
+            self.assertEqual(sizes.count(1), 1, f"seed {seed}: {sizes}")
+            for machine in cluster.machines:
+                machine.cut_from_peers = False
+            self.assertTrue(cluster.run_until(cluster.all_members, 6.0), f"seed {seed}")
+            self.assert_kept(cluster, "t1", *names)
+
+    def test_while_the_store_is_down_neither_of_two_goes_on_alone(self) -> None:
+        cluster = self.cluster(2)
+        cluster.ask(turn("t1"))
+        cluster.store.down = True
+        cluster.machines[0].frozen = True
+        self.assertIsNone(cluster.ask(turn("t2"), 4.0))
+
     def test_a_retired_machine_is_emptied_before_that_is_reported(self) -> None:
         for seed in range(4):
             cluster = self.cluster(seed=seed)
