Keep lines of turns at their engine across nodes; report loads as they change

Edges chose on reports up to 0.1 s old: the engine chosen had 18.0 requests where 12.6 were believed (8 edges send to the one that was least loaded a moment ago). A part that grows under one id counted as cached at its new size. Change: a settlement carries engine and tokens of the line, a reservation's answer brings them back to whichever edge asks; a prompt's reading weighs by the requests that it delays; a part counts as cached up to what was read; loads that changed are reported within 20 ms while an engine is busy.

--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -7,9 +7,13 @@
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.model import Call, ModelTraits
 from yokeline.forwarding.prefixes import PrefixBeliefs
+from yokeline.ledger.messages import CachedContext
 
 READ_TOKENS_PER_SECOND = 270_000.0
 """Pace at which an engine reads a prompt that it has not cached."""
+READING_DELAY_SHARE = 0.5
+"""Share of the reading time that each request running at the engine is charged for: while a
+prompt is read, the others' tokens wait."""
 SHARED_STEP_SECONDS = 0.008
 """Time that each other running request adds to a turn (its step, and its context)."""
 FULL_TURN_SECONDS = 0.35
@@ -51,6 +55,7 @@
         zone: Of this node.
         excluded: Engines that have had this request.
         affine: The engine that saw the subject last; empty for none.
+        context: Where the call's line of turns was last read, as the ledger knows.
         is_new_program: It is the first turn of a program.
     """
 
@@ -59,6 +64,7 @@
     zone: str
     excluded: frozenset[str] = frozenset()
     affine: str = ""
+    context: CachedContext | None = None
     is_new_program: bool = False
 
 
@@ -100,8 +106,9 @@
     cached = 0
     cost = 0.0
     if inputs.traits is not None:
-        cached = beliefs.cached_tokens(state.engine.engine_id, call.parts)
-        cost += max(0, call.prompt_tokens - cached) / READ_TOKENS_PER_SECOND
+        cached = _cached_tokens(state, beliefs, inputs)
+        reading = max(0, call.prompt_tokens - cached) / READ_TOKENS_PER_SECOND
+        cost += reading * (1 + READING_DELAY_SHARE * load)
         cost += load * SHARED_STEP_SECONDS
     else:
         cost += load / slots * (state.pace or AFFINITY_SECONDS)
@@ -118,6 +125,16 @@
     return Choice(state=state, cost=cost, load=load, cached=cached)
 
 
+def _cached_tokens(state: EngineState, beliefs: PrefixBeliefs, inputs: ChoiceInputs) -> int:
+    """Return how many leading tokens of the prompt an engine probably has."""
+    engine_id = state.engine.engine_id
+    cached = beliefs.cached_tokens(engine_id, inputs.call.parts)
+    context = inputs.context
+    if context is not None and context.engine_id == engine_id:
+        cached = max(cached, min(context.tokens, inputs.call.prompt_tokens))
+    return cached
+
+
 def _usual_pace(engines: list[EngineState]) -> float:
     """Return the median pace of a pool; 0 if it is not known."""
     paces = sorted(state.pace for state in engines if state.pace)
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -40,10 +40,12 @@
 )
 from yokeline.registry.protocol import StoredItem
 
-REPORT_SECONDS = 0.1
-"""Pause between two reports of load to the other nodes while an engine is busy."""
+REPORT_SECONDS = 0.02
+"""Least pause between two reports of load that changed, while an engine is busy: what the others
+do not know yet sends them all to the engine that was the least loaded a moment ago."""
 CALM_REPORT_SECONDS = 0.3
-"""The same while none is: then any engine has room, whatever the others do."""
+"""Pause between reports while no engine is busy: then any has room, whatever the others do.
+Also the pause between reports of a load that did not change."""
 MAX_REPORTED_NODES = 32
 """Nodes that get a report; with more nodes each reports to the next ones in a ring."""
 CLOSING_AFTER_SECONDS = 2.2
@@ -85,6 +87,8 @@
         self._sequence = 0
         self._next_report = now
         self._reported_idle = False
+        self._reported_changes = 0
+        self._reported_at = now
         self._peers: list[NodeRecord] = []
         self._stop_asked_at: float | None = None
         self._busy_at = now
@@ -239,11 +243,14 @@
     # ------------------------------------------------------------ load reports
 
     def _report_load(self, now: float) -> list[Effect]:
+        if self._reported_changes != self._engines.own_changes and self._engines.any_busy():
+            self._next_report = min(self._next_report, self._reported_at + REPORT_SECONDS)
         if now < self._next_report:
             return []
         self._engines.sum_reports(now)
-        pause = REPORT_SECONDS if self._engines.any_busy() else CALM_REPORT_SECONDS
-        self._next_report = now + pause
+        self._reported_changes = self._engines.own_changes
+        self._reported_at = now
+        self._next_report = now + CALM_REPORT_SECONDS
         loads = self._engines.own_loads()
         if not loads and self._reported_idle:
             return []
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -75,6 +75,19 @@
         self._engines: dict[str, EngineState] = {}
         self._by_pool: dict[str, list[EngineState]] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
+        self.own_changes = 0
+
+    def note_sent(self, state: EngineState, tokens: int) -> None:
+        """Count a request of this node that an engine has under way."""
+        state.running += 1
+        state.tokens += tokens
+        self.own_changes += 1
+
+    def note_left(self, state: EngineState, tokens: int) -> None:
+        """Count a request of this node that is no longer at its engine."""
+        state.running = max(0, state.running - 1)
+        state.tokens = max(0, state.tokens - tokens)
+        self.own_changes += 1
 
     def get(self, engine_id: str) -> EngineState | None:
         """Return an engine that is known."""
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -10,7 +10,7 @@
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.model import Call, Route
 from yokeline.identifiers import ExchangeId, RequestId
-from yokeline.ledger.messages import Operation
+from yokeline.ledger.messages import CachedContext, Operation
 from yokeline.timers import Timer
 
 
@@ -38,6 +38,8 @@
         pool: The pool that serves it.
         body: What an engine receives: the history of its chain, then the caller's body.
         reserved: The ledger counts its most until it is settled.
+        is_whole: Its stream has ended whole.
+        context: Where its line of turns was last read, as the ledger knows.
         sends: Requests to engines so far.
         runs: Of those, how many may have run.
         rejections: How many said that they did not.
@@ -62,6 +64,8 @@
     body: bytes = b""
     phase: Phase = Phase.WAITING
     reserved: bool = False
+    is_whole: bool = False
+    context: CachedContext | None = None
     spent: int = 0
     operation: Operation | None = None
     sends: int = 0
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -105,6 +105,7 @@
         self.counters: Counter[str] = Counter()
         self.added_seconds = Histogram()
         self.first_event_seconds = Histogram()
+        self._engines = engines
         self._placement = Placement(zone, engines)
         self._dialect = dialect
         self._ledger = ledger
@@ -250,6 +251,7 @@
         if isinstance(result, Granted):
             exchange.reserved = exchange.call.budget is not None
             exchange.spent = result.spent
+            exchange.context = result.context
             self._add_history(exchange, result)
         elif isinstance(result, BudgetSpent):
             self._refuse(exchange, PAYMENT_REQUIRED, "budget_spent", spent=result.spent)
@@ -359,8 +361,7 @@
         exchange.uncached = max(0, call.prompt_tokens - choice.cached)
         exchange.request = RequestId(f"call/{next(self._numbers)}")
         self._by_request[exchange.request] = exchange
-        state.running += 1
-        state.tokens += exchange.uncached
+        self._engines.note_sent(state, exchange.uncached)
         self._placement.note_sent(exchange, choice, self._pool(exchange))
         if exchange.sends == 1:
             self.added_seconds.observe(self._now - exchange.started)
@@ -385,8 +386,7 @@
             self._by_request.pop(exchange.request, None)
             exchange.request = None
         if exchange.engine is not None:
-            exchange.engine.running = max(0, exchange.engine.running - 1)
-            exchange.engine.tokens = max(0, exchange.engine.tokens - exchange.uncached)
+            self._engines.note_left(exchange.engine, exchange.uncached)
 
     def _cancel_send(self, exchange: Exchange) -> None:
         if exchange.request is not None:
@@ -508,6 +508,7 @@
             state.note_success()
         if exchange.phase is Phase.SENT:
             self._start_stream(exchange)
+        exchange.is_whole = True
         self._placement.note_turn(exchange, self._now)
         tokens = self._tokens_of(exchange)
         if not exchange.route.retain:
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -79,6 +79,7 @@
             zone=self._zone,
             excluded=frozenset(exchange.tried),
             affine=affine,
+            context=exchange.context,
             is_new_program=bool(call.program) and not exchange.begun and not exchange.events,
         )
         return choose(self._engines.in_pool(exchange.pool), self.beliefs, inputs, now)
--- a/src/yokeline/forwarding/prefixes.py
+++ b/src/yokeline/forwarding/prefixes.py
@@ -26,7 +26,10 @@
         self._caches: dict[str, _EngineCache] = {}
 
     def cached_tokens(self, engine_id: str, parts: tuple[PromptPart, ...]) -> int:
-        """Return how many leading tokens of a prompt an engine probably has."""
+        """Return how many leading tokens of a prompt an engine probably has.
+
+        The last part of a line of turns grows from turn to turn under one identity.
+        """
         cache = self._caches.get(engine_id)
         if cache is None:
             return 0
@@ -34,9 +37,10 @@
         key = ""
         for part in parts:
             key = _extended(key, part)
-            if key not in cache.prefixes:
+            known = cache.prefixes.get(key, 0)
+            tokens += min(known, part.tokens)
+            if known < part.tokens:
                 break
-            tokens += part.tokens
         return tokens
 
     def note_read(self, engine_id: str, parts: tuple[PromptPart, ...], memory_tokens: int) -> None:
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -4,7 +4,7 @@
 
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.model import RouteKind
-from yokeline.ledger.messages import KeptTurn, Reserve, Settle
+from yokeline.ledger.messages import CachedContext, KeptTurn, Reserve, Settle
 
 
 def needs_ledger(exchange: Exchange) -> bool:
@@ -21,6 +21,7 @@
     return Reserve(
         request_id=call.request_id,
         program=_charged_program(exchange),
+        session=call.session,
         budget=call.budget or 0,
         tokens=call.most_tokens,
         retention=exchange.route.retention,
@@ -34,8 +35,10 @@
     return Settle(
         request_id=exchange.call.request_id,
         program=_charged_program(exchange),
+        session=exchange.call.session,
         tokens=tokens,
         turn=turn,
+        context=_context_of(exchange, tokens),
     )
 
 
@@ -49,5 +52,13 @@
     )
 
 
+def _context_of(exchange: Exchange, tokens: int) -> CachedContext | None:
+    """Return where a turn was generated, if it was generated whole at one engine."""
+    if not exchange.is_whole or exchange.engine is None:
+        return None
+    engine_id = exchange.engine.engine.engine_id
+    return CachedContext(engine_id=engine_id, tokens=exchange.call.prompt_tokens + tokens)
+
+
 def _charged_program(exchange: Exchange) -> str:
     return exchange.call.program if exchange.call.budget is not None else ""
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -11,12 +11,25 @@
 # ---------------------------------------------------------------- operations
 
 
+class CachedContext(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a line of turns was last read, and so is probably cached.
+
+    Attributes:
+        engine_id: The engine that generated its last turn.
+        tokens: Prompt and generated tokens of that turn.
+    """
+
+    engine_id: str
+    tokens: int
+
+
 class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag="reserve"):
     """Reserve the most that a turn may generate, and fetch what it continues.
 
     Attributes:
         request_id: Names the turn; a repeated reservation of it is the same one.
         program: Whose budget; empty for none (only ``previous`` is looked up then).
+        session: The line of turns within the program.
         budget: Tokens that the program may generate in all.
         tokens: The most that this turn generates.
         retention: Seconds for which the program is kept after its last turn.
@@ -27,6 +40,7 @@
 
     request_id: str
     program: str = ""
+    session: str = ""
     budget: int = 0
     tokens: int = 0
     retention: float = 60.0
@@ -51,12 +65,20 @@
 
 
 class Settle(msgspec.Struct, frozen=True, kw_only=True, tag="settle"):
-    """Replace a reservation by what was really generated, and keep the turn if asked."""
+    """Replace a reservation by what was really generated, and keep the turn if asked.
+
+    Attributes:
+        session: The line of turns within the program.
+        tokens: Generated in this turn.
+        context: Where the turn was generated, if it was generated whole.
+    """
 
     request_id: str
     program: str = ""
+    session: str = ""
     tokens: int = 0
     turn: KeptTurn | None = None
+    context: CachedContext | None = None
 
 
 Operation = Reserve | Settle
@@ -68,10 +90,12 @@
     Attributes:
         spent: Tokens of the program that count so far, this reservation not included.
         turns: The turns asked for with ``missing_from``, the oldest first.
+        context: Where the line of turns, or else its program, was last read.
     """
 
     spent: int = 0
     turns: tuple[KeptTurn, ...] = ()
+    context: CachedContext | None = None
 
 
 class BudgetSpent(msgspec.Struct, frozen=True, kw_only=True, tag="budget_spent"):
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -10,6 +10,7 @@
 
 from yokeline.ledger.messages import (
     BudgetSpent,
+    CachedContext,
     Granted,
     KeptTurn,
     NoSuchTurn,
@@ -24,6 +25,8 @@
 """Kept beyond the retention, since clocks differ and a change of leader takes time."""
 EXPIRY_PERIOD_SECONDS = 5.0
 DEFAULT_RETENTION_SECONDS = 60.0
+MAX_CONTEXTS = 8
+"""Lines of turns of one program whose engine is remembered; the oldest gives way."""
 
 
 class LedgerCommand(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,6 +43,7 @@
         spent: Generated in turns that are settled.
         reserved: The most of each turn that is not, by request id.
         settled: Request ids that were settled, so that a late repetition changes nothing.
+        contexts: Where its lines of turns were last read, the latest last.
         retention: Seconds kept after the last operation.
         expires: Ledger time at which it may be forgotten.
     """
@@ -47,6 +51,7 @@
     spent: int = 0
     reserved: dict[str, int] = {}
     settled: list[str] = []
+    contexts: dict[str, CachedContext] = {}
     retention: float = DEFAULT_RETENTION_SECONDS
     expires: float = 0.0
 
@@ -54,6 +59,23 @@
         """Return the tokens that count against the budget, open turns at their most."""
         return self.spent + sum(self.reserved.values())
 
+    def note_context(self, session: str, context: CachedContext) -> None:
+        """Remember where a line of turns was last read."""
+        self.contexts.pop(session, None)
+        self.contexts[session] = context
+        if len(self.contexts) > MAX_CONTEXTS:
+            del self.contexts[next(iter(self.contexts))]
+
+    def context_of(self, session: str) -> CachedContext | None:
+        """Return where a line of turns was last read, or else the program's latest one.
+
+        The prompt of a new line begins with that of the line that started it.
+        """
+        known = self.contexts.get(session)
+        if known is not None or not self.contexts:
+            return known
+        return next(reversed(self.contexts.values()))
+
 
 class StoredTurn(msgspec.Struct, kw_only=True):
     """A kept turn and the ledger time at which it may be forgotten."""
@@ -94,12 +116,17 @@
         self._touch(program, operation.retention)
         request_id = operation.request_id
         if request_id in program.reserved or request_id in program.settled:
-            return Granted(spent=program.counted(), turns=turns)
+            return Granted(
+                spent=program.counted(),
+                turns=turns,
+                context=program.context_of(operation.session),
+            )
         spent = program.counted()
         if spent + operation.tokens > operation.budget:
             return BudgetSpent(spent=spent)
         program.reserved[request_id] = operation.tokens
-        return Granted(spent=spent, turns=turns)
+        context = program.context_of(operation.session)
+        return Granted(spent=spent, turns=turns, context=context)
 
     def transition_settle(self, operation: Settle) -> OperationResult:
         """Count what was generated instead of the reservation; keep the turn if there is one."""
@@ -110,6 +137,8 @@
                 program.reserved.pop(operation.request_id, None)
                 program.settled.append(operation.request_id)
                 program.spent += operation.tokens
+            if operation.context is not None:
+                program.note_context(operation.session, operation.context)
         if operation.turn is not None:
             self._keep(operation.turn)
         return Settled()
--- /dev/null
+++ b/tests/unit/forwarding/test_affinity.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import unittest
+
+from tests.unit.forwarding.support import Played
+from yokeline.forwarding.model import PromptPart
+from yokeline.forwarding.prefixes import PrefixBeliefs
+from yokeline.ledger.messages import CachedContext, Granted, Reserve
+
+
+class LinesOfTurns(unittest.TestCase):
+    def test_a_turn_goes_where_its_line_was_read_though_another_node_sent_it_there(self) -> None:
+        for engine_id in ("models-0", "models-1"):
+            played = Played()
+            played.turn(token_usage="20000,50", session_id="s")
+            context = CachedContext(engine_id=engine_id, tokens=19_000)
+            played.ledger_answers(Granted(spent=40, context=context))
+            self.assertEqual(played.engine_of(), engine_id)
+
+    def test_the_ledger_is_asked_for_the_line_of_turns(self) -> None:
+        played = Played()
+        played.turn(session_id="s")
+        reserve = played.operations()[0]
+        assert isinstance(reserve, Reserve)
+        self.assertEqual(reserve.session, "s")
+
+    def test_a_turn_that_broke_off_leaves_no_context(self) -> None:
+        played = Played()
+        played.turn("/once/x")
+        played.ledger_answers(Granted())
+        played.engine_begins()
+        played.engine_sends(1)
+        played.engine_breaks()
+        settle = played.operations()[-1]
+        self.assertIsNone(getattr(settle, "context", None))
+
+    def test_a_line_leaves_an_engine_whose_places_are_all_taken(self) -> None:
+        played = Played(slots=4)
+        state = played.engines.get("models-0")
+        assert state is not None
+        state.others = 20
+        played.turn(token_usage="20000,50", session_id="s")
+        context = CachedContext(engine_id="models-0", tokens=19_000)
+        played.ledger_answers(Granted(spent=40, context=context))
+        self.assertEqual(played.engine_of(), "models-1")
+
+
+class GrowingParts(unittest.TestCase):
+    def test_only_what_was_read_of_a_part_that_grew_is_believed_to_be_cached(self) -> None:
+        beliefs = PrefixBeliefs()
+        beliefs.note_read("e", (PromptPart("shared", 100), PromptPart("line", 10)), 1000)
+        longer = (PromptPart("shared", 100), PromptPart("line", 50), PromptPart("child", 5))
+        self.assertEqual(beliefs.cached_tokens("e", longer), 110)
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -13,12 +13,14 @@
     HttpReply,
     HttpRequest,
     HttpResponse,
+    SendDatagram,
     StopListening,
     StopRequested,
     Tick,
 )
 from yokeline.forwarding.edge_node import EdgeNode
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
+from yokeline.ledger.messages import LoadReport
 from yokeline.platform.documents import PlatformDocuments
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.nodes import NodeRecord, NodeRole
@@ -26,7 +28,9 @@
 GRACE_SECONDS = 8.0
 
 
-class Stops(unittest.TestCase):
+class PlayedNode(unittest.TestCase):
+    """A node whose time and events are played by the test."""
+
     def setUp(self) -> None:
         self.played = Played()
         self.now = self.played.now
@@ -76,6 +80,8 @@
         )
         return [effect for effect in self.hand(event) if isinstance(effect, HttpRequest)]
 
+
+class Stops(PlayedNode):
     def test_it_is_not_ready_at_once_and_ends_when_it_was_quiet(self) -> None:
         self.assertTrue(self.node.ready)
         self.hand(StopRequested())
@@ -124,3 +130,37 @@
         ended = self.when(Exit)
         assert ended is not None
         self.assertLess(ended, GRACE_SECONDS)
+
+
+class LoadReports(PlayedNode):
+    def reports(self) -> list[LoadReport]:
+        return [
+            effect.message
+            for _, effect in self.effects
+            if isinstance(effect, SendDatagram) and isinstance(effect.message, LoadReport)
+        ]
+
+    def setUp(self) -> None:
+        super().setUp()
+        other = NodeRecord(
+            name=NodeName("edge-2"),
+            role=NodeRole.EDGE,
+            replica=ReplicaId("edge-2~1"),
+            address=Address("10.0.0.2", 1),
+        )
+        self.node._peers = [other]
+
+    def test_a_load_that_changes_at_a_busy_engine_is_told_at_once(self) -> None:
+        """Else every node sends to the engine that was the least loaded a moment ago."""
+        for number in range(5):
+            self.request(f"r{number}", "/fix/x")
+        self.wait(0.04)
+        self.assertEqual(sum(load.running for load in self.reports()[-1].loads), 5)
+
+    def test_a_load_that_does_not_change_is_told_rarely(self) -> None:
+        for number in range(5):
+            self.request(f"r{number}", "/fix/x")
+        self.wait(0.1)
+        before = len(self.reports())
+        self.wait(1.0)
+        self.assertLessEqual(len(self.reports()) - before, 4)
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -7,6 +7,7 @@
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import (
     BudgetSpent,
+    CachedContext,
     EngineLoad,
     Granted,
     KeptTurn,
@@ -155,7 +156,8 @@
         played.engine_sends(1, 2, 3)
         played.engine_ends()
         settle = played.operations()[-1]
-        self.assertEqual(settle, Settle(request_id=name, program="p", tokens=30))
+        context = CachedContext(engine_id=played.engine_of(), tokens=130)
+        self.assertEqual(settle, Settle(request_id=name, program="p", tokens=30, context=context))
 
     def test_a_spent_budget_is_402_and_nothing_runs(self) -> None:
         played = Played()
