Relay load reports by zone, watch the store with few calls, keep to a route's attempts, admit more

Changes: a run that an engine answered counts against the route's attempts (one that broke off does not); forwarding/load_sharing.py: up to 16 nodes report directly, more report to a relay of their zone, which passes digests on; five nodes watch with short calls, the others with long ones, and a node that hears of a change which it has not read for 0.4 s lists anew. Taken: 0.85, 1.4, reading weighed by 1.0, elections after 0.25 s.

--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -11,7 +11,7 @@
 
 READ_TOKENS_PER_SECOND = 270_000.0
 """Pace at which an engine reads a prompt that it has not cached."""
-READING_DELAY_SHARE = 0.5
+READING_DELAY_SHARE = 1.0
 """Share of the reading time that each request running at the engine is charged for: while a
 prompt is read, the others' tokens wait."""
 SHARED_STEP_SECONDS = 0.008
@@ -22,10 +22,10 @@
 """Cost of another zone: the way there and back, and the prompt's bytes between zones."""
 SUSPECT_SECONDS = 0.5
 """Cost of an engine that failed a moment ago."""
-MODEL_HEADROOM = 1.25
+MODEL_HEADROOM = 1.4
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
-NEW_PROGRAM_HEADROOM = 0.7
+NEW_PROGRAM_HEADROOM = 0.85
 """The same for first turns: the more requests run, the slower each, and a program that begins
 where all are slow ends late and makes the others late."""
 AFFINITY_SECONDS = 0.02
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 from returns.result import Success
 
 from yokeline.effects import (
@@ -18,16 +19,15 @@
     LogRecord,
     PeerMessage,
     ReloadRequested,
-    SendDatagram,
     SetServerLimits,
     StopListening,
     StopRequested,
 )
 from yokeline.forwarding.engines import EngineBook
 from yokeline.forwarding.forwarder import Forwarder
-from yokeline.identifiers import NodeName
+from yokeline.forwarding.load_sharing import LoadSharing
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.messages import LedgerReply, LoadReport
+from yokeline.ledger.messages import LedgerReply, LoadDigest, LoadReport
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
@@ -39,15 +39,15 @@
     node_key,
 )
 from yokeline.registry.protocol import StoredItem
+from yokeline.registry.watch import WATCH_SECONDS
 
-REPORT_SECONDS = 0.02
-"""Least pause between two reports of load that changed, while an engine is busy: what the others
-do not know yet sends them all to the engine that was the least loaded a moment ago."""
-CALM_REPORT_SECONDS = 0.3
-"""Pause between reports while no engine is busy: then any has room, whatever the others do.
-Also the pause between reports of a load that did not change."""
-MAX_REPORTED_NODES = 32
-"""Nodes that get a report; with more nodes each reports to the next ones in a ring."""
+PACING_SECONDS = 1.0
+CLOSE_WATCHERS = 5
+"""Nodes that watch the registry with short calls, so that a service that went deaf is noticed."""
+LONG_WATCH_SECONDS = 8.0
+"""Longest wait of a watching call at the other nodes; each call is paid for."""
+WATCH_PAUSE_SECONDS = 0.25
+"""Their pause after a change, so that one call brings several."""
 CLOSING_AFTER_SECONDS = 2.2
 """Time after a stop was asked for, until the entry sends no new connections here."""
 QUIET_SECONDS = 0.6
@@ -84,12 +84,8 @@
         self._formats = formats
         self._engines = engines
         self._grace_seconds = grace_seconds
-        self._sequence = 0
-        self._next_report = now
-        self._reported_idle = False
-        self._reported_changes = 0
-        self._reported_at = now
-        self._peers: list[NodeRecord] = []
+        self._next_pacing = now
+        self._sharing = LoadSharing(record, engines, now)
         self._stop_asked_at: float | None = None
         self._busy_at = now
         self._now = now
@@ -119,7 +115,10 @@
         effects.extend(self._registry.tick(now))
         effects.extend(self.ledger.tick(now))
         effects.extend(self.forwarder.tick(now))
-        effects.extend(self._report_load(now))
+        self._pace_watch(now)
+        effects.extend(
+            self._sharing.tick(self.forwarder.waiting(), self._registry.last_change(), now)
+        )
         effects.extend(self._continue_stop(now))
         return effects
 
@@ -129,10 +128,8 @@
             self._registry.next_deadline(),
             self.ledger.next_deadline(),
             self.forwarder.next_deadline(),
-            self._next_report,
+            self._sharing.next_deadline(),
         ]
-        if self._stop_asked_at is not None:
-            dues.append(self._next_report)
         return min(due for due in dues if due is not None)
 
     def _take(self, event: Event, now: float) -> list[Effect]:
@@ -144,15 +141,36 @@
             return self.forwarder.engine_event(event, now)
         if isinstance(event, PeerMessage) and isinstance(event.message, LedgerReply):
             return self.ledger.take_reply(event.message, now)
-        if isinstance(event, DatagramArrived) and isinstance(event.message, LoadReport):
-            self._engines.take_report(event.message, now)
-            return []
+        if isinstance(event, DatagramArrived):
+            return self._take_load(event.message, now)
         if isinstance(event, StopRequested):
             return self._begin_stop(now)
         if isinstance(event, ReloadRequested):
             return [LogRecord(event="reloaded", fields={"node": self._record.name})]
         return []
 
+    def _take_load(self, message: msgspec.Struct, now: float) -> list[Effect]:
+        """Take reports of other nodes in, with how much of the registry these have read."""
+        if isinstance(message, LoadReport):
+            self._sharing.take_report(message, now)
+            return self._registry.hear_of(message.revision, now)
+        if isinstance(message, LoadDigest):
+            self._sharing.take_digest(message, now)
+            latest = max((report.revision for report in message.reports), default=0)
+            return self._registry.hear_of(latest, now)
+        return []
+
+    def _pace_watch(self, now: float) -> None:
+        """Let a few nodes watch closely; the others hear of what these have read."""
+        if now < self._next_pacing:
+            return
+        self._next_pacing = now + PACING_SECONDS
+        earlier = [name for name in self._engines.live_nodes() if name < self._record.name]
+        if len(earlier) < CLOSE_WATCHERS:
+            self._registry.set_pace(WATCH_SECONDS, 0.0)
+        else:
+            self._registry.set_pace(LONG_WATCH_SECONDS, WATCH_PAUSE_SECONDS)
+
     # ------------------------------------------------------------ what the registry says
 
     def _take_change(self, item: StoredItem, now: float) -> list[Effect]:
@@ -230,39 +248,7 @@
         storage = [record for record in records if record.role is NodeRole.STORAGE]
         self.ledger.set_storage({record.replica: record.address for record in storage})
         edges = [record for record in records if record.role is NodeRole.EDGE]
-        self._peers = self._neighbours(edges)
-
-    def _neighbours(self, edges: list[NodeRecord]) -> list[NodeRecord]:
-        """Return the nodes that get our reports: all, or the next ones in the ring of names."""
-        ring = sorted(edges, key=lambda record: record.name)
-        own = self._record.name
-        later = [record for record in ring if record.name > own]
-        earlier = [record for record in ring if record.name < own]
-        return (later + earlier)[:MAX_REPORTED_NODES]
-
-    # ------------------------------------------------------------ load reports
-
-    def _report_load(self, now: float) -> list[Effect]:
-        if self._reported_changes != self._engines.own_changes and self._engines.any_busy():
-            self._next_report = min(self._next_report, self._reported_at + REPORT_SECONDS)
-        if now < self._next_report:
-            return []
-        self._engines.sum_reports(now)
-        self._reported_changes = self._engines.own_changes
-        self._reported_at = now
-        self._next_report = now + CALM_REPORT_SECONDS
-        loads = self._engines.own_loads()
-        if not loads and self._reported_idle:
-            return []
-        self._reported_idle = not loads
-        self._sequence += 1
-        report = LoadReport(
-            node=NodeName(self._record.name),
-            sequence=self._sequence,
-            loads=loads,
-            waiting=self.forwarder.waiting(),
-        )
-        return [SendDatagram(address=peer.address, message=report) for peer in self._peers]
+        self._sharing.set_nodes(edges, self._now)
 
     # ------------------------------------------------------------ stops
 
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -75,6 +75,7 @@
         self._engines: dict[str, EngineState] = {}
         self._by_pool: dict[str, list[EngineState]] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
+        self._sums_are_stale = False
         self.own_changes = 0
 
     def note_sent(self, state: EngineState, tokens: int) -> None:
@@ -115,6 +116,8 @@
 
     def in_pool(self, pool: str) -> list[EngineState]:
         """Return the engines of a pool that take new work, in the order of their ids."""
+        if self._sums_are_stale:
+            self._sum_reports()
         return self._by_pool.get(pool, [])
 
     def all(self) -> Iterable[EngineState]:
@@ -123,6 +126,8 @@
 
     def any_busy(self) -> bool:
         """Return whether an engine has more than a share of its places taken."""
+        if self._sums_are_stale:
+            self._sum_reports()
         return any(state.load > BUSY_SHARE * state.engine.slots for state in self._engines.values())
 
     def own_loads(self) -> tuple[EngineLoad, ...]:
@@ -140,13 +145,22 @@
         if known is not None and is_older and now - known[0] <= REPORT_FRESH_SECONDS:
             return
         self._reports[report.node] = (now, report)
-        self.sum_reports(now)
+        self._sums_are_stale = True
 
-    def sum_reports(self, now: float) -> None:
-        """Add the other nodes' loads up anew, without reports that are too old."""
+    def live_nodes(self) -> list[NodeName]:
+        """Return the other nodes that reported lately."""
+        return sorted(self._reports)
+
+    def drop_stale_reports(self, now: float) -> None:
+        """Let reports that are too old count no more."""
         stale = [node for node, (at, _) in self._reports.items() if now - at > REPORT_FRESH_SECONDS]
         for node in stale:
             del self._reports[node]
+            self._sums_are_stale = True
+
+    def _sum_reports(self) -> None:
+        """Add the other nodes' loads up anew."""
+        self._sums_are_stale = False
         for state in self._engines.values():
             state.others = 0
         for _, report in self._reports.values():
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -42,6 +42,8 @@
         context: Where its line of turns was last read, as the ledger knows.
         sends: Requests to engines so far.
         runs: Of those, how many may have run.
+        answered_runs: Of those, how many an engine answered itself; only these count against
+            the attempts that the route allows, since an engine that broke off runs no more.
         rejections: How many said that they did not.
         tried: Engines that failed or rejected it.
         engine: Where it is now.
@@ -70,6 +72,7 @@
     operation: Operation | None = None
     sends: int = 0
     runs: int = 0
+    answered_runs: int = 0
     rejections: int = 0
     tried: set[str] = msgspec.field(default_factory=set)
     engine: EngineState | None = None
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -405,6 +405,7 @@
             if exchange.head is None:
                 exchange.head = response
             return
+        exchange.answered_runs += 1
         state = exchange.engine
         self._leave_engine(exchange)
         if response.status >= _SERVER_ERROR and self._may_run_again(exchange):
@@ -570,6 +571,8 @@
         """Return whether another run is allowed, wanted and within the retry budget."""
         if not exchange.route.may_repeat or exchange.runs >= MAX_RUNS:
             return False
+        if exchange.answered_runs >= exchange.route.max_attempts:
+            return False
         return exchange.due - self._now > 0.02 and (
             self._retries.allows_repeat() or exchange.events > 0
         )
--- /dev/null
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -0,0 +1,197 @@
+"""How forwarding nodes tell each other what each engine has under way.
+
+A few nodes tell each other directly. With more of them, each tells the relay of its zone only;
+a relay passes on what it got, together, to the nodes of its zone and to the other zones' relays.
+Any node that gets reports passes them on, so a relay needs no election: each node reports to
+the first one of its zone that it hears of.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from yokeline.effects import Effect, SendDatagram
+from yokeline.forwarding.engines import EngineBook
+from yokeline.identifiers import NodeName
+from yokeline.ledger.messages import LoadDigest, LoadReport
+from yokeline.registry.nodes import NodeRecord
+
+MAX_DIRECT_NODES = 16
+"""Most nodes that tell each other directly."""
+REPORT_SECONDS = 0.02
+"""Least pause between two reports of load that changed, while an engine is busy: what the others
+do not know yet sends them all to the engine that was the least loaded a moment ago."""
+RELAYED_REPORT_SECONDS = 0.08
+"""The same where a relay passes the reports on."""
+CALM_REPORT_SECONDS = 0.3
+"""Pause between reports while no engine is busy: then any has room, whatever the others do.
+Also the pause between reports of a load that did not change."""
+DIGEST_SECONDS = 0.08
+"""Time for which a relay collects reports before it passes them on."""
+MAX_REPORTS_PER_DIGEST = 24
+"""Reports in one datagram; more go into the next one."""
+RELAY_SILENCE_SECONDS = 0.8
+"""Silence of a relay after which the next node of the zone is taken for it."""
+UNKNOWN_RELAYS = 2
+"""Nodes of another zone that get a digest while its relay is not known."""
+
+
+class LoadSharing:
+    """Reports of one node, and those that it passes on; a pure state machine."""
+
+    def __init__(self, record: NodeRecord, engines: EngineBook, now: float) -> None:
+        """Report for the node of ``record``."""
+        self._record = record
+        self._engines = engines
+        self._sequence = 0
+        self._next_report = now
+        self._reported_at = now
+        self._reported_changes = 0
+        self._peers: list[NodeRecord] = []
+        self._zone_ring: list[NodeRecord] = [record]
+        self._zones: dict[str, list[NodeRecord]] = {}
+        self._heard_at: dict[NodeName, float] = {}
+        self._candidate_since = now
+        self._collected: dict[NodeName, LoadReport] = {}
+        self._from_zones: dict[NodeName, LoadReport] = {}
+        self._next_digest: float | None = None
+
+    # ------------------------------------------------------------ nodes
+
+    def set_nodes(self, edges: list[NodeRecord], now: float) -> None:
+        """Note the forwarding nodes that are registered."""
+        own = self._record.name
+        self._peers = [record for record in edges if record.name != own]
+        zones: dict[str, list[NodeRecord]] = defaultdict(list)
+        for record in sorted(edges, key=lambda record: record.name):
+            zones[record.zone].append(record)
+        ring = zones.pop(self._record.zone, [])
+        if all(record.name != own for record in ring):
+            ring = sorted([*ring, self._record], key=lambda record: record.name)
+        if ring != self._zone_ring:
+            self._candidate_since = now
+        self._zone_ring = ring
+        self._zones = dict(zones)
+
+    @property
+    def uses_relays(self) -> bool:
+        """Whether there are too many nodes for each to tell all others."""
+        return len(self._peers) >= MAX_DIRECT_NODES
+
+    def relay(self, now: float) -> NodeRecord:
+        """Return the relay of the zone: the first node that was heard of lately, or this one."""
+        for record in self._zone_ring:
+            if record.name == self._record.name or self._was_heard(record.name, now):
+                return record
+        return self._record
+
+    def _was_heard(self, name: NodeName, now: float) -> bool:
+        last = max(self._heard_at.get(name, float("-inf")), self._candidate_since)
+        return now - last <= RELAY_SILENCE_SECONDS
+
+    # ------------------------------------------------------------ reports in
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take a report that its node sent here."""
+        self._heard_at[report.node] = now
+        self._engines.take_report(report, now)
+        if self.uses_relays:
+            self._collected[report.node] = report
+            self._schedule_digest(now)
+
+    def take_digest(self, digest: LoadDigest, now: float) -> None:
+        """Take reports that a relay passes on."""
+        self._heard_at[digest.sender] = now
+        for report in digest.reports:
+            if report.node != self._record.name:
+                self._engines.take_report(report, now)
+        comes_from_elsewhere = digest.zone != self._record.zone
+        if comes_from_elsewhere and self.relay(now).name == self._record.name:
+            self._from_zones.update((report.node, report) for report in digest.reports)
+            self._schedule_digest(now)
+
+    def _schedule_digest(self, now: float) -> None:
+        if self._next_digest is None:
+            self._next_digest = now + DIGEST_SECONDS
+
+    # ------------------------------------------------------------ reports out
+
+    def next_deadline(self) -> float:
+        """Return when :meth:`tick` is due."""
+        if self._next_digest is None:
+            return self._next_report
+        return min(self._next_report, self._next_digest)
+
+    def tick(self, waiting: dict[str, int], revision: int, now: float) -> list[Effect]:
+        """Report this node's load and pass on what was collected, if it is time.
+
+        Args:
+            waiting: Requests that wait at this node, by pool.
+            revision: Of the latest change that this node has read.
+            now: Monotonic seconds.
+        """
+        effects = self._report(waiting, revision, now)
+        if self._next_digest is not None and now >= self._next_digest:
+            effects.extend(self._pass_on(now))
+        return effects
+
+    def _report(self, waiting: dict[str, int], revision: int, now: float) -> list[Effect]:
+        if self._reported_changes != self._engines.own_changes and self._engines.any_busy():
+            pause = RELAYED_REPORT_SECONDS if self.uses_relays else REPORT_SECONDS
+            self._next_report = min(self._next_report, self._reported_at + pause)
+        if now < self._next_report:
+            return []
+        self._engines.drop_stale_reports(now)
+        self._reported_changes = self._engines.own_changes
+        self._reported_at = now
+        self._next_report = now + CALM_REPORT_SECONDS
+        loads = self._engines.own_loads()
+        self._sequence += 1
+        report = LoadReport(
+            node=self._record.name,
+            sequence=self._sequence,
+            loads=loads,
+            waiting=waiting,
+            revision=revision,
+        )
+        return self._send_report(report, now)
+
+    def _send_report(self, report: LoadReport, now: float) -> list[Effect]:
+        if not self.uses_relays:
+            return [SendDatagram(address=peer.address, message=report) for peer in self._peers]
+        relay = self.relay(now)
+        if relay.name != self._record.name:
+            return [SendDatagram(address=relay.address, message=report)]
+        self._collected[report.node] = report
+        self._schedule_digest(now)
+        return []
+
+    def _pass_on(self, now: float) -> list[Effect]:
+        """Send what was collected: all of it within the zone, the zone's own to other zones."""
+        self._next_digest = None
+        own_zone = list(self._collected.values())
+        others = [item for name, item in self._from_zones.items() if name not in self._collected]
+        self._collected = {}
+        self._from_zones = {}
+        members = [record for record in self._zone_ring if record.name != self._record.name]
+        effects = self._send_digests(own_zone + others, members)
+        for zone in sorted(self._zones):
+            effects.extend(self._send_digests(own_zone, self._relays_of(zone, now)))
+        return effects
+
+    def _relays_of(self, zone: str, now: float) -> list[NodeRecord]:
+        """Return the relay of another zone, or the nodes that may be it."""
+        ring = self._zones[zone]
+        heard = [item for item in ring if now - self._heard_at.get(item.name, -1e9) < 1.0]
+        return heard[:1] or ring[:UNKNOWN_RELAYS]
+
+    def _send_digests(self, reports: list[LoadReport], to: list[NodeRecord]) -> list[Effect]:
+        effects: list[Effect] = []
+        for start in range(0, len(reports), MAX_REPORTS_PER_DIGEST):
+            digest = LoadDigest(
+                sender=self._record.name,
+                zone=self._record.zone,
+                reports=tuple(reports[start : start + MAX_REPORTS_PER_DIGEST]),
+            )
+            effects.extend(SendDatagram(address=item.address, message=digest) for item in to)
+        return effects
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -182,12 +182,29 @@
     Attributes:
         sequence: Rises with each report of one process.
         waiting: Requests that wait at the node, by pool.
+        revision: Of the latest change that the node has read from the key-value service.
     """
 
     node: NodeName
     sequence: int
     loads: tuple[EngineLoad, ...]
     waiting: dict[str, int] = {}
+    revision: int = 0
+
+
+class LoadDigest(msgspec.Struct, frozen=True, kw_only=True, tag="digest"):
+    """Reports of several nodes, passed on by a relay (a datagram).
+
+    Attributes:
+        zone: Of the relay; a relay of another zone passes them on within its own.
+    """
+
+    sender: NodeName
+    zone: str
+    reports: tuple[LoadReport, ...]
+
+
+LoadMessage = LoadReport | LoadDigest
 
 
 class LedgerFrame(msgspec.Struct, frozen=True, array_like=True):
@@ -201,4 +218,4 @@
 class LoadFrame(msgspec.Struct, frozen=True, array_like=True):
     """What one datagram holds."""
 
-    message: LoadReport
+    message: LoadMessage
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -49,9 +49,9 @@
 """Size of the log file after which it is replaced by a snapshot and what follows."""
 
 RAFT_SETTINGS = RaftSettings(
-    heartbeat_seconds=0.06,
+    heartbeat_seconds=0.05,
     idle_heartbeat_seconds=0.1,
-    election_timeout_seconds=0.4,
+    election_timeout_seconds=0.25,
     append_bytes=1024 * 1024,
     snapshot_chunk_bytes=512 * 1024,
     retained_entries=512,
--- a/src/yokeline/registry/client.py
+++ b/src/yokeline/registry/client.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from yokeline.effects import Effect, Event, HttpFailed, HttpResponse, LogRecord
+from yokeline.effects import Effect, Event, HttpCancel, HttpFailed, HttpResponse, LogRecord
 from yokeline.identifiers import RequestId
 from yokeline.registry.protocol import StoredItem, StoreProtocol, StoreRefused, Written
 from yokeline.registry.watch import WATCH_SECONDS, PrefixWatch
@@ -60,6 +60,30 @@
         """Return when the least fresh of the watches was last confirmed (monotonic seconds)."""
         return min(watch.heard_at for watch in self._watches)
 
+    def last_change(self) -> int:
+        """Return the revision of the latest change that was read."""
+        return max((watch.last_change for watch in self._watches), default=0)
+
+    def set_pace(self, wait_seconds: float, pause_seconds: float) -> None:
+        """Let watching calls wait longer, and rest after a change."""
+        for watch in self._watches:
+            watch.wait_seconds = wait_seconds
+            watch.pause_seconds = pause_seconds
+
+    def hear_of(self, revision: int, now: float) -> list[Effect]:
+        """Learn that another node has read a change of ``revision``; list anew if it is late."""
+        effects: list[Effect] = []
+        for watch in self._watches:
+            abandoned = watch.hear_of(revision, now)
+            if abandoned is not None:
+                effects.append(HttpCancel(abandoned))
+                fields: dict[str, str | int | float | bool | None] = {
+                    "known": watch.revision,
+                    "heard_of": revision,
+                }
+                effects.append(LogRecord(event="registry_behind", fields=fields))
+        return effects
+
     def items(self, prefix: str) -> dict[str, StoredItem]:
         """Return the items known below a prefix (one of those followed, or below one)."""
         return {
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -18,6 +18,8 @@
 WATCH_SECONDS = 1.3
 """Longest wait of one call. The service may lose its history while a call waits, and tells it
 only to the next one; so this bounds how late a change is known."""
+BEHIND_SECONDS = 0.4
+"""Time for which another node may know a later change before this one lists anew."""
 RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.8
 
@@ -37,6 +39,9 @@
         complete: A whole list has been read at least once.
         heard_at: When the service last answered (monotonic seconds).
         failures: Calls in a row without a useful answer.
+        wait_seconds: Longest wait of a watching call.
+        pause_seconds: Pause after a change, so that one call brings several.
+        last_change: Revision of the latest change that was read.
     """
 
     def __init__(
@@ -47,7 +52,10 @@
         wait_seconds: float = WATCH_SECONDS,
     ) -> None:
         """Begin by listing; a watching call waits at most ``wait_seconds``."""
-        self._wait_seconds = wait_seconds
+        self.wait_seconds = wait_seconds
+        self.pause_seconds = 0.0
+        self.last_change = 0
+        self._behind_since: float | None = None
         self.prefix = prefix
         self.items: dict[str, StoredItem] = {}
         self.complete = False
@@ -81,9 +89,30 @@
         self._pending = RequestId(f"watch/{self.prefix}/{self._calls}")
         if self._phase is WatchPhase.LISTING:
             return self._store.list_call(self._pending, self.prefix, self._after_key)
-        return self._store.watch_call(
-            self._pending, self.prefix, self._revision, self._wait_seconds
-        )
+        return self._store.watch_call(self._pending, self.prefix, self._revision, self.wait_seconds)
+
+    def hear_of(self, revision: int, now: float) -> RequestId | None:
+        """Learn that another node has read a change of ``revision``.
+
+        A call that waits at a service that went deaf would tell of it late. If the change has
+        not come for a while, the items are listed anew.
+
+        Returns:
+            The waiting call that is to be given up, if there is one.
+        """
+        if revision <= self._revision or self._phase is WatchPhase.LISTING:
+            self._behind_since = None
+            return None
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < BEHIND_SECONDS:
+            return None
+        self._behind_since = None
+        abandoned = self._pending
+        self._pending = None
+        self._transition_to_listing()
+        self._next_call_at = now
+        return abandoned
 
     def owns(self, request: RequestId) -> bool:
         """Return whether an answer belongs to the call under way."""
@@ -151,11 +180,14 @@
         return [item for item in changed if self._apply(item)]
 
     def _take_events(self, events: WatchEvents) -> list[StoredItem]:
+        if events.events:
+            self._next_call_at += self.pause_seconds
         self._revision = max(self._revision, events.revision)
         return [item for item in events.events if self._apply(item)]
 
     def _apply(self, item: StoredItem) -> bool:
         """Take a change in, unless a later one is known; return whether it is news."""
+        self.last_change = max(self.last_change, item.revision)
         known = self.items.get(item.key)
         if known is not None and known.revision >= item.revision and item.value is not None:
             return False
--- /dev/null
+++ b/tests/unit/forwarding/test_load_sharing.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from yokeline.effects import Address, SendDatagram
+from yokeline.forwarding.engines import EngineBook
+from yokeline.forwarding.load_sharing import LoadSharing
+from yokeline.forwarding.model import Engine
+from yokeline.identifiers import NodeName, ReplicaId
+from yokeline.ledger.messages import LoadDigest, LoadReport
+from yokeline.registry.nodes import NodeRecord, NodeRole
+
+STEP = 0.01
+ENGINE = Engine(engine_id="e", pool="models", address=Address("10.9.0.1", 1), zone="a", slots=12)
+
+
+class Fleet:
+    """Forwarding nodes over zones whose datagrams arrive after one step."""
+
+    def __init__(self, per_zone: int, zones: tuple[str, ...] = ("a", "b", "c")) -> None:
+        self.now = 100.0
+        self.down: set[str] = set()
+        self.sent: Counter[str] = Counter()
+        records = [
+            NodeRecord(
+                name=NodeName(f"edge-{zone}-{number:03}"),
+                role=NodeRole.EDGE,
+                replica=ReplicaId(f"edge-{zone}-{number:03}~1"),
+                address=Address(f"10.{ord(zone)}.0.{number}", 7000),
+                zone=zone,
+            )
+            for zone in zones
+            for number in range(per_zone)
+        ]
+        self.books = {record.name: EngineBook() for record in records}
+        self.nodes: dict[str, LoadSharing] = {}
+        self.by_address = {record.address: record.name for record in records}
+        for record in records:
+            self.books[record.name].put(ENGINE)
+            node = LoadSharing(record, self.books[record.name], self.now)
+            node.set_nodes(records, self.now)
+            self.nodes[record.name] = node
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds / STEP)):
+            self.now += STEP
+            arriving: list[SendDatagram] = []
+            for name, node in self.nodes.items():
+                if name in self.down:
+                    continue
+                effects = [
+                    item for item in node.tick({}, 0, self.now) if isinstance(item, SendDatagram)
+                ]
+                self.sent[name] += len(effects)
+                arriving.extend(effects)
+            for effect in arriving:
+                self._deliver(effect)
+
+    def _deliver(self, effect: SendDatagram) -> None:
+        name = self.by_address[effect.address]
+        if name in self.down:
+            return
+        node = self.nodes[name]
+        if isinstance(effect.message, LoadReport):
+            node.take_report(effect.message, self.now)
+        elif isinstance(effect.message, LoadDigest):
+            node.take_digest(effect.message, self.now)
+
+    def send_one_request_each(self) -> None:
+        for name, book in self.books.items():
+            state = book.get("e")
+            assert state is not None
+            if name not in self.down:
+                book.note_sent(state, 0)
+
+    def believed(self) -> set[int]:
+        loads = set()
+        for name, book in self.books.items():
+            if name not in self.down:
+                loads.add(book.in_pool("models")[0].load)
+        return loads
+
+
+class Sharing(unittest.TestCase):
+    def test_few_nodes_tell_each_other_directly(self) -> None:
+        fleet = Fleet(3)
+        fleet.send_one_request_each()
+        fleet.run(0.5)
+        self.assertEqual(fleet.believed(), {9})
+
+    def test_many_nodes_know_the_load_of_all_through_the_relays_of_their_zones(self) -> None:
+        fleet = Fleet(30)
+        fleet.run(0.5)
+        fleet.send_one_request_each()
+        fleet.run(0.6)
+        self.assertEqual(fleet.believed(), {90})
+
+    def test_what_a_node_sends_does_not_grow_with_their_number(self) -> None:
+        fleet = Fleet(30)
+        fleet.send_one_request_each()
+        fleet.run(2.0)
+        members = [count for name, count in fleet.sent.items() if not name.endswith("-000")]
+        self.assertLessEqual(max(members), 2.0 / 0.08 + 2)
+
+    def test_the_next_node_takes_over_from_relays_that_fell_silent(self) -> None:
+        fleet = Fleet(30)
+        fleet.run(0.5)
+        fleet.down = {"edge-a-000", "edge-b-000", "edge-b-001"}
+        fleet.run(2.5)
+        fleet.send_one_request_each()
+        fleet.run(1.5)
+        self.assertEqual(fleet.believed(), {87})
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -75,6 +75,22 @@
         self.assertEqual([entry.key for entry in changed], ["p/a", "p/b"])
         self.assertEqual(self.call().path, "watch p/ 10")
 
+    def test_a_change_that_another_node_read_and_this_one_did_not_leads_to_a_new_list(self) -> None:
+        """The call that waits may wait at a service that went deaf."""
+        self.answer(Page((item("p/a", 3),), False, 10))
+        waiting = self.call()
+        self.assertIsNone(self.watch.hear_of(12, self.now))
+        self.assertIsNone(self.watch.hear_of(12, self.now + 0.3))
+        self.assertEqual(self.watch.hear_of(12, self.now + 0.5), waiting.request)
+        self.assertEqual(self.call().path, "list p/")
+
+    def test_a_change_that_comes_in_time_needs_no_new_list(self) -> None:
+        self.answer(Page((item("p/a", 3),), False, 10))
+        self.assertIsNone(self.watch.hear_of(12, self.now))
+        self.answer(WatchEvents((item("p/a", 12),), 12))
+        self.assertIsNone(self.watch.hear_of(12, self.now + 0.5))
+        self.assertEqual(self.call().path, "watch p/ 12")
+
     def test_the_second_page_begins_after_the_last_key(self) -> None:
         self.answer(Page((item("p/a", 3),), True, 10))
         self.assertEqual(self.call().path, "list p/ p/a")
