Start lighter, batch the ledger's entries, avoid engines that answer with failures; a fault soak of real processes

Storage nodes took 13 to 15% of a core, each operation an entry of its own; nodes that stand by asked to join four times a second. 177 answers 500 and 111 answers 502 came from engines that fail while their health is good: such answers counted as successes.

--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -22,6 +22,8 @@
 """Cost of another zone: the way there and back, and the prompt's bytes between zones."""
 SUSPECT_SECONDS = 0.5
 """Cost of an engine that failed a moment ago."""
+FAULT_SECONDS = 0.4
+"""Cost of an engine at which all requests fail; a lesser share costs that share of it."""
 MODEL_HEADROOM = 1.4
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
@@ -120,6 +122,7 @@
         cost += OTHER_ZONE_SECONDS
     if inputs.affine == state.engine.engine_id:
         cost -= AFFINITY_SECONDS
+    cost += state.faults(now) * FAULT_SECONDS
     if now < state.suspect_until:
         cost += SUSPECT_SECONDS
     return Choice(state=state, cost=cost, load=load, cached=cached)
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -18,6 +19,10 @@
 SUSPECT_SECONDS = 1.0
 """Time for which an engine that broke off or fell silent is a last resort."""
 MAX_SUSPECT_SECONDS = 4.0
+FAULT_WEIGHT = 0.15
+"""Weight of one request in an engine's share of failures."""
+FAULT_FADE_SECONDS = 4.0
+"""Time in which a share of failures fades to a third without new ones."""
 _PACE_WEIGHT = 0.15
 """Weight of a new observation in the moving average of an engine's pace."""
 
@@ -32,6 +37,8 @@
         full_until: It rejected a request; until then it gets no other one.
         suspect_until: It failed; until then others are preferred.
         failures: Failures in a row.
+        fault_share: Moving average of requests that failed at it (1) or did not (0), as it was
+            at ``fault_at``; it fades with time, so that an engine that is avoided is tried again.
         pace: Moving average of seconds for a unit of work (an event, or a call); 0 unknown.
     """
 
@@ -43,6 +50,20 @@
     suspect_until: float = 0.0
     failures: int = 0
     pace: float = 0.0
+    fault_share: float = 0.0
+    fault_at: float = 0.0
+
+    def faults(self, now: float) -> float:
+        """Return the share of requests that fail here, as far as it is believed now."""
+        if not self.fault_share:
+            return 0.0
+        return self.fault_share * math.exp((self.fault_at - now) / FAULT_FADE_SECONDS)
+
+    def note_outcome(self, now: float, *, failed: bool) -> None:
+        """Take the end of a request into the share of failures."""
+        share = self.faults(now)
+        self.fault_share = share + FAULT_WEIGHT * (float(failed) - share)
+        self.fault_at = now
 
     @property
     def load(self) -> int:
@@ -57,12 +78,14 @@
 
     def note_failure(self, now: float) -> None:
         """Prefer others for a time that grows with the failures in a row."""
+        self.note_outcome(now, failed=True)
         self.failures += 1
         seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * self.failures)
         self.suspect_until = max(self.suspect_until, now + seconds)
 
-    def note_success(self) -> None:
+    def note_success(self, now: float) -> None:
         """Trust it again."""
+        self.note_outcome(now, failed=False)
         self.failures = 0
         self.suspect_until = 0.0
 
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -411,10 +411,13 @@
         if response.status >= _SERVER_ERROR and self._may_run_again(exchange):
             if state is not None:
                 exchange.tried.add(state.engine.engine_id)
+                state.note_outcome(self._now, failed=True)
             self._repeat(exchange, f"status {response.status}")
             return
-        if state is not None:
-            state.note_success()
+        if state is not None and response.status >= _SERVER_ERROR:
+            state.note_outcome(self._now, failed=True)
+        elif state is not None:
+            state.note_success(self._now)
             state.note_pace(self._now - exchange.sent_at)
         if exchange.phase is Phase.STREAMING:
             self._fail(exchange, f"status {response.status} in a resumed stream")
@@ -506,7 +509,7 @@
         state = exchange.engine
         self._leave_engine(exchange)
         if state is not None:
-            state.note_success()
+            state.note_success(self._now)
         if exchange.phase is Phase.SENT:
             self._start_stream(exchange)
         exchange.is_whole = True
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -52,11 +52,17 @@
 from yokeline.status_service import NodeFigures
 
 JOIN_PERIOD_SECONDS = 0.25
+PROMPT_JOIN_SECONDS = 5.0
+"""Time after the start in which a node that is no member asks often."""
+PATIENT_JOIN_SECONDS = 0.7
+"""Pause between its requests after that: the group is probably full, and it stands by."""
 MEMBERS_PERIOD_SECONDS = 0.1
 LEADER_SILENCE_SECONDS = 1.0
 """A member that knows no leader for this long asks to join, in case it was removed."""
 SURVIVOR_SECONDS = 1.5
 """Silence of the other one of two members after which this one asks to go on alone."""
+MAX_BATCHED_REQUESTS = 1024
+"""Requests that may wait for an entry under way; the oldest give way, as their askers have."""
 STOP_SECONDS = 0.5
 """Time that a planned stop leaves to a hand-over of leadership."""
 
@@ -87,11 +93,14 @@
         self._superseded: set[ReplicaId] = set()
         self._claimed: set[str] = set()
         self._next_join = now
+        self._began_at = now
         self._next_members = now
         self._leader_seen_at = now
         self._founding = False
         self._retire_written: dict[NodeName, bool] = {}
         self._stop_at: float | None = None
+        self._batch: list[tuple[ReplicaId, LedgerRequest]] = []
+        self._batch_under_way = False
         self.requests = 0
         registry.write(node_key(record.name), encode_node(record), now)
 
@@ -107,6 +116,8 @@
         effects.extend(self._registry.tick(now))
         if now >= self.replica.next_deadline():
             effects.extend(self.replica.tick(now))
+        if not self._batch_under_way:
+            effects.extend(self._propose_batch(now))
         effects.extend(self._found_if_first(now))
         effects.extend(self._ask_to_join(now))
         effects.extend(self._go_on_alone(now))
@@ -151,11 +162,38 @@
 
     def _take_request(self, asker: ReplicaId, request: LedgerRequest, now: float) -> list[Effect]:
         self.requests += len(request.operations)
+        self._batch.append((asker, request))
+        del self._batch[:-MAX_BATCHED_REQUESTS]
+        return [] if self._batch_under_way else self._propose_batch(now)
+
+    def _propose_batch(self, now: float) -> list[Effect]:
+        """Propose all requests that came while the last entry was under way, as one entry."""
+        batch = self._batch
+        if not batch:
+            return []
+        self._batch = []
+        self._batch_under_way = True
+        operations = tuple(item for _, request in batch for item in request.operations)
 
         def answer(results: tuple[OperationResult, ...] | None) -> list[Effect]:
-            return [self._reply(asker, request, results)]
+            self._batch_under_way = False
+            return self._answer_batch(batch, results)
+
+        return self.replica.propose(operations, answer, now, self._wall())
 
-        return self.replica.propose(request.operations, answer, now, self._wall())
+    def _answer_batch(
+        self,
+        batch: list[tuple[ReplicaId, LedgerRequest]],
+        results: tuple[OperationResult, ...] | None,
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        start = 0
+        for asker, request in batch:
+            end = start + len(request.operations)
+            own = None if results is None else results[start:end]
+            effects.append(self._reply(asker, request, own))
+            start = end
+        return effects
 
     def _reply(
         self,
@@ -216,7 +254,9 @@
         knows_leader = now - self._leader_seen_at < LEADER_SILENCE_SECONDS
         if now < self._next_join or (self.replica.is_member and knows_leader):
             return []
-        self._next_join = now + JOIN_PERIOD_SECONDS
+        waited = now - self._began_at
+        is_new = waited < PROMPT_JOIN_SECONDS or self.replica.is_member
+        self._next_join = now + (JOIN_PERIOD_SECONDS if is_new else PATIENT_JOIN_SECONDS)
         record = self._record
         message = Join(node=record.name, replica=record.replica, address=record.address)
         return [
--- a/src/yokeline/platform/__main__.py
+++ b/src/yokeline/platform/__main__.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 
 from returns.result import Failure
 
 from yokeline.errors import EXIT_USAGE
+from yokeline.light_imports import import_circuits_lightly
 from yokeline.platform.documents import PlatformDocuments
 from yokeline.platform.headers import HeaderDialect
 from yokeline.platform.store import KeyValueStore
 from yokeline.role_settings import read_role_settings
-from yokeline.roles import Adapter, run_role
+
+gc.disable()  # what is imported stays; enabled again before the role runs
+import_circuits_lightly()
+
+from yokeline.roles import Adapter, run_role  # noqa: E402 - after the line above
 
 READY_PATH = "/-/ready"
 """Where the entry asks whether a node wants connections."""
@@ -33,6 +39,8 @@
         dialect=HeaderDialect(),
         ready_path=READY_PATH,
     )
+    gc.freeze()
+    gc.enable()
     return run_role(role, settings.unwrap(), adapter)
 
 
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -29,11 +30,15 @@
 
     def __init__(self, role: str, settings: Path, log: Path) -> None:
         self.role = role
+        self.name = settings.stem
         self._settings = settings
         self._log = log
         self._process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
+    def start(self, *, first_start: bool = True) -> None:
+        if not first_start:
+            text = self._settings.read_text()
+            self._settings.write_text(text.replace("first_start = true", "first_start = false"))
         environment = {**os.environ, "YOKELINE_NODE_FILE": str(self._settings)}
         with self._log.open("ab") as output:
             self._process = subprocess.Popen(
@@ -76,12 +81,13 @@
         self.fronts: list[int] = []
         self.store = StoreStandIn()
         self._running: list[Running] = []
-        self._store_port = self._serve(self.store)
+        self._store_port = self.published("store", self._serve(self.store))
         self.models = [EngineStandIn(f"model-{number}") for number in range(2)]
         self.app = EngineStandIn("app-0")
         for engine in self.models:
-            self._register(engine, "models", self._serve(engine))
-        self._register(self.app, "apps", self._serve(self.app))
+            port = self.published(engine.engine_id, self._serve(engine))
+            self._register(engine, "models", port)
+        self._register(self.app, "apps", self.published(self.app.engine_id, self._serve(self.app)))
         self.configure(1)
         self.storage = [self._role("storage", number) for number in range(3)]
         self.edges = [self._role("edge", number) for number in range(2)]
@@ -97,6 +103,20 @@
             running.__exit__()
         self._folder.cleanup()
 
+    def published(self, name: str, port: int) -> int:
+        """Return the port under which others reach ``port``; a soak puts a proxy there."""
+        return port
+
+    def data_folder(self, process: RoleProcess) -> Path:
+        """Return the disk of a storage node."""
+        return Path(self._folder.name) / process.name
+
+    def keep_logs(self, folder: Path) -> None:
+        """Copy the logs of all processes to a folder that outlives this deployment."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in Path(self._folder.name).glob("*.log"):
+            shutil.copy(path, folder / path.name)
+
     # ------------------------------------------------------------ operator
 
     def configure(self, version: int, *, fix_prefix: str = "/fix/") -> None:
@@ -206,7 +226,7 @@
         ]
         if role == "edge":
             front, ready = next(self._ports), next(self._ports)
-            self.fronts.append(front)
+            self.fronts.append(self.published(name, front))
             self._ready.append(ready)
             lines += [f'front = "{HOST}:{front}"', f'ready = "{HOST}:{ready}"']
         else:
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,124 @@
+"""Callers of the soak: corrections, programs with a budget, and lines of turns that are kept."""
+
+from __future__ import annotations
+
+import http.client
+import random
+import threading
+
+from tests.processes.platform.deployment import Deployment
+from tests.soak.records import MOST_TOKENS, OK, STREAM, Asked, Records
+
+BUDGET = 200
+TURNS_PER_PROGRAM = 6
+PAUSE_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 0.4
+ANSWER_SECONDS = 8
+
+
+class Caller:
+    """One thread that asks until it is told to stop."""
+
+    def __init__(self, name: str, deployment: Deployment, records: Records, seed: int) -> None:
+        """Prepare; ``seed`` decides what is asked."""
+        self._name = name
+        self._deployment = deployment
+        self._records = records
+        self._random = random.Random(f"{seed}/{name}")
+        self._stop = threading.Event()
+        self._count = 0
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ask nothing new, and wait for the last answer."""
+        self._stop.set()
+        self._thread.join(4 * ANSWER_SECONDS)
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            action = self._random.choice((self._correct, self._run_program, self._keep_line))
+            action()
+
+    def _correct(self) -> None:
+        self._ask("/fix/x", {})
+
+    def _run_program(self) -> None:
+        """Run a program without end; its budget must stop it."""
+        program = f"{self._name}-p{self._count}"
+        for _ in range(TURNS_PER_PROGRAM):
+            if self._stop.is_set():
+                return
+            self._ask("/turn/x", self._turn_fields(program), program)
+
+    def _keep_line(self) -> None:
+        """Take turns that each continue the last one that was answered whole."""
+        program = f"{self._name}-k{self._count}"
+        previous = ""
+        for _ in range(TURNS_PER_PROGRAM):
+            if self._stop.is_set():
+                return
+            fields = self._turn_fields(program)
+            if previous:
+                fields["X-Yokeline-Previous-Turn"] = previous
+            asked = self._ask("/kept/x", fields, program, previous)
+            if asked.status == OK and asked.is_whole and asked.body == STREAM:
+                previous = asked.request_id
+
+    def _turn_fields(self, program: str) -> dict[str, str]:
+        return {
+            "X-Yokeline-Program-Id": program,
+            "X-Yokeline-Session-Id": program,
+            "X-Yokeline-Token-Budget": str(BUDGET),
+            "X-Yokeline-Token-Usage": f"100,{MOST_TOKENS}",
+        }
+
+    def _ask(
+        self, path: str, fields: dict[str, str], program: str = "", previous: str = ""
+    ) -> Asked:
+        self._count += 1
+        request_id = f"{self._name}-{self._count}"
+        edge = self._random.randrange(len(self._deployment.fronts))
+        status, body, is_whole = self._exchange(edge, path, request_id, fields)
+        asked = Asked(
+            request_id=request_id,
+            path=path,
+            status=status,
+            body=body,
+            is_whole=is_whole,
+            program=program,
+            budget=BUDGET,
+            previous=previous,
+        )
+        self._records.add(asked)
+        longest = PAUSE_SECONDS if status == OK else LONGEST_PAUSE_SECONDS
+        self._stop.wait(self._random.uniform(0.0, longest))
+        return asked
+
+    def _exchange(
+        self, edge: int, path: str, request_id: str, fields: dict[str, str]
+    ) -> tuple[int | None, bytes, bool]:
+        """Return status, body as far as it came, and whether it came whole."""
+        port = self._deployment.fronts[edge]
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=ANSWER_SECONDS)
+        headers = {
+            "Host": "a.example",
+            "X-Yokeline-Request-Id": request_id,
+            "X-Yokeline-Deadline-Ms": "5000",
+            **fields,
+        }
+        status: int | None = None
+        try:
+            connection.request("POST", path, body=f"input-{request_id}", headers=headers)
+            response = connection.getresponse()
+            status = response.status
+            return status, response.read(), True
+        except http.client.IncompleteRead as error:
+            return status, error.partial, False
+        except (OSError, http.client.HTTPException):
+            return status, b"", False
+        finally:
+            connection.close()
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,126 @@
+"""A TCP proxy on loopback whose connections can be delayed, reset, silenced or cut one way."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import socket
+import struct
+import threading
+import time
+
+HOST = "127.0.0.1"
+_READ_BYTES = 65536
+_POLL_SECONDS = 0.05
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ProxyFault(enum.Enum):
+    """What the proxy does to its connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    """Bytes wait before they are passed on, both ways."""
+    RESET = "reset"
+    """Connections are reset, new ones too."""
+    SILENCE = "silence"
+    """Connections stay open and nothing passes; what was sent meanwhile passes later."""
+    CUT_ANSWERS = "cut_answers"
+    """Requests pass and answers are held back."""
+
+
+class Proxy:
+    """Forwards connections to one port; faults are set from another thread."""
+
+    def __init__(self, target_port: int) -> None:
+        """Listen on a free port and forward to ``target_port``."""
+        self.fault = ProxyFault.NONE
+        self.delay_seconds = 0.0
+        self._target_port = target_port
+        self._sockets: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        self._closed = False
+        self._listener = socket.create_server((HOST, 0))
+        self.port: int = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set_fault(self, fault: ProxyFault, delay_seconds: float = 0.0) -> None:
+        """Treat connections, the present ones too, in another way."""
+        self.delay_seconds = delay_seconds
+        self.fault = fault
+        if fault is ProxyFault.RESET:
+            self._reset_all()
+
+    def close(self) -> None:
+        """End the proxy and its connections."""
+        self._closed = True
+        self._listener.close()
+        self._reset_all()
+
+    def _accept(self) -> None:
+        while not self._closed:
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._connect, args=(client,), daemon=True).start()
+
+    def _connect(self, client: socket.socket) -> None:
+        if self.fault is ProxyFault.RESET:
+            _reset(client)
+            return
+        try:
+            server = socket.create_connection((HOST, self._target_port), timeout=5)
+        except OSError:
+            _reset(client)
+            return
+        with self._lock:
+            self._sockets.update((client, server))
+        answers = threading.Thread(target=self._pump, args=(server, client, True), daemon=True)
+        answers.start()
+        self._pump(client, server, False)
+
+    def _pump(self, source: socket.socket, target: socket.socket, is_answer: bool) -> None:
+        """Pass the bytes of one direction on until an end closes."""
+        source.settimeout(_POLL_SECONDS)
+        while not self._closed:
+            try:
+                data = source.recv(_READ_BYTES)
+            except TimeoutError:
+                continue
+            except OSError:
+                break
+            self._hold_back(is_answer)
+            try:
+                if not data:
+                    target.shutdown(socket.SHUT_WR)
+                    return
+                target.sendall(data)
+            except OSError:
+                break
+        _reset(source)
+        _reset(target)
+
+    def _hold_back(self, is_answer: bool) -> None:
+        if self.fault is ProxyFault.DELAY:
+            time.sleep(self.delay_seconds)
+        while not self._closed and (
+            self.fault is ProxyFault.SILENCE or (is_answer and self.fault is ProxyFault.CUT_ANSWERS)
+        ):
+            time.sleep(_POLL_SECONDS)
+
+    def _reset_all(self) -> None:
+        with self._lock:
+            sockets = list(self._sockets)
+            self._sockets.clear()
+        for item in sockets:
+            _reset(item)
+
+
+def _reset(sock: socket.socket) -> None:
+    """Close a connection so that the other end sees a reset."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,147 @@
+"""What callers and back ends saw, and the promises that it must keep."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+
+import msgspec
+
+from tests.processes.platform.deployment import WORDS
+from tests.processes.platform.stand_ins import EngineStandIn
+
+STREAM = b"".join(f"id: {number}\ndata: word{number}\n\n".encode() for number in range(1, 6))
+TOKENS_PER_EVENT = 10
+MOST_TOKENS = 50
+OK = 200
+NOT_FOUND = 404
+PROMISES_NOT_RUN = frozenset((402, 408, 421, 429, 503))
+
+
+class Asked(msgspec.Struct, frozen=True, kw_only=True):
+    """One request of a caller and what it got.
+
+    Attributes:
+        status: None if the connection ended without a whole head.
+        is_whole: The answer came to its end.
+        program: Empty for a call without one.
+        previous: The turn that it continued.
+    """
+
+    request_id: str
+    path: str
+    status: int | None
+    body: bytes
+    is_whole: bool
+    program: str = ""
+    budget: int = 0
+    previous: str = ""
+
+
+class Records:
+    """Requests of all callers; threads add to it."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._lock = threading.Lock()
+        self.asked: list[Asked] = []
+
+    def add(self, asked: Asked) -> None:
+        """Note a request that is over."""
+        with self._lock:
+            self.asked.append(asked)
+
+    def outcomes(self) -> Counter[str]:
+        """Return how many requests ended how."""
+        return Counter(
+            f"{item.path.split('/')[1]} {item.status if item.is_whole else 'cut'}"
+            for item in self.asked
+        )
+
+
+def violations(asked: list[Asked], engines: list[EngineStandIn]) -> list[str]:
+    """Return each broken promise in a line."""
+    runs = [run for engine in engines for run in engine.runs]
+    return [
+        *_repeated(asked, runs),
+        *_false_refusals(asked, runs),
+        *_spoilt_answers(asked),
+        *_overspent(asked),
+        *_wrong_chains(asked, runs),
+    ]
+
+
+Run = tuple[str, bytes, int]
+"""Request id, body, and after which event an engine began."""
+
+
+def _repeated(asked: list[Asked], runs: list[Run]) -> list[str]:
+    may_repeat = {item.request_id for item in asked if item.path.startswith("/turn/")}
+    counts = Counter(request_id for request_id, _, _ in runs)
+    return [
+        f"{request_id} may run once and ran {count} times"
+        for request_id, count in counts.items()
+        if count > 1 and request_id not in may_repeat
+    ]
+
+
+def _false_refusals(asked: list[Asked], runs: list[Run]) -> list[str]:
+    ran = {request_id for request_id, _, _ in runs}
+    return [
+        f"{item.request_id} was answered {item.status} and ran"
+        for item in asked
+        if item.status in PROMISES_NOT_RUN and item.request_id in ran
+    ]
+
+
+def _spoilt_answers(asked: list[Asked]) -> list[str]:
+    found = []
+    for item in asked:
+        expected = b"done" if item.path.startswith("/fix/") else STREAM
+        if item.status == OK and item.is_whole and item.body != expected:
+            found.append(f"{item.request_id} got {item.body[:80]!r} as its whole answer")
+    return found
+
+
+def _overspent(asked: list[Asked]) -> list[str]:
+    handed: Counter[str] = Counter()
+    budgets: dict[str, int] = {}
+    for item in asked:
+        if item.program and item.status == OK:
+            handed[item.program] += item.body.count(b"id: ") * TOKENS_PER_EVENT
+            budgets[item.program] = item.budget
+    return [
+        f"program {program} was handed {tokens} tokens of {budgets[program]}"
+        for program, tokens in handed.items()
+        if tokens > budgets[program] + MOST_TOKENS
+    ]
+
+
+def _wrong_chains(asked: list[Asked], runs: list[Run]) -> list[str]:
+    by_id = {item.request_id: item for item in asked}
+    found = []
+    for request_id, body, _ in runs:
+        item = by_id.get(request_id)
+        if item is None or not item.path.startswith("/kept/"):
+            continue
+        if body != chain_of(item.previous, by_id) + input_of(request_id):
+            found.append(f"{request_id} ran with {body[:120]!r} after {item.previous}")
+    for item in asked:
+        if item.previous and item.status == NOT_FOUND:
+            found.append(f"{item.request_id} got 404 for the answered turn {item.previous}")
+    return found
+
+
+def input_of(request_id: str) -> bytes:
+    """Return the input that a caller sends under an id."""
+    return f"input-{request_id}".encode()
+
+
+def chain_of(turn_id: str, by_id: dict[str, Asked]) -> bytes:
+    """Return inputs and outputs of a line of turns, the oldest first."""
+    parts: list[bytes] = []
+    current = turn_id
+    while current:
+        parts.append(input_of(current) + WORDS)
+        current = by_id[current].previous
+    return b"".join(reversed(parts))
--- a/tests/unit/forwarding/test_affinity.py
+++ b/tests/unit/forwarding/test_affinity.py
@@ -45,6 +45,25 @@
         self.assertEqual(played.engine_of(), "models-1")
 
 
+class FailingEngines(unittest.TestCase):
+    def test_an_engine_that_answers_with_failures_is_avoided_and_tried_again_later(self) -> None:
+        """Its own word that it is healthy counts for nothing."""
+        played = Played()
+        for _ in range(6):
+            played.request("/fix/x")
+            played.engine_answers(status=500 if played.engine_of() == "apps-0" else 200)
+        chosen = []
+        for _ in range(6):
+            played.request("/fix/x")
+            chosen.append(played.engine_of())
+            played.engine_answers()
+        self.assertEqual(set(chosen), {"apps-1"})
+        state = played.engines.get("apps-0")
+        assert state is not None
+        self.assertGreater(state.faults(played.now), 0.1)
+        self.assertLess(state.faults(played.now + 20.0), 0.01)
+
+
 class GrowingParts(unittest.TestCase):
     def test_only_what_was_read_of_a_part_that_grew_is_believed_to_be_cached(self) -> None:
         beliefs = PrefixBeliefs()
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -310,10 +310,11 @@
         if machine.generation != generation or machine.node is None:
             return
         if not machine.frozen:
-            self._hand(machine, Tick())
+            self.hand(machine, Tick())
         self._schedule(0.01, lambda: self._tick_soon(machine, generation))
 
-    def _hand(self, machine: Machine, event: Event) -> None:
+    def hand(self, machine: Machine, event: Event) -> None:
+        """Let a machine take an event now."""
         assert machine.node is not None
         generation = machine.generation
         for effect in machine.node.handle(event, self.now):
@@ -363,7 +364,7 @@
         if machine.frozen:
             self._schedule(0.05, lambda: self._deliver(machine, generation, event))
             return
-        self._hand(machine, event)
+        self.hand(machine, event)
 
     def _send(self, sender: ReplicaId, source: Machine | None, effect: SendPeer) -> None:
         self.frames += 1
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -4,10 +4,13 @@
 import unittest
 
 from tests.unit.ledger.cluster import Cluster, Machine
+from yokeline.effects import Address, PeerMessage
+from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import (
     BudgetSpent,
     Granted,
     KeptTurn,
+    LedgerRequest,
     NoSuchTurn,
     Reserve,
     Settle,
@@ -58,6 +61,28 @@
         self.assertTrue(machine.node is not None and machine.node.replica.is_empty)
 
 
+class Batches(StorageCase):
+    def test_requests_that_come_while_an_entry_is_under_way_share_the_next_one(self) -> None:
+        cluster = self.cluster()
+        leader = self.leader(cluster)
+        assert leader.node is not None
+        before = leader.node.replica.group.last_index
+        for number in range(20):
+            name = f"r{number}"
+            request = LedgerRequest(
+                number=number,
+                asker=Address("10.0.9.9", 1),
+                operations=(Reserve(request_id=name, program=name, budget=100, tokens=100),),
+            )
+            event = PeerMessage(sender=ReplicaId("edge~1"), message=request)
+            cluster.hand(leader, event)
+        cluster.run(1.0)
+        entries = leader.node.replica.group.last_index - before
+        self.assertLessEqual(entries, 3)
+        programs = leader.node.replica.state().programs
+        self.assertEqual({programs[f"r{number}"].counted() for number in range(20)}, {100})
+
+
 class Operations(StorageCase):
     def test_a_budget_holds_over_reservations_and_settlements(self) -> None:
         cluster = self.cluster()
