--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -23,7 +23,6 @@
     HttpStreamEnded,
     HttpStreamItem,
     HttpStreamStart,
-    LogRecord,
 )
 from yokeline.forwarding.choice import Choice
 from yokeline.forwarding.dialect import Dialect
@@ -31,8 +30,9 @@
 from yokeline.forwarding.engines import FULL_SECONDS, EngineBook
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.history import TurnCache, event_data
-from yokeline.forwarding.http_parts import host_of, is_later, refusal_body
+from yokeline.forwarding.http_parts import host_of, is_later
 from yokeline.forwarding.model import Call, Pool, Route, RouteKind, RoutingTable
+from yokeline.forwarding.outcomes import LogField, Outcomes
 from yokeline.forwarding.placement import Placement
 from yokeline.forwarding.pool_split import PoolSplit
 from yokeline.forwarding.retry_budget import RetryBudget
@@ -80,17 +80,12 @@
 _SUCCESS = range(200, 300)
 _SERVER_ERROR = 500
 
-LogField = str | int | float | bool | None
-
 
 class Forwarder:
     """Requests under way at one node.
 
     Attributes:
-        table: The configuration in force; None before the first one.
-        closing: Answers ask the caller to close its connection.
         refusing: Nothing new is taken, since the process ends soon.
-        counters: Requests by outcome, and other counts, by metric name.
         added_seconds: Time from a request's arrival to its first send.
         first_event_seconds: Time from a turn's arrival to its first event.
     """
@@ -99,10 +94,8 @@
         self, *, zone: str, dialect: Dialect, ledger: LedgerClient, engines: EngineBook
     ) -> None:
         """Serve in a zone."""
-        self.table: RoutingTable | None = None
-        self.closing = False
+        self._outcomes = Outcomes(dialect)
         self.refusing = False
-        self.counters: Counter[str] = Counter()
         self.added_seconds = Histogram()
         self.first_event_seconds = Histogram()
         self._engines = engines
@@ -117,11 +110,35 @@
         self._timers = TimerQueue()
         self._numbers = itertools.count(1)
         self._retries = RetryBudget()
-        self._effects: list[Effect] = []
         self._now = 0.0
+        self._table: RoutingTable | None = None
 
     # ------------------------------------------------------------ service side
 
+    @property
+    def table(self) -> RoutingTable | None:
+        """The configuration in force; None before the first one."""
+        return self._table
+
+    @table.setter
+    def table(self, table: RoutingTable | None) -> None:
+        self._table = table
+        self._outcomes.configuration = table.version if table is not None else 0
+
+    @property
+    def closing(self) -> bool:
+        """Whether answers ask the caller to close its connection."""
+        return self._outcomes.closing
+
+    @closing.setter
+    def closing(self, closing: bool) -> None:
+        self._outcomes.closing = closing
+
+    @property
+    def counters(self) -> Counter[str]:
+        """Requests by outcome, and other counts, by metric name."""
+        return self._outcomes.counters
+
     def forget_engine(self, engine_id: str) -> None:
         """Forget what an engine that is gone had cached."""
         self._placement.beliefs.forget(engine_id)
@@ -144,13 +161,13 @@
         self._now = now
         self._timers.run_due(now)
         self._dispatch_all()
-        return self._take_effects()
+        return self._outcomes.take_effects()
 
     def arrived(self, event: HttpArrived, now: float) -> list[Effect]:
         """Take a caller's request."""
         self._now = now
         self._take_request(event)
-        return self._take_effects()
+        return self._outcomes.take_effects()
 
     def caller_gone(self, exchange_id: ExchangeId, now: float) -> list[Effect]:
         """Give up what nobody waits for any more."""
@@ -159,7 +176,7 @@
         if exchange is not None:
             self._caller_gone(exchange)
         self._dispatch_all()
-        return self._take_effects()
+        return self._outcomes.take_effects()
 
     def engine_event(
         self, event: HttpResponse | HttpStreamItem | HttpStreamEnded | HttpFailed, now: float
@@ -177,28 +194,28 @@
             else:
                 self._send_failed(exchange, event)
         self._dispatch_all()
-        return self._take_effects()
+        return self._outcomes.take_effects()
 
     # ------------------------------------------------------------ requests in
 
     def _take_request(self, event: HttpArrived) -> None:
         table = self.table
         if table is None:
-            self._refuse_unparsed(event, UNAVAILABLE, "no_configuration", retry_after=0.3)
+            self._outcomes.refuse_unparsed(event, UNAVAILABLE, "no_configuration", retry_after=0.3)
             return
         if self.refusing:
-            self._refuse_unparsed(event, UNAVAILABLE, "stopping", retry_after=0.0)
+            self._outcomes.refuse_unparsed(event, UNAVAILABLE, "stopping", retry_after=0.0)
             return
         route = table.find(host_of(event), event.path)
         if route is None:
-            self._refuse_unparsed(event, NOT_FOUND, "no_route", version=table.version)
+            self._outcomes.refuse_unparsed(event, NOT_FOUND, "no_route", version=table.version)
             return
         if event.too_large:
-            self._refuse_unparsed(event, TOO_LARGE, "body_too_large")
+            self._outcomes.refuse_unparsed(event, TOO_LARGE, "body_too_large")
             return
         parsed = self._dialect.parse_call(event)
         if not isinstance(parsed, Success):
-            self._refuse_unparsed(event, BAD_REQUEST, parsed.failure().message)
+            self._outcomes.refuse_unparsed(event, BAD_REQUEST, parsed.failure().message)
             return
         exchange = self._open(event, parsed.unwrap(), route)
         if needs_ledger(exchange):
@@ -234,10 +251,10 @@
         def reserved(result: OperationResult | None, now: float) -> list[Effect]:
             self._now = now
             self._reserved(exchange, result)
-            return self._take_effects()
+            return self._outcomes.take_effects()
 
         give_up_at = min(exchange.due, self._now + LEDGER_SECONDS)
-        self._effects.extend(self._ledger.ask(operation, reserved, self._now, give_up_at))
+        self._outcomes.effects.extend(self._ledger.ask(operation, reserved, self._now, give_up_at))
 
     def _reserved(self, exchange: Exchange, result: OperationResult | None) -> None:
         """Go on with a reservation, or refuse.
@@ -283,11 +300,11 @@
             if turn is not None:
                 self._kept(exchange, result)
             elif result is None:
-                self._log("settlement_unknown", exchange, level="warning", tokens=tokens)
-            return self._take_effects()
+                self._outcomes.log("settlement_unknown", exchange, level="warning", tokens=tokens)
+            return self._outcomes.take_effects()
 
         give_up_at = exchange.due if turn is not None else self._now + SETTLE_SECONDS
-        self._effects.extend(self._ledger.ask(operation, settled, self._now, give_up_at))
+        self._outcomes.effects.extend(self._ledger.ask(operation, settled, self._now, give_up_at))
 
     def _tokens_of(self, exchange: Exchange) -> int:
         """Return the tokens handed to the caller."""
@@ -366,7 +383,7 @@
         if exchange.sends == 1:
             self.added_seconds.observe(self._now - exchange.started)
             self._retries.note_first_send()
-        self._log(
+        self._outcomes.log(
             "engine_chosen",
             exchange,
             engine=state.engine.engine_id,
@@ -376,7 +393,7 @@
             waited=round(self._now - exchange.waiting_since, 4),
             send=exchange.sends,
         )
-        self._effects.append(
+        self._outcomes.effects.append(
             engine_request(exchange, exchange.request, state, self._dialect, self._now)
         )
 
@@ -390,7 +407,7 @@
 
     def _cancel_send(self, exchange: Exchange) -> None:
         if exchange.request is not None:
-            self._effects.append(HttpCancel(exchange.request))
+            self._outcomes.effects.append(HttpCancel(exchange.request))
         self._leave_engine(exchange)
 
     # ------------------------------------------------------------ answers
@@ -426,13 +443,13 @@
 
     def _answer(self, exchange: Exchange, response: HttpResponse) -> None:
         self._settle(exchange, 0)
-        self._effects.append(
+        self._outcomes.effects.append(
             HttpReply(
                 exchange=exchange.exchange,
                 status=response.status,
                 headers=self._dialect.answer_headers(response),
                 body=response.body,
-                last=self.closing,
+                last=self._outcomes.closing,
             )
         )
         self._end(exchange, "answered", status=response.status)
@@ -442,11 +459,11 @@
         state = exchange.engine
         self._leave_engine(exchange)
         exchange.rejections += 1
-        self.counters["yokeline_forwarding_rejections_total"] += 1
+        self._outcomes.counters["yokeline_forwarding_rejections_total"] += 1
         if state is not None:
             exchange.tried.add(state.engine.engine_id)
             state.full_until = self._now + FULL_SECONDS
-        self._log(
+        self._outcomes.log(
             "engine_rejected",
             exchange,
             engine=state.engine.engine_id if state else "",
@@ -473,7 +490,7 @@
             return
         exchange.last_event_id = item.event_id or exchange.last_event_id
         exchange.events += 1
-        self._effects.append(HttpStreamData(exchange.exchange, item.data))
+        self._outcomes.effects.append(HttpStreamData(exchange.exchange, item.data))
 
     def _start_stream(self, exchange: Exchange) -> None:
         assert exchange.head is not None
@@ -484,12 +501,12 @@
         self.first_event_seconds.observe(self._now - exchange.started)
         if exchange.route.may_repeat:
             self._watch_silence(exchange)
-        self._effects.append(
+        self._outcomes.effects.append(
             HttpStreamStart(
                 exchange=exchange.exchange,
                 status=exchange.head.status,
                 headers=self._dialect.answer_headers(exchange.head),
-                last=self.closing,
+                last=self._outcomes.closing,
             )
         )
 
@@ -532,7 +549,7 @@
         self._finish_stream(exchange)
 
     def _finish_stream(self, exchange: Exchange) -> None:
-        self._effects.append(HttpStreamEnd(exchange=exchange.exchange))
+        self._outcomes.effects.append(HttpStreamEnd(exchange=exchange.exchange))
         self._end(exchange, "streamed", status=OK, events=exchange.events)
 
     # ------------------------------------------------------------ failures
@@ -549,7 +566,7 @@
             if exchange.rejections >= MAX_REJECTIONS:
                 self._give_up_waiting(exchange)
                 return
-            self._log("send_not_made", exchange, reason=failure.reason)
+            self._outcomes.log("send_not_made", exchange, reason=failure.reason)
             self._wait(exchange)
             return
         if exchange.phase is Phase.SENT and exchange.head is None:
@@ -582,8 +599,8 @@
 
     def _repeat(self, exchange: Exchange, reason: str) -> None:
         self._retries.note_repeat()
-        self.counters["yokeline_forwarding_repeats_total"] += 1
-        self._log(
+        self._outcomes.counters["yokeline_forwarding_repeats_total"] += 1
+        self._outcomes.log(
             "request_repeated",
             exchange,
             reason=reason,
@@ -597,10 +614,10 @@
         """End a request that may have run: nothing is promised."""
         self._settle(exchange, self._tokens_of(exchange))
         if exchange.first_event_at is not None:
-            self._effects.append(HttpStreamEnd(exchange=exchange.exchange, aborted=True))
+            self._outcomes.effects.append(HttpStreamEnd(exchange=exchange.exchange, aborted=True))
             self._end(exchange, "cut", reason=reason, events=exchange.events, level="warning")
             return
-        self._reply_error(exchange.exchange, exchange.call.request_id, BAD_GATEWAY, reason)
+        self._outcomes.reply_error(exchange.exchange, exchange.call.request_id, BAD_GATEWAY, reason)
         self._end(exchange, "failed", status=BAD_GATEWAY, reason=reason, level="warning")
 
     def _deadline_reached(self, exchange: Exchange) -> None:
@@ -617,7 +634,9 @@
             self._refuse(exchange, UNAVAILABLE, "deadline", retry_after=0.1)
             return
         self._settle(exchange, 0)
-        self._reply_error(exchange.exchange, exchange.call.request_id, GATEWAY_TIMEOUT, "deadline")
+        self._outcomes.reply_error(
+            exchange.exchange, exchange.call.request_id, GATEWAY_TIMEOUT, "deadline"
+        )
         self._end(exchange, "timed_out", status=GATEWAY_TIMEOUT, level="warning")
 
     def _caller_gone(self, exchange: Exchange) -> None:
@@ -642,55 +661,11 @@
     ) -> None:
         """End a request that has not run and will not."""
         self._settle(exchange, 0)
-        self._reply_error(
+        self._outcomes.reply_error(
             exchange.exchange, exchange.call.request_id, status, reason, retry_after=retry_after
         )
         self._end(exchange, "refused", level="info", status=status, reason=reason, **fields)
 
-    def _refuse_unparsed(
-        self,
-        event: HttpArrived,
-        status: int,
-        reason: str,
-        *,
-        retry_after: float | None = None,
-        **fields: LogField,
-    ) -> None:
-        """Refuse a request that no route or limit lets in."""
-        request_id = event.headers.get(self._dialect.echo_header, "")
-        self._count("refused", status)
-        self._effects.append(
-            LogRecord(
-                event="request_refused",
-                fields={
-                    "request": request_id,
-                    "host": event.headers.get("host", ""),
-                    "path": event.path,
-                    "status": status,
-                    "reason": reason,
-                    **fields,
-                },
-            )
-        )
-        self._reply_error(event.exchange, request_id, status, reason, retry_after=retry_after)
-
-    def _reply_error(
-        self,
-        exchange: ExchangeId,
-        request_id: str,
-        status: int,
-        reason: str,
-        *,
-        retry_after: float | None = None,
-    ) -> None:
-        headers = self._dialect.refusal_headers(request_id, retry_after)
-        body = refusal_body(request_id, reason, retry_after)
-        self._effects.append(
-            HttpReply(
-                exchange=exchange, status=status, headers=headers, body=body, last=self.closing
-            )
-        )
-
     # ------------------------------------------------------------ ends
 
     def _end(
@@ -709,9 +684,9 @@
         for timer in exchange.timers:
             timer.cancel()
         exchange.timers.clear()
-        self._count(outcome, fields.get("status"))
+        self._outcomes.count(outcome, fields.get("status"))
         engine = exchange.engine.engine.engine_id if exchange.engine else ""
-        self._log(
+        self._outcomes.log(
             "request_ended",
             exchange,
             level=level,
@@ -723,28 +698,7 @@
             **fields,
         )
 
-    def _count(self, outcome: str, status: LogField) -> None:
-        series = f'yokeline_forwarding_requests_total{{outcome="{outcome}",status="{status}"}}'
-        self.counters[series] += 1
-
     def _schedule(self, exchange: Exchange, due: float, action: object) -> None:
         assert callable(action)
         timer = self._timers.schedule(due, lambda: action(exchange))
         exchange.timers.append(timer)
-
-    def _log(self, event: str, exchange: Exchange, level: str = "info", **fields: LogField) -> None:
-        call = exchange.call
-        version = self.table.version if self.table is not None else 0
-        everything: dict[str, LogField] = {
-            "request": call.request_id,
-            "program": call.program,
-            "route": exchange.route.name,
-            "configuration": version,
-            **fields,
-        }
-        self._effects.append(LogRecord(event=event, fields=everything, level=level))
-
-    def _take_effects(self) -> list[Effect]:
-        effects = self._effects
-        self._effects = []
-        return effects
--- /dev/null
+++ b/src/yokeline/forwarding/outcomes.py
@@ -0,0 +1,104 @@
+"""What becomes of requests, told outside: error answers, log lines and counters."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from yokeline.effects import Effect, HttpArrived, HttpReply, LogRecord
+from yokeline.forwarding.dialect import Dialect
+from yokeline.forwarding.exchange import Exchange
+from yokeline.forwarding.http_parts import refusal_body
+from yokeline.identifiers import ExchangeId
+
+LogField = str | int | float | bool | None
+
+
+class Outcomes:
+    """Collects the effects of one node's requests, in order.
+
+    Attributes:
+        effects: What is to be done; :meth:`take_effects` hands it over.
+        counters: Requests by outcome, and other counts, by metric name.
+        closing: Answers ask the caller to close its connection.
+        configuration: Version in force; 0 before the first one.
+    """
+
+    def __init__(self, dialect: Dialect) -> None:
+        """Spell answers in a deployment's dialect."""
+        self.effects: list[Effect] = []
+        self.counters: Counter[str] = Counter()
+        self.closing = False
+        self.configuration = 0
+        self._dialect = dialect
+
+    def take_effects(self) -> list[Effect]:
+        """Return what was collected, and begin anew."""
+        effects = self.effects
+        self.effects = []
+        return effects
+
+    def count(self, outcome: str, status: LogField) -> None:
+        """Count a request that is over."""
+        series = f'yokeline_forwarding_requests_total{{outcome="{outcome}",status="{status}"}}'
+        self.counters[series] += 1
+
+    def log(self, event: str, exchange: Exchange, level: str = "info", **fields: LogField) -> None:
+        """Write a line about a request."""
+        call = exchange.call
+        everything: dict[str, LogField] = {
+            "request": call.request_id,
+            "program": call.program,
+            "route": exchange.route.name,
+            "configuration": self.configuration,
+            **fields,
+        }
+        self.effects.append(LogRecord(event=event, fields=everything, level=level))
+
+    def reply_error(
+        self,
+        exchange: ExchangeId,
+        request_id: str,
+        status: int,
+        reason: str,
+        *,
+        retry_after: float | None = None,
+    ) -> None:
+        """Answer with a failure of this node's own.
+
+        Args:
+            exchange: Where the answer goes.
+            request_id: Empty if the request named none.
+            status: HTTP status; some promise that the request did not run.
+            reason: As in the log.
+            retry_after: Seconds after which the caller may come back; None if that is of no use.
+        """
+        headers = self._dialect.refusal_headers(request_id, retry_after)
+        body = refusal_body(request_id, reason, retry_after)
+        self.effects.append(
+            HttpReply(
+                exchange=exchange, status=status, headers=headers, body=body, last=self.closing
+            )
+        )
+
+    def refuse_unparsed(
+        self,
+        event: HttpArrived,
+        status: int,
+        reason: str,
+        *,
+        retry_after: float | None = None,
+        **fields: LogField,
+    ) -> None:
+        """Refuse a request that no route or limit lets in."""
+        request_id = event.headers.get(self._dialect.echo_header, "")
+        self.count("refused", status)
+        everything: dict[str, LogField] = {
+            "request": request_id,
+            "host": event.headers.get("host", ""),
+            "path": event.path,
+            "status": status,
+            "reason": reason,
+            **fields,
+        }
+        self.effects.append(LogRecord(event="request_refused", fields=everything))
+        self.reply_error(event.exchange, request_id, status, reason, retry_after=retry_after)
