Register a node only if its record differs

An edge's record names no process any more (its peer id still does, so that an answer to an earlier process cannot reach a later one), and a record that stands is not written again.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -89,7 +89,7 @@
         self._stop_asked_at: float | None = None
         self._busy_at = now
         self._now = now
-        registry.write(node_key(record.name), encode_node(record), now)
+        registry.ensure(node_key(record.name), encode_node(record))
 
     @property
     def ready(self) -> bool:
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -102,7 +102,7 @@
         self._batch: list[tuple[ReplicaId, LedgerRequest]] = []
         self._batch_under_way = False
         self.requests = 0
-        registry.write(node_key(record.name), encode_node(record), now)
+        registry.ensure(node_key(record.name), encode_node(record))
 
     # ------------------------------------------------------------ service
 
--- a/src/yokeline/registry/client.py
+++ b/src/yokeline/registry/client.py
@@ -49,6 +49,7 @@
         self._watches = [PrefixWatch(prefix, store, source, wait_seconds) for prefix in prefixes]
         self._writes: dict[str, _Write] = {}
         self._write_count = 0
+        self._ensured: dict[str, bytes] = {}
         self._available: bool | None = None
 
     @property
@@ -105,6 +106,23 @@
         """Write an item as soon as the service lets us."""
         self._writes[key] = _Write(key=key, value=value, expected=expected, done=done, due=now)
 
+    def ensure(self, key: str, value: bytes) -> None:
+        """Write an item once everything was read, unless it stands there already.
+
+        Every change wakes all that watch, so a process that starts again with the same record
+        writes nothing.
+        """
+        self._ensured[key] = value
+
+    def _write_ensured(self, now: float) -> None:
+        if not self._ensured or not self.complete:
+            return
+        for key, value in self._ensured.items():
+            known = self.items(key).get(key)
+            if known is None or known.value != value:
+                self.write(key, value, now)
+        self._ensured = {}
+
     def next_deadline(self) -> float | None:
         """Return when :meth:`tick` is due."""
         dues = [due for watch in self._watches if (due := watch.next_deadline()) is not None]
@@ -113,6 +131,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Return the calls that are due."""
+        self._write_ensured(now)
         calls: list[Effect] = []
         for watch in self._watches:
             call = watch.tick(now)
--- a/src/yokeline/registry/nodes.py
+++ b/src/yokeline/registry/nodes.py
@@ -30,7 +30,7 @@
     """Where a node listens for other nodes.
 
     Attributes:
-        replica: Its process start, or (storage) its disk.
+        replica: Its disk (storage), or its name, which a new start does not change.
     """
 
     name: NodeName
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -17,7 +17,7 @@
 from yokeline.effects import Address, Service
 from yokeline.errors import EXIT_USAGE, ErrorKind, YokelineError
 from yokeline.forwarding.dialect import Dialect
-from yokeline.identifiers import new_replica_id
+from yokeline.identifiers import ReplicaId, new_replica_id
 from yokeline.ledger.codec import LedgerCodec
 from yokeline.logs import set_up_role_logs
 from yokeline.node.limits import ClientLimits, PeerLimits, ServerLimits, TransportLimits
@@ -93,7 +93,7 @@
     record = NodeRecord(
         name=settings.name,
         role=NodeRole.EDGE,
-        replica=new_replica_id(settings.name, source),
+        replica=ReplicaId(settings.name),
         address=settings.peer_address,
         zone=settings.zone,
     )
@@ -115,7 +115,8 @@
     binding = ServiceBinding(
         http=front.unwrap(),
         peer=settings.peer_address,
-        replica=record.replica,
+        # Of this process alone: an answer to an earlier one must not reach it.
+        replica=new_replica_id(settings.name, source),
         limits=_limits(settings),
         codec=LedgerCodec(),
     )
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -164,3 +164,26 @@
         self.client.write("k", b"mine", 0.0, expected=0, done=self.outcomes.append)
         self.attempt(0.0, StoreRefused(412, (item("k", 4, b"theirs"),)))
         self.assertEqual(self.outcomes, [False])
+
+
+class OwnRecord(unittest.TestCase):
+    def client(self, found: StoredItem) -> tuple[RegistryClient, list[str]]:
+        """Return a client that has read one item, and the calls it makes next."""
+        store = ScriptedStore()
+        client = RegistryClient(store, ("p/",), random.Random(1))
+        client.ensure("p/me", b"mine")
+        first = [call for call in client.tick(0.0) if isinstance(call, HttpRequest)]
+        store.next_answer = Page((found,), False, 10)
+        client.take(HttpResponse(request=first[0].request, status=200), 0.0)
+        calls = [call for call in client.tick(0.0) if isinstance(call, HttpRequest)]
+        return client, [call.path for call in calls]
+
+    def test_a_record_that_stands_already_wakes_nobody(self) -> None:
+        _, calls = self.client(item("p/me", 3, b"mine"))
+        self.assertEqual(calls, ["watch p/ 10"])
+
+    def test_a_record_that_is_missing_or_differs_is_written_once(self) -> None:
+        for found in (item("p/other", 3), item("p/me", 3, b"older")):
+            client, calls = self.client(found)
+            self.assertIn("write p/me None", calls)
+            self.assertEqual(client.tick(0.1), [])
