--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -91,7 +91,12 @@
 
 
 class EngineBook:
-    """All engines, by id and by pool."""
+    """All engines, by id and by pool.
+
+    Attributes:
+        own_changes: Rises with each change of what this node has under way.
+        fresh_seconds: Age after which another node's report counts for nothing.
+    """
 
     def __init__(self) -> None:
         """Know no engine yet."""
@@ -100,6 +105,7 @@
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._sums_are_stale = False
         self.own_changes = 0
+        self.fresh_seconds = REPORT_FRESH_SECONDS
 
     def note_sent(self, state: EngineState, tokens: int) -> None:
         """Count a request of this node that an engine has under way."""
@@ -165,7 +171,7 @@
         """Note another node's load, unless a later report came before."""
         known = self._reports.get(report.node)
         is_older = known is not None and known[1].sequence >= report.sequence
-        if known is not None and is_older and now - known[0] <= REPORT_FRESH_SECONDS:
+        if known is not None and is_older and now - known[0] <= self.fresh_seconds:
             return
         self._reports[report.node] = (now, report)
         self._sums_are_stale = True
@@ -176,7 +182,7 @@
 
     def drop_stale_reports(self, now: float) -> None:
         """Let reports that are too old count no more."""
-        stale = [node for node, (at, _) in self._reports.items() if now - at > REPORT_FRESH_SECONDS]
+        stale = [node for node, (at, _) in self._reports.items() if now - at > self.fresh_seconds]
         for node in stale:
             del self._reports[node]
             self._sums_are_stale = True
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -11,7 +11,7 @@
 from collections import defaultdict
 
 from yokeline.effects import Effect, SendDatagram
-from yokeline.forwarding.engines import EngineBook
+from yokeline.forwarding.engines import REPORT_FRESH_SECONDS, EngineBook
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import LoadDigest, LoadReport
 from yokeline.registry.nodes import NodeRecord
@@ -32,6 +32,10 @@
 """Reports in one datagram; more go into the next one."""
 RELAY_SILENCE_SECONDS = 0.8
 """Silence of a relay after which the next node of the zone is taken for it."""
+NODES_AT_FULL_PACE = 64
+"""Nodes up to which relayed reports keep the pauses above; with more, pauses grow with their
+number, so that what a node receives does not."""
+MAX_SLOWDOWN = 4.0
 UNKNOWN_RELAYS = 2
 """Nodes of another zone that get a digest while its relay is not known."""
 
@@ -55,6 +59,7 @@
         self._collected: dict[NodeName, LoadReport] = {}
         self._from_zones: dict[NodeName, LoadReport] = {}
         self._next_digest: float | None = None
+        self._slowdown = 1.0
 
     # ------------------------------------------------------------ nodes
 
@@ -72,6 +77,8 @@
             self._candidate_since = now
         self._zone_ring = ring
         self._zones = dict(zones)
+        self._slowdown = min(MAX_SLOWDOWN, max(1.0, len(edges) / NODES_AT_FULL_PACE))
+        self._engines.fresh_seconds = REPORT_FRESH_SECONDS * self._slowdown
 
     @property
     def uses_relays(self) -> bool:
@@ -87,7 +94,7 @@
 
     def _was_heard(self, name: NodeName, now: float) -> bool:
         last = max(self._heard_at.get(name, float("-inf")), self._candidate_since)
-        return now - last <= RELAY_SILENCE_SECONDS
+        return now - last <= RELAY_SILENCE_SECONDS * self._slowdown
 
     # ------------------------------------------------------------ reports in
 
@@ -112,7 +119,7 @@
 
     def _schedule_digest(self, now: float) -> None:
         if self._next_digest is None:
-            self._next_digest = now + DIGEST_SECONDS
+            self._next_digest = now + DIGEST_SECONDS * self._slowdown
 
     # ------------------------------------------------------------ reports out
 
@@ -138,14 +145,14 @@
     def _report(self, waiting: dict[str, int], revision: int, now: float) -> list[Effect]:
         if now >= self._next_look and self._reported_changes != self._engines.own_changes:
             pause = RELAYED_REPORT_SECONDS if self.uses_relays else REPORT_SECONDS
-            self._next_look = now + pause
+            self._next_look = now + pause * self._slowdown
             if self._engines.any_busy():
                 self._next_report = now
         if now < self._next_report:
             return []
         self._engines.drop_stale_reports(now)
         self._reported_changes = self._engines.own_changes
-        self._next_report = now + CALM_REPORT_SECONDS
+        self._next_report = now + CALM_REPORT_SECONDS * self._slowdown
         loads = self._engines.own_loads()
         self._sequence += 1
         report = LoadReport(
@@ -183,9 +190,13 @@
     def _relays_of(self, zone: str, now: float) -> list[NodeRecord]:
         """Return the relay of another zone, or the nodes that may be it."""
         ring = self._zones[zone]
-        heard = [item for item in ring if now - self._heard_at.get(item.name, -1e9) < 1.0]
+        heard = [item for item in ring if self._heard_within_silence(item.name, now)]
         return heard[:1] or ring[:UNKNOWN_RELAYS]
 
+    def _heard_within_silence(self, name: NodeName, now: float) -> bool:
+        last = self._heard_at.get(name)
+        return last is not None and now - last <= RELAY_SILENCE_SECONDS * self._slowdown
+
     def _send_digests(self, reports: list[LoadReport], to: list[NodeRecord]) -> list[Effect]:
         effects: list[Effect] = []
         for start in range(0, len(reports), MAX_REPORTS_PER_DIGEST):
