Let a node that the store refuses read from one that it serves

Now load reports name the process that reported; a node that has known of a later change for 0.4 s asks that process for all it has read (RegistryAsk, RegistryNews) beside listing anew. Versions go upwards only, as before; a process that starts while it is refused takes over everything.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -19,6 +19,7 @@
     LogRecord,
     PeerMessage,
     ReloadRequested,
+    SendPeer,
     SetServerLimits,
     StopListening,
     StopRequested,
@@ -26,8 +27,16 @@
 from yokeline.forwarding.engines import EngineBook
 from yokeline.forwarding.forwarder import Forwarder
 from yokeline.forwarding.load_sharing import LoadSharing
+from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.messages import LedgerReply, LoadDigest, LoadReport
+from yokeline.ledger.messages import (
+    LedgerReply,
+    LoadDigest,
+    LoadReport,
+    RegistryAsk,
+    RegistryItem,
+    RegistryNews,
+)
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
@@ -39,7 +48,7 @@
     node_key,
 )
 from yokeline.registry.protocol import StoredItem
-from yokeline.registry.watch import WATCH_SECONDS
+from yokeline.registry.watch import WATCH_SECONDS, Whole
 
 PACING_SECONDS = 1.0
 CLOSE_WATCHERS = 5
@@ -68,6 +77,7 @@
         self,
         *,
         record: NodeRecord,
+        process: ReplicaId,
         registry: RegistryClient,
         formats: DeploymentFormats,
         forwarder: Forwarder,
@@ -76,7 +86,7 @@
         grace_seconds: float,
         now: float,
     ) -> None:
-        """Create the service."""
+        """Create the service; ``process`` is the id under which other nodes reach it."""
         self.forwarder = forwarder
         self.ledger = ledger
         self._record = record
@@ -85,7 +95,7 @@
         self._engines = engines
         self._grace_seconds = grace_seconds
         self._next_pacing = now
-        self._sharing = LoadSharing(record, engines, now)
+        self._sharing = LoadSharing(record, process, engines, now)
         self._stop_asked_at: float | None = None
         self._busy_at = now
         self._now = now
@@ -139,8 +149,8 @@
             return self.forwarder.caller_gone(event.exchange, now)
         if isinstance(event, HttpResponse | HttpStreamItem | HttpStreamEnded | HttpFailed):
             return self.forwarder.engine_event(event, now)
-        if isinstance(event, PeerMessage) and isinstance(event.message, LedgerReply):
-            return self.ledger.take_reply(event.message, now)
+        if isinstance(event, PeerMessage):
+            return self._take_message(event, now)
         if isinstance(event, DatagramArrived):
             return self._take_load(event.message, now)
         if isinstance(event, StopRequested):
@@ -149,17 +159,59 @@
             return [LogRecord(event="reloaded", fields={"node": self._record.name})]
         return []
 
+    def _take_message(self, event: PeerMessage, now: float) -> list[Effect]:
+        message = event.message
+        if isinstance(message, LedgerReply):
+            return self.ledger.take_reply(message, now)
+        if isinstance(message, RegistryAsk):
+            return self._answer_registry(event.sender, message)
+        if isinstance(message, RegistryNews):
+            return self._adopt_registry(event.sender, message, now)
+        return []
+
     def _take_load(self, message: msgspec.Struct, now: float) -> list[Effect]:
         """Take reports of other nodes in, with how much of the registry these have read."""
         if isinstance(message, LoadReport):
             self._sharing.take_report(message, now)
-            return self._registry.hear_of(message.revision, now)
-        if isinstance(message, LoadDigest):
+            return self._compare_revision(message, now)
+        if isinstance(message, LoadDigest) and message.reports:
             self._sharing.take_digest(message, now)
-            latest = max((report.revision for report in message.reports), default=0)
-            return self._registry.hear_of(latest, now)
+            latest = max(message.reports, key=lambda report: report.revision)
+            return self._compare_revision(latest, now)
         return []
 
+    def _compare_revision(self, report: LoadReport, now: float) -> list[Effect]:
+        """Ask a node that has read a later change, if this one could not for too long."""
+        is_behind, effects = self._registry.hear_of(report.revision, now)
+        if is_behind and report.address is not None:
+            question = RegistryAsk(asker=self._record.address)
+            to, address = report.process, report.address
+            effects.append(SendPeer(to=to, address=address, message=question))
+        return effects
+
+    def _answer_registry(self, asker: ReplicaId, question: RegistryAsk) -> list[Effect]:
+        whole = self._registry.whole()
+        if whole is None:
+            return []
+        items = tuple(
+            RegistryItem(item.key, item.value or b"", item.revision) for item in whole.items
+        )
+        news = RegistryNews(revision=whole.revision, items=items)
+        return [SendPeer(to=asker, address=question.asker, message=news)]
+
+    def _adopt_registry(self, sender: ReplicaId, news: RegistryNews, now: float) -> list[Effect]:
+        items = tuple(StoredItem(item.key, item.value, item.revision) for item in news.items)
+        changed = self._registry.adopt(Whole(news.revision, items), now)
+        fields: dict[str, str | int | float | bool | None] = {
+            "from": sender,
+            "revision": news.revision,
+            "changed": len(changed),
+        }
+        effects: list[Effect] = [LogRecord(event="registry_adopted", fields=fields)]
+        for item in changed:
+            effects.extend(self._take_change(item, now))
+        return effects
+
     def _pace_watch(self, now: float) -> None:
         """Let a few nodes watch closely; the others hear of what these have read."""
         if now < self._next_pacing:
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -12,7 +12,7 @@
 
 from yokeline.effects import Effect, SendDatagram
 from yokeline.forwarding.engines import REPORT_FRESH_SECONDS, EngineBook
-from yokeline.identifiers import NodeName
+from yokeline.identifiers import NodeName, ReplicaId
 from yokeline.ledger.messages import LoadDigest, LoadReport
 from yokeline.registry.nodes import NodeRecord
 
@@ -43,9 +43,12 @@
 class LoadSharing:
     """Reports of one node, and those that it passes on; a pure state machine."""
 
-    def __init__(self, record: NodeRecord, engines: EngineBook, now: float) -> None:
-        """Report for the node of ``record``."""
+    def __init__(
+        self, record: NodeRecord, process: ReplicaId, engines: EngineBook, now: float
+    ) -> None:
+        """Report for the node of ``record``, whose process answers as ``process``."""
         self._record = record
+        self._process = process
         self._engines = engines
         self._sequence = 0
         self._next_report = now
@@ -161,6 +164,8 @@
             loads=loads,
             waiting=waiting,
             revision=revision,
+            process=self._process,
+            address=self._record.address,
         )
         return self._send_report(report, now)
 
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -165,7 +165,28 @@
     address: Address
 
 
-LedgerMessage = LedgerRequest | LedgerReply | ReplicaMessage | Join
+class RegistryAsk(msgspec.Struct, frozen=True, kw_only=True, tag="registry_ask"):
+    """A node that cannot read the key-value service in time asks one that has read it."""
+
+    asker: Address
+
+
+class RegistryItem(msgspec.Struct, frozen=True, array_like=True):
+    """An item as the key-value service gave it."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class RegistryNews(msgspec.Struct, frozen=True, kw_only=True, tag="registry_news"):
+    """All items that a node has read, complete up to a revision."""
+
+    revision: int
+    items: tuple[RegistryItem, ...]
+
+
+LedgerMessage = LedgerRequest | LedgerReply | ReplicaMessage | Join | RegistryAsk | RegistryNews
 
 
 class EngineLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -183,6 +204,7 @@
         sequence: Rises with each report of one process.
         waiting: Requests that wait at the node, by pool.
         revision: Of the latest change that the node has read from the key-value service.
+        process: The node's process, which answers questions at ``address``.
     """
 
     node: NodeName
@@ -190,6 +212,8 @@
     loads: tuple[EngineLoad, ...]
     waiting: dict[str, int] = {}
     revision: int = 0
+    process: ReplicaId = ReplicaId("")
+    address: Address | None = None
 
 
 class LoadDigest(msgspec.Struct, frozen=True, kw_only=True, tag="digest"):
--- a/src/yokeline/registry/client.py
+++ b/src/yokeline/registry/client.py
@@ -10,7 +10,7 @@
 from yokeline.effects import Effect, Event, HttpCancel, HttpFailed, HttpResponse, LogRecord
 from yokeline.identifiers import RequestId
 from yokeline.registry.protocol import StoredItem, StoreProtocol, StoreRefused, Written
-from yokeline.registry.watch import WATCH_SECONDS, PrefixWatch
+from yokeline.registry.watch import WATCH_SECONDS, PrefixWatch, Whole
 
 WRITE_RETRY_SECONDS = 0.4
 LOST_AFTER_FAILURES = 3
@@ -71,19 +71,33 @@
             watch.wait_seconds = wait_seconds
             watch.pause_seconds = pause_seconds
 
-    def hear_of(self, revision: int, now: float) -> list[Effect]:
-        """Learn that another node has read a change of ``revision``; list anew if it is late."""
+    def hear_of(self, revision: int, now: float) -> tuple[bool, list[Effect]]:
+        """Learn that another node has read a change of ``revision``.
+
+        Returns:
+            Whether this node has not read it for too long, and effects: it lists anew.
+        """
+        behind = [watch for watch in self._watches if watch.is_behind(revision, now)]
         effects: list[Effect] = []
-        for watch in self._watches:
-            abandoned = watch.hear_of(revision, now)
+        for watch in behind:
+            fields: dict[str, str | int | float | bool | None] = {
+                "known": watch.revision,
+                "heard_of": revision,
+                "silent_seconds": round(now - watch.heard_at, 3) if watch.complete else None,
+            }
+            effects.append(LogRecord(event="registry_behind", fields=fields))
+            abandoned = watch.list_anew(now)
             if abandoned is not None:
                 effects.append(HttpCancel(abandoned))
-                fields: dict[str, str | int | float | bool | None] = {
-                    "known": watch.revision,
-                    "heard_of": revision,
-                }
-                effects.append(LogRecord(event="registry_behind", fields=fields))
-        return effects
+        return bool(behind), effects
+
+    def whole(self) -> Whole | None:
+        """Return everything that the first watch has read, for a node that cannot."""
+        return self._watches[0].whole() if self._watches else None
+
+    def adopt(self, whole: Whole, now: float) -> list[StoredItem]:
+        """Take over what another node has read with its first watch; return what changed."""
+        return self._watches[0].adopt(whole, now)
 
     def items(self, prefix: str) -> dict[str, StoredItem]:
         """Return the items known below a prefix (one of those followed, or below one)."""
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -5,6 +5,8 @@
 import enum
 import random
 
+import msgspec
+
 from yokeline.effects import HttpFailed, HttpRequest, HttpResponse
 from yokeline.identifiers import RequestId
 from yokeline.registry.protocol import (
@@ -31,6 +33,13 @@
     WATCHING = "watching"
 
 
+class Whole(msgspec.Struct, frozen=True):
+    """All items below a prefix, complete up to a revision."""
+
+    revision: int
+    items: tuple[StoredItem, ...]
+
+
 class PrefixWatch:
     """One prefix; a pure state machine.
 
@@ -91,29 +100,48 @@
             return self._store.list_call(self._pending, self.prefix, self._after_key)
         return self._store.watch_call(self._pending, self.prefix, self._revision, self.wait_seconds)
 
-    def hear_of(self, revision: int, now: float) -> RequestId | None:
-        """Learn that another node has read a change of ``revision``.
-
-        A call that waits at a service that went deaf would tell of it late. If the change has
-        not come for a while, the items are listed anew.
+    def is_behind(self, revision: int, now: float) -> bool:
+        """Return whether another node has known a change of ``revision`` for too long.
 
-        Returns:
-            The waiting call that is to be given up, if there is one.
+        True once in each :data:`BEHIND_SECONDS`, as long as this one has not read it.
         """
-        if revision <= self._revision or self._phase is WatchPhase.LISTING:
+        if revision <= self._revision:
             self._behind_since = None
-            return None
+            return False
         if self._behind_since is None:
             self._behind_since = now
         if now - self._behind_since < BEHIND_SECONDS:
+            return False
+        self._behind_since = now
+        return True
+
+    def list_anew(self, now: float) -> RequestId | None:
+        """List instead of waiting for changes; return the waiting call that is given up."""
+        if self._phase is WatchPhase.LISTING:
             return None
-        self._behind_since = None
         abandoned = self._pending
         self._pending = None
         self._transition_to_listing()
         self._next_call_at = now
         return abandoned
 
+    def whole(self) -> Whole | None:
+        """Return everything that was read; None while that is not complete."""
+        if not self.complete or self._phase is WatchPhase.LISTING:
+            return None
+        return Whole(self._revision, tuple(self.items.values()))
+
+    def adopt(self, whole: Whole, now: float) -> list[StoredItem]:
+        """Take over what another node has read, if it is later; return the items that changed."""
+        if whole.revision <= self._revision:
+            return []
+        self._transition_to_listing()
+        self._listed = {item.key: item for item in whole.items}
+        self._list_revision = whole.revision
+        if self._pending is None:
+            self._next_call_at = now
+        return self._finish_list()
+
     def owns(self, request: RequestId) -> bool:
         """Return whether an answer belongs to the call under way."""
         return request == self._pending
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -102,8 +102,11 @@
     forwarder = Forwarder(
         zone=settings.zone, dialect=adapter.dialect, ledger=ledger, engines=engines
     )
+    # Of this process alone: an answer to an earlier one must not reach it.
+    process = new_replica_id(settings.name, source)
     node = EdgeNode(
         record=record,
+        process=process,
         registry=registry.unwrap(),
         formats=adapter.formats,
         forwarder=forwarder,
@@ -115,8 +118,7 @@
     binding = ServiceBinding(
         http=front.unwrap(),
         peer=settings.peer_address,
-        # Of this process alone: an answer to an earlier one must not reach it.
-        replica=new_replica_id(settings.name, source),
+        replica=process,
         limits=_limits(settings),
         codec=LedgerCodec(),
     )
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -7,20 +7,23 @@
 from tests.unit.registry.test_watch import ScriptedStore
 from yokeline.effects import (
     Address,
+    DatagramArrived,
     Effect,
     Exit,
     HttpArrived,
     HttpReply,
     HttpRequest,
     HttpResponse,
+    PeerMessage,
     SendDatagram,
+    SendPeer,
     StopListening,
     StopRequested,
     Tick,
 )
 from yokeline.forwarding.edge_node import EdgeNode
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
-from yokeline.ledger.messages import LoadReport
+from yokeline.ledger.messages import LoadReport, RegistryAsk, RegistryItem, RegistryNews
 from yokeline.platform.documents import PlatformDocuments
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.nodes import NodeRecord, NodeRole
@@ -31,6 +34,8 @@
 class PlayedNode(unittest.TestCase):
     """A node whose time and events are played by the test."""
 
+    prefixes: tuple[str, ...] = ()
+
     def setUp(self) -> None:
         self.played = Played()
         self.now = self.played.now
@@ -42,7 +47,8 @@
         )
         self.node = EdgeNode(
             record=record,
-            registry=RegistryClient(ScriptedStore(), (), random.Random(1)),
+            process=ReplicaId("edge-1~1"),
+            registry=RegistryClient(ScriptedStore(), self.prefixes, random.Random(1)),
             formats=PlatformDocuments(),
             forwarder=self.played.forwarder,
             engines=self.played.engines,
@@ -164,3 +170,43 @@
         before = len(self.reports())
         self.wait(1.0)
         self.assertLessEqual(len(self.reports()) - before, 4)
+
+
+class RefusedByTheStore(PlayedNode):
+    """The key-value service refuses this node while it serves the operator and other nodes."""
+
+    prefixes = ("",)
+
+    def hear(self, revision: int) -> list[Effect]:
+        report = LoadReport(
+            node=NodeName("edge-2"),
+            sequence=int(self.now * 100),
+            loads=(),
+            revision=revision,
+            process=ReplicaId("edge-2~7"),
+            address=Address("10.0.0.2", 1),
+        )
+        return self.hand(DatagramArrived(source=Address("10.0.0.2", 1), message=report))
+
+    def test_it_takes_the_configuration_from_a_node_that_has_read_it(self) -> None:
+        self.hear(50)
+        self.now += 0.5
+        asked = [effect for effect in self.hear(50) if isinstance(effect, SendPeer)]
+        self.assertEqual([effect.to for effect in asked], [ReplicaId("edge-2~7")])
+        document = b'{"version": 9, "routes": [], "services": []}'
+        news = RegistryNews(revision=50, items=(RegistryItem("op/config", document, 50),))
+        self.hand(PeerMessage(sender=ReplicaId("edge-2~7"), message=news))
+        table = self.node.forwarder.table
+        assert table is not None
+        self.assertEqual(table.version, 9)
+        self.assertTrue(self.node.ready)
+
+    def test_it_answers_another_node_only_with_what_it_has_read_whole(self) -> None:
+        question = PeerMessage(
+            sender=ReplicaId("edge-3~1"), message=RegistryAsk(asker=Address("10.0.0.3", 1))
+        )
+        self.assertEqual([item for item in self.hand(question) if isinstance(item, SendPeer)], [])
+        news = RegistryNews(revision=50, items=(RegistryItem("k", b"v", 50),))
+        self.hand(PeerMessage(sender=ReplicaId("edge-2~7"), message=news))
+        answers = [item.message for item in self.hand(question) if isinstance(item, SendPeer)]
+        self.assertEqual(answers, [news])
--- a/tests/unit/forwarding/test_load_sharing.py
+++ b/tests/unit/forwarding/test_load_sharing.py
@@ -38,7 +38,7 @@
         self.by_address = {record.address: record.name for record in records}
         for record in records:
             self.books[record.name].put(ENGINE)
-            node = LoadSharing(record, self.books[record.name], self.now)
+            node = LoadSharing(record, record.replica, self.books[record.name], self.now)
             node.set_nodes(records, self.now)
             self.nodes[record.name] = node
 
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -15,7 +15,7 @@
     WatchEvents,
     Written,
 )
-from yokeline.registry.watch import PrefixWatch
+from yokeline.registry.watch import PrefixWatch, Whole
 
 
 class ScriptedStore:
@@ -79,18 +79,36 @@
         """The call that waits may wait at a service that went deaf."""
         self.answer(Page((item("p/a", 3),), False, 10))
         waiting = self.call()
-        self.assertIsNone(self.watch.hear_of(12, self.now))
-        self.assertIsNone(self.watch.hear_of(12, self.now + 0.3))
-        self.assertEqual(self.watch.hear_of(12, self.now + 0.5), waiting.request)
+        self.assertFalse(self.watch.is_behind(12, self.now))
+        self.assertFalse(self.watch.is_behind(12, self.now + 0.3))
+        self.assertTrue(self.watch.is_behind(12, self.now + 0.5))
+        self.assertEqual(self.watch.list_anew(self.now), waiting.request)
         self.assertEqual(self.call().path, "list p/")
 
     def test_a_change_that_comes_in_time_needs_no_new_list(self) -> None:
         self.answer(Page((item("p/a", 3),), False, 10))
-        self.assertIsNone(self.watch.hear_of(12, self.now))
+        self.assertFalse(self.watch.is_behind(12, self.now))
         self.answer(WatchEvents((item("p/a", 12),), 12))
-        self.assertIsNone(self.watch.hear_of(12, self.now + 0.5))
+        self.assertFalse(self.watch.is_behind(12, self.now + 0.5))
         self.assertEqual(self.call().path, "watch p/ 12")
 
+    def test_what_another_node_has_read_is_taken_over_if_it_is_later(self) -> None:
+        self.answer(Page((item("p/a", 3), item("p/b", 4)), False, 10))
+        self.assertEqual(self.watch.adopt(Whole(9, (item("p/a", 2),)), self.now), [])
+        changed = self.watch.adopt(Whole(12, (item("p/a", 11),)), self.now)
+        self.assertEqual(
+            [(entry.key, entry.value) for entry in changed], [("p/b", None), ("p/a", b"v")]
+        )
+        self.assertEqual(self.call().path, "watch p/ 12")
+
+    def test_a_node_that_starts_while_the_service_refuses_it_takes_over_everything(self) -> None:
+        self.answer(StoreRefused(503, ()))
+        self.watch.adopt(Whole(12, (item("p/a", 11),)), self.now)
+        self.assertTrue(self.watch.complete)
+        whole = self.watch.whole()
+        assert whole is not None
+        self.assertEqual(whole.revision, 12)
+
     def test_the_second_page_begins_after_the_last_key(self) -> None:
         self.answer(Page((item("p/a", 3),), True, 10))
         self.assertEqual(self.call().path, "list p/ p/a")
