Compact a log at most once per doubling, not as the leader; apply committed entries in slices

The log passed 32 MiB at about 32 s. What it holds (turns kept for 60 s) was itself larger than that, so the replica wrote its whole state anew at every sync. After a start a leader applied thousands of entries in one go and sent no heartbeat meanwhile. Ruled out: memory (163 MB of 340, no exit), elections (the ledger led until 36 s). Change: a file is replaced at 48 to 72 MiB, by lot, and again when it has doubled; a leader hands over first; at most 256 entries are applied in one turn of the loop. Tests: a state over the bound was written at each of 100 syncs, now at most 4 times; 768 entries leave the loop free in between.

--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -45,8 +45,15 @@
 from yokeline.ledger.state import LedgerCommand, LedgerState
 
 LOG_FILE = "ledger.log"
-COMPACT_BYTES = 32 * 1024 * 1024
-"""Size of the log file after which it is replaced by a snapshot and what follows."""
+COMPACT_BYTES = 48 * 1024 * 1024
+"""Least size of the log file after which it is replaced by a snapshot and what follows. Each
+replica adds up to half of it by lot, so that they do not all stand still at one moment."""
+COMPACT_GROWTH = 2.0
+"""A file is replaced again once it has grown by this factor: what it holds may be larger than
+the least size, and would else be written anew at every sync."""
+APPLIED_AT_ONCE = 256
+"""Entries applied in one turn of the loop; after a start there are thousands, and a leader that
+applies them all in one go sends no heartbeat meanwhile."""
 
 RAFT_SETTINGS = RaftSettings(
     heartbeat_seconds=0.05,
@@ -57,6 +64,9 @@
     retained_entries=512,
 )
 
+NOW = float("-inf")
+"""A time that has always come."""
+
 ResultsReady = Callable[[tuple[OperationResult, ...] | None], list[Effect]]
 """Told the results of proposed operations; None if they may not have been taken."""
 
@@ -91,6 +101,7 @@
         source: random.Random,
         now: float,
         settings: RaftSettings = RAFT_SETTINGS,
+        compact_bytes: int = COMPACT_BYTES,
     ) -> None:
         """Start from what was recovered; an empty log makes a newcomer."""
         self.replica = replica
@@ -103,6 +114,9 @@
         self._synced_ticket = 0
         self._held: deque[_Held] = deque()
         self._file_bytes = recovered.valid_bytes
+        self._least_compact_bytes = int(compact_bytes * (1.0 + 0.5 * source.random()))
+        self._compact_bytes = self._least_compact_bytes
+        self._to_apply: deque[LogEntry] = deque()
         self._pending: dict[int, _Pending] = {}
         self._state = self._recovered_state(recovered)
         self._applied = recovered.snapshot.last_index if recovered.snapshot else 0
@@ -129,6 +143,11 @@
         """Whether this replica holds nothing and belongs to no group yet."""
         return not self.group.members and self.group.last_index == 0
 
+    @property
+    def wants_to_compact(self) -> bool:
+        """Whether the log file has grown enough to be replaced by a snapshot."""
+        return self._file_bytes >= self._compact_bytes and self._applied > 0
+
     def leader_address(self) -> Address | None:
         """Return where the leader listens, if it is known."""
         leader = self.group.leader
@@ -142,7 +161,7 @@
 
     def next_deadline(self) -> float:
         """Return when :meth:`tick` is due."""
-        return self.group.next_deadline()
+        return NOW if self._to_apply else self.group.next_deadline()
 
     # ------------------------------------------------------------ events
 
@@ -154,7 +173,8 @@
         return self._absorb(self.group.tick(now))
 
     def tick(self, now: float) -> list[Effect]:
-        """Do what is due."""
+        """Do what is due, and apply more of what is committed."""
+        self._apply_some()
         return self._absorb(self.group.tick(now))
 
     def step(self, sender: ReplicaId, envelope: ReplicaMessage, now: float) -> list[Effect]:
@@ -229,8 +249,15 @@
         self._release(effects)
 
     def _compact_if_large(self) -> None:
-        """Replace the file by a snapshot and what follows it."""
-        if self._file_bytes < COMPACT_BYTES or self._applied == 0:
+        """Replace the file by a snapshot and what follows it.
+
+        A leader does not: it would be silent meanwhile. The host lets another replica lead;
+        if none can for long, the disk goes before the silence.
+        """
+        if not self.wants_to_compact:
+            return
+        may_wait = self._file_bytes < COMPACT_GROWTH * self._compact_bytes
+        if self.leads and len(self.group.members) > 1 and may_wait:
             return
         self.group.compact(self._applied, encode_state(self._state))
         snapshot = self.group.snapshot
@@ -248,6 +275,7 @@
         data = b"".join(encode_record(record) for record in records)
         self._ticket += 1
         self._file_bytes = len(data)
+        self._compact_bytes = max(self._least_compact_bytes, int(COMPACT_GROWTH * len(data)))
         self._effects.append(SyncFile(ticket=self._ticket, name=LOG_FILE, data=data, replace=True))
         self._log("ledger_compacted", index=snapshot.last_index, bytes=len(data))
 
@@ -273,15 +301,23 @@
             self._effects.append(SendPeer(to=to, address=address, message=envelope))
 
     def _apply(self, entries: tuple[LogEntry, ...]) -> None:
-        for entry in entries:
-            self._applied = entry.index
-            results: tuple[OperationResult, ...] = ()
-            if entry.kind is EntryKind.COMMAND:
-                results = self._apply_command(entry.command)
-            pending = self._pending.pop(entry.index, None)
-            if pending is not None:
-                taken = pending.term == entry.term
-                self._effects.extend(pending.ready(results if taken else None))
+        self._to_apply.extend(entries)
+        if len(self._to_apply) <= APPLIED_AT_ONCE:
+            self._apply_some()
+
+    def _apply_some(self) -> None:
+        for _ in range(min(APPLIED_AT_ONCE, len(self._to_apply))):
+            self._apply_entry(self._to_apply.popleft())
+
+    def _apply_entry(self, entry: LogEntry) -> None:
+        self._applied = entry.index
+        results: tuple[OperationResult, ...] = ()
+        if entry.kind is EntryKind.COMMAND:
+            results = self._apply_command(entry.command)
+        pending = self._pending.pop(entry.index, None)
+        if pending is not None:
+            taken = pending.term == entry.term
+            self._effects.extend(pending.ready(results if taken else None))
 
     def _apply_command(self, data: bytes) -> tuple[OperationResult, ...]:
         command = decode_command(data)
@@ -291,6 +327,7 @@
         return self._state.transition_apply(command.unwrap())
 
     def _restore(self, effect: Restored) -> None:
+        self._to_apply.clear()
         state = decode_state(effect.snapshot.data)
         if isinstance(state, Success):
             self._state = state.unwrap()
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -356,6 +356,8 @@
             self._forget_removed()
         if not self.replica.leads or not group.may_change_members():
             return []
+        if self.replica.wants_to_compact:
+            return self._let_another_lead(now)
         retiring = self._retiring()
         effects = self._report_retired(retiring, now)
         view = GroupView(
@@ -373,6 +375,28 @@
             effects.extend(self._take_step(step, now))
         return effects
 
+    def _let_another_lead(self, now: float) -> list[Effect]:
+        """Hand leadership over, so that this replica may compact its log."""
+        group = self.replica.group
+        successor = next(
+            (
+                member
+                for member in group.members
+                if member != self.replica.replica
+                and member not in self._lost
+                and group.has_caught_up(member)
+            ),
+            None,
+        )
+        if successor is None:
+            return []
+        fields: dict[str, str | int | float | bool | None] = {
+            "successor": successor,
+            "reason": "the log is to be compacted",
+        }
+        log = LogRecord(event="leadership_handed_over", fields=fields)
+        return [log, *self.replica.hand_over(successor, now)]
+
     def _take_step(self, step: MembershipStep, now: float) -> list[Effect]:
         if isinstance(step, AddMember):
             return self.replica.add_member(step.replica, now)
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -1,11 +1,15 @@
 from __future__ import annotations
 
 import json
+import random
 import unittest
 
 from tests.unit.ledger.cluster import Cluster, Machine
-from yokeline.effects import Address, PeerMessage
+from yokeline.consensus.messages import EntryKind, LogEntry
+from yokeline.effects import Address, Effect, PeerMessage, SyncFile
 from yokeline.identifiers import ReplicaId
+from yokeline.ledger.codec import encode_command
+from yokeline.ledger.disk_records import RecoveredLog
 from yokeline.ledger.messages import (
     BudgetSpent,
     Granted,
@@ -16,8 +20,11 @@
     Settle,
     Settled,
 )
+from yokeline.ledger.replica import APPLIED_AT_ONCE, LedgerReplica
+from yokeline.ledger.state import LedgerCommand
 
 CATCH_UP_SECONDS = 4.0
+WALL = 1_000_000.0
 
 
 def turn(name: str, previous: str = "", text: bytes = b"text") -> Settle:
@@ -83,6 +90,57 @@
         self.assertEqual({programs[f"r{number}"].counted() for number in range(20)}, {100})
 
 
+class Compaction(StorageCase):
+    def replica(self, compact_bytes: int) -> LedgerReplica:
+        replica = LedgerReplica(
+            replica=ReplicaId("a~1"),
+            address=Address("10.0.0.1", 1),
+            recovered=RecoveredLog(),
+            source=random.Random(1),
+            now=0.0,
+            compact_bytes=compact_bytes,
+        )
+        self.finish(replica, replica.found(0.0))
+        self.finish(replica, replica.tick(1.0))
+        return replica
+
+    def finish(self, replica: LedgerReplica, effects: list[Effect]) -> list[SyncFile]:
+        """Carry writes out at once; return all of them."""
+        writes = [effect for effect in effects if isinstance(effect, SyncFile)]
+        for effect in list(writes):
+            writes.extend(self.finish(replica, replica.synced(effect.ticket)))
+        return writes
+
+    def test_a_state_that_is_larger_than_the_bound_is_not_written_at_every_sync(self) -> None:
+        """Else the replica does nothing but write its state, and the ledger stands still."""
+        replica = self.replica(compact_bytes=20_000)
+        replaced = 0
+        for number in range(100):
+            operation = turn(f"t{number}", text=b"x" * 1000)
+            effects = replica.propose((operation,), lambda results: [], 2.0, WALL)
+            replaced += sum(write.replace for write in self.finish(replica, effects))
+        self.assertGreaterEqual(replaced, 1)
+        self.assertLessEqual(replaced, 4)
+
+    def test_many_committed_entries_are_applied_in_several_turns_of_the_loop(self) -> None:
+        """A leader that applied them in one go would send no heartbeat meanwhile."""
+        cluster = self.cluster()
+        leader = self.leader(cluster)
+        assert leader.node is not None
+        replica = leader.node.replica
+        command = encode_command(LedgerCommand(time=WALL, operations=(turn("many"),)))
+        first = replica.group.last_index + 1
+        entries = tuple(
+            LogEntry(index=first + number, term=1, kind=EntryKind.COMMAND, command=command)
+            for number in range(3 * APPLIED_AT_ONCE)
+        )
+        replica._apply(entries)
+        self.assertNotIn("many", replica.state().turns)
+        self.assertLess(replica.next_deadline(), cluster.now)
+        replica._apply_some()
+        self.assertIn("many", replica.state().turns)
+
+
 class Operations(StorageCase):
     def test_a_budget_holds_over_reservations_and_settlements(self) -> None:
         cluster = self.cluster()
