--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -32,7 +32,7 @@
 from yokeline.forwarding.history import TurnCache, event_data
 from yokeline.forwarding.http_parts import host_of, is_later
 from yokeline.forwarding.model import Call, Pool, Route, RouteKind, RoutingTable
-from yokeline.forwarding.outcomes import LogField, Outcomes
+from yokeline.forwarding.outcomes import BAD_REQUEST, LogField, Outcomes
 from yokeline.forwarding.placement import Placement
 from yokeline.forwarding.pool_split import PoolSplit
 from yokeline.forwarding.retry_budget import RetryBudget
@@ -70,7 +70,6 @@
 """Silence after which a stream that may be resumed is taken from its engine."""
 
 OK = 200
-BAD_REQUEST = 400
 PAYMENT_REQUIRED = 402
 NOT_FOUND = 404
 TOO_LARGE = 413
@@ -664,6 +663,7 @@
         self._outcomes.reply_error(
             exchange.exchange, exchange.call.request_id, status, reason, retry_after=retry_after
         )
+        self._outcomes.count_refusal(status, reason)
         self._end(exchange, "refused", level="info", status=status, reason=reason, **fields)
 
     # ------------------------------------------------------------ ends
--- a/src/yokeline/forwarding/outcomes.py
+++ b/src/yokeline/forwarding/outcomes.py
@@ -10,6 +10,8 @@
 from yokeline.forwarding.http_parts import refusal_body
 from yokeline.identifiers import ExchangeId
 
+BAD_REQUEST = 400
+
 LogField = str | int | float | bool | None
 
 
@@ -42,6 +44,11 @@
         series = f'yokeline_forwarding_requests_total{{outcome="{outcome}",status="{status}"}}'
         self.counters[series] += 1
 
+    def count_refusal(self, status: int, reason: str) -> None:
+        """Count a request that did not run, by reason; unreadable ones count together."""
+        label = "unreadable" if status == BAD_REQUEST else reason
+        self.counters[f'yokeline_forwarding_refusals_total{{reason="{label}"}}'] += 1
+
     def log(self, event: str, exchange: Exchange, level: str = "info", **fields: LogField) -> None:
         """Write a line about a request."""
         call = exchange.call
@@ -92,6 +99,7 @@
         """Refuse a request that no route or limit lets in."""
         request_id = event.headers.get(self._dialect.echo_header, "")
         self.count("refused", status)
+        self.count_refusal(status, reason)
         everything: dict[str, LogField] = {
             "request": request_id,
             "host": event.headers.get("host", ""),
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -103,6 +103,7 @@
     "yokeline_forwarding_under_way": "Requests at this node without a final answer.",
     "yokeline_forwarding_waiting": "Requests that wait at this node for an engine with room.",
     "yokeline_forwarding_rejections_total": "Requests that an engine said it did not run.",
+    "yokeline_forwarding_refusals_total": "Requests refused, not run, by reason.",
     "yokeline_forwarding_repeats_total": "Requests sent again after they may have run.",
     "yokeline_forwarding_configuration_version": "Version of the configuration in force here.",
     "yokeline_forwarding_added_seconds": (
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -130,6 +130,24 @@
         self.assertEqual(played.replies[-1].status, 400)
         self.assertEqual(played.sent, [])
 
+    def test_refusals_are_counted_by_reason(self) -> None:
+        played = Played(engines_per_pool=0)
+        played.request("/nowhere/x")
+        played.request("/fix/x", request_id="")
+        played.request("/fix/x")
+        played.wait(0.06)
+        counted = {
+            name: count
+            for name, count in played.forwarder.counters.items()
+            if name.startswith("yokeline_forwarding_refusals_total")
+        }
+        series = "yokeline_forwarding_refusals_total"
+        expected = {
+            f'{series}{{reason="{reason}"}}': 1
+            for reason in ("no_route", "unreadable", "no_engine")
+        }
+        self.assertEqual(counted, expected)
+
     def test_without_a_configuration_nothing_is_denied(self) -> None:
         played = Played()
         played.forwarder.table = None
