Take no answer without changes as proof of what was read; let all nodes of a small fleet watch closely

The store went deaf at 1.47 s; a watch that ended then named the store's latest revision and left the change out, so these edges believed that they had read it, heard of nothing later, and waited in a call of 8 s. Ruled out: reports that did not arrive (the five nodes with short calls applied it at 3.48 s). Change: a node compares the revision of the latest change or whole list that it has read; long calls only where relays are used (16 edges and more).

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -52,7 +52,8 @@
 
 PACING_SECONDS = 1.0
 CLOSE_WATCHERS = 5
-"""Nodes that watch the registry with short calls, so that a service that went deaf is noticed."""
+"""Nodes of a large fleet that watch the registry with short calls, so that a service that went
+deaf is noticed. In a small fleet all do."""
 LONG_WATCH_SECONDS = 8.0
 """Longest wait of a watching call at the other nodes; each call is paid for."""
 WATCH_PAUSE_SECONDS = 0.25
@@ -218,7 +219,7 @@
             return
         self._next_pacing = now + PACING_SECONDS
         earlier = [name for name in self._engines.live_nodes() if name < self._record.name]
-        if len(earlier) < CLOSE_WATCHERS:
+        if not self._sharing.uses_relays or len(earlier) < CLOSE_WATCHERS:
             self._registry.set_pace(WATCH_SECONDS, 0.0)
         else:
             self._registry.set_pace(LONG_WATCH_SECONDS, WATCH_PAUSE_SECONDS)
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -50,7 +50,8 @@
         failures: Calls in a row without a useful answer.
         wait_seconds: Longest wait of a watching call.
         pause_seconds: Pause after a change, so that one call brings several.
-        last_change: Revision of the latest change that was read.
+        last_change: Revision of the latest change that was read, or of the latest whole list. An
+            answer without changes proves nothing: a service that went deaf gives it too.
     """
 
     def __init__(
@@ -105,7 +106,7 @@
 
         True once in each :data:`BEHIND_SECONDS`, as long as this one has not read it.
         """
-        if revision <= self._revision:
+        if revision <= self.last_change:
             self._behind_since = None
             return False
         if self._behind_since is None:
@@ -129,11 +130,11 @@
         """Return everything that was read; None while that is not complete."""
         if not self.complete or self._phase is WatchPhase.LISTING:
             return None
-        return Whole(self._revision, tuple(self.items.values()))
+        return Whole(self.last_change, tuple(self.items.values()))
 
     def adopt(self, whole: Whole, now: float) -> list[StoredItem]:
         """Take over what another node has read, if it is later; return the items that changed."""
-        if whole.revision <= self._revision:
+        if whole.revision <= self.last_change:
             return []
         self._transition_to_listing()
         self._listed = {item.key: item for item in whole.items}
@@ -202,7 +203,8 @@
         changed = [StoredItem(key, None, revision) for key in sorted(gone)]
         changed.extend(self._listed[key] for key in sorted(self._listed))
         self._phase = WatchPhase.WATCHING
-        self._revision = max(self._revision, revision)
+        self._revision = revision
+        self.last_change = max(self.last_change, revision)
         self._listed = {}
         self.complete = True
         return [item for item in changed if self._apply(item)]
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -92,6 +92,16 @@
         self.assertFalse(self.watch.is_behind(12, self.now + 0.5))
         self.assertEqual(self.call().path, "watch p/ 12")
 
+    def test_an_answer_without_changes_proves_nothing(self) -> None:
+        """A service that went deaf names its latest revision and leaves the change out."""
+        self.answer(Page((item("p/a", 3),), False, 10))
+        self.answer(WatchEvents((), 29))
+        self.assertFalse(self.watch.is_behind(27, self.now))
+        self.assertTrue(self.watch.is_behind(27, self.now + 0.5))
+        changed = self.watch.adopt(Whole(27, (item("p/a", 27),)), self.now)
+        self.assertEqual([entry.revision for entry in changed], [27])
+        self.assertEqual(self.call().path, "watch p/ 27")
+
     def test_what_another_node_has_read_is_taken_over_if_it_is_later(self) -> None:
         self.answer(Page((item("p/a", 3), item("p/b", 4)), False, 10))
         self.assertEqual(self.watch.adopt(Whole(9, (item("p/a", 2),)), self.now), [])
