--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -96,8 +96,8 @@
         return self._record
 
     def _was_heard(self, name: NodeName, now: float) -> bool:
-        last = max(self._heard_at.get(name, float("-inf")), self._candidate_since)
-        return now - last <= RELAY_SILENCE_SECONDS * self._slowdown
+        is_new_ring = now - self._candidate_since <= RELAY_SILENCE_SECONDS * self._slowdown
+        return is_new_ring or self._heard_within_silence(name, now)
 
     # ------------------------------------------------------------ reports in
 
