Elect a leader at once after a restart of all storage nodes

Cause: after all power was lost, replicas that had just started waited out the election timeout (0.3 to 0.6 s) although nobody led; a turn's tries are 0.1 to 0.4 s apart and burnt meanwhile. Change: the ledger reads through its log and uses no lease, so a restarted replica owes an earlier leader nothing; it asks for a pre-vote after 20 to 40 ms and again until a leader is heard (3 s at most). Of two that start together the later id gives way, so that votes are not split. Ruled out: a shorter election timeout (a busy leader would be deposed); voting without a pre-vote (a follower that restarts would depose its leader: tested).

--- a/src/yokeline/consensus/election.py
+++ b/src/yokeline/consensus/election.py
@@ -15,6 +15,9 @@
 PRE_VOTE_RETRY = 0.5
 """Share of a random election timeout after which a pre-vote without majority is repeated."""
 
+PROMPT_JITTER = 0.5
+"""Share of the pause after a restart that is left out by lot, so that votes are not split."""
+
 IDLE_SILENCE_HEARTBEATS = 3
 """Idle heartbeats a leader may miss while its node is alive."""
 
@@ -27,7 +30,15 @@
     leader's lease counts on that. A sign of life *of its node* only postpones an election.
     """
 
-    __slots__ = ("_heard_at", "_node_alive_at", "_source", "_stand_at", "_started_at", "_timeout")
+    __slots__ = (
+        "_heard_at",
+        "_node_alive_at",
+        "_prompt_until",
+        "_source",
+        "_stand_at",
+        "_started_at",
+        "_timeout",
+    )
 
     def __init__(self, source: random.Random, now: float) -> None:
         """Create a timer that has heard of no leader."""
@@ -37,6 +48,21 @@
         self._started_at = now
         self._timeout = 0.0
         self._stand_at: float | None = None
+        self._prompt_until = -math.inf
+
+    def begin_prompt_start(self, settings: RaftSettings, now: float) -> None:
+        """Stand soon after a restart, and often until a leader is heard or time is up."""
+        self._prompt_until = now + settings.prompt_start_seconds
+        self.stand_again_promptly(settings, now)
+
+    def is_prompt(self, now: float) -> bool:
+        """Return whether this replica has just restarted and has heard of no leader since."""
+        return now < self._prompt_until
+
+    def stand_again_promptly(self, settings: RaftSettings, now: float) -> None:
+        """Plan the next pre-vote after a short pause, part of it drawn by lot."""
+        pause = settings.prompt_retry_seconds * (1.0 - PROMPT_JITTER * self._source.random())
+        self._stand_at = now + pause
 
     def restart(self, settings: RaftSettings, now: float) -> None:
         """Start a fresh random timeout; what was heard of a leader still binds."""
@@ -49,6 +75,7 @@
         self._heard_at = max(self._heard_at, now)
         self._node_alive_at = max(self._node_alive_at, now)
         self._stand_at = None
+        self._prompt_until = -math.inf
 
     def node_alive(self, now: float) -> None:
         """Note a sign of life of the leader's node."""
@@ -90,6 +117,8 @@
 
     def pre_vote_deadline(self) -> float:
         """Return when a pre-vote without majority is repeated."""
+        if self._stand_at is not None:
+            return self._stand_at
         return self._started_at + PRE_VOTE_RETRY * self._timeout
 
     def refuses_votes(self, settings: RaftSettings, now: float, *, leader_known: bool) -> bool:
--- a/src/yokeline/consensus/settings.py
+++ b/src/yokeline/consensus/settings.py
@@ -21,6 +21,13 @@
             clocks that run at different rates.
         retained_entries: Entries kept before a compacted index, so that a follower that lags a
             little needs no snapshot.
+        uses_lease: Reads or effects rely on :meth:`RaftGroup.lease_valid`. Without it a replica
+            that restarts owes an earlier leader nothing, and may vote at once.
+        prompt_start_seconds: Time after a restart in which a replica without a lease to honour
+            asks for an election at once, and again and again: after a loss of power nobody
+            leads, and to wait for a leader's silence is in vain. The pre-vote keeps it from
+            disturbing a leader that lives. 0 for a start like any other silence.
+        prompt_retry_seconds: Pause between such requests, shortened by up to a half by lot.
     """
 
     heartbeat_seconds: float = 0.25
@@ -30,6 +37,9 @@
     snapshot_chunk_bytes: int = 262_144
     drift_margin: float = 0.1
     retained_entries: int = 256
+    uses_lease: bool = True
+    prompt_start_seconds: float = 0.0
+    prompt_retry_seconds: float = 0.05
 
     @property
     def lease_seconds(self) -> float:
--- a/src/yokeline/consensus/voting.py
+++ b/src/yokeline/consensus/voting.py
@@ -28,8 +28,10 @@
         self._state = state
         self._timer = ElectionTimer(state.source, now)
         self._timer.restart(state.settings, now)
-        if restarted:
+        if restarted and state.settings.uses_lease:
             self._timer.heard(now)
+        elif restarted and state.settings.prompt_start_seconds:
+            self._timer.begin_prompt_start(state.settings, now)
         self._tally: VoteTally | None = None
 
     # ------------------------------------------------------------ a leader's life
@@ -106,6 +108,8 @@
     def _stand(self, now: float) -> None:
         self._state.transition_to_pre_candidate()
         self._timer.restart(self._state.settings, now)
+        if self._timer.is_prompt(now):
+            self._timer.stand_again_promptly(self._state.settings, now)
         self._tally = VoteTally(self._state.replica)
         self._ask(self._state.term + 1, pre_vote=True, transfer=False)
         self._conclude(now)
@@ -153,12 +157,26 @@
         if message.pre_vote:
             granted = message.term > self._state.term and self._is_up_to_date(message)
             self._reply(message, granted=granted)
+            if granted:
+                self._give_way(message.candidate, now)
             return False
         if message.term > self._state.term:
             self.step_down(message.term, None, now)
         self._vote(message, now)
         return False
 
+    def _give_way(self, candidate: ReplicaId, now: float) -> None:
+        """Let one of two replicas that start at one moment win, or they would split the votes.
+
+        Only right after a restart: a candidate that can send but not hear must not keep the
+        others from standing for long.
+        """
+        if self._state.role is not RaftRole.PRE_CANDIDATE or not self._timer.is_prompt(now):
+            return
+        if candidate < self._state.replica:
+            self._tally = None
+            self._timer.restart(self._state.settings, now)
+
     def _note_resignation(self, message: RequestVote) -> None:
         """Drop a leader that asks for votes beyond its own term: it leads no more."""
         state = self._state
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -65,6 +65,9 @@
     append_bytes=APPEND_BYTES,
     snapshot_chunk_bytes=512 * 1024,
     retained_entries=512,
+    uses_lease=False,
+    prompt_start_seconds=3.0,
+    prompt_retry_seconds=0.04,
 )
 
 NOW = float("-inf")
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -231,6 +231,46 @@
                 cluster.start(machine)
             self.assert_kept(cluster, *(f"t{number}" for number in range(5)))
 
+    def test_after_all_power_was_lost_a_leader_is_known_within_a_quarter_second(self) -> None:
+        for seed in range(20):
+            cluster = self.cluster(seed=seed)
+            cluster.ask(turn("t1"))
+            for machine in cluster.machines:
+                cluster.power_off(machine)
+            cluster.run(0.5)
+            for machine in cluster.machines:
+                cluster.start(machine)
+                cluster.run(0.03)
+            led = cluster.run_until(lambda c=cluster: c.leader() is not None, 0.25)
+            self.assertTrue(led, f"seed {seed}")
+            self.assert_kept(cluster, "t1")
+
+    def test_two_of_three_suffice_for_a_leader_at_once(self) -> None:
+        for seed in range(20):
+            cluster = self.cluster(seed=seed)
+            cluster.ask(turn("t1"))
+            for machine in cluster.machines:
+                cluster.power_off(machine)
+            cluster.run(0.5)
+            for machine in cluster.machines[1:]:
+                cluster.start(machine)
+            led = cluster.run_until(lambda c=cluster: c.leader() is not None, 0.3)
+            self.assertTrue(led, f"seed {seed}")
+
+    def test_a_follower_that_restarts_does_not_disturb_its_leader(self) -> None:
+        for seed in range(8):
+            cluster = self.cluster(seed=seed)
+            leader = self.leader(cluster)
+            assert leader.node is not None
+            term = leader.node.replica.group.term
+            follower = next(item for item in cluster.machines if item is not leader)
+            cluster.kill(follower)
+            cluster.run(0.4)
+            cluster.start(follower)
+            cluster.run(1.0)
+            self.assertIs(cluster.leader(), leader)
+            self.assertEqual(leader.node.replica.group.term, term)
+
     def test_one_disk_is_lost_while_all_lose_power(self) -> None:
         for seed in range(8):
             cluster = self.cluster(seed=seed)
