Ask the ledger through another node when cut off; listen in a process's first milliseconds

Change 1: an edge whose questions get no result for 0.15 s asks through a peer that says (in its load report) that it reaches the ledger. One hop, bounded, operation ids keep everything once; a ledger that is merely slow is not doubted; a direct answer ends the detour. Cause 2: while processes start, callers' tries meet closed ports and burn.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -26,13 +26,15 @@
 )
 from yokeline.forwarding.engines import EngineBook
 from yokeline.forwarding.forwarder import Forwarder
-from yokeline.forwarding.load_sharing import LoadSharing
+from yokeline.forwarding.load_sharing import LoadSharing, ReportedState
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.messages import (
     LedgerReply,
     LoadDigest,
     LoadReport,
+    OperationResult,
+    PassedOnRequest,
     RegistryAsk,
     RegistryItem,
     RegistryNews,
@@ -49,6 +51,7 @@
 )
 from yokeline.registry.protocol import StoredItem
 from yokeline.registry.watch import WATCH_SECONDS, Whole
+from yokeline.start_phases import StartPhases
 
 PACING_SECONDS = 1.0
 CLOSE_WATCHERS = 5
@@ -85,10 +88,12 @@
         engines: EngineBook,
         ledger: LedgerClient,
         grace_seconds: float,
+        phases: StartPhases,
         now: float,
     ) -> None:
         """Create the service; ``process`` is the id under which other nodes reach it."""
         self.forwarder = forwarder
+        self.phases = phases
         self.ledger = ledger
         self._record = record
         self._registry = registry
@@ -97,6 +102,7 @@
         self._grace_seconds = grace_seconds
         self._next_pacing = now
         self._sharing = LoadSharing(record, process, engines, now)
+        ledger.helpful_peers = lambda: self._sharing.peers_that_reach_ledger(self._now)
         self._stop_asked_at: float | None = None
         self._busy_at = now
         self._now = now
@@ -128,11 +134,30 @@
         effects.extend(self.forwarder.tick(now))
         self._pace_watch(now)
         effects.extend(
-            self._sharing.tick(self.forwarder.waiting(), self._registry.last_change(), now)
+            self._sharing.tick(
+                ReportedState(
+                    waiting=self.forwarder.waiting(),
+                    revision=self._registry.last_change(),
+                    reaches_ledger=self.ledger.reaches_ledger,
+                ),
+                now,
+            )
         )
         effects.extend(self._continue_stop(now))
+        effects.extend(self._note_phases(now))
         return effects
 
+    def _note_phases(self, now: float) -> list[LogRecord]:
+        """Note how long the start took to each of its steps."""
+        lines: list[LogRecord] = []
+        if self.forwarder.table is not None:
+            lines.extend(self.phases.reached("configuration", now))
+        if self.ledger.has_answered:
+            lines.extend(self.phases.reached("ledger", now))
+        if self.forwarder.has_sent:
+            lines.extend(self.phases.reached("first_send", now))
+        return lines
+
     def next_deadline(self) -> float | None:
         """Return when a tick is due."""
         dues = [
@@ -164,12 +189,27 @@
         message = event.message
         if isinstance(message, LedgerReply):
             return self.ledger.take_reply(message, now)
+        if isinstance(message, PassedOnRequest):
+            return self._ask_for_peer(event.sender, message, now)
         if isinstance(message, RegistryAsk):
             return self._answer_registry(event.sender, message)
         if isinstance(message, RegistryNews):
             return self._adopt_registry(event.sender, message, now)
         return []
 
+    def _ask_for_peer(
+        self, sender: ReplicaId, request: PassedOnRequest, now: float
+    ) -> list[Effect]:
+        """Ask the ledger for a node that does not reach it."""
+
+        def answered(result: OperationResult | None, answered_at: float) -> list[Effect]:
+            if result is None:
+                return []
+            reply = LedgerReply(number=request.number, results=(result,), passed_on=True)
+            return [SendPeer(to=sender, address=request.asker, message=reply)]
+
+        return self.ledger.pass_on(sender, request, answered, now)
+
     def _take_load(self, message: msgspec.Struct, now: float) -> list[Effect]:
         """Take reports of other nodes in, with how much of the registry these have read."""
         if isinstance(message, LoadReport):
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -176,6 +176,10 @@
         self._reports[report.node] = (now, report)
         self._sums_are_stale = True
 
+    def fresh_reports(self, now: float) -> list[LoadReport]:
+        """Return the latest report of each node that reported lately."""
+        return [item for at, item in self._reports.values() if now - at <= self.fresh_seconds]
+
     def live_nodes(self) -> list[NodeName]:
         """Return the other nodes that reported lately."""
         return sorted(self._reports)
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -29,6 +29,7 @@
 from yokeline.forwarding.engine_request import engine_request
 from yokeline.forwarding.engines import FULL_SECONDS, EngineBook
 from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.held_requests import HeldRequests
 from yokeline.forwarding.history import TurnCache, event_data
 from yokeline.forwarding.http_parts import host_of, is_later
 from yokeline.forwarding.model import Call, Pool, Route, RouteKind, RoutingTable
@@ -104,6 +105,7 @@
         self._exchanges: dict[ExchangeId, Exchange] = {}
         self._by_request: dict[RequestId, Exchange] = {}
         self._waiting: dict[str, WaitingRequests] = {}
+        self._held = HeldRequests()
         self._turns = TurnCache()
         self._split = PoolSplit()
         self._timers = TimerQueue()
@@ -142,6 +144,11 @@
         """Forget what an engine that is gone had cached."""
         self._placement.beliefs.forget(engine_id)
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether a request was sent to an engine since the start."""
+        return any(self.added_seconds.counts)
+
     @property
     def under_way(self) -> int:
         """Requests without a final answer."""
@@ -153,24 +160,30 @@
 
     def next_deadline(self) -> float | None:
         """Return when :meth:`tick` is due."""
-        return self._timers.next_due()
+        dues = (self._timers.next_due(), self._held.next_deadline())
+        return min((due for due in dues if due is not None), default=None)
 
     def tick(self, now: float) -> list[Effect]:
         """Do what is due, and send what may be sent."""
         self._now = now
         self._timers.run_due(now)
+        if len(self._held):
+            self._take_held()
         self._dispatch_all()
         return self._outcomes.take_effects()
 
     def arrived(self, event: HttpArrived, now: float) -> list[Effect]:
         """Take a caller's request."""
         self._now = now
-        self._take_request(event)
+        if self.table is None and not self.refusing and self._held.add(event, now):
+            return self._outcomes.take_effects()
+        self._take_request(event, now)
         return self._outcomes.take_effects()
 
     def caller_gone(self, exchange_id: ExchangeId, now: float) -> list[Effect]:
         """Give up what nobody waits for any more."""
         self._now = now
+        self._held.remove(exchange_id)
         exchange = self._exchanges.get(exchange_id)
         if exchange is not None:
             self._caller_gone(exchange)
@@ -197,7 +210,16 @@
 
     # ------------------------------------------------------------ requests in
 
-    def _take_request(self, event: HttpArrived) -> None:
+    def _take_held(self) -> None:
+        """Serve what waited for a configuration, or refuse what waited too long for it."""
+        if self.table is None and not self.refusing:
+            held = self._held.take_expired(self._now)
+        else:
+            held = self._held.take_all()
+        for request in held:
+            self._take_request(request.event, request.arrived_at)
+
+    def _take_request(self, event: HttpArrived, arrived_at: float) -> None:
         table = self.table
         if table is None:
             self._outcomes.refuse_unparsed(event, UNAVAILABLE, "no_configuration", retry_after=0.3)
@@ -216,21 +238,21 @@
         if not isinstance(parsed, Success):
             self._outcomes.refuse_unparsed(event, BAD_REQUEST, parsed.failure().message)
             return
-        exchange = self._open(event, parsed.unwrap(), route)
+        exchange = self._open(event, parsed.unwrap(), route, arrived_at)
         if needs_ledger(exchange):
             self._reserve(exchange)
         else:
             self._wait(exchange)
             self._dispatch(exchange.pool)
 
-    def _open(self, event: HttpArrived, call: Call, route: Route) -> Exchange:
+    def _open(self, event: HttpArrived, call: Call, route: Route, arrived_at: float) -> Exchange:
         exchange = Exchange(
             exchange=event.exchange,
             arrived=event,
             call=call,
             route=route,
-            due=self._now + min(call.deadline, route.timeout),
-            started=self._now,
+            due=arrived_at + min(call.deadline, route.timeout),
+            started=arrived_at,
             pool=self._split.pool_of(route, call),
             body=event.body,
             last_event_id=call.last_event_id,
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -10,9 +10,12 @@
 
 from collections import defaultdict
 
+import msgspec
+
 from yokeline.effects import Effect, SendDatagram
 from yokeline.forwarding.engines import REPORT_FRESH_SECONDS, EngineBook
 from yokeline.identifiers import NodeName, ReplicaId
+from yokeline.ledger.client import PeerNode
 from yokeline.ledger.messages import LoadDigest, LoadReport
 from yokeline.registry.nodes import NodeRecord
 
@@ -40,6 +43,20 @@
 """Nodes of another zone that get a digest while its relay is not known."""
 
 
+class ReportedState(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node reports of itself beside its load.
+
+    Attributes:
+        waiting: Requests that wait at this node, by pool.
+        revision: Of the latest change that this node has read.
+        reaches_ledger: The ledger answers this node.
+    """
+
+    waiting: dict[str, int]
+    revision: int
+    reaches_ledger: bool
+
+
 class LoadSharing:
     """Reports of one node, and those that it passes on; a pure state machine."""
 
@@ -99,6 +116,17 @@
         is_new_ring = now - self._candidate_since <= RELAY_SILENCE_SECONDS * self._slowdown
         return is_new_ring or self._heard_within_silence(name, now)
 
+    def peers_that_reach_ledger(self, now: float) -> list[PeerNode]:
+        """Return the nodes that say so, those of this zone first."""
+        own_zone = {record.name for record in self._zone_ring}
+        helpful = [
+            report
+            for report in self._engines.fresh_reports(now)
+            if report.reaches_ledger and report.address is not None
+        ]
+        helpful.sort(key=lambda report: (report.node not in own_zone, report.node))
+        return [PeerNode(item.process, item.address) for item in helpful if item.address]
+
     # ------------------------------------------------------------ reports in
 
     def take_report(self, report: LoadReport, now: float) -> None:
@@ -132,20 +160,14 @@
             return self._next_report
         return min(self._next_report, self._next_digest)
 
-    def tick(self, waiting: dict[str, int], revision: int, now: float) -> list[Effect]:
-        """Report this node's load and pass on what was collected, if it is time.
-
-        Args:
-            waiting: Requests that wait at this node, by pool.
-            revision: Of the latest change that this node has read.
-            now: Monotonic seconds.
-        """
-        effects = self._report(waiting, revision, now)
+    def tick(self, state: ReportedState, now: float) -> list[Effect]:
+        """Report this node's load and state, and pass on what was collected, if it is time."""
+        effects = self._report(state, now)
         if self._next_digest is not None and now >= self._next_digest:
             effects.extend(self._pass_on(now))
         return effects
 
-    def _report(self, waiting: dict[str, int], revision: int, now: float) -> list[Effect]:
+    def _report(self, state: ReportedState, now: float) -> list[Effect]:
         if now >= self._next_look and self._reported_changes != self._engines.own_changes:
             pause = RELAYED_REPORT_SECONDS if self.uses_relays else REPORT_SECONDS
             self._next_look = now + pause * self._slowdown
@@ -162,8 +184,9 @@
             node=self._record.name,
             sequence=self._sequence,
             loads=loads,
-            waiting=waiting,
-            revision=revision,
+            waiting=state.waiting,
+            revision=state.revision,
+            reaches_ledger=state.reaches_ledger,
             process=self._process,
             address=self._record.address,
         )
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -11,13 +11,17 @@
     forwarder = node.forwarder
     counters = {name: float(count) for name, count in forwarder.counters.items()}
     counters["yokeline_ledger_resends_total"] = float(node.ledger.resends)
+    counters["yokeline_ledger_sent_through_peers_total"] = float(node.ledger.sent_through_peers)
+    counters["yokeline_ledger_passed_on_total"] = float(node.ledger.passed_on)
     table = forwarder.table
     gauges = {
         "yokeline_forwarding_under_way": float(forwarder.under_way),
         "yokeline_forwarding_waiting": float(sum(forwarder.waiting().values())),
         "yokeline_forwarding_configuration_version": float(table.version if table else 0),
         "yokeline_registry_age_seconds": node.registry_age(),
+        "yokeline_ledger_reached": float(node.ledger.reaches_ledger),
     }
+    gauges.update(node.phases.gauges())
     histograms = {
         "yokeline_forwarding_added_seconds": forwarder.added_seconds,
         "yokeline_forwarding_first_event_seconds": forwarder.first_event_seconds,
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -1,6 +1,8 @@
 """Asks the ledger's leader, wherever it is: repeats until answered or given up.
 
-Operations are idempotent by request id, so a repetition at another replica is harmless.
+Operations are idempotent by request id, so a repetition at another replica is harmless. A node
+whose questions stay without a result asks through another forwarding node as well, since it may
+be cut off from the storage nodes, or from the leader alone, while others are not.
 """
 
 from __future__ import annotations
@@ -18,12 +20,14 @@
     LedgerRequest,
     Operation,
     OperationResult,
+    PassedOnRequest,
     size_of,
 )
 
 RESEND_SECONDS = 0.15
 """Silence after which an operation is sent again, to another replica; doubled each time, so that
-repetitions do not fill the links of replicas that are busy."""
+repetitions do not fill the links of replicas that are busy. Also the time without a result after
+which the way to the ledger is doubted."""
 MAX_RESEND_SECONDS = 1.2
 PAUSE_SECONDS = 0.03
 """Pause after the answer of a replica that neither leads nor knows who does; doubled likewise."""
@@ -31,11 +35,26 @@
 MAX_LARGE_PAUSE_SECONDS = 0.4
 """The same for an operation that carries a turn's text."""
 LARGE_BYTES = 2048
+PASSED_ON_SECONDS = 1.0
+"""How long an operation of another node is repeated; its asker repeats it too."""
+MAX_PASSED_ON = 256
+"""Operations of other nodes under way at once; more are dropped, and their askers ask again."""
 
 OperationDone = Callable[[OperationResult | None, float], list[Effect]]
 """Told the result of an operation and the time; None if given up (it may have been taken)."""
 
 
+class PeerNode(msgspec.Struct, frozen=True):
+    """Another forwarding node, through which the ledger can be asked."""
+
+    process: ReplicaId
+    address: Address
+
+
+HelpfulPeers = Callable[[], list[PeerNode]]
+"""Returns the nodes that say they reach the ledger, the nearest first."""
+
+
 class _Asked(msgspec.Struct, kw_only=True):
     operation: Operation
     done: OperationDone
@@ -43,6 +62,7 @@
     send_at: float
     asked_at: float
     sends: int = 0
+    is_passed_on: bool = False
 
 
 class LedgerClient:
@@ -50,7 +70,11 @@
 
     Attributes:
         resends: Operations sent again.
+        sent_through_peers: Operations sent to other forwarding nodes.
+        passed_on: Operations of other nodes that this one has asked for.
         answer_seconds: Time from the question to the leader's answer.
+        has_answered: The ledger has answered this process at least once.
+        helpful_peers: The nodes to ask through; none unless set.
     """
 
     def __init__(self, own_address: Address) -> None:
@@ -59,15 +83,28 @@
         self._storage: dict[ReplicaId, Address] = {}
         self._leader: LeaderHint | None = None
         self._next_candidate = 0
+        self._next_peer = 0
         self._asked: dict[int, _Asked] = {}
+        self._passed_on: set[tuple[ReplicaId, int]] = set()
         self._numbers = 0
+        self._is_path_lost = False
+        self._result_at = float("-inf")
+        self.helpful_peers: HelpfulPeers = list
         self.answer_seconds = Histogram()
         self.resends = 0
+        self.sent_through_peers = 0
+        self.passed_on = 0
+        self.has_answered = False
 
     def set_storage(self, storage: dict[ReplicaId, Address]) -> None:
         """Note the storage replicas that are known."""
         self._storage = storage
 
+    @property
+    def reaches_ledger(self) -> bool:
+        """Whether the last operations were answered, or there were none."""
+        return not self._is_path_lost
+
     @property
     def under_way(self) -> int:
         """Operations without an answer yet."""
@@ -77,12 +114,37 @@
         self, operation: Operation, done: OperationDone, now: float, give_up_at: float
     ) -> list[Effect]:
         """Send an operation; ``done`` is called once."""
-        self._numbers += 1
         asked = _Asked(
             operation=operation, done=done, give_up_at=give_up_at, send_at=now, asked_at=now
         )
-        self._asked[self._numbers] = asked
-        return self._send(self._numbers, asked, now)
+        return self._begin(asked, now)
+
+    def pass_on(
+        self, sender: ReplicaId, request: PassedOnRequest, done: OperationDone, now: float
+    ) -> list[Effect]:
+        """Ask for another node; a repetition of a question under way changes nothing.
+
+        Nothing is passed on twice: a node that gets no answer itself lets it be.
+        """
+        key = (sender, request.number)
+        if key in self._passed_on or len(self._passed_on) >= MAX_PASSED_ON:
+            return []
+
+        def ended(result: OperationResult | None, ended_at: float) -> list[Effect]:
+            self._passed_on.discard(key)
+            return done(result, ended_at)
+
+        asked = _Asked(
+            operation=request.operation,
+            done=ended,
+            give_up_at=now + PASSED_ON_SECONDS,
+            send_at=now,
+            asked_at=now,
+            is_passed_on=True,
+        )
+        self.passed_on += 1
+        self._passed_on.add(key)
+        return self._begin(asked, now)
 
     def forget(self, operation: Operation) -> None:
         """Stop asking; ``done`` is not called."""
@@ -105,12 +167,15 @@
                 effects.extend(asked.done(None, now))
             elif now >= asked.send_at:
                 self._leader = None
+                effects.extend(self._doubt_path(asked, now))
                 effects.extend(self._send(number, asked, now))
         return effects
 
     def take_reply(self, reply: LedgerReply, now: float) -> list[Effect]:
         """Take an answer in."""
-        effects = self._note_leader(reply.leader)
+        effects = [] if reply.passed_on else self._note_leader(reply.leader)
+        if reply.results and not reply.passed_on:
+            effects.extend(self._note_path_found(now))
         asked = self._asked.get(reply.number)
         if asked is None:
             return effects
@@ -124,6 +189,28 @@
             asked.send_at = min(asked.send_at, now + _pause_of(asked))
         return effects
 
+    # ------------------------------------------------------------ the way to the ledger
+
+    def _doubt_path(self, asked: _Asked, now: float) -> list[Effect]:
+        """Doubt the way there if nothing at all is answered; a busy ledger is only slow."""
+        silent_since = max(asked.asked_at, self._result_at)
+        if self._is_path_lost or now - silent_since < RESEND_SECONDS:
+            return []
+        self._is_path_lost = True
+        fields: dict[str, str | int | float | bool | None] = {
+            "waited": round(now - asked.asked_at, 3),
+            "under_way": len(self._asked),
+        }
+        return [LogRecord(event="ledger_path_lost", fields=fields, level="warning")]
+
+    def _note_path_found(self, now: float) -> list[Effect]:
+        self.has_answered = True
+        self._result_at = now
+        if not self._is_path_lost:
+            return []
+        self._is_path_lost = False
+        return [LogRecord(event="ledger_path_found", fields={"under_way": len(self._asked)})]
+
     def _note_leader(self, leader: LeaderHint | None) -> list[Effect]:
         if leader is None or leader == self._leader:
             return []
@@ -133,18 +220,40 @@
             return []
         return [LogRecord(event="ledger_leader_known", fields={"leader": leader.replica})]
 
+    # ------------------------------------------------------------ sending
+
+    def _begin(self, asked: _Asked, now: float) -> list[Effect]:
+        self._numbers += 1
+        self._asked[self._numbers] = asked
+        return self._send(self._numbers, asked, now)
+
     def _send(self, number: int, asked: _Asked, now: float) -> list[Effect]:
         asked.send_at = now + min(MAX_RESEND_SECONDS, RESEND_SECONDS * 2.0**asked.sends)
         asked.sends += 1
         if asked.sends > 1:
             self.resends += 1
+        effects: list[Effect] = []
+        if self._is_path_lost and not asked.is_passed_on:
+            effects.extend(self._send_through_peer(number, asked))
         target = self._leader or self._candidate()
-        if target is None:
+        if target is not None:
+            message = LedgerRequest(
+                number=number, asker=self._own_address, operations=(asked.operation,)
+            )
+            effects.append(SendPeer(to=target.replica, address=target.address, message=message))
+        return effects
+
+    def _send_through_peer(self, number: int, asked: _Asked) -> list[Effect]:
+        """Ask through the next of the nodes that reach the ledger; another one each time."""
+        peers = self.helpful_peers()
+        if not peers:
             return []
-        message = LedgerRequest(
-            number=number, asker=self._own_address, operations=(asked.operation,)
-        )
-        return [SendPeer(to=target.replica, address=target.address, message=message)]
+        peer = peers[self._next_peer % len(peers)]
+        if asked.sends > 1:
+            self._next_peer += 1
+        self.sent_through_peers += 1
+        message = PassedOnRequest(number=number, asker=self._own_address, operation=asked.operation)
+        return [SendPeer(to=peer.process, address=peer.address, message=message)]
 
     def _candidate(self) -> LeaderHint | None:
         """Return the next storage replica to try while the leader is not known."""
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -136,6 +136,18 @@
     operations: tuple[Operation, ...]
 
 
+class PassedOnRequest(msgspec.Struct, frozen=True, kw_only=True, tag="passed_on"):
+    """An operation of a forwarding node that gets no answer from the ledger itself.
+
+    The receiver is another forwarding node, which asks the ledger and sends its answer to
+    ``asker``; it never passes the operation on once more.
+    """
+
+    number: int
+    asker: Address
+    operation: Operation
+
+
 class LeaderHint(msgspec.Struct, frozen=True, array_like=True):
     """Where the leader is."""
 
@@ -148,11 +160,13 @@
 
     Attributes:
         results: Empty if the receiver does not lead, and then nothing was done.
+        passed_on: It comes from another forwarding node, so it says nothing of the way there.
     """
 
     number: int
     results: tuple[OperationResult, ...] = ()
     leader: LeaderHint | None = None
+    passed_on: bool = False
 
 
 class ReplicaMessage(msgspec.Struct, frozen=True, kw_only=True, tag="raft"):
@@ -195,7 +209,15 @@
     items: tuple[RegistryItem, ...]
 
 
-LedgerMessage = LedgerRequest | LedgerReply | ReplicaMessage | Join | RegistryAsk | RegistryNews
+LedgerMessage = (
+    LedgerRequest
+    | PassedOnRequest
+    | LedgerReply
+    | ReplicaMessage
+    | Join
+    | RegistryAsk
+    | RegistryNews
+)
 
 
 class EngineLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -214,6 +236,7 @@
         waiting: Requests that wait at the node, by pool.
         revision: Of the latest change that the node has read from the key-value service.
         process: The node's process, which answers questions at ``address``.
+        reaches_ledger: The ledger answers the node, or the node has had nothing to ask.
     """
 
     node: NodeName
@@ -223,6 +246,7 @@
     revision: int = 0
     process: ReplicaId = ReplicaId("")
     address: Address | None = None
+    reaches_ledger: bool = True
 
 
 class LoadDigest(msgspec.Struct, frozen=True, kw_only=True, tag="digest"):
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -50,6 +50,7 @@
     encode_node,
     node_key,
 )
+from yokeline.start_phases import StartPhases
 from yokeline.status_service import NodeFigures
 
 JOIN_PERIOD_SECONDS = 0.25
@@ -83,10 +84,12 @@
         formats: DeploymentFormats,
         first_start: bool,
         wall: Callable[[], float],
+        phases: StartPhases,
         now: float,
     ) -> None:
         """Create the service; ``wall`` reads the time of day (seconds since the epoch)."""
         self.replica = replica
+        self.phases = phases
         self._record = record
         self._registry = registry
         self._formats = formats
@@ -126,6 +129,8 @@
         effects.extend(self._ask_to_join(now))
         effects.extend(self._go_on_alone(now))
         effects.extend(self._tend_members(now))
+        if self.replica.group.leader is not None:
+            effects.extend(self.phases.reached("leader", now))
         if self._stop_at is not None and now >= self._stop_at:
             effects.append(LogRecord(event="stopped", fields={"node": self._record.name}))
             effects.append(Exit())
@@ -469,5 +474,6 @@
         "yokeline_ledger_leads": float(node.replica.leads),
         "yokeline_ledger_members": float(len(node.replica.group.members)),
     }
+    gauges.update(node.phases.gauges())
     counters = {"yokeline_ledger_operations_total": float(node.requests)}
     return NodeFigures(counters=counters, gauges=gauges)
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -118,6 +118,12 @@
     "yokeline_ledger_answer_seconds": (
         "Seconds from a question to the ledger to its leader's answer."
     ),
+    "yokeline_ledger_reached": "Number 1 while the ledger answers this node, otherwise 0.",
+    "yokeline_ledger_sent_through_peers_total": (
+        "Questions to the ledger sent through another forwarding node."
+    ),
+    "yokeline_ledger_passed_on_total": "Questions of other nodes that this one asked the ledger.",
+    "yokeline_start_seconds": "Seconds from the process's first instruction to a phase, by phase.",
     "yokeline_ledger_resends_total": "Questions to the ledger sent again, unanswered.",
     "yokeline_ledger_operations_total": "Operations that other nodes asked this replica for.",
     "yokeline_ledger_programs": "Programs whose budgets this replica keeps.",
--- a/src/yokeline/node/connection.py
+++ b/src/yokeline/node/connection.py
@@ -8,8 +8,8 @@
 from typing import Protocol
 
 from yokeline.effects import Address
+from yokeline.node.plain_sockets import check_ip_number
 from yokeline.node.poller import SocketPoller
-from yokeline.node.sockets import check_ip_number
 
 READ_BYTES = 65_536
 _PROBES = 4
--- a/src/yokeline/node/datagrams.py
+++ b/src/yokeline/node/datagrams.py
@@ -16,8 +16,8 @@
 from yokeline.effects import Address, DatagramArrived, SendDatagram
 from yokeline.node.bridge import Bridge
 from yokeline.node.limits import PeerLimits
+from yokeline.node.plain_sockets import check_ip_number
 from yokeline.node.poller import SocketPoller
-from yokeline.node.sockets import check_ip_number
 from yokeline.node.wire_codec import WireCodec, default_codec
 
 DATAGRAMS_PER_TURN = 256
--- a/src/yokeline/node/sockets.py
+++ b/src/yokeline/node/sockets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import errno
 import socket
 
@@ -11,9 +10,8 @@
 
 from yokeline.effects import Address
 from yokeline.errors import ErrorKind, YokelineError
+from yokeline.node.plain_sockets import datagram_socket, listening_socket
 
-LISTEN_BACKLOG = 4096
-DATAGRAM_BUFFER_BYTES = 1024 * 1024
 _PAIR_ATTEMPTS = 20
 _REMEDIES = {
     errno.EADDRINUSE: "stop the process that listens there, or set another port",
@@ -64,16 +62,16 @@
 
 
 def _open_http(sockets: OpenSockets, address: Address) -> None:
-    sockets.http = _listening(address)
+    sockets.http = listening_socket(address.host, address.port)
 
 
 def _open_peer(sockets: OpenSockets, address: Address) -> None:
     """Open TCP and UDP on one port number; a free one may be taken for UDP, so try again."""
     for attempt in range(_PAIR_ATTEMPTS):
-        listener = _listening(address)
+        listener = listening_socket(address.host, address.port)
         bound = Address(address.host, listener.getsockname()[1])
         try:
-            sockets.datagrams = _datagram_socket(bound)
+            sockets.datagrams = datagram_socket(bound.host, bound.port)
         except OSError:
             listener.close()
             if address.port != 0 or attempt == _PAIR_ATTEMPTS - 1:
@@ -83,43 +81,6 @@
         return
 
 
-def _listening(address: Address) -> socket.socket:
-    check_ip_number(address.host)
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((address.host, address.port))
-        sock.listen(LISTEN_BACKLOG)
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
-def _datagram_socket(address: Address) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    try:
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, DATAGRAM_BUFFER_BYTES)
-        sock.bind((address.host, address.port))
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
-def check_ip_number(host: str) -> None:
-    """Refuse what is no IPv4 number: a name would be looked up, and block the event loop.
-
-    Raises:
-        OSError: It is none.
-    """
-    try:
-        socket.inet_pton(socket.AF_INET, host)
-    except ValueError as error:
-        raise OSError(str(error)) from error
-
-
 def _address_of(sock: socket.socket | None) -> Address | None:
     if sock is None:
         return None
--- a/src/yokeline/platform/__main__.py
+++ b/src/yokeline/platform/__main__.py
@@ -5,25 +5,36 @@
 import gc
 import os
 import sys
+import time
 
-from returns.result import Failure
-
-from yokeline.errors import EXIT_USAGE
-from yokeline.light_imports import import_circuits_lightly
-from yokeline.platform.documents import PlatformDocuments
-from yokeline.platform.headers import HeaderDialect
-from yokeline.platform.store import KeyValueStore
-from yokeline.role_settings import read_role_settings
+BEGAN_AT = time.monotonic()
+SETTINGS_VARIABLE = "YOKELINE_NODE_FILE"
+"""Environment variable that holds the path of the settings file."""
 
 gc.disable()  # what is imported stays; enabled again before the role runs
+
+# Before all large imports: who connects meanwhile is kept waiting, not refused.
+from yokeline.early_sockets import EarlySockets, open_early  # noqa: E402
+
+_EARLY = (
+    open_early(os.environ.get(SETTINGS_VARIABLE, "")) if __name__ == "__main__" else EarlySockets()
+)
+
+from returns.result import Failure  # noqa: E402
+
+from yokeline.errors import EXIT_USAGE  # noqa: E402
+from yokeline.light_imports import import_circuits_lightly  # noqa: E402
+from yokeline.platform.documents import PlatformDocuments  # noqa: E402
+from yokeline.platform.headers import HeaderDialect  # noqa: E402
+from yokeline.platform.store import KeyValueStore  # noqa: E402
+from yokeline.role_settings import read_role_settings  # noqa: E402
+
 import_circuits_lightly()
 
-from yokeline.roles import Adapter, run_role  # noqa: E402 - after the line above
+from yokeline.roles import Adapter, ProcessStart, run_role  # noqa: E402 - after the line above
 
 READY_PATH = "/-/ready"
 """Where the entry asks whether a node wants connections."""
-SETTINGS_VARIABLE = "YOKELINE_NODE_FILE"
-"""Environment variable that holds the path of the settings file."""
 
 
 def main(arguments: list[str]) -> int:
@@ -41,7 +52,7 @@
     )
     gc.freeze()
     gc.enable()
-    return run_role(role, settings.unwrap(), adapter)
+    return run_role(role, settings.unwrap(), adapter, ProcessStart(BEGAN_AT, _EARLY))
 
 
 if __name__ == "__main__":
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from yokeline.early_sockets import EarlySockets
 from yokeline.effects import Address, Service
 from yokeline.errors import EXIT_USAGE, ErrorKind, YokelineError
 from yokeline.forwarding.dialect import Dialect
@@ -29,6 +30,7 @@
 from yokeline.registry.protocol import StoreProtocol
 from yokeline.registry.watch import WATCH_SECONDS
 from yokeline.role_settings import RoleSettings, parse_address
+from yokeline.start_phases import StartPhases
 from yokeline.status_service import NodeFigures, StatusService
 
 SEED_BITS = 128
@@ -48,7 +50,34 @@
     ready_path: str
 
 
-def run_role(role: str, settings: RoleSettings, adapter: Adapter) -> int:
+class ProcessStart(msgspec.Struct, frozen=True):
+    """What the process did before its role was imported.
+
+    Attributes:
+        began_at: Its first instruction (monotonic seconds).
+        early: Sockets that listen already.
+    """
+
+    began_at: float
+    early: EarlySockets
+
+    def sockets(self, http: Address | None, peer: Address | None) -> OpenSockets | None:
+        """Return the sockets of a service if all of them listen already; None to open them."""
+        sockets = OpenSockets()
+        if http is not None:
+            sockets.http = self.early.take_listener(http.host, http.port)
+        if peer is not None:
+            sockets.peer = self.early.take_listener(peer.host, peer.port)
+            sockets.datagrams = self.early.take_datagrams(peer.host, peer.port)
+        has_http = http is None or sockets.http is not None
+        has_peer = peer is None or (sockets.peer is not None and sockets.datagrams is not None)
+        if has_http and has_peer:
+            return sockets
+        sockets.close()
+        return None
+
+
+def run_role(role: str, settings: RoleSettings, adapter: Adapter, start: ProcessStart) -> int:
     """Run a node until it is stopped; return the exit code."""
     logs = set_up_role_logs(settings.log_level)
     builders = {"edge": _edge_services, "storage": _storage_services}
@@ -56,16 +85,26 @@
     if builder is None:
         print(f"bad_setting: no role {role!r}; use edge or storage", file=sys.stderr)
         return EXIT_USAGE
-    built = builder(settings, adapter, logs.dropped)
+    built = builder(settings, adapter, start, logs.dropped)
     if isinstance(built, Failure):
         print(built.failure().line(), file=sys.stderr)
         return EXIT_USAGE
-    _log_start(role, settings)
-    return run_services(built.unwrap())
+    _log_start(role, settings, start)
+    return run_services(_with_sockets(built.unwrap(), start))
+
+
+def _with_sockets(services: BoundServices, start: ProcessStart) -> BoundServices:
+    """Let services take over the sockets that listen already."""
+    bound = [
+        (service, binding, start.sockets(binding.http, binding.peer))
+        for service, binding, _ in services
+    ]
+    start.early.close()
+    return bound
 
 
 def _edge_services(
-    settings: RoleSettings, adapter: Adapter, dropped: Counter[str]
+    settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     # Imported here, as the storage part below: a role loads only what it needs.
     from yokeline.forwarding.edge_node import EdgeNode
@@ -113,6 +152,7 @@
         engines=engines,
         ledger=ledger,
         grace_seconds=settings.grace_seconds,
+        phases=StartPhases(start.began_at),
         now=now,
     )
     binding = ServiceBinding(
@@ -135,7 +175,7 @@
 
 
 def _storage_services(
-    settings: RoleSettings, adapter: Adapter, dropped: Counter[str]
+    settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     from yokeline.ledger.disk_records import recover
     from yokeline.ledger.replica import LOG_FILE, LedgerReplica
@@ -185,6 +225,7 @@
         formats=adapter.formats,
         first_start=settings.first_start,
         wall=time.time,
+        phases=StartPhases(start.began_at),
         now=now,
     )
     binding = ServiceBinding(
@@ -280,7 +321,7 @@
     )
 
 
-def _log_start(role: str, settings: RoleSettings) -> None:
+def _log_start(role: str, settings: RoleSettings, start: ProcessStart) -> None:
     import absl.logging
 
     absl.logging.info(
@@ -292,5 +333,6 @@
             "first_start": settings.first_start,
             "memory_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
             "processor_seconds": round(time.process_time(), 3),
+            "seconds": round(time.monotonic() - start.began_at, 3),
         }
     )
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -27,6 +27,7 @@
 from yokeline.platform.documents import PlatformDocuments
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.nodes import NodeRecord, NodeRole
+from yokeline.start_phases import StartPhases
 
 GRACE_SECONDS = 8.0
 
@@ -54,6 +55,7 @@
             engines=self.played.engines,
             ledger=self.played.ledger,
             grace_seconds=GRACE_SECONDS,
+            phases=StartPhases(self.now),
             now=self.now,
         )
         self.effects: list[tuple[float, Effect]] = []
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -39,6 +39,7 @@
     WatchEvents,
     Written,
 )
+from yokeline.start_phases import StartPhases
 
 WALL_START = 1_000_000.0
 _EDGE = ReplicaId("edge~1")
@@ -196,6 +197,7 @@
             formats=PlatformDocuments(),
             first_start=not machine.started_before,
             wall=lambda: WALL_START + self.now,
+            phases=StartPhases(self.now),
             now=self.now,
         )
         machine.started_before = True
--- /dev/null
+++ b/tests/unit/ledger/test_ledger_paths.py
@@ -0,0 +1,243 @@
+"""Ways from forwarding nodes to the ledger: cut off, one way cut, busy, or through another node."""
+
+from __future__ import annotations
+
+import unittest
+
+from yokeline.effects import Address, Effect, LogRecord, SendPeer
+from yokeline.identifiers import ReplicaId
+from yokeline.ledger.client import MAX_PASSED_ON, RESEND_SECONDS, LedgerClient, PeerNode
+from yokeline.ledger.messages import (
+    Granted,
+    LeaderHint,
+    LedgerReply,
+    LedgerRequest,
+    Operation,
+    OperationResult,
+    PassedOnRequest,
+    Reserve,
+    Settle,
+    Settled,
+)
+from yokeline.ledger.state import LedgerCommand, LedgerState
+
+STEP = 0.01
+STORAGE = {ReplicaId(f"s{number}"): Address(f"10.0.0.{number}", 1) for number in range(3)}
+LEADER = LeaderHint(ReplicaId("s0"), STORAGE[ReplicaId("s0")])
+
+
+class Edge:
+    def __init__(self, name: str, number: int) -> None:
+        self.process = ReplicaId(name)
+        self.address = Address(f"10.1.0.{number}", 1)
+        self.client = LedgerClient(self.address)
+        self.client.set_storage(STORAGE)
+        self.cut_to: set[ReplicaId] = set()
+        self.cut_from: set[ReplicaId] = set()
+        self.logged: list[str] = []
+
+
+class Fleet:
+    """Forwarding nodes and a ledger with one leader; each message takes one step."""
+
+    def __init__(self, edges: int = 3) -> None:
+        self.now = 100.0
+        self.ledger = LedgerState()
+        self.leads = True
+        self.answer_seconds = STEP
+        self.edges = [Edge(f"edge-{number}", number) for number in range(edges)]
+        self.arriving: list[tuple[float, Edge | None, ReplicaId, SendPeer]] = []
+        self.taken: list[Operation] = []
+        self.through_peers = 0
+        for edge in self.edges:
+            edge.client.helpful_peers = lambda own=edge: [
+                PeerNode(other.process, other.address)
+                for other in self.edges
+                if other is not own and other.client.reaches_ledger
+            ]
+
+    def ask(self, edge: Edge, operation: Operation, limit: float = 2.0) -> OperationResult | None:
+        answers: list[OperationResult | None] = []
+
+        def done(result: OperationResult | None, now: float) -> list[Effect]:
+            answers.append(result)
+            return []
+
+        self.carry_out(edge, edge.client.ask(operation, done, self.now, self.now + limit))
+        while not answers:
+            self.step()
+        return answers[0]
+
+    def cut(self, edge: Edge, *replicas: ReplicaId, answers_only: bool = False) -> None:
+        edge.cut_from = set(replicas)
+        edge.cut_to = set() if answers_only else set(replicas)
+
+    def step(self) -> None:
+        self.now += STEP
+        due = [item for item in self.arriving if item[0] <= self.now]
+        self.arriving = [item for item in self.arriving if item[0] > self.now]
+        for _, source, sender, effect in due:
+            self.deliver(source, sender, effect)
+        for edge in self.edges:
+            self.carry_out(edge, edge.client.tick(self.now))
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds / STEP)):
+            self.step()
+
+    def carry_out(self, edge: Edge, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, LogRecord):
+                edge.logged.append(effect.event)
+            if isinstance(effect, SendPeer) and effect.to not in edge.cut_to:
+                self.arriving.append((self.now + STEP, edge, edge.process, effect))
+
+    def deliver(self, source: Edge | None, sender: ReplicaId, effect: SendPeer) -> None:
+        message = effect.message
+        if isinstance(message, LedgerRequest):
+            assert source is not None
+            self.storage_takes(source, effect.to, message)
+            return
+        edge = next(item for item in self.edges if item.process == effect.to)
+        if sender in edge.cut_from:
+            return
+        if isinstance(message, LedgerReply):
+            self.carry_out(edge, edge.client.take_reply(message, self.now))
+        elif isinstance(message, PassedOnRequest):
+            self.through_peers += 1
+            self.pass_on(edge, sender, message)
+
+    def pass_on(self, edge: Edge, sender: ReplicaId, request: PassedOnRequest) -> None:
+        def answered(result: OperationResult | None, now: float) -> list[Effect]:
+            if result is None:
+                return []
+            reply = LedgerReply(number=request.number, results=(result,), passed_on=True)
+            return [SendPeer(to=sender, address=request.asker, message=reply)]
+
+        self.carry_out(edge, edge.client.pass_on(sender, request, answered, self.now))
+
+    def storage_takes(self, asker: Edge, replica: ReplicaId, request: LedgerRequest) -> None:
+        results: tuple[OperationResult, ...] = ()
+        if replica == LEADER.replica and self.leads:
+            self.taken.extend(request.operations)
+            command = LedgerCommand(time=self.now, operations=request.operations)
+            results = self.ledger.transition_apply(command)
+        hint = LEADER if self.leads else None
+        reply = LedgerReply(number=request.number, results=results, leader=hint)
+        effect = SendPeer(to=asker.process, address=asker.address, message=reply)
+        self.arriving.append((self.now + self.answer_seconds, None, replica, effect))
+
+
+def reserve(name: str, budget: int = 100) -> Reserve:
+    return Reserve(request_id=name, program="p", budget=budget, tokens=60)
+
+
+class CutOff(unittest.TestCase):
+    def test_a_node_that_is_cut_off_from_all_storage_asks_through_another(self) -> None:
+        for answers_only in (False, True):
+            fleet = Fleet()
+            edge = fleet.edges[0]
+            self.assertIsInstance(fleet.ask(edge, reserve("a", 1000)), Granted)
+            fleet.cut(edge, *STORAGE, answers_only=answers_only)
+            self.assertIsInstance(fleet.ask(edge, reserve("b", 1000)), Granted)
+            began = fleet.now
+            self.assertIsInstance(fleet.ask(edge, reserve("c", 1000)), Granted)
+            self.assertLess(fleet.now - began, RESEND_SECONDS, "it knows the way by now")
+            self.assertIn("ledger_path_lost", edge.logged)
+
+    def test_a_leader_that_one_node_cannot_reach_is_asked_through_another(self) -> None:
+        fleet = Fleet()
+        edge = fleet.edges[0]
+        fleet.cut(edge, LEADER.replica)
+        self.assertIsInstance(fleet.ask(edge, reserve("a")), Granted)
+
+    def test_the_budget_holds_over_both_ways(self) -> None:
+        fleet = Fleet()
+        edge = fleet.edges[0]
+        fleet.cut(edge, *STORAGE)
+        self.assertIsInstance(fleet.ask(edge, reserve("a")), Granted)
+        self.assertIsInstance(
+            fleet.ask(edge, Settle(request_id="a", program="p", tokens=50)), Settled
+        )
+        self.assertNotIsInstance(fleet.ask(fleet.edges[1], reserve("b")), Granted)
+
+    def test_a_settlement_that_arrives_by_two_ways_counts_once(self) -> None:
+        fleet = Fleet()
+        edge = fleet.edges[0]
+        fleet.cut(edge, *STORAGE, answers_only=True)
+        fleet.ask(edge, reserve("a"))
+        settle = Settle(request_id="a", program="p", tokens=40)
+        self.assertIsInstance(fleet.ask(edge, settle), Settled)
+        fleet.run(1.0)
+        self.assertGreater(fleet.taken.count(settle), 1, "both ways were used")
+        self.assertEqual(fleet.ledger.programs["p"].counted(), 40)
+
+    def test_a_reservation_that_arrives_after_its_release_reserves_nothing(self) -> None:
+        fleet = Fleet()
+        late = reserve("a")
+        for operation in (late, Settle(request_id="a", program="p", tokens=0), late):
+            fleet.ask(fleet.edges[1], operation)
+        self.assertEqual(fleet.ledger.programs["p"].counted(), 0)
+
+    def test_a_direct_answer_ends_the_detour(self) -> None:
+        fleet = Fleet()
+        edge = fleet.edges[0]
+        fleet.cut(edge, *STORAGE)
+        fleet.ask(edge, reserve("a", 1000))
+        fleet.cut(edge)
+        fleet.ask(edge, reserve("b", 1000))
+        fleet.run(0.5)
+        before = fleet.through_peers
+        fleet.ask(edge, reserve("c", 1000))
+        self.assertEqual(fleet.through_peers, before)
+        self.assertIn("ledger_path_found", edge.logged)
+
+
+class NoLoops(unittest.TestCase):
+    def test_nothing_is_passed_on_twice(self) -> None:
+        fleet = Fleet()
+        for edge in fleet.edges:
+            fleet.cut(edge, *STORAGE)
+            edge.client.helpful_peers = lambda own=edge: [
+                PeerNode(other.process, other.address) for other in fleet.edges if other is not own
+            ]
+        self.assertIsNone(fleet.ask(fleet.edges[0], reserve("a"), limit=1.5))
+        fleet.run(3.0)
+        self.assertLess(fleet.through_peers, 6)
+        self.assertEqual([edge.client.under_way for edge in fleet.edges], [0, 0, 0])
+
+    def test_operations_of_others_are_bounded(self) -> None:
+        client = LedgerClient(Address("10.1.0.1", 1))
+        for number in range(2 * MAX_PASSED_ON):
+            request = PassedOnRequest(
+                number=number, asker=Address("10.1.0.2", 1), operation=reserve(str(number))
+            )
+            client.pass_on(ReplicaId("other"), request, lambda result, now: [], 100.0)
+        self.assertEqual(client.under_way, MAX_PASSED_ON)
+
+    def test_without_a_leader_nobody_is_helpful_and_all_go_on_afterwards(self) -> None:
+        fleet = Fleet()
+        fleet.leads = False
+        for edge in fleet.edges:
+            edge.client.ask(reserve(edge.process), lambda result, now: [], fleet.now, fleet.now + 9)
+        fleet.run(0.5)
+        before = fleet.through_peers
+        fleet.run(1.0)
+        self.assertEqual(fleet.through_peers, before, "all say that they do not reach it")
+        fleet.leads = True
+        fleet.run(1.0)
+        self.assertTrue(all(edge.client.reaches_ledger for edge in fleet.edges))
+
+    def test_a_busy_ledger_that_answers_late_is_not_taken_for_one_out_of_reach(self) -> None:
+        fleet = Fleet(1)
+        edge = fleet.edges[0]
+        fleet.ask(edge, reserve("first", 10_000))
+        fleet.answer_seconds = 3 * RESEND_SECONDS
+        for number in range(60):
+            operation = reserve(f"r{number}", 10_000)
+            fleet.carry_out(
+                edge,
+                edge.client.ask(operation, lambda result, now: [], fleet.now, fleet.now + 5),
+            )
+            fleet.run(0.05)
+        self.assertLessEqual(edge.logged.count("ledger_path_lost"), 1)
