Choose engines by the turns of all nodes and by a learned model of their cost

Change 1: nodes tell the ledger's leader where a turn runs and that it left (notes that are neither replicated nor kept); each answer to a reservation tells the turns under way, their contexts, the share that failed and the slowness of each engine. The choice follows that answer at once, so what it knows is some milliseconds old. Load reports remain for apps and for a leader that is new. Cause 2: the estimate ran on constants of two earlier sites: reading 270,000 tokens a second, where these engines read 37,900. Change 2: scheduling/engine_model.py learns reading, pace over load and each engine's speed from served turns (fitted lines that forget, outliers clipped, a safe start that fades); a choice costs its own time and what it takes from the turns beside it. Six constants of pace are gone.

--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -8,22 +8,15 @@
 from yokeline.forwarding.model import Call, ModelTraits
 from yokeline.forwarding.prefixes import PrefixBeliefs
 from yokeline.ledger.messages import CachedContext
+from yokeline.scheduling.engine_model import EngineModel
 
-READ_TOKENS_PER_SECOND = 270_000.0
-"""Pace at which an engine reads a prompt that it has not cached."""
-READING_DELAY_SHARE = 1.0
-"""Share of the reading time that each request running at the engine is charged for: while a
-prompt is read, the others' tokens wait."""
-SHARED_STEP_SECONDS = 0.008
-"""Time that each other running request adds to a turn (its step, and its context)."""
-FULL_TURN_SECONDS = 0.35
-"""Time until a place comes free at an engine whose places are all taken, times its places."""
 OTHER_ZONE_SECONDS = 0.016
 """Cost of another zone: the way there and back, and the prompt's bytes between zones."""
-SUSPECT_SECONDS = 0.5
-"""Cost of an engine that failed a moment ago."""
-FAULT_SECONDS = 0.4
-"""Cost of an engine at which all requests fail; a lesser share costs that share of it."""
+SUSPECT_TURNS = 2.0
+"""Cost of an engine that failed a moment ago, as a multiple of a usual turn or call."""
+FAULT_TURNS = 4.0
+"""The same for an engine at which all requests fail; a lesser share costs that share of it: the
+work is lost, and the caller has few tries."""
 MODEL_HEADROOM = 1.4
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
@@ -38,15 +31,17 @@
     """The engine chosen, and what decided it.
 
     Attributes:
-        cost: Estimated seconds.
+        cost: Estimated seconds, those that it costs other requests included.
         load: Requests it had under way.
         cached: Prompt tokens that it probably has.
+        predicted: Seconds from the send to the end; 0 if not predicted.
     """
 
     state: EngineState
     cost: float
     load: int
     cached: int
+    predicted: float = 0.0
 
 
 class ChoiceInputs(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,6 +54,7 @@
         affine: The engine that saw the subject last; empty for none.
         context: Where the call's line of turns was last read, as the ledger knows.
         is_new_program: It is the first turn of a program.
+        model: What turns cost at these engines; None for apps.
     """
 
     call: Call
@@ -68,6 +64,7 @@
     affine: str = ""
     context: CachedContext | None = None
     is_new_program: bool = False
+    model: EngineModel | None = None
 
 
 def choose(
@@ -102,30 +99,56 @@
     usual_pace: float,
     now: float,
 ) -> Choice:
-    call = inputs.call
-    load = state.load
-    slots = max(1, state.engine.slots)
-    cached = 0
-    cost = 0.0
-    if inputs.traits is not None:
-        cached = _cached_tokens(state, beliefs, inputs)
-        reading = max(0, call.prompt_tokens - cached) / READ_TOKENS_PER_SECOND
-        cost += reading * (1 + READING_DELAY_SHARE * load)
-        cost += load * SHARED_STEP_SECONDS
+    if inputs.model is not None:
+        choice = _estimate_turn(state, beliefs, inputs, inputs.model)
+        usual = inputs.model.usual_seconds
     else:
-        cost += load / slots * (state.pace or AFFINITY_SECONDS)
-    if load >= slots:
-        cost += (load - slots + 1) * FULL_TURN_SECONDS / slots
-    if usual_pace and state.pace > usual_pace:
-        cost += state.pace - usual_pace if inputs.traits is None else 10 * (state.pace - usual_pace)
+        choice = _estimate_call(state, usual_pace)
+        usual = usual_pace or AFFINITY_SECONDS
+    cost = choice.cost
     if state.engine.zone != inputs.zone:
         cost += OTHER_ZONE_SECONDS
     if inputs.affine == state.engine.engine_id:
         cost -= AFFINITY_SECONDS
-    cost += state.faults(now) * FAULT_SECONDS
+    cost += state.faults(now) * FAULT_TURNS * usual
     if now < state.suspect_until:
-        cost += SUSPECT_SECONDS
-    return Choice(state=state, cost=cost, load=load, cached=cached)
+        cost += SUSPECT_TURNS * usual
+    return msgspec.structs.replace(choice, cost=cost)
+
+
+def _estimate_turn(
+    state: EngineState, beliefs: PrefixBeliefs, inputs: ChoiceInputs, model: EngineModel
+) -> Choice:
+    """Return the turn's own time, what it costs the turns beside it, and the wait for a place."""
+    load = state.load
+    slots = max(1, state.engine.slots)
+    cached = _cached_tokens(state, beliefs, inputs)
+    prediction = model.predict(
+        state.engine.engine_id,
+        unread=max(0, inputs.call.prompt_tokens - cached),
+        beside=load,
+        told_slowness=state.slowness,
+    )
+    waiting = max(0, load - slots + 1) * prediction.seconds / slots
+    return Choice(
+        state=state,
+        cost=prediction.cost + waiting,
+        load=load,
+        cached=cached,
+        predicted=prediction.seconds + waiting,
+    )
+
+
+def _estimate_call(state: EngineState, usual_pace: float) -> Choice:
+    """Return how long the calls under way keep an app, and how slow it is."""
+    load = state.load
+    slots = max(1, state.engine.slots)
+    pace = state.pace or AFFINITY_SECONDS
+    cost = load / slots * pace
+    cost += max(0, load - slots + 1) * pace / slots
+    if usual_pace and state.pace > usual_pace:
+        cost += state.pace - usual_pace
+    return Choice(state=state, cost=cost, load=load, cached=0)
 
 
 def _cached_tokens(state: EngineState, beliefs: PrefixBeliefs, inputs: ChoiceInputs) -> int:
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -102,6 +102,7 @@
         self._grace_seconds = grace_seconds
         self._next_pacing = now
         self._sharing = LoadSharing(record, process, engines, now)
+        ledger.engines_told = engines.take_told
         ledger.helpful_peers = lambda: self._sharing.peers_that_reach_ledger(self._now)
         self._stop_asked_at: float | None = None
         self._busy_at = now
@@ -205,7 +206,12 @@
         def answered(result: OperationResult | None, answered_at: float) -> list[Effect]:
             if result is None:
                 return []
-            reply = LedgerReply(number=request.number, results=(result,), passed_on=True)
+            reply = LedgerReply(
+                number=request.number,
+                results=(result,),
+                passed_on=True,
+                engines=self.ledger.engines,
+            )
             return [SendPeer(to=sender, address=request.asker, message=reply)]
 
         return self.ledger.pass_on(sender, request, answered, now)
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -9,10 +9,12 @@
 
 from yokeline.forwarding.model import Engine
 from yokeline.identifiers import NodeName
-from yokeline.ledger.messages import EngineLoad, LoadReport
+from yokeline.ledger.messages import EngineLoad, EngineTurns, LoadReport
 
 REPORT_FRESH_SECONDS = 1.0
 """Age after which another node's report of its load counts for nothing."""
+TOLD_FRESH_SECONDS = 0.6
+"""Age after which what the ledger's leader told of engines counts for nothing."""
 BUSY_SHARE = 0.4
 FULL_SECONDS = 0.08
 """Time for which an engine that rejected a request gets no other one."""
@@ -33,7 +35,10 @@
     Attributes:
         running: Requests of this node that it has under way.
         tokens: Prompt tokens of these that it had to read.
-        others: Requests of other nodes, from their reports.
+        others: Requests of other nodes, as the ledger's leader told, or from their reports.
+        context_tokens: Tokens of the contexts of all turns there, as the leader told; 0 unknown.
+        told_failed: Share of the turns of all nodes that failed there, as the leader told.
+        slowness: Time between its events as a multiple of what is usual, as the leader told.
         full_until: It rejected a request; until then it gets no other one.
         suspect_until: It failed; until then others are preferred.
         failures: Failures in a row.
@@ -46,6 +51,9 @@
     running: int = 0
     tokens: int = 0
     others: int = 0
+    context_tokens: int = 0
+    told_failed: float = 0.0
+    slowness: float = 1.0
     full_until: float = 0.0
     suspect_until: float = 0.0
     failures: int = 0
@@ -55,13 +63,16 @@
 
     def faults(self, now: float) -> float:
         """Return the share of requests that fail here, as far as it is believed now."""
+        return max(self.told_failed, self._own_faults(now))
+
+    def _own_faults(self, now: float) -> float:
         if not self.fault_share:
             return 0.0
         return self.fault_share * math.exp((self.fault_at - now) / FAULT_FADE_SECONDS)
 
     def note_outcome(self, now: float, *, failed: bool) -> None:
         """Take the end of a request into the share of failures."""
-        share = self.faults(now)
+        share = self._own_faults(now)
         self.fault_share = share + FAULT_WEIGHT * (float(failed) - share)
         self.fault_at = now
 
@@ -104,6 +115,8 @@
         self._by_pool: dict[str, list[EngineState]] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._sums_are_stale = False
+        self._told_at = -math.inf
+        self._told: frozenset[str] = frozenset()
         self.own_changes = 0
         self.fresh_seconds = REPORT_FRESH_SECONDS
 
@@ -143,21 +156,46 @@
         self._index()
         return True
 
-    def in_pool(self, pool: str) -> list[EngineState]:
+    def take_told(self, engines: tuple[EngineTurns, ...], now: float) -> None:
+        """Note what the ledger's leader knows; it is newer than any report of turns."""
+        self._told_at = now
+        told = {item.engine_id: item for item in engines}
+        self._told = frozenset(told)
+        for engine_id, state in self._engines.items():
+            item = told.get(engine_id)
+            if item is not None:
+                state.others = max(0, item.running - state.running)
+            state.context_tokens = item.tokens if item is not None else 0
+            state.told_failed = item.failed if item is not None else 0.0
+            state.slowness = item.slowness if item is not None else 1.0
+
+    def is_told(self, now: float) -> bool:
+        """Return whether what the leader told still counts."""
+        return now - self._told_at <= TOLD_FRESH_SECONDS
+
+    def in_pool(self, pool: str, now: float) -> list[EngineState]:
         """Return the engines of a pool that take new work, in the order of their ids."""
         if self._sums_are_stale:
-            self._sum_reports()
+            self._sum_reports(now)
         return self._by_pool.get(pool, [])
 
     def all(self) -> Iterable[EngineState]:
         """Return every engine."""
         return self._engines.values()
 
-    def any_busy(self) -> bool:
-        """Return whether an engine has more than a share of its places taken."""
+    def any_busy(self, now: float) -> bool:
+        """Return whether an engine has more than a share of its places taken.
+
+        Those of which the ledger's leader tells are left out: reports are of no use there.
+        """
         if self._sums_are_stale:
-            self._sum_reports()
-        return any(state.load > BUSY_SHARE * state.engine.slots for state in self._engines.values())
+            self._sum_reports(now)
+        told = self._told if self.is_told(now) else frozenset()
+        return any(
+            state.load > BUSY_SHARE * state.engine.slots
+            for engine_id, state in self._engines.items()
+            if engine_id not in told
+        )
 
     def own_loads(self) -> tuple[EngineLoad, ...]:
         """Return what this node has under way."""
@@ -191,15 +229,17 @@
             del self._reports[node]
             self._sums_are_stale = True
 
-    def _sum_reports(self) -> None:
-        """Add the other nodes' loads up anew."""
+    def _sum_reports(self, now: float) -> None:
+        """Add the other nodes' loads up anew, but for engines of which the leader tells."""
         self._sums_are_stale = False
-        for state in self._engines.values():
-            state.others = 0
+        told = self._told if self.is_told(now) else frozenset()
+        for engine_id, state in self._engines.items():
+            if engine_id not in told:
+                state.others = 0
         for _, report in self._reports.values():
             for load in report.loads:
                 state_of = self._engines.get(load.engine_id)
-                if state_of is not None:
+                if state_of is not None and load.engine_id not in told:
                     state_of.others += load.running
 
     def _index(self) -> None:
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -54,6 +54,8 @@
         kept_event_id: Of the last event whose data is in ``text``.
         sent_at: When it was last sent to an engine.
         item_at: When the engine's last event came.
+        beside: Requests that the engine had under way when it was sent there.
+        predicted: Seconds from the send to the end, as the choice expected.
     """
 
     exchange: ExchangeId
@@ -86,6 +88,8 @@
     waiting_since: float = 0.0
     sent_at: float = 0.0
     item_at: float = 0.0
+    beside: int = 0
+    predicted: float = 0.0
     first_event_at: float | None = None
     timers: list[Timer] = msgspec.field(default_factory=list)
 
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -27,7 +27,7 @@
 from yokeline.forwarding.choice import Choice
 from yokeline.forwarding.dialect import Dialect
 from yokeline.forwarding.engine_request import engine_request
-from yokeline.forwarding.engines import FULL_SECONDS, EngineBook
+from yokeline.forwarding.engines import FULL_SECONDS, EngineBook, EngineState
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.held_requests import HeldRequests
 from yokeline.forwarding.history import TurnCache, event_data
@@ -53,6 +53,8 @@
     KeptTurn,
     NoSuchTurn,
     OperationResult,
+    TurnBegan,
+    TurnEnded,
 )
 from yokeline.timers import TimerQueue
 
@@ -67,6 +69,8 @@
 MAX_REJECTIONS = 4
 MAX_RUNS = 3
 """Engines that a repeatable request may run on, one after the other has ended."""
+ERROR_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.7, 1.0, 2.0)
+"""Upper bounds of the shares by which predicted times of turns were wrong."""
 EVENT_SECONDS = 0.9
 """Silence after which a stream that may be resumed is taken from its engine."""
 
@@ -88,6 +92,8 @@
         refusing: Nothing new is taken, since the process ends soon.
         added_seconds: Time from a request's arrival to its first send.
         first_event_seconds: Time from a turn's arrival to its first event.
+        prediction_error: How far the time of turns at their engines was from what was
+            predicted, as a share of the time.
     """
 
     def __init__(
@@ -98,6 +104,7 @@
         self.refusing = False
         self.added_seconds = Histogram()
         self.first_event_seconds = Histogram()
+        self.prediction_error = Histogram(ERROR_BUCKETS)
         self._engines = engines
         self._placement = Placement(zone, engines)
         self._dialect = dialect
@@ -142,7 +149,7 @@
 
     def forget_engine(self, engine_id: str) -> None:
         """Forget what an engine that is gone had cached."""
-        self._placement.beliefs.forget(engine_id)
+        self._placement.forget_engine(engine_id)
 
     @property
     def has_sent(self) -> bool:
@@ -396,10 +403,13 @@
         exchange.sends += 1
         exchange.sent_at = self._now
         exchange.item_at = self._now
+        exchange.beside = choice.load
+        exchange.predicted = choice.predicted
         exchange.uncached = max(0, call.prompt_tokens - choice.cached)
         exchange.request = RequestId(f"call/{next(self._numbers)}")
         self._by_request[exchange.request] = exchange
         self._engines.note_sent(state, exchange.uncached)
+        self._tell_of_begin(exchange, state)
         self._placement.note_sent(exchange, choice, self._pool(exchange))
         if exchange.sends == 1:
             self.added_seconds.observe(self._now - exchange.started)
@@ -410,7 +420,9 @@
             engine=state.engine.engine_id,
             cost=round(choice.cost, 4),
             load=choice.load,
+            prompt=call.prompt_tokens,
             cached=choice.cached,
+            predicted=round(choice.predicted, 4),
             waited=round(self._now - exchange.waiting_since, 4),
             send=exchange.sends,
         )
@@ -418,18 +430,41 @@
             engine_request(exchange, exchange.request, state, self._dialect, self._now)
         )
 
-    def _leave_engine(self, exchange: Exchange) -> None:
-        """Note that a request is no longer at its engine."""
+    def _leave_engine(
+        self, exchange: Exchange, *, failed: bool = False, slowness: float = 0.0
+    ) -> None:
+        """Note that a request is no longer at its engine, and whether the engine failed it."""
         if exchange.request is not None:
             self._by_request.pop(exchange.request, None)
             exchange.request = None
         if exchange.engine is not None:
             self._engines.note_left(exchange.engine, exchange.uncached)
+            self._tell_of_end(exchange, exchange.engine, failed=failed, slowness=slowness)
+
+    def _tell_of_begin(self, exchange: Exchange, state: EngineState) -> None:
+        """Tell the ledger's leader, which knows the turns of all nodes, where a turn runs."""
+        if needs_ledger(exchange):
+            call = exchange.call
+            tokens = call.prompt_tokens + call.most_tokens
+            engine_id = state.engine.engine_id
+            self._ledger.note(TurnBegan(call.request_id, engine_id, tokens))
+
+    def _tell_of_end(
+        self, exchange: Exchange, state: EngineState, *, failed: bool, slowness: float
+    ) -> None:
+        if needs_ledger(exchange):
+            note = TurnEnded(
+                request_id=exchange.call.request_id,
+                engine_id=state.engine.engine_id,
+                failed=failed,
+                slowness=round(slowness, 3),
+            )
+            self._ledger.note(note)
 
-    def _cancel_send(self, exchange: Exchange) -> None:
+    def _cancel_send(self, exchange: Exchange, *, failed: bool = False) -> None:
         if exchange.request is not None:
             self._outcomes.effects.append(HttpCancel(exchange.request))
-        self._leave_engine(exchange)
+        self._leave_engine(exchange, failed=failed)
 
     # ------------------------------------------------------------ answers
 
@@ -445,7 +480,7 @@
             return
         exchange.answered_runs += 1
         state = exchange.engine
-        self._leave_engine(exchange)
+        self._leave_engine(exchange, failed=response.status >= _SERVER_ERROR)
         if response.status >= _SERVER_ERROR and self._may_run_again(exchange):
             if state is not None:
                 exchange.tried.add(state.engine.engine_id)
@@ -545,13 +580,14 @@
     def _stream_ended(self, exchange: Exchange) -> None:
         """Pass the end on; a turn that is kept is committed before."""
         state = exchange.engine
-        self._leave_engine(exchange)
+        slowness = self._placement.note_turn(exchange, self._now)
+        self._leave_engine(exchange, slowness=slowness)
         if state is not None:
             state.note_success(self._now)
         if exchange.phase is Phase.SENT:
             self._start_stream(exchange)
         exchange.is_whole = True
-        self._placement.note_turn(exchange, self._now)
+        self._note_prediction(exchange)
         tokens = self._tokens_of(exchange)
         if not exchange.route.retain:
             self._settle(exchange, tokens)
@@ -560,6 +596,12 @@
         exchange.phase = Phase.KEEPING
         self._settle(exchange, tokens, kept_turn_of(exchange))
 
+    def _note_prediction(self, exchange: Exchange) -> None:
+        """Count how far the time at the engine was from what the choice expected."""
+        measured = self._now - exchange.sent_at
+        if exchange.predicted and measured > 0 and exchange.sends == 1:
+            self.prediction_error.observe(abs(measured - exchange.predicted) / measured)
+
     def _kept(self, exchange: Exchange, result: OperationResult | None) -> None:
         if exchange.phase is not Phase.KEEPING:
             return
@@ -571,13 +613,20 @@
 
     def _finish_stream(self, exchange: Exchange) -> None:
         self._outcomes.effects.append(HttpStreamEnd(exchange=exchange.exchange))
-        self._end(exchange, "streamed", status=OK, events=exchange.events)
+        self._end(
+            exchange,
+            "streamed",
+            status=OK,
+            events=exchange.events,
+            predicted=round(exchange.predicted, 4),
+            at_engine=round(exchange.item_at - exchange.sent_at, 4),
+        )
 
     # ------------------------------------------------------------ failures
 
     def _send_failed(self, exchange: Exchange, failure: HttpFailed) -> None:
         state = exchange.engine
-        self._leave_engine(exchange)
+        self._leave_engine(exchange, failed=not failure.stale)
         if state is not None:
             exchange.tried.add(state.engine.engine_id)
             if not failure.stale:
@@ -599,7 +648,7 @@
 
     def _cancel_and_repeat(self, exchange: Exchange, reason: str) -> None:
         state = exchange.engine
-        self._cancel_send(exchange)
+        self._cancel_send(exchange, failed=True)
         if state is not None:
             exchange.tried.add(state.engine.engine_id)
             state.note_failure(self._now)
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -171,7 +171,7 @@
         if now >= self._next_look and self._reported_changes != self._engines.own_changes:
             pause = RELAYED_REPORT_SECONDS if self.uses_relays else REPORT_SECONDS
             self._next_look = now + pause * self._slowdown
-            if self._engines.any_busy():
+            if self._engines.any_busy(now):
                 self._next_report = now
         if now < self._next_report:
             return []
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -25,6 +25,7 @@
     histograms = {
         "yokeline_forwarding_added_seconds": forwarder.added_seconds,
         "yokeline_forwarding_first_event_seconds": forwarder.first_event_seconds,
+        "yokeline_forwarding_prediction_error_ratio": forwarder.prediction_error,
         "yokeline_ledger_answer_seconds": node.ledger.answer_seconds,
     }
     return NodeFigures(counters=counters, gauges=gauges, histograms=histograms)
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -9,12 +9,15 @@
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.model import Pool, RouteKind
 from yokeline.forwarding.prefixes import PrefixBeliefs
+from yokeline.scheduling.engine_model import EngineModel, ServedTurn
 
 MAX_AFFINITIES = 4096
 HOPELESS_SHARE = 0.6
 """A turn is not begun with less than this share of an average turn's time left."""
 TURN_WEIGHT = 0.05
 """Weight of a new turn in the moving average of a pool's turns."""
+LEAST_GAPS = 3
+"""Gaps between events from which the pace of an engine is read."""
 LEAST_SECONDS = 0.005
 """Nothing is sent with less time left, as after a pause of the whole process."""
 
@@ -33,6 +36,7 @@
         self._engines = engines
         self._affinities: OrderedDict[tuple[str, str], str] = OrderedDict()
         self._turn_seconds: dict[str, float] = {}
+        self._models: dict[str, EngineModel] = {}
 
     def choose(self, exchange: Exchange, pool: Pool, now: float) -> Choice | None:
         """Return the engine for a request; those that had it come last, if at all."""
@@ -60,10 +64,39 @@
         if call.affinity_key:
             self._note_affinity((exchange.pool, call.affinity_key), engine_id)
 
-    def note_turn(self, exchange: Exchange, now: float) -> None:
-        """Take the time of a whole turn at its engine into the pool's average."""
-        if exchange.sends > 1:
-            return
+    def forget_engine(self, engine_id: str) -> None:
+        """Forget an engine that is gone."""
+        self.beliefs.forget(engine_id)
+        for model in self._models.values():
+            model.forget(engine_id)
+
+    def note_turn(self, exchange: Exchange, now: float) -> float:
+        """Learn from a turn that its engine served whole, at the first try.
+
+        Returns:
+            The time between its events as a multiple of what is usual; 0 if it cannot be told.
+        """
+        if exchange.sends > 1 or exchange.engine is None:
+            return 0.0
+        self._note_turn_seconds(exchange, now)
+        if exchange.first_event_at is None or not exchange.events:
+            return 0.0
+        gaps = exchange.events - 1
+        event_seconds = (exchange.item_at - exchange.first_event_at) / gaps if gaps else 0.0
+        turn = ServedTurn(
+            engine_id=exchange.engine.engine.engine_id,
+            unread=exchange.uncached,
+            beside=(exchange.beside + max(0, exchange.engine.load - 1)) / 2,
+            first_event_seconds=exchange.first_event_at - exchange.sent_at,
+            event_seconds=event_seconds if gaps >= LEAST_GAPS else None,
+            events=exchange.events,
+        )
+        return self._model(exchange.pool).observe(turn)
+
+    def _model(self, pool: str) -> EngineModel:
+        return self._models.setdefault(pool, EngineModel())
+
+    def _note_turn_seconds(self, exchange: Exchange, now: float) -> None:
         seconds = now - exchange.sent_at
         average = self._turn_seconds.setdefault(exchange.pool, seconds)
         self._turn_seconds[exchange.pool] = average + TURN_WEIGHT * (seconds - average)
@@ -81,8 +114,9 @@
             affine=affine,
             context=exchange.context,
             is_new_program=bool(call.program) and not exchange.begun and not exchange.events,
+            model=self._model(exchange.pool) if pool.model is not None else None,
         )
-        return choose(self._engines.in_pool(exchange.pool), self.beliefs, inputs, now)
+        return choose(self._engines.in_pool(exchange.pool, now), self.beliefs, inputs, now)
 
     def _note_affinity(self, subject: tuple[str, str], engine_id: str) -> None:
         self._affinities[subject] = engine_id
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -15,12 +15,14 @@
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import (
+    EngineTurns,
     LeaderHint,
     LedgerReply,
     LedgerRequest,
     Operation,
     OperationResult,
     PassedOnRequest,
+    TurnNote,
     size_of,
 )
 
@@ -51,6 +53,9 @@
     address: Address
 
 
+EnginesTold = Callable[[tuple[EngineTurns, ...], float], None]
+"""Told what the leader knows of engines, and the time."""
+
 HelpfulPeers = Callable[[], list[PeerNode]]
 """Returns the nodes that say they reach the ledger, the nearest first."""
 
@@ -75,6 +80,8 @@
         answer_seconds: Time from the question to the leader's answer.
         has_answered: The ledger has answered this process at least once.
         helpful_peers: The nodes to ask through; none unless set.
+        engines_told: Told what the leader knows of engines; nobody unless set.
+        engines: What the leader last told of engines.
     """
 
     def __init__(self, own_address: Address) -> None:
@@ -89,7 +96,10 @@
         self._numbers = 0
         self._is_path_lost = False
         self._result_at = float("-inf")
+        self._notes: list[TurnNote] = []
         self.helpful_peers: HelpfulPeers = list
+        self.engines_told: EnginesTold = _nobody
+        self.engines: tuple[EngineTurns, ...] = ()
         self.answer_seconds = Histogram()
         self.resends = 0
         self.sent_through_peers = 0
@@ -146,6 +156,10 @@
         self._passed_on.add(key)
         return self._begin(asked, now)
 
+    def note(self, note: TurnNote) -> None:
+        """Tell the leader of a turn with the next message to it; best effort."""
+        self._notes.append(note)
+
     def forget(self, operation: Operation) -> None:
         """Stop asking; ``done`` is not called."""
         for number, asked in list(self._asked.items()):
@@ -169,13 +183,31 @@
                 self._leader = None
                 effects.extend(self._doubt_path(asked, now))
                 effects.extend(self._send(number, asked, now))
+        effects.extend(self._send_notes())
         return effects
 
+    def _send_notes(self) -> list[Effect]:
+        """Send the notes that no operation has taken along."""
+        notes = self._take_notes()
+        if not notes or self._leader is None:
+            return []
+        message = LedgerRequest(number=0, asker=self._own_address, operations=(), notes=notes)
+        leader = self._leader
+        return [SendPeer(to=leader.replica, address=leader.address, message=message)]
+
+    def _take_notes(self) -> tuple[TurnNote, ...]:
+        notes = tuple(self._notes)
+        self._notes.clear()
+        return notes
+
     def take_reply(self, reply: LedgerReply, now: float) -> list[Effect]:
         """Take an answer in."""
         effects = [] if reply.passed_on else self._note_leader(reply.leader)
         if reply.results and not reply.passed_on:
             effects.extend(self._note_path_found(now))
+        if reply.engines:
+            self.engines = reply.engines
+            self.engines_told(reply.engines, now)
         asked = self._asked.get(reply.number)
         if asked is None:
             return effects
@@ -237,8 +269,12 @@
             effects.extend(self._send_through_peer(number, asked))
         target = self._leader or self._candidate()
         if target is not None:
+            notes = self._take_notes() if target is self._leader else ()
             message = LedgerRequest(
-                number=number, asker=self._own_address, operations=(asked.operation,)
+                number=number,
+                asker=self._own_address,
+                operations=(asked.operation,),
+                notes=notes,
             )
             effects.append(SendPeer(to=target.replica, address=target.address, message=message))
         return effects
@@ -265,6 +301,10 @@
         return LeaderHint(replica, self._storage[replica])
 
 
+def _nobody(engines: tuple[EngineTurns, ...], now: float) -> None:
+    """Tell nobody."""
+
+
 def _pause_of(asked: _Asked) -> float:
     is_large = size_of(asked.operation) > LARGE_BYTES
     longest = MAX_LARGE_PAUSE_SECONDS if is_large else MAX_PAUSE_SECONDS
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -125,15 +125,71 @@
 
 OperationResult = Granted | BudgetSpent | NoSuchTurn | Settled
 
+# ---------------------------------------------------------------- turns under way
+
+
+class TurnBegan(msgspec.Struct, frozen=True, array_like=True, tag="began"):
+    """A turn was sent to an engine.
+
+    Attributes:
+        tokens: Prompt tokens, and the most that it generates.
+    """
+
+    request_id: str
+    engine_id: str
+    tokens: int
+
+
+class TurnEnded(msgspec.Struct, frozen=True, array_like=True, tag="ended"):
+    """A turn is no longer at its engine.
+
+    Attributes:
+        failed: The engine broke off, fell silent or answered with a failure of its own.
+        slowness: Time between its events, as a multiple of what is usual at that load; 0 if
+            too few came to tell.
+    """
+
+    request_id: str
+    engine_id: str
+    failed: bool
+    slowness: float
+
+
+TurnNote = TurnBegan | TurnEnded
+
+
+class EngineTurns(msgspec.Struct, frozen=True, array_like=True):
+    """What the ledger's leader knows of an engine.
+
+    Attributes:
+        running: Turns of all nodes under way there.
+        tokens: Tokens of their contexts.
+        failed: Share of the latest turns that failed there, faded with time.
+        slowness: Time between events as a multiple of what is usual at its load.
+    """
+
+    engine_id: str
+    running: int
+    tokens: int
+    failed: float
+    slowness: float
+
+
 # ---------------------------------------------------------------- messages
 
 
 class LedgerRequest(msgspec.Struct, frozen=True, kw_only=True, tag="request"):
-    """Operations for the ledger's leader; ``number`` is the asker's own."""
+    """Operations for the ledger's leader; ``number`` is the asker's own.
+
+    Attributes:
+        notes: Turns that began or ended at engines; nothing that lasts. A request without
+            operations gets no answer.
+    """
 
     number: int
     asker: Address
     operations: tuple[Operation, ...]
+    notes: tuple[TurnNote, ...] = ()
 
 
 class PassedOnRequest(msgspec.Struct, frozen=True, kw_only=True, tag="passed_on"):
@@ -161,12 +217,14 @@
     Attributes:
         results: Empty if the receiver does not lead, and then nothing was done.
         passed_on: It comes from another forwarding node, so it says nothing of the way there.
+        engines: The turns under way, with the answer to a reservation; empty if not known.
     """
 
     number: int
     results: tuple[OperationResult, ...] = ()
     leader: LeaderHint | None = None
     passed_on: bool = False
+    engines: tuple[EngineTurns, ...] = ()
 
 
 class ReplicaMessage(msgspec.Struct, frozen=True, kw_only=True, tag="raft"):
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -35,9 +35,11 @@
     LedgerRequest,
     OperationResult,
     ReplicaMessage,
+    Reserve,
     size_of,
 )
 from yokeline.ledger.replica import LedgerReplica
+from yokeline.ledger.turns_under_way import TurnsUnderWay
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
@@ -108,6 +110,8 @@
         self._stop_at: float | None = None
         self._batch: dict[tuple[ReplicaId, int], LedgerRequest] = {}
         self._batch_under_way = False
+        self.turns = TurnsUnderWay()
+        self._now = now
         self.requests = 0
         registry.ensure(node_key(record.name), encode_node(record))
 
@@ -115,6 +119,7 @@
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take an event in and return effects."""
+        self._now = now
         effects: list[Effect] = []
         ours, _changed, log = self._registry.take(event, now)
         effects.extend(log)
@@ -170,6 +175,9 @@
         return []
 
     def _take_request(self, asker: ReplicaId, request: LedgerRequest, now: float) -> list[Effect]:
+        self._take_notes(request, now)
+        if not request.operations:
+            return []
         self.requests += len(request.operations)
         # A request that is repeated while it waits takes its place, and is proposed once.
         self._batch[asker, request.number] = request
@@ -177,6 +185,13 @@
             del self._batch[next(iter(self._batch))]
         return [] if self._batch_under_way else self._propose_batch(now)
 
+    def _take_notes(self, request: LedgerRequest, now: float) -> None:
+        if self.replica.leads:
+            for note in request.notes:
+                self.turns.take(note, now)
+        elif len(self.turns):
+            self.turns.clear()
+
     def _propose_batch(self, now: float) -> list[Effect]:
         """Propose what came while the last entry was under way as one entry, up to a size."""
         batch = self._take_batch()
@@ -224,7 +239,11 @@
         leader = self.replica.group.leader
         address = self.replica.leader_address()
         hint = LeaderHint(leader, address) if leader is not None and address else None
-        reply = LedgerReply(number=request.number, results=results or (), leader=hint)
+        is_asked = any(isinstance(operation, Reserve) for operation in request.operations)
+        engines = self.turns.engines(self._now) if results and is_asked else ()
+        reply = LedgerReply(
+            number=request.number, results=results or (), leader=hint, engines=engines
+        )
         return SendPeer(to=asker, address=request.asker, message=reply)
 
     def _begin_stop(self, now: float) -> list[Effect]:
@@ -472,6 +491,7 @@
         "yokeline_ledger_term": float(node.replica.group.term),
         "yokeline_ledger_commit_index": float(node.replica.group.commit_index),
         "yokeline_ledger_leads": float(node.replica.leads),
+        "yokeline_ledger_turns_under_way": float(len(node.turns)),
         "yokeline_ledger_members": float(len(node.replica.group.members)),
     }
     gauges.update(node.phases.gauges())
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -118,6 +118,9 @@
     "yokeline_ledger_answer_seconds": (
         "Seconds from a question to the ledger to its leader's answer."
     ),
+    "yokeline_forwarding_prediction_error_ratio": (
+        "Share by which the predicted time of a turn at its engine was wrong."
+    ),
     "yokeline_ledger_reached": "Number 1 while the ledger answers this node, otherwise 0.",
     "yokeline_ledger_sent_through_peers_total": (
         "Questions to the ledger sent through another forwarding node."
@@ -131,6 +134,7 @@
     "yokeline_ledger_term": "Number of the ledger's current term.",
     "yokeline_ledger_commit_index": "Number of the last entry known to be committed.",
     "yokeline_ledger_leads": "Number 1 while this replica leads the ledger, otherwise 0.",
+    "yokeline_ledger_turns_under_way": "Turns at engines, as nodes have told this replica.",
     "yokeline_ledger_members": "Replicas in the ledger's configuration, as this one knows it.",
     "yokeline_log_lines_dropped_total": "Log lines dropped for a slow reader, by event.",
 }
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -35,11 +35,13 @@
 from yokeline.identifiers import ExchangeId, ReplicaId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.messages import (
+    EngineTurns,
     LeaderHint,
     LedgerReply,
     LedgerRequest,
     Operation,
     OperationResult,
+    TurnNote,
 )
 from yokeline.platform.headers import HeaderDialect
 
@@ -86,6 +88,7 @@
     def __init__(self, engines_per_pool: int = 2, slots: int = 4) -> None:
         self.now = 100.0
         self.ledger = LedgerClient(Address("10.0.0.1", 1))
+        self.ledger.engines_told = lambda told, now: self.engines.take_told(told, now)
         self.ledger.set_storage({STORAGE.replica: STORAGE.address})
         self.engines = EngineBook()
         self.forwarder = Forwarder(
@@ -107,6 +110,7 @@
         self.replies: list[HttpReply] = []
         self.stream: list[Effect] = []
         self.asked: list[tuple[int, Operation]] = []
+        self.notes: list[TurnNote] = []
         self._numbers = itertools.count(1)
 
     # ------------------------------------------------------------ callers
@@ -146,10 +150,10 @@
         """Return the operations asked for, repetitions left out."""
         return [operation for _, operation in self.asked]
 
-    def ledger_answers(self, result: OperationResult) -> None:
-        """Answer the latest operation."""
+    def ledger_answers(self, result: OperationResult, *engines: EngineTurns) -> None:
+        """Answer the latest operation; the leader tells of ``engines``."""
         number, _ = self.asked[-1]
-        reply = LedgerReply(number=number, results=(result,), leader=STORAGE)
+        reply = LedgerReply(number=number, results=(result,), leader=STORAGE, engines=engines)
         self.take(self.ledger.take_reply(reply, self.now))
         self.take(self.forwarder.tick(self.now))
 
@@ -210,6 +214,9 @@
     def _note_asked(self, effect: SendPeer) -> None:
         message = effect.message
         assert isinstance(message, LedgerRequest)
+        self.notes.extend(message.notes)
+        if not message.operations:
+            return
         if all(number != message.number for number, _ in self.asked):
             self.asked.append((message.number, message.operations[0]))
 
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -409,10 +409,10 @@
         played.engines.drop_stale_reports(played.now + 0.9)
         state = played.engines.get("models-0")
         assert state is not None
-        self.assertTrue(played.engines.any_busy())
+        self.assertTrue(played.engines.any_busy(played.now))
         self.assertEqual(state.load, 10)
         played.engines.drop_stale_reports(played.now + 1.1)
-        self.assertFalse(played.engines.any_busy())
+        self.assertFalse(played.engines.any_busy(played.now))
         self.assertEqual(state.load, 0)
 
     def test_nodes_report_often_only_while_an_engine_is_busy(self) -> None:
@@ -420,10 +420,10 @@
         for _ in range(4):
             played.turn()
             played.ledger_answers(Granted())
-        self.assertFalse(played.engines.any_busy())
+        self.assertFalse(played.engines.any_busy(played.now))
         played.turn()
         played.ledger_answers(Granted())
-        self.assertTrue(played.engines.any_busy())
+        self.assertTrue(played.engines.any_busy(played.now))
 
     def test_an_engine_that_drains_gets_nothing_new(self) -> None:
         played = Played(engines_per_pool=1)
--- a/tests/unit/forwarding/test_load_sharing.py
+++ b/tests/unit/forwarding/test_load_sharing.py
@@ -82,7 +82,7 @@
         loads = set()
         for name, book in self.books.items():
             if name not in self.down:
-                loads.add(book.in_pool("models")[0].load)
+                loads.add(book.in_pool("models", self.now)[0].load)
         return loads
 
 
--- /dev/null
+++ b/tests/unit/scheduling/test_engine_model.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from yokeline.scheduling.engine_model import EngineModel, LineFit, Point, ServedTurn
+
+READING = 1 / 40_000
+PACE = 0.015
+PER_TURN = 0.0005
+
+
+def served(
+    source: random.Random, engine_id: str = "e", *, speed: float = 1.0, noise: float = 0.1
+) -> ServedTurn:
+    unread = source.choice((300, 600, 1500, 4000))
+    beside = source.randint(0, 12)
+    wobble = 1 + noise * (2 * source.random() - 1)
+    return ServedTurn(
+        engine_id=engine_id,
+        unread=unread,
+        beside=beside,
+        first_event_seconds=wobble * speed * (0.02 + unread * READING),
+        event_seconds=wobble * speed * (PACE + PER_TURN * beside),
+        events=source.randint(4, 16),
+    )
+
+
+class Learning(unittest.TestCase):
+    def trained(self, turns: int = 150, speeds: dict[str, float] | None = None) -> EngineModel:
+        source = random.Random(1)
+        model = EngineModel()
+        for _ in range(turns):
+            for engine_id, speed in (speeds or {"e": 1.0}).items():
+                model.observe(served(source, engine_id, speed=speed))
+        return model
+
+    def test_known_paces_are_found_in_noise(self) -> None:
+        model = self.trained()
+        self.assertAlmostEqual(model.reading_seconds_per_token / READING, 1.0, delta=0.1)
+        expected = 0.02 + 1000 * READING + model.events * (PACE + 6 * PER_TURN)
+        predicted = model.predict("e", unread=1000, beside=6).seconds
+        self.assertAlmostEqual(predicted / expected, 1.0, delta=0.1)
+
+    def test_an_engine_that_turns_slow_is_known_after_few_turns_and_forgiven(self) -> None:
+        model = self.trained(speeds={"a": 1.0, "b": 1.0, "c": 1.0})
+        source = random.Random(2)
+        for _ in range(20):
+            model.observe(served(source, "a"))
+            model.observe(served(source, "b", speed=4.0))
+            model.observe(served(source, "c"))
+        slow, usual = (model.predict(name, unread=0, beside=2).seconds for name in ("b", "a"))
+        self.assertGreater(slow, 1.8 * usual)
+        for _ in range(30):
+            for name in ("a", "b", "c"):
+                model.observe(served(source, name))
+        self.assertLess(model.factor("b"), 1.2)
+
+    def test_a_slower_kind_in_a_pool_costs_more(self) -> None:
+        model = self.trained(speeds={"fast": 1.0, "fast-2": 1.0, "slow": 1.3})
+        ratio = model.factor("slow") / model.factor("fast")
+        self.assertAlmostEqual(ratio, 1.3, delta=0.1)
+
+    def test_what_other_nodes_saw_counts_where_this_one_saw_nothing(self) -> None:
+        model = self.trained()
+        told = model.predict("e", unread=0, beside=0, told_slowness=3.0).seconds
+        self.assertGreater(told, 2 * model.predict("e", unread=0, beside=0).seconds)
+
+    def test_one_wild_turn_bends_nothing(self) -> None:
+        model = self.trained()
+        before = model.predict("e", unread=1000, beside=3).seconds
+        source = random.Random(3)
+        model.observe(served(source, speed=200.0))
+        after = model.predict("e", unread=1000, beside=3).seconds
+        self.assertLess(after, 1.3 * before)
+
+    def test_before_anything_is_seen_reading_is_dear_and_nothing_is_zero(self) -> None:
+        model = EngineModel()
+        cached = model.predict("e", unread=0, beside=3)
+        moved = model.predict("e", unread=5000, beside=0)
+        self.assertGreater(moved.cost, cached.cost)
+        self.assertGreater(model.usual_seconds, 0)
+
+    def test_a_change_of_the_whole_pool_is_followed(self) -> None:
+        model = self.trained()
+        source = random.Random(4)
+        for _ in range(150):
+            model.observe(served(source, speed=3.0))
+        expected = 3.0 * (0.02 + model.events * (PACE + 2 * PER_TURN))
+        predicted = model.predict("other", unread=0, beside=2).seconds
+        self.assertAlmostEqual(predicted / expected, 1.0, delta=0.25)
+
+
+class Lines(unittest.TestCase):
+    def test_observations_at_one_place_divide_by_nothing(self) -> None:
+        line = LineFit((Point(0.0, 1.0, 0.5), Point(10.0, 2.0, 0.5)))
+        for _ in range(1000):
+            line.observe(5.0, 3.0)
+        self.assertAlmostEqual(line.at(5.0), 3.0, delta=0.1)
+
+    def test_a_line_never_falls_nor_begins_below_nothing(self) -> None:
+        source = random.Random(5)
+        for _ in range(50):
+            line = LineFit((Point(0.0, 1.0, 0.5), Point(10.0, 2.0, 0.5)))
+            for _ in range(100):
+                line.observe(10 * source.random(), source.random() ** 4)
+            self.assertGreaterEqual(line.slope, 0.0)
+            self.assertGreaterEqual(line.base, 0.0)
+            self.assertGreater(line.at(0.0), 0.0)
