Let few nodes watch the store; the others read changes from them

Change: the first node of each zone that is heard (three in all at least) watches; the others list once, and ask a node whose load report names a later revision for the changes after their own. Changes are kept for that, bounded; a gap gives everything. A node that hears no watcher for a second watches itself. A removal is not undone by an older change that comes late. Ruled out: longer waits of all (a change woke them all the same).

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -50,17 +50,17 @@
     node_key,
 )
 from yokeline.registry.protocol import StoredItem
-from yokeline.registry.watch import WATCH_SECONDS, Whole
+from yokeline.registry.watch import WATCH_SECONDS, Changes, Whole
 from yokeline.start_phases import StartPhases
 
-PACING_SECONDS = 1.0
-CLOSE_WATCHERS = 5
-"""Nodes of a large fleet that watch the registry with short calls, so that a service that went
-deaf is noticed. In a small fleet all do."""
-LONG_WATCH_SECONDS = 8.0
-"""Longest wait of a watching call at the other nodes; each call is paid for."""
-WATCH_PAUSE_SECONDS = 0.25
-"""Their pause after a change, so that one call brings several."""
+PACING_SECONDS = 0.25
+ANSWERED_SECONDS = 2 * WATCH_SECONDS
+"""A node whose last answer of the key-value service is older does not count as watching it."""
+FIRST_NEWS_SECONDS = 1.0
+"""Time after the first list in which a node waits to hear of one that watches; then it watches
+itself."""
+ASK_SECONDS = 0.1
+"""Least time between two questions for changes to other nodes."""
 CLOSING_AFTER_SECONDS = 2.2
 """Time after a stop was asked for, until the entry sends no new connections here."""
 QUIET_SECONDS = 0.6
@@ -101,6 +101,10 @@
         self._engines = engines
         self._grace_seconds = grace_seconds
         self._next_pacing = now
+        self._next_question = now
+        self._listed_at: float | None = None
+        self._confirmed_at = float("-inf")
+        self._follows = False
         self._sharing = LoadSharing(record, process, engines, now)
         ledger.engines_told = engines.take_told
         ledger.helpful_peers = lambda: self._sharing.peers_that_reach_ledger(self._now)
@@ -116,8 +120,11 @@
         return known and self._stop_asked_at is None
 
     def registry_age(self) -> float:
-        """Return how long ago the key-value service last confirmed what is known (seconds)."""
-        return max(0.0, self._now - self._registry.heard_at())
+        """Return how long ago what is known was last confirmed (seconds).
+
+        By the key-value service, or by a node that watches it and has read nothing later.
+        """
+        return max(0.0, self._now - max(self._registry.heard_at(), self._confirmed_at))
 
     # ------------------------------------------------------------ service
 
@@ -140,6 +147,7 @@
                     waiting=self.forwarder.waiting(),
                     revision=self._registry.last_change(),
                     reaches_ledger=self.ledger.reaches_ledger,
+                    watches=self._watches(now),
                 ),
                 now,
             )
@@ -228,30 +236,50 @@
         return []
 
     def _compare_revision(self, report: LoadReport, now: float) -> list[Effect]:
-        """Ask a node that has read a later change, if this one could not for too long."""
+        """Ask a node that has read a later change: at once if this node follows others.
+
+        A node that watches itself waits for its own call first, and one that was not answered
+        lists anew; both ask after a while.
+        """
+        if report.revision <= self._registry.last_change():
+            if report.watches:
+                self._confirmed_at = now
+            return []
         is_behind, effects = self._registry.hear_of(report.revision, now)
-        if is_behind and report.address is not None:
-            question = RegistryAsk(asker=self._record.address)
+        asks = is_behind or (self._follows and now >= self._next_question)
+        if asks and report.address is not None:
+            self._next_question = now + ASK_SECONDS
+            question = RegistryAsk(asker=self._record.address, after=self._registry.last_change())
             to, address = report.process, report.address
             effects.append(SendPeer(to=to, address=address, message=question))
         return effects
 
     def _answer_registry(self, asker: ReplicaId, question: RegistryAsk) -> list[Effect]:
+        changes = self._registry.changes_after(question.after)
+        if changes is not None:
+            news = RegistryNews(
+                revision=changes.revision, items=_as_told(changes.items), since=changes.since
+            )
+            return [SendPeer(to=asker, address=question.asker, message=news)]
         whole = self._registry.whole()
         if whole is None:
             return []
-        items = tuple(
-            RegistryItem(item.key, item.value or b"", item.revision) for item in whole.items
-        )
-        news = RegistryNews(revision=whole.revision, items=items)
+        news = RegistryNews(revision=whole.revision, items=_as_told(whole.items))
         return [SendPeer(to=asker, address=question.asker, message=news)]
 
     def _adopt_registry(self, sender: ReplicaId, news: RegistryNews, now: float) -> list[Effect]:
         items = tuple(StoredItem(item.key, item.value, item.revision) for item in news.items)
-        changed = self._registry.adopt(Whole(news.revision, items), now)
+        if news.since:
+            changes = Changes(news.since, news.revision, items)
+            changed = self._registry.adopt_changes(changes, now)
+        else:
+            changed = self._registry.adopt(Whole(news.revision, items), now)
+        if not changed:
+            return []
         fields: dict[str, str | int | float | bool | None] = {
             "from": sender,
             "revision": news.revision,
+            "since": news.since,
             "changed": len(changed),
         }
         effects: list[Effect] = [LogRecord(event="registry_adopted", fields=fields)]
@@ -260,15 +288,20 @@
         return effects
 
     def _pace_watch(self, now: float) -> None:
-        """Let a few nodes watch closely; the others hear of what these have read."""
+        """Let a few nodes watch; the others read from them as long as one is heard."""
         if now < self._next_pacing:
             return
         self._next_pacing = now + PACING_SECONDS
-        earlier = [name for name in self._engines.live_nodes() if name < self._record.name]
-        if not self._sharing.uses_relays or len(earlier) < CLOSE_WATCHERS:
-            self._registry.set_pace(WATCH_SECONDS, 0.0)
-        else:
-            self._registry.set_pace(LONG_WATCH_SECONDS, WATCH_PAUSE_SECONDS)
+        if self._listed_at is None and self._registry.complete:
+            self._listed_at = now
+        is_new = self._listed_at is not None and now - self._listed_at < FIRST_NEWS_SECONDS
+        may_follow = is_new or self._sharing.hears_watcher(now)
+        self._follows = may_follow and not self._sharing.is_watcher(now)
+        self._registry.follow(self._follows)
+
+    def _watches(self, now: float) -> bool:
+        """Return whether other nodes may rely on this one for changes."""
+        return not self._follows and now - self._registry.heard_at() <= ANSWERED_SECONDS
 
     # ------------------------------------------------------------ what the registry says
 
@@ -385,3 +418,7 @@
             "seconds": round(elapsed, 2),
         }
         return [LogRecord(event="stopped", fields=fields), Exit()]
+
+
+def _as_told(items: tuple[StoredItem, ...]) -> tuple[RegistryItem, ...]:
+    return tuple(RegistryItem(item.key, item.value, item.revision) for item in items)
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 
 import msgspec
@@ -39,6 +40,9 @@
 """Nodes up to which relayed reports keep the pauses above; with more, pauses grow with their
 number, so that what a node receives does not."""
 MAX_SLOWDOWN = 4.0
+LEAST_WATCHERS = 3
+"""Nodes that watch the key-value service at least, spread over the zones; each call is paid for,
+and the others read from them."""
 UNKNOWN_RELAYS = 2
 """Nodes of another zone that get a digest while its relay is not known."""
 
@@ -50,11 +54,13 @@
         waiting: Requests that wait at this node, by pool.
         revision: Of the latest change that this node has read.
         reaches_ledger: The ledger answers this node.
+        watches: This node watches the key-value service, and was answered lately.
     """
 
     waiting: dict[str, int]
     revision: int
     reaches_ledger: bool
+    watches: bool = False
 
 
 class LoadSharing:
@@ -71,6 +77,7 @@
         self._next_report = now
         self._next_look = now
         self._reported_changes = 0
+        self._reported_revision = 0
         self._peers: list[NodeRecord] = []
         self._zone_ring: list[NodeRecord] = [record]
         self._zones: dict[str, list[NodeRecord]] = {}
@@ -116,6 +123,24 @@
         is_new_ring = now - self._candidate_since <= RELAY_SILENCE_SECONDS * self._slowdown
         return is_new_ring or self._heard_within_silence(name, now)
 
+    def is_watcher(self, now: float) -> bool:
+        """Return whether this node is to watch the key-value service for others.
+
+        Those are the first of each zone that were heard lately, some of them in all.
+        """
+        per_zone = math.ceil(LEAST_WATCHERS / (len(self._zones) + 1))
+        fresh = {report.node for report in self._engines.fresh_reports(now)}
+        before = [
+            record.name
+            for record in self._zone_ring
+            if record.name < self._record.name and record.name in fresh
+        ]
+        return len(before) < per_zone
+
+    def hears_watcher(self, now: float) -> bool:
+        """Return whether another node says that it watches the key-value service."""
+        return any(report.watches for report in self._engines.fresh_reports(now))
+
     def peers_that_reach_ledger(self, now: float) -> list[PeerNode]:
         """Return the nodes that say so, those of this zone first."""
         own_zone = {record.name for record in self._zone_ring}
@@ -173,8 +198,11 @@
             self._next_look = now + pause * self._slowdown
             if self._engines.any_busy(now):
                 self._next_report = now
+        if state.watches and state.revision != self._reported_revision:
+            self._next_report = now
         if now < self._next_report:
             return []
+        self._reported_revision = state.revision
         self._engines.drop_stale_reports(now)
         self._reported_changes = self._engines.own_changes
         self._next_report = now + CALM_REPORT_SECONDS * self._slowdown
@@ -187,6 +215,7 @@
             waiting=state.waiting,
             revision=state.revision,
             reaches_ledger=state.reaches_ledger,
+            watches=state.watches,
             process=self._process,
             address=self._record.address,
         )
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -247,24 +247,34 @@
 
 
 class RegistryAsk(msgspec.Struct, frozen=True, kw_only=True, tag="registry_ask"):
-    """A node that cannot read the key-value service in time asks one that has read it."""
+    """A node asks one that has read later changes of the key-value service.
+
+    Attributes:
+        after: The asker has read everything up to this revision; 0 for nothing.
+    """
 
     asker: Address
+    after: int = 0
 
 
 class RegistryItem(msgspec.Struct, frozen=True, array_like=True):
-    """An item as the key-value service gave it."""
+    """An item as the key-value service gave it; without a value it is gone."""
 
     key: str
-    value: bytes
+    value: bytes | None
     revision: int
 
 
 class RegistryNews(msgspec.Struct, frozen=True, kw_only=True, tag="registry_news"):
-    """All items that a node has read, complete up to a revision."""
+    """What a node has read, complete up to a revision.
+
+    Attributes:
+        since: The items are the changes after this revision, in order; 0 for all items.
+    """
 
     revision: int
     items: tuple[RegistryItem, ...]
+    since: int = 0
 
 
 LedgerMessage = (
@@ -295,6 +305,7 @@
         revision: Of the latest change that the node has read from the key-value service.
         process: The node's process, which answers questions at ``address``.
         reaches_ledger: The ledger answers the node, or the node has had nothing to ask.
+        watches: The node watches the key-value service, and was answered lately.
     """
 
     node: NodeName
@@ -305,6 +316,7 @@
     process: ReplicaId = ReplicaId("")
     address: Address | None = None
     reaches_ledger: bool = True
+    watches: bool = False
 
 
 class LoadDigest(msgspec.Struct, frozen=True, kw_only=True, tag="digest"):
--- a/src/yokeline/registry/client.py
+++ b/src/yokeline/registry/client.py
@@ -10,7 +10,7 @@
 from yokeline.effects import Effect, Event, HttpCancel, HttpFailed, HttpResponse, LogRecord
 from yokeline.identifiers import RequestId
 from yokeline.registry.protocol import StoredItem, StoreProtocol, StoreRefused, Written
-from yokeline.registry.watch import WATCH_SECONDS, PrefixWatch, Whole
+from yokeline.registry.watch import WATCH_SECONDS, Changes, PrefixWatch, Whole
 
 WRITE_RETRY_SECONDS = 0.4
 LOST_AFTER_FAILURES = 3
@@ -59,7 +59,7 @@
 
     def heard_at(self) -> float:
         """Return when the least fresh of the watches was last confirmed (monotonic seconds)."""
-        return min(watch.heard_at for watch in self._watches)
+        return min((watch.heard_at for watch in self._watches), default=float("-inf"))
 
     def last_change(self) -> int:
         """Return the revision of the latest change that was read."""
@@ -71,6 +71,19 @@
             watch.wait_seconds = wait_seconds
             watch.pause_seconds = pause_seconds
 
+    def follow(self, follows: bool) -> None:
+        """Rely on other nodes for changes, or watch the service again."""
+        for watch in self._watches:
+            watch.follows = follows
+
+    def changes_after(self, revision: int) -> Changes | None:
+        """Return what the first watch has read after a revision; None if that is not kept."""
+        return self._watches[0].changes_after(revision) if self._watches else None
+
+    def adopt_changes(self, changes: Changes, now: float) -> list[StoredItem]:
+        """Take over changes that another node has read; return what is news."""
+        return self._watches[0].adopt_changes(changes, now)
+
     def hear_of(self, revision: int, now: float) -> tuple[bool, list[Effect]]:
         """Learn that another node has read a change of ``revision``.
 
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -4,6 +4,7 @@
 
 import enum
 import random
+from collections import OrderedDict, deque
 
 import msgspec
 
@@ -26,6 +27,10 @@
 MAX_RETRY_SECONDS = 0.8
 
 
+MAX_CHANGES_KEPT = 512
+"""Changes kept for nodes that read from this one; an older asker gets all items."""
+
+
 class WatchPhase(enum.Enum):
     """What the next call asks for."""
 
@@ -40,6 +45,14 @@
     items: tuple[StoredItem, ...]
 
 
+class Changes(msgspec.Struct, frozen=True):
+    """What changed below a prefix after one revision and up to another, in order."""
+
+    since: int
+    revision: int
+    items: tuple[StoredItem, ...]
+
+
 class PrefixWatch:
     """One prefix; a pure state machine.
 
@@ -50,6 +63,8 @@
         failures: Calls in a row without a useful answer.
         wait_seconds: Longest wait of a watching call.
         pause_seconds: Pause after a change, so that one call brings several.
+        follows: Another node watches and tells of changes; nothing is called while that holds
+            and everything was listed.
         last_change: Revision of the latest change that was read, or of the latest whole list. An
             answer without changes proves nothing: a service that went deaf gives it too.
     """
@@ -64,7 +79,11 @@
         """Begin by listing; a watching call waits at most ``wait_seconds``."""
         self.wait_seconds = wait_seconds
         self.pause_seconds = 0.0
+        self.follows = False
         self.last_change = 0
+        self._changes: deque[StoredItem] = deque(maxlen=MAX_CHANGES_KEPT)
+        self._changes_since = 0
+        self._gone: OrderedDict[str, int] = OrderedDict()
         self._behind_since: float | None = None
         self.prefix = prefix
         self.items: dict[str, StoredItem] = {}
@@ -88,12 +107,17 @@
         return self._revision
 
     def next_deadline(self) -> float | None:
-        """Return when the next call is due; None while one is under way."""
-        return None if self._pending is not None else self._next_call_at
+        """Return when the next call is due; None while one is under way, or none is needed."""
+        if self._pending is not None or self._rests():
+            return None
+        return self._next_call_at
+
+    def _rests(self) -> bool:
+        return self.follows and self.complete and self._phase is WatchPhase.WATCHING
 
     def tick(self, now: float) -> HttpRequest | None:
         """Return the next call if it is due."""
-        if self._pending is not None or now < self._next_call_at:
+        if self._pending is not None or now < self._next_call_at or self._rests():
             return None
         self._calls += 1
         self._pending = RequestId(f"watch/{self.prefix}/{self._calls}")
@@ -132,6 +156,23 @@
             return None
         return Whole(self.last_change, tuple(self.items.values()))
 
+    def changes_after(self, revision: int) -> Changes | None:
+        """Return the changes after a revision; None if they are not all kept."""
+        if not self.complete or revision < self._changes_since or revision > self.last_change:
+            return None
+        later = tuple(item for item in self._changes if item.revision > revision)
+        return Changes(revision, self.last_change, later)
+
+    def adopt_changes(self, changes: Changes, now: float) -> list[StoredItem]:
+        """Take over changes that another node has read; return the items that are news."""
+        known = self.last_change
+        if not self.complete or changes.since > known or changes.revision <= known:
+            return []
+        news = [item for item in changes.items if item.revision > known and self._apply(item)]
+        self.last_change = max(self.last_change, changes.revision)
+        self._revision = max(self._revision, changes.revision)
+        return news
+
     def adopt(self, whole: Whole, now: float) -> list[StoredItem]:
         """Take over what another node has read, if it is later; return the items that changed."""
         if whole.revision <= self.last_change:
@@ -199,10 +240,16 @@
     def _finish_list(self) -> list[StoredItem]:
         assert self._list_revision is not None
         revision = self._list_revision
-        gone = [key for key in self.items if key not in self._listed]
+        gone = [
+            key
+            for key, item in self.items.items()
+            if key not in self._listed and item.revision <= revision
+        ]
         changed = [StoredItem(key, None, revision) for key in sorted(gone)]
         changed.extend(self._listed[key] for key in sorted(self._listed))
         self._phase = WatchPhase.WATCHING
+        self._changes.clear()
+        self._changes_since = revision
         self._revision = revision
         self.last_change = max(self.last_change, revision)
         self._listed = {}
@@ -215,13 +262,34 @@
         self._revision = max(self._revision, events.revision)
         return [item for item in events.events if self._apply(item)]
 
+    def _keep_change(self, item: StoredItem) -> None:
+        """Keep a change for other nodes; the oldest gives way, and what is before it is lost."""
+        if self._phase is not WatchPhase.WATCHING or item.revision <= self._changes_since:
+            return
+        if len(self._changes) == MAX_CHANGES_KEPT:
+            self._changes_since = self._changes[0].revision
+        self._changes.append(item)
+
     def _apply(self, item: StoredItem) -> bool:
         """Take a change in, unless a later one is known; return whether it is news."""
         self.last_change = max(self.last_change, item.revision)
+        self._keep_change(item)
         known = self.items.get(item.key)
-        if known is not None and known.revision >= item.revision and item.value is not None:
+        if known is not None and known.revision > item.revision:
             return False
         if item.value is None:
+            self._note_gone(item)
             return self.items.pop(item.key, None) is not None
+        if known is not None and known.revision == item.revision:
+            return False
+        if self._gone.get(item.key, 0) > item.revision:
+            return False
         self.items[item.key] = item
         return True
+
+    def _note_gone(self, item: StoredItem) -> None:
+        """Remember a removal, so that an older change that comes late does not undo it."""
+        self._gone[item.key] = item.revision
+        self._gone.move_to_end(item.key)
+        if len(self._gone) > MAX_CHANGES_KEPT:
+            self._gone.popitem(last=False)
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -38,6 +38,9 @@
 _STORAGE_WATCH_SECONDS = 4.0
 """A storage node is told of orders and of other nodes; neither is urgent, and calls cost."""
 
+_STORAGE_WATCH_PAUSE_SECONDS = 0.3
+"""Its pause after a change, so that one call brings several."""
+
 BoundServices = list[tuple[Service, ServiceBinding, OpenSockets | None]]
 
 
@@ -202,6 +205,7 @@
     )
     if isinstance(registry, Failure):
         return registry
+    registry.unwrap().set_pace(_STORAGE_WATCH_SECONDS, _STORAGE_WATCH_PAUSE_SECONDS)
     now = time.monotonic()
     replica_id = log.replica or new_replica_id(settings.name, source)
     replica = LedgerReplica(
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -11,6 +11,7 @@
     Effect,
     Exit,
     HttpArrived,
+    HttpFailed,
     HttpReply,
     HttpRequest,
     HttpResponse,
@@ -212,3 +213,85 @@
         self.hand(PeerMessage(sender=ReplicaId("edge-2~7"), message=news))
         answers = [item.message for item in self.hand(question) if isinstance(item, SendPeer)]
         self.assertEqual(answers, [news])
+
+
+class Following(PlayedNode):
+    """Most nodes read changes from one that watches the key-value service."""
+
+    prefixes = ("",)
+
+    def watcher_says(self, revision: int, *, watches: bool = True) -> list[Effect]:
+        report = LoadReport(
+            node=NodeName("edge-0"),
+            sequence=int(self.now * 100),
+            loads=(),
+            revision=revision,
+            process=ReplicaId("edge-0~7"),
+            address=Address("10.0.0.9", 1),
+            watches=watches,
+        )
+        return self.hand(DatagramArrived(source=Address("10.0.0.9", 1), message=report))
+
+    def setUp(self) -> None:
+        super().setUp()
+        names = ("edge-0", "edge-00", "edge-000")
+        others = [
+            NodeRecord(
+                name=NodeName(name),
+                role=NodeRole.EDGE,
+                replica=ReplicaId(f"{name}~1"),
+                address=Address("10.0.0.9", 1),
+            )
+            for name in names
+        ]
+        self.node._sharing.set_nodes(others, self.now)
+        news = RegistryNews(revision=50, items=(RegistryItem("k", b"v", 50),))
+        self.hand(PeerMessage(sender=ReplicaId("edge-0~7"), message=news))
+        self.end_calls()
+
+    def end_calls(self) -> None:
+        calls = [effect for _, effect in self.effects if isinstance(effect, HttpRequest)]
+        for call in calls:
+            self.hand(HttpFailed(request=call.request, sent=True, reason="silent"))
+
+    def report_of(self, name: str) -> None:
+        report = LoadReport(
+            node=NodeName(name), sequence=int(self.now * 100), loads=(), watches=True, revision=50
+        )
+        self.hand(DatagramArrived(source=Address("10.0.0.9", 1), message=report))
+
+    def hear_of_three(self) -> None:
+        for name in ("edge-0", "edge-00", "edge-000"):
+            self.report_of(name)
+
+    def calls(self, seconds: float) -> int:
+        before = len(self.effects)
+        for _ in range(int(seconds / 0.2)):
+            self.now += 0.2
+            self.hear_of_three()
+        effects = [effect for _, effect in self.effects[before:]]
+        return sum(isinstance(effect, HttpRequest) for effect in effects)
+
+    def test_it_asks_at_once_for_changes_that_a_watcher_has_read(self) -> None:
+        self.calls(2.0)
+        asked = [effect for effect in self.watcher_says(51) if isinstance(effect, SendPeer)]
+        self.assertEqual(
+            [effect.message for effect in asked],
+            [RegistryAsk(asker=Address("10.0.0.1", 1), after=50)],
+        )
+        news = RegistryNews(revision=51, since=50, items=(RegistryItem("k", None, 51),))
+        self.hand(PeerMessage(sender=ReplicaId("edge-0~7"), message=news))
+        self.assertEqual(self.node._registry.items("k"), {})
+
+    def test_while_three_others_watch_it_makes_no_calls(self) -> None:
+        self.calls(3.0)
+        self.end_calls()
+        self.assertEqual(self.calls(5.0), 0)
+
+    def test_it_watches_itself_when_the_watchers_fall_silent(self) -> None:
+        self.calls(3.0)
+        self.end_calls()
+        before = len(self.effects)
+        self.wait(2.0)
+        effects = [effect for _, effect in self.effects[before:]]
+        self.assertGreater(sum(isinstance(effect, HttpRequest) for effect in effects), 0)
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -15,7 +15,7 @@
     WatchEvents,
     Written,
 )
-from yokeline.registry.watch import PrefixWatch, Whole
+from yokeline.registry.watch import MAX_CHANGES_KEPT, Changes, PrefixWatch, Whole
 
 
 class ScriptedStore:
@@ -215,3 +215,84 @@
             client, calls = self.client(found)
             self.assertIn("write p/me None", calls)
             self.assertEqual(client.tick(0.1), [])
+
+
+class ReadFromOthers(Watches):
+    """A node that follows makes no calls; it takes changes from a node that watches."""
+
+    def listed(self, *items: StoredItem, revision: int = 10) -> PrefixWatch:
+        watch = PrefixWatch("p/", self.store, random.Random(1))
+        call = watch.tick(0.0)
+        assert call is not None
+        self.store.next_answer = Page(items, False, revision)
+        watch.on_response(HttpResponse(request=call.request, status=200), 0.0)
+        return watch
+
+    def test_a_follower_that_has_listed_calls_nobody_until_it_stops_following(self) -> None:
+        watch = self.listed()
+        watch.follows = True
+        self.assertIsNone(watch.next_deadline())
+        self.assertIsNone(watch.tick(5.0))
+        watch.follows = False
+        call = watch.tick(5.0)
+        assert call is not None
+        self.assertEqual(call.path, "watch p/ 10")
+
+    def test_a_follower_lists_first(self) -> None:
+        watch = PrefixWatch("p/", self.store, random.Random(1))
+        watch.follows = True
+        self.assertIsNotNone(watch.tick(0.0))
+
+    def test_changes_and_removals_are_taken_over_without_a_gap(self) -> None:
+        source = self.listed(item("p/a", 5), item("p/b", 6))
+        follower = self.listed(item("p/a", 5), item("p/b", 6))
+        call = source.tick(1.0)
+        assert call is not None
+        self.store.next_answer = WatchEvents((item("p/c", 11), item("p/a", 12, None)), 12)
+        source.on_response(HttpResponse(request=call.request, status=200), 1.0)
+        changes = source.changes_after(follower.last_change)
+        assert changes is not None
+        news = follower.adopt_changes(changes, 1.0)
+        self.assertEqual([(n.key, n.value) for n in news], [("p/c", b"v"), ("p/a", None)])
+        self.assertEqual((sorted(follower.items), follower.last_change), (["p/b", "p/c"], 12))
+        self.assertEqual(follower.adopt_changes(changes, 1.0), [])
+
+    def test_changes_that_begin_too_late_are_not_taken(self) -> None:
+        follower = self.listed()
+        changes = Changes(11, 14, (item("p/x", 14),))
+        self.assertEqual(follower.adopt_changes(changes, 1.0), [])
+        self.assertEqual(follower.last_change, 10)
+
+    def test_a_node_gives_only_changes_that_it_kept_whole(self) -> None:
+        source = self.listed(revision=10)
+        self.assertIsNone(source.changes_after(9))
+        self.assertIsNone(source.changes_after(11))
+        everything = source.changes_after(10)
+        assert everything is not None
+        self.assertEqual(everything.items, ())
+        call = source.tick(1.0)
+        assert call is not None
+        many = tuple(item(f"p/{number}", 11 + number) for number in range(MAX_CHANGES_KEPT + 1))
+        self.store.next_answer = WatchEvents(many, many[-1].revision)
+        source.on_response(HttpResponse(request=call.request, status=200), 1.0)
+        self.assertIsNone(source.changes_after(10))
+        self.assertIsNotNone(source.changes_after(11))
+
+    def test_an_older_change_that_comes_late_does_not_undo_a_removal(self) -> None:
+        watch = self.listed(item("p/a", 5))
+        watch.adopt_changes(Changes(10, 14, (item("p/a", 14, None),)), 1.0)
+        call = watch.tick(1.0)
+        assert call is not None
+        self.store.next_answer = WatchEvents((item("p/a", 12),), 14)
+        watch.on_response(HttpResponse(request=call.request, status=200), 1.0)
+        self.assertEqual(watch.items, {})
+
+    def test_a_list_that_is_older_than_what_was_taken_over_removes_nothing(self) -> None:
+        watch = self.listed(revision=10)
+        watch.list_anew(1.0)
+        watch.adopt_changes(Changes(10, 14, (item("p/new", 14),)), 1.0)
+        call = watch.tick(1.0)
+        assert call is not None
+        self.store.next_answer = Page((), False, 12)
+        watch.on_response(HttpResponse(request=call.request, status=200), 1.0)
+        self.assertEqual(list(watch.items), ["p/new"])
