Read the caller's guess of a turn's length; list anew only for a change that is really late

The caller's hint bounds it; it counts within a factor of four. Change: it runs from the change that was not read; a node that reads from others waits 1 s.

--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -147,6 +147,7 @@
         unread=max(0, inputs.call.prompt_tokens - cached),
         beside=load,
         told_slowness=state.slowness,
+        hinted_events=_hinted_events(inputs),
     )
     waiting = max(0, load - slots + 1) * prediction.seconds / slots
     return Choice(
@@ -158,6 +159,13 @@
     )
 
 
+def _hinted_events(inputs: ChoiceInputs) -> float | None:
+    hinted, traits = inputs.call.hinted_tokens, inputs.traits
+    if hinted is None or traits is None:
+        return None
+    return hinted / max(1, traits.tokens_per_event)
+
+
 def _estimate_call(state: EngineState, usual_pace: float) -> Choice:
     """Return how long the calls under way keep an app, and how slow it is."""
     load = state.load
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -149,6 +149,7 @@
         budget: Tokens that the program may generate in all; None for no budget.
         prompt_tokens: Tokens of the prompt.
         most_tokens: Most tokens that this turn generates.
+        hinted_tokens: The caller's guess of what this turn generates; None if not said.
         parts: The parts of the prompt, in order.
         last_event_id: The caller resumes a stream after this event; empty for a new one.
         previous_turn: The turn that this one continues; empty for none.
@@ -163,6 +164,7 @@
     budget: int | None = None
     prompt_tokens: int = 0
     most_tokens: int = 0
+    hinted_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
     previous_turn: str = ""
--- a/src/yokeline/platform/headers.py
+++ b/src/yokeline/platform/headers.py
@@ -23,6 +23,7 @@
 PROGRAM_ID = "x-yokeline-program-id"
 SESSION_ID = "x-yokeline-session-id"
 FINISH_MS = "x-yokeline-finish-ms"
+LENGTH_HINT = "x-yokeline-length-hint"
 TOKEN_BUDGET = "x-yokeline-token-budget"
 PREVIOUS_TURN = "x-yokeline-previous-turn"
 
@@ -111,6 +112,7 @@
         budget=int(budget) if budget else None,
         prompt_tokens=prompt_tokens,
         most_tokens=most_tokens,
+        hinted_tokens=_hint(headers.get(LENGTH_HINT, "")),
         parts=_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT_ID, ""),
         previous_turn=headers.get(PREVIOUS_TURN, ""),
@@ -125,6 +127,11 @@
     return int(prompt), int(most or "0")
 
 
+def _hint(text: str) -> int | None:
+    """Return a caller's guess; one that cannot be read is no reason to refuse a turn."""
+    return int(text) if text.isdecimal() else None
+
+
 def _parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(","):
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -23,6 +23,8 @@
 only to the next one; so this bounds how late a change is known."""
 BEHIND_SECONDS = 0.4
 """Time for which another node may know a later change before this one lists anew."""
+FOLLOWER_BEHIND_SECONDS = 1.0
+"""The same for a node that reads changes from others, and asks them first."""
 RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.8
 
@@ -85,6 +87,7 @@
         self._changes_since = 0
         self._gone: OrderedDict[str, int] = OrderedDict()
         self._behind_since: float | None = None
+        self._behind_revision = 0
         self.prefix = prefix
         self.items: dict[str, StoredItem] = {}
         self.complete = False
@@ -126,16 +129,19 @@
         return self._store.watch_call(self._pending, self.prefix, self._revision, self.wait_seconds)
 
     def is_behind(self, revision: int, now: float) -> bool:
-        """Return whether another node has known a change of ``revision`` for too long.
+        """Return whether another node has known a change for too long that this one has not.
 
-        True once in each :data:`BEHIND_SECONDS`, as long as this one has not read it.
+        True once in each :data:`BEHIND_SECONDS`. Changes that go on coming are no reason, as
+        long as each is read in time.
         """
         if revision <= self.last_change:
             self._behind_since = None
             return False
-        if self._behind_since is None:
+        if self._behind_since is None or self._behind_revision <= self.last_change:
             self._behind_since = now
-        if now - self._behind_since < BEHIND_SECONDS:
+            self._behind_revision = revision
+        patience = FOLLOWER_BEHIND_SECONDS if self.follows else BEHIND_SECONDS
+        if now - self._behind_since < patience:
             return False
         self._behind_since = now
         return True
--- a/src/yokeline/scheduling/engine_model.py
+++ b/src/yokeline/scheduling/engine_model.py
@@ -27,6 +27,9 @@
 """Weight of one turn in an engine's factor."""
 EVENTS_WEIGHT = 0.05
 """Weight of one turn in the usual number of events."""
+HINT_FACTOR = 4.0
+"""A caller's guess of a turn's events counts at most as this multiple of the usual number, and
+at least as its inverse."""
 LEAST_SECONDS = 1e-4
 
 
@@ -181,7 +184,13 @@
         return ratio
 
     def predict(
-        self, engine_id: str, *, unread: int, beside: int, told_slowness: float = 1.0
+        self,
+        engine_id: str,
+        *,
+        unread: int,
+        beside: int,
+        told_slowness: float = 1.0,
+        hinted_events: float | None = None,
     ) -> Prediction:
         """Return what a turn costs at an engine.
 
@@ -190,13 +199,21 @@
             unread: Prompt tokens that it would have to read.
             beside: Turns that run there.
             told_slowness: What other nodes have seen of the engine lately.
+            hinted_events: The caller's guess of the turn's events; it is often far off, so it
+                counts within :data:`HINT_FACTOR` of the usual number.
         """
+        events = self._expected_events(hinted_events)
         factor = max(self.factor(engine_id), told_slowness if told_slowness > 1 else 0.0)
         reading = factor * self._reading.slope * unread
-        seconds = factor * (self._reading.base + self.events * self._pace.at(beside)) + reading
-        slowed = factor * self.events * self._pace.slope
+        seconds = factor * (self._reading.base + events * self._pace.at(beside)) + reading
+        slowed = factor * events * self._pace.slope
         return Prediction(seconds, beside * (reading + slowed))
 
+    def _expected_events(self, hinted: float | None) -> float:
+        if hinted is None:
+            return self.events
+        return min(max(hinted, self.events / HINT_FACTOR), self.events * HINT_FACTOR)
+
     def forget(self, engine_id: str) -> None:
         """Forget an engine that is gone."""
         self._factors.pop(engine_id, None)
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -22,6 +22,7 @@
     ("x-yokeline-session-id", "77d20b"),
     ("x-yokeline-finish-ms", "5200"),
     ("x-yokeline-token-budget", "4600"),
+    ("x-yokeline-length-hint", "33"),
     ("connection", "keep-alive, x-private"),
     ("x-private", "1"),
     ("cookie", "a=b; X-Yokeline-Affinity-Key=17"),
@@ -47,8 +48,14 @@
         self.assertEqual(call.parts[0], PromptPart("5c1e07a2", 800))
         self.assertEqual(len(call.parts), 3)
         self.assertEqual((call.program, call.session), ("3fa81c", "77d20b"))
+        self.assertEqual(call.hinted_tokens, 33)
         self.assertEqual((call.last_event_id, call.affinity_key), ("12", "17"))
 
+    def test_a_guess_that_cannot_be_read_is_left_out(self) -> None:
+        for guess in ("", "many", "-3", "1e3"):
+            fields = tuple((n, guess if n == "x-yokeline-length-hint" else v) for n, v in TURN)
+            self.assertIsNone(HeaderDialect().parse_call(arrived(fields)).unwrap().hinted_tokens)
+
     def test_a_request_without_an_id_or_with_a_bad_number_is_refused_by_name(self) -> None:
         missing = HeaderDialect().parse_call(arrived((("host", "a"),)))
         assert isinstance(missing, Failure)
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -296,3 +296,16 @@
         self.store.next_answer = Page((), False, 12)
         watch.on_response(HttpResponse(request=call.request, status=200), 1.0)
         self.assertEqual(list(watch.items), ["p/new"])
+
+    def test_changes_that_are_read_in_time_never_lead_to_a_list_however_many_come(self) -> None:
+        watch = self.listed(revision=10)
+        now = 0.0
+        for revision in range(11, 60):
+            now += 0.3
+            self.assertFalse(watch.is_behind(revision, now))
+            watch.adopt_changes(Changes(revision - 1, revision, ()), now + 0.1)
+
+    def test_a_change_that_is_not_read_leads_to_one_while_others_come(self) -> None:
+        watch = self.listed(revision=10)
+        found = [watch.is_behind(11 + number, 0.1 * number) for number in range(10)]
+        self.assertIn(True, found)
--- a/tests/unit/scheduling/test_engine_model.py
+++ b/tests/unit/scheduling/test_engine_model.py
@@ -74,6 +74,16 @@
         after = model.predict("e", unread=1000, beside=3).seconds
         self.assertLess(after, 1.3 * before)
 
+    def test_a_guess_of_the_length_counts_within_bounds(self) -> None:
+        model = self.trained()
+        usual = model.predict("e", unread=0, beside=2).seconds
+        longer, absurd = (
+            model.predict("e", unread=0, beside=2, hinted_events=factor * model.events).seconds
+            for factor in (3.0, 1000.0)
+        )
+        self.assertGreater(longer, 2 * usual)
+        self.assertLess(absurd, 5 * usual)
+
     def test_before_anything_is_seen_reading_is_dear_and_nothing_is_zero(self) -> None:
         model = EngineModel()
         cached = model.predict("e", unread=0, beside=3)
