--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -13,6 +13,9 @@
 LAPSED_TURNS = 8.0
 """The same for an engine whose entry went without a word of leaving, times the share of the
 pool's engines that are still listed: if all entries went, the key-value service was away."""
+PREFERENCE_SHARE = 0.04
+"""Cost of the engine that this node likes least, as a share of a usual turn or call: it parts
+engines that cost the same, so that nodes choose different ones, and keeps connections in use."""
 OTHER_ZONE_SECONDS = 0.016
 """Cost of another zone: the way there and back, and the prompt's bytes between zones."""
 SUSPECT_TURNS = 2.0
@@ -130,6 +133,7 @@
     cost += state.faults(now) * FAULT_TURNS * usual
     if now < state.suspect_until:
         cost += SUSPECT_TURNS * usual
+    cost += state.preference * PREFERENCE_SHARE * usual
     if state.lapsed_until:
         cost += pool.listed * LAPSED_TURNS * usual
     return msgspec.structs.replace(choice, cost=cost)
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 import msgspec
+import xxhash
 
 from yokeline.forwarding.model import Engine
 from yokeline.identifiers import NodeName
@@ -25,6 +26,7 @@
 """Weight of one request in an engine's share of failures."""
 FAULT_FADE_SECONDS = 4.0
 """Time in which a share of failures fades to a third without new ones."""
+_HASH_SPAN = 2**32
 _PACE_WEIGHT = 0.15
 """Weight of a new observation in the moving average of an engine's pace."""
 
@@ -33,6 +35,8 @@
     """Beliefs about one engine.
 
     Attributes:
+        preference: This node's own order of engines that cost the same (0 to 1, the least
+            first), so that nodes do not all choose the same one, and each keeps to a few.
         running: Requests of this node that it has under way.
         tokens: Prompt tokens of these that it had to read.
         others: Requests of other nodes, as the ledger's leader told, or from their reports.
@@ -50,6 +54,7 @@
     """
 
     engine: Engine
+    preference: float = 0.0
     running: int = 0
     tokens: int = 0
     others: int = 0
@@ -104,6 +109,12 @@
         self.suspect_until = 0.0
 
 
+def _preference(node: str, engine_id: str) -> float:
+    if not node:
+        return 0.0
+    return xxhash.xxh32_intdigest(f"{node}/{engine_id}".encode()) / _HASH_SPAN
+
+
 class EngineBook:
     """All engines, by id and by pool.
 
@@ -112,8 +123,9 @@
         fresh_seconds: Age after which another node's report counts for nothing.
     """
 
-    def __init__(self) -> None:
-        """Know no engine yet."""
+    def __init__(self, node: str = "") -> None:
+        """Know no engine yet; ``node`` names this node, for its preferences; empty for none."""
+        self._node = node
         self._engines: dict[str, EngineState] = {}
         self._by_pool: dict[str, list[EngineState]] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
@@ -143,7 +155,8 @@
         """Note what an engine says of itself; return whether that is news."""
         known = self._engines.get(engine.engine_id)
         if known is None:
-            self._engines[engine.engine_id] = EngineState(engine=engine)
+            preference = _preference(self._node, engine.engine_id)
+            self._engines[engine.engine_id] = EngineState(engine=engine, preference=preference)
             self._index()
             return True
         was_lapsed = known.lapsed_until > 0
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -139,7 +139,7 @@
         address=settings.peer_address,
         zone=settings.zone,
     )
-    engines = EngineBook()
+    engines = EngineBook(settings.name)
     ledger = LedgerClient(settings.peer_address)
     forwarder = Forwarder(
         zone=settings.zone, dialect=adapter.dialect, ledger=ledger, engines=engines
