Try another engine when a call that may be repeated is late

Change: an idempotent call waits for its engine as long as learned from its kind (mean + 6 mean deviations, 3 means at least, twice as long at each further send), then is cancelled and sent to another one, within the retry budget and the attempts that hold today. Calls given up count as longer, so patience grows when all are slow. Corrections are never moved (tested).

--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -34,6 +34,7 @@
 from yokeline.forwarding.http_parts import host_of, is_later
 from yokeline.forwarding.model import Call, Pool, Route, RouteKind, RoutingTable
 from yokeline.forwarding.outcomes import BAD_REQUEST, LogField, Outcomes
+from yokeline.forwarding.patience import CallPatience
 from yokeline.forwarding.placement import Placement
 from yokeline.forwarding.pool_split import PoolSplit
 from yokeline.forwarding.retry_budget import RetryBudget
@@ -118,6 +119,7 @@
         self._timers = TimerQueue()
         self._numbers = itertools.count(1)
         self._retries = RetryBudget()
+        self._patience = CallPatience()
         self._now = 0.0
         self._table: RoutingTable | None = None
 
@@ -429,6 +431,8 @@
         self._outcomes.effects.append(
             engine_request(exchange, exchange.request, state, self._dialect, self._now)
         )
+        if exchange.route.kind is RouteKind.IDEMPOTENT:
+            self._watch_call(exchange)
 
     def _leave_engine(
         self, exchange: Exchange, *, failed: bool = False, slowness: float = 0.0
@@ -492,6 +496,7 @@
         elif state is not None:
             state.note_success(self._now)
             state.note_pace(self._now - exchange.sent_at)
+            self._patience.note_answered(self._call_kind(exchange), self._now - exchange.sent_at)
         if exchange.phase is Phase.STREAMING:
             self._fail(exchange, f"status {response.status} in a resumed stream")
             return
@@ -646,6 +651,34 @@
         else:
             self._fail(exchange, failure.reason)
 
+    def _watch_call(self, exchange: Exchange) -> None:
+        """Look again when an answer of this engine is late; only a call that may be repeated."""
+        patience = self._patience.seconds(self._call_kind(exchange), exchange.sends)
+        if patience is not None:
+            self._schedule(exchange, self._now + patience, self._move_late_call)
+
+    def _move_late_call(self, exchange: Exchange) -> None:
+        """Give a call up at an engine that is late with it, and try another one."""
+        waited = self._now - exchange.sent_at
+        patience = self._patience.seconds(self._call_kind(exchange), exchange.sends)
+        is_late = patience is not None and waited >= patience
+        if exchange.phase is not Phase.SENT or exchange.head is not None or not is_late:
+            return
+        self._patience.note_given_up(self._call_kind(exchange), waited)
+        state = exchange.engine
+        if state is None or not self._may_run_again(exchange):
+            return
+        exchange.runs += 1
+        exchange.tried.add(state.engine.engine_id)
+        state.note_outcome(self._now, failed=True)
+        self._cancel_send(exchange, failed=True)
+        self._repeat(exchange, "late engine")
+        self._dispatch(exchange.pool)
+
+    def _call_kind(self, exchange: Exchange) -> str:
+        """Return what calls are alike in their times: those of one route."""
+        return exchange.route.name
+
     def _cancel_and_repeat(self, exchange: Exchange, reason: str) -> None:
         state = exchange.engine
         self._cancel_send(exchange, failed=True)
--- /dev/null
+++ b/src/yokeline/forwarding/patience.py
@@ -0,0 +1,59 @@
+"""How long a call that may be repeated waits for its engine before another one is tried.
+
+Learned per kind of call from those that were answered, as a retransmission time-out is (mean and
+mean deviation, RFC 6298): most calls are answered long before, and one that hangs at a slow engine
+still has time elsewhere.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+MEAN_WEIGHT = 0.05
+DEVIATIONS = 6.0
+"""Mean deviations above the mean after which a call is late."""
+LEAST_MEANS = 3.0
+"""The same as a multiple of the mean at least."""
+LEAST_CALLS = 20
+"""Answered calls before patience is known."""
+CENSORED_FACTOR = 1.5
+"""A call that was given up took longer than was waited; it counts as this multiple of it."""
+
+
+class _CallTimes(msgspec.Struct):
+    mean: float = 0.0
+    deviation: float = 0.0
+    calls: int = 0
+
+
+class CallPatience:
+    """Times of calls, by kind of call."""
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self._times: dict[str, _CallTimes] = {}
+
+    def note_answered(self, kind: str, seconds: float) -> None:
+        """Take the time of a call that was answered into its kind's."""
+        times = self._times.setdefault(kind, _CallTimes())
+        if not times.calls:
+            times.mean = seconds
+            times.deviation = seconds / 2
+        times.calls += 1
+        times.deviation += MEAN_WEIGHT * (abs(seconds - times.mean) - times.deviation)
+        times.mean += MEAN_WEIGHT * (seconds - times.mean)
+
+    def note_given_up(self, kind: str, waited: float) -> None:
+        """Note that a call was not answered in time; so patience grows if all are slow."""
+        self.note_answered(kind, CENSORED_FACTOR * waited)
+
+    def seconds(self, kind: str, sends: int) -> float | None:
+        """Return how long to wait for an answer, twice as long with each further send.
+
+        None while too little is known.
+        """
+        times = self._times.get(kind)
+        if times is None or times.calls < LEAST_CALLS:
+            return None
+        least = LEAST_MEANS * times.mean
+        return max(least, times.mean + DEVIATIONS * times.deviation) * 2.0 ** (sends - 1)
--- /dev/null
+++ b/tests/unit/forwarding/test_patience.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from tests.unit.forwarding.support import Played
+from yokeline.forwarding.patience import LEAST_CALLS, CallPatience
+
+
+class Learned(unittest.TestCase):
+    def test_nothing_is_given_up_before_times_are_known(self) -> None:
+        patience = CallPatience()
+        self.assertIsNone(patience.seconds("calls", 1))
+
+    def test_few_calls_of_a_usual_spread_count_as_late(self) -> None:
+        source = random.Random(1)
+        patience = CallPatience()
+        late = 0
+        for _ in range(2000):
+            seconds = 0.08 * source.lognormvariate(0.0, 0.7)
+            limit = patience.seconds("calls", 1)
+            late += limit is not None and seconds > limit
+            patience.note_answered("calls", seconds)
+        self.assertLess(late, 40)
+
+    def test_when_all_calls_turn_slow_patience_grows(self) -> None:
+        patience = CallPatience()
+        for _ in range(100):
+            patience.note_answered("calls", 0.05)
+        given_up = 0
+        for _ in range(100):
+            limit = patience.seconds("calls", 1)
+            assert limit is not None
+            if limit < 0.5:
+                given_up += 1
+                patience.note_given_up("calls", limit)
+            else:
+                patience.note_answered("calls", 0.5)
+        self.assertLess(given_up, 25)
+
+    def test_each_send_waits_twice_as_long_as_the_one_before(self) -> None:
+        patience = CallPatience()
+        for _ in range(LEAST_CALLS):
+            patience.note_answered("calls", 0.1)
+        first, second = patience.seconds("calls", 1), patience.seconds("calls", 2)
+        assert first is not None
+        self.assertEqual(second, 2 * first)
+
+
+class LateCalls(unittest.TestCase):
+    def played(self) -> Played:
+        played = Played()
+        for _ in range(LEAST_CALLS + 5):
+            played.request("/look/x")
+            played.wait(0.02)
+            played.engine_answers()
+        return played
+
+    def test_a_call_that_may_be_repeated_goes_to_another_engine_when_its_own_hangs(self) -> None:
+        played = self.played()
+        before = len(played.sent)
+        played.request("/look/x")
+        slow = played.engine_of()
+        played.wait(0.1)
+        self.assertEqual(len(played.sent) - before, 2)
+        self.assertNotEqual(played.engine_of(), slow)
+        self.assertEqual(played.cancelled[-1].request, played.sent[-2].request)
+        played.engine_answers()
+        self.assertEqual(played.replies[-1].status, 200)
+
+    def test_a_correction_is_never_moved(self) -> None:
+        played = self.played()
+        for _ in range(LEAST_CALLS + 5):
+            played.request("/fix/x")
+            played.wait(0.02)
+            played.engine_answers()
+        before = len(played.sent)
+        played.request("/fix/x")
+        played.wait(1.5)
+        self.assertEqual(len(played.sent) - before, 1)
+        self.assertEqual(played.cancelled, [])
+
+    def test_moves_are_bounded_by_the_retry_budget(self) -> None:
+        played = self.played()
+        before = len(played.sent)
+        for _ in range(60):
+            played.request("/look/x")
+            played.wait(0.01)
+        played.wait(1.0)
+        self.assertLess(len(played.sent) - before, 60 + 25)
