--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -26,9 +26,9 @@
 MODEL_HEADROOM = 1.4
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
-NEW_PROGRAM_HEADROOM = 0.85
-"""The same for first turns: the more requests run, the slower each, and a program that begins
-where all are slow ends late and makes the others late."""
+NEW_PROGRAM_HEADROOM = 1.0
+"""The same for first turns: they take places, and what lies beyond the places is for programs
+that have begun. A program that begins where all are slow ends late and makes the others late."""
 AFFINITY_SECONDS = 0.02
 """Gain of the engine that saw a request's subject last."""
 
