--- /dev/null
+++ b/src/yokeline/forwarding/dispatch.py
@@ -0,0 +1,91 @@
+"""Requests that wait for an engine with room: sent in order, or refused after a while."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from yokeline.forwarding.ends import Ends
+from yokeline.forwarding.engine_sends import EngineSends
+from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.http_statuses import UNAVAILABLE
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.waiting import WaitingRequests
+
+WAIT_SHARE = 0.25
+"""Share of the target latency for which a request waits for an engine with room."""
+BEGUN_WAIT_SHARE = 1.0
+"""The same for a turn of a program that has begun."""
+RETRY_AFTER_SECONDS = 0.3
+"""Time after which a refused caller is to come back."""
+BEGUN_RETRY_AFTER_SECONDS = 0.1
+
+
+class Dispatch:
+    """Hands requests that wait to engines.
+
+    Attributes:
+        sent: Called with each request that was sent; nobody unless set.
+    """
+
+    def __init__(self, state: NodeState, sends: EngineSends, ends: Ends) -> None:
+        """Send with ``sends``, refuse with ``ends``."""
+        self._state = state
+        self._sends = sends
+        self._ends = ends
+        self.sent: Callable[[Exchange], None] = _nobody
+
+    def wait(self, exchange: Exchange) -> None:
+        """Let a request wait for an engine with room."""
+        now = self._state.now
+        exchange.phase = Phase.WAITING
+        exchange.engine = None
+        exchange.waiting_since = now
+        queue = self._state.waiting.setdefault(exchange.pool, WaitingRequests())
+        displaced = queue.add(exchange)
+        if displaced is not None:
+            self.give_up(displaced)
+        share = BEGUN_WAIT_SHARE if exchange.begun else WAIT_SHARE
+        limit = now + share * exchange.route.target_latency
+        self._state.schedule(exchange, min(limit, exchange.due), self._waited_long)
+
+    def give_up(self, exchange: Exchange) -> None:
+        """End a request for which no engine has room."""
+        if exchange.runs:
+            self._ends.fail(exchange, "no_engine_to_repeat")
+            return
+        retry_after = BEGUN_RETRY_AFTER_SECONDS if exchange.begun else RETRY_AFTER_SECONDS
+        waited = round(self._state.now - exchange.waiting_since, 4)
+        self._ends.refuse(
+            exchange, UNAVAILABLE, "no_engine", retry_after=retry_after, waited=waited
+        )
+
+    def dispatch_all(self) -> None:
+        """Send what may be sent, in all pools."""
+        for pool in list(self._state.waiting):
+            self.dispatch(pool)
+
+    def dispatch(self, pool: str) -> None:
+        """Send what waits for a pool, the most urgent first, as long as there is room."""
+        queue = self._state.waiting.get(pool)
+        if queue is None or not len(queue):
+            return
+        placement, now = self._state.placement, self._state.now
+        for exchange in queue.in_order():
+            if placement.is_hopeless(exchange, now):
+                queue.remove(exchange)
+                self.give_up(exchange)
+                continue
+            choice = placement.choose(exchange, self._state.pool_of(exchange), now)
+            if choice is None:
+                continue
+            queue.remove(exchange)
+            self._sends.send(exchange, choice)
+            self.sent(exchange)
+
+    def _waited_long(self, exchange: Exchange) -> None:
+        if exchange.phase is Phase.WAITING and not exchange.events:
+            self.give_up(exchange)
+
+
+def _nobody(exchange: Exchange) -> None:
+    """Tell nobody."""
--- /dev/null
+++ b/src/yokeline/forwarding/ends.py
@@ -0,0 +1,115 @@
+"""How requests end: answered, streamed to the end, cut, failed or refused."""
+
+from __future__ import annotations
+
+from yokeline.effects import HttpReply, HttpResponse, HttpStreamEnd
+from yokeline.forwarding.dialect import Dialect
+from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.http_statuses import BAD_GATEWAY, GATEWAY_TIMEOUT, OK
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.outcomes import LogField
+from yokeline.forwarding.settlements import Settlements
+
+
+class Ends:
+    """Gives each request its one final answer."""
+
+    def __init__(self, state: NodeState, settlements: Settlements, dialect: Dialect) -> None:
+        """Settle what ends with ``settlements``."""
+        self._state = state
+        self._outcomes = state.outcomes
+        self._settlements = settlements
+        self._dialect = dialect
+
+    def answer(self, exchange: Exchange, response: HttpResponse) -> None:
+        """Pass an engine's answer on."""
+        self._settlements.settle(exchange, 0)
+        self._outcomes.effects.append(
+            HttpReply(
+                exchange=exchange.exchange,
+                status=response.status,
+                headers=self._dialect.answer_headers(response),
+                body=response.body,
+                last=self._outcomes.closing,
+            )
+        )
+        self.end(exchange, "answered", status=response.status)
+
+    def finish_stream(self, exchange: Exchange) -> None:
+        """Pass the end of a whole stream on."""
+        self._outcomes.effects.append(HttpStreamEnd(exchange=exchange.exchange))
+        self.end(
+            exchange,
+            "streamed",
+            status=OK,
+            events=exchange.events,
+            predicted=round(exchange.predicted, 4),
+            at_engine=round(exchange.item_at - exchange.sent_at, 4),
+        )
+
+    def fail(self, exchange: Exchange, reason: str) -> None:
+        """End a request that may have run: nothing is promised."""
+        self._settlements.settle(exchange, self._settlements.tokens_of(exchange))
+        if exchange.first_event_at is not None:
+            self._outcomes.effects.append(HttpStreamEnd(exchange=exchange.exchange, aborted=True))
+            self.end(exchange, "cut", reason=reason, events=exchange.events, level="warning")
+            return
+        self._outcomes.reply_error(exchange.exchange, exchange.call.request_id, BAD_GATEWAY, reason)
+        self.end(exchange, "failed", status=BAD_GATEWAY, reason=reason, level="warning")
+
+    def time_out(self, exchange: Exchange) -> None:
+        """End a request whose time is over while it may run: nothing is promised."""
+        self._settlements.settle(exchange, 0)
+        self._outcomes.reply_error(
+            exchange.exchange, exchange.call.request_id, GATEWAY_TIMEOUT, "deadline"
+        )
+        self.end(exchange, "timed_out", status=GATEWAY_TIMEOUT, level="warning")
+
+    def leave(self, exchange: Exchange) -> None:
+        """End a request whose caller is gone."""
+        self._settlements.settle(exchange, self._settlements.tokens_of(exchange))
+        self.end(exchange, "caller_gone", events=exchange.events)
+
+    def refuse(
+        self,
+        exchange: Exchange,
+        status: int,
+        reason: str,
+        *,
+        retry_after: float | None = None,
+        **fields: LogField,
+    ) -> None:
+        """End a request that has not run and will not."""
+        self._settlements.settle(exchange, 0)
+        self._outcomes.reply_error(
+            exchange.exchange, exchange.call.request_id, status, reason, retry_after=retry_after
+        )
+        self._outcomes.count_refusal(status, reason)
+        self.end(exchange, "refused", level="info", status=status, reason=reason, **fields)
+
+    def end(
+        self, exchange: Exchange, outcome: str, *, level: str = "info", **fields: LogField
+    ) -> None:
+        """Forget a request, with its timers and its place in a queue."""
+        exchange.phase = Phase.ENDED
+        self._state.exchanges.pop(exchange.exchange, None)
+        queue = self._state.waiting.get(exchange.pool)
+        if queue is not None:
+            queue.remove(exchange)
+        self._settlements.forget_reservation(exchange)
+        for timer in exchange.timers:
+            timer.cancel()
+        exchange.timers.clear()
+        self._outcomes.count(outcome, fields.get("status"))
+        engine = exchange.engine.engine.engine_id if exchange.engine else ""
+        self._outcomes.log(
+            "request_ended",
+            exchange,
+            level=level,
+            outcome=outcome,
+            engine=engine,
+            sends=exchange.sends,
+            runs=exchange.runs,
+            seconds=round(self._state.now - exchange.started, 4),
+            **fields,
+        )
--- /dev/null
+++ b/src/yokeline/forwarding/engine_sends.py
@@ -0,0 +1,79 @@
+"""Requests on their way to engines and back: counted, told to the ledger's leader, cancelled."""
+
+from __future__ import annotations
+
+import itertools
+
+from yokeline.effects import HttpCancel
+from yokeline.forwarding.choice import Choice
+from yokeline.forwarding.dialect import Dialect
+from yokeline.forwarding.engine_request import engine_request
+from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.settlements import Settlements
+from yokeline.identifiers import RequestId
+
+
+class EngineSends:
+    """Sends requests to the engines chosen for them."""
+
+    def __init__(self, state: NodeState, settlements: Settlements, dialect: Dialect) -> None:
+        """Spell requests in ``dialect``."""
+        self._state = state
+        self._settlements = settlements
+        self._dialect = dialect
+        self._numbers = itertools.count(1)
+
+    def send(self, exchange: Exchange, choice: Choice) -> None:
+        """Send a request to the engine chosen."""
+        state, engine = self._state, choice.state
+        exchange.phase = Phase.SENT
+        exchange.engine = engine
+        exchange.sends += 1
+        exchange.sent_at = state.now
+        exchange.item_at = state.now
+        exchange.beside = choice.load
+        exchange.predicted = choice.predicted
+        exchange.uncached = max(0, exchange.call.prompt_tokens - choice.cached)
+        exchange.request = RequestId(f"call/{next(self._numbers)}")
+        state.by_request[exchange.request] = exchange
+        state.engines.note_sent(engine, exchange.uncached)
+        self._settlements.tell_of_begin(exchange, engine)
+        state.placement.note_sent(exchange, choice, state.pool_of(exchange))
+        if exchange.sends == 1:
+            state.added_seconds.observe(state.now - exchange.started)
+        self._log_choice(exchange, choice)
+        state.outcomes.effects.append(
+            engine_request(exchange, exchange.request, engine, self._dialect, state.now)
+        )
+
+    def leave(self, exchange: Exchange, *, failed: bool = False, slowness: float = 0.0) -> None:
+        """Note that a request is no longer at its engine, and how the engine served it."""
+        if exchange.request is not None:
+            self._state.by_request.pop(exchange.request, None)
+            exchange.request = None
+        if exchange.engine is not None:
+            self._state.engines.note_left(exchange.engine, exchange.uncached)
+            self._settlements.tell_of_end(
+                exchange, exchange.engine, failed=failed, slowness=slowness
+            )
+
+    def cancel(self, exchange: Exchange, *, failed: bool = False) -> None:
+        """Take a request back from its engine."""
+        if exchange.request is not None:
+            self._state.outcomes.effects.append(HttpCancel(exchange.request))
+        self.leave(exchange, failed=failed)
+
+    def _log_choice(self, exchange: Exchange, choice: Choice) -> None:
+        self._state.outcomes.log(
+            "engine_chosen",
+            exchange,
+            engine=choice.state.engine.engine_id,
+            cost=round(choice.cost, 4),
+            load=choice.load,
+            prompt=exchange.call.prompt_tokens,
+            cached=choice.cached,
+            predicted=round(choice.predicted, 4),
+            waited=round(self._state.now - exchange.waiting_since, 4),
+            send=exchange.sends,
+        )
--- /dev/null
+++ b/src/yokeline/forwarding/node_state.py
@@ -0,0 +1,60 @@
+"""What the parts of a forwarding node share: time, configuration, and the requests under way."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from yokeline.forwarding.engines import EngineBook
+from yokeline.forwarding.exchange import Exchange
+from yokeline.forwarding.model import Pool, RoutingTable
+from yokeline.forwarding.outcomes import Outcomes
+from yokeline.forwarding.placement import Placement
+from yokeline.forwarding.waiting import WaitingRequests
+from yokeline.histogram import Histogram
+from yokeline.identifiers import ExchangeId, RequestId
+from yokeline.timers import TimerQueue
+
+ERROR_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.7, 1.0, 2.0)
+"""Upper bounds of the shares by which predicted times of turns were wrong."""
+
+
+class NodeState:
+    """Shared by the parts of a :class:`~yokeline.forwarding.forwarder.Forwarder`.
+
+    Attributes:
+        now: Time of the event that is being taken in (monotonic seconds).
+        table: The configuration in force; None before the first one.
+        exchanges: Requests without a final answer, by exchange.
+        by_request: Those that are at an engine, by the request sent to it.
+        waiting: Those that wait for an engine, by pool.
+        added_seconds: Time from a request's arrival to its first send.
+        first_event_seconds: Time from a turn's arrival to its first event.
+        prediction_error: How far the time of turns at their engines was from what was
+            predicted, as a share of the time.
+    """
+
+    def __init__(self, zone: str, engines: EngineBook, outcomes: Outcomes) -> None:
+        """Begin without requests and without a configuration."""
+        self.now = 0.0
+        self.table: RoutingTable | None = None
+        self.engines = engines
+        self.outcomes = outcomes
+        self.placement = Placement(zone, engines)
+        self.exchanges: dict[ExchangeId, Exchange] = {}
+        self.by_request: dict[RequestId, Exchange] = {}
+        self.waiting: dict[str, WaitingRequests] = {}
+        self.timers = TimerQueue()
+        self.added_seconds = Histogram()
+        self.first_event_seconds = Histogram()
+        self.prediction_error = Histogram(ERROR_BUCKETS)
+
+    def pool_of(self, exchange: Exchange) -> Pool:
+        """Return the pool that serves a request."""
+        assert self.table is not None
+        pool = self.table.pools.get(exchange.pool)
+        return pool or Pool(name=exchange.pool, max_connections=1)
+
+    def schedule(self, exchange: Exchange, due: float, action: Callable[[Exchange], None]) -> None:
+        """Do something for a request at a time, unless the request has ended by then."""
+        timer = self.timers.schedule(due, lambda: action(exchange))
+        exchange.timers.append(timer)
--- /dev/null
+++ b/src/yokeline/forwarding/repeats.py
@@ -0,0 +1,162 @@
+"""Requests whose engine rejected, failed or kept them too long: sent elsewhere, or ended.
+
+A request that may not be repeated is sent a second time only after its engine has said that it
+did not run, or if no byte of it left.
+"""
+
+from __future__ import annotations
+
+from yokeline.effects import HttpFailed, HttpResponse
+from yokeline.forwarding.dispatch import Dispatch
+from yokeline.forwarding.ends import Ends
+from yokeline.forwarding.engine_sends import EngineSends
+from yokeline.forwarding.engines import FULL_SECONDS
+from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.model import RouteKind
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.patience import CallPatience
+from yokeline.forwarding.retry_budget import RetryBudget
+
+MAX_REJECTIONS = 4
+MAX_RUNS = 3
+"""Engines that a repeatable request may run on, one after the other has ended."""
+LEAST_REPEAT_SECONDS = 0.02
+"""A request with less time left is not sent again."""
+
+
+class Repeats:
+    """Decides what follows when an engine did not serve a request."""
+
+    def __init__(
+        self, state: NodeState, sends: EngineSends, dispatch: Dispatch, ends: Ends
+    ) -> None:
+        """Watch what ``dispatch`` sends."""
+        self._state = state
+        self._outcomes = state.outcomes
+        self._sends = sends
+        self._dispatch = dispatch
+        self._ends = ends
+        self._retries = RetryBudget()
+        self._patience = CallPatience()
+        dispatch.sent = self._note_sent
+
+    def may_run_again(self, exchange: Exchange) -> bool:
+        """Return whether another run is allowed, wanted and within the retry budget."""
+        if not exchange.route.may_repeat or exchange.runs >= MAX_RUNS:
+            return False
+        if exchange.answered_runs >= exchange.route.max_attempts:
+            return False
+        return exchange.due - self._state.now > LEAST_REPEAT_SECONDS and (
+            self._retries.allows_repeat() or exchange.events > 0
+        )
+
+    def repeat(self, exchange: Exchange, reason: str) -> None:
+        """Let a request wait for another engine."""
+        self._retries.note_repeat()
+        self._outcomes.counters["yokeline_forwarding_repeats_total"] += 1
+        self._outcomes.log(
+            "request_repeated",
+            exchange,
+            reason=reason,
+            runs=exchange.runs,
+            after_event=exchange.last_event_id,
+            budget_left=round(self._retries.left, 1),
+        )
+        self._dispatch.wait(exchange)
+
+    def rejected(self, exchange: Exchange, response: HttpResponse) -> None:
+        """Try elsewhere: the engine has not run the request."""
+        engine = exchange.engine
+        self._sends.leave(exchange)
+        exchange.rejections += 1
+        self._outcomes.counters["yokeline_forwarding_rejections_total"] += 1
+        if engine is not None:
+            exchange.tried.add(engine.engine.engine_id)
+            engine.full_until = self._state.now + FULL_SECONDS
+        self._outcomes.log(
+            "engine_rejected",
+            exchange,
+            engine=engine.engine.engine_id if engine else "",
+            status=response.status,
+            rejections=exchange.rejections,
+        )
+        if exchange.rejections >= MAX_REJECTIONS:
+            self._dispatch.give_up(exchange)
+            return
+        self._dispatch.wait(exchange)
+
+    def send_failed(self, exchange: Exchange, failure: HttpFailed) -> None:
+        """Go on after an engine broke off, or could not be reached."""
+        engine = exchange.engine
+        self._sends.leave(exchange, failed=not failure.stale)
+        if engine is not None:
+            exchange.tried.add(engine.engine.engine_id)
+            if not failure.stale:
+                engine.note_failure(self._state.now)
+        if not failure.sent:
+            self._send_again_unsent(exchange, failure)
+            return
+        if exchange.phase is Phase.SENT and exchange.head is None:
+            exchange.runs += 1
+        self._repeat_or_fail(exchange, failure.reason)
+
+    def cancel_and_repeat(self, exchange: Exchange, reason: str) -> None:
+        """Take a stream from an engine that fell silent."""
+        engine = exchange.engine
+        self._sends.cancel(exchange, failed=True)
+        if engine is not None:
+            exchange.tried.add(engine.engine.engine_id)
+            engine.note_failure(self._state.now)
+        self._repeat_or_fail(exchange, reason)
+
+    def note_answered(self, exchange: Exchange) -> None:
+        """Learn how long a call that was answered took."""
+        seconds = self._state.now - exchange.sent_at
+        self._patience.note_answered(exchange.route.name, seconds)
+
+    # ------------------------------------------------------------ inner steps
+
+    def _repeat_or_fail(self, exchange: Exchange, reason: str) -> None:
+        if self.may_run_again(exchange):
+            self.repeat(exchange, reason)
+        else:
+            self._ends.fail(exchange, reason)
+
+    def _send_again_unsent(self, exchange: Exchange, failure: HttpFailed) -> None:
+        exchange.rejections += 1
+        if exchange.rejections >= MAX_REJECTIONS:
+            self._dispatch.give_up(exchange)
+            return
+        self._outcomes.log("send_not_made", exchange, reason=failure.reason)
+        self._dispatch.wait(exchange)
+
+    def _note_sent(self, exchange: Exchange) -> None:
+        if exchange.sends == 1:
+            self._retries.note_first_send()
+        if exchange.route.kind is RouteKind.IDEMPOTENT:
+            self._watch_call(exchange)
+
+    def _watch_call(self, exchange: Exchange) -> None:
+        """Look again when an answer of this engine is late; only a call that may be repeated."""
+        patience = self._patience.seconds(exchange.route.name, exchange.sends)
+        if patience is not None:
+            due = self._state.now + patience
+            self._state.schedule(exchange, due, self._move_late_call)
+
+    def _move_late_call(self, exchange: Exchange) -> None:
+        """Give a call up at an engine that is late with it, and try another one."""
+        waited = self._state.now - exchange.sent_at
+        patience = self._patience.seconds(exchange.route.name, exchange.sends)
+        is_late = patience is not None and waited >= patience
+        if exchange.phase is not Phase.SENT or exchange.head is not None or not is_late:
+            return
+        self._patience.note_given_up(exchange.route.name, waited)
+        engine = exchange.engine
+        if engine is None or not self.may_run_again(exchange):
+            return
+        exchange.runs += 1
+        exchange.tried.add(engine.engine.engine_id)
+        engine.note_outcome(self._state.now, failed=True)
+        self._sends.cancel(exchange, failed=True)
+        self.repeat(exchange, "late engine")
+        self._dispatch.dispatch(exchange.pool)
--- /dev/null
+++ b/src/yokeline/forwarding/reservations.py
@@ -0,0 +1,98 @@
+"""The first step of a turn: its budget is reserved, and the history of its chain is fetched."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from yokeline.effects import Effect
+from yokeline.forwarding.ends import Ends
+from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.history import TurnCache
+from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.turn_operations import reservation_of
+from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.messages import BudgetSpent, Granted, NoSuchTurn, OperationResult
+
+LEDGER_SECONDS = 2.0
+"""Longest wait for a reservation; then the request is refused, not run."""
+LEDGER_RETRY_AFTER_SECONDS = 0.2
+HISTORY_RETRY_AFTER_SECONDS = 0.1
+
+
+class Reservations:
+    """Asks the ledger for turns; nothing is sent to an engine before its answer."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        ledger: LedgerClient,
+        ends: Ends,
+        turns: TurnCache,
+        granted: Callable[[Exchange], None],
+    ) -> None:
+        """Call ``granted`` with each turn that may go on."""
+        self._state = state
+        self._ledger = ledger
+        self._ends = ends
+        self._turns = turns
+        self._granted = granted
+
+    def reserve(self, exchange: Exchange) -> None:
+        """Ask for a turn's budget and for what it continues."""
+        exchange.phase = Phase.RESERVING
+        missing_from = self._turns.missing_from(exchange.call.previous_turn)
+        operation = reservation_of(exchange, missing_from)
+        exchange.operation = operation
+
+        def reserved(result: OperationResult | None, now: float) -> list[Effect]:
+            self._state.now = now
+            self._take_result(exchange, result)
+            return self._state.outcomes.take_effects()
+
+        now = self._state.now
+        give_up_at = min(exchange.due, now + LEDGER_SECONDS)
+        effects = self._ledger.ask(operation, reserved, now, give_up_at)
+        self._state.outcomes.effects.extend(effects)
+
+    def _take_result(self, exchange: Exchange, result: OperationResult | None) -> None:
+        """Go on with a reservation, or refuse.
+
+        Without an answer the reservation may stand; it is released, so that a turn that did
+        not run does not count.
+        """
+        if exchange.phase is not Phase.RESERVING:
+            return
+        exchange.operation = None
+        if isinstance(result, Granted):
+            exchange.reserved = exchange.call.budget is not None
+            exchange.spent = result.spent
+            exchange.context = result.context
+            self._add_history(exchange, result)
+        elif isinstance(result, BudgetSpent):
+            self._ends.refuse(exchange, PAYMENT_REQUIRED, "budget_spent", spent=result.spent)
+        elif isinstance(result, NoSuchTurn):
+            self._ends.refuse(exchange, NOT_FOUND, "no_such_turn", turn=result.turn_id)
+        else:
+            exchange.reserved = exchange.call.budget is not None
+            self._ends.refuse(
+                exchange,
+                UNAVAILABLE,
+                "ledger_unavailable",
+                retry_after=LEDGER_RETRY_AFTER_SECONDS,
+            )
+
+    def _add_history(self, exchange: Exchange, granted: Granted) -> None:
+        for turn in granted.turns:
+            self._turns.put(turn)
+        history = self._turns.history(exchange.call.previous_turn)
+        if history is None:
+            self._ends.refuse(
+                exchange,
+                UNAVAILABLE,
+                "history_incomplete",
+                retry_after=HISTORY_RETRY_AFTER_SECONDS,
+            )
+            return
+        exchange.body = history + exchange.arrived.body
+        self._granted(exchange)
--- /dev/null
+++ b/src/yokeline/forwarding/settlements.py
@@ -0,0 +1,98 @@
+"""What the ledger is told of a turn: what it generated, that it is kept, and where it runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from yokeline.effects import Effect
+from yokeline.forwarding.engines import EngineState
+from yokeline.forwarding.exchange import Exchange
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.turn_operations import kept_turn_of, needs_ledger, settlement_of
+from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.messages import KeptTurn, OperationResult, TurnBegan, TurnEnded
+
+SETTLE_SECONDS = 5.0
+"""How long a settlement is repeated; what is never settled counts at its most."""
+
+TurnKept = Callable[[Exchange, OperationResult | None], None]
+"""Told whether a turn is kept; None if that is not known."""
+
+
+class Settlements:
+    """Settles the turns of one node."""
+
+    def __init__(self, state: NodeState, ledger: LedgerClient) -> None:
+        """Tell ``ledger``."""
+        self._state = state
+        self._ledger = ledger
+
+    def settle(self, exchange: Exchange, tokens: int) -> None:
+        """Replace a reservation, if there is one, by what was handed to the caller."""
+        if not exchange.reserved:
+            return
+        exchange.reserved = False
+
+        def settled(result: OperationResult | None, now: float) -> list[Effect]:
+            self._state.now = now
+            if result is None:
+                self._state.outcomes.log(
+                    "settlement_unknown", exchange, level="warning", tokens=tokens
+                )
+            return self._state.outcomes.take_effects()
+
+        give_up_at = self._state.now + SETTLE_SECONDS
+        operation = settlement_of(exchange, tokens, None)
+        self._ask(self._ledger.ask(operation, settled, self._state.now, give_up_at))
+
+    def keep(self, exchange: Exchange, kept: TurnKept) -> None:
+        """Settle a whole turn and have it kept; ``kept`` is called once."""
+        turn: KeptTurn = kept_turn_of(exchange)
+        exchange.reserved = False
+
+        def settled(result: OperationResult | None, now: float) -> list[Effect]:
+            self._state.now = now
+            kept(exchange, result)
+            return self._state.outcomes.take_effects()
+
+        operation = settlement_of(exchange, self.tokens_of(exchange), turn)
+        self._ask(self._ledger.ask(operation, settled, self._state.now, exchange.due))
+
+    def forget_reservation(self, exchange: Exchange) -> None:
+        """Stop asking for a reservation; it may stand, so it is released."""
+        if exchange.operation is None:
+            return
+        self._ledger.forget(exchange.operation)
+        if exchange.call.budget is not None:
+            exchange.reserved = True
+            self.settle(exchange, 0)
+
+    def tokens_of(self, exchange: Exchange) -> int:
+        """Return the tokens handed to the caller."""
+        traits = self._state.pool_of(exchange).model
+        per_event = 1 if traits is None else traits.tokens_per_event
+        return exchange.events * per_event
+
+    def tell_of_begin(self, exchange: Exchange, engine: EngineState) -> None:
+        """Tell the ledger's leader, which knows the turns of all nodes, where a turn runs."""
+        if needs_ledger(exchange):
+            call = exchange.call
+            tokens = call.prompt_tokens + call.most_tokens
+            note = TurnBegan(call.request_id, engine.engine.engine_id, tokens)
+            self._ledger.note(note)
+
+    def tell_of_end(
+        self, exchange: Exchange, engine: EngineState, *, failed: bool, slowness: float
+    ) -> None:
+        """Tell it that a turn left its engine, and how it was served."""
+        if needs_ledger(exchange):
+            note = TurnEnded(
+                request_id=exchange.call.request_id,
+                engine_id=engine.engine.engine_id,
+                failed=failed,
+                slowness=round(slowness, 3),
+            )
+            self._ledger.note(note)
+
+    def _ask(self, effects: list[Effect]) -> None:
+        self._state.outcomes.effects.extend(effects)
--- /dev/null
+++ b/src/yokeline/forwarding/streams.py
@@ -0,0 +1,125 @@
+"""Streams of events: begun with the first event, watched for silence, ended once kept."""
+
+from __future__ import annotations
+
+from yokeline.effects import HttpStreamData, HttpStreamItem, HttpStreamStart
+from yokeline.forwarding.dialect import Dialect
+from yokeline.forwarding.ends import Ends
+from yokeline.forwarding.engine_sends import EngineSends
+from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.history import TurnCache, event_data
+from yokeline.forwarding.http_parts import is_later
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.repeats import Repeats
+from yokeline.forwarding.settlements import Settlements
+from yokeline.forwarding.turn_operations import kept_turn_of
+from yokeline.ledger.messages import OperationResult
+
+EVENT_SECONDS = 0.9
+"""Silence after which a stream that may be resumed is taken from its engine."""
+LEAST_WATCH_SECONDS = 0.05
+
+
+class Streams:
+    """Passes streams on."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        sends: EngineSends,
+        settlements: Settlements,
+        ends: Ends,
+        repeats: Repeats,
+        turns: TurnCache,
+        dialect: Dialect,
+    ) -> None:
+        """Keep whole turns in ``turns`` as well as in the ledger."""
+        self._state = state
+        self._sends = sends
+        self._settlements = settlements
+        self._ends = ends
+        self._repeats = repeats
+        self._turns = turns
+        self._dialect = dialect
+
+    def take_item(self, exchange: Exchange, item: HttpStreamItem) -> None:
+        """Pass an event on, unless the caller has it already."""
+        if exchange.phase is Phase.SENT:
+            self._start(exchange)
+        if exchange.phase is not Phase.STREAMING:
+            return
+        now = self._state.now
+        if exchange.engine is not None and exchange.events:
+            exchange.engine.note_pace(now - exchange.item_at)
+        exchange.item_at = now
+        if exchange.route.retain and is_later(item.event_id, exchange.kept_event_id):
+            exchange.text.append(event_data(item.data))
+            exchange.kept_event_id = item.event_id
+        if not is_later(item.event_id, exchange.last_event_id):
+            return
+        exchange.last_event_id = item.event_id or exchange.last_event_id
+        exchange.events += 1
+        self._state.outcomes.effects.append(HttpStreamData(exchange.exchange, item.data))
+
+    def ended(self, exchange: Exchange) -> None:
+        """Pass the end on; a turn that is kept is committed before."""
+        engine = exchange.engine
+        slowness = self._state.placement.note_turn(exchange, self._state.now)
+        self._sends.leave(exchange, slowness=slowness)
+        if engine is not None:
+            engine.note_success(self._state.now)
+        if exchange.phase is Phase.SENT:
+            self._start(exchange)
+        exchange.is_whole = True
+        self._note_prediction(exchange)
+        if not exchange.route.retain:
+            self._settlements.settle(exchange, self._settlements.tokens_of(exchange))
+            self._ends.finish_stream(exchange)
+            return
+        exchange.phase = Phase.KEEPING
+        self._settlements.keep(exchange, self._kept)
+
+    def _start(self, exchange: Exchange) -> None:
+        assert exchange.head is not None
+        exchange.phase = Phase.STREAMING
+        if exchange.first_event_at is not None:
+            return
+        exchange.first_event_at = self._state.now
+        self._state.first_event_seconds.observe(self._state.now - exchange.started)
+        if exchange.route.may_repeat:
+            self._watch_silence(exchange)
+        self._state.outcomes.effects.append(
+            HttpStreamStart(
+                exchange=exchange.exchange,
+                status=exchange.head.status,
+                headers=self._dialect.answer_headers(exchange.head),
+                last=self._state.outcomes.closing,
+            )
+        )
+
+    def _watch_silence(self, exchange: Exchange) -> None:
+        due = max(exchange.item_at + EVENT_SECONDS, self._state.now + LEAST_WATCH_SECONDS)
+        self._state.schedule(exchange, due, self._check_silence)
+
+    def _check_silence(self, exchange: Exchange) -> None:
+        at_engine = exchange.phase is Phase.STREAMING and exchange.request is not None
+        if at_engine and self._state.now - exchange.item_at >= EVENT_SECONDS:
+            self._repeats.cancel_and_repeat(exchange, "silent engine")
+        if exchange.phase in (Phase.STREAMING, Phase.WAITING, Phase.SENT):
+            self._watch_silence(exchange)
+
+    def _kept(self, exchange: Exchange, result: OperationResult | None) -> None:
+        if exchange.phase is not Phase.KEEPING:
+            return
+        if result is None:
+            self._ends.fail(exchange, "turn_not_kept")
+            return
+        self._turns.put(kept_turn_of(exchange))
+        self._ends.finish_stream(exchange)
+
+    def _note_prediction(self, exchange: Exchange) -> None:
+        """Count how far the time at the engine was from what the choice expected."""
+        measured = self._state.now - exchange.sent_at
+        if exchange.predicted and measured > 0 and exchange.sends == 1:
+            error = abs(measured - exchange.predicted) / measured
+            self._state.prediction_error.observe(error)
--- a/tests/processes/platform/test_roles.py
+++ b/tests/processes/platform/test_roles.py
@@ -60,7 +60,8 @@
     def test_a_stream_goes_on_when_its_engine_breaks_off(self) -> None:
         with Deployment() as deployment:
             deployment.turn(0, "/turn/x", "warm", program_id="w")
-            deployment.models[0].break_after = 2
+            preferred = next(model for model in deployment.models if model.runs)
+            preferred.break_after = 2
             for number in range(4):
                 status, body = deployment.turn(0, "/turn/x", f"r{number}", program_id=f"p{number}")
                 self.assertEqual((status, body), (200, STREAM))
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -4,8 +4,8 @@
 
 from tests.unit.forwarding.support import TABLE, Played
 from yokeline.effects import HttpStreamStart
-from yokeline.forwarding.forwarder import LEDGER_SECONDS
 from yokeline.forwarding.held_requests import HOLD_SECONDS, MAX_HELD, MAX_HELD_BYTES
+from yokeline.forwarding.reservations import LEDGER_SECONDS
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import (
     BudgetSpent,
