--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -30,16 +30,11 @@
 )
 from yokeline.ledger.messages import (
     Join,
-    LeaderHint,
-    LedgerReply,
     LedgerRequest,
-    OperationResult,
     ReplicaMessage,
-    Reserve,
-    size_of,
 )
 from yokeline.ledger.replica import LedgerReplica
-from yokeline.ledger.turns_under_way import TurnsUnderWay
+from yokeline.ledger.request_batches import RequestBatches
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
@@ -65,11 +60,6 @@
 """A member that knows no leader for this long asks to join, in case it was removed."""
 SURVIVOR_SECONDS = 1.5
 """Silence of the other one of two members after which this one asks to go on alone."""
-MAX_BATCHED_REQUESTS = 1024
-"""Requests that may wait for an entry under way; the oldest give way, as their askers have."""
-MAX_BATCH_BYTES = 64 * 1024
-"""Bytes of an entry after which the next request goes into the next one: heartbeats wait behind
-an entry on its way to the followers."""
 STOP_SECONDS = 0.5
 """Time that a planned stop leaves to a hand-over of leadership."""
 
@@ -96,7 +86,6 @@
         self._registry = registry
         self._formats = formats
         self._first_start = first_start
-        self._wall = wall
         self._joins: dict[NodeName, JoinRequest] = {}
         self._lost: frozenset[ReplicaId] = frozenset()
         self._superseded: set[ReplicaId] = set()
@@ -108,18 +97,13 @@
         self._founding = False
         self._retire_written: dict[NodeName, bool] = {}
         self._stop_at: float | None = None
-        self._batch: dict[tuple[ReplicaId, int], LedgerRequest] = {}
-        self._batch_under_way = False
-        self.turns = TurnsUnderWay()
-        self._now = now
-        self.requests = 0
+        self.batches = RequestBatches(replica, wall, now)
         registry.ensure(node_key(record.name), encode_node(record))
 
     # ------------------------------------------------------------ service
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take an event in and return effects."""
-        self._now = now
         effects: list[Effect] = []
         ours, _changed, log = self._registry.take(event, now)
         effects.extend(log)
@@ -128,8 +112,7 @@
         effects.extend(self._registry.tick(now))
         if now >= self.replica.next_deadline():
             effects.extend(self.replica.tick(now))
-        if not self._batch_under_way:
-            effects.extend(self._propose_batch(now))
+        effects.extend(self.batches.propose(now))
         effects.extend(self._found_if_first(now))
         effects.extend(self._ask_to_join(now))
         effects.extend(self._go_on_alone(now))
@@ -169,83 +152,11 @@
         if isinstance(message, ReplicaMessage):
             return self.replica.step(event.sender, message, now)
         if isinstance(message, LedgerRequest):
-            return self._take_request(event.sender, message, now)
+            return self.batches.take(event.sender, message, now)
         if isinstance(message, Join):
             return self._take_join(message, now)
         return []
 
-    def _take_request(self, asker: ReplicaId, request: LedgerRequest, now: float) -> list[Effect]:
-        self._take_notes(request, now)
-        if not request.operations:
-            return []
-        self.requests += len(request.operations)
-        # A request that is repeated while it waits takes its place, and is proposed once.
-        self._batch[asker, request.number] = request
-        if len(self._batch) > MAX_BATCHED_REQUESTS:
-            del self._batch[next(iter(self._batch))]
-        return [] if self._batch_under_way else self._propose_batch(now)
-
-    def _take_notes(self, request: LedgerRequest, now: float) -> None:
-        if self.replica.leads:
-            for note in request.notes:
-                self.turns.take(note, now)
-        elif len(self.turns):
-            self.turns.clear()
-
-    def _propose_batch(self, now: float) -> list[Effect]:
-        """Propose what came while the last entry was under way as one entry, up to a size."""
-        batch = self._take_batch()
-        if not batch:
-            return []
-        self._batch_under_way = True
-        operations = tuple(item for _, request in batch for item in request.operations)
-
-        def answer(results: tuple[OperationResult, ...] | None) -> list[Effect]:
-            self._batch_under_way = False
-            return self._answer_batch(batch, results)
-
-        return self.replica.propose(operations, answer, now, self._wall())
-
-    def _take_batch(self) -> list[tuple[ReplicaId, LedgerRequest]]:
-        batch: list[tuple[ReplicaId, LedgerRequest]] = []
-        size = 0
-        while self._batch and size < MAX_BATCH_BYTES:
-            key = next(iter(self._batch))
-            request = self._batch.pop(key)
-            batch.append((key[0], request))
-            size += sum(size_of(operation) for operation in request.operations)
-        return batch
-
-    def _answer_batch(
-        self,
-        batch: list[tuple[ReplicaId, LedgerRequest]],
-        results: tuple[OperationResult, ...] | None,
-    ) -> list[Effect]:
-        effects: list[Effect] = []
-        start = 0
-        for asker, request in batch:
-            end = start + len(request.operations)
-            own = None if results is None else results[start:end]
-            effects.append(self._reply(asker, request, own))
-            start = end
-        return effects
-
-    def _reply(
-        self,
-        asker: ReplicaId,
-        request: LedgerRequest,
-        results: tuple[OperationResult, ...] | None,
-    ) -> Effect:
-        leader = self.replica.group.leader
-        address = self.replica.leader_address()
-        hint = LeaderHint(leader, address) if leader is not None and address else None
-        is_asked = any(isinstance(operation, Reserve) for operation in request.operations)
-        engines = self.turns.engines(self._now) if results and is_asked else ()
-        reply = LedgerReply(
-            number=request.number, results=results or (), leader=hint, engines=engines
-        )
-        return SendPeer(to=asker, address=request.asker, message=reply)
-
     def _begin_stop(self, now: float) -> list[Effect]:
         """Hand leadership over, then end."""
         if self._stop_at is not None:
@@ -491,9 +402,9 @@
         "yokeline_ledger_term": float(node.replica.group.term),
         "yokeline_ledger_commit_index": float(node.replica.group.commit_index),
         "yokeline_ledger_leads": float(node.replica.leads),
-        "yokeline_ledger_turns_under_way": float(len(node.turns)),
+        "yokeline_ledger_turns_under_way": float(len(node.batches.turns)),
         "yokeline_ledger_members": float(len(node.replica.group.members)),
     }
     gauges.update(node.phases.gauges())
-    counters = {"yokeline_ledger_operations_total": float(node.requests)}
+    counters = {"yokeline_ledger_operations_total": float(node.batches.operations)}
     return NodeFigures(counters=counters, gauges=gauges)
