Report loads each 0.1 s at most, now that the leader tells of turns

Hypothesis: reports each 0.02 s were for turns; apps do with fewer, and bytes between zones and processor time are priced. The test of the old pause now holds the new one; the herd of turns that it stood for is held off by tests/unit/forwarding/test_turns_told.py.

--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -22,9 +22,10 @@
 
 MAX_DIRECT_NODES = 16
 """Most nodes that tell each other directly."""
-REPORT_SECONDS = 0.02
+REPORT_SECONDS = 0.1
 """Least pause between two reports of load that changed, while an engine is busy: what the others
-do not know yet sends them all to the engine that was the least loaded a moment ago."""
+do not know yet sends them all to the engine that was the least loaded a moment ago. Turns need no
+shorter one, since the ledger's leader tells of them."""
 RELAYED_REPORT_SECONDS = 0.08
 """The same where a relay passes the reports on."""
 CALM_REPORT_SECONDS = 0.3
