--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -10,12 +10,6 @@
 from yokeline.ledger.messages import CachedContext
 from yokeline.scheduling.engine_model import EngineModel
 
-LAPSED_TURNS = 8.0
-"""The same for an engine whose entry went without a word of leaving, times the share of the
-pool's engines that are still listed: if all entries went, the key-value service was away."""
-PREFERENCE_SHARE = 0.04
-"""Cost of the engine that this node likes least, as a share of a usual turn or call: it parts
-engines that cost the same, so that nodes choose different ones, and keeps connections in use."""
 OTHER_ZONE_SECONDS = 0.016
 """Cost of another zone: the way there and back, and the prompt's bytes between zones."""
 SUSPECT_TURNS = 2.0
@@ -23,6 +17,12 @@
 FAULT_TURNS = 4.0
 """The same for an engine at which all requests fail; a lesser share costs that share of it: the
 work is lost, and the caller has few tries."""
+LAPSED_TURNS = 8.0
+"""The same for an engine whose entry went without a word of leaving, times the share of the
+pool's engines that are still listed: if all entries went, the key-value service was away."""
+PREFERENCE_SHARE = 0.04
+"""Cost of the engine that this node likes least, as a share of a usual turn or call: it parts
+engines that cost the same, so that nodes choose different ones, and keeps connections in use."""
 MODEL_HEADROOM = 1.4
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -82,7 +82,8 @@
 
     def _pump(self, source: socket.socket, target: socket.socket, is_answer: bool) -> None:
         """Pass the bytes of one direction on until an end closes."""
-        source.settimeout(_POLL_SECONDS)
+        with contextlib.suppress(OSError):  # the other direction may have reset it already
+            source.settimeout(_POLL_SECONDS)
         while not self._closed:
             try:
                 data = source.recv(_READ_BYTES)
