--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -96,6 +96,7 @@
         self._numbers = 0
         self._is_path_lost = False
         self._result_at = float("-inf")
+        self._answering_leader: ReplicaId | None = None
         self._notes: list[TurnNote] = []
         self.helpful_peers: HelpfulPeers = list
         self.engines_told: EnginesTold = _nobody
@@ -205,6 +206,7 @@
         effects = [] if reply.passed_on else self._note_leader(reply.leader)
         if reply.results and not reply.passed_on:
             effects.extend(self._note_path_found(now))
+            effects.extend(self._send_waiting_again(reply, now))
         if reply.engines:
             self.engines = reply.engines
             self.engines_told(reply.engines, now)
@@ -221,6 +223,23 @@
             asked.send_at = min(asked.send_at, now + _pause_of(asked))
         return effects
 
+    def _send_waiting_again(self, reply: LedgerReply, now: float) -> list[Effect]:
+        """Send what waits for its next repetition to a leader that has just begun to answer.
+
+        While there was none, repetitions came ever more rarely; the next one may be due only
+        after the operation is given up.
+        """
+        leader = self._leader
+        if leader is None or leader.replica == self._answering_leader:
+            return []
+        self._answering_leader = leader.replica
+        effects: list[Effect] = []
+        for number, asked in self._asked.items():
+            if number != reply.number and now - asked.asked_at >= RESEND_SECONDS:
+                asked.sends = 0
+                effects.extend(self._send(number, asked, now))
+        return effects
+
     # ------------------------------------------------------------ the way to the ledger
 
     def _doubt_path(self, asked: _Asked, now: float) -> list[Effect]:
--- a/tests/unit/ledger/test_ledger_paths.py
+++ b/tests/unit/ledger/test_ledger_paths.py
@@ -44,6 +44,8 @@
         self.now = 100.0
         self.ledger = LedgerState()
         self.leads = True
+        self.leader = LEADER
+        self.dead: set[ReplicaId] = set()
         self.answer_seconds = STEP
         self.edges = [Edge(f"edge-{number}", number) for number in range(edges)]
         self.arriving: list[tuple[float, Edge | None, ReplicaId, SendPeer]] = []
@@ -117,12 +119,14 @@
         self.carry_out(edge, edge.client.pass_on(sender, request, answered, self.now))
 
     def storage_takes(self, asker: Edge, replica: ReplicaId, request: LedgerRequest) -> None:
+        if replica in self.dead:
+            return
         results: tuple[OperationResult, ...] = ()
-        if replica == LEADER.replica and self.leads:
+        if replica == self.leader.replica and self.leads:
             self.taken.extend(request.operations)
             command = LedgerCommand(time=self.now, operations=request.operations)
             results = self.ledger.transition_apply(command)
-        hint = LEADER if self.leads else None
+        hint = self.leader if self.leads else None
         reply = LedgerReply(number=request.number, results=results, leader=hint)
         effect = SendPeer(to=asker.process, address=asker.address, message=reply)
         self.arriving.append((self.now + self.answer_seconds, None, replica, effect))
@@ -193,6 +197,47 @@
         self.assertIn("ledger_path_found", edge.logged)
 
 
+class NewLeader(unittest.TestCase):
+    def test_what_waited_for_a_leader_is_answered_soon_after_there_is_one(self) -> None:
+        """Repetitions grow rarer, and one that goes to the dead leader waits the longest."""
+        fleet = Fleet(2)
+        edge = fleet.edges[0]
+        fleet.ask(edge, reserve("first", 10_000))
+        fleet.leads = False
+        fleet.dead = {LEADER.replica}
+        answers: list[OperationResult | None] = []
+
+        def done(result: OperationResult | None, now: float) -> list[Effect]:
+            answers.append(result)
+            return []
+
+        for number in range(8):
+            operation = reserve(f"r{number}", 10_000)
+            effects = edge.client.ask(operation, done, fleet.now, fleet.now + 2.0)
+            fleet.carry_out(edge, effects)
+            fleet.run(0.01)
+        fleet.run(1.3)
+        fleet.leader = LeaderHint(ReplicaId("s2"), STORAGE[ReplicaId("s2")])
+        fleet.leads = True
+        began = fleet.now
+        while len(answers) < 8 and fleet.now < began + 3:
+            fleet.step()
+        self.assertTrue(all(isinstance(answer, Granted) for answer in answers))
+        self.assertLess(fleet.now - began, 0.4)
+
+    def test_a_leader_that_goes_on_answering_gets_nothing_twice(self) -> None:
+        fleet = Fleet(1)
+        edge = fleet.edges[0]
+        fleet.answer_seconds = 2.5 * RESEND_SECONDS
+        for number in range(40):
+            operation = reserve(f"r{number}", 10_000)
+            effects = edge.client.ask(operation, lambda result, now: [], fleet.now, fleet.now + 5)
+            fleet.carry_out(edge, effects)
+            fleet.run(0.05)
+        fleet.run(2.0)
+        self.assertLess(len(fleet.taken), 3.5 * 40)
+
+
 class NoLoops(unittest.TestCase):
     def test_nothing_is_passed_on_twice(self) -> None:
         fleet = Fleet()
