Drop what the learned model and the few watchers made needless

EngineBook.live_nodes had no caller any more; context_tokens was written and never read; the pace of each event of a stream, and the median pace of a pool of model engines, were computed in the hot path and used by nothing since the engine model. Behaviour stays; no test changed.

--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -90,7 +90,7 @@
 ) -> Choice | None:
     """Return the best engine with room; None if there is none."""
     best: Choice | None = None
-    usual_pace = _usual_pace(engines)
+    usual_pace = _usual_pace(engines) if inputs.model is None else 0.0
     listed = sum(not state.lapsed_until for state in engines) / max(1, len(engines))
     pool = PoolView(usual_pace, listed)
     for state in engines:
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -40,7 +40,6 @@
         running: Requests of this node that it has under way.
         tokens: Prompt tokens of these that it had to read.
         others: Requests of other nodes, as the ledger's leader told, or from their reports.
-        context_tokens: Tokens of the contexts of all turns there, as the leader told; 0 unknown.
         told_failed: Share of the turns of all nodes that failed there, as the leader told.
         slowness: Time between its events as a multiple of what is usual, as the leader told.
         full_until: It rejected a request; until then it gets no other one.
@@ -50,7 +49,7 @@
             at ``fault_at``; it fades with time, so that an engine that is avoided is tried again.
         lapsed_until: Its entry went without a word of leaving; until then it is a last resort,
             then it is forgotten. 0 for an engine that is listed.
-        pace: Moving average of seconds for a unit of work (an event, or a call); 0 unknown.
+        pace: Moving average of seconds for a call; 0 unknown. Model engines go by the engine model.
     """
 
     engine: Engine
@@ -58,7 +57,6 @@
     running: int = 0
     tokens: int = 0
     others: int = 0
-    context_tokens: int = 0
     told_failed: float = 0.0
     slowness: float = 1.0
     full_until: float = 0.0
@@ -212,7 +210,6 @@
             item = told.get(engine_id)
             if item is not None:
                 state.others = max(0, item.running - state.running)
-            state.context_tokens = item.tokens if item is not None else 0
             state.told_failed = item.failed if item is not None else 0.0
             state.slowness = item.slowness if item is not None else 1.0
 
@@ -265,10 +262,6 @@
         """Return the latest report of each node that reported lately."""
         return [item for at, item in self._reports.values() if now - at <= self.fresh_seconds]
 
-    def live_nodes(self) -> list[NodeName]:
-        """Return the other nodes that reported lately."""
-        return sorted(self._reports)
-
     def drop_stale_reports(self, now: float) -> None:
         """Let reports that are too old count no more."""
         stale = [node for node, (at, _) in self._reports.items() if now - at > self.fresh_seconds]
--- a/src/yokeline/forwarding/streams.py
+++ b/src/yokeline/forwarding/streams.py
@@ -49,8 +49,6 @@
         if exchange.phase is not Phase.STREAMING:
             return
         now = self._state.now
-        if exchange.engine is not None and exchange.events:
-            exchange.engine.note_pace(now - exchange.item_at)
         exchange.item_at = now
         if exchange.route.retain and is_later(item.event_id, exchange.kept_event_id):
             exchange.text.append(event_data(item.data))
