--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -25,6 +25,7 @@
 )
 from yokeline.identifiers import NodeName, ReplicaId, RequestId, new_replica_id
 from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.codec import LedgerCodec
 from yokeline.ledger.disk_records import recover
 from yokeline.ledger.messages import LedgerReply, Operation, OperationResult
 from yokeline.ledger.replica import LedgerReplica
@@ -45,6 +46,7 @@
 WALL_START = 1_000_000.0
 _EDGE = ReplicaId("edge~1")
 _EDGE_ADDRESS = Address("10.0.9.9", 1)
+_CODEC = LedgerCodec()
 
 
 class MemoryStore:
@@ -140,6 +142,10 @@
         self.started_before = False
         self.generation = 0
         self.unsynced: list[SyncFile] = []
+        self.link_bytes_per_second = 0.0
+        """Of what the machine sends; 0 for a link without a limit."""
+        self.link_free_at = 0.0
+        self.sent_bytes = 0
         self.view: StoreView | None = None
 
     @property
@@ -148,6 +154,14 @@
         return self.node.replica.replica
 
 
+class Asker:
+    """A forwarding node's client of the ledger, and how to reach it."""
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.process = ReplicaId(name)
+        self.client = LedgerClient(address)
+
+
 class Cluster:
     """Machines, an asking edge, and the events between them."""
 
@@ -156,7 +170,8 @@
         self.now = 0.0
         self.store = MemoryStore()
         self.machines = [Machine(f"storage-{index}", index) for index in range(count)]
-        self.client = LedgerClient(_EDGE_ADDRESS)
+        self.askers = {_EDGE: Asker(_EDGE, _EDGE_ADDRESS)}
+        self.client = self.askers[_EDGE].client
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self.frames = 0
@@ -292,18 +307,35 @@
         self.client.set_storage(
             {item.replica: item.address for item in self.machines if item.node is not None}
         )
-        self._carry_out_edge(self.client.ask(operation, done, self.now, self.now + limit))
+        self.carry_out_asker(_EDGE, self.client.ask(operation, done, self.now, self.now + limit))
         self.run_until(lambda: bool(answers), limit + 1)
         return answers[0] if answers else None
 
+    def add_asker(self, name: str) -> Asker:
+        """Add another forwarding node's client; it knows the machines that run now."""
+        asker = Asker(name, Address(f"10.0.9.{len(self.askers) + 10}", 1))
+        asker.client.set_storage(
+            {item.replica: item.address for item in self.machines if item.node is not None}
+        )
+        self.askers[asker.process] = asker
+        return asker
+
     def _drive_client(self) -> None:
-        self._carry_out_edge(self.client.tick(self.now))
+        for process, asker in self.askers.items():
+            self.carry_out_asker(process, asker.client.tick(self.now))
         self._schedule(0.01, self._drive_client)
 
-    def _carry_out_edge(self, effects: list[Effect]) -> None:
+    def carry_out_asker(self, process: ReplicaId, effects: list[Effect]) -> None:
+        """Carry out what a forwarding node's client wants done."""
         for effect in effects:
             if isinstance(effect, SendPeer):
-                self._send(_EDGE, None, effect)
+                self._send(process, None, effect)
+            elif isinstance(effect, LogRecord):
+                self.log.append(effect)
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        """Do something at a moment."""
+        self._schedule(time - self.now, action)
 
     # ------------------------------------------------------------ events
 
@@ -375,14 +407,13 @@
     def _send(self, sender: ReplicaId, source: Machine | None, effect: SendPeer) -> None:
         self.frames += 1
         delay = 0.0005 + 0.002 * self.random.random()
-        if source is not None and (source.cut or (source.cut_from_peers and effect.to != _EDGE)):
+        to_asker = effect.to in self.askers
+        if source is not None and (source.cut or (source.cut_from_peers and not to_asker)):
             return
-        if effect.to == _EDGE:
-            message = effect.message
-            assert isinstance(message, LedgerReply)
-            self._schedule(
-                delay, lambda: self._carry_out_edge(self.client.take_reply(message, self.now))
-            )
+        if source is not None and source.link_bytes_per_second:
+            delay += self._pass_link(source, effect)
+        if to_asker:
+            self._schedule(delay, lambda: self._answer_asker(effect))
             return
         event = PeerMessage(sender=sender, message=effect.message)
         for machine in self.machines:
@@ -391,6 +422,20 @@
             if machine.address == effect.address and not unreachable:
                 self._schedule(delay, lambda m=machine: self._arrive(m, effect.to, event))
 
+    def _pass_link(self, source: Machine, effect: SendPeer) -> float:
+        """Return how long a message takes through its sender's link, behind the earlier ones."""
+        size = len(_CODEC.encode_peer(source.replica, effect.to, effect.message))
+        source.sent_bytes += size
+        source.link_free_at = max(source.link_free_at, self.now)
+        source.link_free_at += size / source.link_bytes_per_second
+        return source.link_free_at - self.now
+
+    def _answer_asker(self, effect: SendPeer) -> None:
+        message = effect.message
+        assert isinstance(message, LedgerReply)
+        asker = self.askers[effect.to]
+        self.carry_out_asker(effect.to, asker.client.take_reply(message, self.now))
+
     def _arrive(self, machine: Machine, to: ReplicaId, event: PeerMessage) -> None:
         if machine.node is None or machine.cut or machine.replica != to:
             return
--- /dev/null
+++ b/tests/unit/ledger/test_overload.py
@@ -0,0 +1,153 @@
+"""A ledger leader whose link is nearly full: what a burst leaves behind once it is over.
+
+Incident of sine-harvest-grown (docs/incidents/sine-harvest-grown-short.md).
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.unit.ledger.cluster import Asker, Cluster
+from yokeline.effects import Effect
+from yokeline.ledger.client import OperationDone
+from yokeline.ledger.messages import (
+    Granted,
+    KeptTurn,
+    OperationResult,
+    Reserve,
+    Settle,
+    TurnBegan,
+    TurnEnded,
+)
+
+LINK_BYTES_PER_SECOND = 400_000.0
+TEXT_BYTES = 5_000
+TURN_SECONDS = 0.2
+TURNS = 5
+PROGRAMS_PER_SECOND = 5.0
+"""25 turns a second: the texts take 250,000 bytes a second to two followers, and answers and
+heartbeats some 60,000 more: the link is three quarters full."""
+BURST = 1.6
+ANSWER_LIMIT = 2.0
+"""As a forwarding node gives a reservation up."""
+ENGINES = 4
+
+
+class Load:
+    """Programs whose turns are reserved, generated and kept, each at another forwarding node."""
+
+    def __init__(self, cluster: Cluster, askers: list[Asker]) -> None:
+        self.cluster = cluster
+        self.askers = askers
+        self.answers: list[tuple[float, float, bool]] = []
+        """When each operation was asked, the time to its result, and whether there was one."""
+        self.under_way = 0
+        self._programs = 0
+        self._turns = 0
+
+    def arrive(self, start: float, end: float, per_second: float) -> None:
+        """Let programs begin, evenly."""
+        for number in range(int((end - start) * per_second)):
+            self.cluster.at(start + number / per_second, self._begin)
+
+    def _begin(self) -> None:
+        self._programs += 1
+        self._reserve(f"p{self._programs}", "", TURNS)
+
+    def _asker(self) -> Asker:
+        self._turns += 1
+        return self.askers[self._turns % len(self.askers)]
+
+    def _reserve(self, program: str, previous: str, turns_left: int) -> None:
+        asker = self._asker()
+        name = f"{program}-{turns_left}"
+        operation = Reserve(
+            request_id=name,
+            program=program,
+            budget=10_000,
+            tokens=100,
+            previous=previous,
+        )
+        asked_at = self.cluster.now
+
+        def done(result: OperationResult | None, now: float) -> list[Effect]:
+            self.answers.append((asked_at, now - asked_at, result is not None))
+            if isinstance(result, Granted):
+                engine = f"engine-{self._turns % ENGINES}"
+                asker.client.note(TurnBegan(name, engine, 1000))
+                self.under_way += 1
+                self.cluster.at(
+                    now + TURN_SECONDS,
+                    lambda: self._keep(asker, engine, program, name, previous, turns_left),
+                )
+            return []
+
+        self._ask(asker, operation, done)
+
+    def _keep(
+        self, asker: Asker, engine: str, program: str, name: str, previous: str, turns_left: int
+    ) -> None:
+        turn = KeptTurn(turn_id=name, previous=previous, text=b"x" * TEXT_BYTES, retention=60.0)
+        operation = Settle(request_id=name, program=program, tokens=50, turn=turn)
+        asked_at = self.cluster.now
+        asker.client.note(TurnEnded(name, engine, False, 1.0))
+        self.under_way -= 1
+
+        def done(result: OperationResult | None, now: float) -> list[Effect]:
+            self.answers.append((asked_at, now - asked_at, result is not None))
+            if result is not None and turns_left > 1:
+                self._reserve(program, name, turns_left - 1)
+            return []
+
+        self._ask(asker, operation, done)
+
+    def _ask(self, asker: Asker, operation: Reserve | Settle, done: OperationDone) -> None:
+        now = self.cluster.now
+        effects = asker.client.ask(operation, done, now, now + ANSWER_LIMIT)
+        self.cluster.carry_out_asker(asker.process, effects)
+
+    def seconds(self, start: float, end: float) -> list[float]:
+        """Return the times to the results of what was asked between two moments, sorted."""
+        return sorted(took for asked, took, _ in self.answers if start <= asked < end)
+
+    def median(self, start: float, end: float) -> float:
+        """Return the median of these times."""
+        times = self.seconds(start, end)
+        return times[len(times) // 2]
+
+
+class Burst(unittest.TestCase):
+    def loaded(self, seed: int) -> tuple[Load, float]:
+        """Play five seconds of load, three of a burst and six of the load as before."""
+        cluster = Cluster(3, seed)
+        self.assertTrue(cluster.run_until(cluster.all_members, 10.0))
+        cluster.run(0.5)
+        for machine in cluster.machines:
+            machine.link_bytes_per_second = LINK_BYTES_PER_SECOND
+        load = Load(cluster, [cluster.add_asker(f"edge-{number}~1") for number in range(8)])
+        start = cluster.now
+        load.arrive(start, start + 5.0, PROGRAMS_PER_SECOND)
+        load.arrive(start + 5.0, start + 8.0, PROGRAMS_PER_SECOND * BURST)
+        load.arrive(start + 8.0, start + 16.0, PROGRAMS_PER_SECOND)
+        return load, start
+
+    def test_the_ledger_answers_as_before_once_a_burst_is_over(self) -> None:
+        for seed in range(3):
+            load, start = self.loaded(seed)
+            load.cluster.run(17.0)
+            before = load.median(start + 2.0, start + 5.0)
+            after = load.median(start + 13.0, start + 16.0)
+            self.assertLess(after, 3 * before + 0.05, f"seed {seed}: {before:.3f} before")
+
+    def test_no_engine_looks_busy_once_all_turns_have_ended(self) -> None:
+        """Else nodes refuse calls for want of room while the engines are idle."""
+        for seed in range(3):
+            load, start = self.loaded(seed)
+            load.cluster.run(16.0)
+            load.cluster.run(6.0)
+            self.assertEqual(load.under_way, 0)
+            leader = load.cluster.leader()
+            assert leader is not None and leader.node is not None
+            told = leader.node.batches.turns.engines(load.cluster.now)
+            running = {item.engine_id: item.running for item in told if item.running}
+            self.assertEqual(running, {}, f"seed {seed}")
