Let repetitions not load the ledger's leader, and let its book of turns heal itself

Cause: an overload that feeds itself. A node took 0.15 s without an answer for a leader that is gone, forgot it, and sent the operation with its text to a replica that does not lead, then to the leader again, and through peers; the leader proposed the copies anew. While no leader was believed in, notes of ended turns were dropped, and the leader's book counted these turns for 15 s.

Now: the patience follows the leader's own answers (RFC 6298); a silent leader leads to queries of a few bytes, at a bounded rate a node, and operations go only to a replica known to lead; the leader proposes an operation once however often it comes, answers all its askers, and answers what is done already from its state; reports of turns name all turns of a node, are repeated, and lapse with the node's silence (1.5 s).

Ruled out: processor time of the leader (0.10 of 0.516), elections (none), budgets.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -31,6 +31,7 @@
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.messages import (
+    LeaderAnswer,
     LedgerReply,
     LoadDigest,
     LoadReport,
@@ -194,6 +195,8 @@
         message = event.message
         if isinstance(message, LedgerReply):
             return self.ledger.take_reply(message, now)
+        if isinstance(message, LeaderAnswer):
+            return self.ledger.take_leader(event.sender, message, now)
         if isinstance(message, PassedOnRequest):
             return self._ask_for_peer(event.sender, message, now)
         if isinstance(message, RegistryAsk):
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -26,6 +26,7 @@
 """Weight of one request in an engine's share of failures."""
 FAULT_FADE_SECONDS = 4.0
 """Time in which a share of failures fades to a third without new ones."""
+PERCENT = 100.0
 _HASH_SPAN = 2**32
 _PACE_WEIGHT = 0.15
 """Weight of a new observation in the moving average of an engine's pace."""
@@ -210,8 +211,8 @@
             item = told.get(engine_id)
             if item is not None:
                 state.others = max(0, item.running - state.running)
-            state.told_failed = item.failed if item is not None else 0.0
-            state.slowness = item.slowness if item is not None else 1.0
+            state.told_failed = item.failed_percent / PERCENT if item is not None else 0.0
+            state.slowness = item.slowness_percent / PERCENT if item is not None else 1.0
 
     def is_told(self, now: float) -> bool:
         """Return whether what the leader told still counts."""
@@ -244,7 +245,7 @@
     def own_loads(self) -> tuple[EngineLoad, ...]:
         """Return what this node has under way."""
         return tuple(
-            EngineLoad(state.engine.engine_id, state.running, state.tokens)
+            EngineLoad(state.engine.engine_id, state.running)
             for state in self._engines.values()
             if state.running
         )
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -12,7 +12,7 @@
     counters = {name: float(count) for name, count in forwarder.counters.items()}
     for cause, count in node.ledger.repetitions.items():
         counters[f'yokeline_ledger_repetitions_total{{cause="{cause}"}}'] = float(count)
-    counters["yokeline_ledger_notes_lost_total"] = float(node.ledger.notes_lost)
+    counters["yokeline_ledger_turn_ends_dropped_total"] = float(node.ledger.turns.dropped)
     counters["yokeline_ledger_late_answers_total"] = float(node.ledger.late_answers)
     counters["yokeline_ledger_sent_through_peers_total"] = float(node.ledger.sent_through_peers)
     counters["yokeline_ledger_passed_on_total"] = float(node.ledger.passed_on)
--- a/src/yokeline/forwarding/settlements.py
+++ b/src/yokeline/forwarding/settlements.py
@@ -10,7 +10,7 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.turn_operations import kept_turn_of, needs_ledger, settlement_of
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.messages import KeptTurn, OperationResult, TurnBegan, TurnEnded
+from yokeline.ledger.messages import KeptTurn, OperationResult, TurnServed
 
 SETTLE_SECONDS = 5.0
 """How long a settlement is repeated; what is never settled counts at its most."""
@@ -76,23 +76,15 @@
     def tell_of_begin(self, exchange: Exchange, engine: EngineState) -> None:
         """Tell the ledger's leader, which knows the turns of all nodes, where a turn runs."""
         if needs_ledger(exchange):
-            call = exchange.call
-            tokens = call.prompt_tokens + call.most_tokens
-            note = TurnBegan(call.request_id, engine.engine.engine_id, tokens)
-            self._ledger.note(note)
+            self._ledger.turns.begin(exchange.call.request_id, engine.engine.engine_id)
 
     def tell_of_end(
         self, exchange: Exchange, engine: EngineState, *, failed: bool, slowness: float
     ) -> None:
         """Tell it that a turn left its engine, and how it was served."""
         if needs_ledger(exchange):
-            note = TurnEnded(
-                request_id=exchange.call.request_id,
-                engine_id=engine.engine.engine_id,
-                failed=failed,
-                slowness=round(slowness, 3),
-            )
-            self._ledger.note(note)
+            served = TurnServed(engine.engine.engine_id, failed, round(slowness, 3))
+            self._ledger.turns.end(exchange.call.request_id, served)
 
     def _ask(self, effects: list[Effect]) -> None:
         self._state.outcomes.effects.extend(effects)
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -1,8 +1,9 @@
 """Asks the ledger's leader, wherever it is: repeats until answered or given up.
 
-Operations are idempotent by request id, so a repetition at another replica is harmless. A node
-whose questions stay without a result asks through another forwarding node as well, since it may
-be cut off from the storage nodes, or from the leader alone, while others are not.
+Operations are idempotent by request id, and the leader takes a repetition of one that it works on
+for what it is, so a repetition is harmless. A node whose leader is silent asks who leads, and asks
+through another forwarding node as well, since it may be cut off from the storage nodes, or from
+the leader alone, while others are not.
 """
 
 from __future__ import annotations
@@ -15,40 +16,36 @@
 from yokeline.effects import Address, Effect, LogRecord, SendPeer
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ReplicaId
+from yokeline.ledger.answer_times import AnswerTimes
+from yokeline.ledger.leader_search import LeaderSearch
 from yokeline.ledger.messages import (
     EngineTurns,
-    LeaderHint,
+    LeaderAnswer,
     LedgerReply,
     LedgerRequest,
     Operation,
     OperationResult,
     PassedOnRequest,
-    TurnNote,
-    size_of,
 )
-
-RESEND_SECONDS = 0.15
-"""Silence after which an operation is sent again, to another replica; doubled each time, so that
-repetitions do not fill the links of replicas that are busy. Also the time without a result after
-which the way to the ledger is doubted."""
-MAX_RESEND_SECONDS = 1.2
+from yokeline.ledger.own_turns import OwnTurns
+
+QUERY_PATIENCES = 0.5
+"""Silence after which the node asks who leads, in patiences: a leader that lives and is reached
+answers that before it is doubted."""
+REPEAT_PATIENCES = 2.0
+"""Silence after which an operation is sent to the same leader again, in patiences (it may be lost
+with a connection); doubled each time."""
+MAX_REPEAT_SECONDS = 1.2
 PAUSE_SECONDS = 0.03
-"""Pause after the answer of a replica that neither leads nor knows who does; doubled likewise."""
+"""Pause after the answer of a leader that takes nothing, since it hands over; doubled likewise."""
 MAX_PAUSE_SECONDS = 0.1
-MAX_LARGE_PAUSE_SECONDS = 0.4
-"""The same for an operation that carries a turn's text."""
-LARGE_BYTES = 2048
 PASSED_ON_SECONDS = 1.0
 """How long an operation of another node is repeated; its asker repeats it too."""
 MAX_PASSED_ON = 256
 """Operations of other nodes under way at once; more are dropped, and their askers ask again."""
-
 REPORT_SECONDS = 1.0
 """Time between two log lines about repetitions: one a node and second at most."""
 
-FIRST_SEND = "first"
-"""Cause of the one send of an operation that is no repetition."""
-
 OperationDone = Callable[[OperationResult | None, float], list[Effect]]
 """Told the result of an operation and the time; None if given up (it may have been taken)."""
 
@@ -68,11 +65,21 @@
 
 
 class _Asked(msgspec.Struct, kw_only=True):
+    """An operation without a result yet.
+
+    Attributes:
+        sent_to: The replica that has it; None while it waits for a leader.
+        sent_at: When that replica got it first.
+        repeat_at: When it is sent again.
+    """
+
     operation: Operation
     done: OperationDone
     give_up_at: float
-    send_at: float
     asked_at: float
+    sent_to: ReplicaId | None = None
+    sent_at: float = 0.0
+    repeat_at: float = float("inf")
     sends: int = 0
     is_passed_on: bool = False
 
@@ -81,8 +88,8 @@
     """Operations under way; a pure state machine.
 
     Attributes:
+        turns: The turns that this node has at engines, of which the leader is told.
         repetitions: Operations sent again, by cause.
-        notes_lost: Notes of turns that no leader could be told.
         late_answers: Results of operations that were answered or given up before.
         sent_through_peers: Operations sent to other forwarding nodes.
         passed_on: Operations of other nodes that this one has asked for.
@@ -96,33 +103,29 @@
     def __init__(self, own_address: Address) -> None:
         """Ask from ``own_address``, where answers are to be sent."""
         self._own_address = own_address
-        self._storage: dict[ReplicaId, Address] = {}
-        self._leader: LeaderHint | None = None
-        self._next_candidate = 0
+        self._search = LeaderSearch(own_address)
+        self._times = AnswerTimes()
         self._next_peer = 0
         self._asked: dict[int, _Asked] = {}
         self._passed_on: set[tuple[ReplicaId, int]] = set()
         self._numbers = 0
         self._is_path_lost = False
-        self._result_at = float("-inf")
-        self._answering_leader: ReplicaId | None = None
-        self._notes: list[TurnNote] = []
+        self._reported: Counter[str] = Counter()
+        self._next_report = 0.0
+        self.turns = OwnTurns()
         self.helpful_peers: HelpfulPeers = list
         self.engines_told: EnginesTold = _nobody
         self.engines: tuple[EngineTurns, ...] = ()
         self.answer_seconds = Histogram()
         self.repetitions: Counter[str] = Counter()
         self.late_answers = 0
-        self.notes_lost = 0
-        self._reported: Counter[str] = Counter()
-        self._next_report = 0.0
         self.sent_through_peers = 0
         self.passed_on = 0
         self.has_answered = False
 
     def set_storage(self, storage: dict[ReplicaId, Address]) -> None:
         """Note the storage replicas that are known."""
-        self._storage = storage
+        self._search.set_storage(storage)
 
     @property
     def reaches_ledger(self) -> bool:
@@ -134,13 +137,13 @@
         """Operations without an answer yet."""
         return len(self._asked)
 
+    # ------------------------------------------------------------ operations
+
     def ask(
         self, operation: Operation, done: OperationDone, now: float, give_up_at: float
     ) -> list[Effect]:
         """Send an operation; ``done`` is called once."""
-        asked = _Asked(
-            operation=operation, done=done, give_up_at=give_up_at, send_at=now, asked_at=now
-        )
+        asked = _Asked(operation=operation, done=done, give_up_at=give_up_at, asked_at=now)
         return self._begin(asked, now)
 
     def pass_on(
@@ -162,7 +165,6 @@
             operation=request.operation,
             done=ended,
             give_up_at=now + PASSED_ON_SECONDS,
-            send_at=now,
             asked_at=now,
             is_passed_on=True,
         )
@@ -170,37 +172,102 @@
         self._passed_on.add(key)
         return self._begin(asked, now)
 
-    def note(self, note: TurnNote) -> None:
-        """Tell the leader of a turn with the next message to it; best effort."""
-        self._notes.append(note)
-
     def forget(self, operation: Operation) -> None:
         """Stop asking; ``done`` is not called."""
         for number, asked in list(self._asked.items()):
             if asked.operation is operation:
                 del self._asked[number]
 
+    def _begin(self, asked: _Asked, now: float) -> list[Effect]:
+        self._numbers += 1
+        self._asked[self._numbers] = asked
+        effects = self._send(self._numbers, asked, now)
+        if self._is_path_lost:
+            effects.extend(self._send_through_peer(self._numbers, asked))
+        if self._search.leader is None:
+            effects.extend(self._search.queries(now))
+        return effects
+
+    # ------------------------------------------------------------ time
+
     def next_deadline(self) -> float | None:
         """Return when :meth:`tick` is due."""
-        return min(
-            (min(item.send_at, item.give_up_at) for item in self._asked.values()), default=None
-        )
+        dues = [min(item.repeat_at, item.give_up_at) for item in self._asked.values()]
+        silent_since = self._silent_since()
+        if silent_since is not None:
+            query_at = silent_since + QUERY_PATIENCES * self._times.patience
+            dues.append(max(query_at, self._search.query_due()))
+            if not self._is_path_lost:
+                dues.append(silent_since + self._times.patience)
+        report_due = self.turns.report_due()
+        if report_due is not None and self._search.leader is not None:
+            dues.append(report_due)
+        return min(dues, default=None)
 
     def tick(self, now: float) -> list[Effect]:
-        """Send again what went unanswered, and give up what is late."""
+        """Send again what went unanswered, give up what is late, and look for the leader."""
         effects: list[Effect] = []
         for number, asked in list(self._asked.items()):
             if now >= asked.give_up_at:
                 del self._asked[number]
                 effects.extend(asked.done(None, now))
-            elif now >= asked.send_at:
-                self._leader = None
-                effects.extend(self._doubt_path(asked, now))
-                effects.extend(self._send(number, asked, now, cause="silence"))
-        effects.extend(self._send_notes())
+            elif now >= asked.repeat_at:
+                effects.extend(self._repeat(number, asked, now))
+        effects.extend(self._look_for_leader(now))
+        effects.extend(self._report_turns(now))
         effects.extend(self._report_repetitions(now))
         return effects
 
+    def _silent_since(self) -> float | None:
+        """Return since when an operation has waited without a word of the leader."""
+        if not self._asked:
+            return None
+        if self._search.leader is None:
+            return min(item.asked_at for item in self._asked.values())
+        first = min(
+            item.sent_at if item.sent_to is not None else item.asked_at
+            for item in self._asked.values()
+        )
+        return max(first, self._search.heard_at)
+
+    def _look_for_leader(self, now: float) -> list[Effect]:
+        """Ask who leads while operations wait, and doubt the way there after a silence."""
+        silent_since = self._silent_since()
+        if silent_since is None:
+            return []
+        silence = now - silent_since
+        patience = self._times.patience
+        effects: list[Effect] = []
+        if silence >= QUERY_PATIENCES * patience or self._search.leader is None:
+            effects.extend(self._search.queries(now))
+        if silence >= patience and not self._is_path_lost:
+            effects.extend(self._doubt_path(silence))
+        return effects
+
+    def _doubt_path(self, silence: float) -> list[Effect]:
+        """Send all that waits through peers: nothing at all is heard, not even who leads."""
+        self._is_path_lost = True
+        fields: dict[str, str | int | float | bool | None] = {
+            "silent": round(silence, 3),
+            "patience": round(self._times.patience, 3),
+            "under_way": len(self._asked),
+        }
+        effects: list[Effect] = [
+            LogRecord(event="ledger_path_lost", fields=fields, level="warning")
+        ]
+        for number, asked in self._asked.items():
+            effects.extend(self._send_through_peer(number, asked))
+        return effects
+
+    def _report_turns(self, now: float) -> list[Effect]:
+        """Tell the leader of turns that no operation has taken along."""
+        leader = self._search.leader
+        report = self.turns.take_report(now) if leader is not None else None
+        if leader is None or report is None:
+            return []
+        message = LedgerRequest(number=0, asker=self._own_address, operations=(), turns=report)
+        return [SendPeer(to=leader.replica, address=leader.address, message=message)]
+
     def _report_repetitions(self, now: float) -> list[Effect]:
         """Log how often operations were sent again, and why, since the last line."""
         if now < self._next_report:
@@ -208,7 +275,6 @@
         self._next_report = now + REPORT_SECONDS
         counts = Counter(self.repetitions)
         counts["late_answers"] = self.late_answers
-        counts["notes_lost"] = self.notes_lost
         counts["through_peers"] = self.sent_through_peers
         counts["for_peers"] = self.passed_on
         new = counts - self._reported
@@ -220,36 +286,33 @@
             **{name: new[name] for name in sorted(new)},
             "under_way": len(self._asked),
             "oldest_seconds": round(oldest, 3),
+            "patience": round(self._times.patience, 3),
         }
         return [LogRecord(event="ledger_repetitions", fields=fields)]
 
-    def _send_notes(self) -> list[Effect]:
-        """Send the notes that no operation has taken along."""
-        notes = self._take_notes()
-        if not notes:
-            return []
-        if self._leader is None:
-            self.notes_lost += len(notes)
-            return []
-        message = LedgerRequest(number=0, asker=self._own_address, operations=(), notes=notes)
-        leader = self._leader
-        return [SendPeer(to=leader.replica, address=leader.address, message=message)]
+    # ------------------------------------------------------------ answers
 
-    def _take_notes(self) -> tuple[TurnNote, ...]:
-        notes = tuple(self._notes)
-        self._notes.clear()
-        return notes
+    def take_leader(self, sender: ReplicaId, answer: LeaderAnswer, now: float) -> list[Effect]:
+        """Take a storage node's word on who leads."""
+        is_news = self._search.take(sender, answer, now)
+        effects: list[Effect] = []
+        if answer.leader is not None and answer.leader.replica == sender:
+            effects.extend(self._note_path_found())
+        if is_news:
+            effects.extend(self._follow_leader(now))
+        elif self._search.leader is None:
+            self._unassign_all()
+        return effects
 
     def take_reply(self, reply: LedgerReply, now: float) -> list[Effect]:
         """Take an answer in."""
-        effects = [] if reply.passed_on else self._note_leader(reply.leader)
-        if reply.results and not reply.passed_on:
-            effects.extend(self._note_path_found(now))
-            effects.extend(self._send_waiting_again(reply, now))
+        effects: list[Effect] = []
+        asked = self._asked.get(reply.number)
+        if not reply.passed_on:
+            effects.extend(self._take_word(reply, asked, now))
         if reply.engines:
             self.engines = reply.engines
             self.engines_told(reply.engines, now)
-        asked = self._asked.get(reply.number)
         if asked is None:
             self.late_answers += bool(reply.results)
             return effects
@@ -257,92 +320,104 @@
             del self._asked[reply.number]
             self.answer_seconds.observe(now - asked.asked_at)
             effects.extend(asked.done(reply.results[0], now))
-        elif reply.leader is not None:
-            effects.extend(self._send(reply.number, asked, now, cause="redirected"))
-        else:
-            asked.send_at = min(asked.send_at, now + _pause_of(asked))
         return effects
 
-    def _send_waiting_again(self, reply: LedgerReply, now: float) -> list[Effect]:
-        """Send what waits for its next repetition to a leader that has just begun to answer.
-
-        While there was none, repetitions came ever more rarely; the next one may be due only
-        after the operation is given up.
-        """
-        leader = self._leader
-        if leader is None or leader.replica == self._answering_leader:
-            return []
-        self._answering_leader = leader.replica
+    def _take_word(self, reply: LedgerReply, asked: _Asked | None, now: float) -> list[Effect]:
+        """Learn from a direct answer who leads, and how soon it answers."""
         effects: list[Effect] = []
-        for number, asked in self._asked.items():
-            if number != reply.number and now - asked.asked_at >= RESEND_SECONDS:
-                asked.sends = 0
-                effects.extend(self._send(number, asked, now, cause="new_leader"))
+        is_news = reply.leader is not None and self._search.believe(reply.leader, reply.term)
+        if reply.results:
+            self.has_answered = True
+            self._search.heard_at = now
+            effects.extend(self._note_path_found())
+            if asked is not None and asked.sent_to is not None and not is_news:
+                self._times.observe(now - asked.sent_at)
+        if is_news:
+            effects.extend(self._follow_leader(now))
+        elif asked is not None and not reply.results:
+            effects.extend(self._take_refusal(reply, asked, now))
         return effects
 
-    # ------------------------------------------------------------ the way to the ledger
-
-    def _doubt_path(self, asked: _Asked, now: float) -> list[Effect]:
-        """Doubt the way there if nothing at all is answered; a busy ledger is only slow."""
-        silent_since = max(asked.asked_at, self._result_at)
-        if self._is_path_lost or now - silent_since < RESEND_SECONDS:
+    def _take_refusal(self, reply: LedgerReply, asked: _Asked, now: float) -> list[Effect]:
+        """Nothing was done: another one leads, nobody does, or the leader hands over."""
+        leader = self._search.leader
+        if reply.leader is None and leader is not None and leader.replica == asked.sent_to:
+            self._search.forget()
+            self._unassign_all()
+            return list(self._search.queries(now))
+        if leader is None or leader.replica == asked.sent_to:
+            pause = min(MAX_PAUSE_SECONDS, PAUSE_SECONDS * 2.0 ** min(asked.sends, 8))
+            asked.repeat_at = min(asked.repeat_at, now + pause)
             return []
-        self._is_path_lost = True
-        fields: dict[str, str | int | float | bool | None] = {
-            "waited": round(now - asked.asked_at, 3),
-            "under_way": len(self._asked),
-        }
-        return [LogRecord(event="ledger_path_lost", fields=fields, level="warning")]
+        self.repetitions["redirected"] += 1
+        return self._send(reply.number, asked, now)
 
-    def _note_path_found(self, now: float) -> list[Effect]:
-        self.has_answered = True
-        self._result_at = now
+    def _unassign_all(self) -> None:
+        """Let what the leader had wait for the next one."""
+        for asked in self._asked.values():
+            asked.sent_to = None
+
+    def _note_path_found(self) -> list[Effect]:
         if not self._is_path_lost:
             return []
         self._is_path_lost = False
         return [LogRecord(event="ledger_path_found", fields={"under_way": len(self._asked)})]
 
-    def _note_leader(self, leader: LeaderHint | None) -> list[Effect]:
-        if leader is None or leader == self._leader:
-            return []
-        before = self._leader
-        self._leader = leader
-        if before is not None and before.replica == leader.replica:
-            return []
-        return [LogRecord(event="ledger_leader_known", fields={"leader": leader.replica})]
+    def _follow_leader(self, now: float) -> list[Effect]:
+        """Send what waits to a leader that is new, once."""
+        leader = self._search.leader
+        assert leader is not None
+        self.turns.leader_changed()
+        self._times = AnswerTimes()
+        fields: dict[str, str | int | float | bool | None] = {
+            "leader": leader.replica,
+            "term": self._search.term,
+            "under_way": len(self._asked),
+        }
+        effects: list[Effect] = [LogRecord(event="ledger_leader_known", fields=fields)]
+        for number, asked in self._asked.items():
+            if asked.sends:
+                self.repetitions["new_leader"] += 1
+            asked.sends = 0
+            effects.extend(self._send(number, asked, now))
+        return effects
 
     # ------------------------------------------------------------ sending
 
-    def _begin(self, asked: _Asked, now: float) -> list[Effect]:
-        self._numbers += 1
-        self._asked[self._numbers] = asked
-        return self._send(self._numbers, asked, now)
-
-    def _send(
-        self, number: int, asked: _Asked, now: float, *, cause: str = FIRST_SEND
-    ) -> list[Effect]:
-        asked.send_at = now + min(MAX_RESEND_SECONDS, RESEND_SECONDS * 2.0**asked.sends)
-        asked.sends += 1
-        if cause != FIRST_SEND:
-            self.repetitions[cause] += 1
-        effects: list[Effect] = []
-        if self._is_path_lost and not asked.is_passed_on:
+    def _repeat(self, number: int, asked: _Asked, now: float) -> list[Effect]:
+        self.repetitions["silence"] += self._search.leader is not None
+        effects = self._send(number, asked, now)
+        if self._is_path_lost:
             effects.extend(self._send_through_peer(number, asked))
-        target = self._leader or self._candidate()
-        if target is not None:
-            notes = self._take_notes() if target is self._leader else ()
-            message = LedgerRequest(
-                number=number,
-                asker=self._own_address,
-                operations=(asked.operation,),
-                notes=notes,
-            )
-            effects.append(SendPeer(to=target.replica, address=target.address, message=message))
         return effects
 
+    def _send(self, number: int, asked: _Asked, now: float) -> list[Effect]:
+        """Send an operation to the leader; without one it waits."""
+        leader = self._search.leader
+        if leader is None:
+            asked.sent_to = None
+            self._plan_repetition(asked, now)
+            return []
+        if asked.sent_to != leader.replica or not asked.sends:
+            asked.sent_to = leader.replica
+            asked.sent_at = now
+        self._plan_repetition(asked, now)
+        message = LedgerRequest(
+            number=number,
+            asker=self._own_address,
+            operations=(asked.operation,),
+            turns=self.turns.take_report(now),
+        )
+        return [SendPeer(to=leader.replica, address=leader.address, message=message)]
+
+    def _plan_repetition(self, asked: _Asked, now: float) -> None:
+        longest = REPEAT_PATIENCES * self._times.patience * 2.0 ** min(asked.sends, 8)
+        asked.repeat_at = now + min(MAX_REPEAT_SECONDS, longest)
+        asked.sends += 1
+
     def _send_through_peer(self, number: int, asked: _Asked) -> list[Effect]:
         """Ask through the next of the nodes that reach the ledger; another one each time."""
-        peers = self.helpful_peers()
+        peers = [] if asked.is_passed_on else self.helpful_peers()
         if not peers:
             return []
         peer = peers[self._next_peer % len(peers)]
@@ -352,21 +427,6 @@
         message = PassedOnRequest(number=number, asker=self._own_address, operation=asked.operation)
         return [SendPeer(to=peer.process, address=peer.address, message=message)]
 
-    def _candidate(self) -> LeaderHint | None:
-        """Return the next storage replica to try while the leader is not known."""
-        if not self._storage:
-            return None
-        replicas = sorted(self._storage)
-        self._next_candidate = (self._next_candidate + 1) % len(replicas)
-        replica = replicas[self._next_candidate]
-        return LeaderHint(replica, self._storage[replica])
-
 
 def _nobody(engines: tuple[EngineTurns, ...], now: float) -> None:
     """Tell nobody."""
-
-
-def _pause_of(asked: _Asked) -> float:
-    is_large = size_of(asked.operation) > LARGE_BYTES
-    longest = MAX_LARGE_PAUSE_SECONDS if is_large else MAX_PAUSE_SECONDS
-    return min(longest, PAUSE_SECONDS * 2.0 ** min(asked.sends, 8))
--- a/src/yokeline/ledger/leader_load.py
+++ b/src/yokeline/ledger/leader_load.py
@@ -2,26 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import Counter
 
 from yokeline.effects import LogRecord
-from yokeline.identifiers import ReplicaId
-from yokeline.ledger.messages import (
-    Granted,
-    LedgerReply,
-    LedgerRequest,
-    OperationResult,
-    Reserve,
-    Settle,
-)
+from yokeline.ledger.messages import Granted, LedgerReply, Operation, OperationResult, Reserve
 
 REPORT_SECONDS = 1.0
 """Time between two lines; a leader that is asked nothing writes none."""
-MAX_REMEMBERED = 4096
-"""Answered requests that are remembered, to tell repetitions that come after their answer: ten
-seconds of the busiest leader seen (400 operations a second)."""
-
-RequestKey = tuple[ReplicaId, int]
 
 
 class LeaderLoad:
@@ -33,25 +20,19 @@
         self._counts: Counter[str] = Counter()
         self._longest_entry = 0.0
         self._longest_wait = 0.0
-        self._answered: OrderedDict[RequestKey, None] = OrderedDict()
 
-    def note_request(self, request: LedgerRequest) -> None:
-        """Count the operations of a request."""
-        for operation in request.operations:
-            if isinstance(operation, Reserve):
-                self._counts["reservations"] += 1
-            else:
-                self._counts["settlements"] += 1
-                self._counts["turns_to_keep"] += _keeps_turn(operation)
+    def note_operation(self, operation: Operation) -> None:
+        """Count an operation that was asked for."""
+        if isinstance(operation, Reserve):
+            self._counts["reservations"] += 1
+        else:
+            self._counts["settlements"] += 1
+            self._counts["turns_to_keep"] += operation.turn is not None
 
     def note_repetition(self, stage: str) -> None:
-        """Count a request that came again; ``stage`` says where its first copy stands."""
+        """Count an operation that came again; ``stage`` says where its first copy stands."""
         self._counts[f"repeated_{stage}"] += 1
 
-    def was_answered(self, key: RequestKey) -> bool:
-        """Return whether a request was answered with results a short while ago."""
-        return key in self._answered
-
     def note_entry(self, seconds: float, size: int, oldest_wait: float) -> None:
         """Count a log entry from its proposal to its results."""
         self._counts["entries"] += 1
@@ -59,14 +40,11 @@
         self._longest_entry = max(self._longest_entry, seconds)
         self._longest_wait = max(self._longest_wait, oldest_wait)
 
-    def note_reply(self, key: RequestKey, reply: LedgerReply) -> None:
+    def note_reply(self, reply: LedgerReply) -> None:
         """Count an answer, with the texts of kept turns in it."""
         if not reply.results:
             self._counts["not_leading"] += 1
             return
-        self._answered[key] = None
-        if len(self._answered) > MAX_REMEMBERED:
-            self._answered.popitem(last=False)
         self._counts["answers"] += len(reply.results)
         self._counts["engines_told"] += len(reply.engines)
         self._counts["history_bytes"] += sum(_history_bytes(item) for item in reply.results)
@@ -89,10 +67,6 @@
         return [LogRecord(event="ledger_load", fields=fields)]
 
 
-def _keeps_turn(operation: Settle) -> bool:
-    return operation.turn is not None
-
-
 def _history_bytes(result: OperationResult) -> int:
     if not isinstance(result, Granted):
         return 0
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -128,20 +128,15 @@
 # ---------------------------------------------------------------- turns under way
 
 
-class TurnBegan(msgspec.Struct, frozen=True, array_like=True, tag="began"):
-    """A turn was sent to an engine.
-
-    Attributes:
-        tokens: Prompt tokens, and the most that it generates.
-    """
+class EngineLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of one node that an engine has under way."""
 
-    request_id: str
     engine_id: str
-    tokens: int
+    running: int
 
 
-class TurnEnded(msgspec.Struct, frozen=True, array_like=True, tag="ended"):
-    """A turn is no longer at its engine.
+class TurnServed(msgspec.Struct, frozen=True, array_like=True):
+    """How an engine served a turn that left it.
 
     Attributes:
         failed: The engine broke off, fell silent or answered with a failure of its own.
@@ -149,30 +144,36 @@
             too few came to tell.
     """
 
-    request_id: str
     engine_id: str
     failed: bool
     slowness: float
 
 
-TurnNote = TurnBegan | TurnEnded
+class NodeTurns(msgspec.Struct, frozen=True, array_like=True):
+    """All turns that one node has at engines, and what it saw of engines since its last report.
+
+    Attributes:
+        sequence: Rises with each report of one process.
+    """
+
+    sequence: int
+    loads: tuple[EngineLoad, ...]
+    served: tuple[TurnServed, ...] = ()
 
 
 class EngineTurns(msgspec.Struct, frozen=True, array_like=True):
-    """What the ledger's leader knows of an engine.
+    """What the ledger's leader knows of an engine; whole percents, since each answer has all.
 
     Attributes:
         running: Turns of all nodes under way there.
-        tokens: Tokens of their contexts.
-        failed: Share of the latest turns that failed there, faded with time.
-        slowness: Time between events as a multiple of what is usual at its load.
+        failed_percent: Share of the latest turns that failed there, faded with time.
+        slowness_percent: Time between events as a share of what is usual at its load.
     """
 
     engine_id: str
     running: int
-    tokens: int
-    failed: float
-    slowness: float
+    failed_percent: int
+    slowness_percent: int
 
 
 # ---------------------------------------------------------------- messages
@@ -182,14 +183,14 @@
     """Operations for the ledger's leader; ``number`` is the asker's own.
 
     Attributes:
-        notes: Turns that began or ended at engines; nothing that lasts. A request without
-            operations gets no answer.
+        turns: The asker's turns at engines, if they changed; nothing that lasts. A request
+            without operations gets no answer.
     """
 
     number: int
     asker: Address
     operations: tuple[Operation, ...]
-    notes: tuple[TurnNote, ...] = ()
+    turns: NodeTurns | None = None
 
 
 class PassedOnRequest(msgspec.Struct, frozen=True, kw_only=True, tag="passed_on"):
@@ -211,11 +212,30 @@
     address: Address
 
 
+class LeaderQuery(msgspec.Struct, frozen=True, kw_only=True, tag="who_leads"):
+    """A forwarding node asks a storage node who leads the ledger."""
+
+    asker: Address
+
+
+class LeaderAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="leader"):
+    """What a storage node knows of the leader.
+
+    Attributes:
+        term: The replica's current term, which says whose knowledge is later.
+        leader: None if it knows none.
+    """
+
+    term: int
+    leader: LeaderHint | None = None
+
+
 class LedgerReply(msgspec.Struct, frozen=True, kw_only=True, tag="reply"):
     """Answer to a request: one result for each operation, or who leads instead.
 
     Attributes:
         results: Empty if the receiver does not lead, and then nothing was done.
+        term: The replica's term, which says whose knowledge of the leader is later.
         passed_on: It comes from another forwarding node, so it says nothing of the way there.
         engines: The turns under way, with the answer to a reservation; empty if not known.
     """
@@ -223,6 +243,7 @@
     number: int
     results: tuple[OperationResult, ...] = ()
     leader: LeaderHint | None = None
+    term: int = 0
     passed_on: bool = False
     engines: tuple[EngineTurns, ...] = ()
 
@@ -281,6 +302,8 @@
     LedgerRequest
     | PassedOnRequest
     | LedgerReply
+    | LeaderQuery
+    | LeaderAnswer
     | ReplicaMessage
     | Join
     | RegistryAsk
@@ -288,14 +311,6 @@
 )
 
 
-class EngineLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Requests of one node that an engine has under way."""
-
-    engine_id: str
-    running: int
-    tokens: int
-
-
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag="load"):
     """What a forwarding node has under way (a datagram to the others).
 
--- /dev/null
+++ b/src/yokeline/ledger/own_turns.py
@@ -0,0 +1,74 @@
+"""The turns that this node has at engines, as it tells the ledger's leader of them.
+
+A report names all of them, so a lost one is made good by the next, and what a node that has died
+told is forgotten when it falls silent.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from yokeline.ledger.messages import EngineLoad, NodeTurns, TurnServed
+
+REFRESH_SECONDS = 0.5
+"""Pause after which a node with turns at engines reports although nothing changed; the leader
+forgets a node that is silent for three of them."""
+MAX_SERVED = 256
+"""Ends that wait to be told; beyond it the oldest are dropped, since they only colour the choice
+of an engine. A node ends some tens of turns a second."""
+
+
+class OwnTurns:
+    """Turns of one node by request id, and how engines served the last ones.
+
+    Attributes:
+        dropped: Ends that were never told, since there were too many.
+    """
+
+    def __init__(self) -> None:
+        """Have no turn under way."""
+        self.dropped = 0
+        self._running: dict[str, str] = {}
+        self._served: list[TurnServed] = []
+        self._sequence = 0
+        self._has_news = False
+        self._reported_at = float("-inf")
+
+    def begin(self, request_id: str, engine_id: str) -> None:
+        """Note that a turn was sent to an engine."""
+        self._running[request_id] = engine_id
+        self._has_news = True
+
+    def end(self, request_id: str, served: TurnServed) -> None:
+        """Note that a turn left its engine, and how it was served."""
+        self._running.pop(request_id, None)
+        self._served.append(served)
+        if len(self._served) > MAX_SERVED:
+            del self._served[0]
+            self.dropped += 1
+        self._has_news = True
+
+    def leader_changed(self) -> None:
+        """Report soon, since a new leader knows nothing of this node."""
+        self._has_news = self._has_news or bool(self._running)
+
+    def report_due(self) -> float | None:
+        """Return when a report is due; None while there is nothing to tell."""
+        if self._has_news:
+            return float("-inf")
+        return self._reported_at + REFRESH_SECONDS if self._running else None
+
+    def take_report(self, now: float) -> NodeTurns | None:
+        """Return the report that is due; None if none is."""
+        due = self.report_due()
+        if due is None or now < due:
+            return None
+        served, self._served = tuple(self._served), []
+        self._has_news = False
+        self._reported_at = now
+        self._sequence += 1
+        return NodeTurns(sequence=self._sequence, loads=self._loads(), served=served)
+
+    def _loads(self) -> tuple[EngineLoad, ...]:
+        counts = Counter(self._running.values())
+        return tuple(EngineLoad(name, count) for name, count in counts.items())
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -41,7 +41,7 @@
     SnapshotRecord,
     encode_record,
 )
-from yokeline.ledger.messages import Operation, OperationResult, ReplicaMessage
+from yokeline.ledger.messages import LeaderHint, Operation, OperationResult, ReplicaMessage
 from yokeline.ledger.state import LedgerCommand, LedgerState
 
 LOG_FILE = "ledger.log"
@@ -154,12 +154,13 @@
         """Whether the log file has grown enough to be replaced by a snapshot."""
         return self._file_bytes >= self._compact_bytes and self._applied > 0
 
-    def leader_address(self) -> Address | None:
-        """Return where the leader listens, if it is known."""
+    def leader_hint(self) -> LeaderHint | None:
+        """Return the leader and where it listens, if it is known."""
         leader = self.group.leader
         if leader is None:
             return None
-        return self._address if leader == self.replica else self.addresses.get(leader)
+        address = self._address if leader == self.replica else self.addresses.get(leader)
+        return LeaderHint(leader, address) if address is not None else None
 
     def state(self) -> LedgerState:
         """Return the state machine (read only)."""
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -1,4 +1,9 @@
-"""Operations of forwarding nodes on their way into the log: batched, proposed, answered."""
+"""Operations of forwarding nodes on their way into the log: batched, proposed, answered.
+
+An operation that comes again while its first copy is on the way is not proposed once more: its
+asker is answered with the first copy. One whose effect is in the log already is answered from the
+state. So a repetition costs its own bytes and no more.
+"""
 
 from __future__ import annotations
 
@@ -6,34 +11,53 @@
 
 import msgspec
 
-from yokeline.effects import Effect, SendPeer
+from yokeline.effects import Address, Effect, SendPeer
 from yokeline.identifiers import ReplicaId
-from yokeline.ledger.leader_load import LeaderLoad, RequestKey
+from yokeline.ledger.leader_load import LeaderLoad
 from yokeline.ledger.messages import (
-    LeaderHint,
+    EngineTurns,
+    Granted,
     LedgerReply,
     LedgerRequest,
+    Operation,
     OperationResult,
-    Reserve,
     size_of,
 )
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.turns_under_way import TurnsUnderWay
 
-MAX_BATCHED_REQUESTS = 1024
-"""Requests that may wait for an entry under way; the oldest give way, as their askers have."""
+MAX_BATCHED_OPERATIONS = 1024
+"""Operations that may wait for an entry under way; the oldest give way, as their askers have."""
 MAX_BATCH_BYTES = 64 * 1024
-"""Bytes of an entry after which the next request goes into the next one: heartbeats wait behind
+"""Bytes of an entry after which the next operation goes into the next one: heartbeats wait behind
 an entry on its way to the followers."""
 
-_Asked = tuple[ReplicaId, LedgerRequest]
+OperationKey = tuple[str, str]
+"""Kind and request id: two operations of one key are the same one."""
+
+
+class Asker(msgspec.Struct, frozen=True):
+    """Who waits for the result of an operation.
+
+    Attributes:
+        number: The asker's own number of the operation.
+    """
+
+    process: ReplicaId
+    address: Address
+    number: int
 
 
-class _Waiting(msgspec.Struct, frozen=True):
-    """A request that waits for an entry, and when it came first."""
+class _Waiting(msgspec.Struct):
+    """An operation without a result yet, when it came first, and who asked for it."""
 
-    request: LedgerRequest
+    operation: Operation
     since: float
+    askers: list[Asker]
+
+    def add_asker(self, asker: Asker) -> None:
+        if asker not in self.askers:
+            self.askers.append(asker)
 
 
 class RequestBatches:
@@ -49,111 +73,114 @@
         """Propose to ``replica``; ``wall`` reads the time of day (seconds since the epoch)."""
         self.turns = TurnsUnderWay()
         self.operations = 0
+        self.load = LeaderLoad(now)
         self._replica = replica
         self._wall = wall
         self._now = now
-        self.load = LeaderLoad(now)
-        self._waiting: dict[RequestKey, _Waiting] = {}
-        self._proposed: set[RequestKey] = set()
-        self._is_under_way = False
+        self._waiting: dict[OperationKey, _Waiting] = {}
+        self._proposed: dict[OperationKey, _Waiting] = {}
+        self._told: tuple[EngineTurns, ...] | None = None
 
     def note_time(self, now: float) -> None:
         """Note the time of the event that is being handled; answers may come of it."""
         self._now = now
+        self._told = None
 
-    def take(self, asker: ReplicaId, request: LedgerRequest, now: float) -> list[Effect]:
-        """Take a request in, with its notes; one without operations gets no answer."""
-        self._now = now
-        self._take_notes(request, now)
-        if not request.operations:
-            return []
-        self.operations += len(request.operations)
-        self._note_request((asker, request.number), request)
-        # A request that is repeated while it waits takes its place, and is proposed once.
-        known = self._waiting.get((asker, request.number))
-        since = now if known is None else known.since
-        self._waiting[asker, request.number] = _Waiting(request, since)
-        if len(self._waiting) > MAX_BATCHED_REQUESTS:
-            del self._waiting[next(iter(self._waiting))]
-        return self.propose(now)
+    def take(self, sender: ReplicaId, request: LedgerRequest, now: float) -> list[Effect]:
+        """Take a request in, with its report of turns; one without operations gets no answer."""
+        self.note_time(now)
+        self._take_turns(sender, request, now)
+        asker = Asker(sender, request.asker, request.number)
+        effects: list[Effect] = []
+        for operation in request.operations:
+            self.operations += 1
+            self.load.note_operation(operation)
+            effects.extend(self._take_operation(asker, operation))
+        return [*effects, *self.propose(now)]
+
+    def tick(self, now: float) -> list[Effect]:
+        """Propose what waits, and log the load if it is time."""
+        return [*self.propose(now), *self.load.report(now, len(self._waiting))]
 
     def propose(self, now: float) -> list[Effect]:
         """Propose what waits, up to a size, unless an entry is under way."""
         self._now = now
-        if self._is_under_way or not self._waiting:
+        if self._proposed or not self._waiting:
             return []
         oldest_wait = now - next(iter(self._waiting.values())).since
         batch = self._take_batch()
-        self._is_under_way = True
-        operations = tuple(item for _, request in batch for item in request.operations)
+        operations = tuple(item.operation for item in batch)
         size = sum(size_of(operation) for operation in operations)
-        self._proposed.update((asker, request.number) for asker, request in batch)
 
         def answer(results: tuple[OperationResult, ...] | None) -> list[Effect]:
-            self._is_under_way = False
             self._proposed.clear()
             self.load.note_entry(self._now - now, size, oldest_wait)
             return self._answer(batch, results)
 
         return self._replica.propose(operations, answer, now, self._wall())
 
-    def tick(self, now: float) -> list[Effect]:
-        """Propose what waits, and log the load if it is time."""
-        effects = self.propose(now)
-        effects.extend(self.load.report(now, len(self._waiting)))
-        return effects
+    # ------------------------------------------------------------ operations in
 
-    def _note_request(self, key: RequestKey, request: LedgerRequest) -> None:
-        self.load.note_request(request)
-        if key in self._waiting:
-            self.load.note_repetition("waiting")
-        elif key in self._proposed:
-            self.load.note_repetition("proposed")
-        elif self.load.was_answered(key):
-            self.load.note_repetition("answered")
-
-    def _take_notes(self, request: LedgerRequest, now: float) -> None:
-        if self._replica.leads:
-            for note in request.notes:
-                self.turns.take(note, now)
-        elif len(self.turns):
+    def _take_turns(self, sender: ReplicaId, request: LedgerRequest, now: float) -> None:
+        if not self._replica.leads:
             self.turns.clear()
+        elif request.turns is not None:
+            self.turns.take(sender, request.turns, now)
+
+    def _take_operation(self, asker: Asker, operation: Operation) -> list[Effect]:
+        key = _key_of(operation)
+        for stage, known in (("waiting", self._waiting), ("proposed", self._proposed)):
+            if key in known:
+                known[key].add_asker(asker)
+                self.load.note_repetition(stage)
+                return []
+        result = self._replica.state().known_result(operation)
+        if result is not None and self._replica.leads:
+            self.load.note_repetition("applied")
+            return [self._reply(asker, result)]
+        self._waiting[key] = _Waiting(operation, self._now, [asker])
+        if len(self._waiting) > MAX_BATCHED_OPERATIONS:
+            del self._waiting[next(iter(self._waiting))]
+        return []
 
-    def _take_batch(self) -> list[_Asked]:
-        batch: list[_Asked] = []
+    def _take_batch(self) -> list[_Waiting]:
+        """Take the oldest operations that fit an entry out of those that wait."""
         size = 0
         while self._waiting and size < MAX_BATCH_BYTES:
             key = next(iter(self._waiting))
-            request = self._waiting.pop(key).request
-            batch.append((key[0], request))
-            size += sum(size_of(operation) for operation in request.operations)
-        return batch
+            self._proposed[key] = self._waiting.pop(key)
+            size += size_of(self._proposed[key].operation)
+        return list(self._proposed.values())
+
+    # ------------------------------------------------------------ answers out
 
     def _answer(
-        self, batch: list[_Asked], results: tuple[OperationResult, ...] | None
+        self, batch: list[_Waiting], results: tuple[OperationResult, ...] | None
     ) -> list[Effect]:
         effects: list[Effect] = []
-        start = 0
-        for asker, request in batch:
-            end = start + len(request.operations)
-            own = None if results is None else results[start:end]
-            effects.append(self._reply(asker, request, own))
-            start = end
+        for number, item in enumerate(batch):
+            result = results[number] if results else None
+            effects.extend(self._reply(asker, result) for asker in item.askers)
         return effects
 
-    def _reply(
-        self,
-        asker: ReplicaId,
-        request: LedgerRequest,
-        results: tuple[OperationResult, ...] | None,
-    ) -> Effect:
-        leader = self._replica.group.leader
-        address = self._replica.leader_address()
-        hint = LeaderHint(leader, address) if leader is not None and address else None
-        is_asked = any(isinstance(operation, Reserve) for operation in request.operations)
-        engines = self.turns.engines(self._now) if results and is_asked else ()
+    def _reply(self, asker: Asker, result: OperationResult | None) -> Effect:
+        is_granted = isinstance(result, Granted)
         reply = LedgerReply(
-            number=request.number, results=results or (), leader=hint, engines=engines
+            number=asker.number,
+            results=() if result is None else (result,),
+            leader=self._replica.leader_hint(),
+            term=self._replica.group.term,
+            engines=self._engines_now() if is_granted else (),
         )
-        self.load.note_reply((asker, request.number), reply)
-        return SendPeer(to=asker, address=request.asker, message=reply)
+        self.load.note_reply(reply)
+        return SendPeer(to=asker.process, address=asker.address, message=reply)
+
+    def _engines_now(self) -> tuple[EngineTurns, ...]:
+        """Return what is known of engines, worked out once for all answers of one moment."""
+        if self._told is None:
+            self._told = self.turns.engines(self._now)
+        return self._told
+
+
+def _key_of(operation: Operation) -> OperationKey:
+    return (type(operation).__name__, operation.request_id)
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -59,6 +59,10 @@
         """Return the tokens that count against the budget, open turns at their most."""
         return self.spent + sum(self.reserved.values())
 
+    def knows(self, request_id: str) -> bool:
+        """Return whether a turn is reserved or settled already."""
+        return request_id in self.reserved or request_id in self.settled
+
     def note_context(self, session: str, context: CachedContext) -> None:
         """Remember where a line of turns was last read."""
         self.contexts.pop(session, None)
@@ -105,6 +109,30 @@
             return self.transition_reserve(operation)
         return self.transition_settle(operation)
 
+    def known_result(self, operation: Operation) -> OperationResult | None:
+        """Return the result of an operation whose effect stands already; None for a new one.
+
+        A function of the state that changes nothing, so a repetition needs no log entry.
+        """
+        program = self.programs.get(operation.program)
+        if isinstance(operation, Reserve):
+            if program is None or not program.knows(operation.request_id):
+                return None
+            return self._granted(program, operation)
+        is_counted = not operation.program or (
+            program is not None and operation.request_id in program.settled
+        )
+        is_kept = operation.turn is None or operation.turn.turn_id in self.turns
+        has_effect = bool(operation.program) or operation.turn is not None
+        return Settled() if is_counted and is_kept and has_effect else None
+
+    def _granted(self, program: Program, operation: Reserve) -> Granted:
+        return Granted(
+            spent=program.counted(),
+            turns=self._chain(operation.missing_from),
+            context=program.context_of(operation.session),
+        )
+
     def transition_reserve(self, operation: Reserve) -> OperationResult:
         """Reserve a turn's most, unless it does not fit or continues an unknown turn."""
         if operation.previous and operation.previous not in self.turns:
@@ -114,17 +142,12 @@
             return Granted(turns=turns)
         program = self.programs.setdefault(operation.program, Program())
         self._touch(program, operation.retention)
-        request_id = operation.request_id
-        if request_id in program.reserved or request_id in program.settled:
-            return Granted(
-                spent=program.counted(),
-                turns=turns,
-                context=program.context_of(operation.session),
-            )
+        if program.knows(operation.request_id):
+            return self._granted(program, operation)
         spent = program.counted()
         if spent + operation.tokens > operation.budget:
             return BudgetSpent(spent=spent)
-        program.reserved[request_id] = operation.tokens
+        program.reserved[operation.request_id] = operation.tokens
         context = program.context_of(operation.session)
         return Granted(spent=spent, turns=turns, context=context)
 
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -30,6 +30,8 @@
 )
 from yokeline.ledger.messages import (
     Join,
+    LeaderAnswer,
+    LeaderQuery,
     LedgerRequest,
     ReplicaMessage,
 )
@@ -154,10 +156,16 @@
             return self.replica.step(event.sender, message, now)
         if isinstance(message, LedgerRequest):
             return self.batches.take(event.sender, message, now)
+        if isinstance(message, LeaderQuery):
+            return [self._tell_leader(event.sender, message)]
         if isinstance(message, Join):
             return self._take_join(message, now)
         return []
 
+    def _tell_leader(self, sender: ReplicaId, query: LeaderQuery) -> SendPeer:
+        answer = LeaderAnswer(term=self.replica.group.term, leader=self.replica.leader_hint())
+        return SendPeer(to=sender, address=query.asker, message=answer)
+
     def _begin_stop(self, now: float) -> list[Effect]:
         """Hand leadership over, then end."""
         if self._stop_at is not None:
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -129,7 +129,7 @@
     "yokeline_start_seconds": "Seconds from the process's first instruction to a phase, by phase.",
     "yokeline_ledger_repetitions_total": "Questions to the ledger sent again, by cause.",
     "yokeline_ledger_late_answers_total": "Answers of the ledger that came too late.",
-    "yokeline_ledger_notes_lost_total": "Notes of turns under way that no leader could be told.",
+    "yokeline_ledger_turn_ends_dropped_total": "Ends of turns that no leader could be told.",
     "yokeline_peer_bytes_total": "Bytes of messages between nodes, by direction and kind.",
     "yokeline_ledger_operations_total": "Operations that other nodes asked this replica for.",
     "yokeline_ledger_programs": "Programs whose budgets this replica keeps.",
