Read the texts of earlier turns from replicas that do not lead

A node asks a replica, of its own zone if there is one, at the same time as it asks the leader for the reservation; a replica waits 0.1 s for a turn that is on its way to it; without help the leader sends the texts with the same reservation. What a node has of a line is not sent again.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -30,7 +30,9 @@
 from yokeline.forwarding.registry_exchange import RegistryExchange
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.history_fetches import HistoryFetches, NearReplica
 from yokeline.ledger.messages import (
+    HistoryReply,
     LeaderAnswer,
     LedgerReply,
     LoadDigest,
@@ -87,6 +89,7 @@
         forwarder: Forwarder,
         engines: EngineBook,
         ledger: LedgerClient,
+        histories: HistoryFetches,
         grace_seconds: float,
         engine_drain_seconds: float,
         phases: StartPhases,
@@ -96,6 +99,7 @@
         self.forwarder = forwarder
         self.phases = phases
         self.ledger = ledger
+        self.histories = histories
         self._record = record
         self._registry = registry
         self._formats = formats
@@ -135,6 +139,7 @@
         effects.extend(self._registry.tick(now))
         effects.extend(self._forget_lapsed(now))
         effects.extend(self.ledger.tick(now))
+        effects.extend(self.histories.tick(now))
         effects.extend(self.forwarder.tick(now))
         self._exchange.pace(now)
         effects.extend(
@@ -168,6 +173,7 @@
         dues = [
             self._registry.next_deadline(),
             self.ledger.next_deadline(),
+            self.histories.next_deadline(),
             self.forwarder.next_deadline(),
             self._sharing.next_deadline(),
             self._engines.next_lapse(),
@@ -197,6 +203,8 @@
             return self.ledger.take_reply(message, now)
         if isinstance(message, LeaderAnswer):
             return self.ledger.take_leader(event.sender, message, now)
+        if isinstance(message, HistoryReply):
+            return self.histories.take_reply(message, now)
         if isinstance(message, PassedOnRequest):
             return self._ask_for_peer(event.sender, message, now)
         if isinstance(message, RegistryAsk):
@@ -335,6 +343,10 @@
                 records.append(read.unwrap())
         storage = [record for record in records if record.role is NodeRole.STORAGE]
         self.ledger.set_storage({record.replica: record.address for record in storage})
+        own_zone = self._record.zone
+        self.histories.set_replicas(
+            [NearReplica(item.replica, item.address, item.zone == own_zone) for item in storage]
+        )
         edges = [record for record in records if record.role is NodeRole.EDGE]
         self._sharing.set_nodes(edges, self._now)
 
--- a/src/yokeline/forwarding/engine_sends.py
+++ b/src/yokeline/forwarding/engine_sends.py
@@ -74,6 +74,7 @@
             prompt=exchange.call.prompt_tokens,
             cached=choice.cached,
             predicted=round(choice.predicted, 4),
+            history=exchange.history.value,
             reserving=_seconds_to_grant(exchange),
             waited=round(self._state.now - exchange.waiting_since, 4),
             send=exchange.sends,
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -30,6 +30,19 @@
     ENDED = "ended"
 
 
+class HistorySource(enum.Enum):
+    """How a node comes by the texts of the turns before one."""
+
+    CACHED = "cached"
+    """They are here, or there are none."""
+    FETCHING = "fetching"
+    """A replica near by is asked."""
+    REPLICA = "replica"
+    """That replica had them."""
+    LEADER = "leader"
+    """The leader sends them with the reservation."""
+
+
 class Exchange(msgspec.Struct, kw_only=True, eq=False):
     """One request of a caller.
 
@@ -52,6 +65,8 @@
         events: Events passed on.
         text: Data of the events, for a turn that is kept.
         kept_event_id: Of the last event whose data is in ``text``.
+        history: Where the texts of its chain came from.
+        asked_for_texts: The leader was asked for them after the reservation was granted.
         granted_at: When the ledger granted its reservation; 0 if it needs none.
         sent_at: When it was last sent to an engine.
         item_at: When the engine's last event came.
@@ -87,6 +102,8 @@
     text: list[bytes] = msgspec.field(default_factory=list)
     kept_event_id: str = ""
     waiting_since: float = 0.0
+    history: HistorySource = HistorySource.CACHED
+    asked_for_texts: bool = False
     granted_at: float = 0.0
     sent_at: float = 0.0
     item_at: float = 0.0
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -47,6 +47,7 @@
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId
 from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.history_fetches import HistoryFetches
 
 START_RETRY_AFTER_SECONDS = 0.3
 """Time after which a caller is to come back to a node that knows no configuration yet."""
@@ -61,7 +62,13 @@
     """
 
     def __init__(
-        self, *, zone: str, dialect: Dialect, ledger: LedgerClient, engines: EngineBook
+        self,
+        *,
+        zone: str,
+        dialect: Dialect,
+        ledger: LedgerClient,
+        histories: HistoryFetches,
+        engines: EngineBook,
     ) -> None:
         """Serve in a zone."""
         self.refusing = False
@@ -80,7 +87,7 @@
             self._state, self._sends, settlements, self._ends, self._repeats, turns, dialect
         )
         self._reservations = Reservations(
-            self._state, ledger, self._ends, turns, self._wait_and_dispatch
+            self._state, ledger, histories, self._ends, turns, self._wait_and_dispatch
         )
 
     # ------------------------------------------------------------ service side
--- a/src/yokeline/forwarding/history.py
+++ b/src/yokeline/forwarding/history.py
@@ -7,6 +7,8 @@
 from yokeline.ledger.messages import KeptTurn
 
 MAX_CACHED_BYTES = 24 * 1024 * 1024
+MAX_SESSIONS = 4096
+"""Lines of turns of which the latest cached turn is remembered; the oldest gives way."""
 
 
 class TurnCache:
@@ -20,6 +22,19 @@
         """Create an empty cache."""
         self._turns: OrderedDict[str, KeptTurn] = OrderedDict()
         self._bytes = 0
+        self._latest: OrderedDict[str, str] = OrderedDict()
+
+    def note_latest(self, session: str, turn_id: str) -> None:
+        """Remember that a line of turns is cached up to a turn."""
+        self._latest[session] = turn_id
+        self._latest.move_to_end(session)
+        if len(self._latest) > MAX_SESSIONS:
+            self._latest.popitem(last=False)
+
+    def latest_of(self, session: str) -> str:
+        """Return the latest turn of a line whose whole chain is cached; empty if none is known."""
+        latest = self._latest.get(session, "")
+        return "" if latest and self.missing_from(latest) else latest
 
     def put(self, turn: KeptTurn) -> None:
         """Keep a turn."""
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -1,4 +1,8 @@
-"""The first step of a turn: its budget is reserved, and the history of its chain is fetched."""
+"""The first step of a turn: its budget is reserved, and the history of its chain is fetched.
+
+The leader is asked for the reservation. Texts that are not cached come from another replica at the
+same time; if that one does not help, the leader sends them with the same reservation, asked again.
+"""
 
 from __future__ import annotations
 
@@ -6,13 +10,21 @@
 
 from yokeline.effects import Effect
 from yokeline.forwarding.ends import Ends
-from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.exchange import Exchange, HistorySource, Phase
 from yokeline.forwarding.history import TurnCache
 from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.turn_operations import reservation_of
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.messages import BudgetSpent, Granted, NoSuchTurn, OperationResult
+from yokeline.ledger.history_fetches import HistoryFetches
+from yokeline.ledger.messages import (
+    BudgetSpent,
+    Granted,
+    KeptTurn,
+    NoSuchTurn,
+    Operation,
+    OperationResult,
+)
 
 LEDGER_SECONDS = 2.0
 """Longest wait for a reservation; then the request is refused, not run."""
@@ -27,6 +39,7 @@
         self,
         state: NodeState,
         ledger: LedgerClient,
+        histories: HistoryFetches,
         ends: Ends,
         turns: TurnCache,
         granted: Callable[[Exchange], None],
@@ -34,6 +47,7 @@
         """Call ``granted`` with each turn that may go on."""
         self._state = state
         self._ledger = ledger
+        self._histories = histories
         self._ends = ends
         self._turns = turns
         self._granted = granted
@@ -42,9 +56,15 @@
         """Ask for a turn's budget and for what it continues."""
         exchange.phase = Phase.RESERVING
         missing_from = self._turns.missing_from(exchange.call.previous_turn)
-        operation = reservation_of(exchange, missing_from)
-        exchange.operation = operation
+        if missing_from and self._fetch(exchange, missing_from):
+            exchange.history = HistorySource.FETCHING
+            missing_from = ""
+        elif missing_from:
+            exchange.history = HistorySource.LEADER
+        exchange.operation = reservation_of(exchange, missing_from)
+        self._ask(exchange, exchange.operation)
 
+    def _ask(self, exchange: Exchange, operation: Operation) -> None:
         def reserved(result: OperationResult | None, now: float) -> list[Effect]:
             self._state.now = now
             self._take_result(exchange, result)
@@ -55,6 +75,40 @@
         effects = self._ledger.ask(operation, reserved, now, give_up_at)
         self._state.outcomes.effects.extend(effects)
 
+    def _fetch(self, exchange: Exchange, missing_from: str) -> bool:
+        """Ask a replica for the texts; return whether there is one to ask."""
+
+        def fetched(turns: tuple[KeptTurn, ...], now: float) -> list[Effect]:
+            self._state.now = now
+            self._take_texts(exchange, turns)
+            return self._state.outcomes.take_effects()
+
+        known = self._turns.latest_of(exchange.call.session)
+        leader = self._ledger.leader
+        effects = self._histories.fetch(missing_from, known, leader, fetched, self._state.now)
+        self._state.outcomes.effects.extend(effects or [])
+        return effects is not None
+
+    def _take_texts(self, exchange: Exchange, turns: tuple[KeptTurn, ...]) -> None:
+        """Note what a replica sent; the reservation may have been granted before."""
+        for turn in turns:
+            self._turns.put(turn)
+        if exchange.phase is not Phase.RESERVING:
+            return
+        missing_from = self._turns.missing_from(exchange.call.previous_turn)
+        exchange.history = HistorySource.LEADER if missing_from else HistorySource.REPLICA
+        if not exchange.granted_at:
+            return
+        if missing_from:
+            self._ask_for_texts(exchange, missing_from)
+        else:
+            self._go_on(exchange)
+
+    def _ask_for_texts(self, exchange: Exchange, missing_from: str) -> None:
+        """Ask the leader for the granted reservation once more, with the texts."""
+        exchange.asked_for_texts = True
+        self._ask(exchange, reservation_of(exchange, missing_from))
+
     def _take_result(self, exchange: Exchange, result: OperationResult | None) -> None:
         """Go on with a reservation, or refuse.
 
@@ -66,7 +120,7 @@
         exchange.operation = None
         if isinstance(result, Granted):
             exchange.reserved = exchange.call.budget is not None
-            exchange.granted_at = self._state.now
+            exchange.granted_at = exchange.granted_at or self._state.now
             exchange.spent = result.spent
             exchange.context = result.context
             self._add_history(exchange, result)
@@ -86,14 +140,23 @@
     def _add_history(self, exchange: Exchange, granted: Granted) -> None:
         for turn in granted.turns:
             self._turns.put(turn)
-        history = self._turns.history(exchange.call.previous_turn)
-        if history is None:
+        missing_from = self._turns.missing_from(exchange.call.previous_turn)
+        if not missing_from:
+            self._go_on(exchange)
+        elif exchange.history is HistorySource.LEADER and not exchange.asked_for_texts:
+            self._ask_for_texts(exchange, missing_from)
+        elif exchange.history is not HistorySource.FETCHING:
             self._ends.refuse(
                 exchange,
                 UNAVAILABLE,
                 "history_incomplete",
                 retry_after=HISTORY_RETRY_AFTER_SECONDS,
             )
-            return
-        exchange.body = history + exchange.arrived.body
+
+    def _go_on(self, exchange: Exchange) -> None:
+        previous = exchange.call.previous_turn
+        history = self._turns.history(previous)
+        if previous:
+            self._turns.note_latest(exchange.call.session, previous)
+        exchange.body = (history or b"") + exchange.arrived.body
         self._granted(exchange)
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -127,6 +127,11 @@
         """Note the storage replicas that are known."""
         self._search.set_storage(storage)
 
+    @property
+    def leader(self) -> ReplicaId | None:
+        """The replica that is believed to lead, if any."""
+        return self._search.leader.replica if self._search.leader is not None else None
+
     @property
     def reaches_ledger(self) -> bool:
         """Whether the last operations were answered, or there were none."""
@@ -376,8 +381,7 @@
         }
         effects: list[Effect] = [LogRecord(event="ledger_leader_known", fields=fields)]
         for number, asked in self._asked.items():
-            if asked.sends:
-                self.repetitions["new_leader"] += 1
+            self.repetitions["new_leader"] += asked.sent_to is not None
             asked.sends = 0
             effects.extend(self._send(number, asked, now))
         return effects
--- /dev/null
+++ b/src/yokeline/ledger/history_fetches.py
@@ -0,0 +1,127 @@
+"""Texts of kept turns, read from a replica that does not lead.
+
+A kept turn never changes, so any replica that has it may give it out. The leader sends each new
+turn to all followers and answers every reservation; the texts of histories would be a quarter of
+what its link carries, and another replica may be in the reader's own zone.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import msgspec
+import xxhash
+
+from yokeline.effects import Address, Effect, SendPeer
+from yokeline.identifiers import ReplicaId
+from yokeline.ledger.messages import HistoryAsk, HistoryReply, KeptTurn
+
+FETCH_SECONDS = 0.15
+"""Longest wait for a replica, then the leader is asked: a replica holds a question for 0.1 s, and
+the text of a long chain takes a few hundredths on a link of 15 Mbit/s."""
+AVOID_SECONDS = 3.0
+"""Time for which a replica that was silent is not asked: a machine that lost power is back in 2 to
+4 s."""
+OUTSIDE_SECONDS = 15.0
+"""The same for one that is no member of the group: members change when a machine is lost."""
+
+HistoryDone = Callable[[tuple[KeptTurn, ...], float], list[Effect]]
+"""Told the turns, the oldest first, and the time; none if the replica did not help."""
+
+
+class NearReplica(msgspec.Struct, frozen=True):
+    """A storage replica, and whether it is in the reader's zone."""
+
+    replica: ReplicaId
+    address: Address
+    is_near: bool
+
+
+class _Fetch(msgspec.Struct):
+    replica: ReplicaId
+    done: HistoryDone
+    give_up_at: float
+
+
+class HistoryFetches:
+    """Questions of one forwarding node; a pure state machine.
+
+    Attributes:
+        counts: Questions by how they ended.
+    """
+
+    def __init__(self, node: str, own_address: Address) -> None:
+        """Ask from ``own_address``; ``node`` parts the nodes over replicas that are as near."""
+        self.counts: Counter[str] = Counter()
+        self._node = node
+        self._own_address = own_address
+        self._replicas: list[NearReplica] = []
+        self._avoided_until: dict[ReplicaId, float] = {}
+        self._fetches: dict[int, _Fetch] = {}
+        self._numbers = 0
+
+    def set_replicas(self, replicas: list[NearReplica]) -> None:
+        """Note the storage replicas that are known."""
+        self._replicas = sorted(replicas, key=lambda item: (not item.is_near, self._lot(item)))
+        known = {item.replica for item in replicas}
+        self._avoided_until = {
+            replica: until for replica, until in self._avoided_until.items() if replica in known
+        }
+
+    def fetch(
+        self,
+        last: str,
+        known: str,
+        leader: ReplicaId | None,
+        done: HistoryDone,
+        now: float,
+    ) -> list[Effect] | None:
+        """Ask for a chain from after ``known`` up to ``last``; None if there is nobody to ask."""
+        chosen = self._choose(leader, now)
+        if chosen is None:
+            return None
+        self._numbers += 1
+        self._fetches[self._numbers] = _Fetch(chosen.replica, done, now + FETCH_SECONDS)
+        message = HistoryAsk(number=self._numbers, asker=self._own_address, last=last, known=known)
+        return [SendPeer(to=chosen.replica, address=chosen.address, message=message)]
+
+    def take_reply(self, reply: HistoryReply, now: float) -> list[Effect]:
+        """Take an answer in."""
+        fetch = self._fetches.pop(reply.number, None)
+        if fetch is None:
+            self.counts["late"] += 1
+            return []
+        if reply.turns:
+            self.counts["found"] += 1
+        elif reply.is_member:
+            self.counts["lacking"] += 1
+        else:
+            self.counts["outside"] += 1
+            self._avoided_until[fetch.replica] = now + OUTSIDE_SECONDS
+        return fetch.done(reply.turns, now)
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`tick` is due."""
+        return min((fetch.give_up_at for fetch in self._fetches.values()), default=None)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Give up what a replica did not answer."""
+        effects: list[Effect] = []
+        for number, fetch in list(self._fetches.items()):
+            if now < fetch.give_up_at:
+                continue
+            del self._fetches[number]
+            self.counts["silent"] += 1
+            self._avoided_until[fetch.replica] = now + AVOID_SECONDS
+            effects.extend(fetch.done((), now))
+        return effects
+
+    def _choose(self, leader: ReplicaId | None, now: float) -> NearReplica | None:
+        for item in self._replicas:
+            if item.replica != leader and now >= self._avoided_until.get(item.replica, now):
+                return item
+        return None
+
+    def _lot(self, item: NearReplica) -> int:
+        return xxhash.xxh32_intdigest(f"{self._node}/{item.replica}".encode())
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -248,6 +248,33 @@
     engines: tuple[EngineTurns, ...] = ()
 
 
+class HistoryAsk(msgspec.Struct, frozen=True, kw_only=True, tag="history_ask"):
+    """A forwarding node asks a replica that need not lead for the texts of kept turns.
+
+    Attributes:
+        last: The latest turn of the chain that it lacks.
+        known: A turn of the same chain that it has; what came before is left out.
+    """
+
+    number: int
+    asker: Address
+    last: str
+    known: str = ""
+
+
+class HistoryReply(msgspec.Struct, frozen=True, kw_only=True, tag="history"):
+    """The turns asked for, the oldest first.
+
+    Attributes:
+        turns: None if the replica does not have the last one.
+        is_member: The replica belongs to the ledger's group, so it gets new turns.
+    """
+
+    number: int
+    turns: tuple[KeptTurn, ...] = ()
+    is_member: bool = True
+
+
 class ReplicaMessage(msgspec.Struct, frozen=True, kw_only=True, tag="raft"):
     """A Raft message, with where its sender listens."""
 
@@ -304,6 +331,8 @@
     | LedgerReply
     | LeaderQuery
     | LeaderAnswer
+    | HistoryAsk
+    | HistoryReply
     | ReplicaMessage
     | Join
     | RegistryAsk
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -129,7 +129,7 @@
     def _granted(self, program: Program, operation: Reserve) -> Granted:
         return Granted(
             spent=program.counted(),
-            turns=self._chain(operation.missing_from),
+            turns=self.chain(operation.missing_from),
             context=program.context_of(operation.session),
         )
 
@@ -137,7 +137,7 @@
         """Reserve a turn's most, unless it does not fit or continues an unknown turn."""
         if operation.previous and operation.previous not in self.turns:
             return NoSuchTurn(turn_id=operation.previous)
-        turns = self._chain(operation.missing_from)
+        turns = self.chain(operation.missing_from)
         if not operation.program:
             return Granted(turns=turns)
         program = self.programs.setdefault(operation.program, Program())
@@ -183,11 +183,11 @@
             stored.expires = max(stored.expires, expires)
             current = stored.turn.previous
 
-    def _chain(self, last: str) -> tuple[KeptTurn, ...]:
-        """Return the turns up to and including ``last``, the oldest first."""
+    def chain(self, last: str, known: str = "") -> tuple[KeptTurn, ...]:
+        """Return the turns after ``known`` up to ``last``, the oldest first."""
         chain: list[KeptTurn] = []
         current = last
-        while current:
+        while current and current != known:
             stored = self.turns.get(current)
             if stored is None:
                 break
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -19,6 +19,7 @@
     StopRequested,
 )
 from yokeline.identifiers import NodeName, ReplicaId, node_name_of
+from yokeline.ledger.history_service import HistoryService
 from yokeline.ledger.members import (
     LOST_SILENCE_SECONDS,
     AddMember,
@@ -29,6 +30,7 @@
     next_step,
 )
 from yokeline.ledger.messages import (
+    HistoryAsk,
     Join,
     LeaderAnswer,
     LeaderQuery,
@@ -100,6 +102,7 @@
         self._retire_written: dict[NodeName, bool] = {}
         self._stop_at: float | None = None
         self.batches = RequestBatches(replica, wall, now)
+        self._histories = HistoryService(replica)
         registry.ensure(node_key(record.name), encode_node(record))
 
     # ------------------------------------------------------------ service
@@ -116,6 +119,7 @@
         if now >= self.replica.next_deadline():
             effects.extend(self.replica.tick(now))
         effects.extend(self.batches.tick(now))
+        effects.extend(self._histories.tick(now))
         effects.extend(self._found_if_first(now))
         effects.extend(self._ask_to_join(now))
         effects.extend(self._go_on_alone(now))
@@ -130,9 +134,9 @@
     def next_deadline(self) -> float | None:
         """Return when a tick is due."""
         dues = [self.replica.next_deadline(), self._next_members]
-        registry_due = self._registry.next_deadline()
-        if registry_due is not None:
-            dues.append(registry_due)
+        for due in (self._registry.next_deadline(), self._histories.next_deadline()):
+            if due is not None:
+                dues.append(due)
         if self._stop_at is not None:
             dues.append(self._stop_at)
         return min(dues)
@@ -156,6 +160,8 @@
             return self.replica.step(event.sender, message, now)
         if isinstance(message, LedgerRequest):
             return self.batches.take(event.sender, message, now)
+        if isinstance(message, HistoryAsk):
+            return self._histories.take(event.sender, message, now)
         if isinstance(message, LeaderQuery):
             return [self._tell_leader(event.sender, message)]
         if isinstance(message, Join):
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -128,6 +128,7 @@
     "yokeline_ledger_passed_on_total": "Questions of other nodes that this one asked the ledger.",
     "yokeline_start_seconds": "Seconds from the process's first instruction to a phase, by phase.",
     "yokeline_ledger_repetitions_total": "Questions to the ledger sent again, by cause.",
+    "yokeline_ledger_history_fetches_total": "Chains of turns asked of a replica, by ending.",
     "yokeline_ledger_late_answers_total": "Answers of the ledger that came too late.",
     "yokeline_ledger_turn_ends_dropped_total": "Ends of turns that no leader could be told.",
     "yokeline_peer_bytes_total": "Bytes of messages between nodes, by direction and kind.",
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -115,6 +115,7 @@
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.metrics import edge_figures
     from yokeline.ledger.client import LedgerClient
+    from yokeline.ledger.history_fetches import HistoryFetches
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -141,8 +142,13 @@
     )
     engines = EngineBook(settings.name)
     ledger = LedgerClient(settings.peer_address)
+    histories = HistoryFetches(settings.name, settings.peer_address)
     forwarder = Forwarder(
-        zone=settings.zone, dialect=adapter.dialect, ledger=ledger, engines=engines
+        zone=settings.zone,
+        dialect=adapter.dialect,
+        ledger=ledger,
+        histories=histories,
+        engines=engines,
     )
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
@@ -154,6 +160,7 @@
         forwarder=forwarder,
         engines=engines,
         ledger=ledger,
+        histories=histories,
         grace_seconds=settings.grace_seconds,
         engine_drain_seconds=settings.engine_drain_ms / 1000.0,
         phases=StartPhases(start.began_at),
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -34,8 +34,10 @@
 )
 from yokeline.identifiers import ExchangeId, ReplicaId
 from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.history_fetches import HistoryFetches
 from yokeline.ledger.messages import (
     EngineTurns,
+    HistoryAsk,
     LeaderAnswer,
     LeaderHint,
     LeaderQuery,
@@ -93,8 +95,13 @@
         self.ledger.engines_told = lambda told, now: self.engines.take_told(told, now)
         self.ledger.set_storage({STORAGE.replica: STORAGE.address})
         self.engines = EngineBook()
+        self.histories = HistoryFetches("edge", Address("10.0.0.1", 1))
         self.forwarder = Forwarder(
-            zone="a", dialect=HeaderDialect(), ledger=self.ledger, engines=self.engines
+            zone="a",
+            dialect=HeaderDialect(),
+            ledger=self.ledger,
+            histories=self.histories,
+            engines=self.engines,
         )
         self.forwarder.table = TABLE
         for pool in ("models", "apps"):
@@ -113,6 +120,8 @@
         self.stream: list[Effect] = []
         self.asked: list[tuple[int, Operation]] = []
         self.told: list[NodeTurns] = []
+        self.peers: list[SendPeer] = []
+        """Questions for the texts of earlier turns."""
         self._numbers = itertools.count(1)
 
     # ------------------------------------------------------------ callers
@@ -198,6 +207,7 @@
         while self.now < end:
             self.now = min(end, self.now + 0.01)
             self.take(self.ledger.tick(self.now))
+            self.take(self.histories.tick(self.now))
             self.take(self.forwarder.tick(self.now))
 
     def take(self, effects: list[Effect]) -> None:
@@ -215,6 +225,9 @@
 
     def _note_asked(self, effect: SendPeer) -> None:
         message = effect.message
+        if isinstance(message, HistoryAsk):
+            self.peers.append(effect)
+            return
         if isinstance(message, LeaderQuery):
             answer = LeaderAnswer(term=1, leader=STORAGE)
             self.take(self.ledger.take_leader(STORAGE.replica, answer, self.now))
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -62,6 +62,7 @@
             forwarder=self.played.forwarder,
             engines=self.played.engines,
             ledger=self.played.ledger,
+            histories=self.played.histories,
             grace_seconds=GRACE_SECONDS,
             engine_drain_seconds=2.0,
             phases=StartPhases(self.now),
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -27,7 +27,13 @@
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.codec import LedgerCodec
 from yokeline.ledger.disk_records import recover
-from yokeline.ledger.messages import LeaderAnswer, LedgerReply, Operation, OperationResult
+from yokeline.ledger.messages import (
+    HistoryReply,
+    LeaderAnswer,
+    LedgerReply,
+    Operation,
+    OperationResult,
+)
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.storage_node import StorageNode
 from yokeline.platform.documents import PlatformDocuments
@@ -176,6 +182,7 @@
         self._order = itertools.count()
         self.frames = 0
         self.log: list[LogRecord] = []
+        self.histories: list[HistoryReply] = []
         self.unclaimed: list[tuple[ReplicaId, LedgerReply]] = []
         """Answers to askers that are not played."""
         for machine in self.machines:
@@ -417,6 +424,8 @@
         if to_asker:
             self._schedule(delay, lambda: self._answer_asker(sender, effect))
             return
+        if isinstance(effect.message, HistoryReply):
+            self.histories.append(effect.message)
         if isinstance(effect.message, LedgerReply):
             self.unclaimed.append((effect.to, effect.message))
         event = PeerMessage(sender=sender, message=effect.message)
