--- a/src/yokeline/platform/__main__.py
+++ b/src/yokeline/platform/__main__.py
@@ -4,10 +4,14 @@
 
 import gc
 import os
+import signal
 import sys
 import time
 
 BEGAN_AT = time.monotonic()
+if __name__ == "__main__":
+    # Until the role handles it, a reload asks for nothing: the settings are not read yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 SETTINGS_VARIABLE = "YOKELINE_NODE_FILE"
 """Environment variable that holds the path of the settings file."""
 
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -7,10 +7,12 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 
 from tests.processes.child import ROOT
@@ -53,6 +55,19 @@
         assert self._process is not None
         self._process.send_signal(number)
 
+    @property
+    def is_running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    def listens(self) -> bool:
+        """Return whether other nodes can connect; a role listens before it imports much."""
+        port = tomllib.loads(self._settings.read_text())["peer_port"]
+        try:
+            socket.create_connection((HOST, port), timeout=1).close()
+        except OSError:
+            return False
+        return True
+
     def kill(self) -> None:
         self.send(signal.SIGKILL)
         self.wait()
@@ -62,7 +77,7 @@
         return self._process.wait(60)
 
     def end(self) -> None:
-        if self._process is not None and self._process.poll() is None:
+        if self.is_running:
             self.kill()
 
     def lines(self, event: str) -> list[dict[str, object]]:
@@ -72,7 +87,11 @@
 
 
 class Deployment:
-    """Three storage nodes, two edges, two model engines and an app."""
+    """Storage nodes, edges, two model engines and an app."""
+
+    def __init__(self, *, storage_nodes: int = 3, edges: int = 2) -> None:
+        self._storage_nodes = storage_nodes
+        self._edge_nodes = edges
 
     def __enter__(self) -> Deployment:
         self._folder = tempfile.TemporaryDirectory()
@@ -89,11 +108,14 @@
             self._register(engine, "models", port)
         self._register(self.app, "apps", self.published(self.app.engine_id, self._serve(self.app)))
         self.configure(1)
-        self.storage = [self._role("storage", number) for number in range(3)]
-        self.edges = [self._role("edge", number) for number in range(2)]
+        self.storage = [self._role("storage", number) for number in range(self._storage_nodes)]
+        self.edges = [self._role("edge", number) for number in range(self._edge_nodes)]
         for process in (*self.storage, *self.edges):
             process.start()
-        wait_until(lambda: all(self.is_ready(number) for number in range(2)), "edges are ready")
+        wait_until(
+            lambda: all(self.is_ready(number) for number in range(self._edge_nodes)),
+            "edges are ready",
+        )
         return self
 
     def __exit__(self, *error: object) -> None:
--- a/tests/processes/platform/test_roles.py
+++ b/tests/processes/platform/test_roles.py
@@ -132,3 +132,18 @@
         self.assertIn("missing required field `host`", ended.stderr)
         self.assertIn("correct the field", ended.stderr)
         self.assertEqual(len(ended.stderr.splitlines()), 1)
+
+
+class EarlySignals(unittest.TestCase):
+    def test_a_reload_during_the_start_does_not_end_the_process(self) -> None:
+        """The settings are read later than that in any case."""
+        with Deployment() as deployment:
+            storage = deployment.storage[0]
+            storage.kill()
+            storage.start()
+            wait_until(storage.listens, "it listens, before its imports")
+            for _ in range(20):
+                storage.send(signal.SIGHUP)
+                time.sleep(0.02)
+            wait_until(lambda: len(storage.lines("started")) == 2, "it has started again")
+            self.assertTrue(storage.is_running)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,35 +1,78 @@
 """Fault soak: real processes, faults from outside, promises checked from callers and back ends.
 
-Run ``python -m tests.soak --seconds 120``; with ``--seed`` the plan of a seed is played again.
-Regression seeds are in ``tests/soak/SEEDS.txt``, each with its cause.
+Run ``python -m tests.soak --seconds 120``; with ``--seed`` the plans of a seed are played again,
+``--runs 50`` plays as many fresh ones one after the other, and ``--edges 40 --storage-nodes 8``
+fills the machine. Regression seeds are in ``tests/soak/SEEDS.txt``, each with its cause.
 """
 
 from __future__ import annotations
 
 import secrets
 import sys
+import threading
 import time
 from pathlib import Path
 
 import defopt
+import msgspec
 
 from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import Deployment
 from tests.soak.callers import Caller
-from tests.soak.faults import Injector
+from tests.soak.faults import Injector, SharedFaults
 from tests.soak.proxy import Proxy
 from tests.soak.records import Records, violations
 
-CALLERS = 6
+CALLERS_PER_EDGE = 3
+LANES = 2
+"""Sequences of faults that run beside each other, so that faults overlap."""
+PROCESSES_PER_LANE = 8
+"""One more lane for each so many processes of a larger deployment."""
 CALM_SECONDS = 3.0
 SEED_SPAN = 10**9
 
 
+class SoakPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run plays.
+
+    Attributes:
+        seed: Decides the faults and what callers ask.
+        seconds: How long faults are injected.
+        logs: Folder that keeps the processes' logs if a promise was broken; empty for none.
+    """
+
+    seed: int
+    seconds: float = 60.0
+    storage_nodes: int = 3
+    edges: int = 2
+    logs: str = ""
+
+    @property
+    def lanes(self) -> int:
+        """Sequences of faults beside each other."""
+        return LANES + (self.storage_nodes + self.edges) // PROCESSES_PER_LANE
+
+
+class SoakResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run saw.
+
+    Attributes:
+        faults: A line for each.
+        outcomes: Requests by path and end.
+        broken: A line for each broken promise.
+    """
+
+    faults: list[str]
+    outcomes: dict[str, int]
+    broken: list[str]
+
+
 class ProxiedDeployment(Deployment):
     """A deployment whose connections from callers, to engines and to the store pass proxies."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, storage_nodes: int, edges: int) -> None:
         """Prepare; the proxies are named by what lies behind them."""
+        super().__init__(storage_nodes=storage_nodes, edges=edges)
         self.proxies: dict[str, Proxy] = {}
 
     def published(self, name: str, port: int) -> int:
@@ -43,40 +86,87 @@
             proxy.close()
 
 
-def soak(*, seconds: float = 60.0, seed: int = -1, logs: str = "") -> int:
-    """Play faults for a time and check the promises.
-
-    :param seconds: How long faults are injected.
-    :param seed: Plan to play; a fresh one if negative.
-    :param logs: Folder that keeps the processes' logs if a promise was broken.
-    """
-    chosen = secrets.randbelow(SEED_SPAN) if seed < 0 else seed
+def play(plan: SoakPlan) -> SoakResult:
+    """Play a plan and return what was seen."""
     records = Records()
-    with ProxiedDeployment() as deployment:
-        injector = Injector(deployment, deployment.proxies, chosen)
-        callers = [Caller(f"c{number}", deployment, records, chosen) for number in range(CALLERS)]
+    deployment = ProxiedDeployment(storage_nodes=plan.storage_nodes, edges=plan.edges)
+    with deployment:
+        shared = SharedFaults(deployment, deployment.proxies)
+        injectors = [Injector(shared, f"{plan.seed}/{lane}") for lane in range(plan.lanes)]
+        callers = [
+            Caller(f"c{number}", deployment, records, plan.seed)
+            for number in range(CALLERS_PER_EDGE * plan.edges)
+        ]
         for caller in callers:
             caller.start()
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            injector.inject()
+        _inject(injectors, plan.seconds)
         wait_until(lambda: _is_served(deployment), "a turn is served after the last fault")
         time.sleep(CALM_SECONDS)
         for caller in callers:
             caller.stop()
         time.sleep(CALM_SECONDS)
         broken = violations(records.asked, [*deployment.models, deployment.app])
-        if broken and logs:
-            deployment.keep_logs(Path(logs))
+        if broken and plan.logs:
+            deployment.keep_logs(Path(plan.logs) / str(plan.seed))
         deployment.close_proxies()
-    for line in injector.lines:
+    return SoakResult(faults=shared.lines, outcomes=dict(records.outcomes()), broken=broken)
+
+
+def _inject(injectors: list[Injector], seconds: float) -> None:
+    """Let each injector bring faults about in a thread of its own, for a time."""
+    end = time.monotonic() + seconds
+
+    def run(injector: Injector) -> None:
+        while time.monotonic() < end:
+            injector.inject()
+
+    threads = [threading.Thread(target=run, args=(injector,)) for injector in injectors]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def soak(
+    *,
+    seconds: float = 60.0,
+    seed: int = -1,
+    runs: int = 1,
+    edges: int = 2,
+    storage_nodes: int = 3,
+    logs: str = "",
+) -> int:
+    """Play faults for a time and check the promises.
+
+    :param seconds: How long faults are injected, in each run.
+    :param seed: Plans to play; a fresh one for each run if negative.
+    :param runs: Runs one after the other.
+    :param edges: Forwarding nodes.
+    :param storage_nodes: Nodes of the ledger.
+    :param logs: Folder that keeps the processes' logs if a promise was broken.
+    """
+    broken = 0
+    for _ in range(runs):
+        chosen = secrets.randbelow(SEED_SPAN) if seed < 0 else seed
+        plan = SoakPlan(
+            seed=chosen, seconds=seconds, edges=edges, storage_nodes=storage_nodes, logs=logs
+        )
+        result = play(plan)
+        broken += len(result.broken)
+        _print(plan, result, lists_faults=runs == 1 or bool(result.broken))
+    print(f"{runs} runs, {broken} promises broken")
+    return 1 if broken else 0
+
+
+def _print(plan: SoakPlan, result: SoakResult, *, lists_faults: bool) -> None:
+    for line in result.faults if lists_faults else ():
         print(line)
-    print(f"seed {chosen}: {len(injector.lines)} faults, {len(records.asked)} requests")
-    print(", ".join(f"{name}: {count}" for name, count in sorted(records.outcomes().items())))
-    for line in broken:
+    requests = sum(result.outcomes.values())
+    print(f"seed {plan.seed}: {len(result.faults)} faults, {requests} requests")
+    print(", ".join(f"{name}: {count}" for name, count in sorted(result.outcomes.items())))
+    for line in result.broken:
         print(f"BROKEN {line}")
-    print(f"{len(broken)} promises broken")
-    return 1 if broken else 0
+    sys.stdout.flush()
 
 
 def _is_served(deployment: Deployment) -> bool:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,6 +25,7 @@
         self._deployment = deployment
         self._records = records
         self._random = random.Random(f"{seed}/{name}")
+        self._connections: dict[int, http.client.HTTPConnection] = {}
         self._stop = threading.Event()
         self._count = 0
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -42,6 +43,8 @@
         while not self._stop.is_set():
             action = self._random.choice((self._correct, self._run_program, self._keep_line))
             action()
+        for edge in list(self._connections):
+            self._drop_connection(edge)
 
     def _correct(self) -> None:
         self._ask("/fix/x", {})
@@ -102,8 +105,7 @@
         self, edge: int, path: str, request_id: str, fields: dict[str, str]
     ) -> tuple[int | None, bytes, bool]:
         """Return status, body as far as it came, and whether it came whole."""
-        port = self._deployment.fronts[edge]
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=ANSWER_SECONDS)
+        connection = self._connection(edge)
         headers = {
             "Host": "a.example",
             "X-Yokeline-Request-Id": request_id,
@@ -117,8 +119,20 @@
             status = response.status
             return status, response.read(), True
         except http.client.IncompleteRead as error:
+            self._drop_connection(edge)
             return status, error.partial, False
         except (OSError, http.client.HTTPException):
+            self._drop_connection(edge)
             return status, b"", False
-        finally:
-            connection.close()
+
+    def _connection(self, edge: int) -> http.client.HTTPConnection:
+        """Return the open connection to an edge, which is used until the edge ends it."""
+        if edge not in self._connections:
+            port = self._deployment.fronts[edge]
+            self._connections[edge] = http.client.HTTPConnection(
+                "127.0.0.1", port, timeout=ANSWER_SECONDS
+            )
+        return self._connections[edge]
+
+    def _drop_connection(self, edge: int) -> None:
+        self._connections.pop(edge).close()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,132 +1,253 @@
-"""Faults of the soak, brought about from outside the processes; one seed gives one plan."""
+"""Faults of the soak, brought about from outside the processes; one seed gives one plan.
+
+Several injectors run beside each other, so faults overlap; kills, stops, reloads and changes of
+configuration come in series as well. What must not happen at once to one thing (two injectors that
+kill one process) is kept apart by a lock for each process, proxy and disk.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import random
 import shutil
 import signal
+import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 from tests.processes.platform.deployment import Deployment, RoleProcess
 from tests.soak.proxy import Proxy, ProxyFault
 
 DISK_REST_SECONDS = 6.0
-"""Time after a lost disk in which no other one is lost or its process stopped for long."""
+"""Time after a lost disk in which no other one is lost."""
 GARBAGE_BYTES = 37
+LONGEST_SERIES = 3
+"""Times that a fault which comes in series is repeated at most."""
+SERIES_PAUSE_SECONDS = 0.4
+"""Longest pause between two faults of a series."""
+PAUSE_BEFORE_ANOTHER_SECONDS = 0.1
+"""Pause of an injector that found what it chose in another one's hands."""
 
 
-class Injector:
-    """Injects one fault at a time and takes it back; keeps a line for each.
+class SharedFaults:
+    """What all injectors of a run share: locks, and a line for each fault.
 
     Attributes:
         lines: What was done, with seconds from the start.
     """
 
-    def __init__(self, deployment: Deployment, proxies: dict[str, Proxy], seed: int) -> None:
+    def __init__(self, deployment: Deployment, proxies: dict[str, Proxy]) -> None:
+        """Begin a run."""
+        self.deployment = deployment
+        self.proxies = proxies
+        self.lines: list[str] = []
+        self.version = 1
+        self.disk_lost_at = float("-inf")
+        self._began = time.monotonic()
+        self._lock = threading.Lock()
+        self._taken: set[str] = set()
+
+    def note(self, text: str) -> None:
+        """Keep a line."""
+        self.lines.append(f"{time.monotonic() - self._began:7.2f} {text}")
+
+    @contextlib.contextmanager
+    def holding(self, *names: str) -> Iterator[bool]:
+        """Take things for one fault; false if another one has some of them."""
+        with self._lock:
+            is_free = not self._taken.intersection(names)
+            if is_free:
+                self._taken.update(names)
+        try:
+            yield is_free
+        finally:
+            if is_free:
+                with self._lock:
+                    self._taken.difference_update(names)
+
+
+class Injector:
+    """Injects one fault at a time and takes it back."""
+
+    def __init__(self, shared: SharedFaults, seed: str) -> None:
         """Prepare the plan of a seed."""
-        self._deployment = deployment
-        self._proxies = proxies
+        self._shared = shared
+        self._deployment = shared.deployment
         self._random = random.Random(seed)
-        self._began = time.monotonic()
-        self._disk_lost_at = float("-inf")
-        self.lines: list[str] = []
 
     def inject(self) -> None:
         """Bring a fault about, wait, and take it back."""
-        kinds: tuple[Callable[[float], None], ...] = (
+        kinds: tuple[Callable[[float], bool], ...] = (
             self._disturb_connections,
             self._disturb_connections,
             self._pause_process,
             self._kill_process,
+            self._kill_process,
             self._kill_all_storage,
             self._tear_log,
             self._lose_disk,
             self._stop_platform_store,
             self._break_streams,
             self._ask_edge_to_stop,
+            self._reload,
+            self._change_configuration,
         )
-        self._random.choice(kinds)(self._random.uniform(0.2, 2.0))
+        if not self._random.choice(kinds)(self._random.uniform(0.2, 2.0)):
+            time.sleep(PAUSE_BEFORE_ANOTHER_SECONDS)
 
-    def _note(self, text: str) -> None:
-        self.lines.append(f"{time.monotonic() - self._began:7.2f} {text}")
+    # ------------------------------------------------------------ connections
 
-    def _disturb_connections(self, seconds: float) -> None:
-        name = self._random.choice(sorted(self._proxies))
-        faults = [fault for fault in ProxyFault if fault is not ProxyFault.NONE]
-        fault = self._random.choice(faults)
+    def _disturb_connections(self, seconds: float) -> bool:
+        name = self._random.choice(sorted(self._shared.proxies))
+        fault = self._random.choice([item for item in ProxyFault if item is not ProxyFault.NONE])
         delay = self._random.uniform(0.01, 0.3)
-        self._note(f"{fault.value} {name} for {seconds:.2f} s, delay {delay:.2f} s")
-        self._proxies[name].set_fault(fault, delay)
+        proxy = self._shared.proxies[name]
+        with self._shared.holding(f"proxy {name}") as is_free:
+            if is_free:
+                self._shared.note(f"{fault.value} {name} for {seconds:.2f} s, delay {delay:.2f} s")
+                proxy.set_fault(fault, delay)
+                time.sleep(seconds)
+                proxy.set_fault(ProxyFault.NONE)
+        return is_free
+
+    def _break_streams(self, seconds: float) -> bool:
+        for model in self._deployment.models:
+            model.break_after = self._random.randrange(5)
+        self._shared.note("each model engine breaks a stream off")
         time.sleep(seconds)
-        self._proxies[name].set_fault(ProxyFault.NONE)
+        return True
 
-    def _pause_process(self, seconds: float) -> None:
-        process = self._random.choice(self._processes())
-        self._note(f"pause {process.name} for {seconds:.2f} s")
-        process.send(signal.SIGSTOP)
-        time.sleep(seconds)
-        process.send(signal.SIGCONT)
+    # ------------------------------------------------------------ processes
 
-    def _kill_process(self, seconds: float) -> None:
+    def _pause_process(self, seconds: float) -> bool:
         process = self._random.choice(self._processes())
-        self._note(f"kill {process.name} for {seconds:.2f} s")
+        with self._shared.holding(process.name) as is_free:
+            if is_free:
+                self._shared.note(f"pause {process.name} for {seconds:.2f} s")
+                process.send(signal.SIGSTOP)
+                time.sleep(seconds)
+                process.send(signal.SIGCONT)
+        return is_free
+
+    def _kill_process(self, seconds: float) -> bool:
+        """Kill a process, at times again and again soon after each start."""
+        process = self._random.choice(self._processes())
+        times = self._random.randint(1, LONGEST_SERIES)
+        with self._shared.holding(process.name) as is_free:
+            if is_free:
+                self._shared.note(f"kill {process.name} {times} times, first for {seconds:.2f} s")
+                self._kill_for(process, seconds)
+                for _ in range(times - 1):
+                    time.sleep(self._random.uniform(0.0, SERIES_PAUSE_SECONDS))
+                    self._kill_for(process, 0.0)
+        return is_free
+
+    def _kill_for(self, process: RoleProcess, seconds: float) -> None:
         process.kill()
         time.sleep(seconds)
         process.start()
 
-    def _kill_all_storage(self, seconds: float) -> None:
-        self._note(f"kill all storage nodes for {seconds:.2f} s")
-        for process in self._deployment.storage:
-            process.kill()
-        time.sleep(seconds)
-        for process in self._deployment.storage:
-            process.start()
-
-    def _tear_log(self, seconds: float) -> None:
+    def _ask_edge_to_stop(self, seconds: float) -> bool:
+        """Stop an edge as planned; at times a second signal comes while it stops."""
+        process = self._random.choice(self._deployment.edges)
+        again = self._random.random() < 0.5
+        with self._shared.holding(process.name) as is_free:
+            if is_free:
+                self._shared.note(f"stop {process.name} as planned{', twice' if again else ''}")
+                process.send(signal.SIGTERM)
+                if again:
+                    time.sleep(self._random.uniform(0.0, SERIES_PAUSE_SECONDS))
+                    process.send(self._random.choice((signal.SIGTERM, signal.SIGHUP)))
+                process.wait()
+                process.start()
+                time.sleep(seconds)
+        return is_free
+
+    def _reload(self, seconds: float) -> bool:
+        """Tell several processes one after the other that their settings have changed."""
+        processes = self._random.sample(self._processes(), LONGEST_SERIES)
+        names = [process.name for process in processes]
+        with self._shared.holding(*names) as is_free:
+            if is_free:
+                self._shared.note(f"reload {' '.join(names)}")
+                for process in processes:
+                    process.send(signal.SIGHUP)
+                    time.sleep(self._random.uniform(0.0, SERIES_PAUSE_SECONDS))
+        return is_free
+
+    # ------------------------------------------------------------ storage
+
+    def _kill_all_storage(self, seconds: float) -> bool:
+        storage = self._deployment.storage
+        with self._shared.holding(*(process.name for process in storage)) as is_free:
+            if is_free:
+                self._shared.note(f"kill all storage nodes for {seconds:.2f} s")
+                for process in storage:
+                    process.kill()
+                time.sleep(seconds)
+                for process in storage:
+                    process.start()
+        return is_free
+
+    def _tear_log(self, seconds: float) -> bool:
         """Kill a storage node and leave half a record at the end of its log."""
         process = self._random.choice(self._deployment.storage)
-        self._note(f"kill {process.name} with a torn log for {seconds:.2f} s")
-        process.kill()
-        for path in Path(self._deployment.data_folder(process)).glob("*.log"):
-            with path.open("ab") as file:
-                file.write(self._random.randbytes(GARBAGE_BYTES))
-        time.sleep(seconds)
-        process.start()
-
-    def _lose_disk(self, seconds: float) -> None:
-        """Kill a storage node and start it again with an empty disk."""
-        if time.monotonic() - self._disk_lost_at < DISK_REST_SECONDS:
-            return
-        process = self._random.choice(self._deployment.storage)
-        self._note(f"{process.name} loses its disk, away for {seconds:.2f} s")
-        process.kill()
-        shutil.rmtree(self._deployment.data_folder(process), ignore_errors=True)
-        time.sleep(seconds)
-        process.start(first_start=False)
-        time.sleep(DISK_REST_SECONDS)
-        self._disk_lost_at = time.monotonic()
-
-    def _stop_platform_store(self, seconds: float) -> None:
-        self._note(f"the platform's store is down for {seconds:.2f} s")
-        self._deployment.store.down = True
-        time.sleep(seconds)
-        self._deployment.store.down = False
-
-    def _break_streams(self, seconds: float) -> None:
-        for model in self._deployment.models:
-            model.break_after = self._random.randrange(5)
-        self._note("each model engine breaks a stream off")
-        time.sleep(seconds)
-
-    def _ask_edge_to_stop(self, seconds: float) -> None:
-        process = self._random.choice(self._deployment.edges)
-        self._note(f"stop {process.name} as planned")
-        process.send(signal.SIGTERM)
-        process.wait()
-        process.start()
-        time.sleep(seconds)
+        garbage = self._random.randbytes(GARBAGE_BYTES)
+        with self._shared.holding(process.name) as is_free:
+            if is_free:
+                self._shared.note(f"kill {process.name} with a torn log for {seconds:.2f} s")
+                process.kill()
+                for path in Path(self._deployment.data_folder(process)).glob("*.log"):
+                    with path.open("ab") as file:
+                        file.write(garbage)
+                time.sleep(seconds)
+                process.start()
+        return is_free
+
+    def _lose_disk(self, seconds: float) -> bool:
+        """Kill a storage node and start it again with an empty disk.
+
+        One disk may be lost at once, so no other fault of the storage nodes comes until the
+        newcomer has had time to be a member that holds all.
+        """
+        storage = self._deployment.storage
+        process = self._random.choice(storage)
+        with self._shared.holding(*(item.name for item in storage)) as is_free:
+            rested = time.monotonic() - self._shared.disk_lost_at >= DISK_REST_SECONDS
+            if not is_free or not rested:
+                return False
+            self._shared.note(f"{process.name} loses its disk, away for {seconds:.2f} s")
+            process.kill()
+            shutil.rmtree(self._deployment.data_folder(process), ignore_errors=True)
+            time.sleep(seconds)
+            process.start(first_start=False)
+            time.sleep(DISK_REST_SECONDS)
+            self._shared.disk_lost_at = time.monotonic()
+        return True
+
+    # ------------------------------------------------------------ operator and platform
+
+    def _stop_platform_store(self, seconds: float) -> bool:
+        with self._shared.holding("store") as is_free:
+            if is_free:
+                self._shared.note(f"the platform's store is down for {seconds:.2f} s")
+                self._deployment.store.down = True
+                time.sleep(seconds)
+                self._deployment.store.down = False
+        return is_free
+
+    def _change_configuration(self, seconds: float) -> bool:
+        """Put several versions in force one after the other; what they allow is the same."""
+        versions = self._random.randint(1, LONGEST_SERIES)
+        with self._shared.holding("configuration") as is_free:
+            if is_free:
+                self._shared.note(f"{versions} configurations after version {self._shared.version}")
+                for _ in range(versions):
+                    self._shared.version += self._random.randint(1, 5)
+                    self._deployment.configure(self._shared.version)
+                    time.sleep(self._random.uniform(0.0, SERIES_PAUSE_SECONDS))
+        return is_free
 
     def _processes(self) -> list[RoleProcess]:
         return [*self._deployment.storage, *self._deployment.edges]
