Let nodes send texts to the ledger's followers when its leader's link fills

Once entries would take a quarter of the link that the settings name, nodes send the texts to the followers, and the leader sends entries without them. The log, majorities and acknowledgements are as before; a follower that lacks a text gets whole entries.

--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -15,6 +15,7 @@
     counters["yokeline_ledger_turn_ends_dropped_total"] = float(node.ledger.turns.dropped)
     for ending, count in node.histories.counts.items():
         counters[f'yokeline_ledger_history_fetches_total{{ending="{ending}"}}'] = float(count)
+    counters["yokeline_ledger_texts_copied_total"] = float(node.ledger.texts_copied)
     counters["yokeline_ledger_late_answers_total"] = float(node.ledger.late_answers)
     counters["yokeline_ledger_sent_through_peers_total"] = float(node.ledger.sent_through_peers)
     counters["yokeline_ledger_passed_on_total"] = float(node.ledger.passed_on)
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -20,14 +20,19 @@
 from yokeline.ledger.leader_search import LeaderSearch
 from yokeline.ledger.messages import (
     EngineTurns,
+    Granted,
     LeaderAnswer,
+    LeaderHint,
     LedgerReply,
     LedgerRequest,
     Operation,
     OperationResult,
     PassedOnRequest,
+    Settle,
+    TextCopy,
 )
 from yokeline.ledger.own_turns import OwnTurns
+from yokeline.ledger.text_copies import LEAST_TEXT_BYTES
 
 QUERY_PATIENCES = 0.5
 """Silence after which the node asks who leads, in patiences: a leader that lives and is reached
@@ -93,6 +98,7 @@
         late_answers: Results of operations that were answered or given up before.
         sent_through_peers: Operations sent to other forwarding nodes.
         passed_on: Operations of other nodes that this one has asked for.
+        texts_copied: Turns whose texts were sent to the followers as well.
         answer_seconds: Time from the question to the leader's answer.
         has_answered: The ledger has answered this process at least once.
         helpful_peers: The nodes to ask through; none unless set.
@@ -110,6 +116,7 @@
         self._passed_on: set[tuple[ReplicaId, int]] = set()
         self._numbers = 0
         self._is_path_lost = False
+        self._copies_to: tuple[LeaderHint, ...] = ()
         self._reported: Counter[str] = Counter()
         self._next_report = 0.0
         self.turns = OwnTurns()
@@ -121,6 +128,7 @@
         self.late_answers = 0
         self.sent_through_peers = 0
         self.passed_on = 0
+        self.texts_copied = 0
         self.has_answered = False
 
     def set_storage(self, storage: dict[ReplicaId, Address]) -> None:
@@ -334,6 +342,8 @@
         if reply.results:
             self.has_answered = True
             self._search.heard_at = now
+            if isinstance(reply.results[0], Granted):
+                self._copies_to = reply.copies_to
             effects.extend(self._note_path_found())
             if asked is not None and asked.sent_to is not None and not is_news:
                 self._times.observe(now - asked.sent_at)
@@ -374,6 +384,7 @@
         assert leader is not None
         self.turns.leader_changed()
         self._times = AnswerTimes()
+        self._copies_to = ()
         fields: dict[str, str | int | float | bool | None] = {
             "leader": leader.replica,
             "term": self._search.term,
@@ -405,14 +416,29 @@
         if asked.sent_to != leader.replica or not asked.sends:
             asked.sent_to = leader.replica
             asked.sent_at = now
+        copies = self._copies(asked.operation) if not asked.sends else []
         self._plan_repetition(asked, now)
         message = LedgerRequest(
             number=number,
             asker=self._own_address,
             operations=(asked.operation,),
             turns=self.turns.take_report(now),
+            is_copied=bool(copies),
         )
-        return [SendPeer(to=leader.replica, address=leader.address, message=message)]
+        # The copies go first, so that they arrive before the entry that leaves them out.
+        return [*copies, SendPeer(to=leader.replica, address=leader.address, message=message)]
+
+    def _copies(self, operation: Operation) -> list[Effect]:
+        """Return the messages that bring a turn's text to the followers, if the leader asks."""
+        turn = operation.turn if isinstance(operation, Settle) else None
+        if turn is None or len(turn.text) < LEAST_TEXT_BYTES:
+            return []
+        self.texts_copied += bool(self._copies_to)
+        copy = TextCopy(turn_id=turn.turn_id, text=turn.text)
+        return [
+            SendPeer(to=item.replica, address=item.address, message=copy)
+            for item in self._copies_to
+        ]
 
     def _plan_repetition(self, asked: _Asked, now: float) -> None:
         longest = REPEAT_PATIENCES * self._times.patience * 2.0 ** min(asked.sends, 8)
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -185,12 +185,14 @@
     Attributes:
         turns: The asker's turns at engines, if they changed; nothing that lasts. A request
             without operations gets no answer.
+        is_copied: The asker has sent the texts to the followers that it was told of.
     """
 
     number: int
     asker: Address
     operations: tuple[Operation, ...]
     turns: NodeTurns | None = None
+    is_copied: bool = False
 
 
 class PassedOnRequest(msgspec.Struct, frozen=True, kw_only=True, tag="passed_on"):
@@ -238,6 +240,8 @@
         term: The replica's term, which says whose knowledge of the leader is later.
         passed_on: It comes from another forwarding node, so it says nothing of the way there.
         engines: The turns under way, with the answer to a reservation; empty if not known.
+        copies_to: Followers to which texts are to be sent as well; none while the leader's link
+            bears them. With the answer to a reservation.
     """
 
     number: int
@@ -246,6 +250,7 @@
     term: int = 0
     passed_on: bool = False
     engines: tuple[EngineTurns, ...] = ()
+    copies_to: tuple[LeaderHint, ...] = ()
 
 
 class HistoryAsk(msgspec.Struct, frozen=True, kw_only=True, tag="history_ask"):
@@ -275,11 +280,50 @@
     is_member: bool = True
 
 
+class TextCopy(msgspec.Struct, frozen=True, kw_only=True, tag="text_copy"):
+    """The text of a turn that its node asks the leader to keep, for a follower."""
+
+    turn_id: str
+    text: bytes
+
+
+class TextCut(msgspec.Struct, frozen=True, array_like=True):
+    """Where the text of a turn stands in the command of a log entry."""
+
+    offset: int
+    size: int
+    turn_id: str
+
+
+class EntryCuts(msgspec.Struct, frozen=True, array_like=True):
+    """The texts that were left out of a log entry's command, in order.
+
+    Attributes:
+        digest: Of the whole command.
+    """
+
+    index: int
+    term: int
+    digest: bytes
+    cuts: tuple[TextCut, ...]
+
+
+class TextsLacking(msgspec.Struct, frozen=True, kw_only=True, tag="texts_lacking"):
+    """A follower tells its leader that it lacked a text and dropped a message."""
+
+    sender_address: Address
+
+
 class ReplicaMessage(msgspec.Struct, frozen=True, kw_only=True, tag="raft"):
-    """A Raft message, with where its sender listens."""
+    """A Raft message, with where its sender listens.
+
+    Attributes:
+        cuts: Of entries whose texts the receiver gets from elsewhere.
+    """
 
     sender_address: Address
     message: RaftMessage
+    cuts: tuple[EntryCuts, ...] = ()
 
 
 class Join(msgspec.Struct, frozen=True, kw_only=True, tag="join"):
@@ -333,6 +377,8 @@
     | LeaderAnswer
     | HistoryAsk
     | HistoryReply
+    | TextCopy
+    | TextsLacking
     | ReplicaMessage
     | Join
     | RegistryAsk
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -41,8 +41,18 @@
     SnapshotRecord,
     encode_record,
 )
-from yokeline.ledger.messages import LeaderHint, Operation, OperationResult, ReplicaMessage
+from yokeline.ledger.link_pressure import LinkPressure
+from yokeline.ledger.messages import (
+    KeptTurn,
+    LeaderHint,
+    Operation,
+    OperationResult,
+    ReplicaMessage,
+    TextCopy,
+    TextsLacking,
+)
 from yokeline.ledger.state import LedgerCommand, LedgerState
+from yokeline.ledger.text_copies import CutEntries, CutMessages
 
 LOG_FILE = "ledger.log"
 COMPACT_BYTES = 48 * 1024 * 1024
@@ -106,10 +116,14 @@
         recovered: RecoveredLog,
         source: random.Random,
         now: float,
+        link_mbps: float = 0.0,
         settings: RaftSettings = RAFT_SETTINGS,
         compact_bytes: int = COMPACT_BYTES,
     ) -> None:
-        """Start from what was recovered; an empty log makes a newcomer."""
+        """Start from what was recovered; an empty log makes a newcomer.
+
+        ``link_mbps`` is what the machine's link bears, in megabits a second; 0 if not known.
+        """
         self.replica = replica
         self.addresses = dict(recovered.addresses)
         self._address = address
@@ -128,6 +142,10 @@
         self._applied = recovered.snapshot.last_index if recovered.snapshot else 0
         self.group = self._new_group(recovered, now)
         self._effects: list[Effect] = []
+        self._now = now
+        self._pressure = LinkPressure(link_mbps)
+        self._cut_entries = CutEntries()
+        self._cut_messages = CutMessages()
         self._saved_addresses = dict(self.addresses)
         if recovered.replica is None:
             self._write([IdentityRecord(replica)], [])
@@ -154,6 +172,16 @@
         """Whether the log file has grown enough to be replaced by a snapshot."""
         return self._file_bytes >= self._compact_bytes and self._applied > 0
 
+    @property
+    def entries_restored(self) -> int:
+        """Entries that this follower has put together with texts from nodes."""
+        return self._cut_messages.restored
+
+    @property
+    def messages_lacking_texts(self) -> int:
+        """Messages of a leader that this follower dropped, since a text did not come."""
+        return self._cut_messages.lacking
+
     def leader_hint(self) -> LeaderHint | None:
         """Return the leader and where it listens, if it is known."""
         leader = self.group.leader
@@ -168,7 +196,11 @@
 
     def next_deadline(self) -> float:
         """Return when :meth:`tick` is due."""
-        return NOW if self._to_apply else self.group.next_deadline()
+        if self._to_apply:
+            return NOW
+        held = self._cut_messages.next_deadline()
+        due = self.group.next_deadline()
+        return due if held is None else min(due, held)
 
     # ------------------------------------------------------------ events
 
@@ -181,27 +213,77 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Do what is due, and apply more of what is committed."""
+        self._now = now
         self._apply_some()
-        return self._absorb(self.group.tick(now))
+        effects = self._step_whole(now)
+        return [*effects, *self._absorb(self.group.tick(now))]
 
     def step(self, sender: ReplicaId, envelope: ReplicaMessage, now: float) -> list[Effect]:
         """Take a message of another replica in."""
+        self._now = now
         self.learn_address(sender, envelope.sender_address)
-        return self._absorb(self.group.step(sender, envelope.message, now))
+        self._cut_messages.take(sender, envelope, now)
+        return self._step_whole(now)
+
+    def take_text(self, copy: TextCopy, now: float) -> list[Effect]:
+        """Take a text in that a message of the leader leaves out."""
+        self._cut_messages.texts.put(copy.turn_id, copy.text)
+        return self._step_whole(now)
+
+    def texts_lacking(self, follower: ReplicaId, now: float) -> None:
+        """Note that a follower needs whole entries for a while."""
+        self._cut_entries.lacked(follower, now)
+
+    def copies_to(self, now: float) -> tuple[LeaderHint, ...]:
+        """Return the followers to which nodes are to send texts; none while the link bears them."""
+        if not self.leads or not self._pressure.is_pressed(now):
+            return ()
+        followers = (member for member in self.group.members if member != self.replica)
+        known = ((member, self.addresses.get(member)) for member in followers)
+        return tuple(LeaderHint(member, address) for member, address in known if address)
+
+    def _step_whole(self, now: float) -> list[Effect]:
+        """Step the messages that are whole, in their order."""
+        whole, lacked = self._cut_messages.ready(now)
+        effects: list[Effect] = []
+        for sender in lacked:
+            effects.extend(self._tell_lacking(sender))
+        for sender, envelope in whole:
+            effects.extend(self._absorb(self.group.step(sender, envelope.message, now)))
+        return effects
+
+    def _tell_lacking(self, sender: ReplicaId) -> list[Effect]:
+        address = self.addresses.get(sender)
+        if address is None:
+            return []
+        self._log("ledger_texts_lacking", leader=sender)
+        message = TextsLacking(sender_address=self._address)
+        return [*self._take_effects(), SendPeer(to=sender, address=address, message=message)]
 
     def learn_address(self, replica: ReplicaId, address: Address) -> None:
         """Note where a replica listens."""
         self.addresses[replica] = address
 
     def propose(
-        self, operations: tuple[Operation, ...], ready: ResultsReady, now: float, wall: float
+        self,
+        operations: tuple[Operation, ...],
+        ready: ResultsReady,
+        now: float,
+        wall: float,
+        copied: tuple[KeptTurn, ...] = (),
     ) -> list[Effect]:
-        """Propose operations; ``ready`` is called once with their results or None."""
+        """Propose operations; ``ready`` is called once with their results or None.
+
+        ``copied`` are turns among them whose texts the followers get from their node.
+        """
+        self._now = now
         command = encode_command(LedgerCommand(time=wall, operations=operations))
         proposal = self.group.propose(command, now)
         if not proposal.accepted:
             return [*self._absorb(list(proposal.effects)), *ready(None)]
         self._pending[proposal.index] = _Pending(proposal.term, ready)
+        self._pressure.note(len(command) * (len(self.group.members) - 1), now)
+        self._cut_entries.note(proposal.index, proposal.term, command, copied)
         return self._absorb(list(proposal.effects))
 
     def add_member(self, member: ReplicaId, now: float) -> list[Effect]:
@@ -305,7 +387,8 @@
         address = self.addresses.get(to)
         if address is not None:
             envelope = ReplicaMessage(sender_address=self._address, message=message)
-            self._effects.append(SendPeer(to=to, address=address, message=envelope))
+            cut = self._cut_entries.cut(to, envelope, self._now)
+            self._effects.append(SendPeer(to=to, address=address, message=cut))
 
     def _apply(self, entries: tuple[LogEntry, ...]) -> None:
         was_idle = not self._to_apply
@@ -355,6 +438,7 @@
         )
         if effect.role is RaftRole.LEADER:
             return
+        self._cut_entries.clear()
         pending = list(self._pending.values())
         self._pending.clear()
         for item in pending:
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -17,10 +17,12 @@
 from yokeline.ledger.messages import (
     EngineTurns,
     Granted,
+    KeptTurn,
     LedgerReply,
     LedgerRequest,
     Operation,
     OperationResult,
+    Settle,
     size_of,
 )
 from yokeline.ledger.replica import LedgerReplica
@@ -49,11 +51,16 @@
 
 
 class _Waiting(msgspec.Struct):
-    """An operation without a result yet, when it came first, and who asked for it."""
+    """An operation without a result yet, when it came first, and who asked for it.
+
+    Attributes:
+        is_copied: Its node has sent its text to the followers.
+    """
 
     operation: Operation
     since: float
     askers: list[Asker]
+    is_copied: bool = False
 
     def add_asker(self, asker: Asker) -> None:
         if asker not in self.askers:
@@ -95,7 +102,7 @@
         for operation in request.operations:
             self.operations += 1
             self.load.note_operation(operation)
-            effects.extend(self._take_operation(asker, operation))
+            effects.extend(self._take_operation(asker, operation, request.is_copied))
         return [*effects, *self.propose(now)]
 
     def tick(self, now: float) -> list[Effect]:
@@ -117,7 +124,8 @@
             self.load.note_entry(self._now - now, size, oldest_wait)
             return self._answer(batch, results)
 
-        return self._replica.propose(operations, answer, now, self._wall())
+        copied = tuple(turn for item in batch if (turn := _copied_turn(item)) is not None)
+        return self._replica.propose(operations, answer, now, self._wall(), copied)
 
     # ------------------------------------------------------------ operations in
 
@@ -127,7 +135,7 @@
         elif request.turns is not None:
             self.turns.take(sender, request.turns, now)
 
-    def _take_operation(self, asker: Asker, operation: Operation) -> list[Effect]:
+    def _take_operation(self, asker: Asker, operation: Operation, is_copied: bool) -> list[Effect]:
         key = _key_of(operation)
         for stage, known in (("waiting", self._waiting), ("proposed", self._proposed)):
             if key in known:
@@ -138,7 +146,7 @@
         if result is not None and self._replica.leads:
             self.load.note_repetition("applied")
             return [self._reply(asker, result)]
-        self._waiting[key] = _Waiting(operation, self._now, [asker])
+        self._waiting[key] = _Waiting(operation, self._now, [asker], is_copied)
         if len(self._waiting) > MAX_BATCHED_OPERATIONS:
             del self._waiting[next(iter(self._waiting))]
         return []
@@ -171,6 +179,7 @@
             leader=self._replica.leader_hint(),
             term=self._replica.group.term,
             engines=self._engines_now() if is_granted else (),
+            copies_to=self._replica.copies_to(self._now) if is_granted else (),
         )
         self.load.note_reply(reply)
         return SendPeer(to=asker.process, address=asker.address, message=reply)
@@ -184,3 +193,10 @@
 
 def _key_of(operation: Operation) -> OperationKey:
     return (type(operation).__name__, operation.request_id)
+
+
+def _copied_turn(item: _Waiting) -> KeptTurn | None:
+    """Return the turn of an operation whose text followers get from its node."""
+    if not item.is_copied or not isinstance(item.operation, Settle):
+        return None
+    return item.operation.turn
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -36,6 +36,8 @@
     LeaderQuery,
     LedgerRequest,
     ReplicaMessage,
+    TextCopy,
+    TextsLacking,
 )
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.request_batches import RequestBatches
@@ -160,6 +162,11 @@
             return self.replica.step(event.sender, message, now)
         if isinstance(message, LedgerRequest):
             return self.batches.take(event.sender, message, now)
+        if isinstance(message, TextCopy):
+            return self.replica.take_text(message, now)
+        if isinstance(message, TextsLacking):
+            self.replica.texts_lacking(event.sender, now)
+            return []
         if isinstance(message, HistoryAsk):
             return self._histories.take(event.sender, message, now)
         if isinstance(message, LeaderQuery):
@@ -421,5 +428,9 @@
         "yokeline_ledger_members": float(len(node.replica.group.members)),
     }
     gauges.update(node.phases.gauges())
-    counters = {"yokeline_ledger_operations_total": float(node.batches.operations)}
+    counters = {
+        "yokeline_ledger_operations_total": float(node.batches.operations),
+        "yokeline_ledger_entries_restored_total": float(node.replica.entries_restored),
+        "yokeline_ledger_texts_lacking_total": float(node.replica.messages_lacking_texts),
+    }
     return NodeFigures(counters=counters, gauges=gauges)
--- a/src/yokeline/role_settings.py
+++ b/src/yokeline/role_settings.py
@@ -29,6 +29,7 @@
         grace_seconds: Time between a stop's announcement and its end by force.
         engine_drain_ms: Milliseconds for which an engine that leaves serves on.
         max_descriptors: File descriptors that the process may use.
+        link_mbps: Megabits a second that the machine's link bears; 0 if not known.
         log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -45,6 +46,7 @@
     grace_seconds: float = 8.0
     engine_drain_ms: float = 2000.0
     max_descriptors: int = 4096
+    link_mbps: float = 0.0
     log_level: str = "info"
 
     @property
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -222,6 +222,7 @@
         recovered=log,
         source=source,
         now=now,
+        link_mbps=settings.link_mbps,
     )
     record = NodeRecord(
         name=settings.name,
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -33,6 +33,7 @@
     LedgerReply,
     Operation,
     OperationResult,
+    TextCopy,
 )
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.storage_node import StorageNode
@@ -152,6 +153,7 @@
         """Of what the machine sends; 0 for a link without a limit."""
         self.link_free_at = 0.0
         self.sent_bytes = 0
+        self.gets_copies = True
         self.view: StoreView | None = None
 
     @property
@@ -171,8 +173,9 @@
 class Cluster:
     """Machines, an asking edge, and the events between them."""
 
-    def __init__(self, count: int, seed: int) -> None:
+    def __init__(self, count: int, seed: int, *, link_mbps: float = 0.0) -> None:
         self.random = random.Random(seed)
+        self.link_mbps = link_mbps
         self.now = 0.0
         self.store = MemoryStore()
         self.machines = [Machine(f"storage-{index}", index) for index in range(count)]
@@ -183,6 +186,8 @@
         self.frames = 0
         self.log: list[LogRecord] = []
         self.histories: list[HistoryReply] = []
+        self.copied: list[str] = []
+        """Turns whose texts were sent to a follower, once for each."""
         self.unclaimed: list[tuple[ReplicaId, LedgerReply]] = []
         """Answers to askers that are not played."""
         for machine in self.machines:
@@ -211,6 +216,7 @@
             recovered=log,
             source=self.random,
             now=self.now,
+            link_mbps=self.link_mbps,
         )
         record = NodeRecord(
             name=machine.name, role=NodeRole.STORAGE, replica=replica_id, address=machine.address
@@ -428,8 +434,12 @@
             self.histories.append(effect.message)
         if isinstance(effect.message, LedgerReply):
             self.unclaimed.append((effect.to, effect.message))
+        if isinstance(effect.message, TextCopy):
+            self.copied.append(effect.message.turn_id)
         event = PeerMessage(sender=sender, message=effect.message)
         for machine in self.machines:
+            if isinstance(effect.message, TextCopy) and not machine.gets_copies:
+                continue
             from_peer = source is not None
             unreachable = machine.cut or (machine.cut_from_peers and from_peer)
             if machine.address == effect.address and not unreachable:
--- a/tests/unit/ledger/test_overload.py
+++ b/tests/unit/ledger/test_overload.py
@@ -40,6 +40,8 @@
         self.askers = askers
         self.answers: list[tuple[float, float, bool]] = []
         """When each operation was asked, the time to its result, and whether there was one."""
+        self.kept: list[str] = []
+        """Turns that were acknowledged as kept."""
         self.under_way = 0
         self._programs = 0
         self._turns = 0
@@ -94,6 +96,8 @@
 
         def done(result: OperationResult | None, now: float) -> list[Effect]:
             self.answers.append((asked_at, now - asked_at, result is not None))
+            if result is not None:
+                self.kept.append(name)
             if result is not None and turns_left > 1:
                 self._reserve(program, name, turns_left - 1)
             return []
