--- a/tools/day_report.py
+++ b/tools/day_report.py
@@ -5,8 +5,8 @@
 the time of day is the time). For each bucket of time it prints the turns and calls that ended,
 how long turns took (median and 95 in 100) and which part of that was the wait before the first
 send, and every outcome other than a whole answer, by reason; then the same outcomes by node and
-engine; then, for each program with a failed or a repeated turn, nothing but a count. All times
-are seconds.
+engine; then, for each program with a failed or a repeated turn, nothing but a count. With
+``--ledger`` it prints what the ledger's leader did in each second instead. All times are seconds.
 """
 
 from __future__ import annotations
@@ -38,6 +38,15 @@
     )
 )
 """Lines about nodes rather than requests, listed in order with ``--nodes``."""
+REPETITION_CAUSES = (
+    "silence",
+    "redirected",
+    "new_leader",
+    "through_peers",
+    "for_peers",
+    "late_answers",
+)
+"""What ``ledger_repetitions`` counts."""
 _PREFIX = re.compile(r"^\s*(-?\d+\.\d+)\s+(\S+)\s+(\{.*)$")
 
 
@@ -143,6 +152,62 @@
                 print(f"  {line['at']:8.3f} {line['on']:18} {json.dumps(rest)}")
 
 
+class LedgerReport:
+    """Collects what nodes and the leader say of the ledger, by second."""
+
+    def __init__(self) -> None:
+        """Collect nothing yet."""
+        self.grants: dict[int, list[float]] = defaultdict(list)
+        self.keeps: dict[int, list[float]] = defaultdict(list)
+        self.leader: dict[int, Line] = {}
+        self.traffic: dict[tuple[int, str], Line] = {}
+        self.repetitions: dict[int, Counter[str]] = defaultdict(Counter)
+
+    def take(self, line: Line) -> None:
+        """Take a line in."""
+        second = int(line["at"] // 1)
+        event = line.get("event")
+        if event == "engine_chosen" and line.get("reserving"):
+            self.grants[second].append(line["reserving"])
+        elif event == "request_ended" and "keeping" in line:
+            self.keeps[second].append(line["keeping"])
+        elif event == "ledger_load" and line.get("answers"):
+            self.leader[second] = line
+        elif event == "peer_traffic":
+            self.traffic[second, line["on"]] = line
+        elif event == "ledger_repetitions":
+            self.repetitions[second].update(_causes(line))
+
+    def print(self) -> None:
+        """Print the table."""
+        print("second  grant 50% 95%   keep 50% 95%   leader, MB sent (by kind)   asked   again")
+        for second in sorted(self.grants):
+            grants, keeps = self.grants[second], self.keeps[second]
+            load = self.leader.get(second, {})
+            traffic = self.traffic.get((second, str(load.get("on"))), {})
+            asked = load.get("reservations", 0) + load.get("settlements", 0)
+            print(
+                f"{second:6} {share(grants, 0.5):8.3f} {share(grants, 0.95):5.3f} "
+                f"{share(keeps, 0.5):8.3f} {share(keeps, 0.95):5.3f}   "
+                f"{load.get('on', '-')} {traffic.get('sent_bytes', 0) / 1e6:.2f} "
+                f"({_megabytes(traffic)}) {asked:6} {_repeated(load)}   "
+                f"{_counted(self.repetitions[second])}"
+            )
+
+
+def _causes(line: Line) -> dict[str, int]:
+    return {name: line[name] for name in REPETITION_CAUSES if name in line}
+
+
+def _megabytes(traffic: Line) -> str:
+    kinds = [name for name in traffic if name.startswith("sent_") and name != "sent_bytes"]
+    return ", ".join(f"{name.removeprefix('sent_')} {traffic[name] / 1e6:.2f}" for name in kinds)
+
+
+def _repeated(load: Line) -> int:
+    return sum(count for name, count in load.items() if name.startswith("repeated_"))
+
+
 def _counted(counts: Counter[str]) -> str:
     return ", ".join(f"{count} {reason}" for reason, count in counts.most_common())
 
@@ -155,12 +220,18 @@
     parser.add_argument(
         "--nodes", action="store_true", help="list starts, stops, lost dependencies"
     )
+    parser.add_argument("--ledger", action="store_true", help="tell of the ledger instead")
     arguments = parser.parse_args()
     report = DayReport(arguments.bucket)
+    ledger = LedgerReport()
     with arguments.file.open() as file:
         for line in read_lines(file):
             report.take(line)
-    report.print(nodes=arguments.nodes)
+            ledger.take(line)
+    if arguments.ledger:
+        ledger.print()
+    else:
+        report.print(nodes=arguments.nodes)
 
 
 if __name__ == "__main__":
