--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -10,15 +10,15 @@
     """Return counters, gauges and histograms of a forwarding node."""
     forwarder = node.forwarder
     counters = {name: float(count) for name, count in forwarder.counters.items()}
-    for cause, count in node.ledger.repetitions.items():
+    for cause, count in node.ledger.counts.repetitions.items():
         counters[f'yokeline_ledger_repetitions_total{{cause="{cause}"}}'] = float(count)
     counters["yokeline_ledger_turn_ends_dropped_total"] = float(node.ledger.turns.dropped)
     for ending, count in node.histories.counts.items():
         counters[f'yokeline_ledger_history_fetches_total{{ending="{ending}"}}'] = float(count)
-    counters["yokeline_ledger_texts_copied_total"] = float(node.ledger.texts_copied)
-    counters["yokeline_ledger_late_answers_total"] = float(node.ledger.late_answers)
-    counters["yokeline_ledger_sent_through_peers_total"] = float(node.ledger.sent_through_peers)
-    counters["yokeline_ledger_passed_on_total"] = float(node.ledger.passed_on)
+    counters["yokeline_ledger_texts_copied_total"] = float(node.ledger.counts.texts_copied)
+    counters["yokeline_ledger_late_answers_total"] = float(node.ledger.counts.late_answers)
+    counters["yokeline_ledger_sent_through_peers_total"] = float(node.ledger.counts.through_peers)
+    counters["yokeline_ledger_passed_on_total"] = float(node.ledger.counts.for_peers)
     table = forwarder.table
     gauges = {
         "yokeline_forwarding_under_way": float(forwarder.under_way),
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +16,7 @@
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.answer_times import AnswerTimes
+from yokeline.ledger.client_report import ClientCounts
 from yokeline.ledger.leader_search import LeaderSearch
 from yokeline.ledger.messages import (
     EngineTurns,
@@ -48,8 +48,6 @@
 """How long an operation of another node is repeated; its asker repeats it too."""
 MAX_PASSED_ON = 256
 """Operations of other nodes under way at once; more are dropped, and their askers ask again."""
-REPORT_SECONDS = 1.0
-"""Time between two log lines about repetitions: one a node and second at most."""
 
 OperationDone = Callable[[OperationResult | None, float], list[Effect]]
 """Told the result of an operation and the time; None if given up (it may have been taken)."""
@@ -94,11 +92,7 @@
 
     Attributes:
         turns: The turns that this node has at engines, of which the leader is told.
-        repetitions: Operations sent again, by cause.
-        late_answers: Results of operations that were answered or given up before.
-        sent_through_peers: Operations sent to other forwarding nodes.
-        passed_on: Operations of other nodes that this one has asked for.
-        texts_copied: Turns whose texts were sent to the followers as well.
+        counts: What it has sent again, late, or other ways.
         answer_seconds: Time from the question to the leader's answer.
         has_answered: The ledger has answered this process at least once.
         helpful_peers: The nodes to ask through; none unless set.
@@ -117,18 +111,12 @@
         self._numbers = 0
         self._is_path_lost = False
         self._copies_to: tuple[LeaderHint, ...] = ()
-        self._reported: Counter[str] = Counter()
-        self._next_report = 0.0
         self.turns = OwnTurns()
         self.helpful_peers: HelpfulPeers = list
         self.engines_told: EnginesTold = _nobody
         self.engines: tuple[EngineTurns, ...] = ()
         self.answer_seconds = Histogram()
-        self.repetitions: Counter[str] = Counter()
-        self.late_answers = 0
-        self.sent_through_peers = 0
-        self.passed_on = 0
-        self.texts_copied = 0
+        self.counts = ClientCounts()
         self.has_answered = False
 
     def set_storage(self, storage: dict[ReplicaId, Address]) -> None:
@@ -181,7 +169,7 @@
             asked_at=now,
             is_passed_on=True,
         )
-        self.passed_on += 1
+        self.counts.for_peers += 1
         self._passed_on.add(key)
         return self._begin(asked, now)
 
@@ -228,7 +216,7 @@
                 effects.extend(self._repeat(number, asked, now))
         effects.extend(self._look_for_leader(now))
         effects.extend(self._report_turns(now))
-        effects.extend(self._report_repetitions(now))
+        effects.extend(self._report_counts(now))
         return effects
 
     def _silent_since(self) -> float | None:
@@ -281,27 +269,16 @@
         message = LedgerRequest(number=0, asker=self._own_address, operations=(), turns=report)
         return [SendPeer(to=leader.replica, address=leader.address, message=message)]
 
-    def _report_repetitions(self, now: float) -> list[Effect]:
-        """Log how often operations were sent again, and why, since the last line."""
-        if now < self._next_report:
-            return []
-        self._next_report = now + REPORT_SECONDS
-        counts = Counter(self.repetitions)
-        counts["late_answers"] = self.late_answers
-        counts["through_peers"] = self.sent_through_peers
-        counts["for_peers"] = self.passed_on
-        new = counts - self._reported
-        self._reported = counts
-        if not new:
+    def _report_counts(self, now: float) -> list[LogRecord]:
+        if not self.counts.is_due(now):
             return []
         oldest = max((now - item.asked_at for item in self._asked.values()), default=0.0)
-        fields: dict[str, str | int | float | bool | None] = {
-            **{name: new[name] for name in sorted(new)},
-            "under_way": len(self._asked),
-            "oldest_seconds": round(oldest, 3),
-            "patience": round(self._times.patience, 3),
-        }
-        return [LogRecord(event="ledger_repetitions", fields=fields)]
+        return self.counts.report(
+            now,
+            under_way=len(self._asked),
+            oldest_seconds=oldest,
+            patience=self._times.patience,
+        )
 
     # ------------------------------------------------------------ answers
 
@@ -327,7 +304,7 @@
             self.engines = reply.engines
             self.engines_told(reply.engines, now)
         if asked is None:
-            self.late_answers += bool(reply.results)
+            self.counts.late_answers += bool(reply.results)
             return effects
         if reply.results:
             del self._asked[reply.number]
@@ -364,7 +341,7 @@
             pause = min(MAX_PAUSE_SECONDS, PAUSE_SECONDS * 2.0 ** min(asked.sends, 8))
             asked.repeat_at = min(asked.repeat_at, now + pause)
             return []
-        self.repetitions["redirected"] += 1
+        self.counts.repetitions["redirected"] += 1
         return self._send(reply.number, asked, now)
 
     def _unassign_all(self) -> None:
@@ -392,7 +369,7 @@
         }
         effects: list[Effect] = [LogRecord(event="ledger_leader_known", fields=fields)]
         for number, asked in self._asked.items():
-            self.repetitions["new_leader"] += asked.sent_to is not None
+            self.counts.repetitions["new_leader"] += asked.sent_to is not None
             asked.sends = 0
             effects.extend(self._send(number, asked, now))
         return effects
@@ -400,7 +377,7 @@
     # ------------------------------------------------------------ sending
 
     def _repeat(self, number: int, asked: _Asked, now: float) -> list[Effect]:
-        self.repetitions["silence"] += self._search.leader is not None
+        self.counts.repetitions["silence"] += self._search.leader is not None
         effects = self._send(number, asked, now)
         if self._is_path_lost:
             effects.extend(self._send_through_peer(number, asked))
@@ -433,7 +410,7 @@
         turn = operation.turn if isinstance(operation, Settle) else None
         if turn is None or len(turn.text) < LEAST_TEXT_BYTES:
             return []
-        self.texts_copied += bool(self._copies_to)
+        self.counts.texts_copied += bool(self._copies_to)
         copy = TextCopy(turn_id=turn.turn_id, text=turn.text)
         return [
             SendPeer(to=item.replica, address=item.address, message=copy)
@@ -453,7 +430,7 @@
         peer = peers[self._next_peer % len(peers)]
         if asked.sends > 1:
             self._next_peer += 1
-        self.sent_through_peers += 1
+        self.counts.through_peers += 1
         message = PassedOnRequest(number=number, asker=self._own_address, operation=asked.operation)
         return [SendPeer(to=peer.process, address=peer.address, message=message)]
 
