--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -27,6 +27,7 @@
 )
 from yokeline.ledger.replica import APPLIED_AT_ONCE, LedgerReplica
 from yokeline.ledger.state import LedgerCommand
+from yokeline.registry.nodes import FOUNDER_KEY
 
 CATCH_UP_SECONDS = 4.0
 WALL = 1_000_000.0
@@ -73,6 +74,20 @@
         self.assertTrue(machine.node is not None and machine.node.replica.is_empty)
 
 
+class FoundersDisk(StorageCase):
+    def test_the_founder_loses_its_disk_before_it_has_founded(self) -> None:
+        """The key in the store names a replica that nobody will ever be again."""
+        cluster = Cluster(3, 1)
+        self.assertTrue(cluster.run_until(lambda: FOUNDER_KEY in cluster.store.items, 5.0))
+        chosen = cluster.store.items[FOUNDER_KEY].value
+        assert chosen is not None
+        founder = next(item for item in cluster.machines if item.replica.encode() == chosen)
+        cluster.wipe(founder)
+        cluster.run(0.5)
+        cluster.start(founder)
+        self.assertTrue(cluster.run_until(cluster.all_members, 10.0))
+
+
 class Batches(StorageCase):
     def test_requests_that_come_while_an_entry_is_under_way_share_the_next_one(self) -> None:
         cluster = self.cluster()
