--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -418,8 +418,8 @@
         ]
 
     def _plan_repetition(self, asked: _Asked, now: float) -> None:
-        longest = REPEAT_PATIENCES * self._times.patience * 2.0 ** min(asked.sends, 8)
-        asked.repeat_at = now + min(MAX_REPEAT_SECONDS, longest)
+        pause = REPEAT_PATIENCES * self._times.patience * 2.0 ** min(asked.sends, 8)
+        asked.repeat_at = now + min(MAX_REPEAT_SECONDS, pause)
         asked.sends += 1
 
     def _send_through_peer(self, number: int, asked: _Asked) -> list[Effect]:
