Give a large soak engines for its callers; name edges that do not come back; write up what was verified

Traced: 36 callers on 8 engine places; all 1,911 refusals after the last fault are no_engine, and these edges stream turns between them.

--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -87,10 +87,11 @@
 
 
 class Deployment:
-    """Storage nodes, edges, two model engines and an app."""
+    """Storage nodes, edges, model engines and an app."""
 
-    def __init__(self, *, storage_nodes: int = 3, edges: int = 2) -> None:
+    def __init__(self, *, storage_nodes: int = 3, edges: int = 2, models: int = 2) -> None:
         self._storage_nodes = storage_nodes
+        self._models = models
         self._edge_nodes = edges
 
     def __enter__(self) -> Deployment:
@@ -101,7 +102,7 @@
         self.store = StoreStandIn()
         self._running: list[Running] = []
         self._store_port = self.published("store", self._serve(self.store))
-        self.models = [EngineStandIn(f"model-{number}") for number in range(2)]
+        self.models = [EngineStandIn(f"model-{number}") for number in range(self._models)]
         self.app = EngineStandIn("app-0")
         for engine in self.models:
             port = self.published(engine.engine_id, self._serve(engine))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,7 +22,7 @@
 from tests.soak.callers import Caller
 from tests.soak.faults import Injector, SharedFaults
 from tests.soak.proxy import Proxy
-from tests.soak.records import Records, violations
+from tests.soak.records import OK, Records, violations
 
 CALLERS_PER_EDGE = 3
 LANES = 2
@@ -73,7 +73,8 @@
 
     def __init__(self, *, storage_nodes: int, edges: int) -> None:
         """Prepare; the proxies are named by what lies behind them."""
-        super().__init__(storage_nodes=storage_nodes, edges=edges)
+        # An engine has four places and an edge three callers: without faults none is refused.
+        super().__init__(storage_nodes=storage_nodes, edges=edges, models=max(2, edges))
         self.proxies: dict[str, Proxy] = {}
 
     def published(self, name: str, port: int) -> int:
@@ -103,12 +104,12 @@
         for caller in callers:
             caller.start()
         _inject(injectors, plan.seconds)
-        wait_until(lambda: _is_served(deployment), "a turn is served after the last fault")
+        broken = _not_served(deployment)
         time.sleep(CALM_SECONDS)
         for caller in callers:
             caller.stop()
         time.sleep(CALM_SECONDS)
-        broken = violations(records.asked, [*deployment.models, deployment.app])
+        broken.extend(violations(records.asked, [*deployment.models, deployment.app]))
         if broken and plan.logs:
             deployment.keep_logs(Path(plan.logs) / str(plan.seed))
         deployment.close_proxies()
@@ -173,6 +174,29 @@
     sys.stdout.flush()
 
 
+def _not_served(deployment: Deployment) -> list[str]:
+    """Wait until each edge serves after the last fault; return the ones that do not, if any."""
+    try:
+        wait_until(lambda: _is_served(deployment), "a turn is served after the last fault")
+    except AssertionError:
+        return [f"edge-{edge} serves no turn after the faults" for edge in _silent(deployment)]
+    return []
+
+
+def _silent(deployment: Deployment) -> list[int]:
+    """Return the edges that do not serve a turn now."""
+    name = f"last-{time.monotonic_ns()}"
+    silent: list[int] = []
+    for edge in range(len(deployment.fronts)):
+        try:
+            status = _probe(deployment, edge, f"{name}-{edge}")
+        except (OSError, http.client.HTTPException):
+            status = 0
+        if status != OK:
+            silent.append(edge)
+    return silent
+
+
 def _is_served(deployment: Deployment) -> bool:
     name = f"probe-{time.monotonic_ns()}"
     try:
@@ -181,7 +205,7 @@
         ]
     except (OSError, http.client.HTTPException):
         return False
-    return statuses == [200] * len(statuses)
+    return statuses == [OK] * len(statuses)
 
 
 def _probe(deployment: Deployment, edge: int, name: str) -> int:
