Drop what the reports of turns made needless; state what a granted turn relies on

Read of the whole change, behaviour as before: EngineState.tokens and the argument that fed it were read by nobody since loads are told without tokens; the percent of EngineTurns stood in two modules; TextsLacking carried an address that its receiver does not use; a history that is not there was turned into an empty one where its callers have just seen that it is there: it is asserted now.

--- a/src/yokeline/forwarding/engine_sends.py
+++ b/src/yokeline/forwarding/engine_sends.py
@@ -37,7 +37,7 @@
         exchange.uncached = max(0, exchange.call.prompt_tokens - choice.cached)
         exchange.request = RequestId(f"call/{next(self._numbers)}")
         state.by_request[exchange.request] = exchange
-        state.engines.note_sent(engine, exchange.uncached)
+        state.engines.note_sent(engine)
         self._settlements.tell_of_begin(exchange, engine)
         state.placement.note_sent(exchange, choice, state.pool_of(exchange))
         if exchange.sends == 1:
@@ -53,7 +53,7 @@
             self._state.by_request.pop(exchange.request, None)
             exchange.request = None
         if exchange.engine is not None:
-            self._state.engines.note_left(exchange.engine, exchange.uncached)
+            self._state.engines.note_left(exchange.engine)
             self._settlements.tell_of_end(
                 exchange, exchange.engine, failed=failed, slowness=slowness
             )
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -10,7 +10,7 @@
 
 from yokeline.forwarding.model import Engine
 from yokeline.identifiers import NodeName
-from yokeline.ledger.messages import EngineLoad, EngineTurns, LoadReport
+from yokeline.ledger.messages import PERCENT, EngineLoad, EngineTurns, LoadReport
 
 REPORT_FRESH_SECONDS = 1.0
 """Age after which another node's report of its load counts for nothing."""
@@ -26,7 +26,6 @@
 """Weight of one request in an engine's share of failures."""
 FAULT_FADE_SECONDS = 4.0
 """Time in which a share of failures fades to a third without new ones."""
-PERCENT = 100.0
 _HASH_SPAN = 2**32
 _PACE_WEIGHT = 0.15
 """Weight of a new observation in the moving average of an engine's pace."""
@@ -39,7 +38,6 @@
         preference: This node's own order of engines that cost the same (0 to 1, the least
             first), so that nodes do not all choose the same one, and each keeps to a few.
         running: Requests of this node that it has under way.
-        tokens: Prompt tokens of these that it had to read.
         others: Requests of other nodes, as the ledger's leader told, or from their reports.
         told_failed: Share of the turns of all nodes that failed there, as the leader told.
         slowness: Time between its events as a multiple of what is usual, as the leader told.
@@ -56,7 +54,6 @@
     engine: Engine
     preference: float = 0.0
     running: int = 0
-    tokens: int = 0
     others: int = 0
     told_failed: float = 0.0
     slowness: float = 1.0
@@ -134,16 +131,14 @@
         self.own_changes = 0
         self.fresh_seconds = REPORT_FRESH_SECONDS
 
-    def note_sent(self, state: EngineState, tokens: int) -> None:
+    def note_sent(self, state: EngineState) -> None:
         """Count a request of this node that an engine has under way."""
         state.running += 1
-        state.tokens += tokens
         self.own_changes += 1
 
-    def note_left(self, state: EngineState, tokens: int) -> None:
+    def note_left(self, state: EngineState) -> None:
         """Count a request of this node that is no longer at its engine."""
         state.running = max(0, state.running - 1)
-        state.tokens = max(0, state.tokens - tokens)
         self.own_changes += 1
 
     def get(self, engine_id: str) -> EngineState | None:
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -156,7 +156,8 @@
     def _go_on(self, exchange: Exchange) -> None:
         previous = exchange.call.previous_turn
         history = self._turns.history(previous)
+        assert history is not None  # the callers saw that no turn of the chain is missing
         if previous:
             self._turns.note_latest(exchange.call.session, previous)
-        exchange.body = (history or b"") + exchange.arrived.body
+        exchange.body = history + exchange.arrived.body
         self._granted(exchange)
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -161,6 +161,9 @@
     served: tuple[TurnServed, ...] = ()
 
 
+PERCENT = 100.0
+
+
 class EngineTurns(msgspec.Struct, frozen=True, array_like=True):
     """What the ledger's leader knows of an engine; whole percents, since each answer has all.
 
@@ -311,8 +314,6 @@
 class TextsLacking(msgspec.Struct, frozen=True, kw_only=True, tag="texts_lacking"):
     """A follower tells its leader that it lacked a text and dropped a message."""
 
-    sender_address: Address
-
 
 class ReplicaMessage(msgspec.Struct, frozen=True, kw_only=True, tag="raft"):
     """A Raft message, with where its sender listens.
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -257,8 +257,8 @@
         if address is None:
             return []
         self._log("ledger_texts_lacking", leader=sender)
-        message = TextsLacking(sender_address=self._address)
-        return [*self._take_effects(), SendPeer(to=sender, address=address, message=message)]
+        told = SendPeer(to=sender, address=address, message=TextsLacking())
+        return [*self._take_effects(), told]
 
     def learn_address(self, replica: ReplicaId, address: Address) -> None:
         """Note where a replica listens."""
--- a/src/yokeline/ledger/turns_under_way.py
+++ b/src/yokeline/ledger/turns_under_way.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from yokeline.identifiers import ReplicaId
-from yokeline.ledger.messages import EngineLoad, EngineTurns, NodeTurns, TurnServed
+from yokeline.ledger.messages import PERCENT, EngineLoad, EngineTurns, NodeTurns, TurnServed
 from yokeline.ledger.own_turns import REFRESH_SECONDS
 
 NODE_SILENCE_SECONDS = 3 * REFRESH_SECONDS
@@ -29,7 +29,6 @@
 """Weight of one turn in an engine's share of failures and in its slowness."""
 FADE_SECONDS = 4.0
 """Time in which what was seen of an engine fades to a third without new turns."""
-PERCENT = 100.0
 
 
 class _NodeRecord(msgspec.Struct, frozen=True):
--- a/tests/unit/forwarding/test_load_sharing.py
+++ b/tests/unit/forwarding/test_load_sharing.py
@@ -76,7 +76,7 @@
             state = book.get("e")
             assert state is not None
             if name not in self.down:
-                book.note_sent(state, 0)
+                book.note_sent(state)
 
     def believed(self) -> set[int]:
         loads = set()
