Name several founders of the ledger, so that no single disk decides whether it is founded

Cause: one key in the key-value service named one replica as founder. A replica id belongs to a disk, so after the loss of that disk nobody could ever found the group.

Mend: the key names up to five registered replicas, spread over the zones. Newcomers are taken from the zone with the fewest members.

Ruled out: a founding entry of a lone founder plus joins (still one disk); founding again by another replica (two groups, if the first one only sleeps).

--- a/src/yokeline/ledger/disk_records.py
+++ b/src/yokeline/ledger/disk_records.py
@@ -24,13 +24,18 @@
 
 
 class IdentityRecord(msgspec.Struct, frozen=True, tag="identity"):
-    """The replica whose file this is; the first record."""
+    """The replica whose file this is; the first record.
+
+    Attributes:
+        first_start: It was made when the whole system started for the first time.
+    """
 
     replica: ReplicaId
+    first_start: bool = False
 
 
 class FoundedRecord(msgspec.Struct, frozen=True, tag="founded"):
-    """The group began with these members."""
+    """The group began with these members; only read: now a snapshot names them."""
 
     members: tuple[ReplicaId, ...]
 
@@ -81,6 +86,7 @@
     """
 
     replica: ReplicaId | None = None
+    first_start: bool = False
     founders: tuple[ReplicaId, ...] = ()
     hard_state: HardState | None = None
     snapshot: Snapshot | None = None
@@ -133,6 +139,7 @@
 def _take(log: RecoveredLog, record: DiskRecord) -> None:
     if isinstance(record, IdentityRecord):
         log.replica = record.replica
+        log.first_start = record.first_start
     elif isinstance(record, FoundedRecord):
         log.founders = record.members
     elif isinstance(record, HardStateRecord):
--- a/src/yokeline/ledger/members.py
+++ b/src/yokeline/ledger/members.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import msgspec
 
 from yokeline.effects import Address
 from yokeline.identifiers import NodeName, ReplicaId, node_name_of
+from yokeline.registry.nodes import NodeRecord
 
 MAX_MEMBERS = 5
 MIN_MEMBERS_AFTER_REPLACEMENT = 3
@@ -59,6 +62,7 @@
         retiring: Nodes that are to be emptied.
         lost: Replicas that are known to have lost their disks.
         caught_up: Members that hold every committed entry.
+        zones: Where nodes stand, as far as it is known.
     """
 
     own: ReplicaId
@@ -68,6 +72,19 @@
     retiring: frozenset[NodeName]
     lost: frozenset[ReplicaId]
     caught_up: frozenset[ReplicaId]
+    zones: dict[NodeName, str] = {}
+
+
+def choose_founders(nodes: list[NodeRecord]) -> tuple[ReplicaId, ...]:
+    """Return the members to begin a group with: spread over the zones, then by name."""
+    waiting = sorted(nodes, key=lambda node: node.name)
+    chosen: list[NodeRecord] = []
+    while waiting and len(chosen) < MAX_MEMBERS:
+        taken = Counter(node.zone for node in chosen)
+        rarest = min(waiting, key=lambda node: taken[node.zone])
+        waiting.remove(rarest)
+        chosen.append(rarest)
+    return tuple(node.replica for node in chosen)
 
 
 def next_step(view: GroupView, now: float) -> MembershipStep | None:
@@ -95,12 +112,18 @@
 def _add_waiting(view: GroupView, now: float) -> MembershipStep | None:
     if len(view.members) >= MAX_MEMBERS:
         return None
-    for node in sorted(view.joins):
-        request = view.joins[node]
-        is_fresh = now - request.heard_at <= JOIN_FRESH_SECONDS
-        if is_fresh and request.replica not in view.members and node not in view.retiring:
-            return AddMember(request.replica)
-    return None
+    taken = Counter(view.zones.get(node_name_of(member), "") for member in view.members)
+    waiting = [node for node in sorted(view.joins) if _may_join(view, node, now)]
+    if not waiting:
+        return None
+    node = min(waiting, key=lambda name: taken[view.zones.get(name, "")])
+    return AddMember(view.joins[node].replica)
+
+
+def _may_join(view: GroupView, node: NodeName, now: float) -> bool:
+    request = view.joins[node]
+    is_fresh = now - request.heard_at <= JOIN_FRESH_SECONDS
+    return is_fresh and request.replica not in view.members and node not in view.retiring
 
 
 def _empty_retiring(view: GroupView) -> MembershipStep | None:
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -26,7 +26,7 @@
 from yokeline.consensus.group import RaftGroup
 from yokeline.consensus.messages import EntryKind, LogEntry, RaftMessage
 from yokeline.consensus.settings import RaftSettings
-from yokeline.consensus.types import RaftRole
+from yokeline.consensus.types import HardState, RaftRole, Snapshot
 from yokeline.effects import Address, Effect, LogRecord, SendPeer, SyncFile
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.codec import decode_command, decode_state, encode_command, encode_state
@@ -34,7 +34,6 @@
     AddressesRecord,
     DiskRecord,
     EntriesRecord,
-    FoundedRecord,
     HardStateRecord,
     IdentityRecord,
     RecoveredLog,
@@ -80,6 +79,11 @@
     prompt_retry_seconds=0.04,
 )
 
+FOUNDING_INDEX = 1
+"""Index of the snapshot that all founders begin with."""
+FOUNDING_TERM = 1
+"""Its term, in which nobody is elected: the first leader's is higher."""
+
 NOW = float("-inf")
 """A time that has always come."""
 
@@ -106,6 +110,8 @@
 
     Attributes:
         addresses: Where the other replicas listen.
+        first_start: This replica is of the first start of the whole system. The disk remembers
+            it, so that a process that ends before the group has begun may still begin it.
     """
 
     def __init__(
@@ -116,6 +122,7 @@
         recovered: RecoveredLog,
         source: random.Random,
         now: float,
+        first_start: bool = False,
         link_mbps: float = 0.0,
         settings: RaftSettings = RAFT_SETTINGS,
         compact_bytes: int = COMPACT_BYTES,
@@ -125,11 +132,11 @@
         ``link_mbps`` is what the machine's link bears, in megabits a second; 0 if not known.
         """
         self.replica = replica
+        self.first_start = first_start or recovered.first_start
         self.addresses = dict(recovered.addresses)
         self._address = address
         self._source = source
         self._settings = settings
-        self._founders = recovered.founders
         self._ticket = 0
         self._synced_ticket = 0
         self._held: deque[_Held] = deque()
@@ -146,9 +153,12 @@
         self._pressure = LinkPressure(link_mbps)
         self._cut_entries = CutEntries()
         self._cut_messages = CutMessages()
+        self._lost: frozenset[ReplicaId] = frozenset()
+        self._identity_ticket = 0
         self._saved_addresses = dict(self.addresses)
         if recovered.replica is None:
-            self._write([IdentityRecord(replica)], [])
+            self._write([IdentityRecord(replica, self.first_start)], [])
+            self._identity_ticket = self._ticket
 
     # ------------------------------------------------------------ what is known
 
@@ -162,6 +172,11 @@
         """Whether this replica is in the configuration that it knows."""
         return self.replica in self.group.members
 
+    @property
+    def identity_saved(self) -> bool:
+        """Whether the replica's id is on the disk, so that a restart keeps it."""
+        return self._synced_ticket >= self._identity_ticket
+
     @property
     def is_empty(self) -> bool:
         """Whether this replica holds nothing and belongs to no group yet."""
@@ -196,7 +211,7 @@
 
     def next_deadline(self) -> float:
         """Return when :meth:`tick` is due."""
-        if self._to_apply:
+        if self._to_apply or self._effects:
             return NOW
         held = self._cut_messages.next_deadline()
         due = self.group.next_deadline()
@@ -204,13 +219,29 @@
 
     # ------------------------------------------------------------ events
 
-    def found(self, now: float) -> list[Effect]:
-        """Begin the group with this replica as its only member."""
-        self._founders = (self.replica,)
-        self.group = self._new_group(RecoveredLog(founders=self._founders), now)
-        self._write([FoundedRecord(self._founders)], [])
+    def found(self, founders: tuple[ReplicaId, ...], now: float) -> list[Effect]:
+        """Begin the group with ``founders``, of which this replica is one.
+
+        All founders begin with the same snapshot, before any of them can lead, so that one that
+        is late gets it from a leader with the members in it. What this replica has voted
+        before stays.
+        """
+        snapshot = Snapshot(FOUNDING_INDEX, FOUNDING_TERM, founders, encode_state(self._state))
+        hard_state = self.group.hard_state
+        if hard_state.term < FOUNDING_TERM:
+            hard_state = HardState(FOUNDING_TERM)
+        recovered = RecoveredLog(snapshot=snapshot, hard_state=hard_state)
+        self.group = self._new_group(recovered, now)
+        self.group.set_lost(self._lost)
+        self._applied = FOUNDING_INDEX
+        self._write([SnapshotRecord(snapshot), HardStateRecord(hard_state)], [])
         return self._absorb(self.group.tick(now))
 
+    def set_lost(self, lost: frozenset[ReplicaId]) -> None:
+        """Name the replicas that are known to have lost their disks."""
+        self._lost = lost
+        self.group.set_lost(lost)
+
     def tick(self, now: float) -> list[Effect]:
         """Do what is due, and apply more of what is committed."""
         self._now = now
@@ -353,8 +384,6 @@
         if snapshot is None:
             return
         records: list[DiskRecord] = [IdentityRecord(self.replica)]
-        if self._founders:
-            records.append(FoundedRecord(self._founders))
         records.append(AddressesRecord(dict(self.addresses)))
         records.append(SnapshotRecord(snapshot))
         entries = self.group.entries_after(snapshot.last_index)
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -27,6 +27,7 @@
     HandOver,
     JoinRequest,
     MembershipStep,
+    choose_founders,
     next_step,
 )
 from yokeline.ledger.messages import (
@@ -44,12 +45,14 @@
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
-    FOUNDER_KEY,
+    FOUNDERS_KEY,
     NODE_PREFIX,
     SURVIVOR_PREFIX,
     NodeRecord,
     NodeRole,
+    decode_founders,
     decode_node,
+    encode_founders,
     encode_node,
     node_key,
 )
@@ -66,6 +69,12 @@
 """A member that knows no leader for this long asks to join, in case it was removed."""
 SURVIVOR_SECONDS = 1.5
 """Silence of the other one of two members after which this one asks to go on alone."""
+FOUNDING_SECONDS = 0.5
+"""Time for storage nodes to register before founders are named; most start within it."""
+FOUNDERS_AWAITED = 3
+"""Registered nodes that make waiting longer needless: a group that bears a lost disk."""
+FOUNDING_PATIENCE_SECONDS = 3.0
+"""Time after which fewer are named: callers come some 10 s after the first start."""
 STOP_SECONDS = 0.5
 """Time that a planned stop leaves to a hand-over of leadership."""
 
@@ -80,7 +89,6 @@
         replica: LedgerReplica,
         registry: RegistryClient,
         formats: DeploymentFormats,
-        first_start: bool,
         wall: Callable[[], float],
         phases: StartPhases,
         now: float,
@@ -91,21 +99,21 @@
         self._record = record
         self._registry = registry
         self._formats = formats
-        self._first_start = first_start
         self._joins: dict[NodeName, JoinRequest] = {}
         self._lost: frozenset[ReplicaId] = frozenset()
+        self._registered = False
+        self._read_at: float | None = None
         self._superseded: set[ReplicaId] = set()
         self._claimed: set[str] = set()
         self._next_join = now
         self._began_at = now
         self._next_members = now
         self._leader_seen_at = now
-        self._founding = False
+        self._founders_proposed = False
         self._retire_written: dict[NodeName, bool] = {}
         self._stop_at: float | None = None
         self.batches = RequestBatches(replica, wall, now)
         self._histories = HistoryService(replica)
-        registry.ensure(node_key(record.name), encode_node(record))
 
     # ------------------------------------------------------------ service
 
@@ -117,6 +125,7 @@
         effects.extend(log)
         if not ours:
             effects.extend(self._take(event, now))
+        self._register()
         effects.extend(self._registry.tick(now))
         if now >= self.replica.next_deadline():
             effects.extend(self.replica.tick(now))
@@ -194,30 +203,62 @@
 
     # ------------------------------------------------------------ founding and joining
 
+    def _register(self) -> None:
+        """Tell the others of this node once a restart would keep its replica's id.
+
+        Else a loss of all power in the first moments would leave founders that nobody ever is.
+        """
+        if self._registered or not self.replica.identity_saved:
+            return
+        self._registered = True
+        self._registry.ensure(node_key(self._record.name), encode_node(self._record))
+
     def _found_if_first(self, now: float) -> list[Effect]:
-        """Begin the group if no other node has: the key-value service picks one founder."""
-        if self._founding or not self.replica.is_empty or not self._registry.complete:
+        """Begin the group if this node is one of its founders, or let the founders be named.
+
+        The first write of their names counts, so all nodes begin the same group. Several are
+        named, since a replica that loses its disk never comes back under its id.
+        """
+        if not self.replica.is_empty or not self._registry.complete:
             return []
-        founder = self._registry.items(FOUNDER_KEY).get(FOUNDER_KEY)
-        own = self._record.replica.encode()
-        if founder is not None:
-            if founder.value != own:
-                return []
-            self._founding = True
-            return self._found(now)
-        if not self._first_start:
+        record = self._registry.item(FOUNDERS_KEY)
+        if record is None:
+            self._propose_founders(now)
             return []
-        self._founding = True
-        self._registry.write(FOUNDER_KEY, own, now, expected=0, done=self._founder_chosen)
-        return []
-
-    def _founder_chosen(self, won: bool) -> None:
-        """Go on at the next event; the watch tells who was chosen."""
-        self._founding = False
-
-    def _found(self, now: float) -> list[Effect]:
-        log = LogRecord(event="ledger_founded", fields={"replica": self._record.replica})
-        return [log, *self.replica.found(now)]
+        founders = decode_founders(record.value or b"")
+        if self._record.replica not in founders:
+            return []
+        self._leader_seen_at = now  # nobody led before, so that no silence says anything yet
+        addresses = self._storage_addresses()
+        for founder in founders:
+            if founder in addresses:
+                self.replica.learn_address(founder, addresses[founder])
+        fields: dict[str, str | int | float | bool | None] = {
+            "replica": self._record.replica,
+            "founders": " ".join(founders),
+            "revision": record.revision,
+        }
+        log = LogRecord(event="ledger_founded", fields=fields)
+        return [log, *self.replica.found(founders, now)]
+
+    def _propose_founders(self, now: float) -> None:
+        """Name the storage nodes that are registered, once there was time for them to come."""
+        if not self.replica.first_start or self._founders_proposed:
+            return
+        if self._read_at is None:
+            self._read_at = now
+        waited = now - self._read_at
+        if waited < FOUNDING_SECONDS:
+            return
+        records = self._storage_records()
+        is_one_of_them = any(item.replica == self._record.replica for item in records)
+        if not is_one_of_them:
+            return
+        if len(records) < FOUNDERS_AWAITED and waited < FOUNDING_PATIENCE_SECONDS:
+            return
+        self._founders_proposed = True
+        value = encode_founders(choose_founders(records))
+        self._registry.write(FOUNDERS_KEY, value, now, expected=0)
 
     def _ask_to_join(self, now: float) -> list[Effect]:
         """Tell the other storage nodes that this one is no member, or knows no leader."""
@@ -239,16 +280,17 @@
     def _storage_addresses(self) -> dict[ReplicaId, Address]:
         """Return every storage replica known from the registry or from messages."""
         known = dict(self.replica.addresses)
-        for item in self._registry.items(NODE_PREFIX).values():
-            decoded = decode_node(item.value or b"")
-            if not isinstance(decoded, Success):
-                continue
-            node = decoded.unwrap()
-            if node.role is NodeRole.STORAGE:
-                known[node.replica] = node.address
+        known.update({node.replica: node.address for node in self._storage_records()})
         known.pop(self._record.replica, None)
         return known
 
+    def _storage_records(self) -> list[NodeRecord]:
+        """Return the storage nodes that are registered."""
+        items = self._registry.items(NODE_PREFIX).values()
+        decoded = (decode_node(item.value or b"") for item in items)
+        nodes = (result.unwrap() for result in decoded if isinstance(result, Success))
+        return [node for node in nodes if node.role is NodeRole.STORAGE]
+
     def _take_join(self, request: Join, now: float) -> list[Effect]:
         """Note a request; a new id from a member's node says that the member's disk is lost."""
         if request.replica in self._superseded:
@@ -273,7 +315,7 @@
         if not lost - self._lost:
             return []
         self._lost = self._lost | lost
-        self.replica.group.set_lost(self._lost)
+        self.replica.set_lost(self._lost)
         fields: dict[str, str | int | float | bool | None] = {
             "replicas": " ".join(sorted(lost)),
             "successor": successor,
@@ -286,7 +328,7 @@
         still_members = self._lost & frozenset(self.replica.group.members)
         if still_members != self._lost:
             self._lost = still_members
-            self.replica.group.set_lost(still_members)
+            self.replica.set_lost(still_members)
 
     def _go_on_alone(self, now: float) -> list[Effect]:
         """Of two members, let one go on without the other, which may be gone for good.
@@ -340,6 +382,7 @@
             retiring=frozenset(retiring),
             lost=self._lost,
             caught_up=frozenset(item for item in group.members if group.has_caught_up(item)),
+            zones={node.name: node.zone for node in self._storage_records()},
         )
         step = next_step(view, now)
         if step is not None:
--- a/src/yokeline/registry/client.py
+++ b/src/yokeline/registry/client.py
@@ -121,6 +121,10 @@
             if key.startswith(prefix)
         }
 
+    def item(self, key: str) -> StoredItem | None:
+        """Return one item, if it is known."""
+        return next((watch.items[key] for watch in self._watches if key in watch.items), None)
+
     def write(
         self,
         key: str,
--- a/src/yokeline/registry/nodes.py
+++ b/src/yokeline/registry/nodes.py
@@ -14,7 +14,8 @@
 OWN_PREFIX = "yokeline/"
 """Everything that nodes write for each other."""
 NODE_PREFIX = "yokeline/nodes/"
-FOUNDER_KEY = "yokeline/ledger/founder"
+FOUNDERS_KEY = "yokeline/ledger/founder"
+"""The replicas with which the ledger's group begins; written once, if it is absent."""
 SURVIVOR_PREFIX = "yokeline/ledger/survivor/"
 """Below it, by index of a configuration of two members: the one that goes on without the other."""
 
@@ -40,6 +41,16 @@
     zone: str = ""
 
 
+def encode_founders(founders: tuple[ReplicaId, ...]) -> bytes:
+    """Return the document that names the founders (an id holds no space)."""
+    return " ".join(founders).encode()
+
+
+def decode_founders(value: bytes) -> tuple[ReplicaId, ...]:
+    """Return the founders in a document; names that are no text belong to no replica."""
+    return tuple(ReplicaId(name) for name in value.decode(errors="replace").split())
+
+
 def node_key(name: NodeName) -> str:
     """Return the key of a node's record."""
     return NODE_PREFIX + name
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -222,6 +222,7 @@
         recovered=log,
         source=source,
         now=now,
+        first_start=settings.first_start,
         link_mbps=settings.link_mbps,
     )
     record = NodeRecord(
@@ -236,7 +237,6 @@
         replica=replica,
         registry=registry.unwrap(),
         formats=adapter.formats,
-        first_start=settings.first_start,
         wall=time.time,
         phases=StartPhases(start.began_at),
         now=now,
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -178,6 +178,8 @@
         self.link_mbps = link_mbps
         self.now = 0.0
         self.store = MemoryStore()
+        self.store_seconds = 0.004
+        """What an answer of the key-value service takes."""
         self.machines = [Machine(f"storage-{index}", index) for index in range(count)]
         self.askers = {_EDGE: Asker(_EDGE, _EDGE_ADDRESS)}
         self.client = self.askers[_EDGE].client
@@ -196,6 +198,12 @@
 
     # ------------------------------------------------------------ machines
 
+    def prepare_machine(self, number: int) -> Machine:
+        """Add a machine of the first start that does not run yet."""
+        machine = Machine(f"storage-{number}", number)
+        self.machines.append(machine)
+        return machine
+
     def add_machine(self) -> Machine:
         machine = Machine(f"storage-{len(self.machines)}", len(self.machines))
         machine.started_before = True
@@ -216,6 +224,7 @@
             recovered=log,
             source=self.random,
             now=self.now,
+            first_start=not machine.started_before,
             link_mbps=self.link_mbps,
         )
         record = NodeRecord(
@@ -227,7 +236,6 @@
             replica=replica,
             registry=RegistryClient(machine.view, ("",), self.random),
             formats=PlatformDocuments(),
-            first_start=not machine.started_before,
             wall=lambda: WALL_START + self.now,
             phases=StartPhases(self.now),
             now=self.now,
@@ -379,7 +387,9 @@
             delay = machine.sync_seconds * (0.5 + self.random.random())
             self._schedule(delay, lambda: self._sync(machine, generation, effect))
         elif isinstance(effect, HttpRequest):
-            self._schedule(0.004, lambda: self._answer(machine, generation, effect, self.now))
+            self._schedule(
+                self.store_seconds, lambda: self._answer(machine, generation, effect, self.now)
+            )
         elif isinstance(effect, LogRecord):
             self.log.append(effect)
         elif isinstance(effect, Exit):
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -5,13 +5,15 @@
 import unittest
 
 from tests.unit.ledger.cluster import Cluster, Machine
-from yokeline.consensus.messages import EntryKind, LogEntry
+from yokeline.consensus.messages import EntryKind, LogEntry, RequestVote
+from yokeline.consensus.types import HardState
 from yokeline.effects import Address, Effect, PeerMessage, SendPeer, SyncFile
-from yokeline.identifiers import ReplicaId
+from yokeline.identifiers import NodeName, ReplicaId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.codec import encode_command
 from yokeline.ledger.disk_records import RecoveredLog
 from yokeline.ledger.leader_search import QUERY_SECONDS
+from yokeline.ledger.members import choose_founders
 from yokeline.ledger.messages import (
     BudgetSpent,
     Granted,
@@ -21,13 +23,20 @@
     LeaderQuery,
     LedgerRequest,
     NoSuchTurn,
+    ReplicaMessage,
     Reserve,
     Settle,
     Settled,
 )
 from yokeline.ledger.replica import APPLIED_AT_ONCE, LedgerReplica
 from yokeline.ledger.state import LedgerCommand
-from yokeline.registry.nodes import FOUNDER_KEY
+from yokeline.registry.nodes import (
+    FOUNDERS_KEY,
+    NodeRecord,
+    NodeRole,
+    decode_founders,
+    node_key,
+)
 
 CATCH_UP_SECONDS = 4.0
 WALL = 1_000_000.0
@@ -77,15 +86,87 @@
 class FoundersDisk(StorageCase):
     def test_the_founder_loses_its_disk_before_it_has_founded(self) -> None:
         """The key in the store names a replica that nobody will ever be again."""
+        for number in range(3):
+            cluster = Cluster(3, number)
+            self.assertTrue(cluster.run_until(lambda c=cluster: FOUNDERS_KEY in c.store.items, 5.0))
+            chosen = decode_founders(cluster.store.items[FOUNDERS_KEY].value or b"")
+            founder = next(item for item in cluster.machines if item.replica == chosen[number])
+            cluster.wipe(founder)
+            cluster.run(0.5)
+            cluster.start(founder)
+            self.assertTrue(cluster.run_until(cluster.all_members, 10.0))
+
+    def test_the_founders_are_the_same_for_all_and_stand_in_several_zones(self) -> None:
+        records = [
+            NodeRecord(
+                name=NodeName(f"storage-{number:02}"),
+                role=NodeRole.STORAGE,
+                replica=ReplicaId(f"storage-{number:02}~1"),
+                address=Address("10.0.0.1", number),
+                zone=f"zone-{number // 5}",
+            )
+            for number in range(24)
+        ]
+        founders = choose_founders(records)
+        self.assertEqual(founders, choose_founders(records[::-1]))
+        zones = {record.zone for record in records if record.replica in founders}
+        self.assertEqual((len(founders), len(zones)), (5, 5))
+
+    def test_a_vote_that_was_given_before_founding_stays(self) -> None:
+        """Else the replica could vote for two leaders of one term."""
+        replica = LedgerReplica(
+            replica=ReplicaId("a~1"),
+            address=Address("10.0.0.1", 1),
+            recovered=RecoveredLog(),
+            source=random.Random(1),
+            now=0.0,
+        )
+        candidate = ReplicaId("b~1")
+        vote = RequestVote(
+            term=4, candidate=candidate, last_index=1, last_term=1, pre_vote=False, transfer=False
+        )
+        replica.step(
+            candidate, ReplicaMessage(sender_address=Address("10.0.0.2", 1), message=vote), 0.1
+        )
+        replica.found((replica.replica, candidate), 0.2)
+        self.assertEqual(replica.group.hard_state, HardState(4, candidate))
+
+    def test_a_replica_whose_id_is_not_on_its_disk_is_not_registered(self) -> None:
+        """A loss of power would leave a founder that nobody ever is."""
+        cluster = Cluster(0, 1)
+        machine = cluster.prepare_machine(0)
+        machine.disk_hangs = True
+        cluster.start(machine)
+        cluster.run(1.0)
+        self.assertEqual(cluster.store.items, {})
+        machine.disk_hangs = False
+        cluster.run(1.0)
+        self.assertIn(node_key(machine.name), cluster.store.items)
+
+    def test_a_node_that_ends_before_the_group_has_begun_may_still_begin_it(self) -> None:
         cluster = Cluster(3, 1)
-        self.assertTrue(cluster.run_until(lambda: FOUNDER_KEY in cluster.store.items, 5.0))
-        chosen = cluster.store.items[FOUNDER_KEY].value
-        assert chosen is not None
-        founder = next(item for item in cluster.machines if item.replica.encode() == chosen)
-        cluster.wipe(founder)
-        cluster.run(0.5)
-        cluster.start(founder)
+        cluster.run(0.3)
+        for machine in cluster.machines:
+            cluster.kill(machine)
+        cluster.run(0.1)
+        for machine in cluster.machines:
+            cluster.start(machine)
+        self.assertTrue(cluster.run_until(cluster.all_members, 10.0))
+
+    def test_a_late_founder_learns_the_group_from_its_leader_and_keeps_what_it_got(self) -> None:
+        """It does not found, since it holds entries that may be acknowledged."""
+        cluster = Cluster(3, 1)
+        late = cluster.machines[2]
+        cluster.run_until(lambda: FOUNDERS_KEY in cluster.store.items, 5.0)
+        late.cut = True
+        cluster.run(1.0)
+        cluster.ask(turn("t1"))
+        late.cut = False
+        cluster.store.down = True
         self.assertTrue(cluster.run_until(cluster.all_members, 10.0))
+        cluster.store.down = False
+        cluster.kill(next(item for item in cluster.machines if item is not late))
+        self.assert_kept(cluster, "t1")
 
 
 class Batches(StorageCase):
@@ -209,7 +290,7 @@
             now=0.0,
             compact_bytes=compact_bytes,
         )
-        self.finish(replica, replica.found(0.0))
+        self.finish(replica, replica.found((replica.replica,), 0.0))
         self.finish(replica, replica.tick(1.0))
         return replica
 
