Let a request whose route allows no further engine go back to the one that broke off

Mend: a request remembers the engines that may still run it. Once these are as many as its route allows, it goes back to the last of them, over a new connection and after the last event passed on; that engine also has the prompt in its cache. Only if it cannot be reached, or another one has taken its address, or it is silent on the second connection too, any other one serves. The same holds for look-ups.

Ruled out: asking the engine's report first (one more round trip, and its list is some 100 ms old); cutting all such streams (those of engines that crash are allowed elsewhere, and are served).

A look-up that breaks off on a route of one attempt was expected at another engine; that expectation moved to a route of two, with a stricter one beside it.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -113,12 +113,14 @@
         sent: False only if it is certain that no byte of the request left this process.
         stale: A kept connection turned out closed by the other end: it ended without one byte
             of an answer after this request was written to it.
+        silent: The time for an answer, or for its next part, passed on an open connection.
     """
 
     request: RequestId
     sent: bool
     reason: str
     stale: bool = False
+    silent: bool = False
 
 
 class PeerMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -59,6 +59,8 @@
             the attempts that the route allows, since an engine that broke off runs no more.
         rejections: How many said that they did not.
         tried: Engines that failed or rejected it.
+        left_running: Engines that broke off and may still run it, the latest last: a connection
+            that is reset between them and this node ends nothing there.
         engine: Where it is now.
         head: The answer's head, held back until the first event.
         last_event_id: Of the last event passed on.
@@ -93,6 +95,7 @@
     answered_runs: int = 0
     rejections: int = 0
     tried: set[str] = msgspec.field(default_factory=set)
+    left_running: list[str] = msgspec.field(default_factory=list)
     engine: EngineState | None = None
     uncached: int = 0
     request: RequestId | None = None
@@ -112,6 +115,25 @@
     first_event_at: float | None = None
     timers: list[Timer] = msgspec.field(default_factory=list)
 
+    def note_left_running(self, engine_id: str) -> None:
+        """Note that an engine broke off and may still run it."""
+        self.note_ended_at(engine_id)
+        self.left_running.append(engine_id)
+
+    def note_ended_at(self, engine_id: str) -> None:
+        """Note that an engine surely does not run it any more, or cannot be reached at all."""
+        if engine_id in self.left_running:
+            self.left_running.remove(engine_id)
+
+    @property
+    def must_return(self) -> bool:
+        """Whether it may only go on where it ran: the route allows no further engine.
+
+        A node cannot tell an engine that crashed from a connection that was reset on the way.
+        One that crashed refuses the next connection, and then any other engine will do.
+        """
+        return len(self.left_running) >= self.route.max_attempts
+
     @property
     def begun(self) -> bool:
         """Whether it belongs to a program that has had a turn before."""
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from yokeline.forwarding.choice import Choice, ChoiceInputs, choose
 from yokeline.forwarding.engines import EngineBook
@@ -39,7 +40,16 @@
         self._models: dict[str, EngineModel] = {}
 
     def choose(self, exchange: Exchange, pool: Pool, now: float) -> Choice | None:
-        """Return the engine for a request; those that had it come last, if at all."""
+        """Return the engine for a request; those that had it come last, if at all.
+
+        One that may run at no further engine goes back to the last one, as long as that is listed.
+        """
+        if exchange.must_return:
+            listed = self._engines.in_pool(exchange.pool, now)
+            last = exchange.left_running[-1]
+            own = [state for state in listed if state.engine.engine_id == last]
+            if own:
+                return choose(own, self.beliefs, self._inputs(exchange, pool, tried=()), now)
         choice = self._choose(exchange, pool, now)
         if choice is None and exchange.tried:
             exchange.tried.clear()
@@ -102,21 +112,25 @@
         self._turn_seconds[exchange.pool] = average + TURN_WEIGHT * (seconds - average)
 
     def _choose(self, exchange: Exchange, pool: Pool, now: float) -> Choice | None:
+        engines = self._engines.in_pool(exchange.pool, now)
+        inputs = self._inputs(exchange, pool, exchange.tried)
+        return choose(engines, self.beliefs, inputs, now)
+
+    def _inputs(self, exchange: Exchange, pool: Pool, tried: Iterable[str]) -> ChoiceInputs:
         call = exchange.call
         affine = ""
         if call.affinity_key:
             affine = self._affinities.get((exchange.pool, call.affinity_key), "")
-        inputs = ChoiceInputs(
+        return ChoiceInputs(
             call=call,
             traits=pool.model,
             zone=self._zone,
-            excluded=frozenset(exchange.tried),
+            excluded=frozenset(tried),
             affine=affine,
             context=exchange.context,
             is_new_program=bool(call.program) and not exchange.begun and not exchange.events,
             model=self._model(exchange.pool) if pool.model is not None else None,
         )
-        return choose(self._engines.in_pool(exchange.pool, now), self.beliefs, inputs, now)
 
     def _note_affinity(self, subject: tuple[str, str], engine_id: str) -> None:
         self._affinities[subject] = engine_id
--- a/src/yokeline/forwarding/repeats.py
+++ b/src/yokeline/forwarding/repeats.py
@@ -12,6 +12,7 @@
 from yokeline.forwarding.engine_sends import EngineSends
 from yokeline.forwarding.engines import FULL_SECONDS
 from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.http_statuses import MISDIRECTED
 from yokeline.forwarding.model import RouteKind
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.patience import CallPatience
@@ -60,6 +61,7 @@
             reason=reason,
             runs=exchange.runs,
             after_event=exchange.last_event_id,
+            back_to=exchange.left_running[-1] if exchange.must_return else "",
             budget_left=round(self._retries.left, 1),
         )
         self._dispatch.wait(exchange)
@@ -73,6 +75,8 @@
         if engine is not None:
             exchange.tried.add(engine.engine.engine_id)
             engine.full_until = self._state.now + FULL_SECONDS
+        if engine is not None and response.status == MISDIRECTED:
+            exchange.note_ended_at(engine.engine.engine_id)
         self._outcomes.log(
             "engine_rejected",
             exchange,
@@ -93,6 +97,10 @@
             exchange.tried.add(engine.engine.engine_id)
             if not failure.stale:
                 engine.note_failure(self._state.now)
+            if failure.sent and not failure.silent:
+                exchange.note_left_running(engine.engine.engine_id)
+            else:
+                exchange.note_ended_at(engine.engine.engine_id)
         if not failure.sent:
             self._send_again_unsent(exchange, failure)
             return
@@ -101,12 +109,21 @@
         self._repeat_or_fail(exchange, failure.reason)
 
     def cancel_and_repeat(self, exchange: Exchange, reason: str) -> None:
-        """Take a stream from an engine that fell silent."""
+        """Take a stream from an engine that fell silent.
+
+        It may have been the connection alone; an engine that is silent on a second one as well is
+        taken to be cut off.
+        """
         engine = exchange.engine
         self._sends.cancel(exchange, failed=True)
         if engine is not None:
-            exchange.tried.add(engine.engine.engine_id)
+            engine_id = engine.engine.engine_id
+            exchange.tried.add(engine_id)
             engine.note_failure(self._state.now)
+            if engine_id in exchange.left_running:
+                exchange.note_ended_at(engine_id)
+            else:
+                exchange.note_left_running(engine_id)
         self._repeat_or_fail(exchange, reason)
 
     def note_answered(self, exchange: Exchange) -> None:
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -300,7 +300,7 @@
             return False
         return self._connection.link.bytes_sent > self._sent_at_start
 
-    def _fail(self, reason: str, *, stale: bool = False) -> None:
+    def _fail(self, reason: str, *, stale: bool = False, silent: bool = False) -> None:
         if self._ended:
             return
         sent = self._sent()
@@ -308,7 +308,11 @@
         if self._connection is not None:
             self._pool.discard(self._connection)
         failure = HttpFailed(
-            request=self.request.request, sent=sent, reason=reason, stale=stale and sent
+            request=self.request.request,
+            sent=sent,
+            reason=reason,
+            stale=stale and sent,
+            silent=silent,
         )
         self._owner.submit(failure)
 
@@ -336,4 +340,4 @@
         elif self._due > time.monotonic():
             self._set_deadline(self._due)
         else:
-            self._fail(f"no answer within {self.request.timeout:g} seconds")
+            self._fail(f"no answer within {self.request.timeout:g} seconds", silent=True)
--- a/src/yokeline/platform/headers.py
+++ b/src/yokeline/platform/headers.py
@@ -9,6 +9,7 @@
 from yokeline.effects import HttpArrived, HttpResponse
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.forwarding.dialect import EngineOrder
+from yokeline.forwarding.http_statuses import MISDIRECTED
 from yokeline.forwarding.model import Call, PromptPart
 
 REQUEST_ID = "x-yokeline-request-id"
@@ -27,7 +28,6 @@
 TOKEN_BUDGET = "x-yokeline-token-budget"
 PREVIOUS_TURN = "x-yokeline-previous-turn"
 
-MISDIRECTED = 421
 DEFAULT_DEADLINE_SECONDS = 30.0
 _MILLISECONDS = 1000.0
 _CONNECTION_HEADERS = frozenset(
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -70,9 +70,11 @@
     version=3,
     routes=(
         route("/turn/", RouteKind.STREAMING, "models", resumable=True, max_attempts=2),
+        route("/single/", RouteKind.STREAMING, "models", resumable=True, max_attempts=1),
         route("/once/", RouteKind.STREAMING, "models"),
         route("/kept/", RouteKind.STREAMING, "models", retain=True),
         route("/look/", RouteKind.IDEMPOTENT, "apps", timeout=1.2, max_attempts=1),
+        route("/look-twice/", RouteKind.IDEMPOTENT, "apps", timeout=1.2, max_attempts=2),
         route("/fix/", RouteKind.NON_IDEMPOTENT, "apps", timeout=2.0),
     ),
     pools={
@@ -179,6 +181,11 @@
         )
         self.take(self.forwarder.engine_event(response, self.now))
 
+    def engine_is_another(self) -> None:
+        """Another engine listens at the address, and says so."""
+        response = HttpResponse(request=self.sent[-1].request, status=421, headers={})
+        self.take(self.forwarder.engine_event(response, self.now))
+
     def engine_rejects(self) -> None:
         response = HttpResponse(request=self.sent[-1].request, status=503, headers=NOT_RUN)
         self.take(self.forwarder.engine_event(response, self.now))
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -63,11 +63,19 @@
 
     def test_a_look_up_is_repeated_at_another_engine(self) -> None:
         played = Played()
-        played.request("/look/x")
+        played.request("/look-twice/x")
         played.engine_breaks()
         played.wait(0.01)
         self.assertNotEqual(played.engine_of(0), played.engine_of(1))
 
+    def test_a_look_up_on_a_route_of_one_attempt_is_repeated_at_its_own_engine(self) -> None:
+        """The connection may have been reset on our side, and the engine still runs it."""
+        played = Played()
+        played.request("/look/x")
+        played.engine_breaks()
+        played.wait(0.01)
+        self.assertEqual((len(played.sent), played.engine_of(0)), (2, played.engine_of(1)))
+
     def test_a_failure_that_an_engine_answered_uses_up_an_attempt_of_the_route(self) -> None:
         played = Played()
         played.request("/look/x")
@@ -299,6 +307,58 @@
         played.wait(1.2)
         self.assertEqual((len(played.cancelled), len(played.sent)), (1, 2))
 
+    def broken(self) -> Played:
+        """Return a stream on a route of one attempt, resumed after its engine broke off."""
+        played = self.begin("/single/x")
+        played.engine_sends(1, 2)
+        played.engine_breaks()
+        played.wait(0.01)
+        self.assertEqual(len(played.sent), 2)
+        return played
+
+    def test_a_stream_whose_attempts_are_used_up_goes_on_at_its_own_engine(self) -> None:
+        """A connection that is reset on our side does not end the engine's life."""
+        played = self.broken()
+        self.assertEqual(played.engine_of(0), played.engine_of(1))
+        self.assertEqual(dict(played.sent[1].header_items)["last-event-id"], "2")
+        played.engine_begins()
+        played.engine_sends(3)
+        played.engine_ends()
+        end = played.stream_end()
+        assert end is not None
+        self.assertFalse(end.aborted)
+
+    def test_it_goes_on_elsewhere_if_its_engine_cannot_be_reached(self) -> None:
+        played = self.broken()
+        played.engine_breaks(sent=False)
+        played.wait(0.01)
+        self.assertNotEqual(played.engine_of(1), played.engine_of(2))
+
+    def test_it_goes_on_elsewhere_if_another_engine_has_taken_the_address(self) -> None:
+        played = self.broken()
+        played.engine_is_another()
+        played.wait(0.01)
+        self.assertNotEqual(played.engine_of(1), played.engine_of(2))
+
+    def test_it_goes_on_elsewhere_if_its_engine_is_gone(self) -> None:
+        played = self.begin("/single/x")
+        played.engine_sends(1)
+        played.engines.remove(played.engine_of(0))
+        played.engine_breaks()
+        played.wait(0.01)
+        self.assertNotEqual(played.engine_of(0), played.engine_of(1))
+
+    def test_it_goes_on_elsewhere_if_its_engine_is_silent_on_a_new_connection_too(self) -> None:
+        played = self.begin("/single/x")
+        played.engine_sends(1)
+        played.wait(1.0)
+        self.assertEqual((len(played.sent), played.engine_of(0)), (2, played.engine_of(1)))
+        played.engine_begins()
+        played.engine_sends(2)
+        played.wait(1.0)
+        self.assertEqual(len(played.sent), 3)
+        self.assertNotEqual(played.engine_of(1), played.engine_of(2))
+
     def test_a_stream_that_may_not_be_resumed_is_cut_and_does_not_look_whole(self) -> None:
         played = self.begin("/once/x")
         played.engine_sends(1)
