Let only the leader among the storage nodes watch the key-value service

Cause: each storage node watched two prefixes with calls of 4 s, though only the leader acts on what they say; with 24 storage nodes that is more calls than all 171 edges make (12 a second against 4), and each is paid for. The 19 nodes that stand by also asked all 23 others for membership every 0.7 s.

Change: a member watches only while it leads or knows no leader. A node that stands by is told who leads with each of its requests, asks the leader alone, and watches again once two requests went unanswered.

Ruled out: longer waits (the first list after lost history is as late as the wait); one prefix for both (it would also wake them for engines).

New tests: StandingBy (only the leader watches, the next leader takes orders, three members gone for good are replaced by nodes that stand by).

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -48,9 +48,9 @@
     NODE_PREFIX,
     NodeRecord,
     NodeRole,
-    decode_node,
     encode_node,
     node_key,
+    read_nodes,
 )
 from yokeline.registry.protocol import StoredItem
 from yokeline.start_phases import StartPhases
@@ -336,11 +336,7 @@
         return [LogRecord(event="engine_changed", fields=fields)]
 
     def _take_nodes(self) -> None:
-        records: list[NodeRecord] = []
-        for item in self._registry.items(NODE_PREFIX).values():
-            read = decode_node(item.value or b"")
-            if isinstance(read, Success):
-                records.append(read.unwrap())
+        records = read_nodes(self._registry.items(NODE_PREFIX).values())
         storage = [record for record in records if record.role is NodeRole.STORAGE]
         self.ledger.set_storage({record.replica: record.address for record in storage})
         own_zone = self._record.zone
--- /dev/null
+++ b/src/yokeline/ledger/founding.py
@@ -0,0 +1,104 @@
+"""How the ledger's group begins: several founders, named once in the key-value service."""
+
+from __future__ import annotations
+
+from yokeline.effects import Effect, LogRecord
+from yokeline.ledger.members import choose_founders
+from yokeline.ledger.replica import LedgerReplica
+from yokeline.registry.client import RegistryClient
+from yokeline.registry.nodes import (
+    FOUNDERS_KEY,
+    NODE_PREFIX,
+    NodeRecord,
+    decode_founders,
+    encode_founders,
+    encode_node,
+    node_key,
+    storage_nodes,
+)
+from yokeline.registry.protocol import StoredItem
+
+FOUNDING_SECONDS = 0.5
+"""Time for storage nodes to register before founders are named; most start within it."""
+FOUNDERS_AWAITED = 3
+"""Registered nodes that make waiting longer needless: a group that bears a lost disk."""
+FOUNDING_PATIENCE_SECONDS = 3.0
+"""Time after which fewer are named: callers come some 10 s after the first start."""
+
+
+class Founding:
+    """Registers a storage node, and begins the group if the node is one of its founders."""
+
+    def __init__(
+        self, record: NodeRecord, replica: LedgerReplica, registry: RegistryClient
+    ) -> None:
+        """Found with ``replica`` of the node of ``record``."""
+        self._record = record
+        self._replica = replica
+        self._registry = registry
+        self._registered = False
+        self._proposed = False
+        self._read_at: float | None = None
+
+    def register(self) -> None:
+        """Tell the others of this node once a restart would keep its replica's id.
+
+        Else a loss of all power in the first moments would leave founders that nobody ever is.
+        """
+        if self._registered or not self._replica.identity_saved:
+            return
+        self._registered = True
+        self._registry.ensure(node_key(self._record.name), encode_node(self._record))
+
+    def tick(self, now: float) -> list[Effect]:
+        """Begin the group if this node is one of its founders, or let the founders be named.
+
+        The first write of their names counts, so all nodes begin the same group. Several are
+        named, since a replica that loses its disk never comes back under its id.
+        """
+        if not self._replica.is_empty or not self._registry.complete:
+            return []
+        item = self._registry.item(FOUNDERS_KEY)
+        if item is not None:
+            return self._found(item, now)
+        if self._may_propose(now):
+            self._propose(now)
+        return []
+
+    def _found(self, item: StoredItem, now: float) -> list[Effect]:
+        founders = decode_founders(item.value or b"")
+        if self._record.replica not in founders:
+            return []
+        addresses = {node.replica: node.address for node in self._storage_nodes()}
+        for founder in founders:
+            if founder in addresses:
+                self._replica.learn_address(founder, addresses[founder])
+        fields: dict[str, str | int | float | bool | None] = {
+            "replica": self._record.replica,
+            "founders": " ".join(founders),
+            "revision": item.revision,
+        }
+        log = LogRecord(event="ledger_founded", fields=fields)
+        return [log, *self._replica.found(founders, now)]
+
+    def _may_propose(self, now: float) -> bool:
+        """Return whether there was time for the other nodes to register."""
+        if not self._replica.first_start or self._proposed:
+            return False
+        if self._read_at is None:
+            self._read_at = now
+        waited = now - self._read_at
+        if waited < FOUNDING_SECONDS:
+            return False
+        registered = {node.replica for node in self._storage_nodes()}
+        if self._record.replica not in registered:
+            return False
+        return len(registered) >= FOUNDERS_AWAITED or waited >= FOUNDING_PATIENCE_SECONDS
+
+    def _propose(self, now: float) -> None:
+        self._proposed = True
+        value = encode_founders(choose_founders(self._storage_nodes()))
+        self._registry.write(FOUNDERS_KEY, value, now, expected=0)
+
+    def _storage_nodes(self) -> list[NodeRecord]:
+        return storage_nodes(self._registry.items(NODE_PREFIX).values())
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -7,7 +7,6 @@
 from returns.result import Success
 
 from yokeline.effects import (
-    Address,
     Effect,
     Event,
     Exit,
@@ -19,7 +18,9 @@
     StopRequested,
 )
 from yokeline.identifiers import NodeName, ReplicaId, node_name_of
+from yokeline.ledger.founding import Founding
 from yokeline.ledger.history_service import HistoryService
+from yokeline.ledger.joining import Joining
 from yokeline.ledger.members import (
     LOST_SILENCE_SECONDS,
     AddMember,
@@ -27,7 +28,6 @@
     HandOver,
     JoinRequest,
     MembershipStep,
-    choose_founders,
     next_step,
 )
 from yokeline.ledger.messages import (
@@ -45,36 +45,17 @@
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
-    FOUNDERS_KEY,
-    NODE_PREFIX,
     SURVIVOR_PREFIX,
     NodeRecord,
-    NodeRole,
-    decode_founders,
-    decode_node,
-    encode_founders,
-    encode_node,
     node_key,
+    read_nodes,
 )
 from yokeline.start_phases import StartPhases
 from yokeline.status_service import NodeFigures
 
-JOIN_PERIOD_SECONDS = 0.25
-PROMPT_JOIN_SECONDS = 5.0
-"""Time after the start in which a node that is no member asks often."""
-PATIENT_JOIN_SECONDS = 0.7
-"""Pause between its requests after that: the group is probably full, and it stands by."""
 MEMBERS_PERIOD_SECONDS = 0.1
-LEADER_SILENCE_SECONDS = 1.0
-"""A member that knows no leader for this long asks to join, in case it was removed."""
 SURVIVOR_SECONDS = 1.5
 """Silence of the other one of two members after which this one asks to go on alone."""
-FOUNDING_SECONDS = 0.5
-"""Time for storage nodes to register before founders are named; most start within it."""
-FOUNDERS_AWAITED = 3
-"""Registered nodes that make waiting longer needless: a group that bears a lost disk."""
-FOUNDING_PATIENCE_SECONDS = 3.0
-"""Time after which fewer are named: callers come some 10 s after the first start."""
 STOP_SECONDS = 0.5
 """Time that a planned stop leaves to a hand-over of leadership."""
 
@@ -101,15 +82,11 @@
         self._formats = formats
         self._joins: dict[NodeName, JoinRequest] = {}
         self._lost: frozenset[ReplicaId] = frozenset()
-        self._registered = False
-        self._read_at: float | None = None
         self._superseded: set[ReplicaId] = set()
         self._claimed: set[str] = set()
-        self._next_join = now
-        self._began_at = now
         self._next_members = now
-        self._leader_seen_at = now
-        self._founders_proposed = False
+        self._founding = Founding(record, replica, registry)
+        self._joining = Joining(record, replica, registry, now)
         self._retire_written: dict[NodeName, bool] = {}
         self._stop_at: float | None = None
         self.batches = RequestBatches(replica, wall, now)
@@ -125,14 +102,15 @@
         effects.extend(log)
         if not ours:
             effects.extend(self._take(event, now))
-        self._register()
+        self._founding.register()
+        self._registry.follow(self._may_rest(now))
         effects.extend(self._registry.tick(now))
         if now >= self.replica.next_deadline():
             effects.extend(self.replica.tick(now))
         effects.extend(self.batches.tick(now))
         effects.extend(self._histories.tick(now))
-        effects.extend(self._found_if_first(now))
-        effects.extend(self._ask_to_join(now))
+        effects.extend(self._found(now))
+        effects.extend(self._joining.tick(now))
         effects.extend(self._go_on_alone(now))
         effects.extend(self._tend_members(now))
         if self.replica.group.leader is not None:
@@ -180,10 +158,21 @@
             return self._histories.take(event.sender, message, now)
         if isinstance(message, LeaderQuery):
             return [self._tell_leader(event.sender, message)]
+        if isinstance(message, LeaderAnswer):
+            self._joining.take_told(message, now)
+            return []
         if isinstance(message, Join):
-            return self._take_join(message, now)
+            return [*self._tell_newcomer(message), *self._take_join(message, now)]
         return []
 
+    def _tell_newcomer(self, request: Join) -> list[Effect]:
+        """Tell a node that stands by who leads, if this one knows."""
+        leader = self.replica.leader_hint()
+        if leader is None:
+            return []
+        answer = LeaderAnswer(term=self.replica.group.term, leader=leader)
+        return [SendPeer(to=request.replica, address=request.address, message=answer)]
+
     def _tell_leader(self, sender: ReplicaId, query: LeaderQuery) -> SendPeer:
         answer = LeaderAnswer(term=self.replica.group.term, leader=self.replica.leader_hint())
         return SendPeer(to=sender, address=query.asker, message=answer)
@@ -201,95 +190,22 @@
             effects.extend(self.replica.hand_over(best, now))
         return effects
 
-    # ------------------------------------------------------------ founding and joining
+    # ------------------------------------------------------------ founding, joining, going on alone
 
-    def _register(self) -> None:
-        """Tell the others of this node once a restart would keep its replica's id.
+    def _may_rest(self, now: float) -> bool:
+        """Return whether this node need not watch the key-value service.
 
-        Else a loss of all power in the first moments would leave founders that nobody ever is.
+        The leader takes the operator's orders and chooses members; the others watch only while
+        they know no leader. Each watching call is paid for, and two dozen storage nodes made
+        more of them than all forwarding nodes together.
         """
-        if self._registered or not self.replica.identity_saved:
-            return
-        self._registered = True
-        self._registry.ensure(node_key(self._record.name), encode_node(self._record))
-
-    def _found_if_first(self, now: float) -> list[Effect]:
-        """Begin the group if this node is one of its founders, or let the founders be named.
+        return not self.replica.leads and self._joining.knows_leader(now)
 
-        The first write of their names counts, so all nodes begin the same group. Several are
-        named, since a replica that loses its disk never comes back under its id.
-        """
-        if not self.replica.is_empty or not self._registry.complete:
-            return []
-        record = self._registry.item(FOUNDERS_KEY)
-        if record is None:
-            self._propose_founders(now)
-            return []
-        founders = decode_founders(record.value or b"")
-        if self._record.replica not in founders:
-            return []
-        self._leader_seen_at = now  # nobody led before, so that no silence says anything yet
-        addresses = self._storage_addresses()
-        for founder in founders:
-            if founder in addresses:
-                self.replica.learn_address(founder, addresses[founder])
-        fields: dict[str, str | int | float | bool | None] = {
-            "replica": self._record.replica,
-            "founders": " ".join(founders),
-            "revision": record.revision,
-        }
-        log = LogRecord(event="ledger_founded", fields=fields)
-        return [log, *self.replica.found(founders, now)]
-
-    def _propose_founders(self, now: float) -> None:
-        """Name the storage nodes that are registered, once there was time for them to come."""
-        if not self.replica.first_start or self._founders_proposed:
-            return
-        if self._read_at is None:
-            self._read_at = now
-        waited = now - self._read_at
-        if waited < FOUNDING_SECONDS:
-            return
-        records = self._storage_records()
-        is_one_of_them = any(item.replica == self._record.replica for item in records)
-        if not is_one_of_them:
-            return
-        if len(records) < FOUNDERS_AWAITED and waited < FOUNDING_PATIENCE_SECONDS:
-            return
-        self._founders_proposed = True
-        value = encode_founders(choose_founders(records))
-        self._registry.write(FOUNDERS_KEY, value, now, expected=0)
-
-    def _ask_to_join(self, now: float) -> list[Effect]:
-        """Tell the other storage nodes that this one is no member, or knows no leader."""
-        if self.replica.group.leader is not None:
-            self._leader_seen_at = now
-        knows_leader = now - self._leader_seen_at < LEADER_SILENCE_SECONDS
-        if now < self._next_join or (self.replica.is_member and knows_leader):
-            return []
-        waited = now - self._began_at
-        is_new = waited < PROMPT_JOIN_SECONDS or self.replica.is_member
-        self._next_join = now + (JOIN_PERIOD_SECONDS if is_new else PATIENT_JOIN_SECONDS)
-        record = self._record
-        message = Join(node=record.name, replica=record.replica, address=record.address)
-        return [
-            SendPeer(to=replica, address=address, message=message)
-            for replica, address in self._storage_addresses().items()
-        ]
-
-    def _storage_addresses(self) -> dict[ReplicaId, Address]:
-        """Return every storage replica known from the registry or from messages."""
-        known = dict(self.replica.addresses)
-        known.update({node.replica: node.address for node in self._storage_records()})
-        known.pop(self._record.replica, None)
-        return known
-
-    def _storage_records(self) -> list[NodeRecord]:
-        """Return the storage nodes that are registered."""
-        items = self._registry.items(NODE_PREFIX).values()
-        decoded = (decode_node(item.value or b"") for item in items)
-        nodes = (result.unwrap() for result in decoded if isinstance(result, Success))
-        return [node for node in nodes if node.role is NodeRole.STORAGE]
+    def _found(self, now: float) -> list[Effect]:
+        effects = self._founding.tick(now)
+        if effects:
+            self._joining.leader_seen_at = now  # nobody led before: no silence says anything yet
+        return effects
 
     def _take_join(self, request: Join, now: float) -> list[Effect]:
         """Note a request; a new id from a member's node says that the member's disk is lost."""
@@ -341,7 +257,7 @@
         group = self.replica.group
         if len(group.members) != 2 or not self.replica.is_member or group.membership_pending:
             return []
-        if now - self._leader_seen_at < SURVIVOR_SECONDS or not self._registry.complete:
+        if now - self._joining.leader_seen_at < SURVIVOR_SECONDS or not self._registry.complete:
             return []
         other = next(item for item in group.members if item != self.replica.replica)
         if other in self._lost:
@@ -382,7 +298,7 @@
             retiring=frozenset(retiring),
             lost=self._lost,
             caught_up=frozenset(item for item in group.members if group.has_caught_up(item)),
-            zones={node.name: node.zone for node in self._storage_records()},
+            zones=self._zones(),
         )
         step = next_step(view, now)
         if step is not None:
@@ -390,6 +306,13 @@
             effects.extend(self._take_step(step, now))
         return effects
 
+    def _zones(self) -> dict[NodeName, str]:
+        """Return the zones of the members and of the nodes that ask to join."""
+        names = {node_name_of(member) for member in self.replica.group.members}
+        items = (self._registry.item(node_key(name)) for name in names | set(self._joins))
+        records = read_nodes(item for item in items if item is not None)
+        return {record.name: record.zone for record in records}
+
     def _let_another_lead(self, now: float) -> list[Effect]:
         """Hand leadership over, so that this replica may compact its log."""
         group = self.replica.group
--- a/src/yokeline/registry/nodes.py
+++ b/src/yokeline/registry/nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -10,6 +11,7 @@
 from yokeline.effects import Address
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.identifiers import NodeName, ReplicaId
+from yokeline.registry.protocol import StoredItem
 
 OWN_PREFIX = "yokeline/"
 """Everything that nodes write for each other."""
@@ -51,6 +53,17 @@
     return tuple(ReplicaId(name) for name in value.decode(errors="replace").split())
 
 
+def storage_nodes(items: Iterable[StoredItem]) -> list[NodeRecord]:
+    """Return the storage nodes among the nodes' items."""
+    return [record for record in read_nodes(items) if record.role is NodeRole.STORAGE]
+
+
+def read_nodes(items: Iterable[StoredItem]) -> list[NodeRecord]:
+    """Return the records in the nodes' items; one that cannot be read is left out."""
+    decoded = (decode_node(item.value or b"") for item in items)
+    return [result.unwrap() for result in decoded if isinstance(result, Success)]
+
+
 def node_key(name: NodeName) -> str:
     """Return the key of a node's record."""
     return NODE_PREFIX + name
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -29,6 +29,7 @@
 from yokeline.ledger.disk_records import recover
 from yokeline.ledger.messages import (
     HistoryReply,
+    Join,
     LeaderAnswer,
     LedgerReply,
     Operation,
@@ -155,6 +156,7 @@
         self.sent_bytes = 0
         self.gets_copies = True
         self.view: StoreView | None = None
+        self.watch_calls = 0
 
     @property
     def replica(self) -> ReplicaId:
@@ -188,6 +190,8 @@
         self.frames = 0
         self.log: list[LogRecord] = []
         self.histories: list[HistoryReply] = []
+        self.joins: list[ReplicaId] = []
+        """Replicas that were asked for membership, once for each request."""
         self.copied: list[str] = []
         """Turns whose texts were sent to a follower, once for each."""
         self.unclaimed: list[tuple[ReplicaId, LedgerReply]] = []
@@ -387,6 +391,7 @@
             delay = machine.sync_seconds * (0.5 + self.random.random())
             self._schedule(delay, lambda: self._sync(machine, generation, effect))
         elif isinstance(effect, HttpRequest):
+            machine.watch_calls += effect.path == "watch"
             self._schedule(
                 self.store_seconds, lambda: self._answer(machine, generation, effect, self.now)
             )
@@ -444,6 +449,8 @@
             self.histories.append(effect.message)
         if isinstance(effect.message, LedgerReply):
             self.unclaimed.append((effect.to, effect.message))
+        if isinstance(effect.message, Join):
+            self.joins.append(effect.to)
         if isinstance(effect.message, TextCopy):
             self.copied.append(effect.message.turn_id)
         event = PeerMessage(sender=sender, message=effect.message)
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -598,3 +598,72 @@
             cluster.run(0.5)
             cluster.start(others[0])
             self.assert_kept(cluster, "t1")
+
+
+class StandingBy(StorageCase):
+    def settled(self, count: int, seed: int) -> Cluster:
+        """Return a cluster whose members are chosen, and whose other nodes stand by."""
+        cluster = Cluster(count, seed)
+        self.assertTrue(cluster.run_until(lambda: len(cluster.members()) == 5, 10.0))
+        cluster.run(8.0)
+        return cluster
+
+    def test_only_the_leader_watches_the_key_value_service(self) -> None:
+        """Each call is paid for."""
+        cluster = self.settled(8, 1)
+        before = {machine.name: machine.watch_calls for machine in cluster.machines}
+        leader = self.leader(cluster)
+        for number in range(4):
+            cluster.store.put(f"other/{number}", b"x")
+            cluster.run(3.0)
+        asked = {
+            machine.name
+            for machine in cluster.machines
+            if machine.watch_calls > before[machine.name]
+        }
+        self.assertEqual(asked, {leader.name})
+
+    def test_a_node_that_stands_by_asks_the_leader_alone(self) -> None:
+        cluster = self.settled(8, 1)
+        cluster.joins.clear()
+        cluster.run(5.0)
+        self.assertEqual(set(cluster.joins), {self.leader(cluster).replica})
+
+    def test_the_next_leader_takes_the_operators_orders(self) -> None:
+        for seed in range(4):
+            cluster = self.settled(7, seed)
+            cluster.ask(turn("t1"))
+            cluster.kill(self.leader(cluster))
+            retired = next(
+                item
+                for item in cluster.machines
+                if item.node is not None and item.node.replica.is_member
+            )
+            order = json.dumps({"duration-s": 8}).encode()
+            cluster.store.put(f"op/retire/{retired.name}", order)
+
+            def is_emptied(cluster: Cluster = cluster, name: str = retired.name) -> bool:
+                item = cluster.store.items.get(f"status/retire/{name}")
+                return item is not None and b"completed" in (item.value or b"")
+
+            self.assertTrue(cluster.run_until(is_emptied, 6.0), f"seed {seed}")
+            self.assert_kept(cluster, "t1")
+
+    def test_members_that_are_gone_for_good_are_replaced_by_nodes_that_stand_by(self) -> None:
+        for seed in range(4):
+            cluster = self.settled(8, seed)
+            cluster.ask(turn("t1"))
+            for _ in range(3):
+                members = cluster.members()
+                victim = self.leader(cluster)
+                cluster.wipe(victim)
+                cluster.machines.remove(victim)
+
+                def is_replaced(
+                    cluster: Cluster = cluster, members: set[ReplicaId] = members
+                ) -> bool:
+                    now = cluster.members()
+                    return len(now) == 5 and now != members
+
+                self.assertTrue(cluster.run_until(is_replaced, 8.0), f"seed {seed}")
+            self.assert_kept(cluster, "t1")
