Let a test of early signals wait until the process that it kills has started

Seen once: test_a_reload_during_the_start waited in vain for a second 'started' line (load average 12 on 8 cores). Cause: the deployment counts as up once its edges are ready, which need no storage node; on a busy machine the test killed the storage node before it had logged its first start. The test now waits for the line that it counts; what it asserts is unchanged.

--- a/tests/processes/platform/test_roles.py
+++ b/tests/processes/platform/test_roles.py
@@ -139,6 +139,7 @@
         """The settings are read later than that in any case."""
         with Deployment() as deployment:
             storage = deployment.storage[0]
+            wait_until(lambda: len(storage.lines("started")) == 1, "it has started")
             storage.kill()
             storage.start()
             wait_until(storage.listens, "it listens, before its imports")
