Let the first list of the key-value service lag

Cause: each process lists the registry at its start at the full price of a read; 195 of them at a first start, and again with each restart.

Change: the first list may be seconds old, which costs a tenth and nothing of the rate. The first watching call from its revision, or the nodes that watch, bring what came after it. A list after lost history stays linearizable. Pages that lag by different spans are watched from the oldest of their revisions.

Ruled out: reading the whole registry from another node (a node knows no other one before it has read).

--- a/src/yokeline/platform/store.py
+++ b/src/yokeline/platform/store.py
@@ -61,11 +61,15 @@
         """Call the store at ``address``."""
         self._address = address
 
-    def list_call(self, request: RequestId, prefix: str, after_key: str) -> HttpRequest:
-        """Read a page of the items below a prefix, linearizable."""
+    def list_call(
+        self, request: RequestId, prefix: str, after_key: str, *, may_lag: bool
+    ) -> HttpRequest:
+        """Read a page of the items below a prefix, linearizable unless it may lag."""
         path = f"/-/kv-range?path-prefix={quote(prefix, safe='/')}"
         if after_key:
             path += f"&after={quote(after_key, safe='/')}"
+        if may_lag:
+            path += "&stale=1"
         return self._get(request, path, _CALL_SECONDS)
 
     def watch_call(
--- a/src/yokeline/registry/protocol.py
+++ b/src/yokeline/registry/protocol.py
@@ -60,8 +60,13 @@
 class StoreProtocol(Protocol):
     """Spells calls and reads answers; decides nothing."""
 
-    def list_call(self, request: RequestId, prefix: str, after_key: str) -> HttpRequest:
-        """Return the call that reads a page of items below a prefix."""
+    def list_call(
+        self, request: RequestId, prefix: str, after_key: str, *, may_lag: bool
+    ) -> HttpRequest:
+        """Return the call that reads a page of items below a prefix.
+
+        With ``may_lag`` it costs less and may be seconds old; its revision says how old.
+        """
         ...
 
     def watch_call(
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -125,9 +125,19 @@
         self._calls += 1
         self._pending = RequestId(f"watch/{self.prefix}/{self._calls}")
         if self._phase is WatchPhase.LISTING:
-            return self._store.list_call(self._pending, self.prefix, self._after_key)
+            return self._list_call(self._pending)
         return self._store.watch_call(self._pending, self.prefix, self._revision, self.wait_seconds)
 
+    def _list_call(self, request: RequestId) -> HttpRequest:
+        """Return the call for the next page.
+
+        The first list may lag: what came after its revision follows with the first watching call,
+        or from the nodes that watch. A start of all nodes then takes a tenth of the price of its
+        reads, and nothing of their rate. A later one may not: it follows on lost history.
+        """
+        may_lag = not self.complete
+        return self._store.list_call(request, self.prefix, self._after_key, may_lag=may_lag)
+
     def is_behind(self, revision: int, now: float) -> bool:
         """Return whether another node has known a change for too long that this one has not.
 
@@ -233,9 +243,9 @@
         self._after_key = ""
 
     def _take_page(self, page: Page) -> list[StoredItem]:
-        """Collect a page; the first one says from where to watch, since pages are no snapshot."""
-        if self._list_revision is None:
-            self._list_revision = page.revision
+        """Collect a page; the oldest one says from where to watch, since pages are no snapshot."""
+        known = self._list_revision
+        self._list_revision = page.revision if known is None else min(known, page.revision)
         for item in page.items:
             self._listed[item.key] = item
         if page.more and page.items:
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -83,7 +83,9 @@
         self._store = store
         self._recipes: dict[RequestId, Callable[[], RegistryAnswer | None]] = {}
 
-    def list_call(self, request: RequestId, prefix: str, after_key: str) -> HttpRequest:
+    def list_call(
+        self, request: RequestId, prefix: str, after_key: str, *, may_lag: bool
+    ) -> HttpRequest:
         def answer() -> RegistryAnswer:
             items = sorted(self._store.items.items())
             found = [item for key, item in items if key.startswith(prefix)]
--- a/tests/unit/platform/test_documents.py
+++ b/tests/unit/platform/test_documents.py
@@ -128,7 +128,9 @@
         return self.store.read_answer(HttpResponse(request=RequestId("r"), status=status, body=raw))
 
     def test_calls_are_spelled_as_the_page_says(self) -> None:
-        listing = self.store.list_call(RequestId("r"), "servers/", "servers/i-1")
+        lagging = self.store.list_call(RequestId("r"), "my/", "", may_lag=True)
+        self.assertEqual(lagging.target, "/-/kv-range?path-prefix=my/&stale=1")
+        listing = self.store.list_call(RequestId("r"), "servers/", "servers/i-1", may_lag=False)
         self.assertEqual(listing.target, "/-/kv-range?path-prefix=servers/&after=servers/i-1")
         watch = self.store.watch_call(RequestId("r"), "my/", 411, 20.0)
         self.assertEqual(watch.target, "/-/kv-watch?path-prefix=my/&after=411&wait-ms=20000")
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -23,11 +23,15 @@
 
     def __init__(self) -> None:
         self.next_answer: RegistryAnswer = HistoryLost()
+        self.lagging: list[bool] = []
 
     def _call(self, request: RequestId, path: str) -> HttpRequest:
         return HttpRequest(request=request, address=Address("s", 1), method="GET", path=path)
 
-    def list_call(self, request: RequestId, prefix: str, after_key: str) -> HttpRequest:
+    def list_call(
+        self, request: RequestId, prefix: str, after_key: str, *, may_lag: bool
+    ) -> HttpRequest:
+        self.lagging.append(may_lag)
         return self._call(request, f"list {prefix} {after_key}".strip())
 
     def watch_call(
@@ -75,6 +79,19 @@
         self.assertEqual([entry.key for entry in changed], ["p/a", "p/b"])
         self.assertEqual(self.call().path, "watch p/ 10")
 
+    def test_a_page_that_lags_behind_the_first_one_is_watched_from_its_own_revision(self) -> None:
+        """Else a change between the two states is never read."""
+        self.answer(Page((item("p/a", 3),), True, 10))
+        self.answer(Page((item("p/b", 2),), False, 7))
+        self.assertEqual(self.call().path, "watch p/ 7")
+
+    def test_only_the_first_list_may_lag(self) -> None:
+        self.answer(Page((item("p/a", 3),), True, 10))
+        self.answer(Page((item("p/b", 12),), False, 14))
+        self.answer(HistoryLost())
+        self.answer(Page((item("p/a", 3), item("p/b", 12)), False, 20))
+        self.assertEqual(self.store.lagging, [True, True, False])
+
     def test_a_change_that_another_node_read_and_this_one_did_not_leads_to_a_new_list(self) -> None:
         """The call that waits may wait at a service that went deaf."""
         self.answer(Page((item("p/a", 3),), False, 10))
