Look at full engines once for all that wait, and keep the queue in order

Cause: each event of a forwarding node sorted the whole queue and estimated every engine for each request in it, also when all engines were full. A node with 100 requests waiting for 60 engines spent 8 ms on each event.

Change: the queue is kept in order as requests come; once no engine had room for a request, those behind it with the same or a lesser claim to places are not asked for again in that look. What is sent, and in which order, is the same.

Ruled out: a timer instead of a look at each event (adds its period to each wait).

--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -70,13 +70,18 @@
         if queue is None or not len(queue):
             return
         placement, now = self._state.placement, self._state.now
+        full = _FullEngines()
         for exchange in queue.in_order():
             if placement.is_hopeless(exchange, now):
                 queue.remove(exchange)
                 self.give_up(exchange)
                 continue
+            is_new_program = placement.is_new_program(exchange)
+            if full.has_no_room(exchange, is_new_program=is_new_program):
+                continue
             choice = placement.choose(exchange, self._state.pool_of(exchange), now)
             if choice is None:
+                full.note(exchange, is_new_program=is_new_program)
                 continue
             queue.remove(exchange)
             self._sends.send(exchange, choice)
@@ -87,5 +92,31 @@
             self.give_up(exchange)
 
 
+class _FullEngines:
+    """For whom no engine had room in one look at a queue; the rest of the queue need not ask.
+
+    Without it each event of a busy node looks at every engine for every request that waits:
+    8 ms of processor time for 100 requests and 60 engines (``python -m benchmarks.dispatch``).
+    """
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self._for_any = False
+        self._for_new_programs = False
+
+    def note(self, exchange: Exchange, *, is_new_program: bool) -> None:
+        """Note that no engine had room for a request."""
+        if exchange.must_return:
+            return
+        self._for_new_programs = True
+        self._for_any = self._for_any or not is_new_program
+
+    def has_no_room(self, exchange: Exchange, *, is_new_program: bool) -> bool:
+        """Return whether it is known that no engine has room for a request."""
+        if exchange.must_return:
+            return False
+        return self._for_any or (is_new_program and self._for_new_programs)
+
+
 def _nobody(exchange: Exchange) -> None:
     """Tell nobody."""
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -56,6 +56,10 @@
             choice = self._choose(exchange, pool, now)
         return choice
 
+    def is_new_program(self, exchange: Exchange) -> bool:
+        """Return whether a request is the first turn of a program, which gets fewer places."""
+        return bool(exchange.call.program) and not exchange.begun and not exchange.events
+
     def is_hopeless(self, exchange: Exchange, now: float) -> bool:
         """Return whether a request cannot end before it is due; its work would be wasted."""
         left = exchange.due - now
@@ -128,7 +132,7 @@
             excluded=frozenset(tried),
             affine=affine,
             context=exchange.context,
-            is_new_program=bool(call.program) and not exchange.begun and not exchange.events,
+            is_new_program=self.is_new_program(exchange),
             model=self._model(exchange.pool) if pool.model is not None else None,
         )
 
--- a/src/yokeline/forwarding/waiting.py
+++ b/src/yokeline/forwarding/waiting.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import insort
+
 from yokeline.forwarding.exchange import Exchange
 
 MAX_WAITING = 512
@@ -13,6 +15,8 @@
 def order_of(exchange: Exchange) -> OrderKey:
     """Return the place of a request in the queue; the least is served first.
 
+    Nothing of it changes while the request waits, so that the queue is kept in order.
+
     A stream that broke off comes first, since its caller is already reading; then programs
     that can still end in time; then those that have begun, so that what was spent on them is
     not lost; then the operator's priority; then the one that should be over first.
@@ -38,12 +42,8 @@
 
     def add(self, exchange: Exchange) -> Exchange | None:
         """Add a request; return the one that must give way, if there are too many."""
-        self._waiting.append(exchange)
-        if len(self._waiting) <= MAX_WAITING:
-            return None
-        last = max(self._waiting, key=order_of)
-        self._waiting.remove(last)
-        return last
+        insort(self._waiting, exchange, key=order_of)
+        return self._waiting.pop() if len(self._waiting) > MAX_WAITING else None
 
     def remove(self, exchange: Exchange) -> None:
         """Take a request out; one that does not wait is a no-op."""
@@ -52,4 +52,4 @@
 
     def in_order(self) -> list[Exchange]:
         """Return the requests, the most urgent first."""
-        return sorted(self._waiting, key=order_of)
+        return list(self._waiting)
