--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -6,6 +6,9 @@
 with a look at what waits. The table gives the median processor time (microseconds) of such a look,
 and of the look after one place has come free, which also chooses an engine. The machine may be
 shared: take ratios between rows and runs rather than single figures.
+
+With 60 engines and 100 waiting, all full: 7,984 us while every request asked every engine, 213 us
+since a look ends at the first request without room (both on 8 busy cores).
 """
 
 from __future__ import annotations
