Let nodes that start together not wake each other through the key-value service

Cause: each forwarding node watched from its first list on, until the reports of the nodes before it came; each node that registered woke all of them.

Change: the first watching call comes 0.3 s after the first list; a node that has just started takes the registered nodes before it for alive and follows them, for a time that grows with the fleet; it looks again when nodes change; a watching edge pauses 0.1 s after a change, so that one call brings several.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -136,12 +136,12 @@
         effects.extend(self._take_changes(changed, now))
         if not ours:
             effects.extend(self._take(event, now))
+        self._exchange.pace(now)
         effects.extend(self._registry.tick(now))
         effects.extend(self._forget_lapsed(now))
         effects.extend(self.ledger.tick(now))
         effects.extend(self.histories.tick(now))
         effects.extend(self.forwarder.tick(now))
-        self._exchange.pace(now)
         effects.extend(
             self._sharing.tick(
                 ReportedState(
@@ -345,6 +345,7 @@
         )
         edges = [record for record in records if record.role is NodeRole.EDGE]
         self._sharing.set_nodes(edges, self._now)
+        self._exchange.nodes_changed(self._now)
 
     # ------------------------------------------------------------ stops
 
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -124,17 +124,23 @@
         is_new_ring = now - self._candidate_since <= RELAY_SILENCE_SECONDS * self._slowdown
         return is_new_ring or self._heard_within_silence(name, now)
 
-    def is_watcher(self, now: float) -> bool:
+    @property
+    def slowdown(self) -> float:
+        """By how much the pauses between reports grow with the number of nodes."""
+        return self._slowdown
+
+    def is_watcher(self, now: float, *, presumes_alive: bool = False) -> bool:
         """Return whether this node is to watch the key-value service for others.
 
-        Those are the first of each zone that were heard lately, some of them in all.
+        Those are the first of each zone that were heard lately, some of them in all. A node that
+        has just started has heard nobody yet: with ``presumes_alive`` all registered ones count.
         """
         per_zone = math.ceil(LEAST_WATCHERS / (len(self._zones) + 1))
         fresh = {report.node for report in self._engines.fresh_reports(now)}
         before = [
             record.name
             for record in self._zone_ring
-            if record.name < self._record.name and record.name in fresh
+            if record.name < self._record.name and (presumes_alive or record.name in fresh)
         ]
         return len(before) < per_zone
 
--- a/src/yokeline/forwarding/registry_exchange.py
+++ b/src/yokeline/forwarding/registry_exchange.py
@@ -20,8 +20,10 @@
 ANSWERED_SECONDS = 2 * WATCH_SECONDS
 """A node whose last answer of the key-value service is older does not count as watching it."""
 FIRST_NEWS_SECONDS = 1.0
-"""Time after the first list in which a node waits to hear of one that watches; then it watches
-itself."""
+"""Time after the first list in which a node waits to hear of one that watches, and takes the
+registered nodes before it for alive; then it goes by whom it heard. In a large fleet it grows as
+the pauses between reports do. Nodes that start at once and all watch are woken by each one that
+registers: 417 calls in the first 3 s of 79 nodes, of 460 until second 8 of the traffic."""
 ASK_SECONDS = 0.1
 """Least time between two questions for changes to other nodes."""
 
@@ -53,16 +55,23 @@
         """Return whether other nodes may rely on this one for changes."""
         return not self._follows and now - self._registry.heard_at() <= ANSWERED_SECONDS
 
+    def nodes_changed(self, now: float) -> None:
+        """Look again at who watches, since a node has registered or gone."""
+        self._next_pacing = min(self._next_pacing, now)
+
     def pace(self, now: float) -> None:
         """Watch, or follow others as long as one that watches is heard."""
-        if now < self._next_pacing:
+        has_listed = self._listed_at is None and self._registry.complete
+        if now < self._next_pacing and not has_listed:
             return
         self._next_pacing = now + PACING_SECONDS
-        if self._listed_at is None and self._registry.complete:
+        if has_listed:
             self._listed_at = now
-        is_new = self._listed_at is not None and now - self._listed_at < FIRST_NEWS_SECONDS
+        first_seconds = FIRST_NEWS_SECONDS * self._sharing.slowdown
+        is_new = self._listed_at is not None and now - self._listed_at < first_seconds
         may_follow = is_new or self._sharing.hears_watcher(now)
-        self._follows = may_follow and not self._sharing.is_watcher(now)
+        is_watcher = self._sharing.is_watcher(now, presumes_alive=is_new)
+        self._follows = may_follow and not is_watcher
         self._registry.follow(self._follows)
 
     def hear(self, report: LoadReport, now: float) -> list[Effect]:
--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -25,6 +25,9 @@
 """Time for which another node may know a later change before this one lists anew."""
 FOLLOWER_BEHIND_SECONDS = 1.0
 """The same for a node that reads changes from others, and asks them first."""
+START_PAUSE_SECONDS = 0.3
+"""Pause between the first list and the first watching call: nodes that start together register
+meanwhile, and one call brings them all. Without it each of them wakes every other one."""
 RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.8
 
@@ -209,8 +212,12 @@
         self._pending = None
         answer = self._store.read_answer(response)
         if isinstance(answer, Page) and self._phase is WatchPhase.LISTING:
+            was_complete = self.complete
             self._answered(now)
-            return self._take_page(answer)
+            changed = self._take_page(answer)
+            if self.complete and not was_complete:
+                self._next_call_at = now + START_PAUSE_SECONDS
+            return changed
         if isinstance(answer, WatchEvents) and self._phase is WatchPhase.WATCHING:
             self._answered(now)
             return self._take_events(answer)
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -35,6 +35,10 @@
 
 SEED_BITS = 128
 _DESCRIPTORS_FOR_CALLERS = 0.6
+_EDGE_WATCH_PAUSE_SECONDS = 0.1
+"""Pause of a forwarding node after a change, so that one call brings several; the next change is
+known that much later at most, a twentieth of the shortest time for a configuration (2 s)."""
+
 _STORAGE_WATCH_SECONDS = 4.0
 """A storage node is told of orders and of other nodes; neither is urgent, and calls cost."""
 
@@ -132,6 +136,7 @@
     )
     if isinstance(registry, Failure):
         return registry
+    registry.unwrap().set_pace(WATCH_SECONDS, _EDGE_WATCH_PAUSE_SECONDS)
     now = time.monotonic()
     record = NodeRecord(
         name=settings.name,
--- a/tests/unit/forwarding/test_load_sharing.py
+++ b/tests/unit/forwarding/test_load_sharing.py
@@ -128,6 +128,28 @@
         self.assertLess(received[1], 1.5 * received[0])
 
 
+class WhoWatches(unittest.TestCase):
+    def watchers(self, fleet: Fleet, *, presumes_alive: bool) -> int:
+        return sum(
+            node.is_watcher(fleet.now, presumes_alive=presumes_alive)
+            for name, node in fleet.nodes.items()
+            if name not in fleet.down
+        )
+
+    def test_nodes_that_start_together_do_not_all_watch(self) -> None:
+        """Each call is paid for, and each node that registers would wake all that watch."""
+        fleet = Fleet(30)
+        self.assertEqual(self.watchers(fleet, presumes_alive=True), 3)
+        fleet.run(2.0)
+        self.assertEqual(self.watchers(fleet, presumes_alive=False), 3)
+
+    def test_one_of_each_zone_watches_when_the_first_ones_are_dead(self) -> None:
+        fleet = Fleet(30)
+        fleet.down = {"edge-a-000", "edge-a-001", "edge-b-000"}
+        fleet.run(4.0)
+        self.assertEqual(self.watchers(fleet, presumes_alive=False), 3)
+
+
 class WhoReachesTheLedger(unittest.TestCase):
     def test_nodes_that_say_so_are_named_and_those_of_the_own_zone_come_first(self) -> None:
         for per_zone in (2, 8):
