Let nodes take over watching one after the other; blame an engine that breaks off twice

Change: the nodes that watch double with each second in which none is served. A request that has to go back to its engine goes elsewhere after a second connection broke as well: then the engine is at fault. Look-ups on routes of one attempt would else spend all their tries at an engine that resets.

Tests: test_more_and_more_try_while_the_service_answers_nobody, test_it_goes_on_elsewhere_if_its_engine_breaks_off_a_second_connection.

--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -44,6 +44,13 @@
 LEAST_WATCHERS = 3
 """Nodes that watch the key-value service at least, spread over the zones; each call is paid for,
 and the others read from them."""
+TAKEOVER_SECONDS = 1.0
+"""Time without a node that the service answers after which twice as many watch: with 35 in 100
+machines refused and one watcher in each of five zones, one outage in 190 has no served watcher at
+first, and one in 36,000 after this time. Without it all nodes at once call a service that is
+away."""
+MAX_TAKEOVER_DOUBLINGS = 16.0
+"""Then all nodes of the largest zone watch."""
 UNKNOWN_RELAYS = 2
 """Nodes of another zone that get a digest while its relay is not known."""
 
@@ -129,11 +136,15 @@
         """By how much the pauses between reports grow with the number of nodes."""
         return self._slowdown
 
-    def is_watcher(self, now: float, *, presumes_alive: bool = False) -> bool:
+    def is_watcher(
+        self, now: float, *, presumes_alive: bool = False, unheard_seconds: float = 0.0
+    ) -> bool:
         """Return whether this node is to watch the key-value service for others.
 
         Those are the first of each zone that were heard lately, some of them in all. A node that
         has just started has heard nobody yet: with ``presumes_alive`` all registered ones count.
+        While no node says that the service answers it, more and more try, ``unheard_seconds``
+        being how long that lasts: some may be refused, and if it is away, not all call at once.
         """
         per_zone = math.ceil(LEAST_WATCHERS / (len(self._zones) + 1))
         fresh = {report.node for report in self._engines.fresh_reports(now)}
@@ -142,7 +153,8 @@
             for record in self._zone_ring
             if record.name < self._record.name and (presumes_alive or record.name in fresh)
         ]
-        return len(before) < per_zone
+        doublings = min(MAX_TAKEOVER_DOUBLINGS, unheard_seconds / TAKEOVER_SECONDS)
+        return len(before) < per_zone * 2.0**doublings
 
     def hears_watcher(self, now: float) -> bool:
         """Return whether another node says that it watches the key-value service."""
--- a/src/yokeline/forwarding/registry_exchange.py
+++ b/src/yokeline/forwarding/registry_exchange.py
@@ -41,6 +41,7 @@
         self._next_pacing = now
         self._next_question = now
         self._listed_at: float | None = None
+        self._watcher_heard_at = now
         self._confirmed_at = float("-inf")
         self._follows = False
 
@@ -69,9 +70,11 @@
             self._listed_at = now
         first_seconds = FIRST_NEWS_SECONDS * self._sharing.slowdown
         is_new = self._listed_at is not None and now - self._listed_at < first_seconds
-        may_follow = is_new or self._sharing.hears_watcher(now)
-        is_watcher = self._sharing.is_watcher(now, presumes_alive=is_new)
-        self._follows = may_follow and not is_watcher
+        if is_new or self._sharing.hears_watcher(now):
+            self._watcher_heard_at = now
+        self._follows = not self._sharing.is_watcher(
+            now, presumes_alive=is_new, unheard_seconds=now - self._watcher_heard_at
+        )
         self._registry.follow(self._follows)
 
     def hear(self, report: LoadReport, now: float) -> list[Effect]:
--- a/src/yokeline/forwarding/repeats.py
+++ b/src/yokeline/forwarding/repeats.py
@@ -97,10 +97,7 @@
             exchange.tried.add(engine.engine.engine_id)
             if not failure.stale:
                 engine.note_failure(self._state.now)
-            if failure.sent and not failure.silent:
-                exchange.note_left_running(engine.engine.engine_id)
-            else:
-                exchange.note_ended_at(engine.engine.engine_id)
+            self._note_break(exchange, engine.engine.engine_id, failure)
         if not failure.sent:
             self._send_again_unsent(exchange, failure)
             return
@@ -133,6 +130,17 @@
 
     # ------------------------------------------------------------ inner steps
 
+    def _note_break(self, exchange: Exchange, engine_id: str, failure: HttpFailed) -> None:
+        """Note whether an engine that broke off may still run a request.
+
+        One that breaks off a second connection as well is at fault itself: any other one will do.
+        """
+        is_first = engine_id not in exchange.left_running
+        if failure.sent and not failure.silent and is_first:
+            exchange.note_left_running(engine_id)
+        else:
+            exchange.note_ended_at(engine_id)
+
     def _repeat_or_fail(self, exchange: Exchange, reason: str) -> None:
         if self.may_run_again(exchange):
             self.repeat(exchange, reason)
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -340,6 +340,14 @@
         played.wait(0.01)
         self.assertNotEqual(played.engine_of(1), played.engine_of(2))
 
+    def test_it_goes_on_elsewhere_if_its_engine_breaks_off_a_second_connection(self) -> None:
+        played = self.broken()
+        played.engine_begins()
+        played.engine_sends(3)
+        played.engine_breaks()
+        played.wait(0.01)
+        self.assertNotEqual(played.engine_of(1), played.engine_of(2))
+
     def test_it_goes_on_elsewhere_if_its_engine_is_gone(self) -> None:
         played = self.begin("/single/x")
         played.engine_sends(1)
--- a/tests/unit/forwarding/test_load_sharing.py
+++ b/tests/unit/forwarding/test_load_sharing.py
@@ -143,6 +143,18 @@
         fleet.run(2.0)
         self.assertEqual(self.watchers(fleet, presumes_alive=False), 3)
 
+    def test_more_and_more_try_while_the_service_answers_nobody(self) -> None:
+        """All at once they would call a service that is away; a few may be the refused ones."""
+        fleet = Fleet(30)
+        fleet.run(2.0)
+        tried = [
+            sum(
+                node.is_watcher(fleet.now, unheard_seconds=seconds) for node in fleet.nodes.values()
+            )
+            for seconds in (0.0, 1.0, 2.0, 10.0, 1e6)
+        ]
+        self.assertEqual(tried, [3, 6, 12, 90, 90])
+
     def test_one_of_each_zone_watches_when_the_first_ones_are_dead(self) -> None:
         fleet = Fleet(30)
         fleet.down = {"edge-a-000", "edge-a-001", "edge-b-000"}
