Count every engine that a request was left at against the attempts of its route

A look-up whose answer was late was moved, up to three engines whatever its route allows; an answer that fails and one that breaks off were counted apart.

Change: an engine at which a late call is given up counts, as one that broke off does, and answered failures add up with them. A late call is moved only while its route allows a further engine; else it stays where it is.

Tests: three fail without the change. The tests of late calls used a route of one attempt, where a move breaks the rule; they use one of two attempts now, and two stricter ones stand beside them.

--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -55,12 +55,12 @@
         context: Where its line of turns was last read, as the ledger knows.
         sends: Requests to engines so far.
         runs: Of those, how many may have run.
-        answered_runs: Of those, how many an engine answered itself; only these count against
-            the attempts that the route allows, since an engine that broke off runs no more.
+        answered_runs: Of those, how many an engine answered itself; each counts against the
+            attempts that the route allows.
         rejections: How many said that they did not.
         tried: Engines that failed or rejected it.
         left_running: Engines that broke off and may still run it, the latest last: a connection
-            that is reset between them and this node ends nothing there.
+            that is reset between them and this node ends nothing there. They count as well.
         engine: Where it is now.
         head: The answer's head, held back until the first event.
         last_event_id: Of the last event passed on.
@@ -132,7 +132,17 @@
         A node cannot tell an engine that crashed from a connection that was reset on the way.
         One that crashed refuses the next connection, and then any other engine will do.
         """
-        return len(self.left_running) >= self.route.max_attempts
+        return bool(self.left_running) and self._engines_used >= self.route.max_attempts
+
+    @property
+    def may_leave_engine(self) -> bool:
+        """Whether it may be given up at its present engine, which then counts, and go elsewhere."""
+        return self._engines_used + 1 < self.route.max_attempts
+
+    @property
+    def _engines_used(self) -> int:
+        """Engines that count against the attempts that its route allows."""
+        return self.answered_runs + len(self.left_running)
 
     @property
     def begun(self) -> bool:
--- a/src/yokeline/forwarding/repeats.py
+++ b/src/yokeline/forwarding/repeats.py
@@ -177,10 +177,11 @@
             return
         self._patience.note_given_up(exchange.route.name, waited)
         engine = exchange.engine
-        if engine is None or not self.may_run_again(exchange):
+        if engine is None or not exchange.may_leave_engine or not self.may_run_again(exchange):
             return
         exchange.runs += 1
         exchange.tried.add(engine.engine.engine_id)
+        exchange.note_left_running(engine.engine.engine_id)
         engine.note_outcome(self._state.now, failed=True)
         self._sends.cancel(exchange, failed=True)
         self.repeat(exchange, "late engine")
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -94,6 +94,15 @@
         played.wait(0.01)
         self.assertEqual((len(played.sent), played.replies[-1].status), (2, 500))
 
+    def test_a_failure_and_a_break_use_up_two_attempts_together(self) -> None:
+        played = Played(engines_per_pool=3)
+        played.request("/look-twice/x")
+        played.engine_answers(status=500, body=b"broken")
+        played.wait(0.01)
+        played.engine_breaks()
+        played.wait(0.01)
+        self.assertEqual((len(played.sent), played.engine_of(1)), (3, played.engine_of(2)))
+
     def test_repeats_end_with_the_retry_budget(self) -> None:
         played = Played(engines_per_pool=8, slots=100)
         for _ in range(40):
--- a/tests/unit/forwarding/test_patience.py
+++ b/tests/unit/forwarding/test_patience.py
@@ -51,7 +51,7 @@
     def played(self) -> Played:
         played = Played()
         for _ in range(LEAST_CALLS + 5):
-            played.request("/look/x")
+            played.request("/look-twice/x")
             played.wait(0.02)
             played.engine_answers()
         return played
@@ -59,7 +59,7 @@
     def test_a_call_that_may_be_repeated_goes_to_another_engine_when_its_own_hangs(self) -> None:
         played = self.played()
         before = len(played.sent)
-        played.request("/look/x")
+        played.request("/look-twice/x")
         slow = played.engine_of()
         played.wait(0.1)
         self.assertEqual(len(played.sent) - before, 2)
@@ -68,6 +68,26 @@
         played.engine_answers()
         self.assertEqual(played.replies[-1].status, 200)
 
+    def test_a_call_is_moved_no_oftener_than_its_route_allows(self) -> None:
+        """An engine whose answer is late still counts; a third one would be one too many."""
+        played = self.played()
+        before = len(played.sent)
+        played.request("/look-twice/x")
+        played.wait(1.0)
+        self.assertEqual(len(played.sent) - before, 2)
+
+    def test_a_call_on_a_route_of_one_attempt_stays_where_it_is(self) -> None:
+        played = Played()
+        for _ in range(LEAST_CALLS + 5):
+            played.request("/look/x")
+            played.wait(0.02)
+            played.engine_answers()
+        before = len(played.sent)
+        played.request("/look/x")
+        played.wait(1.0)
+        self.assertEqual(len(played.sent) - before, 1)
+        self.assertEqual(played.cancelled, [])
+
     def test_a_correction_is_never_moved(self) -> None:
         played = self.played()
         for _ in range(LEAST_CALLS + 5):
@@ -84,7 +104,7 @@
         played = self.played()
         before = len(played.sent)
         for _ in range(60):
-            played.request("/look/x")
+            played.request("/look-twice/x")
             played.wait(0.01)
         played.wait(1.0)
         self.assertLess(len(played.sent) - before, 60 + 25)
