--- a/tests/property/test_ledger_founding.py
+++ b/tests/property/test_ledger_founding.py
@@ -21,6 +21,9 @@
 """Founders are named between 0.5 s and 3 s after the start."""
 QUIET_SECONDS = 20.0
 """Time without faults within which all running machines are to be members."""
+FAULT_KINDS = ("kill", "power", "all_power", "freeze", "disk_hangs", "store_down")
+STORE_SECONDS = (0.004, 0.05, 0.4)
+"""What an answer of the key-value service takes in a plan."""
 FEW = settings(derandomize=True, deadline=None, max_examples=60)
 
 
@@ -53,7 +56,7 @@
 faults = st.builds(
     Fault,
     at=seconds,
-    kind=st.sampled_from(("kill", "power", "all_power", "freeze", "disk_hangs", "store_down")),
+    kind=st.sampled_from(FAULT_KINDS),
     machine=st.integers(0, 4),
     seconds=st.floats(0.05, 1.5),
 )
@@ -65,17 +68,16 @@
     lost_at=seconds,
     lost_machine=st.integers(0, 4),
     comes_back=st.booleans(),
-    store_seconds=st.sampled_from((0.004, 0.05, 0.4)),
+    store_seconds=st.sampled_from(STORE_SECONDS),
 )
 
 
 def random_plan(source: random.Random) -> Plan:
     """Return a plan like those of ``plans``, from a random source."""
-    kinds = ("kill", "power", "all_power", "freeze", "disk_hangs", "store_down")
     drawn = tuple(
         Fault(
             at=source.uniform(0.0, FAULTS_UNTIL_SECONDS),
-            kind=source.choice(kinds),
+            kind=source.choice(FAULT_KINDS),
             machine=source.randrange(5),
             seconds=source.uniform(0.05, 1.5),
         )
@@ -88,7 +90,7 @@
         lost_at=source.uniform(0.0, FAULTS_UNTIL_SECONDS),
         lost_machine=source.randrange(5),
         comes_back=source.random() < 0.5,
-        store_seconds=source.choice((0.004, 0.05, 0.4)),
+        store_seconds=source.choice(STORE_SECONDS),
     )
 
 
