Let the soak count the engines that ran a request; log what a node saw of a connection that failed

The soak had no check of the attempts that a route allows, and each of its routes allowed one engine of two, on streams only. Now engine stand-ins keep when a run began and how it ended, routes of one and of two attempts for streams and for calls are asked, with one engine more than any route allows, and a request that ran on more engines than its route allows breaks a promise.

A node logs engine_connection_failed: whether the request had left, whether the connection was fresh or kept, whether it was silence, and which engines may run the request for all the node knows. Without it a second break at the same engine could not be told from a kept connection that had been reset together with the first.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -114,6 +114,8 @@
         stale: A kept connection turned out closed by the other end: it ended without one byte
             of an answer after this request was written to it.
         silent: The time for an answer, or for its next part, passed on an open connection.
+        fresh: The connection was opened for this request. A kept one may have been reset
+            together with others, and says nothing of the other end.
     """
 
     request: RequestId
@@ -121,6 +123,7 @@
     reason: str
     stale: bool = False
     silent: bool = False
+    fresh: bool = False
 
 
 class PeerMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/forwarding/repeats.py
+++ b/src/yokeline/forwarding/repeats.py
@@ -92,6 +92,7 @@
     def send_failed(self, exchange: Exchange, failure: HttpFailed) -> None:
         """Go on after an engine broke off, or could not be reached."""
         engine = exchange.engine
+        self._log_break(exchange, failure)
         self._sends.leave(exchange, failed=not failure.stale)
         if engine is not None:
             exchange.tried.add(engine.engine.engine_id)
@@ -130,6 +131,24 @@
 
     # ------------------------------------------------------------ inner steps
 
+    def _log_break(self, exchange: Exchange, failure: HttpFailed) -> None:
+        """Write what this node saw of a connection that failed; it cannot see the engine."""
+        engine = exchange.engine
+        self._outcomes.log(
+            "engine_connection_failed",
+            exchange,
+            engine=engine.engine.engine_id if engine else "",
+            reason=failure.reason,
+            sent=failure.sent,
+            silent=failure.silent,
+            fresh=failure.fresh,
+            at_engine=round(self._state.now - exchange.sent_at, 4),
+            after_event=exchange.last_event_id,
+            send=exchange.sends,
+            may_run_at=" ".join(exchange.left_running),
+            attempts_allowed=exchange.route.max_attempts,
+        )
+
     def _note_break(self, exchange: Exchange, engine_id: str, failure: HttpFailed) -> None:
         """Note whether an engine that broke off may still run a request.
 
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -313,6 +313,7 @@
             reason=reason,
             stale=stale and sent,
             silent=silent,
+            fresh=self._connection is not None and not self._connection.used_before,
         )
         self._owner.submit(failure)
 
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -24,6 +24,8 @@
 UNAVAILABLE = 503
 REFUSALS_BORNE = 200
 REFUSAL_PAUSE_SECONDS = 0.1
+MOST_ATTEMPTS = {"/turn/": 1, "/pair/": 2, "/kept/": 1, "/fix/": 1, "/look/": 2}
+"""Most engines that one request may be sent to, by the prefix of its route."""
 WORDS = "".join(f"word{number}\n" for number in range(1, 6)).encode()
 
 
@@ -87,12 +89,15 @@
 
 
 class Deployment:
-    """Storage nodes, edges, model engines and an app."""
+    """Storage nodes, edges, model engines and apps."""
 
-    def __init__(self, *, storage_nodes: int = 3, edges: int = 2, models: int = 2) -> None:
+    def __init__(
+        self, *, storage_nodes: int = 3, edges: int = 2, models: int = 2, apps: int = 1
+    ) -> None:
         self._storage_nodes = storage_nodes
         self._models = models
         self._edge_nodes = edges
+        self._app_nodes = apps
 
     def __enter__(self) -> Deployment:
         self._folder = tempfile.TemporaryDirectory()
@@ -103,11 +108,13 @@
         self._running: list[Running] = []
         self._store_port = self.published("store", self._serve(self.store))
         self.models = [EngineStandIn(f"model-{number}") for number in range(self._models)]
-        self.app = EngineStandIn("app-0")
+        self.apps = [EngineStandIn(f"app-{number}") for number in range(self._app_nodes)]
+        self.app = self.apps[0]
         for engine in self.models:
             port = self.published(engine.engine_id, self._serve(engine))
             self._register(engine, "models", port)
-        self._register(self.app, "apps", self.published(self.app.engine_id, self._serve(self.app)))
+        for app in self.apps:
+            self._register(app, "apps", self.published(app.engine_id, self._serve(app)))
         self.configure(1)
         self.storage = [self._role("storage", number) for number in range(self._storage_nodes)]
         self.edges = [self._role("edge", number) for number in range(self._edge_nodes)]
@@ -148,11 +155,16 @@
         turn = {**common, "kind": "streaming", "service": "models", "resumable": True}
         kept = {**turn, "resumable": False, "retain": True, "retention-s": 60}
         fix = {**common, "kind": "non_idempotent", "service": "apps"}
+        look = {**fix, "kind": "idempotent"}
         routes = [
             {**turn, "name": "turn", "path-prefix": "/turn/"},
+            {**turn, "name": "pair", "path-prefix": "/pair/"},
             {**kept, "name": "kept", "path-prefix": "/kept/"},
             {**fix, "name": "fix", "path-prefix": fix_prefix},
+            {**look, "name": "look", "path-prefix": "/look/"},
         ]
+        for route in routes:
+            route["max-attempts"] = MOST_ATTEMPTS.get(str(route["path-prefix"]), 1)
         engine = {"slots": 4, "kv-tokens": 100000, "stride": 10}
         services = [
             {"name": "models", "max-conns": 50, "engine": engine},
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -4,6 +4,8 @@
 
 import base64
 import json
+import math
+from dataclasses import dataclass
 from typing import Any
 
 from yokeline.effects import (
@@ -117,11 +119,29 @@
         return HttpReply(exchange=event.exchange, status=status, headers=JSON, body=raw)
 
 
+@dataclass
+class Span:
+    """When an engine ran a request, by the engine's own clock.
+
+    Attributes:
+        finished: When it had sent the last byte of its answer; infinite for a run that the engine
+            broke off or that ended with its connection.
+        how: Why it ended, for the reader of a report.
+    """
+
+    engine_id: str
+    request_id: str
+    began: float
+    finished: float = math.inf
+    how: str = "runs"
+
+
 class EngineStandIn:
     """An engine: a model's streams of ``events`` words, or an app's whole answers.
 
     Attributes:
         runs: Requests that it ran: id, body, and after which event it began.
+        spans: The same with their times.
         break_after: Break the next stream off after that many events.
     """
 
@@ -130,9 +150,11 @@
         self.events = events
         self.runs: list[tuple[str, bytes, int]] = []
         self.run_times: dict[str, float] = {}
+        self.spans: list[Span] = []
         self.break_after: int | None = None
         self.event_seconds = EVENT_SECONDS
         self._streams: dict[ExchangeId, list[float]] = {}
+        self._open_spans: dict[ExchangeId, Span] = {}
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         effects: list[Effect] = []
@@ -140,6 +162,7 @@
             return [Exit()]
         if isinstance(event, HttpGone):
             self._streams.pop(event.exchange, None)
+            self._end_span(event.exchange, "its connection ended")
         if isinstance(event, HttpArrived):
             effects.extend(self._request(event, now))
         for exchange in list(self._streams):
@@ -158,9 +181,14 @@
         after = int(event.headers.get("last-event-id", "0"))
         self.runs.append((request_id, event.body, after))
         self.run_times[request_id] = now
+        span = Span(self.engine_id, request_id, now)
+        self.spans.append(span)
         if "x-yokeline-token-usage" not in event.headers:
+            span.finished = now
+            span.how = "whole"
             return [HttpReply(exchange=event.exchange, status=200, headers=headers, body=b"done")]
         headers["content-type"] = "text/event-stream"
+        self._open_spans[event.exchange] = span
         self._streams[event.exchange] = [after, now + self.event_seconds]
         return [HttpStreamStart(exchange=event.exchange, headers=headers)]
 
@@ -171,11 +199,19 @@
         if self.break_after is not None and state[0] >= self.break_after:
             self.break_after = None
             del self._streams[exchange]
+            self._end_span(exchange, "broke off")
             return [HttpStreamEnd(exchange=exchange, aborted=True)]
         if state[0] >= self.events:
             del self._streams[exchange]
+            self._open_spans[exchange].finished = now
+            self._end_span(exchange, "whole")
             return [HttpStreamEnd(exchange=exchange)]
         state[0] += 1
         state[1] = now + self.event_seconds
         number = int(state[0])
         return [HttpStreamData(exchange, f"id: {number}\ndata: word{number}\n\n".encode())]
+
+    def _end_span(self, exchange: ExchangeId, how: str) -> None:
+        span = self._open_spans.pop(exchange, None)
+        if span is not None:
+            span.how = how
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,6 +30,9 @@
 PROCESSES_PER_LANE = 8
 """One more lane for each so many processes of a larger deployment."""
 CALM_SECONDS = 3.0
+MODELS = 3
+APPS = 3
+"""One more engine of a kind than any route allows for one request, so that it can be exceeded."""
 SEED_SPAN = 10**9
 
 
@@ -74,7 +77,9 @@
     def __init__(self, *, storage_nodes: int, edges: int) -> None:
         """Prepare; the proxies are named by what lies behind them."""
         # An engine has four places and an edge three callers: without faults none is refused.
-        super().__init__(storage_nodes=storage_nodes, edges=edges, models=max(2, edges))
+        super().__init__(
+            storage_nodes=storage_nodes, edges=edges, models=max(MODELS, edges), apps=APPS
+        )
         self.proxies: dict[str, Proxy] = {}
 
     def published(self, name: str, port: int) -> int:
@@ -109,7 +114,7 @@
         for caller in callers:
             caller.stop()
         time.sleep(CALM_SECONDS)
-        broken.extend(violations(records.asked, [*deployment.models, deployment.app]))
+        broken.extend(violations(records.asked, [*deployment.models, *deployment.apps]))
         if broken and plan.logs:
             deployment.keep_logs(Path(plan.logs) / str(plan.seed))
         deployment.close_proxies()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -41,21 +41,25 @@
 
     def _run(self) -> None:
         while not self._stop.is_set():
-            action = self._random.choice((self._correct, self._run_program, self._keep_line))
-            action()
+            actions = (self._correct, self._look_up, self._run_program, self._keep_line)
+            self._random.choice(actions)()
         for edge in list(self._connections):
             self._drop_connection(edge)
 
     def _correct(self) -> None:
         self._ask("/fix/x", {})
 
+    def _look_up(self) -> None:
+        self._ask("/look/x", {})
+
     def _run_program(self) -> None:
         """Run a program without end; its budget must stop it."""
         program = f"{self._name}-p{self._count}"
+        path = self._random.choice(("/turn/x", "/pair/x"))
         for _ in range(TURNS_PER_PROGRAM):
             if self._stop.is_set():
                 return
-            self._ask("/turn/x", self._turn_fields(program), program)
+            self._ask(path, self._turn_fields(program), program)
 
     def _keep_line(self) -> None:
         """Take turns that each continue the last one that was answered whole."""
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -7,14 +7,18 @@
 
 import msgspec
 
-from tests.processes.platform.deployment import WORDS
-from tests.processes.platform.stand_ins import EngineStandIn
+from tests.processes.platform.deployment import MOST_ATTEMPTS, WORDS
+from tests.processes.platform.stand_ins import EngineStandIn, Span
 
 STREAM = b"".join(f"id: {number}\ndata: word{number}\n\n".encode() for number in range(1, 6))
 TOKENS_PER_EVENT = 10
 MOST_TOKENS = 50
 OK = 200
 NOT_FOUND = 404
+REPEATABLE = ("/turn/", "/pair/", "/look/")
+"""Routes whose requests may run more than once."""
+CALLS = ("/fix/", "/look/")
+"""Routes of the app, whose answers come whole."""
 PROMISES_NOT_RUN = frozenset((402, 408, 421, 429, 503))
 
 
@@ -64,6 +68,7 @@
     runs = [run for engine in engines for run in engine.runs]
     return [
         *_repeated(asked, runs),
+        *too_many_engines([span for engine in engines for span in engine.spans], asked),
         *_false_refusals(asked, runs),
         *_spoilt_answers(asked),
         *_overspent(asked),
@@ -76,7 +81,7 @@
 
 
 def _repeated(asked: list[Asked], runs: list[Run]) -> list[str]:
-    may_repeat = {item.request_id for item in asked if item.path.startswith("/turn/")}
+    may_repeat = {item.request_id for item in asked if item.path.startswith(REPEATABLE)}
     counts = Counter(request_id for request_id, _, _ in runs)
     return [
         f"{request_id} may run once and ran {count} times"
@@ -85,6 +90,39 @@
     ]
 
 
+def too_many_engines(spans: list[Span], asked: list[Asked]) -> list[str]:
+    """Return the requests that ran on more engines than their route allows.
+
+    An engine counts unless it had finished the request when another one began it: one that broke
+    off, or whose connection ended, may work on for all that the node knows.
+    """
+    paths = {item.request_id: item.path for item in asked}
+    by_request: dict[str, list[Span]] = {}
+    for span in sorted(spans, key=lambda item: item.began):
+        by_request.setdefault(span.request_id, []).append(span)
+    found = []
+    for request_id, runs in by_request.items():
+        allowed = MOST_ATTEMPTS.get(paths.get(request_id, "").removesuffix("x"), 1)
+        if _most_engines(runs) > allowed:
+            story = ", ".join(f"{run.engine_id} at {run.began:.3f} ({run.how})" for run in runs)
+            found.append(f"{request_id} ran on more engines than {allowed}: {story}")
+    return found
+
+
+def _most_engines(runs: list[Span]) -> int:
+    """Return the most engines that count at the moment at which one of them began."""
+    return max(
+        len(
+            {
+                earlier.engine_id
+                for earlier in runs[: number + 1]
+                if earlier is run or earlier.finished > run.began
+            }
+        )
+        for number, run in enumerate(runs)
+    )
+
+
 def _false_refusals(asked: list[Asked], runs: list[Run]) -> list[str]:
     ran = {request_id for request_id, _, _ in runs}
     return [
@@ -97,7 +135,7 @@
 def _spoilt_answers(asked: list[Asked]) -> list[str]:
     found = []
     for item in asked:
-        expected = b"done" if item.path.startswith("/fix/") else STREAM
+        expected = b"done" if item.path.startswith(CALLS) else STREAM
         if item.status == OK and item.is_whole and item.body != expected:
             found.append(f"{item.request_id} got {item.body[:80]!r} as its whole answer")
     return found
