--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,9 @@
 GARBAGE_BYTES = 37
 LONGEST_SERIES = 3
 """Times that a fault which comes in series is repeated at most."""
+RESETS_IN_SERIES = 12
+LONGEST_RESET_SECONDS = 0.08
+"""Longest time for which connections are reset, or pass, in a series: a few events of a stream."""
 SERIES_PAUSE_SECONDS = 0.4
 """Longest pause between two faults of a series."""
 PAUSE_BEFORE_ANOTHER_SECONDS = 0.1
@@ -81,6 +84,7 @@
         kinds: tuple[Callable[[float], bool], ...] = (
             self._disturb_connections,
             self._disturb_connections,
+            self._reset_engine_in_series,
             self._pause_process,
             self._kill_process,
             self._kill_process,
@@ -111,6 +115,25 @@
                 proxy.set_fault(ProxyFault.NONE)
         return is_free
 
+    def _reset_engine_in_series(self, seconds: float) -> bool:
+        """Reset the connections to an engine again and again, each time for a moment.
+
+        The engine runs on. A request that is sent there again at once meets the next reset.
+        """
+        names = [engine.engine_id for engine in (*self._deployment.models, *self._deployment.apps)]
+        name = self._random.choice(names)
+        proxy = self._shared.proxies[name]
+        times = self._random.randint(2, RESETS_IN_SERIES)
+        with self._shared.holding(f"proxy {name}") as is_free:
+            if is_free:
+                self._shared.note(f"reset {name} {times} times")
+                for _ in range(times):
+                    proxy.set_fault(ProxyFault.RESET)
+                    time.sleep(self._random.uniform(0.0, LONGEST_RESET_SECONDS))
+                    proxy.set_fault(ProxyFault.NONE)
+                    time.sleep(self._random.uniform(0.0, LONGEST_RESET_SECONDS))
+        return is_free
+
     def _break_streams(self, seconds: float) -> bool:
         for model in self._deployment.models:
             model.break_after = self._random.randrange(5)
