--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -143,6 +143,7 @@
         runs: Requests that it ran: id, body, and after which event it began.
         spans: The same with their times.
         break_after: Break the next stream off after that many events.
+        breaks: How many streams are broken off one after the other.
     """
 
     def __init__(self, engine_id: str, events: int = 5) -> None:
@@ -152,6 +153,7 @@
         self.run_times: dict[str, float] = {}
         self.spans: list[Span] = []
         self.break_after: int | None = None
+        self.breaks = 1
         self.event_seconds = EVENT_SECONDS
         self._streams: dict[ExchangeId, list[float]] = {}
         self._open_spans: dict[ExchangeId, Span] = {}
@@ -197,7 +199,10 @@
         if now < state[1]:
             return []
         if self.break_after is not None and state[0] >= self.break_after:
-            self.break_after = None
+            self.breaks -= 1
+            if self.breaks <= 0:
+                self.break_after = None
+                self.breaks = 1
             del self._streams[exchange]
             self._end_span(exchange, "broke off")
             return [HttpStreamEnd(exchange=exchange, aborted=True)]
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -203,8 +203,17 @@
         ended = HttpStreamEnded(self.sent[-1].request)
         self.take(self.forwarder.engine_event(ended, self.now))
 
-    def engine_breaks(self, *, sent: bool = True, stale: bool = False) -> None:
-        failed = HttpFailed(request=self.sent[-1].request, sent=sent, reason="reset", stale=stale)
+    def engine_breaks(
+        self, *, sent: bool = True, stale: bool = False, silent: bool = False, fresh: bool = False
+    ) -> None:
+        failed = HttpFailed(
+            request=self.sent[-1].request,
+            sent=sent,
+            reason="silent" if silent else "reset",
+            stale=stale,
+            silent=silent,
+            fresh=fresh,
+        )
         self.take(self.forwarder.engine_event(failed, self.now))
 
     # ------------------------------------------------------------ time and effects
