One type for averages that fade: failures and slowness of engines at a node and at the ledger's leader

The same arithmetic stood in forwarding/engines.py and ledger/turns_under_way.py. The soak takes engines off the list for a time while they serve on.

--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from yokeline.fading import FadingAverage
 from yokeline.forwarding.model import Engine
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import PERCENT, EngineLoad, EngineTurns, LoadReport
@@ -44,8 +45,8 @@
         full_until: It rejected a request; until then it gets no other one.
         suspect_until: It failed; until then others are preferred.
         failures: Failures in a row.
-        fault_share: Moving average of requests that failed at it (1) or did not (0), as it was
-            at ``fault_at``; it fades with time, so that an engine that is avoided is tried again.
+        own_faults: Average of this node's requests that failed at it (1) or did not (0); it fades,
+            so that an engine that is avoided is tried again.
         lapsed_until: Its entry went without a word of leaving; until then it is a last resort,
             then it is forgotten. 0 for an engine that is listed.
         pace: Moving average of seconds for a call; 0 unknown. Model engines go by the engine model.
@@ -62,23 +63,17 @@
     failures: int = 0
     pace: float = 0.0
     lapsed_until: float = 0.0
-    fault_share: float = 0.0
-    fault_at: float = 0.0
+    own_faults: FadingAverage = msgspec.field(
+        default_factory=lambda: FadingAverage(0.0, FAULT_WEIGHT, FAULT_FADE_SECONDS)
+    )
 
     def faults(self, now: float) -> float:
         """Return the share of requests that fail here, as far as it is believed now."""
-        return max(self.told_failed, self._own_faults(now))
-
-    def _own_faults(self, now: float) -> float:
-        if not self.fault_share:
-            return 0.0
-        return self.fault_share * math.exp((self.fault_at - now) / FAULT_FADE_SECONDS)
+        return max(self.told_failed, self.own_faults.value(now))
 
     def note_outcome(self, now: float, *, failed: bool) -> None:
         """Take the end of a request into the share of failures."""
-        share = self._own_faults(now)
-        self.fault_share = share + FAULT_WEIGHT * (float(failed) - share)
-        self.fault_at = now
+        self.own_faults.observe(float(failed), now)
 
     @property
     def load(self) -> int:
--- a/src/yokeline/ledger/turns_under_way.py
+++ b/src/yokeline/ledger/turns_under_way.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from yokeline.fading import FadingAverage
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import PERCENT, EngineLoad, EngineTurns, NodeTurns, TurnServed
 from yokeline.ledger.own_turns import REFRESH_SECONDS
@@ -37,15 +38,14 @@
     heard_at: float
 
 
+def _average(rest: float) -> FadingAverage:
+    return FadingAverage(rest, WEIGHT, FADE_SECONDS)
+
+
 class _EngineRecord(msgspec.Struct):
     running: int = 0
-    failed: float = 0.0
-    slowness: float = 1.0
-    observed_at: float = -math.inf
-
-    def faded(self, now: float) -> float:
-        """Return how much of what was observed still counts (0 to 1)."""
-        return math.exp((self.observed_at - now) / FADE_SECONDS)
+    failed: FadingAverage = msgspec.field(default_factory=lambda: _average(0.0))
+    slowness: FadingAverage = msgspec.field(default_factory=lambda: _average(1.0))
 
 
 class TurnsUnderWay:
@@ -94,14 +94,9 @@
 
     def _note_served(self, served: TurnServed, now: float) -> None:
         record = self._engine(served.engine_id)
-        share = record.faded(now)
-        failed = record.failed * share
-        slowness = 1.0 + (record.slowness - 1.0) * share
-        record.failed = failed + WEIGHT * (float(served.failed) - failed)
+        record.failed.observe(float(served.failed), now)
         if served.slowness > 0:
-            slowness += WEIGHT * (served.slowness - slowness)
-        record.slowness = slowness
-        record.observed_at = now
+            record.slowness.observe(served.slowness, now)
 
     def _remove(self, process: ReplicaId) -> None:
         known = self._nodes.pop(process, None)
@@ -121,17 +116,16 @@
         idle = [
             name
             for name, item in self._engines.items()
-            if not item.running and now - item.observed_at > FORGET_SECONDS
+            if not item.running and now - item.failed.observed_at > FORGET_SECONDS
         ]
         for name in idle:
             del self._engines[name]
 
 
 def _told(engine_id: str, record: _EngineRecord, now: float) -> EngineTurns:
-    share = record.faded(now)
     return EngineTurns(
         engine_id=engine_id,
         running=record.running,
-        failed_percent=round(PERCENT * record.failed * share),
-        slowness_percent=round(PERCENT * (1.0 + (record.slowness - 1.0) * share)),
+        failed_percent=round(PERCENT * record.failed.value(now)),
+        slowness_percent=round(PERCENT * record.slowness.value(now)),
     )
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -105,6 +105,7 @@
         self._ready: list[int] = []
         self.fronts: list[int] = []
         self.store = StoreStandIn()
+        self._documents: dict[str, dict[str, object]] = {}
         self._running: list[Running] = []
         self._store_port = self.published("store", self._serve(self.store))
         self.models = [EngineStandIn(f"model-{number}") for number in range(self._models)]
@@ -175,6 +176,10 @@
     def forget_engine(self, engine: EngineStandIn) -> None:
         self.store.remove(f"servers/{engine.engine_id}")
 
+    def list_engine(self, engine: EngineStandIn) -> None:
+        """Let an engine that was forgotten say again that it is there."""
+        self.store.put(f"servers/{engine.engine_id}", self._documents[engine.engine_id])
+
     # ------------------------------------------------------------ callers
 
     def ask(self, edge: int, path: str, request_id: str, **headers: str) -> tuple[int, bytes]:
@@ -244,7 +249,8 @@
             "slots": 4,
             "state": "ready",
         }
-        self.store.put(f"servers/{engine.engine_id}", document)
+        self._documents[engine.engine_id] = document
+        self.list_engine(engine)
 
     def _role(self, role: str, number: int) -> RoleProcess:
         folder = Path(self._folder.name)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -93,6 +93,7 @@
             self._lose_disk,
             self._stop_platform_store,
             self._break_streams,
+            self._take_engine_off_the_list,
             self._ask_edge_to_stop,
             self._reload,
             self._change_configuration,
@@ -141,6 +142,17 @@
         time.sleep(seconds)
         return True
 
+    def _take_engine_off_the_list(self, seconds: float) -> bool:
+        """Let the entry of an engine go for a time, as at a lapse; the engine serves on."""
+        engine = self._random.choice([*self._deployment.models, *self._deployment.apps])
+        with self._shared.holding(f"entry {engine.engine_id}") as is_free:
+            if is_free:
+                self._shared.note(f"{engine.engine_id} is off the list for {seconds:.2f} s")
+                self._deployment.forget_engine(engine)
+                time.sleep(seconds)
+                self._deployment.list_engine(engine)
+        return is_free
+
     # ------------------------------------------------------------ processes
 
     def _pause_process(self, seconds: float) -> bool:
