--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -72,7 +72,7 @@
         placement, now = self._state.placement, self._state.now
         full = _FullEngines()
         for exchange in queue.in_order():
-            if placement.is_hopeless(exchange, now) or placement.is_stranded(exchange, now):
+            if placement.is_hopeless(exchange, now) or placement.is_stranded(exchange):
                 queue.remove(exchange)
                 self.give_up(exchange)
                 continue
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -45,7 +45,7 @@
         One that has used up the attempts of its route goes back to the latest that is listed.
         """
         if exchange.attempts.are_used_up:
-            own = self._own_engines(exchange, now)[:1]
+            own = self._own_engines(exchange)[:1]
             return choose(own, self.beliefs, self._inputs(exchange, pool, tried=()), now)
         choice = self._choose(exchange, pool, now)
         if choice is None and exchange.tried:
@@ -66,12 +66,12 @@
             return False
         return left < HOPELESS_SHARE * self._turn_seconds.get(exchange.pool, 0.0)
 
-    def is_stranded(self, exchange: Exchange, now: float) -> bool:
+    def is_stranded(self, exchange: Exchange) -> bool:
         """Return whether no engine may take it: its attempts are used up, and those engines left.
 
         An engine whose entry went may serve on, so it still counts.
         """
-        return exchange.attempts.are_used_up and not self._own_engines(exchange, now)
+        return exchange.attempts.are_used_up and not self._own_engines(exchange)
 
     def note_sent(self, exchange: Exchange, choice: Choice, pool: Pool) -> None:
         """Note what the chosen engine will have read, and which subject it saw."""
@@ -111,12 +111,10 @@
         )
         return self._model(exchange.pool).observe(turn)
 
-    def _own_engines(self, exchange: Exchange, now: float) -> list[EngineState]:
+    def _own_engines(self, exchange: Exchange) -> list[EngineState]:
         """Return the engines that were left with a request and take work, the latest first."""
-        listed = {
-            state.engine.engine_id: state for state in self._engines.in_pool(exchange.pool, now)
-        }
-        return [listed[name] for name in reversed(exchange.attempts.engines) if name in listed]
+        known = (self._engines.get(name) for name in reversed(exchange.attempts.engines))
+        return [state for state in known if state is not None and not state.engine.draining]
 
     def _model(self, pool: str) -> EngineModel:
         return self._models.setdefault(pool, EngineModel())
--- a/tests/property/test_attempts.py
+++ b/tests/property/test_attempts.py
@@ -9,6 +9,7 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -27,6 +28,7 @@
     "begin",
     "pause",
     "leave the list",
+    "drain",
     "be another",
 )
 UNSENT = ("cannot connect", "have no free connection")
@@ -93,6 +95,10 @@
             self.wait(1.0)
         elif step == "leave the list":
             self.engines.remove(self.engine_of())
+        elif step == "drain":
+            state = self.engines.get(self.engine_of())
+            if state is not None:
+                self.engines.put(msgspec.structs.replace(state.engine, draining=True))
         elif step == "be another":
             self.engine_is_another()
 
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from tests.unit.forwarding.support import TABLE, Played
 from yokeline.effects import HttpStreamStart
 from yokeline.forwarding.held_requests import HOLD_SECONDS, MAX_HELD, MAX_HELD_BYTES
@@ -389,6 +391,17 @@
         played.wait(0.01)
         self.assertEqual((len(played.sent), self.cut(played)), (1, True))
 
+    def test_it_is_cut_at_once_if_its_engine_is_leaving(self) -> None:
+        """Nothing new may be sent to an engine that leaves, and it serves on for a while."""
+        played = self.begin("/single/x")
+        played.engine_sends(1)
+        state = played.engines.get(played.engine_of(0))
+        assert state is not None
+        played.engines.put(msgspec.structs.replace(state.engine, draining=True))
+        played.engine_breaks()
+        played.wait(0.01)
+        self.assertEqual((len(played.sent), self.cut(played)), (1, True))
+
     def test_it_stays_if_its_engine_is_silent_on_a_new_connection_too(self) -> None:
         """Another engine is not allowed, and leaving the own one once more gains nothing."""
         played = self.begin("/single/x")
