--- a/src/yokeline/forwarding/attempts.py
+++ b/src/yokeline/forwarding/attempts.py
@@ -36,7 +36,8 @@
 
     def note_sent(self, engine_id: str) -> None:
         """Note that it is sent to an engine, which may have had it before."""
-        self.returns += engine_id in self.engines
+        if engine_id in self.engines:
+            self.returns += 1
 
     @property
     def are_used_up(self) -> bool:
--- a/tests/property/test_attempts.py
+++ b/tests/property/test_attempts.py
@@ -34,6 +34,10 @@
 UNSENT = ("cannot connect", "have no free connection")
 BEFORE_AN_ANSWER = (*UNSENT, "reject", "fail", "be another")
 """What cannot happen to a request whose answer has begun: one connection, one head."""
+GOT_IT = ("break", "break a kept connection", "be silent", "fail", "begin")
+"""What happens only to a request that an engine has, or may have."""
+NOT_RUN = frozenset((408, 421, 429, 503))
+"""Statuses that promise that a request did not run."""
 PLANS = st.lists(st.sampled_from(STEPS), min_size=1, max_size=12)
 
 
@@ -41,12 +45,14 @@
     """Played, with the engines that may run the request for all that can be known from outside.
 
     Attributes:
+        may_have_run: Some engine got it and did not say that it had not run it.
         most: Most engines that had the request at once.
     """
 
     def __init__(self) -> None:
         super().__init__(engines_per_pool=5)
         self.left: set[str] = set()
+        self.may_have_run = False
         self.begun: list[HttpRequest] = []
         self.most = 0
 
@@ -61,8 +67,9 @@
         has_moved = self.sent[-1] is not request
         if step == "be another":
             self.left.discard(engine_id)
-        elif step not in (*UNSENT, "reject") and (has_moved or request in self.begun):
+        elif step in GOT_IT or (has_moved and step not in (*UNSENT, "reject")):
             self.left.add(engine_id)
+            self.may_have_run = True
         if has_moved:
             self.most = max(self.most, len(self.left | {self.engine_of()}))
 
@@ -116,3 +123,5 @@
                 break
             played.play(step)
         self.assertLessEqual(played.most, ALLOWED[path], plan)
+        if played.may_have_run:
+            self.assertFalse(NOT_RUN.intersection(reply.status for reply in played.replies), plan)
