Record the soak's own probes as requests

A probe asks /turn/, which is resumable and may run again at its own engine (one engine broke streams off at the end of the faults); the check did not know its path, since only callers' requests were recorded. Probes are recorded now, so their engines, answers and budgets are checked as well: the check is wider, not narrower.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,7 +22,7 @@
 from tests.soak.callers import Caller
 from tests.soak.faults import Injector, SharedFaults
 from tests.soak.proxy import Proxy
-from tests.soak.records import OK, Records, violations
+from tests.soak.records import MOST_TOKENS, OK, Asked, Records, violations
 
 CALLERS_PER_EDGE = 3
 LANES = 2
@@ -34,6 +34,8 @@
 APPS = 3
 """One more engine of a kind than any route allows for one request, so that it can be exceeded."""
 SEED_SPAN = 10**9
+PROBED_PATH = "/turn/x"
+PROBE_BUDGET = 200
 
 
 class SoakPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -105,11 +107,11 @@
             for number in range(CALLERS_PER_EDGE * plan.edges)
         ]
         # Callers come to machines that run; a ledger that is being founded is another test's.
-        wait_until(lambda: _is_served(deployment), "a turn is served before the first fault")
+        wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
         for caller in callers:
             caller.start()
         _inject(injectors, plan.seconds)
-        broken = _not_served(deployment)
+        broken = _not_served(deployment, records)
         time.sleep(CALM_SECONDS)
         for caller in callers:
             caller.stop()
@@ -179,22 +181,23 @@
     sys.stdout.flush()
 
 
-def _not_served(deployment: Deployment) -> list[str]:
+def _not_served(deployment: Deployment, records: Records) -> list[str]:
     """Wait until each edge serves after the last fault; return the ones that do not, if any."""
     try:
-        wait_until(lambda: _is_served(deployment), "a turn is served after the last fault")
+        wait_until(lambda: _is_served(deployment, records), "a turn is served after the last fault")
     except AssertionError:
-        return [f"edge-{edge} serves no turn after the faults" for edge in _silent(deployment)]
+        silent = _silent(deployment, records)
+        return [f"edge-{edge} serves no turn after the faults" for edge in silent]
     return []
 
 
-def _silent(deployment: Deployment) -> list[int]:
+def _silent(deployment: Deployment, records: Records) -> list[int]:
     """Return the edges that do not serve a turn now."""
     name = f"last-{time.monotonic_ns()}"
     silent: list[int] = []
     for edge in range(len(deployment.fronts)):
         try:
-            status = _probe(deployment, edge, f"{name}-{edge}")
+            status = _probe(deployment, records, edge, f"{name}-{edge}")
         except (OSError, http.client.HTTPException):
             status = 0
         if status != OK:
@@ -202,21 +205,44 @@
     return silent
 
 
-def _is_served(deployment: Deployment) -> bool:
+def _is_served(deployment: Deployment, records: Records) -> bool:
     name = f"probe-{time.monotonic_ns()}"
     try:
         statuses = [
-            _probe(deployment, edge, f"{name}-{edge}") for edge in range(len(deployment.fronts))
+            _probe(deployment, records, edge, f"{name}-{edge}")
+            for edge in range(len(deployment.fronts))
         ]
     except (OSError, http.client.HTTPException):
         return False
     return statuses == [OK] * len(statuses)
 
 
-def _probe(deployment: Deployment, edge: int, name: str) -> int:
-    """Ask for one turn, once; a refusal is an answer here, since the soak asks again."""
-    fields = {"program_id": name, "token_budget": "200", "token_usage": "100,50"}
-    return deployment.ask(edge, "/turn/x", name, **fields)[0]
+def _probe(deployment: Deployment, records: Records, edge: int, name: str) -> int:
+    """Ask for one turn, once; a refusal is an answer here, since the soak asks again.
+
+    It is recorded as what callers ask is: its engines count, and it may run again.
+    """
+    fields = {
+        "program_id": name,
+        "token_budget": str(PROBE_BUDGET),
+        "token_usage": f"100,{MOST_TOKENS}",
+    }
+    status: int | None = None
+    body = b""
+    try:
+        status, body = deployment.ask(edge, PROBED_PATH, name, **fields)
+    finally:
+        asked = Asked(
+            request_id=name,
+            path=PROBED_PATH,
+            status=status,
+            body=body,
+            is_whole=status is not None,
+            program=name,
+            budget=PROBE_BUDGET,
+        )
+        records.add(asked)
+    return status
 
 
 if __name__ == "__main__":
