Do not take a machine in again that was emptied at an order which the new leader has not read

Of four members two were gone: no leader from 8.04 to 12.08 s.

Change: a leader counts only requests to join that it heard since it leads, and takes in a replica that was a member before only once it has read the operator's orders since then.

Ruled out: waiting for the orders with every newcomer (a machine that lost its disk would wait for a store that is away); the order in the replicated state (a further transition, for what two facts of the leader's own time give).

Tests: two of the three fail without the change.

--- a/src/yokeline/ledger/members.py
+++ b/src/yokeline/ledger/members.py
@@ -62,6 +62,10 @@
         retiring: Nodes that are to be emptied.
         lost: Replicas that are known to have lost their disks.
         caught_up: Members that hold every committed entry.
+        leads_since: When the leader began to lead; what it heard before may be of nodes that are
+            gone since, at an order that went to the leader before it.
+        knows_orders: It has read the operator's orders since then.
+        former: Replicas that were members and are not.
         zones: Where nodes stand, as far as it is known.
     """
 
@@ -72,6 +76,9 @@
     retiring: frozenset[NodeName]
     lost: frozenset[ReplicaId]
     caught_up: frozenset[ReplicaId]
+    leads_since: float
+    knows_orders: bool
+    former: frozenset[ReplicaId]
     zones: dict[NodeName, str] = {}
 
 
@@ -122,8 +129,12 @@
 
 def _may_join(view: GroupView, node: NodeName, now: float) -> bool:
     request = view.joins[node]
-    is_fresh = now - request.heard_at <= JOIN_FRESH_SECONDS
-    return is_fresh and request.replica not in view.members and node not in view.retiring
+    is_fresh = request.heard_at >= max(view.leads_since, now - JOIN_FRESH_SECONDS)
+    if not is_fresh or request.replica in view.members or node in view.retiring:
+        return False
+    # A member that was removed may have been emptied at an order that this leader has not read.
+    # Taken in again it counts in each majority while its machine goes: no turn for 4 s (log).
+    return view.knows_orders or request.replica not in view.former
 
 
 def _empty_retiring(view: GroupView) -> MembershipStep | None:
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -42,6 +42,7 @@
 )
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.request_batches import RequestBatches
+from yokeline.ledger.tenure import Tenure
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
@@ -83,6 +84,7 @@
         self._joins: dict[NodeName, JoinRequest] = {}
         self._lost: frozenset[ReplicaId] = frozenset()
         self._superseded: set[ReplicaId] = set()
+        self._tenure = Tenure()
         self._claimed: set[str] = set()
         self._next_members = now
         self._founding = Founding(record, replica, registry)
@@ -282,9 +284,11 @@
             return []
         self._next_members = now + MEMBERS_PERIOD_SECONDS
         group = self.replica.group
+        leads = self.replica.leads
+        self._tenure.note(leads=leads, term=group.term, members=group.members, now=now)
         if not group.membership_pending:
             self._forget_removed()
-        if not self.replica.leads or not group.may_change_members():
+        if not leads or not group.may_change_members():
             return []
         if self.replica.wants_to_compact:
             return self._let_another_lead(now)
@@ -298,6 +302,10 @@
             retiring=frozenset(retiring),
             lost=self._lost,
             caught_up=frozenset(item for item in group.members if group.has_caught_up(item)),
+            leads_since=self._tenure.since,
+            knows_orders=self._registry.complete
+            and self._registry.heard_at() >= self._tenure.since,
+            former=self._tenure.former_members,
             zones=self._zones(),
         )
         step = next_step(view, now)
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -3,6 +3,7 @@
 import json
 import random
 import unittest
+from functools import partial
 
 from tests.unit.ledger.cluster import Cluster, Machine
 from yokeline.consensus.messages import EntryKind, LogEntry, RequestVote
@@ -51,6 +52,12 @@
     return Reserve(request_id=f"look-{name}", previous=name, missing_from=name)
 
 
+def is_emptied(cluster: Cluster, machine: Machine) -> bool:
+    """Return whether the operator was told that a machine may be taken away."""
+    item = cluster.store.items.get(f"status/retire/{machine.name}")
+    return item is not None and b"completed" in (item.value or b"")
+
+
 class StorageCase(unittest.TestCase):
     def cluster(self, count: int = 3, seed: int = 1) -> Cluster:
         cluster = Cluster(count, seed)
@@ -584,13 +591,8 @@
             retired = cluster.machines[seed % 3]
             key = f"op/retire/{retired.name}"
             cluster.store.put(key, json.dumps({"duration-s": 8}).encode())
-            status = f"status/retire/{retired.name}"
-
-            def completed(cluster: Cluster = cluster, status: str = status) -> bool:
-                item = cluster.store.items.get(status)
-                return item is not None and b"completed" in (item.value or b"")
-
-            self.assertTrue(cluster.run_until(completed, 6.0), f"seed {seed}")
+            is_done = cluster.run_until(partial(is_emptied, cluster, retired), 6.0)
+            self.assertTrue(is_done, f"seed {seed}")
             self.assertNotIn(retired.replica, cluster.members())
             cluster.wipe(retired)
             others = [machine for machine in cluster.machines if machine is not retired]
@@ -600,6 +602,69 @@
             self.assert_kept(cluster, "t1")
 
 
+SETTLING_SECONDS = 8.0
+"""Until only the leader watches the key-value service."""
+
+
+class RetiredThenNewLeader(StorageCase):
+    """A leader that did not read the operator's orders took an emptied machine in again.
+
+    The order to empty it had gone to the leader before, whose disk was lost; the service that keeps
+    the orders was away. The machine had asked to join just before it was taken away for good, so
+    of four members two were gone, and no turn was served for 4 s. The lines that showed it:
+
+        retire_step node=storage-hall-b-1 completed=true term=2
+        ledger_role_changed role=leader term=3
+        membership_step step=AddMember replica=storage-hall-b-1~1261b57551b638ba
+    """
+
+    def emptied(self, cluster: Cluster) -> Machine:
+        """Empty a machine that does not lead, at the operator's order, and return it."""
+        cluster.run(SETTLING_SECONDS)
+        leader = self.leader(cluster)
+        retired = next(machine for machine in cluster.machines if machine is not leader)
+        cluster.store.put(f"op/retire/{retired.name}", json.dumps({"duration-s": 8}).encode())
+        self.assertTrue(cluster.run_until(partial(is_emptied, cluster, retired), 6.0))
+        return retired
+
+    def test_a_machine_taken_away_for_good_is_not_taken_in_again(self) -> None:
+        for seed in range(12):
+            cluster = self.cluster(count=4, seed=seed)
+            retired = self.emptied(cluster)
+            replica = retired.replica
+            cluster.run(0.1)
+            cluster.store.down = True
+            cluster.wipe(self.leader(cluster))
+            cluster.wipe(retired)
+            cluster.run(2.0)
+            self.assertIsNotNone(cluster.ask(turn("t1"), 1.0), f"seed {seed}")
+            self.assertNotIn(replica, cluster.members())
+
+    def test_one_that_runs_on_and_asks_is_not_taken_in_while_the_orders_are_unread(self) -> None:
+        for seed in range(6):
+            cluster = self.cluster(count=4, seed=seed)
+            retired = self.emptied(cluster)
+            cluster.store.down = True
+            cluster.wipe(self.leader(cluster))
+            cluster.run(4.0)
+            self.assertNotIn(retired.replica, cluster.members(), f"seed {seed}")
+            cluster.store.down = False
+            cluster.run(4.0)
+            self.assertNotIn(retired.replica, cluster.members(), f"seed {seed}")
+
+    def test_a_member_removed_for_its_silence_comes_back_once_the_orders_are_read(self) -> None:
+        cluster = self.cluster(count=4, seed=1)
+        silent = next(
+            machine for machine in cluster.machines if machine is not self.leader(cluster)
+        )
+        replica = silent.replica
+        cluster.kill(silent)
+        self.assertTrue(cluster.run_until(lambda: replica not in cluster.members(), 6.0))
+        cluster.kill(self.leader(cluster))
+        cluster.start(silent)
+        self.assertTrue(cluster.run_until(lambda: replica in cluster.members(), 8.0))
+
+
 class StandingBy(StorageCase):
     def settled(self, count: int, seed: int) -> Cluster:
         """Return a cluster whose members are chosen, and whose other nodes stand by."""
