Let no field of a caller order an engine about: one rule for each field that is named

Cause: a request's fields went on to engines as they had come, less a short list. So one caller could hold the memory of engines (pin, hold, backup), name a copy that is nowhere (the engine answers "not run", and four others after it), and state another tenant's name; its key was shown to engines. Design: platform/fields.py gives each named field one rule (of the hop; the system's own; read and replaced; the caller's, read and passed on as read; the key). Spellings with underscores, repetitions and names in Connection change nothing. A field with one value that comes twice is refused, since node and engine could read different ones; so are negative token counts (they add to a budget) and times that are not finite (nan: a deadline that never comes). Tests: unit tests a field; a property test with random fields of callers, failing before (no rule existed).

--- a/src/yokeline/forwarding/dialect.py
+++ b/src/yokeline/forwarding/dialect.py
@@ -19,12 +19,17 @@
         remaining: Seconds that the engine may work.
         priority: 0 (most urgent) to 9.
         last_event_id: Continue the stream after this event; empty from its start.
+        tenant: Whose request it is; empty where the deployment has no tenants or none is known.
+        shows_credential: The caller's key goes to the engine, since the deployment has no tenants
+            and the field is the application's own.
     """
 
     engine: Engine
     remaining: float
     priority: int
     last_event_id: str = ""
+    tenant: str = ""
+    shows_credential: bool = True
 
 
 class Dialect(Protocol):
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from yokeline.effects import Address
+from yokeline.forwarding.tenants import Credential, TenantDirectory
 
 
 class RouteKind(enum.Enum):
@@ -40,6 +41,7 @@
         retention: How long a retained turn and a program's budget are kept.
         sticky: Requests of one subject are served faster by the engine that saw it last.
         resumable: A stream may be continued at another engine.
+        public: Requests need no key.
     """
 
     name: str
@@ -55,6 +57,7 @@
     retention: float = 60.0
     sticky: bool = False
     resumable: bool = False
+    public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -96,12 +99,17 @@
 
 
 class RoutingTable(msgspec.Struct, frozen=True, kw_only=True):
-    """One version of the configuration, whole."""
+    """One version of the configuration, whole.
+
+    Attributes:
+        tenants: Who holds which key; None where the deployment has no tenants.
+    """
 
     version: int
     routes: tuple[Route, ...]
     pools: dict[str, Pool]
     limits: CallerLimits = CallerLimits()
+    tenants: TenantDirectory | None = None
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``, if there is one."""
@@ -154,6 +162,7 @@
         last_event_id: The caller resumes a stream after this event; empty for a new one.
         previous_turn: The turn that this one continues; empty for none.
         affinity_key: The subject, for sticky routes.
+        credential: The digest of the caller's key; None without one.
     """
 
     request_id: str
@@ -169,3 +178,4 @@
     last_event_id: str = ""
     previous_turn: str = ""
     affinity_key: str = ""
+    credential: Credential | None = None
--- a/src/yokeline/platform/headers.py
+++ b/src/yokeline/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 from returns.result import Failure, Result, Success
@@ -11,39 +12,35 @@
 from yokeline.forwarding.dialect import EngineOrder
 from yokeline.forwarding.http_statuses import MISDIRECTED
 from yokeline.forwarding.model import Call, PromptPart
+from yokeline.forwarding.tenants import Credential, credential_of
+from yokeline.platform.fields import (
+    AUTHORIZATION,
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    FIELD_RULES,
+    FINISH_MS,
+    LAST_EVENT_ID,
+    LENGTH_HINT,
+    PREVIOUS_TURN,
+    PROGRAM_ID,
+    PROMPT_PREFIX,
+    REQUEST_ID,
+    REQUEST_PRIORITY,
+    SESSION_ID,
+    TENANT,
+    TOKEN_BUDGET,
+    TOKEN_USAGE,
+    FieldRule,
+    passed_fields,
+    repeated_field,
+)
 
-REQUEST_ID = "x-yokeline-request-id"
-DEADLINE_MS = "x-yokeline-deadline-ms"
 AFFINITY_KEY = "X-Yokeline-Affinity-Key"
-PROMPT_PREFIX = "x-yokeline-prompt-prefix"
-LAST_EVENT_ID = "last-event-id"
-EXPECT_INSTANCE = "x-yokeline-expect-instance"
 NOT_EXECUTED = "x-yokeline-not-executed"
-TOKEN_USAGE = "x-yokeline-token-usage"
-REQUEST_PRIORITY = "x-yokeline-request-priority"
-PROGRAM_ID = "x-yokeline-program-id"
-SESSION_ID = "x-yokeline-session-id"
-FINISH_MS = "x-yokeline-finish-ms"
-LENGTH_HINT = "x-yokeline-length-hint"
-TOKEN_BUDGET = "x-yokeline-token-budget"
-PREVIOUS_TURN = "x-yokeline-previous-turn"
 
 DEFAULT_DEADLINE_SECONDS = 30.0
 _MILLISECONDS = 1000.0
-_CONNECTION_HEADERS = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "upgrade",
-        "transfer-encoding",
-        "content-length",
-        "expect",
-    )
-)
-_OWN_HEADERS = frozenset((DEADLINE_MS, EXPECT_INSTANCE, REQUEST_PRIORITY, LAST_EVENT_ID))
+_BEARER = "bearer"
 _AFFINITY = re.compile(rf"(?:^|;\s*){re.escape(AFFINITY_KEY)}=([^;]*)")
 
 
@@ -58,6 +55,9 @@
         request_id = headers.get(REQUEST_ID, "")
         if not request_id:
             return Failure(_bad_field(REQUEST_ID, "is missing"))
+        repeated = repeated_field(arrived.header_items)
+        if repeated:
+            return Failure(_bad_field(repeated, "is given more than once"))
         try:
             return Success(_parse(headers, request_id))
         except ValueError as error:
@@ -67,12 +67,17 @@
         self, arrived: HttpArrived, call: Call, order: EngineOrder
     ) -> tuple[tuple[str, str], ...]:
         """Return the caller's end-to-end fields with those that the system sets."""
-        dropped = _CONNECTION_HEADERS | _OWN_HEADERS | _named_by_connection(arrived)
-        fields = [(name, value) for name, value in arrived.header_items if name not in dropped]
+        fields = passed_fields(
+            arrived.header_items,
+            _named_by_connection(arrived),
+            shows_credential=order.shows_credential,
+        )
         remaining_ms = max(1, int(order.remaining * _MILLISECONDS))
         fields.append((DEADLINE_MS, str(remaining_ms)))
         fields.append((EXPECT_INSTANCE, order.engine.engine_id))
         fields.append((REQUEST_PRIORITY, str(order.priority)))
+        if order.tenant:
+            fields.append((TENANT, order.tenant))
         if order.last_event_id:
             fields.append((LAST_EVENT_ID, order.last_event_id))
         return tuple(fields)
@@ -80,8 +85,12 @@
     def answer_headers(self, response: HttpResponse) -> dict[str, str]:
         """Return an answer's end-to-end fields."""
         named = response.headers.get("connection", "").lower()
-        dropped = {item.strip() for item in named.split(",")} | _CONNECTION_HEADERS | {"date"}
-        return {name: value for name, value in response.headers.items() if name not in dropped}
+        dropped = {item.strip() for item in named.split(",")} | {"date"}
+        return {
+            name: value
+            for name, value in response.headers.items()
+            if name not in dropped and FIELD_RULES.get(name) is not FieldRule.HOP
+        }
 
     def was_not_run(self, response: HttpResponse) -> bool:
         """Return whether the engine says that it did not run the request."""
@@ -105,11 +114,11 @@
     affinity = _AFFINITY.search(headers.get("cookie", ""))
     return Call(
         request_id=request_id,
-        deadline=float(deadline_ms) / _MILLISECONDS if deadline_ms else DEFAULT_DEADLINE_SECONDS,
+        deadline=_seconds(deadline_ms) if deadline_ms else DEFAULT_DEADLINE_SECONDS,
         program=headers.get(PROGRAM_ID, ""),
         session=headers.get(SESSION_ID, ""),
-        finish=float(finish_ms) / _MILLISECONDS if finish_ms else None,
-        budget=int(budget) if budget else None,
+        finish=_seconds(finish_ms) if finish_ms else None,
+        budget=_count(budget) if budget else None,
         prompt_tokens=prompt_tokens,
         most_tokens=most_tokens,
         hinted_tokens=_hint(headers.get(LENGTH_HINT, "")),
@@ -117,14 +126,47 @@
         last_event_id=headers.get(LAST_EVENT_ID, ""),
         previous_turn=headers.get(PREVIOUS_TURN, ""),
         affinity_key=affinity.group(1) if affinity else "",
+        credential=_credential(headers.get(AUTHORIZATION, "")),
     )
 
 
+def _credential(authorization: str) -> Credential | None:
+    """Return the digest of the key in an ``Authorization`` field; None if it holds no key."""
+    scheme, _, key = authorization.strip().partition(" ")
+    if scheme.lower() != _BEARER or not key.strip():
+        return None
+    return credential_of(key.strip())
+
+
+def _seconds(milliseconds: str) -> float:
+    """Return a time in seconds.
+
+    Raises:
+        ValueError: It is no finite number. A time that is none would never be over.
+    """
+    seconds = float(milliseconds) / _MILLISECONDS
+    if not math.isfinite(seconds):
+        raise ValueError("a time is not a finite number")
+    return seconds
+
+
+def _count(text: str) -> int:
+    """Return a number of tokens.
+
+    Raises:
+        ValueError: It is none. A negative one would add to a budget.
+    """
+    count = int(text)
+    if count < 0:
+        raise ValueError("a number of tokens is negative")
+    return count
+
+
 def _usage(text: str) -> tuple[int, int]:
     if not text:
         return 0, 0
     prompt, _, most = text.partition(",")
-    return int(prompt), int(most or "0")
+    return _count(prompt), _count(most or "0")
 
 
 def _hint(text: str) -> int | None:
@@ -137,7 +179,7 @@
     for item in text.split(","):
         part_id, colon, tokens = item.strip().partition(":")
         if colon:
-            parts.append(PromptPart(part_id, int(tokens)))
+            parts.append(PromptPart(part_id, _count(tokens)))
     return tuple(parts)
 
 
