Count the requests of each tenant in the ledger: a token bucket, replicated

Hypothesis: an entry of the log for each request is the one design whose bound holds through cuts, restarts and a change of leader without any allowance (rate x window + burst is never exceeded), and that refuses nothing below the limit because of how requests spread over nodes. Turns ask the ledger anyway, so theirs costs nothing more; calls ask for a draw of their own. Ruled out on paper: shares of the limit for each node (75 tenants on 57 nodes: most nodes see less than one request of a tenant in a window, so a share is under one request; either refuses below the limit or exceeds it); counts told between nodes (no bound while nodes are cut from each other); credit leased to nodes for a time (the same forecast of less than one request, and half the credit lapses). Time of the buckets is what passes under leaders, so that a step of the time of day adds nothing.

--- a/src/yokeline/ledger/leader_load.py
+++ b/src/yokeline/ledger/leader_load.py
@@ -5,7 +5,14 @@
 from collections import Counter
 
 from yokeline.effects import LogRecord
-from yokeline.ledger.messages import Granted, LedgerReply, Operation, OperationResult, Reserve
+from yokeline.ledger.messages import (
+    Draw,
+    Granted,
+    LedgerReply,
+    Operation,
+    OperationResult,
+    Reserve,
+)
 
 REPORT_SECONDS = 1.0
 """Time between two lines; a leader that is asked nothing writes none."""
@@ -25,6 +32,8 @@
         """Count an operation that was asked for."""
         if isinstance(operation, Reserve):
             self._counts["reservations"] += 1
+        elif isinstance(operation, Draw):
+            self._counts["draws"] += 1
         else:
             self._counts["settlements"] += 1
             self._counts["turns_to_keep"] += operation.turn is not None
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -23,6 +23,20 @@
     tokens: int
 
 
+class RateLimit(msgspec.Struct, frozen=True, array_like=True):
+    """What a tenant is given over all nodes, in one version of the configuration.
+
+    Attributes:
+        rate: Requests a second.
+        burst: Requests on top of that, once they were not used.
+    """
+
+    tenant: str
+    rate: float
+    burst: float
+    version: int
+
+
 class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag="reserve"):
     """Reserve the most that a turn may generate, and fetch what it continues.
 
@@ -36,6 +50,7 @@
         previous: The turn that this one continues; empty for none.
         missing_from: The latest turn of the chain whose text the asker lacks; empty if it
             has them all.
+        limit: The limit that the turn counts against, as one request; None for none.
     """
 
     request_id: str
@@ -46,6 +61,7 @@
     retention: float = 60.0
     previous: str = ""
     missing_from: str = ""
+    limit: RateLimit | None = None
 
 
 class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,7 +97,14 @@
     context: CachedContext | None = None
 
 
-Operation = Reserve | Settle
+class Draw(msgspec.Struct, frozen=True, kw_only=True, tag="draw"):
+    """Count a request that needs nothing else of the ledger against its tenant's limit."""
+
+    request_id: str
+    limit: RateLimit
+
+
+Operation = Reserve | Settle | Draw
 
 _FIELDS_BYTES = 150
 
@@ -123,7 +146,23 @@
     """What was generated counts, and the turn is kept."""
 
 
-OperationResult = Granted | BudgetSpent | NoSuchTurn | Settled
+class Drawn(msgspec.Struct, frozen=True, tag="drawn"):
+    """The request counts, and may run."""
+
+
+class QuotaSpent(msgspec.Struct, frozen=True, kw_only=True, tag="quota_spent"):
+    """The tenant has used its limit; nothing was reserved or counted.
+
+    Attributes:
+        retry_after: Seconds until the limit lets such a request in, if no other one comes.
+        is_empty: No request of the tenant may run now, whatever its program has done before.
+    """
+
+    retry_after: float
+    is_empty: bool
+
+
+OperationResult = Granted | BudgetSpent | NoSuchTurn | Settled | Drawn | QuotaSpent
 
 # ---------------------------------------------------------------- turns under way
 
@@ -370,6 +409,33 @@
     since: int = 0
 
 
+class ConfigurationAsk(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_ask"):
+    """A node asks another one to prove which configuration is the newest.
+
+    Attributes:
+        known: Revision of the configuration's item that the asker has; 0 for none.
+    """
+
+    number: int
+    asker: Address
+    known: int = 0
+
+
+class ConfigurationProof(msgspec.Struct, frozen=True, kw_only=True, tag="configuration_proof"):
+    """Which configuration was the newest one, as of ``age`` before this answer was sent.
+
+    Attributes:
+        revision: Of the configuration's item.
+        age: Seconds.
+        item: The item itself, if the asker's is older.
+    """
+
+    number: int
+    revision: int
+    age: float
+    item: RegistryItem | None = None
+
+
 LedgerMessage = (
     LedgerRequest
     | PassedOnRequest
@@ -384,6 +450,8 @@
     | Join
     | RegistryAsk
     | RegistryNews
+    | ConfigurationAsk
+    | ConfigurationProof
 )
 
 
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -25,6 +25,7 @@
     Settle,
     size_of,
 )
+from yokeline.ledger.quotas import QuotaClock
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.turns_under_way import TurnsUnderWay
 
@@ -87,6 +88,7 @@
         self._waiting: dict[OperationKey, _Waiting] = {}
         self._proposed: dict[OperationKey, _Waiting] = {}
         self._told: tuple[EngineTurns, ...] | None = None
+        self._quota_clock = QuotaClock()
 
     def note_time(self, now: float) -> None:
         """Note the time of the event that is being handled; answers may come of it."""
@@ -125,7 +127,12 @@
             return self._answer(batch, results)
 
         copied = tuple(turn for item in batch if (turn := _copied_turn(item)) is not None)
-        return self._replica.propose(operations, answer, now, self._wall(), copied)
+        return self._replica.propose(operations, answer, now, self._wall(), copied, self._passed())
+
+    def _passed(self) -> float:
+        """Return the time that has passed under all leaders so far."""
+        applied = self._replica.state().quotas.time
+        return self._quota_clock.time(self._replica.group.term, applied, self._now)
 
     # ------------------------------------------------------------ operations in
 
@@ -146,6 +153,9 @@
         if result is not None and self._replica.leads:
             self.load.note_repetition("applied")
             return [self._reply(asker, result)]
+        spent = self._replica.state().known_spent(operation, self._passed())
+        if spent is not None and self._replica.leads:
+            return [self._reply(asker, spent)]
         self._waiting[key] = _Waiting(operation, self._now, [asker], is_copied)
         if len(self._waiting) > MAX_BATCHED_OPERATIONS:
             del self._waiting[next(iter(self._waiting))]
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -11,15 +11,19 @@
 from yokeline.ledger.messages import (
     BudgetSpent,
     CachedContext,
+    Draw,
+    Drawn,
     Granted,
     KeptTurn,
     NoSuchTurn,
     Operation,
     OperationResult,
+    QuotaSpent,
     Reserve,
     Settle,
     Settled,
 )
+from yokeline.ledger.quotas import TenantQuotas
 
 EXPIRY_SLACK_SECONDS = 20.0
 """Kept beyond the retention, since clocks differ and a change of leader takes time."""
@@ -30,10 +34,16 @@
 
 
 class LedgerCommand(msgspec.Struct, frozen=True, kw_only=True):
-    """One log entry: operations, and the leader's time (seconds since the epoch)."""
+    """One log entry: operations, and the leader's time.
+
+    Attributes:
+        time: Seconds since the epoch.
+        passed: Seconds that have passed under all leaders so far (:class:`QuotaClock`).
+    """
 
     time: float
     operations: tuple[Operation, ...]
+    passed: float = 0.0
 
 
 class Program(msgspec.Struct, kw_only=True):
@@ -59,6 +69,11 @@
         """Return the tokens that count against the budget, open turns at their most."""
         return self.spent + sum(self.reserved.values())
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a turn of it was reserved or settled before."""
+        return bool(self.reserved or self.settled)
+
     def knows(self, request_id: str) -> bool:
         """Return whether a turn is reserved or settled already."""
         return request_id in self.reserved or request_id in self.settled
@@ -95,10 +110,12 @@
     next_expiry: float = 0.0
     programs: dict[str, Program] = {}
     turns: dict[str, StoredTurn] = {}
+    quotas: TenantQuotas = msgspec.field(default_factory=TenantQuotas)
 
     def transition_apply(self, command: LedgerCommand) -> tuple[OperationResult, ...]:
         """Apply a command and return a result for each of its operations."""
         self.time = max(self.time, command.time)
+        self.quotas.transition_pass(command.passed)
         results = tuple(self._apply(operation) for operation in command.operations)
         if self.time >= self.next_expiry:
             self._expire()
@@ -107,13 +124,17 @@
     def _apply(self, operation: Operation) -> OperationResult:
         if isinstance(operation, Reserve):
             return self.transition_reserve(operation)
-        return self.transition_settle(operation)
+        if isinstance(operation, Settle):
+            return self.transition_settle(operation)
+        return self.quotas.transition_draw(operation.limit, is_new=False) or Drawn()
 
     def known_result(self, operation: Operation) -> OperationResult | None:
         """Return the result of an operation whose effect stands already; None for a new one.
 
         A function of the state that changes nothing, so a repetition needs no log entry.
         """
+        if isinstance(operation, Draw):
+            return None
         program = self.programs.get(operation.program)
         if isinstance(operation, Reserve):
             if program is None or not program.knows(operation.request_id):
@@ -126,6 +147,18 @@
         has_effect = bool(operation.program) or operation.turn is not None
         return Settled() if is_counted and is_kept and has_effect else None
 
+    def known_spent(self, operation: Operation, passed: float) -> QuotaSpent | None:
+        """Return the refusal of an operation whose tenant's limit is used at a time, if it is."""
+        if isinstance(operation, Settle) or operation.limit is None:
+            return None
+        is_new = isinstance(operation, Reserve) and self._is_new(operation)
+        return self.quotas.known_spent(operation.limit, passed, is_new=is_new)
+
+    def _is_new(self, operation: Reserve) -> bool:
+        """Return whether a turn is the first one of its program, as far as is known here."""
+        program = self.programs.get(operation.program)
+        return not operation.previous and (program is None or not program.has_begun)
+
     def _granted(self, program: Program, operation: Reserve) -> Granted:
         return Granted(
             spent=program.counted(),
@@ -139,7 +172,7 @@
             return NoSuchTurn(turn_id=operation.previous)
         turns = self.chain(operation.missing_from)
         if not operation.program:
-            return Granted(turns=turns)
+            return self._draw(operation) or Granted(turns=turns)
         program = self.programs.setdefault(operation.program, Program())
         self._touch(program, operation.retention)
         if program.knows(operation.request_id):
@@ -147,10 +180,20 @@
         spent = program.counted()
         if spent + operation.tokens > operation.budget:
             return BudgetSpent(spent=spent)
+        beyond_limit = self._draw(operation)
+        if beyond_limit is not None:
+            return beyond_limit
         program.reserved[operation.request_id] = operation.tokens
         context = program.context_of(operation.session)
         return Granted(spent=spent, turns=turns, context=context)
 
+    def _draw(self, operation: Reserve) -> QuotaSpent | None:
+        """Count a turn against its tenant's limit; return None if that lets it in."""
+        if operation.limit is None:
+            return None
+        is_new = self._is_new(operation)
+        return self.quotas.transition_draw(operation.limit, is_new=is_new)
+
     def transition_settle(self, operation: Settle) -> OperationResult:
         """Count what was generated instead of the reservation; keep the turn if there is one."""
         if operation.program:
@@ -201,3 +244,4 @@
             del self.programs[name]
         for name in [name for name, item in self.turns.items() if item.expires < self.time]:
             del self.turns[name]
+        self.quotas.transition_forget()
--- /dev/null
+++ b/tests/unit/ledger/test_quotas.py
@@ -0,0 +1,132 @@
+from __future__ import annotations
+
+import unittest
+
+from yokeline.ledger.messages import Draw, Drawn, Granted, QuotaSpent, RateLimit, Reserve
+from yokeline.ledger.quotas import NEW_PROGRAM_SHARE, QuotaClock
+from yokeline.ledger.state import LedgerCommand, LedgerState
+
+LIMIT = RateLimit("hule", rate=10.0, burst=20.0, version=1)
+
+
+class Quotas(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = LedgerState()
+        self.passed = 0.0
+        self.numbers = 0
+
+    def apply(self, operation: Draw | Reserve) -> object:
+        command = LedgerCommand(time=1e9, operations=(operation,), passed=self.passed)
+        return self.state.transition_apply(command)[0]
+
+    def draw(self, limit: RateLimit = LIMIT) -> object:
+        self.numbers += 1
+        return self.apply(Draw(request_id=f"r{self.numbers}", limit=limit))
+
+    def turn(self, program: str, request_id: str = "") -> object:
+        self.numbers += 1
+        name = request_id or f"r{self.numbers}"
+        return self.apply(
+            Reserve(request_id=name, program=program, budget=100, tokens=1, limit=LIMIT)
+        )
+
+    def drain(self) -> int:
+        """Draw until nothing is left; return how many there were."""
+        for count in range(1000):
+            if isinstance(self.draw(), QuotaSpent):
+                return count
+        raise AssertionError("it never ends")
+
+
+class Buckets(Quotas):
+    def test_a_tenant_gets_its_burst_and_then_its_rate(self) -> None:
+        self.assertEqual(self.drain(), 20)
+        self.passed += 1.0
+        self.assertEqual(self.drain(), 10)
+
+    def test_a_refusal_says_when_the_next_one_is_let_in(self) -> None:
+        self.drain()
+        spent = self.draw()
+        assert isinstance(spent, QuotaSpent)
+        self.assertTrue(spent.is_empty)
+        self.passed += spent.retry_after - 0.001
+        self.assertIsInstance(self.draw(), QuotaSpent)
+        self.passed += 0.002
+        self.assertEqual(self.draw(), Drawn())
+
+    def test_one_tenant_takes_nothing_from_another(self) -> None:
+        self.drain()
+        other = RateLimit("mira", rate=1.0, burst=3.0, version=1)
+        self.assertEqual(self.draw(other), Drawn())
+
+    def test_a_lowered_limit_counts_at_once_and_an_older_one_not_any_more(self) -> None:
+        self.draw()
+        lowered = RateLimit("hule", rate=1.0, burst=2.0, version=2)
+        self.assertEqual(self.draw(lowered), Drawn())
+        self.assertEqual(self.drain(), 1)
+        self.passed += 1.0
+        self.assertEqual(self.drain(), 1)
+
+    def test_a_tenant_without_a_burst_gets_single_requests(self) -> None:
+        bare = RateLimit("bare", rate=2.0, burst=0.0, version=1)
+        self.assertEqual(self.draw(bare), Drawn())
+        self.assertIsInstance(self.draw(bare), QuotaSpent)
+
+    def test_an_account_that_was_full_for_long_is_forgotten_and_begins_full(self) -> None:
+        self.draw()
+        self.passed += 120.0
+        self.state.quotas.transition_pass(self.passed)
+        self.state.quotas.transition_forget()
+        self.assertEqual(self.state.quotas.accounts, {})
+        self.drain()
+        self.state.quotas.transition_forget()
+        self.assertIn("hule", self.state.quotas.accounts)
+
+
+class Programs(Quotas):
+    def test_at_the_limit_begun_programs_go_on_and_new_ones_are_refused(self) -> None:
+        self.assertIsInstance(self.turn("begun"), Granted)
+        for _ in range(int(20 * (1 - NEW_PROGRAM_SHARE)) - 1):
+            self.draw()
+        spent = self.turn("new")
+        assert isinstance(spent, QuotaSpent)
+        self.assertFalse(spent.is_empty)
+        self.assertIsInstance(self.turn("begun"), Granted)
+
+    def test_a_repeated_reservation_counts_once(self) -> None:
+        self.turn("p", "same")
+        level = self.state.quotas.accounts["hule"].level
+        self.assertIsInstance(self.turn("p", "same"), Granted)
+        self.assertEqual(self.state.quotas.accounts["hule"].level, level)
+
+    def test_a_turn_beyond_its_budget_takes_nothing(self) -> None:
+        self.turn("p")
+        level = self.state.quotas.accounts["hule"].level
+        over = Reserve(request_id="x", program="p", budget=1, tokens=9, limit=LIMIT)
+        self.apply(over)
+        self.assertEqual(self.state.quotas.accounts["hule"].level, level)
+
+    def test_what_is_known_to_be_spent_needs_no_entry_and_changes_nothing(self) -> None:
+        self.drain()
+        operation = Draw(request_id="x", limit=LIMIT)
+        before = self.state.quotas.accounts["hule"].level
+        known = self.state.known_spent(operation, self.passed)
+        self.assertIsInstance(known, QuotaSpent)
+        self.assertEqual(self.state.quotas.accounts["hule"].level, before)
+        self.assertIsNone(self.state.known_spent(operation, self.passed + 1.0))
+
+
+class Clocks(unittest.TestCase):
+    def test_leaders_together_add_no_more_than_what_passed(self) -> None:
+        first, second = QuotaClock(), QuotaClock()
+        told = first.time(term=1, applied=0.0, now=1000.0)
+        told = first.time(term=1, applied=told, now=1003.0)
+        self.assertEqual(told, 3.0)
+        taken_over = second.time(term=2, applied=told, now=55.0)
+        self.assertEqual(taken_over, 3.0)
+        self.assertEqual(second.time(term=2, applied=taken_over, now=56.5), 4.5)
+
+    def test_a_replica_that_leads_again_begins_with_what_the_log_says(self) -> None:
+        clock = QuotaClock()
+        clock.time(term=1, applied=0.0, now=10.0)
+        self.assertEqual(clock.time(term=3, applied=2.0, now=60.0), 2.0)
