Serve requests by their callers' keys, under a lease on how current the configuration is

Keys are digests from the adapter on (also in what nodes pass to each other); a request gets its tenant's name, rank and limit; 401 for a key that is not known, 503 where a node cannot prove that its configuration is current, 429 beyond the limit with the time at which the bucket lets it in. State in the ledger and at nodes is named within its tenant, so that equal ids of two tenants never meet.

Ruled out: watching calls as proof (a service that went deaf answers them too); ages by the time of day (clocks step); the age told in load reports (one way, so a late report would make a proof younger than it is). What waits when its key goes is refused with 401; what runs goes on, and is not sent a second time.

--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -41,6 +41,7 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcomes import Outcomes
 from yokeline.forwarding.settlements import Settlements
+from yokeline.forwarding.tenants import StateNames
 from yokeline.identifiers import ExchangeId
 from yokeline.ledger.client import LedgerClient
 from yokeline.platform.headers import HeaderDialect
@@ -163,6 +164,9 @@
         route=_route(),
         due=now + PATIENT_SECONDS,
         started=now,
+        names=StateNames(
+            turn=call.request_id, program=call.program, session=call.session, previous_turn=""
+        ),
         pool=POOL,
         spent=1,
     )
--- /dev/null
+++ b/src/yokeline/forwarding/admission.py
@@ -0,0 +1,87 @@
+"""Whether a caller's request may run at all: its key, its tenant, and how current the keys are.
+
+A key may be taken away at any time. A node that cannot prove that its configuration was in force a
+moment ago does not know whether a key still counts, and neither runs nor denies a request on it.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.forwarding.http_statuses import UNAUTHORIZED, UNAVAILABLE
+from yokeline.forwarding.model import Call, Route, RoutingTable
+from yokeline.forwarding.tenants import StateNames, Tenant, scoped
+
+STALE_RETRY_AFTER_SECONDS = 0.3
+"""Time after which a caller is to come back to a node that cannot prove its configuration: it asks
+again each 0.25 s, and the caller comes to another node as likely as not."""
+UNKNOWN_KEY = "unknown_key"
+STALE_CONFIGURATION = "stale_configuration"
+NO_TENANT = ""
+"""Stands for the tenant of a public request, where others have one."""
+
+
+class Admitted(msgspec.Struct, frozen=True, kw_only=True):
+    """The request may run.
+
+    Attributes:
+        names: Under which its state is kept.
+        tenant: Whose it is; None if it needs no key and has none that is known.
+        shows_credential: Its key is no key of ours, and goes to the engine.
+    """
+
+    names: StateNames
+    tenant: Tenant | None
+    shows_credential: bool
+
+
+class Denied(msgspec.Struct, frozen=True, kw_only=True):
+    """The request does not run.
+
+    Attributes:
+        retry_after: Seconds after which to come back; None where that is of no use.
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+def admit(table: RoutingTable, route: Route, call: Call, *, is_current: bool) -> Admitted | Denied:
+    """Decide by the configuration in force, which ``is_current`` says was proved lately."""
+    directory = table.tenants
+    if directory is None:
+        return Admitted(names=_names(call, None), tenant=None, shows_credential=True)
+    tenant = directory.find(call.credential)
+    if route.public:
+        return _admitted(call, tenant if is_current else None)
+    if not is_current:
+        return Denied(
+            status=UNAVAILABLE,
+            reason=STALE_CONFIGURATION,
+            retry_after=STALE_RETRY_AFTER_SECONDS,
+        )
+    if tenant is None:
+        return Denied(status=UNAUTHORIZED, reason=UNKNOWN_KEY)
+    return _admitted(call, tenant)
+
+
+def is_still_admitted(table: RoutingTable, route: Route, call: Call) -> bool:
+    """Return whether a request that was admitted would be by another configuration."""
+    if table.tenants is None or route.public:
+        return True
+    return table.tenants.find(call.credential) is not None
+
+
+def _admitted(call: Call, tenant: Tenant | None) -> Admitted:
+    name = tenant.name if tenant is not None else NO_TENANT
+    return Admitted(names=_names(call, name), tenant=tenant, shows_credential=False)
+
+
+def _names(call: Call, tenant: str | None) -> StateNames:
+    return StateNames(
+        turn=scoped(tenant, call.request_id),
+        program=scoped(tenant, call.program),
+        session=scoped(tenant, call.session),
+        previous_turn=scoped(tenant, call.previous_turn),
+    )
--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 
+from yokeline.forwarding.admission import UNKNOWN_KEY
 from yokeline.forwarding.ends import Ends
 from yokeline.forwarding.engine_sends import EngineSends
 from yokeline.forwarding.exchange import Exchange, Phase
-from yokeline.forwarding.http_statuses import UNAVAILABLE
+from yokeline.forwarding.http_statuses import UNAUTHORIZED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.waiting import WaitingRequests
 
@@ -35,7 +36,10 @@
         self.sent: Callable[[Exchange], None] = _nobody
 
     def wait(self, exchange: Exchange) -> None:
-        """Let a request wait for an engine with room."""
+        """Let a request wait for an engine with room, unless its key was taken away."""
+        if exchange.is_revoked:
+            self._end_revoked(exchange)
+            return
         now = self._state.now
         exchange.phase = Phase.WAITING
         exchange.engine = None
@@ -59,6 +63,12 @@
             exchange, UNAVAILABLE, "no_engine", retry_after=retry_after, waited=waited
         )
 
+    def _end_revoked(self, exchange: Exchange) -> None:
+        if exchange.runs or exchange.events:
+            self._ends.fail(exchange, UNKNOWN_KEY)
+        else:
+            self._ends.refuse(exchange, UNAUTHORIZED, UNKNOWN_KEY)
+
     def dispatch_all(self) -> None:
         """Send what may be sent, in all pools."""
         for pool in list(self._state.waiting):
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -26,12 +26,15 @@
 )
 from yokeline.forwarding.engines import EngineBook
 from yokeline.forwarding.forwarder import Forwarder
+from yokeline.forwarding.freshness import ConfigurationFreshness, Currency
 from yokeline.forwarding.load_sharing import LoadSharing, ReportedState
 from yokeline.forwarding.registry_exchange import RegistryExchange
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches, NearReplica
 from yokeline.ledger.messages import (
+    ConfigurationAsk,
+    ConfigurationProof,
     HistoryReply,
     LeaderAnswer,
     LedgerReply,
@@ -90,6 +93,7 @@
         engines: EngineBook,
         ledger: LedgerClient,
         histories: HistoryFetches,
+        freshness: ConfigurationFreshness,
         grace_seconds: float,
         engine_drain_seconds: float,
         phases: StartPhases,
@@ -100,6 +104,8 @@
         self.phases = phases
         self.ledger = ledger
         self.histories = histories
+        self.freshness = freshness
+        forwarder.currency = freshness.currency
         self._record = record
         self._registry = registry
         self._formats = formats
@@ -118,9 +124,11 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this node wants new connections."""
-        known = self.forwarder.table is not None and self._registry.complete
-        return known and self._stop_asked_at is None
+        """Whether this node wants new connections: it could serve what comes."""
+        table = self.forwarder.table
+        if table is None or not self._registry.complete or self._stop_asked_at is not None:
+            return False
+        return table.tenants is None or self.freshness.currency(self._now) is not Currency.STALE
 
     def registry_age(self) -> float:
         """Return how long ago what is known was last confirmed (seconds)."""
@@ -138,6 +146,7 @@
             effects.extend(self._take(event, now))
         self._exchange.pace(now)
         effects.extend(self._registry.tick(now))
+        effects.extend(self._prove_configuration(now))
         effects.extend(self._forget_lapsed(now))
         effects.extend(self.ledger.tick(now))
         effects.extend(self.histories.tick(now))
@@ -157,6 +166,15 @@
         effects.extend(self._note_phases(now))
         return effects
 
+    def _prove_configuration(self, now: float) -> list[Effect]:
+        if self.freshness.next_deadline() is None:
+            return []
+        return self.freshness.tick(
+            now,
+            watches=self._exchange.asks_service,
+            peers=self._sharing.peers_that_watch(now),
+        )
+
     def _note_phases(self, now: float) -> list[LogRecord]:
         """Note how long the start took to each of its steps."""
         lines: list[LogRecord] = []
@@ -177,6 +195,7 @@
             self.forwarder.next_deadline(),
             self._sharing.next_deadline(),
             self._engines.next_lapse(),
+            self.freshness.next_deadline(),
         ]
         return min(due for due in dues if due is not None)
 
@@ -185,6 +204,8 @@
             return self.forwarder.arrived(event, now)
         if isinstance(event, HttpGone):
             return self.forwarder.caller_gone(event.exchange, now)
+        if isinstance(event, HttpResponse | HttpFailed) and self.freshness.owns(event):
+            return self._take_item(self.freshness.take(event), now)
         if isinstance(event, HttpResponse | HttpStreamItem | HttpStreamEnded | HttpFailed):
             return self.forwarder.engine_event(event, now)
         if isinstance(event, PeerMessage):
@@ -209,6 +230,10 @@
             return self._ask_for_peer(event.sender, message, now)
         if isinstance(message, RegistryAsk):
             return self._exchange.answer(event.sender, message)
+        if isinstance(message, ConfigurationAsk):
+            return self.freshness.answer(event.sender, message, now)
+        if isinstance(message, ConfigurationProof):
+            return self._take_item(self.freshness.take_proof(message), now)
         if isinstance(message, RegistryNews):
             changed, effects = self._exchange.adopt(event.sender, message, now)
             return [*effects, *self._take_changes(changed, now)]
@@ -275,6 +300,10 @@
             self._take_nodes()
         return []
 
+    def _take_item(self, item: StoredItem | None, now: float) -> list[Effect]:
+        """Apply a configuration that a proof brought before a change of the registry did."""
+        return self._take_configuration(item, now) if item is not None else []
+
     def _take_configuration(self, item: StoredItem, now: float) -> list[Effect]:
         """Apply a configuration, unless it is older than the one in force."""
         if item.value is None:
@@ -289,6 +318,7 @@
                 )
             ]
         table = read.unwrap()
+        self.freshness.note_configuration(item, has_keys=table.tenants is not None)
         current = self.forwarder.table
         if current is not None and table.version <= current.version:
             return []
--- a/src/yokeline/forwarding/engine_request.py
+++ b/src/yokeline/forwarding/engine_request.py
@@ -28,6 +28,8 @@
         remaining=remaining,
         priority=ENGINE_PRIORITY,
         last_event_id=_resume_from(exchange),
+        tenant=exchange.tenant.name if exchange.tenant is not None else "",
+        shows_credential=exchange.shows_credential,
     )
     headers = dialect.engine_headers(arrived, exchange.call, order)
     streaming = exchange.route.kind is RouteKind.STREAMING
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -10,8 +10,9 @@
 from yokeline.forwarding.attempts import Attempts
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.model import Call, Route
+from yokeline.forwarding.tenants import StateNames, Tenant
 from yokeline.identifiers import ExchangeId, RequestId
-from yokeline.ledger.messages import CachedContext, Operation
+from yokeline.ledger.messages import CachedContext, Operation, RateLimit
 from yokeline.timers import Timer
 
 
@@ -49,6 +50,11 @@
 
     Attributes:
         due: When it must have its final answer.
+        names: Under which its state is kept.
+        tenant: Whose it is; None on a public route without a key, and without tenants.
+        shows_credential: The caller's key is no key of ours, and goes to the engine.
+        limit: What its tenant is given, if it counts against that.
+        is_revoked: Its key was taken away; it is not sent to an engine any more.
         pool: The pool that serves it.
         body: What an engine receives: the history of its chain, then the caller's body.
         reserved: The ledger counts its most until it is settled.
@@ -81,6 +87,11 @@
     attempts: Attempts
     due: float
     started: float
+    names: StateNames
+    tenant: Tenant | None = None
+    shows_credential: bool = True
+    limit: RateLimit | None = None
+    is_revoked: bool = False
     pool: str = ""
     body: bytes = b""
     phase: Phase = Phase.WAITING
@@ -112,6 +123,12 @@
     first_event_at: float | None = None
     timers: list[Timer] = msgspec.field(default_factory=list)
 
+    @property
+    def priority(self) -> int:
+        """Rank of the request (0 first): its tenant's, or else its route's."""
+        own = self.tenant.priority if self.tenant is not None else None
+        return self.route.priority if own is None else own
+
     @property
     def begun(self) -> bool:
         """Whether it belongs to a program that has had a turn before."""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from returns.result import Success
 
@@ -19,6 +20,14 @@
     HttpStreamEnded,
     HttpStreamItem,
 )
+from yokeline.forwarding.admission import (
+    STALE_CONFIGURATION,
+    UNKNOWN_KEY,
+    Admitted,
+    Denied,
+    admit,
+    is_still_admitted,
+)
 from yokeline.forwarding.attempts import Attempts
 from yokeline.forwarding.dialect import Dialect
 from yokeline.forwarding.dispatch import Dispatch
@@ -26,19 +35,23 @@
 from yokeline.forwarding.engine_sends import EngineSends
 from yokeline.forwarding.engines import EngineBook
 from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.freshness import Currency
 from yokeline.forwarding.held_requests import HeldRequests
 from yokeline.forwarding.history import TurnCache
 from yokeline.forwarding.http_parts import host_of
 from yokeline.forwarding.http_statuses import (
+    BAD_REQUEST,
     NOT_FOUND,
     SERVER_ERROR,
     SUCCESS,
     TOO_LARGE,
+    UNAUTHORIZED,
     UNAVAILABLE,
 )
+from yokeline.forwarding.limits import TenantLimits, limit_of
 from yokeline.forwarding.model import Call, Route, RouteKind, RoutingTable
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.outcomes import BAD_REQUEST, Outcomes
+from yokeline.forwarding.outcomes import Outcomes
 from yokeline.forwarding.pool_split import PoolSplit
 from yokeline.forwarding.repeats import Repeats
 from yokeline.forwarding.reservations import Reservations
@@ -60,6 +73,8 @@
 
     Attributes:
         refusing: Nothing new is taken, since the process ends soon.
+        currency: How sure it is at a time (monotonic seconds) that no key was taken away that
+            this node takes for good; always, unless set.
     """
 
     def __init__(
@@ -73,6 +88,7 @@
     ) -> None:
         """Serve in a zone."""
         self.refusing = False
+        self.currency: Callable[[float], Currency] = _always_current
         self._dialect = dialect
         self._outcomes = Outcomes(dialect)
         self._state = NodeState(zone, engines, self._outcomes)
@@ -87,8 +103,15 @@
         self._streams = Streams(
             self._state, self._sends, settlements, self._ends, self._repeats, turns, dialect
         )
+        self._limits = TenantLimits(self._state, ledger, self._ends, self._wait_and_dispatch)
         self._reservations = Reservations(
-            self._state, ledger, histories, self._ends, turns, self._wait_and_dispatch
+            self._state,
+            ledger,
+            histories,
+            self._ends,
+            turns,
+            self._limits,
+            self._wait_and_dispatch,
         )
 
     # ------------------------------------------------------------ service side
@@ -102,6 +125,17 @@
     def table(self, table: RoutingTable | None) -> None:
         self._state.table = table
         self._outcomes.configuration = table.version if table is not None else 0
+        if table is not None:
+            self._revoke(table)
+
+    def _revoke(self, table: RoutingTable) -> None:
+        """Refuse what has not run and whose key is gone; what runs is not sent once more."""
+        for exchange in list(self._state.exchanges.values()):
+            if is_still_admitted(table, exchange.route, exchange.call):
+                continue
+            exchange.is_revoked = True
+            if exchange.request is None and not exchange.runs and not exchange.events:
+                self._ends.refuse(exchange, UNAUTHORIZED, UNKNOWN_KEY)
 
     @property
     def closing(self) -> bool:
@@ -170,7 +204,7 @@
         self._state.now = now
         is_early = self.table is None and not self.refusing
         if not (is_early and self._held.add(event, now)):
-            self._take_request(event, now)
+            self._take_request(event, now, may_hold=True)
         return self._outcomes.take_effects()
 
     def caller_gone(self, exchange_id: ExchangeId, now: float) -> list[Effect]:
@@ -207,14 +241,17 @@
 
     def _take_held(self) -> None:
         """Serve what waited for a configuration, or refuse what waited too long for it."""
-        if self.table is None and not self.refusing:
-            held = self._held.take_expired(self._state.now)
-        else:
+        is_known = self.table is not None and self.currency(self._state.now) is not Currency.SOON
+        if is_known or self.refusing:
             held = self._held.take_all()
+        else:
+            held = self._held.take_expired(self._state.now)
         for request in held:
             self._take_request(request.event, request.arrived_at)
 
-    def _take_request(self, event: HttpArrived, arrived_at: float) -> None:
+    def _take_request(
+        self, event: HttpArrived, arrived_at: float, *, may_hold: bool = False
+    ) -> None:
         table = self.table
         if table is None:
             self._outcomes.refuse_unparsed(
@@ -235,13 +272,45 @@
         if not isinstance(parsed, Success):
             self._outcomes.refuse_unparsed(event, BAD_REQUEST, parsed.failure().message)
             return
-        exchange = self._open(event, parsed.unwrap(), route, arrived_at)
+        call = parsed.unwrap()
+        currency = self.currency(self._state.now)
+        admitted = admit(table, route, call, is_current=currency is Currency.CURRENT)
+        if isinstance(admitted, Denied):
+            soon = admitted.reason == STALE_CONFIGURATION and currency is Currency.SOON
+            if not (soon and may_hold and self._held.add(event, arrived_at)):
+                self._deny(event, admitted, table)
+            return
+        exchange = self._open(event, call, route, admitted, arrived_at)
+        self._begin(exchange)
+
+    def _begin(self, exchange: Exchange) -> None:
+        """Let a request take its first step."""
+        if self._limits.refuse_if_spent(exchange):
+            return
         if needs_ledger(exchange):
             self._reservations.reserve(exchange)
+        elif exchange.limit is not None:
+            self._limits.draw(exchange)
         else:
             self._wait_and_dispatch(exchange)
 
-    def _open(self, event: HttpArrived, call: Call, route: Route, arrived_at: float) -> Exchange:
+    def _deny(self, event: HttpArrived, denied: Denied, table: RoutingTable) -> None:
+        self._outcomes.refuse_unparsed(
+            event,
+            denied.status,
+            denied.reason,
+            retry_after=denied.retry_after,
+            version=table.version,
+        )
+
+    def _open(
+        self,
+        event: HttpArrived,
+        call: Call,
+        route: Route,
+        admitted: Admitted,
+        arrived_at: float,
+    ) -> Exchange:
         exchange = Exchange(
             exchange=event.exchange,
             arrived=event,
@@ -250,6 +319,10 @@
             attempts=Attempts(allowed=route.max_attempts),
             due=arrived_at + min(call.deadline, route.timeout),
             started=arrived_at,
+            names=admitted.names,
+            tenant=admitted.tenant,
+            shows_credential=admitted.shows_credential,
+            limit=limit_of(admitted.tenant, self._outcomes.configuration),
             pool=self._split.pool_of(route, call),
             body=event.body,
             last_event_id=call.last_event_id,
@@ -325,3 +398,8 @@
         if exchange.phase is Phase.KEEPING:
             return
         self._ends.leave(exchange)
+
+
+def _always_current(_now: float) -> Currency:
+    """Prove nothing: no key is taken away at once."""
+    return Currency.CURRENT
--- /dev/null
+++ b/src/yokeline/forwarding/limits.py
@@ -0,0 +1,123 @@
+"""Requests that count against their tenant's limit: drawn from the ledger, or refused.
+
+A turn is counted with the reservation of its budget. Every other request of a tenant with a limit
+asks the ledger for nothing else, and is not sent to an engine before the answer.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from yokeline.effects import Effect
+from yokeline.forwarding.ends import Ends
+from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.http_statuses import TOO_MANY_REQUESTS, UNAVAILABLE
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.tenants import Tenant
+from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.messages import Draw, Drawn, OperationResult, QuotaSpent, RateLimit
+
+LEDGER_SECONDS = 2.0
+"""Longest wait for the ledger's answer; then the request is refused, not run. A change of leader
+takes under a second (elections of 0.3 s, and a search for the new one)."""
+LEDGER_RETRY_AFTER_SECONDS = 0.2
+"""Time after which a caller is to come back when the ledger does not answer."""
+QUOTA_SPENT = "quota_spent"
+MAX_TENANTS = 4096
+"""Tenants of which it is remembered that they have used their limit; the oldest gives way."""
+
+
+def limit_of(tenant: Tenant | None, version: int) -> RateLimit | None:
+    """Return the limit of a tenant in a version of the configuration; None if it has none."""
+    if tenant is None or not tenant.is_limited:
+        return None
+    return RateLimit(tenant.name, tenant.rate, tenant.burst, version)
+
+
+class TenantLimits:
+    """Counts the requests of one node against their tenants' limits."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        ledger: LedgerClient,
+        ends: Ends,
+        drawn: Callable[[Exchange], None],
+    ) -> None:
+        """Call ``drawn`` with each request that may go on."""
+        self._state = state
+        self._ledger = ledger
+        self._ends = ends
+        self._drawn = drawn
+        self._spent_until: OrderedDict[str, float] = OrderedDict()
+
+    def refuse_if_spent(self, exchange: Exchange) -> bool:
+        """Refuse a request whose tenant is known to have nothing left; return whether it is.
+
+        A tenant that sends many times its limit costs the ledger one question for each request
+        that the limit lets in, and the others no more than this look.
+        """
+        limit = exchange.limit
+        until = self._spent_until.get(limit.tenant, 0.0) if limit is not None else 0.0
+        if until <= self._state.now:
+            return False
+        self._refuse(exchange, until - self._state.now)
+        return True
+
+    def draw(self, exchange: Exchange) -> None:
+        """Ask the ledger to count a request."""
+        assert exchange.limit is not None
+        exchange.phase = Phase.RESERVING
+        exchange.operation = Draw(request_id=exchange.names.turn, limit=exchange.limit)
+
+        def answered(result: OperationResult | None, now: float) -> list[Effect]:
+            self._state.now = now
+            self._take_result(exchange, result)
+            return self._state.outcomes.take_effects()
+
+        now = self._state.now
+        give_up_at = min(exchange.due, now + LEDGER_SECONDS)
+        effects = self._ledger.ask(exchange.operation, answered, now, give_up_at)
+        self._state.outcomes.effects.extend(effects)
+
+    def refuse_spent(self, exchange: Exchange, spent: QuotaSpent) -> None:
+        """Refuse a request that the ledger found beyond the limit."""
+        if spent.is_empty and exchange.limit is not None:
+            tenant = exchange.limit.tenant
+            self._spent_until[tenant] = self._state.now + spent.retry_after
+            self._spent_until.move_to_end(tenant)
+            if len(self._spent_until) > MAX_TENANTS:
+                self._spent_until.popitem(last=False)
+        self._refuse(exchange, spent.retry_after)
+
+    def _take_result(self, exchange: Exchange, result: OperationResult | None) -> None:
+        if exchange.phase is not Phase.RESERVING:
+            return
+        exchange.operation = None
+        if isinstance(result, Drawn):
+            exchange.granted_at = self._state.now
+            self._drawn(exchange)
+        elif isinstance(result, QuotaSpent):
+            self.refuse_spent(exchange, result)
+        else:
+            self._ends.refuse(
+                exchange,
+                UNAVAILABLE,
+                "ledger_unavailable",
+                retry_after=LEDGER_RETRY_AFTER_SECONDS,
+            )
+
+    def _refuse(self, exchange: Exchange, retry_after: float) -> None:
+        limit = exchange.limit
+        assert limit is not None
+        self._ends.refuse(
+            exchange,
+            TOO_MANY_REQUESTS,
+            QUOTA_SPENT,
+            retry_after=retry_after,
+            rate=limit.rate,
+            burst=limit.burst,
+            limit_version=limit.version,
+            spent_for=round(retry_after, 3),
+        )
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -162,12 +162,17 @@
 
     def peers_that_reach_ledger(self, now: float) -> list[PeerNode]:
         """Return the nodes that say so, those of this zone first."""
+        reports = self._engines.fresh_reports(now)
+        return self._nearest_first([report for report in reports if report.reaches_ledger])
+
+    def peers_that_watch(self, now: float) -> list[PeerNode]:
+        """Return the nodes that say that the key-value service answers them, likewise."""
+        reports = self._engines.fresh_reports(now)
+        return self._nearest_first([report for report in reports if report.watches])
+
+    def _nearest_first(self, reports: list[LoadReport]) -> list[PeerNode]:
         own_zone = {record.name for record in self._zone_ring}
-        helpful = [
-            report
-            for report in self._engines.fresh_reports(now)
-            if report.reaches_ledger and report.address is not None
-        ]
+        helpful = [report for report in reports if report.address is not None]
         helpful.sort(key=lambda report: (report.node not in own_zone, report.node))
         return [PeerNode(item.process, item.address) for item in helpful if item.address]
 
--- a/src/yokeline/forwarding/outcomes.py
+++ b/src/yokeline/forwarding/outcomes.py
@@ -8,10 +8,9 @@
 from yokeline.forwarding.dialect import Dialect
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.http_parts import refusal_body
+from yokeline.forwarding.http_statuses import BAD_REQUEST
 from yokeline.identifiers import ExchangeId
 
-BAD_REQUEST = 400
-
 LogField = str | int | float | bool | None
 
 
@@ -55,6 +54,7 @@
         everything: dict[str, LogField] = {
             "request": call.request_id,
             "program": call.program,
+            "tenant": exchange.tenant.name if exchange.tenant is not None else "",
             "route": exchange.route.name,
             "configuration": self.configuration,
             **fields,
--- a/src/yokeline/forwarding/registry_exchange.py
+++ b/src/yokeline/forwarding/registry_exchange.py
@@ -52,6 +52,11 @@
         """
         return max(0.0, now - max(self._registry.heard_at(), self._confirmed_at))
 
+    @property
+    def asks_service(self) -> bool:
+        """Whether this node asks the key-value service itself, and does not follow others."""
+        return not self._follows
+
     def watches(self, now: float) -> bool:
         """Return whether other nodes may rely on this one for changes."""
         return not self._follows and now - self._registry.heard_at() <= ANSWERED_SECONDS
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -13,6 +13,11 @@
 from yokeline.forwarding.exchange import Exchange, HistorySource, Phase
 from yokeline.forwarding.history import TurnCache
 from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
+from yokeline.forwarding.limits import (
+    LEDGER_RETRY_AFTER_SECONDS,
+    LEDGER_SECONDS,
+    TenantLimits,
+)
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.turn_operations import reservation_of
 from yokeline.ledger.client import LedgerClient
@@ -24,11 +29,9 @@
     NoSuchTurn,
     Operation,
     OperationResult,
+    QuotaSpent,
 )
 
-LEDGER_SECONDS = 2.0
-"""Longest wait for a reservation; then the request is refused, not run."""
-LEDGER_RETRY_AFTER_SECONDS = 0.2
 HISTORY_RETRY_AFTER_SECONDS = 0.1
 
 
@@ -42,6 +45,7 @@
         histories: HistoryFetches,
         ends: Ends,
         turns: TurnCache,
+        limits: TenantLimits,
         granted: Callable[[Exchange], None],
     ) -> None:
         """Call ``granted`` with each turn that may go on."""
@@ -50,12 +54,13 @@
         self._histories = histories
         self._ends = ends
         self._turns = turns
+        self._limits = limits
         self._granted = granted
 
     def reserve(self, exchange: Exchange) -> None:
         """Ask for a turn's budget and for what it continues."""
         exchange.phase = Phase.RESERVING
-        missing_from = self._turns.missing_from(exchange.call.previous_turn)
+        missing_from = self._turns.missing_from(exchange.names.previous_turn)
         if missing_from and self._fetch(exchange, missing_from):
             exchange.history = HistorySource.FETCHING
             missing_from = ""
@@ -83,7 +88,7 @@
             self._take_texts(exchange, turns)
             return self._state.outcomes.take_effects()
 
-        known = self._turns.latest_of(exchange.call.session)
+        known = self._turns.latest_of(exchange.names.session)
         leader = self._ledger.leader
         effects = self._histories.fetch(missing_from, known, leader, fetched, self._state.now)
         self._state.outcomes.effects.extend(effects or [])
@@ -95,7 +100,7 @@
             self._turns.put(turn)
         if exchange.phase is not Phase.RESERVING:
             return
-        missing_from = self._turns.missing_from(exchange.call.previous_turn)
+        missing_from = self._turns.missing_from(exchange.names.previous_turn)
         exchange.history = HistorySource.LEADER if missing_from else HistorySource.REPLICA
         if not exchange.granted_at:
             return
@@ -126,8 +131,10 @@
             self._add_history(exchange, result)
         elif isinstance(result, BudgetSpent):
             self._ends.refuse(exchange, PAYMENT_REQUIRED, "budget_spent", spent=result.spent)
+        elif isinstance(result, QuotaSpent):
+            self._limits.refuse_spent(exchange, result)
         elif isinstance(result, NoSuchTurn):
-            self._ends.refuse(exchange, NOT_FOUND, "no_such_turn", turn=result.turn_id)
+            self._ends.refuse(exchange, NOT_FOUND, "no_such_turn", turn=exchange.call.previous_turn)
         else:
             exchange.reserved = exchange.call.budget is not None
             self._ends.refuse(
@@ -140,7 +147,7 @@
     def _add_history(self, exchange: Exchange, granted: Granted) -> None:
         for turn in granted.turns:
             self._turns.put(turn)
-        missing_from = self._turns.missing_from(exchange.call.previous_turn)
+        missing_from = self._turns.missing_from(exchange.names.previous_turn)
         if not missing_from:
             self._go_on(exchange)
         elif exchange.history is HistorySource.LEADER and not exchange.asked_for_texts:
@@ -154,10 +161,10 @@
             )
 
     def _go_on(self, exchange: Exchange) -> None:
-        previous = exchange.call.previous_turn
+        previous = exchange.names.previous_turn
         history = self._turns.history(previous)
         assert history is not None  # the callers saw that no turn of the chain is missing
         if previous:
-            self._turns.note_latest(exchange.call.session, previous)
+            self._turns.note_latest(exchange.names.session, previous)
         exchange.body = history + exchange.arrived.body
         self._granted(exchange)
--- a/src/yokeline/forwarding/settlements.py
+++ b/src/yokeline/forwarding/settlements.py
@@ -10,7 +10,7 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.turn_operations import kept_turn_of, needs_ledger, settlement_of
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.messages import KeptTurn, OperationResult, TurnServed
+from yokeline.ledger.messages import KeptTurn, OperationResult, Reserve, TurnServed
 
 SETTLE_SECONDS = 5.0
 """How long a settlement is repeated; what is never settled counts at its most."""
@@ -63,7 +63,7 @@
         if exchange.operation is None:
             return
         self._ledger.forget(exchange.operation)
-        if exchange.call.budget is not None:
+        if isinstance(exchange.operation, Reserve) and exchange.call.budget is not None:
             exchange.reserved = True
             self.settle(exchange, 0)
 
@@ -76,7 +76,7 @@
     def tell_of_begin(self, exchange: Exchange, engine: EngineState) -> None:
         """Tell the ledger's leader, which knows the turns of all nodes, where a turn runs."""
         if needs_ledger(exchange):
-            self._ledger.turns.begin(exchange.call.request_id, engine.engine.engine_id)
+            self._ledger.turns.begin(exchange.names.turn, engine.engine.engine_id)
 
     def tell_of_end(
         self, exchange: Exchange, engine: EngineState, *, failed: bool, slowness: float
@@ -84,7 +84,7 @@
         """Tell it that a turn left its engine, and how it was served."""
         if needs_ledger(exchange):
             served = TurnServed(engine.engine.engine_id, failed, round(slowness, 3))
-            self._ledger.turns.end(exchange.call.request_id, served)
+            self._ledger.turns.end(exchange.names.turn, served)
 
     def _ask(self, effects: list[Effect]) -> None:
         self._state.outcomes.effects.extend(effects)
--- a/src/yokeline/forwarding/streams.py
+++ b/src/yokeline/forwarding/streams.py
@@ -114,7 +114,7 @@
             self._ends.fail(exchange, "turn_not_kept")
             return
         self._turns.put(kept_turn_of(exchange))
-        self._turns.note_latest(exchange.call.session, exchange.call.request_id)
+        self._turns.note_latest(exchange.names.session, exchange.names.turn)
         self._ends.finish_stream(exchange)
 
     def _note_prediction(self, exchange: Exchange) -> None:
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -17,25 +17,26 @@
 
 def reservation_of(exchange: Exchange, missing_from: str) -> Reserve:
     """Return the reservation of a turn's most tokens; see :class:`Reserve`."""
-    call = exchange.call
+    call, names = exchange.call, exchange.names
     return Reserve(
-        request_id=call.request_id,
+        request_id=names.turn,
         program=_charged_program(exchange),
-        session=call.session,
+        session=names.session,
         budget=call.budget or 0,
         tokens=call.most_tokens,
         retention=exchange.route.retention,
-        previous=call.previous_turn,
+        previous=names.previous_turn,
         missing_from=missing_from,
+        limit=exchange.limit,
     )
 
 
 def settlement_of(exchange: Exchange, tokens: int, turn: KeptTurn | None) -> Settle:
     """Return what replaces the reservation: the tokens handed to the caller."""
     return Settle(
-        request_id=exchange.call.request_id,
+        request_id=exchange.names.turn,
         program=_charged_program(exchange),
-        session=exchange.call.session,
+        session=exchange.names.session,
         tokens=tokens,
         turn=turn,
         context=_context_of(exchange, tokens),
@@ -45,8 +46,8 @@
 def kept_turn_of(exchange: Exchange) -> KeptTurn:
     """Return a turn that was generated whole, as it is kept."""
     return KeptTurn(
-        turn_id=exchange.call.request_id,
-        previous=exchange.call.previous_turn,
+        turn_id=exchange.names.turn,
+        previous=exchange.names.previous_turn,
         text=exchange.arrived.body + b"".join(exchange.text),
         retention=exchange.route.retention,
     )
@@ -61,4 +62,4 @@
 
 
 def _charged_program(exchange: Exchange) -> str:
-    return exchange.call.program if exchange.call.budget is not None else ""
+    return exchange.names.program if exchange.call.budget is not None else ""
--- a/src/yokeline/forwarding/waiting.py
+++ b/src/yokeline/forwarding/waiting.py
@@ -19,14 +19,15 @@
 
     A stream that broke off comes first, since its caller is already reading; then programs
     that can still end in time; then those that have begun, so that what was spent on them is
-    not lost; then the operator's priority; then the one that should be over first.
+    not lost; then the operator's priority (a tenant's before its route's); then the one that
+    should be over first.
     """
     interrupted = 0 if exchange.events else 1
     finish = exchange.call.finish
     late = 0 if finish is None or finish > 0 else 1
     new_program = 0 if exchange.begun else 1
     over_at = exchange.started + (finish or 0.0)
-    return (interrupted, late, new_program, exchange.route.priority, over_at)
+    return (interrupted, late, new_program, exchange.priority, over_at)
 
 
 class WaitingRequests:
--- a/src/yokeline/platform/documents.py
+++ b/src/yokeline/platform/documents.py
@@ -17,10 +17,22 @@
     RouteKind,
     RoutingTable,
 )
+from yokeline.forwarding.tenants import (
+    Credential,
+    KeyHolder,
+    Tenant,
+    TenantDirectory,
+    credential_of,
+)
 from yokeline.registry.formats import RetireOrder
 
+CONFIGURATION_KEY = "op/config"
+"""Key of the newest configuration in the store."""
 _MILLISECONDS = 1000.0
 _DRAINING = "draining"
+_TENANTS = "tenants"
+_API_KEYS = "api-keys"
+_KEY_DIGESTS = "key-digests"
 
 
 class _Document(msgspec.Struct, kw_only=True, rename="kebab"):
@@ -47,6 +59,7 @@
     retention_s: float = 60.0
     sticky: bool = False
     resumable: bool = False
+    public: bool = False
 
 
 class _Traits(_Document):
@@ -68,11 +81,23 @@
     idle_timeout_ms: float = 15000.0
 
 
+class _Tenant(_Document):
+    """A tenant; ``key_digests`` stands in place of ``api_keys`` once a node has read them."""
+
+    name: str
+    api_keys: list[str] = []
+    key_digests: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Configuration(_Document):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 class _Engine(_Document):
@@ -90,7 +115,7 @@
 class PlatformDocuments:
     """Keys and documents, as :class:`yokeline.registry.formats.DeploymentFormats`."""
 
-    configuration_key = "op/config"
+    configuration_key = CONFIGURATION_KEY
     engine_prefix = "servers/"
     retire_prefix = "op/retire/"
 
@@ -133,6 +158,25 @@
         return f"status/retire/{node}", msgspec.json.encode({"state": state})
 
 
+def without_keys(value: bytes) -> bytes:
+    """Return a configuration with digests in place of its tenants' keys.
+
+    Nodes pass the configuration to each other, and keep it; neither is to hold a key. A document
+    that cannot be read holds nothing that is of use, and becomes an empty one.
+    """
+    try:
+        document = msgspec.json.decode(value)
+        tenants = document.get(_TENANTS) if isinstance(document, dict) else None
+        if not tenants:
+            return value
+        for tenant in tenants:
+            keys = tenant.pop(_API_KEYS, [])
+            tenant.setdefault(_KEY_DIGESTS, [credential_of(key).hex() for key in keys])
+    except (msgspec.DecodeError, AttributeError, TypeError):
+        return b"{}"
+    return msgspec.json.encode(document)
+
+
 def address_of(text: str) -> Address:
     """Return the address in ``IP:PORT``.
 
@@ -155,6 +199,31 @@
             header_seconds=limits.header_timeout_ms / _MILLISECONDS,
             idle_seconds=limits.idle_timeout_ms / _MILLISECONDS,
         ),
+        tenants=_directory(document.tenants) if document.tenants else None,
+    )
+
+
+def _directory(tenants: list[_Tenant]) -> TenantDirectory:
+    return TenantDirectory(
+        tuple(
+            KeyHolder(credential, _tenant(tenant))
+            for tenant in tenants
+            for credential in _credentials(tenant)
+        )
+    )
+
+
+def _credentials(tenant: _Tenant) -> list[Credential]:
+    read = [credential_of(key) for key in tenant.api_keys]
+    return read + [Credential(bytes.fromhex(digest)) for digest in tenant.key_digests]
+
+
+def _tenant(tenant: _Tenant) -> Tenant:
+    return Tenant(
+        name=tenant.name,
+        priority=tenant.priority,
+        rate=tenant.rate_per_s,
+        burst=tenant.burst,
     )
 
 
@@ -174,6 +243,7 @@
         retention=route.retention_s,
         sticky=route.sticky,
         resumable=route.resumable,
+        public=route.public,
     )
 
 
--- a/src/yokeline/platform/store.py
+++ b/src/yokeline/platform/store.py
@@ -9,7 +9,9 @@
 
 from yokeline.effects import Address, HttpRequest, HttpResponse
 from yokeline.identifiers import RequestId
+from yokeline.platform.documents import CONFIGURATION_KEY, without_keys
 from yokeline.registry.protocol import (
+    FoundItem,
     HistoryLost,
     Page,
     RegistryAnswer,
@@ -54,6 +56,9 @@
     rev: int
 
 
+_ITEM_KEY = "private-key"
+
+
 class KeyValueStore:
     """Spells the calls of :class:`yokeline.registry.protocol.StoreProtocol`."""
 
@@ -72,6 +77,11 @@
             path += "&stale=1"
         return self._get(request, path, _CALL_SECONDS)
 
+    def read_call(self, request: RequestId, key: str) -> HttpRequest:
+        """Read one item, linearizable: its answer is of a moment after this call was sent."""
+        path = f"/-/kv-key?private-key={quote(key, safe='/')}"
+        return self._get(request, path, _CALL_SECONDS)
+
     def watch_call(
         self, request: RequestId, prefix: str, revision: int, wait: float
     ) -> HttpRequest:
@@ -134,9 +144,13 @@
     if "events" in fields:
         events = msgspec.convert(fields, _Events)
         return WatchEvents(tuple(_stored(item) for item in events.events), events.at)
+    if _ITEM_KEY in fields:
+        return FoundItem(_stored(msgspec.convert(fields, _Item)))
     return Written(msgspec.convert(fields, _Revision).rev)
 
 
 def _stored(item: _Item) -> StoredItem:
     value = None if item.gone else base64.b64decode(item.value)
+    if value is not None and item.key == CONFIGURATION_KEY:
+        value = without_keys(value)
     return StoredItem(item.key, value, item.rev)
--- a/src/yokeline/registry/protocol.py
+++ b/src/yokeline/registry/protocol.py
@@ -41,6 +41,12 @@
     """The changes after the revision asked for are not known any more: list again."""
 
 
+class FoundItem(msgspec.Struct, frozen=True):
+    """An item as it stood at some moment after it was asked for."""
+
+    item: StoredItem
+
+
 class Written(msgspec.Struct, frozen=True):
     """A write took effect."""
 
@@ -54,7 +60,7 @@
     items: tuple[StoredItem, ...]
 
 
-RegistryAnswer = Page | WatchEvents | HistoryLost | Written | StoreRefused
+RegistryAnswer = Page | WatchEvents | FoundItem | HistoryLost | Written | StoreRefused
 
 
 class StoreProtocol(Protocol):
@@ -69,6 +75,10 @@
         """
         ...
 
+    def read_call(self, request: RequestId, key: str) -> HttpRequest:
+        """Return the call that reads one item, and never an older state than when it is sent."""
+        ...
+
     def watch_call(
         self, request: RequestId, prefix: str, revision: int, wait: float
     ) -> HttpRequest:
--- a/src/yokeline/role_settings.py
+++ b/src/yokeline/role_settings.py
@@ -30,6 +30,8 @@
         engine_drain_ms: Milliseconds for which an engine that leaves serves on.
         max_descriptors: File descriptors that the process may use.
         link_mbps: Megabits a second that the machine's link bears; 0 if not known.
+        revoke_ms: Milliseconds after which a key that was taken away may not count on any machine,
+            whether or not it reaches the others; 0 for no such bound.
         log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -47,6 +49,7 @@
     engine_drain_ms: float = 2000.0
     max_descriptors: int = 4096
     link_mbps: float = 0.0
+    revoke_ms: float = 0.0
     log_level: str = "info"
 
     @property
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -117,6 +117,7 @@
     from yokeline.forwarding.edge_node import EdgeNode
     from yokeline.forwarding.engines import EngineBook
     from yokeline.forwarding.forwarder import Forwarder
+    from yokeline.forwarding.freshness import ConfigurationFreshness
     from yokeline.forwarding.metrics import edge_figures
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
@@ -128,15 +129,11 @@
     if isinstance(ready, Failure):
         return ready
     source = random.Random(secrets.randbits(SEED_BITS))
-    registry = _registry(
-        settings,
-        adapter,
-        ("",),
-        source,
-    )
-    if isinstance(registry, Failure):
-        return registry
-    registry.unwrap().set_pace(WATCH_SECONDS, _EDGE_WATCH_PAUSE_SECONDS)
+    store = parse_address(settings.store, "store").map(adapter.store)
+    if isinstance(store, Failure):
+        return store
+    registry = RegistryClient(store.unwrap(), ("",), source)
+    registry.set_pace(WATCH_SECONDS, _EDGE_WATCH_PAUSE_SECONDS)
     now = time.monotonic()
     record = NodeRecord(
         name=settings.name,
@@ -155,17 +152,25 @@
         histories=histories,
         engines=engines,
     )
+    freshness = ConfigurationFreshness(
+        store.unwrap(),
+        adapter.formats.configuration_key,
+        settings.peer_address,
+        settings.revoke_ms / 1000.0,
+        now,
+    )
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
     node = EdgeNode(
         record=record,
         process=process,
-        registry=registry.unwrap(),
+        registry=registry,
         formats=adapter.formats,
         forwarder=forwarder,
         engines=engines,
         ledger=ledger,
         histories=histories,
+        freshness=freshness,
         grace_seconds=settings.grace_seconds,
         engine_drain_seconds=settings.engine_drain_ms / 1000.0,
         phases=StartPhases(start.began_at),
@@ -209,16 +214,12 @@
     cut = _cut_tail(folder / LOG_FILE, log.valid_bytes, len(data.unwrap()))
     if isinstance(cut, Failure):
         return cut
-    registry = _registry(
-        settings,
-        adapter,
-        (adapter.formats.retire_prefix, OWN_PREFIX),
-        source,
-        _STORAGE_WATCH_SECONDS,
-    )
-    if isinstance(registry, Failure):
-        return registry
-    registry.unwrap().set_pace(_STORAGE_WATCH_SECONDS, _STORAGE_WATCH_PAUSE_SECONDS)
+    store = parse_address(settings.store, "store").map(adapter.store)
+    if isinstance(store, Failure):
+        return store
+    prefixes = (adapter.formats.retire_prefix, OWN_PREFIX)
+    registry = RegistryClient(store.unwrap(), prefixes, source, _STORAGE_WATCH_SECONDS)
+    registry.set_pace(_STORAGE_WATCH_SECONDS, _STORAGE_WATCH_PAUSE_SECONDS)
     now = time.monotonic()
     replica_id = log.replica or new_replica_id(settings.name, source)
     replica = LedgerReplica(
@@ -240,7 +241,7 @@
     node = StorageNode(
         record=record,
         replica=replica,
-        registry=registry.unwrap(),
+        registry=registry,
         formats=adapter.formats,
         wall=time.time,
         phases=StartPhases(start.began_at),
@@ -267,18 +268,6 @@
     return figures
 
 
-def _registry(
-    settings: RoleSettings,
-    adapter: Adapter,
-    prefixes: tuple[str, ...],
-    source: random.Random,
-    wait_seconds: float = WATCH_SECONDS,
-) -> Result[RegistryClient, YokelineError]:
-    return parse_address(settings.store, "store").map(
-        lambda address: RegistryClient(adapter.store(address), prefixes, source, wait_seconds)
-    )
-
-
 def _with_metrics(
     services: BoundServices, status: StatusService, settings: RoleSettings
 ) -> BoundServices:
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -135,7 +135,7 @@
             "host": HOST,
             "x-yokeline-request-id": request_id,
             "x-yokeline-deadline-ms": "3000",
-            **{f"x-yokeline-{name.replace('_', '-')}": value for name, value in headers.items()},
+            **{_field_name(name): value for name, value in headers.items()},
         }
         event = HttpArrived(
             exchange=ExchangeId(request_id),
@@ -275,3 +275,7 @@
     def engine_of(self, index: int = -1) -> str:
         """Return the engine that a request was sent to."""
         return dict(self.sent[index].header_items)["x-yokeline-expect-instance"]
+
+
+def _field_name(name: str) -> str:
+    return name if name == "authorization" else f"x-yokeline-{name.replace('_', '-')}"
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -24,6 +24,7 @@
     Tick,
 )
 from yokeline.forwarding.edge_node import EdgeNode
+from yokeline.forwarding.freshness import ConfigurationFreshness
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
 from yokeline.ledger.messages import (
     Granted,
@@ -45,6 +46,7 @@
     """A node whose time and events are played by the test."""
 
     prefixes: tuple[str, ...] = ()
+    revoke_seconds = 0.0
 
     def setUp(self) -> None:
         self.played = Played()
@@ -65,6 +67,13 @@
             engines=self.played.engines,
             ledger=self.played.ledger,
             histories=self.played.histories,
+            freshness=ConfigurationFreshness(
+                self.store,
+                PlatformDocuments.configuration_key,
+                record.address,
+                self.revoke_seconds,
+                self.now,
+            ),
             grace_seconds=GRACE_SECONDS,
             engine_drain_seconds=2.0,
             phases=StartPhases(self.now),
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -7,7 +7,7 @@
 from tests.unit.forwarding.support import TABLE, Played
 from yokeline.effects import HttpStreamStart
 from yokeline.forwarding.held_requests import HOLD_SECONDS, MAX_HELD, MAX_HELD_BYTES
-from yokeline.forwarding.reservations import LEDGER_SECONDS
+from yokeline.forwarding.limits import LEDGER_SECONDS
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import (
     BudgetSpent,
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -40,6 +40,9 @@
         self.lagging.append(may_lag)
         return self._call(request, f"list {prefix} {after_key}".strip())
 
+    def read_call(self, request: RequestId, key: str) -> HttpRequest:
+        return self._call(request, f"read {key}")
+
     def watch_call(
         self, request: RequestId, prefix: str, revision: int, wait: float
     ) -> HttpRequest:
