Soak: tenants, forged fields, stolen turns, keys that are taken away, a limited tenant

Callers of four tenants forge fields in half of their requests and continue other tenants' turns; an operator takes keys away. Engines check tenant, key and forged fields of all that they run; nothing runs that was sent 5 s after its key went; no window exceeds a limit; no log shows a key.

--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -13,6 +13,8 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
 from tests.processes.child import ROOT
@@ -29,6 +31,36 @@
 WORDS = "".join(f"word{number}\n" for number in range(1, 6)).encode()
 
 
+REVOKE_SECONDS = 5.0
+"""Bound for keys that are taken away, in the settings of all forwarding nodes."""
+
+
+@dataclass
+class TenantKeys:
+    """A tenant of a deployment: its keys, and its limit if it has one.
+
+    Attributes:
+        keys: What its callers use.
+        in_force: The keys in the configuration, if they are not the same.
+    """
+
+    name: str
+    keys: list[str]
+    rate: float = 0.0
+    burst: float = 0.0
+    in_force: list[str] | None = None
+
+    def document(self) -> dict[str, object]:
+        """Return what the configuration says of it."""
+        return {
+            "name": self.name,
+            "api-keys": self.keys if self.in_force is None else self.in_force,
+            "priority": 0,
+            "rate-per-s": self.rate,
+            "burst": self.burst,
+        }
+
+
 class RoleProcess:
     """A role; it may be killed and started again with its settings and its disk."""
 
@@ -93,11 +125,22 @@
 
 
 class Deployment:
-    """Storage nodes, edges, model engines and apps."""
+    """Storage nodes, edges, model engines and apps.
+
+    Attributes:
+        tenants: Whose keys the configuration holds; without any no key is asked for.
+    """
 
     def __init__(
-        self, *, storage_nodes: int = 3, edges: int = 2, models: int = 2, apps: int = 1
+        self,
+        *,
+        storage_nodes: int = 3,
+        edges: int = 2,
+        models: int = 2,
+        apps: int = 1,
+        tenants: Sequence[TenantKeys] = (),
     ) -> None:
+        self.tenants = list(tenants)
         self._storage_nodes = storage_nodes
         self._models = models
         self._edge_nodes = edges
@@ -152,6 +195,11 @@
         for path in Path(self._folder.name).glob("*.log"):
             shutil.copy(path, folder / path.name)
 
+    def logs(self) -> dict[str, str]:
+        """Return the logs of all processes by name."""
+        paths = Path(self._folder.name).glob("*.log")
+        return {path.stem: path.read_text(errors="replace") for path in paths}
+
     # ------------------------------------------------------------ operator
 
     def configure(self, version: int, *, fix_prefix: str = "/fix/") -> None:
@@ -175,7 +223,10 @@
             {"name": "models", "max-conns": 50, "engine": engine},
             {"name": "apps", "max-conns": 50},
         ]
-        self.store.put("op/config", {"version": version, "routes": routes, "services": services})
+        document: dict[str, object] = {"version": version, "routes": routes, "services": services}
+        if self.tenants:
+            document["tenants"] = [tenant.document() for tenant in self.tenants]
+        self.store.put("op/config", document)
 
     def forget_engine(self, engine: EngineStandIn) -> None:
         self.store.remove(f"servers/{engine.engine_id}")
@@ -186,7 +237,9 @@
 
     # ------------------------------------------------------------ callers
 
-    def ask(self, edge: int, path: str, request_id: str, **headers: str) -> tuple[int, bytes]:
+    def ask(
+        self, edge: int, path: str, request_id: str, *, key: str = "", **headers: str
+    ) -> tuple[int, bytes]:
         """Send a request; return status and body, raising if the answer is cut."""
         connection = http.client.HTTPConnection(HOST, self.fronts[edge], timeout=30)
         fields = {
@@ -195,6 +248,8 @@
             "X-Yokeline-Deadline-Ms": "5000",
             **{f"X-Yokeline-{name.replace('_', '-')}": value for name, value in headers.items()},
         }
+        if key:
+            fields["Authorization"] = f"Bearer {key}"
         try:
             connection.request("POST", path, body=f"input-{request_id}", headers=fields)
             response = connection.getresponse()
@@ -267,6 +322,7 @@
             f"peer_port = {next(self._ports)}",
             f'store = "{HOST}:{self._store_port}"',
             "grace_seconds = 6",
+            f"revoke_ms = {REVOKE_SECONDS * 1000}",
             "a_field_of_later = 1",
         ]
         if role == "edge":
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -65,6 +65,11 @@
             prefix = event.query.get("path-prefix", "")
             found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
             return [self._json(event, {"items": found, "more": False, "at": self.revision})]
+        if event.path == "/-/kv-key":
+            item = self.items.get(event.query["private-key"])
+            if item is None:
+                return [HttpReply(exchange=event.exchange, status=404)]
+            return [self._json(event, {**item, "at": self.revision})]
         if event.path == "/-/kv-watch":
             wait = float(event.query["wait-ms"]) / 1000
             prefix = event.query.get("path-prefix", "")
@@ -118,6 +123,20 @@
         return HttpReply(exchange=event.exchange, status=status, headers=JSON, body=raw)
 
 
+@dataclass(frozen=True)
+class SeenRequest:
+    """A request as an engine got it when it began to run it.
+
+    Attributes:
+        at: By the engine's own clock (monotonic seconds).
+        fields: Header fields; repeated ones are joined.
+    """
+
+    request_id: str
+    at: float
+    fields: dict[str, str]
+
+
 @dataclass
 class Span:
     """When an engine ran a request, by the engine's own clock.
@@ -138,6 +157,7 @@
     Attributes:
         runs: Requests that it ran: id, body, and after which event it began.
         spans: The same with their times.
+        seen: The same with their header fields.
         break_after: Break the next stream off after that many events.
         breaks: How many streams are broken off one after the other.
     """
@@ -148,6 +168,7 @@
         self.runs: list[tuple[str, bytes, int]] = []
         self.run_times: dict[str, float] = {}
         self.spans: list[Span] = []
+        self.seen: list[SeenRequest] = []
         self.break_after: int | None = None
         self.breaks = 1
         self.event_seconds = EVENT_SECONDS
@@ -179,6 +200,7 @@
         after = int(event.headers.get("last-event-id", "0"))
         self.runs.append((request_id, event.body, after))
         self.run_times[request_id] = now
+        self.seen.append(SeenRequest(request_id, now, dict(event.headers)))
         span = Span(self.engine_id, request_id, now)
         self.spans.append(span)
         if "x-yokeline-token-usage" not in event.headers:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,7 @@
 from tests.soak.faults import Injector, SharedFaults
 from tests.soak.proxy import Proxy
 from tests.soak.records import MOST_TOKENS, OK, Asked, Records, violations
+from tests.soak.tenants import KeyOperator, soak_tenants, tenant_violations
 
 CALLERS_PER_EDGE = 3
 LANES = 2
@@ -80,7 +81,11 @@
         """Prepare; the proxies are named by what lies behind them."""
         # An engine has four places and an edge three callers: without faults none is refused.
         super().__init__(
-            storage_nodes=storage_nodes, edges=edges, models=max(MODELS, edges), apps=APPS
+            storage_nodes=storage_nodes,
+            edges=edges,
+            models=max(MODELS, edges),
+            apps=APPS,
+            tenants=soak_tenants(),
         )
         self.proxies: dict[str, Proxy] = {}
 
@@ -102,27 +107,44 @@
     with deployment:
         shared = SharedFaults(deployment, deployment.proxies)
         injectors = [Injector(shared, f"{plan.seed}/{lane}") for lane in range(plan.lanes)]
+        tenants = deployment.tenants
         callers = [
-            Caller(f"c{number}", deployment, records, plan.seed)
+            Caller(f"c{number}", deployment, records, plan.seed, tenants[number % len(tenants)])
             for number in range(CALLERS_PER_EDGE * plan.edges)
         ]
+        operator = KeyOperator(deployment, shared, plan.seed)
         # Callers come to machines that run; a ledger that is being founded is another test's.
         wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
         for caller in callers:
             caller.start()
+        operator.start()
         _inject(injectors, plan.seconds)
+        operator.stop()
         broken = _not_served(deployment, records)
         time.sleep(CALM_SECONDS)
         for caller in callers:
             caller.stop()
         time.sleep(CALM_SECONDS)
-        broken.extend(violations(records.asked, [*deployment.models, *deployment.apps]))
+        engines = [*deployment.models, *deployment.apps]
+        broken.extend(violations(records.asked, engines))
+        seen = [request for engine in engines for request in engine.seen]
+        broken.extend(tenant_violations(records.asked, seen, operator.taken, tenants))
+        broken.extend(_keys_in_logs(deployment))
         if broken and plan.logs:
             deployment.keep_logs(Path(plan.logs) / str(plan.seed))
         deployment.close_proxies()
     return SoakResult(faults=shared.lines, outcomes=dict(records.outcomes()), broken=broken)
 
 
+def _keys_in_logs(deployment: Deployment) -> list[str]:
+    """Return the processes whose logs show a key."""
+    return [
+        f"the log of {name} shows a key"
+        for name, text in deployment.logs().items()
+        if "key-of-" in text
+    ]
+
+
 def _inject(injectors: list[Injector], seconds: float) -> None:
     """Let each injector bring faults about in a thread of its own, for a time."""
     end = time.monotonic() + seconds
@@ -227,10 +249,12 @@
         "token_budget": str(PROBE_BUDGET),
         "token_usage": f"100,{MOST_TOKENS}",
     }
+    probing = deployment.tenants[0]
+    sent_at = time.monotonic()
     status: int | None = None
     body = b""
     try:
-        status, body = deployment.ask(edge, PROBED_PATH, name, **fields)
+        status, body = deployment.ask(edge, PROBED_PATH, name, key=probing.keys[0], **fields)
     finally:
         asked = Asked(
             request_id=name,
@@ -240,6 +264,9 @@
             is_whole=status is not None,
             program=name,
             budget=PROBE_BUDGET,
+            tenant=probing.name,
+            key=probing.keys[0],
+            sent_at=sent_at,
         )
         records.add(asked)
     return status
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,23 +5,34 @@
 import http.client
 import random
 import threading
+import time
 
-from tests.processes.platform.deployment import Deployment
+from tests.processes.platform.deployment import Deployment, TenantKeys
 from tests.soak.records import MOST_TOKENS, OK, STREAM, Asked, Records
+from tests.soak.tenants import FORGED_FIELDS
 
 BUDGET = 200
 TURNS_PER_PROGRAM = 6
 PAUSE_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 0.4
 ANSWER_SECONDS = 8
+FORGED_SHARE = 0.5
+"""Share of requests with fields that callers are not to set."""
+THEFT_SHARE = 0.3
+"""Share of lines of turns after which a caller names a turn of another tenant."""
 
 
 class Caller:
     """One thread that asks until it is told to stop."""
 
-    def __init__(self, name: str, deployment: Deployment, records: Records, seed: int) -> None:
-        """Prepare; ``seed`` decides what is asked."""
+    def __init__(
+        self, name: str, deployment: Deployment, records: Records, seed: int, tenant: TenantKeys
+    ) -> None:
+        """Prepare; ``seed`` decides what is asked, with the keys of ``tenant``."""
         self._name = name
+        self._tenant = tenant
+        # Apart from the choice of what is asked, so that earlier seeds ask as they did.
+        self._forger = random.Random(f"{seed}/{name}/forged")
         self._deployment = deployment
         self._records = records
         self._random = random.Random(f"{seed}/{name}")
@@ -74,6 +85,18 @@
             asked = self._ask("/kept/x", fields, program, previous)
             if asked.status == OK and asked.is_whole and asked.body == STREAM:
                 previous = asked.request_id
+                self._records.note_kept(asked)
+        if self._forger.random() < THEFT_SHARE:
+            self._continue_foreign_turn()
+
+    def _continue_foreign_turn(self) -> None:
+        """Name a turn of another tenant as the one that is continued; it must not be found."""
+        foreign = self._records.kept_of_others(self._tenant.name)
+        if foreign:
+            stolen = self._forger.choice(foreign)
+            fields = self._turn_fields(stolen.program)
+            fields["X-Yokeline-Previous-Turn"] = stolen.request_id
+            self._ask("/kept/x", fields, stolen.program, stolen.request_id, is_theft=True)
 
     def _turn_fields(self, program: str) -> dict[str, str]:
         return {
@@ -84,12 +107,23 @@
         }
 
     def _ask(
-        self, path: str, fields: dict[str, str], program: str = "", previous: str = ""
+        self,
+        path: str,
+        fields: dict[str, str],
+        program: str = "",
+        previous: str = "",
+        *,
+        is_theft: bool = False,
     ) -> Asked:
         self._count += 1
         request_id = f"{self._name}-{self._count}"
         edge = self._random.randrange(len(self._deployment.fronts))
-        status, body, is_whole = self._exchange(edge, path, request_id, fields)
+        key = self._forger.choice(self._tenant.keys)
+        forged = FORGED_FIELDS if self._forger.random() < FORGED_SHARE else {}
+        sent_at = time.monotonic()
+        status, body, is_whole = self._exchange(
+            edge, path, request_id, {**forged, **fields, "Authorization": f"Bearer {key}"}
+        )
         asked = Asked(
             request_id=request_id,
             path=path,
@@ -99,6 +133,10 @@
             program=program,
             budget=BUDGET,
             previous=previous,
+            tenant=self._tenant.name,
+            key=key,
+            sent_at=sent_at,
+            is_theft=is_theft,
         )
         self._records.add(asked)
         longest = PAUSE_SECONDS if status == OK else LONGEST_PAUSE_SECONDS
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -30,6 +30,9 @@
         is_whole: The answer came to its end.
         program: Empty for a call without one.
         previous: The turn that it continued.
+        tenant: Whose key it carried; empty without tenants.
+        sent_at: When its caller sent it (monotonic seconds).
+        is_theft: The turn that it continues is another tenant's.
     """
 
     request_id: str
@@ -40,6 +43,10 @@
     program: str = ""
     budget: int = 0
     previous: str = ""
+    tenant: str = ""
+    key: str = ""
+    sent_at: float = 0.0
+    is_theft: bool = False
 
 
 class Records:
@@ -49,6 +56,17 @@
         """Begin empty."""
         self._lock = threading.Lock()
         self.asked: list[Asked] = []
+        self._kept: list[Asked] = []
+
+    def note_kept(self, asked: Asked) -> None:
+        """Note a turn that may be continued."""
+        with self._lock:
+            self._kept.append(asked)
+
+    def kept_of_others(self, tenant: str) -> list[Asked]:
+        """Return turns that may be continued, but not by ``tenant``."""
+        with self._lock:
+            return [item for item in self._kept if item.tenant != tenant]
 
     def add(self, asked: Asked) -> None:
         """Note a request that is over."""
@@ -132,8 +150,9 @@
     budgets: dict[str, int] = {}
     for item in asked:
         if item.program and item.status == OK:
-            handed[item.program] += item.body.count(b"id: ") * TOKENS_PER_EVENT
-            budgets[item.program] = item.budget
+            owner = f"{item.tenant} {item.program}".strip()
+            handed[owner] += item.body.count(b"id: ") * TOKENS_PER_EVENT
+            budgets[owner] = item.budget
     return [
         f"program {program} was handed {tokens} tokens of {budgets[program]}"
         for program, tokens in handed.items()
@@ -148,10 +167,13 @@
         item = by_id.get(request_id)
         if item is None or not item.path.startswith("/kept/"):
             continue
+        if item.is_theft:
+            found.append(f"{request_id} continued {item.previous} of another tenant")
+            continue
         if body != chain_of(item.previous, by_id) + input_of(request_id):
             found.append(f"{request_id} ran with {body[:120]!r} after {item.previous}")
     for item in asked:
-        if item.previous and item.status == NOT_FOUND:
+        if item.previous and not item.is_theft and item.status == NOT_FOUND:
             found.append(f"{item.request_id} got 404 for the answered turn {item.previous}")
     return found
 
