Let tenants use most of what the operator tolerates beyond their limits

Hypothesis: with the burst alone as the bucket's depth, clumps of calls of small tenants are refused although the windows of the contract bear them. Ruled out: the whole tolerance (a stream that runs again at a second engine counts twice).

--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -50,7 +50,7 @@
     UNAUTHORIZED,
     UNAVAILABLE,
 )
-from yokeline.forwarding.limits import TenantLimits, limit_of
+from yokeline.forwarding.limits import NO_TOLERANCE, LimitTolerance, TenantLimits, limit_of
 from yokeline.forwarding.model import Call, Route, RouteKind, RoutingTable
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcomes import Outcomes
@@ -91,12 +91,14 @@
         ledger: LedgerClient,
         histories: HistoryFetches,
         engines: EngineBook,
+        tolerance: LimitTolerance = NO_TOLERANCE,
     ) -> None:
-        """Serve in a zone."""
+        """Serve in a zone; ``tolerance`` is what tenants may use beyond their limits."""
         self.refusing = False
         self.currency: Callable[[float], Currency] = _always_current
         self.proof_age: Callable[[float], float] = _just_proved
         self._dialect = dialect
+        self._tolerance = tolerance
         self._outcomes = Outcomes(dialect)
         self._state = NodeState(zone, engines, self._outcomes)
         self._held = HeldRequests()
@@ -330,7 +332,7 @@
             names=admitted.names,
             tenant=admitted.tenant,
             shows_credential=admitted.shows_credential,
-            limit=limit_of(admitted.tenant, self._outcomes.configuration),
+            limit=limit_of(admitted.tenant, self._outcomes.configuration, self._tolerance),
             pool=self._split.pool_of(route, call),
             body=event.body,
             last_event_id=call.last_event_id,
--- a/src/yokeline/forwarding/limits.py
+++ b/src/yokeline/forwarding/limits.py
@@ -9,6 +9,8 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+import msgspec
+
 from yokeline.effects import Effect
 from yokeline.forwarding.ends import Ends
 from yokeline.forwarding.exchange import Exchange, Phase
@@ -23,16 +25,47 @@
 takes under a second (elections of 0.3 s, and a search for the new one)."""
 LEDGER_RETRY_AFTER_SECONDS = 0.2
 """Time after which a caller is to come back when the ledger does not answer."""
+USED_TOLERANCE = 0.8
+"""Share of the tolerance that is used. The rest is for streams that run once more at another engine
+after their first one broke off, which count again: under 1 in 100 requests on days of crashes."""
 QUOTA_SPENT = "quota_spent"
 MAX_TENANTS = 4096
 """Tenants of which it is remembered that they have used their limit; the oldest gives way."""
 
 
-def limit_of(tenant: Tenant | None, version: int) -> RateLimit | None:
+class LimitTolerance(msgspec.Struct, frozen=True, kw_only=True):
+    """How far beyond its limit a tenant may go in any span of time, as the operator states it.
+
+    Attributes:
+        window: Length of the span (seconds).
+        overage: Share of what the limit gives in it.
+        slack: Requests on top of that.
+    """
+
+    window: float = 0.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+    def depth(self, tenant: Tenant) -> float:
+        """Return how many requests of a tenant may come at once after a rest.
+
+        In any window no more run than the rate gives and this depth. With the burst alone, 491
+        of 13,269 requests of a calm day were refused (75 tenants, most of them with 6 to 10
+        requests a second), nearly all in spans that are within the tolerance: programs send
+        their calls in clumps, and a small tenant has few programs.
+        """
+        within_limit = tenant.rate * self.window + tenant.burst
+        return tenant.burst + USED_TOLERANCE * (self.overage * within_limit + self.slack)
+
+
+NO_TOLERANCE = LimitTolerance()
+
+
+def limit_of(tenant: Tenant | None, version: int, tolerance: LimitTolerance) -> RateLimit | None:
     """Return the limit of a tenant in a version of the configuration; None if it has none."""
     if tenant is None or not tenant.is_limited:
         return None
-    return RateLimit(tenant.name, tenant.rate, tenant.burst, version)
+    return RateLimit(tenant.name, tenant.rate, tolerance.depth(tenant), version)
 
 
 class TenantLimits:
--- a/src/yokeline/role_settings.py
+++ b/src/yokeline/role_settings.py
@@ -32,6 +32,9 @@
         link_mbps: Megabits a second that the machine's link bears; 0 if not known.
         revoke_ms: Milliseconds after which a key that was taken away may not count on any machine,
             whether or not it reaches the others; 0 for no such bound.
+        limit_window_seconds: Span of time for which the next two hold.
+        limit_overage: Share of a tenant's limit that it may go beyond it in any such span.
+        limit_slack: Requests on top of that.
         log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -50,6 +53,9 @@
     max_descriptors: int = 4096
     link_mbps: float = 0.0
     revoke_ms: float = 0.0
+    limit_window_seconds: float = 0.0
+    limit_overage: float = 0.0
+    limit_slack: float = 0.0
     log_level: str = "info"
 
     @property
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -118,6 +118,7 @@
     from yokeline.forwarding.engines import EngineBook
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.freshness import ConfigurationFreshness
+    from yokeline.forwarding.limits import LimitTolerance
     from yokeline.forwarding.metrics import edge_figures
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
@@ -151,6 +152,11 @@
         ledger=ledger,
         histories=histories,
         engines=engines,
+        tolerance=LimitTolerance(
+            window=settings.limit_window_seconds,
+            overage=settings.limit_overage,
+            slack=settings.limit_slack,
+        ),
     )
     freshness = ConfigurationFreshness(
         store.unwrap(),
--- a/tests/unit/forwarding/test_tenants.py
+++ b/tests/unit/forwarding/test_tenants.py
@@ -6,6 +6,7 @@
 
 from tests.unit.forwarding.support import TABLE, Played, route
 from yokeline.forwarding.freshness import Currency
+from yokeline.forwarding.limits import LimitTolerance
 from yokeline.forwarding.model import RouteKind, RoutingTable
 from yokeline.forwarding.tenants import KeyHolder, Tenant, TenantDirectory, credential_of, scoped
 from yokeline.ledger.messages import Draw, Drawn, Granted, QuotaSpent, Reserve
@@ -170,6 +171,17 @@
         self.played.ledger_answers(Drawn())
         self.assertEqual(len(self.played.sent), 1)
 
+    def test_what_the_operator_tolerates_makes_the_bucket_deeper_but_never_breaks_the_bound(
+        self,
+    ) -> None:
+        tolerance = LimitTolerance(window=5.0, overage=0.1, slack=20.0)
+        for rate, burst in ((6.0, 6.0), (30.0, 30.0), (163.0, 163.0), (1.0, 0.0)):
+            tenant = Tenant(name="t", rate=rate, burst=burst)
+            depth = tolerance.depth(tenant)
+            bound = (rate * 5.0 + burst) * 1.1 + 20.0
+            self.assertGreater(depth, burst + 10.0)
+            self.assertLess(rate * 5.0 + depth, bound)
+
     def test_a_turn_is_counted_with_its_reservation(self) -> None:
         self.played.turn(authorization="Bearer m1")
         reserve = self.played.operations()[-1]
