Let one node read the configuration's proof for all

Change: only the first that watches reads; the others ask one that watches at 0.45 of the lease, and those that watch read themselves once half of it is gone. Shares of the lease take the place of seconds, so that another bound for revocations fits.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -172,11 +172,14 @@
         return effects
 
     def _prove_configuration(self, now: float) -> list[Effect]:
-        if self.freshness.next_deadline() is None:
+        due = self.freshness.next_deadline()
+        if due is None or now < due:
             return []
+        watches = self._exchange.asks_service
         return self.freshness.tick(
             now,
-            watches=self._exchange.asks_service,
+            reads=watches and self._sharing.is_first_watcher(now),
+            watches=watches,
             peers=self._sharing.peers_that_watch(now),
         )
 
--- a/src/yokeline/forwarding/freshness.py
+++ b/src/yokeline/forwarding/freshness.py
@@ -6,10 +6,10 @@
 proved the configuration: what the service says is never older than the question. A clock that
 counts on while the process is frozen, and that nobody sets, measures it (``time.monotonic``).
 
-The nodes that watch the service read the configuration's item about once a second; the others ask
-one of them. Such a node answers with the age of its own proof when it answers, and the asker counts
-that age back from when it asked. So no clock is compared with another one, and a message that
-was long on its way only makes the proof older.
+The first of the nodes that watch the service reads the configuration's item about once a second;
+the others ask a node that watches. It answers with the age of its own proof, and the asker counts
+that age back from when it asked. So no clock is compared with another one, and a message that was
+long on its way only makes the proof older.
 """
 
 from __future__ import annotations
@@ -25,15 +25,14 @@
 LEASE_SHARE = 0.95
 """Share of the bound for a revocation that a proof counts for. The rest is for clocks that run at
 different rates: a twentieth is far more than any that works is off."""
-READ_SECONDS = 1.0
-"""Age of the proof at which a node that watches the service reads again. Each read is paid for;
-with a bound of 5 s a proof outlasts two reads in a row that are lost, and a node that asks such a
-one still has over half of the bound."""
-ASK_SECONDS = 1.2
-"""Age of the proof at which another node asks: those that read have a newer one by then."""
-REFUSED_SECONDS = 2.0
-"""Age of the proof at which a node that watches the service asks other nodes as well: the service
-may refuse this node alone."""
+READ_SHARE = 0.25
+"""Age of the proof, as a share of the lease, at which the node that reads for the others reads
+again. Each read is paid for; a proof outlasts two reads in a row that are lost."""
+ASK_SHARE = 0.45
+"""The same at which another node asks: the one that reads has a newer proof by then."""
+REFUSED_SHARE = 0.5
+"""The same at which the node that reads asks others as well, and those that watch the service read
+themselves: the service may refuse one node alone. Half of the lease is left for that."""
 REPEAT_SECONDS = 0.25
 """Pause before the next node is asked, or the service once more: over ten ways to and fro."""
 SOON_SECONDS = 1.0
@@ -105,20 +104,30 @@
         """Return when :meth:`tick` is due; None if nothing is to be proved."""
         if not self._is_needed:
             return None
-        return max(self._next_try, self._proven_at + READ_SECONDS)
-
-    def tick(self, now: float, *, watches: bool, peers: list[PeerNode]) -> list[Effect]:
-        """Renew the proof if it is time, from the service or from one of ``peers``."""
+        return max(self._next_try, self._proven_at + READ_SHARE * self._lease)
+
+    def tick(
+        self, now: float, *, reads: bool, watches: bool, peers: list[PeerNode]
+    ) -> list[Effect]:
+        """Renew the proof if it is time.
+
+        Args:
+            now: Monotonic seconds.
+            reads: This node reads the service for the others.
+            watches: It watches the service, so it may read.
+            peers: Other nodes that the service answers.
+        """
         if not self._is_needed:
             return []
         effects = self._note_currency(now)
         if now < self._next_try:
             return effects
         self._next_try = now + REPEAT_SECONDS
-        age = self.age(now)
-        if (watches or not peers) and age >= READ_SECONDS and self._read is None:
+        aged = self.age(now) / self._lease
+        may_read = reads or not peers or (watches and aged >= REFUSED_SHARE)
+        if may_read and aged >= READ_SHARE and self._read is None:
             effects.append(self._read_service(now))
-        if peers and age >= (REFUSED_SECONDS if watches else ASK_SECONDS):
+        if peers and aged >= (REFUSED_SHARE if reads else ASK_SHARE):
             effects.append(self._ask(peers, now))
         return effects
 
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -160,6 +160,12 @@
         """Return whether another node says that it watches the key-value service."""
         return any(report.watches for report in self._engines.fresh_reports(now))
 
+    def is_first_watcher(self, now: float) -> bool:
+        """Return whether no node with an earlier name says that it watches the service."""
+        own = self._record.name
+        reports = self._engines.fresh_reports(now)
+        return not any(report.watches and report.node < own for report in reports)
+
     def peers_that_reach_ledger(self, now: float) -> list[PeerNode]:
         """Return the nodes that say so, those of this zone first."""
         reports = self._engines.fresh_reports(now)
