--- /dev/null
+++ b/tests/property/test_quotas.py
@@ -0,0 +1,147 @@
+"""In no window does a tenant get more than its rate and the depth of its bucket.
+
+Leaders of the ledger change at random, also while the old one goes on proposing; a new one has
+applied only a part of what it holds; processes stand still; each has a clock of its own beginning.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections.abc import Callable
+from unittest.mock import patch
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yokeline.ledger.messages import Draw, Drawn, RateLimit
+from yokeline.ledger.quotas import QuotaClock
+from yokeline.ledger.state import LedgerCommand, LedgerState
+
+WINDOW = 5.0
+STEPS = 600
+LONGEST_PAUSE = 0.4
+ROUNDING = 1e-6
+
+
+class _Leader:
+    """A replica that leads in a term, with the log that it began with."""
+
+    def __init__(self, term: int, log: list[LedgerCommand], applied: int, offset: float) -> None:
+        self.term = term
+        self.log = log
+        self.offset = offset
+        self.clock = QuotaClock()
+        self.state = LedgerState()
+        for command in log[:applied]:
+            self.state.transition_apply(command)
+        self.applied = applied
+
+    def apply(self, upto: int) -> None:
+        for command in self.log[self.applied : upto]:
+            self.state.transition_apply(command)
+        self.applied = upto
+
+
+class _World:
+    def __init__(self, seed: int, limit: RateLimit) -> None:
+        self.random = random.Random(seed)
+        self.limit = limit
+        self.now = 0.0
+        self.log: list[LedgerCommand] = []
+        self.proposed_at: list[float] = []
+        self.leader = self.elect(1)
+        self.old: list[_Leader] = []
+
+    def elect(self, term: int) -> _Leader:
+        applied = self.random.randint(max(0, len(self.log) - 5), len(self.log))
+        leader = _Leader(term, self.log, applied, self.random.uniform(0.0, 1e6))
+        self.passed(leader)  # asked something in its first moment, as a candidate is
+        return leader
+
+    def passed(self, leader: _Leader) -> float:
+        applied = leader.state.quotas.time
+        return leader.clock.time(leader.term, applied, self.now + leader.offset)
+
+    def step(self) -> None:
+        pause = self.random.expovariate(2 * self.limit.rate)
+        self.now += LONGEST_PAUSE * 10 if self.random.random() < 0.01 else min(LONGEST_PAUSE, pause)
+        if self.random.random() < 0.02:
+            self.old.append(self.leader)
+            self.leader = self.elect(self.leader.term + 1)
+        if self.old and self.random.random() < 0.2:
+            self.passed(self.random.choice(self.old))  # it proposes; nothing of it is committed
+        self.propose()
+
+    def propose(self) -> None:
+        """Commit a draw, and let the leader apply what came before, or not yet."""
+        operation = Draw(request_id=f"r{len(self.log)}", limit=self.limit)
+        passed = self.passed(self.leader)
+        self.log.append(LedgerCommand(time=0.0, operations=(operation,), passed=passed))
+        self.proposed_at.append(self.now)
+        self.leader.apply(self.random.randint(self.leader.applied, len(self.log)))
+
+    def granted_at(self) -> list[float]:
+        """Return when the draws were proposed that the log as a whole grants."""
+        state = LedgerState()
+        times = []
+        for command, at in zip(self.log, self.proposed_at, strict=True):
+            (result,) = state.transition_apply(command)
+            if result == Drawn():
+                times.append(at)
+        return times
+
+
+def worst_excess(seed: int, limit: RateLimit) -> float:
+    """Return by how much the worst window exceeds what the limit gives (negative: it does not)."""
+    world = _World(seed, limit)
+    for _ in range(STEPS):
+        world.step()
+    times = world.granted_at()
+    worst = -float("inf")
+    end = 0
+    for begin, first in enumerate(times):
+        while end < len(times) and times[end] <= first + WINDOW:
+            end += 1
+        worst = max(worst, end - begin - (limit.rate * WINDOW + limit.burst))
+    return worst
+
+
+LIMITS = st.builds(
+    RateLimit,
+    st.just("hule"),
+    st.sampled_from([1.0, 6.0, 30.0]),
+    st.sampled_from([1.0, 6.0, 30.0]),
+    st.just(1),
+)
+
+
+class Windows(unittest.TestCase):
+    @given(st.integers(0, 2**32), LIMITS)
+    def test_no_window_holds_more_than_the_limit_gives(self, seed: int, limit: RateLimit) -> None:
+        self.assertLessEqual(worst_excess(seed, limit), ROUNDING)
+
+    def test_a_tenant_gets_most_of_what_its_limit_gives(self) -> None:
+        world = _World(1, RateLimit("hule", 6.0, 6.0, 1))
+        for _ in range(STEPS):
+            world.step()
+        # Pauses without requests and lost time of new leaders take the rest.
+        self.assertGreater(len(world.granted_at()), 0.6 * 6.0 * world.now)
+
+
+class PlantedFaults(unittest.TestCase):
+    """Clocks that would break the bound are caught."""
+
+    def caught(self, time: Callable[[QuotaClock, int, float, float], float]) -> bool:
+        limit = RateLimit("hule", 6.0, 6.0, 1)
+        with patch.object(QuotaClock, "time", time):
+            return any(worst_excess(seed, limit) > ROUNDING for seed in range(20))
+
+    def test_a_clock_that_begins_anew_with_each_question(self) -> None:
+        self.assertTrue(self.caught(lambda clock, term, applied, now: applied + 1.0))
+
+    def test_a_time_of_day_that_each_leader_reads_for_itself(self) -> None:
+        self.assertTrue(self.caught(lambda clock, term, applied, now: now))
+
+    def test_a_leader_that_adds_the_time_before_its_own_beginning(self) -> None:
+        self.assertTrue(self.caught(lambda clock, term, applied, now: applied + now / 1e5))
