--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -7,7 +7,7 @@
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.model import Call, ModelTraits
 from yokeline.forwarding.prefixes import PrefixBeliefs
-from yokeline.ledger.messages import CachedContext
+from yokeline.ledger.operations import CachedContext
 from yokeline.scheduling.engine_model import EngineModel
 
 OTHER_ZONE_SECONDS = 0.016
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -40,11 +40,11 @@
     LedgerReply,
     LoadDigest,
     LoadReport,
-    OperationResult,
     PassedOnRequest,
     RegistryAsk,
     RegistryNews,
 )
+from yokeline.ledger.operations import OperationResult
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -12,7 +12,7 @@
 from yokeline.forwarding.model import Call, Route
 from yokeline.forwarding.tenants import StateNames, Tenant
 from yokeline.identifiers import ExchangeId, RequestId
-from yokeline.ledger.messages import CachedContext, Operation, RateLimit
+from yokeline.ledger.operations import CachedContext, Operation, RateLimit
 from yokeline.timers import Timer
 
 
--- a/src/yokeline/forwarding/history.py
+++ b/src/yokeline/forwarding/history.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 
-from yokeline.ledger.messages import KeptTurn
+from yokeline.ledger.operations import KeptTurn
 
 MAX_CACHED_BYTES = 24 * 1024 * 1024
 MAX_SESSIONS = 4096
--- a/src/yokeline/forwarding/limits.py
+++ b/src/yokeline/forwarding/limits.py
@@ -18,7 +18,7 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.tenants import Tenant
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.messages import Draw, Drawn, OperationResult, QuotaSpent, RateLimit
+from yokeline.ledger.operations import Draw, Drawn, OperationResult, QuotaSpent, RateLimit
 
 LEDGER_SECONDS = 2.0
 """Longest wait for the ledger's answer; then the request is refused, not run. A change of leader
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -22,7 +22,7 @@
 from yokeline.forwarding.turn_operations import reservation_of
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
-from yokeline.ledger.messages import (
+from yokeline.ledger.operations import (
     BudgetSpent,
     Granted,
     KeptTurn,
--- a/src/yokeline/forwarding/settlements.py
+++ b/src/yokeline/forwarding/settlements.py
@@ -10,7 +10,8 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.turn_operations import kept_turn_of, needs_ledger, settlement_of
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.messages import KeptTurn, OperationResult, Reserve, TurnServed
+from yokeline.ledger.messages import TurnServed
+from yokeline.ledger.operations import KeptTurn, OperationResult, Reserve
 
 SETTLE_SECONDS = 5.0
 """How long a settlement is repeated; what is never settled counts at its most."""
--- a/src/yokeline/forwarding/streams.py
+++ b/src/yokeline/forwarding/streams.py
@@ -13,7 +13,7 @@
 from yokeline.forwarding.repeats import Repeats
 from yokeline.forwarding.settlements import Settlements
 from yokeline.forwarding.turn_operations import kept_turn_of
-from yokeline.ledger.messages import OperationResult
+from yokeline.ledger.operations import OperationResult
 
 EVENT_SECONDS = 0.9
 """Silence after which a stream that may be resumed is taken from its engine."""
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -4,7 +4,7 @@
 
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.model import RouteKind
-from yokeline.ledger.messages import CachedContext, KeptTurn, Reserve, Settle
+from yokeline.ledger.operations import CachedContext, KeptTurn, Reserve, Settle
 
 
 def needs_ledger(exchange: Exchange) -> bool:
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -20,17 +20,14 @@
 from yokeline.ledger.leader_search import LeaderSearch
 from yokeline.ledger.messages import (
     EngineTurns,
-    Granted,
     LeaderAnswer,
     LeaderHint,
     LedgerReply,
     LedgerRequest,
-    Operation,
-    OperationResult,
     PassedOnRequest,
-    Settle,
     TextCopy,
 )
+from yokeline.ledger.operations import Granted, Operation, OperationResult, Settle
 from yokeline.ledger.own_turns import OwnTurns
 from yokeline.ledger.text_copies import LEAST_TEXT_BYTES
 
--- a/src/yokeline/ledger/history_fetches.py
+++ b/src/yokeline/ledger/history_fetches.py
@@ -15,7 +15,8 @@
 
 from yokeline.effects import Address, Effect, SendPeer
 from yokeline.identifiers import ReplicaId
-from yokeline.ledger.messages import HistoryAsk, HistoryReply, KeptTurn
+from yokeline.ledger.messages import HistoryAsk, HistoryReply
+from yokeline.ledger.operations import KeptTurn
 
 FETCH_SECONDS = 0.15
 """Longest wait for a replica, then the leader is asked: a replica holds a question for 0.1 s, and
--- a/src/yokeline/ledger/history_service.py
+++ b/src/yokeline/ledger/history_service.py
@@ -6,7 +6,8 @@
 
 from yokeline.effects import Effect, SendPeer
 from yokeline.identifiers import ReplicaId
-from yokeline.ledger.messages import HistoryAsk, HistoryReply, KeptTurn
+from yokeline.ledger.messages import HistoryAsk, HistoryReply
+from yokeline.ledger.operations import KeptTurn
 from yokeline.ledger.replica import LedgerReplica
 
 HOLD_SECONDS = 0.1
--- a/src/yokeline/ledger/leader_load.py
+++ b/src/yokeline/ledger/leader_load.py
@@ -5,14 +5,8 @@
 from collections import Counter
 
 from yokeline.effects import LogRecord
-from yokeline.ledger.messages import (
-    Draw,
-    Granted,
-    LedgerReply,
-    Operation,
-    OperationResult,
-    Reserve,
-)
+from yokeline.ledger.messages import LedgerReply
+from yokeline.ledger.operations import Draw, Granted, Operation, OperationResult, Reserve
 
 REPORT_SECONDS = 1.0
 """Time between two lines; a leader that is asked nothing writes none."""
--- a/src/yokeline/ledger/quotas.py
+++ b/src/yokeline/ledger/quotas.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from yokeline.ledger.messages import QuotaSpent, RateLimit
+from yokeline.ledger.operations import QuotaSpent, RateLimit
 
 NEW_PROGRAM_SHARE = 0.25
 """Share of a bucket that is kept for programs that have begun: at the limit a program is better
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -41,15 +41,8 @@
     encode_record,
 )
 from yokeline.ledger.link_pressure import LinkPressure
-from yokeline.ledger.messages import (
-    KeptTurn,
-    LeaderHint,
-    Operation,
-    OperationResult,
-    ReplicaMessage,
-    TextCopy,
-    TextsLacking,
-)
+from yokeline.ledger.messages import LeaderHint, ReplicaMessage, TextCopy, TextsLacking
+from yokeline.ledger.operations import KeptTurn, Operation, OperationResult
 from yokeline.ledger.state import LedgerCommand, LedgerState
 from yokeline.ledger.text_copies import CutEntries, CutMessages
 
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -14,12 +14,10 @@
 from yokeline.effects import Address, Effect, SendPeer
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.leader_load import LeaderLoad
-from yokeline.ledger.messages import (
-    EngineTurns,
+from yokeline.ledger.messages import EngineTurns, LedgerReply, LedgerRequest
+from yokeline.ledger.operations import (
     Granted,
     KeptTurn,
-    LedgerReply,
-    LedgerRequest,
     Operation,
     OperationResult,
     Settle,
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from yokeline.ledger.messages import (
+from yokeline.ledger.operations import (
     BudgetSpent,
     CachedContext,
     Draw,
--- a/src/yokeline/ledger/text_copies.py
+++ b/src/yokeline/ledger/text_copies.py
@@ -18,7 +18,8 @@
 
 from yokeline.consensus.messages import AppendEntries, LogEntry
 from yokeline.identifiers import ReplicaId
-from yokeline.ledger.messages import EntryCuts, KeptTurn, ReplicaMessage, TextCut
+from yokeline.ledger.messages import EntryCuts, ReplicaMessage, TextCut
+from yokeline.ledger.operations import KeptTurn
 
 LEAST_TEXT_BYTES = 512
 """A shorter text is sent with its entry: a message of its own costs about as much."""
--- a/tests/property/test_ledger_founding.py
+++ b/tests/property/test_ledger_founding.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from tests.unit.ledger.cluster import Cluster, Machine, MemoryStore
-from yokeline.ledger.messages import Granted, KeptTurn, Reserve, Settle, Settled
+from yokeline.ledger.operations import Granted, KeptTurn, Reserve, Settle, Settled
 from yokeline.registry.nodes import FOUNDERS_KEY, decode_founders
 
 FAULTS_UNTIL_SECONDS = 5.0
--- a/tests/property/test_quotas.py
+++ b/tests/property/test_quotas.py
@@ -14,7 +14,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from yokeline.ledger.messages import Draw, Drawn, RateLimit
+from yokeline.ledger.operations import Draw, Drawn, RateLimit
 from yokeline.ledger.quotas import QuotaClock
 from yokeline.ledger.state import LedgerCommand, LedgerState
 
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -44,9 +44,8 @@
     LedgerReply,
     LedgerRequest,
     NodeTurns,
-    Operation,
-    OperationResult,
 )
+from yokeline.ledger.operations import Operation, OperationResult
 from yokeline.platform.headers import HeaderDialect
 
 HOST = "a.example"
--- a/tests/unit/forwarding/test_affinity.py
+++ b/tests/unit/forwarding/test_affinity.py
@@ -5,7 +5,7 @@
 from tests.unit.forwarding.support import Played
 from yokeline.forwarding.model import PromptPart
 from yokeline.forwarding.prefixes import PrefixBeliefs
-from yokeline.ledger.messages import CachedContext, Granted, Reserve
+from yokeline.ledger.operations import CachedContext, Granted, Reserve
 
 
 class LinesOfTurns(unittest.TestCase):
--- a/tests/unit/forwarding/test_dispatch.py
+++ b/tests/unit/forwarding/test_dispatch.py
@@ -8,7 +8,8 @@
 from tests.unit.forwarding.support import Played
 from yokeline.forwarding.placement import Placement
 from yokeline.identifiers import NodeName
-from yokeline.ledger.messages import EngineLoad, Granted, LoadReport
+from yokeline.ledger.messages import EngineLoad, LoadReport
+from yokeline.ledger.operations import Granted
 
 
 class Looks(unittest.TestCase):
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -26,13 +26,8 @@
 from yokeline.forwarding.edge_node import EdgeNode
 from yokeline.forwarding.freshness import ConfigurationFreshness
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
-from yokeline.ledger.messages import (
-    Granted,
-    LoadReport,
-    RegistryAsk,
-    RegistryItem,
-    RegistryNews,
-)
+from yokeline.ledger.messages import LoadReport, RegistryAsk, RegistryItem, RegistryNews
+from yokeline.ledger.operations import Granted
 from yokeline.platform.documents import PlatformDocuments
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.nodes import NodeRecord, NodeRole, encode_node, node_key
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -9,13 +9,12 @@
 from yokeline.forwarding.held_requests import HOLD_SECONDS, MAX_HELD, MAX_HELD_BYTES
 from yokeline.forwarding.limits import LEDGER_SECONDS
 from yokeline.identifiers import NodeName
-from yokeline.ledger.messages import (
+from yokeline.ledger.messages import EngineLoad, LoadReport
+from yokeline.ledger.operations import (
     BudgetSpent,
     CachedContext,
-    EngineLoad,
     Granted,
     KeptTurn,
-    LoadReport,
     NoSuchTurn,
     Reserve,
     Settle,
--- a/tests/unit/forwarding/test_histories.py
+++ b/tests/unit/forwarding/test_histories.py
@@ -9,14 +9,8 @@
 from yokeline.forwarding.http_statuses import UNAVAILABLE
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.history_fetches import FETCH_SECONDS, NearReplica
-from yokeline.ledger.messages import (
-    Granted,
-    HistoryAsk,
-    HistoryReply,
-    KeptTurn,
-    LeaderAnswer,
-    Reserve,
-)
+from yokeline.ledger.messages import HistoryAsk, HistoryReply, LeaderAnswer
+from yokeline.ledger.operations import Granted, KeptTurn, Reserve
 
 FOLLOWER = NearReplica(ReplicaId("follower~1"), Address("10.0.0.8", 1), True)
 T1 = KeptTurn(turn_id="t1", previous="", text=b"one\n", retention=60.0)
--- a/tests/unit/forwarding/test_tenants.py
+++ b/tests/unit/forwarding/test_tenants.py
@@ -9,7 +9,7 @@
 from yokeline.forwarding.limits import LimitTolerance
 from yokeline.forwarding.model import RouteKind, RoutingTable
 from yokeline.forwarding.tenants import KeyHolder, Tenant, TenantDirectory, credential_of, scoped
-from yokeline.ledger.messages import Draw, Drawn, Granted, QuotaSpent, Reserve
+from yokeline.ledger.operations import Draw, Drawn, Granted, QuotaSpent, Reserve
 
 HULE = Tenant(name="hule", priority=3)
 MIRA = Tenant(name="mira", rate=10.0, burst=5.0)
--- a/tests/unit/forwarding/test_turns_told.py
+++ b/tests/unit/forwarding/test_turns_told.py
@@ -7,14 +7,8 @@
 from tests.unit.forwarding.support import Played
 from yokeline.forwarding.engines import TOLD_FRESH_SECONDS
 from yokeline.identifiers import NodeName
-from yokeline.ledger.messages import (
-    EngineLoad,
-    EngineTurns,
-    Granted,
-    LoadReport,
-    Settle,
-    TurnServed,
-)
+from yokeline.ledger.messages import EngineLoad, EngineTurns, LoadReport, TurnServed
+from yokeline.ledger.operations import Granted, Settle
 from yokeline.ledger.turns_under_way import NODE_SILENCE_SECONDS
 
 
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -27,15 +27,8 @@
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.codec import LedgerCodec
 from yokeline.ledger.disk_records import recover
-from yokeline.ledger.messages import (
-    HistoryReply,
-    Join,
-    LeaderAnswer,
-    LedgerReply,
-    Operation,
-    OperationResult,
-    TextCopy,
-)
+from yokeline.ledger.messages import HistoryReply, Join, LeaderAnswer, LedgerReply, TextCopy
+from yokeline.ledger.operations import Operation, OperationResult
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.storage_node import StorageNode
 from yokeline.platform.documents import PlatformDocuments
--- a/tests/unit/ledger/test_contexts.py
+++ b/tests/unit/ledger/test_contexts.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from yokeline.ledger.messages import CachedContext, Granted, Reserve, Settle
+from yokeline.ledger.operations import CachedContext, Granted, Reserve, Settle
 from yokeline.ledger.state import MAX_CONTEXTS, LedgerCommand, LedgerState
 
 
--- a/tests/unit/ledger/test_histories.py
+++ b/tests/unit/ledger/test_histories.py
@@ -16,7 +16,8 @@
     NearReplica,
 )
 from yokeline.ledger.history_service import HOLD_SECONDS
-from yokeline.ledger.messages import HistoryAsk, HistoryReply, KeptTurn
+from yokeline.ledger.messages import HistoryAsk, HistoryReply
+from yokeline.ledger.operations import KeptTurn
 
 OWN = Address("10.0.9.9", 1)
 READER = ReplicaId("reader~1")
--- a/tests/unit/ledger/test_ledger_paths.py
+++ b/tests/unit/ledger/test_ledger_paths.py
@@ -9,19 +9,14 @@
 from yokeline.ledger.answer_times import LEAST_PATIENCE_SECONDS
 from yokeline.ledger.client import MAX_PASSED_ON, LedgerClient, PeerNode
 from yokeline.ledger.messages import (
-    Granted,
     LeaderAnswer,
     LeaderHint,
     LeaderQuery,
     LedgerReply,
     LedgerRequest,
-    Operation,
-    OperationResult,
     PassedOnRequest,
-    Reserve,
-    Settle,
-    Settled,
 )
+from yokeline.ledger.operations import Granted, Operation, OperationResult, Reserve, Settle, Settled
 from yokeline.ledger.state import LedgerCommand, LedgerState
 
 STEP = 0.01
--- a/tests/unit/ledger/test_overload.py
+++ b/tests/unit/ledger/test_overload.py
@@ -10,14 +10,8 @@
 from tests.unit.ledger.cluster import Asker, Cluster
 from yokeline.effects import Effect
 from yokeline.ledger.client import OperationDone
-from yokeline.ledger.messages import (
-    Granted,
-    KeptTurn,
-    OperationResult,
-    Reserve,
-    Settle,
-    TurnServed,
-)
+from yokeline.ledger.messages import TurnServed
+from yokeline.ledger.operations import Granted, KeptTurn, OperationResult, Reserve, Settle
 
 LINK_BYTES_PER_SECOND = 400_000.0
 TEXT_BYTES = 5_000
--- a/tests/unit/ledger/test_quotas.py
+++ b/tests/unit/ledger/test_quotas.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from yokeline.ledger.messages import Draw, Drawn, Granted, QuotaSpent, RateLimit, Reserve
+from yokeline.ledger.operations import Draw, Drawn, Granted, QuotaSpent, RateLimit, Reserve
 from yokeline.ledger.quotas import NEW_PROGRAM_SHARE, QuotaClock
 from yokeline.ledger.state import LedgerCommand, LedgerState
 
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -16,15 +16,17 @@
 from yokeline.ledger.leader_search import QUERY_SECONDS
 from yokeline.ledger.members import choose_founders
 from yokeline.ledger.messages import (
-    BudgetSpent,
-    Granted,
-    KeptTurn,
     LeaderAnswer,
     LeaderHint,
     LeaderQuery,
     LedgerRequest,
-    NoSuchTurn,
     ReplicaMessage,
+)
+from yokeline.ledger.operations import (
+    BudgetSpent,
+    Granted,
+    KeptTurn,
+    NoSuchTurn,
     Reserve,
     Settle,
     Settled,
--- a/tests/unit/ledger/test_text_copies.py
+++ b/tests/unit/ledger/test_text_copies.py
@@ -15,7 +15,8 @@
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.codec import LedgerCodec, encode_command
 from yokeline.ledger.link_pressure import LinkPressure
-from yokeline.ledger.messages import KeptTurn, Operation, ReplicaMessage, Settle, Settled
+from yokeline.ledger.messages import ReplicaMessage
+from yokeline.ledger.operations import KeptTurn, Operation, Settle, Settled
 from yokeline.ledger.state import LedgerCommand
 from yokeline.ledger.text_copies import HOLD_SECONDS, WHOLE_SECONDS, CutEntries, CutMessages
 
