Let the time of limits catch up when a new leader has applied its log

Cause: the new leader was asked before it had applied its log. Its time began at 0 while the buckets stood at 45 s, so none refilled. Ruled out: the depth (few refusals before), stale limits (versions equal), the nodes' own memory of spent limits (at most 0.35 s). Change: a clock that is behind what is applied goes on from there. The bound holds as before: told times still add no more than passes (property over leaders that begin with nothing applied; it and a unit test failed before).

--- a/src/yokeline/ledger/quotas.py
+++ b/src/yokeline/ledger/quotas.py
@@ -125,7 +125,7 @@
 class QuotaClock:
     """Time that passes while a replica leads, on from what the log says at its beginning.
 
-    Each leader adds no more than what passes while it leads, and begins with what it has applied,
+    Each leader adds no more than what passes while it leads, and goes on from what it has applied,
     so that all leaders together never add more than has really passed.
     """
 
@@ -143,8 +143,12 @@
             applied: The time of the latest entry that it has applied.
             now: Monotonic seconds.
         """
-        if term != self._term:
+        told = self._began_with + (now - self._began_at)
+        # A leader that has just started may be asked before it has applied its log; left behind, no
+        # bucket would refill until its time had come to where they stand.
+        if term != self._term or applied > told:
             self._term = term
             self._began_with = applied
             self._began_at = now
-        return self._began_with + (now - self._began_at)
+            return applied
+        return told
--- a/tests/property/test_quotas.py
+++ b/tests/property/test_quotas.py
@@ -22,6 +22,8 @@
 STEPS = 600
 LONGEST_PAUSE = 0.4
 ROUNDING = 1e-6
+RESTART_SHARE = 0.3
+"""Share of new leaders that have just started, and have applied nothing yet."""
 
 
 class _Leader:
@@ -55,6 +57,8 @@
 
     def elect(self, term: int) -> _Leader:
         applied = self.random.randint(max(0, len(self.log) - 5), len(self.log))
+        if self.random.random() < RESTART_SHARE:
+            applied = 0
         leader = _Leader(term, self.log, applied, self.random.uniform(0.0, 1e6))
         self.passed(leader)  # asked something in its first moment, as a candidate is
         return leader
--- a/tests/unit/ledger/test_quotas.py
+++ b/tests/unit/ledger/test_quotas.py
@@ -126,6 +126,16 @@
         self.assertEqual(taken_over, 3.0)
         self.assertEqual(second.time(term=2, applied=taken_over, now=56.5), 4.5)
 
+    def test_a_leader_that_is_asked_before_it_has_applied_its_log_catches_up(self) -> None:
+        """After all storage nodes had lost power, the next leader was asked before it had applied
+        anything. Its time began at 0 where the buckets stood at 45 s, so none of them refilled for
+        45 s: refusals for the limit rose from 1 to 500 a second, and stayed there.
+        """
+        clock = QuotaClock()
+        self.assertEqual(clock.time(term=3, applied=0.0, now=10.0), 0.0)
+        self.assertEqual(clock.time(term=3, applied=45.0, now=10.1), 45.0)
+        self.assertAlmostEqual(clock.time(term=3, applied=45.0, now=11.1), 46.0)
+
     def test_a_replica_that_leads_again_begins_with_what_the_log_says(self) -> None:
         clock = QuotaClock()
         clock.time(term=1, applied=0.0, now=10.0)
