--- /dev/null
+++ b/tests/unit/tools/test_reports.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import unittest
+
+from tools.day_report import Line
+from tools.limit_report import LimitReport, Run, worst_count
+from tools.path_report import PathReport
+
+
+def chosen(request: str, at: float) -> Line:
+    return {
+        "event": "engine_chosen",
+        "request": request,
+        "at": at,
+        "reserving": 0.01,
+        "waited": 0.002,
+    }
+
+
+def ended(request: str, at: float, seconds: float, **fields: object) -> Line:
+    return {
+        "event": "request_ended",
+        "request": request,
+        "at": at,
+        "seconds": seconds,
+        "outcome": "answered",
+        "sends": 1,
+        "tenant": "hule",
+        **fields,
+    }
+
+
+class Paths(unittest.TestCase):
+    def test_the_steps_of_a_call_and_a_turn(self) -> None:
+        report = PathReport()
+        report.take(chosen("c", 1.0))
+        report.take(ended("c", 1.5, 0.6))
+        report.take(chosen("t", 2.0))
+        stream = {"outcome": "streamed", "at_engine": 0.4, "keeping": 0.1, "predicted": 0.3}
+        report.take(ended("t", 2.5, 0.6, **stream))
+        self.assertEqual(report.steps["call", "engine"], [0.5])
+        self.assertEqual(report.steps["turn", "keep"], [0.1])
+        self.assertAlmostEqual(report.steps["turn", "prediction off by"][0], 0.1)
+        self.assertEqual(report.steps["call", "reserve"], [0.01])
+
+    def test_a_request_that_was_sent_twice_is_left_out(self) -> None:
+        report = PathReport()
+        report.take(chosen("c", 1.0))
+        report.take(ended("c", 1.5, 0.6, sends=2))
+        self.assertEqual(report.steps, {})
+
+
+class Limits(unittest.TestCase):
+    def test_what_arrived_and_was_sent_on_within_a_window_counts(self) -> None:
+        runs = [Run(0.0, 0.1), Run(1.0, 4.9), Run(4.0, 5.2), Run(5.1, 5.2)]
+        self.assertEqual(worst_count(runs, 5.0), 3)
+
+    def test_a_send_that_an_engine_refused_does_not_count(self) -> None:
+        report = LimitReport()
+        report.take(chosen("r", 1.0))
+        report.take({"event": "engine_rejected", "request": "r", "at": 1.1})
+        report.take(chosen("r", 1.1))
+        report.take(ended("r", 1.2, 0.3))
+        refused = {"outcome": "refused", "reason": "quota_spent", "rate": 6.0, "burst": 20.0}
+        report.take(ended("s", 1.2, 0.0, **refused))
+        self.assertEqual(len(report.runs["hule"]), 1)
+        self.assertEqual(report.refused["hule"], 1)
