Hold requests for a moment at a node that wakes from a pause with a lapsed lease

Cause: the time in which a lease is likely to be regained counted from its lapse, which lies in the pause, so a node that woke refused what had waited in its sockets, though it proves its configuration within milliseconds. It counts from when the node finds the lapse.

--- a/src/yokeline/forwarding/freshness.py
+++ b/src/yokeline/forwarding/freshness.py
@@ -36,8 +36,8 @@
 REPEAT_SECONDS = 0.25
 """Pause before the next node is asked, or the service once more: over ten ways to and fro."""
 SOON_SECONDS = 1.0
-"""Time after a lease has lapsed, or after the start, in which it is likely to be regained: requests
-that come are held for a moment instead of refused."""
+"""Time in which a lease is likely to be regained, after this process has started, found it lapsed,
+or woken from a pause: requests that come are held for a moment instead of refused."""
 
 
 class Currency(enum.Enum):
@@ -69,11 +69,11 @@
         self._key = key
         self._own_address = own_address
         self._lease = LEASE_SHARE * bound_seconds
-        self._began_at = now
         self._item: StoredItem | None = None
         self._proven_at = float("-inf")
         self._is_needed = False
-        self._was_current = False
+        self._unproved_since: float | None = now
+        self._is_logged_current = False
         self._read: tuple[RequestId, float] | None = None
         self._asked: dict[int, float] = {}
         self._next_try = now
@@ -89,8 +89,8 @@
         """Return how sure this node is of its configuration."""
         if not self._lease or self.age(now) <= self._lease:
             return Currency.CURRENT
-        lapsed_at = max(self._proven_at + self._lease, self._began_at)
-        return Currency.SOON if now - lapsed_at <= SOON_SECONDS else Currency.STALE
+        since = now if self._unproved_since is None else self._unproved_since
+        return Currency.SOON if now - since <= SOON_SECONDS else Currency.STALE
 
     def note_configuration(self, item: StoredItem, *, has_keys: bool) -> None:
         """Note the item whose configuration is in force; without keys nothing is to be proved."""
@@ -154,9 +154,11 @@
     def _note_currency(self, now: float) -> list[Effect]:
         """Log when the lease is lost and when it is regained."""
         is_current = self.currency(now) is Currency.CURRENT
-        if is_current == self._was_current:
+        if not is_current and self._unproved_since is None:
+            self._unproved_since = now
+        if is_current == self._is_logged_current:
             return []
-        self._was_current = is_current
+        self._is_logged_current = is_current
         event = "configuration_proved" if is_current else "configuration_unproved"
         has_proof = self._proven_at > float("-inf")
         fields: dict[str, str | int | float | bool | None] = {
@@ -218,6 +220,7 @@
         known = self._item.revision if self._item is not None else 0
         if revision <= known:
             self._proven_at = max(self._proven_at, as_of)
+            self._unproved_since = None
             return None
         if item is None or item.revision != revision or item.key != self._key:
             return None
