--- a/src/yokeline/forwarding/freshness.py
+++ b/src/yokeline/forwarding/freshness.py
@@ -6,7 +6,7 @@
 proved the configuration: what the service says is never older than the question. A clock that
 counts on while the process is frozen, and that nobody sets, measures it (``time.monotonic``).
 
-The first of the nodes that watch the service reads the configuration's item about once a second;
+The first of the nodes that watch the service reads the configuration's item twice a second;
 the others ask a node that watches. It answers with the age of its own proof, and the asker counts
 that age back from when it asked. So no clock is compared with another one, and a message that was
 long on its way only makes the proof older.
@@ -25,14 +25,15 @@
 LEASE_SHARE = 0.95
 """Share of the bound for a revocation that a proof counts for. The rest is for clocks that run at
 different rates: a twentieth is far more than any that works is off."""
-READ_SHARE = 0.25
+READ_SHARE = 0.12
 """Age of the proof, as a share of the lease, at which the node that reads for the others reads
-again. Each read is paid for; a proof outlasts two reads in a row that are lost."""
-ASK_SHARE = 0.45
+again. Each read is paid for, but what a proof has aged when the service goes away is missing at
+the end of an outage: programs lose a turn in each part of a second without a lease."""
+ASK_SHARE = 0.2
 """The same at which another node asks: the one that reads has a newer proof by then."""
-REFUSED_SHARE = 0.5
+REFUSED_SHARE = 0.4
 """The same at which the node that reads asks others as well, and those that watch the service read
-themselves: the service may refuse one node alone. Half of the lease is left for that."""
+themselves: the service may refuse one node alone. Over half of the lease is left for that."""
 REPEAT_SECONDS = 0.25
 """Pause before the next node is asked, or the service once more: over ten ways to and fro."""
 SOON_SECONDS = 1.0
