One copy of reading and digesting bearer tokens; tests that no key passes the adapter

The gateway and the platform's adapter each read Authorization and made digests. A configuration that is no table keeps nothing now (a test that was written for it failed first).

--- a/benchmarks/scale/real.py
+++ b/benchmarks/scale/real.py
@@ -21,7 +21,7 @@
 from benchmarks.scale.load import RequestMaker, agent
 from benchmarks.scale.speed import SpeedMeter
 from benchmarks.scale.tables import print_table
-from yokeline.gateway.authentication import token_digest
+from yokeline.bearer_tokens import token_digest
 from yokeline.simulation.objects import AGENT_PROGRAM, MODEL, caller_token, platform_objects
 
 HOST = "127.0.0.1"
--- a/src/yokeline/forwarding/tenants.py
+++ b/src/yokeline/forwarding/tenants.py
@@ -5,23 +5,16 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
 from typing import NewType
 
 import msgspec
 
-Credential = NewType("Credential", bytes)
-"""SHA-256 digest of a caller's key. Keys are long and drawn at random, so it needs no salt, and
-all nodes know a key by the same digest."""
+Credential = NewType("Credential", str)
+"""Digest of a caller's key (:func:`yokeline.bearer_tokens.token_digest`)."""
 
-_INDEX_BYTES = 8
-"""Leading bytes of a digest by which it is found before it is compared whole."""
-
-
-def credential_of(key: str) -> Credential:
-    """Return the digest of a key."""
-    return Credential(hashlib.sha256(key.encode()).digest())
+_INDEX_CHARACTERS = 16
+"""Leading characters of a digest by which it is found before it is compared whole."""
 
 
 class Tenant(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,15 +49,15 @@
 
     def __init__(self, holders: tuple[KeyHolder, ...]) -> None:
         """Know the keys of ``holders``; of two holders of one key the first counts."""
-        self._by_index: dict[bytes, list[KeyHolder]] = {}
+        self._by_index: dict[str, list[KeyHolder]] = {}
         for holder in holders:
-            self._by_index.setdefault(holder.credential[:_INDEX_BYTES], []).append(holder)
+            self._by_index.setdefault(holder.credential[:_INDEX_CHARACTERS], []).append(holder)
 
     def find(self, credential: Credential | None) -> Tenant | None:
         """Return who holds a key; None if nobody does."""
         if credential is None:
             return None
-        for holder in self._by_index.get(credential[:_INDEX_BYTES], ()):
+        for holder in self._by_index.get(credential[:_INDEX_CHARACTERS], ()):
             if hmac.compare_digest(holder.credential, credential):
                 return holder.tenant
         return None
--- a/src/yokeline/gateway/authentication.py
+++ b/src/yokeline/gateway/authentication.py
@@ -1,24 +1,23 @@
 """Who sends a request: bearer token (RFC 6750) to tenant and role.
 
-Tokens are kept only as SHA-256 digests. They are long random strings, so a plain digest is
-enough; it is compared by look-up, or in constant time for the platform operator's.
+Tokens are kept only as SHA-256 digests (``yokeline.bearer_tokens``), compared by look-up, or in
+constant time for the platform operator's.
 """
 
 from __future__ import annotations
 
 import enum
-import hashlib
 import hmac
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from yokeline.bearer_tokens import read_bearer_token, token_digest
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.gateway.interfaces import ConfigurationReader
 from yokeline.gateway.problems import unavailable
 from yokeline.labels.objects import TokenRole
 
-BEARER = "bearer"
 MAX_TOKEN_LENGTH = 1024
 CONFIGURATION_RETRY_SECONDS = 1.0
 
@@ -41,16 +40,10 @@
     role: Role
 
 
-def token_digest(token: str) -> str:
-    """Return the SHA-256 of a token in lower-case hex."""
-    return hashlib.sha256(token.encode()).hexdigest()
-
-
 def bearer_token(headers: dict[str, str]) -> Result[str, YokelineError]:
     """Return the token of an ``Authorization: Bearer`` header."""
-    scheme, _, token = headers.get("authorization", "").strip().partition(" ")
-    token = token.strip()
-    if scheme.lower() != BEARER or not token:
+    token = read_bearer_token(headers.get("authorization", ""))
+    if not token:
         return Failure(
             _unauthenticated(
                 "the request has no bearer token", "send the header Authorization: Bearer TOKEN"
--- a/src/yokeline/platform/documents.py
+++ b/src/yokeline/platform/documents.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from yokeline.bearer_tokens import token_digest
 from yokeline.effects import Address
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.forwarding.model import (
@@ -22,7 +23,6 @@
     KeyHolder,
     Tenant,
     TenantDirectory,
-    credential_of,
 )
 from yokeline.registry.formats import RetireOrder
 
@@ -166,12 +166,12 @@
     """
     try:
         document = msgspec.json.decode(value)
-        tenants = document.get(_TENANTS) if isinstance(document, dict) else None
+        tenants = document.get(_TENANTS)
         if not tenants:
             return value
         for tenant in tenants:
             keys = tenant.pop(_API_KEYS, [])
-            tenant.setdefault(_KEY_DIGESTS, [credential_of(key).hex() for key in keys])
+            tenant.setdefault(_KEY_DIGESTS, [token_digest(key) for key in keys])
     except (msgspec.DecodeError, AttributeError, TypeError):
         return b"{}"
     return msgspec.json.encode(document)
@@ -214,8 +214,8 @@
 
 
 def _credentials(tenant: _Tenant) -> list[Credential]:
-    read = [credential_of(key) for key in tenant.api_keys]
-    return read + [Credential(bytes.fromhex(digest)) for digest in tenant.key_digests]
+    digests = [token_digest(key) for key in tenant.api_keys] + tenant.key_digests
+    return [Credential(digest) for digest in digests]
 
 
 def _tenant(tenant: _Tenant) -> Tenant:
--- a/src/yokeline/platform/headers.py
+++ b/src/yokeline/platform/headers.py
@@ -7,12 +7,13 @@
 
 from returns.result import Failure, Result, Success
 
+from yokeline.bearer_tokens import read_bearer_token, token_digest
 from yokeline.effects import HttpArrived, HttpResponse
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.forwarding.dialect import EngineOrder
 from yokeline.forwarding.http_statuses import MISDIRECTED
 from yokeline.forwarding.model import Call, PromptPart
-from yokeline.forwarding.tenants import Credential, credential_of
+from yokeline.forwarding.tenants import Credential
 from yokeline.platform.fields import (
     AUTHORIZATION,
     DEADLINE_MS,
@@ -40,7 +41,6 @@
 
 DEFAULT_DEADLINE_SECONDS = 30.0
 _MILLISECONDS = 1000.0
-_BEARER = "bearer"
 _AFFINITY = re.compile(rf"(?:^|;\s*){re.escape(AFFINITY_KEY)}=([^;]*)")
 
 
@@ -132,10 +132,8 @@
 
 def _credential(authorization: str) -> Credential | None:
     """Return the digest of the key in an ``Authorization`` field; None if it holds no key."""
-    scheme, _, key = authorization.strip().partition(" ")
-    if scheme.lower() != _BEARER or not key.strip():
-        return None
-    return credential_of(key.strip())
+    key = read_bearer_token(authorization)
+    return Credential(token_digest(key)) if key else None
 
 
 def _seconds(milliseconds: str) -> float:
--- a/src/yokeline/simulation/deployment.py
+++ b/src/yokeline/simulation/deployment.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from yokeline.bearer_tokens import token_digest
 from yokeline.effects import Address, Service
 from yokeline.emulator.app_service import AppService
 from yokeline.emulator.engine.parameters import EngineParameters
@@ -21,7 +22,6 @@
 )
 from yokeline.emulator.store_service import StoreService
 from yokeline.emulator.tool_service import ToolService
-from yokeline.gateway.authentication import token_digest
 from yokeline.labels.objects import Lookup
 from yokeline.settings import (
     ClusterSection,
--- a/src/yokeline/simulation/objects.py
+++ b/src/yokeline/simulation/objects.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from yokeline.gateway.authentication import token_digest
+from yokeline.bearer_tokens import token_digest
 from yokeline.labels.objects import (
     AccessToken,
     App,
--- a/tests/unit/forwarding/test_tenants.py
+++ b/tests/unit/forwarding/test_tenants.py
@@ -5,18 +5,24 @@
 import msgspec
 
 from tests.unit.forwarding.support import TABLE, Played, route
+from yokeline.bearer_tokens import token_digest
 from yokeline.forwarding.freshness import Currency
 from yokeline.forwarding.limits import MAX_WAITING, MAX_WAITS, LimitTolerance
 from yokeline.forwarding.model import RouteKind, RoutingTable
-from yokeline.forwarding.tenants import KeyHolder, Tenant, TenantDirectory, credential_of, scoped
+from yokeline.forwarding.tenants import Credential, KeyHolder, Tenant, TenantDirectory, scoped
 from yokeline.ledger.messages import LedgerReply
 from yokeline.ledger.operations import Draw, Drawn, Granted, QuotaSpent, Reserve
 
+
+def key(text: str) -> Credential:
+    return Credential(token_digest(text))
+
+
 HULE = Tenant(name="hule", priority=3)
 MIRA = Tenant(name="mira", rate=10.0, burst=5.0)
 OTHER_KEYS = (
-    KeyHolder(credential_of("m1"), MIRA),
-    KeyHolder(credential_of("m2"), MIRA),
+    KeyHolder(key("m1"), MIRA),
+    KeyHolder(key("m2"), MIRA),
 )
 
 
@@ -33,7 +39,7 @@
 class Tenants(unittest.TestCase):
     def setUp(self) -> None:
         self.played = Played()
-        self.played.forwarder.table = table(KeyHolder(credential_of("h1"), HULE), *OTHER_KEYS)
+        self.played.forwarder.table = table(KeyHolder(key("h1"), HULE), *OTHER_KEYS)
 
     def fields(self, index: int = -1) -> dict[str, str]:
         return dict(self.played.sent[index].header_items)
@@ -101,7 +107,7 @@
 
     def test_what_waits_for_an_engine_is_refused_and_another_tenants_is_not(self) -> None:
         self.played = Played(engines_per_pool=1, slots=1)
-        self.played.forwarder.table = table(KeyHolder(credential_of("h1"), HULE), *OTHER_KEYS)
+        self.played.forwarder.table = table(KeyHolder(key("h1"), HULE), *OTHER_KEYS)
         for _ in range(4):
             self.played.request("/fix/x", authorization="Bearer h1")
         sent = len(self.played.sent)
--- a/tests/unit/gateway/support.py
+++ b/tests/unit/gateway/support.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from yokeline.bearer_tokens import token_digest
 from yokeline.effects import (
     Effect,
     HttpArrived,
@@ -20,7 +21,6 @@
     HttpStreamStart,
 )
 from yokeline.errors import YokelineError
-from yokeline.gateway.authentication import token_digest
 from yokeline.gateway.gateway import Gateway
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId, RequestId, RunId, ShardId
 from yokeline.labels.objects import (
--- a/tests/unit/platform/test_documents.py
+++ b/tests/unit/platform/test_documents.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import base64
 import json
 import tomllib
 import unittest
@@ -8,12 +9,21 @@
 import msgspec
 from returns.result import Failure
 
+from yokeline.bearer_tokens import token_digest
 from yokeline.effects import Address, HttpResponse
-from yokeline.forwarding.model import RouteKind
+from yokeline.forwarding.model import RouteKind, RoutingTable
+from yokeline.forwarding.tenants import Credential
 from yokeline.identifiers import RequestId
-from yokeline.platform.documents import PlatformDocuments
+from yokeline.platform.documents import PlatformDocuments, without_keys
 from yokeline.platform.store import KeyValueStore
-from yokeline.registry.protocol import HistoryLost, Page, StoredItem, StoreRefused, WatchEvents
+from yokeline.registry.protocol import (
+    FoundItem,
+    HistoryLost,
+    Page,
+    StoredItem,
+    StoreRefused,
+    WatchEvents,
+)
 from yokeline.role_settings import RoleSettings
 
 CONFIGURATION = {
@@ -119,6 +129,54 @@
         self.assertEqual(json.loads(value), {"state": "completed"})
 
 
+TENANTS = [
+    {
+        "name": "hule930",
+        "api-keys": ["jvz48wuakn2ftimaj3nr", "26tta828m82thhkmgjqn"],
+        "priority": 1,
+        "rate-per-s": 163,
+        "burst": 160,
+    }
+]
+
+
+class Tenants(unittest.TestCase):
+    def read(self, document: dict[str, object]) -> RoutingTable:
+        value = without_keys(json.dumps(document).encode())
+        return PlatformDocuments().read_routing(value).unwrap()
+
+    def test_a_key_names_its_tenant_and_is_kept_as_its_digest(self) -> None:
+        document = {**CONFIGURATION, "tenants": TENANTS}
+        value = without_keys(json.dumps(document).encode())
+        self.assertNotIn(b"jvz48", value)
+        self.assertNotIn(b"26tta", value)
+        table = PlatformDocuments().read_routing(value).unwrap()
+        assert table.tenants is not None
+        for key in TENANTS[0]["api-keys"]:  # type: ignore[attr-defined]
+            tenant = table.tenants.find(Credential(token_digest(key)))
+            assert tenant is not None
+            self.assertEqual((tenant.name, tenant.priority), ("hule930", 1))
+            self.assertEqual((tenant.rate, tenant.burst), (163, 160))
+        self.assertIsNone(table.tenants.find(Credential(token_digest("other"))))
+        self.assertIsNone(table.tenants.find(None))
+
+    def test_taking_keys_out_twice_changes_nothing(self) -> None:
+        value = without_keys(json.dumps({**CONFIGURATION, "tenants": TENANTS}).encode())
+        self.assertEqual(without_keys(value), value)
+
+    def test_without_tenants_no_key_is_asked_for(self) -> None:
+        self.assertIsNone(self.read(CONFIGURATION).tenants)
+        self.assertIsNone(self.read({**CONFIGURATION, "tenants": []}).tenants)
+
+    def test_a_configuration_that_cannot_be_read_keeps_nothing(self) -> None:
+        for value in (b'{"tenants": [1], "k": "key"}', b"key", b'[{"api-keys": ["key"]}]'):
+            self.assertNotIn(b"key", without_keys(value))
+
+    def test_a_public_route_says_so(self) -> None:
+        routes = [{**CONFIGURATION["routes"][0], "public": True}]  # type: ignore[index]
+        self.assertTrue(self.read({**CONFIGURATION, "routes": routes}).routes[0].public)
+
+
 class StoreCalls(unittest.TestCase):
     def setUp(self) -> None:
         self.store = KeyValueStore(Address("10.200.1.7", 8142))
@@ -145,6 +203,19 @@
             },
         )
 
+    def test_one_item_is_read_and_never_an_old_one(self) -> None:
+        call = self.store.read_call(RequestId("r"), "op/config")
+        self.assertEqual(call.target, "/-/kv-key?private-key=op/config")
+        item = {"private-key": "my/leader", "value": "bm9kZS0x", "rev": 412, "at": 530}
+        self.assertEqual(self.answer(200, item), FoundItem(StoredItem("my/leader", b"node-1", 412)))
+        self.assertEqual(self.answer(404, {}), StoreRefused(404, ()))
+
+    def test_no_key_of_a_tenant_passes_the_adapter(self) -> None:
+        raw = json.dumps({**CONFIGURATION, "tenants": TENANTS}).encode()
+        item = {"private-key": "op/config", "value": base64.b64encode(raw).decode(), "rev": 7}
+        for body in (item, {"items": [item], "at": 8}, {"events": [item], "at": 8}):
+            self.assertNotIn("jvz48", str(self.answer(200, body)))
+
     def test_answers_become_typed(self) -> None:
         item = {"private-key": "my/leader", "value": "bm9kZS0x", "rev": 412, "made": 412}
         page = self.answer(200, {"items": [item], "more": False, "at": 530})
--- a/tests/unit/platform/test_fields.py
+++ b/tests/unit/platform/test_fields.py
@@ -11,10 +11,10 @@
 
 from returns.result import Failure
 
+from yokeline.bearer_tokens import token_digest
 from yokeline.effects import Address, HttpArrived
 from yokeline.forwarding.dialect import EngineOrder
 from yokeline.forwarding.model import Engine
-from yokeline.forwarding.tenants import credential_of
 from yokeline.identifiers import ExchangeId
 from yokeline.platform.fields import FIELD_RULES, FieldRule
 from yokeline.platform.headers import HeaderDialect
@@ -97,7 +97,7 @@
     def test_a_key_is_read_as_its_digest(self) -> None:
         for text in ("Bearer k1", "bearer k1", "Bearer  k1 "):
             call = HeaderDialect().parse_call(arrived(("authorization", text))).unwrap()
-            self.assertEqual(call.credential, credential_of("k1"))
+            self.assertEqual(call.credential, token_digest("k1"))
         for text in ("", "Bearer", "Bearer ", "Basic k1", "k1"):
             call = HeaderDialect().parse_call(arrived(("authorization", text))).unwrap()
             self.assertIsNone(call.credential)
