Give the ledger an operation id of the node's own where tenants do not trust each other

Cause (reading): reservations and draws went by the caller's request id, and a repetition counts once. Change: the id is the process's own and the exchange's; kept turns go by the caller's id as before, and deployments without tenants are as they were. Two tests failed before.

--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -165,7 +165,11 @@
         due=now + PATIENT_SECONDS,
         started=now,
         names=StateNames(
-            turn=call.request_id, program=call.program, session=call.session, previous_turn=""
+            operation=call.request_id,
+            turn=call.request_id,
+            program=call.program,
+            session=call.session,
+            previous_turn="",
         ),
         pool=POOL,
         spent=1,
--- a/src/yokeline/forwarding/admission.py
+++ b/src/yokeline/forwarding/admission.py
@@ -47,14 +47,25 @@
     retry_after: float | None = None
 
 
-def admit(table: RoutingTable, route: Route, call: Call, *, is_current: bool) -> Admitted | Denied:
-    """Decide by the configuration in force, which ``is_current`` says was proved lately."""
+def admit(
+    table: RoutingTable, route: Route, call: Call, *, is_current: bool, operation: str
+) -> Admitted | Denied:
+    """Decide by the configuration in force.
+
+    Args:
+        table: The configuration.
+        route: Of the request.
+        call: The request.
+        is_current: The configuration was proved to be the newest a moment ago.
+        operation: An id of the node's own, which no other request has.
+    """
     directory = table.tenants
     if directory is None:
-        return Admitted(names=_names(call, None), tenant=None, shows_credential=True)
+        names = _names(call, None, operation=call.request_id)
+        return Admitted(names=names, tenant=None, shows_credential=True)
     tenant = directory.find(call.credential)
     if route.public:
-        return _admitted(call, tenant if is_current else None)
+        return _admitted(call, tenant if is_current else None, operation)
     if not is_current:
         return Denied(
             status=UNAVAILABLE,
@@ -63,7 +74,7 @@
         )
     if tenant is None:
         return Denied(status=UNAUTHORIZED, reason=UNKNOWN_KEY)
-    return _admitted(call, tenant)
+    return _admitted(call, tenant, operation)
 
 
 def is_still_admitted(table: RoutingTable, route: Route, call: Call) -> bool:
@@ -73,13 +84,15 @@
     return table.tenants.find(call.credential) is not None
 
 
-def _admitted(call: Call, tenant: Tenant | None) -> Admitted:
+def _admitted(call: Call, tenant: Tenant | None, operation: str) -> Admitted:
     name = tenant.name if tenant is not None else NO_TENANT
-    return Admitted(names=_names(call, name), tenant=tenant, shows_credential=False)
+    names = _names(call, name, operation=operation)
+    return Admitted(names=names, tenant=tenant, shows_credential=False)
 
 
-def _names(call: Call, tenant: str | None) -> StateNames:
+def _names(call: Call, tenant: str | None, *, operation: str) -> StateNames:
     return StateNames(
+        operation=operation,
         turn=scoped(tenant, call.request_id),
         program=scoped(tenant, call.program),
         session=scoped(tenant, call.session),
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -92,13 +92,19 @@
         histories: HistoryFetches,
         engines: EngineBook,
         tolerance: LimitTolerance = NO_TOLERANCE,
+        process: str = "",
     ) -> None:
-        """Serve in a zone; ``tolerance`` is what tenants may use beyond their limits."""
+        """Serve in a zone.
+
+        ``tolerance`` is what tenants may use beyond their limits; ``process`` names this start of
+        the node, so that no two requests are one operation of the ledger.
+        """
         self.refusing = False
         self.currency: Callable[[float], Currency] = _always_current
         self.proof_age: Callable[[float], float] = _just_proved
         self._dialect = dialect
         self._tolerance = tolerance
+        self._process = process
         self._outcomes = Outcomes(dialect)
         self._state = NodeState(zone, engines, self._outcomes)
         self._held = HeldRequests()
@@ -284,7 +290,13 @@
             return
         call = parsed.unwrap()
         currency = self.currency(self._state.now)
-        admitted = admit(table, route, call, is_current=currency is Currency.CURRENT)
+        admitted = admit(
+            table,
+            route,
+            call,
+            is_current=currency is Currency.CURRENT,
+            operation=f"{self._process}/{event.exchange}",
+        )
         if isinstance(admitted, Denied):
             soon = admitted.reason == STALE_CONFIGURATION and currency is Currency.SOON
             if not (soon and may_hold and self._held.add(event, arrived_at)):
--- a/src/yokeline/forwarding/limits.py
+++ b/src/yokeline/forwarding/limits.py
@@ -113,7 +113,7 @@
         """Ask the ledger to count a request."""
         assert exchange.limit is not None
         exchange.phase = Phase.RESERVING
-        exchange.operation = Draw(request_id=exchange.names.turn, limit=exchange.limit)
+        exchange.operation = Draw(request_id=exchange.names.operation, limit=exchange.limit)
 
         def answered(result: OperationResult | None, now: float) -> list[Effect]:
             self._state.now = now
@@ -129,7 +129,7 @@
         """Count a request that goes to an engine though it may have run at another one."""
         if exchange.limit is None:
             return
-        name = f"{exchange.names.turn}#{exchange.sends}"
+        name = f"{exchange.names.operation}#{exchange.sends}"
         operation = Draw(request_id=name, limit=exchange.limit, is_owed=True)
         give_up_at = self._state.now + OWED_SECONDS
         effects = self._ledger.ask(operation, _counted, self._state.now, give_up_at)
--- a/src/yokeline/forwarding/settlements.py
+++ b/src/yokeline/forwarding/settlements.py
@@ -78,7 +78,7 @@
     def tell_of_begin(self, exchange: Exchange, engine: EngineState) -> None:
         """Tell the ledger's leader, which knows the turns of all nodes, where a turn runs."""
         if needs_ledger(exchange):
-            self._ledger.turns.begin(exchange.names.turn, engine.engine.engine_id)
+            self._ledger.turns.begin(exchange.names.operation, engine.engine.engine_id)
 
     def tell_of_end(
         self, exchange: Exchange, engine: EngineState, *, failed: bool, slowness: float
@@ -91,7 +91,7 @@
         engine_id = engine.engine.engine_id
         if needs_ledger(exchange):
             served = TurnServed(engine_id, failed, round(slowness, 3))
-            self._ledger.turns.end(exchange.names.turn, served)
+            self._ledger.turns.end(exchange.names.operation, served)
         elif exchange.route.kind is not RouteKind.STREAMING:
             self._ledger.turns.end_call(TurnServed(engine_id, failed, 0.0, is_call=True))
 
--- a/src/yokeline/forwarding/tenants.py
+++ b/src/yokeline/forwarding/tenants.py
@@ -68,8 +68,14 @@
 
     They hold the tenant, so that equal ids of two tenants never meet: neither as turns to
     continue, nor as budgets, nor as two operations that count as one.
+
+    Attributes:
+        operation: Of what the ledger is asked for the request. Where tenants do not trust each
+            other it is the node's own: a caller that gives all its requests one id must not have
+            them counted once, against a budget or a limit.
     """
 
+    operation: str
     turn: str
     program: str
     session: str
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -19,7 +19,7 @@
     """Return the reservation of a turn's most tokens; see :class:`Reserve`."""
     call, names = exchange.call, exchange.names
     return Reserve(
-        request_id=names.turn,
+        request_id=names.operation,
         program=_charged_program(exchange),
         session=names.session,
         budget=call.budget or 0,
@@ -34,7 +34,7 @@
 def settlement_of(exchange: Exchange, tokens: int, turn: KeptTurn | None) -> Settle:
     """Return what replaces the reservation: the tokens handed to the caller."""
     return Settle(
-        request_id=exchange.names.turn,
+        request_id=exchange.names.operation,
         program=_charged_program(exchange),
         session=exchange.names.session,
         tokens=tokens,
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -35,7 +35,7 @@
     """Reserve the most that a turn may generate, and fetch what it continues.
 
     Attributes:
-        request_id: Names the turn; a repeated reservation of it is the same one.
+        request_id: Names the request; a repeated reservation of it is the same one.
         program: Whose budget; empty for none (only ``previous`` is looked up then).
         session: The line of turns within the program.
         budget: Tokens that the program may generate in all.
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -146,6 +146,8 @@
     engines = EngineBook(settings.name)
     ledger = LedgerClient(settings.peer_address)
     histories = HistoryFetches(settings.name, settings.peer_address)
+    # Of this process alone: an answer to an earlier one must not reach it.
+    process = new_replica_id(settings.name, source)
     forwarder = Forwarder(
         zone=settings.zone,
         dialect=adapter.dialect,
@@ -157,6 +159,7 @@
             overage=settings.limit_overage,
             slack=settings.limit_slack,
         ),
+        process=process,
     )
     freshness = ConfigurationFreshness(
         store.unwrap(),
@@ -165,8 +168,6 @@
         settings.revoke_ms / 1000.0,
         now,
     )
-    # Of this process alone: an answer to an earlier one must not reach it.
-    process = new_replica_id(settings.name, source)
     node = EdgeNode(
         record=record,
         process=process,
--- a/tests/unit/forwarding/test_tenants.py
+++ b/tests/unit/forwarding/test_tenants.py
@@ -11,7 +11,7 @@
 from yokeline.forwarding.model import RouteKind, RoutingTable
 from yokeline.forwarding.tenants import Credential, KeyHolder, Tenant, TenantDirectory, scoped
 from yokeline.ledger.messages import LedgerReply
-from yokeline.ledger.operations import Draw, Drawn, Granted, QuotaSpent, Reserve
+from yokeline.ledger.operations import Draw, Drawn, Granted, QuotaSpent, Reserve, Settle
 
 
 def key(text: str) -> Credential:
@@ -87,6 +87,27 @@
         self.assertNotEqual(first.session, second.session)
         self.assertNotEqual(first.previous, second.previous)
 
+    def test_a_caller_that_gives_all_its_requests_one_id_has_each_counted(self) -> None:
+        """Else one id would be reserved, and counted against the limit, once for all of them."""
+        for _ in range(2):
+            self.played.request("/look/x", authorization="Bearer m1", request_id="same")
+            self.played.turn(authorization="Bearer m1", request_id="same")
+        operations = [item.request_id for item in self.played.operations()]
+        self.assertEqual(len(set(operations)), 4)
+        self.played.ledger_answers(Granted())
+        self.assertEqual(self.fields()["x-yokeline-request-id"], "same")
+
+    def test_a_kept_turn_goes_by_the_callers_own_id(self) -> None:
+        self.played.turn("/kept/x", authorization="Bearer h1", request_id="turn-1")
+        self.played.ledger_answers(Granted())
+        self.played.engine_begins()
+        self.played.engine_sends(1)
+        self.played.engine_ends()
+        settle = self.played.operations()[-1]
+        assert isinstance(settle, Settle)
+        assert settle.turn is not None
+        self.assertEqual(settle.turn.turn_id, scoped("hule", "turn-1"))
+
     def test_no_two_pairs_of_tenant_and_id_have_one_name(self) -> None:
         pairs = [("a", "b:c"), ("a:b", "c"), ("", "1:a:b"), ("a", "b"), ("1:a", "b")]
         self.assertEqual(len({scoped(*pair) for pair in pairs}), len(pairs))
