--- a/tests/unit/tools/test_reports.py
+++ b/tests/unit/tools/test_reports.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tools.day_report import Line
+from tools.limit_replay import WAYS, Arrival, Limit
 from tools.limit_report import LimitReport, Run, worst_count
 from tools.path_report import PathReport
 
@@ -50,6 +51,30 @@
         self.assertEqual(report.steps, {})
 
 
+class Replays(unittest.TestCase):
+    """Ten requests at once at five nodes, of a tenant that may send five."""
+
+    def let_in(self, way: str) -> int:
+        nodes = [f"n{number}" for number in range(5)]
+        played = WAYS[way]({"hule": Limit(0.0, 5.0)}, nodes)
+        arrivals = [Arrival(1.0, nodes[n % 5], "hule", True) for n in range(10)]
+        return sum(played.lets_in(arrival) for arrival in arrivals)
+
+    def test_one_bucket_lets_in_what_the_limit_gives(self) -> None:
+        self.assertEqual(self.let_in("one bucket"), 5)
+
+    def test_credit_never_exceeds_it(self) -> None:
+        self.assertLessEqual(self.let_in("credit"), 5)
+
+    def test_counts_do(self) -> None:
+        self.assertGreater(self.let_in("counts"), 5)
+
+    def test_shares_refuse_where_requests_are_not_spread(self) -> None:
+        played = WAYS["shares"]({"hule": Limit(0.0, 5.0)}, [f"n{number}" for number in range(5)])
+        let_in = sum(played.lets_in(Arrival(1.0, "n0", "hule", True)) for _ in range(5))
+        self.assertEqual(let_in, 1)
+
+
 class Limits(unittest.TestCase):
     def test_what_arrived_and_was_sent_on_within_a_window_counts(self) -> None:
         runs = [Run(0.0, 0.1), Run(1.0, 4.9), Run(4.0, 5.2), Run(5.1, 5.2)]
