Let every node read the configuration for itself when its lease is about to lapse

Cause, by reading: after an outage of the key-value service few nodes watch it; the others hear only with the next load reports that it answers again, and refuse until then. Change: any node reads once its proof is 0.9 of the lease old, each 0.5 s.

--- a/src/yokeline/forwarding/freshness.py
+++ b/src/yokeline/forwarding/freshness.py
@@ -34,12 +34,14 @@
 REFUSED_SHARE = 0.4
 """The same at which the node that reads asks others as well, and those that watch the service read
 themselves: the service may refuse one node alone. Over half of the lease is left for that."""
+LAPSING_SHARE = 0.9
+"""The same at which every node reads for itself: it serves nobody without a proof, and hears only
+after a second or two that the service answers others again."""
 REPEAT_SECONDS = 0.25
 """Pause before the next node is asked, or the service once more: over ten ways to and fro. It is
 doubled with each try without a proof,"""
 MAX_REPEAT_SECONDS = 0.5
-"""up to this. Without that, and with every node that hears of no other one reading for itself, an
-outage of 5 s cost 1,000 calls of 57 nodes."""
+"""up to this, so that an outage does not become a load on the service when it returns."""
 SOON_SECONDS = 1.0
 """Time in which a lease is likely to be regained, after this process has started, found it lapsed,
 or woken from a pause: requests that come are held for a moment instead of refused."""
@@ -130,9 +132,7 @@
             return effects
         self._next_try = now + self._pause
         aged = self.age(now) / self._lease
-        # A node that has just started hears of no other one yet.
-        is_first = not peers and self._proven_at == float("-inf")
-        may_read = reads or is_first or (watches and aged >= REFUSED_SHARE)
+        may_read = reads or aged >= (REFUSED_SHARE if watches else LAPSING_SHARE)
         if may_read and aged >= READ_SHARE and self._read is None:
             effects.append(self._read_service(now))
         if peers and aged >= (REFUSED_SHARE if reads else ASK_SHARE):
