Hold requests for 1.5 s while a lapsed lease is likely to be regained

Change: 1.5 s in place of 1.0 s, for what is held and for how long a lapse counts as short. Ruled out: reading every 0.25 s in the gap (twice the calls for 0.1 s).

--- a/src/yokeline/forwarding/freshness.py
+++ b/src/yokeline/forwarding/freshness.py
@@ -42,9 +42,11 @@
 doubled with each try without a proof,"""
 MAX_REPEAT_SECONDS = 0.5
 """up to this, so that an outage does not become a load on the service when it returns."""
-SOON_SECONDS = 1.0
+SOON_SECONDS = 1.5
 """Time in which a lease is likely to be regained, after this process has started, found it lapsed,
-or woken from a pause: requests that come are held for a moment instead of refused."""
+or woken from a pause: requests that come are held for a moment instead of refused. After an outage
+of 5.2 s the proofs were back 1.0 s after the leases had lapsed, and 633 requests that had been held
+for a second were refused within milliseconds of that."""
 
 
 class Currency(enum.Enum):
--- a/src/yokeline/forwarding/held_requests.py
+++ b/src/yokeline/forwarding/held_requests.py
@@ -13,8 +13,8 @@
 from yokeline.effects import HttpArrived
 from yokeline.identifiers import ExchangeId
 
-HOLD_SECONDS = 1.0
-"""Longest time for which a request is held."""
+HOLD_SECONDS = 1.5
+"""Longest time for which a request is held: callers of streams wait 2 s for a first event."""
 MAX_HELD = 512
 MAX_HELD_BYTES = 4 * 1024 * 1024
 
--- a/tests/unit/forwarding/test_freshness.py
+++ b/tests/unit/forwarding/test_freshness.py
@@ -18,6 +18,7 @@
     LEASE_SHARE,
     MAX_REPEAT_SECONDS,
     REFUSED_SHARE,
+    SOON_SECONDS,
     ConfigurationFreshness,
     Currency,
 )
@@ -75,7 +76,7 @@
 class Leases(Proofs):
     def test_without_a_proof_a_node_waits_a_moment_and_then_counts_as_stale(self) -> None:
         self.assertIs(self.node.currency(self.now), Currency.SOON)
-        self.assertIs(self.node.currency(self.now + 1.1), Currency.STALE)
+        self.assertIs(self.node.currency(self.now + SOON_SECONDS + 0.1), Currency.STALE)
 
     def test_a_lease_counts_from_the_question_and_not_from_its_answer(self) -> None:
         """A planted fault that must show: an answer that was 3 s on its way proves 3 s less."""
@@ -91,7 +92,7 @@
         self.now += LEASE + 60.0
         self.assertIs(self.node.currency(self.now), Currency.SOON)
         self.calls(watches=True)
-        self.assertIs(self.node.currency(self.now + 1.1), Currency.STALE)
+        self.assertIs(self.node.currency(self.now + SOON_SECONDS + 0.1), Currency.STALE)
 
     def test_a_later_configuration_is_no_proof_until_it_is_in_force(self) -> None:
         later = StoredItem(KEY, b"v9", 9)
