Move the order of waiting requests, their longest wait and their return into scheduling

Cause: the decisions under load stood between the steps of forwarding/dispatch.py and waiting.py, where they could not be replayed without a node. Each is now a pure module of scheduling/ with the load that it answers: queue_order, room_waits, return_times. Ruled out: moving choice.py as well; it rests on the beliefs of forwarding/ and no part changes it.

--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -11,14 +11,8 @@
 from yokeline.forwarding.http_statuses import UNAUTHORIZED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.waiting import WaitingRequests
-
-WAIT_SHARE = 0.25
-"""Share of the target latency for which a request waits for an engine with room."""
-BEGUN_WAIT_SHARE = 1.0
-"""The same for a turn of a program that has begun."""
-RETRY_AFTER_SECONDS = 0.3
-"""Time after which a refused caller is to come back."""
-BEGUN_RETRY_AFTER_SECONDS = 0.1
+from yokeline.scheduling.return_times import return_after
+from yokeline.scheduling.room_waits import RoomNeed, longest_wait
 
 
 class Dispatch:
@@ -48,21 +42,27 @@
         displaced = queue.add(exchange)
         if displaced is not None:
             self.give_up(displaced)
-        share = BEGUN_WAIT_SHARE if exchange.begun else WAIT_SHARE
-        limit = now + share * exchange.route.target_latency
-        self._state.schedule(exchange, min(limit, exchange.due), self._waited_long)
+        give_up_at = now + longest_wait(self._need_of(exchange))
+        self._state.schedule(exchange, give_up_at, self._waited_long)
 
     def give_up(self, exchange: Exchange) -> None:
         """End a request for which no engine has room."""
         if exchange.runs:
             self._ends.fail(exchange, "no_engine_to_repeat")
             return
-        retry_after = BEGUN_RETRY_AFTER_SECONDS if exchange.begun else RETRY_AFTER_SECONDS
+        retry_after = return_after(has_begun=exchange.begun)
         waited = round(self._state.now - exchange.waiting_since, 4)
         self._ends.refuse(
             exchange, UNAVAILABLE, "no_engine", retry_after=retry_after, waited=waited
         )
 
+    def _need_of(self, exchange: Exchange) -> RoomNeed:
+        return RoomNeed(
+            target_latency=exchange.route.target_latency,
+            time_left=exchange.due - self._state.now,
+            has_begun=exchange.begun,
+        )
+
     def _end_revoked(self, exchange: Exchange) -> None:
         if exchange.runs or exchange.events:
             self._ends.fail(exchange, UNKNOWN_KEY)
--- a/src/yokeline/forwarding/waiting.py
+++ b/src/yokeline/forwarding/waiting.py
@@ -5,29 +5,27 @@
 from bisect import insort
 
 from yokeline.forwarding.exchange import Exchange
+from yokeline.scheduling.queue_order import OrderKey, Standing, order_key
 
 MAX_WAITING = 512
 """Requests of one pool that may wait at a node; beyond it the least urgent is refused."""
 
-OrderKey = tuple[int, int, int, int, float]
 
+def standing_of(exchange: Exchange) -> Standing:
+    """Return what decides the place of a request in the queue."""
+    finish = exchange.call.finish
+    return Standing(
+        is_interrupted=exchange.events > 0,
+        is_late=finish is not None and finish <= 0,
+        has_begun=exchange.begun,
+        priority=exchange.priority,
+        over_at=exchange.started + (finish or 0.0),
+    )
 
-def order_of(exchange: Exchange) -> OrderKey:
-    """Return the place of a request in the queue; the least is served first.
-
-    Nothing of it changes while the request waits, so that the queue is kept in order.
 
-    A stream that broke off comes first, since its caller is already reading; then programs
-    that can still end in time; then those that have begun, so that what was spent on them is
-    not lost; then the operator's priority (a tenant's before its route's); then the one that
-    should be over first.
-    """
-    interrupted = 0 if exchange.events else 1
-    finish = exchange.call.finish
-    late = 0 if finish is None or finish > 0 else 1
-    new_program = 0 if exchange.begun else 1
-    over_at = exchange.started + (finish or 0.0)
-    return (interrupted, late, new_program, exchange.priority, over_at)
+def order_of(exchange: Exchange) -> OrderKey:
+    """Return the place of a request in the queue; the least is served first."""
+    return order_key(standing_of(exchange))
 
 
 class WaitingRequests:
