Empty a storage machine only after its successor is a member

It handed leadership over; the next leader knew no node that stood by, took the emptied replica out at once, and led four members. Two disks lost 0.25 s later left no majority until both were back, 2.5 s. Change: those to be emptied do not count as members when newcomers are let in; a new leader waits for requests of nodes that stand by (1.5 s) before it takes a member out; a node that stands by asks a new leader at once; leadership goes to a member that stays. Ruled out: more members at all times (each entry goes to all of them).

--- a/src/yokeline/ledger/joining.py
+++ b/src/yokeline/ledger/joining.py
@@ -53,6 +53,9 @@
         """Note who leads, as a member tells a node that asked."""
         if answer.leader is None or answer.term < self._told_term:
             return
+        if answer.leader != self._told:
+            # A new leader does not know yet who stands by, and may need a member now.
+            self._next_request = now
         self._told = answer.leader
         self._told_term = answer.term
         self._told_at = now
--- a/src/yokeline/ledger/members.py
+++ b/src/yokeline/ledger/members.py
@@ -98,13 +98,13 @@
     """Return the next change of members, or None if all is as it should be.
 
     A replica that lost its disk goes first: it counts in no majority and its node waits to
-    come back as a new member. Newcomers come before a silent member goes, so that the group
-    does not shrink more than it must.
+    come back as a new member. Newcomers come before a silent member or one that is to be emptied
+    goes, so that the group does not shrink more than it must.
     """
     return (
         _remove_lost(view)
         or _add_waiting(view, now)
-        or _empty_retiring(view)
+        or _empty_retiring(view, now)
         or _replace_silent(view)
     )
 
@@ -117,7 +117,7 @@
 
 
 def _add_waiting(view: GroupView, now: float) -> MembershipStep | None:
-    if len(view.members) >= MAX_MEMBERS:
+    if _is_whole(view):
         return None
     taken = Counter(view.zones.get(node_name_of(member), "") for member in view.members)
     waiting = [node for node in sorted(view.joins) if _may_join(view, node, now)]
@@ -127,6 +127,12 @@
     return AddMember(view.joins[node].replica)
 
 
+def _is_whole(view: GroupView) -> bool:
+    """Return whether there are enough members without those that are to be emptied."""
+    staying = [item for item in view.members if node_name_of(item) not in view.retiring]
+    return len(staying) >= MAX_MEMBERS
+
+
 def _may_join(view: GroupView, node: NodeName, now: float) -> bool:
     request = view.joins[node]
     is_fresh = request.heard_at >= max(view.leads_since, now - JOIN_FRESH_SECONDS)
@@ -137,7 +143,14 @@
     return view.knows_orders or request.replica not in view.former
 
 
-def _empty_retiring(view: GroupView) -> MembershipStep | None:
+def _empty_retiring(view: GroupView, now: float) -> MembershipStep | None:
+    """Take out a member once others hold what it holds; its successor comes first.
+
+    Whoever stands by asks a new leader within a moment; the group could bear one loss less if the
+    member went before that.
+    """
+    if not _is_whole(view) and now - view.leads_since < JOIN_FRESH_SECONDS:
+        return None
     for member in view.members:
         if node_name_of(member) not in view.retiring or len(view.members) == 1:
             continue
@@ -146,10 +159,15 @@
             continue
         if member != view.own:
             return RemoveMember(member, "to be emptied")
-        return HandOver(staying[0])
+        return HandOver(_successor(staying, view))
     return None
 
 
+def _successor(staying: list[ReplicaId], view: GroupView) -> ReplicaId:
+    """Return who is to lead; one that is to be emptied as well only if all are."""
+    return min(staying, key=lambda member: node_name_of(member) in view.retiring)
+
+
 def _replace_silent(view: GroupView) -> MembershipStep | None:
     if len(view.members) <= MIN_MEMBERS_AFTER_REPLACEMENT:
         return None
--- a/tests/unit/ledger/test_storage_nodes.py
+++ b/tests/unit/ledger/test_storage_nodes.py
@@ -734,6 +734,34 @@
             self.assertTrue(cluster.run_until(is_emptied, 6.0), f"seed {seed}")
             self.assert_kept(cluster, "t1")
 
+    def test_two_disks_are_lost_right_after_a_machine_was_emptied(self) -> None:
+        """The group must bear two losses at each moment of an emptying.
+
+        The leader was emptied by taking its replica out first, and its successor knew of no node
+        that stood by. Of the four members that were left two lost their disks a quarter of a second
+        later, and no turn was served until both were back:
+
+            9.79 membership_step step=RemoveMember replica=storage-krg-a-1~4a386ea37ef92b4a
+            10.65 ledger_role_changed role=follower leader=null
+            12.59 ledger_role_changed role=leader term=4
+        """
+        for seed in range(6):
+            cluster = self.settled(8, seed)
+            cluster.ask(turn("t1"))
+            retired = self.leader(cluster)
+            order = json.dumps({"duration-s": 8}).encode()
+            cluster.store.put(f"op/retire/{retired.name}", order)
+            is_done = cluster.run_until(partial(is_emptied, cluster, retired), 6.0)
+            self.assertTrue(is_done, f"seed {seed}")
+            members = cluster.members()
+            victims = [item for item in cluster.machines if item.replica in members][:2]
+            for lost in (retired, *victims):
+                cluster.wipe(lost)
+                cluster.machines.remove(lost)
+            answer = cluster.ask(turn("t2"), 1.8)
+            self.assertIsInstance(answer, Settled, f"seed {seed}")
+            self.assert_kept(cluster, "t1")
+
     def test_members_that_are_gone_for_good_are_replaced_by_nodes_that_stand_by(self) -> None:
         for seed in range(4):
             cluster = self.settled(8, seed)
