Tell a node whose turns wait for an engine of places that fall free

A node hears of the places of all nodes with the answers to its own reservations alone, 12 a second; between two of them it goes on believing that all are full. Change: while turns wait, a node asks the leader for news of engines each 0.05 s (an optional field of the request; a leader of the build before gives no answer, and nothing else changes). Ruled out: engines told with every answer (three times the bytes of the leader's answers); believing that turns end with time (all nodes would send to the same engine).

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -156,6 +156,7 @@
         effects.extend(self.ledger.tick(now))
         effects.extend(self.histories.tick(now))
         effects.extend(self.forwarder.tick(now))
+        self.ledger.wants_engines = self.forwarder.awaits_model_engine()
         effects.extend(
             self._sharing.tick(
                 ReportedState(
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -200,6 +200,12 @@
         """Return how many requests wait, by pool."""
         return {pool: len(queue) for pool, queue in self._state.waiting.items() if len(queue)}
 
+    def awaits_model_engine(self) -> bool:
+        """Return whether turns wait for a model engine with room."""
+        table = self.table
+        pools = table.pools if table is not None else {}
+        return any(pool in pools and pools[pool].model is not None for pool in self.waiting())
+
     def next_deadline(self) -> float | None:
         """Return when :meth:`tick` is due."""
         dues = (self._state.timers.next_due(), self._held.next_deadline())
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -16,6 +16,7 @@
     for ending, count in node.histories.counts.items():
         counters[f'yokeline_ledger_history_fetches_total{{ending="{ending}"}}'] = float(count)
     counters["yokeline_ledger_texts_copied_total"] = float(node.ledger.counts.texts_copied)
+    counters["yokeline_ledger_engine_asks_total"] = float(node.ledger.counts.engine_asks)
     counters["yokeline_ledger_late_answers_total"] = float(node.ledger.counts.late_answers)
     counters["yokeline_ledger_sent_through_peers_total"] = float(node.ledger.counts.through_peers)
     counters["yokeline_ledger_passed_on_total"] = float(node.ledger.counts.for_peers)
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -43,6 +43,9 @@
 MAX_PAUSE_SECONDS = 0.1
 PASSED_ON_SECONDS = 1.0
 """How long an operation of another node is repeated; its asker repeats it too."""
+ENGINES_SECONDS = 0.05
+"""Age of what was told of engines after which a node with requests that wait for one asks anew. A
+turn takes some tenths of a second, so a place that falls free is known within a part of one."""
 MAX_PASSED_ON = 256
 """Operations of other nodes under way at once; more are dropped, and their askers ask again."""
 
@@ -95,6 +98,8 @@
         helpful_peers: The nodes to ask through; none unless set.
         engines_told: Told what the leader knows of engines; nobody unless set.
         engines: What the leader last told of engines.
+        wants_engines: Requests wait for an engine with room, so the leader is asked for news of
+            engines while no answer to anything else brings them.
     """
 
     def __init__(self, own_address: Address) -> None:
@@ -112,6 +117,8 @@
         self.helpful_peers: HelpfulPeers = list
         self.engines_told: EnginesTold = _nobody
         self.engines: tuple[EngineTurns, ...] = ()
+        self.wants_engines = False
+        self._engines_due = float("-inf")
         self.answer_seconds = Histogram()
         self.counts = ClientCounts()
         self.has_answered = False
@@ -200,6 +207,8 @@
         report_due = self.turns.report_due()
         if report_due is not None and self._search.leader is not None:
             dues.append(report_due)
+        if self.wants_engines and self._search.leader is not None:
+            dues.append(self._engines_due)
         return min(dues, default=None)
 
     def tick(self, now: float) -> list[Effect]:
@@ -258,12 +267,24 @@
         return effects
 
     def _report_turns(self, now: float) -> list[Effect]:
-        """Tell the leader of turns that no operation has taken along."""
+        """Tell the leader of turns that no operation took along, and ask for news of engines."""
         leader = self._search.leader
-        report = self.turns.take_report(now) if leader is not None else None
-        if leader is None or report is None:
+        if leader is None:
+            return []
+        report = self.turns.take_report(now)
+        wants_engines = self.wants_engines and now >= self._engines_due
+        if report is None and not wants_engines:
             return []
-        message = LedgerRequest(number=0, asker=self._own_address, operations=(), turns=report)
+        if wants_engines:
+            self._engines_due = now + ENGINES_SECONDS
+            self.counts.engine_asks += 1
+        message = LedgerRequest(
+            number=0,
+            asker=self._own_address,
+            operations=(),
+            turns=report,
+            wants_engines=wants_engines,
+        )
         return [SendPeer(to=leader.replica, address=leader.address, message=message)]
 
     def _report_counts(self, now: float) -> list[LogRecord]:
@@ -298,6 +319,7 @@
         if not reply.passed_on:
             effects.extend(self._take_word(reply, asked, now))
         if reply.engines:
+            self._engines_due = now + ENGINES_SECONDS
             self.engines = reply.engines
             self.engines_told(reply.engines, now)
         if asked is None:
--- a/src/yokeline/ledger/client_report.py
+++ b/src/yokeline/ledger/client_report.py
@@ -19,6 +19,7 @@
         through_peers: Operations sent to other forwarding nodes.
         for_peers: Operations of other nodes that this one has asked for.
         texts_copied: Turns whose texts were sent to the followers as well.
+        engine_asks: Questions for news of engines alone, while requests waited for one.
     """
 
     def __init__(self) -> None:
@@ -28,6 +29,7 @@
         self.through_peers = 0
         self.for_peers = 0
         self.texts_copied = 0
+        self.engine_asks = 0
         self._reported: Counter[str] = Counter()
         self._next_report = 0.0
 
@@ -38,12 +40,13 @@
     def report(
         self, now: float, *, under_way: int, oldest_seconds: float, patience: float
     ) -> list[LogRecord]:
-        """Return a line if operations were sent again or went other ways since the last one."""
+        """Return a line if more than first questions was sent since the last one."""
         self._next_report = now + REPORT_SECONDS
         counts = Counter(self.repetitions)
         counts["late_answers"] = self.late_answers
         counts["through_peers"] = self.through_peers
         counts["for_peers"] = self.for_peers
+        counts["engine_asks"] = self.engine_asks
         new = counts - self._reported
         self._reported = counts
         if not new:
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -77,6 +77,8 @@
         turns: The asker's turns at engines, if they changed; nothing that lasts. A request
             without operations gets no answer.
         is_copied: The asker has sent the texts to the followers that it was told of.
+        wants_engines: The asker has requests that wait for an engine with room, and is to be told
+            what is known of engines though it asks for nothing else.
     """
 
     number: int
@@ -84,6 +86,7 @@
     operations: tuple[Operation, ...]
     turns: NodeTurns | None = None
     is_copied: bool = False
+    wants_engines: bool = False
 
 
 class PassedOnRequest(msgspec.Struct, frozen=True, kw_only=True, tag="passed_on"):
@@ -130,7 +133,8 @@
         results: Empty if the receiver does not lead, and then nothing was done.
         term: The replica's term, which says whose knowledge of the leader is later.
         passed_on: It comes from another forwarding node, so it says nothing of the way there.
-        engines: The turns under way, with the answer to a reservation; empty if not known.
+        engines: The turns under way, with the answer to a reservation or if they were asked for;
+            empty if not known.
         copies_to: Followers to which texts are to be sent as well; none while the leader's link
             bears them. With the answer to a reservation.
     """
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -101,11 +101,16 @@
         self._told = None
 
     def take(self, sender: ReplicaId, request: LedgerRequest, now: float) -> list[Effect]:
-        """Take a request in, with its report of turns; one without operations gets no answer."""
+        """Take a request in, with its report of turns.
+
+        One without operations gets no answer, unless it wants to know of engines.
+        """
         self.note_time(now)
         self._take_turns(sender, request, now)
         asker = Asker(sender, request.asker, request.number)
         effects: list[Effect] = []
+        if request.wants_engines and self._replica.leads:
+            effects.append(self._tell_engines(asker))
         for operation in request.operations:
             self.operations += 1
             self.load.note_operation(operation)
@@ -206,6 +211,17 @@
         self.load.note_reply(reply)
         return SendPeer(to=asker.process, address=asker.address, message=reply)
 
+    def _tell_engines(self, asker: Asker) -> Effect:
+        """Tell a node of engines that has asked for nothing else."""
+        reply = LedgerReply(
+            number=asker.number,
+            leader=self._replica.leader_hint(),
+            term=self._replica.group.term,
+            engines=self._engines_now(),
+        )
+        self.load.note_reply(reply)
+        return SendPeer(to=asker.process, address=asker.address, message=reply)
+
     def _engines_now(self) -> tuple[EngineTurns, ...]:
         """Return what is known of engines, worked out once for all answers of one moment."""
         if self._told is None:
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -141,6 +141,7 @@
     "yokeline_start_seconds": "Seconds from the process's first instruction to a phase, by phase.",
     "yokeline_ledger_repetitions_total": "Questions to the ledger sent again, by cause.",
     "yokeline_ledger_history_fetches_total": "Chains of turns asked of a replica, by ending.",
+    "yokeline_ledger_engine_asks_total": "Questions for news of engines while requests waited.",
     "yokeline_ledger_texts_copied_total": "Turns whose texts went to the followers as well.",
     "yokeline_ledger_entries_restored_total": "Entries put together with texts from nodes.",
     "yokeline_ledger_texts_lacking_total": "Messages dropped, since a text did not come.",
