--- a/src/yokeline/forwarding/ends.py
+++ b/src/yokeline/forwarding/ends.py
@@ -104,6 +104,9 @@
         self._outcomes.count(outcome, fields.get("status"))
         self._outcomes.count_tenant(outcome, exchange.tenant)
         engine = exchange.engine.engine.engine_id if exchange.engine else ""
+        if exchange.call.finish is not None:
+            left = exchange.call.finish - (self._state.now - exchange.started)
+            fields["program_left"] = round(left, 3)
         self._outcomes.log(
             "request_ended",
             exchange,
--- a/tests/unit/tools/test_reports.py
+++ b/tests/unit/tools/test_reports.py
@@ -6,6 +6,7 @@
 from tools.limit_replay import WAYS, Arrival, Limit
 from tools.limit_report import LimitReport, Run, worst_count
 from tools.path_report import PathReport
+from tools.program_report import IN_TIME, ProgramReport
 
 
 def chosen(request: str, at: float) -> Line:
@@ -51,6 +52,42 @@
         self.assertEqual(report.steps, {})
 
 
+class Programs(unittest.TestCase):
+    def report(self, *lines: Line) -> ProgramReport:
+        report = ProgramReport()
+        for line in lines:
+            report.take({"program": "p", **line})
+        return report
+
+    def turn(self, at: float, left: float, **fields: object) -> Line:
+        return ended("t", at, 0.2, outcome="streamed", program_left=left, **fields)
+
+    def refused(self, at: float, reason: str) -> Line:
+        return ended("t", at, 0.0, outcome="refused", status=503, reason=reason)
+
+    def cause(self, *lines: Line) -> str:
+        return self.report(*lines).counted()[0].cause
+
+    def test_a_program_is_put_to_what_it_met(self) -> None:
+        whole = self.turn(1.0, 0.5)
+        self.assertEqual(self.cause(whole), IN_TIME)
+        late = self.turn(3.0, -0.5)
+        self.assertEqual(self.cause(whole, self.refused(2.0, "x"), late), "late after x")
+        slow = {**chosen("t", 1.0), "tenant": "hule", "waited": 0.4}
+        self.assertEqual(self.cause(slow, late), "late, most time in queues")
+        self.assertEqual(self.cause(whole, self.refused(2.0, "x")), "ended by x")
+
+    def test_those_that_their_budget_stopped_are_left_out(self) -> None:
+        report = self.report(self.turn(1.0, 0.5), self.refused(2.0, "budget_spent"))
+        self.assertEqual(report.counted(), [])
+
+    def test_refusals_for_a_limit_are_told_by_what_came_before(self) -> None:
+        first = self.report(self.refused(1.0, "quota_spent"), self.turn(2.0, 0.5)).counted()[0]
+        self.assertEqual((first.first_quota_refusals, first.quota_refusals), (1, 0))
+        begun = self.report(self.turn(1.0, 0.5), self.refused(2.0, "quota_spent")).counted()[0]
+        self.assertEqual((begun.first_quota_refusals, begun.quota_refusals), (0, 1))
+
+
 class Replays(unittest.TestCase):
     """Ten requests at once at five nodes, of a tenant that may send five."""
 
