Cut off the slowest readers before all together fill a node's memory

Cause: each caller may leave 16 MiB of an answer unread, and a machine has 128 MB; nothing bounded what all callers leave unread together, so eight slow ones could end the process. Change: a bound of a quarter of the machine's memory (new setting memory_mb) for all, a quarter of that for one; past it the one that has left the most unread is cut off, with a log line. Ruled out: pausing the engine's stream for one slow caller; it holds a place that others wait for.

--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -14,6 +14,7 @@
     "yokeline_http_problems_total": "Error answers, by kind of error.",
     "yokeline_http_requests_waiting": "HTTP requests under way at this node.",
     "yokeline_http_callers_gone_total": "Callers that closed before their answer ended.",
+    "yokeline_http_slow_readers_cut_off_total": "Callers cut off since all read too slowly.",
     "yokeline_http_connections_refused_total": (
         "Connections of callers refused because this node had as many as it takes."
     ),
--- a/src/yokeline/node/connection.py
+++ b/src/yokeline/node/connection.py
@@ -174,6 +174,10 @@
         if readable and not self.closed:
             self._receive()
 
+    def cut_off(self, reason: str) -> None:
+        """Close at once, and tell the owner why."""
+        self._fail(reason)
+
     def abandon(self) -> None:
         """Close after a fault of our own (called by the poller)."""
         self._fail("a fault in this process")
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -71,7 +71,11 @@
 
     def unsent_bytes(self) -> int:
         """Return how many bytes of answers the kernel has not taken yet."""
-        return self._connection.unsent_bytes()
+        return self._connection.unsent_bytes() + sum(len(piece) for piece in self._pieces)
+
+    def cut_off(self, reason: str) -> None:
+        """Close the connection; its caller is gone for the service."""
+        self._connection.cut_off(reason)
 
     # ------------------------------------------------------------ requests in
 
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -34,6 +34,7 @@
 from yokeline.node.limits import ServerLimits
 from yokeline.node.listener import Listener
 from yokeline.node.poller import SocketPoller
+from yokeline.node.unsent_bound import UnsentBound
 
 
 class HttpServer(BaseComponent):
@@ -60,6 +61,7 @@
         self._numbers = itertools.count(1)
         self._listener = Listener(poller, deadlines, sock, self._accept)
         self.refused_connections = 0
+        self.unsent_bound = UnsentBound(limits.max_unsent_bytes_of_all)
         bridge.carry_out_with(HttpReply, self._reply)
         bridge.carry_out_with(HttpStreamStart, self._start_stream)
         bridge.carry_out_with(HttpStreamData, self._stream_data)
@@ -96,6 +98,7 @@
         connection = self._exchanges.get(effect.exchange)
         if connection is not None:
             connection.reply(effect)
+            self.unsent_bound.note_written(len(effect.body), self._connections)
 
     def _start_stream(self, effect: HttpStreamStart) -> None:
         connection = self._exchanges.get(effect.exchange)
@@ -106,6 +109,7 @@
         connection = self._exchanges.get(effect.exchange)
         if connection is not None:
             connection.stream_data(effect.data)
+            self.unsent_bound.note_written(len(effect.data), self._connections)
 
     def _end_stream(self, effect: HttpStreamEnd) -> None:
         connection = self._exchanges.get(effect.exchange)
--- a/src/yokeline/node/limits.py
+++ b/src/yokeline/node/limits.py
@@ -20,6 +20,8 @@
         idle_seconds: Time a connection is kept without a request.
         max_connections: Connections open at once; more are closed when accepted.
         max_unsent_bytes: Bytes that a slow reader may leave unread before it is cut off.
+        max_unsent_bytes_of_all: Bytes that all readers together may leave unread; then the slowest
+            are cut off.
         linger_seconds: Time for a refused caller to read its answer while it still sends.
         silent_seconds: Time that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT).
     """
@@ -30,6 +32,7 @@
     idle_seconds: float = 75.0
     max_connections: int = 8192
     max_unsent_bytes: int = 16 * MEBIBYTE
+    max_unsent_bytes_of_all: int = 256 * MEBIBYTE
     linger_seconds: float = 2.0
     silent_seconds: float = 60.0
 
--- a/src/yokeline/node/process.py
+++ b/src/yokeline/node/process.py
@@ -36,6 +36,7 @@
 _DRAIN_CHECK_SECONDS = 0.01
 
 HTTP_REFUSED = "yokeline_http_connections_refused_total"
+SLOW_READERS = "yokeline_http_slow_readers_cut_off_total"
 PEERS_REFUSED = "yokeline_peer_connections_refused_total"
 FRAMES_DROPPED = "yokeline_peer_frames_dropped_total"
 PEER_BYTES = "yokeline_peer_bytes_total"
@@ -226,6 +227,7 @@
         counters: dict[str, float] = {}
         if self.server is not None:
             counters[HTTP_REFUSED] = self.server.refused_connections
+            counters[SLOW_READERS] = self.server.unsent_bound.cut_off
         if self.peers is not None:
             counters[PEERS_REFUSED] = self.peers.refused_connections
             dropped = {**self.peers.counters, "queue_limit": self.peers.dropped_frames()}
--- a/src/yokeline/role_settings.py
+++ b/src/yokeline/role_settings.py
@@ -30,6 +30,7 @@
         engine_drain_ms: Milliseconds for which an engine that leaves serves on.
         max_descriptors: File descriptors that the process may use.
         link_mbps: Megabits a second that the machine's link bears; 0 if not known.
+        memory_mb: Megabytes of memory that the process may use; 0 if not known.
         revoke_ms: Milliseconds after which a key that was taken away may not count on any machine,
             whether or not it reaches the others; 0 for no such bound.
         limit_window_seconds: Span of time for which the next two hold.
@@ -52,6 +53,7 @@
     engine_drain_ms: float = 2000.0
     max_descriptors: int = 4096
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
     revoke_ms: float = 0.0
     limit_window_seconds: float = 0.0
     limit_overage: float = 0.0
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -21,7 +21,13 @@
 from yokeline.identifiers import ReplicaId, new_replica_id
 from yokeline.ledger.codec import LedgerCodec
 from yokeline.logs import set_up_role_logs
-from yokeline.node.limits import ClientLimits, PeerLimits, ServerLimits, TransportLimits
+from yokeline.node.limits import (
+    MEBIBYTE,
+    ClientLimits,
+    PeerLimits,
+    ServerLimits,
+    TransportLimits,
+)
 from yokeline.node.process import ServiceBinding, run_services
 from yokeline.node.sockets import OpenSockets
 from yokeline.registry.client import RegistryClient
@@ -45,6 +51,13 @@
 _STORAGE_WATCH_PAUSE_SECONDS = 0.3
 """Its pause after a change, so that one call brings several."""
 
+_UNSENT_MEMORY_SHARE = 0.25
+"""Share of a process's memory for answers that callers have not read yet; the most of it is for
+what the process needs at rest, and for requests under way."""
+
+_UNSENT_READER_SHARE = 0.25
+"""Share of that for one caller, so that a single one does not end the answers of others."""
+
 BoundServices = list[tuple[Service, ServiceBinding, OpenSockets | None]]
 
 
@@ -287,9 +300,7 @@
 def _limits(settings: RoleSettings) -> TransportLimits:
     for_callers = int(settings.max_descriptors * _DESCRIPTORS_FOR_CALLERS)
     return TransportLimits(
-        server=ServerLimits(
-            max_connections=for_callers, silent_seconds=10.0, max_body_bytes=8 * 1024 * 1024
-        ),
+        server=_server_limits(for_callers, settings.memory_mb),
         client=ClientLimits(
             connect_seconds=0.6,
             max_connections=max(64, settings.max_descriptors - for_callers - 256),
@@ -306,6 +317,17 @@
     )
 
 
+def _server_limits(max_connections: int, memory_mb: float) -> ServerLimits:
+    limits = ServerLimits(
+        max_connections=max_connections, silent_seconds=10.0, max_body_bytes=8 * MEBIBYTE
+    )
+    if not memory_mb:
+        return limits
+    of_all = int(_UNSENT_MEMORY_SHARE * memory_mb * MEBIBYTE)
+    of_one = min(limits.max_unsent_bytes, int(_UNSENT_READER_SHARE * of_all))
+    return msgspec.structs.replace(limits, max_unsent_bytes=of_one, max_unsent_bytes_of_all=of_all)
+
+
 def _read_log(folder: Path, name: str) -> Result[bytes, YokelineError]:
     try:
         folder.mkdir(parents=True, exist_ok=True)
--- a/tests/processes/test_http_server.py
+++ b/tests/processes/test_http_server.py
@@ -19,6 +19,7 @@
 from yokeline.node.process import ServiceBinding
 
 HOST = b"host: test\r\n"
+MEGABYTE = 1024 * 1024
 
 
 def describe(event: Event) -> list[Effect]:
@@ -35,6 +36,32 @@
     return ServiceBinding(http=LOOPBACK, limits=TransportLimits(server=server))
 
 
+class SlowReaders(unittest.TestCase):
+    def test_callers_that_together_read_too_slowly_are_cut_off_and_others_served(self) -> None:
+        """Each of them stays below its own limit; all together would fill the memory."""
+        service = ScriptedService(describe)
+        binding = limited(max_unsent_bytes=MEGABYTE * 16, max_unsent_bytes_of_all=MEGABYTE * 8)
+        piece = b"x" * 65_536
+        with Running(service, binding) as running, contextlib.ExitStack() as stack:
+            for _ in range(4):
+                sock = stack.enter_context(running.connect())
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+                sock.sendall(b"POST /open HTTP/1.1\r\n" + HOST + b"content-length: 0\r\n\r\n")
+            wait_for(lambda: len(service.seen(HttpArrived)) == 4, "the requests")
+            for event in service.seen(HttpArrived):
+                assert isinstance(event, HttpArrived)
+                running.emit(HttpStreamStart(exchange=event.exchange, status=200, headers={}))
+            for _ in range(60):
+                for event in service.seen(HttpArrived):
+                    assert isinstance(event, HttpArrived)
+                    running.emit(HttpStreamData(exchange=event.exchange, data=piece))
+            wait_for(lambda: bool(service.seen(HttpGone)), "a slow reader is cut off")
+            self.assertLess(len(service.seen(HttpGone)), 4)
+            with running.connect() as reader:
+                reader.sendall(b"GET /whole HTTP/1.1\r\n" + HOST + b"\r\n")
+                self.assertIn(b"GET /whole 0", read_until(reader, b"whole 0"))
+
+
 class Requests(unittest.TestCase):
     def test_headers_query_and_split_chunked_body(self) -> None:
         service = ScriptedService(describe)
