Property tests of limits, revocation and request fields without a bound on time

Cause: these three files alone had the library's default deadline of 0.2 s an example, an assertion on time, where all others have none (CONTRIBUTING: no assertions on time, property tests are derandomized). Bounds, examples and planted faults are unchanged. Also: the wish for news of engines is sent only when there is one.

--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import msgspec
+from msgspec import UNSET
 
 from yokeline.effects import Address, Effect, LogRecord, SendPeer
 from yokeline.histogram import Histogram
@@ -283,7 +284,7 @@
             asker=self._own_address,
             operations=(),
             turns=report,
-            wants_engines=wants_engines,
+            wants_engines=wants_engines or UNSET,
         )
         return [SendPeer(to=leader.replica, address=leader.address, message=message)]
 
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from yokeline.consensus.messages import RaftMessage
 from yokeline.effects import Address
@@ -78,7 +79,7 @@
             without operations gets no answer.
         is_copied: The asker has sent the texts to the followers that it was told of.
         wants_engines: The asker has requests that wait for an engine with room, and is to be told
-            what is known of engines though it asks for nothing else.
+            what is known of engines though it asks for nothing else. Not sent otherwise.
     """
 
     number: int
@@ -86,7 +87,7 @@
     operations: tuple[Operation, ...]
     turns: NodeTurns | None = None
     is_copied: bool = False
-    wants_engines: bool = False
+    wants_engines: bool | UnsetType = UNSET
 
 
 class PassedOnRequest(msgspec.Struct, frozen=True, kw_only=True, tag="passed_on"):
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -109,7 +109,7 @@
         self._take_turns(sender, request, now)
         asker = Asker(sender, request.asker, request.number)
         effects: list[Effect] = []
-        if request.wants_engines and self._replica.leads:
+        if request.wants_engines is True and self._replica.leads:
             effects.append(self._tell_engines(asker))
         for operation in request.operations:
             self.operations += 1
--- a/tests/property/test_quotas.py
+++ b/tests/property/test_quotas.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from unittest.mock import patch
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from yokeline.ledger.operations import Draw, Drawn, RateLimit
@@ -121,6 +121,7 @@
 
 
 class Windows(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
     @given(st.integers(0, 2**32), LIMITS)
     def test_no_window_holds_more_than_the_limit_gives(self, seed: int, limit: RateLimit) -> None:
         self.assertLessEqual(worst_excess(seed, limit), ROUNDING)
--- a/tests/property/test_request_fields.py
+++ b/tests/property/test_request_fields.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure
 
@@ -34,6 +34,7 @@
 
 
 class RequestFields(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
     @given(FIELDS, NAMED, st.booleans())
     def test_an_engine_gets_no_field_of_a_caller_that_it_is_not_to_set(
         self, extra: list[tuple[str, str]], named: list[str], has_tenant: bool
--- a/tests/property/test_revocation.py
+++ b/tests/property/test_revocation.py
@@ -10,7 +10,7 @@
 import unittest
 from collections.abc import Callable
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from yokeline.effects import Address, Effect, HttpRequest, HttpResponse, SendPeer
@@ -161,6 +161,7 @@
 
 
 class Revocation(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
     @given(st.integers(0, 2**32))
     def test_no_node_relies_on_a_key_beyond_the_bound(self, seed: int) -> None:
         self.assertEqual(self.play(seed), [])
--- a/tests/unit/forwarding/test_engine_news.py
+++ b/tests/unit/forwarding/test_engine_news.py
@@ -28,7 +28,9 @@
 def asks(effects: list[Effect]) -> list[LedgerRequest]:
     """Return the questions for news of engines alone."""
     messages = [effect.message for effect in effects if isinstance(effect, SendPeer)]
-    return [item for item in messages if isinstance(item, LedgerRequest) and item.wants_engines]
+    return [
+        item for item in messages if isinstance(item, LedgerRequest) and item.wants_engines is True
+    ]
 
 
 class EngineNews(PlayedNode):
