--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -194,20 +194,25 @@
 
         A request of which nothing was heard for long is broken off, since the process that had it
         is gone; it may have run. A late one may have reached the new start, and what this has to
-        say is worth waiting for; it still counts as sent to the earlier one.
+        say is worth waiting for; it still counts as sent to the earlier one. One that went back to
+        the earlier start is taken back at once: the new one would be a second engine that has it.
         """
         self._state.now = now
         self.forget_engine(engine_id)
-        quiet = [
+        lost = [
             exchange
             for exchange in self._state.by_request.values()
             if exchange.engine is not None
             and exchange.engine.engine.engine_id == engine_id
-            and now - exchange.item_at >= START_NEWS_SECONDS
+            and (engine_id in exchange.attempts.engines or self._is_quiet(exchange))
         ]
-        for exchange in quiet:
+        for exchange in lost:
             self._repeats.break_off(exchange, "engine restarted")
-        return len(quiet)
+        return len(lost)
+
+    def _is_quiet(self, exchange: Exchange) -> bool:
+        """Return whether nothing was heard of a request for as long as news may take."""
+        return self._state.now - exchange.item_at >= START_NEWS_SECONDS
 
     @property
     def has_sent(self) -> bool:
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -62,10 +62,15 @@
 
 
 class RoleProcess:
-    """A role; it may be killed and started again with its settings and its disk."""
+    """A role; it may be killed and started again with its settings and its disk.
+
+    Attributes:
+        source: Folder of the release that the next start runs; None for the present one.
+    """
 
     def __init__(self, role: str, settings: Path, log: Path) -> None:
         self.role = role
+        self.source: Path | None = None
         self.name = settings.stem
         self._settings = settings
         self._log = log
@@ -76,6 +81,8 @@
             text = self._settings.read_text()
             self._settings.write_text(text.replace("first_start = true", "first_start = false"))
         environment = {**os.environ, "YOKELINE_NODE_FILE": str(self._settings)}
+        if self.source is not None:
+            environment["PYTHONPATH"] = str(self.source)
         with self._log.open("ab") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "yokeline.platform", self.role],
@@ -139,8 +146,11 @@
         models: int = 2,
         apps: int = 1,
         tenants: Sequence[TenantKeys] = (),
+        source: Path | None = None,
     ) -> None:
+        """Prepare; ``source`` is the folder of the release to begin with, if not this one."""
         self.tenants = list(tenants)
+        self._source = source
         self._storage_nodes = storage_nodes
         self._models = models
         self._edge_nodes = edges
@@ -167,6 +177,7 @@
         self.storage = [self._role("storage", number) for number in range(self._storage_nodes)]
         self.edges = [self._role("edge", number) for number in range(self._edge_nodes)]
         for process in (*self.storage, *self.edges):
+            process.source = self._source
             process.start()
         wait_until(
             lambda: all(self.is_ready(number) for number in range(self._edge_nodes)),
@@ -233,7 +244,8 @@
 
     def list_engine(self, engine: EngineStandIn) -> None:
         """Let an engine that was forgotten say again that it is there."""
-        self.store.put(f"servers/{engine.engine_id}", self._documents[engine.engine_id])
+        document = {**self._documents[engine.engine_id], "born": engine.born}
+        self.store.put(f"servers/{engine.engine_id}", document)
 
     # ------------------------------------------------------------ callers
 
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -23,6 +23,8 @@
 
 JSON = {"content-type": "application/json"}
 EVENT_SECONDS = 0.02
+FIRST_START_MS = 1_790_000_000_000
+"""When engines started for the first time."""
 
 
 class StoreStandIn:
@@ -39,6 +41,10 @@
         """Write as the operator or an engine does."""
         self._put(key, json.dumps(value).encode())
 
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Write as another writer does, that keeps to no format."""
+        self._put(key, value)
+
     def remove(self, key: str) -> None:
         self.revision += 1
         self.items.pop(key, None)
@@ -142,6 +148,7 @@
     """When an engine ran a request, by the engine's own clock.
 
     Attributes:
+        engine_id: The start of the engine.
         how: How it ended, for the reader of a report.
     """
 
@@ -155,6 +162,7 @@
     """An engine: a model's streams of ``events`` words, or an app's whole answers.
 
     Attributes:
+        born: When it started (Unix milliseconds); another start under its id has a later one.
         runs: Requests that it ran: id, body, and after which event it began.
         spans: The same with their times.
         seen: The same with their header fields.
@@ -165,6 +173,7 @@
     def __init__(self, engine_id: str, events: int = 5) -> None:
         self.engine_id = engine_id
         self.events = events
+        self.born = FIRST_START_MS
         self.runs: list[tuple[str, bytes, int]] = []
         self.run_times: dict[str, float] = {}
         self.spans: list[Span] = []
@@ -175,6 +184,11 @@
         self._streams: dict[ExchangeId, list[float]] = {}
         self._open_spans: dict[ExchangeId, Span] = {}
 
+    @property
+    def start_id(self) -> str:
+        """Name of the present start."""
+        return f"{self.engine_id} born {self.born}"
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         effects: list[Effect] = []
         if isinstance(event, StopRequested):
@@ -201,7 +215,7 @@
         self.runs.append((request_id, event.body, after))
         self.run_times[request_id] = now
         self.seen.append(SeenRequest(request_id, now, dict(event.headers)))
-        span = Span(self.engine_id, request_id, now)
+        span = Span(self.start_id, request_id, now)
         self.spans.append(span)
         if "x-yokeline-token-usage" not in event.headers:
             span.how = "whole"
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -106,6 +106,7 @@
     deployment = ProxiedDeployment(storage_nodes=plan.storage_nodes, edges=plan.edges)
     with deployment:
         shared = SharedFaults(deployment, deployment.proxies)
+        shared.write_all_foreign()
         injectors = [Injector(shared, f"{plan.seed}/{lane}") for lane in range(plan.lanes)]
         tenants = deployment.tenants
         callers = [
@@ -130,6 +131,7 @@
         seen = [request for engine in engines for request in engine.seen]
         broken.extend(tenant_violations(records.asked, seen, operator.taken, tenants))
         broken.extend(_keys_in_logs(deployment))
+        broken.extend(_repeated_lines(deployment, shared.foreign_writes))
         if broken and plan.logs:
             deployment.keep_logs(Path(plan.logs) / str(plan.seed))
         deployment.close_proxies()
@@ -145,6 +147,17 @@
     ]
 
 
+def _repeated_lines(deployment: Deployment, foreign_writes: int) -> list[str]:
+    """Return the edges that wrote more lines of foreign entries than one for each change."""
+    found = []
+    for edge in deployment.edges:
+        lines = len(edge.lines("engine_refused")) + len(edge.lines("node_refused"))
+        starts = len(edge.lines("started"))
+        if lines > foreign_writes * max(1, starts):
+            found.append(f"{edge.name} wrote {lines} lines of {foreign_writes} foreign entries")
+    return found
+
+
 def _inject(injectors: list[Injector], seconds: float) -> None:
     """Let each injector bring faults about in a thread of its own, for a time."""
     end = time.monotonic() + seconds
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,25 @@
 INTERPRETER_START_SECONDS = 0.1
 """Time after which a signal has ended a process that had just started, or never does: measured, a
 reload 1 and 5 ms after the start ends it, one after 15 ms does not."""
+ENGINE_START_SECONDS = 2.5
+"""Time in which an engine that crashed is not up again; longer than any pause of a process, as an
+engine's start is."""
+FOREIGN_VALUES = (
+    b"",
+    b"{}",
+    b"null",
+    b"\xff\xfe\x00",
+    b"[" * 5000,
+    b'{"service":"models","address":"127.0.0.1:1"}',
+    b'{"service":"models","address":"127.0.0.1:1","zone":"a","version":"v1","slots":"4",'
+    b'"state":"ready","cold-left-ms":0,"sequence":1,"born":1}',
+    b'{"service":"models","address":"127.0.0.1:1","zone":"a","version":"v1","slots":4,'
+    b'"state":"asleep","cold-left-ms":0,"sequence":1,"born":1}',
+    b'{"service":"nobody","address":"127.0.0.1:1","zone":"a","version":"v1","slots":4,'
+    b'"state":"ready","cold-left-ms":0,"sequence":1,"born":1}',
+)
+"""What another writer leaves among the entries of engines and of nodes."""
+FOREIGN_PREFIXES = ("servers/", "yokeline/nodes/", "yokeline/")
 PAUSE_BEFORE_ANOTHER_SECONDS = 0.1
 """Pause of an injector that found what it chose in another one's hands."""
 
@@ -41,6 +60,7 @@
 
     Attributes:
         lines: What was done, with seconds from the start.
+        foreign_writes: Entries that another writer left.
     """
 
     def __init__(self, deployment: Deployment, proxies: dict[str, Proxy]) -> None:
@@ -50,6 +70,7 @@
         self.lines: list[str] = []
         self.version = 1
         self.disk_lost_at = float("-inf")
+        self.foreign_writes = 0
         self._began = time.monotonic()
         self._lock = threading.Lock()
         self._taken: set[str] = set()
@@ -58,6 +79,17 @@
         """Keep a line."""
         self.lines.append(f"{time.monotonic() - self._began:7.2f} {text}")
 
+    def write_foreign(self, key: str, value: bytes) -> None:
+        """Write as somebody else who has access to the key-value service."""
+        self.foreign_writes += 1
+        self.deployment.store.put_bytes(key, value)
+
+    def write_all_foreign(self) -> None:
+        """Leave each kind of foreign entry in each place; they stay for the whole run."""
+        for prefix in FOREIGN_PREFIXES:
+            for number, value in enumerate(FOREIGN_VALUES):
+                self.write_foreign(f"{prefix}foreign-{number}", value)
+
     @contextlib.contextmanager
     def holding(self, *names: str) -> Iterator[bool]:
         """Take things for one fault; false if another one has some of them."""
@@ -97,6 +129,8 @@
             self._stop_platform_store,
             self._break_streams,
             self._take_engine_off_the_list,
+            self._start_engine_again,
+            self._write_foreign_entry,
             self._ask_edge_to_stop,
             self._reload,
             self._change_configuration,
@@ -156,6 +190,39 @@
                 self._deployment.list_engine(engine)
         return is_free
 
+    def _start_engine_again(self, seconds: float) -> bool:
+        """Let an engine crash and start again under its id; its entry stands meanwhile."""
+        engine = self._random.choice([*self._deployment.models, *self._deployment.apps])
+        proxy = self._shared.proxies[engine.engine_id]
+        is_listed_first = self._random.random() < 0.5
+        names = (f"proxy {engine.engine_id}", f"entry {engine.engine_id}")
+        with self._shared.holding(*names) as is_free:
+            if is_free:
+                self._shared.note(f"{engine.engine_id} crashes and starts again")
+                proxy.set_fault(ProxyFault.RESET)
+                time.sleep(ENGINE_START_SECONDS)
+                engine.born += round(ENGINE_START_SECONDS * 1000)
+                if is_listed_first:
+                    self._deployment.list_engine(engine)
+                    time.sleep(seconds / 10)
+                proxy.set_fault(ProxyFault.NONE)
+                self._deployment.list_engine(engine)
+        return is_free
+
+    def _write_foreign_entry(self, seconds: float) -> bool:
+        """Write over an engine's entry for a time, and beside the entries."""
+        engine = self._random.choice([*self._deployment.models, *self._deployment.apps])
+        value = self._random.choice([*FOREIGN_VALUES, self._random.randbytes(GARBAGE_BYTES)])
+        prefix = self._random.choice(FOREIGN_PREFIXES)
+        with self._shared.holding(f"entry {engine.engine_id}") as is_free:
+            if is_free:
+                self._shared.note(f"foreign entry over {engine.engine_id} for {seconds:.2f} s")
+                self._shared.write_foreign(f"{prefix}foreign", value)
+                self._shared.write_foreign(f"servers/{engine.engine_id}", value)
+                time.sleep(seconds)
+                self._deployment.list_engine(engine)
+        return is_free
+
     # ------------------------------------------------------------ processes
 
     def _pause_process(self, seconds: float) -> bool:
--- a/tests/unit/forwarding/test_engine_starts.py
+++ b/tests/unit/forwarding/test_engine_starts.py
@@ -181,6 +181,17 @@
                 self.assertEqual(len(self.played.sent), before)
                 self.assertEqual(self.replied(), [502])
 
+    def test_a_request_that_went_back_to_the_earlier_start_is_taken_back_at_once(self) -> None:
+        self.start_first(service="apps")
+        self.call("/look/x")
+        self.played.engine_breaks()
+        self.wait(0.02)
+        self.assertEqual(len(self.played.sent), 2)
+        self.start_again(service="apps")
+        self.assertEqual(len(self.played.cancelled), 1)
+        self.wait(1.0)
+        self.assertEqual((len(self.played.sent), self.replied()), (2, [502]))
+
     # ------------------------------------------------------------ entries without a start
 
     def test_an_entry_without_a_start_is_one_start_as_long_as_it_stands(self) -> None:
