--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -11,6 +10,7 @@
 
 from yokeline.fading import FadingAverage
 from yokeline.forwarding.model import Engine
+from yokeline.forwarding.start_names import StartNames
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import (
     NOT_COUNTED,
@@ -121,6 +121,7 @@
     """All engines, by the name of their start and by pool.
 
     Attributes:
+        names: What the engines are called between nodes.
         own_changes: Rises with each change of what this node has under way.
         fresh_seconds: Age after which another node's report counts for nothing.
     """
@@ -129,7 +130,7 @@
         """Know no engine yet; ``node`` names this node, for its preferences; empty for none."""
         self._node = node
         self._engines: dict[str, EngineState] = {}
-        self._starts: dict[str, str] = {}
+        self.names = StartNames()
         self._by_pool: dict[str, list[EngineState]] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._sums_are_stale = False
@@ -154,7 +155,7 @@
 
     def start_of(self, instance: str) -> EngineState | None:
         """Return the start of an engine that is known; each has one at a time."""
-        return self._engines.get(self._starts.get(instance, ""))
+        return self._engines.get(self.names.start_of(instance))
 
     def as_start(self, engine: Engine) -> Engine:
         """Return an engine under the name of its start.
@@ -175,10 +176,10 @@
         Another start of the same engine is forgotten with all that is believed of it.
         """
         engine = self.as_start(engine)
-        earlier = self._starts.get(engine.instance)
+        earlier = self.names.start_of(engine.instance)
         if earlier != engine.engine_id:
-            self._engines.pop(earlier or "", None)
-            self._starts[engine.instance] = engine.engine_id
+            self._engines.pop(earlier, None)
+            self.names.put(engine.instance, engine.engine_id)
         known = self._engines.get(engine.engine_id)
         if known is None:
             preference = _preference(self._node, engine.engine_id)
@@ -228,7 +229,7 @@
         state = self._engines.pop(engine_id, None)
         if state is None:
             return False
-        self._starts.pop(state.engine.instance, None)
+        self.names.remove(state.engine.instance)
         self._index()
         return True
 
@@ -236,7 +237,8 @@
         """Note what the ledger's leader knows; it is newer than any report of turns."""
         self._told_at = now
         told = {item.engine_id: item for item in engines}
-        counted = self._running_by_start(engines)
+        running = [(item.engine_id, item.running) for item in engines]
+        counted = self.names.by_start((row for row in running if row[1] != NOT_COUNTED), now)
         self._told = frozenset(counted)
         for engine_id, state in self._engines.items():
             item = told.get(engine_id)
@@ -245,21 +247,6 @@
             state.told_failed = item.failed_percent / PERCENT if item is not None else 0.0
             state.slowness = item.slowness_percent / PERCENT if item is not None else 1.0
 
-    def _running_by_start(self, engines: tuple[EngineTurns, ...]) -> Counter[str]:
-        """Return the turns under way that the leader counts, by start."""
-        counted: Counter[str] = Counter()
-        for item in engines:
-            if item.running != NOT_COUNTED:
-                counted[self._start_named(item.engine_id)] += item.running
-        return counted
-
-    def _start_named(self, name: str) -> str:
-        """Return the start that another node means.
-
-        Releases that know no starts name an engine by its instance; that is the present start.
-        """
-        return name if name in self._engines else self._starts.get(name, name)
-
     def is_told(self, now: float) -> bool:
         """Return whether what the leader told still counts."""
         return now - self._told_at <= TOLD_FRESH_SECONDS
@@ -288,13 +275,15 @@
             if engine_id not in told
         )
 
-    def own_loads(self) -> tuple[EngineLoad, ...]:
+    def own_loads(self, now: float) -> tuple[EngineLoad, ...]:
         """Return what this node has under way."""
-        return tuple(
-            EngineLoad(state.engine.engine_id, state.running)
-            for state in self._engines.values()
-            if state.running
-        )
+        running = [state for state in self._engines.values() if state.running]
+        loads = [EngineLoad(state.engine.engine_id, state.running) for state in running]
+        for load in tuple(loads):
+            earlier_name = self.names.earlier_name(load.engine_id, now)
+            if earlier_name:
+                loads.append(EngineLoad(earlier_name, load.running))
+        return tuple(loads)
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Note another node's load, unless a later report came before."""
@@ -324,11 +313,11 @@
             if engine_id not in told:
                 state.others = 0
         for _, report in self._reports.values():
-            for load in report.loads:
-                engine_id = self._start_named(load.engine_id)
+            loads = ((load.engine_id, load.running) for load in report.loads)
+            for engine_id, running in self.names.by_start(loads, now).items():
                 state_of = self._engines.get(engine_id)
                 if state_of is not None and engine_id not in told:
-                    state_of.others += load.running
+                    state_of.others += running
 
     def _index(self) -> None:
         self._by_pool = {}
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -236,7 +236,7 @@
         self._engines.drop_stale_reports(now)
         self._reported_changes = self._engines.own_changes
         self._next_report = now + CALM_REPORT_SECONDS * self._slowdown
-        loads = self._engines.own_loads()
+        loads = self._engines.own_loads(now)
         self._sequence += 1
         report = LoadReport(
             node=self._record.name,
--- a/src/yokeline/ledger/own_turns.py
+++ b/src/yokeline/ledger/own_turns.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from yokeline.ledger.messages import EngineLoad, NodeTurns, TurnServed
 
@@ -23,11 +24,14 @@
 
     Attributes:
         dropped: Ends that were never told, since there were too many.
+        earlier_name: Returns the second name under which a load is reported at a time, for nodes
+            of an earlier release; empty for none.
     """
 
     def __init__(self) -> None:
         """Have no turn under way."""
         self.dropped = 0
+        self.earlier_name: Callable[[str, float], str] = _no_other_name
         self._running: dict[str, str] = {}
         self._served: list[TurnServed] = []
         self._sequence = 0
@@ -78,8 +82,16 @@
         self._has_news = False
         self._reported_at = now
         self._sequence += 1
-        return NodeTurns(sequence=self._sequence, loads=self._loads(), served=served)
+        return NodeTurns(sequence=self._sequence, loads=self._loads(now), served=served)
 
-    def _loads(self) -> tuple[EngineLoad, ...]:
+    def _loads(self, now: float) -> tuple[EngineLoad, ...]:
         counts = Counter(self._running.values())
+        for name, count in tuple(counts.items()):
+            earlier_name = self.earlier_name(name, now)
+            if earlier_name:
+                counts[earlier_name] += count
         return tuple(EngineLoad(name, count) for name, count in counts.items())
+
+
+def _no_other_name(_name: str, _now: float) -> str:
+    return ""
--- a/tests/processes/test_http_client.py
+++ b/tests/processes/test_http_client.py
@@ -6,6 +6,7 @@
 from tests.processes.support import ClientProbe, FakeBackend, read_request, wait_for
 from yokeline.effects import (
     Address,
+    CloseIdleConnections,
     Framing,
     HttpCancel,
     HttpFailed,
@@ -55,6 +56,21 @@
             self.assertEqual(backend.connections, 2)
         self.assertIn(b"content-length: 8\r\n", backend.requests[0].lower())
 
+    def test_kept_connections_to_an_address_are_closed_and_no_others(self) -> None:
+        def serve(sock: socket.socket, number: int) -> None:
+            while read_request(sock):
+                sock.sendall(OK)
+            backend.closed_by_client.set()
+
+        with FakeBackend(serve) as backend, FakeBackend(serve) as other, ClientProbe() as probe:
+            for address in (backend.address, other.address):
+                probe.end_of(request(f"a{address}", address, allow_retry=True))
+            probe.running.emit(CloseIdleConnections(backend.address))
+            wait_for(backend.closed_by_client.is_set, "the idle close")
+            probe.end_of(request("b", backend.address, allow_retry=True))
+            probe.end_of(request("c", other.address, allow_retry=True))
+            self.assertEqual((backend.connections, other.connections), (2, 1))
+
     def test_a_stale_kept_connection_is_replaced_only_for_repeatable_requests(self) -> None:
         def serve(sock: socket.socket, number: int) -> None:
             backend.requests.append(read_request(sock))
