--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -10,6 +10,7 @@
 
 from yokeline.fading import FadingAverage
 from yokeline.forwarding.model import Engine
+from yokeline.forwarding.start_names import StartNames
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import (
     NOT_COUNTED,
@@ -117,9 +118,10 @@
 
 
 class EngineBook:
-    """All engines, by id and by pool.
+    """All engines, by the name of their start and by pool.
 
     Attributes:
+        names: What the engines are called between nodes.
         own_changes: Rises with each change of what this node has under way.
         fresh_seconds: Age after which another node's report counts for nothing.
     """
@@ -128,6 +130,7 @@
         """Know no engine yet; ``node`` names this node, for its preferences; empty for none."""
         self._node = node
         self._engines: dict[str, EngineState] = {}
+        self.names = StartNames()
         self._by_pool: dict[str, list[EngineState]] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._sums_are_stale = False
@@ -150,12 +153,38 @@
         """Return an engine that is known."""
         return self._engines.get(engine_id)
 
+    def start_of(self, instance: str) -> EngineState | None:
+        """Return the start of an engine that is known; each has one at a time."""
+        return self._engines.get(self.names.start_of(instance))
+
+    def as_start(self, engine: Engine) -> Engine:
+        """Return an engine under the name of its start.
+
+        One that does not say when it started is the start that is known, so an entry that loses
+        and regains that field changes nothing.
+        """
+        known = self.start_of(engine.instance)
+        if known is None or engine.started_ms is not None:
+            return engine
+        return msgspec.structs.replace(
+            engine, engine_id=known.engine.engine_id, started_ms=known.engine.started_ms
+        )
+
     def put(self, engine: Engine) -> bool:
-        """Note what an engine says of itself; return whether that is news."""
+        """Note what an engine says of itself; return whether that is news.
+
+        Another start of the same engine is forgotten with all that is believed of it.
+        """
+        engine = self.as_start(engine)
+        earlier = self.names.start_of(engine.instance)
+        if earlier != engine.engine_id:
+            self._engines.pop(earlier, None)
+            self.names.put(engine.instance, engine.engine_id)
         known = self._engines.get(engine.engine_id)
         if known is None:
             preference = _preference(self._node, engine.engine_id)
             self._engines[engine.engine_id] = EngineState(engine=engine, preference=preference)
+            self._sums_are_stale = self._sums_are_stale or bool(self._reports)
             self._index()
             return True
         was_lapsed = known.lapsed_until > 0
@@ -197,8 +226,10 @@
 
     def remove(self, engine_id: str) -> bool:
         """Forget an engine that is gone; return whether it was known."""
-        if self._engines.pop(engine_id, None) is None:
+        state = self._engines.pop(engine_id, None)
+        if state is None:
             return False
+        self.names.remove(state.engine.instance)
         self._index()
         return True
 
@@ -206,11 +237,13 @@
         """Note what the ledger's leader knows; it is newer than any report of turns."""
         self._told_at = now
         told = {item.engine_id: item for item in engines}
-        self._told = frozenset(item.engine_id for item in engines if item.running != NOT_COUNTED)
+        running = [(item.engine_id, item.running) for item in engines]
+        counted = self.names.by_start((row for row in running if row[1] != NOT_COUNTED), now)
+        self._told = frozenset(counted)
         for engine_id, state in self._engines.items():
             item = told.get(engine_id)
-            if item is not None and item.running != NOT_COUNTED:
-                state.others = max(0, item.running - state.running)
+            if engine_id in counted:
+                state.others = max(0, counted[engine_id] - state.running)
             state.told_failed = item.failed_percent / PERCENT if item is not None else 0.0
             state.slowness = item.slowness_percent / PERCENT if item is not None else 1.0
 
@@ -242,13 +275,15 @@
             if engine_id not in told
         )
 
-    def own_loads(self) -> tuple[EngineLoad, ...]:
+    def own_loads(self, now: float) -> tuple[EngineLoad, ...]:
         """Return what this node has under way."""
-        return tuple(
-            EngineLoad(state.engine.engine_id, state.running)
-            for state in self._engines.values()
-            if state.running
-        )
+        running = [state for state in self._engines.values() if state.running]
+        loads = [EngineLoad(state.engine.engine_id, state.running) for state in running]
+        for load in tuple(loads):
+            earlier_name = self.names.earlier_name(load.engine_id, now)
+            if earlier_name:
+                loads.append(EngineLoad(earlier_name, load.running))
+        return tuple(loads)
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Note another node's load, unless a later report came before."""
@@ -278,10 +313,11 @@
             if engine_id not in told:
                 state.others = 0
         for _, report in self._reports.values():
-            for load in report.loads:
-                state_of = self._engines.get(load.engine_id)
-                if state_of is not None and load.engine_id not in told:
-                    state_of.others += load.running
+            loads = ((load.engine_id, load.running) for load in report.loads)
+            for engine_id, running in self.names.by_start(loads, now).items():
+                state_of = self._engines.get(engine_id)
+                if state_of is not None and engine_id not in told:
+                    state_of.others += running
 
     def _index(self) -> None:
         self._by_pool = {}
