Weighted max-min fair shares of places, and a bound on passing over

Cause: engines have less room than is asked for, and a tenant within its limit takes most of it. Pure decisions: the level of the shares by water filling, who is beyond its share while another one lacks places, and one request in three that competes as an equal, whatever the share. Ruled out: a floor by measured shares of service; it needs counts of all nodes, and the part that competes as an equal is served as often as the others by itself.

--- /dev/null
+++ b/tests/unit/scheduling/test_tenant_shares.py
@@ -0,0 +1,65 @@
+"""Who is beyond its share of the places, in single cases."""
+
+from __future__ import annotations
+
+import math
+import unittest
+
+from yokeline.scheduling.passing_over import MAX_TENANTS, PassingOver
+from yokeline.scheduling.tenant_shares import MAX_BEYOND, Shares, TenantDemand, shares_of
+
+
+def names(shares: Shares) -> list[str]:
+    return [item.tenant for item in shares.beyond]
+
+
+class Shared(unittest.TestCase):
+    def test_enough_places_for_all_leave_nobody_beyond(self) -> None:
+        demands = [TenantDemand("hot", 1.0, 50, 10), TenantDemand("calm", 1.0, 1, 2)]
+        self.assertEqual(shares_of(demands, 63), Shares(math.inf))
+
+    def test_what_others_do_not_ask_for_is_lent(self) -> None:
+        """The hot tenant holds nearly all places, and nobody else waits."""
+        demands = [TenantDemand("hot", 1.0, 58, 40), TenantDemand("calm", 1.0, 2, 0)]
+        self.assertEqual(names(shares_of(demands, 60)), [])
+
+    def test_who_holds_others_shares_is_beyond_its_own_once_they_wait(self) -> None:
+        demands = [TenantDemand("hot", 1.0, 58, 40), TenantDemand("calm", 1.0, 2, 1)]
+        shares = shares_of(demands, 60)
+        self.assertEqual(names(shares), ["hot"])
+        self.assertEqual(shares.level, 57.0)
+
+    def test_who_waits_with_its_whole_share_holds_nobody_back(self) -> None:
+        demands = [TenantDemand("a", 1.0, 35, 9), TenantDemand("b", 1.0, 30, 30)]
+        self.assertEqual(names(shares_of(demands, 60)), [])
+
+    def test_a_larger_weight_is_a_larger_share(self) -> None:
+        demands = [TenantDemand("large", 3.0, 40, 40), TenantDemand("small", 1.0, 20, 40)]
+        self.assertEqual(names(shares_of(demands, 60)), ["small"])
+
+    def test_a_tenant_with_a_tiny_weight_may_hold_a_place(self) -> None:
+        demands = [TenantDemand("tiny", 0.001, 1, 5), TenantDemand("large", 1000.0, 5, 40)]
+        self.assertEqual(names(shares_of(demands, 10)), [])
+
+    def test_those_with_the_largest_excess_are_named(self) -> None:
+        demands = [TenantDemand(f"t{number}", 1.0, 10 + number, 0) for number in range(20)]
+        demands.append(TenantDemand("waits", 1.0, 0, 50))
+        expected = [f"t{number}" for number in range(19, 19 - MAX_BEYOND, -1)]
+        self.assertEqual(names(shares_of(demands, 100)), expected)
+
+
+class Bounds(unittest.TestCase):
+    def test_one_request_in_three_competes_as_an_equal(self) -> None:
+        passing = PassingOver()
+        held = [passing.may_hold("a", is_beyond=True) for _ in range(9)]
+        self.assertEqual(held, [True, True, False] * 3)
+
+    def test_a_tenant_within_its_share_is_never_held_back(self) -> None:
+        passing = PassingOver()
+        self.assertFalse(any(passing.may_hold("a", is_beyond=False) for _ in range(9)))
+
+    def test_the_tenants_counted_are_bounded(self) -> None:
+        passing = PassingOver()
+        for number in range(MAX_TENANTS + 5):
+            passing.may_hold(f"t{number}", is_beyond=False)
+        self.assertEqual(len(passing), MAX_TENANTS)
