Shares of places: told by nodes, worked out by the ledger's leader, heeded by nodes

Cause: a tenant within its limit fills the engines, and first turns of others are refused for room. The rows travel beside the report of turns, in a field that is left out without tenants: a longer array of NodeTurns would change the bytes of every deployment. The bound on passing over counts places: a tenant is owed a third of what it would get if served as often as all. Before: no module of these, the new tests fail at import.

--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -80,12 +80,16 @@
         if queue is None or not len(queue):
             return
         placement, now = self._state.placement, self._state.now
+        shares = self._state.shares
+        queue.hold_back(shares.held_back(pool, now))
         full = _FullEngines()
         for exchange in queue.in_order():
             if placement.is_hopeless(exchange, now) or placement.is_stranded(exchange):
                 queue.remove(exchange)
                 self.give_up(exchange)
                 continue
+            if shares.leaves_place(exchange, now):
+                continue
             is_new_program = placement.is_new_program(exchange)
             if full.has_no_room(exchange, is_new_program=is_new_program):
                 continue
--- a/src/yokeline/forwarding/ends.py
+++ b/src/yokeline/forwarding/ends.py
@@ -92,6 +92,8 @@
         self, exchange: Exchange, outcome: str, *, level: str = "info", **fields: LogField
     ) -> None:
         """Forget a request, with its timers and its place in a queue."""
+        if exchange.phase is Phase.WAITING:
+            self._state.shares.note_unserved(exchange, self._state.now)
         exchange.phase = Phase.ENDED
         self._state.exchanges.pop(exchange.exchange, None)
         queue = self._state.waiting.get(exchange.pool)
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -129,6 +129,7 @@
         self._node = node
         self._engines: dict[str, EngineState] = {}
         self._by_pool: dict[str, list[EngineState]] = {}
+        self._places: dict[str, int] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._sums_are_stale = False
         self._told_at = -math.inf
@@ -224,6 +225,10 @@
             self._sum_reports(now)
         return self._by_pool.get(pool, [])
 
+    def places_of(self, pool: str) -> int:
+        """Return how many requests the engines of a pool that take new work serve at once."""
+        return self._places.get(pool, 0)
+
     def all(self) -> Iterable[EngineState]:
         """Return every engine."""
         return self._engines.values()
@@ -289,3 +294,7 @@
             state = self._engines[engine_id]
             if not state.engine.draining:
                 self._by_pool.setdefault(state.engine.pool, []).append(state)
+        self._places = {
+            pool: sum(state.engine.slots for state in states)
+            for pool, states in self._by_pool.items()
+        }
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -9,7 +9,7 @@
 from yokeline.effects import HttpArrived, HttpResponse
 from yokeline.forwarding.attempts import Attempts
 from yokeline.forwarding.engines import EngineState
-from yokeline.forwarding.model import Call, Route
+from yokeline.forwarding.model import Call, Route, RouteKind
 from yokeline.forwarding.tenants import StateNames, Tenant
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.operations import CachedContext, Operation, RateLimit
@@ -133,6 +133,18 @@
         own = self.tenant.priority if self.tenant is not None else None
         return self.route.priority if own is None else own
 
+    @property
+    def tenant_name(self) -> str:
+        """The tenant's name; empty without one."""
+        return self.tenant.name if self.tenant is not None else ""
+
+    @property
+    def begins_program(self) -> bool:
+        """Whether it is the first turn of a program, of which nothing has been passed on."""
+        if self.route.kind is not RouteKind.STREAMING:
+            return False
+        return bool(self.call.program) and not self.begun and not self.events
+
     @property
     def begun(self) -> bool:
         """Whether it belongs to a program that has had a turn before."""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -59,6 +59,7 @@
 from yokeline.forwarding.reservations import Reservations
 from yokeline.forwarding.settlements import Settlements
 from yokeline.forwarding.streams import Streams
+from yokeline.forwarding.tenant_loads import NodeTenantLoads
 from yokeline.forwarding.turn_operations import needs_ledger
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId
@@ -107,6 +108,8 @@
         self._process = process
         self._outcomes = Outcomes(dialect)
         self._state = NodeState(zone, engines, self._outcomes)
+        ledger.turns.tenants = NodeTenantLoads(self._state)
+        ledger.shares_told = self._state.shares.take_told
         self._held = HeldRequests()
         self._split = PoolSplit()
         turns = TurnCache()
@@ -202,7 +205,11 @@
 
     def next_deadline(self) -> float | None:
         """Return when :meth:`tick` is due."""
-        dues = (self._state.timers.next_due(), self._held.next_deadline())
+        dues = (
+            self._state.timers.next_due(),
+            self._held.next_deadline(),
+            self._state.shares.next_lapse(),
+        )
         return min((due for due in dues if due is not None), default=None)
 
     # ------------------------------------------------------------ events
@@ -210,6 +217,7 @@
     def tick(self, now: float) -> list[Effect]:
         """Do what is due, and send what may be sent."""
         self._state.now = now
+        self._state.shares.lapse(now)
         self._state.timers.run_due(now)
         if len(self._held):
             self._take_held()
--- a/src/yokeline/forwarding/node_state.py
+++ b/src/yokeline/forwarding/node_state.py
@@ -8,6 +8,7 @@
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.model import Pool, RoutingTable
 from yokeline.forwarding.outcomes import Outcomes
+from yokeline.forwarding.place_shares import PlaceShares
 from yokeline.forwarding.placement import Placement
 from yokeline.forwarding.waiting import WaitingRequests
 from yokeline.histogram import Histogram
@@ -27,6 +28,7 @@
         exchanges: Requests without a final answer, by exchange.
         by_request: Those that are at an engine, by the request sent to it.
         waiting: Those that wait for an engine, by pool.
+        shares: Whose new programs leave places to other tenants.
         added_seconds: Time from a request's arrival to its first send.
         first_event_seconds: Time from a turn's arrival to its first event.
         prediction_error: How far the time of turns at their engines was from what was
@@ -43,6 +45,7 @@
         self.exchanges: dict[ExchangeId, Exchange] = {}
         self.by_request: dict[RequestId, Exchange] = {}
         self.waiting: dict[str, WaitingRequests] = {}
+        self.shares = PlaceShares()
         self.timers = TimerQueue()
         self.added_seconds = Histogram()
         self.first_event_seconds = Histogram()
--- /dev/null
+++ b/src/yokeline/forwarding/place_shares.py
@@ -0,0 +1,73 @@
+"""Whose new programs leave the places of full engines to other tenants, at one node.
+
+The ledger's leader tells which tenants hold more than their share while others lack theirs. New
+programs of these wait behind all others and take no place, within a bound on being passed over.
+Programs that have begun are never held back. What was told counts for a moment only: without word
+of the leader nobody is held back.
+"""
+
+from __future__ import annotations
+
+import math
+
+from yokeline.forwarding.engines import TOLD_FRESH_SECONDS
+from yokeline.forwarding.exchange import Exchange
+from yokeline.ledger.messages import PoolShares
+from yokeline.scheduling.passing_over import PassingOver
+
+_NOBODY: frozenset[str] = frozenset()
+
+
+class PlaceShares:
+    """The leader's latest word, and what the node owes those that it passes over.
+
+    Attributes:
+        levels: Places for a weight of one, by pool that has too few; as last told.
+    """
+
+    def __init__(self) -> None:
+        """Hold nobody back."""
+        self.levels: dict[str, float] = {}
+        self._told: dict[str, frozenset[str]] = {}
+        self._told_at = -math.inf
+        self._passing = PassingOver()
+
+    def take_told(self, shares: tuple[PoolShares, ...], now: float) -> None:
+        """Note what the leader told."""
+        self._told_at = now
+        self.levels = {item.pool: item.level for item in shares}
+        self._told = {item.pool: frozenset(item.beyond) for item in shares if item.beyond}
+
+    def next_lapse(self) -> float | None:
+        """Return when what was told counts no more; None if nobody is held back by it."""
+        return self._told_at + TOLD_FRESH_SECONDS if self._told else None
+
+    def lapse(self, now: float) -> None:
+        """Forget what was told too long ago."""
+        if now - self._told_at >= TOLD_FRESH_SECONDS:
+            self._told = {}
+            self.levels = {}
+
+    def held_back(self, pool: str, now: float) -> frozenset[str]:
+        """Return the tenants whose new programs take no place of a pool now."""
+        told = self._told.get(pool, _NOBODY)
+        if not told or now - self._told_at >= TOLD_FRESH_SECONDS:
+            return _NOBODY
+        owed = [tenant for tenant in told if self._passing.is_owed(tenant)]
+        return told.difference(owed) if owed else told
+
+    def leaves_place(self, exchange: Exchange, now: float) -> bool:
+        """Return whether a request must leave the place to those of other tenants."""
+        if not self._told or not exchange.begins_program:
+            return False
+        return exchange.tenant_name in self.held_back(exchange.pool, now)
+
+    def note_served(self, exchange: Exchange, now: float) -> None:
+        """Count a first turn that got a place."""
+        if exchange.begins_program and exchange.sends == 1:
+            self._passing.note(exchange.tenant_name, now, is_served=True)
+
+    def note_unserved(self, exchange: Exchange, now: float) -> None:
+        """Count a first turn that ceased to wait without a place."""
+        if exchange.begins_program and not exchange.sends:
+            self._passing.note(exchange.tenant_name, now, is_served=False)
--- /dev/null
+++ b/src/yokeline/forwarding/tenant_loads.py
@@ -0,0 +1,74 @@
+"""What the tenants of a node have at engines and ask for, as the ledger's leader is told."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from yokeline.forwarding.node_state import NodeState
+from yokeline.ledger.messages import PoolLoad, TenantLoad
+
+MAX_ROWS = 64
+"""Tenants of one pool in a report; the ones with the most are told. A node has some tens of turns
+under way, of few tenants each."""
+
+
+class NodeTenantLoads:
+    """Reads the requests under way; see :class:`yokeline.ledger.own_turns.TenantLoads`."""
+
+    def __init__(self, state: NodeState) -> None:
+        """Tell of the requests in ``state``."""
+        self._state = state
+
+    @property
+    def is_used(self) -> bool:
+        """Whether the configuration has tenants."""
+        table = self._state.table
+        return table is not None and table.tenants is not None
+
+    @property
+    def changes(self) -> int:
+        """Rises when a tenant's first turns begin to wait, and when none of them waits any more."""
+        return sum(queue.tenant_changes for queue in self._state.waiting.values())
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a first turn of any tenant waits."""
+        return any(queue.first_turns for queue in self._state.waiting.values())
+
+    def rows(self) -> tuple[PoolLoad, ...]:
+        """Return what the tenants have of each pool of model engines."""
+        running = self._running()
+        pools = sorted({*running, *self._state.waiting})
+        return tuple(
+            self._pool_load(pool, running.get(pool, Counter()))
+            for pool in pools
+            if self._is_model(pool)
+        )
+
+    def _running(self) -> dict[str, Counter[str]]:
+        """Return the turns at engines, by pool and tenant."""
+        running: dict[str, Counter[str]] = {}
+        for exchange in self._state.by_request.values():
+            running.setdefault(exchange.pool, Counter())[exchange.tenant_name] += 1
+        return running
+
+    def _pool_load(self, pool: str, running: Counter[str]) -> PoolLoad:
+        queue = self._state.waiting.get(pool)
+        waiting = queue.first_turns if queue is not None else Counter[str]()
+        wanted = running + waiting
+        tenants = tuple(
+            TenantLoad(name, self._weight(name), running[name], waiting[name])
+            for name, _ in wanted.most_common(MAX_ROWS)
+        )
+        return PoolLoad(pool, self._state.engines.places_of(pool), tenants)
+
+    def _is_model(self, pool: str) -> bool:
+        table = self._state.table
+        known = table.pools.get(pool) if table is not None else None
+        return known is not None and known.model is not None
+
+    def _weight(self, tenant: str) -> float:
+        table = self._state.table
+        if table is None or table.tenants is None:
+            return 1.0
+        return table.tenants.weight_of(tenant)
--- a/src/yokeline/forwarding/tenants.py
+++ b/src/yokeline/forwarding/tenants.py
@@ -49,6 +49,8 @@
 
     def __init__(self, holders: tuple[KeyHolder, ...]) -> None:
         """Know the keys of ``holders``; of two holders of one key the first counts."""
+        self._weights = _weights({holder.tenant for holder in holders})
+        self._largest_weight = max(self._weights.values(), default=1.0)
         self._by_index: dict[str, list[KeyHolder]] = {}
         for holder in holders:
             self._by_index.setdefault(holder.credential[:_INDEX_CHARACTERS], []).append(holder)
@@ -62,6 +64,18 @@
                 return holder.tenant
         return None
 
+    def weight_of(self, name: str) -> float:
+        """Return a tenant's part of scarce places, relative to others: its rate.
+
+        The largest one counts for a tenant without a limit, and for requests without a tenant.
+        """
+        return self._weights.get(name, self._largest_weight)
+
+
+def _weights(tenants: set[Tenant]) -> dict[str, float]:
+    """Return the weights of the tenants that have a limit."""
+    return {tenant.name: tenant.rate for tenant in tenants if tenant.is_limited}
+
 
 class StateNames(msgspec.Struct, frozen=True, kw_only=True):
     """The names under which the state of a request is kept, at nodes and in the ledger.
--- a/src/yokeline/forwarding/waiting.py
+++ b/src/yokeline/forwarding/waiting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import insort
+from collections import Counter
 
 from yokeline.forwarding.exchange import Exchange
 from yokeline.scheduling.queue_order import OrderKey, Standing, order_key
@@ -11,29 +12,40 @@
 """Requests of one pool that may wait at a node; beyond it the least urgent is refused."""
 
 
-def standing_of(exchange: Exchange) -> Standing:
-    """Return what decides the place of a request in the queue."""
+_NOBODY: frozenset[str] = frozenset()
+
+
+def standing_of(exchange: Exchange, held_back: frozenset[str] = _NOBODY) -> Standing:
+    """Return what decides the place of a request in the queue.
+
+    ``held_back`` are the tenants whose new programs leave places to others.
+    """
     finish = exchange.call.finish
     return Standing(
         is_interrupted=exchange.events > 0,
         is_late=finish is not None and finish <= 0,
         has_begun=exchange.begun,
+        is_beyond_share=exchange.begins_program and exchange.tenant_name in held_back,
         priority=exchange.priority,
         over_at=exchange.started + (finish or 0.0),
     )
 
 
-def order_of(exchange: Exchange) -> OrderKey:
-    """Return the place of a request in the queue; the least is served first."""
-    return order_key(standing_of(exchange))
-
-
 class WaitingRequests:
-    """The queue of one pool."""
+    """The queue of one pool.
+
+    Attributes:
+        first_turns: First turns of programs that wait, by tenant.
+        tenant_changes: Rises when a tenant's first turns begin to wait, and when none waits any
+            more.
+    """
 
     def __init__(self) -> None:
         """Create an empty queue."""
         self._waiting: list[Exchange] = []
+        self._held_back = _NOBODY
+        self.first_turns: Counter[str] = Counter()
+        self.tenant_changes = 0
 
     def __len__(self) -> int:
         """Return how many wait."""
@@ -41,14 +53,45 @@
 
     def add(self, exchange: Exchange) -> Exchange | None:
         """Add a request; return the one that must give way, if there are too many."""
-        insort(self._waiting, exchange, key=order_of)
-        return self._waiting.pop() if len(self._waiting) > MAX_WAITING else None
+        insort(self._waiting, exchange, key=self._order_of)
+        self._count(exchange, 1)
+        if len(self._waiting) <= MAX_WAITING:
+            return None
+        displaced = self._waiting.pop()
+        self._count(displaced, -1)
+        return displaced
 
     def remove(self, exchange: Exchange) -> None:
         """Take a request out; one that does not wait is a no-op."""
         if exchange in self._waiting:
             self._waiting.remove(exchange)
+            self._count(exchange, -1)
+
+    def hold_back(self, tenants: frozenset[str]) -> None:
+        """Put new programs of ``tenants`` behind all others, and no longer those of earlier ones.
+
+        The queue is put in order anew only if the tenants are others than before.
+        """
+        if tenants == self._held_back:
+            return
+        changed = tenants ^ self._held_back
+        self._held_back = tenants
+        if any(tenant in self.first_turns for tenant in changed):
+            self._waiting.sort(key=self._order_of)
 
     def in_order(self) -> list[Exchange]:
         """Return the requests, the most urgent first."""
         return list(self._waiting)
+
+    def _order_of(self, exchange: Exchange) -> OrderKey:
+        return order_key(standing_of(exchange, self._held_back))
+
+    def _count(self, exchange: Exchange, change: int) -> None:
+        if not exchange.begins_program:
+            return
+        tenant = exchange.tenant_name
+        before = self.first_turns[tenant]
+        self.first_turns[tenant] = before + change
+        if not self.first_turns[tenant]:
+            del self.first_turns[tenant]
+        self.tenant_changes += not before or not before + change
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from yokeline.effects import Address, Effect, LogRecord, SendPeer
 from yokeline.histogram import Histogram
@@ -24,7 +25,10 @@
     LeaderHint,
     LedgerReply,
     LedgerRequest,
+    NodeTurns,
     PassedOnRequest,
+    PoolLoad,
+    PoolShares,
     TextCopy,
 )
 from yokeline.ledger.operations import Granted, Operation, OperationResult, Settle
@@ -60,6 +64,9 @@
 EnginesTold = Callable[[tuple[EngineTurns, ...], float], None]
 """Told what the leader knows of engines, and the time."""
 
+SharesTold = Callable[[tuple[PoolShares, ...], float], None]
+"""Told how the places of pools are shared between tenants, and the time."""
+
 HelpfulPeers = Callable[[], list[PeerNode]]
 """Returns the nodes that say they reach the ledger, the nearest first."""
 
@@ -95,6 +102,7 @@
         helpful_peers: The nodes to ask through; none unless set.
         engines_told: Told what the leader knows of engines; nobody unless set.
         engines: What the leader last told of engines.
+        shares_told: Told how places are shared between tenants; nobody unless set.
     """
 
     def __init__(self, own_address: Address) -> None:
@@ -112,6 +120,7 @@
         self.helpful_peers: HelpfulPeers = list
         self.engines_told: EnginesTold = _nobody
         self.engines: tuple[EngineTurns, ...] = ()
+        self.shares_told: SharesTold = _no_shares
         self.answer_seconds = Histogram()
         self.counts = ClientCounts()
         self.has_answered = False
@@ -263,7 +272,13 @@
         report = self.turns.take_report(now) if leader is not None else None
         if leader is None or report is None:
             return []
-        message = LedgerRequest(number=0, asker=self._own_address, operations=(), turns=report)
+        message = LedgerRequest(
+            number=0,
+            asker=self._own_address,
+            operations=(),
+            turns=report,
+            tenant_loads=self.turns.tenant_loads(),
+        )
         return [SendPeer(to=leader.replica, address=leader.address, message=message)]
 
     def _report_counts(self, now: float) -> list[LogRecord]:
@@ -300,6 +315,8 @@
         if reply.engines:
             self.engines = reply.engines
             self.engines_told(reply.engines, now)
+        if not isinstance(reply.shares, UnsetType):
+            self.shares_told(reply.shares, now)
         if asked is None:
             self.counts.late_answers += bool(reply.results)
             return effects
@@ -392,16 +409,22 @@
             asked.sent_at = now
         copies = self._copies(asked.operation) if not asked.sends else []
         self._plan_repetition(asked, now)
+        turns = self.turns.take_report(now)
         message = LedgerRequest(
             number=number,
             asker=self._own_address,
             operations=(asked.operation,),
-            turns=self.turns.take_report(now),
+            turns=turns,
             is_copied=bool(copies),
+            tenant_loads=self._tenant_loads(turns),
         )
         # The copies go first, so that they arrive before the entry that leaves them out.
         return [*copies, SendPeer(to=leader.replica, address=leader.address, message=message)]
 
+    def _tenant_loads(self, turns: NodeTurns | None) -> tuple[PoolLoad, ...] | UnsetType:
+        """Return what goes with a report of turns; nothing without one."""
+        return self.turns.tenant_loads() if turns is not None else UNSET
+
     def _copies(self, operation: Operation) -> list[Effect]:
         """Return the messages that bring a turn's text to the followers, if the leader asks."""
         turn = operation.turn if isinstance(operation, Settle) else None
@@ -432,5 +455,9 @@
         return [SendPeer(to=peer.process, address=peer.address, message=message)]
 
 
+def _no_shares(shares: tuple[PoolShares, ...], now: float) -> None:
+    """Tell nobody."""
+
+
 def _nobody(engines: tuple[EngineTurns, ...], now: float) -> None:
     """Tell nobody."""
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from yokeline.consensus.messages import RaftMessage
 from yokeline.effects import Address
@@ -67,6 +68,50 @@
     slowness_percent: int
 
 
+# ---------------------------------------------------------------- shares of tenants
+
+
+class TenantLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What a tenant has of one pool's engines, and what it asks for, at one node.
+
+    Attributes:
+        tenant: Empty for requests without one.
+        weight: Its part of the places relative to others; above zero.
+        running: Turns at engines.
+        waiting: First turns of programs that wait for an engine.
+    """
+
+    tenant: str
+    weight: float
+    running: int
+    waiting: int
+
+
+class PoolLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What the tenants of one node have of a pool's engines.
+
+    Attributes:
+        places: Requests that all engines of the pool work on at once, as the node knows them.
+    """
+
+    pool: str
+    places: int
+    tenants: tuple[TenantLoad, ...]
+
+
+class PoolShares(msgspec.Struct, frozen=True, array_like=True):
+    """How the places of a pool with too few of them are shared.
+
+    Attributes:
+        level: Places for a weight of one.
+        beyond: Tenants that hold more than their share while others lack theirs.
+    """
+
+    pool: str
+    level: float
+    beyond: tuple[str, ...]
+
+
 # ---------------------------------------------------------------- messages
 
 
@@ -77,6 +122,7 @@
         turns: The asker's turns at engines, if they changed; nothing that lasts. A request
             without operations gets no answer.
         is_copied: The asker has sent the texts to the followers that it was told of.
+        tenant_loads: What the asker's tenants have, with ``turns``; not sent without tenants.
     """
 
     number: int
@@ -84,6 +130,7 @@
     operations: tuple[Operation, ...]
     turns: NodeTurns | None = None
     is_copied: bool = False
+    tenant_loads: tuple[PoolLoad, ...] | UnsetType = UNSET
 
 
 class PassedOnRequest(msgspec.Struct, frozen=True, kw_only=True, tag="passed_on"):
@@ -133,6 +180,8 @@
         engines: The turns under way, with the answer to a reservation; empty if not known.
         copies_to: Followers to which texts are to be sent as well; none while the leader's link
             bears them. With the answer to a reservation.
+        shares: Of the pools that have too few places, with the answer to a reservation; not sent
+            without tenants.
     """
 
     number: int
@@ -142,6 +191,7 @@
     passed_on: bool = False
     engines: tuple[EngineTurns, ...] = ()
     copies_to: tuple[LeaderHint, ...] = ()
+    shares: tuple[PoolShares, ...] | UnsetType = UNSET
 
 
 class HistoryAsk(msgspec.Struct, frozen=True, kw_only=True, tag="history_ask"):
--- a/src/yokeline/ledger/own_turns.py
+++ b/src/yokeline/ledger/own_turns.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Protocol
 
-from yokeline.ledger.messages import EngineLoad, NodeTurns, TurnServed
+from msgspec import UNSET, UnsetType
+
+from yokeline.ledger.messages import EngineLoad, NodeTurns, PoolLoad, TurnServed
 
 REFRESH_SECONDS = 0.5
 """Pause after which a node with turns at engines reports although nothing changed; the leader
@@ -18,16 +21,38 @@
 of an engine. A node ends some tens of turns and calls a second."""
 
 
+class TenantLoads(Protocol):
+    """What the tenants of this node have of the engines, and what they ask for."""
+
+    @property
+    def is_used(self) -> bool:
+        """Whether the configuration has tenants."""
+
+    @property
+    def changes(self) -> int:
+        """Rises when a tenant's first turns begin to wait, and when none of them waits any more."""
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a first turn of any tenant waits."""
+
+    def rows(self) -> tuple[PoolLoad, ...]:
+        """Return what the leader is told."""
+
+
 class OwnTurns:
     """Turns of one node by request id, and how engines served the last ones.
 
     Attributes:
         dropped: Ends that were never told, since there were too many.
+        tenants: What the node's tenants have; None unless set.
     """
 
     def __init__(self) -> None:
         """Have no turn under way."""
         self.dropped = 0
+        self.tenants: TenantLoads | None = None
+        self._told_changes = 0
         self._running: dict[str, str] = {}
         self._served: list[TurnServed] = []
         self._sequence = 0
@@ -61,13 +86,13 @@
 
     def leader_changed(self) -> None:
         """Report soon, since a new leader knows nothing of this node."""
-        self._has_news = self._has_news or bool(self._running)
+        self._has_news = self._has_news or self._has_load()
 
     def report_due(self) -> float | None:
         """Return when a report is due; None while there is nothing to tell."""
-        if self._has_news:
+        if self._has_news or self._tenants_changed():
             return float("-inf")
-        return self._reported_at + REFRESH_SECONDS if self._running else None
+        return self._reported_at + REFRESH_SECONDS if self._has_load() else None
 
     def take_report(self, now: float) -> NodeTurns | None:
         """Return the report that is due; None if none is."""
@@ -76,10 +101,29 @@
             return None
         served, self._served = tuple(self._served), []
         self._has_news = False
+        self._told_changes = self.tenants.changes if self.tenants is not None else 0
         self._reported_at = now
         self._sequence += 1
         return NodeTurns(sequence=self._sequence, loads=self._loads(), served=served)
 
+    def tenant_loads(self) -> tuple[PoolLoad, ...] | UnsetType:
+        """Return the rows that go with a report; unset where the configuration has no tenants."""
+        if self.tenants is None or not self.tenants.is_used:
+            return UNSET
+        return self.tenants.rows()
+
+    def _has_load(self) -> bool:
+        if self._running:
+            return True
+        tenants = self.tenants
+        return tenants is not None and tenants.is_used and tenants.has_waiting
+
+    def _tenants_changed(self) -> bool:
+        tenants = self.tenants
+        if tenants is None or not tenants.is_used:
+            return False
+        return tenants.changes != self._told_changes
+
     def _loads(self) -> tuple[EngineLoad, ...]:
         counts = Counter(self._running.values())
         return tuple(EngineLoad(name, count) for name, count in counts.items())
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -11,11 +11,12 @@
 from collections.abc import Callable
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from yokeline.effects import Address, Effect, SendPeer
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.leader_load import LeaderLoad
-from yokeline.ledger.messages import EngineTurns, LedgerReply, LedgerRequest
+from yokeline.ledger.messages import EngineTurns, LedgerReply, LedgerRequest, PoolShares
 from yokeline.ledger.operations import (
     Drawn,
     Granted,
@@ -27,6 +28,7 @@
 )
 from yokeline.ledger.quotas import QuotaClock
 from yokeline.ledger.replica import LedgerReplica
+from yokeline.ledger.tenant_places import TenantPlaces
 from yokeline.ledger.turns_under_way import TurnsUnderWay
 
 MAX_BATCHED_OPERATIONS = 1024
@@ -77,6 +79,7 @@
 
     Attributes:
         turns: What nodes have told of the turns under way.
+        places: What they have told of their tenants, and how places are shared between these.
         operations: Operations asked for so far.
         load: What is logged of the leader's work.
     """
@@ -84,6 +87,7 @@
     def __init__(self, replica: LedgerReplica, wall: Callable[[], float], now: float) -> None:
         """Propose to ``replica``; ``wall`` reads the time of day (seconds since the epoch)."""
         self.turns = TurnsUnderWay()
+        self.places = TenantPlaces()
         self.operations = 0
         self.load = LeaderLoad(now)
         self._replica = replica
@@ -114,7 +118,8 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Propose what waits, and log the load if it is time."""
-        return [*self.propose(now), *self.load.report(now, len(self._waiting))]
+        lines = self.load.report(now, len(self._waiting))
+        return [*self.propose(now), *lines, *self.places.report(now)]
 
     def propose(self, now: float) -> list[Effect]:
         """Propose what waits, up to a size, unless an entry is under way."""
@@ -144,8 +149,11 @@
     def _take_turns(self, sender: ReplicaId, request: LedgerRequest, now: float) -> None:
         if not self._replica.leads:
             self.turns.clear()
+            self.places.clear()
         elif request.turns is not None:
             self.turns.take(sender, request.turns, now)
+            if not isinstance(request.tenant_loads, UnsetType):
+                self.places.take(sender, request.turns.sequence, request.tenant_loads, now)
 
     def _take_operation(self, asker: Asker, operation: Operation, is_copied: bool) -> list[Effect]:
         key = _key_of(operation)
@@ -202,6 +210,7 @@
             term=self._replica.group.term,
             engines=self._engines_now() if is_granted else (),
             copies_to=self._replica.copies_to(self._now) if is_granted else (),
+            shares=self._shares_now() if is_granted else UNSET,
         )
         self.load.note_reply(reply)
         return SendPeer(to=asker.process, address=asker.address, message=reply)
@@ -212,6 +221,10 @@
             self._told = self.turns.engines(self._now)
         return self._told
 
+    def _shares_now(self) -> tuple[PoolShares, ...] | UnsetType:
+        """Return how places are shared; nothing until a node has told of tenants."""
+        return self.places.shares(self._now) if self.places.is_used else UNSET
+
 
 def _key_of(operation: Operation) -> OperationKey:
     return (type(operation).__name__, operation.request_id)
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -403,6 +403,7 @@
         "yokeline_ledger_members": float(len(node.replica.group.members)),
     }
     gauges.update(node.phases.gauges())
+    gauges.update(node.batches.places.gauges())
     counters = {
         "yokeline_ledger_operations_total": float(node.batches.operations),
         "yokeline_ledger_entries_restored_total": float(node.replica.entries_restored),
--- /dev/null
+++ b/src/yokeline/ledger/tenant_places.py
@@ -0,0 +1,231 @@
+"""What the ledger's leader knows of the places that tenants have, and how these are shared.
+
+Nodes tell what their tenants have at engines and what waits, with their reports of turns. Like
+the book of turns it is neither replicated nor kept: it is whole again once each node has reported,
+and a node that falls silent counts no more.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from yokeline.effects import LogRecord
+from yokeline.identifiers import ReplicaId
+from yokeline.ledger.messages import PoolLoad, PoolShares, TenantLoad
+from yokeline.ledger.own_turns import REFRESH_SECONDS
+from yokeline.ledger.turns_under_way import MAX_NODES, NODE_SILENCE_SECONDS
+from yokeline.scheduling.tenant_shares import Shares, TenantDemand, shares_of
+
+SHARES_SECONDS = 0.025
+"""Age up to which shares are told without being worked out anew; turns last longer by far."""
+CALM_SECONDS = 1.0
+"""Time within its share after which a tenant is logged as such; turns end all the time, so that
+one which asks for more comes and goes several times a second."""
+MAX_LOGGED = 32
+"""Tenants whose way beyond their share and back is logged; more at once are not told apart."""
+MAX_TENANTS = 4096
+"""Tenants of one pool; the load of more is not counted."""
+LEAST_WEIGHT = 1e-6
+LEVEL_DIGITS = 3
+
+TenantOfPool = tuple[str, str]
+
+
+class _Tenant(msgspec.Struct):
+    """The sums of one tenant over all nodes."""
+
+    weight: float
+    running: int = 0
+    waiting: int = 0
+
+
+class _Pool(msgspec.Struct):
+    """The sums of one pool over all nodes."""
+
+    places: int = 0
+    wanted: int = 0
+    waiting: int = 0
+    tenants: dict[str, _Tenant] = msgspec.field(default_factory=dict)
+
+    def add(self, load: TenantLoad) -> None:
+        """Count what a node tells of a tenant."""
+        known = self.tenants.get(load.tenant)
+        if known is None:
+            known = self.tenants[load.tenant] = _Tenant(load.weight)
+        known.weight = max(LEAST_WEIGHT, load.weight)
+        self._change(known, load.running, load.waiting)
+
+    def remove(self, load: TenantLoad) -> None:
+        """Count it no more."""
+        known = self.tenants[load.tenant]
+        self._change(known, -load.running, -load.waiting)
+        if not known.running and not known.waiting:
+            del self.tenants[load.tenant]
+
+    def _change(self, tenant: _Tenant, running: int, waiting: int) -> None:
+        tenant.running += running
+        tenant.waiting += waiting
+        self.wanted += running + waiting
+        self.waiting += waiting
+
+    def shares(self) -> Shares:
+        """Return how the places are shared; without a look at each tenant if there are enough."""
+        if not self.waiting or self.wanted <= self.places:
+            return Shares()
+        demands = [
+            TenantDemand(name, item.weight, item.running, item.waiting)
+            for name, item in self.tenants.items()
+        ]
+        return shares_of(demands, self.places)
+
+
+class _NodeRecord(msgspec.Struct, frozen=True):
+    sequence: int
+    loads: tuple[PoolLoad, ...]
+    heard_at: float
+
+
+class TenantPlaces:
+    """The latest rows of each node, their sums by pool and tenant, and the shares.
+
+    Attributes:
+        is_used: A node has told of tenants.
+    """
+
+    def __init__(self) -> None:
+        """Know of no tenant."""
+        self.is_used = False
+        self._nodes: dict[ReplicaId, _NodeRecord] = {}
+        self._pools: dict[str, _Pool] = {}
+        self._shares: dict[str, Shares] = {}
+        self._told: tuple[PoolShares, ...] = ()
+        self._shared_at = -math.inf
+        self._next_look = -math.inf
+        self._beyond_at: dict[TenantOfPool, float] = {}
+
+    def take(
+        self, process: ReplicaId, sequence: int, loads: tuple[PoolLoad, ...], now: float
+    ) -> None:
+        """Take the rows of a node's process in, unless later ones came before."""
+        known = self._nodes.get(process)
+        if known is None and len(self._nodes) >= MAX_NODES:
+            return
+        if known is not None and known.sequence >= sequence:
+            return
+        self.is_used = True
+        self._remove(process)
+        counted = tuple(self._counted(load) for load in loads)
+        self._nodes[process] = _NodeRecord(sequence, counted, now)
+        for load in counted:
+            pool = self._pools.setdefault(load.pool, _Pool())
+            pool.places = load.places
+            for row in load.tenants:
+                pool.add(row)
+
+    def clear(self) -> None:
+        """Forget everything, since another replica leads."""
+        self.is_used = False
+        self._nodes.clear()
+        self._pools.clear()
+        self._shares.clear()
+        self._told = ()
+        self._shared_at = -math.inf
+        self._beyond_at.clear()
+
+    def shares(self, now: float) -> tuple[PoolShares, ...]:
+        """Return how the places are shared in the pools that have too few of them."""
+        self._forget_silent(now)
+        if now - self._shared_at < SHARES_SECONDS:
+            return self._told
+        self._shared_at = now
+        self._shares = {
+            name: shares
+            for name, pool in self._pools.items()
+            if not math.isinf((shares := pool.shares()).level)
+        }
+        self._told = tuple(_told(name, shares) for name, shares in self._shares.items())
+        return self._told
+
+    def gauges(self) -> dict[str, float]:
+        """Return the level of each pool with too few places, and the turns of who is beyond it."""
+        gauges: dict[str, float] = {}
+        for pool, shares in self._shares.items():
+            gauges[f'yokeline_ledger_share_level{{pool="{pool}"}}'] = shares.level
+            for item in shares.beyond:
+                labels = f'pool="{pool}",tenant="{item.tenant}"'
+                gauges[f"yokeline_ledger_tenant_turns{{{labels}}}"] = float(item.running)
+        return gauges
+
+    def report(self, now: float) -> list[LogRecord]:
+        """Return a line for each tenant that came to be beyond its share, or no longer is."""
+        if not self._shares and not self._beyond_at:
+            return []
+        lines: list[LogRecord] = []
+        self.shares(now)
+        for pool, shares in self._shares.items():
+            for item in shares.beyond:
+                lines.extend(self._note_beyond(pool, shares, item, now))
+        for key, seen_at in list(self._beyond_at.items()):
+            if now - seen_at >= CALM_SECONDS:
+                del self._beyond_at[key]
+                lines.append(_line("tenant_within_share", key))
+        return lines
+
+    def _note_beyond(
+        self, pool: str, shares: Shares, item: TenantDemand, now: float
+    ) -> list[LogRecord]:
+        key = (pool, item.tenant)
+        is_new = key not in self._beyond_at
+        if is_new and len(self._beyond_at) >= MAX_LOGGED:
+            return []
+        self._beyond_at[key] = now
+        if not is_new:
+            return []
+        line = _line(
+            "tenant_beyond_share",
+            key,
+            running=item.running,
+            waiting=item.waiting,
+            weight=item.weight,
+            share=round(shares.share_of(item), LEVEL_DIGITS),
+            level=round(shares.level, LEVEL_DIGITS),
+            places=self._pools[pool].places,
+        )
+        return [line]
+
+    def _counted(self, load: PoolLoad) -> PoolLoad:
+        """Leave out the rows that count nothing or would be too many for the pool."""
+        pool = self._pools.get(load.pool)
+        rows = tuple(row for row in load.tenants if row.running > 0 or row.waiting > 0)
+        if pool is not None and len(pool.tenants) >= MAX_TENANTS:
+            rows = tuple(row for row in rows if row.tenant in pool.tenants)
+        return msgspec.structs.replace(load, tenants=rows)
+
+    def _remove(self, process: ReplicaId) -> None:
+        known = self._nodes.pop(process, None)
+        for load in known.loads if known is not None else ():
+            for row in load.tenants:
+                self._pools[load.pool].remove(row)
+
+    def _forget_silent(self, now: float) -> None:
+        if now < self._next_look:
+            return
+        self._next_look = now + REFRESH_SECONDS
+        for process, record in list(self._nodes.items()):
+            if now - record.heard_at > NODE_SILENCE_SECONDS:
+                self._remove(process)
+        for name, pool in list(self._pools.items()):
+            if not pool.tenants:
+                del self._pools[name]
+
+
+def _told(pool: str, shares: Shares) -> PoolShares:
+    beyond = tuple(item.tenant for item in shares.beyond)
+    return PoolShares(pool, round(shares.level, LEVEL_DIGITS), beyond)
+
+
+def _line(event: str, key: TenantOfPool, **fields: str | float) -> LogRecord:
+    pool, tenant = key
+    return LogRecord(event=event, fields={"tenant": tenant, "pool": pool, **fields})
--- a/src/yokeline/scheduling/passing_over.py
+++ b/src/yokeline/scheduling/passing_over.py
@@ -1,47 +1,54 @@
-"""A bound on how often the requests of a tenant that is beyond its share are passed over.
+"""A bound on how often the new programs of a tenant beyond its share are passed over.
 
 Held back alone, a tenant that asks for many times its share would be served far less often than
-the others. So a part of what it asks for competes with the others as an equal, which is then
-served as often as theirs.
+the others. So it counts as owed a part of the places that it would get if it were served as often
+as all; once a whole place is owed, its programs compete with the others as equals.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
 
+import msgspec
+
+from yokeline.fading import FadingAverage
+
 LEAST_PART = 1 / 3
-"""Part of a tenant's requests that competes as an equal; above a quarter, below which a tenant
-counts as starved, by enough for the requests that the counts of several nodes round off."""
+"""How often a tenant is served at least, as a part of how often all are. A tenant counts as
+starved below a quarter; each node keeps a count of its own and may be a place behind."""
 MOST_AHEAD = 4.0
-"""Requests beyond that part which count towards it later; more of them are forgotten, so that a
-long time with room for all does not let a tenant be passed over for as long afterwards."""
+"""Places beyond that part that count towards it later; more of them are forgotten, so that a long
+time with room for all does not let a tenant be passed over for as long afterwards."""
 MAX_TENANTS = 4096
 """Tenants that are counted; the one that has asked for nothing the longest is forgotten."""
-_ROUNDING = 1e-9
+SERVED_WEIGHT = 0.05
+"""Weight of one program in the average of those that got a place."""
+SERVED_FADE_SECONDS = 8.0
+"""Time in which that average fades back to a third without new programs."""
 
 
-class PassingOver:
-    """Counts, for one node, what each tenant has asked for and what of it competed as an equal."""
+class PassingOver(msgspec.Struct):
+    """Counts, for one node, the places that each tenant got and those that it is owed."""
 
-    def __init__(self) -> None:
-        """Have passed nobody over."""
-        self._owed: OrderedDict[str, float] = OrderedDict()
+    _owed: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
+    _served: FadingAverage = msgspec.field(
+        default_factory=lambda: FadingAverage(1.0, SERVED_WEIGHT, SERVED_FADE_SECONDS)
+    )
 
     def __len__(self) -> int:
         """Return how many tenants are counted."""
         return len(self._owed)
 
-    def may_hold(self, tenant: str, *, is_beyond: bool) -> bool:
-        """Count a request, and return whether it may be held back for those of other tenants.
+    def is_owed(self, tenant: str) -> bool:
+        """Return whether a tenant's programs must not be held back."""
+        return self._owed.get(tenant, 0.0) >= 1.0
 
-        Of any number of requests of one tenant, at least :data:`LEAST_PART` may not, but for
-        ``MOST_AHEAD + 1``.
-        """
-        owed = self._owed.pop(tenant, 0.0) + LEAST_PART
-        may_hold = is_beyond and owed < 1.0 - _ROUNDING
-        if not may_hold:
+    def note(self, tenant: str, now: float, *, is_served: bool) -> None:
+        """Count a new program that got a place, or ceased to wait without one."""
+        self._served.observe(float(is_served), now)
+        owed = self._owed.pop(tenant, 0.0) + LEAST_PART * self._served.value(now)
+        if is_served:
             owed = max(-MOST_AHEAD, owed - 1.0)
         self._owed[tenant] = owed
         if len(self._owed) > MAX_TENANTS:
             self._owed.popitem(last=False)
-        return may_hold
