--- a/src/yokeline/forwarding/tenant_loads.py
+++ b/src/yokeline/forwarding/tenant_loads.py
@@ -38,12 +38,13 @@
     def rows(self) -> tuple[PoolLoad, ...]:
         """Return what the tenants have of each pool of model engines."""
         running = self._running()
-        pools = sorted({*running, *self._state.waiting})
-        return tuple(
-            self._pool_load(pool, running.get(pool, Counter()))
+        waiting = {pool: queue.first_turns for pool, queue in self._state.waiting.items()}
+        pools = sorted(pool for pool in {*running, *waiting} if self._is_model(pool))
+        loads = (
+            self._pool_load(pool, running.get(pool, Counter()), waiting.get(pool, Counter()))
             for pool in pools
-            if self._is_model(pool)
         )
+        return tuple(load for load in loads if load.tenants)
 
     def _running(self) -> dict[str, Counter[str]]:
         """Return the turns at engines, by pool and tenant."""
@@ -52,9 +53,7 @@
             running.setdefault(exchange.pool, Counter())[exchange.tenant_name] += 1
         return running
 
-    def _pool_load(self, pool: str, running: Counter[str]) -> PoolLoad:
-        queue = self._state.waiting.get(pool)
-        waiting = queue.first_turns if queue is not None else Counter[str]()
+    def _pool_load(self, pool: str, running: Counter[str], waiting: Counter[str]) -> PoolLoad:
         wanted = running + waiting
         tenants = tuple(
             TenantLoad(name, self._weight(name), running[name], waiting[name])
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -5,6 +5,8 @@
 import itertools
 import json
 
+from msgspec import UNSET, UnsetType
+
 from yokeline.effects import (
     Address,
     Effect,
@@ -44,6 +46,8 @@
     LedgerReply,
     LedgerRequest,
     NodeTurns,
+    PoolLoad,
+    PoolShares,
 )
 from yokeline.ledger.operations import Operation, OperationResult
 from yokeline.platform.headers import HeaderDialect
@@ -121,6 +125,7 @@
         self.stream: list[Effect] = []
         self.asked: list[tuple[int, Operation]] = []
         self.told: list[NodeTurns] = []
+        self.told_loads: list[tuple[PoolLoad, ...] | UnsetType] = []
         self.peers: list[SendPeer] = []
         """Questions for the texts of earlier turns."""
         self._numbers = itertools.count(1)
@@ -162,10 +167,17 @@
         """Return the operations asked for, repetitions left out."""
         return [operation for _, operation in self.asked]
 
-    def ledger_answers(self, result: OperationResult, *engines: EngineTurns) -> None:
-        """Answer the latest operation; the leader tells of ``engines``."""
+    def ledger_answers(
+        self,
+        result: OperationResult,
+        *engines: EngineTurns,
+        shares: tuple[PoolShares, ...] | UnsetType = UNSET,
+    ) -> None:
+        """Answer the latest operation; the leader tells of ``engines`` and ``shares``."""
         number, _ = self.asked[-1]
-        reply = LedgerReply(number=number, results=(result,), leader=STORAGE, engines=engines)
+        reply = LedgerReply(
+            number=number, results=(result,), leader=STORAGE, engines=engines, shares=shares
+        )
         self.take(self.ledger.take_reply(reply, self.now))
         self.take(self.forwarder.tick(self.now))
 
@@ -250,6 +262,7 @@
         assert isinstance(message, LedgerRequest)
         if message.turns is not None:
             self.told.append(message.turns)
+            self.told_loads.append(message.tenant_loads)
         if not message.operations:
             return
         if all(number != message.number for number, _ in self.asked):
