--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -199,6 +199,10 @@
         """Requests without a final answer."""
         return len(self._state.exchanges)
 
+    def share_levels(self) -> dict[str, float]:
+        """Return the places for a weight of one, by pool that has too few; as last told."""
+        return self._state.shares.levels
+
     def waiting(self) -> dict[str, int]:
         """Return how many requests wait, by pool."""
         return {pool: len(queue) for pool, queue in self._state.waiting.items() if len(queue)}
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -30,6 +30,8 @@
         "yokeline_forwarding_proof_age_seconds": node.proof_age(),
         "yokeline_ledger_reached": float(node.ledger.reaches_ledger),
     }
+    for pool, level in forwarder.share_levels().items():
+        gauges[f'yokeline_forwarding_share_level{{pool="{pool}"}}'] = level
     gauges.update(node.phases.gauges())
     histograms = {
         "yokeline_forwarding_added_seconds": forwarder.added_seconds,
--- a/src/yokeline/forwarding/outcomes.py
+++ b/src/yokeline/forwarding/outcomes.py
@@ -48,10 +48,14 @@
         """Count a request that is over by the class of its tenant, which no name tells."""
         if tenant is None:
             return
-        tenant_class = "limited" if tenant.is_limited else "unlimited"
-        labels = f'class="{tenant_class}",outcome="{outcome}"'
+        labels = f'class="{_class_of(tenant)}",outcome="{outcome}"'
         self.counters[f"yokeline_forwarding_tenant_requests_total{{{labels}}}"] += 1
 
+    def count_held_back(self, tenant: Tenant | None) -> None:
+        """Count a first turn refused while its tenant left places to others."""
+        labels = f'class="{_class_of(tenant)}"' if tenant is not None else 'class="none"'
+        self.counters[f"yokeline_forwarding_held_back_total{{{labels}}}"] += 1
+
     def count_refusal(self, status: int, reason: str) -> None:
         """Count a request that did not run, by reason; unreadable ones count together."""
         label = "unreadable" if status == BAD_REQUEST else reason
@@ -119,3 +123,7 @@
         }
         self.effects.append(LogRecord(event="request_refused", fields=everything))
         self.reply_error(event.exchange, request_id, status, reason, retry_after=retry_after)
+
+
+def _class_of(tenant: Tenant) -> str:
+    return "limited" if tenant.is_limited else "unlimited"
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -154,6 +154,18 @@
     "yokeline_ledger_commit_index": "Number of the last entry known to be committed.",
     "yokeline_ledger_leads": "Number 1 while this replica leads the ledger, otherwise 0.",
     "yokeline_ledger_turns_under_way": "Turns at engines, as nodes have told this replica.",
+    "yokeline_ledger_share_level": (
+        "Places for a weight of one, by pool with too few places; at the leader."
+    ),
+    "yokeline_ledger_tenant_turns": (
+        "Turns at engines of each tenant beyond its share, by pool; at the leader."
+    ),
+    "yokeline_forwarding_share_level": (
+        "Places for a weight of one, by pool with too few places, as the leader told last."
+    ),
+    "yokeline_forwarding_held_back_total": (
+        "First turns refused while their tenants left places to others, by class of tenant."
+    ),
     "yokeline_ledger_members": "Replicas in the ledger's configuration, as this one knows it.",
     "yokeline_log_lines_dropped_total": "Log lines dropped for a slow reader, by event.",
 }
--- a/tests/unit/forwarding/test_place_shares.py
+++ b/tests/unit/forwarding/test_place_shares.py
@@ -91,6 +91,9 @@
             self.turn("calm", HOT_IS_BEYOND)
         self.assertEqual(self.played.replies[0].status, 503)
         self.assertNotIn("hot", self.sent_tenants())
+        counters = self.played.forwarder.counters
+        self.assertEqual(counters['yokeline_forwarding_held_back_total{class="limited"}'], 1)
+        self.assertEqual(self.played.forwarder.share_levels(), {"models": 0.1})
 
     def test_what_was_told_long_ago_holds_nobody_back(self) -> None:
         """The leader is gone, or the node is cut off from it."""
