--- a/src/yokeline/scheduling/tenant_shares.py
+++ b/src/yokeline/scheduling/tenant_shares.py
@@ -15,6 +15,9 @@
 
 LEAST_SHARE = 1.0
 """Places that a tenant may hold at least, however small its weight."""
+LEAST_EXCESS = 1.0
+"""Places beyond its share from which a tenant counts as beyond it: shares are fractions, and a
+tenant that holds the next whole number of places has taken none from others."""
 MAX_BEYOND = 8
 """Tenants named as beyond their share; those with the largest excess hold most of what others
 lack, and the next ones are named once these have given way."""
@@ -45,8 +48,8 @@
 
     Attributes:
         level: Places for a weight of one; infinite if all get what they want.
-        beyond: Tenants that hold more than their share while others lack theirs, the largest
-            excess first; :data:`MAX_BEYOND` at most.
+        beyond: Tenants that hold a whole place or more beyond their share while others lack
+            theirs, the largest excess first; :data:`MAX_BEYOND` at most.
     """
 
     level: float = math.inf
@@ -70,7 +73,9 @@
         (item.running - max(LEAST_SHARE, level * item.weight), item.tenant, item)
         for item in demands
     )
-    beyond = ((-excess, tenant, item) for excess, tenant, item in excesses if excess > 0)
+    beyond = (
+        (-excess, tenant, item) for excess, tenant, item in excesses if excess >= LEAST_EXCESS
+    )
     largest = heapq.nsmallest(MAX_BEYOND, beyond, key=lambda entry: entry[:2])
     return Shares(level, tuple(item for _, _, item in largest))
 
--- a/tests/unit/scheduling/test_tenant_shares.py
+++ b/tests/unit/scheduling/test_tenant_shares.py
@@ -41,6 +41,13 @@
         demands = [TenantDemand("tiny", 0.001, 1, 5), TenantDemand("large", 1000.0, 5, 40)]
         self.assertEqual(names(shares_of(demands, 10)), [])
 
+    def test_a_part_of_a_place_is_no_excess(self) -> None:
+        """Shares of 1.5 places: who holds two has taken no place from others."""
+        demands = [TenantDemand(f"t{number}", 1.0, 2, 0) for number in range(3)]
+        demands += [TenantDemand(f"w{number}", 1.0, 1, 1) for number in range(3)]
+        shares = shares_of(demands, 9)
+        self.assertEqual((shares.level, names(shares)), (1.5, []))
+
     def test_those_with_the_largest_excess_are_named(self) -> None:
         demands = [TenantDemand(f"t{number}", 1.0, 10 + number, 0) for number in range(20)]
         demands.append(TenantDemand("waits", 1.0, 0, 50))
