Shares told over a group of replicas, a retried first turn that may have run is not held back

Test over three replicas and two nodes: told with reservations, whole again under a new leader, a dead node lacks nothing.

--- a/benchmarks/tenant_shares.py
+++ b/benchmarks/tenant_shares.py
@@ -2,12 +2,13 @@
 
 Usage: ``python -m benchmarks.tenant_shares``
 
-The first table replays the same arrivals under three ways: a tenant, within its limit, asks for
-most of the places of all nodes for a while. It gives, for that time, the share of new programs that
-got a place (the hot tenant, the others, the one served least often, all), how long those of the
-others waited, and the turns that the engines served. The second gives the processor time of the
-ledger's leader to take a node's rows in and to work the shares out anew, and the bytes of a
-report's rows. The machine may be shared: take ratios between rows rather than single figures.
+The first tables replay the same arrivals under three ways: a tenant, within its limit, asks for
+most of the places of all nodes for a while. They give, for that time, the share of new programs
+that got a place (the hot tenant, the others, the one served least often, all), how long those of
+the others waited, and the turns that the engines served. Then comes the time of the ledger's
+leader to take a node's rows in and to work the shares out anew, and the bytes of a report's rows;
+last that of a node to put its queue in order after a change of the verdict. The machine may be
+shared: take ratios between rows rather than single figures.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
 
 from tests.unit.scheduling.share_replay import HOT, Load, Replay, Result, Way
 
+from benchmarks.dispatch import POOL, Node
+from yokeline.forwarding.waiting import WaitingRequests
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import PoolLoad, TenantLoad
 from yokeline.ledger.tenant_places import TenantPlaces
@@ -34,6 +37,8 @@
 }
 SIZES = ((57, 75, 8), (400, 2_500, 20))
 """Nodes, tenants, and rows of a node's report."""
+WAITING = (20, 100, 500)
+"""Turns that wait at a node."""
 ROUNDS = 30
 PAUSE_SECONDS = 0.5
 """Between two rounds, so that each works the shares out anew."""
@@ -44,6 +49,7 @@
     """Print both tables."""
     _print_replays()
     _print_costs()
+    _print_orders()
 
 
 def _print_replays() -> None:
@@ -77,6 +83,28 @@
         print(f"{nodes:6}{tenants:8}{rows:5}{take:9.1f}{shares:10.1f}{size:7}")
 
 
+def _print_orders() -> None:
+    print(f"\n{'waiting':>8}{'order us':>9}")
+    for waiting in WAITING:
+        queue = _queue(waiting)
+        seconds: list[float] = []
+        for number in range(ROUNDS):
+            held_back = frozenset({""}) if number % 2 else frozenset()
+            began = time.perf_counter()
+            queue.hold_back(held_back)
+            seconds.append(time.perf_counter() - began)
+        print(f"{waiting:8}{statistics.median(seconds) * MICROSECONDS:9.1f}")
+
+
+def _queue(waiting: int) -> WaitingRequests:
+    """Return a queue of which every second turn begins a program."""
+    queue = WaitingRequests()
+    for number, exchange in enumerate(Node(1, waiting).state.waiting[POOL].in_order()):
+        exchange.spent = number % 2
+        queue.add(exchange)
+    return queue
+
+
 def _loads(node: int, nodes: int, tenants: int, rows: int) -> tuple[PoolLoad, ...]:
     """Return the rows of a node; all nodes together ask for more than there is."""
     names = ((node * rows + number) % tenants for number in range(rows))
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -145,6 +145,11 @@
             return False
         return bool(self.call.program) and not self.begun and not self.events
 
+    @property
+    def waits_to_begin(self) -> bool:
+        """Whether it begins a program, and no engine may have run it yet."""
+        return self.begins_program and not self.runs
+
     @property
     def begun(self) -> bool:
         """Whether it belongs to a program that has had a turn before."""
--- a/src/yokeline/forwarding/place_shares.py
+++ b/src/yokeline/forwarding/place_shares.py
@@ -58,7 +58,7 @@
 
     def leaves_place(self, exchange: Exchange, now: float) -> bool:
         """Return whether a request must leave the place to those of other tenants."""
-        if not self._told or not exchange.begins_program:
+        if not self._told or not exchange.waits_to_begin:
             return False
         return exchange.tenant_name in self.held_back(exchange.pool, now)
 
--- a/src/yokeline/forwarding/waiting.py
+++ b/src/yokeline/forwarding/waiting.py
@@ -25,7 +25,7 @@
         is_interrupted=exchange.events > 0,
         is_late=finish is not None and finish <= 0,
         has_begun=exchange.begun,
-        is_beyond_share=exchange.begins_program and exchange.tenant_name in held_back,
+        is_beyond_share=exchange.waits_to_begin and exchange.tenant_name in held_back,
         priority=exchange.priority,
         over_at=exchange.started + (finish or 0.0),
     )
@@ -87,7 +87,7 @@
         return order_key(standing_of(exchange, self._held_back))
 
     def _count(self, exchange: Exchange, change: int) -> None:
-        if not exchange.begins_program:
+        if not exchange.waits_to_begin:
             return
         tenant = exchange.tenant_name
         before = self.first_turns[tenant]
--- /dev/null
+++ b/tests/unit/ledger/test_shares_told.py
@@ -0,0 +1,105 @@
+"""Shares on their way: nodes tell the leader, it tells them, also after it was replaced."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+import msgspec
+
+from tests.unit.ledger.cluster import Asker, Cluster
+from yokeline.effects import Effect
+from yokeline.ledger.messages import PoolLoad, PoolShares, TenantLoad
+from yokeline.ledger.operations import OperationResult, Reserve
+from yokeline.ledger.own_turns import REFRESH_SECONDS
+from yokeline.ledger.tenant_places import SHARES_SECONDS
+from yokeline.ledger.turns_under_way import NODE_SILENCE_SECONDS
+
+PLACES = 12
+
+
+class Tenants(msgspec.Struct):
+    """What a node has of tenants, as a test sets it."""
+
+    running: dict[str, int]
+    waiting: dict[str, int]
+    is_used: bool = True
+    changes: int = 0
+
+    @property
+    def has_waiting(self) -> bool:
+        return any(self.waiting.values())
+
+    def rows(self) -> tuple[PoolLoad, ...]:
+        names = sorted({*self.running, *self.waiting})
+        rows = tuple(
+            TenantLoad(name, 1.0, self.running.get(name, 0), self.waiting.get(name, 0))
+            for name in names
+        )
+        return (PoolLoad("models", PLACES, rows),)
+
+
+class Told(unittest.TestCase):
+    """One node has the hot tenant's turns, and another one calm programs that wait."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(3, seed=1)
+        self.assertTrue(self.cluster.run_until(self.cluster.all_members, 10.0))
+        self.told: list[tuple[PoolShares, ...]] = []
+        self.hot = Tenants({"hot": 11}, {})
+        self.calm = Tenants({"calm": 1}, {"calm": 2})
+        self.askers = [self.add("edge-0~1", self.hot), self.add("edge-1~1", self.calm)]
+        self._numbers = itertools.count()
+
+    def add(self, name: str, tenants: Tenants) -> Asker:
+        asker = self.cluster.add_asker(name)
+        asker.client.turns.tenants = tenants
+        asker.client.shares_told = lambda shares, now: self.told.append(shares)
+        for number in range(sum(tenants.running.values())):
+            asker.client.turns.begin(f"{name}/{number}", "engine")
+        return asker
+
+    def ask(self) -> tuple[PoolShares, ...] | None:
+        """Let each node reserve a turn; return what was told with the last answer."""
+        self.told.clear()
+        for asker in self.askers:
+            self.reserve(asker)
+            self.cluster.run(1.0)
+        return self.told[-1] if self.told else None
+
+    def reserve(self, asker: Asker) -> None:
+        operation = Reserve(request_id=str(next(self._numbers)), program="p", budget=100, tokens=1)
+
+        def done(result: OperationResult | None, now: float) -> list[Effect]:
+            return []
+
+        now = self.cluster.now
+        effects = asker.client.ask(operation, done, now, now + 5.0)
+        self.cluster.carry_out_asker(asker.process, effects)
+
+    def test_the_answer_to_a_reservation_tells_of_the_loads_of_all_nodes(self) -> None:
+        self.ask()
+        self.assertEqual(self.ask(), (PoolShares("models", 9.0, ("hot",)),))
+
+    def test_a_new_leader_knows_as_much_once_each_node_has_reported(self) -> None:
+        self.ask()
+        leader = self.cluster.leader()
+        assert leader is not None
+        self.cluster.kill(leader)
+        self.cluster.run(3.0)
+        self.ask()
+        self.cluster.run(REFRESH_SECONDS + SHARES_SECONDS)
+        self.assertIsNot(self.cluster.leader(), leader)
+        self.assertEqual(self.ask(), (PoolShares("models", 9.0, ("hot",)),))
+
+    def test_a_node_that_dies_lacks_nothing_any_more(self) -> None:
+        self.ask()
+        del self.cluster.askers[self.askers.pop().process]
+        self.cluster.run(NODE_SILENCE_SECONDS + REFRESH_SECONDS)
+        self.assertEqual(self.ask(), ())
+
+    def test_without_tenants_nothing_is_told(self) -> None:
+        self.hot.is_used = False
+        self.calm.is_used = False
+        self.ask()
+        self.assertIsNone(self.ask())
