Rows of tenants go with a report each 0.05 s at most

Cause: rows are 195 bytes (8 tenants) to 459 (20) and a report goes at each begin and end of a turn; at the size to design for (some 50 reports a second and node) they would take 23 KB/s of the 9 KB/s allowed.

--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -25,9 +25,7 @@
     LeaderHint,
     LedgerReply,
     LedgerRequest,
-    NodeTurns,
     PassedOnRequest,
-    PoolLoad,
     PoolShares,
     TextCopy,
 )
@@ -277,7 +275,7 @@
             asker=self._own_address,
             operations=(),
             turns=report,
-            tenant_loads=self.turns.tenant_loads(),
+            tenant_loads=self.turns.take_rows(now),
         )
         return [SendPeer(to=leader.replica, address=leader.address, message=message)]
 
@@ -416,15 +414,11 @@
             operations=(asked.operation,),
             turns=turns,
             is_copied=bool(copies),
-            tenant_loads=self._tenant_loads(turns),
+            tenant_loads=self.turns.take_rows(now) if turns is not None else UNSET,
         )
         # The copies go first, so that they arrive before the entry that leaves them out.
         return [*copies, SendPeer(to=leader.replica, address=leader.address, message=message)]
 
-    def _tenant_loads(self, turns: NodeTurns | None) -> tuple[PoolLoad, ...] | UnsetType:
-        """Return what goes with a report of turns; nothing without one."""
-        return self.turns.tenant_loads() if turns is not None else UNSET
-
     def _copies(self, operation: Operation) -> list[Effect]:
         """Return the messages that bring a turn's text to the followers, if the leader asks."""
         turn = operation.turn if isinstance(operation, Settle) else None
--- a/src/yokeline/ledger/own_turns.py
+++ b/src/yokeline/ledger/own_turns.py
@@ -16,6 +16,9 @@
 REFRESH_SECONDS = 0.5
 """Pause after which a node with turns at engines reports although nothing changed; the leader
 forgets a node that is silent for three of them."""
+ROWS_SECONDS = 0.05
+"""Least pause between two reports with the rows of tenants. They are longer than the rest of a
+report, and a turn lasts some tenths of a second."""
 MAX_SERVED = 256
 """Ends that wait to be told; beyond it the oldest are dropped, since they only colour the choice
 of an engine. A node ends some tens of turns and calls a second."""
@@ -53,6 +56,8 @@
         self.dropped = 0
         self.tenants: TenantLoads | None = None
         self._told_changes = 0
+        self._rows_at = float("-inf")
+        self._lacks_rows = False
         self._running: dict[str, str] = {}
         self._served: list[TurnServed] = []
         self._sequence = 0
@@ -87,11 +92,14 @@
     def leader_changed(self) -> None:
         """Report soon, since a new leader knows nothing of this node."""
         self._has_news = self._has_news or self._has_load()
+        self._rows_at = float("-inf")
 
     def report_due(self) -> float | None:
         """Return when a report is due; None while there is nothing to tell."""
-        if self._has_news or self._tenants_changed():
+        if self._has_news:
             return float("-inf")
+        if self._lacks_rows or self._tenants_changed():
+            return self._rows_at + ROWS_SECONDS
         return self._reported_at + REFRESH_SECONDS if self._has_load() else None
 
     def take_report(self, now: float) -> NodeTurns | None:
@@ -101,15 +109,24 @@
             return None
         served, self._served = tuple(self._served), []
         self._has_news = False
-        self._told_changes = self.tenants.changes if self.tenants is not None else 0
         self._reported_at = now
         self._sequence += 1
         return NodeTurns(sequence=self._sequence, loads=self._loads(), served=served)
 
-    def tenant_loads(self) -> tuple[PoolLoad, ...] | UnsetType:
-        """Return the rows that go with a report; unset where the configuration has no tenants."""
+    def take_rows(self, now: float) -> tuple[PoolLoad, ...] | UnsetType:
+        """Return the rows that go with a report that was taken.
+
+        Unset where the configuration has no tenants, and until the next rows are due: these go
+        then, with a report of their own if need be.
+        """
         if self.tenants is None or not self.tenants.is_used:
+            self._lacks_rows = False
+            return UNSET
+        self._lacks_rows = now < self._rows_at + ROWS_SECONDS
+        if self._lacks_rows:
             return UNSET
+        self._rows_at = now
+        self._told_changes = self.tenants.changes
         return self.tenants.rows()
 
     def _has_load(self) -> bool:
