--- a/src/yokeline/forwarding/place_shares.py
+++ b/src/yokeline/forwarding/place_shares.py
@@ -29,29 +29,29 @@
         """Hold nobody back."""
         self.levels: dict[str, float] = {}
         self._told: dict[str, frozenset[str]] = {}
-        self._told_at = -math.inf
+        self._lapses_at = -math.inf
         self._passing = PassingOver()
 
     def take_told(self, shares: tuple[PoolShares, ...], now: float) -> None:
         """Note what the leader told."""
-        self._told_at = now
+        self._lapses_at = now + TOLD_FRESH_SECONDS
         self.levels = {item.pool: item.level for item in shares}
         self._told = {item.pool: frozenset(item.beyond) for item in shares if item.beyond}
 
     def next_lapse(self) -> float | None:
         """Return when what was told counts no more; None if nobody is held back by it."""
-        return self._told_at + TOLD_FRESH_SECONDS if self._told else None
+        return self._lapses_at if self._told else None
 
     def lapse(self, now: float) -> None:
         """Forget what was told too long ago."""
-        if now - self._told_at >= TOLD_FRESH_SECONDS:
+        if now >= self._lapses_at:
             self._told = {}
             self.levels = {}
 
     def held_back(self, pool: str, now: float) -> frozenset[str]:
         """Return the tenants whose new programs take no place of a pool now."""
         told = self._told.get(pool, _NOBODY)
-        if not told or now - self._told_at >= TOLD_FRESH_SECONDS:
+        if not told or now >= self._lapses_at:
             return _NOBODY
         owed = [tenant for tenant in told if self._passing.is_owed(tenant)]
         return told.difference(owed) if owed else told
--- a/tests/unit/forwarding/test_place_shares.py
+++ b/tests/unit/forwarding/test_place_shares.py
@@ -12,6 +12,7 @@
 from yokeline.bearer_tokens import token_digest
 from yokeline.forwarding.engines import TOLD_FRESH_SECONDS
 from yokeline.forwarding.model import RouteKind
+from yokeline.forwarding.place_shares import PlaceShares
 from yokeline.forwarding.tenants import Credential, KeyHolder, Tenant, TenantDirectory
 from yokeline.forwarding.waiting import WaitingRequests
 from yokeline.identifiers import NodeName
@@ -110,6 +111,20 @@
         due = self.played.forwarder.next_deadline()
         assert due is not None
         self.assertLessEqual(due, self.played.now + TOLD_FRESH_SECONDS)
+        self.played.now += TOLD_FRESH_SECONDS
+        self.turn("hot")
+        self.assertEqual(self.sent_tenants(), ["calm", "hot"])
+        self.assertNotEqual(self.played.forwarder.next_deadline(), due)
+
+    def test_the_node_has_nothing_to_do_at_the_moment_after_the_lapse(self) -> None:
+        """Else a node on a clock that stands still until all is done would never go on."""
+        for number in range(200):
+            shares = PlaceShares()
+            shares.take_told(HOT_IS_BEYOND, 100.0 + 0.0371 * number)
+            due = shares.next_lapse()
+            assert due is not None
+            shares.lapse(due)
+            self.assertIsNone(shares.next_lapse())
 
     def test_without_word_of_the_leader_nobody_is_held_back(self) -> None:
         self.turn("hot")
