--- a/src/yokeline/forwarding/ends.py
+++ b/src/yokeline/forwarding/ends.py
@@ -86,12 +86,17 @@
             exchange.exchange, exchange.call.request_id, status, reason, retry_after=retry_after
         )
         self._outcomes.count_refusal(status, reason)
+        if self._state.shares.leaves_place(exchange, self._state.now):
+            self._outcomes.count_held_back(exchange.tenant)
+            fields["share_level"] = self._state.shares.levels.get(exchange.pool)
         self.end(exchange, "refused", level="info", status=status, reason=reason, **fields)
 
     def end(
         self, exchange: Exchange, outcome: str, *, level: str = "info", **fields: LogField
     ) -> None:
         """Forget a request, with its timers and its place in a queue."""
+        if exchange.phase is Phase.WAITING:
+            self._state.shares.note_unserved(exchange, self._state.now)
         exchange.phase = Phase.ENDED
         self._state.exchanges.pop(exchange.exchange, None)
         queue = self._state.waiting.get(exchange.pool)
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 import msgspec
-from msgspec import UNSET
+from msgspec import UNSET, UnsetType
 
 from yokeline.effects import Address, Effect, LogRecord, SendPeer
 from yokeline.histogram import Histogram
@@ -26,6 +26,7 @@
     LedgerReply,
     LedgerRequest,
     PassedOnRequest,
+    PoolShares,
     TextCopy,
 )
 from yokeline.ledger.operations import Granted, Operation, OperationResult, Settle
@@ -64,6 +65,9 @@
 EnginesTold = Callable[[tuple[EngineTurns, ...], float], None]
 """Told what the leader knows of engines, and the time."""
 
+SharesTold = Callable[[tuple[PoolShares, ...], float], None]
+"""Told how the places of pools are shared between tenants, and the time."""
+
 HelpfulPeers = Callable[[], list[PeerNode]]
 """Returns the nodes that say they reach the ledger, the nearest first."""
 
@@ -101,6 +105,7 @@
         engines: What the leader last told of engines.
         wants_engines: Requests wait for an engine with room, so the leader is asked for news of
             engines while no answer to anything else brings them.
+        shares_told: Told how places are shared between tenants; nobody unless set.
     """
 
     def __init__(self, own_address: Address) -> None:
@@ -120,6 +125,7 @@
         self.engines: tuple[EngineTurns, ...] = ()
         self.wants_engines = False
         self._engines_due = float("-inf")
+        self.shares_told: SharesTold = _no_shares
         self.answer_seconds = Histogram()
         self.counts = ClientCounts()
         self.has_answered = False
@@ -285,6 +291,7 @@
             operations=(),
             turns=report,
             wants_engines=wants_engines or UNSET,
+            tenant_loads=self.turns.take_rows(now) if report is not None else UNSET,
         )
         return [SendPeer(to=leader.replica, address=leader.address, message=message)]
 
@@ -323,6 +330,8 @@
             self._engines_due = now + ENGINES_SECONDS
             self.engines = reply.engines
             self.engines_told(reply.engines, now)
+        if not isinstance(reply.shares, UnsetType):
+            self.shares_told(reply.shares, now)
         if asked is None:
             self.counts.late_answers += bool(reply.results)
             return effects
@@ -415,12 +424,14 @@
             asked.sent_at = now
         copies = self._copies(asked.operation) if not asked.sends else []
         self._plan_repetition(asked, now)
+        turns = self.turns.take_report(now)
         message = LedgerRequest(
             number=number,
             asker=self._own_address,
             operations=(asked.operation,),
-            turns=self.turns.take_report(now),
+            turns=turns,
             is_copied=bool(copies),
+            tenant_loads=self.turns.take_rows(now) if turns is not None else UNSET,
         )
         # The copies go first, so that they arrive before the entry that leaves them out.
         return [*copies, SendPeer(to=leader.replica, address=leader.address, message=message)]
@@ -455,5 +466,9 @@
         return [SendPeer(to=peer.process, address=peer.address, message=message)]
 
 
+def _no_shares(shares: tuple[PoolShares, ...], now: float) -> None:
+    """Tell nobody."""
+
+
 def _nobody(engines: tuple[EngineTurns, ...], now: float) -> None:
     """Tell nobody."""
--- a/src/yokeline/ledger/own_turns.py
+++ b/src/yokeline/ledger/own_turns.py
@@ -8,17 +8,42 @@
 
 from collections import Counter
 from collections.abc import Callable
+from typing import Protocol
 
-from yokeline.ledger.messages import EngineLoad, NodeTurns, TurnServed
+from msgspec import UNSET, UnsetType
+
+from yokeline.ledger.messages import EngineLoad, NodeTurns, PoolLoad, TurnServed
 
 REFRESH_SECONDS = 0.5
 """Pause after which a node with turns at engines reports although nothing changed; the leader
 forgets a node that is silent for three of them."""
+ROWS_SECONDS = 0.05
+"""Least pause between two reports with the rows of tenants. They are longer than the rest of a
+report, and a turn lasts some tenths of a second."""
 MAX_SERVED = 256
 """Ends that wait to be told; beyond it the oldest are dropped, since they only colour the choice
 of an engine. A node ends some tens of turns and calls a second."""
 
 
+class TenantLoads(Protocol):
+    """What the tenants of this node have of the engines, and what they ask for."""
+
+    @property
+    def is_used(self) -> bool:
+        """Whether the configuration has tenants."""
+
+    @property
+    def changes(self) -> int:
+        """Rises when a tenant's first turns begin to wait, and when none of them waits any more."""
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a first turn of any tenant waits."""
+
+    def rows(self) -> tuple[PoolLoad, ...]:
+        """Return what the leader is told."""
+
+
 class OwnTurns:
     """Turns of one node by request id, and how engines served the last ones.
 
@@ -26,12 +51,17 @@
         dropped: Ends that were never told, since there were too many.
         earlier_name: Returns the second name under which a load is reported at a time, for nodes
             of an earlier release; empty for none.
+        tenants: What the node's tenants have; None unless set.
     """
 
     def __init__(self) -> None:
         """Have no turn under way."""
         self.dropped = 0
         self.earlier_name: Callable[[str, float], str] = _no_other_name
+        self.tenants: TenantLoads | None = None
+        self._told_changes = 0
+        self._rows_at = float("-inf")
+        self._lacks_rows = False
         self._running: dict[str, str] = {}
         self._served: list[TurnServed] = []
         self._sequence = 0
@@ -65,13 +95,16 @@
 
     def leader_changed(self) -> None:
         """Report soon, since a new leader knows nothing of this node."""
-        self._has_news = self._has_news or bool(self._running)
+        self._has_news = self._has_news or self._has_load()
+        self._rows_at = float("-inf")
 
     def report_due(self) -> float | None:
         """Return when a report is due; None while there is nothing to tell."""
         if self._has_news:
             return float("-inf")
-        return self._reported_at + REFRESH_SECONDS if self._running else None
+        if self._lacks_rows or self._tenants_changed():
+            return self._rows_at + ROWS_SECONDS
+        return self._reported_at + REFRESH_SECONDS if self._has_load() else None
 
     def take_report(self, now: float) -> NodeTurns | None:
         """Return the report that is due; None if none is."""
@@ -84,6 +117,34 @@
         self._sequence += 1
         return NodeTurns(sequence=self._sequence, loads=self._loads(now), served=served)
 
+    def take_rows(self, now: float) -> tuple[PoolLoad, ...] | UnsetType:
+        """Return the rows that go with a report that was taken.
+
+        Unset where the configuration has no tenants, and until the next rows are due: these go
+        then, with a report of their own if need be.
+        """
+        if self.tenants is None or not self.tenants.is_used:
+            self._lacks_rows = False
+            return UNSET
+        self._lacks_rows = now < self._rows_at + ROWS_SECONDS
+        if self._lacks_rows:
+            return UNSET
+        self._rows_at = now
+        self._told_changes = self.tenants.changes
+        return self.tenants.rows()
+
+    def _has_load(self) -> bool:
+        if self._running:
+            return True
+        tenants = self.tenants
+        return tenants is not None and tenants.is_used and tenants.has_waiting
+
+    def _tenants_changed(self) -> bool:
+        tenants = self.tenants
+        if tenants is None or not tenants.is_used:
+            return False
+        return tenants.changes != self._told_changes
+
     def _loads(self, now: float) -> tuple[EngineLoad, ...]:
         counts = Counter(self._running.values())
         for name, count in tuple(counts.items()):
