Requests wait for room by their slack and the expected wait, and callers return when the queue will be gone

Cause: first turns were refused after a quarter of the route's target though their programs had seconds, and all refused callers were told the same time to return.

A first turn bears half of its program's slack (the other half is for its later turns) and waits if a place is expected within .6 of that; a begun program bears all its time but the turn's own; requests without a program wait for a share of the target as before. The expected wait follows from those that go before at all nodes (load reports), the places, the time that a turn keeps one, the share of places that programs which begin get, and a learned ratio of real to expected waits. The share of its time that a program takes is learned by route as a high quantile of what one node sees. A wait that becomes hopeless ends. Returns follow the expected wait, spread by the request's id; those after an outage are spread too, begun programs first.

--- a/src/yokeline/forwarding/admission.py
+++ b/src/yokeline/forwarding/admission.py
@@ -9,12 +9,10 @@
 import msgspec
 
 from yokeline.forwarding.http_statuses import UNAUTHORIZED, UNAVAILABLE
-from yokeline.forwarding.model import Call, Route, RoutingTable
+from yokeline.forwarding.model import Call, Route, RoutingTable, is_later_request
 from yokeline.forwarding.tenants import StateNames, Tenant, scoped
+from yokeline.scheduling.return_times import Returning, return_after_outage
 
-STALE_RETRY_AFTER_SECONDS = 0.3
-"""Time after which a caller is to come back to a node that cannot prove its configuration: it asks
-again each 0.25 s, and the caller comes to another node as likely as not."""
 UNKNOWN_KEY = "unknown_key"
 STALE_CONFIGURATION = "stale_configuration"
 NO_TENANT = ""
@@ -67,10 +65,15 @@
     if route.public:
         return _admitted(call, tenant if is_current else None, operation)
     if not is_current:
+        caller = Returning(
+            request_id=call.request_id,
+            has_begun=is_later_request(route, call),
+            time_left=min(call.deadline, route.timeout),
+        )
         return Denied(
             status=UNAVAILABLE,
             reason=STALE_CONFIGURATION,
-            retry_after=STALE_RETRY_AFTER_SECONDS,
+            retry_after=return_after_outage(caller),
         )
     if tenant is None:
         return Denied(status=UNAUTHORIZED, reason=UNKNOWN_KEY)
--- a/src/yokeline/forwarding/engine_sends.py
+++ b/src/yokeline/forwarding/engine_sends.py
@@ -40,7 +40,7 @@
         state.by_request[exchange.request] = exchange
         state.engines.note_sent(engine)
         self._settlements.tell_of_begin(exchange, engine)
-        state.placement.note_sent(exchange, choice, state.pool_of(exchange))
+        state.placement.note_sent(exchange, choice, state.pool_of(exchange), state.now)
         if exchange.sends == 1:
             state.added_seconds.observe(state.now - exchange.started)
         self._log_choice(exchange, choice)
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -116,6 +116,13 @@
     return xxhash.xxh32_intdigest(f"{node}/{engine_id}".encode()) / _HASH_SPAN
 
 
+class WaitingElsewhere(msgspec.Struct, frozen=True):
+    """Requests that wait at other nodes, and the age of the oldest report of them (seconds)."""
+
+    requests: int
+    age: float
+
+
 class EngineBook:
     """All engines, by id and by pool.
 
@@ -263,6 +270,15 @@
         """Return the latest report of each node that reported lately."""
         return [item for at, item in self._reports.values() if now - at <= self.fresh_seconds]
 
+    def waiting_elsewhere(self, pool: str, now: float) -> WaitingElsewhere:
+        """Return how many requests wait for a pool at nodes that reported lately."""
+        requests, oldest = 0, now
+        for at, report in self._reports.values():
+            if now - at <= self.fresh_seconds:
+                requests += report.waiting.get(pool, 0)
+                oldest = min(oldest, at)
+        return WaitingElsewhere(requests, now - oldest)
+
     def drop_stale_reports(self, now: float) -> None:
         """Let reports that are too old count no more."""
         stale = [node for node, (at, _) in self._reports.items() if now - at > self.fresh_seconds]
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -13,6 +13,7 @@
 from yokeline.forwarding.tenants import StateNames, Tenant
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.operations import CachedContext, Operation, RateLimit
+from yokeline.scheduling.room_waits import RoomWait
 from yokeline.timers import Timer
 
 
@@ -73,6 +74,7 @@
         events: Events passed on.
         text: Data of the events, for a turn that is kept.
         kept_event_id: Of the last event whose data is in ``text``.
+        room_wait: Its wait for an engine with room; None before that was decided.
         history: Where the texts of its chain came from.
         asked_for_texts: The leader was asked for them after the reservation was granted.
         granted_at: When the ledger granted its reservation; 0 if it needs none.
@@ -117,6 +119,7 @@
     text: list[bytes] = msgspec.field(default_factory=list)
     kept_event_id: str = ""
     waiting_since: float = 0.0
+    room_wait: RoomWait | None = None
     history: HistorySource = HistorySource.CACHED
     asked_for_texts: bool = False
     granted_at: float = 0.0
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -64,9 +64,8 @@
 from yokeline.identifiers import ExchangeId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
+from yokeline.scheduling.return_times import Returning, return_after_outage
 
-START_RETRY_AFTER_SECONDS = 0.3
-"""Time after which a caller is to come back to a node that knows no configuration yet."""
 DEADLINE_RETRY_AFTER_SECONDS = 0.1
 DUE_SLACK_SECONDS = 0.05
 """Time before a deadline in which an engine's answer that the time is over may come: it counts from
@@ -182,6 +181,16 @@
         """Shares by which predicted times of turns were wrong."""
         return self._state.prediction_error
 
+    @property
+    def expected_waits(self) -> Histogram:
+        """Time in which a place was likely to be free, of requests that found none."""
+        return self._state.expected_waits
+
+    @property
+    def room_waits(self) -> Histogram:
+        """Time that requests waited for room which then got a place."""
+        return self._state.room_waits
+
     def forget_engine(self, engine_id: str) -> None:
         """Forget what an engine that is gone had cached."""
         self._state.placement.forget_engine(engine_id)
@@ -270,9 +279,7 @@
     ) -> None:
         table = self.table
         if table is None:
-            self._outcomes.refuse_unparsed(
-                event, UNAVAILABLE, "no_configuration", retry_after=START_RETRY_AFTER_SECONDS
-            )
+            self._refuse_unconfigured(event)
             return
         if self.refusing:
             self._outcomes.refuse_unparsed(event, UNAVAILABLE, "stopping", retry_after=0.0)
@@ -305,6 +312,22 @@
         exchange = self._open(event, call, route, admitted, arrived_at)
         self._begin(exchange)
 
+    def _refuse_unconfigured(self, event: HttpArrived) -> None:
+        """Refuse what came before this node knew its configuration."""
+        parsed = self._dialect.parse_call(event)
+        if not isinstance(parsed, Success):
+            self._outcomes.refuse_unparsed(event, BAD_REQUEST, parsed.failure().message)
+            return
+        call = parsed.unwrap()
+        caller = Returning(
+            request_id=call.request_id,
+            has_begun=bool(call.previous_turn),
+            time_left=call.deadline,
+        )
+        self._outcomes.refuse_unparsed(
+            event, UNAVAILABLE, "no_configuration", retry_after=return_after_outage(caller)
+        )
+
     def _begin(self, exchange: Exchange) -> None:
         """Let a request take its first step."""
         if not self._limits.is_let_by(exchange, self._begin):
@@ -387,6 +410,7 @@
         elif engine is not None:
             engine.note_success(self._state.now)
             engine.note_pace(self._state.now - exchange.sent_at)
+            self._note_call(exchange)
             self._repeats.note_answered(exchange)
         if has_failed and self._repeats.may_go_elsewhere(exchange):
             if engine is not None:
@@ -398,6 +422,10 @@
             return
         self._ends.answer(exchange, response)
 
+    def _note_call(self, exchange: Exchange) -> None:
+        if exchange.route.kind is not RouteKind.STREAMING:
+            self._state.placement.note_call(exchange, self._state.now)
+
     def _is_due(self, exchange: Exchange) -> bool:
         return self._state.now >= exchange.due - DUE_SLACK_SECONDS
 
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -35,6 +35,8 @@
         "yokeline_forwarding_added_seconds": forwarder.added_seconds,
         "yokeline_forwarding_first_event_seconds": forwarder.first_event_seconds,
         "yokeline_forwarding_prediction_error_ratio": forwarder.prediction_error,
+        "yokeline_forwarding_expected_wait_seconds": forwarder.expected_waits,
+        "yokeline_forwarding_room_wait_seconds": forwarder.room_waits,
         "yokeline_ledger_answer_seconds": node.ledger.answer_seconds,
     }
     return NodeFigures(counters=counters, gauges=gauges, histograms=histograms)
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -179,3 +179,12 @@
     previous_turn: str = ""
     affinity_key: str = ""
     credential: Credential | None = None
+
+
+def is_later_request(route: Route, call: Call) -> bool:
+    """Return whether a request shows by itself that its program has had a turn before.
+
+    It names that turn, or it is a call, which comes from within a program.
+    """
+    is_call = route.kind is not RouteKind.STREAMING
+    return bool(call.previous_turn) or (bool(call.program) and is_call)
--- a/src/yokeline/forwarding/node_state.py
+++ b/src/yokeline/forwarding/node_state.py
@@ -31,6 +31,8 @@
         first_event_seconds: Time from a turn's arrival to its first event.
         prediction_error: How far the time of turns at their engines was from what was
             predicted, as a share of the time.
+        expected_waits: Time in which a place was likely to be free, of those that found none.
+        room_waits: Time that those waited which then got a place.
     """
 
     def __init__(self, zone: str, engines: EngineBook, outcomes: Outcomes) -> None:
@@ -47,6 +49,8 @@
         self.added_seconds = Histogram()
         self.first_event_seconds = Histogram()
         self.prediction_error = Histogram(ERROR_BUCKETS)
+        self.expected_waits = Histogram()
+        self.room_waits = Histogram()
 
     def pool_of(self, exchange: Exchange) -> Pool:
         """Return the pool that serves a request."""
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -11,12 +11,19 @@
 from yokeline.forwarding.model import Pool, RouteKind
 from yokeline.forwarding.prefixes import PrefixBeliefs
 from yokeline.scheduling.engine_model import EngineModel, ServedTurn
+from yokeline.scheduling.program_times import ProgramTimes
 
 MAX_AFFINITIES = 4096
 HOPELESS_SHARE = 0.6
 """A turn is not begun with less than this share of an average turn's time left."""
 TURN_WEIGHT = 0.05
 """Weight of a new turn in the moving average of a pool's turns."""
+BEGIN_WEIGHT = 0.02
+"""Weight of a send in the share of a pool's places that go to programs that begin."""
+START_BEGIN_SHARE = 0.25
+"""That share before anything was sent: programs of four turns."""
+LEAST_BEGIN_SHARE = 0.1
+"""While few programs begin, the share says how few ask rather than how few get a place."""
 LEAST_GAPS = 3
 """Gaps between events from which the pace of an engine is read."""
 LEAST_SECONDS = 0.005
@@ -28,15 +35,19 @@
 
     Attributes:
         beliefs: Which parts of prompts each engine has probably cached.
+        programs: Which share of their time programs take.
     """
 
     def __init__(self, zone: str, engines: EngineBook) -> None:
         """Choose among ``engines`` for a node in ``zone``."""
         self.beliefs = PrefixBeliefs()
+        self.programs = ProgramTimes()
         self._zone = zone
         self._engines = engines
         self._affinities: OrderedDict[tuple[str, str], str] = OrderedDict()
         self._turn_seconds: dict[str, float] = {}
+        self._call_seconds: dict[str, float] = {}
+        self._begin_shares: dict[str, float] = {}
         self._models: dict[str, EngineModel] = {}
 
     def choose(self, exchange: Exchange, pool: Pool, now: float) -> Choice | None:
@@ -73,10 +84,19 @@
         """
         return exchange.attempts.are_used_up and not self._own_engines(exchange)
 
-    def note_sent(self, exchange: Exchange, choice: Choice, pool: Pool) -> None:
-        """Note what the chosen engine will have read, and which subject it saw."""
+    def place_seconds(self, pool: str) -> float | None:
+        """Return for how many seconds a request keeps a place of a pool; None if not known."""
+        return self._turn_seconds.get(pool, self._call_seconds.get(pool))
+
+    def begin_share(self, pool: str) -> float:
+        """Return which share of a pool's places that come free goes to programs that begin."""
+        return max(LEAST_BEGIN_SHARE, self._begin_shares.get(pool, START_BEGIN_SHARE))
+
+    def note_sent(self, exchange: Exchange, choice: Choice, pool: Pool, now: float) -> None:
+        """Note what the chosen engine will have read, which subject it saw, and who begins."""
         engine_id = choice.state.engine.engine_id
         call = exchange.call
+        self._note_begin(exchange, now)
         if pool.model is not None:
             self.beliefs.note_read(engine_id, call.parts, pool.model.memory_tokens)
         if call.affinity_key:
@@ -94,6 +114,7 @@
         Returns:
             The time between its events as a multiple of what is usual; 0 if it cannot be told.
         """
+        self.programs.answered(exchange.names.program, now)
         if exchange.sends > 1 or exchange.engine is None:
             return 0.0
         self._note_turn_seconds(exchange, now)
@@ -119,6 +140,23 @@
     def _model(self, pool: str) -> EngineModel:
         return self._models.setdefault(pool, EngineModel())
 
+    def note_call(self, exchange: Exchange, now: float) -> None:
+        """Learn from a call that its engine answered."""
+        self.programs.answered(exchange.names.program, now)
+        seconds = now - exchange.sent_at
+        average = self._call_seconds.setdefault(exchange.pool, seconds)
+        self._call_seconds[exchange.pool] = average + TURN_WEIGHT * (seconds - average)
+
+    def _note_begin(self, exchange: Exchange, now: float) -> None:
+        """Note whether a place went to a program that begins, and follow that program."""
+        is_streaming = exchange.route.kind is RouteKind.STREAMING
+        begins = is_streaming and self.is_new_program(exchange)
+        share = self._begin_shares.get(exchange.pool, START_BEGIN_SHARE)
+        self._begin_shares[exchange.pool] = share + BEGIN_WEIGHT * (float(begins) - share)
+        given = exchange.call.finish
+        if begins and given is not None:
+            self.programs.begin(exchange.names.program, exchange.route.name, given, now)
+
     def _note_turn_seconds(self, exchange: Exchange, now: float) -> None:
         seconds = now - exchange.sent_at
         average = self._turn_seconds.setdefault(exchange.pool, seconds)
--- /dev/null
+++ b/src/yokeline/forwarding/room_view.py
@@ -0,0 +1,84 @@
+"""What a node knows of the room of each pool: places, those that wait elsewhere, and its age."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokeline.forwarding.engines import EngineBook
+from yokeline.forwarding.placement import Placement
+from yokeline.scheduling.room_waits import PoolRoom
+
+REFRESH_SECONDS = 0.05
+"""Age up to which a view is used again. A view costs a look at each engine and each report, and
+reports come each 0.08 s at most."""
+
+
+class PoolView(msgspec.Struct, frozen=True, kw_only=True):
+    """The room of one pool at one time.
+
+    Attributes:
+        at: When it was taken (monotonic seconds).
+        places: Requests that its engines work on together, or hold if that is more.
+        place_seconds: Seconds for which a request keeps a place; None if not known.
+        begin_share: Share of the places that come free which programs that begin get.
+        elsewhere: Requests that wait at other nodes.
+        reports_age: Age of the oldest report that counts (seconds); 0 without one.
+    """
+
+    at: float
+    places: int
+    place_seconds: float | None
+    begin_share: float
+    elsewhere: int
+    reports_age: float
+
+    def room(self, ahead: int, waiting: int, *, is_first: bool) -> PoolRoom:
+        """Return the room for one request.
+
+        Other nodes do not tell the order of their queues. As many of theirs go before it as of
+        this node's own, in proportion.
+
+        Args:
+            ahead: Requests that go before it at this node.
+            waiting: Requests that wait at this node, itself included.
+            is_first: It begins a program.
+        """
+        rank = (ahead + 1) / (max(waiting, ahead + 1) + 1)
+        return PoolRoom(
+            places=self.places,
+            ahead=ahead + rank * self.elsewhere,
+            place_seconds=self.place_seconds,
+            share=self.begin_share if is_first else 1.0,
+        )
+
+
+class RoomViews:
+    """The latest view of each pool."""
+
+    def __init__(self, engines: EngineBook, placement: Placement) -> None:
+        """Look at ``engines``, and at what ``placement`` has learned."""
+        self._engines = engines
+        self._placement = placement
+        self._views: dict[str, PoolView] = {}
+
+    def of(self, pool: str, now: float) -> PoolView:
+        """Return a view of a pool that is fresh enough."""
+        view = self._views.get(pool)
+        if view is None or now - view.at >= REFRESH_SECONDS:
+            view = self._look(pool, now)
+            self._views[pool] = view
+        return view
+
+    def _look(self, pool: str, now: float) -> PoolView:
+        engines = self._engines.in_pool(pool, now)
+        slots = sum(state.engine.slots for state in engines)
+        held = sum(state.load for state in engines)
+        waiting = self._engines.waiting_elsewhere(pool, now)
+        return PoolView(
+            at=now,
+            places=max(slots, held),
+            place_seconds=self._placement.place_seconds(pool),
+            begin_share=self._placement.begin_share(pool),
+            elsewhere=waiting.requests,
+            reports_age=waiting.age,
+        )
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -116,6 +116,13 @@
     "yokeline_forwarding_proof_asks_total": "Questions to other nodes for such a proof.",
     "yokeline_ledger_tenants": "Tenants whose requests this replica counts.",
     "yokeline_forwarding_refusals_total": "Requests refused, not run, by reason.",
+    "yokeline_forwarding_room_refusals_total": "Requests refused for want of room, by cause.",
+    "yokeline_forwarding_expected_wait_seconds": (
+        "Seconds in which a place was likely to be free, of requests that found none."
+    ),
+    "yokeline_forwarding_room_wait_seconds": (
+        "Seconds that requests waited for room which then got a place."
+    ),
     "yokeline_forwarding_repeats_total": "Requests sent again after they may have run.",
     "yokeline_forwarding_configuration_version": "Version of the configuration in force here.",
     "yokeline_forwarding_added_seconds": (
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -19,6 +19,7 @@
     HttpStreamEnded,
     HttpStreamItem,
     HttpStreamStart,
+    LogRecord,
     SendPeer,
 )
 from yokeline.forwarding.engines import EngineBook
@@ -121,6 +122,7 @@
         self.stream: list[Effect] = []
         self.asked: list[tuple[int, Operation]] = []
         self.told: list[NodeTurns] = []
+        self.logs: list[LogRecord] = []
         self.peers: list[SendPeer] = []
         """Questions for the texts of earlier turns."""
         self._numbers = itertools.count(1)
@@ -235,6 +237,8 @@
                 self.replies.append(effect)
             elif isinstance(effect, HttpStreamStart | HttpStreamData | HttpStreamEnd):
                 self.stream.append(effect)
+            elif isinstance(effect, LogRecord):
+                self.logs.append(effect)
             elif isinstance(effect, SendPeer):
                 self._note_asked(effect)
 
