Keep a profile of each engine's start at the leader, and tell its lasting pace apart from a spell

Change: scheduling/engine_profiles.py keeps the pace of a turn as if it ran alone, in seconds, so that nodes with other lines tell the same of one engine; the median of samples 0.5 s apart is the lasting pace, three samples in a row on one side are a spell. Told in optional fields at the end of TurnServed and EngineTurns; a node merges it with its own, each weighed by its samples, and divides it out of what goes into its lines.

--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -125,7 +125,7 @@
     now: float,
 ) -> Choice:
     if inputs.model is not None:
-        choice = _estimate_turn(state, beliefs, inputs, inputs.model)
+        choice = _estimate_turn(state, beliefs, inputs, inputs.model, now)
         usual = inputs.model.usual_seconds
     else:
         choice = _estimate_call(state, pool.usual_pace)
@@ -146,7 +146,11 @@
 
 
 def _estimate_turn(
-    state: EngineState, beliefs: PrefixBeliefs, inputs: ChoiceInputs, model: EngineModel
+    state: EngineState,
+    beliefs: PrefixBeliefs,
+    inputs: ChoiceInputs,
+    model: EngineModel,
+    now: float,
 ) -> Choice:
     """Return the turn's own time, what it costs the turns beside it, and the wait for a place."""
     load = state.load
@@ -156,6 +160,8 @@
         state.engine.engine_id,
         unread=max(0, inputs.call.prompt_tokens - cached),
         beside=load,
+        now=now,
+        told=state.profile,
         told_slowness=state.slowness,
         hinted_events=_hinted_events(inputs),
     )
--- a/src/yokeline/forwarding/engine_sends.py
+++ b/src/yokeline/forwarding/engine_sends.py
@@ -12,6 +12,7 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.settlements import Settlements
 from yokeline.identifiers import RequestId
+from yokeline.scheduling.engine_model import NO_PACE, ObservedPace
 
 
 class EngineSends:
@@ -48,16 +49,16 @@
             engine_request(exchange, exchange.request, engine, self._dialect, state.now)
         )
 
-    def leave(self, exchange: Exchange, *, failed: bool = False, slowness: float = 0.0) -> None:
+    def leave(
+        self, exchange: Exchange, *, failed: bool = False, pace: ObservedPace = NO_PACE
+    ) -> None:
         """Note that a request is no longer at its engine, and how the engine served it."""
         if exchange.request is not None:
             self._state.by_request.pop(exchange.request, None)
             exchange.request = None
         if exchange.engine is not None:
             self._state.engines.note_left(exchange.engine)
-            self._settlements.tell_of_end(
-                exchange, exchange.engine, failed=failed, slowness=slowness
-            )
+            self._settlements.tell_of_end(exchange, exchange.engine, failed=failed, pace=pace)
 
     def cancel(self, exchange: Exchange, *, failed: bool = False) -> None:
         """Take a request back from its engine."""
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -13,11 +13,18 @@
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import (
     NOT_COUNTED,
+    PACE_UNIT_SECONDS,
     PERCENT,
     EngineLoad,
     EngineTurns,
     LoadReport,
 )
+from yokeline.scheduling.engine_profiles import (
+    FAULT_FADE_SECONDS,
+    FAULT_WEIGHT,
+    ToldProfile,
+    usual_pace,
+)
 
 REPORT_FRESH_SECONDS = 1.0
 """Age after which another node's report of its load counts for nothing."""
@@ -29,10 +36,6 @@
 SUSPECT_SECONDS = 1.0
 """Time for which an engine that broke off or fell silent is a last resort."""
 MAX_SUSPECT_SECONDS = 4.0
-FAULT_WEIGHT = 0.15
-"""Weight of one request in an engine's share of failures."""
-FAULT_FADE_SECONDS = 4.0
-"""Time in which a share of failures fades to a third without new ones."""
 _HASH_SPAN = 2**32
 _PACE_WEIGHT = 0.15
 """Weight of a new observation in the moving average of an engine's pace."""
@@ -48,6 +51,7 @@
         others: Requests of other nodes, as the ledger's leader told, or from their reports.
         told_failed: Share of the requests of all nodes that failed there, as the leader told.
         slowness: Time between its events as a multiple of what is usual, as the leader told.
+        profile: Its pace, as a leader told; kept while no leader tells, and then counts ever less.
         full_until: It rejected a request because it is full; until then it gets no other one.
         refused_caller: Whose request it rejected last though places seemed free.
         refused_at: When that was.
@@ -66,6 +70,7 @@
     others: int = 0
     told_failed: float = 0.0
     slowness: float = 1.0
+    profile: ToldProfile | None = None
     full_until: float = 0.0
     refused_caller: str = ""
     refused_at: float = -math.inf
@@ -116,6 +121,15 @@
     return xxhash.xxh32_intdigest(f"{node}/{engine_id}".encode()) / _HASH_SPAN
 
 
+def _profile(item: EngineTurns, now: float) -> ToldProfile:
+    return ToldProfile(
+        pace_seconds=item.pace * PACE_UNIT_SECONDS,
+        samples=item.samples,
+        spell=item.spell_percent / PERCENT,
+        told_at=now,
+    )
+
+
 class EngineBook:
     """All engines, by id and by pool.
 
@@ -133,6 +147,7 @@
         self._sums_are_stale = False
         self._told_at = -math.inf
         self._told: frozenset[str] = frozenset()
+        self._usual_paces: dict[str, float] = {}
         self.own_changes = 0
         self.fresh_seconds = REPORT_FRESH_SECONDS
 
@@ -213,6 +228,18 @@
                 state.others = max(0, item.running - state.running)
             state.told_failed = item.failed_percent / PERCENT if item is not None else 0.0
             state.slowness = item.slowness_percent / PERCENT if item is not None else 1.0
+            if item is not None and item.pace > 0:
+                state.profile = _profile(item, now)
+        self._usual_paces.clear()
+
+    def usual_pace(self, pool: str) -> float:
+        """Return the median of the lasting paces told of a pool's engines; 0 if none is known."""
+        usual = self._usual_paces.get(pool)
+        if usual is None:
+            profiles = (state.profile for state in self._by_pool.get(pool, []))
+            usual = usual_pace(item.pace_seconds for item in profiles if item is not None)
+            self._usual_paces[pool] = usual
+        return usual
 
     def is_told(self, now: float) -> bool:
         """Return whether what the leader told still counts."""
@@ -285,6 +312,7 @@
 
     def _index(self) -> None:
         self._by_pool = {}
+        self._usual_paces.clear()
         for engine_id in sorted(self._engines):
             state = self._engines[engine_id]
             if not state.engine.draining:
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -10,7 +10,7 @@
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.model import Pool, RouteKind
 from yokeline.forwarding.prefixes import PrefixBeliefs
-from yokeline.scheduling.engine_model import EngineModel, ServedTurn
+from yokeline.scheduling.engine_model import NO_PACE, EngineModel, ObservedPace, ServedTurn
 
 MAX_AFFINITIES = 4096
 HOPELESS_SHARE = 0.6
@@ -88,17 +88,13 @@
         for model in self._models.values():
             model.forget(engine_id)
 
-    def note_turn(self, exchange: Exchange, now: float) -> float:
-        """Learn from a turn that its engine served whole, at the first try.
-
-        Returns:
-            The time between its events as a multiple of what is usual; 0 if it cannot be told.
-        """
+    def note_turn(self, exchange: Exchange, now: float) -> ObservedPace:
+        """Learn from a turn that its engine served whole, at the first try."""
         if exchange.sends > 1 or exchange.engine is None:
-            return 0.0
+            return NO_PACE
         self._note_turn_seconds(exchange, now)
         if exchange.first_event_at is None or not exchange.events:
-            return 0.0
+            return NO_PACE
         gaps = exchange.events - 1
         event_seconds = (exchange.item_at - exchange.first_event_at) / gaps if gaps else 0.0
         turn = ServedTurn(
@@ -109,7 +105,7 @@
             event_seconds=event_seconds if gaps >= LEAST_GAPS else None,
             events=exchange.events,
         )
-        return self._model(exchange.pool).observe(turn)
+        return self._model(exchange.pool).observe(turn, now, exchange.engine.profile)
 
     def _own_engines(self, exchange: Exchange) -> list[EngineState]:
         """Return the engines that were left with a request and take work, the latest first."""
@@ -117,7 +113,9 @@
         return [state for state in known if state is not None and not state.engine.draining]
 
     def _model(self, pool: str) -> EngineModel:
-        return self._models.setdefault(pool, EngineModel())
+        model = self._models.setdefault(pool, EngineModel())
+        model.take_usual(self._engines.usual_pace(pool))
+        return model
 
     def _note_turn_seconds(self, exchange: Exchange, now: float) -> None:
         seconds = now - exchange.sent_at
--- a/src/yokeline/forwarding/settlements.py
+++ b/src/yokeline/forwarding/settlements.py
@@ -11,8 +11,9 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.turn_operations import kept_turn_of, needs_ledger, settlement_of
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.messages import TurnServed
+from yokeline.ledger.messages import PACE_UNIT_SECONDS, TurnServed
 from yokeline.ledger.operations import KeptTurn, OperationResult, Reserve
+from yokeline.scheduling.engine_model import ObservedPace
 
 SETTLE_SECONDS = 5.0
 """How long a settlement is repeated; what is never settled counts at its most."""
@@ -81,7 +82,7 @@
             self._ledger.turns.begin(exchange.names.operation, engine.engine.engine_id)
 
     def tell_of_end(
-        self, exchange: Exchange, engine: EngineState, *, failed: bool, slowness: float
+        self, exchange: Exchange, engine: EngineState, *, failed: bool, pace: ObservedPace
     ) -> None:
         """Tell it that a request left its engine, and how it was served.
 
@@ -90,7 +91,12 @@
         """
         engine_id = engine.engine.engine_id
         if needs_ledger(exchange):
-            served = TurnServed(engine_id, failed, round(slowness, 3))
+            served = TurnServed(
+                engine_id=engine_id,
+                failed=failed,
+                slowness=round(pace.slowness, 3),
+                pace=round(pace.alone_seconds / PACE_UNIT_SECONDS),
+            )
             self._ledger.turns.end(exchange.names.operation, served)
         elif exchange.route.kind is not RouteKind.STREAMING:
             self._ledger.turns.end_call(TurnServed(engine_id, failed, 0.0, is_call=True))
--- a/src/yokeline/forwarding/streams.py
+++ b/src/yokeline/forwarding/streams.py
@@ -62,8 +62,8 @@
     def ended(self, exchange: Exchange) -> None:
         """Pass the end on; a turn that is kept is committed before."""
         engine = exchange.engine
-        slowness = self._state.placement.note_turn(exchange, self._state.now)
-        self._sends.leave(exchange, slowness=slowness)
+        pace = self._state.placement.note_turn(exchange, self._state.now)
+        self._sends.leave(exchange, pace=pace)
         if engine is not None:
             engine.note_success(self._state.now)
         if exchange.phase is Phase.SENT:
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -27,12 +27,15 @@
         slowness: Time between its events, as a multiple of what is usual at that load; 0 if
             too few came to tell.
         is_call: It was a call of an app.
+        pace: Time between its events as it would be if it ran alone, in :data:`PACE_UNIT_SECONDS`;
+            0 if that cannot be told.
     """
 
     engine_id: str
     failed: bool
     slowness: float
     is_call: bool = False
+    pace: int = 0
 
 
 class NodeTurns(msgspec.Struct, frozen=True, array_like=True):
@@ -48,6 +51,8 @@
 
 
 PERCENT = 100.0
+PACE_UNIT_SECONDS = 1e-5
+"""Unit of paces in messages: a thousandth of what lies between two events of a fast engine."""
 NOT_COUNTED = -1
 """In place of the turns under way at an app, whose calls the leader does not count."""
 
@@ -58,13 +63,21 @@
     Attributes:
         running: Turns of all nodes under way there; :data:`NOT_COUNTED` at an app.
         failed_percent: Share of the latest turns that failed there, faded with time.
-        slowness_percent: Time between events as a share of what is usual at its load.
+        slowness_percent: Time between events as a share of what is usual at its load, for nodes
+            that know no paces.
+        pace: Lasting time between the events of a turn that runs alone, in
+            :data:`PACE_UNIT_SECONDS`; 0 if not known.
+        samples: How many samples that pace counts as.
+        spell_percent: Present time as a share of the lasting one.
     """
 
     engine_id: str
     running: int
     failed_percent: int
     slowness_percent: int
+    pace: int = 0
+    samples: int = 0
+    spell_percent: int = 100
 
 
 # ---------------------------------------------------------------- messages
--- a/src/yokeline/ledger/turns_under_way.py
+++ b/src/yokeline/ledger/turns_under_way.py
@@ -17,6 +17,7 @@
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import (
     NOT_COUNTED,
+    PACE_UNIT_SECONDS,
     PERCENT,
     EngineLoad,
     EngineTurns,
@@ -24,19 +25,23 @@
     TurnServed,
 )
 from yokeline.ledger.own_turns import REFRESH_SECONDS
+from yokeline.scheduling.engine_profiles import EngineProfile
 
 NODE_SILENCE_SECONDS = 3 * REFRESH_SECONDS
 """A node that has not reported for this long is gone, or has no turn under way; two reports in a
 row may be lost with a connection."""
 FORGET_SECONDS = 15.0
-"""An engine without turns of which nothing was seen for this long may be forgotten."""
+"""An engine without turns of which nothing was seen for this long may be forgotten if there are
+too many to tell."""
+PROFILE_SECONDS = 120.0
+"""The same for any engine: its profile weighs next to nothing by then, or the engine has gone."""
 MAX_NODES = 10_000
 MAX_ENGINES_TOLD = 256
 """Engines told with one answer; in a larger fleet nodes go by the load reports alone."""
 WEIGHT = 0.15
-"""Weight of one turn in an engine's share of failures and in its slowness."""
+"""Weight of one turn in an engine's slowness."""
 FADE_SECONDS = 4.0
-"""Time in which what was seen of an engine fades to a third without new turns."""
+"""Time in which the slowness of an engine fades to a third without new turns."""
 
 
 class _NodeRecord(msgspec.Struct, frozen=True):
@@ -45,15 +50,14 @@
     heard_at: float
 
 
-def _average(rest: float) -> FadingAverage:
-    return FadingAverage(rest, WEIGHT, FADE_SECONDS)
-
-
 class _EngineRecord(msgspec.Struct):
     running: int = 0
+    told_at: float = -math.inf
     is_app: bool = False
-    failed: FadingAverage = msgspec.field(default_factory=lambda: _average(0.0))
-    slowness: FadingAverage = msgspec.field(default_factory=lambda: _average(1.0))
+    profile: EngineProfile = msgspec.field(default_factory=EngineProfile)
+    slowness: FadingAverage = msgspec.field(
+        default_factory=lambda: FadingAverage(1.0, WEIGHT, FADE_SECONDS)
+    )
 
 
 class TurnsUnderWay:
@@ -81,7 +85,9 @@
         self._remove(process)
         self._nodes[process] = _NodeRecord(report.sequence, report.loads, now)
         for load in report.loads:
-            self._engine(load.engine_id).running += load.running
+            record = self._engine(load.engine_id)
+            record.running += load.running
+            record.told_at = now
 
     def clear(self) -> None:
         """Forget everything, since another replica leads."""
@@ -92,7 +98,7 @@
         """Return what is known of engines; empty if there are too many of them to tell."""
         self._forget_silent(now)
         if len(self._engines) > MAX_ENGINES_TOLD:
-            self._forget_idle(now)
+            self._forget_idle(now, FORGET_SECONDS)
             if len(self._engines) > MAX_ENGINES_TOLD:
                 return ()
         return tuple(_told(name, item, now) for name, item in self._engines.items())
@@ -102,8 +108,11 @@
 
     def _note_served(self, served: TurnServed, now: float) -> None:
         record = self._engine(served.engine_id)
+        record.told_at = now
         record.is_app = record.is_app or served.is_call
-        record.failed.observe(float(served.failed), now)
+        record.profile.note_outcome(now, failed=served.failed)
+        if served.pace > 0:
+            record.profile.note_pace(served.pace * PACE_UNIT_SECONDS, now)
         if served.slowness > 0:
             record.slowness.observe(served.slowness, now)
 
@@ -119,22 +128,28 @@
         for process, record in list(self._nodes.items()):
             if now - record.heard_at > NODE_SILENCE_SECONDS:
                 self._remove(process)
+        self._forget_idle(now, PROFILE_SECONDS)
 
-    def _forget_idle(self, now: float) -> None:
-        """Forget engines without turns of which nothing was seen lately."""
+    def _forget_idle(self, now: float, silence: float) -> None:
+        """Forget engines without turns of which nothing was seen for ``silence`` seconds."""
         idle = [
             name
             for name, item in self._engines.items()
-            if not item.running and now - item.failed.observed_at > FORGET_SECONDS
+            if not item.running and now - item.told_at > silence
         ]
         for name in idle:
             del self._engines[name]
 
 
 def _told(engine_id: str, record: _EngineRecord, now: float) -> EngineTurns:
+    profile = record.profile
+    pace = profile.pace(now)
     return EngineTurns(
         engine_id=engine_id,
         running=NOT_COUNTED if record.is_app else record.running,
-        failed_percent=round(PERCENT * record.failed.value(now)),
+        failed_percent=round(PERCENT * profile.failed.value(now)),
         slowness_percent=round(PERCENT * record.slowness.value(now)),
+        pace=round(pace.seconds / PACE_UNIT_SECONDS),
+        samples=round(pace.samples),
+        spell_percent=round(PERCENT * profile.spell(now)),
     )
--- a/src/yokeline/scheduling/engine_model.py
+++ b/src/yokeline/scheduling/engine_model.py
@@ -3,8 +3,10 @@
 A turn's time has two parts: until its first event, which grows with the prompt tokens that the
 engine has to read, and between its events, which grows with the turns that run beside it. Both are
 lines fitted to what a node observes of a pool, the latest observations counting most. Engines of
-a pool differ in speed; each has a factor of its own. The model is pure: observations go in,
-predictions come out, and it keeps a handful of numbers.
+a pool differ in speed; each has a pace of its own (:mod:`yokeline.scheduling.engine_profiles`),
+which is divided out of an observation before it goes into a line. So a line says the same at a
+node that uses the fast engines as at one that uses the slow ones. The model is pure: observations
+go in, predictions come out, and it keeps a handful of numbers for each engine that it has used.
 
 Before anything is seen, :data:`SAFE_START` holds: an engine that reads slowly, so that a line of
 turns stays where it was read. It counts as little as a few observations.
@@ -14,6 +16,13 @@
 
 import msgspec
 
+from yokeline.scheduling.engine_profiles import (
+    UNKNOWN_PACE,
+    EngineProfile,
+    ToldProfile,
+    merged,
+)
+
 FORGETTING = 0.985
 """Share of its weight that an observation keeps when the next one comes."""
 OUTLIER_FACTOR = 3.0
@@ -23,8 +32,10 @@
 LEAST_START_SHARE = 0.02
 """Assumed observations fade faster than real ones, down to a share that keeps a line defined
 where all real ones lie at one value."""
-SPEED_WEIGHT = 0.1
-"""Weight of one turn in an engine's factor."""
+USUAL_WEIGHT = 0.05
+"""Weight of one turn in the usual pace of the engines that this node has used."""
+LEAST_TURNS = 4
+"""Turns after which a line's shape is the pool's rather than what was assumed of it."""
 EVENTS_WEIGHT = 0.05
 """Weight of one turn in the usual number of events."""
 HINT_FACTOR = 4.0
@@ -141,47 +152,76 @@
         return self.seconds + self.delay_of_others
 
 
+class ObservedPace(msgspec.Struct, frozen=True, kw_only=True):
+    """What one turn said of its engine's pace.
+
+    Attributes:
+        slowness: Its time between events as a multiple of what is usual in the pool at that
+            load; 0 if it had too few events to tell.
+        alone_seconds: Its time between events as it would be without turns beside it; 0 if that
+            cannot be told.
+    """
+
+    slowness: float = 0.0
+    alone_seconds: float = 0.0
+
+
+NO_PACE = ObservedPace()
+
+
 class EngineModel:
-    """The engines of one pool, as one node has seen them."""
+    """The engines of one pool, as one node has seen them and was told of them."""
 
     def __init__(self, start: SafeStart = SAFE_START) -> None:
         """Begin with what is assumed."""
         self._reading = LineFit(start.reading)
         self._pace = LineFit(start.pace)
-        self._factors: dict[str, float] = {}
+        self._profiles: dict[str, EngineProfile] = {}
+        self._turns = 0
+        self._reference = 0.0
+        self._own_usual = 0.0
+        self._told_usual = 0.0
         self.events = start.events
 
     @property
     def reading_seconds_per_token(self) -> float:
         """Seconds for a prompt token to read."""
-        return self._reading.slope
+        return self._usual_relative * self._reading.slope
 
     @property
     def usual_seconds(self) -> float:
         """Seconds of a usual turn that runs alone and finds its prompt cached."""
-        return self._reading.base + self.events * self._pace.base
+        return self._usual_relative * (self._reading.base + self.events * self._pace.base)
 
-    def factor(self, engine_id: str) -> float:
-        """Return how slow an engine is, as a multiple of the pool's usual."""
-        return self._factors.get(engine_id, 1.0)
+    def factor(self, engine_id: str, now: float, told: ToldProfile | None = None) -> float:
+        """Return how slow an engine is lastingly, as a multiple of the pool's usual."""
+        return self._lasting_pace(engine_id, now, told) / self._usual_pace
 
-    def observe(self, turn: ServedTurn) -> float:
-        """Take a turn in.
+    def take_usual(self, seconds: float) -> None:
+        """Note the usual pace of the pool's engines as it was told; 0 if nothing was."""
+        self._told_usual = seconds
+        self._begin_with(seconds)
 
-        Returns:
-            Its time between events as a multiple of what is usual at that load; 0 if it had
-            too few events to tell.
-        """
-        self._reading.observe(turn.unread, turn.first_event_seconds)
+    def observe(
+        self, turn: ServedTurn, now: float, told: ToldProfile | None = None
+    ) -> ObservedPace:
+        """Take a turn in that ended now; ``told`` is what others know of its engine."""
         self.events += EVENTS_WEIGHT * (turn.events - self.events)
         if turn.event_seconds is None:
-            return 0.0
-        ratio = turn.event_seconds / self._pace.at(turn.beside)
-        ratio = min(max(ratio, 1 / OUTLIER_FACTOR), OUTLIER_FACTOR)
-        self._pace.observe(turn.beside, turn.event_seconds)
-        factor = self.factor(turn.engine_id)
-        self._factors[turn.engine_id] = factor + SPEED_WEIGHT * (ratio - factor)
-        return ratio
+            self._observe_reading(turn, now, told)
+            return NO_PACE
+        alone = turn.event_seconds / self._slowed_by(turn.beside)
+        slowness = self._slowness(alone)
+        self._begin_with(alone)
+        profile = self._profiles.setdefault(turn.engine_id, EngineProfile())
+        profile.note_pace(alone, now)
+        self._note_usual(profile.pace(now).seconds)
+        self._turns += 1
+        self._observe_reading(turn, now, told)
+        relative = self._relative_pace(turn.engine_id, now, told)
+        self._pace.observe(turn.beside, turn.event_seconds / relative)
+        is_shape_known = self._turns >= LEAST_TURNS
+        return ObservedPace(slowness=slowness, alone_seconds=alone if is_shape_known else 0.0)
 
     def predict(
         self,
@@ -189,6 +229,8 @@
         *,
         unread: int,
         beside: int,
+        now: float,
+        told: ToldProfile | None = None,
         told_slowness: float = 1.0,
         hinted_events: float | None = None,
     ) -> Prediction:
@@ -198,17 +240,79 @@
             engine_id: The engine.
             unread: Prompt tokens that it would have to read.
             beside: Turns that run there.
-            told_slowness: What other nodes have seen of the engine lately.
+            now: When the turn would be sent.
+            told: The engine's profile as other nodes have seen it; None if it was not told.
+            told_slowness: What other nodes have seen of the engine lately, from a leader that
+                tells no profiles.
             hinted_events: The caller's guess of the turn's events; it is often far off, so it
                 counts within :data:`HINT_FACTOR` of the usual number.
         """
         events = self._expected_events(hinted_events)
-        factor = max(self.factor(engine_id), told_slowness if told_slowness > 1 else 0.0)
-        reading = factor * self._reading.slope * unread
-        seconds = factor * (self._reading.base + events * self._pace.at(beside)) + reading
-        slowed = factor * events * self._pace.slope
+        relative = self._present_pace(engine_id, now, told, told_slowness)
+        reading = relative * self._reading.slope * unread
+        between = relative * events * self._pace.at(beside)
+        slowed = relative * events * self._pace.slope
+        seconds = relative * self._reading.base + reading + between
         return Prediction(seconds, beside * (reading + slowed))
 
+    @property
+    def _usual_pace(self) -> float:
+        """Seconds between the events of a turn that runs alone at a usual engine."""
+        return self._told_usual or self._own_usual or self._pace.at(0.0)
+
+    @property
+    def _usual_relative(self) -> float:
+        return self._usual_pace / self._reference if self._reference else 1.0
+
+    def _begin_with(self, seconds: float) -> None:
+        """Fix the pace for which the lines stand, with the first that is known.
+
+        Any value would do, since observations are divided by it and predictions multiplied. It
+        never changes, so engines that come or go bend no line.
+        """
+        self._reference = self._reference or seconds
+
+    def _slowed_by(self, beside: float) -> float:
+        """Return how much turns beside it slow a turn down."""
+        return self._pace.at(beside) / self._pace.at(0.0)
+
+    def _slowness(self, alone: float) -> float:
+        ratio = alone / self._usual_pace
+        return min(max(ratio, 1 / OUTLIER_FACTOR), OUTLIER_FACTOR)
+
+    def _note_usual(self, pace: float) -> None:
+        weight = max(USUAL_WEIGHT, 1.0 / (self._turns + 1))
+        self._own_usual += weight * (pace - self._own_usual)
+
+    def _observe_reading(self, turn: ServedTurn, now: float, told: ToldProfile | None) -> None:
+        relative = self._relative_pace(turn.engine_id, now, told)
+        self._reading.observe(turn.unread, turn.first_event_seconds / relative)
+
+    def _lasting_pace(self, engine_id: str, now: float, told: ToldProfile | None) -> float:
+        profile = self._profiles.get(engine_id)
+        own = profile.pace(now) if profile is not None else UNKNOWN_PACE
+        other = told.pace(now) if told is not None else UNKNOWN_PACE
+        return merged(own, other, self._usual_pace)
+
+    def _relative_pace(self, engine_id: str, now: float, told: ToldProfile | None) -> float:
+        """Return an engine's lasting pace as a multiple of what the lines stand for."""
+        if not self._reference:
+            return 1.0
+        return self._lasting_pace(engine_id, now, told) / self._reference
+
+    def _present_pace(
+        self, engine_id: str, now: float, told: ToldProfile | None, told_slowness: float
+    ) -> float:
+        """Return the same with the spell that an engine is in."""
+        relative = self._relative_pace(engine_id, now, told)
+        if told is not None:
+            return relative * told.spell_at(now)
+        profile = self._profiles.get(engine_id)
+        relative *= profile.spell(now) if profile is not None else 1.0
+        if told_slowness <= 1:
+            return relative
+        return max(relative, told_slowness * self._usual_relative)
+
     def _expected_events(self, hinted: float | None) -> float:
         if hinted is None:
             return self.events
@@ -216,4 +320,4 @@
 
     def forget(self, engine_id: str) -> None:
         """Forget an engine that is gone."""
-        self._factors.pop(engine_id, None)
+        self._profiles.pop(engine_id, None)
--- /dev/null
+++ b/tests/property/test_engine_profiles.py
@@ -0,0 +1,50 @@
+"""What is believed of an engine lies within what was seen of it, and is bounded in size."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yokeline.scheduling.engine_profiles import (
+    MAX_SAMPLES,
+    MOST_SPELL,
+    EngineProfile,
+    Pace,
+    merged,
+)
+
+MANY = settings(derandomize=True, deadline=None, max_examples=200)
+ROUNDING = 1e-9
+
+seconds = st.floats(1e-4, 10.0)
+paces = st.builds(Pace, seconds, st.floats(0.0, MAX_SAMPLES))
+turns = st.lists(st.tuples(seconds, st.floats(0.0, 5.0)), min_size=1, max_size=80)
+
+
+class Bounds(unittest.TestCase):
+    @MANY
+    @given(paces, paces, seconds)
+    def test_a_merged_pace_lies_between_what_was_seen(
+        self, own: Pace, told: Pace, usual: float
+    ) -> None:
+        known = (own.seconds, told.seconds, usual)
+        result = merged(own, told, usual)
+        self.assertGreaterEqual(result, min(known) * (1 - ROUNDING))
+        self.assertLessEqual(result, max(known) * (1 + ROUNDING))
+
+    @MANY
+    @given(turns)
+    def test_a_profile_lies_within_its_turns(self, observed: list[tuple[float, float]]) -> None:
+        profile, now = EngineProfile(), 0.0
+        for pace, pause in observed:
+            now += pause
+            profile.note_pace(pace, now)
+        known = [pace for pace, _ in observed]
+        lasting = profile.pace(now)
+        self.assertGreaterEqual(lasting.seconds, min(known) * (1 - ROUNDING))
+        self.assertLessEqual(lasting.seconds, max(known) * (1 + ROUNDING))
+        self.assertLessEqual(lasting.samples, min(MAX_SAMPLES, len(observed)))
+        self.assertLessEqual(profile.spell(now), MOST_SPELL)
+        self.assertGreaterEqual(profile.spell(now), 1 / MOST_SPELL)
--- a/tests/unit/forwarding/test_turns_told.py
+++ b/tests/unit/forwarding/test_turns_told.py
@@ -7,7 +7,13 @@
 from tests.unit.forwarding.support import Played
 from yokeline.forwarding.engines import TOLD_FRESH_SECONDS
 from yokeline.identifiers import NodeName
-from yokeline.ledger.messages import EngineLoad, EngineTurns, LoadReport, TurnServed
+from yokeline.ledger.messages import (
+    PACE_UNIT_SECONDS,
+    EngineLoad,
+    EngineTurns,
+    LoadReport,
+    TurnServed,
+)
 from yokeline.ledger.operations import Granted, Settle
 from yokeline.ledger.turns_under_way import NODE_SILENCE_SECONDS
 
@@ -18,6 +24,11 @@
     return EngineTurns(engine_id, running, round(100 * failed), round(100 * slowness))
 
 
+def paced(engine_id: str, running: int, seconds: float) -> EngineTurns:
+    pace = round(seconds / PACE_UNIT_SECONDS)
+    return EngineTurns(engine_id, running, 0, 100, pace=pace, samples=10)
+
+
 class Told(unittest.TestCase):
     def test_the_answer_to_a_reservation_decides_over_older_reports(self) -> None:
         played = Played()
@@ -48,6 +59,21 @@
         )
         self.assertEqual(played.engine_of(), "models-1")
 
+    def test_a_node_that_has_just_started_goes_by_the_told_paces(self) -> None:
+        played = Played()
+        played.turn()
+        played.ledger_answers(Granted(), paced("models-0", 0, 0.070), paced("models-1", 0, 0.028))
+        self.assertEqual(played.engine_of(), "models-1")
+
+    def test_told_paces_are_kept_while_no_leader_tells(self) -> None:
+        played = Played()
+        played.turn()
+        played.ledger_answers(Granted(), paced("models-0", 0, 0.070), paced("models-1", 0, 0.028))
+        played.wait(TOLD_FRESH_SECONDS + 0.1)
+        played.turn()
+        played.ledger_answers(Granted(), EngineTurns("other", 0, 0, 100))
+        self.assertEqual(played.engine_of(), "models-1")
+
     def test_the_leader_is_told_where_a_turn_runs_and_that_it_left(self) -> None:
         played = Played()
         played.turn(token_usage="100,50")
--- a/tests/unit/ledger/test_turns_under_way.py
+++ b/tests/unit/ledger/test_turns_under_way.py
@@ -3,13 +3,20 @@
 import unittest
 
 from yokeline.identifiers import ReplicaId
-from yokeline.ledger.messages import EngineLoad, EngineTurns, NodeTurns, TurnServed
+from yokeline.ledger.messages import (
+    PACE_UNIT_SECONDS,
+    EngineLoad,
+    EngineTurns,
+    NodeTurns,
+    TurnServed,
+)
 from yokeline.ledger.own_turns import MAX_SERVED, REFRESH_SECONDS, OwnTurns
 from yokeline.ledger.turns_under_way import (
     FADE_SECONDS,
     FORGET_SECONDS,
     MAX_ENGINES_TOLD,
     NODE_SILENCE_SECONDS,
+    PROFILE_SECONDS,
     TurnsUnderWay,
 )
 
@@ -123,6 +130,41 @@
             self.end(str(number), "slow", slowness=1.0)
         self.assertLess(self.engine("slow").slowness_percent, 120)
 
+    def serve(self, engine_id: str, seconds: float, turns: int) -> None:
+        """Let turns end at an engine, a second after each other."""
+        for number in range(turns):
+            self.now += 1.0
+            pace = round(seconds / PACE_UNIT_SECONDS)
+            self.nodes["n"].end(str(number), TurnServed(engine_id, False, 1.0, pace=pace))
+            self.report()
+
+    def test_a_lasting_pace_is_told_with_how_much_was_seen_and_is_no_spell(self) -> None:
+        self.serve("slow", 0.07, 10)
+        told = self.engine("slow")
+        self.assertEqual((told.pace, told.samples, told.spell_percent), (7000, 10, 100))
+
+    def test_a_spell_is_told_apart_from_the_lasting_pace(self) -> None:
+        self.serve("e", 0.04, 12)
+        self.serve("e", 0.10, 4)
+        told = self.engine("e")
+        self.assertEqual((told.pace, told.spell_percent), (4000, 250))
+
+    def test_turns_of_nodes_that_tell_no_pace_leave_the_profile_alone(self) -> None:
+        self.end("a", "e", slowness=2.0)
+        told = self.engine("e")
+        self.assertEqual((told.pace, told.samples, told.spell_percent), (0, 0, 100))
+
+    def test_a_start_that_ended_is_forgotten_with_its_profile(self) -> None:
+        self.serve("gone", 0.04, 5)
+        self.now += PROFILE_SECONDS
+        self.serve("e", 0.04, 1)
+        self.assertEqual([item.engine_id for item in self.turns.engines(self.now)], ["e"])
+
+    def test_a_new_leader_begins_without_profiles(self) -> None:
+        self.serve("e", 0.04, 5)
+        self.turns.clear()
+        self.assertEqual(self.turns.engines(self.now), ())
+
     def test_too_many_engines_are_not_told(self) -> None:
         for number in range(MAX_ENGINES_TOLD + 1):
             self.begin(str(number), f"e{number}")
--- /dev/null
+++ b/tests/unit/scheduling/profile_replay.py
@@ -0,0 +1,227 @@
+"""Many nodes that use engines of three speeds with spells of slowness, without network.
+
+Every turn goes to a random engine, so all ways to predict are asked the same. Each way is a set of
+nodes of its own, with what a leader tells them.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import statistics
+from collections.abc import Callable
+
+import msgspec
+
+from yokeline.fading import FadingAverage
+from yokeline.identifiers import ReplicaId
+from yokeline.ledger.messages import (
+    PACE_UNIT_SECONDS,
+    PERCENT,
+    EngineTurns,
+    NodeTurns,
+    TurnServed,
+)
+from yokeline.ledger.turns_under_way import TurnsUnderWay
+from yokeline.scheduling.engine_model import (
+    OUTLIER_FACTOR,
+    SAFE_START,
+    EngineModel,
+    LineFit,
+    ServedTurn,
+)
+from yokeline.scheduling.engine_profiles import ToldProfile, usual_pace
+
+NODES = 72
+ENGINES = 24
+SPEEDS = (0.7, 0.7, 1.7)
+SPELL_SHARE = 0.15
+SPELL_SLOWNESS = 2.5
+SPELL_SECONDS = 0.6
+EVENT_SECONDS = 0.041
+TOKEN_SECONDS = 1.2e-5
+EVENTS = 6
+TURNS_PER_SECOND = 150.0
+
+
+class Turn(msgspec.Struct, frozen=True):
+    """A turn that was served, and when it began and ended."""
+
+    node: int
+    engine: str
+    began: float
+    ended: float
+    first_event: float
+    unread: int
+    beside: int
+
+
+class Fleet:
+    """Engines, some of which are in a spell."""
+
+    def __init__(self, seed: int, spell_share: float = SPELL_SHARE) -> None:
+        self.random = random.Random(seed)
+        self.spell_share = spell_share
+        self.speeds = {f"e{number:02}": SPEEDS[number % 3] for number in range(ENGINES)}
+        self._spells: dict[tuple[str, int], bool] = {}
+
+    def replace(self, share: float) -> None:
+        """Start some engines anew, under other names, the slowest first."""
+        names = sorted(self.speeds, key=lambda name: -self.speeds[name])
+        for name in names[: round(share * len(names))]:
+            del self.speeds[name]
+            self.speeds[f"{name}-again"] = self.random.choice(SPEEDS)
+
+    def slowness(self, engine: str, now: float) -> float:
+        period = int(now / SPELL_SECONDS)
+        key = (engine, period)
+        if key not in self._spells:
+            self._spells[key] = self.random.random() < self.spell_share
+        return self.speeds[engine] * (SPELL_SLOWNESS if self._spells[key] else 1.0)
+
+    def serve(self, node: int, engine: str, now: float, beside: int) -> Turn:
+        unread = self.random.choice((200, 500, 1200))
+        at = now + self.slowness(engine, now) * (EVENT_SECONDS + unread * TOKEN_SECONDS)
+        first = at
+        for _ in range(EVENTS - 1):
+            at += self.slowness(engine, at) * EVENT_SECONDS * (1 + 0.01 * beside)
+        return Turn(node, engine, now, at, first - now, unread, beside)
+
+
+def served(turn: Turn) -> ServedTurn:
+    return ServedTurn(
+        engine_id=turn.engine,
+        unread=turn.unread,
+        beside=turn.beside,
+        first_event_seconds=turn.first_event,
+        event_seconds=(turn.ended - turn.began - turn.first_event) / (EVENTS - 1),
+        events=EVENTS,
+    )
+
+
+class Way:
+    """One way to predict: nodes, and a leader that can fall silent."""
+
+    def __init__(self) -> None:
+        self.errors: list[tuple[float, float]] = []
+        self.silent_leader = False
+
+    def predict(self, node: int, engine: str, unread: int, beside: int, now: float) -> float:
+        raise NotImplementedError
+
+    def learn(self, turn: Turn) -> None:
+        raise NotImplementedError
+
+    def error(self, since: float = 0.0, until: float = float("inf")) -> float:
+        """Return the mean share by which turns that began in a time were predicted wrong."""
+        return statistics.fmean(error for at, error in self.errors if since <= at < until)
+
+
+class OwnFactors(Way):
+    """Each node's own factors, and a told slowness that fades in 4 s."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reading = [LineFit(SAFE_START.reading) for _ in range(NODES)]
+        self.pace = [LineFit(SAFE_START.pace) for _ in range(NODES)]
+        self.factors: list[dict[str, float]] = [{} for _ in range(NODES)]
+        self.slowness: dict[str, FadingAverage] = {}
+
+    def predict(self, node: int, engine: str, unread: int, beside: int, now: float) -> float:
+        told = 1.0
+        if engine in self.slowness and not self.silent_leader:
+            told = self.slowness[engine].value(now)
+        factor = max(self.factors[node].get(engine, 1.0), told if told > 1 else 0.0)
+        between = (EVENTS - 1) * self.pace[node].at(beside)
+        return factor * (self.reading[node].at(unread) + between)
+
+    def learn(self, turn: Turn) -> None:
+        observed = served(turn)
+        assert observed.event_seconds is not None
+        self.reading[turn.node].observe(turn.unread, turn.first_event)
+        ratio = observed.event_seconds / self.pace[turn.node].at(turn.beside)
+        ratio = min(max(ratio, 1 / OUTLIER_FACTOR), OUTLIER_FACTOR)
+        self.pace[turn.node].observe(turn.beside, observed.event_seconds)
+        factor = self.factors[turn.node].get(turn.engine, 1.0)
+        self.factors[turn.node][turn.engine] = factor + 0.1 * (ratio - factor)
+        average = self.slowness.setdefault(turn.engine, FadingAverage(1.0, 0.15, 4.0))
+        average.observe(ratio, turn.ended)
+
+
+class ToldProfiles(Way):
+    """The lasting pace that the leader tells, weighed by counts; with the spell or without."""
+
+    def __init__(self, *, with_spell: bool) -> None:
+        super().__init__()
+        self.models = [EngineModel() for _ in range(NODES)]
+        self.leader = TurnsUnderWay()
+        self.with_spell = with_spell
+        self.told: list[dict[str, ToldProfile]] = [{} for _ in range(NODES)]
+        self._sequence = 0
+
+    def hear(self, node: int, now: float) -> None:
+        """Let a node hear the leader."""
+        if self.silent_leader:
+            return
+        for item in self.leader.engines(now):
+            if item.pace:
+                self.told[node][item.engine_id] = self._profile(item, now)
+        usual = usual_pace(item.pace_seconds for item in self.told[node].values())
+        self.models[node].take_usual(usual)
+
+    def _profile(self, item: EngineTurns, now: float) -> ToldProfile:
+        return ToldProfile(
+            pace_seconds=item.pace * PACE_UNIT_SECONDS,
+            samples=item.samples,
+            spell=item.spell_percent / PERCENT if self.with_spell else 1.0,
+            told_at=now,
+        )
+
+    def predict(self, node: int, engine: str, unread: int, beside: int, now: float) -> float:
+        self.hear(node, now)
+        told = self.told[node].get(engine)
+        model = self.models[node]
+        return model.predict(
+            engine, unread=unread, beside=beside, now=now, told=told, hinted_events=EVENTS - 1
+        ).seconds
+
+    def learn(self, turn: Turn) -> None:
+        model, told = self.models[turn.node], self.told[turn.node].get(turn.engine)
+        observed = model.observe(served(turn), turn.ended, told)
+        self._sequence += 1
+        pace = round(observed.alone_seconds / PACE_UNIT_SECONDS)
+        report = NodeTurns(
+            self._sequence, (), (TurnServed(turn.engine, False, observed.slowness, pace=pace),)
+        )
+        self.leader.take(ReplicaId(f"n{turn.node}"), report, turn.ended)
+
+
+def replay(
+    fleet: Fleet,
+    ways: dict[str, Way],
+    seconds: float,
+    *,
+    begin: float = 0.0,
+    before_turn: Callable[[float], None] = lambda now: None,
+) -> None:
+    """Serve turns for some seconds, and let each way predict each of them."""
+    ends: list[tuple[float, int, Turn]] = []
+    running = dict.fromkeys(fleet.speeds, 0)
+    now, number = begin, 0
+    while now < begin + seconds:
+        now += fleet.random.expovariate(TURNS_PER_SECOND)
+        before_turn(now)
+        while ends and ends[0][0] <= now:
+            _, _, turn = heapq.heappop(ends)
+            running[turn.engine] -= 1
+            for way in ways.values():
+                way.learn(turn)
+        node, engine = fleet.random.randrange(NODES), fleet.random.choice(sorted(fleet.speeds))
+        turn = fleet.serve(node, engine, now, running.get(engine, 0))
+        running[engine] = running.get(engine, 0) + 1
+        number += 1
+        heapq.heappush(ends, (turn.ended, number, turn))
+        for way in ways.values():
+            predicted = way.predict(node, engine, turn.unread, turn.beside, now)
+            real = turn.ended - turn.began
+            way.errors.append((now, abs(predicted - real) / real))
--- a/tests/unit/scheduling/test_engine_model.py
+++ b/tests/unit/scheduling/test_engine_model.py
@@ -3,7 +3,15 @@
 import random
 import unittest
 
-from yokeline.scheduling.engine_model import EngineModel, LineFit, Point, ServedTurn
+from yokeline.scheduling.engine_model import (
+    EngineModel,
+    LineFit,
+    ObservedPace,
+    Point,
+    Prediction,
+    ServedTurn,
+)
+from yokeline.scheduling.engine_profiles import ToldProfile
 
 READING = 1 / 40_000
 PACE = 0.015
@@ -26,10 +34,60 @@
     )
 
 
+class Observer:
+    """A model, and a clock that goes on by a second with each turn."""
+
+    def __init__(self) -> None:
+        self.model = EngineModel()
+        self.now = 100.0
+
+    def observe(self, turn: ServedTurn, told: ToldProfile | None = None) -> ObservedPace:
+        self.now += 1.0
+        return self.model.observe(turn, self.now, told)
+
+    def predict(
+        self,
+        engine_id: str,
+        *,
+        unread: int,
+        beside: int,
+        told: ToldProfile | None = None,
+        told_slowness: float = 1.0,
+        hinted_events: float | None = None,
+    ) -> Prediction:
+        return self.model.predict(
+            engine_id,
+            unread=unread,
+            beside=beside,
+            now=self.now,
+            told=told,
+            told_slowness=told_slowness,
+            hinted_events=hinted_events,
+        )
+
+    def factor(self, engine_id: str) -> float:
+        return self.model.factor(engine_id, self.now)
+
+    def told(self, pace: float, *, samples: float = 15, spell: float = 1.0) -> ToldProfile:
+        return ToldProfile(pace_seconds=pace, samples=samples, spell=spell, told_at=self.now)
+
+    @property
+    def events(self) -> float:
+        return self.model.events
+
+    @property
+    def reading_seconds_per_token(self) -> float:
+        return self.model.reading_seconds_per_token
+
+    @property
+    def usual_seconds(self) -> float:
+        return self.model.usual_seconds
+
+
 class Learning(unittest.TestCase):
-    def trained(self, turns: int = 150, speeds: dict[str, float] | None = None) -> EngineModel:
+    def trained(self, turns: int = 150, speeds: dict[str, float] | None = None) -> Observer:
         source = random.Random(1)
-        model = EngineModel()
+        model = Observer()
         for _ in range(turns):
             for engine_id, speed in (speeds or {"e": 1.0}).items():
                 model.observe(served(source, engine_id, speed=speed))
@@ -85,7 +143,7 @@
         self.assertLess(absurd, 5 * usual)
 
     def test_before_anything_is_seen_reading_is_dear_and_nothing_is_zero(self) -> None:
-        model = EngineModel()
+        model = Observer()
         cached = model.predict("e", unread=0, beside=3)
         moved = model.predict("e", unread=5000, beside=0)
         self.assertGreater(moved.cost, cached.cost)
@@ -101,6 +159,65 @@
         self.assertAlmostEqual(predicted / expected, 1.0, delta=0.25)
 
 
+class Told(unittest.TestCase):
+    """What the leader tells of an engine's lasting pace and of its spell."""
+
+    def test_a_node_that_has_just_started_predicts_with_what_it_was_told(self) -> None:
+        observer = Observer()
+        observer.model.take_usual(PACE)
+        fast = observer.predict("f", unread=0, beside=0, told=observer.told(0.7 * PACE))
+        slow = observer.predict("s", unread=0, beside=0, told=observer.told(1.7 * PACE))
+        self.assertAlmostEqual(slow.seconds / fast.seconds, 1.7 / 0.7, delta=0.1)
+
+    def test_an_engine_of_which_nothing_is_known_is_taken_for_a_usual_one(self) -> None:
+        observer = Observer()
+        observer.model.take_usual(PACE)
+        known = observer.predict("u", unread=0, beside=0, told=observer.told(PACE)).seconds
+        unknown = observer.predict("new", unread=0, beside=0).seconds
+        self.assertAlmostEqual(unknown / known, 1.0, delta=0.01)
+
+    def test_much_that_was_seen_elsewhere_outweighs_one_turn_here_and_little_does_not(self) -> None:
+        observer = Observer()
+        observer.model.take_usual(PACE)
+        source = random.Random(6)
+        for _ in range(10):
+            observer.observe(served(source, "known"))
+        observer.observe(served(source, "e", speed=2.5))
+        much, little = (
+            observer.model.factor("e", observer.now, observer.told(PACE, samples=samples))
+            for samples in (15, 0.2)
+        )
+        self.assertLess(much, 1.2)
+        self.assertGreater(little, 1.6)
+
+    def test_a_told_spell_fades_and_a_lasting_pace_stays(self) -> None:
+        observer = Observer()
+        observer.model.take_usual(PACE)
+        in_spell, slow = observer.told(PACE, spell=2.5), observer.told(2.5 * PACE)
+        observer.now += 3.0
+        usual = observer.predict("u", unread=0, beside=0).seconds
+        after = observer.predict("u", unread=0, beside=0, told=in_spell).seconds
+        lasting = observer.predict("u", unread=0, beside=0, told=slow).seconds
+        self.assertLess(after, 1.15 * usual)
+        self.assertGreater(lasting, 2.2 * usual)
+
+    def test_nodes_that_use_other_engines_tell_the_same_pace_of_one(self) -> None:
+        """One node uses fast engines beside it, the other one slow ones."""
+        told = []
+        for speed in (0.7, 1.7):
+            observer, source = Observer(), random.Random(7)
+            for _ in range(60):
+                observer.observe(served(source, "others", speed=speed))
+            observed = [observer.observe(served(source, "e", noise=0.0)) for _ in range(9)]
+            told.append(sorted(item.alone_seconds for item in observed)[4])
+        self.assertAlmostEqual(told[0] / told[1], 1.0, delta=0.05)
+        self.assertAlmostEqual(told[0] / PACE, 1.0, delta=0.1)
+
+    def test_a_node_that_has_seen_too_little_tells_no_pace(self) -> None:
+        observer = Observer()
+        self.assertEqual(observer.observe(served(random.Random(8))).alone_seconds, 0.0)
+
+
 class Lines(unittest.TestCase):
     def test_observations_at_one_place_divide_by_nothing(self) -> None:
         line = LineFit((Point(0.0, 1.0, 0.5), Point(10.0, 2.0, 0.5)))
