Let each node prefer a bounded subset of a pool's engines, by rendezvous hashing

Cause: a node ordered all engines of a pool by one hash, so its overflow went to any of them, in any zone, on a new connection each. The order of engines that cost the same is the rank of the same hash, so one mechanism stands in place of the former preference.

--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from yokeline.effects import Address, HttpArrived
+from yokeline.forwarding.attempts import Attempts
 from yokeline.forwarding.choice import MODEL_HEADROOM
 from yokeline.forwarding.dispatch import Dispatch
 from yokeline.forwarding.ends import Ends
@@ -162,6 +163,7 @@
         ),
         call=call,
         route=_route(),
+        attempts=Attempts(allowed=1),
         due=now + PATIENT_SECONDS,
         started=now,
         names=StateNames(
--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -23,9 +23,13 @@
 LAPSED_TURNS = 8.0
 """The same for an engine whose entry went without a word of leaving, times the share of the
 pool's engines that are still listed: if all entries went, the key-value service was away."""
-PREFERENCE_SHARE = 0.04
-"""Cost of the engine that this node likes least, as a share of a usual turn or call: it parts
-engines that cost the same, so that nodes choose different ones, and keeps connections in use."""
+RANK_SHARE = 0.04
+"""Cost of the engine that this node ranks last, as a share of a usual turn or call: it parts
+engines that cost the same, so that nodes choose different ones."""
+NEW_CONNECTION_SECONDS = 0.008
+"""Cost of an engine to which this node keeps no connections: twice the way there and back between
+zones, since a new connection sends the first part of a prompt only and then waits for word, and a
+millisecond at each end."""
 MODEL_HEADROOM = 1.4
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
@@ -139,7 +143,9 @@
     cost += state.faults(now) * fault_cost * usual
     if now < state.suspect_until:
         cost += SUSPECT_TURNS * usual
-    cost += state.preference * PREFERENCE_SHARE * usual
+    cost += state.rank * RANK_SHARE * usual
+    if not state.is_preferred:
+        cost += NEW_CONNECTION_SECONDS
     if state.lapsed_until:
         cost += pool.listed * LAPSED_TURNS * usual
     return msgspec.structs.replace(choice, cost=cost)
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import msgspec
-import xxhash
 
 from yokeline.fading import FadingAverage
 from yokeline.forwarding.model import Engine
@@ -25,6 +24,7 @@
     ToldProfile,
     usual_pace,
 )
+from yokeline.scheduling.engine_subsets import Placed, preferred_engines, rank
 
 REPORT_FRESH_SECONDS = 1.0
 """Age after which another node's report of its load counts for nothing."""
@@ -36,7 +36,6 @@
 SUSPECT_SECONDS = 1.0
 """Time for which an engine that broke off or fell silent is a last resort."""
 MAX_SUSPECT_SECONDS = 4.0
-_HASH_SPAN = 2**32
 _PACE_WEIGHT = 0.15
 """Weight of a new observation in the moving average of an engine's pace."""
 
@@ -45,8 +44,9 @@
     """Beliefs about one engine.
 
     Attributes:
-        preference: This node's own order of engines that cost the same (0 to 1, the least
-            first), so that nodes do not all choose the same one, and each keeps to a few.
+        rank: This node's own order of engines that cost the same (0 to 1, the least first), so
+            that nodes do not all choose the same one, and each keeps to a few.
+        is_preferred: It is one of the few to which this node keeps connections.
         running: Requests of this node that it has under way.
         others: Requests of other nodes, as the ledger's leader told, or from their reports.
         told_failed: Share of the requests of all nodes that failed there, as the leader told.
@@ -65,7 +65,8 @@
     """
 
     engine: Engine
-    preference: float = 0.0
+    rank: float = 0.0
+    is_preferred: bool = True
     running: int = 0
     others: int = 0
     told_failed: float = 0.0
@@ -115,12 +116,6 @@
         self.suspect_until = 0.0
 
 
-def _preference(node: str, engine_id: str) -> float:
-    if not node:
-        return 0.0
-    return xxhash.xxh32_intdigest(f"{node}/{engine_id}".encode()) / _HASH_SPAN
-
-
 def _profile(item: EngineTurns, now: float) -> ToldProfile:
     return ToldProfile(
         pace_seconds=item.pace * PACE_UNIT_SECONDS,
@@ -145,6 +140,9 @@
         self._by_pool: dict[str, list[EngineState]] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._sums_are_stale = False
+        self._subsets_are_stale = False
+        self._place = Placed(node, "")
+        self._nodes: tuple[Placed, ...] = ()
         self._told_at = -math.inf
         self._told: frozenset[str] = frozenset()
         self._usual_paces: dict[str, float] = {}
@@ -161,6 +159,13 @@
         state.running = max(0, state.running - 1)
         self.own_changes += 1
 
+    def set_nodes(self, zone: str, nodes: Sequence[Placed]) -> None:
+        """Note this node's zone, and the nodes that share the engines with it."""
+        place, known = Placed(self._node, zone), tuple(nodes)
+        if (place, known) != (self._place, self._nodes):
+            self._place, self._nodes = place, known
+            self._subsets_are_stale = True
+
     def get(self, engine_id: str) -> EngineState | None:
         """Return an engine that is known."""
         return self._engines.get(engine_id)
@@ -169,8 +174,8 @@
         """Note what an engine says of itself; return whether that is news."""
         known = self._engines.get(engine.engine_id)
         if known is None:
-            preference = _preference(self._node, engine.engine_id)
-            self._engines[engine.engine_id] = EngineState(engine=engine, preference=preference)
+            own_rank = rank(self._node, engine.engine_id) if self._node else 0.0
+            self._engines[engine.engine_id] = EngineState(engine=engine, rank=own_rank)
             self._index()
             return True
         was_lapsed = known.lapsed_until > 0
@@ -249,6 +254,8 @@
         """Return the engines of a pool that take new work, in the order of their ids."""
         if self._sums_are_stale:
             self._sum_reports(now)
+        if self._subsets_are_stale:
+            self._prefer()
         return self._by_pool.get(pool, [])
 
     def all(self) -> Iterable[EngineState]:
@@ -310,8 +317,20 @@
                 if state_of is not None and load.engine_id not in told:
                     state_of.others += load.running
 
+    def _prefer(self) -> None:
+        """Choose the engines of each pool anew to which this node keeps connections."""
+        self._subsets_are_stale = False
+        if not self._nodes:
+            return
+        for states in self._by_pool.values():
+            engines = [Placed(state.engine.engine_id, state.engine.zone) for state in states]
+            preferred = preferred_engines(self._place, self._nodes, engines)
+            for state in states:
+                state.is_preferred = state.engine.engine_id in preferred
+
     def _index(self) -> None:
         self._by_pool = {}
+        self._subsets_are_stale = True
         self._usual_paces.clear()
         for engine_id in sorted(self._engines):
             state = self._engines[engine_id]
--- /dev/null
+++ b/tests/property/test_engine_subsets.py
@@ -0,0 +1,96 @@
+"""Subsets of engines stay even and change little, whatever nodes and engines come and go."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter, defaultdict
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yokeline.scheduling.engine_subsets import (
+    LEAST_ENGINES,
+    Placed,
+    nodes_per_engine,
+    preferred_engines,
+)
+
+SOME = settings(derandomize=True, deadline=None, max_examples=40)
+STEPS = 6
+
+zones = st.integers(1, 4)
+sizes = st.integers(1, 40)
+
+
+class World:
+    """Nodes and engines in zones, that come and go."""
+
+    def __init__(self, seed: int, zone_count: int, nodes: int, engines: int) -> None:
+        self.random = random.Random(seed)
+        self.zone_count = zone_count
+        self.number = 0
+        self.nodes = [self.place("edge") for _ in range(nodes)]
+        self.engines = [self.place("engine") for _ in range(engines)]
+
+    def place(self, kind: str) -> Placed:
+        self.number += 1
+        return Placed(f"{kind}-{self.number}", f"z{self.random.randrange(self.zone_count)}")
+
+    def change(self) -> None:
+        """Let a node or an engine come or go."""
+        kind, group = self.random.choice((("edge", self.nodes), ("engine", self.engines)))
+        if len(group) > 1 and self.random.random() < 0.5:
+            del group[self.random.randrange(len(group))]
+        else:
+            group.append(self.place(kind))
+
+    def subsets(self) -> dict[str, frozenset[str]]:
+        return {node.name: preferred_engines(node, self.nodes, self.engines) for node in self.nodes}
+
+    def least_preferences(self) -> dict[str, int]:
+        """Return by how many nodes each engine is preferred at least."""
+        nodes: dict[str, int] = Counter(node.zone for node in self.nodes)
+        engines: dict[str, int] = Counter(engine.zone for engine in self.engines)
+        shared = {zone: nodes[zone] or len(self.nodes) for zone in engines}
+        return {
+            engine.name: nodes_per_engine(shared[engine.zone], engines[engine.zone])
+            for engine in self.engines
+        }
+
+
+class Subsets(unittest.TestCase):
+    @SOME
+    @given(st.integers(0, 2**32), zones, sizes, sizes)
+    def test_no_engine_is_left_out_and_no_node_has_too_few(
+        self, seed: int, zone_count: int, nodes: int, engines: int
+    ) -> None:
+        world = World(seed, zone_count, nodes, engines)
+        for _ in range(STEPS):
+            world.change()
+            chosen = world.subsets()
+            counts = Counter(name for subset in chosen.values() for name in subset)
+            for name, least in world.least_preferences().items():
+                self.assertGreaterEqual(counts[name], least)
+            fewest = min(len(subset) for subset in chosen.values())
+            self.assertGreaterEqual(fewest, min(LEAST_ENGINES, len(world.engines)))
+
+    @SOME
+    @given(st.integers(0, 2**32), st.integers(10, 30), st.integers(10, 30))
+    def test_an_engine_moves_only_by_changes_of_its_zone(
+        self, seed: int, nodes: int, engines: int
+    ) -> None:
+        """A node that goes from another zone leaves a node with enough engines as it was."""
+        world = World(seed, 2, nodes, engines)
+        before = world.subsets()
+        gone = world.random.choice(world.nodes)
+        world.nodes.remove(gone)
+        own_zone: dict[str, int] = defaultdict(int)
+        for engine in world.engines:
+            own_zone[engine.zone] += 1
+        has_all_zones = {node.zone for node in world.nodes} >= set(own_zone)
+        for node in world.nodes:
+            is_apart = node.zone != gone.zone and own_zone[node.zone] >= LEAST_ENGINES
+            if is_apart and has_all_zones:
+                after = preferred_engines(node, world.nodes, world.engines)
+                self.assertEqual(after, before[node.name])
