--- /dev/null
+++ b/src/yokeline/forwarding/engine_figures.py
@@ -0,0 +1,43 @@
+"""Paces of engines as gauges: those furthest from what is usual in their pool."""
+
+from __future__ import annotations
+
+import heapq
+
+import msgspec
+
+from yokeline.forwarding.engines import EngineBook
+
+MAX_ENGINES_SHOWN = 32
+"""Engines with gauges of their own; with two gauges each, a page of them stays readable."""
+
+
+class _Shown(msgspec.Struct, frozen=True, kw_only=True):
+    engine_id: str
+    lasting: float
+    spell: float
+
+    @property
+    def distance(self) -> float:
+        """How far it is from a usual engine; as many times slower as faster counts the same."""
+        present = self.lasting * self.spell
+        return max(present, 1 / present)
+
+
+def pace_gauges(engines: EngineBook, now: float) -> dict[str, float]:
+    """Return the lasting pace and the spell of engines, as multiples of what is usual."""
+    known = [
+        _Shown(
+            engine_id=state.engine.engine_id,
+            lasting=state.profile.pace_seconds / engines.usual_pace(state.engine.pool),
+            spell=state.profile.spell_at(now),
+        )
+        for state in engines.all()
+        if state.profile is not None and engines.usual_pace(state.engine.pool) > 0
+    ]
+    gauges: dict[str, float] = {}
+    for item in heapq.nlargest(MAX_ENGINES_SHOWN, known, key=lambda item: item.distance):
+        label = f'{{engine="{item.engine_id}"}}'
+        gauges[f"yokeline_forwarding_engine_pace_ratio{label}"] = item.lasting
+        gauges[f"yokeline_forwarding_engine_spell_ratio{label}"] = item.spell
+    return gauges
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -33,6 +33,7 @@
 from yokeline.forwarding.dialect import Dialect
 from yokeline.forwarding.dispatch import Dispatch
 from yokeline.forwarding.ends import Ends
+from yokeline.forwarding.engine_figures import pace_gauges
 from yokeline.forwarding.engine_sends import EngineSends
 from yokeline.forwarding.engines import EngineBook
 from yokeline.forwarding.exchange import Exchange, Phase
@@ -182,6 +183,10 @@
         """Shares by which predicted times of turns were wrong."""
         return self._state.prediction_error
 
+    def engine_gauges(self) -> dict[str, float]:
+        """Return the paces of the engines furthest from what is usual."""
+        return pace_gauges(self._state.engines, self._state.now)
+
     def forget_engine(self, engine_id: str) -> None:
         """Forget what an engine that is gone had cached."""
         self._state.placement.forget_engine(engine_id)
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -31,6 +31,7 @@
         "yokeline_ledger_reached": float(node.ledger.reaches_ledger),
     }
     gauges.update(node.phases.gauges())
+    gauges.update(forwarder.engine_gauges())
     histograms = {
         "yokeline_forwarding_added_seconds": forwarder.added_seconds,
         "yokeline_forwarding_first_event_seconds": forwarder.first_event_seconds,
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -133,6 +133,15 @@
     "yokeline_forwarding_prediction_error_ratio": (
         "Share by which the predicted time of a turn at its engine was wrong."
     ),
+    "yokeline_forwarding_engine_pace_ratio": (
+        "Lasting time between events at an engine, as a multiple of its pool's usual."
+    ),
+    "yokeline_forwarding_engine_spell_ratio": (
+        "Present time between events at an engine, as a multiple of its lasting one."
+    ),
+    "yokeline_forwarding_sends_beyond_subset_total": (
+        "Requests sent to engines that this node does not prefer."
+    ),
     "yokeline_ledger_reached": "Number 1 while the ledger answers this node, otherwise 0.",
     "yokeline_ledger_sent_through_peers_total": (
         "Questions to the ledger sent through another forwarding node."
--- a/tests/unit/forwarding/test_preferences.py
+++ b/tests/unit/forwarding/test_preferences.py
@@ -7,6 +7,7 @@
 from yokeline.forwarding.engines import EngineBook
 from yokeline.forwarding.model import Call, Engine
 from yokeline.forwarding.prefixes import PrefixBeliefs
+from yokeline.scheduling.engine_subsets import LEAST_ENGINES, Placed
 
 ENGINES = 12
 NODES = 30
@@ -28,6 +29,14 @@
     return choice.state.engine.engine_id
 
 
+def shared_book() -> EngineBook:
+    """Return the engines as a node knows them that shares them with others."""
+    engines = book("edge-0")
+    engines.set_nodes("a", [Placed(f"edge-{number}", "a") for number in range(NODES)])
+    chosen(engines)
+    return engines
+
+
 class Preferences(unittest.TestCase):
     def test_nodes_that_know_the_same_do_not_all_choose_the_same_engine(self) -> None:
         self.assertGreater(len({chosen(book(f"edge-{number}")) for number in range(NODES)}), 7)
@@ -37,6 +46,40 @@
         first = chosen(engines)
         self.assertEqual({chosen(engines) for _ in range(5)}, {first})
 
+    def test_a_node_keeps_to_the_engines_that_it_prefers(self) -> None:
+        engines = shared_book()
+        preferred = {state.engine.engine_id for state in engines.all() if state.is_preferred}
+        self.assertIn(len(preferred), range(LEAST_ENGINES, ENGINES // 2 + 1))
+        self.assertIn(chosen(engines), preferred)
+
+    def test_a_node_goes_beyond_them_when_they_are_loaded(self) -> None:
+        engines = shared_book()
+        for state in engines.all():
+            state.note_pace(0.1)
+            state.others = 2 if state.is_preferred else 0
+        state = engines.get(chosen(engines))
+        assert state is not None
+        self.assertFalse(state.is_preferred)
+
+    def test_a_node_goes_beyond_them_when_they_fail(self) -> None:
+        engines = shared_book()
+        for state in engines.all():
+            state.note_pace(0.1)
+            if state.is_preferred:
+                state.note_failure(0.0)
+        state = engines.get(chosen(engines))
+        assert state is not None
+        self.assertFalse(state.is_preferred)
+
+    def test_a_node_prefers_others_at_once_when_they_are_all_gone(self) -> None:
+        engines = shared_book()
+        for state in list(engines.all()):
+            if state.is_preferred:
+                engines.remove(state.engine.engine_id)
+        state = engines.get(chosen(engines))
+        assert state is not None
+        self.assertTrue(state.is_preferred)
+
     def test_one_call_more_decides_over_any_preference(self) -> None:
         engines = book("edge-1")
         for state in engines.all():
