Take engines whose paces differ by noise alone for alike

Cause: all nodes are told the same paces, so the engine that the noise of measurement favours by some percent would be the first choice of all of them, where each node's own noise parted them. Change: a pace within 5% of its pool's usual one is taken for it. Ruled out: shrinking every difference by as much, which bends real speeds.

--- a/src/yokeline/scheduling/engine_profiles.py
+++ b/src/yokeline/scheduling/engine_profiles.py
@@ -43,6 +43,9 @@
 """Time without a turn in which the weight of what was seen falls to a third."""
 ASSUMED_SAMPLES = 0.5
 """Weight of the assumption that an engine is as fast as is usual in its pool."""
+ALIKE_SHARE = 0.05
+"""Paces closer to the usual one than this are taken for it: nodes that are told the same would all
+choose the engine that the noise of measurement favours."""
 FAULT_WEIGHT = 0.15
 """Weight of one request in an engine's share of failures."""
 FAULT_FADE_SECONDS = 4.0
@@ -164,13 +167,15 @@
 
     Each counts by its samples, and the pool's usual one as a few of them. Paces are ratios by
     nature, so their logarithms are averaged: the result lies between the least and the greatest.
+    One next to the usual pace is taken for it.
     """
     weight, logarithm = ASSUMED_SAMPLES, ASSUMED_SAMPLES * math.log(usual)
     for pace in (own, told):
         if pace.seconds > 0:
             weight += pace.samples
             logarithm += pace.samples * math.log(pace.seconds)
-    return math.exp(logarithm / weight)
+    pace = math.exp(logarithm / weight)
+    return usual if abs(pace - usual) < ALIKE_SHARE * usual else pace
 
 
 def usual_pace(paces: Iterable[float]) -> float:
--- a/tests/unit/scheduling/test_engine_profiles.py
+++ b/tests/unit/scheduling/test_engine_profiles.py
@@ -90,6 +90,11 @@
     def test_without_knowledge_an_engine_is_usual(self) -> None:
         self.assertAlmostEqual(merged(UNKNOWN_PACE, UNKNOWN_PACE, 3.0), 3.0)
 
+    def test_engines_that_differ_by_noise_alone_are_alike(self) -> None:
+        paces = [merged(UNKNOWN_PACE, Pace(1 + noise, 15.0), 1.0) for noise in (-0.03, 0.0, 0.04)]
+        self.assertEqual(paces, [1.0, 1.0, 1.0])
+        self.assertGreater(merged(UNKNOWN_PACE, Pace(1.3, 15.0), 1.0), 1.25)
+
     def test_the_usual_pace_is_the_median_of_what_is_known(self) -> None:
         self.assertEqual(usual_pace([0.7, 0.0, 0.7, 1.7]), 0.7)
         self.assertEqual(usual_pace([]), 0.0)
