Count a new connection where one is really opened, and more outside of a node's subset

Change: an engine without an idle connection of this node costs 8 ms, one outside of the subset that again. The book counts idle connections, and trusts them for a second.

--- a/benchmarks/engine_choice.py
+++ b/benchmarks/engine_choice.py
@@ -6,8 +6,9 @@
 load. Programs of some turns come at random to a node each; a later turn finds its prompt cached
 where the one before was read. A connection is kept for :data:`KEEP_SECONDS` after its last use.
 
-One row a way: ``rank`` lets each node order engines that cost the same by a hash of its own,
-``subset`` makes an engine outside of a node's subset cost a new connection more. Columns: turns,
+One row a way: ``rank`` lets each node order engines that cost the same by a hash of its own and
+counts no connections, ``subset`` counts what a new one costs, in a node's subset and outside.
+Columns: turns,
 connections opened, share of turns that crossed zones, load of the busiest engine against the mean
 of its speed, mean share of time in which engines of each speed had a turn, and turn times (seconds,
 mean and 95 of 100).
@@ -78,6 +79,7 @@
     def __init__(self, place: Placed, nodes: list[Placed], fleet: Fleet, *, subset: bool) -> None:
         """Know all engines; only with ``subset`` some of them are preferred."""
         self.zone = place.zone
+        self.subset = subset
         self.book = EngineBook(place.name)
         self.model = EngineModel()
         self.model.take_usual(EVENT_SECONDS)
@@ -168,6 +170,8 @@
         node = self.nodes[program.node]
         for state in node.book.all():
             state.others = self.fleet.running[state.engine.engine_id] - state.running
+            if not node.subset:
+                state.idle_connections, state.left_at = 1, now
         call = Call(request_id="r", deadline=now + 9.0, prompt_tokens=PROMPT_TOKENS)
         inputs = ChoiceInputs(
             call=call,
@@ -201,7 +205,7 @@
 
     def _end(self, program: Program, choice: Choice, now: float) -> None:
         node, engine_id = self.nodes[program.node], choice.state.engine.engine_id
-        node.book.note_left(choice.state)
+        node.book.note_left(choice.state, now)
         self.fleet.running[engine_id] -= 1
         node.idle[engine_id].append(now)
         node.model.observe(self._served(choice), now, choice.state.profile)
--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -27,9 +27,12 @@
 """Cost of the engine that this node ranks last, as a share of a usual turn or call: it parts
 engines that cost the same, so that nodes choose different ones."""
 NEW_CONNECTION_SECONDS = 0.008
-"""Cost of an engine to which this node keeps no connections: twice the way there and back between
+"""Cost of an engine to which this node has no idle connection: twice the way there and back between
 zones, since a new connection sends the first part of a prompt only and then waits for word, and a
 millisecond at each end."""
+LONE_CONNECTION_SECONDS = 0.008
+"""Cost of such a connection to an engine that this node does not prefer: it is not used again, so
+the next request to an engine that is preferred opens another one."""
 MODEL_HEADROOM = 1.4
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
@@ -144,13 +147,20 @@
     if now < state.suspect_until:
         cost += SUSPECT_TURNS * usual
     cost += state.rank * RANK_SHARE * usual
-    if not state.is_preferred:
-        cost += NEW_CONNECTION_SECONDS
+    cost += _connection_cost(state, now)
     if state.lapsed_until:
         cost += pool.listed * LAPSED_TURNS * usual
     return msgspec.structs.replace(choice, cost=cost)
 
 
+def _connection_cost(state: EngineState, now: float) -> float:
+    if state.has_idle_connection(now):
+        return 0.0
+    if state.is_preferred:
+        return NEW_CONNECTION_SECONDS
+    return NEW_CONNECTION_SECONDS + LONE_CONNECTION_SECONDS
+
+
 def _estimate_turn(
     state: EngineState,
     beliefs: PrefixBeliefs,
--- a/src/yokeline/forwarding/engine_sends.py
+++ b/src/yokeline/forwarding/engine_sends.py
@@ -59,7 +59,7 @@
             self._state.by_request.pop(exchange.request, None)
             exchange.request = None
         if exchange.engine is not None:
-            self._state.engines.note_left(exchange.engine)
+            self._state.engines.note_left(exchange.engine, self._state.now)
             self._settlements.tell_of_end(exchange, exchange.engine, failed=failed, pace=pace)
 
     def cancel(self, exchange: Exchange, *, failed: bool = False) -> None:
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -31,6 +31,9 @@
 TOLD_FRESH_SECONDS = 0.6
 """Age after which what the ledger's leader told of engines counts for nothing."""
 BUSY_SHARE = 0.4
+KEPT_SECONDS = 1.0
+"""Time for which an idle connection can be counted on; engines close theirs after a second or
+more."""
 FULL_SECONDS = 0.08
 """Time for which an engine that rejected a request gets no other one."""
 SUSPECT_SECONDS = 1.0
@@ -47,6 +50,8 @@
         rank: This node's own order of engines that cost the same (0 to 1, the least first), so
             that nodes do not all choose the same one, and each keeps to a few.
         is_preferred: It is one of the few to which this node keeps connections.
+        idle_connections: Connections of this node to it that wait for a request.
+        left_at: When the latest of them was left by a request.
         running: Requests of this node that it has under way.
         others: Requests of other nodes, as the ledger's leader told, or from their reports.
         told_failed: Share of the requests of all nodes that failed there, as the leader told.
@@ -67,6 +72,8 @@
     engine: Engine
     rank: float = 0.0
     is_preferred: bool = True
+    idle_connections: int = 0
+    left_at: float = -math.inf
     running: int = 0
     others: int = 0
     told_failed: float = 0.0
@@ -96,6 +103,10 @@
         """Requests of all nodes that it has under way, as far as known."""
         return self.running + self.others
 
+    def has_idle_connection(self, now: float) -> bool:
+        """Return whether this node probably has a connection to it that waits for a request."""
+        return self.idle_connections > 0 and now - self.left_at <= KEPT_SECONDS
+
     def note_pace(self, seconds: float) -> None:
         """Take an observation of the time for a unit of work in."""
         if not self.pace:
@@ -152,11 +163,16 @@
     def note_sent(self, state: EngineState) -> None:
         """Count a request of this node that an engine has under way."""
         state.running += 1
+        state.idle_connections = max(0, state.idle_connections - 1)
         self.own_changes += 1
 
-    def note_left(self, state: EngineState) -> None:
+    def note_left(self, state: EngineState, now: float) -> None:
         """Count a request of this node that is no longer at its engine."""
         state.running = max(0, state.running - 1)
+        if not state.has_idle_connection(now):
+            state.idle_connections = 0
+        state.idle_connections += 1
+        state.left_at = now
         self.own_changes += 1
 
     def set_nodes(self, zone: str, nodes: Sequence[Placed]) -> None:
--- a/src/yokeline/scheduling/engine_profiles.py
+++ b/src/yokeline/scheduling/engine_profiles.py
@@ -174,8 +174,8 @@
         if pace.seconds > 0:
             weight += pace.samples
             logarithm += pace.samples * math.log(pace.seconds)
-    pace = math.exp(logarithm / weight)
-    return usual if abs(pace - usual) < ALIKE_SHARE * usual else pace
+    result = math.exp(logarithm / weight)
+    return usual if abs(result - usual) < ALIKE_SHARE * usual else result
 
 
 def usual_pace(paces: Iterable[float]) -> float:
--- a/tests/unit/forwarding/test_preferences.py
+++ b/tests/unit/forwarding/test_preferences.py
@@ -4,7 +4,7 @@
 
 from yokeline.effects import Address
 from yokeline.forwarding.choice import ChoiceInputs, choose
-from yokeline.forwarding.engines import EngineBook
+from yokeline.forwarding.engines import KEPT_SECONDS, EngineBook
 from yokeline.forwarding.model import Call, Engine
 from yokeline.forwarding.prefixes import PrefixBeliefs
 from yokeline.scheduling.engine_subsets import LEAST_ENGINES, Placed
@@ -52,6 +52,23 @@
         self.assertIn(len(preferred), range(LEAST_ENGINES, ENGINES // 2 + 1))
         self.assertIn(chosen(engines), preferred)
 
+    def test_an_engine_with_an_idle_connection_comes_first_while_the_engine_keeps_it(self) -> None:
+        engines = shared_book()
+        used = next(state for state in engines.all() if not state.is_preferred)
+        engines.note_sent(used)
+        engines.note_left(used, 0.0)
+        self.assertEqual(chosen(engines), used.engine.engine_id)
+        self.assertTrue(used.has_idle_connection(KEPT_SECONDS))
+        self.assertFalse(used.has_idle_connection(KEPT_SECONDS + 0.1))
+
+    def test_a_request_takes_the_idle_connection(self) -> None:
+        engines = shared_book()
+        used = next(iter(engines.all()))
+        engines.note_sent(used)
+        engines.note_left(used, 0.0)
+        engines.note_sent(used)
+        self.assertFalse(used.has_idle_connection(0.0))
+
     def test_a_node_goes_beyond_them_when_they_are_loaded(self) -> None:
         engines = shared_book()
         for state in engines.all():
