Give a repeatable call at a full engine the time of the calls before it

Cause: a call's learned wait knew nothing of the load at its engine, so calls queued at a full one were given up and run a second time elsewhere, most of all while engines are full. Change: the wait grows by the calls that the engine has to end first, times the route's mean. Ruled out: the engine's own pace as well: an app's is an average of a few answered calls, so a grey app that answers slowly would be given more time just when it should be left.

--- a/src/yokeline/forwarding/patience.py
+++ b/src/yokeline/forwarding/patience.py
@@ -2,7 +2,9 @@
 
 Learned per kind of call from those that were answered, as a retransmission time-out is (mean and
 mean deviation, RFC 6298): most calls are answered long before, and one that hangs at a slow engine
-still has time elsewhere.
+still has time elsewhere. A call that had others before it at its engine is not late by the time
+that those take: elsewhere it would begin anew, and its work would be done twice while engines are
+full.
 """
 
 from __future__ import annotations
@@ -47,13 +49,20 @@
         """Note that a call was not answered in time; so patience grows if all are slow."""
         self.note_answered(kind, CENSORED_FACTOR * waited)
 
-    def seconds(self, kind: str, sends: int) -> float | None:
+    def seconds(self, kind: str, sends: int, calls_before: float = 0.0) -> float | None:
         """Return how long to wait for an answer, twice as long with each further send.
 
-        None while too little is known.
+        ``calls_before`` is how many calls, one after the other, the engine has to end first. None
+        while too little is known.
         """
         times = self._times.get(kind)
         if times is None or times.calls < LEAST_CALLS:
             return None
         least = LEAST_MEANS * times.mean
-        return max(least, times.mean + DEVIATIONS * times.deviation) * 2.0 ** (sends - 1)
+        usual = max(least, times.mean + DEVIATIONS * times.deviation)
+        return (usual + calls_before * times.mean) * 2.0 ** (sends - 1)
+
+
+def calls_before(load: int, slots: int) -> float:
+    """Return how many calls a new one waits for at an engine that has ``load`` calls already."""
+    return max(0, load - slots + 1) / slots
--- a/src/yokeline/forwarding/repeats.py
+++ b/src/yokeline/forwarding/repeats.py
@@ -18,7 +18,7 @@
 from yokeline.forwarding.http_statuses import MISDIRECTED
 from yokeline.forwarding.model import RouteKind
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.patience import CallPatience
+from yokeline.forwarding.patience import CallPatience, calls_before
 from yokeline.forwarding.refusals import RefusalCause, RefusalJudge, pause_after
 from yokeline.forwarding.retry_budget import RetryBudget
 
@@ -240,15 +240,21 @@
 
     def _watch_call(self, exchange: Exchange) -> None:
         """Look again when an answer of this engine is late; only a call that may be repeated."""
-        patience = self._patience.seconds(exchange.route.name, exchange.sends)
+        patience = self._patience_with(exchange)
         if patience is not None:
             due = self._state.now + patience
             self._state.schedule(exchange, due, self._move_late_call)
 
+    def _patience_with(self, exchange: Exchange) -> float | None:
+        """Return how long a call waits for the engine that has it; None if it is not known."""
+        slots = exchange.engine.engine.slots if exchange.engine is not None else 1
+        queued = calls_before(exchange.beside, max(1, slots))
+        return self._patience.seconds(exchange.route.name, exchange.sends, queued)
+
     def _move_late_call(self, exchange: Exchange) -> None:
         """Give a call up at an engine that is late with it, and try another one."""
         waited = self._state.now - exchange.sent_at
-        patience = self._patience.seconds(exchange.route.name, exchange.sends)
+        patience = self._patience_with(exchange)
         is_late = patience is not None and waited >= patience
         if exchange.phase is not Phase.SENT or exchange.head is not None or not is_late:
             return
--- a/tests/unit/forwarding/test_patience.py
+++ b/tests/unit/forwarding/test_patience.py
@@ -4,7 +4,7 @@
 import unittest
 
 from tests.unit.forwarding.support import Played
-from yokeline.forwarding.patience import LEAST_CALLS, CallPatience
+from yokeline.forwarding.patience import LEAST_CALLS, CallPatience, calls_before
 
 
 class Learned(unittest.TestCase):
@@ -46,6 +46,16 @@
         assert first is not None
         self.assertEqual(second, 2 * first)
 
+    def test_a_call_that_waits_for_others_at_its_engine_is_late_later(self) -> None:
+        patience = CallPatience()
+        for _ in range(LEAST_CALLS):
+            patience.note_answered("calls", 0.1)
+        free, full = (patience.seconds("calls", 1, calls_before(load, slots=4)) for load in (3, 7))
+        assert free is not None
+        assert full is not None
+        self.assertEqual(patience.seconds("calls", 1), free)
+        self.assertAlmostEqual(full - free, 0.1, delta=0.001)
+
 
 class LateCalls(unittest.TestCase):
     def played(self) -> Played:
@@ -68,6 +78,17 @@
         played.engine_answers()
         self.assertEqual(played.replies[-1].status, 200)
 
+    def test_a_call_at_a_full_engine_is_given_the_time_of_those_before_it(self) -> None:
+        played = self.played()
+        for state in played.engines.all():
+            state.others = 7
+        before = len(played.sent)
+        played.request("/look-twice/x")
+        played.wait(0.075)
+        self.assertEqual(len(played.sent) - before, 1)
+        played.wait(0.1)
+        self.assertEqual(len(played.sent) - before, 2)
+
     def test_a_call_is_moved_no_oftener_than_its_route_allows(self) -> None:
         """An engine whose answer is late still counts; a third one would be one too many."""
         played = self.played()
