--- a/src/yokeline/forwarding/choice.py
+++ b/src/yokeline/forwarding/choice.py
@@ -23,9 +23,16 @@
 LAPSED_TURNS = 8.0
 """The same for an engine whose entry went without a word of leaving, times the share of the
 pool's engines that are still listed: if all entries went, the key-value service was away."""
-PREFERENCE_SHARE = 0.04
-"""Cost of the engine that this node likes least, as a share of a usual turn or call: it parts
-engines that cost the same, so that nodes choose different ones, and keeps connections in use."""
+RANK_SHARE = 0.04
+"""Cost of the engine that this node ranks last, as a share of a usual turn or call: it parts
+engines that cost the same, so that nodes choose different ones."""
+NEW_CONNECTION_SECONDS = 0.008
+"""Cost of an engine to which this node has no idle connection: twice the way there and back between
+zones, since a new connection sends the first part of a prompt only and then waits for word, and a
+millisecond at each end."""
+LONE_CONNECTION_SECONDS = 0.008
+"""Cost of such a connection to an engine that this node does not prefer: it is not used again, so
+the next request to an engine that is preferred opens another one."""
 MODEL_HEADROOM = 1.4
 APP_HEADROOM = 2.0
 """Most requests at an engine, as a multiple of its slots; the rest waits at the nodes."""
@@ -125,7 +132,7 @@
     now: float,
 ) -> Choice:
     if inputs.model is not None:
-        choice = _estimate_turn(state, beliefs, inputs, inputs.model)
+        choice = _estimate_turn(state, beliefs, inputs, inputs.model, now)
         usual = inputs.model.usual_seconds
     else:
         choice = _estimate_call(state, pool.usual_pace)
@@ -139,14 +146,27 @@
     cost += state.faults(now) * fault_cost * usual
     if now < state.suspect_until:
         cost += SUSPECT_TURNS * usual
-    cost += state.preference * PREFERENCE_SHARE * usual
+    cost += state.rank * RANK_SHARE * usual
+    cost += _connection_cost(state, now)
     if state.lapsed_until:
         cost += pool.listed * LAPSED_TURNS * usual
     return msgspec.structs.replace(choice, cost=cost)
 
 
+def _connection_cost(state: EngineState, now: float) -> float:
+    if state.has_idle_connection(now):
+        return 0.0
+    if state.is_preferred:
+        return NEW_CONNECTION_SECONDS
+    return NEW_CONNECTION_SECONDS + LONE_CONNECTION_SECONDS
+
+
 def _estimate_turn(
-    state: EngineState, beliefs: PrefixBeliefs, inputs: ChoiceInputs, model: EngineModel
+    state: EngineState,
+    beliefs: PrefixBeliefs,
+    inputs: ChoiceInputs,
+    model: EngineModel,
+    now: float,
 ) -> Choice:
     """Return the turn's own time, what it costs the turns beside it, and the wait for a place."""
     load = state.load
@@ -156,6 +176,8 @@
         state.engine.engine_id,
         unread=max(0, inputs.call.prompt_tokens - cached),
         beside=load,
+        now=now,
+        told=state.profile,
         told_slowness=state.slowness,
         hinted_events=_hinted_events(inputs),
     )
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import msgspec
-import xxhash
 
 from yokeline.fading import FadingAverage
 from yokeline.forwarding.model import Engine
@@ -14,27 +13,33 @@
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import (
     NOT_COUNTED,
+    PACE_UNIT_SECONDS,
     PERCENT,
     EngineLoad,
     EngineTurns,
     LoadReport,
 )
+from yokeline.scheduling.engine_profiles import (
+    FAULT_FADE_SECONDS,
+    FAULT_WEIGHT,
+    ToldProfile,
+    usual_pace,
+)
+from yokeline.scheduling.engine_subsets import Placed, preferred_engines, rank
 
 REPORT_FRESH_SECONDS = 1.0
 """Age after which another node's report of its load counts for nothing."""
 TOLD_FRESH_SECONDS = 0.6
 """Age after which what the ledger's leader told of engines counts for nothing."""
 BUSY_SHARE = 0.4
+KEPT_SECONDS = 1.0
+"""Time for which an idle connection can be counted on; engines close theirs after a second or
+more."""
 FULL_SECONDS = 0.08
 """Time for which an engine that rejected a request gets no other one."""
 SUSPECT_SECONDS = 1.0
 """Time for which an engine that broke off or fell silent is a last resort."""
 MAX_SUSPECT_SECONDS = 4.0
-FAULT_WEIGHT = 0.15
-"""Weight of one request in an engine's share of failures."""
-FAULT_FADE_SECONDS = 4.0
-"""Time in which a share of failures fades to a third without new ones."""
-_HASH_SPAN = 2**32
 _PACE_WEIGHT = 0.15
 """Weight of a new observation in the moving average of an engine's pace."""
 
@@ -43,12 +48,16 @@
     """Beliefs about one engine.
 
     Attributes:
-        preference: This node's own order of engines that cost the same (0 to 1, the least
-            first), so that nodes do not all choose the same one, and each keeps to a few.
+        rank: This node's own order of engines that cost the same (0 to 1, the least first), so
+            that nodes do not all choose the same one, and each keeps to a few.
+        is_preferred: It is one of the few to which this node keeps connections.
+        idle_connections: Connections of this node to it that wait for a request.
+        left_at: When the latest of them was left by a request.
         running: Requests of this node that it has under way.
         others: Requests of other nodes, as the ledger's leader told, or from their reports.
         told_failed: Share of the requests of all nodes that failed there, as the leader told.
         slowness: Time between its events as a multiple of what is usual, as the leader told.
+        profile: Its pace, as a leader told; kept while no leader tells, and then counts ever less.
         full_until: It rejected a request because it is full; until then it gets no other one.
         refused_caller: Whose request it rejected last though places seemed free.
         refused_at: When that was.
@@ -62,11 +71,15 @@
     """
 
     engine: Engine
-    preference: float = 0.0
+    rank: float = 0.0
+    is_preferred: bool = True
+    idle_connections: int = 0
+    left_at: float = -math.inf
     running: int = 0
     others: int = 0
     told_failed: float = 0.0
     slowness: float = 1.0
+    profile: ToldProfile | None = None
     full_until: float = 0.0
     refused_caller: str = ""
     refused_at: float = -math.inf
@@ -91,6 +104,10 @@
         """Requests of all nodes that it has under way, as far as known."""
         return self.running + self.others
 
+    def has_idle_connection(self, now: float) -> bool:
+        """Return whether this node probably has a connection to it that waits for a request."""
+        return self.idle_connections > 0 and now - self.left_at <= KEPT_SECONDS
+
     def note_pace(self, seconds: float) -> None:
         """Take an observation of the time for a unit of work in."""
         if not self.pace:
@@ -111,10 +128,13 @@
         self.suspect_until = 0.0
 
 
-def _preference(node: str, engine_id: str) -> float:
-    if not node:
-        return 0.0
-    return xxhash.xxh32_intdigest(f"{node}/{engine_id}".encode()) / _HASH_SPAN
+def _profile(item: EngineTurns, now: float) -> ToldProfile:
+    return ToldProfile(
+        pace_seconds=item.pace * PACE_UNIT_SECONDS,
+        samples=item.samples,
+        spell=item.spell_percent / PERCENT,
+        told_at=now,
+    )
 
 
 class WaitingElsewhere(msgspec.Struct, frozen=True):
@@ -142,21 +162,37 @@
         self._places: dict[str, int] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._sums_are_stale = False
+        self._subsets_are_stale = False
+        self._place = Placed(node, "")
+        self._nodes: tuple[Placed, ...] = ()
         self._told_at = -math.inf
         self._told: frozenset[str] = frozenset()
+        self._usual_paces: dict[str, float] = {}
         self.own_changes = 0
         self.fresh_seconds = REPORT_FRESH_SECONDS
 
     def note_sent(self, state: EngineState) -> None:
         """Count a request of this node that an engine has under way."""
         state.running += 1
+        state.idle_connections = max(0, state.idle_connections - 1)
         self.own_changes += 1
 
-    def note_left(self, state: EngineState) -> None:
+    def note_left(self, state: EngineState, now: float) -> None:
         """Count a request of this node that is no longer at its engine."""
         state.running = max(0, state.running - 1)
+        if not state.has_idle_connection(now):
+            state.idle_connections = 0
+        state.idle_connections += 1
+        state.left_at = now
         self.own_changes += 1
 
+    def set_nodes(self, zone: str, nodes: Sequence[Placed]) -> None:
+        """Note this node's zone, and the nodes that share the engines with it."""
+        place, known = Placed(self._node, zone), tuple(nodes)
+        if (place, known) != (self._place, self._nodes):
+            self._place, self._nodes = place, known
+            self._subsets_are_stale = True
+
     def get(self, engine_id: str) -> EngineState | None:
         """Return an engine that is known."""
         return self._engines.get(engine_id)
@@ -190,8 +226,8 @@
             self.names.put(engine.instance, engine.engine_id)
         known = self._engines.get(engine.engine_id)
         if known is None:
-            preference = _preference(self._node, engine.engine_id)
-            self._engines[engine.engine_id] = EngineState(engine=engine, preference=preference)
+            own_rank = rank(self._node, engine.engine_id) if self._node else 0.0
+            self._engines[engine.engine_id] = EngineState(engine=engine, rank=own_rank)
             self._sums_are_stale = self._sums_are_stale or bool(self._reports)
             self._index()
             return True
@@ -254,6 +290,18 @@
                 state.others = max(0, counted[engine_id] - state.running)
             state.told_failed = item.failed_percent / PERCENT if item is not None else 0.0
             state.slowness = item.slowness_percent / PERCENT if item is not None else 1.0
+            if item is not None and item.pace > 0:
+                state.profile = _profile(item, now)
+        self._usual_paces.clear()
+
+    def usual_pace(self, pool: str) -> float:
+        """Return the median of the lasting paces told of a pool's engines; 0 if none is known."""
+        usual = self._usual_paces.get(pool)
+        if usual is None:
+            profiles = (state.profile for state in self._by_pool.get(pool, []))
+            usual = usual_pace(item.pace_seconds for item in profiles if item is not None)
+            self._usual_paces[pool] = usual
+        return usual
 
     def is_told(self, now: float) -> bool:
         """Return whether what the leader told still counts."""
@@ -263,6 +311,8 @@
         """Return the engines of a pool that take new work, in the order of their ids."""
         if self._sums_are_stale:
             self._sum_reports(now)
+        if self._subsets_are_stale:
+            self._prefer()
         return self._by_pool.get(pool, [])
 
     def places_of(self, pool: str) -> int:
@@ -340,8 +390,21 @@
                 if state_of is not None and engine_id not in told:
                     state_of.others += running
 
+    def _prefer(self) -> None:
+        """Choose the engines of each pool anew to which this node keeps connections."""
+        self._subsets_are_stale = False
+        if not self._nodes:
+            return
+        for states in self._by_pool.values():
+            engines = [Placed(state.engine.engine_id, state.engine.zone) for state in states]
+            preferred = preferred_engines(self._place, self._nodes, engines)
+            for state in states:
+                state.is_preferred = state.engine.engine_id in preferred
+
     def _index(self) -> None:
         self._by_pool = {}
+        self._subsets_are_stale = True
+        self._usual_paces.clear()
         for engine_id in sorted(self._engines):
             state = self._engines[engine_id]
             if not state.engine.draining:
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -34,6 +34,7 @@
     for pool, level in forwarder.share_levels().items():
         gauges[f'yokeline_forwarding_share_level{{pool="{pool}"}}'] = level
     gauges.update(node.phases.gauges())
+    gauges.update(forwarder.engine_gauges())
     histograms = {
         "yokeline_forwarding_added_seconds": forwarder.added_seconds,
         "yokeline_forwarding_first_event_seconds": forwarder.first_event_seconds,
--- a/tests/unit/forwarding/test_engine_starts.py
+++ b/tests/unit/forwarding/test_engine_starts.py
@@ -90,7 +90,7 @@
         again = self.played.engines.start_of(INSTANCE)
         assert other is not None
         assert again is not None
-        again.preference, other.preference = 1.0, 0.0
+        again.rank, other.rank = 1.0, 0.0
         self.played.turn(token_usage="20000,50", session_id="s")
         context = CachedContext(engine_id=FIRST, tokens=19_000)
         self.played.ledger_answers(Granted(spent=40, context=context))
