--- /dev/null
+++ b/src/yokeline/scheduling/program_sizes.py
@@ -0,0 +1,109 @@
+"""How large programs of one kind are, learned from those that have ended.
+
+The load it answers: programs of one kind differ, and a few of them loop without end. So a size is a
+mean with its mean deviation, later programs count for more than earlier ones, and no single program
+counts for more than a few usual ones.
+"""
+
+from __future__ import annotations
+
+from statistics import fmean, median
+
+import msgspec
+
+LEAST_PROGRAMS = 5
+"""Programs that must have ended before a size is known: of five the median is that of whole
+programs even if two of them looped."""
+REMEMBERED_PROGRAMS = 40
+"""Programs after which an earlier one counts for a third of what it did."""
+MOST_COUNTED = 4.0
+"""A program counts for no more than this multiple of the usual one."""
+LEAST_SECONDS = 0.05
+"""Shortest span of a program: one that sends all its requests at once has no pace."""
+
+
+class ProgramSize(msgspec.Struct, frozen=True, kw_only=True):
+    """What a program of a kind is expected to ask for.
+
+    Attributes:
+        requests: Mean number of its requests.
+        deviation: Mean deviation of that number.
+        seconds: Mean time from its first request to its last activity.
+    """
+
+    requests: float
+    deviation: float
+    seconds: float
+
+    @property
+    def pace(self) -> float:
+        """Requests a second while it runs."""
+        return self.requests / self.seconds
+
+    @property
+    def most_requests(self) -> float:
+        """Requests beyond which a program is not what was expected: it loops."""
+        return MOST_COUNTED * max(1.0, self.requests)
+
+
+class _Sample(msgspec.Struct, frozen=True):
+    """One program that has ended."""
+
+    requests: float
+    seconds: float
+
+
+class SizeEstimate:
+    """Learns the size of one kind of program."""
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self._first: list[_Sample] = []
+        self._size: ProgramSize | None = None
+
+    @property
+    def size(self) -> ProgramSize | None:
+        """The size; None until enough programs have ended."""
+        return self._size
+
+    def observe(self, requests: int, seconds: float) -> None:
+        """Learn from a program that has ended.
+
+        Args:
+            requests: That it sent in all.
+            seconds: From its first request to its last activity.
+        """
+        sample = _Sample(float(requests), max(LEAST_SECONDS, seconds))
+        if self._size is not None:
+            self._size = _moved(self._size, sample)
+            return
+        self._first.append(sample)
+        if len(self._first) >= LEAST_PROGRAMS:
+            self._size = _size_of(self._first)
+            self._first.clear()
+
+
+def _size_of(samples: list[_Sample]) -> ProgramSize:
+    """Return the size that a few programs tell; medians first, so that loops do not set the cap."""
+    most_requests = MOST_COUNTED * median(item.requests for item in samples)
+    most_seconds = MOST_COUNTED * median(item.seconds for item in samples)
+    counted = [min(item.requests, most_requests) for item in samples]
+    requests = fmean(counted)
+    return ProgramSize(
+        requests=requests,
+        deviation=fmean(abs(item - requests) for item in counted),
+        seconds=fmean(min(item.seconds, most_seconds) for item in samples),
+    )
+
+
+def _moved(size: ProgramSize, sample: _Sample) -> ProgramSize:
+    """Return a size after one more program."""
+    weight = 1.0 / REMEMBERED_PROGRAMS
+    requests = min(sample.requests, size.most_requests)
+    seconds = min(sample.seconds, MOST_COUNTED * size.seconds)
+    off = abs(requests - size.requests)
+    return ProgramSize(
+        requests=size.requests + weight * (requests - size.requests),
+        deviation=size.deviation + weight * (off - size.deviation),
+        seconds=size.seconds + weight * (seconds - size.seconds),
+    )
