Refuse at the ledger's leader a new program that its tenant's limit would not carry

Cause: see the decision in scheduling/program_admission.py; the leader alone sees all programs. The book of claims is derived from the accounts of programs, which gain optional fields; no result of a transition depends on them, and replicas of the earlier build skip them (tested with their structs). A new leader refuses nothing until an entry of its own term is applied, so what an earlier one proposed is never refused as new. A refusal costs no log entry. Ruled out: a book in the state, which replicas of two builds would not agree on.

--- /dev/null
+++ b/src/yokeline/ledger/claims.py
@@ -0,0 +1,275 @@
+"""The book of the programs that were let in, and of how large programs of each kind are.
+
+Only the ledger's leader keeps it. It is derived from the accounts of programs in the ledger's state
+and no part of that: a leader that takes over makes it anew. Times are passed time of the leaders
+(:class:`yokeline.ledger.quotas.QuotaClock`), in seconds.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+
+import msgspec
+
+from yokeline.ledger.state import Program
+from yokeline.scheduling.program_admission import Admission, Claims, Supply, claims_of, decide
+from yokeline.scheduling.program_sizes import ProgramSize, SizeEstimate
+
+REST_SECONDS = 2.0
+"""Rest without a turn under way after which a program gives its claim back: longer than the calls
+of tools between two turns. One that goes on after all claims again."""
+LONGEST_TURN_SECONDS = 10.0
+"""The same with a turn under way: a node that is gone ends none of its turns."""
+PASSED_OVER_SECONDS = 2.0
+"""Time after which a kind of which none was let in is next: large programs need more room at once
+than small ones, which would take each bit of it before."""
+RETURN_SECONDS = 1.0
+"""Time after the moment that a refused program was told, for which its kind's place is kept."""
+RECHECK_SECONDS = 0.05
+"""Time for which a refusal holds for all programs of its kind: it bounds what a tenant far beyond
+its limit costs the leader."""
+MAX_CLAIMS = 65_536
+"""Claims that are held; the one that rested longest gives way."""
+MAX_TENANTS = 4096
+"""Tenants whose sizes are remembered beyond those that hold claims; the oldest gives way."""
+MAX_KINDS = 64
+"""Kinds of programs of a tenant; the oldest gives way."""
+
+
+class _Claim(msgspec.Struct):
+    """The claim of one program.
+
+    Attributes:
+        used: Requests that it has sent.
+        is_cut_short: A request of it was refused since, so its size says nothing of its kind.
+        is_learned: It has rested once, and its size was learned then.
+    """
+
+    tenant: str
+    kind: str
+    used: int
+    began_at: float
+    active_at: float
+    is_under_way: bool
+    is_cut_short: bool = False
+    is_learned: bool = False
+
+
+class _PassedOver(msgspec.Struct):
+    """A kind of which none was let in since it was refused.
+
+    Attributes:
+        since: When it was refused first.
+        decided_at: When it was decided on last.
+        decided: What was decided then.
+        until: When its latest refused program should have come back.
+    """
+
+    since: float
+    decided_at: float
+    decided: Admission
+    until: float
+
+
+class _TenantBook:
+    """Sizes and claims of one tenant."""
+
+    def __init__(self) -> None:
+        self.sizes: OrderedDict[str, SizeEstimate] = OrderedDict()
+        self.held: Counter[tuple[str, int]] = Counter()
+        """Claims by kind and requests sent: equal ones are decided on together."""
+        self.passed_over: dict[str, _PassedOver] = {}
+
+    def size(self, kind: str) -> ProgramSize | None:
+        estimate = self.sizes.get(kind)
+        return estimate.size if estimate is not None else None
+
+    def learn(self, claim: _Claim) -> None:
+        estimate = self.sizes.setdefault(claim.kind, SizeEstimate())
+        self.sizes.move_to_end(claim.kind)
+        estimate.observe(claim.used, claim.active_at - claim.began_at)
+        if len(self.sizes) > MAX_KINDS:
+            self.sizes.popitem(last=False)
+
+    def add(self, claim: _Claim) -> None:
+        self.held[claim.kind, claim.used] += 1
+
+    def remove(self, claim: _Claim) -> None:
+        key = (claim.kind, claim.used)
+        self.held[key] -= 1
+        if self.held[key] <= 0:
+            del self.held[key]
+
+    def claims(self) -> list[Claims]:
+        """Return what the programs claim whose size is known."""
+        found = []
+        for (kind, used), count in self.held.items():
+            size = self.size(kind)
+            claims = claims_of(size, used, count) if size is not None else None
+            if claims is not None:
+                found.append(claims)
+        return found
+
+    def claims_of_passed_over(self, kind: str, now: float) -> list[Claims]:
+        """Return a place for one program of each kind that is next before ``kind``."""
+        self.passed_over = {
+            name: item for name, item in self.passed_over.items() if item.until >= now
+        }
+        own = self.passed_over.get(kind)
+        before = min(now - PASSED_OVER_SECONDS, own.since if own is not None else now)
+        found = []
+        for other, item in self.passed_over.items():
+            size = self.size(other)
+            claims = claims_of(size, 0, 1) if size is not None else None
+            if item.since < before and claims is not None:
+                found.append(claims)
+        return found
+
+    def recent_refusal(self, kind: str, now: float) -> Admission | None:
+        """Return the last refusal of a kind while it holds, with the time that is left."""
+        item = self.passed_over.get(kind)
+        passed = now - item.decided_at if item is not None else RECHECK_SECONDS
+        if item is None or passed >= min(RECHECK_SECONDS, item.decided.retry_after):
+            return None
+        left = item.decided.retry_after - passed
+        item.until = now + left + RETURN_SECONDS
+        return msgspec.structs.replace(item.decided, retry_after=left)
+
+    def note_decision(self, kind: str, now: float, decided: Admission) -> None:
+        known = self.passed_over.pop(kind, None)
+        if decided.is_let_in:
+            return
+        self.passed_over[kind] = _PassedOver(
+            since=known.since if known is not None else now,
+            decided_at=now,
+            decided=decided,
+            until=now + decided.retry_after + RETURN_SECONDS,
+        )
+
+
+class ClaimBook:
+    """Follows the programs of tenants with limits, and decides on new ones."""
+
+    def __init__(self) -> None:
+        """Hold no claims."""
+        self._tenants: OrderedDict[str, _TenantBook] = OrderedDict()
+        self._claims: OrderedDict[str, _Claim] = OrderedDict()
+        """By program, the one that rests longest first."""
+        self._left_open: OrderedDict[str, _Claim] = OrderedDict()
+        """Those among them that rest with a turn under way."""
+
+    def __len__(self) -> int:
+        """Return the number of claims."""
+        return len(self._claims) + len(self._left_open)
+
+    def size_of(self, tenant: str, kind: str) -> ProgramSize | None:
+        """Return the size of a kind of program; None until it is known."""
+        book = self._tenants.get(tenant)
+        return book.size(kind) if book is not None else None
+
+    def decide(self, tenant: str, kind: str, supply: Supply, now: float) -> Admission | None:
+        """Decide whether a program may begin; None while the size of its kind is not known."""
+        self.sweep(now)
+        size = self.size_of(tenant, kind)
+        if size is None:
+            return None
+        book = self._tenants[tenant]
+        recent = book.recent_refusal(kind, now)
+        if recent is not None:
+            return recent
+        claims = [*book.claims(), *book.claims_of_passed_over(kind, now)]
+        decided = decide(supply, claims, size)
+        book.note_decision(kind, now, decided)
+        return decided
+
+    def expect(self, name: str, tenant: str, kind: str, now: float) -> None:
+        """Hold a claim for a program that may begin, until its first turn is in the log."""
+        if not self.knows(name):
+            self._put(name, _Claim(tenant, kind, 0, now, now, is_under_way=True))
+
+    def drop(self, name: str) -> None:
+        """Give the claim of a program back whose first turn is not in the log after all."""
+        claim = self._claims.get(name) or self._left_open.get(name)
+        if claim is not None and not claim.used:
+            self._take_out(name)
+
+    def follow(self, name: str, account: Program, *, is_complete: bool) -> None:
+        """Take over what the account of a program says; only a tenant's with a limit counts.
+
+        Args:
+            name: The program's.
+            account: Its account.
+            is_complete: All programs with claims are in the book, so that one that is not has
+                given its claim back before.
+        """
+        if not account.requests:
+            return
+        known = self._take_out(name)
+        goes_on = known is None or account.requests > known.used
+        is_back = known is None and is_complete and account.requests > 1
+        claim = _Claim(
+            account.tenant,
+            account.kind,
+            account.requests,
+            account.began_at,
+            account.active_at,
+            is_under_way=bool(account.reserved),
+            is_cut_short=known is not None and known.is_cut_short and not goes_on,
+            is_learned=is_back or (known is not None and known.is_learned),
+        )
+        self._put(name, claim)
+
+    def note_refused(self, name: str) -> None:
+        """Note that a request of a program was refused."""
+        claim = self._claims.get(name) or self._left_open.get(name)
+        if claim is not None:
+            claim.is_cut_short = True
+
+    def sweep(self, now: float) -> None:
+        """Take the claims back of programs that have rested, and learn from them."""
+        while self._claims:
+            name, claim = next(iter(self._claims.items()))
+            if claim.active_at + REST_SECONDS > now:
+                break
+            if claim.is_under_way:
+                self._left_open[name] = self._claims.pop(name)
+            else:
+                self._end(name)
+        while self._left_open:
+            name, claim = next(iter(self._left_open.items()))
+            if claim.active_at + LONGEST_TURN_SECONDS > now:
+                break
+            self._end(name)
+
+    def _end(self, name: str) -> None:
+        claim = self._take_out(name)
+        if claim is not None and claim.used and not claim.is_cut_short and not claim.is_learned:
+            self._tenants[claim.tenant].learn(claim)
+
+    def knows(self, name: str) -> bool:
+        """Return whether a program holds a claim."""
+        return name in self._claims or name in self._left_open
+
+    def _put(self, name: str, claim: _Claim) -> None:
+        book = self._tenants.setdefault(claim.tenant, _TenantBook())
+        self._tenants.move_to_end(claim.tenant)
+        book.add(claim)
+        self._claims[name] = claim
+        if len(self) > MAX_CLAIMS:
+            self._take_out(next(iter(self._left_open or self._claims)))
+        if len(self._tenants) > MAX_TENANTS:
+            self._forget_tenant()
+
+    def _take_out(self, name: str) -> _Claim | None:
+        claim = self._claims.pop(name, None) or self._left_open.pop(name, None)
+        if claim is not None:
+            self._tenants[claim.tenant].remove(claim)
+        return claim
+
+    def _forget_tenant(self) -> None:
+        """Forget the tenant that was seen least lately, unless it holds claims."""
+        oldest = next(iter(self._tenants))
+        if self._tenants[oldest].held:
+            self._tenants.move_to_end(oldest)
+        else:
+            del self._tenants[oldest]
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -45,6 +45,7 @@
         missing_from: The latest turn of the chain whose text the asker lacks; empty if it
             has them all.
         limit: The limit that the turn counts against, as one request; None for none.
+        kind: Which programs are alike (the route's name); empty if the asker names none.
     """
 
     request_id: str
@@ -56,6 +57,7 @@
     previous: str = ""
     missing_from: str = ""
     limit: RateLimit | None = None
+    kind: str = ""
 
 
 class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -96,11 +98,13 @@
 
     Attributes:
         is_owed: It runs in any case, since it has run before; the bucket may go into debt for it.
+        program: Whose request it is; empty if of none.
     """
 
     request_id: str
     limit: RateLimit
     is_owed: bool = False
+    program: str = ""
 
 
 Operation = Reserve | Settle | Draw
@@ -155,6 +159,7 @@
     Attributes:
         retry_after: Seconds until the limit lets such a request in, if no other one comes.
         is_empty: No request of the tenant may run now, whatever its program has done before.
+            Otherwise only a program that has not begun is refused.
     """
 
     retry_after: float
--- a/src/yokeline/ledger/quotas.py
+++ b/src/yokeline/ledger/quotas.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from yokeline.ledger.operations import QuotaSpent, RateLimit
+from yokeline.scheduling.program_admission import Supply
 
 NEW_PROGRAM_SHARE = 0.25
 """Share of a bucket that is kept for programs that have begun: at the limit a program is better
@@ -114,6 +115,16 @@
         needed = needed_level(account, is_new=is_new)
         return _spent(account, needed, level) if level < needed else None
 
+    def outlook(self, limit: RateLimit, time: float) -> Supply:
+        """Return what a tenant may ask for from a time on; changes nothing."""
+        account = self.accounts.get(limit.tenant)
+        if account is None:
+            return Supply(level=max(LEAST_BURST, limit.burst), rate=limit.rate)
+        seen = msgspec.structs.replace(account)
+        seen.refill(time)
+        seen.adopt(limit)
+        return Supply(level=seen.level, rate=seen.rate)
+
     def transition_forget(self) -> None:
         """Forget accounts that have been full for long."""
         full = [
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from yokeline.effects import Address, Effect, SendPeer
+from yokeline.effects import Address, Effect, LogRecord, SendPeer
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.leader_load import LeaderLoad
 from yokeline.ledger.messages import EngineTurns, LedgerReply, LedgerRequest
@@ -22,9 +22,11 @@
     KeptTurn,
     Operation,
     OperationResult,
+    QuotaSpent,
     Settle,
     size_of,
 )
+from yokeline.ledger.program_gate import ProgramGate
 from yokeline.ledger.quotas import QuotaClock
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.turns_under_way import TurnsUnderWay
@@ -79,6 +81,7 @@
         turns: What nodes have told of the turns under way.
         operations: Operations asked for so far.
         load: What is logged of the leader's work.
+        gate: Refuses new programs that their tenants' limits would not carry to their end.
     """
 
     def __init__(self, replica: LedgerReplica, wall: Callable[[], float], now: float) -> None:
@@ -86,6 +89,7 @@
         self.turns = TurnsUnderWay()
         self.operations = 0
         self.load = LeaderLoad(now)
+        self.gate = ProgramGate()
         self._replica = replica
         self._wall = wall
         self._now = now
@@ -114,6 +118,10 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Propose what waits, and log the load if it is time."""
+        if self._replica.leads:
+            self.gate.tick(self._replica.state(), self._passed())
+        else:
+            self.gate.stand_down()
         return [*self.propose(now), *self.load.report(now, len(self._waiting))]
 
     def propose(self, now: float) -> list[Effect]:
@@ -158,14 +166,24 @@
         if result is not None and self._replica.leads:
             self.load.note_repetition("applied")
             return [self._reply(asker, result)]
-        spent = self._replica.state().known_spent(operation, self._passed())
-        if spent is not None and self._replica.leads:
-            return [self._reply(asker, spent)]
+        if self._replica.leads:
+            spent, lines = self._refusal(operation)
+            if spent is not None:
+                return [*lines, self._reply(asker, spent)]
         self._waiting[key] = _Waiting(operation, self._now, [asker], is_copied)
         if len(self._waiting) > MAX_BATCHED_OPERATIONS:
-            del self._waiting[next(iter(self._waiting))]
+            oldest = self._waiting.pop(next(iter(self._waiting)))
+            self.gate.give_up(oldest.operation)
         return []
 
+    def _refusal(self, operation: Operation) -> tuple[QuotaSpent | None, list[LogRecord]]:
+        """Return the refusal by its tenant's limit of an operation that came for the first time.
+
+        Repetitions were answered before: they are on their way into the log, or in the state.
+        """
+        replica = self._replica
+        return self.gate.refusal(operation, replica.state(), replica.group.term, self._passed())
+
     def _take_batch(self) -> list[_Waiting]:
         """Take the oldest operations that fit an entry out of those that wait."""
         size = 0
@@ -183,11 +201,16 @@
         effects: list[Effect] = []
         for number, item in enumerate(batch):
             result = results[number] if results else None
+            self._note_result(item.operation, result)
             if isinstance(result, Drawn):
                 self._note_drawn(item.operation)
             effects.extend(self._reply(asker, result) for asker in item.askers)
         return effects
 
+    def _note_result(self, operation: Operation, result: OperationResult | None) -> None:
+        replica = self._replica
+        self.gate.note_result(operation, result, replica.state(), replica.group.term)
+
     def _note_drawn(self, operation: Operation) -> None:
         self._drawn[_key_of(operation)] = None
         if len(self._drawn) > MAX_DRAWN:
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -56,6 +56,13 @@
         contexts: Where its lines of turns were last read, the latest last.
         retention: Seconds kept after the last operation.
         expires: Ledger time at which it may be forgotten.
+        tenant: Against whose limit it counts; empty if against none. This and what follows is for
+            :mod:`yokeline.ledger.claims` alone. Replicas of an earlier release do without it, so
+            no result of a transition may depend on it.
+        kind: Which programs are alike, as its first turn said.
+        requests: Of it that were counted against the limit.
+        began_at: When the first of them was (passed time of the ledger's leaders, seconds).
+        active_at: When it last began or ended a turn, or made a call (the same).
     """
 
     spent: int = 0
@@ -64,6 +71,18 @@
     contexts: dict[str, CachedContext] = {}
     retention: float = DEFAULT_RETENTION_SECONDS
     expires: float = 0.0
+    tenant: str = ""
+    kind: str = ""
+    requests: int = 0
+    began_at: float = 0.0
+    active_at: float = 0.0
+
+    def note_request(self, at: float) -> None:
+        """Note a request that was counted against its tenant's limit."""
+        if not self.requests:
+            self.began_at = at
+        self.requests += 1
+        self.active_at = at
 
     def counted(self) -> int:
         """Return the tokens that count against the budget, open turns at their most."""
@@ -129,7 +148,13 @@
         if operation.is_owed:
             self.quotas.transition_owe(operation.limit)
             return Drawn()
-        return self.quotas.transition_draw(operation.limit, is_new=False) or Drawn()
+        beyond_limit = self.quotas.transition_draw(operation.limit, is_new=False)
+        if beyond_limit is not None:
+            return beyond_limit
+        program = self.programs.get(operation.program)
+        if program is not None:
+            program.note_request(self.quotas.time)
+        return Drawn()
 
     def known_result(self, operation: Operation) -> OperationResult | None:
         """Return the result of an operation whose effect stands already; None for a new one.
@@ -156,10 +181,10 @@
             return None
         if isinstance(operation, Draw) and operation.is_owed:
             return None
-        is_new = isinstance(operation, Reserve) and self._is_new(operation)
+        is_new = isinstance(operation, Reserve) and self.begins_program(operation)
         return self.quotas.known_spent(operation.limit, passed, is_new=is_new)
 
-    def _is_new(self, operation: Reserve) -> bool:
+    def begins_program(self, operation: Reserve) -> bool:
         """Return whether a turn is the first one of its program, as far as is known here."""
         program = self.programs.get(operation.program)
         return not operation.previous and (program is None or not program.has_begun)
@@ -189,6 +214,10 @@
         if beyond_limit is not None:
             return beyond_limit
         program.reserved[operation.request_id] = operation.tokens
+        if operation.limit is not None:
+            program.tenant = operation.limit.tenant
+            program.kind = program.kind or operation.kind
+            program.note_request(self.quotas.time)
         context = program.context_of(operation.session)
         return Granted(spent=spent, turns=turns, context=context)
 
@@ -196,7 +225,7 @@
         """Count a turn against its tenant's limit; return None if that lets it in."""
         if operation.limit is None:
             return None
-        is_new = self._is_new(operation)
+        is_new = self.begins_program(operation)
         return self.quotas.transition_draw(operation.limit, is_new=is_new)
 
     def transition_settle(self, operation: Settle) -> OperationResult:
@@ -208,6 +237,7 @@
                 program.reserved.pop(operation.request_id, None)
                 program.settled.append(operation.request_id)
                 program.spent += operation.tokens
+                program.active_at = self.quotas.time
             if operation.context is not None:
                 program.note_context(operation.session, operation.context)
         if operation.turn is not None:
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -40,6 +40,7 @@
     TextCopy,
     TextsLacking,
 )
+from yokeline.ledger.program_gate import CAUSES
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.request_batches import RequestBatches
 from yokeline.ledger.tenure import Tenure
@@ -400,6 +401,7 @@
         "yokeline_ledger_commit_index": float(node.replica.group.commit_index),
         "yokeline_ledger_leads": float(node.replica.leads),
         "yokeline_ledger_turns_under_way": float(len(node.batches.turns)),
+        "yokeline_ledger_claims": float(node.batches.gate.claims),
         "yokeline_ledger_members": float(len(node.replica.group.members)),
     }
     gauges.update(node.phases.gauges())
@@ -408,4 +410,7 @@
         "yokeline_ledger_entries_restored_total": float(node.replica.entries_restored),
         "yokeline_ledger_texts_lacking_total": float(node.replica.messages_lacking_texts),
     }
+    for cause in CAUSES:
+        name = f'yokeline_ledger_programs_refused_total{{cause="{cause}"}}'
+        counters[name] = float(node.batches.gate.refused[cause])
     return NodeFigures(counters=counters, gauges=gauges)
