Refuse a program that is not admitted at once, at a time of its own

Cause: the first turn of a program waited twice at the node for its tenant's limit, and callers refused at one moment were told one time to return. Now it is refused with the time that the ledger told, spread by up to a quarter by its request. Turns of begun programs and calls wait as before: only a new program is refused while the bucket is not empty.

--- a/src/yokeline/forwarding/limits.py
+++ b/src/yokeline/forwarding/limits.py
@@ -19,6 +19,7 @@
 from yokeline.forwarding.tenants import Tenant
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.operations import Draw, Drawn, OperationResult, QuotaSpent, RateLimit
+from yokeline.scheduling.return_times import spread_return
 
 LEDGER_SECONDS = 2.0
 """Longest wait for the ledger's answer; then the request is refused, not run. A change of leader
@@ -113,7 +114,11 @@
         """Ask the ledger to count a request."""
         assert exchange.limit is not None
         exchange.phase = Phase.RESERVING
-        exchange.operation = Draw(request_id=exchange.names.operation, limit=exchange.limit)
+        exchange.operation = Draw(
+            request_id=exchange.names.operation,
+            limit=exchange.limit,
+            program=exchange.names.program,
+        )
 
         def answered(result: OperationResult | None, now: float) -> list[Effect]:
             self._state.now = now
@@ -147,6 +152,13 @@
                 self._spent_until.popitem(last=False)
         self._wait_or_refuse(exchange, spent.retry_after, again)
 
+    def refuse_program(self, exchange: Exchange, spent: QuotaSpent) -> None:
+        """Refuse the first turn of a program that its tenant's limit would not carry to its end.
+
+        It does not wait here: its time to wait is best spent on all of its turns.
+        """
+        self._refuse(exchange, spread_return(spent.retry_after, exchange.names.operation))
+
     def _wait_or_refuse(
         self, exchange: Exchange, seconds: float, again: Callable[[Exchange], None]
     ) -> None:
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -131,6 +131,8 @@
             self._add_history(exchange, result)
         elif isinstance(result, BudgetSpent):
             self._ends.refuse(exchange, PAYMENT_REQUIRED, "budget_spent", spent=result.spent)
+        elif isinstance(result, QuotaSpent) and not result.is_empty:
+            self._limits.refuse_program(exchange, result)
         elif isinstance(result, QuotaSpent):
             self._limits.take_spent(exchange, result, lambda item: self._ask_again(item, operation))
         elif isinstance(result, NoSuchTurn):
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -28,6 +28,7 @@
         previous=names.previous_turn,
         missing_from=missing_from,
         limit=exchange.limit,
+        kind=exchange.route.name if exchange.limit is not None else "",
     )
 
 
