--- a/src/yokeline/scheduling/return_times.py
+++ b/src/yokeline/scheduling/return_times.py
@@ -30,6 +30,9 @@
 """The same for a program that has begun."""
 OUTAGE_SPREAD = 2.0
 """Width of that span as a share of the earliest time: all callers of the fleet return in it."""
+LIMIT_SPREAD = 0.25
+"""Width of the span in which callers return that were refused for their tenant's limit: the least
+of them is told a true time, and the others come little later."""
 _HASH_SPAN = 2**32
 
 
@@ -64,6 +67,16 @@
     return _spread(caller, earliest, OUTAGE_SPREAD)
 
 
+def return_after_limit(request_id: str, seconds: float) -> float:
+    """Return after how many seconds to come back to a tenant's limit, never before ``seconds``.
+
+    Args:
+        request_id: The request's id.
+        seconds: From now until the request could be let in.
+    """
+    return seconds * (1.0 + LIMIT_SPREAD * _position(request_id))
+
+
 def _spread(caller: Returning, earliest: float, spread: float) -> float:
     """Return a time of the caller's own between the earliest one and what it honours."""
     honoured = max(0.0, HONOURED_SHARE * caller.time_left)
--- a/tests/unit/ledger/release_samples.py
+++ b/tests/unit/ledger/release_samples.py
@@ -97,8 +97,8 @@
     return ledger
 
 
-def messages() -> list[msgspec.Struct]:
-    """Return one message of each kind between nodes."""
+def messages(entry: bytes) -> list[msgspec.Struct]:
+    """Return messages of each kind; ``entry`` is the command of a log entry, as it was encoded."""
     hint = LeaderHint(SENDER, ADDRESS)
     turns = NodeTurns(3, (EngineLoad("i-1", 2),), (TurnServed("i-1", True, 1.5, True),))
     results = (
@@ -114,11 +114,7 @@
         leader=SENDER,
         previous_index=1,
         previous_term=1,
-        entries=(
-            LogEntry(
-                index=2, term=4, kind=EntryKind.COMMAND, command=encode_command(commands()[1])
-            ),
-        ),
+        entries=(LogEntry(index=2, term=4, kind=EntryKind.COMMAND, command=entry),),
         commit_index=2,
         round=9,
     )
@@ -185,10 +181,11 @@
 def encoded() -> dict[str, list[bytes]]:
     """Return the bytes that this release writes, by kind."""
     codec = LedgerCodec()
+    entries = [encode_command(command) for command in commands()]
     return {
-        "commands": [encode_command(command) for command in commands()],
+        "commands": entries,
         "state": [encode_state(state())],
-        "messages": [codec.encode_peer(SENDER, RECIPIENT, item) for item in messages()],
+        "messages": [codec.encode_peer(SENDER, RECIPIENT, item) for item in messages(entries[1])],
         "datagrams": [codec.encode_datagram(item) for item in datagrams()],
         "disk": [disk()],
     }
--- a/tests/unit/ledger/test_earlier_release.py
+++ b/tests/unit/ledger/test_earlier_release.py
@@ -54,7 +54,8 @@
 
     def test_its_messages_are_read(self) -> None:
         codec = LedgerCodec()
-        for data, message in zip(self.stored["messages"], release_samples.messages(), strict=True):
+        expected = release_samples.messages(self.stored["commands"][1])
+        for data, message in zip(self.stored["messages"], expected, strict=True):
             with self.subTest(type(message).__name__):
                 frame = codec.decode_peer(data).unwrap()
                 self.assertEqual(frame.message, message)
