--- a/src/yokeline/forwarding/room_view.py
+++ b/src/yokeline/forwarding/room_view.py
@@ -21,6 +21,8 @@
         places: Requests that its engines work on together, or hold if that is more.
         place_seconds: Seconds for which a request keeps a place; None if not known.
         begin_share: Share of the places that come free which programs that begin get.
+        begin_excess: Requests that have to leave before a program may begin: engines hold more
+            than their slots for begun programs, and those keep the engines alike.
         elsewhere: Requests that wait at other nodes.
         reports_age: Age of the oldest report that counts (seconds); 0 without one.
     """
@@ -29,6 +31,7 @@
     places: int
     place_seconds: float | None
     begin_share: float
+    begin_excess: int
     elsewhere: int
     reports_age: float
 
@@ -47,6 +50,7 @@
         return PoolRoom(
             places=self.places,
             ahead=ahead + rank * self.elsewhere,
+            excess=self.begin_excess if is_first else 0,
             place_seconds=self.place_seconds,
             share=self.begin_share if is_first else 1.0,
         )
@@ -73,12 +77,14 @@
         engines = self._engines.in_pool(pool, now)
         slots = sum(state.engine.slots for state in engines)
         held = sum(state.load for state in engines)
+        least_excess = min((state.load - state.engine.slots for state in engines), default=0)
         waiting = self._engines.waiting_elsewhere(pool, now)
         return PoolView(
             at=now,
             places=max(slots, held),
             place_seconds=self._placement.place_seconds(pool),
             begin_share=self._placement.begin_share(pool),
+            begin_excess=max(0, least_excess) * len(engines),
             elsewhere=waiting.requests,
             reports_age=waiting.age,
         )
--- a/src/yokeline/scheduling/room_waits.py
+++ b/src/yokeline/scheduling/room_waits.py
@@ -75,6 +75,7 @@
     Attributes:
         places: Requests that its engines work on together.
         ahead: Requests that go before this one, at all nodes.
+        excess: Requests that have to leave their engines before those may get a place.
         place_seconds: Seconds for which a request keeps a place; None if not known.
         share: Share of the places that come free which requests of its standing get; turns of
             begun programs that arrive later take the others.
@@ -85,6 +86,7 @@
     ahead: float
     place_seconds: float | None
     share: float = 1.0
+    excess: int = 0
     error_ratio: float = 1.0
 
 
@@ -158,8 +160,8 @@
     """Return in how many seconds a place is likely to be free; 0 if that is not known."""
     if room.place_seconds is None or room.places <= 0:
         return 0.0
-    free_per_second = room.places / max(room.place_seconds, 1e-6) * room.share
-    return room.error_ratio * (room.ahead + 1.0) / free_per_second
+    places_needed = room.excess + (room.ahead + 1.0) / room.share
+    return room.error_ratio * places_needed * room.place_seconds / room.places
 
 
 def is_hopeless(bears_still: float, expected: float) -> bool:
--- a/tests/property/test_room_waits.py
+++ b/tests/property/test_room_waits.py
@@ -35,6 +35,7 @@
     ahead=st.floats(0.0, 10_000.0),
     place_seconds=st.none() | SECONDS,
     share=st.floats(0.1, 1.0),
+    excess=st.integers(0, 10_000),
     error_ratio=st.floats(0.5, 4.0),
 )
 CALLERS = st.builds(
--- a/tests/unit/scheduling/test_room_waits.py
+++ b/tests/unit/scheduling/test_room_waits.py
@@ -60,6 +60,10 @@
         ten_before = msgspec.structs.replace(ROOM, ahead=9)
         self.assertAlmostEqual(expected_wait(ten_before), 10 * 0.2 / 20 / 0.25)
 
+    def test_what_engines_hold_beyond_their_slots_leaves_first(self) -> None:
+        beyond = msgspec.structs.replace(ROOM, excess=10)
+        self.assertAlmostEqual(expected_wait(beyond) - expected_wait(ROOM), 10 * 0.2 / 20)
+
     def test_without_an_observation_or_a_place_it_is_not_known(self) -> None:
         self.assertEqual(expected_wait(msgspec.structs.replace(ROOM, place_seconds=None)), 0.0)
         self.assertEqual(expected_wait(msgspec.structs.replace(ROOM, places=0)), 0.0)
