Bound on the places that a node owes a tenant it has passed over

Cause: a tenant that competes as an equal and gets nothing for long was owed without bound, and would have been let by for as long afterwards.

--- a/src/yokeline/scheduling/passing_over.py
+++ b/src/yokeline/scheduling/passing_over.py
@@ -19,6 +19,9 @@
 MOST_AHEAD = 4.0
 """Places beyond that part that count towards it later; more of them are forgotten, so that a long
 time with room for all does not let a tenant be passed over for as long afterwards."""
+MOST_OWED = 16.0
+"""Places owed at most: a tenant that competes as an equal and gets none for long, since others are
+more urgent, is not let by for as long once that has changed."""
 MAX_TENANTS = 4096
 """Tenants that are counted; the one that has asked for nothing the longest is forgotten."""
 SERVED_WEIGHT = 0.05
@@ -48,7 +51,7 @@
         self._served.observe(float(is_served), now)
         owed = self._owed.pop(tenant, 0.0) + LEAST_PART * self._served.value(now)
         if is_served:
-            owed = max(-MOST_AHEAD, owed - 1.0)
-        self._owed[tenant] = owed
+            owed -= 1.0
+        self._owed[tenant] = min(MOST_OWED, max(-MOST_AHEAD, owed))
         if len(self._owed) > MAX_TENANTS:
             self._owed.popitem(last=False)
--- a/tests/unit/scheduling/test_tenant_shares.py
+++ b/tests/unit/scheduling/test_tenant_shares.py
@@ -5,7 +5,7 @@
 import math
 import unittest
 
-from yokeline.scheduling.passing_over import MAX_TENANTS, PassingOver
+from yokeline.scheduling.passing_over import MAX_TENANTS, MOST_OWED, PassingOver
 from yokeline.scheduling.tenant_shares import MAX_BEYOND, Shares, TenantDemand, shares_of
 
 
@@ -74,6 +74,15 @@
         passing.note("hot", 0.0, is_served=True)
         self.assertFalse(passing.is_owed("hot"))
 
+    def test_places_owed_are_bounded(self) -> None:
+        passing = PassingOver()
+        for _ in range(2000):
+            passing.note("calm", 0.0, is_served=True)
+            passing.note("hot", 0.0, is_served=False)
+        for _ in range(int(1.5 * MOST_OWED)):
+            passing.note("hot", 0.0, is_served=True)
+        self.assertFalse(passing.is_owed("hot"))
+
     def test_where_nobody_is_served_nobody_is_owed_a_place(self) -> None:
         passing = PassingOver()
         for _ in range(300):
