--- a/src/yokeline/scheduling/engine_model.py
+++ b/src/yokeline/scheduling/engine_model.py
@@ -210,7 +210,8 @@
         if turn.event_seconds is None:
             self._observe_reading(turn, now, told)
             return NO_PACE
-        alone = turn.event_seconds / self._slowed_by(turn.beside)
+        event_seconds = max(LEAST_SECONDS, turn.event_seconds)
+        alone = event_seconds / self._slowed_by(turn.beside)
         slowness = self._slowness(alone)
         self._begin_with(alone)
         profile = self._profiles.setdefault(turn.engine_id, EngineProfile())
@@ -219,7 +220,7 @@
         self._turns += 1
         self._observe_reading(turn, now, told)
         relative = self._relative_pace(turn.engine_id, now, told)
-        self._pace.observe(turn.beside, turn.event_seconds / relative)
+        self._pace.observe(turn.beside, event_seconds / relative)
         is_shape_known = self._turns >= LEAST_TURNS
         return ObservedPace(slowness=slowness, alone_seconds=alone if is_shape_known else 0.0)
 
--- a/src/yokeline/scheduling/engine_profiles.py
+++ b/src/yokeline/scheduling/engine_profiles.py
@@ -169,13 +169,13 @@
     nature, so their logarithms are averaged: the result lies between the least and the greatest.
     One next to the usual pace is taken for it.
     """
-    weight, logarithm = ASSUMED_SAMPLES, ASSUMED_SAMPLES * math.log(usual)
+    weight, distance = ASSUMED_SAMPLES, 0.0
     for pace in (own, told):
         if pace.seconds > 0:
             weight += pace.samples
-            logarithm += pace.samples * math.log(pace.seconds)
-    result = math.exp(logarithm / weight)
-    return usual if abs(result - usual) < ALIKE_SHARE * usual else result
+            distance += pace.samples * math.log(pace.seconds / usual)
+    ratio = math.exp(distance / weight)
+    return usual if abs(ratio - 1) < ALIKE_SHARE else usual * ratio
 
 
 def usual_pace(paces: Iterable[float]) -> float:
--- a/tests/unit/scheduling/test_engine_model.py
+++ b/tests/unit/scheduling/test_engine_model.py
@@ -132,6 +132,20 @@
         after = model.predict("e", unread=1000, beside=3).seconds
         self.assertLess(after, 1.3 * before)
 
+    def test_events_that_all_came_at_once_divide_by_nothing(self) -> None:
+        observer = Observer()
+        turn = ServedTurn(
+            engine_id="e",
+            unread=0,
+            beside=0,
+            first_event_seconds=0.0,
+            event_seconds=0.0,
+            events=5,
+        )
+        for _ in range(20):
+            observer.observe(turn)
+        self.assertGreater(observer.predict("e", unread=0, beside=0).seconds, 0)
+
     def test_a_guess_of_the_length_counts_within_bounds(self) -> None:
         model = self.trained()
         usual = model.predict("e", unread=0, beside=2).seconds
--- a/tests/unit/scheduling/test_profile_replay.py
+++ b/tests/unit/scheduling/test_profile_replay.py
@@ -47,6 +47,13 @@
         replay(Fleet(3, spell_share=0.0), ways, END)
         self.assertLess(ways["spell"].error(SETTLED), 0.05)
 
+    def test_engines_of_one_speed_are_predicted_no_worse_than_by_own_factors(self) -> None:
+        with unittest.mock.patch.object(profile_replay, "SPEEDS", (1.0, 1.0, 1.0)):
+            ways = three_ways()
+            replay(Fleet(8, spell_share=0.0), ways, END)
+        self.assertLess(ways["spell"].error(SETTLED), 1.05 * ways["own"].error(SETTLED))
+        self.assertLess(ways["spell"].error(0.0, SETTLED), 1.05 * ways["own"].error(0.0, SETTLED))
+
 
 class Changes(unittest.TestCase):
     def test_a_third_of_the_engines_replaced_at_once_is_known_again_in_seconds(self) -> None:
