--- a/tests/unit/forwarding/test_patience.py
+++ b/tests/unit/forwarding/test_patience.py
@@ -109,6 +109,19 @@
         self.assertEqual(len(played.sent) - before, 1)
         self.assertEqual(played.cancelled, [])
 
+    def test_a_correction_goes_where_no_call_hung(self) -> None:
+        played = self.played()
+        played.request("/look-twice/x")
+        hanging = played.engine_of()
+        played.wait(0.1)
+        other = played.engine_of()
+        state = played.engines.get(other)
+        assert state is not None
+        state.others = 3
+        played.request("/fix/x")
+        self.assertNotEqual(hanging, other)
+        self.assertEqual(played.engine_of(), other)
+
     def test_a_correction_is_never_moved(self) -> None:
         played = self.played()
         for _ in range(LEAST_CALLS + 5):
--- a/tests/unit/scheduling/test_engine_subsets.py
+++ b/tests/unit/scheduling/test_engine_subsets.py
@@ -67,6 +67,10 @@
         self.assertLess(max(sizes), 1.5 * statistics.fmean(sizes))
         self.assertAlmostEqual(statistics.fmean(sizes) / 60, 1.0, delta=0.15)
 
+    def test_a_zone_of_the_long_run_size_is_even(self) -> None:
+        nodes, engines = places("edge", 20, zones=1), places("engine", 600, zones=1)
+        self.assertEqual(set(preferences(subsets(nodes, engines), engines)), {2})
+
     def test_the_size_of_a_fleet_of_few_nodes(self) -> None:
         nodes, engines = places("edge", 72, zones=12), places("engine", 12_000, zones=12)
         sizes = [len(preferred_engines(node, nodes, engines)) for node in nodes[::9]]
