--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -111,10 +111,11 @@
         self.suspect_until = 0.0
 
 
-def _preference(node: str, engine_id: str) -> float:
+def _preference(node: str, instance: str) -> float:
+    """Return a node's preference of an engine, which a new start of the engine keeps."""
     if not node:
         return 0.0
-    return xxhash.xxh32_intdigest(f"{node}/{engine_id}".encode()) / _HASH_SPAN
+    return xxhash.xxh32_intdigest(f"{node}/{instance}".encode()) / _HASH_SPAN
 
 
 class EngineBook:
@@ -182,7 +183,7 @@
             self.names.put(engine.instance, engine.engine_id)
         known = self._engines.get(engine.engine_id)
         if known is None:
-            preference = _preference(self._node, engine.engine_id)
+            preference = _preference(self._node, engine.instance)
             self._engines[engine.engine_id] = EngineState(engine=engine, preference=preference)
             self._sums_are_stale = self._sums_are_stale or bool(self._reports)
             self._index()
--- a/tests/unit/forwarding/test_engine_starts.py
+++ b/tests/unit/forwarding/test_engine_starts.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from tests.unit.forwarding.engine_entries_support import (
     FIRST_START_MS,
     SECOND_START_MS,
     NodeWithEntries,
 )
 from yokeline.effects import Address, CloseIdleConnections, DatagramArrived, Effect, HttpRequest
+from yokeline.forwarding.engines import EngineBook
 from yokeline.forwarding.forwarder import START_NEWS_SECONDS
 from yokeline.forwarding.model import Engine, PromptPart, start_name
 from yokeline.forwarding.start_names import EARLIER_HEARD_SECONDS
@@ -117,6 +120,19 @@
         self.wait(10.0)
         self.assertEqual(self.known(), {SECOND})
 
+    def test_a_node_goes_on_preferring_the_engine_that_started_again(self) -> None:
+        """Its connections and its share of the work do not move with each start."""
+        book = EngineBook("edge-1")
+        known = self.played.engines.get(FIRST)
+        assert known is not None
+        book.put(known.engine)
+        before = [state.preference for state in book.all()]
+        book.put(
+            msgspec.structs.replace(known.engine, engine_id=SECOND, started_ms=SECOND_START_MS)
+        )
+        self.assertEqual([state.preference for state in book.all()], before)
+        self.assertEqual([state.engine.engine_id for state in book.all()], [SECOND])
+
     # ------------------------------------------------------------ requests under way
 
     def test_a_call_without_an_answer_of_the_earlier_start_may_have_run(self) -> None:
