--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -226,7 +226,7 @@
             self.names.put(engine.instance, engine.engine_id)
         known = self._engines.get(engine.engine_id)
         if known is None:
-            own_rank = rank(self._node, engine.engine_id) if self._node else 0.0
+            own_rank = rank(self._node, engine.instance) if self._node else 0.0
             self._engines[engine.engine_id] = EngineState(engine=engine, rank=own_rank)
             self._sums_are_stale = self._sums_are_stale or bool(self._reports)
             self._index()
@@ -396,10 +396,10 @@
         if not self._nodes:
             return
         for states in self._by_pool.values():
-            engines = [Placed(state.engine.engine_id, state.engine.zone) for state in states]
+            engines = [Placed(state.engine.instance, state.engine.zone) for state in states]
             preferred = preferred_engines(self._place, self._nodes, engines)
             for state in states:
-                state.is_preferred = state.engine.engine_id in preferred
+                state.is_preferred = state.engine.instance in preferred
 
     def _index(self) -> None:
         self._by_pool = {}
