--- a/benchmarks/room_waits.py
+++ b/benchmarks/room_waits.py
@@ -15,7 +15,7 @@
 
 from tests.unit.forwarding.room_replay import Load, Replayed, replay
 
-from yokeline.forwarding import dispatch, room_weighing
+from yokeline.forwarding import admission, dispatch, room_weighing
 from yokeline.scheduling.return_times import Returning
 from yokeline.scheduling.room_waits import PoolRoom, RoomDecision, RoomNeed, decide, longest_wait
 
@@ -24,6 +24,7 @@
     "burst, .6 x 2.5": Load(load=0.6, burst_factor=2.5, burst_seconds=1.5),
     "burst, .9 x 2.5": Load(load=0.9, burst_factor=2.5, burst_seconds=1.5),
     "overload, 1.5": Load(load=1.5),
+    "outage of 1 s, .8": Load(load=0.8, outage_seconds=1.0),
 }
 SEEDS = range(4)
 TARGET_SHARE = 0.25
@@ -58,6 +59,7 @@
         patch.object(room_weighing, "decide", share_of_target),
         patch.object(room_weighing, "is_hopeless", lambda _still, _expected: False),
         patch.object(dispatch, "return_after", fixed_return),
+        patch.object(admission, "return_after_outage", lambda _caller: FIXED_RETURN_SECONDS),
     ):
         yield
 
@@ -95,7 +97,7 @@
     lost = sum(item.lost_begun for item in results)
     waits = sum(item.lost_waits for item in results) / max(1, first + begun)
     return (
-        f"{name:24} {load:16} {programs:8} {worth:6.3f} {in_time:7.3f} {first:9} {begun:9} "
+        f"{name:24} {load:17} {programs:8} {worth:6.3f} {in_time:7.3f} {first:9} {begun:9} "
         f"{lost:9} {waits:9.3f}"
     )
 
@@ -103,7 +105,7 @@
 def main() -> None:
     """Print the table."""
     print(
-        "way                      load             programs  worth in time  first 503  later 503 "
+        "way                      load              programs  worth in time  first 503  later 503 "
         "lost begun  waited s"
     )
     for load_name, load in LOADS.items():
--- a/tests/unit/forwarding/room_replay.py
+++ b/tests/unit/forwarding/room_replay.py
@@ -14,8 +14,11 @@
 
 import msgspec
 
-from tests.unit.forwarding.support import STORAGE, Played
+from tests.unit.forwarding.support import STORAGE, TABLE, Played
+from yokeline.bearer_tokens import token_digest
 from yokeline.effects import HttpReply, HttpRequest, HttpResponse, HttpStreamEnded, HttpStreamItem
+from yokeline.forwarding.freshness import Currency
+from yokeline.forwarding.tenants import Credential, KeyHolder, Tenant, TenantDirectory
 from yokeline.ledger.messages import LedgerReply
 from yokeline.ledger.operations import Granted, OperationResult, Reserve, Settled
 
@@ -33,6 +36,7 @@
 TRIES = 2
 """Tries of one turn; after them its program is lost."""
 HONOURED_SHARE = 1 / 3
+KEY = "h1"
 SETTLING_SECONDS = 4.0
 """Time before the burst, in which the node learns."""
 LATE_WORTH = 0.4
@@ -50,12 +54,15 @@
         burst_factor: The rate in the burst as a multiple of that.
         burst_seconds: Its length.
         seconds: Time for which programs come, after the settling.
+        outage_seconds: Time from the begin of the burst in which the node cannot prove its
+            configuration, and refuses everybody.
     """
 
     load: float = WARM_UP_LOAD
     burst_factor: float = 1.0
     burst_seconds: float = 0.0
     seconds: float = 4.0
+    outage_seconds: float = 0.0
 
 
 class Replayed(msgspec.Struct, kw_only=True):
@@ -71,6 +78,7 @@
         lost_waits: Seconds that turns had waited which were then refused.
         longest_lost_wait: The longest of those.
         most_waiting: Longest queue.
+        refused_in_outage: Refusals for want of a proof.
         return_times: When each refused caller was told to return.
     """
 
@@ -83,6 +91,7 @@
     lost_waits: float = 0.0
     longest_lost_wait: float = 0.0
     most_waiting: int = 0
+    refused_in_outage: int = 0
     return_times: list[float] = msgspec.field(default_factory=list)
 
     @property
@@ -106,6 +115,9 @@
 
     def __init__(self, seed: int, load: Load) -> None:
         self.played = Played(engines_per_pool=ENGINES, slots=SLOTS)
+        tenants = TenantDirectory((KeyHolder(Credential(token_digest(KEY)), Tenant(name="t")),))
+        self.played.forwarder.table = msgspec.structs.replace(TABLE, tenants=tenants)
+        self.played.forwarder.currency = self._currency
         self.result = Replayed()
         self._load = load
         self._random = random.Random(seed)
@@ -163,12 +175,16 @@
             self._answered += 1
             result: OperationResult = Settled()
             if isinstance(operation, Reserve):
-                program, _ = self._turns[operation.request_id]
+                program, _ = self._turns[operation.request_id.rpartition("/")[2]]
                 result = Granted(spent=program.tokens)
             reply = LedgerReply(number=number, results=(result,), leader=STORAGE)
             self.played.take(self.played.ledger.take_reply(reply, self.played.now))
             self.played.take(self.played.forwarder.tick(self.played.now))
 
+    def _currency(self, now: float) -> Currency:
+        is_away = 0 <= now - self._begin < self._load.outage_seconds
+        return Currency.STALE if is_away else Currency.CURRENT
+
     # ------------------------------------------------------------ callers
 
     def _rate(self) -> float:
@@ -207,6 +223,7 @@
             finish_ms=str(int(1000 * left)),
             deadline_ms=str(int(1000 * DEADLINE_SECONDS)),
             token_budget="100000",
+            authorization=f"Bearer {KEY}",
         )
         self._turns[request_id] = (program, now)
         self._answer_ledger()
@@ -217,19 +234,24 @@
         told = float(reply.headers.get("retry-after", "0"))
         program.tries += 1
         if program.counts:
-            self._count_refusal(program, waited, told)
+            self._count_refusal(reply, program, waited, told)
         if reply.status != 503 or program.tries >= TRIES:
             self.result.lost_begun += program.counts and program.tokens > 0
             return
         pause = min(told, HONOURED_SHARE * (DEADLINE_SECONDS - waited))
         self._at(self.played.now + pause, lambda: self._take_turn(program))
 
-    def _count_refusal(self, program: _Program, waited: float, told: float) -> None:
+    def _count_refusal(
+        self, reply: HttpReply, program: _Program, waited: float, told: float
+    ) -> None:
+        self.result.return_times.append(self.played.now + told)
+        if b"stale_configuration" in reply.body:
+            self.result.refused_in_outage += 1
+            return
         self.result.refused_first += program.tokens == 0
         self.result.refused_begun += program.tokens > 0
         self.result.lost_waits += waited
         self.result.longest_lost_wait = max(self.result.longest_lost_wait, waited)
-        self.result.return_times.append(self.played.now + told)
 
     # ------------------------------------------------------------ engines
 
--- a/tests/unit/forwarding/test_room.py
+++ b/tests/unit/forwarding/test_room.py
@@ -36,6 +36,13 @@
         results = [replay(seed, load) for seed in range(3)]
         self.assertGreaterEqual(sum(item.worth for item in results) / 3, 0.93)
 
+    def test_a_herd_that_returns_after_an_outage_finds_room(self) -> None:
+        """All were refused for a second; the pool has a fifth of its places to spare."""
+        for seed in range(4):
+            result = replay(seed, Load(load=0.8, outage_seconds=1.0))
+            self.assertGreater(result.refused_in_outage, 20)
+            self.assertEqual(result.refused_first + result.refused_begun, 0)
+
     def test_begun_programs_are_served_whatever_begins(self) -> None:
         result = replay(0, Load(load=1.5, seconds=3.0))
         self.assertGreater(result.refused_first, 0)
