Replay programs of a hot tenant against four ways of letting them in

On the same arrivals (benchmarks.program_admission): first come, kept share (what stood), claims in full, claims by time.

--- /dev/null
+++ b/benchmarks/program_admission.py
@@ -0,0 +1,373 @@
+"""Four ways of letting programs in at a tenant's limit, on the same arrivals.
+
+``python -m benchmarks.program_admission`` plays programs of a tenant that asks for 4.8 times its
+usual, where its limit is 1.6 times that, against the ledger's state and the leader's gate, and
+prints for each way which share of the programs that began also ended, how many were refused after
+they had begun, which share of the limit was used, and by programs that ended. Then the time of a
+decision at 100 and 1,000 claims.
+
+- ``first come``: each request takes a token from the bucket.
+- ``kept share``: new programs leave a quarter of the bucket to those that have begun.
+- ``in full``: a program is let in if the bucket holds all claims and its own.
+- ``by time``: if the limit carries them at each moment (``scheduling.program_admission``).
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+from contextlib import ExitStack
+from unittest.mock import patch
+
+import msgspec
+
+from yokeline.forwarding.limits import LONGEST_WAIT_SECONDS, MAX_WAITS, LimitTolerance
+from yokeline.forwarding.tenants import Tenant
+from yokeline.ledger import claims, quotas
+from yokeline.ledger.operations import (
+    Draw,
+    Operation,
+    OperationResult,
+    QuotaSpent,
+    RateLimit,
+    Reserve,
+    Settle,
+)
+from yokeline.ledger.program_gate import ProgramGate
+from yokeline.ledger.state import LedgerCommand, LedgerState
+from yokeline.scheduling.program_admission import Admission, Claims, Supply, decide
+from yokeline.scheduling.program_sizes import ProgramSize
+from yokeline.scheduling.return_times import spread_return
+
+TERM = 1
+TOLERANCE = LimitTolerance(window=5.0, overage=0.1, slack=20.0)
+TRIES = 3
+"""Of a turn; a call has one, and the first turn of a program two."""
+FIRST_TRIES = 2
+
+
+class Kind(msgspec.Struct, frozen=True, kw_only=True):
+    """Programs that are alike.
+
+    Attributes:
+        requests: Mean number, turns and calls by turns; sizes are spread evenly from half to
+            one and a half of it.
+        step_seconds: From one request to the next.
+        fan_out: Lines of requests that run side by side after the first request.
+        loop_share: Share of programs that ask for ten times as much.
+    """
+
+    name: str
+    weight: float
+    requests: int
+    step_seconds: float
+    fan_out: int = 1
+    loop_share: float = 0.0
+
+
+KINDS = (
+    Kind(name="short", weight=0.7, requests=4, step_seconds=0.2),
+    Kind(name="long", weight=0.3, requests=18, step_seconds=0.2, fan_out=2, loop_share=0.02),
+)
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True):
+    """What one tenant asks for: ``usual`` requests a second, and ``hot`` times that in a span."""
+
+    tenant: str = "hot"
+    usual: float = 40.0
+    headroom: float = 1.6
+    hot: float = 4.8
+    hot_from: float = 20.0
+    hot_until: float = 50.0
+    ends: float = 60.0
+    lowered_at: float = float("inf")
+    lowered_to: float = 0.5
+    kinds: tuple[Kind, ...] = KINDS
+    seed: int = 1
+
+    def limit(self, now: float) -> RateLimit:
+        """Return the tenant's limit at a time."""
+        is_lowered = now >= self.lowered_at
+        rate = self.usual * self.headroom * (self.lowered_to if is_lowered else 1.0)
+        depth = TOLERANCE.depth(Tenant(name=self.tenant, rate=rate, burst=rate))
+        return RateLimit(self.tenant, rate, depth, 2 if is_lowered else 1)
+
+
+class Outcome(msgspec.Struct, kw_only=True):
+    """What became of the programs that came in the hot span, by program."""
+
+    offered: set[str] = msgspec.field(default_factory=set)
+    began: set[str] = msgspec.field(default_factory=set)
+    ended: set[str] = msgspec.field(default_factory=set)
+    lost: set[str] = msgspec.field(default_factory=set)
+    kinds: dict[str, str] = msgspec.field(default_factory=dict)
+    loops: set[str] = msgspec.field(default_factory=set)
+    granted: list[float] = msgspec.field(default_factory=list)
+    useful: int = 0
+    told: list[float] = msgspec.field(default_factory=list)
+    limit_used: float = 0.0
+
+    @property
+    def ended_share(self) -> float:
+        """Of programs that began, those that ended."""
+        return len(self.ended) / max(1, len(self.began))
+
+    def ended_of(self, kind: str) -> int:
+        """Return how many programs of a kind ended."""
+        return sum(self.kinds[name] == kind for name in self.ended)
+
+
+class _Program:
+    """One program on its way."""
+
+    def __init__(self, name: str, kind: Kind, requests: int, *, is_hot: bool) -> None:
+        self.name = name
+        self.kind = kind
+        self.left = requests
+        self.sent = 0
+        self.under_way = 0
+        self.is_hot = is_hot
+        self.is_over = False
+
+
+class Ledger:
+    """The ledger's state, its leader's gate and the time; nothing takes any between them."""
+
+    def __init__(self, *, has_gate: bool) -> None:
+        """Begin empty."""
+        self.now = 0.0
+        self._state = LedgerState()
+        self._gate = ProgramGate()
+        self._has_gate = has_gate
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._queue, (when, next(self._order), action))
+
+    def run(self) -> None:
+        """Do all that is to be done."""
+        while self._queue:
+            self.now, _, action = heapq.heappop(self._queue)
+            self._gate.tick(self._state, self.now)
+            action()
+
+    def ask(self, operation: Reserve | Draw) -> QuotaSpent | None:
+        """Return the refusal of a request; None if it is let in."""
+        if self._has_gate:
+            spent, _lines = self._gate.refusal(operation, self._state, TERM, self.now)
+        else:
+            spent = self._state.known_spent(operation, self.now)
+        if spent is not None:
+            return spent
+        result = self.apply(operation)
+        return result if isinstance(result, QuotaSpent) else None
+
+    def apply(self, operation: Operation) -> OperationResult:
+        """Commit an operation."""
+        command = LedgerCommand(time=self.now, operations=(operation,), passed=self.now)
+        (result,) = self._state.transition_apply(command)
+        self._gate.note_result(operation, result, self._state, TERM)
+        return result
+
+
+class Replay:
+    """Plays a load against a ledger."""
+
+    def __init__(self, load: Load, ledger: Ledger) -> None:
+        """Draw the arrivals; they depend on the load alone."""
+        self._load = load
+        self._ledger = ledger
+        self._outcome = Outcome()
+        self._counts: Counter[str] = Counter()
+        self._names = itertools.count()
+        for at, program in self._arrivals():
+            ledger.at(at, lambda program=program: self._send(program, 1, 0))
+
+    def outcome(self) -> Outcome:
+        """Return what became of the programs, once the ledger has run."""
+        limit = self._load.limit(0.0)
+        span = self._load.hot_until - self._load.hot_from
+        used = sum(self._load.hot_from <= at < self._load.hot_until for at in self._outcome.granted)
+        self._outcome.limit_used = used / (limit.rate * span)
+        return self._outcome
+
+    def _arrivals(self) -> Iterable[tuple[float, _Program]]:
+        source = random.Random(self._load.seed)
+        usual_requests = sum(
+            kind.weight * kind.requests * (1 + 9 * kind.loop_share) for kind in self._load.kinds
+        )
+        at = 0.0
+        for number in itertools.count():
+            is_hot = self._load.hot_from <= at < self._load.hot_until
+            rate = self._load.usual * (self._load.hot if is_hot else 1.0)
+            at += source.expovariate(rate / usual_requests)
+            if at >= self._load.ends:
+                return
+            kind = source.choices(self._load.kinds, [kind.weight for kind in self._load.kinds])[0]
+            size = source.randint(max(1, kind.requests // 2), kind.requests + kind.requests // 2)
+            loops = source.random() < kind.loop_share
+            name = f"{self._load.tenant}{number}"
+            in_span = self._load.hot_from <= at < self._load.hot_until
+            self._outcome.kinds[name] = kind.name
+            if loops:
+                self._outcome.loops.add(name)
+            yield at, _Program(name, kind, size * (10 if loops else 1), is_hot=in_span)
+
+    def _send(self, program: _Program, tries: int, waits: int) -> None:
+        """Send the next request of a program, or try it once more."""
+        if program.is_over:
+            return
+        limit = self._load.limit(self._ledger.now)
+        is_turn = program.sent % 2 == 0 or not program.sent
+        name = f"{program.name}/{program.sent}/{next(self._names)}"
+        operation: Reserve | Draw = (
+            Reserve(
+                request_id=name,
+                program=program.name,
+                budget=10**6,
+                tokens=1,
+                limit=limit,
+                kind=program.kind.name,
+            )
+            if is_turn
+            else Draw(request_id=name, limit=limit, program=program.name)
+        )
+        if program.is_hot:
+            self._outcome.offered.add(program.name)
+        spent = self._ledger.ask(operation)
+        if spent is None:
+            self._go_on(program, name if is_turn else "")
+        else:
+            self._refused(program, spent, tries, waits, name)
+
+    def _go_on(self, program: _Program, turn: str) -> None:
+        self._outcome.granted.append(self._ledger.now)
+        self._counts[program.name] += 1
+        if program.is_hot:
+            self._outcome.began.add(program.name)
+        program.sent += 1
+        program.left -= 1
+        program.under_way += 1
+        self._ledger.at(
+            self._ledger.now + program.kind.step_seconds, lambda: self._served(program, turn)
+        )
+
+    def _served(self, program: _Program, turn: str) -> None:
+        program.under_way -= 1
+        if turn:
+            self._ledger.apply(Settle(request_id=turn, program=program.name))
+        lines = program.kind.fan_out if program.sent == 1 else 1
+        for _ in range(min(lines, program.left - program.under_way)):
+            self._send(program, 1, 0)
+        if program.left <= 0 and not program.under_way and not program.is_over:
+            self._end(program)
+
+    def _end(self, program: _Program) -> None:
+        program.is_over = True
+        if not program.is_hot or program.name in self._outcome.loops:
+            return
+        self._outcome.ended.add(program.name)
+        self._outcome.useful += self._counts[program.name]
+
+    def _refused(
+        self, program: _Program, spent: QuotaSpent, tries: int, waits: int, name: str
+    ) -> None:
+        """Wait at the node as its limits say, or come back as a caller does."""
+        may_wait = spent.is_empty and waits < MAX_WAITS
+        if may_wait and spent.retry_after <= LONGEST_WAIT_SECONDS:
+            self._ledger.at(
+                self._ledger.now + spent.retry_after, lambda: self._send(program, tries, waits + 1)
+            )
+            return
+        is_call = program.sent % 2 == 1
+        most = FIRST_TRIES if not program.sent else 1 if is_call else TRIES
+        if tries < most:
+            wait = spread_return(spent.retry_after, name)
+            self._outcome.told.append(wait)
+            self._ledger.at(self._ledger.now + wait, lambda: self._send(program, tries + 1, 0))
+            return
+        if program.is_hot and program.sent and not program.is_over:
+            self._outcome.lost.add(program.name)
+        program.is_over = True
+
+
+def decide_in_full(supply: Supply, held: Iterable[Claims], size: ProgramSize) -> Admission:
+    """Let a program in if the bucket holds all claims and its own."""
+    listed = list(held)
+    claimed = sum(item.count * item.requests for item in listed)
+    missing = claimed + size.requests - supply.level
+    is_let_in = missing <= 0 or not listed
+    return Admission(
+        is_let_in=is_let_in,
+        retry_after=0.0 if is_let_in else missing / supply.rate,
+        programs=len(listed),
+        claimed=claimed,
+        margin=0.0,
+    )
+
+
+def play(way: str, load: Load) -> Outcome:
+    """Play a load with one of the ways."""
+    with ExitStack() as stack:
+        if way == "first come":
+            stack.enter_context(patch.object(quotas, "NEW_PROGRAM_SHARE", 0.0))
+        if way == "in full":
+            stack.enter_context(patch.object(claims, "decide", decide_in_full))
+        ledger = Ledger(has_gate=way in ("in full", "by time"))
+        replay = Replay(load, ledger)
+        ledger.run()
+        return replay.outcome()
+
+
+WAYS = ("first come", "kept share", "in full", "by time")
+
+
+def measure_decision(count: int) -> None:
+    """Print the time of a decision that refuses, with claims that all differ."""
+    source = random.Random(1)
+    held = [
+        Claims(
+            count=1,
+            requests=source.uniform(1, 20),
+            seconds=source.uniform(0.1, 4.0),
+            deviation=3.0,
+        )
+        for _ in range(count)
+    ]
+    supply = Supply(level=10.0, rate=count * 4.0)
+    size = ProgramSize(requests=11.0, deviation=3.0, seconds=2.2)
+    repetitions = 100
+    began = time.process_time()
+    for _ in range(repetitions):
+        decide(supply, held, size)
+    seconds = (time.process_time() - began) / repetitions
+    is_let_in = decide(supply, held, size).is_let_in
+    print(f"{count:5} unequal claims: {1e6 * seconds:6.0f} us a decision (let in: {is_let_in})")
+
+
+def main() -> None:
+    """Print the table and the costs."""
+    print("way          began  ended  share  refused after  limit used  by ended  told (median)")
+    for way in WAYS:
+        load = Load()
+        outcome = play(way, load)
+        limit = load.limit(0.0)
+        useful = outcome.useful / (limit.rate * (load.hot_until - load.hot_from))
+        told = sorted(outcome.told)[len(outcome.told) // 2] if outcome.told else 0.0
+        print(
+            f"{way:11} {len(outcome.began):6} {len(outcome.ended):6} {outcome.ended_share:6.2f} "
+            f"{len(outcome.lost):14} {outcome.limit_used:11.2f} {useful:9.2f} {told:8.2f} s"
+        )
+    for count in (100, 1000):
+        measure_decision(count)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/unit/ledger/test_admission_replay.py
@@ -0,0 +1,108 @@
+"""Loads of a tenant beyond its limit, replayed without network against the ledger's state."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Iterable
+from unittest.mock import patch
+
+from benchmarks.program_admission import Kind, Ledger, Load, Outcome, Replay, play
+from msgspec.structs import replace
+
+from yokeline.ledger.claims import _TenantBook
+
+SEEDS = (1, 2, 3)
+LOST_SHARE = 0.01
+"""Most of the programs that began and were refused after all: what they used is lost."""
+USED_SHARE = 0.95
+"""Least of a limit that is used while far more is asked for."""
+STARVED_SHARE = 0.25
+"""A kind is starved if it is served less than this as often as all."""
+
+LONG = Kind(name="long", weight=0.3, requests=18, step_seconds=0.4, fan_out=2)
+SHORT = Kind(name="short", weight=0.7, requests=4, step_seconds=0.4)
+HOT = Load(usual=80.0, kinds=(SHORT, LONG))
+
+
+def outcomes(load: Load, way: str = "by time") -> Iterable[Outcome]:
+    return (play(way, replace(load, seed=seed)) for seed in SEEDS)
+
+
+class Loads(unittest.TestCase):
+    def assert_carried(self, load: Load, used: float = USED_SHARE) -> None:
+        for outcome in outcomes(load):
+            self.assertGreater(len(outcome.began), 50)
+            self.assertLessEqual(len(outcome.lost), LOST_SHARE * len(outcome.began))
+            self.assertGreaterEqual(outcome.limit_used, used)
+
+    def test_a_hot_tenants_programs_that_begin_end(self) -> None:
+        self.assert_carried(HOT)
+
+    def test_so_do_those_that_fan_out(self) -> None:
+        fan_out = replace(LONG, requests=24, fan_out=5)
+        self.assert_carried(replace(HOT, kinds=(SHORT, fan_out)))
+
+    def test_so_do_those_beside_programs_that_loop(self) -> None:
+        self.assert_carried(replace(HOT, kinds=(SHORT, replace(LONG, loop_share=0.05))))
+
+    def test_so_do_those_that_had_begun_when_the_limit_was_lowered(self) -> None:
+        lowered = replace(HOT, lowered_at=35.0, lowered_to=0.7)
+        self.assert_carried(lowered, used=0.7)
+
+    def test_within_its_limit_a_tenants_programs_are_let_in(self) -> None:
+        for outcome in outcomes(replace(HOT, hot=1.0)):
+            self.assertGreaterEqual(len(outcome.ended), 0.98 * len(outcome.offered))
+
+    def test_they_are_let_in_beside_a_hot_tenant(self) -> None:
+        """Both share one leader, and one book of claims."""
+        ledger = Ledger(has_gate=True)
+        hot = Replay(HOT, ledger)
+        calm = Replay(replace(HOT, tenant="calm", hot=1.0), ledger)
+        ledger.run()
+        served, offered = calm.outcome().ended, calm.outcome().offered
+        self.assertGreaterEqual(len(served), 0.98 * len(offered))
+        self.assertGreaterEqual(len(hot.outcome().ended), 0.99 * len(hot.outcome().began))
+
+
+class Ways(unittest.TestCase):
+    """The ways of the design note on the same arrivals."""
+
+    def test_by_time_loses_less_than_what_stood_and_uses_more_than_claims_in_full(self) -> None:
+        slow = replace(
+            HOT, kinds=(replace(SHORT, step_seconds=0.6), replace(LONG, step_seconds=0.6))
+        )
+        lost = {
+            way: sum(len(outcome.lost) for outcome in outcomes(slow, way))
+            for way in ("first come", "kept share", "by time")
+        }
+        self.assertLess(lost["kept share"], lost["first come"])
+        self.assertLessEqual(lost["by time"], 0.1 * lost["kept share"])
+        for by_time, in_full in zip(outcomes(slow), outcomes(slow, "in full"), strict=True):
+            self.assertGreater(by_time.limit_used, in_full.limit_used + 0.1)
+
+
+class LargePrograms(unittest.TestCase):
+    """A kind that needs much at once, beside one that always takes what there is."""
+
+    def served_share(self, seed: int) -> float:
+        """Return how often large programs begin, as a share of how often all do."""
+        slow = Kind(name="slow", weight=0.9, requests=10, step_seconds=0.5)
+        large = Kind(name="large", weight=0.1, requests=40, step_seconds=0.2, fan_out=10)
+        load = Load(kinds=(slow, large), hot_until=60.0, ends=70.0, seed=seed)
+        outcome = play("by time", load)
+        offered = [name for name in outcome.offered if outcome.kinds[name] == "large"]
+        began = [name for name in outcome.began if outcome.kinds[name] == "large"]
+        all_share = len(outcome.began) / len(outcome.offered)
+        return len(began) / len(offered) / all_share
+
+    def test_they_are_not_starved(self) -> None:
+        for seed in (1, 2):
+            self.assertGreater(self.served_share(seed), STARVED_SHARE)
+
+    def test_they_would_be_if_nobody_waited_for_them(self) -> None:
+        with patch.object(_TenantBook, "claims_of_passed_over", lambda book, kind, now: []):
+            self.assertTrue(any(self.served_share(seed) < STARVED_SHARE for seed in (1, 2)))
+
+
+if __name__ == "__main__":
+    unittest.main()
