--- a/benchmarks/program_admission.py
+++ b/benchmarks/program_admission.py
@@ -41,7 +41,7 @@
 from yokeline.ledger.state import LedgerCommand, LedgerState
 from yokeline.scheduling.program_admission import Admission, Claims, Supply, decide
 from yokeline.scheduling.program_sizes import ProgramSize
-from yokeline.scheduling.return_times import spread_return
+from yokeline.scheduling.return_times import return_after_limit
 
 TERM = 1
 TOLERANCE = LimitTolerance(window=5.0, overage=0.1, slack=20.0)
@@ -289,7 +289,7 @@
         is_call = program.sent % 2 == 1
         most = FIRST_TRIES if not program.sent else 1 if is_call else TRIES
         if tries < most:
-            wait = spread_return(spent.retry_after, name)
+            wait = return_after_limit(name, spent.retry_after)
             self._outcome.told.append(wait)
             self._ledger.at(self._ledger.now + wait, lambda: self._send(program, tries + 1, 0))
             return
