--- a/src/yokeline/ledger/claims.py
+++ b/src/yokeline/ledger/claims.py
@@ -225,6 +225,13 @@
         if claim is not None:
             claim.is_cut_short = True
 
+    def note_stopped(self, name: str) -> None:
+        """Give the claim of a program back that its budget stopped.
+
+        It looped, most likely, so its size says nothing of its kind.
+        """
+        self._take_out(name)
+
     def sweep(self, now: float) -> None:
         """Take the claims back of programs that have rested, and learn from them."""
         while self._claims:
--- a/src/yokeline/ledger/program_gate.py
+++ b/src/yokeline/ledger/program_gate.py
@@ -12,6 +12,7 @@
 from yokeline.effects import LogRecord
 from yokeline.ledger.claims import ClaimBook
 from yokeline.ledger.operations import (
+    BudgetSpent,
     Draw,
     Granted,
     Operation,
@@ -122,7 +123,9 @@
         if result is not None and term != self._term:
             self._take_over(state, term)
         account = state.programs.get(operation.program)
-        if isinstance(operation, Reserve) and not isinstance(result, Granted):
+        if isinstance(result, BudgetSpent):
+            self._book.note_stopped(operation.program)
+        elif isinstance(operation, Reserve) and not isinstance(result, Granted):
             self._book.drop(operation.program)
         elif result is not None and account is not None:
             self._book.follow(operation.program, account, is_complete=not self._to_follow)
--- a/tests/unit/ledger/test_program_gate.py
+++ b/tests/unit/ledger/test_program_gate.py
@@ -14,6 +14,7 @@
 from yokeline.ledger.codec import decode_command, decode_state, encode_command, encode_state
 from yokeline.ledger.messages import LedgerRequest
 from yokeline.ledger.operations import (
+    BudgetSpent,
     CachedContext,
     Draw,
     Granted,
@@ -107,6 +108,22 @@
         self.assertIsInstance(self.ask(first_turn("new0", request="sub-agent")), Granted)
         self.assertIsInstance(self.ask(first_turn("free", limit=None)), Granted)
 
+    def test_programs_that_their_budget_stopped_hold_nothing_and_teach_nothing(self) -> None:
+        """They loop: 86 of 550 requests in one second were told that their budget is spent.
+
+        Of a kind with 17 requests a program, 33 were expected, and the limit was half used:
+
+            program_not_admitted expected_requests=32.68 deviation=14.99 claims=121 claimed=1933
+        """
+        for number in range(LEAST_PROGRAMS):
+            name = f"loop{number}"
+            self.run_program(name, WIDE)
+            more = msgspec.structs.replace(first_turn(name, WIDE, f"{name}/more"), tokens=10**7)
+            self.assertIsInstance(self.ask(more), BudgetSpent)
+        self.assertEqual(self.gate.claims, 0)
+        self.now += REST_SECONDS
+        self.assertTrue(all(isinstance(item, Granted) for item in self.begin(50)))
+
     def test_a_program_on_its_way_into_the_log_is_not_new(self) -> None:
         self.learn()
         self.assertIsNone(self.gate.refusal(first_turn("a"), self.state, TERM, self.now)[0])
