Programs that can no longer end in time yield to those that can

Change: a reservation of a new program says what is left of its time; the leader learns which share of their time programs of a kind take, and lets a late one in only if none that could end in time was refused in the last second. Ruled out: places in a queue for returning callers (all end late then).

--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -29,6 +29,7 @@
         missing_from=missing_from,
         limit=exchange.limit,
         kind=exchange.route.name if exchange.limit is not None else "",
+        left=call.finish if exchange.limit is not None and not exchange.begun else None,
     )
 
 
--- a/src/yokeline/ledger/claims.py
+++ b/src/yokeline/ledger/claims.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, OrderedDict
 
 import msgspec
 
 from yokeline.ledger.state import Program
 from yokeline.scheduling.program_admission import Admission, Claims, Supply, claims_of, decide
+from yokeline.scheduling.program_lateness import TimeShare
 from yokeline.scheduling.program_sizes import ProgramSize, SizeEstimate
 
 REST_SECONDS = 2.0
@@ -28,6 +30,14 @@
 RECHECK_SECONDS = 0.05
 """Time for which a refusal holds for all programs of its kind: it bounds what a tenant far beyond
 its limit costs the leader."""
+LATE_YIELDS_SECONDS = 1.0
+"""Time after the refusal of a program that could end in time, in which those that cannot are not
+let in: a caller that is told to return does so within about that time."""
+LATE_RETURN_SECONDS = 0.5
+"""Least time after which a program that cannot end in time is to come back."""
+MAX_GIVEN = 65_536
+"""Refused programs of which it is remembered how much time they were given; the oldest gives
+way."""
 MAX_CLAIMS = 65_536
 """Claims that are held; the one that rested longest gives way."""
 MAX_TENANTS = 4096
@@ -43,6 +53,7 @@
         used: Requests that it has sent.
         is_cut_short: A request of it was refused since, so its size says nothing of its kind.
         is_learned: It has rested once, and its size was learned then.
+        given: Seconds that its caller gave it when it first asked; 0 if not known.
     """
 
     tenant: str
@@ -53,6 +64,20 @@
     is_under_way: bool
     is_cut_short: bool = False
     is_learned: bool = False
+    given: float = 0.0
+
+
+class AskingProgram(msgspec.Struct, frozen=True, kw_only=True):
+    """A program that asks to begin.
+
+    Attributes:
+        left: Seconds that it has left until it should be over; None if that is not said.
+    """
+
+    name: str
+    tenant: str
+    kind: str
+    left: float | None = None
 
 
 class _PassedOver(msgspec.Struct):
@@ -79,6 +104,9 @@
         self.held: Counter[tuple[str, int]] = Counter()
         """Claims by kind and requests sent: equal ones are decided on together."""
         self.passed_over: dict[str, _PassedOver] = {}
+        self.time_shares: dict[str, TimeShare] = {}
+        self.refused_in_time_at = -math.inf
+        """When a program that could end in time was refused last."""
 
     def size(self, kind: str) -> ProgramSize | None:
         estimate = self.sizes.get(kind)
@@ -88,8 +116,11 @@
         estimate = self.sizes.setdefault(claim.kind, SizeEstimate())
         self.sizes.move_to_end(claim.kind)
         estimate.observe(claim.used, claim.active_at - claim.began_at)
+        share = self.time_shares.setdefault(claim.kind, TimeShare())
+        share.observe(claim.active_at - claim.began_at, claim.given)
         if len(self.sizes) > MAX_KINDS:
-            self.sizes.popitem(last=False)
+            oldest, _ = self.sizes.popitem(last=False)
+            self.time_shares.pop(oldest, None)
 
     def add(self, claim: _Claim) -> None:
         self.held[claim.kind, claim.used] += 1
@@ -147,6 +178,30 @@
         )
 
 
+def _decide_in_time(
+    book: _TenantBook, kind: str, supply: Supply, size: ProgramSize, now: float
+) -> Admission:
+    recent = book.recent_refusal(kind, now)
+    if recent is not None:
+        return recent
+    claims = [*book.claims(), *book.claims_of_passed_over(kind, now)]
+    decided = decide(supply, claims, size)
+    book.note_decision(kind, now, decided)
+    return decided
+
+
+def _decide_late(
+    book: _TenantBook, asking: AskingProgram, supply: Supply, size: ProgramSize, now: float
+) -> Admission:
+    """Decide on a program that cannot end in time; it takes no turn of one that can."""
+    decided = decide(supply, [*book.claims(), *book.claims_of_passed_over("", now)], size)
+    yields = now - book.refused_in_time_at < LATE_YIELDS_SECONDS
+    if decided.is_let_in and not yields:
+        return decided
+    retry_after = max(LATE_RETURN_SECONDS, decided.retry_after)
+    return msgspec.structs.replace(decided, is_let_in=False, retry_after=retry_after, is_late=True)
+
+
 class ClaimBook:
     """Follows the programs of tenants with limits, and decides on new ones."""
 
@@ -157,6 +212,8 @@
         """By program, the one that rests longest first."""
         self._left_open: OrderedDict[str, _Claim] = OrderedDict()
         """Those among them that rest with a turn under way."""
+        self._given: OrderedDict[str, float] = OrderedDict()
+        """Seconds that programs were given when they first asked, of those that were refused."""
 
     def __len__(self) -> int:
         """Return the number of claims."""
@@ -167,25 +224,44 @@
         book = self._tenants.get(tenant)
         return book.size(kind) if book is not None else None
 
-    def decide(self, tenant: str, kind: str, supply: Supply, now: float) -> Admission | None:
+    def decide(self, asking: AskingProgram, supply: Supply, now: float) -> Admission | None:
         """Decide whether a program may begin; None while the size of its kind is not known."""
         self.sweep(now)
-        size = self.size_of(tenant, kind)
+        size = self.size_of(asking.tenant, asking.kind)
         if size is None:
             return None
-        book = self._tenants[tenant]
-        recent = book.recent_refusal(kind, now)
-        if recent is not None:
-            return recent
-        claims = [*book.claims(), *book.claims_of_passed_over(kind, now)]
-        decided = decide(supply, claims, size)
-        book.note_decision(kind, now, decided)
+        book = self._tenants[asking.tenant]
+        if self._is_late(asking):
+            return _decide_late(book, asking, supply, size, now)
+        decided = _decide_in_time(book, asking.kind, supply, size, now)
+        if not decided.is_let_in:
+            book.refused_in_time_at = now
+            self._note_given(asking)
         return decided
 
-    def expect(self, name: str, tenant: str, kind: str, now: float) -> None:
+    def _is_late(self, asking: AskingProgram) -> bool:
+        """Return whether a program that was refused before has lost too much time since."""
+        given = self._given.get(asking.name)
+        share = self._tenants[asking.tenant].time_shares.get(asking.kind)
+        if given is None or share is None or asking.left is None:
+            return False
+        return share.is_late(asking.left, given)
+
+    def _note_given(self, asking: AskingProgram) -> None:
+        """Remember how much time a refused program was given when it first asked."""
+        if asking.left is None or asking.name in self._given:
+            return
+        self._given[asking.name] = asking.left
+        if len(self._given) > MAX_GIVEN:
+            self._given.popitem(last=False)
+
+    def expect(self, asking: AskingProgram, now: float) -> None:
         """Hold a claim for a program that may begin, until its first turn is in the log."""
-        if not self.knows(name):
-            self._put(name, _Claim(tenant, kind, 0, now, now, is_under_way=True))
+        if self.knows(asking.name):
+            return
+        given = self._given.pop(asking.name, asking.left or 0.0)
+        claim = _Claim(asking.tenant, asking.kind, 0, now, now, is_under_way=True, given=given)
+        self._put(asking.name, claim)
 
     def drop(self, name: str) -> None:
         """Give the claim of a program back whose first turn is not in the log after all."""
@@ -216,6 +292,7 @@
             is_under_way=bool(account.reserved),
             is_cut_short=known is not None and known.is_cut_short and not goes_on,
             is_learned=is_back or (known is not None and known.is_learned),
+            given=known.given if known is not None else 0.0,
         )
         self._put(name, claim)
 
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -46,6 +46,7 @@
             has them all.
         limit: The limit that the turn counts against, as one request; None for none.
         kind: Which programs are alike (the route's name); empty if the asker names none.
+        left: Seconds that the program has left until it should be over; None if that is not said.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     missing_from: str = ""
     limit: RateLimit | None = None
     kind: str = ""
+    left: float | None = None
 
 
 class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/ledger/program_gate.py
+++ b/src/yokeline/ledger/program_gate.py
@@ -10,7 +10,7 @@
 from collections import Counter, deque
 
 from yokeline.effects import LogRecord
-from yokeline.ledger.claims import ClaimBook
+from yokeline.ledger.claims import AskingProgram, ClaimBook
 from yokeline.ledger.operations import (
     BudgetSpent,
     Draw,
@@ -96,8 +96,11 @@
         tenant, kind = operation.limit.tenant, operation.kind
         supply = state.quotas.outlook(operation.limit, passed)
         decided = None
+        asking = AskingProgram(
+            name=operation.program, tenant=tenant, kind=kind, left=operation.left
+        )
         if operation.program and self._knows_claims(term):
-            decided = self._book.decide(tenant, kind, supply, passed)
+            decided = self._book.decide(asking, supply, passed)
         if decided is not None and not decided.is_let_in:
             self.refused[BY_CLAIMS] += 1
             wait = max(decided.retry_after, spent.retry_after if spent is not None else 0.0)
@@ -106,7 +109,7 @@
         if spent is not None:
             self.refused[BY_KEPT_SHARE] += 1
         elif operation.program:
-            self._book.expect(operation.program, tenant, kind, passed)
+            self._book.expect(asking, passed)
         return spent, []
 
     def note_result(
@@ -184,6 +187,7 @@
             "claims": decided.programs,
             "claimed": round(decided.claimed, 1),
             "margin": round(decided.margin, 1),
+            "is_late": decided.is_late,
             "retry_after": round(wait, 3),
         }
         return LogRecord(event="program_not_admitted", fields=fields)
--- a/src/yokeline/scheduling/program_admission.py
+++ b/src/yokeline/scheduling/program_admission.py
@@ -62,6 +62,7 @@
         programs: Programs that hold claims.
         claimed: Requests that they are expected to ask for.
         margin: Requests by which that may be too few.
+        is_late: It could not end in time, and leaves what there is to those that can.
     """
 
     is_let_in: bool
@@ -69,6 +70,7 @@
     programs: int
     claimed: float
     margin: float
+    is_late: bool = False
 
 
 def claims_of(size: ProgramSize, used: int, count: int) -> Claims | None:
--- a/tests/unit/ledger/test_claims.py
+++ b/tests/unit/ledger/test_claims.py
@@ -5,11 +5,13 @@
 
 from yokeline.ledger import claims as claims_module
 from yokeline.ledger.claims import (
+    LATE_YIELDS_SECONDS,
     LONGEST_TURN_SECONDS,
     PASSED_OVER_SECONDS,
     RECHECK_SECONDS,
     REST_SECONDS,
     RETURN_SECONDS,
+    AskingProgram,
     ClaimBook,
 )
 from yokeline.ledger.state import Program
@@ -21,6 +23,10 @@
 LITTLE = Supply(level=2.0, rate=1.0)
 
 
+def asking(name: str, kind: str = "k", left: float | None = None) -> AskingProgram:
+    return AskingProgram(name=name, tenant=TENANT, kind=kind, left=left)
+
+
 def account(
     requests: int, began: float, active: float, *, kind: str = "k", is_under_way: bool = False
 ) -> Program:
@@ -51,7 +57,7 @@
         self.book.follow(name, program, is_complete=is_complete)
 
     def decide(self, supply: Supply, kind: str = "k") -> Admission | None:
-        return self.book.decide(TENANT, kind, supply, self.now)
+        return self.book.decide(asking("new", kind), supply, self.now)
 
     def expected(self, kind: str = "k") -> float:
         size = self.book.size_of(TENANT, kind)
@@ -125,12 +131,12 @@
             decided = self.decide(Supply(level=35.0, rate=0.01))
             assert decided is not None
             if decided.is_let_in:
-                self.book.expect(f"p{number}", TENANT, "k", self.now)
+                self.book.expect(asking(f"p{number}"), self.now)
                 admitted += 1
         self.assertEqual(admitted, 3)
 
     def test_that_claim_goes_if_the_turn_does_not_get_there(self) -> None:
-        self.book.expect("p", TENANT, "k", 0.0)
+        self.book.expect(asking("p"), 0.0)
         self.book.drop("p")
         self.assertEqual(len(self.book), 0)
         self.follow("q", account(1, 0.0, 0.0))
@@ -218,3 +224,111 @@
         self.now += REST_SECONDS
         decided = [self.decide(supply, kind) for kind in ("one", "two")]
         self.assertTrue(any(item is not None and item.is_let_in for item in decided))
+
+
+class Late(Books):
+    """Programs that are refused and come back leave the limit to those that can end in time."""
+
+    given = 4.0
+
+    def learn_times(self, seconds: float) -> None:
+        """Let programs that were given four seconds run, and rest."""
+        for number in range(LEAST_PROGRAMS):
+            name = f"t{number}"
+            self.book.expect(asking(name, left=self.given), self.now)
+            self.follow(name, account(10, self.now, self.now + seconds))
+        self.now += seconds + REST_SECONDS
+        self.book.sweep(self.now)
+
+    def ask(self, name: str, left: float, supply: Supply) -> Admission:
+        decided = self.book.decide(asking(name, left=left), supply, self.now)
+        assert decided is not None
+        return decided
+
+    def hold(self) -> None:
+        """Let a program claim what the bucket holds."""
+        self.follow("held", account(1, self.now, self.now, is_under_way=True))
+
+    def test_one_that_came_back_too_late_leaves_what_there_is_to_others(self) -> None:
+        self.learn_times(3.0)
+        self.hold()
+        self.assertFalse(self.ask("late", self.given, LITTLE).is_let_in)
+        self.now += 2 * RECHECK_SECONDS
+        late = self.ask("late", 2.0, FULL)
+        self.assertTrue(late.is_late)
+        self.assertFalse(late.is_let_in)
+        self.assertTrue(self.ask("fresh", self.given, FULL).is_let_in)
+
+    def test_one_that_can_still_end_in_time_is_like_a_new_one(self) -> None:
+        self.learn_times(2.0)
+        self.hold()
+        self.ask("p", self.given, LITTLE)
+        self.now += 2 * RECHECK_SECONDS
+        self.assertTrue(self.ask("p", 2.5, FULL).is_let_in)
+
+    def test_it_is_let_in_once_nobody_else_is_refused(self) -> None:
+        self.learn_times(3.0)
+        self.hold()
+        self.ask("late", self.given, LITTLE)
+        self.now += LATE_YIELDS_SECONDS
+        self.assertTrue(self.ask("late", 2.0, FULL).is_let_in)
+
+    def test_without_word_of_their_time_all_are_alike(self) -> None:
+        self.learn(10)
+        self.hold()
+        self.ask("p", self.given, LITTLE)
+        self.now += 2 * RECHECK_SECONDS
+        self.assertTrue(self.ask("p", 0.1, FULL).is_let_in)
+
+    def test_a_tenant_at_twice_its_limit_ends_its_programs_in_time(self) -> None:
+        """Each refused program comes back five times; with the rule few are let in late."""
+        in_time, let_in = self.replay(knows_time=True)
+        before, let_in_before = self.replay(knows_time=False)
+        self.assertGreater(in_time, 0.95 * let_in)
+        self.assertGreater(in_time, 1.2 * before)
+        self.assertGreater(let_in, 0.95 * let_in_before)
+
+    def replay(self, *, knows_time: bool) -> tuple[int, int]:
+        """Return how many programs of ten requests began in time, and at all, in 40 s."""
+        self.book, self.now = ClaimBook(), 0.0
+        self.learn_times(3.0)
+        rate, level, began = 20.0, 0.0, self.now
+        returning: list[tuple[float, int, str, float]] = []
+        """When a program asks, for which time, its name, and when it asked first."""
+        running: list[tuple[float, str, int, float]] = []
+        """When a program asks next, its name, its requests so far, and when it began."""
+        in_time = let_in = number = 0
+        while self.now < began + 40.0:
+            self.now += 0.05
+            level = min(rate, level + rate * 0.05)
+            for item in [item for item in running if item[0] <= self.now]:
+                running.remove(item)
+                _, name, used, begin = item
+                level -= 1.0
+                self.follow(name, account(used + 1, begin, self.now, is_under_way=used < 9))
+                if used < 9:
+                    running.append((self.now + 0.3, name, used + 1, begin))
+            if number * 0.25 < self.now - began:
+                number += 1
+                returning.append((self.now, 1, f"n{number}", self.now))
+            for asked in [item for item in returning if item[0] <= self.now]:
+                returning.remove(asked)
+                _, tries, name, first = asked
+                left = self.given - (self.now - first)
+                told = left if knows_time else None
+                supply = Supply(level=max(0.0, level), rate=rate)
+                decided = self.book.decide(asking(name, left=told), supply, self.now)
+                assert decided is not None
+                if decided.is_let_in:
+                    self.book.expect(asking(name, left=told), self.now)
+                    running.append((self.now, name, 0, self.now))
+                    let_in += 1
+                    in_time += left >= 2.7
+                elif tries < 6:
+                    wait = 0.25 + min(1.0, decided.retry_after)
+                    returning.append((self.now + wait, tries + 1, name, first))
+        return in_time, let_in
+
+
+if __name__ == "__main__":
+    unittest.main()
