Count no connection as idle that broke or was cancelled

Cause: every request that left its engine left an idle connection in the book, also one whose connection had just been closed; the next choice counted on it. Change: only a connection whose request ended by itself waits for the next one.

--- a/src/yokeline/forwarding/engine_sends.py
+++ b/src/yokeline/forwarding/engine_sends.py
@@ -52,21 +52,27 @@
         )
 
     def leave(
-        self, exchange: Exchange, *, failed: bool = False, pace: ObservedPace = NO_PACE
+        self,
+        exchange: Exchange,
+        *,
+        failed: bool = False,
+        cancelled: bool = False,
+        pace: ObservedPace = NO_PACE,
     ) -> None:
         """Note that a request is no longer at its engine, and how the engine served it."""
         if exchange.request is not None:
             self._state.by_request.pop(exchange.request, None)
             exchange.request = None
         if exchange.engine is not None:
-            self._state.engines.note_left(exchange.engine, self._state.now)
+            is_kept = not (failed or cancelled)
+            self._state.engines.note_left(exchange.engine, self._state.now, is_kept=is_kept)
             self._settlements.tell_of_end(exchange, exchange.engine, failed=failed, pace=pace)
 
     def cancel(self, exchange: Exchange, *, failed: bool = False) -> None:
         """Take a request back from its engine."""
         if exchange.request is not None:
             self._state.outcomes.effects.append(HttpCancel(exchange.request))
-        self.leave(exchange, failed=failed)
+        self.leave(exchange, failed=failed, cancelled=True)
 
     def _log_choice(self, exchange: Exchange, choice: Choice) -> None:
         self._state.outcomes.log(
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -166,14 +166,19 @@
         state.idle_connections = max(0, state.idle_connections - 1)
         self.own_changes += 1
 
-    def note_left(self, state: EngineState, now: float) -> None:
-        """Count a request of this node that is no longer at its engine."""
+    def note_left(self, state: EngineState, now: float, *, is_kept: bool = True) -> None:
+        """Count a request of this node that is no longer at its engine.
+
+        Its connection waits for the next one if it ``is_kept``.
+        """
         state.running = max(0, state.running - 1)
+        self.own_changes += 1
+        if not is_kept:
+            return
         if not state.has_idle_connection(now):
             state.idle_connections = 0
         state.idle_connections += 1
         state.left_at = now
-        self.own_changes += 1
 
     def set_nodes(self, zone: str, nodes: Sequence[Placed]) -> None:
         """Note this node's zone, and the nodes that share the engines with it."""
--- a/src/yokeline/scheduling/engine_profiles.py
+++ b/src/yokeline/scheduling/engine_profiles.py
@@ -104,13 +104,11 @@
 
     Attributes:
         failed: Share of its latest requests that failed.
-        observed_at: Time of the latest turn or request; ``-inf`` before the first.
     """
 
     def __init__(self) -> None:
         """Know nothing yet."""
         self.failed = FadingAverage(0.0, FAULT_WEIGHT, FAULT_FADE_SECONDS)
-        self.observed_at = -math.inf
         self._samples: list[float] = []
         self._sample_began = -math.inf
         self._paced_at = -math.inf
@@ -121,11 +119,9 @@
     def note_outcome(self, now: float, *, failed: bool) -> None:
         """Take the end of a request into the share of failures."""
         self.failed.observe(float(failed), now)
-        self.observed_at = now
 
     def note_pace(self, seconds: float, now: float) -> None:
         """Take the time between a turn's events in, as it would be if the turn ran alone."""
-        self.observed_at = now
         self._paced_at = now
         self._add_to_samples(seconds, now)
         self._lasting = statistics.median(self._samples)
--- a/tests/unit/forwarding/test_preferences.py
+++ b/tests/unit/forwarding/test_preferences.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from tests.unit.forwarding.support import Played
 from yokeline.effects import Address
 from yokeline.forwarding.choice import ChoiceInputs, choose
 from yokeline.forwarding.engines import KEPT_SECONDS, EngineBook
@@ -61,6 +62,22 @@
         self.assertTrue(used.has_idle_connection(KEPT_SECONDS))
         self.assertFalse(used.has_idle_connection(KEPT_SECONDS + 0.1))
 
+    def test_a_connection_that_broke_is_not_counted_on(self) -> None:
+        played = Played()
+        played.request("/look/x")
+        first = played.engines.get(played.engine_of())
+        assert first is not None
+        played.engine_breaks()
+        self.assertFalse(first.has_idle_connection(played.now))
+
+    def test_the_connection_of_an_answered_request_is(self) -> None:
+        played = Played()
+        played.request("/look/x")
+        first = played.engines.get(played.engine_of())
+        assert first is not None
+        played.engine_answers()
+        self.assertTrue(first.has_idle_connection(played.now))
+
     def test_a_request_takes_the_idle_connection(self) -> None:
         engines = shared_book()
         used = next(iter(engines.all()))
