Let the test of a broken connection fail without its change

Its request may be repeated, so it went back to the engine and took the wrongly counted connection away again. Change: a request that may not be repeated.

--- a/tests/unit/forwarding/test_preferences.py
+++ b/tests/unit/forwarding/test_preferences.py
@@ -64,7 +64,7 @@
 
     def test_a_connection_that_broke_is_not_counted_on(self) -> None:
         played = Played()
-        played.request("/look/x")
+        played.request("/fix/x")
         first = played.engines.get(played.engine_of())
         assert first is not None
         played.engine_breaks()
