--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -163,6 +163,7 @@
     end = time.monotonic() + seconds
 
     def run(injector: Injector) -> None:
+        injector.begin()
         while time.monotonic() < end:
             injector.inject()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -114,6 +114,10 @@
         self._deployment = shared.deployment
         self._random = random.Random(seed)
 
+    def begin(self) -> None:
+        """Let an engine start again, so that each run has that; callers are served meanwhile."""
+        self._start_engine_again(self._random.uniform(0.2, 2.0))
+
     def inject(self) -> None:
         """Bring a fault about, wait, and take it back."""
         kinds: tuple[Callable[[float], bool], ...] = (
