--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -122,7 +122,7 @@
         if self._state.shares.leaves_place(exchange, self._state.now):
             return None
         placement = self._state.placement
-        is_new_program = placement.is_new_program(exchange)
+        is_new_program = exchange.begins_program
         if full.has_no_room(exchange, is_new_program=is_new_program):
             return None
         choice = placement.choose(exchange, self._state.pool_of(exchange), self._state.now)
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -64,10 +64,6 @@
             choice = self._choose(exchange, pool, now)
         return choice
 
-    def is_new_program(self, exchange: Exchange) -> bool:
-        """Return whether a request is the first turn of a program, which gets fewer places."""
-        return bool(exchange.call.program) and not exchange.begun and not exchange.events
-
     def is_hopeless(self, exchange: Exchange, now: float) -> bool:
         """Return whether a request cannot end before it is due; its work would be wasted."""
         left = exchange.due - now
@@ -150,8 +146,7 @@
 
     def _note_begin(self, exchange: Exchange, now: float) -> None:
         """Note whether a place went to a program that begins, and follow that program."""
-        is_streaming = exchange.route.kind is RouteKind.STREAMING
-        begins = is_streaming and self.is_new_program(exchange)
+        begins = exchange.begins_program
         share = self._begin_shares.get(exchange.pool, START_BEGIN_SHARE)
         self._begin_shares[exchange.pool] = share + BEGIN_WEIGHT * (float(begins) - share)
         given = exchange.call.finish
@@ -180,7 +175,7 @@
             excluded=frozenset(tried),
             affine=affine,
             context=exchange.context,
-            is_new_program=self.is_new_program(exchange),
+            is_new_program=exchange.begins_program,
             model=self._model(exchange.pool) if pool.model is not None else None,
             may_fail=exchange.route.kind is RouteKind.STREAMING or exchange.route.may_repeat,
         )
--- a/src/yokeline/forwarding/room_weighing.py
+++ b/src/yokeline/forwarding/room_weighing.py
@@ -122,7 +122,7 @@
         return decision.refusal
 
     def _room_for(self, exchange: Exchange, view: RoomView, ahead: int, waiting: int) -> PoolRoom:
-        is_first = _is_first_turn(exchange)
+        is_first = exchange.begins_program
         room = view.room(ahead, waiting, is_first=is_first)
         if not is_first:
             return room
@@ -147,7 +147,7 @@
 
     def _learn(self, exchange: Exchange, wait: RoomWait, *, got_place: bool) -> None:
         """Learn how far the expected waits of first turns can be trusted."""
-        if _is_first_turn(exchange):
+        if exchange.begins_program:
             waited = self._state.now - exchange.waiting_since
             self._errors.note(exchange.pool, wait.first_expected, waited, got_place=got_place)
 
@@ -157,10 +157,5 @@
     return exchange.begun or is_later_request(exchange.route, exchange.call)
 
 
-def _is_first_turn(exchange: Exchange) -> bool:
-    """Return whether a request begins a program, so that begun ones go before it."""
-    return bool(exchange.call.program) and not has_begun(exchange)
-
-
 def _rounded(seconds: float | None) -> float | None:
     return round(seconds, 4) if seconds is not None else None
