A tenant goes by all tenants' programs of a route until enough of its own have ended

Ruled out: fewer than five programs for a size (one that loops would set it). Before: test_a_tenant_goes_by_all_tenants_programs_until_enough_of_its_own_have_ended failed (no size).

--- a/src/yokeline/ledger/claims.py
+++ b/src/yokeline/ledger/claims.py
@@ -44,6 +44,8 @@
 """Tenants whose sizes are remembered beyond those that hold claims; the oldest gives way."""
 MAX_KINDS = 64
 """Kinds of programs of a tenant; the oldest gives way."""
+MAX_KINDS_OF_ALL = 1024
+"""The same of all tenants together."""
 
 
 class _Claim(msgspec.Struct):
@@ -96,11 +98,38 @@
     until: float
 
 
+class _KindSizes:
+    """Sizes by kind of program, bounded."""
+
+    def __init__(self, bound: int) -> None:
+        self._bound = bound
+        self._sizes: OrderedDict[str, SizeEstimate] = OrderedDict()
+
+    def size(self, kind: str) -> ProgramSize | None:
+        estimate = self._sizes.get(kind)
+        return estimate.size if estimate is not None else None
+
+    def __len__(self) -> int:
+        return len(self._sizes)
+
+    def learn(self, claim: _Claim) -> None:
+        estimate = self._sizes.setdefault(claim.kind, SizeEstimate())
+        self._sizes.move_to_end(claim.kind)
+        estimate.observe(claim.used, claim.active_at - claim.began_at)
+        if len(self._sizes) > self._bound:
+            self._sizes.popitem(last=False)
+
+
 class _TenantBook:
-    """Sizes and claims of one tenant."""
+    """Sizes and claims of one tenant.
 
-    def __init__(self) -> None:
-        self.sizes: OrderedDict[str, SizeEstimate] = OrderedDict()
+    Until enough programs of a kind have ended, the sizes of all tenants' programs of it count: a
+    small tenant begins few of each kind in the time for which accounts are kept.
+    """
+
+    def __init__(self, of_all: _KindSizes) -> None:
+        self._of_all = of_all
+        self.sizes = _KindSizes(MAX_KINDS)
         self.held: Counter[tuple[str, int]] = Counter()
         """Claims by kind and requests sent: equal ones are decided on together."""
         self.passed_over: dict[str, _PassedOver] = {}
@@ -109,18 +138,16 @@
         """When a program that could end in time was refused last."""
 
     def size(self, kind: str) -> ProgramSize | None:
-        estimate = self.sizes.get(kind)
-        return estimate.size if estimate is not None else None
+        return self.sizes.size(kind) or self._of_all.size(kind)
 
     def learn(self, claim: _Claim) -> None:
-        estimate = self.sizes.setdefault(claim.kind, SizeEstimate())
-        self.sizes.move_to_end(claim.kind)
-        estimate.observe(claim.used, claim.active_at - claim.began_at)
-        share = self.time_shares.setdefault(claim.kind, TimeShare())
+        self.sizes.learn(claim)
+        self._of_all.learn(claim)
+        share = self.time_shares.pop(claim.kind, None) or TimeShare()
         share.observe(claim.active_at - claim.began_at, claim.given)
-        if len(self.sizes) > MAX_KINDS:
-            oldest, _ = self.sizes.popitem(last=False)
-            self.time_shares.pop(oldest, None)
+        self.time_shares[claim.kind] = share
+        if len(self.time_shares) > MAX_KINDS:
+            del self.time_shares[next(iter(self.time_shares))]
 
     def add(self, claim: _Claim) -> None:
         self.held[claim.kind, claim.used] += 1
@@ -207,6 +234,7 @@
 
     def __init__(self) -> None:
         """Hold no claims."""
+        self._sizes_of_all = _KindSizes(MAX_KINDS_OF_ALL)
         self._tenants: OrderedDict[str, _TenantBook] = OrderedDict()
         self._claims: OrderedDict[str, _Claim] = OrderedDict()
         """By program, the one that rests longest first."""
@@ -222,7 +250,7 @@
     def size_of(self, tenant: str, kind: str) -> ProgramSize | None:
         """Return the size of a kind of program; None until it is known."""
         book = self._tenants.get(tenant)
-        return book.size(kind) if book is not None else None
+        return book.size(kind) if book is not None else self._sizes_of_all.size(kind)
 
     def decide(self, asking: AskingProgram, supply: Supply, now: float) -> Admission | None:
         """Decide whether a program may begin; None while the size of its kind is not known."""
@@ -230,7 +258,7 @@
         size = self.size_of(asking.tenant, asking.kind)
         if size is None:
             return None
-        book = self._tenants[asking.tenant]
+        book = self._book_of(asking.tenant)
         if self._is_late(asking):
             return _decide_late(book, asking, supply, size, now)
         decided = _decide_in_time(book, asking.kind, supply, size, now)
@@ -335,14 +363,18 @@
         return name in self._claims or name in self._left_open
 
     def _put(self, name: str, claim: _Claim) -> None:
-        book = self._tenants.setdefault(claim.tenant, _TenantBook())
-        self._tenants.move_to_end(claim.tenant)
-        book.add(claim)
+        self._book_of(claim.tenant).add(claim)
         self._claims[name] = claim
         if len(self) > MAX_CLAIMS:
             self._take_out(next(iter(self._left_open or self._claims)))
+
+    def _book_of(self, tenant: str) -> _TenantBook:
+        """Return the book of a tenant, which was seen now."""
+        book = self._tenants.pop(tenant, None) or _TenantBook(self._sizes_of_all)
+        self._tenants[tenant] = book
         if len(self._tenants) > MAX_TENANTS:
             self._forget_tenant()
+        return book
 
     def _take_out(self, name: str) -> _Claim | None:
         claim = self._claims.pop(name, None) or self._left_open.pop(name, None)
--- a/tests/unit/ledger/test_claims.py
+++ b/tests/unit/ledger/test_claims.py
@@ -74,7 +74,22 @@
         self.learn(4, "short")
         self.learn(20, "long")
         self.assertEqual((self.expected("short"), self.expected("long")), (4.0, 20.0))
+
+    def test_a_tenant_goes_by_all_tenants_programs_until_enough_of_its_own_have_ended(self) -> None:
+        self.learn(20, "long")
         self.assertIsNone(self.book.size_of("other", "short"))
+        first = self.book.size_of("other", "long")
+        assert first is not None
+        self.assertEqual(first.requests, 20.0)
+        for number in range(LEAST_PROGRAMS):
+            own = account(4, self.now, self.now + 2.0, kind="long")
+            own.tenant = "other"
+            self.follow(f"other{number}", own)
+        self.now += 2.0 + REST_SECONDS
+        self.book.sweep(self.now)
+        learned = self.book.size_of("other", "long")
+        assert learned is not None
+        self.assertEqual(learned.requests, 4.0)
 
     def test_a_program_that_was_refused_on_its_way_says_nothing_of_its_kind(self) -> None:
         self.learn(10)
@@ -148,7 +163,9 @@
             patch.object(claims_module, "MAX_CLAIMS", 10),
             patch.object(claims_module, "MAX_TENANTS", 5),
             patch.object(claims_module, "MAX_KINDS", 3),
+            patch.object(claims_module, "MAX_KINDS_OF_ALL", 7),
         ):
+            self.book = ClaimBook()
             for number in range(100):
                 program = account(1, 0.0, 0.0, kind=f"k{number}")
                 program.tenant = f"t{number}"
@@ -160,6 +177,8 @@
                 self.book.sweep(200.0 + number)
         self.assertLessEqual(len(self.book._tenants), 5 + 10)
         self.assertLessEqual(len(self.book._tenants[TENANT].sizes), 3)
+        self.assertLessEqual(len(self.book._tenants[TENANT].time_shares), 3)
+        self.assertLessEqual(len(self.book._sizes_of_all), 7)
 
 
 class Refusing(Books):
