A program gives its claim back after a rest that its kind's pauses tell, and first sizes settle sooner

Change: the rest is six mean pauses of the kind, .5 to 2 s; the first forty programs of a kind count alike. Ruled out: .8 s for all (kinds with slow pauses give their claims back in their midst).

--- a/src/yokeline/ledger/claims.py
+++ b/src/yokeline/ledger/claims.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import Counter, OrderedDict
+from itertools import islice
 
 import msgspec
 
@@ -18,8 +19,16 @@
 from yokeline.scheduling.program_sizes import ProgramSize, SizeEstimate
 
 REST_SECONDS = 2.0
-"""Rest without a turn under way after which a program gives its claim back: longer than the calls
-of tools between two turns. One that goes on after all claims again."""
+"""Longest rest without a turn under way before a program gives its claim back; so long it is while
+the size of its kind is not known. One that goes on after all claims again."""
+LEAST_REST_SECONDS = 0.5
+REST_PAUSES = 6.0
+"""The rest as a multiple of the mean pause between two requests of its kind: a program that has
+ended is not to keep others out for longer than it takes to be sure."""
+SWEEP_SECONDS = 0.05
+"""Pause between two looks for programs that rest."""
+SWEPT_AT_ONCE = 500
+"""Claims looked at in one turn of the loop (under 1 ms), those that rest longest first."""
 LONGEST_TURN_SECONDS = 10.0
 """The same with a turn under way: a node that is gone ends none of its turns."""
 PASSED_OVER_SECONDS = 2.0
@@ -235,6 +244,7 @@
     def __init__(self) -> None:
         """Hold no claims."""
         self._sizes_of_all = _KindSizes(MAX_KINDS_OF_ALL)
+        self._next_sweep = -math.inf
         self._tenants: OrderedDict[str, _TenantBook] = OrderedDict()
         self._claims: OrderedDict[str, _Claim] = OrderedDict()
         """By program, the one that rests longest first."""
@@ -339,10 +349,14 @@
 
     def sweep(self, now: float) -> None:
         """Take the claims back of programs that have rested, and learn from them."""
-        while self._claims:
-            name, claim = next(iter(self._claims.items()))
-            if claim.active_at + REST_SECONDS > now:
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + SWEEP_SECONDS
+        for name, claim in list(islice(self._claims.items(), SWEPT_AT_ONCE)):
+            if claim.active_at + LEAST_REST_SECONDS > now:
                 break
+            if claim.active_at + self._rest_of(claim) > now:
+                continue
             if claim.is_under_way:
                 self._left_open[name] = self._claims.pop(name)
             else:
@@ -353,6 +367,14 @@
                 break
             self._end(name)
 
+    def _rest_of(self, claim: _Claim) -> float:
+        """Return for how many seconds a program rests before it counts as ended."""
+        size = self.size_of(claim.tenant, claim.kind)
+        if size is None or claim.is_under_way:
+            return REST_SECONDS
+        rest = REST_PAUSES / size.pace
+        return min(REST_SECONDS, max(LEAST_REST_SECONDS, rest))
+
     def _end(self, name: str) -> None:
         claim = self._take_out(name)
         if claim is not None and claim.used and not claim.is_cut_short and not claim.is_learned:
--- a/src/yokeline/scheduling/program_sizes.py
+++ b/src/yokeline/scheduling/program_sizes.py
@@ -15,7 +15,8 @@
 """Programs that must have ended before a size is known: of five the median is that of whole
 programs even if two of them looped."""
 REMEMBERED_PROGRAMS = 40
-"""Programs after which an earlier one counts for a third of what it did."""
+"""Programs after which an earlier one counts for a third of what it did; until there are so many,
+all count alike, so that the first few do not decide for long."""
 MOST_COUNTED = 4.0
 """A program counts for no more than this multiple of the usual one."""
 LEAST_SECONDS = 0.05
@@ -58,6 +59,7 @@
 
     def __init__(self) -> None:
         """Know nothing."""
+        self._ended = 0
         self._first: list[_Sample] = []
         self._size: ProgramSize | None = None
 
@@ -74,8 +76,10 @@
             seconds: From its first request to its last activity.
         """
         sample = _Sample(float(requests), max(LEAST_SECONDS, seconds))
+        self._ended += 1
         if self._size is not None:
-            self._size = _moved(self._size, sample)
+            weight = 1.0 / min(self._ended, REMEMBERED_PROGRAMS)
+            self._size = _moved(self._size, sample, weight)
             return
         self._first.append(sample)
         if len(self._first) >= LEAST_PROGRAMS:
@@ -96,9 +100,8 @@
     )
 
 
-def _moved(size: ProgramSize, sample: _Sample) -> ProgramSize:
-    """Return a size after one more program."""
-    weight = 1.0 / REMEMBERED_PROGRAMS
+def _moved(size: ProgramSize, sample: _Sample, weight: float) -> ProgramSize:
+    """Return a size after one more program, which counts for ``weight``."""
     requests = min(sample.requests, size.most_requests)
     seconds = min(sample.seconds, MOST_COUNTED * size.seconds)
     off = abs(requests - size.requests)
