--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,7 @@
 from tests.soak.faults import Injector, SharedFaults
 from tests.soak.proxy import Proxy
 from tests.soak.records import MOST_TOKENS, OK, Asked, Records, violations
+from tests.soak.surges import surge_callers
 from tests.soak.tenants import KeyOperator, soak_tenants, tenant_violations
 
 CALLERS_PER_EDGE = 3
@@ -113,6 +114,8 @@
             Caller(f"c{number}", deployment, records, plan.seed, tenants[number % len(tenants)])
             for number in range(CALLERS_PER_EDGE * plan.edges)
         ]
+        limited = next(tenant for tenant in tenants if tenant.rate)
+        callers.extend(surge_callers(deployment, records, plan.seed, limited))
         operator = KeyOperator(deployment, shared, plan.seed)
         # Callers come to machines that run; a ledger that is being founded is another test's.
         wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -30,6 +30,7 @@
     ) -> None:
         """Prepare; ``seed`` decides what is asked, with the keys of ``tenant``."""
         self._name = name
+        self._seed = seed
         self._tenant = tenant
         # Apart from the choice of what is asked, so that earlier seeds ask as they did.
         self._forger = random.Random(f"{seed}/{name}/forged")
@@ -139,9 +140,12 @@
             is_theft=is_theft,
         )
         self._records.add(asked)
+        self._rest(status)
+        return asked
+
+    def _rest(self, status: int | None) -> None:
         longest = PAUSE_SECONDS if status == OK else LONGEST_PAUSE_SECONDS
         self._stop.wait(self._random.uniform(0.0, longest))
-        return asked
 
     def _exchange(
         self, edge: int, path: str, request_id: str, fields: dict[str, str]
@@ -159,7 +163,7 @@
             connection.request("POST", path, body=f"input-{request_id}", headers=headers)
             response = connection.getresponse()
             status = response.status
-            return status, response.read(), True
+            return status, self._read(response), True
         except http.client.IncompleteRead as error:
             self._drop_connection(edge)
             return status, error.partial, False
@@ -167,6 +171,9 @@
             self._drop_connection(edge)
             return status, b"", False
 
+    def _read(self, response: http.client.HTTPResponse) -> bytes:
+        return response.read()
+
     def _connection(self, edge: int) -> http.client.HTTPConnection:
         """Return the open connection to an edge, which is used until the edge ends it."""
         if edge not in self._connections:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -131,6 +131,7 @@
             self._tear_log,
             self._lose_disk,
             self._stop_platform_store,
+            self._kill_leader_without_store,
             self._break_streams,
             self._take_engine_off_the_list,
             self._start_engine_again,
@@ -358,6 +359,26 @@
                 self._deployment.store.down = False
         return is_free
 
+    def _kill_leader_without_store(self, seconds: float) -> bool:
+        """Kill the storage node that led last while the platform's store is down."""
+        led = [
+            (str(line["time"]), process)
+            for process in self._deployment.storage
+            for line in process.lines("ledger_role_changed")
+            if line.get("role") == "leader"
+        ]
+        if not led:
+            return False
+        leader = max(led, key=lambda item: item[0])[1]
+        with self._shared.holding("store", leader.name) as is_free:
+            if is_free:
+                self._shared.note(f"kill {leader.name}, the store is down, for {seconds:.2f} s")
+                self._deployment.store.down = True
+                self._kill_for(leader, seconds)
+                time.sleep(self._random.uniform(0.0, seconds))
+                self._deployment.store.down = False
+        return is_free
+
     def _change_configuration(self, seconds: float) -> bool:
         """Put several versions in force one after the other; what they allow is the same."""
         versions = self._random.randint(1, LONGEST_SERIES)
