--- a/benchmarks/engine_choice.py
+++ b/benchmarks/engine_choice.py
@@ -6,12 +6,11 @@
 load. Programs of some turns come at random to a node each; a later turn finds its prompt cached
 where the one before was read. A connection is kept for :data:`KEEP_SECONDS` after its last use.
 
-One row a way: ``rank`` lets each node order engines that cost the same by a hash of its own and
-counts no connections, ``subset`` counts what a new one costs, in a node's subset and outside.
-Columns: turns,
-connections opened, share of turns that crossed zones, load of the busiest engine against the mean
-of its speed, mean share of time in which engines of each speed had a turn, and turn times (seconds,
-mean and 95 of 100).
+One row for each way: ``rank`` lets each node order engines that cost the same by a hash of its own
+and counts no connections, ``subset`` counts what a new one costs, in a node's subset and outside.
+Columns: turns, connections opened, share of turns that crossed zones, load of the busiest engine
+against the mean of its speed, mean share of time in which engines of each speed had a turn, and
+turn times (seconds, mean and 95 of 100).
 """
 
 from __future__ import annotations
@@ -32,7 +31,7 @@
 from yokeline.ledger.operations import CachedContext
 from yokeline.scheduling.engine_model import EngineModel, ServedTurn
 from yokeline.scheduling.engine_profiles import ToldProfile
-from yokeline.scheduling.engine_subsets import Placed
+from yokeline.scheduling.engine_subsets import ZoneMember
 
 ZONES = ("a", "b", "c", "d")
 SPEEDS = (0.7, 0.7, 1.7)
@@ -76,11 +75,13 @@
 class Node:
     """A node's picture of the engines, and its idle connections."""
 
-    def __init__(self, place: Placed, nodes: list[Placed], fleet: Fleet, *, subset: bool) -> None:
+    def __init__(
+        self, own: ZoneMember, nodes: list[ZoneMember], fleet: Fleet, *, subset: bool
+    ) -> None:
         """Know all engines; only with ``subset`` some of them are preferred."""
-        self.zone = place.zone
+        self.zone = own.zone
         self.subset = subset
-        self.book = EngineBook(place.name)
+        self.book = EngineBook(own.name)
         self.model = EngineModel()
         self.model.take_usual(EVENT_SECONDS)
         self.beliefs = PrefixBeliefs()
@@ -88,7 +89,7 @@
         for engine in fleet.engines:
             self.book.put(engine)
         if subset:
-            self.book.set_nodes(place.zone, nodes)
+            self.book.set_nodes(own.zone, nodes)
         for state in self.book.all():
             pace = fleet.speed(state.engine.engine_id) * EVENT_SECONDS
             state.profile = ToldProfile(
@@ -139,8 +140,10 @@
         """Prepare nodes and engines."""
         self.random = random.Random(seed)
         self.fleet = Fleet(engines)
-        places = [Placed(f"edge-{number}", ZONES[number % len(ZONES)]) for number in range(nodes)]
-        self.nodes = [Node(place, places, self.fleet, subset=subset) for place in places]
+        members = [
+            ZoneMember(f"edge-{number}", ZONES[number % len(ZONES)]) for number in range(nodes)
+        ]
+        self.nodes = [Node(own, members, self.fleet, subset=subset) for own in members]
         self.row = Row()
         self.rate = rate * engines / statistics.fmean(TURNS_OF_PROGRAM)
         self.seconds = min(PLAY_SECONDS, LONGEST_TURNS / (rate * engines))
--- a/benchmarks/engine_profiles.py
+++ b/benchmarks/engine_profiles.py
@@ -23,7 +23,7 @@
 from yokeline.ledger.messages import EngineTurns, TurnServed
 from yokeline.scheduling.engine_model import EngineModel
 from yokeline.scheduling.engine_profiles import MAX_SAMPLES, EngineProfile, ToldProfile
-from yokeline.scheduling.engine_subsets import Placed, preferred_engines
+from yokeline.scheduling.engine_subsets import ZoneMember, preferred_engines
 
 ENGINE_ID = "engine-12345"
 PACE = 0.04
@@ -130,8 +130,10 @@
     """Print the time to work a subset out anew, and its size."""
     print("\n| nodes, engines, zones | ms | least, mean, most engines |\n|---|---|---|")
     for node_count, engine_count, zones in FLEETS:
-        nodes = [Placed(f"edge-{number}", f"z{number % zones}") for number in range(node_count)]
-        engines = [Placed(f"e-{number}", f"z{number % zones}") for number in range(engine_count)]
+        nodes = [ZoneMember(f"edge-{number}", f"z{number % zones}") for number in range(node_count)]
+        engines = [
+            ZoneMember(f"e-{number}", f"z{number % zones}") for number in range(engine_count)
+        ]
         times, sizes = [], []
         for node in nodes[:NODES_MEASURED]:
             began = time.process_time_ns()
--- a/benchmarks/program_admission.py
+++ b/benchmarks/program_admission.py
@@ -1,11 +1,11 @@
 """Four ways of letting programs in at a tenant's limit, on the same arrivals.
 
-``python -m benchmarks.program_admission`` plays programs of a tenant that asks for 4.8 times its
-usual, where its limit is 1.6 times that, against the ledger's state and the leader's gate. It
-prints for each way (three seeds together): programs that began, that ended, and those of them that
-were long; the share that ended; programs refused after they had begun; and which share of the limit
-was used, in all and by programs that ended. Then the time of a decision at 100 and 1,000 claims,
-and what is kept and sent.
+``python -m benchmarks.program_admission`` plays programs of a tenant whose limit is 1.6 times its
+usual demand and that asks for 4.8 times the usual, against the ledger's state and the leader's
+gate. It prints for each way (three seeds together): programs that began, that ended, and those of
+them that were long; the share that ended; programs refused after they had begun; and which share
+of the limit was used, in all and by programs that ended. Then the time of a decision at 100 and
+1,000 claims, and what is kept and sent.
 
 - ``first come``: each request takes a token from the bucket.
 - ``kept share``: new programs leave a quarter of the bucket to those that have begun.
--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -11,7 +11,7 @@
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.http_statuses import UNAUTHORIZED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.room_weighing import Look, RoomWeighing, has_begun
+from yokeline.forwarding.room_weighing import Look, RoomWeighing, would_lose_work
 from yokeline.forwarding.waiting import WaitingRequests
 from yokeline.scheduling.return_times import Returning, return_after
 from yokeline.scheduling.room_waits import RoomRefusal
@@ -60,7 +60,7 @@
         self._state.outcomes.counters[name] += 1
         caller = Returning(
             request_id=exchange.call.request_id,
-            has_begun=has_begun(exchange),
+            has_begun=would_lose_work(exchange),
             time_left=exchange.due - self._state.now,
         )
         expected = exchange.room_wait.expected if exchange.room_wait is not None else 0.0
@@ -111,7 +111,7 @@
     def _refusal_by_itself(self, exchange: Exchange) -> RoomRefusal | None:
         """Return why a request cannot be served whatever room there is; None if it can."""
         placement = self._state.placement
-        if placement.is_hopeless(exchange, self._state.now):
+        if placement.lacks_time(exchange, self._state.now):
             return RoomRefusal.NO_TIME
         if placement.is_stranded(exchange):
             return RoomRefusal.NO_ENGINE_LEFT
@@ -119,7 +119,7 @@
 
     def _choose(self, exchange: Exchange, full: _FullEngines) -> Choice | None:
         """Return the engine for a request; None if none has room, or others go first."""
-        if self._state.shares.leaves_place(exchange, self._state.now):
+        if self._state.shares.is_held_back(exchange, self._state.now):
             return None
         placement = self._state.placement
         is_new_program = exchange.begins_program
--- a/src/yokeline/forwarding/ends.py
+++ b/src/yokeline/forwarding/ends.py
@@ -86,7 +86,7 @@
             exchange.exchange, exchange.call.request_id, status, reason, retry_after=retry_after
         )
         self._outcomes.count_refusal(status, reason)
-        if self._state.shares.leaves_place(exchange, self._state.now):
+        if self._state.shares.is_held_back(exchange, self._state.now):
             self._outcomes.count_held_back(exchange.tenant)
             fields["share_level"] = self._state.shares.levels.get(exchange.pool)
         self.end(exchange, "refused", level="info", status=status, reason=reason, **fields)
--- a/src/yokeline/forwarding/engine_entries.py
+++ b/src/yokeline/forwarding/engine_entries.py
@@ -12,6 +12,7 @@
 from yokeline.forwarding.engines import EngineBook, EngineState
 from yokeline.forwarding.forwarder import Forwarder
 from yokeline.forwarding.model import Engine
+from yokeline.forwarding.outcomes import LogField
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.protocol import StoredItem
 
@@ -24,8 +25,6 @@
 MASS_LAPSE_SHARE = 1 / 3
 """Share of all engines whose entries go together when the service was away; two at least."""
 
-_Fields = dict[str, str | int | float | bool | None]
-
 
 class EngineEntries:
     """Takes the entries of engines in, for one node."""
@@ -132,5 +131,5 @@
         self._forwarder.forget_engine(engine_id)
 
 
-def _fields(engine_id: str, item: StoredItem) -> _Fields:
+def _fields(engine_id: str, item: StoredItem) -> dict[str, LogField]:
     return {"engine": engine_id, "revision": item.revision}
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -25,7 +25,7 @@
     ToldProfile,
     usual_pace,
 )
-from yokeline.scheduling.engine_subsets import Placed, preferred_engines, rank
+from yokeline.scheduling.engine_subsets import ZoneMember, preferred_engines, rank
 
 REPORT_FRESH_SECONDS = 1.0
 """Age after which another node's report of its load counts for nothing."""
@@ -163,8 +163,8 @@
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._sums_are_stale = False
         self._subsets_are_stale = False
-        self._place = Placed(node, "")
-        self._nodes: tuple[Placed, ...] = ()
+        self._self = ZoneMember(node, "")
+        self._nodes: tuple[ZoneMember, ...] = ()
         self._told_at = -math.inf
         self._told: frozenset[str] = frozenset()
         self._usual_paces: dict[str, float] = {}
@@ -191,11 +191,11 @@
         state.idle_connections += 1
         state.left_at = now
 
-    def set_nodes(self, zone: str, nodes: Sequence[Placed]) -> None:
+    def set_nodes(self, zone: str, nodes: Sequence[ZoneMember]) -> None:
         """Note this node's zone, and the nodes that share the engines with it."""
-        place, known = Placed(self._node, zone), tuple(nodes)
-        if (place, known) != (self._place, self._nodes):
-            self._place, self._nodes = place, known
+        place, known = ZoneMember(self._node, zone), tuple(nodes)
+        if (place, known) != (self._self, self._nodes):
+            self._self, self._nodes = place, known
             self._subsets_are_stale = True
 
     def get(self, engine_id: str) -> EngineState | None:
@@ -401,8 +401,8 @@
         if not self._nodes:
             return
         for states in self._by_pool.values():
-            engines = [Placed(state.engine.instance, state.engine.zone) for state in states]
-            preferred = preferred_engines(self._place, self._nodes, engines)
+            engines = [ZoneMember(state.engine.instance, state.engine.zone) for state in states]
+            preferred = preferred_engines(self._self, self._nodes, engines)
             for state in states:
                 state.is_preferred = state.engine.instance in preferred
 
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -60,7 +60,7 @@
 from yokeline.forwarding.reservations import Reservations
 from yokeline.forwarding.settlements import Settlements
 from yokeline.forwarding.streams import Streams
-from yokeline.forwarding.tenant_loads import NodeTenantLoads
+from yokeline.forwarding.tenant_loads import TenantLoadReader
 from yokeline.forwarding.turn_operations import needs_ledger
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId
@@ -111,7 +111,7 @@
         self._process = process
         self._outcomes = Outcomes(dialect)
         self._state = NodeState(zone, engines, self._outcomes)
-        ledger.turns.tenants = NodeTenantLoads(self._state)
+        ledger.turns.tenants = TenantLoadReader(self._state)
         ledger.shares_told = self._state.shares.take_told
         self._held = HeldRequests()
         self._split = PoolSplit()
@@ -207,12 +207,12 @@
         self._state.placement.forget_engine(engine_id)
 
     def engine_restarted(self, engine_id: str, now: float) -> int:
-        """Forget a start of an engine after which another one was seen; return how much was cut.
+        """Forget an engine's start that was replaced; return how many requests were broken off.
 
-        A request of which nothing was heard for long is broken off, since the process that had it
-        is gone; it may have run. A late one may have reached the new start, and what this has to
-        say is worth waiting for; it still counts as sent to the earlier one. One that went back to
-        the earlier start is taken back at once: the new one would be a second engine that has it.
+        A request of which nothing was heard for :data:`START_NEWS_SECONDS` is broken off: the
+        process that had it is gone, and may have run it. One sent or heard of since may be at the
+        new start, so it is waited for. One that was left with the earlier start before is broken
+        off at once, since the new start would be a second engine that has it.
         """
         self._state.now = now
         self.forget_engine(engine_id)
--- a/src/yokeline/forwarding/limits.py
+++ b/src/yokeline/forwarding/limits.py
@@ -36,8 +36,8 @@
 """Times that a request waits for its tenant's limit before it is refused."""
 LONGEST_WAIT_SECONDS = 0.25
 """Longest such wait: a caller that is refused comes back about as soon, but only once or twice, and
-a program is lost with a call that fails. Without any, a third of the refusals of a calm day met
-programs that had begun, and would have been let in after 0.03 s (median; 0.11 s at most)."""
+a program is lost with a call that fails. Without any wait, programs that had begun would be refused
+a moment before the limit let them in."""
 MAX_WAITING = 2
 """Requests of one tenant that wait so at one node: one far beyond its limit is refused at once."""
 MAX_TENANTS = 4096
--- a/src/yokeline/forwarding/load_sharing.py
+++ b/src/yokeline/forwarding/load_sharing.py
@@ -19,7 +19,7 @@
 from yokeline.ledger.client import PeerNode
 from yokeline.ledger.messages import LoadDigest, LoadReport
 from yokeline.registry.nodes import NodeRecord
-from yokeline.scheduling.engine_subsets import Placed
+from yokeline.scheduling.engine_subsets import ZoneMember
 
 MAX_DIRECT_NODES = 16
 """Most nodes that tell each other directly."""
@@ -115,7 +115,9 @@
         self._zones = dict(zones)
         self._slowdown = min(MAX_SLOWDOWN, max(1.0, len(edges) / NODES_AT_FULL_PACE))
         self._engines.fresh_seconds = REPORT_FRESH_SECONDS * self._slowdown
-        places = sorted((Placed(item.name, item.zone) for item in edges), key=lambda at: at.name)
+        places = sorted(
+            (ZoneMember(item.name, item.zone) for item in edges), key=lambda at: at.name
+        )
         self._engines.set_nodes(self._record.zone, places)
 
     @property
--- a/src/yokeline/forwarding/place_shares.py
+++ b/src/yokeline/forwarding/place_shares.py
@@ -56,8 +56,8 @@
         owed = [tenant for tenant in told if self._passing.is_owed(tenant)]
         return told.difference(owed) if owed else told
 
-    def leaves_place(self, exchange: Exchange, now: float) -> bool:
-        """Return whether a request must leave the place to those of other tenants."""
+    def is_held_back(self, exchange: Exchange, now: float) -> bool:
+        """Return whether a request gets no place now, so that other tenants do."""
         if not self._told or not exchange.waits_to_begin:
             return False
         return exchange.tenant_name in self.held_back(exchange.pool, now)
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -64,8 +64,8 @@
             choice = self._choose(exchange, pool, now)
         return choice
 
-    def is_hopeless(self, exchange: Exchange, now: float) -> bool:
-        """Return whether a request cannot end before it is due; its work would be wasted."""
+    def lacks_time(self, exchange: Exchange, now: float) -> bool:
+        """Return whether too little time is left to serve a request before it is due."""
         left = exchange.due - now
         if left <= LEAST_SECONDS:
             return True
--- a/src/yokeline/forwarding/room_weighing.py
+++ b/src/yokeline/forwarding/room_weighing.py
@@ -94,7 +94,7 @@
         queue = self._state.waiting.get(exchange.pool)
         return {
             "cause": refusal.value,
-            "begun": has_begun(exchange),
+            "begun": would_lose_work(exchange),
             "waited": round(now - exchange.waiting_since, 4),
             "expected_wait": round(wait.expected, 4) if wait is not None else None,
             "bears": round(wait.bears, 4) if wait is not None else None,
@@ -138,7 +138,7 @@
             has_program=bool(exchange.call.program),
             program_left=program_left,
             program_share=self._program_share(exchange),
-            has_begun=has_begun(exchange),
+            has_begun=would_lose_work(exchange),
             is_interrupted=exchange.events > 0,
         )
 
@@ -152,7 +152,7 @@
             self._errors.note(exchange.pool, wait.first_expected, waited, got_place=got_place)
 
 
-def has_begun(exchange: Exchange) -> bool:
+def would_lose_work(exchange: Exchange) -> bool:
     """Return whether the program of a request has done work that would be lost with it."""
     return exchange.begun or is_later_request(exchange.route, exchange.call)
 
--- a/src/yokeline/forwarding/tenant_loads.py
+++ b/src/yokeline/forwarding/tenant_loads.py
@@ -12,8 +12,8 @@
 under way, of few tenants each."""
 
 
-class NodeTenantLoads:
-    """Reads the requests under way; see :class:`yokeline.ledger.own_turns.TenantLoads`."""
+class TenantLoadReader:
+    """Reads the requests under way; see :class:`yokeline.ledger.own_turns.TenantLoadSource`."""
 
     def __init__(self, state: NodeState) -> None:
         """Tell of the requests in ``state``."""
--- a/src/yokeline/ledger/claims.py
+++ b/src/yokeline/ledger/claims.py
@@ -15,22 +15,25 @@
 
 from yokeline.ledger.state import Program
 from yokeline.scheduling.program_admission import Admission, Claims, Supply, claims_of, decide
-from yokeline.scheduling.program_lateness import TimeShare
+from yokeline.scheduling.program_lateness import MeanTimeShare
 from yokeline.scheduling.program_sizes import ProgramSize, SizeEstimate
 
 REST_SECONDS = 2.0
 """Longest rest without a turn under way before a program gives its claim back; so long it is while
 the size of its kind is not known. One that goes on after all claims again."""
+LONGEST_TURN_SECONDS = 10.0
+"""Longest time with a turn under way before a program gives its claim back: a node that is gone
+ends none of its turns."""
 LEAST_REST_SECONDS = 0.5
+"""Least rest before a program gives its claim back."""
 REST_PAUSES = 6.0
 """The rest as a multiple of the mean pause between two requests of its kind: a program that has
 ended is not to keep others out for longer than it takes to be sure."""
 SWEEP_SECONDS = 0.05
 """Pause between two looks for programs that rest."""
 SWEPT_AT_ONCE = 500
-"""Claims looked at in one turn of the loop (under 1 ms), those that rest longest first."""
-LONGEST_TURN_SECONDS = 10.0
-"""The same with a turn under way: a node that is gone ends none of its turns."""
+"""Claims looked at in one turn of the loop, those that rest longest first: a bound on how long
+requests wait for it."""
 PASSED_OVER_SECONDS = 2.0
 """Time after which a kind of which none was let in is next: large programs need more room at once
 than small ones, which would take each bit of it before."""
@@ -142,7 +145,7 @@
         self.held: Counter[tuple[str, int]] = Counter()
         """Claims by kind and requests sent: equal ones are decided on together."""
         self.passed_over: dict[str, _PassedOver] = {}
-        self.time_shares: dict[str, TimeShare] = {}
+        self.time_shares: dict[str, MeanTimeShare] = {}
         self.refused_in_time_at = -math.inf
         """When a program that could end in time was refused last."""
 
@@ -152,7 +155,7 @@
     def learn(self, claim: _Claim) -> None:
         self.sizes.learn(claim)
         self._of_all.learn(claim)
-        share = self.time_shares.pop(claim.kind, None) or TimeShare()
+        share = self.time_shares.pop(claim.kind, None) or MeanTimeShare()
         share.observe(claim.active_at - claim.began_at, claim.given)
         self.time_shares[claim.kind] = share
         if len(self.time_shares) > MAX_KINDS:
@@ -178,7 +181,10 @@
         return found
 
     def claims_of_passed_over(self, kind: str, now: float) -> list[Claims]:
-        """Return a place for one program of each kind that is next before ``kind``."""
+        """Return a place for one program of each kind that is next before ``kind``.
+
+        Kinds whose programs did not come back are forgotten.
+        """
         self.passed_over = {
             name: item for name, item in self.passed_over.items() if item.until >= now
         }
@@ -193,7 +199,10 @@
         return found
 
     def recent_refusal(self, kind: str, now: float) -> Admission | None:
-        """Return the last refusal of a kind while it holds, with the time that is left."""
+        """Return the last refusal of a kind while it holds, with the time that is left.
+
+        The kind's place is kept until the program that is refused by it has come back.
+        """
         item = self.passed_over.get(kind)
         passed = now - item.decided_at if item is not None else RECHECK_SECONDS
         if item is None or passed >= min(RECHECK_SECONDS, item.decided.retry_after):
@@ -235,7 +244,9 @@
     if decided.is_let_in and not yields:
         return decided
     retry_after = max(LATE_RETURN_SECONDS, decided.retry_after)
-    return msgspec.structs.replace(decided, is_let_in=False, retry_after=retry_after, is_late=True)
+    return msgspec.structs.replace(
+        decided, is_let_in=False, retry_after=retry_after, cannot_end_in_time=True
+    )
 
 
 class ClaimBook:
@@ -372,7 +383,7 @@
         size = self.size_of(claim.tenant, claim.kind)
         if size is None or claim.is_under_way:
             return REST_SECONDS
-        rest = REST_PAUSES / size.pace
+        rest = REST_PAUSES / size.rate
         return min(REST_SECONDS, max(LEAST_REST_SECONDS, rest))
 
     def _end(self, name: str) -> None:
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -53,7 +53,7 @@
 
 PERCENT = 100.0
 PACE_UNIT_SECONDS = 1e-5
-"""Unit of paces in messages: a thousandth of what lies between two events of a fast engine."""
+"""Unit of paces in messages; far finer than engines differ."""
 NOT_COUNTED = -1
 """In place of the turns under way at an app, whose calls the leader does not count."""
 
--- a/src/yokeline/ledger/own_turns.py
+++ b/src/yokeline/ledger/own_turns.py
@@ -25,7 +25,7 @@
 of an engine. A node ends some tens of turns and calls a second."""
 
 
-class TenantLoads(Protocol):
+class TenantLoadSource(Protocol):
     """What the tenants of this node have of the engines, and what they ask for."""
 
     @property
@@ -58,7 +58,7 @@
         """Have no turn under way."""
         self.dropped = 0
         self.earlier_name: Callable[[str, float], str] = _no_other_name
-        self.tenants: TenantLoads | None = None
+        self.tenants: TenantLoadSource | None = None
         self._told_changes = 0
         self._rows_at = float("-inf")
         self._lacks_rows = False
--- a/src/yokeline/ledger/program_gate.py
+++ b/src/yokeline/ledger/program_gate.py
@@ -25,7 +25,8 @@
 from yokeline.scheduling.program_admission import Admission, Supply
 
 PROGRAMS_AT_ONCE = 500
-"""Programs that a new leader takes into its book in one turn of the loop (about 2 ms)."""
+"""Programs that a new leader takes into its book in one turn of the loop, so that requests do not
+wait for it."""
 LINES_PER_SECOND = 20
 """Log lines on programs that were not let in; of a tenant far beyond its limit there would be
 hundreds."""
@@ -53,7 +54,7 @@
         self._book = ClaimBook()
         self._term = NO_TERM
         self._to_follow: deque[str] = deque()
-        self._lines = _LineBudget()
+        self._lines = _LogRateLimit()
 
     @property
     def claims(self) -> int:
@@ -155,7 +156,10 @@
             self._take_over(LedgerState(), NO_TERM)
 
     def _begins_program(self, operation: Reserve, state: LedgerState) -> bool:
-        """Whether a turn is the first one of its program, also of those on their way."""
+        """Return whether a turn is the first one of its program.
+
+        Programs whose turns are still on their way count as begun.
+        """
         return not self._book.knows(operation.program) and state.begins_program(operation)
 
     def _take_over(self, state: LedgerState, term: int) -> None:
@@ -164,7 +168,7 @@
         self._to_follow = deque(state.programs)
 
     def _knows_claims(self, term: int) -> bool:
-        """Whether all that is in the log of earlier terms is applied and in the book."""
+        """Return whether all that is in the log of earlier terms is applied and in the book."""
         return term == self._term and not self._to_follow
 
     def _line(
@@ -187,14 +191,14 @@
             "claims": decided.programs,
             "claimed": round(decided.claimed, 1),
             "margin": round(decided.margin, 1),
-            "is_late": decided.is_late,
+            "is_late": decided.cannot_end_in_time,
             "retry_after": round(wait, 3),
         }
         return LogRecord(event="program_not_admitted", fields=fields)
 
 
-class _LineBudget:
-    """Lets some lines a second through, and counts the others in the next one."""
+class _LogRateLimit:
+    """Lets some lines a second through; the next one says how many were left out."""
 
     def __init__(self) -> None:
         self._since = 0.0
--- a/src/yokeline/ledger/tenant_places.py
+++ b/src/yokeline/ledger/tenant_places.py
@@ -21,7 +21,7 @@
 SHARES_SECONDS = 0.025
 """Age up to which shares are told without being worked out anew; turns last longer by far."""
 SHARES_SECONDS_PER_TENANT = 4e-5
-"""The same for each tenant, if that is longer: a few percent of a core, however many they are."""
+"""The same for each tenant, if that is longer, so that the cost does not grow with their number."""
 CALM_SECONDS = 1.0
 """Time within its share after which a tenant is logged as such; turns end all the time, so that
 one which asks for more comes and goes several times a second."""
--- a/src/yokeline/platform/engine_entries.py
+++ b/src/yokeline/platform/engine_entries.py
@@ -13,6 +13,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from yokeline.addresses import MAX_PORT
 from yokeline.effects import Address
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.forwarding.model import Engine, start_name
@@ -25,7 +26,6 @@
 _ID = re.compile(r"[\x21-\x7e]{1,256}")
 """An id is sent as the value of a header field, so it holds no space and no line end."""
 _PORT = re.compile(r"[0-9]{1,5}")
-_MAX_PORT = 65_535
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 _Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=_MOST_MILLISECONDS)]
 
@@ -96,6 +96,6 @@
     """
     host, _, port = text.rpartition(":")
     ipaddress.IPv4Address(host)
-    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
         raise ValueError("the address has no port")
     return Address(host, int(port))
--- a/src/yokeline/registry/nodes.py
+++ b/src/yokeline/registry/nodes.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from yokeline.addresses import MAX_PORT
 from yokeline.effects import Address
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.identifiers import NodeName, ReplicaId
@@ -22,7 +23,6 @@
 SURVIVOR_PREFIX = "yokeline/ledger/survivor/"
 """Below it, by index of a configuration of two members: the one that goes on without the other."""
 
-MAX_PORT = 65_535
 _HOST = re.compile(r"[0-9A-Za-z.:_-]+")
 """An address or a host name; anything else is no place to send to."""
 
--- a/src/yokeline/scheduling/engine_profiles.py
+++ b/src/yokeline/scheduling/engine_profiles.py
@@ -18,11 +18,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 import msgspec
 
 from yokeline.fading import FadingAverage
+from yokeline.scheduling.medians import median
 
 SAMPLE_SECONDS = 0.5
 """Turns that end within this time of each other count as one sample: a spell of slowness of some
@@ -123,7 +124,7 @@
         """Take the time between a turn's events in, as it would be if the turn ran alone."""
         self._paced_at = now
         self._add_to_samples(seconds, now)
-        self._lasting = _median(self._samples)
+        self._lasting = median(self._samples)
         self._spell = self._spell_of_samples()
 
     def pace(self, now: float) -> Pace:
@@ -176,11 +177,4 @@
 def usual_pace(paces: Iterable[float]) -> float:
     """Return the median of the known paces (those above 0) of a pool; 0 if none is known."""
     known = [pace for pace in paces if pace > 0]
-    return _median(known) if known else 0.0
-
-
-def _median(values: Sequence[float]) -> float:
-    """Return the median; the module ``statistics`` would take memory in each role."""
-    ordered = sorted(values)
-    middle = len(ordered) // 2
-    return (ordered[middle] + ordered[~middle]) / 2
+    return median(known) if known else 0.0
--- a/src/yokeline/scheduling/engine_subsets.py
+++ b/src/yokeline/scheduling/engine_subsets.py
@@ -28,7 +28,7 @@
 _HASH_SPAN = 2**64
 
 
-class Placed(msgspec.Struct, frozen=True):
+class ZoneMember(msgspec.Struct, frozen=True):
     """A node or an engine, and the zone that it is in."""
 
     name: str
@@ -49,7 +49,7 @@
 
 
 def preferred_engines(
-    node: Placed, nodes: Iterable[Placed], engines: Sequence[Placed]
+    node: ZoneMember, nodes: Iterable[ZoneMember], engines: Sequence[ZoneMember]
 ) -> frozenset[str]:
     """Return the ids of a pool's engines that a node prefers.
 
@@ -71,20 +71,20 @@
     return frozenset(chosen)
 
 
-def _by_zone(items: Iterable[Placed]) -> dict[str, list[Placed]]:
-    zones: dict[str, list[Placed]] = defaultdict(list)
+def _by_zone(items: Iterable[ZoneMember]) -> dict[str, list[ZoneMember]]:
+    zones: dict[str, list[ZoneMember]] = defaultdict(list)
     for item in sorted(items, key=lambda item: item.name):
         zones[item.zone].append(item)
     return dict(zones)
 
 
-def _all(zones: dict[str, list[Placed]]) -> list[Placed]:
+def _all(zones: dict[str, list[ZoneMember]]) -> list[ZoneMember]:
     return [item for group in zones.values() for item in group]
 
 
 def _that_prefer(
-    node: Placed, nodes: Sequence[Placed], engines: Sequence[Placed]
-) -> Iterable[Placed]:
+    node: ZoneMember, nodes: Sequence[ZoneMember], engines: Sequence[ZoneMember]
+) -> Iterable[ZoneMember]:
     """Return the engines that have a node among their own, of those that share a zone."""
     if node not in nodes:
         return []
@@ -92,7 +92,7 @@
     return [engine for engine in engines if _is_among(node, nodes, engine, most)]
 
 
-def _is_among(node: Placed, nodes: Sequence[Placed], engine: Placed, most: int) -> bool:
+def _is_among(node: ZoneMember, nodes: Sequence[ZoneMember], engine: ZoneMember, most: int) -> bool:
     """Return whether fewer than ``most`` nodes rank before this one at an engine."""
     own = rank(node.name, engine.name)
     before = 0
@@ -104,7 +104,7 @@
 
 
 def _first_others(
-    node: Placed, engines: Iterable[Placed], chosen: set[str], count: int
+    node: ZoneMember, engines: Iterable[ZoneMember], chosen: set[str], count: int
 ) -> set[str]:
     """Return further engines, the own zone's first."""
     others = [engine for engine in engines if engine.name not in chosen]
--- a/src/yokeline/scheduling/passing_over.py
+++ b/src/yokeline/scheduling/passing_over.py
@@ -14,8 +14,7 @@
 from yokeline.fading import FadingAverage
 
 LEAST_PART = 1 / 3
-"""How often a tenant is served at least, as a part of how often all are. A tenant counts as
-starved below a quarter; each node keeps a count of its own and may be a place behind."""
+"""How often a tenant is served at least, as a part of how often all are."""
 MOST_AHEAD = 4.0
 """Places beyond that part that count towards it later; more of them are forgotten, so that a long
 time with room for all does not let a tenant be passed over for as long afterwards."""
--- a/src/yokeline/scheduling/program_admission.py
+++ b/src/yokeline/scheduling/program_admission.py
@@ -42,8 +42,8 @@
 
     Attributes:
         count: Number of the programs.
-        requests: That each of them is expected still to ask for.
-        seconds: Within which it does.
+        requests: Requests that each of them is expected still to send.
+        seconds: Time within which each is expected to send them.
         deviation: Mean deviation of ``requests``.
     """
 
@@ -61,8 +61,9 @@
         retry_after: Otherwise, seconds until it could if nothing else comes; 0 if it may.
         programs: Programs that hold claims.
         claimed: Requests that they are expected to ask for.
-        margin: Requests by which that may be too few.
-        is_late: It could not end in time, and leaves what there is to those that can.
+        margin: Requests by which the claims may exceed what is expected.
+        cannot_end_in_time: Too little of its time is left, and it leaves what there is to those
+            that can.
     """
 
     is_let_in: bool
@@ -70,7 +71,7 @@
     programs: int
     claimed: float
     margin: float
-    is_late: bool = False
+    cannot_end_in_time: bool = False
 
 
 def claims_of(size: ProgramSize, used: int, count: int) -> Claims | None:
@@ -87,7 +88,7 @@
     return Claims(
         count=count,
         requests=requests,
-        seconds=requests / size.pace,
+        seconds=requests / size.rate,
         deviation=size.deviation,
     )
 
@@ -159,7 +160,7 @@
         first = bisect_right(self.times, begin)
         ends = zip(self.times[first:], self.requests[first:], strict=True)
         return all(
-            new.requests <= slack or new.pace * (time - begin) <= slack for time, slack in ends
+            new.requests <= slack or new.rate * (time - begin) <= slack for time, slack in ends
         )
 
 
--- a/src/yokeline/scheduling/program_lateness.py
+++ b/src/yokeline/scheduling/program_lateness.py
@@ -15,8 +15,12 @@
 that can end in time."""
 
 
-class TimeShare:
-    """The share of the time that programs of a kind are given which they take."""
+class MeanTimeShare:
+    """The mean share of the time that programs of a kind are given which they take.
+
+    The ledger's leader sees programs whole; a node sees parts of them, and so learns a quantile
+    (:mod:`yokeline.scheduling.program_times`).
+    """
 
     def __init__(self) -> None:
         """Know nothing."""
--- a/src/yokeline/scheduling/program_sizes.py
+++ b/src/yokeline/scheduling/program_sizes.py
@@ -7,10 +7,13 @@
 
 from __future__ import annotations
 
-from statistics import fmean, median
+import math
+from collections.abc import Sequence
 
 import msgspec
 
+from yokeline.scheduling.medians import median
+
 LEAST_PROGRAMS = 5
 """Programs that must have ended before a size is known: of five the median is that of whole
 programs even if two of them looped."""
@@ -37,7 +40,7 @@
     seconds: float
 
     @property
-    def pace(self) -> float:
+    def rate(self) -> float:
         """Requests a second while it runs."""
         return self.requests / self.seconds
 
@@ -89,14 +92,14 @@
 
 def _size_of(samples: list[_Sample]) -> ProgramSize:
     """Return the size that a few programs tell; medians first, so that loops do not set the cap."""
-    most_requests = MOST_COUNTED * median(item.requests for item in samples)
-    most_seconds = MOST_COUNTED * median(item.seconds for item in samples)
+    most_requests = MOST_COUNTED * median([item.requests for item in samples])
+    most_seconds = MOST_COUNTED * median([item.seconds for item in samples])
     counted = [min(item.requests, most_requests) for item in samples]
-    requests = fmean(counted)
+    requests = _mean(counted)
     return ProgramSize(
         requests=requests,
-        deviation=fmean(abs(item - requests) for item in counted),
-        seconds=fmean(min(item.seconds, most_seconds) for item in samples),
+        deviation=_mean([abs(item - requests) for item in counted]),
+        seconds=_mean([min(item.seconds, most_seconds) for item in samples]),
     )
 
 
@@ -110,3 +113,7 @@
         deviation=size.deviation + weight * (off - size.deviation),
         seconds=size.seconds + weight * (seconds - size.seconds),
     )
+
+
+def _mean(values: Sequence[float]) -> float:
+    return math.fsum(values) / len(values)
--- a/src/yokeline/scheduling/program_times.py
+++ b/src/yokeline/scheduling/program_times.py
@@ -21,6 +21,8 @@
 """Share before anything was seen: a program that is given 1.4 times what it takes on idle engines
 takes that."""
 LEAST_SHARE = 0.1
+"""Bound below the learned share, so that a few short programs do not let a first turn wait for all
+its time."""
 MOST_SHARE = 0.9
 """A first turn always bears a little: a program that ends somewhat late is worth more than one
 that never begins."""
--- a/src/yokeline/scheduling/queue_order.py
+++ b/src/yokeline/scheduling/queue_order.py
@@ -16,9 +16,9 @@
 
     Attributes:
         is_interrupted: Its caller is already reading a stream that broke off.
-        is_late: Its program can no longer end in time.
+        is_late: The time that its caller gave the program was over when the request came.
         has_begun: Its program has had a turn before.
-        is_beyond_share: Its tenant has more than its fair share of the places, and others wait.
+        is_held_back: It begins a program of a tenant that must leave places to others.
         priority: The operator's rank of it (0 first).
         over_at: When its program should be over (monotonic seconds).
     """
@@ -26,7 +26,7 @@
     is_interrupted: bool = False
     is_late: bool = False
     has_begun: bool = False
-    is_beyond_share: bool = False
+    is_held_back: bool = False
     priority: int = 0
     over_at: float = 0.0
 
@@ -37,7 +37,7 @@
         0 if standing.is_interrupted else 1,
         1 if standing.is_late else 0,
         0 if standing.has_begun else 1,
-        1 if standing.is_beyond_share else 0,
+        1 if standing.is_held_back else 0,
         standing.priority,
         standing.over_at,
     )
--- a/src/yokeline/scheduling/return_times.py
+++ b/src/yokeline/scheduling/return_times.py
@@ -24,7 +24,7 @@
 """Latest begin of the span as a share of its end, so that callers are spread also where what they
 honour cuts it short."""
 OUTAGE_SECONDS = 0.3
-"""Earliest return to a node that cannot serve for a while: it looks again each 0.25 s, and the
+"""Earliest return to a node that cannot serve for a while: it looks again about as soon, and the
 caller comes to another node as likely as not."""
 BEGUN_OUTAGE_SECONDS = 0.15
 """The same for a program that has begun."""
--- a/src/yokeline/scheduling/room_waits.py
+++ b/src/yokeline/scheduling/room_waits.py
@@ -18,11 +18,11 @@
 PLAIN_BEGUN_WAIT_SHARE = 1.0
 """The same for one that continues an earlier turn, which is of little use without it."""
 SLACK_SHARE = 0.5
-"""Share of a program's slack that its first turn may wait: its later turns meet the same load. Of
-programs that waited for all of it, most end late, and those behind them too."""
+"""Share of a program's slack that its first turn may wait: its later turns meet the same load, and
+need the rest."""
 LIKELY_SHARE = 0.6
-"""A first turn waits if a place is expected within this share of what it bears: about half of the
-waits are longer than expected, and one that ends without a place has cost its caller that time."""
+"""A first turn waits if a place is expected within this share of what it bears: an expectation errs
+both ways, and a wait that ends without a place has cost its caller that time."""
 HOPELESS_FACTOR = 2.0
 """A wait ends early if the expected one exceeds what is left of it by this factor. The estimate
 moves by about as much while turns of different lengths end, and what was waited would be lost."""
--- a/src/yokeline/scheduling/tenant_shares.py
+++ b/src/yokeline/scheduling/tenant_shares.py
@@ -24,7 +24,7 @@
 
 
 class TenantDemand(msgspec.Struct, frozen=True):
-    """What one tenant holds and asks for.
+    """What one tenant holds and asks for, at all nodes together.
 
     Attributes:
         weight: Its part of the places relative to others; above zero.
--- a/tests/property/test_engine_subsets.py
+++ b/tests/property/test_engine_subsets.py
@@ -11,7 +11,7 @@
 
 from yokeline.scheduling.engine_subsets import (
     LEAST_ENGINES,
-    Placed,
+    ZoneMember,
     nodes_per_engine,
     preferred_engines,
 )
@@ -33,9 +33,9 @@
         self.nodes = [self.place("edge") for _ in range(nodes)]
         self.engines = [self.place("engine") for _ in range(engines)]
 
-    def place(self, kind: str) -> Placed:
+    def place(self, kind: str) -> ZoneMember:
         self.number += 1
-        return Placed(f"{kind}-{self.number}", f"z{self.random.randrange(self.zone_count)}")
+        return ZoneMember(f"{kind}-{self.number}", f"z{self.random.randrange(self.zone_count)}")
 
     def change(self) -> None:
         """Let a node or an engine come or go."""
--- a/tests/unit/forwarding/test_preferences.py
+++ b/tests/unit/forwarding/test_preferences.py
@@ -8,7 +8,7 @@
 from yokeline.forwarding.engines import KEPT_SECONDS, EngineBook
 from yokeline.forwarding.model import Call, Engine
 from yokeline.forwarding.prefixes import PrefixBeliefs
-from yokeline.scheduling.engine_subsets import LEAST_ENGINES, Placed
+from yokeline.scheduling.engine_subsets import LEAST_ENGINES, ZoneMember
 
 ENGINES = 12
 NODES = 30
@@ -33,7 +33,7 @@
 def shared_book() -> EngineBook:
     """Return the engines as a node knows them that shares them with others."""
     engines = book("edge-0")
-    engines.set_nodes("a", [Placed(f"edge-{number}", "a") for number in range(NODES)])
+    engines.set_nodes("a", [ZoneMember(f"edge-{number}", "a") for number in range(NODES)])
     chosen(engines)
     return engines
 
--- a/tests/unit/ledger/test_claims.py
+++ b/tests/unit/ledger/test_claims.py
@@ -289,7 +289,7 @@
         self.assertFalse(self.ask("late", self.given, LITTLE).is_let_in)
         self.now += 2 * RECHECK_SECONDS
         late = self.ask("late", 2.0, FULL)
-        self.assertTrue(late.is_late)
+        self.assertTrue(late.cannot_end_in_time)
         self.assertFalse(late.is_let_in)
         self.assertTrue(self.ask("fresh", self.given, FULL).is_let_in)
 
--- a/tests/unit/scheduling/share_replay.py
+++ b/tests/unit/scheduling/share_replay.py
@@ -169,7 +169,7 @@
 
     def may_take(self, exchange: Exchange, now: float) -> bool:
         """Return whether a request need not leave its place to others."""
-        return self.way is not Way.SHARES or not self.shares.leaves_place(exchange, now)
+        return self.way is not Way.SHARES or not self.shares.is_held_back(exchange, now)
 
     def note_taken(self, exchange: Exchange, weight: float, now: float) -> None:
         """Count a request that got a place."""
--- a/tests/unit/scheduling/test_engine_subsets.py
+++ b/tests/unit/scheduling/test_engine_subsets.py
@@ -6,7 +6,7 @@
 
 from yokeline.scheduling.engine_subsets import (
     LEAST_ENGINES,
-    Placed,
+    ZoneMember,
     nodes_per_engine,
     preferred_engines,
 )
@@ -16,15 +16,15 @@
 Subsets = dict[str, frozenset[str]]
 
 
-def places(kind: str, count: int, zones: int = ZONES) -> list[Placed]:
-    return [Placed(f"{kind}-{number}", f"zone-{number % zones}") for number in range(count)]
+def places(kind: str, count: int, zones: int = ZONES) -> list[ZoneMember]:
+    return [ZoneMember(f"{kind}-{number}", f"zone-{number % zones}") for number in range(count)]
 
 
-def subsets(nodes: list[Placed], engines: list[Placed]) -> Subsets:
+def subsets(nodes: list[ZoneMember], engines: list[ZoneMember]) -> Subsets:
     return {node.name: preferred_engines(node, nodes, engines) for node in nodes}
 
 
-def preferences(chosen: Subsets, engines: list[Placed]) -> list[int]:
+def preferences(chosen: Subsets, engines: list[ZoneMember]) -> list[int]:
     """Return by how many nodes each engine is preferred."""
     counts = Counter(name for subset in chosen.values() for name in subset)
     return [counts[engine.name] for engine in engines]
@@ -101,7 +101,7 @@
 
     def test_a_node_that_is_not_listed_yet_prefers_some(self) -> None:
         nodes, engines = places("edge", 20), places("engine", 24)
-        new = Placed("new", "zone-1")
+        new = ZoneMember("new", "zone-1")
         self.assertGreaterEqual(len(preferred_engines(new, nodes, engines)), LEAST_ENGINES)
 
     def test_a_pool_of_two_engines_is_preferred_whole_and_one_of_none_not_at_all(self) -> None:
--- a/tests/unit/scheduling/test_program_sizes.py
+++ b/tests/unit/scheduling/test_program_sizes.py
@@ -19,7 +19,7 @@
         size = learned(*[11] * LEAST_PROGRAMS).size
         assert size is not None
         self.assertEqual((size.requests, size.deviation, size.seconds), (11.0, 0.0, 2.0))
-        self.assertEqual(size.pace, 5.5)
+        self.assertEqual(size.rate, 5.5)
 
     def test_mean_and_deviation_follow_what_programs_ask_for(self) -> None:
         source = random.Random(3)
@@ -44,4 +44,4 @@
     def test_programs_that_send_all_at_once_have_a_pace(self) -> None:
         size = learned(*[5] * LEAST_PROGRAMS, seconds=0.0).size
         assert size is not None
-        self.assertLess(size.pace, 1000.0)
+        self.assertLess(size.rate, 1000.0)
