--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -88,8 +88,9 @@
         queue = self._state.waiting.get(pool)
         if queue is None or not len(queue):
             return
-        queue.hold_back(self._state.shares.held_back(pool, self._state.now))
-        full = _FullEngines()
+        held_back = self._state.shares.held_back(pool, self._state.now)
+        queue.hold_back(held_back)
+        full = _FullEngines(held_back)
         look: Look | None = None
         ahead = 0
         for exchange in queue.in_order():
@@ -119,7 +120,8 @@
 
     def _choose(self, exchange: Exchange, full: _FullEngines) -> Choice | None:
         """Return the engine for a request; None if none has room, or others go first."""
-        if self._state.shares.is_held_back(exchange, self._state.now):
+        if exchange.waits_to_begin and exchange.tenant_name in full.held_back:
+            exchange.was_held_back = True
             return None
         placement = self._state.placement
         is_new_program = exchange.begins_program
@@ -132,6 +134,7 @@
 
     def _send(self, exchange: Exchange, choice: Choice) -> None:
         self._weighing.note_place(exchange)
+        exchange.room_wait = None
         self._sends.send(exchange, choice)
         self.sent(exchange)
 
@@ -162,8 +165,9 @@
     8 ms of processor time for 100 requests and 60 engines (``python -m benchmarks.dispatch``).
     """
 
-    def __init__(self) -> None:
-        """Know nothing yet."""
+    def __init__(self, held_back: frozenset[str]) -> None:
+        """Know nothing of engines yet; new programs of ``held_back`` tenants get no place."""
+        self.held_back = held_back
         self._for_any = False
         self._for_new_programs = False
 
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -56,6 +56,7 @@
         shows_credential: The caller's key is no key of ours, and goes to the engine.
         limit: What its tenant is given, if it counts against that.
         limit_waits: Times that it has waited for that.
+        was_held_back: It has waited since its tenant held more than its share.
         is_revoked: Its key was taken away; it is not sent to an engine any more.
         pool: The pool that serves it.
         body: What an engine receives: the history of its chain, then the caller's body.
@@ -96,6 +97,7 @@
     shows_credential: bool = True
     limit: RateLimit | None = None
     limit_waits: int = 0
+    was_held_back: bool = False
     is_revoked: bool = False
     pool: str = ""
     body: bytes = b""
--- a/src/yokeline/forwarding/room_weighing.py
+++ b/src/yokeline/forwarding/room_weighing.py
@@ -138,7 +138,7 @@
             has_program=bool(exchange.call.program),
             program_left=program_left,
             program_share=self._program_share(exchange),
-            has_begun=would_lose_work(exchange),
+            has_begun=would_lose_work(exchange) or exchange.runs > 0,
             is_interrupted=exchange.events > 0,
         )
 
@@ -147,7 +147,7 @@
 
     def _learn(self, exchange: Exchange, wait: RoomWait, *, got_place: bool) -> None:
         """Learn how far the expected waits of first turns can be trusted."""
-        if exchange.begins_program:
+        if exchange.begins_program and not exchange.was_held_back:
             waited = self._state.now - exchange.waiting_since
             self._errors.note(exchange.pool, wait.first_expected, waited, got_place=got_place)
 
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -25,8 +25,10 @@
     LeaderHint,
     LedgerReply,
     LedgerRequest,
+    NodeTurns,
     PassedOnRequest,
     PassedTurns,
+    PoolLoad,
     PoolShares,
     TextCopy,
 )
@@ -296,7 +298,7 @@
             operations=(),
             turns=report,
             wants_engines=wants_engines or UNSET,
-            tenant_loads=self.turns.take_rows(now) if report is not None else UNSET,
+            tenant_loads=self._rows(report, now),
         )
         return [SendPeer(to=leader.replica, address=leader.address, message=message)]
 
@@ -437,11 +439,20 @@
             turns=turns,
             is_copied=bool(copies),
             passed_turns=asked.passed_turns,
-            tenant_loads=self.turns.take_rows(now) if turns is not None else UNSET,
+            tenant_loads=self._rows(turns, now),
         )
         # The copies go first, so that they arrive before the entry that leaves them out.
         return [*copies, SendPeer(to=leader.replica, address=leader.address, message=message)]
 
+    def _rows(self, turns: NodeTurns | None, now: float) -> tuple[PoolLoad, ...] | UnsetType:
+        """Return the rows of tenants that go with a report of turns to the leader.
+
+        While the leader is out of reach they are kept for operations that peers pass on.
+        """
+        if turns is None or self._is_path_lost:
+            return UNSET
+        return self.turns.take_rows(now)
+
     def _copies(self, operation: Operation) -> list[Effect]:
         """Return the messages that bring a turn's text to the followers, if the leader asks."""
         turn = operation.turn if isinstance(operation, Settle) else None
@@ -482,7 +493,7 @@
     """Return what a node tells of its turns with an operation that is passed on."""
     if isinstance(request.turns, UnsetType):
         return UNSET
-    rows = () if isinstance(request.tenant_loads, UnsetType) else request.tenant_loads
+    rows = None if isinstance(request.tenant_loads, UnsetType) else request.tenant_loads
     return PassedTurns(sender, request.turns, rows)
 
 
--- a/src/yokeline/ledger/members.py
+++ b/src/yokeline/ledger/members.py
@@ -17,6 +17,8 @@
 """Silence after which a member is replaced by a node that waits to join."""
 JOIN_FRESH_SECONDS = 1.5
 """A node that asked to join within this time counts as alive."""
+AWAITED_SILENCE_SECONDS = 0.5
+"""Silence after which a member that has yet to catch up is no longer awaited."""
 LOST_SILENCE_SECONDS = 0.3
 """A replica that was heard within this time has not lost its disk, whatever a request says."""
 
@@ -155,7 +157,7 @@
         if node_name_of(member) not in view.retiring or len(view.members) == 1:
             continue
         staying = [other for other in view.members if other != member]
-        if any(other not in view.caught_up and other != view.own for other in staying):
+        if any(_is_awaited(other, view) for other in staying):
             continue
         if member != view.own:
             return RemoveMember(member, "to be emptied")
@@ -163,6 +165,13 @@
     return None
 
 
+def _is_awaited(member: ReplicaId, view: GroupView) -> bool:
+    """Return whether a member is about to catch up; one that is silent may never do."""
+    if member in view.caught_up or member == view.own:
+        return False
+    return view.silence.get(member, 0.0) <= AWAITED_SILENCE_SECONDS
+
+
 def _successor(staying: list[ReplicaId], view: GroupView) -> ReplicaId:
     """Return who is to lead; one that is to be emptied as well only if all are."""
     return min(staying, key=lambda member: node_name_of(member) in view.retiring)
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -133,12 +133,12 @@
 
     Attributes:
         process: Whose report it is.
-        tenant_loads: What its tenants have; empty if that is not due.
+        tenant_loads: What its tenants have; None if that is not due.
     """
 
     process: ReplicaId
     turns: NodeTurns
-    tenant_loads: tuple[PoolLoad, ...] = ()
+    tenant_loads: tuple[PoolLoad, ...] | None = None
 
 
 class LedgerRequest(msgspec.Struct, frozen=True, kw_only=True, tag="request"):
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -176,7 +176,7 @@
         if isinstance(passed, UnsetType) or not self._replica.leads:
             return
         self.turns.take(passed.process, passed.turns, now)
-        if passed.tenant_loads:
+        if passed.tenant_loads is not None:
             self.places.take(passed.process, passed.turns.sequence, passed.tenant_loads, now)
 
     def _take_operation(self, asker: Asker, operation: Operation, is_copied: bool) -> list[Effect]:
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -97,8 +97,8 @@
     def _reply(self, effect: HttpReply) -> None:
         connection = self._exchanges.get(effect.exchange)
         if connection is not None:
-            connection.reply(effect)
             self.unsent_bound.note_written(len(effect.body), self._connections)
+            connection.reply(effect)
 
     def _start_stream(self, effect: HttpStreamStart) -> None:
         connection = self._exchanges.get(effect.exchange)
@@ -108,8 +108,8 @@
     def _stream_data(self, effect: HttpStreamData) -> None:
         connection = self._exchanges.get(effect.exchange)
         if connection is not None:
-            connection.stream_data(effect.data)
             self.unsent_bound.note_written(len(effect.data), self._connections)
+            connection.stream_data(effect.data)
 
     def _end_stream(self, effect: HttpStreamEnd) -> None:
         connection = self._exchanges.get(effect.exchange)
--- a/src/yokeline/node/unsent_bound.py
+++ b/src/yokeline/node/unsent_bound.py
@@ -41,7 +41,10 @@
         self._written = 0
 
     def note_written(self, count: int, readers: Iterable[Reader]) -> None:
-        """Count bytes that were written to a reader, and look at all of them if it is time."""
+        """Count bytes that are about to be written to a reader, and look at all if it is time.
+
+        Before they are written: else who is about to take them at once looks like a slow reader.
+        """
         self._written += count
         if self._written < LOOK_SHARE * self._bound:
             return
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -55,9 +55,6 @@
 """Share of a process's memory for answers that callers have not read yet; the most of it is for
 what the process needs at rest, and for requests under way."""
 
-_UNSENT_READER_SHARE = 0.25
-"""Share of that for one caller, so that a single one does not end the answers of others."""
-
 BoundServices = list[tuple[Service, ServiceBinding, OpenSockets | None]]
 
 
@@ -324,8 +321,7 @@
     if not memory_mb:
         return limits
     of_all = int(_UNSENT_MEMORY_SHARE * memory_mb * MEBIBYTE)
-    of_one = min(limits.max_unsent_bytes, int(_UNSENT_READER_SHARE * of_all))
-    return msgspec.structs.replace(limits, max_unsent_bytes=of_one, max_unsent_bytes_of_all=of_all)
+    return msgspec.structs.replace(limits, max_unsent_bytes_of_all=of_all)
 
 
 def _read_log(folder: Path, name: str) -> Result[bytes, YokelineError]:
--- a/src/yokeline/scheduling/queue_order.py
+++ b/src/yokeline/scheduling/queue_order.py
@@ -35,9 +35,9 @@
     """Return the place of a request in the queue; the least is served first."""
     return (
         0 if standing.is_interrupted else 1,
+        1 if standing.is_held_back else 0,
         1 if standing.is_late else 0,
         0 if standing.has_begun else 1,
-        1 if standing.is_held_back else 0,
         standing.priority,
         standing.over_at,
     )
--- a/tests/unit/ledger/test_members.py
+++ b/tests/unit/ledger/test_members.py
@@ -7,6 +7,7 @@
 from yokeline.effects import Address
 from yokeline.identifiers import NodeName, ReplicaId, node_name_of
 from yokeline.ledger.members import (
+    AWAITED_SILENCE_SECONDS,
     AddMember,
     GroupView,
     HandOver,
@@ -26,6 +27,7 @@
     joins: tuple[ReplicaId, ...] = (),
     retiring: str = "",
     caught_up: frozenset[ReplicaId] | None = None,
+    silence: dict[ReplicaId, float] | None = None,
     leads_for: float = 10.0,
 ) -> GroupView:
     requests = {
@@ -36,7 +38,7 @@
         own=members[0],
         members=members,
         joins=requests,
-        silence={},
+        silence=silence or {},
         retiring=frozenset(NodeName(name) for name in retiring),
         lost=frozenset(),
         caught_up=frozenset(members) if caught_up is None else caught_up,
@@ -56,6 +58,12 @@
         step = next_step(view(grown, retiring="b", caught_up=frozenset(MEMBERS)), NOW)
         self.assertIsNone(step)
 
+    def test_a_successor_that_fell_silent_is_not_awaited(self) -> None:
+        grown = (*MEMBERS, SPARE)
+        silence = {SPARE: AWAITED_SILENCE_SECONDS + 0.1}
+        behind = view(grown, retiring="b", caught_up=frozenset(MEMBERS), silence=silence)
+        self.assertEqual(next_step(behind, NOW), RemoveMember(MEMBERS[1], "to be emptied"))
+
     def test_then_it_goes_and_nobody_else_joins(self) -> None:
         grown = (*MEMBERS, SPARE)
         step = next_step(view(grown, retiring="b", joins=(ReplicaId("g~1"),)), NOW)
