One book of what nodes told last, for turns and for tenants' places

The leader's two books kept the same record of each node twice: the bound on their number, the order by sequence, the pause between looks, the silence after which a node counts no more. Both now keep it in NodeReports, and only count what is taken out.

--- a/src/yokeline/ledger/tenant_places.py
+++ b/src/yokeline/ledger/tenant_places.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 import msgspec
 
 from yokeline.effects import LogRecord
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import PoolLoad, PoolShares, TenantLoad
-from yokeline.ledger.own_turns import REFRESH_SECONDS
-from yokeline.ledger.turns_under_way import MAX_NODES, NODE_SILENCE_SECONDS
+from yokeline.ledger.node_reports import NodeReports
 from yokeline.scheduling.tenant_shares import Shares, TenantDemand, shares_of
 
 SHARES_SECONDS = 0.025
@@ -71,12 +71,6 @@
         return shares_of(self.demands.values(), self.places)
 
 
-class _NodeRecord(msgspec.Struct, frozen=True):
-    sequence: int
-    loads: tuple[PoolLoad, ...]
-    heard_at: float
-
-
 class TenantPlaces:
     """The latest rows of each node, their sums by pool and tenant, and the shares.
 
@@ -87,27 +81,23 @@
     def __init__(self) -> None:
         """Know of no tenant."""
         self.is_used = False
-        self._nodes: dict[ReplicaId, _NodeRecord] = {}
+        self._nodes = NodeReports[PoolLoad]()
         self._pools: dict[str, _Pool] = {}
         self._shares: dict[str, Shares] = {}
         self._told: tuple[PoolShares, ...] = ()
         self._shared_at = -math.inf
-        self._next_look = -math.inf
         self._beyond_at: dict[TenantOfPool, float] = {}
 
     def take(
         self, process: ReplicaId, sequence: int, loads: tuple[PoolLoad, ...], now: float
     ) -> None:
         """Take the rows of a node's process in, unless later ones came before."""
-        known = self._nodes.get(process)
-        if known is None and len(self._nodes) >= MAX_NODES:
-            return
-        if known is not None and known.sequence >= sequence:
+        if not self._nodes.has_room(process) or not self._nodes.is_news(process, sequence):
             return
         self.is_used = True
-        self._remove(process)
+        self._count_no_more(self._nodes.take_out(process))
         counted = tuple(self._counted(load) for load in loads)
-        self._nodes[process] = _NodeRecord(sequence, counted, now)
+        self._nodes.put(process, sequence, counted, now)
         for load in counted:
             pool = self._pools.setdefault(load.pool, _Pool())
             pool.places = load.places
@@ -198,19 +188,16 @@
             rows = tuple(row for row in rows if row.tenant in pool.demands)
         return msgspec.structs.replace(load, tenants=rows)
 
-    def _remove(self, process: ReplicaId) -> None:
-        known = self._nodes.pop(process, None)
-        for load in known.loads if known is not None else ():
+    def _count_no_more(self, loads: Iterable[PoolLoad]) -> None:
+        for load in loads:
             for row in load.tenants:
                 self._pools[load.pool].remove(row)
 
     def _forget_silent(self, now: float) -> None:
-        if now < self._next_look:
+        silent = self._nodes.take_out_silent(now)
+        if silent is None:
             return
-        self._next_look = now + REFRESH_SECONDS
-        for process, record in list(self._nodes.items()):
-            if now - record.heard_at > NODE_SILENCE_SECONDS:
-                self._remove(process)
+        self._count_no_more(silent)
         for name, pool in list(self._pools.items()):
             if not pool.demands:
                 del self._pools[name]
--- a/src/yokeline/ledger/turns_under_way.py
+++ b/src/yokeline/ledger/turns_under_way.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 import msgspec
 
@@ -24,18 +25,14 @@
     NodeTurns,
     TurnServed,
 )
-from yokeline.ledger.own_turns import REFRESH_SECONDS
+from yokeline.ledger.node_reports import NodeReports
 from yokeline.scheduling.engine_profiles import EngineProfile
 
-NODE_SILENCE_SECONDS = 3 * REFRESH_SECONDS
-"""A node that has not reported for this long is gone, or has no turn under way; two reports in a
-row may be lost with a connection."""
 FORGET_SECONDS = 15.0
 """An engine without turns of which nothing was seen for this long may be forgotten if there are
 too many to tell."""
 PROFILE_SECONDS = 120.0
 """The same for any engine: its profile weighs next to nothing by then, or the engine has gone."""
-MAX_NODES = 10_000
 MAX_ENGINES_TOLD = 256
 """Engines told with one answer; in a larger fleet nodes go by the load reports alone."""
 WEIGHT = 0.15
@@ -44,12 +41,6 @@
 """Time in which the slowness of an engine fades to a third without new turns."""
 
 
-class _NodeRecord(msgspec.Struct, frozen=True):
-    sequence: int
-    loads: tuple[EngineLoad, ...]
-    heard_at: float
-
-
 class _EngineRecord(msgspec.Struct):
     running: int = 0
     told_at: float = -math.inf
@@ -65,9 +56,8 @@
 
     def __init__(self) -> None:
         """Know of no turn."""
-        self._nodes: dict[ReplicaId, _NodeRecord] = {}
+        self._nodes = NodeReports[EngineLoad]()
         self._engines: dict[str, _EngineRecord] = {}
-        self._next_look = -math.inf
 
     def __len__(self) -> int:
         """Return how many turns are under way."""
@@ -75,15 +65,14 @@
 
     def take(self, process: ReplicaId, report: NodeTurns, now: float) -> None:
         """Take the report of a node's process in, unless a later one came before."""
-        known = self._nodes.get(process)
-        if known is None and len(self._nodes) >= MAX_NODES:
+        if not self._nodes.has_room(process):
             return
         for served in report.served:
             self._note_served(served, now)
-        if known is not None and known.sequence >= report.sequence:
+        if not self._nodes.is_news(process, report.sequence):
             return
-        self._remove(process)
-        self._nodes[process] = _NodeRecord(report.sequence, report.loads, now)
+        self._count_no_more(self._nodes.take_out(process))
+        self._nodes.put(process, report.sequence, report.loads, now)
         for load in report.loads:
             record = self._engine(load.engine_id)
             record.running += load.running
@@ -116,19 +105,15 @@
         if served.slowness > 0:
             record.slowness.observe(served.slowness, now)
 
-    def _remove(self, process: ReplicaId) -> None:
-        known = self._nodes.pop(process, None)
-        for load in known.loads if known is not None else ():
+    def _count_no_more(self, loads: Iterable[EngineLoad]) -> None:
+        for load in loads:
             self._engine(load.engine_id).running -= load.running
 
     def _forget_silent(self, now: float) -> None:
-        if now < self._next_look:
-            return
-        self._next_look = now + REFRESH_SECONDS
-        for process, record in list(self._nodes.items()):
-            if now - record.heard_at > NODE_SILENCE_SECONDS:
-                self._remove(process)
-        self._forget_idle(now, PROFILE_SECONDS)
+        silent = self._nodes.take_out_silent(now)
+        if silent is not None:
+            self._count_no_more(silent)
+            self._forget_idle(now, PROFILE_SECONDS)
 
     def _forget_idle(self, now: float, silence: float) -> None:
         """Forget engines without turns of which nothing was seen for ``silence`` seconds."""
--- a/tests/unit/forwarding/test_place_shares.py
+++ b/tests/unit/forwarding/test_place_shares.py
@@ -17,9 +17,9 @@
 from yokeline.forwarding.waiting import WaitingRequests
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import EngineLoad, LoadReport, PoolLoad, PoolShares, TenantLoad
+from yokeline.ledger.node_reports import NODE_SILENCE_SECONDS
 from yokeline.ledger.operations import Granted
 from yokeline.ledger.own_turns import ROWS_SECONDS
-from yokeline.ledger.turns_under_way import NODE_SILENCE_SECONDS
 
 HOT = Tenant(name="hot", rate=100.0)
 CALM = Tenant(name="calm", rate=40.0)
--- a/tests/unit/forwarding/test_turns_told.py
+++ b/tests/unit/forwarding/test_turns_told.py
@@ -14,8 +14,8 @@
     LoadReport,
     TurnServed,
 )
+from yokeline.ledger.node_reports import NODE_SILENCE_SECONDS
 from yokeline.ledger.operations import Granted, Settle
-from yokeline.ledger.turns_under_way import NODE_SILENCE_SECONDS
 
 
 def told(
--- a/tests/unit/ledger/test_shares_told.py
+++ b/tests/unit/ledger/test_shares_told.py
@@ -10,10 +10,10 @@
 from tests.unit.ledger.cluster import Asker, Cluster
 from yokeline.effects import Effect
 from yokeline.ledger.messages import PoolLoad, PoolShares, TenantLoad
+from yokeline.ledger.node_reports import NODE_SILENCE_SECONDS
 from yokeline.ledger.operations import OperationResult, Reserve
 from yokeline.ledger.own_turns import REFRESH_SECONDS
 from yokeline.ledger.tenant_places import SHARES_SECONDS
-from yokeline.ledger.turns_under_way import NODE_SILENCE_SECONDS
 
 PLACES = 12
 
--- a/tests/unit/ledger/test_tenant_places.py
+++ b/tests/unit/ledger/test_tenant_places.py
@@ -6,8 +6,8 @@
 
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import PoolLoad, PoolShares, TenantLoad
+from yokeline.ledger.node_reports import NODE_SILENCE_SECONDS
 from yokeline.ledger.tenant_places import CALM_SECONDS, MAX_TENANTS, SHARES_SECONDS, TenantPlaces
-from yokeline.ledger.turns_under_way import NODE_SILENCE_SECONDS
 
 PLACES = 12
 
--- a/tests/unit/ledger/test_turns_under_way.py
+++ b/tests/unit/ledger/test_turns_under_way.py
@@ -10,12 +10,12 @@
     NodeTurns,
     TurnServed,
 )
+from yokeline.ledger.node_reports import NODE_SILENCE_SECONDS
 from yokeline.ledger.own_turns import MAX_SERVED, REFRESH_SECONDS, OwnTurns
 from yokeline.ledger.turns_under_way import (
     FADE_SECONDS,
     FORGET_SECONDS,
     MAX_ENGINES_TOLD,
-    NODE_SILENCE_SECONDS,
     PROFILE_SECONDS,
     TurnsUnderWay,
 )
