Ask in one place whether a request begins a program of a held-back tenant

Dispatch, the queue's standing and the shares each wrote the same condition; Exchange.begins_for says it once.

--- a/src/yokeline/forwarding/dispatch.py
+++ b/src/yokeline/forwarding/dispatch.py
@@ -120,7 +120,7 @@
 
     def _choose(self, exchange: Exchange, full: _FullEngines) -> Choice | None:
         """Return the engine for a request; None if none has room, or others go first."""
-        if exchange.waits_to_begin and exchange.tenant_name in full.held_back:
+        if exchange.begins_for(full.held_back):
             exchange.was_held_back = True
             return None
         placement = self._state.placement
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Collection
 
 import msgspec
 
@@ -155,6 +156,10 @@
         """Whether it begins a program, and no engine may have run it yet."""
         return self.begins_program and not self.runs
 
+    def begins_for(self, tenants: Collection[str]) -> bool:
+        """Return whether it waits to begin a program of one of some tenants."""
+        return self.waits_to_begin and self.tenant_name in tenants
+
     @property
     def begun(self) -> bool:
         """Whether it belongs to a program that has had a turn before."""
--- a/src/yokeline/forwarding/place_shares.py
+++ b/src/yokeline/forwarding/place_shares.py
@@ -58,9 +58,7 @@
 
     def is_held_back(self, exchange: Exchange, now: float) -> bool:
         """Return whether a request gets no place now, so that other tenants do."""
-        if not self._told or not exchange.waits_to_begin:
-            return False
-        return exchange.tenant_name in self.held_back(exchange.pool, now)
+        return exchange.begins_for(self.held_back(exchange.pool, now))
 
     def note_served(self, exchange: Exchange, now: float) -> None:
         """Count a first turn that got a place."""
--- a/src/yokeline/forwarding/waiting.py
+++ b/src/yokeline/forwarding/waiting.py
@@ -25,7 +25,7 @@
         is_interrupted=exchange.events > 0,
         is_late=finish is not None and finish <= 0,
         has_begun=exchange.begun,
-        is_held_back=exchange.waits_to_begin and exchange.tenant_name in held_back,
+        is_held_back=exchange.begins_for(held_back),
         priority=exchange.priority,
         over_at=exchange.started + (finish or 0.0),
     )
