One virtual clock for the two replays of a node

The replays of room and of refusals had the same loop of events, the same ticks between them and the same way to the engines. Test support only; no assertion is touched.

--- a/tests/unit/forwarding/refusal_replay.py
+++ b/tests/unit/forwarding/refusal_replay.py
@@ -6,14 +6,12 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
-from collections.abc import Callable
 
 import msgspec
 
 from tests.unit.forwarding.support import NOT_RUN, Played
+from tests.unit.forwarding.virtual_clock import WAY_SECONDS, VirtualClock
 from yokeline.effects import HttpRequest, HttpResponse
 
 POISON_SHARE = 0.1
@@ -21,7 +19,6 @@
 SLOTS = 6
 WORK_SECONDS = 0.04
 SECONDS = 3.0
-WAY_SECONDS = 0.002
 POISON = "poison"
 
 
@@ -49,44 +46,24 @@
         self._poison_random = random.Random(f"{seed}/poison")
         self._poison_share = poison_share
         self._rate = load * ENGINES * SLOTS / WORK_SECONDS
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
+        self._clock = VirtualClock(self.played, self._send_on)
         self._running: dict[str, int] = {}
-        self._handled = 0
         self._end = self.played.now + SECONDS
         self._arrived_at: dict[str, float] = {}
 
-    def at(self, when: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (when, next(self._numbers), action))
-
     def run(self) -> Replayed:
         self._plan_arrival()
-        while self._events:
-            when, _, action = heapq.heappop(self._events)
-            self._tick_until(when)
-            self.played.now = when
-            action()
-            self._send_on()
+        self._clock.run()
         for reply in self.played.replies:
             request_id = str(reply.exchange)
             if request_id in self._arrived_at and reply.status != 200:
                 self.result.refused += 1
         return self.result
 
-    def _tick_until(self, when: float) -> None:
-        """Let the node do what falls due before the next event."""
-        while True:
-            due = self.played.forwarder.next_deadline()
-            if due is None or due >= when:
-                return
-            self.played.now = max(self.played.now, due)
-            self.played.take(self.played.forwarder.tick(self.played.now))
-            self._send_on()
-
     def _plan_arrival(self) -> None:
         when = self.played.now + self._random.expovariate(self._rate)
         if when < self._end:
-            self.at(when, self._arrive)
+            self._clock.at(when, self._arrive)
 
     def _arrive(self) -> None:
         self._plan_arrival()
@@ -99,11 +76,7 @@
 
     def _send_on(self) -> None:
         """Let what was sent arrive at its engine."""
-        while self._handled < len(self.played.sent):
-            request = self.played.sent[self._handled]
-            engine = self.played.engine_of(self._handled)
-            self._handled += 1
-            self.at(self.played.now + WAY_SECONDS, lambda r=request, e=engine: self._reach(r, e))  # type: ignore[misc]
+        self._clock.bring_sent(self._reach)
 
     def _reach(self, request: HttpRequest, engine: str) -> None:
         is_full = self._running.get(engine, 0) >= SLOTS
@@ -114,7 +87,7 @@
         self._running[engine] = self._running.get(engine, 0) + 1
         request_id = dict(request.header_items)["x-yokeline-request-id"]
         self.result.waited_seconds += self.played.now - WAY_SECONDS - self._arrived_at[request_id]
-        self.at(self.played.now + WORK_SECONDS, lambda: self._end_run(request, engine))
+        self._clock.at(self.played.now + WORK_SECONDS, lambda: self._end_run(request, engine))
 
     def _end_run(self, request: HttpRequest, engine: str) -> None:
         self._running[engine] -= 1
--- a/tests/unit/forwarding/room_replay.py
+++ b/tests/unit/forwarding/room_replay.py
@@ -7,14 +7,12 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
-from collections.abc import Callable
 
 import msgspec
 
 from tests.unit.forwarding.support import STORAGE, TABLE, Played
+from tests.unit.forwarding.virtual_clock import VirtualClock
 from yokeline.bearer_tokens import token_digest
 from yokeline.effects import HttpReply, HttpRequest, HttpResponse, HttpStreamEnded, HttpStreamItem
 from yokeline.forwarding.freshness import Currency
@@ -32,7 +30,6 @@
 GIVEN_FACTOR = 1.4
 TARGET_SECONDS = 0.2
 DEADLINE_SECONDS = 3.0
-WAY_SECONDS = 0.002
 TRIES = 2
 """Tries of one turn; after them its program is lost."""
 HONOURED_SHARE = 1 / 3
@@ -121,47 +118,24 @@
         self.result = Replayed()
         self._load = load
         self._random = random.Random(seed)
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
+        self._clock = VirtualClock(self.played, self._follow_up)
         self._running: dict[str, int] = {}
         self._queued: dict[str, list[HttpRequest]] = {}
         self._turns: dict[str, tuple[_Program, float]] = {}
-        self._sent = self._answered = self._replied = 0
+        self._answered = self._replied = 0
         self._begin = self.played.now + SETTLING_SECONDS
         self._end = self._begin + load.seconds
 
     def run(self) -> Replayed:
         """Play until nothing is left."""
         self._plan_arrival()
-        while self._events:
-            when, _, action = heapq.heappop(self._events)
-            self._tick_until(when)
-            self.played.now = when
-            action()
-            self._follow_up()
+        self._clock.run()
         return self.result
 
-    # ------------------------------------------------------------ time
-
-    def _at(self, when: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (when, next(self._numbers), action))
-
-    def _tick_until(self, when: float) -> None:
-        while True:
-            due = self.played.forwarder.next_deadline()
-            if due is None or due >= when:
-                return
-            self.played.now = max(self.played.now, due)
-            self.played.take(self.played.forwarder.tick(self.played.now))
-            self._follow_up()
-
     def _follow_up(self) -> None:
         """Let the ledger, the engines and the callers see what the node did."""
         self._answer_ledger()
-        while self._sent < len(self.played.sent):
-            request, engine = self.played.sent[self._sent], self.played.engine_of(self._sent)
-            self._sent += 1
-            self._at(self.played.now + WAY_SECONDS, lambda r=request, e=engine: self._reach(r, e))  # type: ignore[misc]
+        self._clock.bring_sent(self._reach)
         while self._replied < len(self.played.replies):
             reply = self.played.replies[self._replied]
             self._replied += 1
@@ -197,7 +171,7 @@
     def _plan_arrival(self) -> None:
         when = self.played.now + self._random.expovariate(self._rate())
         if when < self._end:
-            self._at(when, self._arrive)
+            self._clock.at(when, self._arrive)
 
     def _arrive(self) -> None:
         self._plan_arrival()
@@ -205,7 +179,7 @@
         idle = turns * TURN_SECONDS + (turns - 1) * PAUSE_SECONDS
         now = self.played.now
         program = _Program(
-            name=f"p{next(self._numbers)}",
+            name=f"p{next(self._clock.numbers)}",
             began=now,
             given=GIVEN_FACTOR * idle + TARGET_SECONDS,
             turns=turns,
@@ -239,7 +213,7 @@
             self.result.lost_begun += program.counts and program.tokens > 0
             return
         pause = min(told, HONOURED_SHARE * (DEADLINE_SECONDS - waited))
-        self._at(self.played.now + pause, lambda: self._take_turn(program))
+        self._clock.at(self.played.now + pause, lambda: self._take_turn(program))
 
     def _count_refusal(
         self, reply: HttpReply, program: _Program, waited: float, told: float
@@ -269,7 +243,7 @@
 
     def _run(self, request: HttpRequest, engine: str) -> None:
         self._running[engine] = self._running.get(engine, 0) + 1
-        self._at(self.played.now + TURN_SECONDS, lambda: self._end_turn(request, engine))
+        self._clock.at(self.played.now + TURN_SECONDS, lambda: self._end_turn(request, engine))
 
     def _end_turn(self, request: HttpRequest, engine: str) -> None:
         self._running[engine] -= 1
@@ -291,7 +265,7 @@
         program.tokens += 10
         program.turns -= 1
         if program.turns:
-            self._at(self.played.now + PAUSE_SECONDS, lambda: self._take_turn(program))
+            self._clock.at(self.played.now + PAUSE_SECONDS, lambda: self._take_turn(program))
             return
         taken = self.played.now - program.began
         if program.counts:
