Route every choice of an engine through one eligibility policy

Evacuated zones, cold engines and data residency all leave engines out of a choice. One policy is asked by choose_engine, so that retries and queued requests obey it like first sends; capacity counts what it leaves. Settings, configuration and engine entries now carry what the restrictions need. Without an active restriction nothing changes.

--- a/src/yokeline/forwarding/capacity_view.py
+++ b/src/yokeline/forwarding/capacity_view.py
@@ -73,10 +73,14 @@
         return view
 
     def _take_view(self, pool: str, now: float) -> CapacityView:
-        engines = self._engines.in_pool(pool, now)
-        slots = sum(state.engine.slots for state in engines)
-        held = sum(state.load for state in engines)
-        least_excess = min((state.load - state.engine.slots for state in engines), default=0)
+        engines = [
+            (state, usable)
+            for state in self._engines.in_pool(pool, now)
+            if (usable := self._placement.usable_slots(state, now)) > 0
+        ]
+        slots = int(sum(usable for _, usable in engines))
+        held = sum(state.load for state, _ in engines)
+        least_excess = min((state.load - state.engine.slots for state, _ in engines), default=0)
         waiting = self._engines.waiting_elsewhere(pool, now)
         return CapacityView(
             taken_at=now,
--- a/src/yokeline/forwarding/dispatcher.py
+++ b/src/yokeline/forwarding/dispatcher.py
@@ -118,6 +118,9 @@
             return RoomRefusal.NO_TIME
         if placement.has_no_engine_left(exchange):
             return RoomRefusal.NO_ENGINE_LEFT
+        pool = self._state.pool_of(exchange)
+        if placement.has_no_eligible_engine(exchange, pool, self._state.now):
+            return RoomRefusal.NO_ELIGIBLE_ENGINE
         return None
 
     def _choose(self, exchange: Exchange, full_engines: _FullEngineCache) -> EngineChoice | None:
@@ -161,7 +164,7 @@
 
 
 class _FullEngineCache:
-    """Remembers within one dispatch for which requests all engines are full.
+    """Remembers within one dispatch for which requests all engines are full, by allowed regions.
 
     Without the cache, each dispatch would evaluate every engine for every queued request (``python
     -m benchmarks.dispatch``).
@@ -170,21 +173,25 @@
     def __init__(self, held_back: frozenset[str]) -> None:
         """Start empty; first turns of ``held_back`` tenants get no slot."""
         self.held_back = held_back
-        self._full_for_any = False
-        self._full_for_new_programs = False
+        self._full_for_any: set[frozenset[str] | None] = set()
+        self._full_for_new_programs: set[frozenset[str] | None] = set()
 
     def record_full(self, exchange: Exchange, *, is_new_program: bool) -> None:
         """Record that no engine had capacity for a request."""
         if exchange.attempts.are_exhausted:
             return
-        self._full_for_new_programs = True
-        self._full_for_any = self._full_for_any or not is_new_program
+        self._full_for_new_programs.add(exchange.allowed_regions)
+        if not is_new_program:
+            self._full_for_any.add(exchange.allowed_regions)
 
     def is_full_for(self, exchange: Exchange, *, is_new_program: bool) -> bool:
         """Return whether all engines are known to be full for a request."""
         if exchange.attempts.are_exhausted:
             return False
-        return self._full_for_any or (is_new_program and self._full_for_new_programs)
+        regions = exchange.allowed_regions
+        return regions in self._full_for_any or (
+            is_new_program and regions in self._full_for_new_programs
+        )
 
 
 def ignore_exchange(exchange: Exchange) -> None:
--- a/src/yokeline/forwarding/engine_choice.py
+++ b/src/yokeline/forwarding/engine_choice.py
@@ -5,12 +5,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import msgspec
 
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.model import Call, ModelTraits
 from yokeline.forwarding.prefix_cache import PrefixCacheIndex
 from yokeline.ledger.operations import CachedContext
+from yokeline.scheduling.eligibility import EligibilityPolicy, EngineQuery, Ineligibility
 from yokeline.scheduling.engine_model import EngineLatencyModel
 
 CROSS_ZONE_PENALTY_SECONDS = 0.016
@@ -46,6 +49,8 @@
 """Bonus for the engine that served the affinity key last. Also the assumed duration of a call while
 no call was observed."""
 
+NO_RESTRICTIONS = EligibilityPolicy()
+
 
 class EngineChoice(msgspec.Struct, frozen=True, kw_only=True):
     """The chosen engine and the estimates behind the choice.
@@ -56,6 +61,7 @@
         load: Requests that the engine had under way.
         cached_tokens: Prompt tokens that the engine has probably cached.
         predicted_seconds: Seconds from the send to the end of the answer; 0 if not predicted.
+        left_out: Engines that were ineligible for the request, by cause.
     """
 
     state: EngineState
@@ -63,6 +69,7 @@
     load: int
     cached_tokens: int
     predicted_seconds: float = 0.0
+    left_out: dict[Ineligibility, int] = {}
 
 
 class ChoiceInputs(msgspec.Struct, frozen=True, kw_only=True):
@@ -78,6 +85,8 @@
         is_new_program: Whether the request is the first turn of a program.
         model: Cost model of the pool's engines; None for apps.
         is_retryable: Whether the request can be sent again after a failure.
+        eligibility: Restrictions on the engines.
+        allowed_regions: Regions that may serve the request; None for all regions.
     """
 
     call: Call
@@ -89,6 +98,8 @@
     is_new_program: bool = False
     model: EngineLatencyModel | None = None
     is_retryable: bool = True
+    eligibility: EligibilityPolicy = NO_RESTRICTIONS
+    allowed_regions: frozenset[str] | None = None
 
 
 class PoolStatistics(msgspec.Struct, frozen=True):
@@ -106,8 +117,10 @@
 def choose_engine(
     engines: list[EngineState], prefix_cache: PrefixCacheIndex, inputs: ChoiceInputs, now: float
 ) -> EngineChoice | None:
-    """Return the engine with the least cost; None if no engine has capacity."""
+    """Return the eligible engine with the least cost; None if none has capacity."""
     best: EngineChoice | None = None
+    is_restricted = inputs.eligibility.is_active
+    left_out: Counter[Ineligibility] = Counter()
     median_call_seconds = _median_call_seconds(engines) if inputs.model is None else 0.0
     registered_share = sum(not state.expires_at for state in engines) / max(1, len(engines))
     pool = PoolStatistics(median_call_seconds, registered_share)
@@ -116,12 +129,34 @@
             continue
         if state.load >= max_load(state, inputs):
             continue
+        if is_restricted:
+            cause = ineligibility(state, prefix_cache, inputs, now)
+            if cause is not None:
+                left_out[cause] += 1
+                continue
         choice = _estimate(state, prefix_cache, inputs, pool, now)
         if best is None or choice.cost < best.cost:
             best = choice
+    if best is not None and left_out:
+        return msgspec.structs.replace(best, left_out=dict(left_out))
     return best
 
 
+def ineligibility(
+    state: EngineState, prefix_cache: PrefixCacheIndex, inputs: ChoiceInputs, now: float
+) -> Ineligibility | None:
+    """Return why a request may not be sent to an engine now; None if it may."""
+    query = EngineQuery(
+        engine_id=state.engine.engine_id,
+        zone=state.engine.zone,
+        session=inputs.call.session,
+        is_new_program=inputs.is_new_program,
+        cached_tokens=_cached_tokens(state, prefix_cache, inputs),
+        allowed_regions=inputs.allowed_regions,
+    )
+    return inputs.eligibility.check(query, now)
+
+
 def max_load(state: EngineState, inputs: ChoiceInputs) -> int:
     """Return the number of requests at an engine from which on it does not receive this one."""
     overcommit = APP_OVERCOMMIT
--- a/src/yokeline/forwarding/engine_discovery.py
+++ b/src/yokeline/forwarding/engine_discovery.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import msgspec
 from returns.result import Success
 
 from yokeline.effects import CloseIdleConnections, Effect, LogRecord
@@ -85,7 +86,8 @@
         previous = self._engines.current_incarnation(engine.instance)
         if previous is not None and previous.engine.engine_id != engine.engine_id:
             effects.extend(self._replace(previous, item, now))
-        if not self._engines.put(engine):
+        # The time left changes with each heartbeat, and is not part of what is known of an engine.
+        if not self._engines.put(msgspec.structs.replace(engine, cold_seconds_left=0.0)):
             return effects
         fields = _fields(engine.engine_id, item)
         fields.update(pool=engine.pool, address=str(engine.address), draining=engine.draining)
--- a/src/yokeline/forwarding/engine_sender.py
+++ b/src/yokeline/forwarding/engine_sender.py
@@ -10,6 +10,7 @@
 from yokeline.forwarding.engine_request import build_engine_request
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.outcome_recorder import LogField
 from yokeline.forwarding.settlements import Settlements
 from yokeline.identifiers import RequestId
 from yokeline.scheduling.engine_model import NO_PACE, ObservedPace
@@ -42,6 +43,7 @@
         exchange.engine_request_id = RequestId(f"call/{next(self._request_numbers)}")
         state.by_engine_request[exchange.engine_request_id] = exchange
         state.engines.record_sent(engine)
+        state.eligibility.record_send(engine.engine.engine_id, state.now)
         self._settlements.report_send(exchange, engine)
         state.placement.record_send(exchange, choice, state.pool_of(exchange), state.now)
         state.fair_shares.record_served(exchange, state.now)
@@ -80,20 +82,23 @@
         self.release(exchange, failed=failed, cancelled=True)
 
     def _log_choice(self, exchange: Exchange, choice: EngineChoice) -> None:
-        self._state.outcomes.log(
-            "engine_chosen",
-            exchange,
-            engine=choice.state.engine.engine_id,
-            cost=round(choice.cost, 4),
-            load=choice.load,
-            prompt=exchange.call.prompt_tokens,
-            cached=choice.cached_tokens,
-            predicted=round(choice.predicted_seconds, 4),
-            history=exchange.history_source.value,
-            reserving=_seconds_to_grant(exchange),
-            waited=round(self._state.now - exchange.waiting_since, 4),
-            send=exchange.sends,
-        )
+        fields: dict[str, LogField] = {
+            "engine": choice.state.engine.engine_id,
+            "cost": round(choice.cost, 4),
+            "load": choice.load,
+            "prompt": exchange.call.prompt_tokens,
+            "cached": choice.cached_tokens,
+            "predicted": round(choice.predicted_seconds, 4),
+            "history": exchange.history_source.value,
+            "reserving": _seconds_to_grant(exchange),
+            "waited": round(self._state.now - exchange.waiting_since, 4),
+            "send": exchange.sends,
+        }
+        for cause, count in choice.left_out.items():
+            fields[f"left_out_{cause.value}"] = count
+            name = f'yokeline_forwarding_sends_restricted_total{{cause="{cause.value}"}}'
+            self._state.outcomes.counters[name] += 1
+        self._state.outcomes.log("engine_chosen", exchange, "info", **fields)
 
 
 def _seconds_to_grant(exchange: Exchange) -> float:
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -59,6 +59,7 @@
         limit_waits: How often the request has waited for that limit.
         was_held_back: Whether it has waited because its tenant was beyond its fair share.
         is_revoked: Whether its key was revoked; it is not sent to an engine any more.
+        allowed_regions: Regions that may serve the request; None for all regions.
         pool: The pool that serves it.
         body: Body for the engine: the history of the chain followed by the caller's body.
         has_reservation: Whether the ledger holds a reservation that is to be settled.
@@ -104,6 +105,7 @@
     limit_waits: int = 0
     was_held_back: bool = False
     is_revoked: bool = False
+    allowed_regions: frozenset[str] | None = None
     pool: str = ""
     body: bytes = b""
     phase: Phase = Phase.WAITING
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -33,6 +33,7 @@
 from yokeline.forwarding.configuration_lease import LeaseState
 from yokeline.forwarding.dialect import Dialect
 from yokeline.forwarding.dispatcher import Dispatcher
+from yokeline.forwarding.engine_choice import NO_RESTRICTIONS
 from yokeline.forwarding.engine_gauges import pace_gauges
 from yokeline.forwarding.engine_sender import EngineSender
 from yokeline.forwarding.engines import EngineTable
@@ -67,6 +68,7 @@
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
 from yokeline.registry.watch import WATCH_SECONDS
+from yokeline.scheduling.eligibility import EligibilityPolicy
 from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay_after_outage
 
 DEADLINE_RETRY_AFTER_SECONDS = 0.1
@@ -98,11 +100,13 @@
         engines: EngineTable,
         tolerance: LimitTolerance = NO_TOLERANCE,
         process: str = "",
+        eligibility: EligibilityPolicy = NO_RESTRICTIONS,
     ) -> None:
         """Serve in a zone.
 
         ``tolerance`` is what tenants may use beyond their limits. ``process`` identifies this
-        process in the ids of ledger operations, so that no two requests share one.
+        process in the ids of ledger operations, so that no two requests share one. ``eligibility``
+        restricts the engines that requests may be sent to.
         """
         self.refusing = False
         self.lease_state: Callable[[float], LeaseState] = _always_valid
@@ -111,7 +115,7 @@
         self._tolerance = tolerance
         self._process = process
         self._outcomes = OutcomeRecorder(dialect)
-        self._state = NodeState(zone, engines, self._outcomes)
+        self._state = NodeState(zone, engines, self._outcomes, eligibility)
         ledger.turns.tenants = TenantLoadReader(self._state)
         ledger.shares_told = self._state.fair_shares.apply_leader_report
         self._held = HeldRequests()
@@ -274,9 +278,16 @@
             self._state.timers.next_due(),
             self._held.next_deadline(),
             self._state.fair_shares.next_expiry(),
+            self._next_eligibility_change(),
         )
         return min((due for due in dues if due is not None), default=None)
 
+    def _next_eligibility_change(self) -> float | None:
+        """Return when queued requests may find an engine that is left out now."""
+        if not any(map(len, self._state.waiting.values())):
+            return None
+        return self._state.eligibility.next_change(self._state.now)
+
     # ------------------------------------------------------------ events
 
     def tick(self, now: float) -> list[Effect]:
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -43,6 +43,7 @@
             the key last.
         resumable: Whether a stream can be resumed at another engine.
         public: Whether requests need no key.
+        allowed_regions: Regions that may serve, cache and store its requests; empty for all.
     """
 
     name: str
@@ -59,6 +60,7 @@
     sticky: bool = False
     resumable: bool = False
     public: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def is_retryable(self) -> bool:
@@ -83,11 +85,18 @@
 
 
 class Pool(msgspec.Struct, frozen=True, kw_only=True):
-    """A set of interchangeable engines of a model or an app."""
+    """A set of interchangeable engines of a model or an app.
+
+    Attributes:
+        cold_seconds: Time for which an engine is cold after a start.
+        cold_rate: Requests per second over all nodes that a cold engine bears; 0 for no bound.
+    """
 
     name: str
     max_connections: int
     model: ModelTraits | None = None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -146,6 +155,7 @@
             ``engine_id`` if not given.
         started_ms: Start time (Unix milliseconds); None if the entry has none.
         draining: Whether the engine is shutting down and accepts no new requests.
+        cold_seconds_left: Time for which the engine stays cold, from the writing of its entry.
     """
 
     engine_id: str
@@ -156,6 +166,7 @@
     instance: str = ""
     started_ms: int | None = None
     draining: bool = False
+    cold_seconds_left: float = 0.0
 
     def __post_init__(self) -> None:
         """Use ``engine_id`` as the instance if none is given."""
--- a/src/yokeline/forwarding/node_state.py
+++ b/src/yokeline/forwarding/node_state.py
@@ -13,6 +13,7 @@
 from yokeline.forwarding.wait_queue import WaitQueue
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId, RequestId
+from yokeline.scheduling.eligibility import EligibilityPolicy
 from yokeline.timers import TimerQueue
 
 PREDICTION_ERROR_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.7, 1.0, 2.0)
@@ -27,6 +28,7 @@
         table: The configuration in force; None before the first one.
         exchanges: Requests without a final answer, by exchange id.
         by_engine_request: Requests at an engine, by the id of the request sent to it.
+        eligibility: Restrictions on the engines that a request may be sent to.
         waiting: Queues of requests that wait for an engine, by pool.
         fair_shares: The tenants whose first turns are held back.
         added_seconds: Time from a request's arrival to its first send.
@@ -36,13 +38,20 @@
         room_waits: Actual waits of requests that were served after waiting for capacity.
     """
 
-    def __init__(self, zone: str, engines: EngineTable, outcomes: OutcomeRecorder) -> None:
+    def __init__(
+        self,
+        zone: str,
+        engines: EngineTable,
+        outcomes: OutcomeRecorder,
+        eligibility: EligibilityPolicy,
+    ) -> None:
         """Start without requests and without a configuration."""
         self.now = 0.0
         self.table: RoutingTable | None = None
         self.engines = engines
         self.outcomes = outcomes
-        self.placement = Placement(zone, engines)
+        self.eligibility = eligibility
+        self.placement = Placement(zone, engines, eligibility)
         self.exchanges: dict[ExchangeId, Exchange] = {}
         self.by_engine_request: dict[RequestId, Exchange] = {}
         self.waiting: dict[str, WaitQueue] = {}
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -5,11 +5,18 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from yokeline.forwarding.engine_choice import ChoiceInputs, EngineChoice, choose_engine
+from yokeline.forwarding.engine_choice import (
+    NO_RESTRICTIONS,
+    ChoiceInputs,
+    EngineChoice,
+    choose_engine,
+    ineligibility,
+)
 from yokeline.forwarding.engines import EngineState, EngineTable
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.model import Pool, RouteKind
 from yokeline.forwarding.prefix_cache import PrefixCacheIndex
+from yokeline.scheduling.eligibility import EligibilityPolicy
 from yokeline.scheduling.engine_model import NO_PACE, EngineLatencyModel, ObservedPace, ServedTurn
 from yokeline.scheduling.program_times import ProgramTimes
 
@@ -36,12 +43,19 @@
     Attributes:
         prefix_cache: Estimate of the prompt prefixes cached at each engine.
         program_times: Share of their allowed time that programs take.
+        eligibility: Restrictions on the engines that a request may be sent to.
     """
 
-    def __init__(self, zone: str, engines: EngineTable) -> None:
+    def __init__(
+        self,
+        zone: str,
+        engines: EngineTable,
+        eligibility: EligibilityPolicy = NO_RESTRICTIONS,
+    ) -> None:
         """Choose among ``engines`` for a node in ``zone``."""
         self.prefix_cache = PrefixCacheIndex()
         self.program_times = ProgramTimes()
+        self.eligibility = eligibility
         self._zone = zone
         self._engines = engines
         self._affinities: OrderedDict[tuple[str, str], str] = OrderedDict()
@@ -84,6 +98,36 @@
         """
         return exchange.attempts.are_exhausted and not self._attempted_engines(exchange)
 
+    def has_no_eligible_engine(self, exchange: Exchange, pool: Pool, now: float) -> bool:
+        """Return whether no engine of a pool can become eligible for a request while it waits."""
+        if not self.eligibility.is_active:
+            return False
+        is_exhausted = exchange.attempts.are_exhausted
+        engines = (
+            self._attempted_engines(exchange)[:1]
+            if is_exhausted
+            else self._engines.in_pool(exchange.pool, now)
+        )
+        inputs = self._choice_inputs(exchange, pool, excluded=())
+        causes = [ineligibility(state, self.prefix_cache, inputs, now) for state in engines]
+        return bool(causes) and all(cause is not None and not cause.passes_soon for cause in causes)
+
+    def usable_slots(self, state: EngineState, now: float) -> float:
+        """Return how many slots of an engine count as capacity."""
+        engine = state.engine
+        if not self.eligibility.is_active:
+            return engine.slots
+        slot_seconds = self.slot_seconds(engine.pool) or 0.0
+        return self.eligibility.usable_slots(
+            engine.engine_id, engine.zone, engine.slots, slot_seconds, now
+        )
+
+    def usable_slots_in_pool(self, pool: str, now: float) -> int:
+        """Return how many slots of a pool's engines count as capacity."""
+        if not self.eligibility.is_active:
+            return self._engines.slots_in_pool(pool)
+        return int(sum(self.usable_slots(state, now) for state in self._engines.in_pool(pool, now)))
+
     def slot_seconds(self, pool: str) -> float | None:
         """Return the average time for which a request occupies a slot; None if not known."""
         return self._turn_seconds.get(pool, self._call_seconds.get(pool))
@@ -188,6 +232,8 @@
             is_new_program=exchange.is_first_turn,
             model=self._model(exchange.pool) if pool.model is not None else None,
             is_retryable=exchange.route.kind is RouteKind.STREAMING or exchange.route.is_retryable,
+            eligibility=self.eligibility,
+            allowed_regions=exchange.allowed_regions,
         )
 
     def _record_affinity(self, subject: tuple[str, str], engine_id: str) -> None:
--- a/src/yokeline/forwarding/tenant_loads.py
+++ b/src/yokeline/forwarding/tenant_loads.py
@@ -61,7 +61,8 @@
             TenantLoad(name, self._weight(name), running[name], waiting[name])
             for name, _ in wanted.most_common(MAX_TENANTS_PER_POOL)
         )
-        return PoolLoad(pool, self._state.engines.slots_in_pool(pool), tenants)
+        slots = self._state.placement.usable_slots_in_pool(pool, self._state.now)
+        return PoolLoad(pool, slots, tenants)
 
     def _is_model(self, pool: str) -> bool:
         table = self._state.table
--- a/src/yokeline/forwarding/tenants.py
+++ b/src/yokeline/forwarding/tenants.py
@@ -24,12 +24,14 @@
         priority: Priority of its requests (0 first); None for the priority of the route.
         rate: Requests per second over all nodes; 0 for no limit.
         burst: Further requests after a time of lower use.
+        allowed_regions: Regions that may serve, cache and store its requests; empty for all.
     """
 
     name: str
     priority: int | None = None
     rate: float = 0.0
     burst: float = 0.0
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def is_limited(self) -> bool:
--- a/src/yokeline/platform/documents.py
+++ b/src/yokeline/platform/documents.py
@@ -59,6 +59,7 @@
     sticky: bool = False
     resumable: bool = False
     public: bool = False
+    allowed_regions: list[str] = []
 
 
 class _EngineTraits(_Document):
@@ -70,6 +71,8 @@
 class _Service(_Document):
     name: str
     max_conns: int = 100
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _EngineTraits | None = None
 
 
@@ -89,6 +92,7 @@
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _Configuration(_Document):
@@ -109,6 +113,7 @@
     configuration_key = CONFIGURATION_KEY
     engine_prefix = ENGINE_PREFIX
     retire_prefix = "op/retire/"
+    evacuation_prefix = "op/evacuate/"
 
     def read_routing(self, value: bytes) -> Result[RoutingTable, YokelineError]:
         """Decode the configuration in ``op/config``."""
@@ -202,6 +207,7 @@
         priority=tenant.priority,
         rate=tenant.rate_per_s,
         burst=tenant.burst,
+        allowed_regions=tuple(tenant.allowed_regions),
     )
 
 
@@ -222,6 +228,7 @@
         sticky=route.sticky,
         resumable=route.resumable,
         public=route.public,
+        allowed_regions=tuple(route.allowed_regions),
     )
 
 
@@ -234,7 +241,13 @@
             memory_tokens=traits.kv_tokens,
             tokens_per_event=traits.stride,
         )
-    return Pool(name=service.name, max_connections=service.max_conns, model=model)
+    return Pool(
+        name=service.name,
+        max_connections=service.max_conns,
+        model=model,
+        cold_seconds=service.cold_s,
+        cold_rate=service.cold_per_s,
+    )
 
 
 def _invalid_document_error(key: str, error: Exception) -> YokelineError:
--- a/src/yokeline/platform/engine_entries.py
+++ b/src/yokeline/platform/engine_entries.py
@@ -22,6 +22,7 @@
 """Prefix of the engines' entries; the rest of a key is the engine's instance id."""
 MAX_SLOTS = 65_536
 """Upper bound on the concurrent requests that an entry may state."""
+_MS_PER_SECOND = 1000.0
 _MAX_TIMESTAMP_MS = 2**63 - 1
 _INSTANCE_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,256}")
 """The instance id is sent as a header value, so spaces and line breaks are not allowed."""
@@ -88,6 +89,7 @@
         zone=entry.zone,
         slots=entry.slots,
         draining=entry.state is _State.DRAINING,
+        cold_seconds_left=max(0.0, entry.cold_left_ms) / _MS_PER_SECOND,
     )
 
 
--- a/src/yokeline/registry/formats.py
+++ b/src/yokeline/registry/formats.py
@@ -24,11 +24,17 @@
 
 
 class DeploymentFormats(Protocol):
-    """Keys of a deployment's documents, and their decoders."""
+    """Keys of a deployment's documents, and their decoders.
+
+    Attributes:
+        evacuation_prefix: Prefix of the keys that order a zone's evacuation; the rest of a key is
+            the zone. An order holds while its key exists, whatever its value.
+    """
 
     configuration_key: str
     engine_prefix: str
     retire_prefix: str
+    evacuation_prefix: str
 
     def read_routing(self, value: bytes) -> Result[RoutingTable, YokelineError]:
         """Decode the configuration."""
--- a/src/yokeline/role_settings.py
+++ b/src/yokeline/role_settings.py
@@ -36,6 +36,12 @@
         limit_window_seconds: Span of time for which the next two hold.
         limit_overage: Share of a tenant's limit that it may go beyond it in any such span.
         limit_slack: Requests on top of that.
+        region: Region of the node; empty if not known.
+        zone_regions: Region of each zone.
+        evacuation_ms: Milliseconds after which an evacuated zone may get no request; 0 if the
+            deployment has no evacuations.
+        cold_overage: Multiple of a cold engine's rate that may arrive in any second.
+        cold_slack: Requests on top of that.
         log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -58,6 +64,11 @@
     limit_window_seconds: float = 0.0
     limit_overage: float = 0.0
     limit_slack: float = 0.0
+    region: str = ""
+    zone_regions: dict[str, str] = {}
+    evacuation_ms: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
     log_level: str = "info"
 
     @property
--- a/src/yokeline/scheduling/room_waits.py
+++ b/src/yokeline/scheduling/room_waits.py
@@ -41,6 +41,8 @@
     """Too little time is left to serve it."""
     NO_ENGINE_LEFT = "no_engine_left"
     """No engine may serve it, or all those that were tried refused it."""
+    NO_ELIGIBLE_ENGINE = "no_eligible_engine"
+    """Evacuated zones or allowed regions leave no engine that it may be sent to."""
 
 
 class RoomNeed(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -24,6 +24,7 @@
     LogRecord,
     SendPeer,
 )
+from yokeline.forwarding.engine_choice import NO_RESTRICTIONS
 from yokeline.forwarding.engines import EngineTable
 from yokeline.forwarding.forwarder import Forwarder
 from yokeline.forwarding.model import (
@@ -52,6 +53,7 @@
 )
 from yokeline.ledger.operations import Operation, OperationResult
 from yokeline.platform.headers import HeaderDialect
+from yokeline.scheduling.eligibility import EligibilityPolicy
 
 HOST = "a.example"
 STORAGE = LeaderHint(ReplicaId("storage~1"), Address("10.0.0.9", 1))
@@ -95,7 +97,12 @@
 class Played:
     """The forwarder under test, and what it has done."""
 
-    def __init__(self, engines_per_pool: int = 2, slots: int = 4) -> None:
+    def __init__(
+        self,
+        engines_per_pool: int = 2,
+        slots: int = 4,
+        eligibility: EligibilityPolicy = NO_RESTRICTIONS,
+    ) -> None:
         self.now = 100.0
         self.ledger = LedgerClient(Address("10.0.0.1", 1))
         self.ledger.engines_told = lambda told, now: self.engines.apply_leader_report(told, now)
@@ -108,6 +115,7 @@
             ledger=self.ledger,
             histories=self.histories,
             engines=self.engines,
+            eligibility=eligibility,
         )
         self.forwarder.table = TABLE
         for pool in ("models", "apps"):
