Keep requests, history fetches and load reports within their region

Between regions a request pays the round trip, and bytes are charged for. Engine choice knew one penalty for any other zone, so a spill was as likely to leave the region as not; subsets of engines and history fetches did not know regions at all; each zone sent each digest to every other zone. The round trip to a region is now measured with each new connection, and added to an engine's cost there; subsets and replicas prefer the region; other regions get every fourth digest, with the latest report of each node. A deployment with one region is served as before.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -84,12 +84,16 @@
 
     For a streamed request with status 2xx the body is empty and items follow; with any
     other status the body is whole and nothing follows.
+
+    Attributes:
+        connect_seconds: Time that the connection took to be established; 0 for a kept one.
     """
 
     request: RequestId
     status: int
     headers: dict[str, str] = {}
     body: bytes = b""
+    connect_seconds: float = 0.0
 
 
 class HttpStreamItem(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -58,6 +58,7 @@
     read_nodes,
 )
 from yokeline.registry.protocol import StoredItem
+from yokeline.scheduling.topology import Distance
 from yokeline.start_phases import StartPhases
 
 CLOSE_CONNECTIONS_AFTER_SECONDS = 2.2
@@ -357,14 +358,20 @@
         records = read_nodes(self._registry.items(NODE_PREFIX).values())
         storage = [record for record in records if record.role is NodeRole.STORAGE]
         self.ledger.set_storage({record.replica: record.address for record in storage})
-        own_zone = self._record.zone
-        self.histories.set_replicas(
-            [NearReplica(item.replica, item.address, item.zone == own_zone) for item in storage]
-        )
+        self.histories.set_replicas([self._near_replica(record) for record in storage])
         edges = [record for record in records if record.role is NodeRole.EDGE]
         self._load_reporter.set_nodes(edges, self._now)
         self._registry_sync.nodes_changed(self._now)
 
+    def _near_replica(self, record: NodeRecord) -> NearReplica:
+        distance = self._engines.topology.distance(record.zone)
+        return NearReplica(
+            record.replica,
+            record.address,
+            is_near=record.zone == self._record.zone,
+            is_in_region=distance is not Distance.OTHER_REGION,
+        )
+
     # ------------------------------------------------------------ planned stops
 
     def _begin_stop(self, now: float) -> list[Effect]:
--- a/src/yokeline/forwarding/engine_choice.py
+++ b/src/yokeline/forwarding/engine_choice.py
@@ -9,15 +9,19 @@
 
 import msgspec
 
-from yokeline.forwarding.engines import EngineState
+from yokeline.forwarding.engines import ONE_REGION, EngineState
 from yokeline.forwarding.model import Call, ModelTraits
 from yokeline.forwarding.prefix_cache import PrefixCacheIndex
 from yokeline.ledger.operations import CachedContext
 from yokeline.scheduling.eligibility import EligibilityPolicy, EngineQuery, Ineligibility
 from yokeline.scheduling.engine_model import EngineLatencyModel
+from yokeline.scheduling.topology import Distance, Topology
 
 CROSS_ZONE_PENALTY_SECONDS = 0.016
 """Penalty for an engine in another zone: a round trip and the transfer of the prompt."""
+OTHER_REGION_PENALTY_SECONDS = 0.02
+"""Further penalty for an engine in another region, besides the measured round trip. Bytes between
+regions are charged for, so a request leaves its region only if that saves more than this time."""
 SUSPECT_PENALTY_TURNS = 2.0
 """Penalty for an engine that failed recently, in typical turns or calls."""
 FAILURE_PENALTY_TURNS = 4.0
@@ -85,6 +89,7 @@
         is_new_program: Whether the request is the first turn of a program.
         model: Cost model of the pool's engines; None for apps.
         is_retryable: Whether the request can be sent again after a failure.
+        topology: Zones and regions, seen from this node.
         eligibility: Restrictions on the engines.
         allowed_regions: Regions that may serve the request; None for all regions.
     """
@@ -98,6 +103,7 @@
     is_new_program: bool = False
     model: EngineLatencyModel | None = None
     is_retryable: bool = True
+    topology: Topology = ONE_REGION
     eligibility: EligibilityPolicy = NO_RESTRICTIONS
     allowed_regions: frozenset[str] | None = None
 
@@ -190,15 +196,20 @@
     if now < state.suspect_until:
         cost += SUSPECT_PENALTY_TURNS * typical_seconds
     cost += state.rank * RANK_PENALTY_SHARE * typical_seconds
-    cost += _connection_cost(state, now)
+    has_idle_connection = state.has_idle_connection(now)
+    if not has_idle_connection:
+        cost += _connection_cost(state)
+    if inputs.topology.distance(state.engine.zone) is Distance.OTHER_REGION:
+        round_trip = inputs.topology.round_trip(state.engine.zone, now)
+        cost += OTHER_REGION_PENALTY_SECONDS + round_trip
+        cost += 0.0 if has_idle_connection else round_trip
     if state.expires_at:
         cost += pool.registered_share * UNREGISTERED_PENALTY_TURNS * typical_seconds
     return msgspec.structs.replace(choice, cost=cost)
 
 
-def _connection_cost(state: EngineState, now: float) -> float:
-    if state.has_idle_connection(now):
-        return 0.0
+def _connection_cost(state: EngineState) -> float:
+    """Return the cost of a new connection, apart from the distance to another region."""
     if state.is_preferred:
         return NEW_CONNECTION_PENALTY_SECONDS
     return NEW_CONNECTION_PENALTY_SECONDS + NON_PREFERRED_CONNECTION_PENALTY_SECONDS
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -26,6 +26,7 @@
     typical_pace,
 )
 from yokeline.scheduling.engine_subsets import ZoneMember, preferred_engines, rank
+from yokeline.scheduling.topology import Topology
 
 NODE_REPORT_TTL_SECONDS = 1.0
 """Age at which another node's load report expires."""
@@ -46,6 +47,9 @@
 _CALL_SECONDS_WEIGHT = 0.15
 """Weight of a new observation in the moving average of an engine's call duration."""
 
+ONE_REGION = Topology("", {})
+"""The places of a deployment whose regions are not known: it is taken for one region."""
+
 
 class EngineState(msgspec.Struct, kw_only=True):
     """Estimated state of one engine.
@@ -155,13 +159,19 @@
     """All engines by id and by pool.
 
     Attributes:
+        topology: Zones and regions, seen from this node.
         incarnations: The current incarnation of each engine.
         local_changes: Counter that increases with each change of this node's load.
         node_report_ttl: Age at which another node's report expires (seconds).
     """
 
-    def __init__(self, node: str = "") -> None:
-        """Create an empty table; ``node`` is this node's name for its ranks, empty for no ranks."""
+    def __init__(self, node: str = "", topology: Topology = ONE_REGION) -> None:
+        """Create an empty table.
+
+        ``node`` is this node's name for its ranks, empty for no ranks. ``topology`` has the regions
+        of the zones.
+        """
+        self.topology = topology
         self._node = node
         self._engines: dict[str, EngineState] = {}
         self.incarnations = IncarnationIndex()
@@ -202,7 +212,8 @@
 
     def set_nodes(self, zone: str, nodes: Sequence[ZoneMember]) -> None:
         """Set this node's zone and the nodes that share the engines with it."""
-        own_member, known = ZoneMember(self._node, zone), tuple(nodes)
+        own_member = ZoneMember(self._node, zone, self.topology.region_of(zone))
+        known = tuple(nodes)
         if (own_member, known) != (self._own_member, self._nodes):
             self._own_member, self._nodes = own_member, known
             self._preferences_are_stale = True
@@ -417,11 +428,14 @@
         if not self._nodes:
             return
         for states in self._by_pool.values():
-            engines = [ZoneMember(state.engine.instance, state.engine.zone) for state in states]
+            engines = [self._member(state.engine) for state in states]
             preferred = preferred_engines(self._own_member, self._nodes, engines)
             for state in states:
                 state.is_preferred = state.engine.instance in preferred
 
+    def _member(self, engine: Engine) -> ZoneMember:
+        return ZoneMember(engine.instance, engine.zone, self.topology.region_of(engine.zone))
+
     def _rebuild_pools(self) -> None:
         self._by_pool = {}
         self._preferences_are_stale = True
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -466,6 +466,10 @@
         if self._dialect.was_not_executed(response):
             self._retries.handle_rejection(exchange, response)
             return
+        if response.connect_seconds and exchange.engine is not None:
+            self._state.engines.topology.record_connect(
+                exchange.engine.engine.zone, response.connect_seconds, self._state.now
+            )
         exchange.possible_runs += 1
         self._retries.record_accepted(exchange)
         is_stream = exchange.route.kind is RouteKind.STREAMING
--- a/src/yokeline/forwarding/load_reporting.py
+++ b/src/yokeline/forwarding/load_reporting.py
@@ -20,6 +20,7 @@
 from yokeline.ledger.messages import LoadDigest, LoadReport
 from yokeline.registry.nodes import NodeRecord
 from yokeline.scheduling.engine_subsets import ZoneMember
+from yokeline.scheduling.topology import Distance
 
 MAX_DIRECT_NODES = 16
 """Number of other nodes from which on relays are used."""
@@ -33,6 +34,9 @@
 """Interval between reports while no engine is busy or the load has not changed."""
 DIGEST_INTERVAL_SECONDS = 0.08
 """Time for which a relay collects reports for a digest."""
+OTHER_REGION_DIGEST_INTERVALS = 4
+"""Number of digest intervals between two digests to another region. Few requests leave their
+region, and bytes between regions are charged for."""
 MAX_REPORTS_PER_DIGEST = 24
 """Maximum number of reports per datagram."""
 RELAY_TIMEOUT_SECONDS = 0.8
@@ -79,6 +83,7 @@
         self._record = record
         self._process = process
         self._engines = engines
+        self._topology = engines.topology
         self._sequence = 0
         self._next_report = now
         self._next_load_check = now
@@ -91,6 +96,8 @@
         self._zone_changed_at = now
         self._collected: dict[NodeName, LoadReport] = {}
         self._collected_from_zones: dict[NodeName, LoadReport] = {}
+        self._collected_for_regions: dict[NodeName, LoadReport] = {}
+        self._digests = 0
         self._next_digest: float | None = None
         self._interval_factor = 1.0
 
@@ -115,7 +122,11 @@
         )
         self._engines.node_report_ttl = NODE_REPORT_TTL_SECONDS * self._interval_factor
         zone_members = sorted(
-            (ZoneMember(item.name, item.zone) for item in edges), key=lambda at: at.name
+            (
+                ZoneMember(item.name, item.zone, self._topology.region_of(item.zone))
+                for item in edges
+            ),
+            key=lambda at: at.name,
         )
         self._engines.set_nodes(self._record.zone, zone_members)
 
@@ -171,19 +182,24 @@
         return not any(report.watches and report.node < own for report in reports)
 
     def peers_reaching_ledger(self, now: float) -> list[PeerNode]:
-        """Return the nodes that the ledger answers, those of this zone first."""
+        """Return the nodes that the ledger answers, the nearest first."""
         reports = self._engines.fresh_reports(now)
-        return self._sort_by_zone([report for report in reports if report.reaches_ledger])
+        return self._sort_by_distance([report for report in reports if report.reaches_ledger])
 
     def peers_watching(self, now: float) -> list[PeerNode]:
-        """Return the nodes that watch the key-value service, those of this zone first."""
+        """Return the nodes that watch the key-value service, the nearest first."""
         reports = self._engines.fresh_reports(now)
-        return self._sort_by_zone([report for report in reports if report.watches])
+        return self._sort_by_distance([report for report in reports if report.watches])
 
-    def _sort_by_zone(self, reports: list[LoadReport]) -> list[PeerNode]:
-        own_zone = {record.name for record in self._zone_nodes}
+    def _sort_by_distance(self, reports: list[LoadReport]) -> list[PeerNode]:
+        zones = {record.name: record.zone for record in self._peers}
         reachable = [report for report in reports if report.address is not None]
-        reachable.sort(key=lambda report: (report.node not in own_zone, report.node))
+
+        def order(report: LoadReport) -> tuple[bool, Distance, NodeName]:
+            zone = zones.get(report.node, "")
+            return zone != self._record.zone, self._topology.distance(zone), report.node
+
+        reachable.sort(key=order)
         return [PeerNode(item.process, item.address) for item in reachable if item.address]
 
     # ------------------------------------------------------------ received reports
@@ -278,10 +294,25 @@
         self._collected_from_zones = {}
         members = [record for record in self._zone_nodes if record.name != self._record.name]
         effects = self._send_digests(own_zone + others, members)
+        for_regions = self._reports_for_regions(own_zone)
         for zone in sorted(self._other_zones):
-            effects.extend(self._send_digests(own_zone, self._relays_of(zone, now)))
+            is_far = self._topology.distance(zone) is Distance.OTHER_REGION
+            reports = for_regions if is_far else own_zone
+            effects.extend(self._send_digests(reports, self._relays_of(zone, now)))
         return effects
 
+    def _reports_for_regions(self, own_zone: list[LoadReport]) -> list[LoadReport]:
+        """Return the latest report of each node of this zone if other regions are due for them."""
+        if not self._topology.has_regions:
+            return []
+        self._collected_for_regions.update((report.node, report) for report in own_zone)
+        self._digests += 1
+        if self._digests % OTHER_REGION_DIGEST_INTERVALS:
+            return []
+        reports = list(self._collected_for_regions.values())
+        self._collected_for_regions = {}
+        return reports
+
     def _relays_of(self, zone: str, now: float) -> list[NodeRecord]:
         """Return the relay of another zone, or the candidates if it is unknown."""
         zone_nodes = self._other_zones[zone]
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -226,6 +226,7 @@
             call=call,
             traits=pool.model,
             zone=self._zone,
+            topology=self._engines.topology,
             excluded=frozenset(excluded),
             affinity_engine_id=affinity_engine_id,
             cached_context=exchange.cached_context,
--- a/src/yokeline/ledger/history_fetches.py
+++ b/src/yokeline/ledger/history_fetches.py
@@ -37,11 +37,13 @@
 
     Attributes:
         is_near: It is in the reader's zone.
+        is_in_region: It is in the reader's region.
     """
 
     replica: ReplicaId
     address: Address
     is_near: bool
+    is_in_region: bool = True
 
 
 class _Fetch(msgspec.Struct):
@@ -74,7 +76,7 @@
 
     def set_replicas(self, replicas: list[NearReplica]) -> None:
         """Set the known storage replicas."""
-        self._replicas = sorted(replicas, key=lambda item: (not item.is_near, self._rank(item)))
+        self._replicas = sorted(replicas, key=self._order)
         known = {item.replica for item in replicas}
         self._avoided_until = {
             replica: until for replica, until in self._avoided_until.items() if replica in known
@@ -136,5 +138,8 @@
                 return item
         return None
 
+    def _order(self, item: NearReplica) -> tuple[bool, bool, int]:
+        return not item.is_near, not item.is_in_region, self._rank(item)
+
     def _rank(self, item: NearReplica) -> int:
         return xxhash.xxh32_intdigest(f"{self._node}/{item.replica}".encode())
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -79,6 +79,8 @@
         self._limits = limits
         self._connection: ClientConnection | None = None
         self._connecting = False
+        self._connect_began_at = 0.0
+        self._connect_seconds = 0.0
         self._sent_at_start = 0
         self._sent_on_lost_connection = False
         self._response: h11.Response | None = None
@@ -125,7 +127,8 @@
             return
         self._use(connection)
         self._connecting = True
-        self._set_deadline(min(self._due, time.monotonic() + self._limits.connect_seconds))
+        self._connect_began_at = time.monotonic()
+        self._set_deadline(min(self._due, self._connect_began_at + self._limits.connect_seconds))
 
     def _use(self, connection: ClientConnection) -> None:
         self._connection = connection
@@ -167,6 +170,7 @@
     def connection_made(self) -> None:
         """Send the request on the fresh connection."""
         self._connecting = False
+        self._connect_seconds = time.monotonic() - self._connect_began_at
         self._set_deadline(self._due)
         self._send()
 
@@ -289,6 +293,7 @@
             status=self._response.status_code,
             headers=joined_headers(self._response.headers),
             body=body,
+            connect_seconds=self._connect_seconds,
         )
 
     # ------------------------------------------------------------ ends
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -132,6 +132,7 @@
     from yokeline.forwarding.tenant_limits import LimitTolerance
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
+    from yokeline.scheduling.topology import Topology
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -153,7 +154,7 @@
         address=settings.peer_address,
         zone=settings.zone,
     )
-    engines = EngineTable(settings.name)
+    engines = EngineTable(settings.name, Topology(settings.zone, settings.zone_regions))
     ledger = LedgerClient(settings.peer_address)
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
--- a/src/yokeline/scheduling/engine_subsets.py
+++ b/src/yokeline/scheduling/engine_subsets.py
@@ -3,8 +3,8 @@
 Rendezvous hashing gives each pair of a node and an engine a rank. Each engine is preferred by the
 nodes of its zone with the lowest ranks, the same number for every engine, so no engine is left out
 and none is preferred by all. A node with too few engines adds those with the lowest ranks, its own
-zone's first. When a node or an engine comes or goes, only its own pairs and their replacements
-change.
+zone's first and then its region's. When a node or an engine comes or goes, only its own pairs and
+their replacements change.
 
 A subset is a preference and not a limit: an engine outside of it costs a new connection. A node
 uses one as soon as the engines of its subset are loaded, slow, failing or gone.
@@ -29,10 +29,11 @@
 
 
 class ZoneMember(msgspec.Struct, frozen=True):
-    """A node or an engine, and its zone."""
+    """A node or an engine, its zone, and its region if the deployment has several."""
 
     name: str
     zone: str
+    region: str = ""
 
 
 def rank(node: str, engine_id: str) -> float:
@@ -110,9 +111,11 @@
 def _fallback_engines(
     node: ZoneMember, engines: Iterable[ZoneMember], preferred: set[str], count: int
 ) -> set[str]:
-    """Return further engines by rank, the node's own zone first."""
+    """Return further engines by rank, the node's own zone first, then its region."""
+
+    def order(engine: ZoneMember) -> tuple[bool, bool, float]:
+        is_elsewhere = engine.zone != node.zone
+        return is_elsewhere, engine.region != node.region, rank(node.name, engine.name)
+
     others = [engine for engine in engines if engine.name not in preferred]
-    first = heapq.nsmallest(
-        count, others, key=lambda item: (item.zone != node.zone, rank(node.name, item.name))
-    )
-    return {engine.name for engine in first}
+    return {engine.name for engine in heapq.nsmallest(count, others, key=order)}
