Bound the requests to cold engines by shares of their rate

An engine that has just started fails well above a rate that counts over all nodes, and nodes sent to it as to any other. Each engine now has a fixed set of nodes that hold shares of its rate; a node without a share sends nothing while the engine is cold. Which engines are cold follows from their entries, failures and answers. Nothing changes for pools without a cold rate.

--- /dev/null
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -0,0 +1,337 @@
+"""Tracks at one node which engines are cold, from their entries and from their answers.
+
+An engine is cold for a while after a start, and may become cold again at any time. Its entry says
+for how long, but not when it was written. What a node cannot know to be warm counts as cold: a new
+incarnation, an engine that returns from silence, and every engine after the restart of the node.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from yokeline.effects import (
+    Effect,
+    Event,
+    HttpCancel,
+    HttpFailed,
+    HttpRequest,
+    HttpResponse,
+    HttpStreamEnded,
+    HttpStreamItem,
+    LogRecord,
+)
+from yokeline.forwarding.http_statuses import MISDIRECTED
+from yokeline.forwarding.model import Engine, Pool
+from yokeline.identifiers import RequestId
+from yokeline.scheduling.cold_engines import ColdEngineRates
+
+ENTRY_LAG_SECONDS = 2.0
+"""Time by which an entry may have been written before a node reads it: watching nodes read changes
+within 1.3 s, and pass them on with their next report. An entry that calls an engine warm is ignored
+for this time after the engine fell silent."""
+MAX_KNOWN_ENGINES = 32_768
+"""Incarnations remembered; those not seen for the longest time are evicted."""
+_NO_RATE = Pool(name="", max_connections=1)
+
+
+class ColdReason(enum.Enum):
+    """Why an engine counts as cold."""
+
+    ENTRY = "entry"
+    """Its entry says so."""
+    STARTED = "started"
+    """It is a new incarnation."""
+    UNKNOWN = "unknown"
+    """This node has restarted and does not know since when the entry is valid."""
+    SILENT = "silent"
+    """It failed to answer, and has not answered since."""
+    RETURNED = "returned"
+    """It answered again after it was silent."""
+
+
+class _SentRequest(msgspec.Struct):
+    """A request at an engine, and when it was sent (monotonic seconds)."""
+
+    engine_id: str
+    sent_at: float
+    is_answered: bool = False
+
+
+class _Knowledge(msgspec.Struct):
+    """What is known of one incarnation.
+
+    Attributes:
+        revision: Revision of its latest entry.
+        entry_until: When it is warm according to that entry, counted from when the entry was seen.
+        uncertain_since: Since when it may be cold for reasons that the entry does not reflect.
+        silent_since: Since when it has not answered; None for an engine that answers.
+        reason: Cause of the latest change.
+        logged_reason: Cause that was logged; empty while it counts as warm.
+    """
+
+    pool: str
+    instance: str
+    revision: int
+    entry_until: float = -math.inf
+    uncertain_since: float | None = None
+    silent_since: float | None = None
+    reason: str = ""
+    logged_reason: str = ""
+    is_registered: bool = True
+
+
+class ColdEngineTracker:
+    """Tells the rates of one node which engines are cold.
+
+    Attributes:
+        rates: The restriction on the sends to cold engines.
+    """
+
+    def __init__(self, rates: ColdEngineRates, *, first_start: bool = False) -> None:
+        """Update ``rates``; with ``first_start``, the deployment may be starting as a whole."""
+        self.rates = rates
+        self._first_start = first_start
+        self._is_new_deployment: bool | None = None
+        self._has_listed = False
+        self._pools: Mapping[str, Pool] = {}
+        self._known: OrderedDict[str, _Knowledge] = OrderedDict()
+        self._sent: dict[RequestId, _SentRequest] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Whether any engine has a rate for the time in which it is cold."""
+        return self.rates.is_active
+
+    # ------------------------------------------------------------ configuration and entries
+
+    def set_pools(self, pools: Mapping[str, Pool], now: float) -> list[LogRecord]:
+        """Apply the pools of a configuration."""
+        self._pools = pools
+        records: list[LogRecord] = []
+        for engine_id, known in self._known.items():
+            if known.is_registered:
+                self._apply_rate(engine_id, known)
+                records.extend(self._update(engine_id, known, now))
+        return records
+
+    def begin_batch(self, *, own_record_found: bool) -> None:
+        """Start a batch of entries; the first batch is the list of all entries.
+
+        Args:
+            own_record_found: Whether the registry has a record of this node. In the first batch it
+                shows that an earlier process of this node has run.
+        """
+        if self._is_new_deployment is None:
+            self._is_new_deployment = self._first_start and not own_record_found
+        else:
+            self._has_listed = True
+
+    def apply_entry(self, engine: Engine, revision: int, now: float) -> list[LogRecord]:
+        """Apply an entry of an engine; ``engine.cold_seconds_left`` is its remaining cold time."""
+        engine_id = engine.engine_id
+        known = self._known.get(engine_id)
+        if known is None:
+            known = self._add(engine, revision, now)
+        elif known.revision != revision:
+            known.revision = revision
+            self._apply_time_left(known, engine.cold_seconds_left, now)
+        known.pool, known.is_registered = engine.pool, True
+        self._known.move_to_end(engine_id)
+        self._apply_rate(engine_id, known)
+        return self._update(engine_id, known, now)
+
+    def _add(self, engine: Engine, revision: int, now: float) -> _Knowledge:
+        known = _Knowledge(pool=engine.pool, instance=engine.instance, revision=revision)
+        self._known[engine.engine_id] = known
+        if len(self._known) > MAX_KNOWN_ENGINES:
+            self.rates.forget(self._known.popitem(last=False)[0])
+        if engine.cold_seconds_left > 0:
+            self._apply_time_left(known, engine.cold_seconds_left, now)
+        elif not self._is_new_deployment:
+            known.uncertain_since = now
+            known.reason = (ColdReason.STARTED if self._has_listed else ColdReason.UNKNOWN).value
+        return known
+
+    def _apply_time_left(self, known: _Knowledge, seconds_left: float, now: float) -> None:
+        """Apply the cold time in an entry; one that may precede a silence does not end doubts."""
+        known.entry_until = now + seconds_left
+        doubted_since = known.silent_since
+        if doubted_since is None:
+            doubted_since = known.uncertain_since
+        is_of_start = known.reason in (ColdReason.STARTED.value, ColdReason.UNKNOWN.value)
+        if doubted_since is None or is_of_start or now - doubted_since >= ENTRY_LAG_SECONDS:
+            known.uncertain_since = known.silent_since = None
+            known.reason = ColdReason.ENTRY.value
+
+    def forget(self, engine_id: str) -> None:
+        """Stop bounding a removed engine. Its knowledge is kept in case that its entry returns."""
+        known = self._known.get(engine_id)
+        if known is not None:
+            known.is_registered = False
+            known.logged_reason = ""
+        self.rates.forget(engine_id)
+
+    # ------------------------------------------------------------ requests
+
+    def observe_event(self, event: Event, now: float) -> list[LogRecord]:
+        """Observe an answer or a failure of an engine, before the forwarder handles it."""
+        if not isinstance(event, HttpResponse | HttpStreamItem | HttpStreamEnded | HttpFailed):
+            return []
+        sent = self._sent.get(event.request)
+        if sent is None:
+            return []
+        if isinstance(event, HttpFailed):
+            return self._observe_failure(sent, event, now)
+        if isinstance(event, HttpResponse) and event.status == MISDIRECTED:
+            self.rates.discard_send(sent.engine_id, sent.sent_at, now)
+            sent.is_answered = True
+            return []
+        if not sent.is_answered:
+            sent.is_answered = True
+            self.rates.record_answer(sent.engine_id, sent.sent_at, now)
+        return self._record_answer(sent.engine_id, now)
+
+    def observe_effects(
+        self,
+        event: Event,
+        effects: Iterable[Effect],
+        find: Callable[[RequestId], tuple[str, float] | None],
+        is_suspect: Callable[[str], bool],
+        now: float,
+    ) -> list[LogRecord]:
+        """Observe the requests that the forwarder has sent, cancelled or finished.
+
+        Args:
+            event: The event that the forwarder has handled.
+            effects: The effects.
+            find: Returns the engine of a request that is under way, and when it was sent.
+            is_suspect: Returns whether an engine failed or timed out a moment ago, which tells a
+                request that the forwarder gave up from one whose caller has gone.
+            now: Current time.
+        """
+        records: list[LogRecord] = []
+        for effect in effects:
+            if isinstance(effect, HttpRequest):
+                found = find(effect.request)
+                if found is not None:
+                    self._is_new_deployment = False
+                    self._sent[effect.request] = _SentRequest(*found)
+            elif isinstance(effect, HttpCancel):
+                sent = self._sent.pop(effect.request, None)
+                if sent is not None and not sent.is_answered:
+                    self.rates.record_lost(sent.engine_id, sent.sent_at, now)
+                if sent is not None and is_suspect(sent.engine_id):
+                    records.extend(self.record_failure(sent.engine_id, now))
+        if isinstance(event, HttpResponse | HttpStreamEnded | HttpFailed) and (
+            event.request in self._sent and find(event.request) is None
+        ):
+            del self._sent[event.request]
+        return records
+
+    def _observe_failure(
+        self, sent: _SentRequest, failure: HttpFailed, now: float
+    ) -> list[LogRecord]:
+        if not failure.sent:
+            self.rates.discard_send(sent.engine_id, sent.sent_at, now)
+        elif not sent.is_answered:
+            self.rates.record_lost(sent.engine_id, sent.sent_at, now)
+        sent.is_answered = True
+        # Engines close idle connections, so a closed one shows nothing.
+        return [] if failure.stale else self.record_failure(sent.engine_id, now)
+
+    def record_failure(self, engine_id: str, now: float) -> list[LogRecord]:
+        """Record that an engine refused or reset a connection, or did not answer in time."""
+        known = self._known.get(engine_id)
+        if known is None or not known.is_registered or not self._cold_seconds(known):
+            return []
+        if known.silent_since is None:
+            known.silent_since = now
+            known.reason = ColdReason.SILENT.value
+        return self._update(engine_id, known, now)
+
+    def _record_answer(self, engine_id: str, now: float) -> list[LogRecord]:
+        known = self._known.get(engine_id)
+        if known is None or known.silent_since is None:
+            return []
+        known.silent_since = None
+        known.uncertain_since = now
+        known.reason = ColdReason.RETURNED.value
+        return self._update(engine_id, known, now)
+
+    def mark_cold(self, engine_ids: Iterable[str], reason: str, now: float) -> list[LogRecord]:
+        """Count engines as cold since it is not known whether they are warm."""
+        records: list[LogRecord] = []
+        for engine_id in engine_ids:
+            known = self._known.get(engine_id)
+            if known is None or not known.is_registered:
+                continue
+            known.uncertain_since = now
+            known.reason = reason
+            records.extend(self._update(engine_id, known, now))
+        return records
+
+    # ------------------------------------------------------------ time
+
+    def tick(self, now: float) -> list[LogRecord]:
+        """Log the engines that have turned warm."""
+        due = self.next_deadline()
+        if due is None or now < due:
+            return []
+        records: list[LogRecord] = []
+        for engine_id, known in self._known.items():
+            if known.logged_reason:
+                records.extend(self._update(engine_id, known, now))
+        return records
+
+    def next_deadline(self) -> float | None:
+        """Return when the next engine turns warm; None if none is expected to."""
+        return self.rates.next_warm()
+
+    # ------------------------------------------------------------ helpers
+
+    def _cold_seconds(self, known: _Knowledge) -> float:
+        pool = self._pools.get(known.pool, _NO_RATE)
+        return pool.cold_seconds if pool.cold_rate > 0 else 0.0
+
+    def _apply_rate(self, engine_id: str, known: _Knowledge) -> None:
+        pool = self._pools.get(known.pool, _NO_RATE)
+        self.rates.set_engine(engine_id, known.instance, pool.cold_rate, pool.cold_seconds)
+
+    def _until(self, known: _Knowledge) -> float:
+        if known.silent_since is not None:
+            return math.inf
+        until = known.entry_until
+        if known.uncertain_since is not None:
+            until = max(until, known.uncertain_since + self._cold_seconds(known))
+        return until
+
+    def _update(self, engine_id: str, known: _Knowledge, now: float) -> list[LogRecord]:
+        """Tell the rates whether an engine is cold; log a change."""
+        if not self._pools.get(known.pool, _NO_RATE).cold_rate:
+            known.logged_reason = ""
+            return []
+        until = self._until(known)
+        before = self.rates.cold_engine_record(engine_id)
+        if now < until:
+            self.rates.set_cold(engine_id, until, known.reason, now)
+            if known.logged_reason == known.reason:
+                return []
+            known.logged_reason = known.reason
+            seconds = round(until - now, 3) if math.isfinite(until) else None
+            fields: dict[str, str | int | float | bool | None] = {
+                "engine": engine_id,
+                "reason": known.reason,
+                "seconds": seconds,
+            }
+            return [LogRecord(event="engine_cold", fields=fields)]
+        self.rates.set_warm(engine_id)
+        if not known.logged_reason:
+            return []
+        known.logged_reason = ""
+        lasted = round(now - before.since, 3) if before is not None else None
+        return [LogRecord(event="engine_warm", fields={"engine": engine_id, "seconds": lasted})]
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -24,6 +24,7 @@
     StopListening,
     StopRequested,
 )
+from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
 from yokeline.forwarding.configuration_lease import ConfigurationLease, LeaseState
 from yokeline.forwarding.engine_discovery import EngineDiscovery
 from yokeline.forwarding.engines import EngineTable
@@ -58,6 +59,7 @@
     read_nodes,
 )
 from yokeline.registry.protocol import StoredItem
+from yokeline.scheduling.cold_engines import ColdEngineRates
 from yokeline.start_phases import StartPhases
 
 CLOSE_CONNECTIONS_AFTER_SECONDS = 2.2
@@ -94,6 +96,7 @@
         engine_drain_seconds: float,
         phases: StartPhases,
         now: float,
+        cold_engines: ColdEngineTracker | None = None,
     ) -> None:
         """Create the service; other nodes reach it under the id ``process``."""
         self.forwarder = forwarder
@@ -108,7 +111,11 @@
         self._formats = formats
         self._engines = engines
         self._grace_seconds = grace_seconds
-        self._discovery = EngineDiscovery(formats, engines, forwarder, engine_drain_seconds, now)
+        self.cold_engines = cold_engines or _unbounded_engines(record)
+        self.cold_engines.rates.view_age = lambda at: self._registry_sync.age(at)
+        self._discovery = EngineDiscovery(
+            formats, engines, forwarder, engine_drain_seconds, now, self.cold_engines
+        )
         self._load_reporter = LoadReporter(record, process, engines, now)
         self._registry_sync = RegistrySync(record, registry, self._load_reporter, now)
         ledger.engines_told = engines.apply_leader_report
@@ -136,6 +143,10 @@
         """Return the age of the proof of the configuration (seconds); infinite without a proof."""
         return self.lease.age(self._now)
 
+    def cold_count(self) -> int:
+        """Return the number of engines that count as cold."""
+        return self.cold_engines.rates.cold_count(self._now)
+
     # ------------------------------------------------------------ service
 
     def handle(self, event: Event, now: float) -> list[Effect]:
@@ -145,7 +156,9 @@
         effects = list(effects)
         effects.extend(self._apply_changes(changed, now))
         if not is_registry_event:
+            effects.extend(self.cold_engines.observe_event(event, now))
             effects.extend(self._handle_event(event, now))
+        effects.extend(self.cold_engines.tick(now))
         self._registry_sync.update_role(now)
         effects.extend(self._registry.tick(now))
         effects.extend(self._renew_lease(now))
@@ -167,8 +180,16 @@
         )
         effects.extend(self._continue_stop(now))
         effects.extend(self._log_start_phases(now))
+        if self.cold_engines.is_active:
+            find = self.forwarder.sent_request
+            records = self.cold_engines.observe_effects(event, effects, find, self._is_suspect, now)
+            effects.extend(records)
         return effects
 
+    def _is_suspect(self, engine_id: str) -> bool:
+        state = self._engines.get(engine_id)
+        return state is not None and self._now < state.suspect_until
+
     def _renew_lease(self, now: float) -> list[Effect]:
         due = self.lease.next_deadline()
         if due is None or now < due:
@@ -202,6 +223,7 @@
             self._load_reporter.next_deadline(),
             self._engines.next_expiry(),
             self.lease.next_deadline(),
+            self.cold_engines.next_deadline(),
         ]
         return min(due for due in dues if due is not None)
 
@@ -280,6 +302,9 @@
         """Apply one batch of registry changes; many removals in a batch count as an outage."""
         listed = len(self._registry.items(self._formats.engine_prefix))
         self._discovery.begin_batch(changed, listed, now)
+        if self._registry.complete:
+            own_record = self._registry.item(node_key(self._record.name))
+            self.cold_engines.begin_batch(own_record_found=own_record is not None)
         effects: list[Effect] = []
         for item in changed:
             effects.extend(self._apply_change(item, now))
@@ -336,6 +361,7 @@
         self.forwarder.table = table
         limits = table.limits
         return [
+            *self.cold_engines.set_pools(table.pools, now),
             LogRecord(
                 event="configuration_applied",
                 fields={
@@ -363,6 +389,7 @@
         )
         edges = [record for record in records if record.role is NodeRole.EDGE]
         self._load_reporter.set_nodes(edges, self._now)
+        self.cold_engines.rates.set_nodes([record.name for record in edges], self._now)
         self._registry_sync.nodes_changed(self._now)
 
     # ------------------------------------------------------------ planned stops
@@ -401,3 +428,8 @@
             "seconds": round(elapsed, 2),
         }
         return [LogRecord(event="stopped", fields=fields), Exit()]
+
+
+def _unbounded_engines(record: NodeRecord) -> ColdEngineTracker:
+    """Return a tracker whose rates restrict no request, since no forwarder asks them."""
+    return ColdEngineTracker(ColdEngineRates(record.name, 1.0, 0.0, 0.0))
--- a/src/yokeline/forwarding/engine_discovery.py
+++ b/src/yokeline/forwarding/engine_discovery.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from yokeline.effects import CloseIdleConnections, Effect, LogRecord
+from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
 from yokeline.forwarding.engines import EngineState, EngineTable
 from yokeline.forwarding.forwarder import Forwarder
 from yokeline.forwarding.model import Engine
@@ -38,11 +39,16 @@
         forwarder: Forwarder,
         drain_seconds: float,
         now: float,
+        cold_engines: ColdEngineTracker,
     ) -> None:
-        """Update ``engines`` and ``forwarder``; draining engines serve on for ``drain_seconds``."""
+        """Update ``engines``, ``forwarder`` and ``cold_engines``.
+
+        Draining engines serve on for ``drain_seconds``.
+        """
         self._formats = formats
         self._engines = engines
         self._forwarder = forwarder
+        self._cold_engines = cold_engines
         self._expiry_seconds = EXPIRY_DRAIN_SHARE * drain_seconds
         self._expires_at = now
         self._invalid_keys: set[str] = set()
@@ -77,6 +83,7 @@
         effects: list[Effect] = []
         for engine_id in self._engines.remove_expired(now):
             self._forwarder.forget_engine(engine_id)
+            self._cold_engines.forget(engine_id)
             effects.append(LogRecord(event="engine_gone", fields={"engine": engine_id}))
         return effects
 
@@ -86,6 +93,7 @@
         previous = self._engines.current_incarnation(engine.instance)
         if previous is not None and previous.engine.engine_id != engine.engine_id:
             effects.extend(self._replace(previous, item, now))
+        effects.extend(self._cold_engines.apply_entry(engine, item.revision, now))
         # The time left changes with each heartbeat, and is not part of what is known of an engine.
         if not self._engines.put(msgspec.structs.replace(engine, cold_seconds_left=0.0)):
             return effects
@@ -97,6 +105,7 @@
         """Remove the previous incarnation of an engine that has restarted."""
         engine = previous.engine
         self._engines.remove(engine.engine_id)
+        self._cold_engines.forget(engine.engine_id)
         aborted = self._forwarder.engine_restarted(engine.engine_id, now)
         fields = _fields(engine.engine_id, item)
         fields.update(running=previous.running, broken_off=aborted)
@@ -137,6 +146,7 @@
     def _forget(self, engine_id: str) -> None:
         self._engines.remove(engine_id)
         self._forwarder.forget_engine(engine_id)
+        self._cold_engines.forget(engine_id)
 
 
 def _fields(engine_id: str, item: StoredItem) -> dict[str, LogField]:
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -64,7 +64,7 @@
 from yokeline.forwarding.turn_cache import TurnCache
 from yokeline.forwarding.turn_operations import needs_ledger
 from yokeline.histogram import Histogram
-from yokeline.identifiers import ExchangeId
+from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
 from yokeline.registry.watch import WATCH_SECONDS
@@ -219,6 +219,13 @@
         """Return the gauges of the engines whose pace deviates most from their pool's."""
         return pace_gauges(self._state.engines, self._state.now)
 
+    def sent_request(self, request: RequestId) -> tuple[str, float] | None:
+        """Return the engine that has a request, and when it was sent; None if none has it."""
+        exchange = self._state.by_engine_request.get(request)
+        if exchange is None or exchange.engine is None:
+            return None
+        return exchange.engine.engine.engine_id, exchange.sent_at
+
     def forget_engine(self, engine_id: str) -> None:
         """Remove what was estimated of a removed engine's cache and pace."""
         self._state.placement.forget_engine(engine_id)
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -124,6 +124,7 @@
     settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     # Imported here, as the storage part below: a role loads only what it needs.
+    from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
     from yokeline.forwarding.configuration_lease import ConfigurationLease
     from yokeline.forwarding.edge_node import EdgeNode
     from yokeline.forwarding.engines import EngineTable
@@ -132,6 +133,8 @@
     from yokeline.forwarding.tenant_limits import LimitTolerance
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
+    from yokeline.scheduling.cold_engines import ColdEngineRates
+    from yokeline.scheduling.eligibility import EligibilityPolicy
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -158,6 +161,9 @@
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
+    cold_rates = ColdEngineRates(
+        settings.name, settings.cold_overage, settings.cold_slack, start.began_at
+    )
     forwarder = Forwarder(
         zone=settings.zone,
         dialect=adapter.dialect,
@@ -170,6 +176,7 @@
             slack=settings.limit_slack,
         ),
         process=process,
+        eligibility=EligibilityPolicy((cold_rates,)),
     )
     lease = ConfigurationLease(
         store.unwrap(),
@@ -192,6 +199,7 @@
         engine_drain_seconds=settings.engine_drain_ms / 1000.0,
         phases=StartPhases(start.began_at),
         now=now,
+        cold_engines=ColdEngineTracker(cold_rates, first_start=settings.first_start),
     )
     binding = ServiceBinding(
         http=front.unwrap(),
--- a/src/yokeline/scheduling/eligibility.py
+++ b/src/yokeline/scheduling/eligibility.py
@@ -20,6 +20,8 @@
     """The operator has ordered that the engine's zone get no further requests."""
     COLD_RATE = "cold_rate"
     """The engine is cold, and this node's share of its rate is used up."""
+    COLD_WITHOUT_SHARE = "cold_without_share"
+    """The engine is cold, and this node has no share of its rate in the near future."""
     REGION_NOT_ALLOWED = "region_not_allowed"
     """The route or the tenant is bound to other regions."""
 
