--- /dev/null
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -0,0 +1,258 @@
+"""What a node knows of cold engines: stale or missing knowledge counts as cold."""
+
+from __future__ import annotations
+
+import math
+import unittest
+
+from yokeline.effects import (
+    Address,
+    Effect,
+    Event,
+    HttpCancel,
+    HttpFailed,
+    HttpRequest,
+    HttpResponse,
+    HttpStreamItem,
+    LogRecord,
+)
+from yokeline.forwarding.cold_engine_tracker import ENTRY_LAG_SECONDS, ColdEngineTracker
+from yokeline.forwarding.model import Engine, Pool
+from yokeline.identifiers import RequestId
+from yokeline.scheduling.cold_engines import ColdEngineRates
+
+COLD_SECONDS = 3.0
+POOLS = {"p": Pool(name="p", max_connections=1, cold_seconds=COLD_SECONDS, cold_rate=24.0)}
+ENGINE = "e@1"
+REQUEST = RequestId("call/1")
+
+
+class TrackerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.start(first_start=True)
+
+    def start(self, *, first_start: bool, own_record_found: bool = False) -> None:
+        """Start a node that has read the configuration and the list of entries."""
+        self.now = 100.0
+        self.revision = 1
+        self.rates = ColdEngineRates("n", 1.5, 5.0, 0.0)
+        self.rates.set_nodes(("n",), 0.0)
+        self.tracker = ColdEngineTracker(self.rates, first_start=first_start)
+        self.tracker.set_pools(POOLS, self.now)
+        self.tracker.begin_batch(own_record_found=own_record_found)
+
+    def entry(
+        self, seconds_left: float = 0.0, engine_id: str = ENGINE, *, is_new: bool = True
+    ) -> list[LogRecord]:
+        """Apply an entry; it is the known one again unless ``is_new``."""
+        self.revision += is_new
+        engine = Engine(
+            engine_id=engine_id,
+            instance="e",
+            pool="p",
+            address=Address("10.0.0.1", 1),
+            zone="a",
+            slots=6,
+            cold_seconds_left=seconds_left,
+        )
+        return self.tracker.apply_entry(engine, self.revision, self.now)
+
+    def seconds_cold(self, engine_id: str = ENGINE) -> float:
+        cold = self.rates.cold_engine(engine_id, self.now)
+        return round(cold.until - self.now, 6) if cold is not None else 0.0
+
+    def send(self, request: RequestId = REQUEST) -> None:
+        self.rates.record_send(ENGINE, self.now)
+        self.observe(None, [_http_request(request)], under_way=True)
+
+    def observe(
+        self,
+        event: Event | None,
+        effects: list[Effect],
+        *,
+        under_way: bool = False,
+        is_suspect: bool = False,
+    ) -> list[LogRecord]:
+        sent = (ENGINE, self.now) if under_way else None
+        records = self.tracker.observe_event(event, self.now) if event is not None else []
+        return records + self.tracker.observe_effects(
+            event or HttpStreamItem(request=RequestId("other"), data=b""),
+            effects,
+            lambda _request: sent,
+            lambda _engine: is_suspect,
+            self.now,
+        )
+
+    def answer(self, status: int = 200) -> list[LogRecord]:
+        return self.observe(HttpResponse(request=REQUEST, status=status, body=b"ok"), [])
+
+    def fail(self, *, sent: bool = True, stale: bool = False) -> list[LogRecord]:
+        event = HttpFailed(request=REQUEST, sent=sent, reason="reset", stale=stale)
+        return self.observe(event, [])
+
+    def had_traffic(self) -> None:
+        self.entry(engine_id="other@1")
+        self.rates.record_send("other@1", self.now)
+        self.observe(None, [_http_request(REQUEST)], under_way=True)
+        self.answer()
+
+
+def _http_request(request: RequestId) -> HttpRequest:
+    return HttpRequest(request=request, address=Address("10.0.0.1", 1), method="POST", path="/")
+
+
+class Entries(TrackerTest):
+    def test_an_engine_that_registered_before_the_first_traffic_is_warm(self) -> None:
+        self.assertEqual(self.entry(), [])
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_a_new_incarnation_is_cold_though_its_first_entry_says_nothing(self) -> None:
+        self.had_traffic()
+        records = self.entry()
+        self.assertEqual(self.seconds_cold(), COLD_SECONDS)
+        self.assertEqual(records[0].event, "engine_cold")
+        self.assertEqual(records[0].fields["reason"], "unknown")
+
+    def test_a_later_entry_tells_that_a_new_incarnation_is_warm(self) -> None:
+        self.had_traffic()
+        self.entry()
+        self.now += 1.0
+        records = self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+        self.assertEqual(records[0].event, "engine_warm")
+        self.assertEqual(records[0].fields["seconds"], 1.0)
+
+    def test_the_time_left_counts_from_when_the_revision_was_first_seen(self) -> None:
+        """A list of all entries repeats an old entry, which must not extend or restart the time."""
+        self.entry(2.5)
+        self.now += 1.0
+        self.assertEqual(self.seconds_cold(), 1.5)
+        self.entry(2.5, is_new=False)
+        self.assertEqual(self.seconds_cold(), 1.5)
+
+    def test_an_entry_without_a_start_may_say_that_an_engine_is_cold_again(self) -> None:
+        self.entry()
+        self.now += 10.0
+        self.entry(3.0)
+        self.assertEqual(self.seconds_cold(), 3.0)
+
+    def test_a_node_that_restarts_counts_no_engine_as_warm(self) -> None:
+        """Its settings may still say that the deployment starts; its record shows otherwise."""
+        for first_start, own_record_found in ((False, False), (False, True), (True, True)):
+            self.start(first_start=first_start, own_record_found=own_record_found)
+            self.entry()
+            self.assertEqual(self.seconds_cold(), COLD_SECONDS)
+
+    def test_an_engine_turns_warm_with_a_log_line(self) -> None:
+        self.entry(2.0)
+        self.assertEqual(self.tracker.next_deadline(), self.now + 2.0)
+        self.now += 2.0
+        records = self.tracker.tick(self.now)
+        self.assertEqual([record.event for record in records], ["engine_warm"])
+        self.assertIsNone(self.tracker.next_deadline())
+
+    def test_an_entry_that_returns_is_no_new_incarnation(self) -> None:
+        """Entries vanish together while the key-value service is down."""
+        self.entry()
+        self.had_traffic()
+        self.tracker.forget(ENGINE)
+        self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_engines_may_be_marked(self) -> None:
+        self.entry()
+        records = self.tracker.mark_cold([ENGINE, "unknown"], "evacuation_ended", self.now)
+        self.assertEqual(records[0].fields["reason"], "evacuation_ended")
+        self.assertEqual(self.seconds_cold(), COLD_SECONDS)
+
+    def test_the_configuration_may_come_after_the_entries(self) -> None:
+        self.start(first_start=False)
+        self.tracker.set_pools({}, self.now)
+        self.assertEqual(self.entry(2.0), [])
+        self.assertFalse(self.rates.is_active)
+        self.now += 0.5
+        self.assertEqual(len(self.tracker.set_pools(POOLS, self.now)), 1)
+        self.assertEqual(self.seconds_cold(), 1.5)
+
+    def test_nothing_is_tracked_without_a_rate(self) -> None:
+        pool = Pool(name="p", max_connections=1, cold_seconds=3.0, cold_rate=0.0)
+        self.start(first_start=False)
+        self.tracker.set_pools({"p": pool}, self.now)
+        self.assertEqual(self.entry(2.0), [])
+        self.assertEqual(self.fail(), [])
+        self.assertEqual(self.tracker.mark_cold([ENGINE], "evacuation_ended", self.now), [])
+        self.assertFalse(self.rates.is_active)
+        self.assertIsNone(self.tracker.next_deadline())
+
+    def test_a_rate_that_is_taken_away_ends_the_bound(self) -> None:
+        self.entry(2.0)
+        self.tracker.set_pools({}, self.now)
+        self.assertFalse(self.rates.is_active)
+        self.assertIsNone(self.tracker.next_deadline())
+
+
+class Silences(TrackerTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.entry()
+        self.send()
+
+    def test_an_engine_that_fails_is_cold_until_it_has_answered_for_a_while(self) -> None:
+        """Nobody can tell whether it has restarted; all nodes would send at once on its return."""
+        for sent in (True, False):
+            self.setUp()
+            records = self.fail(sent=sent)
+            self.assertEqual(
+                records[0].fields, {"engine": ENGINE, "reason": "silent", "seconds": None}
+            )
+            self.assertEqual(self.seconds_cold(), math.inf)
+            self.now += 20.0
+            self.send()
+            records = self.answer()
+            self.assertEqual(records[0].fields["reason"], "returned")
+            self.assertEqual(self.seconds_cold(), COLD_SECONDS)
+
+    def test_a_request_that_timed_out_is_a_silence(self) -> None:
+        self.observe(None, [HttpCancel(REQUEST)], is_suspect=True)
+        self.assertEqual(self.seconds_cold(), math.inf)
+
+    def test_a_caller_that_went_is_no_silence(self) -> None:
+        self.observe(None, [HttpCancel(REQUEST)])
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_a_closed_idle_connection_is_no_silence(self) -> None:
+        self.fail(stale=True)
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_a_stream_that_breaks_off_is_a_silence(self) -> None:
+        self.observe(HttpResponse(request=REQUEST, status=200), [], under_way=True)
+        self.observe(HttpStreamItem(request=REQUEST, data=b"x"), [], under_way=True)
+        self.fail()
+        self.assertEqual(self.seconds_cold(), math.inf)
+
+    def test_an_entry_that_may_precede_the_silence_ends_nothing(self) -> None:
+        self.fail()
+        self.now += 0.5
+        self.entry()
+        self.assertEqual(self.seconds_cold(), math.inf)
+
+    def test_a_newer_entry_says_how_long_the_engine_is_cold(self) -> None:
+        self.fail()
+        self.now += ENTRY_LAG_SECONDS
+        self.entry(1.5)
+        self.assertEqual(self.seconds_cold(), 1.5)
+        self.fail()
+        self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_ended_requests_are_not_remembered(self) -> None:
+        self.answer()
+        self.send()
+        self.fail()
+        self.send()
+        self.observe(None, [HttpCancel(REQUEST)])
+        self.assertEqual(self.tracker._sent, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
