Bound a node's requests to cold engines from the entry to the send

The reset of one kept connection is no silence if an earlier request is answered, since each reset by the network would otherwise take a busy engine away from the nodes without a share.

--- a/src/yokeline/forwarding/capacity_view.py
+++ b/src/yokeline/forwarding/capacity_view.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from yokeline.forwarding.engines import EngineTable
-from yokeline.forwarding.placement import Placement
+from yokeline.forwarding.placement import Placement, whole_slots
 from yokeline.scheduling.room_waits import PoolRoom
 
 MAX_VIEW_AGE_SECONDS = 0.05
@@ -78,8 +78,12 @@
             for state in self._engines.in_pool(pool, now)
             if (usable := self._placement.usable_slots(state, now)) > 0
         ]
-        slots = int(sum(usable for _, usable in engines))
-        held = sum(state.load for state, _ in engines)
+        slots = whole_slots(usable for _, usable in engines)
+        # Load beyond the slots shows that an engine bears it, but not that a cold engine does.
+        held = sum(
+            state.load if usable >= state.engine.slots else min(state.load, int(usable))
+            for state, usable in engines
+        )
         least_excess = min((state.load - state.engine.slots for state, _ in engines), default=0)
         waiting = self._engines.waiting_elsewhere(pool, now)
         return CapacityView(
--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -34,6 +34,9 @@
 """Time by which an entry may have been written before a node reads it: watching nodes read changes
 within 1.3 s, and pass them on with their next report. An entry that calls an engine warm is ignored
 for this time after the engine fell silent."""
+RESET_DOUBT_SECONDS = 0.5
+"""Time after the reset of a kept connection in which the answer to an earlier request shows that
+only the connection failed: the process that had the request is still running."""
 MAX_KNOWN_ENGINES = 32_768
 """Incarnations remembered; those not seen for the longest time are evicted."""
 _NO_RATE = Pool(name="", max_connections=1)
@@ -70,6 +73,7 @@
         entry_until: When it is warm according to that entry, counted from when the entry was seen.
         uncertain_since: Since when it may be cold for reasons that the entry does not reflect.
         silent_since: Since when it has not answered; None for an engine that answers.
+        only_reset: Whether kept connections were reset since then and nothing else failed.
         reason: Cause of the latest change.
         logged_reason: Cause that was logged; empty while it counts as warm.
     """
@@ -80,6 +84,7 @@
     entry_until: float = -math.inf
     uncertain_since: float | None = None
     silent_since: float | None = None
+    only_reset: bool = False
     reason: str = ""
     logged_reason: str = ""
     is_registered: bool = True
@@ -194,7 +199,7 @@
         if not sent.is_answered:
             sent.is_answered = True
             self.rates.record_answer(sent.engine_id, sent.sent_at, now)
-        return self._record_answer(sent.engine_id, now)
+        return self._record_answer(sent, now)
 
     def observe_effects(
         self,
@@ -241,27 +246,44 @@
         elif not sent.is_answered:
             self.rates.record_lost(sent.engine_id, sent.sent_at, now)
         sent.is_answered = True
-        # Engines close idle connections, so a closed one shows nothing.
-        return [] if failure.stale else self.record_failure(sent.engine_id, now)
+        if failure.stale:
+            # Engines close idle connections, so a closed one shows nothing.
+            return []
+        only_reset = failure.sent and not failure.silent and not failure.fresh
+        return self.record_failure(sent.engine_id, now, only_reset=only_reset)
+
+    def record_failure(
+        self, engine_id: str, now: float, *, only_reset: bool = False
+    ) -> list[LogRecord]:
+        """Record that an engine refused or reset a connection, or did not answer in time.
 
-    def record_failure(self, engine_id: str, now: float) -> list[LogRecord]:
-        """Record that an engine refused or reset a connection, or did not answer in time."""
+        ``only_reset`` says that a kept connection was reset, perhaps by the network.
+        """
         known = self._known.get(engine_id)
         if known is None or not known.is_registered or not self._cold_seconds(known):
             return []
         if known.silent_since is None:
             known.silent_since = now
+            known.only_reset = only_reset
             known.reason = ColdReason.SILENT.value
+        known.only_reset = known.only_reset and only_reset
         return self._update(engine_id, known, now)
 
-    def _record_answer(self, engine_id: str, now: float) -> list[LogRecord]:
-        known = self._known.get(engine_id)
+    def _record_answer(self, sent: _SentRequest, now: float) -> list[LogRecord]:
+        known = self._known.get(sent.engine_id)
         if known is None or known.silent_since is None:
             return []
+        was_running = (
+            known.only_reset
+            and sent.sent_at < known.silent_since
+            and now - known.silent_since <= RESET_DOUBT_SECONDS
+        )
         known.silent_since = None
-        known.uncertain_since = now
-        known.reason = ColdReason.RETURNED.value
-        return self._update(engine_id, known, now)
+        known.reason = ColdReason.ENTRY.value
+        if not was_running:
+            known.uncertain_since = now
+            known.reason = ColdReason.RETURNED.value
+        return self._update(sent.engine_id, known, now)
 
     def mark_cold(self, engine_ids: Iterable[str], reason: str, now: float) -> list[LogRecord]:
         """Count engines as cold since it is not known whether they are warm."""
@@ -300,7 +322,7 @@
 
     def _apply_rate(self, engine_id: str, known: _Knowledge) -> None:
         pool = self._pools.get(known.pool, _NO_RATE)
-        self.rates.set_engine(engine_id, known.instance, pool.cold_rate, pool.cold_seconds)
+        self.rates.set_engine(engine_id, known.instance, pool.cold_rate)
 
     def _until(self, known: _Knowledge) -> float:
         if known.silent_since is not None:
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -126,7 +126,9 @@
         """Return how many slots of a pool's engines count as capacity."""
         if not self.eligibility.is_active:
             return self._engines.slots_in_pool(pool)
-        return int(sum(self.usable_slots(state, now) for state in self._engines.in_pool(pool, now)))
+        return whole_slots(
+            self.usable_slots(state, now) for state in self._engines.in_pool(pool, now)
+        )
 
     def slot_seconds(self, pool: str) -> float | None:
         """Return the average time for which a request occupies a slot; None if not known."""
@@ -241,3 +243,9 @@
         self._affinities.move_to_end(subject)
         if len(self._affinities) > MAX_AFFINITIES:
             self._affinities.popitem(last=False)
+
+
+def whole_slots(usable: Iterable[float]) -> int:
+    """Return the whole slots in a sum; at least one for any capacity, since none means unknown."""
+    total = sum(usable)
+    return max(1, int(total)) if total > 0 else 0
--- a/src/yokeline/scheduling/cold_engines.py
+++ b/src/yokeline/scheduling/cold_engines.py
@@ -65,7 +65,6 @@
 class _Engine(msgspec.Struct, frozen=True):
     instance: str
     rate: float
-    cold_seconds: float
 
 
 class ColdEngineRates:
@@ -106,12 +105,12 @@
         """Whether any engine has a rate for the time in which it is cold."""
         return bool(self._engines)
 
-    def set_engine(self, engine_id: str, instance: str, rate: float, cold_seconds: float) -> None:
+    def set_engine(self, engine_id: str, instance: str, rate: float) -> None:
         """Set the rate of an engine; a rate of 0 removes all bounds."""
         if rate <= 0:
             self.forget(engine_id)
             return
-        self._engines[engine_id] = _Engine(instance, rate, cold_seconds)
+        self._engines[engine_id] = _Engine(instance, rate)
         if instance not in self._instances:
             self._instances[instance] = _Instance(SendWindow())
             if len(self._instances) > len(self._engines) + MAX_REMOVED_INSTANCES:
@@ -132,7 +131,7 @@
         if not was_cold:
             self._instances[engine.instance].cold_from = now
         if math.isinf(until) and not (was_cold and known is not None and math.isinf(known.until)):
-            self._schedule_probe(engine, now + engine.cold_seconds)
+            self._schedule_probe(engine, now)
 
     def set_warm(self, engine_id: str) -> None:
         """Count an engine as warm."""
--- a/src/yokeline/scheduling/cold_rate_shares.py
+++ b/src/yokeline/scheduling/cold_rate_shares.py
@@ -33,6 +33,8 @@
 """Time for which a replaced view still excludes nodes that it gives no share."""
 MAX_VIEWS = 64
 """Views stored; if there are more changes, the node has no share until the oldest has expired."""
+MAX_POSITIONS = 32_768
+"""Engines for which the position of this node is stored."""
 MAX_UNRESOLVED_SECONDS = 30.0
 """Time after which a request without any outcome is removed from its window."""
 LOST_REQUEST_SECONDS = 4.0
@@ -138,6 +140,8 @@
             return None
         key = (engine, holders)
         if key not in self._positions:
+            if len(self._positions) >= MAX_POSITIONS:
+                self._positions.clear()
             self._positions[key] = self._compute_position(engine, holders)
         return self._positions[key]
 
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -86,8 +86,10 @@
     def answer(self, status: int = 200) -> list[LogRecord]:
         return self.observe(HttpResponse(request=REQUEST, status=status, body=b"ok"), [])
 
-    def fail(self, *, sent: bool = True, stale: bool = False) -> list[LogRecord]:
-        event = HttpFailed(request=REQUEST, sent=sent, reason="reset", stale=stale)
+    def fail(
+        self, *, sent: bool = True, stale: bool = False, fresh: bool = False
+    ) -> list[LogRecord]:
+        event = HttpFailed(request=REQUEST, sent=sent, reason="reset", stale=stale, fresh=fresh)
         return self.observe(event, [])
 
     def had_traffic(self) -> None:
@@ -230,6 +232,30 @@
         self.fail()
         self.assertEqual(self.seconds_cold(), math.inf)
 
+    def fail_and_answer_earlier_request(self, delay: float = 0.2, *, fresh: bool = False) -> None:
+        """Let the second of two requests fail, and then the first one be answered."""
+        first = RequestId("call/0")
+        self.send(first)
+        self.now += 0.1
+        self.send()
+        self.now += 0.1
+        self.fail(fresh=fresh)
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += delay
+        self.observe(HttpResponse(request=first, status=200, body=b"ok"), [])
+
+    def test_the_answer_to_an_earlier_request_shows_that_only_a_connection_failed(self) -> None:
+        """Each reset by the network would otherwise take a busy engine's cached contexts away."""
+        self.fail_and_answer_earlier_request()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_such_an_answer_shows_nothing_after_a_refusal_or_a_longer_silence(self) -> None:
+        self.fail_and_answer_earlier_request(fresh=True)
+        self.assertEqual(self.seconds_cold(), COLD_SECONDS)
+        self.setUp()
+        self.fail_and_answer_earlier_request(delay=0.6)
+        self.assertEqual(self.seconds_cold(), COLD_SECONDS)
+
     def test_an_entry_that_may_precede_the_silence_ends_nothing(self) -> None:
         self.fail()
         self.now += 0.5
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -23,6 +23,7 @@
     StopRequested,
     Tick,
 )
+from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
 from yokeline.forwarding.configuration_lease import ConfigurationLease
 from yokeline.forwarding.edge_node import EdgeNode
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
@@ -43,8 +44,16 @@
     prefixes: tuple[str, ...] = ()
     revoke_seconds = 0.0
 
+    def make_forwarder(self) -> Played:
+        """Return the forwarder of the node."""
+        return Played()
+
+    def make_cold_engines(self) -> ColdEngineTracker | None:
+        """Return what bounds the requests to cold engines; None for no bound."""
+        return None
+
     def setUp(self) -> None:
-        self.played = Played()
+        self.played = self.make_forwarder()
         self.now = self.played.now
         record = NodeRecord(
             name=NodeName("edge-1"),
@@ -73,6 +82,7 @@
             engine_drain_seconds=2.0,
             phases=StartPhases(self.now),
             now=self.now,
+            cold_engines=self.make_cold_engines(),
         )
         self.effects: list[tuple[float, Effect]] = []
 
--- a/tests/unit/scheduling/cold_replay.py
+++ b/tests/unit/scheduling/cold_replay.py
@@ -110,7 +110,7 @@
             node.rates.view_age = node.view_age
             node.rates.set_nodes(names, now)
             for engine in self.engines:
-                node.rates.set_engine(engine, engine.partition("@")[0], self.rate, COLD_SECONDS)
+                node.rates.set_engine(engine, engine.partition("@")[0], self.rate)
         node.confirmed_at = now
         self._confirm(node)
 
--- a/tests/unit/scheduling/test_cold_engines.py
+++ b/tests/unit/scheduling/test_cold_engines.py
@@ -242,7 +242,7 @@
             replay.engines = [second]
             for node in replay.nodes:
                 node.rates.forget(first)
-                node.rates.set_engine(second, "e0", replay.rate, COLD_SECONDS)
+                node.rates.set_engine(second, "e0", replay.rate)
                 node.rates.set_cold(second, LONG, "entry", replay.now)
 
         replay.at(4.0, restart)
@@ -269,7 +269,7 @@
     def rates(self, rate: float = 4.0, nodes: tuple[str, ...] = ("n",)) -> ColdEngineRates:
         rates = ColdEngineRates("n", 1.5, 5.0, -100.0)
         rates.set_nodes(nodes, 0.0)
-        rates.set_engine(ENGINE, ENGINE, rate, COLD_SECONDS)
+        rates.set_engine(ENGINE, ENGINE, rate)
         return rates
 
     def test_it_is_inactive_without_a_rate(self) -> None:
@@ -333,7 +333,7 @@
     def test_a_bound_below_one_request_allows_none(self) -> None:
         rates = ColdEngineRates("n", 1.0, 0.0, -100.0)
         rates.set_nodes(("n",), 0.0)
-        rates.set_engine(ENGINE, ENGINE, 0.5, COLD_SECONDS)
+        rates.set_engine(ENGINE, ENGINE, 0.5)
         rates.set_cold(ENGINE, 50.0, "entry", 0.0)
         self.assertIs(rates.check(QUERY, 10.0), Ineligibility.COLD_WITHOUT_SHARE)
 
