--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -152,6 +152,11 @@
     "yokeline_forwarding_sends_beyond_subset_total": (
         "Requests sent to engines that this node does not prefer."
     ),
+    "yokeline_forwarding_engines_cold": "Engines that count as cold at this node.",
+    "yokeline_forwarding_cold_sends_total": "Requests sent to cold engines.",
+    "yokeline_forwarding_cold_sends_withheld_total": (
+        "Choices of an engine that left out a cold engine, counted for each engine."
+    ),
     "yokeline_ledger_reached": "Number 1 while the ledger answers this node, otherwise 0.",
     "yokeline_ledger_sent_through_peers_total": (
         "Questions to the ledger sent through another forwarding node."
