--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -147,8 +147,14 @@
         apps: int = 1,
         tenants: Sequence[TenantKeys] = (),
         source: Path | None = None,
+        cold_rate: float = 0.0,
     ) -> None:
-        """Prepare; ``source`` is the folder of the release to begin with, if not this one."""
+        """Prepare a deployment.
+
+        ``source`` is the folder of the release to begin with, if not this one. ``cold_rate`` is
+        what apps bear a second while they are cold; 0 for no bound.
+        """
+        self._cold_rate = cold_rate
         self.tenants = list(tenants)
         self._source = source
         self._storage_nodes = storage_nodes
@@ -230,10 +236,12 @@
         for route in routes:
             route["max-attempts"] = MOST_ATTEMPTS.get(str(route["path-prefix"]), 1)
         engine = {"slots": 4, "kv-tokens": 100000, "stride": 10}
-        services = [
+        services: list[dict[str, object]] = [
             {"name": "models", "max-conns": 50, "engine": engine},
             {"name": "apps", "max-conns": 50},
         ]
+        if self._cold_rate:
+            services[1].update({"cold-s": 3, "cold-per-s": self._cold_rate})
         document: dict[str, object] = {"version": version, "routes": routes, "services": services}
         if self.tenants:
             document["tenants"] = [tenant.document() for tenant in self.tenants]
@@ -242,9 +250,13 @@
     def forget_engine(self, engine: EngineStandIn) -> None:
         self.store.remove(f"servers/{engine.engine_id}")
 
-    def list_engine(self, engine: EngineStandIn) -> None:
-        """Let an engine that was forgotten say again that it is there."""
-        document = {**self._documents[engine.engine_id], "born": engine.born}
+    def list_engine(self, engine: EngineStandIn, *, cold_left_ms: float = 0) -> None:
+        """Let an engine say (again) that it is there, and for how long it is cold."""
+        document = {
+            **self._documents[engine.engine_id],
+            "born": engine.born,
+            "cold-left-ms": cold_left_ms,
+        }
         self.store.put(f"servers/{engine.engine_id}", document)
 
     # ------------------------------------------------------------ callers
@@ -344,6 +356,8 @@
             front, ready = next(self._ports), next(self._ports)
             self.fronts.append(self.published(name, front))
             self._ready.append(ready)
+            if self._cold_rate:
+                lines += ["cold_overage = 1.5", "cold_slack = 5"]
             lines += [f'front = "{HOST}:{front}"', f'ready = "{HOST}:{ready}"']
         else:
             lines.append(f'data_folder = "{folder / name}"')
--- a/tests/unit/scheduling/cold_replay.py
+++ b/tests/unit/scheduling/cold_replay.py
@@ -249,13 +249,14 @@
     def max_in_second(self, engine: str | None = None) -> int:
         """Return the most arrivals at an engine, or at any, in one second."""
         engines = [engine] if engine is not None else self.engines
-        return max(_max_in_second(self.arrivals[name]) for name in engines)
+        return max(max_in_second(self.arrivals[name]) for name in engines)
 
     def arrived(self, begin: float, end: float) -> int:
         return sum(begin <= at < end for times in self.arrivals.values() for at in times)
 
 
-def _max_in_second(times: Sequence[float]) -> int:
+def max_in_second(times: Sequence[float]) -> int:
+    """Return the most of the ascending ``times`` in one second."""
     first = most = 0
     for last, at in enumerate(times):
         while at - times[first] >= 1.0:
