Keep the restriction inactive while no engine is cold

An active restriction is asked for each engine of each choice and each queued request. Requests to warm engines, which may arrive after an engine turned cold, are now recorded from the node's effects.

--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -110,7 +110,7 @@
     @property
     def is_active(self) -> bool:
         """Whether any engine has a rate for the time in which it is cold."""
-        return self.rates.is_active
+        return self.rates.has_rates
 
     # ------------------------------------------------------------ configuration and entries
 
@@ -221,17 +221,19 @@
         """
         records: list[LogRecord] = []
         for effect in effects:
-            if isinstance(effect, HttpRequest):
-                found = find(effect.request)
-                if found is not None:
-                    self._is_new_deployment = False
-                    self._sent[effect.request] = _SentRequest(*found)
-            elif isinstance(effect, HttpCancel):
-                sent = self._sent.pop(effect.request, None)
-                if sent is not None and not sent.is_answered:
-                    self.rates.record_lost(sent.engine_id, sent.sent_at, now)
-                if sent is not None and is_suspect(sent.engine_id):
-                    records.extend(self.record_failure(sent.engine_id, now))
+            found = find(effect.request) if isinstance(effect, HttpRequest) else None
+            if isinstance(effect, HttpRequest) and found is not None:
+                self._is_new_deployment = False
+                self._sent[effect.request] = _SentRequest(*found)
+                self.rates.record_warm_send(*found, now)
+        for effect in effects:
+            sent = self._sent.pop(effect.request, None) if isinstance(effect, HttpCancel) else None
+            if sent is None:
+                continue
+            if not sent.is_answered:
+                self.rates.record_lost(sent.engine_id, sent.sent_at, now)
+            if is_suspect(sent.engine_id):
+                records.extend(self.record_failure(sent.engine_id, now))
         if isinstance(event, HttpResponse | HttpStreamEnded | HttpFailed) and (
             event.request in self._sent and find(event.request) is None
         ):
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -23,7 +23,7 @@
     counters["yokeline_forwarding_proof_reads_total"] = float(node.lease.service_reads)
     counters["yokeline_forwarding_proof_asks_total"] = float(node.lease.peer_queries)
     cold_rates = node.cold_engines.rates
-    if cold_rates.is_active:
+    if cold_rates.has_rates:
         counters["yokeline_forwarding_cold_sends_total"] = float(cold_rates.sends)
         counters["yokeline_forwarding_cold_sends_withheld_total"] = float(cold_rates.withheld)
     table = forwarder.table
@@ -35,7 +35,7 @@
         "yokeline_forwarding_proof_age_seconds": node.proof_age(),
         "yokeline_ledger_reached": float(node.ledger.reaches_ledger),
     }
-    if cold_rates.is_active:
+    if cold_rates.has_rates:
         gauges["yokeline_forwarding_engines_cold"] = float(node.cold_count())
     for pool, level in forwarder.share_levels().items():
         gauges[f'yokeline_forwarding_share_level{{pool="{pool}"}}'] = level
--- a/src/yokeline/scheduling/cold_engines.py
+++ b/src/yokeline/scheduling/cold_engines.py
@@ -102,6 +102,11 @@
 
     @property
     def is_active(self) -> bool:
+        """Whether any engine is cold; choices cost no more than without a rate otherwise."""
+        return bool(self._cold)
+
+    @property
+    def has_rates(self) -> bool:
         """Whether any engine has a rate for the time in which it is cold."""
         return bool(self._engines)
 
@@ -207,25 +212,28 @@
         return Ineligibility.COLD_WITHOUT_SHARE
 
     def record_send(self, engine_id: str, now: float) -> None:
-        """Record that this node has sent a request to an engine.
-
-        Sends to warm engines are recorded too: they may arrive after the engine has turned cold.
-        """
+        """Record that this node has sent a request to an engine; ignored for a warm engine."""
         engine = self._engines.get(engine_id)
-        if engine is None:
+        if engine is None or self.cold_engine(engine_id, now) is None:
             return
+        self.sends += 1
         instance = self._instances[engine.instance]
-        instance.window.count(now)
         instance.window.add(now)
-        if self.cold_engine(engine_id, now) is None:
-            return
-        self.sends += 1
         plan = self._plan(engine)
         if self._position(engine, plan, now) is not None:
             instance.next_at = max(instance.next_at, now) + plan.interval
         else:
             self._schedule_probe(engine, now)
 
+    def record_warm_send(self, engine_id: str, sent_at: float, now: float) -> None:
+        """Record a request to a warm engine, which may arrive after the engine has turned cold."""
+        engine = self._engines.get(engine_id)
+        if engine is None or self.cold_engine(engine_id, now) is not None:
+            return
+        window = self._instances[engine.instance].window
+        window.count(now)
+        window.add(sent_at)
+
     def next_change(self, now: float) -> float | None:
         """Return when a withheld engine may become eligible; None if only an event can tell."""
         changes: list[float] = []
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -171,7 +171,7 @@
         self.start(first_start=False)
         self.tracker.set_pools({}, self.now)
         self.assertEqual(self.entry(2.0), [])
-        self.assertFalse(self.rates.is_active)
+        self.assertFalse(self.tracker.is_active)
         self.now += 0.5
         self.assertEqual(len(self.tracker.set_pools(POOLS, self.now)), 1)
         self.assertEqual(self.seconds_cold(), 1.5)
@@ -183,13 +183,13 @@
         self.assertEqual(self.entry(2.0), [])
         self.assertEqual(self.fail(), [])
         self.assertEqual(self.tracker.mark_cold([ENGINE], "evacuation_ended", self.now), [])
-        self.assertFalse(self.rates.is_active)
+        self.assertFalse(self.tracker.is_active)
         self.assertIsNone(self.tracker.next_deadline())
 
     def test_a_rate_that_is_taken_away_ends_the_bound(self) -> None:
         self.entry(2.0)
         self.tracker.set_pools({}, self.now)
-        self.assertFalse(self.rates.is_active)
+        self.assertFalse(self.tracker.is_active)
         self.assertIsNone(self.tracker.next_deadline())
 
 
@@ -214,6 +214,14 @@
             self.assertEqual(records[0].fields["reason"], "returned")
             self.assertEqual(self.seconds_cold(), COLD_SECONDS)
 
+    def test_requests_count_once_whether_the_engine_was_warm_or_cold(self) -> None:
+        self.assertEqual(self.rates._instances["e"].window.count(self.now), 1)
+        self.answer()
+        self.now += 5.0
+        self.entry(10.0)
+        self.send()
+        self.assertEqual(self.rates._instances["e"].window.count(self.now), 1)
+
     def test_a_request_that_timed_out_is_a_silence(self) -> None:
         self.observe(None, [HttpCancel(REQUEST)], is_suspect=True)
         self.assertEqual(self.seconds_cold(), math.inf)
--- a/tests/unit/forwarding/test_cold_engines.py
+++ b/tests/unit/forwarding/test_cold_engines.py
@@ -291,5 +291,5 @@
         self.has_cold_engines = False
         self.setUp()
         self.assertEqual(bounded, self.play())
-        self.assertFalse(self.rates.is_active)
+        self.assertFalse(self.rates.has_rates)
         self.assertNotIn("yokeline_forwarding_engines_cold", edge_figures(self.node).gauges)
--- a/tests/unit/scheduling/cold_replay.py
+++ b/tests/unit/scheduling/cold_replay.py
@@ -224,6 +224,8 @@
         sent_at = self.now
         node.sends += 1
         node.rates.record_send(engine, sent_at)
+        if isinstance(node.rates, ColdEngineRates):
+            node.rates.record_warm_send(engine, sent_at, self.now)
         self.outcomes["sent"] += 1
         arrives_at = max(self.now, node.cut_until) + ONE_WAY_SECONDS
         self.at(arrives_at, lambda: self._arrive(node, engine, sent_at))
--- a/tests/unit/scheduling/test_cold_engines.py
+++ b/tests/unit/scheduling/test_cold_engines.py
@@ -281,6 +281,7 @@
 
     def test_a_warm_engine_has_no_bound(self) -> None:
         rates = self.rates()
+        self.assertFalse(rates.is_active)
         rates.set_cold(ENGINE, 5.0, "entry", 0.0)
         for _ in range(30):
             rates.record_send(ENGINE, 5.0)
@@ -290,7 +291,7 @@
     def test_sends_before_an_engine_turned_cold_count(self) -> None:
         rates = self.rates()
         for _ in range(8):
-            rates.record_send(ENGINE, 1.0)
+            rates.record_warm_send(ENGINE, 1.0, 1.0)
         rates.set_cold(ENGINE, 5.0, "entry", 1.1)
         self.assertIs(rates.check(QUERY, 2.0), Ineligibility.COLD_RATE)
         for _ in range(8):
