--- a/src/yokeline/scheduling/cold_engines.py
+++ b/src/yokeline/scheduling/cold_engines.py
@@ -219,7 +219,7 @@
         self.sends += 1
         instance = self._instances[engine.instance]
         instance.window.add(now)
-        plan = self._plan(engine)
+        plan = self._plan(engine, now)
         if self._position(engine, plan, now) is not None:
             instance.next_at = max(instance.next_at, now) + plan.interval
         else:
@@ -264,7 +264,7 @@
         """
         engine = self._engines[engine_id]
         instance = self._instances[engine.instance]
-        plan = self._plan(engine)
+        plan = self._plan(engine, now)
         position = self._position(engine, plan, now)
         if position is None:
             is_silent = math.isinf(self._cold[engine_id].until)
@@ -277,8 +277,8 @@
         leaving = instance.window.next_leaving(now)
         return max(due, leaving) if leaving is not None else None
 
-    def _plan(self, engine: _Engine) -> SharePlan:
-        return plan_shares(engine.rate, self._overage, self._slack, len(self._views.nodes))
+    def _plan(self, engine: _Engine, now: float) -> SharePlan:
+        return plan_shares(engine.rate, self._overage, self._slack, self._views.count(now))
 
     def _position(self, engine: _Engine, plan: SharePlan, now: float) -> int | None:
         if not plan.holders or self.view_age(now) > MAX_VIEW_AGE_SECONDS:
--- a/src/yokeline/scheduling/cold_rate_shares.py
+++ b/src/yokeline/scheduling/cold_rate_shares.py
@@ -129,13 +129,17 @@
         self.nodes = nodes
         self._positions.clear()
 
+    def count(self, now: float) -> int:
+        """Return the most nodes in a recent view.
+
+        Nodes that were removed may not know it yet, and still use the share of the larger fleet.
+        """
+        self._drop_expired(now)
+        return max(len(self.nodes), *(len(view) for _, view in self._replaced), 0)
+
     def position(self, engine: str, holders: int, now: float) -> int | None:
         """Return this node's position among the holders of an engine; None without a share."""
-        if self._replaced and now - self._replaced[0][0] >= VIEW_OVERLAP_SECONDS:
-            self._replaced = [
-                item for item in self._replaced if now - item[0] < VIEW_OVERLAP_SECONDS
-            ]
-            self._positions.clear()
+        self._drop_expired(now)
         if now < self._unknown_until:
             return None
         key = (engine, holders)
@@ -145,6 +149,13 @@
             self._positions[key] = self._compute_position(engine, holders)
         return self._positions[key]
 
+    def _drop_expired(self, now: float) -> None:
+        if self._replaced and now - self._replaced[0][0] >= VIEW_OVERLAP_SECONDS:
+            self._replaced = [
+                item for item in self._replaced if now - item[0] < VIEW_OVERLAP_SECONDS
+            ]
+            self._positions.clear()
+
     def _compute_position(self, engine: str, holders: int) -> int | None:
         views = [*(view for _, view in self._replaced), self.nodes]
         if any(self._own not in share_holders(engine, view, holders) for view in views):
--- a/tests/unit/forwarding/test_cold_engines.py
+++ b/tests/unit/forwarding/test_cold_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import unittest
 
 from tests.unit.forwarding.engine_entries_support import FIRST_START_MS, NodeWithEntries
 from tests.unit.forwarding.support import HOST, Played
@@ -21,6 +22,7 @@
 from yokeline.forwarding.metrics import edge_figures
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId, RequestId
 from yokeline.ledger.messages import LoadReport
+from yokeline.ledger.operations import CachedContext, Granted
 from yokeline.registry.nodes import NodeRecord, NodeRole, encode_node, node_key
 from yokeline.scheduling.cold_engines import ColdEngineRates
 from yokeline.scheduling.eligibility import EligibilityPolicy
@@ -263,6 +265,36 @@
         self.assertEqual(len(self.sends()), 1)
 
 
+class CachedContexts(unittest.TestCase):
+    """Turns and the caches of warm and cold engines."""
+
+    def setUp(self) -> None:
+        self.rates = ColdEngineRates("edge-1", OVERAGE, SLACK, 0.0)
+        self.rates.set_nodes(("edge-1",), 0.0)
+        self.played = Played(eligibility=EligibilityPolicy((self.rates,)))
+        for number in range(2):
+            self.rates.set_engine(f"models-{number}", f"models-{number}", 4.0)
+
+    def turn_with_context_at(self, engine_id: str) -> None:
+        self.played.turn(token_usage="20000,50", session_id="s")
+        context = CachedContext(engine_id=engine_id, tokens=19_000)
+        self.played.ledger_answers(Granted(spent=40, context=context))
+
+    def test_a_turn_stays_with_its_context_while_an_idle_cold_engine_has_a_free_share(self) -> None:
+        self.rates.set_cold("models-1", 1000.0, "entry", 0.0)
+        busy = self.played.engines.get("models-0")
+        assert busy is not None
+        busy.running_elsewhere = 3
+        self.turn_with_context_at("models-0")
+        self.assertEqual(self.played.engine_of(), "models-0")
+
+    def test_a_turn_leaves_its_context_at_a_cold_engine_without_a_free_share(self) -> None:
+        """It would otherwise arrive beyond the rate."""
+        self.rates.set_cold("models-0", 1000.0, "entry", self.played.now)
+        self.turn_with_context_at("models-0")
+        self.assertEqual(self.played.engine_of(), "models-1")
+
+
 class Off(ColdNode):
     """Without a rate, effects and their order are those of a node without the restriction."""
 
--- a/tests/unit/scheduling/test_cold_engines.py
+++ b/tests/unit/scheduling/test_cold_engines.py
@@ -13,6 +13,7 @@
     MAX_VIEW_AGE_SECONDS,
     VIEW_OVERLAP_SECONDS,
     NodeViews,
+    plan_shares,
     share_holders,
 )
 from yokeline.scheduling.eligibility import EngineQuery, Ineligibility
@@ -170,6 +171,21 @@
                 self.assertLessEqual(len(holders), 8)
         self.assertEqual(len(holders), 8)
 
+    def test_shares_grow_only_when_removed_nodes_have_stopped(self) -> None:
+        """Half of ten nodes are removed. Until they know it, they use the shares of ten."""
+        names = [f"edge-{number}" for number in range(10)]
+        views = {name: NodeViews(name) for name in names}
+        for name, view in views.items():
+            view.set_nodes(names, 0.0)
+            if name in names[:5]:
+                view.set_nodes(names[:5], 1.0)
+        budget = 32
+        for now in (1.0, 1.0 + VIEW_OVERLAP_SECONDS - 0.1):
+            plans = [plan_shares(24.0, 1.5, 5.0, view.count(now)) for view in views.values()]
+            self.assertLessEqual(sum(plan.window_sends for plan in plans), budget)
+        after = plan_shares(24.0, 1.5, 5.0, views[names[0]].count(1.0 + VIEW_OVERLAP_SECONDS))
+        self.assertEqual((after.holders, after.window_sends), (5, 6))
+
     def test_a_new_process_waits_until_the_sends_of_the_one_before_it_have_passed(self) -> None:
         replay = ColdReplay(nodes=1, rate=4.0)
         replay.set_cold(ENGINE, LONG)
