Release the places of requests that a replaced or closing engine had

Requests to a removed incarnation kept their places at the next one for 30 s, and a reset counted like a time-out. Views count for 4 s instead of 2, since watching nodes hear from the key-value service only every 1.4 s and one slow answer ended all shares.

--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -245,8 +245,11 @@
     ) -> list[LogRecord]:
         if not failure.sent:
             self.rates.discard_send(sent.engine_id, sent.sent_at, now)
-        elif not sent.is_answered:
+        elif not sent.is_answered and failure.silent:
             self.rates.record_lost(sent.engine_id, sent.sent_at, now)
+        elif not sent.is_answered:
+            # Nothing more arrives over a connection that the other end has closed.
+            self.rates.record_answer(sent.engine_id, sent.sent_at, now)
         sent.is_answered = True
         if failure.stale:
             # Engines close idle connections, so a closed one shows nothing.
--- a/src/yokeline/scheduling/cold_engines.py
+++ b/src/yokeline/scheduling/cold_engines.py
@@ -29,7 +29,7 @@
 ASSUMED_SLOT_SECONDS = 1.0
 """Time for which a request occupies a slot while none was observed."""
 MAX_REMOVED_INSTANCES = 1024
-"""Removed engines from which on their windows are deleted."""
+"""Removed engines and incarnations that are remembered."""
 
 
 class ColdEngine(msgspec.Struct, frozen=True):
@@ -97,6 +97,8 @@
         self._engines: dict[str, _Engine] = {}
         self._instances: dict[str, _Instance] = {}
         self._cold: dict[str, ColdEngine] = {}
+        self._removed: dict[str, str] = {}
+        """Instances of removed incarnations, whose requests may still end."""
 
     # ------------------------------------------------------------ knowledge
 
@@ -144,8 +146,12 @@
 
     def forget(self, engine_id: str) -> None:
         """Remove an engine. What was sent to its instance is kept for its next incarnation."""
-        self._engines.pop(engine_id, None)
         self._cold.pop(engine_id, None)
+        engine = self._engines.pop(engine_id, None)
+        if engine is not None:
+            self._removed[engine_id] = engine.instance
+            if len(self._removed) > MAX_REMOVED_INSTANCES:
+                del self._removed[next(iter(self._removed))]
 
     def set_nodes(self, names: Iterable[str], now: float) -> None:
         """Set the registered forwarding nodes."""
@@ -191,7 +197,8 @@
 
     def _window(self, engine_id: str) -> SendWindow | None:
         engine = self._engines.get(engine_id)
-        instance = self._instances.get(engine.instance) if engine is not None else None
+        name = engine.instance if engine is not None else self._removed.get(engine_id, "")
+        instance = self._instances.get(name)
         return instance.window if instance is not None else None
 
     # ------------------------------------------------------------ restriction
--- a/src/yokeline/scheduling/cold_rate_shares.py
+++ b/src/yokeline/scheduling/cold_rate_shares.py
@@ -22,8 +22,9 @@
 USED_BOUND_SHARE = 0.8
 """Share of the bound that is divided. The rest covers requests sent before a node learns that the
 engine is cold, requests delayed in the network, and probes of silent engines."""
-MAX_VIEW_AGE_SECONDS = 2.0
-"""Age of the registry's last confirmation at which a node stops using its shares."""
+MAX_VIEW_AGE_SECONDS = 4.0
+"""Age of the registry's last confirmation at which a node stops using its shares. Watching nodes
+hear from the service every 1.4 s, so a slow or lost answer does not end the shares."""
 CONFIRMATION_LAG_SECONDS = 3.0
 """Time by which a confirmed view may still be out of date: a watching node counts as such for 2.6 s
 after the service's last answer, and its report takes up to 0.4 s through relays."""
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -222,6 +222,25 @@
         self.send()
         self.assertEqual(self.rates._instances["e"].window.count(self.now), 1)
 
+    def test_a_reset_request_counts_for_a_second_and_one_that_timed_out_for_longer(self) -> None:
+        window = self.rates._instances["e"].window
+        self.fail()
+        self.assertEqual(window.count(self.now + 0.9), 1)
+        self.assertEqual(window.count(self.now + 1.0), 0)
+        self.send()
+        self.observe(HttpFailed(request=REQUEST, sent=True, reason="silent", silent=True), [])
+        self.assertEqual(window.count(self.now + 4.9), 1)
+        self.assertEqual(window.count(self.now + 5.0), 0)
+
+    def test_requests_of_a_replaced_incarnation_leave_the_window_when_they_end(self) -> None:
+        """They would otherwise hold a place at the next incarnation for half a minute."""
+        self.tracker.forget(ENGINE)
+        self.entry(3.0, engine_id="e@2")
+        window = self.rates._instances["e"].window
+        self.assertEqual(window.count(self.now), 1)
+        self.fail()
+        self.assertEqual(window.count(self.now + 1.0), 0)
+
     def test_a_request_that_timed_out_is_a_silence(self) -> None:
         self.observe(None, [HttpCancel(REQUEST)], is_suspect=True)
         self.assertEqual(self.seconds_cold(), math.inf)
