Send nothing to an evacuated zone from the order on

Cause: the operator's key op/evacuate/ZONE was not read, and requests went on to the engines of a zone that was to be emptied.

Change: ZoneEvacuations is a restriction of the eligibility policy, fed from the registry by forwarding/evacuations.py. If no engine of a pool can become eligible, a request is refused before the ledger is asked, with a Retry-After of 1 to 2 s. The views of capacity are dropped when an order is read. The end of an order is reported with the zone's engines.

--- a/src/yokeline/forwarding/capacity_view.py
+++ b/src/yokeline/forwarding/capacity_view.py
@@ -72,6 +72,10 @@
             self._views[pool] = view
         return view
 
+    def clear(self) -> None:
+        """Drop the views, since the usable engines have changed."""
+        self._views.clear()
+
     def _take_view(self, pool: str, now: float) -> CapacityView:
         engines = [
             (state, usable)
--- a/src/yokeline/forwarding/dispatcher.py
+++ b/src/yokeline/forwarding/dispatcher.py
@@ -13,7 +13,11 @@
 from yokeline.forwarding.queue_admission import CapacitySnapshot, QueueAdmission, would_lose_work
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.wait_queue import WaitQueue
-from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay
+from yokeline.scheduling.retry_delays import (
+    NO_ELIGIBLE_ENGINE_DELAY_SECONDS,
+    RefusedCaller,
+    retry_delay,
+)
 from yokeline.scheduling.room_waits import RoomRefusal
 
 
@@ -64,12 +68,31 @@
             time_left=exchange.deadline - self._state.now,
         )
         expected = exchange.room_wait.expected if exchange.room_wait is not None else 0.0
+        if refusal is RoomRefusal.NO_ELIGIBLE_ENGINE:
+            expected = NO_ELIGIBLE_ENGINE_DELAY_SECONDS
         retry_after = retry_delay(caller, expected)
         fields = self._admission.refusal_fields(exchange, refusal)
         self._responder.refuse(
             exchange, UNAVAILABLE, "no_engine", retry_after=retry_after, **fields
         )
 
+    def refuse_without_eligible_engine(self, exchange: Exchange) -> bool:
+        """Refuse a new request that no engine of its pool can become eligible for.
+
+        Returns:
+            Whether it was refused. It has then neither a reservation nor a share of a limit.
+        """
+        pool = self._state.pool_of(exchange)
+        if not self._state.placement.has_no_eligible_engine(exchange, pool, self._state.now):
+            return False
+        exchange.waiting_since = self._state.now
+        self.refuse_for_capacity(exchange, RoomRefusal.NO_ELIGIBLE_ENGINE)
+        return True
+
+    def forget_capacity(self) -> None:
+        """Compute the capacity of the pools anew for the next decisions."""
+        self._admission.forget_capacity()
+
     def _end_revoked(self, exchange: Exchange) -> None:
         if exchange.possible_runs or exchange.relayed_events:
             self._responder.fail(exchange, UNKNOWN_KEY)
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 from returns.result import Failure, Success
 
@@ -27,6 +29,7 @@
 from yokeline.forwarding.configuration_lease import ConfigurationLease, LeaseState
 from yokeline.forwarding.engine_discovery import EngineDiscovery
 from yokeline.forwarding.engines import EngineTable
+from yokeline.forwarding.evacuations import Evacuations
 from yokeline.forwarding.forwarder import Forwarder
 from yokeline.forwarding.load_reporting import LoadReporter, NodeStatus
 from yokeline.forwarding.registry_sync import RegistrySync
@@ -58,6 +61,7 @@
     read_nodes,
 )
 from yokeline.registry.protocol import StoredItem
+from yokeline.registry.watch import WATCH_SECONDS
 from yokeline.start_phases import StartPhases
 
 CLOSE_CONNECTIONS_AFTER_SECONDS = 2.2
@@ -94,13 +98,18 @@
         engine_drain_seconds: float,
         phases: StartPhases,
         now: float,
+        evacuations: Evacuations | None = None,
     ) -> None:
-        """Create the service; other nodes reach it under the id ``process``."""
+        """Create the service; other nodes reach it under the id ``process``.
+
+        Without ``evacuations`` it ignores evacuation orders.
+        """
         self.forwarder = forwarder
         self.phases = phases
         self.ledger = ledger
         self.histories = histories
         self.lease = lease
+        self.evacuations = evacuations
         forwarder.lease_state = lease.state
         forwarder.proof_age = lease.age
         self._record = record
@@ -141,9 +150,10 @@
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event and return effects."""
         self._now = now
+        max_change_age = self._max_change_age()
         is_registry_event, changed, effects = self._registry.take(event, now)
         effects = list(effects)
-        effects.extend(self._apply_changes(changed, now))
+        effects.extend(self._apply_changes(changed, now, max_change_age))
         if not is_registry_event:
             effects.extend(self._handle_event(event, now))
         self._registry_sync.update_role(now)
@@ -242,7 +252,8 @@
             return self._apply_proven_item(self.lease.handle_proof(message), now)
         if isinstance(message, RegistryNews):
             changed, effects = self._registry_sync.apply_news(event.sender, message, now)
-            return [*effects, *self._apply_changes(changed, now)]
+            max_change_age = self._max_change_age()
+            return [*effects, *self._apply_changes(changed, now, max_change_age)]
         return []
 
     def _relay_ledger_request(
@@ -276,20 +287,39 @@
 
     # ------------------------------------------------------------ registry changes
 
-    def _apply_changes(self, changed: list[StoredItem], now: float) -> list[Effect]:
-        """Apply one batch of registry changes; many removals in a batch count as an outage."""
+    def _max_change_age(self) -> float:
+        """Return the greatest age of a change that arrives now (seconds).
+
+        The change is later than the last confirmation of the registry's contents. A node that
+        follows others had it from a watcher, whose watch request may have lasted its full time.
+        """
+        if self.evacuations is None or not self.evacuations.zones.is_enabled:
+            return math.inf
+        own_seconds = self.registry_age()
+        return own_seconds if self._registry_sync.reads_service else own_seconds + WATCH_SECONDS
+
+    def _apply_changes(
+        self, changed: list[StoredItem], now: float, max_change_age: float
+    ) -> list[Effect]:
+        """Apply one batch of registry changes; many removals in a batch count as an outage.
+
+        ``max_change_age`` is the greatest age that the changes can have.
+        """
         listed = len(self._registry.items(self._formats.engine_prefix))
         self._discovery.begin_batch(changed, listed, now)
         effects: list[Effect] = []
         for item in changed:
-            effects.extend(self._apply_change(item, now))
+            effects.extend(self._apply_change(item, now, max_change_age))
         return effects
 
-    def _apply_change(self, item: StoredItem, now: float) -> list[Effect]:
+    def _apply_change(self, item: StoredItem, now: float, max_change_age: float) -> list[Effect]:
         if item.key == self._formats.configuration_key:
             return self._apply_configuration(item, now)
         if self._discovery.owns(item):
             return self._discovery.apply_change(item, now)
+        if self.evacuations is not None and self.evacuations.owns(item):
+            self.forwarder.forget_capacity()
+            return self.evacuations.apply_change(item, now, max_change_age)
         if item.key.startswith(NODE_PREFIX):
             self._apply_nodes()
             return self._validate_node_record(item)
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -223,6 +223,10 @@
         """Remove what was estimated of a removed engine's cache and pace."""
         self._state.placement.forget_engine(engine_id)
 
+    def forget_capacity(self) -> None:
+        """Compute the capacity of the pools anew, since the usable engines have changed."""
+        self._dispatcher.forget_capacity()
+
     def engine_restarted(self, engine_id: str, now: float) -> int:
         """Handle the restart of an engine; return how many of its requests were aborted.
 
@@ -409,6 +413,8 @@
 
     def _begin(self, exchange: Exchange) -> None:
         """Start the first step that a request needs: tenant limit, reservation or dispatch."""
+        if self._dispatcher.refuse_without_eligible_engine(exchange):
+            return
         if not self._tenant_limits.may_ask(exchange, self._begin):
             return
         if needs_ledger(exchange):
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -31,6 +31,9 @@
         "yokeline_forwarding_proof_age_seconds": node.proof_age(),
         "yokeline_ledger_reached": float(node.ledger.reaches_ledger),
     }
+    if node.evacuations is not None and node.evacuations.zones.is_enabled:
+        zones = node.evacuations.zones.zones
+        gauges["yokeline_forwarding_zones_evacuated"] = float(len(zones))
     for pool, level in forwarder.share_levels().items():
         gauges[f'yokeline_forwarding_share_level{{pool="{pool}"}}'] = level
     gauges.update(node.phases.gauges())
--- a/src/yokeline/forwarding/queue_admission.py
+++ b/src/yokeline/forwarding/queue_admission.py
@@ -44,6 +44,10 @@
         self._last_views: dict[str, CapacityView] = {}
         self._wait_errors = WaitCorrection()
 
+    def forget_capacity(self) -> None:
+        """Take a new view of each pool for the next decision."""
+        self._views.clear()
+
     def snapshot(self, pool: str) -> CapacitySnapshot:
         """Return the capacity for one dispatch of a pool's queue."""
         view = self._views.of(pool, self._state.now)
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -120,6 +120,10 @@
     "yokeline_ledger_tenants": "Tenants whose requests this replica counts.",
     "yokeline_forwarding_refusals_total": "Requests refused, not run, by reason.",
     "yokeline_forwarding_room_refusals_total": "Requests refused for want of room, by cause.",
+    "yokeline_forwarding_zones_evacuated": "Zones that this node knows to be evacuated.",
+    "yokeline_forwarding_sends_restricted_total": (
+        "Requests sent while engines of their pool were not eligible, by cause."
+    ),
     "yokeline_forwarding_expected_wait_seconds": (
         "Seconds in which a place was likely to be free, of requests that found none."
     ),
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -127,11 +127,14 @@
     from yokeline.forwarding.configuration_lease import ConfigurationLease
     from yokeline.forwarding.edge_node import EdgeNode
     from yokeline.forwarding.engines import EngineTable
+    from yokeline.forwarding.evacuations import Evacuations
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.metrics import edge_figures
     from yokeline.forwarding.tenant_limits import LimitTolerance
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
+    from yokeline.scheduling.eligibility import EligibilityPolicy
+    from yokeline.scheduling.zone_evacuation import ZoneEvacuations
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -155,6 +158,7 @@
     )
     engines = EngineTable(settings.name)
     ledger = LedgerClient(settings.peer_address)
+    evacuated_zones = ZoneEvacuations(settings.evacuation_ms / 1000.0)
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
@@ -170,6 +174,7 @@
             slack=settings.limit_slack,
         ),
         process=process,
+        eligibility=EligibilityPolicy((evacuated_zones,)),
     )
     lease = ConfigurationLease(
         store.unwrap(),
@@ -192,6 +197,7 @@
         engine_drain_seconds=settings.engine_drain_ms / 1000.0,
         phases=StartPhases(start.began_at),
         now=now,
+        evacuations=Evacuations(adapter.formats, evacuated_zones, engines),
     )
     binding = ServiceBinding(
         http=front.unwrap(),
--- a/src/yokeline/scheduling/retry_delays.py
+++ b/src/yokeline/scheduling/retry_delays.py
@@ -31,6 +31,9 @@
 OUTAGE_JITTER = 2.0
 """Width of the interval of delays after a refusal by a node that is temporarily unable to serve,
 relative to the earliest delay."""
+NO_ELIGIBLE_ENGINE_DELAY_SECONDS = 1.0
+"""Earliest delay if no engine may serve the request. An operator's order or the configuration has
+to change first, so callers return rarely, yet within :data:`MAX_DELAY_SECONDS` of that change."""
 LIMIT_JITTER = 0.25
 """Width of the interval of delays after a refusal by a tenant's limit, relative to the earliest
 delay."""
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -25,6 +25,7 @@
 )
 from yokeline.forwarding.configuration_lease import ConfigurationLease
 from yokeline.forwarding.edge_node import EdgeNode
+from yokeline.forwarding.evacuations import Evacuations
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
 from yokeline.ledger.messages import LoadReport, RegistryAsk, RegistryItem, RegistryNews
 from yokeline.ledger.operations import Granted
@@ -32,6 +33,8 @@
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.nodes import NodeRecord, NodeRole, encode_node, node_key
 from yokeline.registry.protocol import Page, StoredItem
+from yokeline.scheduling.eligibility import EligibilityPolicy
+from yokeline.scheduling.zone_evacuation import ZoneEvacuations
 from yokeline.start_phases import StartPhases
 
 GRACE_SECONDS = 8.0
@@ -42,9 +45,11 @@
 
     prefixes: tuple[str, ...] = ()
     revoke_seconds = 0.0
+    evacuation_seconds = 0.0
 
     def setUp(self) -> None:
-        self.played = Played()
+        zones = ZoneEvacuations(self.evacuation_seconds)
+        self.played = Played(eligibility=EligibilityPolicy((zones,)))
         self.now = self.played.now
         record = NodeRecord(
             name=NodeName("edge-1"),
@@ -73,6 +78,7 @@
             engine_drain_seconds=2.0,
             phases=StartPhases(self.now),
             now=self.now,
+            evacuations=Evacuations(PlatformDocuments(), zones, self.played.engines),
         )
         self.effects: list[tuple[float, Effect]] = []
 
