Offer a session its engine though others found all engines full

Cause: within a dispatch, the memory of full engines held for all requests alike. A session that may still use its context in an evacuated zone waited if a request before it in the queue, which may not go there, had found no engine.

Change: while a restriction is active, a request of a session is offered the engine with its context before the memory counts. Without a restriction nothing changes.

--- a/src/yokeline/forwarding/dispatcher.py
+++ b/src/yokeline/forwarding/dispatcher.py
@@ -154,7 +154,7 @@
         placement = self._state.placement
         is_new_program = exchange.is_first_turn
         if full_engines.is_full_for(exchange, is_new_program=is_new_program):
-            return None
+            return placement.choose_cached(exchange, self._state.pool_of(exchange), self._state.now)
         choice = placement.choose(exchange, self._state.pool_of(exchange), self._state.now)
         if choice is None:
             full_engines.record_full(exchange, is_new_program=is_new_program)
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -82,6 +82,21 @@
             choice = self._choose(exchange, pool, now)
         return choice
 
+    def choose_cached(self, exchange: Exchange, pool: Pool, now: float) -> EngineChoice | None:
+        """Return the engine with a session's context while restrictions are active.
+
+        The restrictions may let the session use that engine although other requests may not; None
+        if they do not, or if the engine has no capacity.
+        """
+        context = exchange.cached_context
+        if context is None or not self.eligibility.is_active:
+            return None
+        state = self._engines.get(context.engine_id)
+        if state is None or state.engine.draining or state.engine.pool != exchange.pool:
+            return None
+        inputs = self._choice_inputs(exchange, pool, exchange.excluded_engine_ids)
+        return choose_engine([state], self.prefix_cache, inputs, now)
+
     def lacks_time(self, exchange: Exchange, now: float) -> bool:
         """Return whether too little time is left to serve a request before its deadline."""
         time_left = exchange.deadline - now
--- a/tests/unit/forwarding/test_evacuations.py
+++ b/tests/unit/forwarding/test_evacuations.py
@@ -443,6 +443,21 @@
         self.played.now += 0.9
         self.assertEqual(self.session_turn(), "models-b")
 
+    def test_a_session_may_stay_though_one_before_it_finds_all_engines_full(self) -> None:
+        """The dispatcher remembers that engines are full; a session may go where others may not."""
+        played = self.played
+        self.order("a", is_recent=True)
+        for number in range(5):
+            played.turn(program_id=f"p{number}")
+            played.ledger_answers(Granted(spent=10))
+        self.assertEqual({played.engine_of(i) for i in range(5)}, {"models-b"})
+        played.turn(program_id="waits")
+        played.ledger_answers(Granted(spent=10))
+        self.assertEqual(len(played.sent), 5)
+        self.assertEqual(played.forwarder.waiting(), {"models": 1})
+        self.assertEqual(self.session_turn(), "models-1")
+        self.assertEqual(played.forwarder.waiting(), {"models": 1})
+
     def test_a_new_program_moves_at_once(self) -> None:
         self.order(is_recent=True)
         for number in range(3):
