--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -2,7 +2,9 @@
 
 An engine is cold for a while after a start, and may become cold again at any time. Its entry says
 for how long, but not when it was written. What a node cannot know to be warm counts as cold: a new
-incarnation, an engine that returns from silence, and every engine after the restart of the node.
+incarnation, and an engine that returns from silence. A node that has just started believes the
+entries that it finds, as the other nodes do: if all nodes lose power together, the engines are
+still warm, and shares of their rates would delay the return of the service.
 """
 
 from __future__ import annotations
@@ -49,8 +51,6 @@
     """Its entry says so."""
     STARTED = "started"
     """It is a new incarnation."""
-    UNKNOWN = "unknown"
-    """This node has restarted and does not know since when the entry is valid."""
     SILENT = "silent"
     """It failed to answer, and has not answered since."""
     RETURNED = "returned"
@@ -157,9 +157,9 @@
             self.rates.forget(self._known.popitem(last=False)[0])
         if engine.cold_seconds_left > 0:
             self._apply_time_left(known, engine.cold_seconds_left, now)
-        elif not self._is_new_deployment:
+        elif self._has_listed and not self._is_new_deployment:
             known.uncertain_since = now
-            known.reason = (ColdReason.STARTED if self._has_listed else ColdReason.UNKNOWN).value
+            known.reason = ColdReason.STARTED.value
         return known
 
     def _apply_time_left(self, known: _Knowledge, seconds_left: float, now: float) -> None:
@@ -168,7 +168,7 @@
         doubted_since = known.silent_since
         if doubted_since is None:
             doubted_since = known.uncertain_since
-        is_of_start = known.reason in (ColdReason.STARTED.value, ColdReason.UNKNOWN.value)
+        is_of_start = known.reason == ColdReason.STARTED.value
         if doubted_since is None or is_of_start or now - doubted_since >= ENTRY_LAG_SECONDS:
             known.uncertain_since = known.silent_since = None
             known.reason = ColdReason.ENTRY.value
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -37,6 +37,9 @@
     }
     if cold_rates.has_rates:
         gauges["yokeline_forwarding_engines_cold"] = float(node.cold_count())
+    if node.evacuations is not None and node.evacuations.zones.is_enabled:
+        zones = node.evacuations.zones.zones
+        gauges["yokeline_forwarding_zones_evacuated"] = float(len(zones))
     for pool, level in forwarder.share_levels().items():
         gauges[f'yokeline_forwarding_share_level{{pool="{pool}"}}'] = level
     gauges.update(node.phases.gauges())
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -128,6 +128,7 @@
     from yokeline.forwarding.configuration_lease import ConfigurationLease
     from yokeline.forwarding.edge_node import EdgeNode
     from yokeline.forwarding.engines import EngineTable
+    from yokeline.forwarding.evacuations import Evacuations
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.metrics import edge_figures
     from yokeline.forwarding.tenant_limits import LimitTolerance
@@ -136,6 +137,7 @@
     from yokeline.scheduling.cold_engines import ColdEngineRates
     from yokeline.scheduling.eligibility import EligibilityPolicy
     from yokeline.scheduling.topology import Topology
+    from yokeline.scheduling.zone_evacuation import ZoneEvacuations
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -159,6 +161,7 @@
     )
     engines = EngineTable(settings.name, Topology(settings.zone, settings.zone_regions))
     ledger = LedgerClient(settings.peer_address)
+    evacuated_zones = ZoneEvacuations(settings.evacuation_ms / 1000.0)
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
@@ -177,7 +180,7 @@
             slack=settings.limit_slack,
         ),
         process=process,
-        eligibility=EligibilityPolicy((cold_rates,)),
+        eligibility=EligibilityPolicy((evacuated_zones, cold_rates)),
     )
     lease = ConfigurationLease(
         store.unwrap(),
@@ -201,6 +204,7 @@
         phases=StartPhases(start.began_at),
         now=now,
         cold_engines=ColdEngineTracker(cold_rates, first_start=settings.first_start),
+        evacuations=Evacuations(adapter.formats, evacuated_zones, engines),
     )
     binding = ServiceBinding(
         http=front.unwrap(),
