Keep a node's probes of a silent engine a whole interval apart

A probe scheduled the next one at the node's first delay, a fraction of the interval by its rank: at 72 nodes and a rate of 4, the ninth node probed every 6 s and not every 48 s. All nodes together exceeded the part of the bound that is set aside for probes. A further silence before the first probe postponed it by a whole interval.

The time of the last probe is kept; a probe is due an interval after it, and not before the node's own delay after a silence begins.

--- a/src/yokeline/scheduling/cold_engines.py
+++ b/src/yokeline/scheduling/cold_engines.py
@@ -54,12 +54,14 @@
         cold_from: When the engine turned cold, if ``next_at`` does not reflect it yet.
         next_at: When the next request is due at the average rate.
         probe_at: When a node without a share may probe the engine if it is silent.
+        probed_at: When this node probed it last.
     """
 
     window: SendWindow
     cold_from: float | None = None
     next_at: float = -math.inf
     probe_at: float = math.inf
+    probed_at: float = -math.inf
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -230,6 +232,7 @@
         if self._position(engine, plan, now) is not None:
             instance.next_at = max(instance.next_at, now) + plan.interval
         else:
+            instance.probed_at = now
             self._schedule_probe(engine, now)
 
     def record_warm_send(self, engine_id: str, sent_at: float, now: float) -> None:
@@ -306,16 +309,25 @@
         instance.next_at = max(instance.next_at, first_at + burst_seconds)
         instance.cold_from = None
 
-    def _schedule_probe(self, engine: _Engine, after: float) -> None:
-        """Set the next probe of a silent engine, each node at its own time."""
+    def _schedule_probe(self, engine: _Engine, now: float) -> None:
+        """Set the next probe of a silent engine.
+
+        After a silence begins, each node starts at its own time. Two probes by one node are a
+        whole interval apart, since the interval bounds the probes of all nodes together.
+        """
         nodes = self._views.nodes
-        interval = probe_interval(engine.rate, self._overage, self._slack, max(1, len(nodes)))
+        count = max(1, len(nodes))
+        interval = probe_interval(engine.rate, self._overage, self._slack, count)
         order = share_holders(engine.instance, nodes, len(nodes))
         place = order.index(self._node) + 1 if self._node in order else len(order) + 1
         instance = self._instances[engine.instance]
-        is_first = math.isinf(instance.probe_at) or instance.probe_at < after
-        delay = interval * place / max(1, len(nodes)) if is_first else interval
-        instance.probe_at = after + delay if math.isfinite(interval) else math.inf
+        if math.isinf(interval):
+            instance.probe_at = math.inf
+            return
+        staggered_at = now + interval * place / count
+        is_probe = instance.probed_at == now
+        earliest_at = instance.probed_at + interval
+        instance.probe_at = earliest_at if is_probe else max(staggered_at, earliest_at)
 
 
 def _no_age(_now: float) -> float:
--- a/tests/unit/scheduling/test_cold_engines.py
+++ b/tests/unit/scheduling/test_cold_engines.py
@@ -5,6 +5,7 @@
 import math
 import random
 import unittest
+from itertools import pairwise
 
 from tests.unit.scheduling.cold_replay import COLD_SECONDS, ColdReplay
 from yokeline.scheduling.cold_engines import ColdEngineRates
@@ -14,12 +15,16 @@
     VIEW_OVERLAP_SECONDS,
     NodeViews,
     plan_shares,
+    probe_interval,
     share_holders,
 )
 from yokeline.scheduling.eligibility import EngineQuery, Ineligibility
 
 ENGINE = "e0"
 LONG = 60.0
+FLEET = tuple(f"n{number}" for number in range(72))
+PROBER_RANK = 8
+"""Rank of the first node of the fleet without a share at a rate of 4."""
 QUERY = EngineQuery(engine_id=ENGINE, zone="a")
 
 
@@ -289,6 +294,36 @@
         rates.set_engine(ENGINE, ENGINE, rate)
         return rates
 
+    def test_two_probes_of_one_node_are_a_whole_interval_apart(self) -> None:
+        """Probes repeated at a node's first delay would exceed the bound over all nodes."""
+        rates, interval = self.rates_without_share()
+        rates.set_cold(ENGINE, math.inf, "silent", 10.0)
+        probes: list[float] = []
+        for step in range(640, 12_800):
+            now = step / 64
+            if rates.check(QUERY, now + 1 / 128) is None:
+                rates.record_send(ENGINE, now + 1 / 128)
+                probes.append(now + 1 / 128)
+        self.assertGreaterEqual(len(probes), 3)
+        for earlier, later in pairwise(probes):
+            self.assertGreaterEqual(later - earlier, interval)
+
+    def test_a_further_silence_does_not_postpone_a_probe_by_an_interval(self) -> None:
+        """An engine that fails time and again would not be probed for long."""
+        rates, interval = self.rates_without_share()
+        first_delay = interval * (PROBER_RANK + 1) / len(FLEET)
+        rates.set_cold(ENGINE, math.inf, "silent", 10.0)
+        rates.set_cold(ENGINE, 12.0, "returned", 11.0)
+        rates.set_cold(ENGINE, math.inf, "silent", 11.5)
+        self.assertIsNone(rates.check(QUERY, 11.5 + first_delay))
+
+    def rates_without_share(self) -> tuple[ColdEngineRates, float]:
+        """Return the rates of the first node without a share, and its probe interval."""
+        rates = ColdEngineRates(share_holders(ENGINE, FLEET, len(FLEET))[PROBER_RANK], 1.5, 5.0, 0)
+        rates.set_nodes(FLEET, 0.0)
+        rates.set_engine(ENGINE, ENGINE, 4.0)
+        return rates, probe_interval(4.0, 1.5, 5.0, len(FLEET))
+
     def test_it_is_inactive_without_a_rate(self) -> None:
         rates = self.rates(rate=0.0)
         rates.set_cold(ENGINE, 5.0, "entry", 0.0)
