Do not count time-outs of an overloaded engine as its silence

A time-out, also one at a caller's deadline, or a request cancelled while the engine was suspect made the engine cold until an entry was seen 2 s later or a request was answered, and then for cold-s again. During an overload a node counted all its engines as cold, and refused what they could serve if it had no share of their rates.

A time-out now counts only if no other request was answered within 1 s and no entry shows that the engine ran after it got the request. A silence by time-out begins at the send, so that the first entry written after the send ends it. Refused and reset connections count as before.

--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -39,6 +39,8 @@
 RESET_DOUBT_SECONDS = 0.5
 """Time after the reset of a kept connection in which the answer to an earlier request shows that
 only the connection failed: the process that had the request is still running."""
+ANSWER_RECENCY_SECONDS = 1.0
+"""Time after an answer in which a time-out of another request shows an overload, not a silence."""
 MAX_KNOWN_ENGINES = 32_768
 """Incarnations remembered; those not seen for the longest time are evicted."""
 _NO_RATE = Pool(name="", max_connections=1)
@@ -73,6 +75,8 @@
         entry_until: When it is warm according to that entry, counted from when the entry was seen.
         uncertain_since: Since when it may be cold for reasons that the entry does not reflect.
         silent_since: Since when it has not answered; None for an engine that answers.
+        answered_at: When it answered any request of this node last.
+        entry_seen_at: When its latest entry was seen.
         only_reset: Whether kept connections were reset since then and nothing else failed.
         reason: Cause of the latest change.
         logged_reason: Cause that was logged; empty while it counts as warm.
@@ -84,6 +88,8 @@
     entry_until: float = -math.inf
     uncertain_since: float | None = None
     silent_since: float | None = None
+    answered_at: float = -math.inf
+    entry_seen_at: float = -math.inf
     only_reset: bool = False
     reason: str = ""
     logged_reason: str = ""
@@ -144,6 +150,7 @@
             known = self._add(engine, revision, now)
         elif known.revision != revision:
             known.revision = revision
+            known.entry_seen_at = now
             self._apply_time_left(known, engine.cold_seconds_left, now)
         known.pool, known.is_registered = engine.pool, True
         self._known.move_to_end(engine_id)
@@ -232,8 +239,8 @@
                 continue
             if not sent.is_answered:
                 self.rates.record_lost(sent.engine_id, sent.sent_at, now)
-            if is_suspect(sent.engine_id):
-                records.extend(self.record_failure(sent.engine_id, now))
+            if is_suspect(sent.engine_id) and not self._is_overload(sent, now):
+                records.extend(self.record_failure(sent.engine_id, now, since=sent.sent_at))
         if isinstance(event, HttpResponse | HttpStreamEnded | HttpFailed) and (
             event.request in self._sent and find(event.request) is None
         ):
@@ -254,21 +261,44 @@
         if failure.stale:
             # Engines close idle connections, so a closed one shows nothing.
             return []
-        only_reset = failure.sent and not failure.silent and not failure.fresh
+        if failure.silent and self._is_overload(sent, now):
+            return []
+        if failure.silent:
+            return self.record_failure(sent.engine_id, now, since=sent.sent_at)
+        only_reset = failure.sent and not failure.fresh
         return self.record_failure(sent.engine_id, now, only_reset=only_reset)
 
+    def _is_overload(self, sent: _SentRequest, now: float) -> bool:
+        """Return whether an engine that has not answered a request in time is known to run.
+
+        Under overload, many requests reach their deadlines at engines that are warm. Such an engine
+        has answered another request a moment ago, or written an entry after it got the request.
+        """
+        known = self._known.get(sent.engine_id)
+        if known is None:
+            return False
+        if now - known.answered_at <= ANSWER_RECENCY_SECONDS:
+            return True
+        entry_age = now - known.entry_seen_at
+        return entry_age <= ENTRY_LAG_SECONDS <= known.entry_seen_at - sent.sent_at
+
     def record_failure(
-        self, engine_id: str, now: float, *, only_reset: bool = False
+        self, engine_id: str, now: float, *, since: float | None = None, only_reset: bool = False
     ) -> list[LogRecord]:
         """Record that an engine refused or reset a connection, or did not answer in time.
 
-        ``only_reset`` says that a kept connection was reset, perhaps by the network.
+        Args:
+            engine_id: The engine.
+            now: Current time.
+            since: When the request that timed out was sent. An entry written after that time shows
+                that the engine was running.
+            only_reset: Whether a kept connection was reset, perhaps by the network.
         """
         known = self._known.get(engine_id)
         if known is None or not known.is_registered or not self._cold_seconds(known):
             return []
         if known.silent_since is None:
-            known.silent_since = now
+            known.silent_since = now if since is None else since
             known.only_reset = only_reset
             known.reason = ColdReason.SILENT.value
         known.only_reset = known.only_reset and only_reset
@@ -276,7 +306,10 @@
 
     def _record_answer(self, sent: _SentRequest, now: float) -> list[LogRecord]:
         known = self._known.get(sent.engine_id)
-        if known is None or known.silent_since is None:
+        if known is None:
+            return []
+        known.answered_at = now
+        if known.silent_since is None:
             return []
         was_running = (
             known.only_reset
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -254,6 +254,70 @@
         self.observe(None, [HttpCancel(REQUEST)], is_suspect=True)
         self.assertEqual(self.seconds_cold(), math.inf)
 
+    def time_out(self) -> None:
+        self.observe(HttpFailed(request=REQUEST, sent=True, reason="silent", silent=True), [])
+
+    def test_a_time_out_at_an_engine_that_answers_others_is_no_silence(self) -> None:
+        """Deadlines under overload would otherwise make a node treat all its engines as cold."""
+        for is_cancelled in (False, True):
+            self.setUp()
+            other = RequestId("call/0")
+            self.send(other)
+            self.now += 5.0
+            self.observe(HttpResponse(request=other, status=200), [], under_way=True)
+            self.now += 1.0
+            if is_cancelled:
+                self.observe(None, [HttpCancel(REQUEST)], is_suspect=True)
+            else:
+                self.time_out()
+            self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_a_time_out_a_while_after_the_last_answer_is_a_silence(self) -> None:
+        other = RequestId("call/0")
+        self.send(other)
+        self.observe(HttpResponse(request=other, status=200, body=b"ok"), [])
+        self.now += 1.1
+        self.time_out()
+        self.assertEqual(self.seconds_cold(), math.inf)
+
+    def test_a_time_out_at_an_engine_that_writes_entries_is_no_silence(self) -> None:
+        """A node has few requests at each engine, so others may not show that the engine runs."""
+        self.now += ENTRY_LAG_SECONDS
+        self.entry()
+        self.now += 1.2
+        self.time_out()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_the_next_entry_ends_the_silence_after_a_time_out(self) -> None:
+        """The entry is later than the request that timed out, so the engine was running."""
+        self.now += 1.5
+        self.time_out()
+        self.now += 0.4
+        self.entry()
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += 0.1
+        self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_an_entry_that_may_precede_the_request_or_is_old_does_not_show_that_it_runs(
+        self,
+    ) -> None:
+        for seen_after, timed_out_after in ((1.9, 0.1), (2.0, 2.1)):
+            self.setUp()
+            self.now += seen_after
+            self.entry()
+            self.now += timed_out_after
+            self.time_out()
+            self.assertEqual(self.seconds_cold(), math.inf)
+
+    def test_a_refusal_is_a_silence_though_the_engine_answered_a_moment_ago(self) -> None:
+        """A process that has ended refuses connections at once."""
+        other = RequestId("call/0")
+        self.send(other)
+        self.observe(HttpResponse(request=other, status=200, body=b"ok"), [])
+        self.fail(sent=False)
+        self.assertEqual(self.seconds_cold(), math.inf)
+
     def test_a_caller_that_went_is_no_silence(self) -> None:
         self.observe(None, [HttpCancel(REQUEST)])
         self.assertEqual(self.seconds_cold(), 0.0)
