Stop the search for an eligible engine at the first one

While a restriction is active, each dispatch checked all engines of the pool for each queued request, with a prefix cache look-up per engine. One cold engine was enough to multiply the cost of a queue.

The check ends with the first engine that is eligible or may become so while the request waits.

--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -124,8 +124,11 @@
             else self._engines.in_pool(exchange.pool, now)
         )
         inputs = self._choice_inputs(exchange, pool, excluded=())
-        causes = [ineligibility(state, self.prefix_cache, inputs, now) for state in engines]
-        return bool(causes) and all(cause is not None and not cause.passes_soon for cause in causes)
+        for state in engines:
+            cause = ineligibility(state, self.prefix_cache, inputs, now)
+            if cause is None or cause.passes_soon:
+                return False
+        return bool(engines)
 
     def usable_slots(self, state: EngineState, now: float) -> float:
         """Return how many slots of an engine count as capacity."""
--- a/tests/unit/forwarding/test_eligibility.py
+++ b/tests/unit/forwarding/test_eligibility.py
@@ -72,6 +72,21 @@
         played.wait(0.05)
         self.assertEqual(len(played.sent), 1)
 
+    def test_a_queued_request_is_checked_only_until_an_eligible_engine_is_found(self) -> None:
+        """While any engine is cold, each dispatch would check all engines for all requests."""
+        played, restriction = self.played, self.restriction
+        played.turn(program_id="p", finish_ms="3000")
+        self.restrict("models-0")
+        restriction.cause = Ineligibility.COLD_RATE
+        placement = played.forwarder._state.placement
+        exchange = next(iter(played.forwarder._state.exchanges.values()))
+        pool = played.forwarder._state.pool_of(exchange)
+        for engine_ids in (("models-0",), ("models-1",)):
+            self.restrict(*engine_ids)
+            restriction.queries.clear()
+            self.assertFalse(placement.has_no_eligible_engine(exchange, pool, played.now))
+            self.assertEqual(len(restriction.queries), 1)
+
     def test_reported_slots_leave_out_what_the_restrictions_leave_out(self) -> None:
         placement = self.played.forwarder._state.placement
         self.assertEqual(placement.usable_slots_in_pool("models", self.played.now), 8)
