Compute once whether a deployment has several regions

Each distance built a set of all zones' regions, also where no regions are configured: once for each engine of another zone and each choice. The value does not change after the start.

--- a/src/yokeline/scheduling/topology.py
+++ b/src/yokeline/scheduling/topology.py
@@ -34,11 +34,12 @@
         self._zone = zone
         self._regions = dict(zone_regions)
         self._round_trips: dict[str, _FastestLately] = {}
+        self._has_regions = len(set(self._regions.values())) > 1
 
     @property
     def has_regions(self) -> bool:
         """Whether the deployment spans several regions."""
-        return len(set(self._regions.values())) > 1
+        return self._has_regions
 
     def region_of(self, zone: str) -> str:
         """Return the region of a zone; empty if it is not known."""
@@ -48,7 +49,7 @@
         """Return the distance to a zone; one of an unknown region is far if there are several."""
         if zone == self._zone:
             return Distance.SAME_ZONE
-        if self.has_regions and self.region_of(zone) != self.region_of(self._zone):
+        if self._has_regions and self.region_of(zone) != self.region_of(self._zone):
             return Distance.OTHER_REGION
         return Distance.SAME_REGION
 
--- a/tests/unit/scheduling/test_topology.py
+++ b/tests/unit/scheduling/test_topology.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import Mock, patch
 
 from yokeline.scheduling.topology import (
     MEASUREMENT_SECONDS,
@@ -29,6 +30,14 @@
             self.assertFalse(topology.has_regions)
             self.assertIs(topology.distance("b"), Distance.SAME_REGION)
 
+    def test_the_zones_are_not_scanned_for_each_distance(self) -> None:
+        """A choice of an engine asks for the distance to each engine."""
+        topology = Topology("north-a", REGIONS)
+        with patch.object(topology, "_regions", Mock(get=REGIONS.get)) as regions:
+            topology.distance("south-a")
+            self.assertTrue(topology.has_regions)
+            regions.values.assert_not_called()
+
 
 class RoundTrips(unittest.TestCase):
     def setUp(self) -> None:
