Skip registry changes on events that bring none

Each event of a forwarding node scanned all registry items for the number of engine entries and looked up the node's own record, although both are needed only for a batch of changes. The first complete list is still a batch if it is empty.

--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -118,6 +118,11 @@
         """Whether any engine has a rate for the time in which it is cold."""
         return self.rates.has_rates
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the first batch of entries has begun."""
+        return self._is_new_deployment is not None
+
     # ------------------------------------------------------------ configuration and entries
 
     def set_pools(self, pools: Mapping[str, Pool], now: float) -> list[LogRecord]:
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -333,6 +333,8 @@
 
         ``max_change_age`` is the greatest age that the changes can have.
         """
+        if not changed and self.cold_engines.has_begun:
+            return []
         listed = len(self._registry.items(self._formats.engine_prefix))
         self._discovery.begin_batch(changed, listed, now)
         if self._registry.complete:
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -3,6 +3,7 @@
 import json
 import random
 import unittest
+from unittest.mock import patch
 
 from tests.unit.forwarding.support import Played
 from tests.unit.registry.test_watch import ScriptedStore
@@ -172,6 +173,17 @@
         self.assertLess(ended, GRACE_SECONDS)
 
 
+class UnchangedRegistry(PlayedNode):
+    def test_an_event_without_registry_changes_does_not_scan_the_registry(self) -> None:
+        """Each event of a busy node would scan the records of all nodes and engines."""
+        self.hand(Tick())
+        registry = self.node._registry
+        with patch.object(registry, "items", wraps=registry.items) as items:
+            self.request("a")
+            self.hand(Tick())
+        items.assert_not_called()
+
+
 class LoadReports(PlayedNode):
     def reports(self) -> list[LoadReport]:
         return [
