Report a quiet zone to other regions before its reports expire

Every fourth digest of a zone goes to other regions. A zone with few nodes and little load has a digest each 0.3 s, so that its reports came 1.2 s apart: they expire after 1 s, and a relay counts as silent after 0.8 s.

A digest also goes to other regions if the next one could come too late. Busy zones send as before: the fourth digest comes sooner.

--- a/src/yokeline/forwarding/load_reporting.py
+++ b/src/yokeline/forwarding/load_reporting.py
@@ -35,7 +35,7 @@
 DIGEST_INTERVAL_SECONDS = 0.08
 """Time for which a relay collects reports for a digest."""
 OTHER_REGION_DIGEST_INTERVALS = 4
-"""Number of digest intervals between two digests to another region. Few requests leave their
+"""Most digest intervals between two digests to another region. Few requests leave their
 region, and bytes between regions are charged for."""
 MAX_REPORTS_PER_DIGEST = 24
 """Maximum number of reports per datagram."""
@@ -97,7 +97,8 @@
         self._collected: dict[NodeName, LoadReport] = {}
         self._collected_from_zones: dict[NodeName, LoadReport] = {}
         self._collected_for_regions: dict[NodeName, LoadReport] = {}
-        self._digests = 0
+        self._digests_held_back = 0
+        self._regions_told_at = now
         self._next_digest: float | None = None
         self._interval_factor = 1.0
 
@@ -294,21 +295,28 @@
         self._collected_from_zones = {}
         members = [record for record in self._zone_nodes if record.name != self._record.name]
         effects = self._send_digests(own_zone + others, members)
-        for_regions = self._reports_for_regions(own_zone)
+        for_regions = self._reports_for_regions(own_zone, now)
         for zone in sorted(self._other_zones):
             is_far = self._topology.distance(zone) is Distance.OTHER_REGION
             reports = for_regions if is_far else own_zone
             effects.extend(self._send_digests(reports, self._relays_of(zone, now)))
         return effects
 
-    def _reports_for_regions(self, own_zone: list[LoadReport]) -> list[LoadReport]:
+    def _reports_for_regions(self, own_zone: list[LoadReport], now: float) -> list[LoadReport]:
         """Return the latest report of each node of this zone if other regions are due for them."""
         if not self._topology.has_regions:
             return []
         self._collected_for_regions.update((report.node, report) for report in own_zone)
-        self._digests += 1
-        if self._digests % OTHER_REGION_DIGEST_INTERVALS:
+        if not self._collected_for_regions:
             return []
+        self._digests_held_back += 1
+        # A quiet zone has few digests; its nodes count as silent if their reports come too late.
+        latest_seconds = RELAY_TIMEOUT_SECONDS - IDLE_REPORT_INTERVAL_SECONDS
+        is_late = now - self._regions_told_at >= latest_seconds * self._interval_factor
+        if self._digests_held_back < OTHER_REGION_DIGEST_INTERVALS and not is_late:
+            return []
+        self._digests_held_back = 0
+        self._regions_told_at = now
         reports = list(self._collected_for_regions.values())
         self._collected_for_regions = {}
         return reports
--- a/tests/unit/forwarding/test_regions.py
+++ b/tests/unit/forwarding/test_regions.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from itertools import pairwise
 
 from yokeline.effects import Address, SendDatagram
 from yokeline.forwarding.engine_choice import ChoiceInputs, choose_engine
 from yokeline.forwarding.engines import EngineTable
-from yokeline.forwarding.load_reporting import LoadReporter, NodeStatus
+from yokeline.forwarding.load_reporting import RELAY_TIMEOUT_SECONDS, LoadReporter, NodeStatus
 from yokeline.forwarding.model import Call, Engine
 from yokeline.forwarding.prefix_cache import PrefixCacheIndex
 from yokeline.identifiers import NodeName, ReplicaId
@@ -130,6 +131,35 @@
         self.assertEqual(len({report.node for report in last.reports}), len(last.reports))
         self.assertGreaterEqual(len(last.reports), 5)
 
+    def test_a_quiet_zone_is_heard_in_other_regions_before_its_reports_expire(self) -> None:
+        """Its node reports every 0.3 s only, so that four digests took 1.2 s."""
+        own = NodeRecord(
+            name=NodeName("a1-00"),
+            role=NodeRole.EDGE,
+            replica=ReplicaId("a1-0"),
+            address=Address("10.0.0.1", 1),
+            zone="a1",
+        )
+        others = [
+            NodeRecord(
+                name=NodeName(f"b1-{number:02}"),
+                role=NodeRole.EDGE,
+                replica=ReplicaId(f"b1-{number}"),
+                address=Address(f"10.1.0.{number}", 1),
+                zone="b1",
+            )
+            for number in range(24)
+        ]
+        node = LoadReporter(
+            own, ReplicaId("p"), EngineTable(own.name, Topology("a1", REGIONS)), 0.0
+        )
+        node.set_nodes([own, *others], 0.0)
+        status = NodeStatus(waiting={}, revision=0, reaches_ledger=True)
+        sent_at = [step / 100 for step in range(600) if node.tick(status, step / 100)]
+        self.assertGreater(len(sent_at), 2)
+        for earlier, later in pairwise(sent_at):
+            self.assertLess(later - earlier, RELAY_TIMEOUT_SECONDS)
+
     def test_within_one_region_all_zones_get_every_digest(self) -> None:
         sent = self.sent(dict.fromkeys(REGIONS, "a"))
         self.assertEqual(len(sent["b1"]), len(sent["a2"]))
