Tell requests that the node gave up from callers that left

Only a cancellation in the event that was recorded as the engine's failure counts now: the forwarder has given up a silent stream.

--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -218,7 +218,7 @@
         event: Event,
         effects: Iterable[Effect],
         find: Callable[[RequestId], tuple[str, float] | None],
-        is_suspect: Callable[[str], bool],
+        failed_now: Callable[[str], bool],
         now: float,
     ) -> list[LogRecord]:
         """Observe the requests that the forwarder has sent, cancelled or finished.
@@ -227,8 +227,8 @@
             event: The event that the forwarder has handled.
             effects: The effects.
             find: Returns the engine of a request that is under way, and when it was sent.
-            is_suspect: Returns whether an engine failed or timed out a moment ago, which tells a
-                request that the forwarder gave up from one whose caller has gone.
+            failed_now: Returns whether the event was recorded as a failure of an engine. It
+                distinguishes a request that the forwarder gave up from one whose caller has gone.
             now: Current time.
         """
         records: list[LogRecord] = []
@@ -244,7 +244,7 @@
                 continue
             if not sent.is_answered:
                 self.rates.record_lost(sent.engine_id, sent.sent_at, now)
-            if is_suspect(sent.engine_id) and not self._is_overload(sent, now):
+            if failed_now(sent.engine_id) and not self._is_overload(sent, now):
                 records.extend(self.record_failure(sent.engine_id, now, since=sent.sent_at))
         if isinstance(event, HttpResponse | HttpStreamEnded | HttpFailed) and (
             event.request in self._sent and find(event.request) is None
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -198,13 +198,14 @@
         effects.extend(self._log_start_phases(now))
         if self.cold_engines.is_active:
             find = self.forwarder.sent_request
-            records = self.cold_engines.observe_effects(event, effects, find, self._is_suspect, now)
+            records = self.cold_engines.observe_effects(event, effects, find, self._failed_now, now)
             effects.extend(records)
         return effects
 
-    def _is_suspect(self, engine_id: str) -> bool:
+    def _failed_now(self, engine_id: str) -> bool:
+        """Return whether the current event was recorded as a failure of an engine."""
         state = self._engines.get(engine_id)
-        return state is not None and self._now < state.suspect_until
+        return state is not None and state.failed_at == self._now
 
     def _renew_lease(self, now: float) -> list[Effect]:
         due = self.lease.next_deadline()
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -72,6 +72,7 @@
         rejected_caller: The caller of the latest request that it rejected with free slots.
         rejected_at: Time of that rejection.
         suspect_until: Avoided until then, since it failed.
+        failed_at: Time of the latest failure.
         failures: Number of consecutive failures.
         call_seconds: Moving average of a call's duration; 0 if unknown. Model engines use the cost
             model instead.
@@ -95,6 +96,7 @@
     rejected_caller: str = ""
     rejected_at: float = -math.inf
     suspect_until: float = 0.0
+    failed_at: float = -math.inf
     failures: int = 0
     call_seconds: float = 0.0
     expires_at: float = 0.0
@@ -129,6 +131,7 @@
         """Avoid the engine for a time that grows with its consecutive failures."""
         self.record_outcome(now, failed=True)
         self.failures += 1
+        self.failed_at = now
         seconds = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * self.failures)
         self.suspect_until = max(self.suspect_until, now + seconds)
 
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -71,7 +71,7 @@
         effects: list[Effect],
         *,
         under_way: bool = False,
-        is_suspect: bool = False,
+        failed_now: bool = False,
     ) -> list[LogRecord]:
         sent = (ENGINE, self.now) if under_way else None
         records = self.tracker.observe_event(event, self.now) if event is not None else []
@@ -79,7 +79,7 @@
             event or HttpStreamItem(request=RequestId("other"), data=b""),
             effects,
             lambda _request: sent,
-            lambda _engine: is_suspect,
+            lambda _engine: failed_now,
             self.now,
         )
 
@@ -251,7 +251,7 @@
         self.assertEqual(window.count(self.now + 1.0), 0)
 
     def test_a_request_that_timed_out_is_a_silence(self) -> None:
-        self.observe(None, [HttpCancel(REQUEST)], is_suspect=True)
+        self.observe(None, [HttpCancel(REQUEST)], failed_now=True)
         self.assertEqual(self.seconds_cold(), math.inf)
 
     def time_out(self) -> None:
@@ -267,7 +267,7 @@
             self.observe(HttpResponse(request=other, status=200), [], under_way=True)
             self.now += 1.0
             if is_cancelled:
-                self.observe(None, [HttpCancel(REQUEST)], is_suspect=True)
+                self.observe(None, [HttpCancel(REQUEST)], failed_now=True)
             else:
                 self.time_out()
             self.assertEqual(self.seconds_cold(), 0.0)
--- a/tests/unit/forwarding/test_cold_engines.py
+++ b/tests/unit/forwarding/test_cold_engines.py
@@ -13,6 +13,7 @@
     Effect,
     HttpArrived,
     HttpFailed,
+    HttpGone,
     HttpReply,
     HttpRequest,
     HttpResponse,
@@ -187,6 +188,21 @@
         self.assertGreater(withheld, 0.0)
         self.assertEqual(figures.counters["yokeline_forwarding_cold_sends_total"], 0.0)
 
+    def test_a_caller_that_leaves_an_engine_with_a_recent_failure_shows_no_silence(self) -> None:
+        """Each caller that left within seconds of a time-out made a running engine cold."""
+        self.start_engine(0, 100)
+        self.confirm()
+        self.pass_time(0.2)
+        for _ in range(3):
+            self.call()
+        answered, timed_out, _ = (request for _, _, request in self.sends())
+        self.hand(HttpResponse(request=answered, status=200, body=b"{}"))
+        self.pass_time(0.8)
+        self.hand(HttpFailed(request=timed_out, sent=True, reason="time", silent=True))
+        self.pass_time(0.5)
+        self.hand(HttpGone(ExchangeId("r3")))
+        self.assertEqual(self.node.cold_count(), 0)
+
     def test_a_request_that_an_engine_failed_is_retried_within_the_rate_of_the_next(self) -> None:
         """Otherwise all requests of a failed engine arrive at the next cold one at once."""
         self.start_engine(0, 100)
