Do not log a removed engine as returned from silence

The answer to a request of a silent engine that was removed meanwhile was logged as the start of a cold time that no restriction had and that nothing ended.

--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -311,7 +311,7 @@
 
     def _record_answer(self, sent: _SentRequest, now: float) -> list[LogRecord]:
         known = self._known.get(sent.engine_id)
-        if known is None:
+        if known is None or not known.is_registered:
             return []
         known.answered_at = now
         if known.silent_since is None:
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -371,6 +371,15 @@
         self.entry()
         self.assertEqual(self.seconds_cold(), 0.0)
 
+    def test_an_answer_of_a_removed_engine_is_not_logged_as_a_return(self) -> None:
+        """Nothing would log its end, since a removed engine is no longer restricted."""
+        other = RequestId("call/0")
+        self.send(other)
+        self.fail()
+        self.tracker.forget(ENGINE)
+        records = self.observe(HttpResponse(request=other, status=200, body=b"ok"), [])
+        self.assertEqual(records, [])
+
     def test_ended_requests_are_not_remembered(self) -> None:
         self.answer()
         self.send()
