Use the usual terms in the code of cold engines and regions

Rename what stops a reader: passes_soon to is_temporary, _allowed_at to _next_send_at, count to largest_size, _FastestLately to _RecentMinimum, doubts to unknown_since, bears to sustains.

--- a/src/yokeline/forwarding/capacity_view.py
+++ b/src/yokeline/forwarding/capacity_view.py
@@ -83,7 +83,7 @@
             if (usable := self._placement.usable_slots(state, now)) > 0
         ]
         slots = whole_slots(usable for _, usable in engines)
-        # Load beyond the slots shows that an engine bears it, but not that a cold engine does.
+        # Load beyond the slots shows that an engine sustains it, but not that a cold one does.
         held = sum(
             state.load if usable >= state.engine.slots else min(state.load, int(usable))
             for state, usable in engines
--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -2,7 +2,7 @@
 
 An engine is cold for a while after a start, and may become cold again at any time. Its entry says
 for how long, but not when it was written. What a node cannot know to be warm counts as cold: a new
-incarnation, and an engine that returns from silence. A node that has just started believes the
+incarnation, and an engine that returns from silence. A node that has just started trusts the
 entries that it finds, as the other nodes do: if all nodes lose power together, the engines are
 still warm, and shares of their rates would delay the return of the service.
 """
@@ -175,13 +175,13 @@
         return known
 
     def _apply_time_left(self, known: _Knowledge, seconds_left: float, now: float) -> None:
-        """Apply the cold time in an entry; one that may precede a silence does not end doubts."""
+        """Apply the cold time in an entry; an entry that may precede a silence does not end it."""
         known.entry_until = now + seconds_left
-        doubted_since = known.silent_since
-        if doubted_since is None:
-            doubted_since = known.uncertain_since
+        unknown_since = known.silent_since
+        if unknown_since is None:
+            unknown_since = known.uncertain_since
         is_of_start = known.reason == ColdReason.STARTED.value
-        if doubted_since is None or is_of_start or now - doubted_since >= ENTRY_LAG_SECONDS:
+        if unknown_since is None or is_of_start or now - unknown_since >= ENTRY_LAG_SECONDS:
             known.uncertain_since = known.silent_since = None
             known.reason = ColdReason.ENTRY.value
 
@@ -217,7 +217,7 @@
         self,
         event: Event,
         effects: Iterable[Effect],
-        find: Callable[[RequestId], tuple[str, float] | None],
+        find_sent: Callable[[RequestId], tuple[str, float] | None],
         failed_now: Callable[[str], bool],
         now: float,
     ) -> list[LogRecord]:
@@ -226,14 +226,14 @@
         Args:
             event: The event that the forwarder has handled.
             effects: The effects.
-            find: Returns the engine of a request that is under way, and when it was sent.
+            find_sent: Returns the engine of a request that is under way, and when it was sent.
             failed_now: Returns whether the event was recorded as a failure of an engine. It
                 distinguishes a request that the forwarder gave up from one whose caller has gone.
             now: Current time.
         """
         records: list[LogRecord] = []
         for effect in effects:
-            found = find(effect.request) if isinstance(effect, HttpRequest) else None
+            found = find_sent(effect.request) if isinstance(effect, HttpRequest) else None
             if isinstance(effect, HttpRequest) and found is not None:
                 self._is_new_deployment = False
                 self._sent[effect.request] = _SentRequest(*found)
@@ -247,7 +247,7 @@
             if failed_now(sent.engine_id) and not self._is_overload(sent, now):
                 records.extend(self.record_failure(sent.engine_id, now, since=sent.sent_at))
         if isinstance(event, HttpResponse | HttpStreamEnded | HttpFailed) and (
-            event.request in self._sent and find(event.request) is None
+            event.request in self._sent and find_sent(event.request) is None
         ):
             del self._sent[event.request]
         return records
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -126,7 +126,7 @@
         self._formats = formats
         self._engines = engines
         self._grace_seconds = grace_seconds
-        self.cold_engines = cold_engines or _unbounded_engines(record)
+        self.cold_engines = cold_engines or _tracker_without_restrictions(record)
         self.cold_engines.rates.view_age = lambda at: self._registry_sync.age(at)
         self._discovery = EngineDiscovery(
             formats, engines, forwarder, engine_drain_seconds, now, self.cold_engines
@@ -479,6 +479,6 @@
         return [LogRecord(event="stopped", fields=fields), Exit()]
 
 
-def _unbounded_engines(record: NodeRecord) -> ColdEngineTracker:
+def _tracker_without_restrictions(record: NodeRecord) -> ColdEngineTracker:
     """Return a tracker whose rates restrict no request, since no forwarder asks them."""
     return ColdEngineTracker(ColdEngineRates(record.name, 1.0, 0.0, 0.0))
--- a/src/yokeline/forwarding/load_reporting.py
+++ b/src/yokeline/forwarding/load_reporting.py
@@ -97,8 +97,8 @@
         self._collected: dict[NodeName, LoadReport] = {}
         self._collected_from_zones: dict[NodeName, LoadReport] = {}
         self._collected_for_regions: dict[NodeName, LoadReport] = {}
-        self._digests_held_back = 0
-        self._regions_told_at = now
+        self._digests_since_regions = 0
+        self._last_region_digest_at = now
         self._next_digest: float | None = None
         self._interval_factor = 1.0
 
@@ -309,14 +309,14 @@
         self._collected_for_regions.update((report.node, report) for report in own_zone)
         if not self._collected_for_regions:
             return []
-        self._digests_held_back += 1
+        self._digests_since_regions += 1
         # A quiet zone has few digests; its nodes count as silent if their reports come too late.
         latest_seconds = RELAY_TIMEOUT_SECONDS - IDLE_REPORT_INTERVAL_SECONDS
-        is_late = now - self._regions_told_at >= latest_seconds * self._interval_factor
-        if self._digests_held_back < OTHER_REGION_DIGEST_INTERVALS and not is_late:
+        is_late = now - self._last_region_digest_at >= latest_seconds * self._interval_factor
+        if self._digests_since_regions < OTHER_REGION_DIGEST_INTERVALS and not is_late:
             return []
-        self._digests_held_back = 0
-        self._regions_told_at = now
+        self._digests_since_regions = 0
+        self._last_region_digest_at = now
         reports = list(self._collected_for_regions.values())
         self._collected_for_regions = {}
         return reports
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -89,7 +89,7 @@
 
     Attributes:
         cold_seconds: Time for which an engine is cold after a start.
-        cold_rate: Requests per second over all nodes that a cold engine bears; 0 for no bound.
+        cold_rate: Requests per second over all nodes that a cold engine sustains; 0 for no bound.
     """
 
     name: str
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -126,7 +126,7 @@
         inputs = self._choice_inputs(exchange, pool, excluded=())
         for state in engines:
             cause = ineligibility(state, self.prefix_cache, inputs, now)
-            if cause is None or cause.passes_soon:
+            if cause is None or cause.is_temporary:
                 return False
         return bool(engines)
 
--- a/src/yokeline/scheduling/cold_engines.py
+++ b/src/yokeline/scheduling/cold_engines.py
@@ -1,4 +1,4 @@
-"""Keeps the requests to cold engines within the rate that the engines bear, over all nodes.
+"""Keeps the requests to cold engines within the rate that the engines sustain, over all nodes.
 
 A cold engine fails well above a rate, and its load then falls on the next engine. While an engine
 is cold, a node sends to it only within its share of the rate (:mod:`cold_rate_shares`).
@@ -210,12 +210,12 @@
         cold = self._cold.get(query.engine_id)
         if cold is None or now >= cold.until:
             return None
-        allowed_at = self._allowed_at(query.engine_id, now)
-        if allowed_at is not None and allowed_at <= now:
+        next_send_at = self._next_send_at(query.engine_id, now)
+        if next_send_at is not None and next_send_at <= now:
             return None
         self.withheld += 1
         warm_soon = cold.until <= now + MAX_SHARE_WAIT_SECONDS
-        may_send_soon = allowed_at is None or allowed_at <= now + MAX_SHARE_WAIT_SECONDS
+        may_send_soon = next_send_at is None or next_send_at <= now + MAX_SHARE_WAIT_SECONDS
         if warm_soon or may_send_soon:
             return Ineligibility.COLD_RATE
         return Ineligibility.COLD_WITHOUT_SHARE
@@ -251,9 +251,9 @@
             if now >= cold.until:
                 continue
             changes.append(cold.until)
-            allowed_at = self._allowed_at(engine_id, now)
-            if allowed_at is not None and allowed_at > now:
-                changes.append(allowed_at)
+            next_send_at = self._next_send_at(engine_id, now)
+            if next_send_at is not None and next_send_at > now:
+                changes.append(next_send_at)
         return min((at for at in changes if math.isfinite(at)), default=None)
 
     def usable_slots(
@@ -267,7 +267,7 @@
 
     # ------------------------------------------------------------ helpers
 
-    def _allowed_at(self, engine_id: str, now: float) -> float | None:
+    def _next_send_at(self, engine_id: str, now: float) -> float | None:
         """Return when this node may send to a cold engine next.
 
         Infinite without a share, None if it depends on the answer to a request.
@@ -288,7 +288,7 @@
         return max(due, leaving) if leaving is not None else None
 
     def _plan(self, engine: _Engine, now: float) -> SharePlan:
-        return plan_shares(engine.rate, self._overage, self._slack, self._views.count(now))
+        return plan_shares(engine.rate, self._overage, self._slack, self._views.largest_size(now))
 
     def _position(self, engine: _Engine, plan: SharePlan, now: float) -> int | None:
         if not plan.holders or self.view_age(now) > MAX_VIEW_AGE_SECONDS:
--- a/src/yokeline/scheduling/cold_rate_shares.py
+++ b/src/yokeline/scheduling/cold_rate_shares.py
@@ -1,4 +1,4 @@
-"""Divides the rate that a cold engine bears between forwarding nodes, without messages.
+"""Divides the rate that a cold engine sustains between forwarding nodes, without messages.
 
 Rendezvous hashing over the registered nodes gives each engine a fixed set of nodes, the holders of
 its shares. A holder may have a fixed number of requests in its window (:class:`SendWindow`) and
@@ -130,8 +130,8 @@
         self.nodes = nodes
         self._positions.clear()
 
-    def count(self, now: float) -> int:
-        """Return the most nodes in a recent view.
+    def largest_size(self, now: float) -> int:
+        """Return the number of nodes in the largest recent view.
 
         Nodes that were removed may not know it yet, and still use the share of the larger fleet.
         """
--- a/src/yokeline/scheduling/eligibility.py
+++ b/src/yokeline/scheduling/eligibility.py
@@ -26,7 +26,7 @@
     """The route or the tenant is bound to other regions."""
 
     @property
-    def passes_soon(self) -> bool:
+    def is_temporary(self) -> bool:
         """Whether the request may become eligible while it waits in a queue."""
         return self is Ineligibility.COLD_RATE
 
--- a/src/yokeline/scheduling/topology.py
+++ b/src/yokeline/scheduling/topology.py
@@ -33,7 +33,7 @@
         """Start without measurements; ``zone_regions`` gives the region of each zone."""
         self._zone = zone
         self._regions = dict(zone_regions)
-        self._round_trips: dict[str, _FastestLately] = {}
+        self._round_trips: dict[str, _RecentMinimum] = {}
         self._has_regions = len(set(self._regions.values())) > 1
 
     @property
@@ -57,7 +57,7 @@
         """Record how long a new connection to a zone took, which includes one round trip."""
         if self.distance(zone) is Distance.OTHER_REGION:
             region = self.region_of(zone)
-            self._round_trips.setdefault(region, _FastestLately()).observe(seconds, now)
+            self._round_trips.setdefault(region, _RecentMinimum()).observe(seconds, now)
 
     def round_trip(self, zone: str, now: float) -> float:
         """Return the round trip to a zone of another region (seconds)."""
@@ -66,7 +66,7 @@
         return UNMEASURED_ROUND_TRIP_SECONDS if fastest is None else fastest
 
 
-class _FastestLately:
+class _RecentMinimum:
     """The least of the values of the current and the previous period; values may be rare."""
 
     def __init__(self) -> None:
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -86,7 +86,7 @@
     def answer(self, status: int = 200) -> list[LogRecord]:
         return self.observe(HttpResponse(request=REQUEST, status=status, body=b"ok"), [])
 
-    def fail(
+    def engine_fails(
         self, *, sent: bool = True, stale: bool = False, fresh: bool = False
     ) -> list[LogRecord]:
         event = HttpFailed(request=REQUEST, sent=sent, reason="reset", stale=stale, fresh=fresh)
@@ -190,7 +190,7 @@
         self.start(first_start=False)
         self.tracker.set_pools({"p": pool}, self.now)
         self.assertEqual(self.entry(2.0), [])
-        self.assertEqual(self.fail(), [])
+        self.assertEqual(self.engine_fails(), [])
         self.assertEqual(self.tracker.mark_cold([ENGINE], "evacuation_ended", self.now), [])
         self.assertFalse(self.tracker.is_active)
         self.assertIsNone(self.tracker.next_deadline())
@@ -212,7 +212,7 @@
         """Nobody can tell whether it has restarted; all nodes would send at once on its return."""
         for sent in (True, False):
             self.setUp()
-            records = self.fail(sent=sent)
+            records = self.engine_fails(sent=sent)
             self.assertEqual(
                 records[0].fields, {"engine": ENGINE, "reason": "silent", "seconds": None}
             )
@@ -233,7 +233,7 @@
 
     def test_a_reset_request_counts_for_a_second_and_one_that_timed_out_for_longer(self) -> None:
         window = self.rates._instances["e"].window
-        self.fail()
+        self.engine_fails()
         self.assertEqual(window.count(self.now + 0.9), 1)
         self.assertEqual(window.count(self.now + 1.0), 0)
         self.send()
@@ -247,7 +247,7 @@
         self.entry(3.0, engine_id="e@2")
         window = self.rates._instances["e"].window
         self.assertEqual(window.count(self.now), 1)
-        self.fail()
+        self.engine_fails()
         self.assertEqual(window.count(self.now + 1.0), 0)
 
     def test_a_request_that_timed_out_is_a_silence(self) -> None:
@@ -315,7 +315,7 @@
         other = RequestId("call/0")
         self.send(other)
         self.observe(HttpResponse(request=other, status=200, body=b"ok"), [])
-        self.fail(sent=False)
+        self.engine_fails(sent=False)
         self.assertEqual(self.seconds_cold(), math.inf)
 
     def test_a_caller_that_went_is_no_silence(self) -> None:
@@ -323,13 +323,13 @@
         self.assertEqual(self.seconds_cold(), 0.0)
 
     def test_a_closed_idle_connection_is_no_silence(self) -> None:
-        self.fail(stale=True)
+        self.engine_fails(stale=True)
         self.assertEqual(self.seconds_cold(), 0.0)
 
     def test_a_stream_that_breaks_off_is_a_silence(self) -> None:
         self.observe(HttpResponse(request=REQUEST, status=200), [], under_way=True)
         self.observe(HttpStreamItem(request=REQUEST, data=b"x"), [], under_way=True)
-        self.fail()
+        self.engine_fails()
         self.assertEqual(self.seconds_cold(), math.inf)
 
     def fail_and_answer_earlier_request(self, delay: float = 0.2, *, fresh: bool = False) -> None:
@@ -339,7 +339,7 @@
         self.now += 0.1
         self.send()
         self.now += 0.1
-        self.fail(fresh=fresh)
+        self.engine_fails(fresh=fresh)
         self.assertEqual(self.seconds_cold(), math.inf)
         self.now += delay
         self.observe(HttpResponse(request=first, status=200, body=b"ok"), [])
@@ -357,17 +357,17 @@
         self.assertEqual(self.seconds_cold(), COLD_SECONDS)
 
     def test_an_entry_that_may_precede_the_silence_ends_nothing(self) -> None:
-        self.fail()
+        self.engine_fails()
         self.now += 0.5
         self.entry()
         self.assertEqual(self.seconds_cold(), math.inf)
 
     def test_a_newer_entry_says_how_long_the_engine_is_cold(self) -> None:
-        self.fail()
+        self.engine_fails()
         self.now += ENTRY_LAG_SECONDS
         self.entry(1.5)
         self.assertEqual(self.seconds_cold(), 1.5)
-        self.fail()
+        self.engine_fails()
         self.entry()
         self.assertEqual(self.seconds_cold(), 0.0)
 
@@ -375,7 +375,7 @@
         """Nothing would log its end, since a removed engine is no longer restricted."""
         other = RequestId("call/0")
         self.send(other)
-        self.fail()
+        self.engine_fails()
         self.tracker.forget(ENGINE)
         records = self.observe(HttpResponse(request=other, status=200, body=b"ok"), [])
         self.assertEqual(records, [])
@@ -383,7 +383,7 @@
     def test_ended_requests_are_not_remembered(self) -> None:
         self.answer()
         self.send()
-        self.fail()
+        self.engine_fails()
         self.send()
         self.observe(None, [HttpCancel(REQUEST)])
         self.assertEqual(self.tracker._sent, {})
--- a/tests/unit/scheduling/test_cold_engines.py
+++ b/tests/unit/scheduling/test_cold_engines.py
@@ -186,9 +186,11 @@
                 view.set_nodes(names[:5], 1.0)
         budget = 32
         for now in (1.0, 1.0 + VIEW_OVERLAP_SECONDS - 0.1):
-            plans = [plan_shares(24.0, 1.5, 5.0, view.count(now)) for view in views.values()]
+            plans = [plan_shares(24.0, 1.5, 5.0, view.largest_size(now)) for view in views.values()]
             self.assertLessEqual(sum(plan.window_sends for plan in plans), budget)
-        after = plan_shares(24.0, 1.5, 5.0, views[names[0]].count(1.0 + VIEW_OVERLAP_SECONDS))
+        after = plan_shares(
+            24.0, 1.5, 5.0, views[names[0]].largest_size(1.0 + VIEW_OVERLAP_SECONDS)
+        )
         self.assertEqual((after.holders, after.window_sends), (5, 6))
 
     def test_a_new_process_waits_until_the_sends_of_the_one_before_it_have_passed(self) -> None:
