Measure a time-out from the latest part of the answer

A stream that fell silent long after its send was compared with entries that its engine wrote before the silence, and the next entry ended the silence at once. The time of the latest part of the answer is kept with the request and replaces the time of the send.

--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -60,10 +60,16 @@
 
 
 class _SentRequest(msgspec.Struct):
-    """A request at an engine, and when it was sent (monotonic seconds)."""
+    """A request at an engine.
+
+    Attributes:
+        sent_at: When it was sent (monotonic seconds).
+        heard_at: When the latest part of its answer came; when it was sent if there was none.
+    """
 
     engine_id: str
     sent_at: float
+    heard_at: float
     is_answered: bool = False
 
 
@@ -208,6 +214,7 @@
             self.rates.discard_send(sent.engine_id, sent.sent_at, now)
             sent.is_answered = True
             return []
+        sent.heard_at = now
         if not sent.is_answered:
             sent.is_answered = True
             self.rates.record_answer(sent.engine_id, sent.sent_at, now)
@@ -236,7 +243,7 @@
             found = find_sent(effect.request) if isinstance(effect, HttpRequest) else None
             if isinstance(effect, HttpRequest) and found is not None:
                 self._is_new_deployment = False
-                self._sent[effect.request] = _SentRequest(*found)
+                self._sent[effect.request] = _SentRequest(*found, heard_at=found[1])
                 self.rates.record_warm_send(*found, now)
         for effect in effects:
             sent = self._sent.pop(effect.request, None) if isinstance(effect, HttpCancel) else None
@@ -245,7 +252,7 @@
             if not sent.is_answered:
                 self.rates.record_lost(sent.engine_id, sent.sent_at, now)
             if failed_now(sent.engine_id) and not self._is_overload(sent, now):
-                records.extend(self.record_failure(sent.engine_id, now, since=sent.sent_at))
+                records.extend(self.record_failure(sent.engine_id, now, since=sent.heard_at))
         if isinstance(event, HttpResponse | HttpStreamEnded | HttpFailed) and (
             event.request in self._sent and find_sent(event.request) is None
         ):
@@ -269,7 +276,7 @@
         if failure.silent and self._is_overload(sent, now):
             return []
         if failure.silent:
-            return self.record_failure(sent.engine_id, now, since=sent.sent_at)
+            return self.record_failure(sent.engine_id, now, since=sent.heard_at)
         only_reset = failure.sent and not failure.fresh
         return self.record_failure(sent.engine_id, now, only_reset=only_reset)
 
@@ -277,7 +284,8 @@
         """Return whether an engine that has not answered a request in time is known to run.
 
         Under overload, many requests reach their deadlines at engines that are warm. Such an engine
-        has answered another request a moment ago, or written an entry after it got the request.
+        has answered another request a moment ago, or written an entry since the request was sent or
+        partly answered.
         """
         known = self._known.get(sent.engine_id)
         if known is None:
@@ -285,7 +293,7 @@
         if now - known.answered_at <= ANSWER_RECENCY_SECONDS:
             return True
         entry_age = now - known.entry_seen_at
-        return entry_age <= ENTRY_LAG_SECONDS <= known.entry_seen_at - sent.sent_at
+        return entry_age <= ENTRY_LAG_SECONDS <= known.entry_seen_at - sent.heard_at
 
     def record_failure(
         self, engine_id: str, now: float, *, since: float | None = None, only_reset: bool = False
@@ -295,8 +303,8 @@
         Args:
             engine_id: The engine.
             now: Current time.
-            since: When the request that timed out was sent. An entry written after that time shows
-                that the engine was running.
+            since: When the request that timed out was sent or partly answered. An entry written
+                after that time shows that the engine was running.
             only_reset: Whether a kept connection was reset, perhaps by the network.
         """
         known = self._known.get(engine_id)
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -288,6 +288,22 @@
         self.time_out()
         self.assertEqual(self.seconds_cold(), 0.0)
 
+    def test_entries_before_a_stream_falls_silent_do_not_show_that_the_engine_runs(self) -> None:
+        """A long stream was sent before these entries; its engine may have stopped after them."""
+        self.observe(HttpResponse(request=REQUEST, status=200), [], under_way=True)
+        self.now += 10.0
+        self.entry()
+        self.observe(HttpStreamItem(request=REQUEST, data=b"x"), [], under_way=True)
+        self.now += 1.5
+        self.time_out()
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += 0.4
+        self.entry()
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += 0.1
+        self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
     def test_the_next_entry_ends_the_silence_after_a_time_out(self) -> None:
         """The entry is later than the request that timed out, so the engine was running."""
         self.now += 1.5
