Let no earlier time-out end the doubt after an evacuation

A silence begins when the request that timed out was last heard of, which may be before its engine was marked as cold. An entry 2 s after the silence, but less than 2 s after the mark, ended both. The later of the two counts.

--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -183,11 +183,10 @@
     def _apply_time_left(self, known: _Knowledge, seconds_left: float, now: float) -> None:
         """Apply the cold time in an entry; an entry that may precede a silence does not end it."""
         known.entry_until = now + seconds_left
-        unknown_since = known.silent_since
-        if unknown_since is None:
-            unknown_since = known.uncertain_since
+        times = (known.silent_since, known.uncertain_since)
+        unknown_since = max((at for at in times if at is not None), default=-math.inf)
         is_of_start = known.reason == ColdReason.STARTED.value
-        if unknown_since is None or is_of_start or now - unknown_since >= ENTRY_LAG_SECONDS:
+        if is_of_start or now - unknown_since >= ENTRY_LAG_SECONDS:
             known.uncertain_since = known.silent_since = None
             known.reason = ColdReason.ENTRY.value
 
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -304,6 +304,18 @@
         self.entry()
         self.assertEqual(self.seconds_cold(), 0.0)
 
+    def test_a_time_out_of_an_earlier_request_does_not_shorten_a_mark(self) -> None:
+        """The entry may have been written before the evacuation ended."""
+        self.now += 5.0
+        self.tracker.mark_cold([ENGINE], "evacuated", self.now)
+        self.time_out()
+        self.now += 1.9
+        self.entry()
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += 0.1
+        self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
     def test_the_next_entry_ends_the_silence_after_a_time_out(self) -> None:
         """The entry is later than the request that timed out, so the engine was running."""
         self.now += 1.5
