Read the node records once for each batch of registry changes

Each node record in a batch led to a new reading of all records and a new computation of zones, replicas and shares.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -344,6 +344,8 @@
         effects: list[Effect] = []
         for item in changed:
             effects.extend(self._apply_change(item, now, max_change_age))
+        if any(item.key.startswith(NODE_PREFIX) for item in changed):
+            self._apply_nodes()
         return effects
 
     def _mark_returned_engines_cold(self, end: EvacuationEnd) -> list[Effect]:
@@ -359,7 +361,6 @@
             self.forwarder.forget_capacity()
             return self.evacuations.apply_change(item, now, max_change_age)
         if item.key.startswith(NODE_PREFIX):
-            self._apply_nodes()
             return self._validate_node_record(item)
         return []
 
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -33,7 +33,7 @@
 from yokeline.ledger.operations import Granted
 from yokeline.platform.documents import PlatformDocuments
 from yokeline.registry.client import RegistryClient
-from yokeline.registry.nodes import NodeRecord, NodeRole, encode_node, node_key
+from yokeline.registry.nodes import NodeRecord, NodeRole, encode_node, node_key, read_nodes
 from yokeline.registry.protocol import Page, StoredItem
 from yokeline.scheduling.eligibility import EligibilityPolicy
 from yokeline.scheduling.zone_evacuation import ZoneEvacuations
@@ -218,6 +218,31 @@
         self.assertLessEqual(len(self.reports()) - before, 4)
 
 
+class NodeRecords(PlayedNode):
+    prefixes = ("",)
+
+    def test_the_records_of_a_list_are_read_once(self) -> None:
+        """A starting node decoded all records of the fleet once for each of them."""
+        records = [
+            NodeRecord(
+                name=NodeName(f"edge-{number}"),
+                role=NodeRole.EDGE,
+                replica=ReplicaId(f"edge-{number}~1"),
+                address=Address("10.0.0.9", 1),
+            )
+            for number in range(2, 12)
+        ]
+        items = tuple(
+            RegistryItem(node_key(record.name), encode_node(record), 40 + number)
+            for number, record in enumerate(records)
+        )
+        news = RegistryNews(revision=60, items=items)
+        with patch("yokeline.forwarding.edge_node.read_nodes", wraps=read_nodes) as read:
+            self.hand(PeerMessage(sender=ReplicaId("edge-2~1"), message=news))
+        read.assert_called_once()
+        self.assertEqual(len(self.node._load_reporter._peers), len(records))
+
+
 class RefusedByTheStore(PlayedNode):
     """The key-value service refuses this node while it serves the operator and other nodes."""
 
