Do not count a node's own limits as silence of an engine

A call that the node's bound on connections, a bound on the size of an answer or an invalid request ended was recorded as a failure of the engine, which was cold afterwards. A burst beyond the bound on connections made a node count all its engines as cold, and refuse what they could serve.

HttpFailed.is_outage tells these from failures of the other end.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -120,6 +120,8 @@
         silent: The time for an answer, or for its next part, passed on an open connection.
         fresh: The connection was opened for this request. A kept one may have been reset
             together with others, and says nothing of the other end.
+        is_outage: The other end refused, closed, reset or did not answer, or its answer was
+            malformed; False if a limit of this process or an invalid request ended the call.
     """
 
     request: RequestId
@@ -128,6 +130,7 @@
     stale: bool = False
     silent: bool = False
     fresh: bool = False
+    is_outage: bool = True
 
 
 class PeerMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -269,7 +269,7 @@
             # Nothing more arrives over a connection that the other end has closed.
             self.rates.record_answer(sent.engine_id, sent.sent_at, now)
         sent.is_answered = True
-        if failure.stale:
+        if failure.stale or not failure.is_outage:
             # Engines close idle connections, so a closed one shows nothing.
             return []
         if failure.silent and self._is_overload(sent, now):
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -118,7 +118,8 @@
 
     def _connect(self) -> None:
         if not self._pool.has_room(self.request.address):
-            self._fail(f"too many connections are open, also to {self.request.address}")
+            reason = f"too many connections are open, also to {self.request.address}"
+            self._fail(reason, is_outage=False)
             return
         try:
             connection = self._pool.connect(self.request.address)
@@ -140,7 +141,7 @@
         try:
             output = self._encoded(self._connection.codec)
         except (h11.LocalProtocolError, UnicodeError) as error:
-            self._fail(f"the request is not valid HTTP: {error}")
+            self._fail(f"the request is not valid HTTP: {error}", is_outage=False)
             return
         self._connection.link.write(output)
 
@@ -212,7 +213,7 @@
         except h11.RemoteProtocolError as error:
             self._fail(f"malformed response: {error}")
         except ItemTooLargeError as error:
-            self._fail(str(error))
+            self._fail(str(error), is_outage=False)
 
     def _take(self, event: object) -> None:
         if isinstance(event, h11.Response):
@@ -257,7 +258,8 @@
         if self._reader is None:
             self._body_bytes += len(data)
             if self._body_bytes > self._limits.max_body_bytes:
-                self._fail(f"the response is over {self._limits.max_body_bytes} bytes")
+                reason = f"the response is over {self._limits.max_body_bytes} bytes"
+                self._fail(reason, is_outage=False)
                 return
             self._body.append(data)
             return
@@ -305,7 +307,9 @@
             return False
         return self._connection.link.bytes_sent > self._sent_at_start
 
-    def _fail(self, reason: str, *, stale: bool = False, silent: bool = False) -> None:
+    def _fail(
+        self, reason: str, *, stale: bool = False, silent: bool = False, is_outage: bool = True
+    ) -> None:
         if self._ended:
             return
         sent = self._sent()
@@ -319,6 +323,7 @@
             stale=stale and sent,
             silent=silent,
             fresh=self._connection is not None and not self._connection.used_before,
+            is_outage=is_outage,
         )
         self._owner.submit(failure)
 
--- a/tests/processes/test_http_client.py
+++ b/tests/processes/test_http_client.py
@@ -149,6 +149,7 @@
                 failed = probe.end_of(request(name, backend.address))
                 assert isinstance(failed, HttpFailed), name
                 self.assertTrue(failed.sent)
+                self.assertEqual(failed.is_outage, name != "big body", name)
             self.assertEqual(probe.running.bound.client.pool().open_count(), 0)
 
     def test_connections_are_bounded_and_kept_ones_closed_when_idle(self) -> None:
@@ -169,6 +170,7 @@
             failed = probe.ends("two")[0]
             assert isinstance(failed, HttpFailed)
             self.assertFalse(failed.sent)
+            self.assertFalse(failed.is_outage)
 
 
 class Streams(unittest.TestCase):
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -350,6 +350,17 @@
         self.observe(None, [HttpCancel(REQUEST)])
         self.assertEqual(self.seconds_cold(), 0.0)
 
+    def test_a_limit_of_this_node_is_no_silence(self) -> None:
+        """A burst beyond the node's connections, or answers that are too large, would make a node
+        treat running engines as cold.
+        """
+        for sent in (False, True):
+            self.setUp()
+            reason = "too many connections are open"
+            failure = HttpFailed(request=REQUEST, sent=sent, reason=reason, is_outage=False)
+            self.assertEqual(self.observe(failure, []), [])
+            self.assertEqual(self.seconds_cold(), 0.0)
+
     def test_a_closed_idle_connection_is_no_silence(self) -> None:
         self.engine_fails(stale=True)
         self.assertEqual(self.seconds_cold(), 0.0)
