Report the timeline of a restart of many processes

Start phases that were missing are logged once a start: registry, engines and leader on forwarding nodes; disk, registry and applied on storage nodes. A phase that was reached is no longer checked with each event.

The storage cluster of the tests gets regions with a latency between them.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 from returns.result import Failure, Success
 
@@ -118,6 +120,14 @@
         self._stop_requested_at: float | None = None
         self._busy_at = now
         self._now = now
+        self._pending_phases: dict[str, Callable[[], bool]] = {
+            "registry": lambda: registry.complete,
+            "configuration": lambda: forwarder.table is not None,
+            "engines": lambda: any(True for _ in engines.all()),
+            "leader": lambda: ledger.leader is not None,
+            "ledger": lambda: ledger.has_answered,
+            "first_send": lambda: forwarder.has_sent,
+        }
         registry.ensure(node_key(record.name), encode_node(record))
 
     @property
@@ -184,12 +194,10 @@
     def _log_start_phases(self, now: float) -> list[LogRecord]:
         """Log how long each phase of the start took."""
         lines: list[LogRecord] = []
-        if self.forwarder.table is not None:
-            lines.extend(self.phases.reached("configuration", now))
-        if self.ledger.has_answered:
-            lines.extend(self.phases.reached("ledger", now))
-        if self.forwarder.has_sent:
-            lines.extend(self.phases.reached("first_send", now))
+        for phase, is_reached in list(self._pending_phases.items()):
+            if is_reached():
+                del self._pending_phases[phase]
+                lines.extend(self.phases.reached(phase, now))
         return lines
 
     def next_deadline(self) -> float | None:
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -181,6 +181,11 @@
         """Whether the log file has grown enough to be compacted."""
         return self._file_bytes >= self._compact_bytes and self._applied > 0
 
+    @property
+    def has_applied_all(self) -> bool:
+        """Whether all entries known to be committed have been applied, and there are some."""
+        return not self._to_apply and self._applied > 0
+
     @property
     def entries_restored(self) -> int:
         """Entries restored with texts received from nodes."""
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -94,6 +94,13 @@
         self._stop_at: float | None = None
         self.batches = RequestBatches(replica, wall, now)
         self._histories = HistoryService(replica)
+        self._created_at = now
+        self._pending_phases: dict[str, Callable[[], bool]] = {
+            "disk": lambda: True,
+            "registry": lambda: registry.complete,
+            "leader": lambda: replica.group.leader is not None,
+            "applied": lambda: replica.group.leader is not None and replica.has_applied_all,
+        }
 
     # ------------------------------------------------------------ service
 
@@ -116,13 +123,22 @@
         effects.extend(self._join_requester.tick(now))
         effects.extend(self._try_sole_survivor(now))
         effects.extend(self._update_membership(now))
-        if self.replica.group.leader is not None:
-            effects.extend(self.phases.reached("leader", now))
+        effects.extend(self._log_start_phases(now))
         if self._stop_at is not None and now >= self._stop_at:
             effects.append(LogRecord(event="stopped", fields={"node": self._record.name}))
             effects.append(Exit())
         return effects
 
+    def _log_start_phases(self, now: float) -> list[LogRecord]:
+        """Log how long each phase of the start took."""
+        lines: list[LogRecord] = []
+        for phase, is_reached in list(self._pending_phases.items()):
+            if is_reached():
+                del self._pending_phases[phase]
+                at = self._created_at if phase == "disk" else now
+                lines.extend(self.phases.reached(phase, at))
+        return lines
+
     def next_deadline(self) -> float | None:
         """Return when a tick is due."""
         dues = [self.replica.next_deadline(), self._next_membership_update]
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -145,6 +145,7 @@
         self.is_isolated_from_peers = False
         self.disk_hangs = False
         self.sync_seconds = 0.001
+        self.region = ""
         self.started_before = False
         self.generation = 0
         self.unsynced: list[SyncFile] = []
@@ -167,7 +168,9 @@
 
     def __init__(self, name: str, address: Address) -> None:
         self.process = ReplicaId(name)
+        self.address = address
         self.client = LedgerClient(address)
+        self.region = ""
 
 
 class Cluster:
@@ -177,6 +180,8 @@
         self.random = random.Random(seed)
         self.link_mbps = link_mbps
         self.now = 0.0
+        self.between_regions_seconds = 0.0
+        """Latency added to each message between machines of two regions, one way."""
         self.store = MemoryStore()
         self.store_seconds = 0.004
         """Response time of the key-value service."""
@@ -441,6 +446,8 @@
         self.frames += 1
         delay = 0.0005 + 0.002 * self.random.random()
         to_edge = effect.to in self.edges
+        if self.between_regions_seconds:
+            delay += self._region_delay(sender, source, effect)
         if source is not None and (
             source.is_isolated or (source.is_isolated_from_peers and not to_edge)
         ):
@@ -467,6 +474,13 @@
             if machine.address == effect.address and not unreachable:
                 self._schedule(delay, lambda m=machine: self._arrive(m, effect.to, event))
 
+    def _region_delay(self, sender: ReplicaId, source: Machine | None, effect: SendPeer) -> float:
+        """Return the latency that the regions of sender and recipient add."""
+        sent_from = source.region if source is not None else self.edges[sender].region
+        regions = {item.address: item.region for item in self.machines}
+        regions.update({edge.address: edge.region for edge in self.edges.values()})
+        return self.between_regions_seconds * (regions.get(effect.address) != sent_from)
+
     def _link_delay(self, source: Machine, effect: SendPeer) -> float:
         """Return a message's delay on its sender's link, behind earlier messages."""
         size = len(_CODEC.encode_peer(source.replica, effect.to, effect.message))
--- a/tests/unit/tools/test_reports.py
+++ b/tests/unit/tools/test_reports.py
@@ -7,6 +7,7 @@
 from tools.limit_report import LimitReport, Run, worst_count
 from tools.path_report import PathReport
 from tools.program_report import IN_TIME, ProgramReport
+from tools.return_report import MIN_GROUP_SIZE, ReturnReport, find_restarts
 
 
 def chosen(request: str, at: float) -> Line:
@@ -127,3 +128,59 @@
         report.take(ended("s", 1.2, 0.0, **refused))
         self.assertEqual(len(report.runs["hule"]), 1)
         self.assertEqual(report.refused["hule"], 1)
+
+
+class Returns(unittest.TestCase):
+    """A restart of five processes at 50 s, one of which starts alone at 20 s."""
+
+    def setUp(self) -> None:
+        nodes = [f"edge-{number}" for number in range(MIN_GROUP_SIZE - 1)]
+        self.lines = [self.line("started", node, 0.5, role="edge", seconds=0.5) for node in nodes]
+        self.lines.append(self.line("started", "disk", 0.5, role="storage", seconds=0.5))
+        self.lines.append(self.line("started", "edge-0", 20.5, role="edge", seconds=0.5))
+        for node in nodes:
+            self.lines.append(self.line("started", node, 50.4, role="edge", seconds=0.4))
+            self.lines.append(
+                self.line("start_phase", node, 50.5, phase="configuration", seconds=0.5)
+            )
+        self.lines.append(self.line("started", "disk", 50.5, role="storage", seconds=0.3))
+        self.lines.append(self.line("ledger_role_changed", "disk", 50.6, role="leader"))
+
+    def line(self, event: str, node: str, at: float, **fields: object) -> Line:
+        return {"event": event, "on": node, "at": at, **fields}
+
+    def report(self, *lines: Line) -> ReturnReport:
+        restarts = find_restarts(self.lines)
+        self.assertEqual([round(item.at, 3) for item in restarts], [50.0])
+        report = ReturnReport(restarts[0])
+        for line in (*self.lines, *lines):
+            report.take(line)
+        return report
+
+    def test_the_phases_count_from_the_first_process_by_role(self) -> None:
+        rows = {(role, phase): row for role, phase, *row in self.report().phases()}
+        count, median, late = rows["edge", "configuration"]
+        self.assertEqual((count, round(median, 3), round(late, 3)), (4, 0.5, 0.5))
+        self.assertAlmostEqual(rows["storage", "process start"][1], 0.2)
+        self.assertAlmostEqual(rows["storage", "election won"][1], 0.6)
+
+    def test_the_median_node_counts_over_all_nodes_that_restarted(self) -> None:
+        answers = [
+            {**ended(f"t{number}", 50.7 + number, 0.1, outcome="streamed"), "on": f"edge-{number}"}
+            for number in range(2)
+        ]
+        served = self.report(*answers).until_served()
+        assert served is not None
+        self.assertAlmostEqual(served, 1.7)
+        self.assertIsNone(self.report(answers[0]).until_served())
+
+    def test_what_requests_waited_for(self) -> None:
+        choice = {**chosen("a", 51.0), "on": "edge-0", "history": "leader"}
+        refusal = self.line("request_refused", "edge-0", 51.0, status=503, reason="no_leader")
+        again = self.line("request_repeated", "edge-1", 52.0, reason="silent")
+        late = {**chosen("b", 56.0), "on": "edge-0", "history": "replica"}
+        report = self.report(choice, refusal, again, late)
+        self.assertEqual(report.waits, [(0.01, 0.002)])
+        self.assertEqual(report.histories, {"leader": 1})
+        self.assertEqual(report.endings, {"refused 503 no_leader": 1})
+        self.assertEqual(report.repetitions, {"sent again: silent": 1})
