Reach peers that restart without waiting for the longest pause

After a loss of all machines the links between processes fail for as long as the other ends take to start. Their pauses had grown to 0.3 s by then, and an attempt to a machine without power took 0.5 s, so votes, answers and queries for the leader waited for links to nodes that were up.

For 1.5 s after the first failed attempt pauses stay at 0.1 s at most, and an attempt takes 0.2 s at first, doubled with each one that times out, so that a longer path is still used. A message from a peer whose link waits ends the pause. The schedule is a state machine of its own.

--- a/src/yokeline/node/limits.py
+++ b/src/yokeline/node/limits.py
@@ -78,6 +78,12 @@
         connect_seconds: Longest wait for a connection.
         backoff_seconds: Pause after the first failed connection attempt; doubles.
         max_backoff_seconds: Longest pause between two attempts.
+        prompt_seconds: Time after the first failed attempt in which attempts are more frequent and
+            shorter, since a machine that lost power is back after about a second; 0 for none.
+        prompt_connect_seconds: First wait for a connection within that time; doubles. A request
+            to connect that a machine without power did not answer is repeated by the kernel only
+            after a second.
+        max_prompt_backoff_seconds: Longest pause within that time.
         silent_seconds: Time that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT).
         idle_seconds: Time after which an unused outgoing connection is closed.
         max_connections: Incoming connections open at once.
@@ -90,6 +96,9 @@
     connect_seconds: float = 2.0
     backoff_seconds: float = 0.05
     max_backoff_seconds: float = 2.0
+    prompt_seconds: float = 0.0
+    prompt_connect_seconds: float = 0.2
+    max_prompt_backoff_seconds: float = 0.1
     silent_seconds: float = 5.0
     idle_seconds: float = 120.0
     max_connections: int = 4096
--- a/src/yokeline/node/peer_link.py
+++ b/src/yokeline/node/peer_link.py
@@ -10,14 +10,12 @@
 import absl.logging
 
 from yokeline.effects import Address
+from yokeline.identifiers import ReplicaId
 from yokeline.node.connection import Connection
 from yokeline.node.deadlines import Deadline, DeadlineQueue
 from yokeline.node.limits import PeerLimits
 from yokeline.node.poller import SocketPoller
-
-_JITTER = 0.5
-"""A pause is shortened by a random share of up to this much."""
-
+from yokeline.node.reconnects import ReconnectSchedule
 
 _REPORT_SECONDS = 10.0
 """Least time between two log lines about dropped frames."""
@@ -28,6 +26,9 @@
 
     It connects when there is something to send. While there is no connection, frames wait
     up to a size and an age; the oldest are dropped first and counted.
+
+    Attributes:
+        replica: The recipient of the latest message; None before the first one.
     """
 
     def __init__(
@@ -41,17 +42,17 @@
     ) -> None:
         """Create it without a connection; ``closed`` is called when it falls out of use."""
         self.address = address
+        self.replica: ReplicaId | None = None
         self.dropped_frames = 0
         self._poller = poller
         self._deadlines = deadlines
         self._limits = limits
-        self._random = source
+        self._reconnects = ReconnectSchedule(limits, source)
         self._closed = closed
         self._waiting: deque[tuple[float, bytes]] = deque()
         self._waiting_bytes = 0
         self._connection: Connection | None = None
         self._connected = False
-        self._failures = 0
         self._attempt: Deadline | None = None
         self._connect_deadline: Deadline | None = None
         self._last_use = time.monotonic()
@@ -70,6 +71,14 @@
         if self._connection is None and self._attempt is None:
             self._connect()
 
+    def peer_heard(self) -> None:
+        """Connect now instead of after the pause, because the peer has just sent a message."""
+        if self._attempt is None or not self._waiting:
+            return
+        if self._reconnects.may_attempt_early(time.monotonic()):
+            self._attempt.cancel()
+            self._connect()
+
     def close(self) -> None:
         """Close the connection and forget what waits."""
         self._waiting.clear()
@@ -94,7 +103,7 @@
         assert self._connection is not None
         self._cancel_connect_deadline()
         self._connected = True
-        self._failures = 0
+        self._reconnects.connected()
         self._connection.set_silent_limit(self._limits.silent_seconds)
         self._drop_beyond_limits()
         waiting = self._waiting
@@ -124,6 +133,7 @@
         self._attempt = None
         if not self._waiting:
             return
+        timeout = self._reconnects.begin_attempt(time.monotonic())
         try:
             self._connection = Connection.open(
                 self._poller,
@@ -134,9 +144,7 @@
         except (OSError, OverflowError, UnicodeError):
             self._retry_later()
             return
-        self._connect_deadline = self._deadlines.call_after(
-            self._limits.connect_seconds, self._on_connect_timeout
-        )
+        self._connect_deadline = self._deadlines.call_after(timeout, self._on_connect_timeout)
 
     def _on_connect_timeout(self) -> None:
         self._connect_deadline = None
@@ -148,10 +156,7 @@
         self._drop_beyond_limits()
         if self._attempt is not None:
             return
-        longest = self._limits.backoff_seconds * 2.0**self._failures
-        pause = min(longest, self._limits.max_backoff_seconds)
-        self._failures += pause < self._limits.max_backoff_seconds
-        pause *= 1.0 - _JITTER * self._random.random()
+        pause = self._reconnects.attempt_failed(time.monotonic())
         self._attempt = self._deadlines.call_after(pause, self._connect)
 
     def _cancel_connect_deadline(self) -> None:
--- a/src/yokeline/node/peer_transport.py
+++ b/src/yokeline/node/peer_transport.py
@@ -64,6 +64,7 @@
         self._deadlines = deadlines
         self._random = random.Random(replica)
         self._links: dict[Address, PeerLink] = {}
+        self._links_by_replica: dict[ReplicaId, PeerLink] = {}
         self._incoming: set[IncomingPeer] = set()
         self._listener = Listener(poller, deadlines, sock, self._accept)
         bridge.carry_out_with(SendPeer, self.send_message)
@@ -78,6 +79,7 @@
             absl.logging.error({"event": "peer_frame_too_large", "reason": str(error)})
             return
         link = self._link(effect.address)
+        self._name_link(effect.to, link)
         link.send(frame)
         self.traffic.note_sent(effect.message, len(frame), link.unsent_bytes())
 
@@ -97,6 +99,9 @@
         if frame.recipient != self.replica:
             self.counters["other_recipient"] += 1
             return
+        link = self._links_by_replica.get(frame.sender)
+        if link is not None:
+            link.peer_heard()
         self._bridge.submit(PeerMessage(sender=frame.sender, message=frame.message))
 
     def forget(self, peer: IncomingPeer) -> None:
@@ -121,9 +126,22 @@
             self._links[address] = link
         return link
 
+    def _name_link(self, replica: ReplicaId, link: PeerLink) -> None:
+        """Note which link leads to a replica; each link has the replica of its last message."""
+        if link.replica == replica and self._links_by_replica.get(replica) is link:
+            return
+        self._forget_name(link)
+        link.replica = replica
+        self._links_by_replica[replica] = link
+
+    def _forget_name(self, link: PeerLink) -> None:
+        if link.replica is not None and self._links_by_replica.get(link.replica) is link:
+            del self._links_by_replica[link.replica]
+
     def _unused(self, address: Address) -> None:
         link = self._links.pop(address, None)
         if link is not None:
+            self._forget_name(link)
             self._dropped_by_closed_links += link.dropped_frames
 
     def _accept(self, sock: socket.socket) -> None:
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -308,6 +308,7 @@
         peers=PeerLimits(
             connect_seconds=0.5,
             max_backoff_seconds=0.3,
+            prompt_seconds=1.5,
             silent_seconds=1.0,
             max_queue_seconds=1.0,
         ),
--- a/tests/processes/test_peers.py
+++ b/tests/processes/test_peers.py
@@ -4,6 +4,7 @@
 import struct
 import threading
 import unittest
+from unittest import mock
 
 from tests.processes.support import (
     LOOPBACK,
@@ -19,6 +20,7 @@
 from yokeline.messages.types import Heartbeat
 from yokeline.node.limits import PeerLimits, TransportLimits
 from yokeline.node.process import Application, BoundService, ServiceBinding
+from yokeline.node.reconnects import ReconnectSchedule
 from yokeline.node.sockets import open_sockets
 
 A = ReplicaId("a~1")
@@ -83,6 +85,29 @@
                 a.emit(heartbeat(B, address, 3))
                 wait_for(lambda: 3 in sequences(b), "a message after the restart")
 
+    def test_a_peer_that_sends_a_message_is_connected_to_at_once(self) -> None:
+        """A link to a node that started later waited for the end of its longest pause."""
+        reserved = open_sockets(None, LOOPBACK).unwrap()
+        address = reserved.peer_address()
+        assert address is not None
+        reserved.close()
+        never = 10.0 * PATIENCE_SECONDS
+        with (
+            mock.patch.object(ReconnectSchedule, "attempt_failed", return_value=never),
+            node(A, max_queue_seconds=never) as a,
+        ):
+            a.emit(heartbeat(B, address, 1))
+            assert a.bound.peers is not None
+            links = a.bound.peers._links
+            wait_for(lambda: address in links and links[address]._attempt, "a failed attempt")
+            with node(B, address.port) as b:
+
+                def is_reached() -> bool:
+                    b.emit(heartbeat(A, peer_address(a), 2))
+                    return sequences(b) == [1]
+
+                wait_for(is_reached, "the message")
+
     def test_the_queue_for_a_dead_peer_is_bounded(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as taken:
             address = Address("127.0.0.1", taken.getsockname()[1])
