Hand the ledger's leadership over when the disk refuses writes

A leader with a full disk kept its leadership and sent nothing, because each message waits for the write before it; turns failed until the election timeout of its followers had passed (0.75 s in the test). A standby with a full disk became a member, and one of two members could claim to go on alone.

The thread that writes reports the refusal (FileRefused). The leader then tells the follower that holds the most to stand for election, which needs no write of its own, and steps down; pending operations are answered without a result, so that nodes look for the next leader. Until a write succeeds the replica drops its messages, which also bounds what it keeps, ignores orders to lead, asks for no membership and claims no survivor key. Log lines ledger_disk_refuses and ledger_disk_accepts, metrics yokeline_ledger_disk_refuses and yokeline_ledger_disk_refusals_total. An unfinished copy of a compacted log is removed, since it would keep the disk full.

--- a/src/yokeline/consensus/group.py
+++ b/src/yokeline/consensus/group.py
@@ -268,6 +268,16 @@
             self._roles.leadership.transfer_to(to, now)
         return self._roles.finish(now)
 
+    def resign(self, now: float) -> list[RaftEffect]:
+        """Step down at once, if this replica leads, and have the best follower stand.
+
+        Unlike :meth:`transfer_leadership` it needs no further write of this replica: proposals that
+        were not sent to a follower are lost. The effects do not depend on unsaved state.
+        """
+        if self._roles.leadership is not None:
+            self._roles.leadership.resign(now)
+        return self._roles.finish(now)
+
     def read(self, token: str, now: float) -> list[RaftEffect]:
         """Ask for a linearizable read; one ``ReadReady`` or ``ReadFailed`` follows."""
         if self._roles.leadership is None:
--- a/src/yokeline/consensus/leadership.py
+++ b/src/yokeline/consensus/leadership.py
@@ -114,6 +114,13 @@
         self._replicator.nudge(target, now)
         self._continue_transfer()
 
+    def resign(self, now: float) -> None:
+        """Step down at once, and tell the follower that holds the most to stand for election."""
+        successor = self._replicator.best_successor(now)
+        self._has_resigned = True
+        if successor is not None:
+            self._send_timeout_now(successor)
+
     def lease_valid(self, now: float) -> bool:
         """Return whether surely no other replica can lead at ``now``.
 
@@ -254,7 +261,7 @@
             return
         self._has_resigned = True
         self._replicator.heartbeat_all(now)
-        successor = self._replicator.best_successor()
+        successor = self._replicator.best_successor(now)
         if successor is not None:
             self._send_timeout_now(successor)
 
--- a/src/yokeline/consensus/replication.py
+++ b/src/yokeline/consensus/replication.py
@@ -240,12 +240,12 @@
         progress = self._progress.get(replica)
         return progress is not None and progress.match_index >= self._state.commit_index
 
-    def best_successor(self) -> ReplicaId | None:
-        """Return the member with the longest matching log."""
+    def best_successor(self, now: float) -> ReplicaId | None:
+        """Return the member with the longest matching log, one that answers if there is one."""
         others = [item for item in self._progress.values() if item.departs_at is None]
-        if not others:
-            return None
-        return max(others, key=_match_index).follower
+        timeout = self._state.settings.election_timeout_seconds
+        alive = [item for item in others if now - _waiting_since(item) <= timeout]
+        return max(alive or others, key=_match_index).follower if others else None
 
     def _per_member(self, own: Number, value: Callable[[Progress], Number]) -> list[Number]:
         values: list[Number] = []
--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -146,6 +146,16 @@
     ticket: int
 
 
+class FileRefused(msgspec.Struct, frozen=True):
+    """The disk refuses writes; they are repeated, and a later :class:`FileSynced` ends the refusal.
+
+    Attributes:
+        reason: The system's error.
+    """
+
+    reason: str
+
+
 class ReloadRequested(msgspec.Struct, frozen=True):
     """The settings file has changed (SIGHUP)."""
 
@@ -165,6 +175,7 @@
     | PeerMessage
     | DatagramArrived
     | FileSynced
+    | FileRefused
     | ReloadRequested
     | StopRequested
 )
--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -24,7 +24,7 @@
     Send,
 )
 from yokeline.consensus.group import RaftGroup
-from yokeline.consensus.messages import EntryKind, LogEntry, RaftMessage
+from yokeline.consensus.messages import EntryKind, LogEntry, RaftMessage, TimeoutNow
 from yokeline.consensus.settings import RaftSettings
 from yokeline.consensus.types import HardState, RaftRole, Snapshot
 from yokeline.effects import Address, Effect, LogRecord, SendPeer, SyncFile
@@ -159,6 +159,7 @@
         self._stripper = TextStripper()
         self._restorer = TextRestorer()
         self._lost: frozenset[ReplicaId] = frozenset()
+        self._disk_refuses = False
         self._identity_ticket = 0
         self._saved_addresses = dict(self.addresses)
         if recovered.replica is None:
@@ -197,6 +198,11 @@
         """Whether all entries known to be committed have been applied, and there are some."""
         return not self._to_apply and self._applied > 0
 
+    @property
+    def disk_refuses(self) -> bool:
+        """Whether the disk refuses writes, so that this replica neither leads nor answers."""
+        return self._disk_refuses
+
     @property
     def entries_restored(self) -> int:
         """Entries restored with texts received from nodes."""
@@ -261,6 +267,8 @@
     def step(self, sender: ReplicaId, envelope: ReplicaMessage, now: float) -> list[Effect]:
         """Handle a message of another replica."""
         self._now = now
+        if self._disk_refuses and isinstance(envelope.message, TimeoutNow):
+            return []
         self.learn_address(sender, envelope.sender_address)
         self._restorer.take(sender, envelope, now)
         return self._step_restored(now)
@@ -341,8 +349,24 @@
         """Transfer leadership to a member."""
         return self._persist(self.group.transfer_leadership(member, now))
 
+    def refused(self, now: float) -> list[Effect]:
+        """Hand leadership over, because the disk refuses writes; send nothing until it takes them.
+
+        Votes, answers and entries that this replica sends would all wait for a write. Leadership is
+        given up without one: what a follower holds was written here before, and the order to stand
+        for election may come at any time.
+        """
+        self._now = now
+        if self._disk_refuses:
+            return []
+        if self.leads and len(self.group.members) > 1:
+            self._carry_out(self.group.resign(now))
+        self._disk_refuses = True
+        return self._take_effects()
+
     def synced(self, ticket: int) -> list[Effect]:
         """Carry out the effects that waited for a write, now synced."""
+        self._disk_refuses = False
         self._synced_ticket = max(self._synced_ticket, ticket)
         while self._deferred and self._deferred[0].ticket <= self._synced_ticket:
             self._carry_out(self._deferred.popleft().effects)
@@ -377,8 +401,12 @@
             self._ticket += 1
             self._file_bytes += len(data)
             self._effects.append(SyncFile(ticket=self._ticket, name=LOG_FILE, data=data))
+        if self._disk_refuses:
+            # Messages are repeated by their protocol; kept, they would add up meanwhile.
+            effects = [effect for effect in effects if not isinstance(effect, Send)]
         if records or self._deferred:
-            if effects:
+            # Also without effects: later ones must not overtake a write that was refused.
+            if effects or (records and self._disk_refuses):
                 self._deferred.append(_DeferredEffects(self._ticket, effects))
             return
         self._carry_out(effects)
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -10,6 +10,7 @@
     Effect,
     Event,
     Exit,
+    FileRefused,
     FileSynced,
     LogRecord,
     PeerMessage,
@@ -63,7 +64,11 @@
 
 
 class StorageNode:
-    """A storage node, without I/O."""
+    """A storage node, without I/O.
+
+    Attributes:
+        disk_refusals: Times at which the disk began to refuse writes.
+    """
 
     def __init__(
         self,
@@ -94,6 +99,8 @@
         self._stop_at: float | None = None
         self.batches = RequestBatches(replica, wall, now)
         self._histories = HistoryService(replica)
+        self.disk_refusals = 0
+        self._refused_since: float | None = None
         self._created_at = now
         self._pending_phases: dict[str, Callable[[], bool]] = {
             "disk": lambda: True,
@@ -120,7 +127,9 @@
         effects.extend(self.batches.tick(now))
         effects.extend(self._histories.tick(now))
         effects.extend(self._tick_bootstrap(now))
-        effects.extend(self._join_requester.tick(now))
+        join_requests = self._join_requester.tick(now)
+        if not self.replica.disk_refuses:
+            effects.extend(join_requests)
         effects.extend(self._try_sole_survivor(now))
         effects.extend(self._update_membership(now))
         effects.extend(self._log_start_phases(now))
@@ -155,13 +164,36 @@
         if isinstance(event, PeerMessage):
             return self._handle_message(event, now)
         if isinstance(event, FileSynced):
-            return self.replica.synced(event.ticket)
+            return [*self._note_disk_accepts(now), *self.replica.synced(event.ticket)]
+        if isinstance(event, FileRefused):
+            return self._handle_refusal(event, now)
         if isinstance(event, StopRequested):
             return self._begin_shutdown(now)
         if isinstance(event, ReloadRequested):
             return [LogRecord(event="reloaded", fields={"node": self._record.name})]
         return []
 
+    def _handle_refusal(self, event: FileRefused, now: float) -> list[Effect]:
+        """Hand leadership over and say that this node cannot write, once for each refusal."""
+        if self._refused_since is not None:
+            return []
+        self._refused_since = now
+        self.disk_refusals += 1
+        fields: dict[str, str | int | float | bool | None] = {
+            "reason": event.reason,
+            "led": self.replica.leads,
+            "member": self.replica.is_member,
+        }
+        log = LogRecord(event="ledger_disk_refuses", fields=fields, level="error")
+        return [log, *self.replica.refused(now)]
+
+    def _note_disk_accepts(self, now: float) -> list[LogRecord]:
+        if self._refused_since is None:
+            return []
+        seconds = round(now - self._refused_since, 3)
+        self._refused_since = None
+        return [LogRecord(event="ledger_disk_accepts", fields={"seconds": seconds})]
+
     def _handle_message(self, event: PeerMessage, now: float) -> list[Effect]:
         message = event.message
         if isinstance(message, ReplicaMessage):
@@ -275,6 +307,8 @@
         group = self.replica.group
         if len(group.members) != 2 or not self.replica.is_member or group.membership_pending:
             return []
+        if self.replica.disk_refuses:
+            return []
         if (
             now - self._join_requester.leader_seen_at < SURVIVOR_TIMEOUT_SECONDS
             or not self._registry.complete
@@ -424,6 +458,7 @@
         "yokeline_ledger_leads": float(node.replica.leads),
         "yokeline_ledger_turns_under_way": float(len(node.batches.turns)),
         "yokeline_ledger_claims": float(node.batches.admission.claims),
+        "yokeline_ledger_disk_refuses": float(node.replica.disk_refuses),
         "yokeline_ledger_members": float(len(node.replica.group.members)),
     }
     gauges.update(node.phases.gauges())
@@ -431,6 +466,7 @@
     counters = {
         "yokeline_ledger_operations_total": float(node.batches.operations),
         "yokeline_ledger_entries_restored_total": float(node.replica.entries_restored),
+        "yokeline_ledger_disk_refusals_total": float(node.disk_refusals),
         "yokeline_ledger_texts_lacking_total": float(node.replica.messages_missing_texts),
     }
     for cause in CAUSES:
--- a/src/yokeline/node/synced_files.py
+++ b/src/yokeline/node/synced_files.py
@@ -18,7 +18,7 @@
 import absl.logging
 from circuits import BaseComponent, handler
 
-from yokeline.effects import FileSynced, SyncFile
+from yokeline.effects import FileRefused, FileSynced, SyncFile
 from yokeline.node.bridge import Bridge
 from yokeline.node.poller import SocketPoller
 
@@ -39,6 +39,7 @@
         self._poller = poller
         self._work: queue.SimpleQueue[SyncFile | None] = queue.SimpleQueue()
         self._done: deque[int] = deque()
+        self._refusals: deque[str] = deque()
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
@@ -52,6 +53,8 @@
         """Report what the thread has finished (called by the poller)."""
         with contextlib.suppress(BlockingIOError):
             self._wake_reader.recv(4096)
+        while self._refusals:
+            self._bridge.submit(FileRefused(self._refusals.popleft()))
         while self._done:
             self._bridge.submit(FileSynced(self._done.popleft()))
 
@@ -71,8 +74,12 @@
                 return
             self._write_until_done(batch)
             self._done.extend(item.ticket for item in batch)
-            with contextlib.suppress(OSError):
-                self._wake_writer.send(b"\0")
+            self._wake()
+
+    def _wake(self) -> None:
+        """Have the event loop take what the thread reports."""
+        with contextlib.suppress(OSError):
+            self._wake_writer.send(b"\0")
 
     def _next_batch(self) -> list[SyncFile]:
         """Return the next write with all that wait behind it; empty at the end."""
@@ -99,6 +106,8 @@
                     if not complained:
                         complained = True
                         absl.logging.error({"event": "disk_refused", "reason": str(error)})
+                        self._refusals.append(str(error))
+                        self._wake()
                     time.sleep(RETRY_SECONDS)
 
 
@@ -176,6 +185,9 @@
             self._sync_folder()
         except OSError:
             os.close(descriptor)
+            # The unfinished copy would keep a full disk full.
+            with contextlib.suppress(OSError):
+                os.unlink(temporary)
             raise
         old = self._open.pop(name, None)
         if old is not None:
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -16,6 +16,7 @@
     Effect,
     Event,
     Exit,
+    FileRefused,
     FileSynced,
     HttpFailed,
     HttpRequest,
@@ -144,6 +145,9 @@
         self.is_isolated = False
         self.is_isolated_from_peers = False
         self.disk_hangs = False
+        self.disk_is_full = False
+        self.has_refused = False
+        """The process was told that the disk is full."""
         self.sync_seconds = 0.001
         self.region = ""
         self.started_before = False
@@ -276,6 +280,7 @@
         machine.node = None
         machine.generation += 1
         machine.unsynced = []
+        machine.has_refused = False
 
     # ------------------------------------------------------------ time
 
@@ -409,9 +414,16 @@
     def _sync(self, machine: Machine, generation: int, effect: SyncFile) -> None:
         if machine.generation != generation:
             return
+        if machine.disk_is_full:
+            self._schedule(0.05, lambda: self._sync(machine, generation, effect))
+            if not machine.has_refused:
+                machine.has_refused = True
+                self._deliver(machine, generation, FileRefused("no space left on device"))
+            return
         if machine.disk_hangs:
             self._schedule(0.05, lambda: self._sync(machine, generation, effect))
             return
+        machine.has_refused = False
         while machine.unsynced and machine.unsynced[0].ticket <= effect.ticket:
             _write_to_disk(machine, machine.unsynced.pop(0))
         self._deliver(machine, generation, FileSynced(effect.ticket))
