Look for the ledger's leader at the start of a node that restarts

The first turn of a restarted forwarding node paid for the search: up to 30 ms between rounds, a round trip, and a new connection each way, which are 24 ms each between regions. A node that restarts now queries storage replicas from its first list on, each 0.1 s, until the leader itself has answered or 3 s have passed. At the first start of a deployment nothing changes.

--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -47,6 +47,12 @@
 """Delay after an answer without results, from a replica that does not lead or that hands leadership
 over; doubled with each attempt."""
 MAX_NOT_LEADING_RETRY_SECONDS = 0.1
+START_SEARCH_SECONDS = 3.0
+"""Time after its start in which a node that restarts looks for the leader without being asked to;
+about the time in which all storage nodes are back after a loss of power."""
+START_QUERY_SECONDS = 0.1
+"""Time between two rounds of queries of that search. All nodes may restart together, so it is
+slower than a search for which operations wait."""
 RELAY_TIMEOUT_SECONDS = 1.0
 """Time for which an operation of another node is retried; that node retries it as well."""
 ENGINES_SECONDS = 0.05
@@ -119,10 +125,17 @@
             default.
     """
 
-    def __init__(self, own_address: Address) -> None:
-        """Create a client that receives answers at ``own_address``."""
+    def __init__(self, own_address: Address, *, searches_at_start: bool = False) -> None:
+        """Create a client that receives answers at ``own_address``.
+
+        With ``searches_at_start`` it looks for the leader before the first operation, so that the
+        connections both ways are there when one comes.
+        """
         self._own_address = own_address
         self._search = LeaderSearch(own_address)
+        self._searches_at_start = searches_at_start
+        self._start_search_until: float | None = None
+        self._next_start_query = float("-inf")
         self._response_times = ResponseTimeEstimator()
         self._next_peer = 0
         self._pending: dict[int, _PendingOperation] = {}
@@ -225,6 +238,8 @@
             dues.append(max(query_at, self._search.next_query_at()))
             if not self._is_unreachable:
                 dues.append(silent_since + self._response_times.timeout)
+        if self._is_searching_at_start():
+            dues.append(self._next_start_query)
         report_due = self.turns.report_due()
         if report_due is not None and self._search.leader is not None:
             dues.append(report_due)
@@ -242,10 +257,27 @@
             elif now >= pending.retry_at:
                 effects.extend(self._retry(number, pending, now))
         effects.extend(self._check_leader(now))
+        effects.extend(self._search_at_start(now))
         effects.extend(self._send_turn_report(now))
         effects.extend(self._report_counts(now))
         return effects
 
+    def _is_searching_at_start(self) -> bool:
+        return self._searches_at_start and self._search.has_storage
+
+    def _search_at_start(self, now: float) -> list[SendPeer]:
+        """Query replicas until the leader itself has answered, or for a bounded time."""
+        if not self._is_searching_at_start() or now < self._next_start_query:
+            return []
+        if self._start_search_until is None:
+            self._start_search_until = now + START_SEARCH_SECONDS
+        has_heard_leader = self._search.heard_at > float("-inf")
+        if has_heard_leader or now >= self._start_search_until:
+            self._searches_at_start = False
+            return []
+        self._next_start_query = now + START_QUERY_SECONDS
+        return self._search.send_queries(now)
+
     def _silent_since(self) -> float | None:
         """Return since when operations wait without an answer of the leader; None if none wait."""
         if not self._pending:
--- a/src/yokeline/ledger/leader_search.py
+++ b/src/yokeline/ledger/leader_search.py
@@ -43,6 +43,11 @@
         """Set the known storage replicas."""
         self._storage = storage
 
+    @property
+    def has_storage(self) -> bool:
+        """Whether any storage replica is known."""
+        return bool(self._storage)
+
     def update_leader(self, leader: LeaderHint, term: int) -> bool:
         """Set the leader of a term, unless a later term is known; return whether it changed."""
         if term < self.term:
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -154,7 +154,7 @@
         zone=settings.zone,
     )
     engines = EngineTable(settings.name)
-    ledger = LedgerClient(settings.peer_address)
+    ledger = LedgerClient(settings.peer_address, searches_at_start=not settings.first_start)
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -170,10 +170,10 @@
 class EdgeClient:
     """The ledger client of a forwarding node."""
 
-    def __init__(self, name: str, address: Address) -> None:
+    def __init__(self, name: str, address: Address, *, searches_at_start: bool = False) -> None:
         self.process = ReplicaId(name)
         self.address = address
-        self.client = LedgerClient(address)
+        self.client = LedgerClient(address, searches_at_start=searches_at_start)
         self.region = ""
 
 
@@ -348,9 +348,10 @@
         self.run_until(lambda: bool(answers), limit + 1)
         return answers[0] if answers else None
 
-    def add_edge(self, name: str) -> EdgeClient:
+    def add_edge(self, name: str, *, searches_at_start: bool = False) -> EdgeClient:
         """Add a forwarding node's client that knows the machines running now."""
-        edge = EdgeClient(name, Address(f"10.0.9.{len(self.edges) + 10}", 1))
+        address = Address(f"10.0.9.{len(self.edges) + 10}", 1)
+        edge = EdgeClient(name, address, searches_at_start=searches_at_start)
         edge.client.set_storage(
             {item.replica: item.address for item in self.machines if item.node is not None}
         )
--- a/tests/unit/ledger/test_return.py
+++ b/tests/unit/ledger/test_return.py
@@ -10,6 +10,7 @@
 from yokeline.consensus.types import HardState
 from yokeline.effects import Address
 from yokeline.identifiers import ReplicaId
+from yokeline.ledger.client import START_QUERY_SECONDS, START_SEARCH_SECONDS, LedgerClient
 from yokeline.ledger.disk_records import (
     HardStateRecord,
     IdentityRecord,
@@ -123,6 +124,31 @@
             self.assertIsNotNone(cluster.ask(lookup("t1"), 2.0))
             self.assertLess(cluster.now - before, 0.2, f"seed {seed}")
 
+    def test_a_node_that_restarts_knows_the_leader_before_its_first_turn(self) -> None:
+        """The first turn waited for the round trips of the search, and for new connections."""
+        for seed in range(4):
+            cluster = three_regions(seed)
+            edge = cluster.add_edge("edge-b~2", searches_at_start=True)
+            edge.region = "B"
+            frames = cluster.frames
+            cluster.run(0.15)
+            self.assertIsNotNone(edge.client.leader, f"seed {seed}")
+            cluster.run(1.0)
+            self.assertGreater(edge.client._search.heard_at, 0.0)
+            self.assertIsNone(edge.client.next_deadline(), "the search goes on")
+            self.assertGreater(cluster.frames, frames)
+
+    def test_the_search_at_the_start_ends_without_a_leader(self) -> None:
+        """Each query wakes a storage node, and all nodes may restart together."""
+        cluster = three_regions(1)
+        client = LedgerClient(Address("10.0.9.1", 1), searches_at_start=True)
+        client.set_storage({item.replica: item.address for item in cluster.machines})
+        rounds = 0
+        for step in range(1000):
+            rounds += bool(client.tick(step * 0.01))
+        self.assertLessEqual(rounds, START_SEARCH_SECONDS / START_QUERY_SECONDS + 1)
+        self.assertIsNone(client.next_deadline())
+
     def restart_within(self, cluster: Cluster, machines: list[Machine], seconds: float) -> None:
         for machine in machines:
             delay = seconds * cluster.random.random()
