Spread the return of callers refused without the ledger, begun programs first

All callers refused because the ledger did not answer were told 0.2 s, so that they came back together to a ledger that had just returned. They are told the delays of an outage now: by lot, and earlier for programs that have begun.

These delays were cut off at a third of the caller's time left, below which both kinds got the same interval. They shrink alike now.

--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -13,12 +13,9 @@
 from yokeline.forwarding.exchange import Exchange, HistorySource, Phase
 from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.outage_delays import delay_after_outage
 from yokeline.forwarding.responder import Responder
-from yokeline.forwarding.tenant_limits import (
-    LEDGER_RETRY_AFTER_SECONDS,
-    LEDGER_TIMEOUT_SECONDS,
-    TenantLimits,
-)
+from yokeline.forwarding.tenant_limits import LEDGER_TIMEOUT_SECONDS, TenantLimits
 from yokeline.forwarding.turn_cache import TurnCache
 from yokeline.forwarding.turn_operations import reservation_of
 from yokeline.ledger.client import LedgerClient
@@ -149,7 +146,7 @@
                 exchange,
                 UNAVAILABLE,
                 "ledger_unavailable",
-                retry_after=LEDGER_RETRY_AFTER_SECONDS,
+                retry_after=delay_after_outage(exchange, self._state.now),
             )
 
     def _ask_again(self, exchange: Exchange, operation: Operation | None) -> None:
--- a/src/yokeline/forwarding/tenant_limits.py
+++ b/src/yokeline/forwarding/tenant_limits.py
@@ -15,6 +15,7 @@
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.http_statuses import TOO_MANY_REQUESTS, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.outage_delays import delay_after_outage
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.tenants import Tenant
 from yokeline.ledger.client import LedgerClient
@@ -24,8 +25,6 @@
 LEDGER_TIMEOUT_SECONDS = 2.0
 """Longest wait for the ledger's answer, after which the request is refused; longer than a change of
 the leader, which takes less than a second."""
-LEDGER_RETRY_AFTER_SECONDS = 0.2
-"""Time after which callers may retry if the ledger does not answer."""
 USED_TOLERANCE_SHARE = 0.8
 """Share of the tolerance that the bucket may use. The rest covers requests that run again at
 another engine with the bucket empty: they are counted but not refused."""
@@ -195,7 +194,7 @@
                 exchange,
                 UNAVAILABLE,
                 "ledger_unavailable",
-                retry_after=LEDGER_RETRY_AFTER_SECONDS,
+                retry_after=delay_after_outage(exchange, self._state.now),
             )
 
     def _refuse(self, exchange: Exchange, retry_after: float) -> None:
--- a/src/yokeline/scheduling/retry_delays.py
+++ b/src/yokeline/scheduling/retry_delays.py
@@ -63,9 +63,16 @@
 
 
 def retry_delay_after_outage(caller: RefusedCaller) -> float:
-    """Return the retry delay in seconds from a node that is temporarily unable to serve."""
+    """Return the retry delay in seconds from a node that is temporarily unable to serve.
+
+    With little time left all delays shrink alike, so that programs that have begun still return
+    before others.
+    """
     earliest = BEGUN_OUTAGE_DELAY_SECONDS if caller.has_begun else OUTAGE_DELAY_SECONDS
-    return _with_jitter(caller, earliest, OUTAGE_JITTER)
+    latest = OUTAGE_DELAY_SECONDS * (1.0 + OUTAGE_JITTER)
+    honoured = max(0.0, HONOURED_SHARE * caller.time_left)
+    delay = earliest * (1.0 + OUTAGE_JITTER * _hash_fraction(caller.request_id))
+    return delay * min(1.0, honoured / latest)
 
 
 def retry_delay_after_limit(request_id: str, seconds: float) -> float:
--- a/tests/unit/forwarding/test_forwarder.py
+++ b/tests/unit/forwarding/test_forwarder.py
@@ -264,6 +264,21 @@
         self.assertEqual((played.replies[-1].status, played.sent), (503, []))
         self.assertEqual(played.operations()[-1], Settle(request_id=name, program="p", tokens=0))
 
+    def test_callers_refused_without_the_ledger_return_spread_and_begun_programs_first(
+        self,
+    ) -> None:
+        """All were told 0.2 s, and came back together to a ledger that had just returned."""
+        played = Played()
+        for number in range(8):
+            played.turn(program_id=f"new{number}")
+            played.turn(program_id=f"old{number}", token_usage="100,50", previous_turn="t1")
+        played.wait(LEDGER_TIMEOUT_SECONDS + 0.1)
+        told = [float(reply.headers["retry-after"]) for reply in played.replies]
+        self.assertEqual(len(told), 16)
+        self.assertGreater(len(set(told)), 8)
+        self.assertLess(min(told[1::2]), min(told[::2]))
+        self.assertLess(sum(told[1::2]), sum(told[::2]))
+
     def test_a_turn_refused_for_want_of_an_engine_does_not_count(self) -> None:
         played = Played(engines_per_pool=0)
         name = played.turn()
--- a/tests/unit/scheduling/test_return_times.py
+++ b/tests/unit/scheduling/test_return_times.py
@@ -58,3 +58,19 @@
         begun = [retry_delay_after_outage(item) for item in callers(has_begun=True)]
         self.assertLess(largest_cluster(first), 0.2)
         self.assertLess(sum(begun) / len(begun), min(first) + 0.05)
+
+    def test_with_little_time_left_begun_programs_still_return_first(self) -> None:
+        """Both kinds were told the same times once a third of their time was below 0.3 s."""
+        for time_left in (0.3, 0.9, 1.5):
+
+            def told(has_begun: bool, left: float = time_left) -> list[float]:
+                return [
+                    retry_delay_after_outage(
+                        RefusedCaller(request_id=f"r{number}", has_begun=has_begun, time_left=left)
+                    )
+                    for number in range(50)
+                ]
+
+            first, begun = told(False), told(True)
+            self.assertLess(sum(begun) / len(begun), min(first) + 0.05 * time_left)
+            self.assertLessEqual(max(first), time_left / 3)
