Ask all storage replicas at once when a forwarding node restarts

All nodes asked the same first three replicas by name, three more each 30 ms, over connections that were new; and the leader connected to a node with its first result only, a round trip of 24 ms after the commit.

The first round of a restarted node asks up to 16 replicas, so that one of its region answers within a few ms and the connections are open. A leader that it learns of is sent a query before the operations that wait, so that it connects while they are committed.

--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -51,8 +51,8 @@
 """Time after its start in which a node that restarts looks for the leader without being asked to;
 about the time in which all storage nodes are back after a loss of power."""
 START_QUERY_SECONDS = 0.1
-"""Time between two rounds of queries of that search. All nodes may restart together, so it is
-slower than a search for which operations wait."""
+"""Time between two rounds of queries of that search. All nodes may restart together and each round
+asks all replicas, so it is slower than a search for which operations wait."""
 RELAY_TIMEOUT_SECONDS = 1.0
 """Time for which an operation of another node is retried; that node retries it as well."""
 ENGINES_SECONDS = 0.05
@@ -276,7 +276,7 @@
             self._searches_at_start = False
             return []
         self._next_start_query = now + START_QUERY_SECONDS
-        return self._search.send_queries(now)
+        return self._search.query_all()
 
     def _silent_since(self) -> float | None:
         """Return since when operations wait without an answer of the leader; None if none wait."""
@@ -452,6 +452,9 @@
             "under_way": len(self._pending),
         }
         effects: list[Effect] = [LogRecord(event="ledger_leader_known", fields=fields)]
+        if self._searches_at_start and self._search.heard_at == float("-inf"):
+            # The leader connects to this node now, and not only when an entry is committed.
+            effects.extend(self._search.query_leader())
         for number, pending in self._pending.items():
             self.counts.repetitions["new_leader"] += pending.sent_to is not None
             pending.attempts = 0
--- a/src/yokeline/ledger/leader_search.py
+++ b/src/yokeline/ledger/leader_search.py
@@ -16,6 +16,8 @@
 timeout."""
 NO_LEADER_QUERY_SECONDS = 0.03
 """Time between two rounds of queries while no leader is known."""
+MAX_REPLICAS_AT_START = 16
+"""Replicas queried at once by a node that restarts; more than most deployments have."""
 REPLICAS_PER_QUERY = 3
 """Replicas queried in one round, besides the known leader; successive rounds cover all replicas."""
 
@@ -89,6 +91,26 @@
             SendPeer(to=item.replica, address=item.address, message=query) for item in recipients
         ]
 
+    def query_all(self) -> list[SendPeer]:
+        """Query the replicas at once; one in the region of this node answers first.
+
+        The queries also open the connections both ways, to the leader among them.
+        """
+        query = LeaderQuery(asker=self._own_address)
+        replicas = sorted(self._storage)[:MAX_REPLICAS_AT_START]
+        return [
+            SendPeer(to=replica, address=self._storage[replica], message=query)
+            for replica in replicas
+        ]
+
+    def query_leader(self) -> list[SendPeer]:
+        """Query the known leader, which opens its connection to this node for the answer."""
+        leader = self.leader
+        if leader is None:
+            return []
+        query = LeaderQuery(asker=self._own_address)
+        return [SendPeer(to=leader.replica, address=leader.address, message=query)]
+
     def _candidates(self) -> list[LeaderHint]:
         """Return the next replicas in rotation, without the known leader."""
         leader = self.leader.replica if self.leader is not None else None
--- a/tests/unit/ledger/test_return.py
+++ b/tests/unit/ledger/test_return.py
@@ -8,7 +8,7 @@
 from tests.unit.ledger.cluster import Cluster, Machine
 from tests.unit.ledger.test_storage_nodes import StorageCase, lookup, turn
 from yokeline.consensus.types import HardState
-from yokeline.effects import Address
+from yokeline.effects import Address, SendPeer
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import START_QUERY_SECONDS, START_SEARCH_SECONDS, LedgerClient
 from yokeline.ledger.disk_records import (
@@ -17,6 +17,7 @@
     encode_record,
     recover,
 )
+from yokeline.ledger.messages import LeaderAnswer, LeaderHint, LeaderQuery, LedgerRequest
 from yokeline.ledger.replica import COMMIT_SAVE_ENTRIES, LedgerReplica
 
 REGIONS = "AABBCCAABC"
@@ -138,6 +139,31 @@
             self.assertIsNone(edge.client.next_deadline(), "the search goes on")
             self.assertGreater(cluster.frames, frames)
 
+    def test_a_node_that_restarts_asks_the_replicas_of_its_region_in_the_first_round(self) -> None:
+        """All nodes asked the first three replicas by name, which may all be in another region."""
+        cluster = three_regions(1)
+        for region in "ABC":
+            edge = cluster.add_edge(f"edge-{region}~2", searches_at_start=True)
+            edge.region = region
+        cluster.run(0.01 + 0.01)
+        for region in "ABC":
+            client = cluster.edges[ReplicaId(f"edge-{region}~2")].client
+            self.assertIsNotNone(client.leader, region)
+
+    def test_a_leader_that_was_just_found_is_sent_a_query_before_operations(self) -> None:
+        """It connected to the node with its first result only, one round trip after the commit."""
+        for restarts in (True, False):
+            client = LedgerClient(Address("10.0.9.1", 1), searches_at_start=restarts)
+            replicas = {ReplicaId(f"s{n}~1"): Address(f"10.0.0.{n}", 1) for n in range(3)}
+            client.set_storage(replicas)
+            client.ask(lookup("t1"), lambda result, now: [], 0.0, 5.0)
+            client.tick(0.0)
+            leader = LeaderHint(ReplicaId("s1~1"), replicas[ReplicaId("s1~1")])
+            answer = LeaderAnswer(term=3, leader=leader)
+            effects = client.take_leader(ReplicaId("s0~1"), answer, 0.02)
+            sent = [type(item.message) for item in effects if isinstance(item, SendPeer)]
+            self.assertEqual(sent, [LeaderQuery] * restarts + [LedgerRequest])
+
     def test_the_search_at_the_start_ends_without_a_leader(self) -> None:
         """Each query wakes a storage node, and all nodes may restart together."""
         cluster = three_regions(1)
