Repeat an election without a winner soon after a restart

When three of five members restart together, two of them may win the pre-vote and split the votes. All then waited for a silence of 0.3 to 0.6 s, although no leader had been heard since the restart. Until one is heard, the timeout is three prompt pauses (0.12 s) and a random share of up to the same again. The first heartbeat restores the usual one.

--- a/src/yokeline/consensus/election.py
+++ b/src/yokeline/consensus/election.py
@@ -18,6 +18,10 @@
 PROMPT_JITTER = 0.5
 """Share of the pause after a restart that is left out by lot, so that votes are not split."""
 
+PROMPT_TIMEOUT_RETRIES = 3
+"""Prompt pauses after which an election is held again if no leader was heard since the restart; a
+random share of up to the same again is added. At 40 ms it is five round trips of 24 ms."""
+
 IDLE_SILENCE_HEARTBEATS = 3
 """Idle heartbeats a leader may miss while its node is alive."""
 
@@ -32,12 +36,13 @@
 
     __slots__ = (
         "_heard_at",
+        "_is_shortened",
         "_node_alive_at",
         "_prompt_until",
         "_source",
         "_stand_at",
         "_started_at",
-        "_timeout",
+        "_timeout_factor",
     )
 
     def __init__(self, source: random.Random, now: float) -> None:
@@ -46,7 +51,8 @@
         self._heard_at = -math.inf
         self._node_alive_at = -math.inf
         self._started_at = now
-        self._timeout = 0.0
+        self._timeout_factor = 0.0
+        self._is_shortened = False
         self._stand_at: float | None = None
         self._prompt_until = -math.inf
 
@@ -65,9 +71,14 @@
         self._stand_at = now + pause
 
     def restart(self, settings: RaftSettings, now: float) -> None:
-        """Start a fresh random timeout; what was heard of a leader still binds."""
+        """Start a fresh random timeout; what was heard of a leader still binds.
+
+        It is shortened while no leader has been heard since a restart: after an election without a
+        winner nobody leads, and there is nobody to wait for.
+        """
         self._started_at = now
-        self._timeout = settings.election_timeout_seconds * (1.0 + self._source.random())
+        self._timeout_factor = 1.0 + self._source.random()
+        self._is_shortened = self.is_prompt(now)
         self._stand_at = None
 
     def heard(self, now: float) -> None:
@@ -76,6 +87,7 @@
         self._node_alive_at = max(self._node_alive_at, now)
         self._stand_at = None
         self._prompt_until = -math.inf
+        self._is_shortened = False
 
     def node_alive(self, now: float) -> None:
         """Note a sign of life of the leader's node."""
@@ -109,17 +121,18 @@
         """
         if self._stand_at is not None:
             return self._stand_at
-        base = max(self._started_at, self._heard_at) + self._timeout
+        timeout = self._timeout(settings)
+        base = max(self._started_at, self._heard_at) + timeout
         if not leader_known:
             return base
-        postponed = self._node_alive_at + self._timeout
-        return max(base, min(postponed, self._silence_limit(settings) + self._timeout))
+        postponed = self._node_alive_at + timeout
+        return max(base, min(postponed, self._silence_limit(settings) + timeout))
 
-    def pre_vote_deadline(self) -> float:
+    def pre_vote_deadline(self, settings: RaftSettings) -> float:
         """Return when a pre-vote without majority is repeated."""
         if self._stand_at is not None:
             return self._stand_at
-        return self._started_at + PRE_VOTE_RETRY * self._timeout
+        return self._started_at + PRE_VOTE_RETRY * self._timeout(settings)
 
     def refuses_votes(self, settings: RaftSettings, now: float, *, leader_known: bool) -> bool:
         """Return whether a vote is refused because the leader seems to live."""
@@ -131,6 +144,13 @@
         limit = min(self._node_alive_at + timeout, self._silence_limit(settings))
         return now < limit
 
+    def _timeout(self, settings: RaftSettings) -> float:
+        """Return the random timeout that is in force."""
+        timeout = settings.election_timeout_seconds
+        if self._is_shortened:
+            timeout = min(timeout, PROMPT_TIMEOUT_RETRIES * settings.prompt_retry_seconds)
+        return timeout * self._timeout_factor
+
     def _silence_limit(self, settings: RaftSettings) -> float:
         return self._heard_at + IDLE_SILENCE_HEARTBEATS * settings.idle_heartbeat_seconds
 
--- a/src/yokeline/consensus/voting.py
+++ b/src/yokeline/consensus/voting.py
@@ -74,7 +74,7 @@
         if state.members == (state.replica,):
             return self._timer.lone_deadline(state.settings)
         if state.role is RaftRole.PRE_CANDIDATE:
-            return self._timer.pre_vote_deadline()
+            return self._timer.pre_vote_deadline(state.settings)
         return self._timer.deadline(state.settings, leader_known=self._leader_is_member())
 
     def on_timeout_now(self, message: TimeoutNow, now: float) -> None:
--- a/tests/unit/ledger/test_return.py
+++ b/tests/unit/ledger/test_return.py
@@ -175,6 +175,44 @@
         self.assertLessEqual(rounds, START_SEARCH_SECONDS / START_QUERY_SECONDS + 1)
         self.assertIsNone(client.next_deadline())
 
+    def test_an_election_without_a_winner_is_repeated_soon(self) -> None:
+        """Three members that start together may split their votes, before the others are up.
+
+        All then waited for a silence of 0.3 to 0.6 s, though no leader had been heard.
+        """
+        for between_regions_seconds in (0.0, BETWEEN_REGIONS_SECONDS):
+            for seed in range(40):
+                cluster = Cluster(5, seed)
+                cluster.run_until(cluster.all_members, 10.0)
+                cluster.between_regions_seconds = between_regions_seconds
+                for machine, region in zip(cluster.machines, "ABCAB", strict=True):
+                    machine.region = region
+                    cluster.power_off(machine)
+                cluster.run(1.1)
+                self.restart_within(cluster, cluster.machines[:3], 0.03)
+                cluster.at(cluster.now + 0.03, lambda c=cluster: c.start(c.machines[3]))
+                cluster.at(cluster.now + 0.05, lambda c=cluster: c.start(c.machines[4]))
+                led = cluster.run_until(lambda c=cluster: c.leader() is not None, 0.25)
+                self.assertTrue(led, f"seed {seed}, {between_regions_seconds} s")
+
+    def test_a_restarted_follower_waits_as_long_as_others_once_it_has_heard_a_leader(self) -> None:
+        """The short timeout after a restart would be below the jitter of heartbeats."""
+        for seed in range(5):
+            cluster = self.cluster(3, seed)
+            leader = self.leader(cluster)
+            follower = next(item for item in cluster.machines if item is not leader)
+            cluster.kill(follower)
+            cluster.run(0.2)
+            cluster.start(follower)
+            cluster.run(0.2)
+            assert follower.node is not None
+            silent_since = cluster.now
+            leader.frozen = True
+            group = follower.node.replica.group
+            cluster.run_until(lambda g=group: g.leader is None, 2.0)
+            # The last heartbeat came up to 0.1 s before.
+            self.assertGreaterEqual(cluster.now - silent_since, 0.3 - 0.11, f"seed {seed}")
+
     def restart_within(self, cluster: Cluster, machines: list[Machine], seconds: float) -> None:
         for machine in machines:
             delay = seconds * cluster.random.random()
