--- a/tests/unit/tools/test_reports.py
+++ b/tests/unit/tools/test_reports.py
@@ -172,6 +172,8 @@
         served = self.report(*answers).until_served()
         assert served is not None
         self.assertAlmostEqual(served, 1.7)
+        rows = {(role, phase): row for role, phase, *row in self.report(*answers).phases()}
+        self.assertAlmostEqual(rows["edge", "first turn arrived"][1], 1.6)
         self.assertIsNone(self.report(answers[0]).until_served())
 
     def test_what_requests_waited_for(self) -> None:
--- a/tools/return_report.py
+++ b/tools/return_report.py
@@ -7,13 +7,15 @@
 
 - the phases of the processes, by role: the median and the 99th percentile after time 0, with the
   number of processes that reached the phase;
-- for each step of 0.1 s, answered turns and the number of forwarding nodes that have answered one;
+- for each step of 0.1 s, the turns that arrived and were answered later, all answers, and the
+  number of forwarding nodes that have answered;
 - the requests that arrived or ended within the window: how they ended, and what they waited for.
 """
 
 from __future__ import annotations
 
 import argparse
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from pathlib import Path
@@ -91,6 +93,7 @@
         self._reached: dict[str, dict[str, float]] = defaultdict(dict)
         self._chosen: dict[str, Line] = {}
         self._answers: list[tuple[float, str]] = []
+        self._arrivals: Counter[int] = Counter()
         self.endings: Counter[str] = Counter()
         self.histories: Counter[str] = Counter()
         self.repetitions: Counter[str] = Counter()
@@ -163,6 +166,9 @@
         self.seconds.append(float(line["seconds"]))
         self._answers.append((after, line["on"]))
         if outcome == "streamed":
+            arrived = after - float(line["seconds"])
+            self._arrivals[_step_of(arrived)] += 1
+            self._reach(line["on"], "first turn arrived", arrived)
             self._reach(line["on"], "first turn answered", after)
 
     # ------------------------------------------------------------ results
@@ -201,16 +207,17 @@
         self._print_requests()
 
     def _print_steps(self) -> None:
-        print("\nafter   answers   nodes that have answered")
+        print("\nafter   turns arrived   answers   nodes that have answered")
         nodes: set[str] = set()
         counts: Counter[int] = Counter()
         known: dict[int, int] = {}
         for after, node in sorted(self._answers):
             nodes.add(node)
-            counts[int(after / STEP_SECONDS)] += 1
-            known[int(after / STEP_SECONDS)] = len(nodes)
+            counts[_step_of(after)] += 1
+            known[_step_of(after)] = len(nodes)
         for step, count in sorted(counts.items()):
-            print(f"{step * STEP_SECONDS:5.1f} {count:9} {known[step]:9}")
+            arrived = self._arrivals[step]
+            print(f"{step * STEP_SECONDS:5.1f} {arrived:15} {count:9} {known[step]:9}")
 
     def _print_requests(self) -> None:
         print("\nrequests that ended within the window")
@@ -232,6 +239,10 @@
                 print(f"{count:7} {name}")
 
 
+def _step_of(after: float) -> int:
+    return math.floor(after / STEP_SECONDS)
+
+
 def main() -> None:
     """Read a file and print the report of each restart."""
     parser = argparse.ArgumentParser(description=__doc__)
