Decode the records of all nodes once for each batch of changes

Each node record in a batch made a forwarding node decode all records and set its peers, zones and replicas again. The first list of a start has all of them: 14.5 ms of processor time with 77 nodes, 424 ms with 420 (a node with half a core takes twice that), while callers waited for the configuration.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -288,6 +288,9 @@
         """Apply one batch of registry changes; many removals in a batch count as an outage."""
         listed = len(self._registry.items(self._formats.engine_prefix))
         self._discovery.begin_batch(changed, listed, now)
+        if any(item.key.startswith(NODE_PREFIX) for item in changed):
+            # Once for all records of the batch: each time decodes every registered one.
+            self._apply_nodes()
         effects: list[Effect] = []
         for item in changed:
             effects.extend(self._apply_change(item, now))
@@ -299,7 +302,6 @@
         if self._discovery.owns(item):
             return self._discovery.apply_change(item, now)
         if item.key.startswith(NODE_PREFIX):
-            self._apply_nodes()
             return self._validate_node_record(item)
         return []
 
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -3,6 +3,7 @@
 import json
 import random
 import unittest
+from unittest import mock
 
 from tests.unit.forwarding.support import Played
 from tests.unit.registry.test_watch import ScriptedStore
@@ -30,7 +31,7 @@
 from yokeline.ledger.operations import Granted
 from yokeline.platform.documents import PlatformDocuments
 from yokeline.registry.client import RegistryClient
-from yokeline.registry.nodes import NodeRecord, NodeRole, encode_node, node_key
+from yokeline.registry.nodes import NodeRecord, NodeRole, encode_node, node_key, read_nodes
 from yokeline.registry.protocol import Page, StoredItem
 from yokeline.start_phases import StartPhases
 
@@ -105,6 +106,28 @@
         return [effect for effect in self.hand(event) if isinstance(effect, HttpRequest)]
 
 
+class FirstList(PlayedNode):
+    prefixes = ("",)
+
+    def test_the_records_of_all_nodes_are_decoded_once(self) -> None:
+        """Each record of the list decoded all of them: 0.4 s of processor time with 420 nodes."""
+        items: list[RegistryItem] = []
+        for number in range(50):
+            name = NodeName(f"edge-{number}")
+            address = Address(f"10.0.0.{number}", 1)
+            record = NodeRecord(
+                name=name, role=NodeRole.EDGE, replica=ReplicaId(f"{name}~1"), address=address
+            )
+            items.append(RegistryItem(node_key(name), encode_node(record), number + 1))
+        news = RegistryNews(revision=len(items), items=tuple(items))
+        with mock.patch(
+            "yokeline.forwarding.edge_node.read_nodes", side_effect=read_nodes
+        ) as decode:
+            self.hand(PeerMessage(sender=ReplicaId("edge-9~1"), message=news))
+        self.assertEqual(decode.call_count, 1)
+        self.assertEqual(len(self.node._load_reporter._peers), len(items) - 1)
+
+
 class Stops(PlayedNode):
     def test_it_is_not_ready_at_once_and_ends_when_it_was_quiet(self) -> None:
         self.assertTrue(self.node.ready)
