Test a healthy ledger over three regions under load on its links

Three nodes keep 20 turns of 12 KB a second each over links of 32 Mbit/s; no replica may stand for election.

--- a/tests/unit/ledger/test_return.py
+++ b/tests/unit/ledger/test_return.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import unittest
 
-from tests.unit.ledger.cluster import Cluster, Machine
+from tests.unit.ledger.cluster import Cluster, EdgeClient, Machine
 from tests.unit.ledger.test_storage_nodes import StorageCase, lookup, turn
 from yokeline.consensus.types import HardState
 from yokeline.effects import Address, SendPeer
@@ -110,6 +111,36 @@
             cluster.run(5.0)
             self.assertEqual(self.elections(cluster), 0, f"seed {seed}")
 
+    def test_a_healthy_group_under_load_on_its_links_holds_no_election(self) -> None:
+        """Heartbeats queue behind up to 128 KB of entries on a link of 32 Mbit/s."""
+        for seed in range(2):
+            cluster = three_regions(seed)
+            for machine in cluster.machines:
+                machine.link_bytes_per_second = 4_000_000.0
+            for region in "ABC":
+                edge = cluster.add_edge(f"edge-{region}~1")
+                edge.region = region
+                self.keep_turns(cluster, edge, every=0.05, size=12_000)
+            cluster.log.clear()
+            cluster.run(12.0)
+            leader = self.leader(cluster)
+            assert leader.node is not None
+            self.assertGreater(len(leader.node.replica.state().turns), 400)
+            self.assertEqual(self.elections(cluster), 0, f"seed {seed}")
+
+    def keep_turns(self, cluster: Cluster, edge: EdgeClient, *, every: float, size: int) -> None:
+        """Have a forwarding node keep a turn again and again."""
+        number = itertools.count()
+
+        def keep() -> None:
+            operation = turn(f"{edge.process}-{next(number)}", text=b"x" * size)
+            until = cluster.now + 5.0
+            effects = edge.client.ask(operation, lambda result, now: [], cluster.now, until)
+            cluster.carry_out_edge(edge.process, effects)
+            cluster.at(cluster.now + every, keep)
+
+        keep()
+
     def test_turns_are_granted_soon_after_all_machines_return(self) -> None:
         """From the return of the processes to the first grant of a node in each region."""
         for seed in range(20):
