--- a/src/yokeline/forwarding/capacity_view.py
+++ b/src/yokeline/forwarding/capacity_view.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from yokeline.forwarding.engines import EngineTable
-from yokeline.forwarding.placement import Placement
+from yokeline.forwarding.placement import Placement, whole_slots
 from yokeline.scheduling.room_waits import PoolRoom
 
 MAX_VIEW_AGE_SECONDS = 0.05
@@ -72,14 +72,22 @@
             self._views[pool] = view
         return view
 
+    def clear(self) -> None:
+        """Drop the views, since the usable engines have changed."""
+        self._views.clear()
+
     def _take_view(self, pool: str, now: float) -> CapacityView:
         engines = [
             (state, usable)
             for state in self._engines.in_pool(pool, now)
             if (usable := self._placement.usable_slots(state, now)) > 0
         ]
-        slots = int(sum(usable for _, usable in engines))
-        held = sum(state.load for state, _ in engines)
+        slots = whole_slots(usable for _, usable in engines)
+        # Load beyond the slots shows that an engine bears it, but not that a cold engine does.
+        held = sum(
+            state.load if usable >= state.engine.slots else min(state.load, int(usable))
+            for state, usable in engines
+        )
         least_excess = min((state.load - state.engine.slots for state, _ in engines), default=0)
         waiting = self._engines.waiting_elsewhere(pool, now)
         return CapacityView(
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -26,9 +27,11 @@
     StopListening,
     StopRequested,
 )
+from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
 from yokeline.forwarding.configuration_lease import ConfigurationLease, LeaseState
 from yokeline.forwarding.engine_discovery import EngineDiscovery
 from yokeline.forwarding.engines import EngineTable
+from yokeline.forwarding.evacuations import EvacuationEnd, Evacuations
 from yokeline.forwarding.forwarder import Forwarder
 from yokeline.forwarding.load_reporting import LoadReporter, NodeStatus
 from yokeline.forwarding.registry_sync import RegistrySync
@@ -60,6 +63,9 @@
     read_nodes,
 )
 from yokeline.registry.protocol import StoredItem
+from yokeline.registry.watch import WATCH_SECONDS
+from yokeline.scheduling.cold_engines import ColdEngineRates
+from yokeline.scheduling.topology import Distance
 from yokeline.start_phases import StartPhases
 
 CLOSE_CONNECTIONS_AFTER_SECONDS = 2.2
@@ -76,6 +82,9 @@
 EXIT_MARGIN_SECONDS = 0.5
 """Time before the end of the grace period at which the process exits in any case."""
 
+EVACUATED_REASON = "evacuated"
+"""Why an engine counts as cold after the evacuation of its zone."""
+
 
 class EdgeNode:
     """A forwarding node, without I/O."""
@@ -96,13 +105,21 @@
         engine_drain_seconds: float,
         phases: StartPhases,
         now: float,
+        cold_engines: ColdEngineTracker | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
-        """Create the service; other nodes reach it under the id ``process``."""
+        """Create the service; other nodes reach it under the id ``process``.
+
+        Without ``evacuations`` it ignores evacuation orders.
+        """
         self.forwarder = forwarder
         self.phases = phases
         self.ledger = ledger
         self.histories = histories
         self.lease = lease
+        self.evacuations = evacuations
+        if evacuations is not None:
+            evacuations.on_ended = self._mark_returned_engines_cold
         forwarder.lease_state = lease.state
         forwarder.proof_age = lease.age
         self._record = record
@@ -110,7 +127,11 @@
         self._formats = formats
         self._engines = engines
         self._grace_seconds = grace_seconds
-        self._discovery = EngineDiscovery(formats, engines, forwarder, engine_drain_seconds, now)
+        self.cold_engines = cold_engines or _unbounded_engines(record)
+        self.cold_engines.rates.view_age = lambda at: self._registry_sync.age(at)
+        self._discovery = EngineDiscovery(
+            formats, engines, forwarder, engine_drain_seconds, now, self.cold_engines
+        )
         self._load_reporter = LoadReporter(record, process, engines, now)
         self._registry_sync = RegistrySync(record, registry, self._load_reporter, now)
         ledger.engines_told = engines.apply_leader_report
@@ -146,16 +167,23 @@
         """Return the age of the proof of the configuration (seconds); infinite without a proof."""
         return self.lease.age(self._now)
 
+    def cold_count(self) -> int:
+        """Return the number of engines that count as cold."""
+        return self.cold_engines.rates.cold_count(self._now)
+
     # ------------------------------------------------------------ service
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Handle an event and return effects."""
         self._now = now
+        max_change_age = self._max_change_age()
         is_registry_event, changed, effects = self._registry.take(event, now)
         effects = list(effects)
-        effects.extend(self._apply_changes(changed, now))
+        effects.extend(self._apply_changes(changed, now, max_change_age))
         if not is_registry_event:
+            effects.extend(self.cold_engines.observe_event(event, now))
             effects.extend(self._handle_event(event, now))
+        effects.extend(self.cold_engines.tick(now))
         self._registry_sync.update_role(now)
         effects.extend(self._registry.tick(now))
         effects.extend(self._renew_lease(now))
@@ -177,8 +205,16 @@
         )
         effects.extend(self._continue_stop(now))
         effects.extend(self._log_start_phases(now))
+        if self.cold_engines.is_active:
+            find = self.forwarder.sent_request
+            records = self.cold_engines.observe_effects(event, effects, find, self._is_suspect, now)
+            effects.extend(records)
         return effects
 
+    def _is_suspect(self, engine_id: str) -> bool:
+        state = self._engines.get(engine_id)
+        return state is not None and self._now < state.suspect_until
+
     def _renew_lease(self, now: float) -> list[Effect]:
         due = self.lease.next_deadline()
         if due is None or now < due:
@@ -210,6 +246,7 @@
             self._load_reporter.next_deadline(),
             self._engines.next_expiry(),
             self.lease.next_deadline(),
+            self.cold_engines.next_deadline(),
         ]
         return min(due for due in dues if due is not None)
 
@@ -250,7 +287,8 @@
             return self._apply_proven_item(self.lease.handle_proof(message), now)
         if isinstance(message, RegistryNews):
             changed, effects = self._registry_sync.apply_news(event.sender, message, now)
-            return [*effects, *self._apply_changes(changed, now)]
+            max_change_age = self._max_change_age()
+            return [*effects, *self._apply_changes(changed, now, max_change_age)]
         return []
 
     def _relay_ledger_request(
@@ -284,23 +322,49 @@
 
     # ------------------------------------------------------------ registry changes
 
-    def _apply_changes(self, changed: list[StoredItem], now: float) -> list[Effect]:
-        """Apply one batch of registry changes; many removals in a batch count as an outage."""
+    def _max_change_age(self) -> float:
+        """Return the greatest age of a change that arrives now (seconds).
+
+        The change is later than the last confirmation of the registry's contents. A node that
+        follows others had it from a watcher, whose watch request may have lasted its full time.
+        """
+        if self.evacuations is None or not self.evacuations.zones.is_enabled:
+            return math.inf
+        own_seconds = self.registry_age()
+        return own_seconds if self._registry_sync.reads_service else own_seconds + WATCH_SECONDS
+
+    def _apply_changes(
+        self, changed: list[StoredItem], now: float, max_change_age: float
+    ) -> list[Effect]:
+        """Apply one batch of registry changes; many removals in a batch count as an outage.
+
+        ``max_change_age`` is the greatest age that the changes can have.
+        """
         listed = len(self._registry.items(self._formats.engine_prefix))
         self._discovery.begin_batch(changed, listed, now)
+        if self._registry.complete:
+            own_record = self._registry.item(node_key(self._record.name))
+            self.cold_engines.begin_batch(own_record_found=own_record is not None)
         if any(item.key.startswith(NODE_PREFIX) for item in changed):
             # Once for all records of the batch: each time decodes every registered one.
             self._apply_nodes()
         effects: list[Effect] = []
         for item in changed:
-            effects.extend(self._apply_change(item, now))
+            effects.extend(self._apply_change(item, now, max_change_age))
         return effects
 
-    def _apply_change(self, item: StoredItem, now: float) -> list[Effect]:
+    def _mark_returned_engines_cold(self, end: EvacuationEnd) -> list[Effect]:
+        """Count the engines of a zone as cold after its evacuation; their entries may be older."""
+        return [*self.cold_engines.mark_cold(end.engine_ids, EVACUATED_REASON, end.ended_at)]
+
+    def _apply_change(self, item: StoredItem, now: float, max_change_age: float) -> list[Effect]:
         if item.key == self._formats.configuration_key:
             return self._apply_configuration(item, now)
         if self._discovery.owns(item):
             return self._discovery.apply_change(item, now)
+        if self.evacuations is not None and self.evacuations.owns(item):
+            self.forwarder.forget_capacity()
+            return self.evacuations.apply_change(item, now, max_change_age)
         if item.key.startswith(NODE_PREFIX):
             return self._validate_node_record(item)
         return []
@@ -346,6 +410,7 @@
         self.forwarder.table = table
         limits = table.limits
         return [
+            *self.cold_engines.set_pools(table.pools, now),
             LogRecord(
                 event="configuration_applied",
                 fields={
@@ -367,14 +432,21 @@
         records = read_nodes(self._registry.items(NODE_PREFIX).values())
         storage = [record for record in records if record.role is NodeRole.STORAGE]
         self.ledger.set_storage({record.replica: record.address for record in storage})
-        own_zone = self._record.zone
-        self.histories.set_replicas(
-            [NearReplica(item.replica, item.address, item.zone == own_zone) for item in storage]
-        )
+        self.histories.set_replicas([self._near_replica(record) for record in storage])
         edges = [record for record in records if record.role is NodeRole.EDGE]
         self._load_reporter.set_nodes(edges, self._now)
+        self.cold_engines.rates.set_nodes([record.name for record in edges], self._now)
         self._registry_sync.nodes_changed(self._now)
 
+    def _near_replica(self, record: NodeRecord) -> NearReplica:
+        distance = self._engines.topology.distance(record.zone)
+        return NearReplica(
+            record.replica,
+            record.address,
+            is_near=record.zone == self._record.zone,
+            is_in_region=distance is not Distance.OTHER_REGION,
+        )
+
     # ------------------------------------------------------------ planned stops
 
     def _begin_stop(self, now: float) -> list[Effect]:
@@ -411,3 +483,8 @@
             "seconds": round(elapsed, 2),
         }
         return [LogRecord(event="stopped", fields=fields), Exit()]
+
+
+def _unbounded_engines(record: NodeRecord) -> ColdEngineTracker:
+    """Return a tracker whose rates restrict no request, since no forwarder asks them."""
+    return ColdEngineTracker(ColdEngineRates(record.name, 1.0, 0.0, 0.0))
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -64,7 +64,7 @@
 from yokeline.forwarding.turn_cache import TurnCache
 from yokeline.forwarding.turn_operations import needs_ledger
 from yokeline.histogram import Histogram
-from yokeline.identifiers import ExchangeId
+from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
 from yokeline.registry.watch import WATCH_SECONDS
@@ -219,10 +219,21 @@
         """Return the gauges of the engines whose pace deviates most from their pool's."""
         return pace_gauges(self._state.engines, self._state.now)
 
+    def sent_request(self, request: RequestId) -> tuple[str, float] | None:
+        """Return the engine that has a request, and when it was sent; None if none has it."""
+        exchange = self._state.by_engine_request.get(request)
+        if exchange is None or exchange.engine is None:
+            return None
+        return exchange.engine.engine.engine_id, exchange.sent_at
+
     def forget_engine(self, engine_id: str) -> None:
         """Remove what was estimated of a removed engine's cache and pace."""
         self._state.placement.forget_engine(engine_id)
 
+    def forget_capacity(self) -> None:
+        """Compute the capacity of the pools anew, since the usable engines have changed."""
+        self._dispatcher.forget_capacity()
+
     def engine_restarted(self, engine_id: str, now: float) -> int:
         """Handle the restart of an engine; return how many of its requests were aborted.
 
@@ -409,6 +420,8 @@
 
     def _begin(self, exchange: Exchange) -> None:
         """Start the first step that a request needs: tenant limit, reservation or dispatch."""
+        if self._dispatcher.refuse_without_eligible_engine(exchange):
+            return
         if not self._tenant_limits.may_ask(exchange, self._begin):
             return
         if needs_ledger(exchange):
@@ -466,6 +479,10 @@
         if self._dialect.was_not_executed(response):
             self._retries.handle_rejection(exchange, response)
             return
+        if response.connect_seconds and exchange.engine is not None:
+            self._state.engines.topology.record_connect(
+                exchange.engine.engine.zone, response.connect_seconds, self._state.now
+            )
         exchange.possible_runs += 1
         self._retries.record_accepted(exchange)
         is_stream = exchange.route.kind is RouteKind.STREAMING
