--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -186,7 +186,7 @@
     "yokeline_forwarding_held_back_total": (
         "First turns refused while their tenants left places to others, by class of tenant."
     ),
-    "yokeline_ledger_disk_refuses": "1 while the disk of this storage node refuses writes, else 0.",
+    "yokeline_ledger_disk_refuses": "Whether the disk of this node refuses writes: 1 or 0.",
     "yokeline_ledger_disk_refusals_total": "Times at which the disk began to refuse writes.",
     "yokeline_ledger_members": "Replicas in the ledger's configuration, as this one knows it.",
     "yokeline_log_lines_dropped_total": "Log lines dropped for a slow reader, by event.",
