--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure, Success
@@ -140,6 +141,14 @@
         self._stop_requested_at: float | None = None
         self._busy_at = now
         self._now = now
+        self._pending_phases: dict[str, Callable[[], bool]] = {
+            "registry": lambda: registry.complete,
+            "configuration": lambda: forwarder.table is not None,
+            "engines": lambda: any(True for _ in engines.all()),
+            "leader": lambda: ledger.leader is not None,
+            "ledger": lambda: ledger.has_answered,
+            "first_send": lambda: forwarder.has_sent,
+        }
         registry.ensure(node_key(record.name), encode_node(record))
 
     @property
@@ -221,12 +230,10 @@
     def _log_start_phases(self, now: float) -> list[LogRecord]:
         """Log how long each phase of the start took."""
         lines: list[LogRecord] = []
-        if self.forwarder.table is not None:
-            lines.extend(self.phases.reached("configuration", now))
-        if self.ledger.has_answered:
-            lines.extend(self.phases.reached("ledger", now))
-        if self.forwarder.has_sent:
-            lines.extend(self.phases.reached("first_send", now))
+        for phase, is_reached in list(self._pending_phases.items()):
+            if is_reached():
+                del self._pending_phases[phase]
+                lines.extend(self.phases.reached(phase, now))
         return lines
 
     def next_deadline(self) -> float | None:
@@ -338,6 +345,9 @@
         if self._registry.complete:
             own_record = self._registry.item(node_key(self._record.name))
             self.cold_engines.begin_batch(own_record_found=own_record is not None)
+        if any(item.key.startswith(NODE_PREFIX) for item in changed):
+            # Once for all records of the batch: each time decodes every registered one.
+            self._apply_nodes()
         effects: list[Effect] = []
         for item in changed:
             effects.extend(self._apply_change(item, now, max_change_age))
@@ -356,7 +366,6 @@
             self.forwarder.forget_capacity()
             return self.evacuations.apply_change(item, now, max_change_age)
         if item.key.startswith(NODE_PREFIX):
-            self._apply_nodes()
             return self._validate_node_record(item)
         return []
 
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -160,7 +160,7 @@
         zone=settings.zone,
     )
     engines = EngineTable(settings.name, Topology(settings.zone, settings.zone_regions))
-    ledger = LedgerClient(settings.peer_address)
+    ledger = LedgerClient(settings.peer_address, searches_at_start=not settings.first_start)
     evacuated_zones = ZoneEvacuations(settings.evacuation_ms / 1000.0)
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
@@ -321,6 +321,7 @@
         peers=PeerLimits(
             connect_seconds=0.5,
             max_backoff_seconds=0.3,
+            prompt_seconds=1.5,
             silent_seconds=1.0,
             max_queue_seconds=1.0,
         ),
