Test a restart of all processes

Real processes of all roles are killed and started again: the nodes know the leader without a turn, the next turn of a kept line is served, and each start phase is logged, so that tools.return_report finds the restart.

--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -130,6 +130,13 @@
         rows = [json.loads(row) for row in self._log.read_text().splitlines() if row[:1] == "{"]
         return [row for row in rows if row.get("event") == event]
 
+    def phases(self) -> set[object]:
+        """Return the phases of the latest start that are reached."""
+        rows = [json.loads(row) for row in self._log.read_text().splitlines() if row[:1] == "{"]
+        starts = [number for number, row in enumerate(rows) if row.get("event") == "started"]
+        latest = rows[starts[-1] :] if starts else []
+        return {row["phase"] for row in latest if row.get("event") == "start_phase"}
+
 
 class Deployment:
     """Storage nodes, edges, model engines and apps.
--- a/tests/processes/platform/test_roles.py
+++ b/tests/processes/platform/test_roles.py
@@ -10,6 +10,8 @@
 import unittest
 from pathlib import Path
 
+from tools.return_report import find_restarts
+
 from tests.processes.child import ROOT
 from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import WORDS, Deployment
@@ -57,6 +59,37 @@
             after = deployment.turn(1, "/kept/x", "a", program_id="q", previous_turn=kept)
             self.assertEqual(after, (200, STREAM))
 
+    def test_all_processes_are_killed_and_start_again(self) -> None:
+        """A node that restarts knows the leader before its first turn, and says each phase."""
+        with Deployment() as deployment:
+            deployment.turn(0, "/kept/x", "k", program_id="q")
+            kept, _ = self.last_run(deployment)
+            processes = (*deployment.storage, *deployment.edges)
+            for process in processes:
+                process.kill()
+            for process in processes:
+                process.start(first_start=False)
+            wait_until(
+                lambda: all(len(item.lines("started")) == 2 for item in processes),
+                "all processes have started again",
+            )
+            wait_until(
+                lambda: all(edge.phases() >= {"leader"} for edge in deployment.edges),
+                "edges know the leader without a turn",
+            )
+            after = deployment.turn(1, "/kept/x", "a", program_id="q", previous_turn=kept)
+            self.assertEqual(after, (200, STREAM))
+            expected = {"registry", "configuration", "engines", "leader", "ledger", "first_send"}
+            self.assertEqual(deployment.edges[1].phases(), expected)
+            for process in deployment.storage:
+                self.assertEqual(process.phases(), {"disk", "registry", "leader", "applied"})
+            lines: list[dict[str, object]] = []
+            for process in processes:
+                started = process.lines("started")
+                self.assertEqual(len(started), 2, process.name)
+                lines.extend({**line, "on": process.name, "at": 0.0} for line in started)
+            self.assertEqual([len(item.starts) for item in find_restarts(lines)], [len(processes)])
+
     def test_a_stream_goes_on_when_its_engine_breaks_off(self) -> None:
         with Deployment() as deployment:
             deployment.turn(0, "/turn/x", "warm", program_id="w")
