Defer library modules that a role's start does not use

Importing the libraries is most of the processor time of a start: circuits imports process pools and package metadata, absl.flags XML and file copies, returns and circuits inspect with the syntax tree and the tokenizer. Such modules are replaced by deferred ones, which are executed in place at their first use; roles import the parts of circuits that they use. python-json-logger, thread pools and email.utils are no longer loaded by roles. The log lines, HTTP dates and handlers are the same.

--- a/src/yokeline/light_imports.py
+++ b/src/yokeline/light_imports.py
@@ -1,23 +1,182 @@
-"""Keeps a costly import out of the start of a process that is started again all day.
+"""Defers imports of the libraries that a role's start does not use.
 
-``circuits`` imports ``pkg_resources`` only to declare its namespace, and does without it where
-it cannot be had. It takes half of the processor time of a start (0.27 s to 0.13 s in the
-cores, measured with ``time.process_time`` around the imports of an edge).
+A process is started again all day, and its imports are the larger part of a start. Libraries import
+modules for features that a role never uses (process pools, command lines, JSON schemas). Such a
+module is replaced by a :class:`DeferredModule`, which is executed in place when something reads an
+attribute of it that is not set yet; until then it costs neither processor time nor memory.
 """
 
 from __future__ import annotations
 
+import importlib.machinery
+import importlib.util
+import os
 import sys
+from _thread import RLock
+from types import ModuleType
 
-_UNUSED = "pkg_resources"
+from yokeline import light_inspect
 
+DEFERRED_MODULES = (
+    # Imported by absl.flags: help texts, help in XML, copies of flags.
+    "csv",
+    "shutil",
+    "textwrap",
+    "xml",
+    "xml.dom",
+    "xml.dom.minidom",
+    "importlib.resources",
+    # Imported by absl.logging: files of its own.
+    "getpass",
+    "tempfile",
+    "timeit",
+    # Imported by circuits: all parts of its packages, and processes. Roles import the parts of
+    # circuits that they use.
+    "circuits",
+    "circuits.core",
+    "multiprocessing.reduction",
+    # Imported by dataclasses: copies of instances.
+    "copy",
+    # Imported by inspect, logging and traceback: source code.
+    "inspect",
+    "linecache",
+    "tokenize",
+    # Imported by msgspec: type information for schemas.
+    "msgspec.inspect",
+    # Imported by socket: sending files.
+    "selectors",
+    # Imported by returns and msgspec, which need names that typing has too.
+    "typing_extensions",
+    # Imported by uuid: name of the operating system.
+    "platform",
+    # Used when the first key, engine or unusual answer comes.
+    "hashlib",
+    "hmac",
+    "http",
+    "ipaddress",
+)
+"""Modules that a start leaves out; a package comes before its modules."""
 
-def import_circuits_lightly() -> None:
-    """Import ``circuits`` as if ``pkg_resources`` were not installed."""
-    if _UNUSED in sys.modules or "circuits" in sys.modules:
+_NOT_EXECUTED_FOR = ("__path__", "__warningregistry__")
+"""Attributes that the import system and ``warnings`` look for in every module."""
+
+_LOCK = RLock()
+_executing: set[str] = set()
+
+
+class DeferredModule(ModuleType):
+    """A module that is executed when an attribute is read that it does not have yet.
+
+    Other modules hold the same object before and after. Submodules can be imported without
+    executing a deferred package.
+    """
+
+    def __getattr__(self, name: str) -> object:
+        """Execute the module and return its attribute."""
+        if name not in _NOT_EXECUTED_FOR:
+            execute(self)
+        if type(self) is DeferredModule:
+            raise AttributeError(f"module {self.__name__!r} has no attribute {name!r}")
+        return getattr(self, name)
+
+
+class DeferredClass:
+    """Stands for a class of a deferred module in annotations; a call makes an instance."""
+
+    def __init__(self, module: DeferredModule, name: str) -> None:
+        """Stand for the class ``name`` of ``module``."""
+        self._module = module
+        self._name = name
+
+    def __call__(self, *arguments: object, **named: object) -> object:
+        """Execute the module and call its class."""
+        execute(self._module)
+        return getattr(self._module, self._name)(*arguments, **named)
+
+
+def execute(module: ModuleType) -> None:
+    """Execute a deferred module once; a second thread waits, a circular import does not."""
+    with _LOCK:
+        spec = module.__spec__
+        if type(module) is not DeferredModule or module.__name__ in _executing:
+            return
+        if spec is None or spec.loader is None:
+            return
+        _executing.add(module.__name__)
+        try:
+            spec.loader.exec_module(module)
+            module.__class__ = ModuleType  # type: ignore[assignment]
+        finally:
+            _executing.discard(module.__name__)
+
+
+def defer_imports(names: tuple[str, ...] = DEFERRED_MODULES) -> None:
+    """Replace modules that are not imported yet by deferred ones.
+
+    Modules that cannot be found are left out. A module of a package that is neither deferred nor
+    imported is found in the package's folder, so that the package is not executed.
+    """
+    for name in names:
+        if name not in sys.modules:
+            _defer(name)
+
+
+def _defer(name: str) -> None:
+    parent_name, _, child = name.rpartition(".")
+    parent = sys.modules.get(parent_name)
+    path = None
+    if parent is not None:
+        path = parent.__path__
+    elif parent_name:
+        parent_spec = importlib.machinery.PathFinder.find_spec(parent_name)
+        if parent_spec is None:
+            return
+        path = parent_spec.submodule_search_locations
+    spec = importlib.machinery.PathFinder.find_spec(name, path)
+    if spec is None or spec.loader is None:
         return
-    sys.modules[_UNUSED] = None  # type: ignore[assignment]
-    try:
-        import circuits  # noqa: F401 - imported for later importers
-    finally:
-        del sys.modules[_UNUSED]
+    module = DeferredModule(name)
+    vars(module).update(vars(importlib.util.module_from_spec(spec)))
+    _provide(module)
+    sys.modules[name] = module
+    if parent is not None:
+        setattr(parent, child, module)
+
+
+def _provide(module: DeferredModule) -> None:
+    """Set the attributes that importers read during a start; executing replaces them."""
+    provided: dict[str, object] = {}
+    match module.__name__:
+        case "inspect":
+            provided = {
+                "FrameInfo": DeferredClass(module, "FrameInfo"),
+                "getfullargspec": light_inspect.getfullargspec,
+                "getmembers": light_inspect.getmembers,
+                "isfunction": light_inspect.isfunction,
+                "ismethod": light_inspect.ismethod,
+            }
+        case "platform":
+            provided = {"system": _system_name}
+        case "typing_extensions":
+            import typing
+
+            provided = {name: getattr(typing, name) for name in _TYPING_NAMES}
+        case "xml.dom.minidom":
+            provided = {name: DeferredClass(module, name) for name in ("Document", "Element")}
+    vars(module).update(provided)
+
+
+_TYPING_NAMES = (
+    "Literal",
+    "NotRequired",
+    "ParamSpec",
+    "Required",
+    "TypeVarTuple",
+    "TypedDict",
+    "get_type_hints",
+)
+
+
+def _system_name() -> str:
+    """Return the name of the operating system, as ``platform.system`` does."""
+    return os.uname().sysname
--- a/src/yokeline/logs.py
+++ b/src/yokeline/logs.py
@@ -4,11 +4,9 @@
 
 import logging
 import sys
-import time
 from typing import TextIO
 
 import absl.logging
-from pythonjsonlogger.json import JsonFormatter
 
 from yokeline.effects import LogRecord
 from yokeline.log_output import BoundedLogOutput
@@ -19,9 +17,6 @@
     "warning": absl.logging.WARNING,
     "error": absl.logging.ERROR,
 }
-_FORMAT = "%(asctime)s %(levelname)s"
-_RENAMED = {"asctime": "time", "levelname": "level"}
-_TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
 _SECRET_PARTS = ("authorization", "password", "secret", "api_key", "credential", "cookie")
 _SECRET_NAMES = ("token", "bearer")
 REDACTED = "[redacted]"
@@ -40,9 +35,12 @@
     Raises:
         OSError: The file cannot be opened.
     """
+    # Roles write their lines by BoundedLogOutput and do not load python-json-logger.
+    from yokeline.log_formatter import utc_json_formatter
+
     target = open(file, "a", encoding="utf-8") if file else stream or sys.stderr  # noqa: SIM115
     output = logging.StreamHandler(target)
-    output.setFormatter(_UtcJsonFormatter(_FORMAT, rename_fields=_RENAMED, datefmt=_TIME_FORMAT))
+    output.setFormatter(utc_json_formatter())
     root = logging.getLogger()
     for old in list(root.handlers):
         root.removeHandler(old)
@@ -80,12 +78,3 @@
     if lowered in _SECRET_NAMES or lowered.endswith("_token"):
         return True
     return any(part in lowered for part in _SECRET_PARTS)
-
-
-class _UtcJsonFormatter(JsonFormatter):
-    """Gives UTC times with milliseconds (RFC 3339)."""
-
-    def formatTime(self, record: logging.LogRecord, datefmt: str | None = None) -> str:  # noqa: N802
-        """Return the record's time."""
-        seconds = time.strftime(datefmt or _TIME_FORMAT, time.gmtime(record.created))
-        return f"{seconds}.{int(record.msecs):03d}Z"
--- a/src/yokeline/node/bridge.py
+++ b/src/yokeline/node/bridge.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 import absl.logging
-from circuits import BaseComponent, handler
-from circuits import Event as CircuitsEvent
+from circuits.core.components import BaseComponent
+from circuits.core.events import Event as CircuitsEvent
+from circuits.core.handlers import handler
 
 from yokeline.effects import (
     Effect,
--- a/src/yokeline/node/data_folder.py
+++ b/src/yokeline/node/data_folder.py
@@ -8,7 +8,8 @@
 from pathlib import Path, PurePosixPath
 
 import absl.logging
-from circuits import BaseComponent, handler
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
 from returns.result import Failure, Result, Success
 
 from yokeline.effects import DeleteFile, WriteFile
--- a/src/yokeline/node/datagrams.py
+++ b/src/yokeline/node/datagrams.py
@@ -10,7 +10,8 @@
 import socket
 from collections import Counter
 
-from circuits import BaseComponent, handler
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
 from returns.result import Success
 
 from yokeline.effects import Address, DatagramArrived, SendDatagram
--- a/src/yokeline/node/http_client.py
+++ b/src/yokeline/node/http_client.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from circuits import BaseComponent, handler
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
 
 from yokeline.effects import CloseIdleConnections, Event, HttpCancel, HttpRequest
 from yokeline.identifiers import RequestId
--- a/src/yokeline/node/http_heads.py
+++ b/src/yokeline/node/http_heads.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+import http
 import re
 import time
 from collections.abc import Iterable
-from email.utils import formatdate
-from http import HTTPStatus
 
 HEADER_ENCODING = "latin-1"
 FRAMING_HEADERS = ("content-length", "transfer-encoding")
 """Set by the transport, from what is really sent."""
 _UNSAFE_IN_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]+")
+_DAYS = ("Mon", "Tue", "Wed", "Thu", "Fri", "Sat", "Sun")
+_MONTHS = ("Jan", "Feb", "Mar", "Apr", "May", "Jun", "Jul", "Aug", "Sep", "Oct", "Nov", "Dec")
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -44,7 +45,7 @@
 def reason_phrase(status: int) -> bytes:
     """Return the usual phrase of a status; empty for an unusual one."""
     try:
-        return HTTPStatus(status).phrase.encode()
+        return http.HTTPStatus(status).phrase.encode()
     except ValueError:
         return b""
 
@@ -53,6 +54,15 @@
     return _UNSAFE_IN_VALUE.sub(" ", value).strip().encode(HEADER_ENCODING, errors="replace")
 
 
+def http_date(second: int) -> bytes:
+    """Return a Unix time in the form of RFC 9110, section 5.6.7 (``email.utils`` is costly)."""
+    at = time.gmtime(second)
+    return (
+        f"{_DAYS[at.tm_wday]}, {at.tm_mday:02d} {_MONTHS[at.tm_mon - 1]} {at.tm_year:04d} "
+        f"{at.tm_hour:02d}:{at.tm_min:02d}:{at.tm_sec:02d} GMT"
+    ).encode()
+
+
 class _DateCache:
     """The date (RFC 9110, section 5.6.7), formatted once a second."""
 
@@ -65,7 +75,7 @@
         second = int(time.time())
         if second != self._second:
             self._second = second
-            self._value = formatdate(second, usegmt=True).encode()
+            self._value = http_date(second)
         return self._value
 
 
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -16,7 +16,8 @@
 import socket
 
 import msgspec
-from circuits import BaseComponent, handler
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
 
 from yokeline.effects import (
     Event,
--- a/src/yokeline/node/peer_transport.py
+++ b/src/yokeline/node/peer_transport.py
@@ -7,7 +7,8 @@
 from collections import Counter
 
 import absl.logging
-from circuits import BaseComponent, handler
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
 from returns.result import Success
 
 from yokeline.effects import Address, PeerMessage, SendPeer
--- a/src/yokeline/node/process.py
+++ b/src/yokeline/node/process.py
@@ -12,15 +12,15 @@
 
 import absl.logging
 import msgspec
-from circuits import BaseComponent, handler
-from circuits import Event as CircuitsEvent
+from circuits.core.components import BaseComponent
+from circuits.core.events import Event as CircuitsEvent
+from circuits.core.handlers import handler
 from returns.result import Failure, Result, Success
 
 from yokeline.effects import Address, ReloadRequested, Service
 from yokeline.errors import EXIT_FAILURE, EXIT_USAGE, ErrorKind, YokelineError
 from yokeline.identifiers import ReplicaId
 from yokeline.node.bridge import Bridge, DeadlineTimer
-from yokeline.node.data_folder import DataFolder, open_folder
 from yokeline.node.datagrams import DatagramEndpoint
 from yokeline.node.http_client import HttpClient
 from yokeline.node.http_server import HttpServer
@@ -28,7 +28,6 @@
 from yokeline.node.peer_transport import PeerTransport
 from yokeline.node.poller import SocketPoller
 from yokeline.node.sockets import OpenSockets, open_sockets
-from yokeline.node.synced_files import SyncedFiles
 from yokeline.node.wire_codec import WireCodec
 
 DRAIN_SECONDS = 2.0
@@ -105,6 +104,8 @@
             return Failure(opened.failure())
         folder: Path | None = None
         if binding.data_folder:
+            from yokeline.node.data_folder import open_folder
+
             usable = open_folder(binding.data_folder)
             if not isinstance(usable, Success):
                 opened.unwrap().close()
@@ -217,9 +218,14 @@
             self.datagrams = DatagramEndpoint(
                 self.bridge, poller, sockets.datagrams, limits.peers, binding.codec
             ).register(self.bridge)
+        # Imported by the processes that write files only.
         if folder is not None:
+            from yokeline.node.data_folder import DataFolder
+
             DataFolder(self.bridge, folder).register(self.bridge)
         if binding.synced_folder:
+            from yokeline.node.synced_files import SyncedFiles
+
             SyncedFiles(self.bridge, poller, Path(binding.synced_folder)).register(self.bridge)
 
     def transport_counters(self) -> dict[str, float]:
--- a/src/yokeline/node/synced_files.py
+++ b/src/yokeline/node/synced_files.py
@@ -16,7 +16,8 @@
 from pathlib import Path
 
 import absl.logging
-from circuits import BaseComponent, handler
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
 
 from yokeline.effects import FileSynced, SyncFile
 from yokeline.node.bridge import Bridge
--- a/src/yokeline/platform/__main__.py
+++ b/src/yokeline/platform/__main__.py
@@ -17,6 +17,10 @@
 
 gc.disable()  # imported modules are never freed; enabled before the role runs
 
+from yokeline.light_imports import defer_imports  # noqa: E402
+
+defer_imports()
+
 # Listens before the slow imports, so that early connections are queued instead of refused.
 from yokeline.early_sockets import EarlySockets, open_early  # noqa: E402
 
@@ -29,15 +33,11 @@
 from returns.result import Failure  # noqa: E402
 
 from yokeline.errors import EXIT_USAGE  # noqa: E402
-from yokeline.light_imports import import_circuits_lightly  # noqa: E402
 from yokeline.platform.documents import PlatformDocuments  # noqa: E402
 from yokeline.platform.headers import HeaderDialect  # noqa: E402
 from yokeline.platform.store import KeyValueStore  # noqa: E402
 from yokeline.role_settings import read_role_settings  # noqa: E402
-
-import_circuits_lightly()
-
-from yokeline.roles import Adapter, ProcessStart, run_role  # noqa: E402 - imports circuits
+from yokeline.roles import Adapter, ProcessStart, run_role  # noqa: E402
 
 READY_PATH = "/-/ready"
 """Path of the load balancer's readiness probe."""
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -4,7 +4,6 @@
 
 import random
 import resource
-import secrets
 import sys
 import time
 from collections import Counter
@@ -139,7 +138,7 @@
         return front
     if isinstance(ready, Failure):
         return ready
-    source = random.Random(secrets.randbits(SEED_BITS))
+    source = random.Random(random.SystemRandom().getrandbits(SEED_BITS))
     store = parse_address(settings.store, "store").map(adapter.store)
     if isinstance(store, Failure):
         return store
@@ -219,7 +218,7 @@
     from yokeline.ledger.replica import LOG_FILE, LedgerReplica
     from yokeline.ledger.storage_node import StorageNode, storage_figures
 
-    source = random.Random(secrets.randbits(SEED_BITS))
+    source = random.Random(random.SystemRandom().getrandbits(SEED_BITS))
     folder = Path(settings.data_folder)
     data = _read_log(folder, LOG_FILE)
     if isinstance(data, Failure):
