--- a/src/yokeline/ledger/codec.py
+++ b/src/yokeline/ledger/codec.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 from returns.result import Result
 
 from yokeline.errors import YokelineError
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import LedgerFrame, LedgerMessage, LoadFrame, LoadMessage
-from yokeline.ledger.state import LedgerCommand, LedgerState
 from yokeline.messages.structs import decode_struct, encode_struct
 
+if TYPE_CHECKING:
+    from yokeline.ledger.state import LedgerCommand, LedgerState
+
 
 class LedgerCodec:
     """Encodes the messages of :mod:`yokeline.ledger.messages`."""
@@ -43,6 +47,9 @@
 
 def decode_command(data: bytes) -> Result[LedgerCommand, YokelineError]:
     """Return the decoded command of a log entry."""
+    # Forwarding nodes encode messages without loading the ledger's state machine.
+    from yokeline.ledger.state import LedgerCommand
+
     return decode_struct(data, LedgerCommand)
 
 
@@ -53,4 +60,6 @@
 
 def decode_state(data: bytes) -> Result[LedgerState, YokelineError]:
     """Return the state decoded from a snapshot's data."""
+    from yokeline.ledger.state import LedgerState
+
     return decode_struct(data, LedgerState)
--- a/src/yokeline/light_imports.py
+++ b/src/yokeline/light_imports.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-import importlib.machinery
+import importlib
 import importlib.util
 import os
 import sys
 from _thread import RLock
+from importlib.machinery import ModuleSpec, PathFinder
 from types import ModuleType
 
 from yokeline import light_inspect
@@ -57,7 +58,10 @@
 )
 """Modules that a start leaves out; a package comes before its modules."""
 
-_NOT_EXECUTED_FOR = ("__path__", "__warningregistry__")
+_PACKAGES = ("circuits", "circuits.core", "http", "importlib.resources", "xml", "xml.dom")
+"""Deferred packages with submodules that are imported; their folders are found then."""
+
+_NOT_EXECUTED_FOR = ("__path__", "__file__", "__warningregistry__")
 """Attributes that the import system and ``warnings`` look for in every module."""
 
 _LOCK = RLock()
@@ -65,14 +69,22 @@
 
 
 class DeferredModule(ModuleType):
-    """A module that is executed when an attribute is read that it does not have yet.
+    """A module that is found and executed when an attribute is read that it does not have yet.
 
     Other modules hold the same object before and after. Submodules can be imported without
     executing a deferred package.
     """
 
+    def __init__(self, name: str) -> None:
+        """Stand for the module ``name``."""
+        super().__init__(name)
+        self.__spec__ = ModuleSpec(name, None)
+
     def __getattr__(self, name: str) -> object:
         """Execute the module and return its attribute."""
+        if name == "__path__" and self.__name__ in _PACKAGES:
+            self.__path__ = _spec_of(self.__name__).submodule_search_locations or []
+            return self.__path__
         if name not in _NOT_EXECUTED_FOR:
             execute(self)
         if type(self) is DeferredModule:
@@ -97,50 +109,48 @@
 def execute(module: ModuleType) -> None:
     """Execute a deferred module once; a second thread waits, a circular import does not."""
     with _LOCK:
-        spec = module.__spec__
         if type(module) is not DeferredModule or module.__name__ in _executing:
             return
-        if spec is None or spec.loader is None:
-            return
         _executing.add(module.__name__)
         try:
+            spec = _spec_of(module.__name__)
+            vars(module).update(vars(importlib.util.module_from_spec(spec)))
+            assert spec.loader is not None
             spec.loader.exec_module(module)
             module.__class__ = ModuleType  # type: ignore[assignment]
         finally:
             _executing.discard(module.__name__)
 
 
+def _spec_of(name: str) -> ModuleSpec:
+    """Find a module.
+
+    Raises:
+        ModuleNotFoundError: There is none.
+    """
+    parent = name.rpartition(".")[0]
+    path = importlib.import_module(parent).__path__ if parent else None
+    spec = PathFinder.find_spec(name, path)
+    if spec is None or spec.loader is None:
+        raise ModuleNotFoundError(f"No module named {name!r}", name=name)
+    return spec
+
+
 def defer_imports(names: tuple[str, ...] = DEFERRED_MODULES) -> None:
     """Replace modules that are not imported yet by deferred ones.
 
-    Modules that cannot be found are left out. A module of a package that is neither deferred nor
-    imported is found in the package's folder, so that the package is not executed.
+    A name that does not exist is reported by ModuleNotFoundError when it is used, not when it is
+    imported: to look for all of them took 4 ms of a start.
     """
     for name in names:
-        if name not in sys.modules:
-            _defer(name)
-
-
-def _defer(name: str) -> None:
-    parent_name, _, child = name.rpartition(".")
-    parent = sys.modules.get(parent_name)
-    path = None
-    if parent is not None:
-        path = parent.__path__
-    elif parent_name:
-        parent_spec = importlib.machinery.PathFinder.find_spec(parent_name)
-        if parent_spec is None:
-            return
-        path = parent_spec.submodule_search_locations
-    spec = importlib.machinery.PathFinder.find_spec(name, path)
-    if spec is None or spec.loader is None:
-        return
-    module = DeferredModule(name)
-    vars(module).update(vars(importlib.util.module_from_spec(spec)))
-    _provide(module)
-    sys.modules[name] = module
-    if parent is not None:
-        setattr(parent, child, module)
+        if name in sys.modules:
+            continue
+        module = DeferredModule(name)
+        _provide(module)
+        sys.modules[name] = module
+        parent, _, child = name.rpartition(".")
+        if parent in sys.modules:
+            setattr(sys.modules[parent], child, module)
 
 
 def _provide(module: DeferredModule) -> None:
@@ -166,6 +176,29 @@
     vars(module).update(provided)
 
 
+class _InspectOfDataclasses:
+    """The module ``inspect`` as ``dataclasses`` sees it, without signatures."""
+
+    @staticmethod
+    def signature(value: object) -> object:
+        """Raise ValueError, which ``dataclasses`` expects and takes as an empty signature."""
+        raise ValueError(f"the signature of {value!r} is not determined")
+
+    def __getattr__(self, name: str) -> object:
+        """Return an attribute of the real module."""
+        return getattr(importlib.import_module("inspect"), name)
+
+
+def omit_dataclass_signatures() -> None:
+    """Leave the signature out of the doc strings that ``dataclasses`` makes.
+
+    A class of h11 has no doc string; its signature alone would execute ``inspect``.
+    """
+    import dataclasses
+
+    vars(dataclasses)["inspect"] = _InspectOfDataclasses()
+
+
 _TYPING_NAMES = (
     "Literal",
     "NotRequired",
--- a/src/yokeline/platform/__main__.py
+++ b/src/yokeline/platform/__main__.py
@@ -8,6 +8,7 @@
 import sys
 import time
 
+TYPE_CHECKING = False  # typing is imported after the sockets are open
 BEGAN_AT = time.monotonic()
 if __name__ == "__main__":
     # SIGHUP, which requests a reload, must not end the process before the role handles it.
@@ -17,7 +18,7 @@
 
 gc.disable()  # imported modules are never freed; enabled before the role runs
 
-from yokeline.light_imports import defer_imports  # noqa: E402
+from yokeline.light_imports import defer_imports, omit_dataclass_signatures  # noqa: E402
 
 defer_imports()
 
@@ -30,19 +31,32 @@
     else EarlySockets()
 )
 
+omit_dataclass_signatures()
+
 from returns.result import Failure  # noqa: E402
 
 from yokeline.errors import EXIT_USAGE  # noqa: E402
 from yokeline.platform.documents import PlatformDocuments  # noqa: E402
-from yokeline.platform.headers import HeaderDialect  # noqa: E402
 from yokeline.platform.store import KeyValueStore  # noqa: E402
 from yokeline.role_settings import read_role_settings  # noqa: E402
 from yokeline.roles import Adapter, ProcessStart, run_role  # noqa: E402
 
+if TYPE_CHECKING:
+    from yokeline.forwarding.dialect import Dialect
+
 READY_PATH = "/-/ready"
 """Path of the load balancer's readiness probe."""
 
 
+def _header_dialect() -> Dialect:
+    """Load what only the role that serves requests uses."""
+    import yokeline.platform.configuration  # noqa: F401 - used at the first configuration
+    import yokeline.platform.engine_entries  # noqa: F401 - used at the first engine's entry
+    from yokeline.platform.headers import HeaderDialect
+
+    return HeaderDialect()
+
+
 def main(arguments: list[str]) -> int:
     """Run the role named by the first argument; return the exit code."""
     role = arguments[0] if arguments else ""
@@ -53,7 +67,7 @@
     adapter = Adapter(
         store=KeyValueStore,
         formats=PlatformDocuments(),
-        dialect=HeaderDialect(),
+        dialect=_header_dialect,
         ready_path=READY_PATH,
     )
     gc.freeze()
--- a/src/yokeline/platform/engine_entries.py
+++ b/src/yokeline/platform/engine_entries.py
@@ -18,8 +18,6 @@
 from yokeline.errors import ErrorKind, YokelineError
 from yokeline.forwarding.model import Engine, make_incarnation_id
 
-ENGINE_PREFIX = "servers/"
-"""Prefix of the engines' entries; the rest of a key is the engine's instance id."""
 MAX_SLOTS = 65_536
 """Upper bound on the concurrent requests that an entry may state."""
 _MS_PER_SECOND = 1000.0
@@ -56,11 +54,11 @@
     born: _TimestampMs | msgspec.UnsetType = msgspec.UNSET
 
 
-def read_engine_entry(key: str, value: bytes) -> Result[Engine, YokelineError]:
-    """Decode an engine's entry; a failure states why the entry is invalid."""
+def read_engine_entry(instance: str, value: bytes) -> Result[Engine, YokelineError]:
+    """Decode the entry of an engine's instance; a failure states why the entry is invalid."""
     try:
         entry = msgspec.json.decode(value, type=_Entry)
-        return Success(_engine(key.removeprefix(ENGINE_PREFIX), entry))
+        return Success(_engine(instance, entry))
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Failure(
             YokelineError(
--- a/src/yokeline/registry/formats.py
+++ b/src/yokeline/registry/formats.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from returns.result import Result
 
 from yokeline.errors import YokelineError
-from yokeline.forwarding.model import Engine, RoutingTable
+
+if TYPE_CHECKING:
+    from yokeline.forwarding.model import Engine, RoutingTable
 
 
 class RetireOrder(msgspec.Struct, frozen=True):
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -16,7 +17,6 @@
 from yokeline.early_sockets import EarlySockets
 from yokeline.effects import Address, Service
 from yokeline.errors import EXIT_USAGE, ErrorKind, YokelineError
-from yokeline.forwarding.dialect import Dialect
 from yokeline.identifiers import ReplicaId, new_replica_id
 from yokeline.ledger.codec import LedgerCodec
 from yokeline.logs import set_up_role_logs
@@ -38,6 +38,9 @@
 from yokeline.start_phases import StartPhases
 from yokeline.status_service import NodeFigures, StatusService
 
+if TYPE_CHECKING:
+    from yokeline.forwarding.dialect import Dialect
+
 SEED_BITS = 128
 _DESCRIPTORS_FOR_CALLERS = 0.6
 _EDGE_WATCH_PAUSE_SECONDS = 0.1
@@ -58,11 +61,16 @@
 
 
 class Adapter(msgspec.Struct, frozen=True, kw_only=True):
-    """What a deployment spells in its own way."""
+    """What a deployment spells in its own way.
+
+    Attributes:
+        dialect: Makes the header fields' dialect; called by the role that serves requests, so that
+            others do not load its modules.
+    """
 
     store: Callable[[Address], StoreProtocol]
     formats: DeploymentFormats
-    dialect: Dialect
+    dialect: Callable[[], Dialect]
     ready_path: str
 
 
@@ -159,7 +167,7 @@
     process = new_replica_id(settings.name, source)
     forwarder = Forwarder(
         zone=settings.zone,
-        dialect=adapter.dialect,
+        dialect=adapter.dialect(),
         ledger=ledger,
         histories=histories,
         engines=engines,
