Write a role's log lines directly; scan the registry only for changes

A log line of a service made a record of logging, which looks for its caller on the stack. A forwarding node counted the registry's engine entries at each event, a scan of all entries; the number matters for removals only and is taken when something changed.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -278,7 +278,8 @@
 
     def _apply_changes(self, changed: list[StoredItem], now: float) -> list[Effect]:
         """Apply one batch of registry changes; many removals in a batch count as an outage."""
-        listed = len(self._registry.items(self._formats.engine_prefix))
+        # Most events change nothing; the number counts for removals only.
+        listed = len(self._registry.items(self._formats.engine_prefix)) if changed else 0
         self._discovery.begin_batch(changed, listed, now)
         effects: list[Effect] = []
         for item in changed:
--- a/src/yokeline/log_output.py
+++ b/src/yokeline/log_output.py
@@ -7,6 +7,7 @@
 import select
 import time
 from collections import Counter, deque
+from typing import Any
 
 import msgspec
 
@@ -43,6 +44,25 @@
         except Exception:  # a line that cannot be written must not stop the process
             self.handleError(record)
             return
+        self._put(event, line)
+
+    def write_fields(self, level: int, fields: dict[str, Any]) -> None:
+        """Write a line as :meth:`emit` does, without a record of ``logging``.
+
+        A record looks for its caller on the stack, which takes most of the time of a line.
+        """
+        try:
+            event, line = str(fields.get("event", _UNNAMED)), _encoded(level, time.time(), fields)
+        except Exception:  # a line that cannot be written must not stop the process
+            self.handleError(logging.makeLogRecord({"levelno": level, "msg": fields}))
+            return
+        self.acquire()
+        try:
+            self._put(event, line)
+        finally:
+            self.release()
+
+    def _put(self, event: str, line: bytes) -> None:
         self._write_waiting()
         if not self._waiting and self._write(line):
             return
--- a/src/yokeline/logs.py
+++ b/src/yokeline/logs.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import sys
 from typing import TextIO
 
 import absl.logging
+import absl.logging.converter
 
 from yokeline.effects import LogRecord
 from yokeline.log_output import BoundedLogOutput
@@ -17,10 +19,32 @@
     "warning": absl.logging.WARNING,
     "error": absl.logging.ERROR,
 }
+_STANDARD_LEVELS = {
+    level: absl.logging.converter.absl_to_standard(level) for level in _LEVELS.values()
+}
+"""Levels of ``logging`` by level of ``absl.logging``."""
 _SECRET_PARTS = ("authorization", "password", "secret", "api_key", "credential", "cookie")
 _SECRET_NAMES = ("token", "bearer")
 REDACTED = "[redacted]"
 
+_MAX_REMEMBERED_NAMES = 1024
+"""Field names for which it is known whether they look like secrets; they come from the code."""
+
+
+class _RoleLines:
+    """Where :func:`write_record` writes directly.
+
+    Attributes:
+        output: The output of a role's process; None to write by ``absl.logging``.
+        least_level: Level of ``logging`` from which on lines are written.
+    """
+
+    output: BoundedLogOutput | None = None
+    least_level = logging.INFO
+
+
+_role_lines = _RoleLines()
+
 LogValue = str | int | float | bool | None
 
 
@@ -46,6 +70,7 @@
         root.removeHandler(old)
     root.addHandler(output)
     absl.logging.set_verbosity(_LEVELS[level])
+    _role_lines.output = None
 
 
 def set_up_role_logs(level: str) -> BoundedLogOutput:
@@ -56,12 +81,20 @@
         root.removeHandler(old)
     root.addHandler(output)
     absl.logging.set_verbosity(_LEVELS[level])
+    _role_lines.output = output
+    _role_lines.least_level = _STANDARD_LEVELS[_LEVELS[level]]
     return output
 
 
 def write_record(record: LogRecord) -> None:
     """Write a :class:`~yokeline.effects.LogRecord` as one line."""
     level = _LEVELS.get(record.level, absl.logging.INFO)
+    output = _role_lines.output
+    if output is not None:
+        standard = _STANDARD_LEVELS[level]
+        if standard >= _role_lines.least_level:
+            output.write_fields(standard, {"event": record.event, **redacted(record.fields)})
+        return
     absl.logging.log(level, {"event": record.event, **redacted(record.fields)})
 
 
@@ -73,6 +106,7 @@
     }
 
 
+@functools.lru_cache(_MAX_REMEMBERED_NAMES)
 def _is_secret(name: str) -> bool:
     lowered = name.lower().replace("-", "_")
     if lowered in _SECRET_NAMES or lowered.endswith("_token"):
