Leave absl.logging out of a role's start

absl.logging and the absl.flags that it imports were the dearest library of a start (10 ms, 1.6 MB). Roles write their lines to their bounded output; the functions that they use of absl.logging write there with the same bytes and levels. The module itself is executed at the first rate-limited warning and takes over the role's level.

--- a/src/yokeline/light_imports.py
+++ b/src/yokeline/light_imports.py
@@ -16,7 +16,7 @@
 from importlib.machinery import ModuleSpec, PathFinder
 from types import ModuleType
 
-from yokeline import light_inspect
+from yokeline import light_inspect, light_logging
 
 DEFERRED_MODULES = (
     # Imported by absl.flags: help texts, help in XML, copies of flags.
@@ -27,6 +27,9 @@
     "xml.dom",
     "xml.dom.minidom",
     "importlib.resources",
+    # Roles write their lines by light_logging; absl.logging limits the rate of some warnings.
+    "absl",
+    "absl.logging",
     # Imported by absl.logging: files of its own.
     "getpass",
     "tempfile",
@@ -58,7 +61,16 @@
 )
 """Modules that a start leaves out; a package comes before its modules."""
 
-_PACKAGES = ("circuits", "circuits.core", "http", "importlib.resources", "xml", "xml.dom")
+_PACKAGES = (
+    "absl",
+    "absl.logging",
+    "circuits",
+    "circuits.core",
+    "http",
+    "importlib.resources",
+    "xml",
+    "xml.dom",
+)
 """Deferred packages with submodules that are imported; their folders are found then."""
 
 _NOT_EXECUTED_FOR = ("__path__", "__file__", "__warningregistry__")
@@ -118,6 +130,8 @@
             assert spec.loader is not None
             spec.loader.exec_module(module)
             module.__class__ = ModuleType  # type: ignore[assignment]
+            if module.__name__ == "absl.logging":
+                light_logging.set_executed_verbosity()
         finally:
             _executing.discard(module.__name__)
 
@@ -157,6 +171,8 @@
     """Set the attributes that importers read during a start; executing replaces them."""
     provided: dict[str, object] = {}
     match module.__name__:
+        case "absl.logging":
+            provided = light_logging.provided()
         case "inspect":
             provided = {
                 "FrameInfo": DeferredClass(module, "FrameInfo"),
--- a/src/yokeline/logs.py
+++ b/src/yokeline/logs.py
@@ -8,7 +8,6 @@
 from typing import TextIO
 
 import absl.logging
-import absl.logging.converter
 
 from yokeline.effects import LogRecord
 from yokeline.log_output import BoundedLogOutput
@@ -20,9 +19,11 @@
     "error": absl.logging.ERROR,
 }
 _STANDARD_LEVELS = {
-    level: absl.logging.converter.absl_to_standard(level) for level in _LEVELS.values()
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
 }
-"""Levels of ``logging`` by level of ``absl.logging``."""
 _SECRET_PARTS = ("authorization", "password", "secret", "api_key", "credential", "cookie")
 _SECRET_NAMES = ("token", "bearer")
 REDACTED = "[redacted]"
@@ -82,20 +83,31 @@
     root.addHandler(output)
     absl.logging.set_verbosity(_LEVELS[level])
     _role_lines.output = output
-    _role_lines.least_level = _STANDARD_LEVELS[_LEVELS[level]]
+    _role_lines.least_level = _STANDARD_LEVELS[level]
     return output
 
 
 def write_record(record: LogRecord) -> None:
     """Write a :class:`~yokeline.effects.LogRecord` as one line."""
-    level = _LEVELS.get(record.level, absl.logging.INFO)
+    fields = {"event": record.event, **redacted(record.fields)}
+    if not write_role_line(_STANDARD_LEVELS.get(record.level, logging.INFO), fields):
+        absl.logging.log(_LEVELS.get(record.level, absl.logging.INFO), fields)
+
+
+def write_role_line(level: int, message: object) -> bool:
+    """Write a line to a role's output; return whether the process has one.
+
+    Args:
+        level: Level of ``logging``; lines below the role's level are left out.
+        message: Fields of the line, or its text.
+    """
     output = _role_lines.output
-    if output is not None:
-        standard = _STANDARD_LEVELS[level]
-        if standard >= _role_lines.least_level:
-            output.write_fields(standard, {"event": record.event, **redacted(record.fields)})
-        return
-    absl.logging.log(level, {"event": record.event, **redacted(record.fields)})
+    if output is None:
+        return False
+    if level >= _role_lines.least_level:
+        fields = message if isinstance(message, dict) else {"message": str(message)}
+        output.write_fields(level, fields)
+    return True
 
 
 def redacted(fields: dict[str, LogValue]) -> dict[str, LogValue]:
--- a/tests/unit/platform/test_light_imports.py
+++ b/tests/unit/platform/test_light_imports.py
@@ -196,3 +196,51 @@
                 [1],
             ],
         )
+
+
+LOG_PROGRAM = """
+import sys
+import yokeline.platform.__main__
+import absl.logging
+from yokeline.light_imports import DeferredModule
+from yokeline.logs import set_up_role_logs
+
+def is_deferred():
+    return type(sys.modules["absl.logging"]) is DeferredModule
+
+set_up_role_logs("warning")
+absl.logging.info({"event": "low"})
+absl.logging.warning({"event": "same", "number": 1})
+before = is_deferred()
+absl.logging.error("text %s", 5)
+absl.logging.info({"event": "low"})
+for _ in range(2):
+    absl.logging.log_every_n_seconds(absl.logging.WARNING, {"event": "limited"}, 60)
+absl.logging.warning({"event": "same", "number": 1})
+print(before, is_deferred(), file=sys.stderr)
+"""
+
+
+class DeferredLogging(unittest.TestCase):
+    def test_lines_are_the_same_before_and_after_absl_logging_is_executed(self) -> None:
+        """Guards against lines that are lost, or written below the level of the role."""
+        ended = subprocess.run(
+            [sys.executable, "-c", LOG_PROGRAM],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+        )
+        self.assertEqual(ended.stderr.split(), ["True", "False"])
+        lines = [json.loads(line) for line in ended.stdout.splitlines()]
+        for line in lines:
+            del line["time"]
+        self.assertEqual(
+            lines,
+            [
+                {"level": "WARNING", "event": "same", "number": 1},
+                {"level": "ERROR", "message": "text 5"},
+                {"level": "WARNING", "event": "limited"},
+                {"level": "WARNING", "event": "same", "number": 1},
+            ],
+        )
