--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -84,12 +84,16 @@
 
     For a streamed request with status 2xx the body is empty and items follow; with any
     other status the body is whole and nothing follows.
+
+    Attributes:
+        connect_seconds: Time that the connection took to be established; 0 for a kept one.
     """
 
     request: RequestId
     status: int
     headers: dict[str, str] = {}
     body: bytes = b""
+    connect_seconds: float = 0.0
 
 
 class HttpStreamItem(msgspec.Struct, frozen=True, kw_only=True):
@@ -146,6 +150,16 @@
     ticket: int
 
 
+class FileRefused(msgspec.Struct, frozen=True):
+    """The disk refuses writes; they are repeated, and a later :class:`FileSynced` ends the refusal.
+
+    Attributes:
+        reason: The system's error.
+    """
+
+    reason: str
+
+
 class ReloadRequested(msgspec.Struct, frozen=True):
     """The settings file has changed (SIGHUP)."""
 
@@ -165,6 +179,7 @@
     | PeerMessage
     | DatagramArrived
     | FileSynced
+    | FileRefused
     | ReloadRequested
     | StopRequested
 )
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -135,14 +135,20 @@
     settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     # Imported here, as the storage part below: a role loads only what it needs.
+    from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
     from yokeline.forwarding.configuration_lease import ConfigurationLease
     from yokeline.forwarding.edge_node import EdgeNode
     from yokeline.forwarding.engines import EngineTable
+    from yokeline.forwarding.evacuations import Evacuations
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.metrics import edge_figures
     from yokeline.forwarding.tenant_limits import LimitTolerance
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
+    from yokeline.scheduling.cold_engines import ColdEngineRates
+    from yokeline.scheduling.eligibility import EligibilityPolicy
+    from yokeline.scheduling.topology import Topology
+    from yokeline.scheduling.zone_evacuation import ZoneEvacuations
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -164,11 +170,15 @@
         address=settings.peer_address,
         zone=settings.zone,
     )
-    engines = EngineTable(settings.name)
-    ledger = LedgerClient(settings.peer_address)
+    engines = EngineTable(settings.name, Topology(settings.zone, settings.zone_regions))
+    ledger = LedgerClient(settings.peer_address, searches_at_start=not settings.first_start)
+    evacuated_zones = ZoneEvacuations(settings.evacuation_ms / 1000.0)
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
+    cold_rates = ColdEngineRates(
+        settings.name, settings.cold_overage, settings.cold_slack, start.began_at
+    )
     forwarder = Forwarder(
         zone=settings.zone,
         dialect=adapter.dialect(),
@@ -181,6 +191,7 @@
             slack=settings.limit_slack,
         ),
         process=process,
+        eligibility=EligibilityPolicy((evacuated_zones, cold_rates)),
     )
     lease = ConfigurationLease(
         store.unwrap(),
@@ -203,6 +214,8 @@
         engine_drain_seconds=settings.engine_drain_ms / 1000.0,
         phases=StartPhases(start.began_at),
         now=now,
+        cold_engines=ColdEngineTracker(cold_rates, first_start=settings.first_start),
+        evacuations=Evacuations(adapter.formats, evacuated_zones, engines),
     )
     binding = ServiceBinding(
         http=front.unwrap(),
@@ -319,6 +332,7 @@
         peers=PeerLimits(
             connect_seconds=0.5,
             max_backoff_seconds=0.3,
+            prompt_seconds=1.5,
             silent_seconds=1.0,
             max_queue_seconds=1.0,
         ),
--- a/src/yokeline/scheduling/retry_delays.py
+++ b/src/yokeline/scheduling/retry_delays.py
@@ -31,6 +31,9 @@
 OUTAGE_JITTER = 2.0
 """Width of the interval of delays after a refusal by a node that is temporarily unable to serve,
 relative to the earliest delay."""
+NO_ELIGIBLE_ENGINE_DELAY_SECONDS = 1.0
+"""Earliest delay if no engine may serve the request. An operator's order or the configuration has
+to change first, so callers return rarely, yet within :data:`MAX_DELAY_SECONDS` of that change."""
 LIMIT_JITTER = 0.25
 """Width of the interval of delays after a refusal by a tenant's limit, relative to the earliest
 delay."""
@@ -63,9 +66,16 @@
 
 
 def retry_delay_after_outage(caller: RefusedCaller) -> float:
-    """Return the retry delay in seconds from a node that is temporarily unable to serve."""
+    """Return the retry delay in seconds from a node that is temporarily unable to serve.
+
+    With little time left all delays shrink alike, so that programs that have begun still return
+    before others.
+    """
     earliest = BEGUN_OUTAGE_DELAY_SECONDS if caller.has_begun else OUTAGE_DELAY_SECONDS
-    return _with_jitter(caller, earliest, OUTAGE_JITTER)
+    latest = OUTAGE_DELAY_SECONDS * (1.0 + OUTAGE_JITTER)
+    honoured = max(0.0, HONOURED_SHARE * caller.time_left)
+    delay = earliest * (1.0 + OUTAGE_JITTER * _hash_fraction(caller.request_id))
+    return delay * min(1.0, honoured / latest)
 
 
 def retry_delay_after_limit(request_id: str, seconds: float) -> float:
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -16,6 +16,7 @@
     Effect,
     Event,
     Exit,
+    FileRefused,
     FileSynced,
     HttpFailed,
     HttpRequest,
@@ -144,7 +145,11 @@
         self.is_isolated = False
         self.is_isolated_from_peers = False
         self.disk_hangs = False
+        self.disk_is_full = False
+        self.has_refused = False
+        """The process was told that the disk is full."""
         self.sync_seconds = 0.001
+        self.region = ""
         self.started_before = False
         self.generation = 0
         self.unsynced: list[SyncFile] = []
@@ -165,9 +170,11 @@
 class EdgeClient:
     """The ledger client of a forwarding node."""
 
-    def __init__(self, name: str, address: Address) -> None:
+    def __init__(self, name: str, address: Address, *, searches_at_start: bool = False) -> None:
         self.process = ReplicaId(name)
-        self.client = LedgerClient(address)
+        self.address = address
+        self.client = LedgerClient(address, searches_at_start=searches_at_start)
+        self.region = ""
 
 
 class Cluster:
@@ -177,6 +184,8 @@
         self.random = random.Random(seed)
         self.link_mbps = link_mbps
         self.now = 0.0
+        self.between_regions_seconds = 0.0
+        """Latency added to each message between machines of two regions, one way."""
         self.store = MemoryStore()
         self.store_seconds = 0.004
         """Response time of the key-value service."""
@@ -271,6 +280,7 @@
         machine.node = None
         machine.generation += 1
         machine.unsynced = []
+        machine.has_refused = False
 
     # ------------------------------------------------------------ time
 
@@ -338,9 +348,10 @@
         self.run_until(lambda: bool(answers), limit + 1)
         return answers[0] if answers else None
 
-    def add_edge(self, name: str) -> EdgeClient:
+    def add_edge(self, name: str, *, searches_at_start: bool = False) -> EdgeClient:
         """Add a forwarding node's client that knows the machines running now."""
-        edge = EdgeClient(name, Address(f"10.0.9.{len(self.edges) + 10}", 1))
+        address = Address(f"10.0.9.{len(self.edges) + 10}", 1)
+        edge = EdgeClient(name, address, searches_at_start=searches_at_start)
         edge.client.set_storage(
             {item.replica: item.address for item in self.machines if item.node is not None}
         )
@@ -404,9 +415,16 @@
     def _sync(self, machine: Machine, generation: int, effect: SyncFile) -> None:
         if machine.generation != generation:
             return
+        if machine.disk_is_full:
+            self._schedule(0.05, lambda: self._sync(machine, generation, effect))
+            if not machine.has_refused:
+                machine.has_refused = True
+                self._deliver(machine, generation, FileRefused("no space left on device"))
+            return
         if machine.disk_hangs:
             self._schedule(0.05, lambda: self._sync(machine, generation, effect))
             return
+        machine.has_refused = False
         while machine.unsynced and machine.unsynced[0].ticket <= effect.ticket:
             _write_to_disk(machine, machine.unsynced.pop(0))
         self._deliver(machine, generation, FileSynced(effect.ticket))
@@ -441,6 +459,8 @@
         self.frames += 1
         delay = 0.0005 + 0.002 * self.random.random()
         to_edge = effect.to in self.edges
+        if self.between_regions_seconds:
+            delay += self._region_delay(sender, source, effect)
         if source is not None and (
             source.is_isolated or (source.is_isolated_from_peers and not to_edge)
         ):
@@ -467,6 +487,13 @@
             if machine.address == effect.address and not unreachable:
                 self._schedule(delay, lambda m=machine: self._arrive(m, effect.to, event))
 
+    def _region_delay(self, sender: ReplicaId, source: Machine | None, effect: SendPeer) -> float:
+        """Return the latency that the regions of sender and recipient add."""
+        sent_from = source.region if source is not None else self.edges[sender].region
+        regions = {item.address: item.region for item in self.machines}
+        regions.update({edge.address: edge.region for edge in self.edges.values()})
+        return self.between_regions_seconds * (regions.get(effect.address) != sent_from)
+
     def _link_delay(self, source: Machine, effect: SendPeer) -> float:
         """Return a message's delay on its sender's link, behind earlier messages."""
         size = len(_CODEC.encode_peer(source.replica, effect.to, effect.message))
