--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -340,7 +340,8 @@
 
         ``max_change_age`` is the greatest age that the changes can have.
         """
-        listed = len(self._registry.items(self._formats.engine_prefix))
+        # Most events change nothing; the number counts for removals only.
+        listed = len(self._registry.items(self._formats.engine_prefix)) if changed else 0
         self._discovery.begin_batch(changed, listed, now)
         if self._registry.complete:
             own_record = self._registry.item(node_key(self._record.name))
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import gc
 import random
 import resource
-import secrets
 import sys
 import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -17,7 +18,6 @@
 from yokeline.early_sockets import EarlySockets
 from yokeline.effects import Address, Service
 from yokeline.errors import EXIT_USAGE, ErrorKind, YokelineError
-from yokeline.forwarding.dialect import Dialect
 from yokeline.identifiers import ReplicaId, new_replica_id
 from yokeline.ledger.codec import LedgerCodec
 from yokeline.logs import set_up_role_logs
@@ -39,6 +39,9 @@
 from yokeline.start_phases import StartPhases
 from yokeline.status_service import NodeFigures, StatusService
 
+if TYPE_CHECKING:
+    from yokeline.forwarding.dialect import Dialect
+
 SEED_BITS = 128
 _DESCRIPTORS_FOR_CALLERS = 0.6
 _EDGE_WATCH_PAUSE_SECONDS = 0.1
@@ -59,11 +62,16 @@
 
 
 class Adapter(msgspec.Struct, frozen=True, kw_only=True):
-    """What a deployment spells in its own way."""
+    """What a deployment spells in its own way.
+
+    Attributes:
+        dialect: Makes the header fields' dialect; called by the role that serves requests, so that
+            others do not load its modules.
+    """
 
     store: Callable[[Address], StoreProtocol]
     formats: DeploymentFormats
-    dialect: Dialect
+    dialect: Callable[[], Dialect]
     ready_path: str
 
 
@@ -107,6 +115,9 @@
         print(built.failure().line(), file=sys.stderr)
         return EXIT_USAGE
     _log_start(role, settings, start)
+    # Modules and the recovered log stay: collections need not look at them.
+    gc.freeze()
+    gc.enable()
     return run_services(_with_sockets(built.unwrap(), start))
 
 
@@ -145,7 +156,7 @@
         return front
     if isinstance(ready, Failure):
         return ready
-    source = random.Random(secrets.randbits(SEED_BITS))
+    source = random.Random(random.SystemRandom().getrandbits(SEED_BITS))
     store = parse_address(settings.store, "store").map(adapter.store)
     if isinstance(store, Failure):
         return store
@@ -170,7 +181,7 @@
     )
     forwarder = Forwarder(
         zone=settings.zone,
-        dialect=adapter.dialect,
+        dialect=adapter.dialect(),
         ledger=ledger,
         histories=histories,
         engines=engines,
@@ -232,7 +243,7 @@
     from yokeline.ledger.replica import LOG_FILE, LedgerReplica
     from yokeline.ledger.storage_node import StorageNode, storage_figures
 
-    source = random.Random(secrets.randbits(SEED_BITS))
+    source = random.Random(random.SystemRandom().getrandbits(SEED_BITS))
     folder = Path(settings.data_folder)
     data = _read_log(folder, LOG_FILE)
     if isinstance(data, Failure):
