Serve restricted requests in their allowed regions only

Nothing filled the allowed regions of a request, so that the requests of a route or tenant that is bound to regions were sent anywhere.

The restriction is asked with every choice of an engine. A request whose regions have no engine, or whose route and tenant have no region in common, is refused at once with 503 and a reason of its own, before a reservation is made. A turn that is to be kept is refused before it runs while the ledger, which replicates its text over all regions, may not hold it. A request under way obeys the regions of a newer configuration as well as its own. Without allowed regions the restriction is inactive.

--- a/src/yokeline/forwarding/dispatcher.py
+++ b/src/yokeline/forwarding/dispatcher.py
@@ -11,6 +11,7 @@
 from yokeline.forwarding.http_statuses import UNAUTHORIZED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.queue_admission import CapacitySnapshot, QueueAdmission, would_lose_work
+from yokeline.forwarding.residency import NO_ENGINE_IN_REGIONS
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.wait_queue import WaitQueue
 from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay
@@ -58,17 +59,40 @@
             return
         name = f'yokeline_forwarding_room_refusals_total{{cause="{refusal.value}"}}'
         self._state.outcomes.counters[name] += 1
+        fields = self._admission.refusal_fields(exchange, refusal)
+        self._responder.refuse(
+            exchange,
+            UNAVAILABLE,
+            self._refusal_reason(exchange, refusal),
+            retry_after=self._retry_after(exchange),
+            **fields,
+        )
+
+    def refuse_by_residency(self, exchange: Exchange, reason: str) -> None:
+        """End a request that was not run and may not be served or kept in its regions."""
+        self._responder.refuse(
+            exchange,
+            UNAVAILABLE,
+            reason,
+            retry_after=self._retry_after(exchange),
+            regions=" ".join(sorted(exchange.allowed_regions or ())),
+        )
+
+    def _refusal_reason(self, exchange: Exchange, refusal: RoomRefusal) -> str:
+        if refusal is not RoomRefusal.NO_ELIGIBLE_ENGINE:
+            return "no_engine"
+        engines = self._state.engines.in_pool(exchange.pool, self._state.now)
+        has_engine = self._state.residency.has_engine(exchange, engines)
+        return "no_engine" if has_engine else NO_ENGINE_IN_REGIONS
+
+    def _retry_after(self, exchange: Exchange) -> float:
         caller = RefusedCaller(
             request_id=exchange.call.request_id,
             has_begun=would_lose_work(exchange),
             time_left=exchange.deadline - self._state.now,
         )
         expected = exchange.room_wait.expected if exchange.room_wait is not None else 0.0
-        retry_after = retry_delay(caller, expected)
-        fields = self._admission.refusal_fields(exchange, refusal)
-        self._responder.refuse(
-            exchange, UNAVAILABLE, "no_engine", retry_after=retry_after, **fields
-        )
+        return retry_delay(caller, expected)
 
     def _end_revoked(self, exchange: Exchange) -> None:
         if exchange.possible_runs or exchange.relayed_events:
--- a/src/yokeline/forwarding/engine_sender.py
+++ b/src/yokeline/forwarding/engine_sender.py
@@ -94,12 +94,22 @@
             "waited": round(self._state.now - exchange.waiting_since, 4),
             "send": exchange.sends,
         }
+        if exchange.allowed_regions is not None:
+            fields["region"] = self._count_region(exchange, choice)
         for cause, count in choice.left_out.items():
             fields[f"left_out_{cause.value}"] = count
             name = f'yokeline_forwarding_sends_restricted_total{{cause="{cause.value}"}}'
             self._state.outcomes.counters[name] += 1
         self._state.outcomes.log("engine_chosen", exchange, "info", **fields)
 
+    def _count_region(self, exchange: Exchange, choice: EngineChoice) -> str:
+        """Count a restricted request by the region that serves it; return the region."""
+        region = self._state.residency.restriction.region_of(choice.state.engine.zone)
+        labels = f'route="{exchange.route.name}",region="{region}"'
+        name = f"yokeline_forwarding_restricted_sends_total{{{labels}}}"
+        self._state.outcomes.counters[name] += 1
+        return region
+
 
 def _seconds_to_grant(exchange: Exchange) -> float:
     """Return the time until the ledger granted the reservation; 0 without a reservation."""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -54,6 +54,11 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcome_recorder import OutcomeRecorder
 from yokeline.forwarding.reservations import Reservations
+from yokeline.forwarding.residency import (
+    CANNOT_KEEP_IN_REGIONS,
+    NO_ENGINE_IN_REGIONS,
+    DataResidency,
+)
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.retries import RetryHandler
 from yokeline.forwarding.settlements import Settlements
@@ -101,12 +106,13 @@
         tolerance: LimitTolerance = NO_TOLERANCE,
         process: str = "",
         eligibility: EligibilityPolicy = NO_RESTRICTIONS,
+        residency: DataResidency | None = None,
     ) -> None:
         """Serve in a zone.
 
         ``tolerance`` is what tenants may use beyond their limits. ``process`` identifies this
         process in the ids of ledger operations, so that no two requests share one. ``eligibility``
-        restricts the engines that requests may be sent to.
+        restricts the engines that requests may be sent to, among others by ``residency``.
         """
         self.refusing = False
         self.lease_state: Callable[[float], LeaseState] = _always_valid
@@ -115,7 +121,9 @@
         self._tolerance = tolerance
         self._process = process
         self._outcomes = OutcomeRecorder(dialect)
-        self._state = NodeState(zone, engines, self._outcomes, eligibility)
+        self._state = NodeState(
+            zone, engines, self._outcomes, eligibility, residency or DataResidency()
+        )
         ledger.turns.tenants = TenantLoadReader(self._state)
         ledger.shares_told = self._state.fair_shares.apply_leader_report
         self._held = HeldRequests()
@@ -161,7 +169,10 @@
         self._state.table = table
         self._outcomes.configuration_version = table.version if table is not None else 0
         if table is not None:
+            self._state.residency.set_table(table)
             self._revoke_keys(table)
+            for exchange in self._state.exchanges.values():
+                self._state.residency.rebind(exchange, table)
 
     def _revoke_keys(self, table: RoutingTable) -> None:
         """Refuse requests with revoked keys that were not run; exclude the others from retries."""
@@ -409,6 +420,8 @@
 
     def _begin(self, exchange: Exchange) -> None:
         """Start the first step that a request needs: tenant limit, reservation or dispatch."""
+        if self._refuse_by_residency(exchange):
+            return
         if not self._tenant_limits.may_ask(exchange, self._begin):
             return
         if needs_ledger(exchange):
@@ -448,6 +461,7 @@
             tenant=admitted.tenant,
             forwards_credential=admitted.forwards_credential,
             limit=limit_of(admitted.tenant, self._outcomes.configuration_version, self._tolerance),
+            allowed_regions=self._state.residency.regions_of(route, admitted.tenant),
             pool=self._traffic_split.choose_pool(route, call),
             body=event.body,
             last_event_id=call.last_event_id,
@@ -456,7 +470,27 @@
         self._state.schedule(exchange, exchange.deadline, self._deadline_reached)
         return exchange
 
+    def _refuse_by_residency(self, exchange: Exchange) -> bool:
+        """Refuse a request that cannot be served or kept in its regions; return whether it is.
+
+        A turn that is to be kept is refused before it runs, since its work would be lost.
+        """
+        if exchange.allowed_regions is None or exchange.possible_runs or exchange.relayed_events:
+            return False
+        residency = self._state.residency
+        engines = self._state.engines.in_pool(exchange.pool, self._state.now)
+        if not residency.has_engine(exchange, engines):
+            reason = NO_ENGINE_IN_REGIONS
+        elif residency.must_keep_regionally(exchange):
+            reason = CANNOT_KEEP_IN_REGIONS
+        else:
+            return False
+        self._dispatcher.refuse_by_residency(exchange, reason)
+        return True
+
     def _enqueue_and_dispatch(self, exchange: Exchange) -> None:
+        if self._refuse_by_residency(exchange):
+            return
         self._dispatcher.enqueue(exchange)
         self._dispatcher.dispatch(exchange.pool)
 
--- a/src/yokeline/forwarding/node_state.py
+++ b/src/yokeline/forwarding/node_state.py
@@ -10,6 +10,7 @@
 from yokeline.forwarding.model import Pool, RoutingTable
 from yokeline.forwarding.outcome_recorder import OutcomeRecorder
 from yokeline.forwarding.placement import Placement
+from yokeline.forwarding.residency import DataResidency
 from yokeline.forwarding.wait_queue import WaitQueue
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId, RequestId
@@ -29,6 +30,7 @@
         exchanges: Requests without a final answer, by exchange id.
         by_engine_request: Requests at an engine, by the id of the request sent to it.
         eligibility: Restrictions on the engines that a request may be sent to.
+        residency: The regions of requests.
         waiting: Queues of requests that wait for an engine, by pool.
         fair_shares: The tenants whose first turns are held back.
         added_seconds: Time from a request's arrival to its first send.
@@ -44,6 +46,7 @@
         engines: EngineTable,
         outcomes: OutcomeRecorder,
         eligibility: EligibilityPolicy,
+        residency: DataResidency,
     ) -> None:
         """Start without requests and without a configuration."""
         self.now = 0.0
@@ -51,6 +54,7 @@
         self.engines = engines
         self.outcomes = outcomes
         self.eligibility = eligibility
+        self.residency = residency
         self.placement = Placement(zone, engines, eligibility)
         self.exchanges: dict[ExchangeId, Exchange] = {}
         self.by_engine_request: dict[RequestId, Exchange] = {}
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -102,6 +102,8 @@
         """Return whether no engine of a pool can become eligible for a request while it waits."""
         if not self.eligibility.is_active:
             return False
+        if exchange.allowed_regions is not None and not exchange.allowed_regions:
+            return True
         is_exhausted = exchange.attempts.are_exhausted
         engines = (
             self._attempted_engines(exchange)[:1]
--- a/src/yokeline/forwarding/tenants.py
+++ b/src/yokeline/forwarding/tenants.py
@@ -47,11 +47,16 @@
 
 
 class TenantDirectory:
-    """The tenants and their keys in one version of the configuration."""
+    """The tenants and their keys in one version of the configuration.
+
+    Attributes:
+        tenants: The tenants that have a key.
+    """
 
     def __init__(self, holders: tuple[KeyHolder, ...]) -> None:
         """Index the keys of ``holders``; the first holder of a duplicate key counts."""
-        self._weights = _weights({holder.tenant for holder in holders})
+        self.tenants = frozenset(holder.tenant for holder in holders)
+        self._weights = _weights(self.tenants)
         self._largest_weight = max(self._weights.values(), default=1.0)
         self._by_index: dict[str, list[KeyHolder]] = {}
         for holder in holders:
@@ -75,7 +80,7 @@
         return self._weights.get(name, self._largest_weight)
 
 
-def _weights(tenants: set[Tenant]) -> dict[str, float]:
+def _weights(tenants: frozenset[Tenant]) -> dict[str, float]:
     """Return the weights of the tenants with a rate limit."""
     return {tenant.name: tenant.rate for tenant in tenants if tenant.is_limited}
 
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -129,9 +129,11 @@
     from yokeline.forwarding.engines import EngineTable
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.metrics import edge_figures
+    from yokeline.forwarding.residency import DataResidency
     from yokeline.forwarding.tenant_limits import LimitTolerance
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
+    from yokeline.scheduling.eligibility import EligibilityPolicy
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -158,6 +160,7 @@
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
+    residency = DataResidency(settings.region, settings.zone_regions)
     forwarder = Forwarder(
         zone=settings.zone,
         dialect=adapter.dialect,
@@ -170,6 +173,8 @@
             slack=settings.limit_slack,
         ),
         process=process,
+        eligibility=EligibilityPolicy((residency.restriction,)),
+        residency=residency,
     )
     lease = ConfigurationLease(
         store.unwrap(),
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -36,6 +36,7 @@
     RouteKind,
     RoutingTable,
 )
+from yokeline.forwarding.residency import DataResidency
 from yokeline.identifiers import ExchangeId, ReplicaId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
@@ -102,7 +103,10 @@
         engines_per_pool: int = 2,
         slots: int = 4,
         eligibility: EligibilityPolicy = NO_RESTRICTIONS,
+        residency: DataResidency | None = None,
+        zones: tuple[str, ...] = ("a",),
     ) -> None:
+        """The engines of each pool stand in ``zones`` in turn."""
         self.now = 100.0
         self.ledger = LedgerClient(Address("10.0.0.1", 1))
         self.ledger.engines_told = lambda told, now: self.engines.apply_leader_report(told, now)
@@ -116,6 +120,7 @@
             histories=self.histories,
             engines=self.engines,
             eligibility=eligibility,
+            residency=residency,
         )
         self.forwarder.table = TABLE
         for pool in ("models", "apps"):
@@ -124,7 +129,7 @@
                     engine_id=f"{pool}-{number}",
                     pool=pool,
                     address=Address(f"10.1.0.{number}", 80),
-                    zone="a",
+                    zone=zones[number % len(zones)],
                     slots=slots,
                 )
                 self.engines.put(engine)
