Store the texts of restricted turns in their regions

The ledger is one group over all regions, so a turn that is bound to regions and to be kept had to be refused.

Its text is now stored by storage nodes of the allowed regions: three copies synced to disk before the turn is acknowledged, and a mark with a digest in the ledger's entry. A later turn reads the texts from these nodes, checks the digests and is bound by the regions of its chain. Nodes with texts check each other's copies, and copy a text again after a lost disk or a retirement, which is reported complete only after that.

Reservations of restricted turns bring no texts through other forwarding nodes.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -30,6 +30,7 @@
 from yokeline.forwarding.forwarder import Forwarder
 from yokeline.forwarding.load_reporting import LoadReporter, NodeStatus
 from yokeline.forwarding.registry_sync import RegistrySync
+from yokeline.forwarding.residency_report import ResidencyReporter
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches, NearReplica
@@ -44,6 +45,8 @@
     PassedOnRequest,
     RegistryAsk,
     RegistryNews,
+    TextReply,
+    TextStored,
 )
 from yokeline.ledger.operations import OperationResult
 from yokeline.registry.client import RegistryClient
@@ -56,6 +59,7 @@
     node_key,
     read_node,
     read_nodes,
+    storage_nodes,
 )
 from yokeline.registry.protocol import StoredItem
 from yokeline.start_phases import StartPhases
@@ -94,6 +98,7 @@
         engine_drain_seconds: float,
         phases: StartPhases,
         now: float,
+        residency: ResidencyReporter | None = None,
     ) -> None:
         """Create the service; other nodes reach it under the id ``process``."""
         self.forwarder = forwarder
@@ -107,6 +112,7 @@
         self._registry = registry
         self._formats = formats
         self._engines = engines
+        self.residency = residency or ResidencyReporter()
         self._grace_seconds = grace_seconds
         self._discovery = EngineDiscovery(formats, engines, forwarder, engine_drain_seconds, now)
         self._load_reporter = LoadReporter(record, process, engines, now)
@@ -152,6 +158,7 @@
         effects.extend(self._discovery.remove_expired(now))
         effects.extend(self.ledger.tick(now))
         effects.extend(self.histories.tick(now))
+        effects.extend(self.residency.texts.tick(now))
         effects.extend(self.forwarder.tick(now))
         self.ledger.wants_engines = self.forwarder.awaits_model_engine()
         effects.extend(
@@ -167,6 +174,8 @@
         )
         effects.extend(self._continue_stop(now))
         effects.extend(self._log_start_phases(now))
+        if self._registry.complete:
+            effects.extend(self.residency.report(self.forwarder.table, self._engines.all()))
         return effects
 
     def _renew_lease(self, now: float) -> list[Effect]:
@@ -198,6 +207,7 @@
             self._registry.next_deadline(),
             self.ledger.next_deadline(),
             self.histories.next_deadline(),
+            self.residency.texts.next_deadline(),
             self.forwarder.next_deadline(),
             self._load_reporter.next_deadline(),
             self._engines.next_expiry(),
@@ -234,6 +244,10 @@
             return self.histories.take_reply(message, now)
         if isinstance(message, PassedOnRequest):
             return self._relay_ledger_request(event.sender, message, now)
+        if isinstance(message, TextStored):
+            return self.residency.texts.take_stored(event.sender, message, now)
+        if isinstance(message, TextReply):
+            return self.residency.texts.take_texts(event.sender, message, now)
         if isinstance(message, RegistryAsk):
             return self._registry_sync.answer_query(event.sender, message)
         if isinstance(message, ConfigurationAsk):
@@ -290,6 +304,9 @@
             return self._apply_configuration(item, now)
         if self._discovery.owns(item):
             return self._discovery.apply_change(item, now)
+        if item.key.startswith(self._formats.retire_prefix):
+            self._apply_storage_nodes()
+            return []
         if item.key.startswith(NODE_PREFIX):
             self._apply_nodes()
             return self._validate_node_record(item)
@@ -362,9 +379,19 @@
             [NearReplica(item.replica, item.address, item.zone == own_zone) for item in storage]
         )
         edges = [record for record in records if record.role is NodeRole.EDGE]
+        self._apply_storage_nodes()
         self._load_reporter.set_nodes(edges, self._now)
         self._registry_sync.nodes_changed(self._now)
 
+    def _apply_storage_nodes(self) -> None:
+        """Set where regional texts may be stored."""
+        orders = self._registry.items(self._formats.retire_prefix).items()
+        read = (self._formats.read_retire_order(key, item.value or b"") for key, item in orders)
+        retiring = {order.unwrap().node for order in read if isinstance(order, Success)}
+        self.residency.set_storage(
+            storage_nodes(self._registry.items(NODE_PREFIX).values()), retiring
+        )
+
     # ------------------------------------------------------------ planned stops
 
     def _begin_stop(self, now: float) -> list[Effect]:
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -81,6 +81,8 @@
         relayed_events: Number of events sent to the caller.
         kept_text: Data of the events, for a turn that is to be kept.
         kept_event_id: Id of the last event in ``kept_text``.
+        kept_mark: What the ledger keeps in place of the turn's text; empty for the text itself.
+        history_root: First turn of its chain; empty without earlier turns.
         room_wait: Its wait for an engine with capacity; None before the wait was decided.
         history_source: Where the texts of its chain come from.
         asked_leader_for_history: Whether the leader was asked for the texts after the grant.
@@ -127,6 +129,8 @@
     relayed_events: int = 0
     kept_text: list[bytes] = msgspec.field(default_factory=list)
     kept_event_id: str = ""
+    kept_mark: bytes = b""
+    history_root: str = ""
     waiting_since: float = 0.0
     room_wait: RoomWait | None = None
     history_source: HistorySource = HistorySource.CACHED
@@ -139,6 +143,11 @@
     first_event_at: float | None = None
     timers: list[Timer] = msgspec.field(default_factory=list)
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the caller has the final answer, or has left."""
+        return self.phase is Phase.ENDED
+
     @property
     def priority(self) -> int:
         """Priority of the request (0 first): its tenant's if set, else its route's."""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from yokeline.effects import (
+    Address,
     Effect,
     HttpArrived,
     HttpFailed,
@@ -53,6 +54,7 @@
 from yokeline.forwarding.model import Call, Route, RouteKind, RoutingTable
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcome_recorder import OutcomeRecorder
+from yokeline.forwarding.regional_turns import RegionalTurns
 from yokeline.forwarding.reservations import Reservations
 from yokeline.forwarding.residency import (
     CANNOT_KEEP_IN_REGIONS,
@@ -72,10 +74,12 @@
 from yokeline.identifiers import ExchangeId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
+from yokeline.ledger.regional_texts import RegionalTexts
 from yokeline.registry.watch import WATCH_SECONDS
 from yokeline.scheduling.eligibility import EligibilityPolicy
 from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay_after_outage
 
+NO_ADDRESS = Address("", 0)
 DEADLINE_RETRY_AFTER_SECONDS = 0.1
 RESTART_DETECTION_SECONDS = WATCH_SECONDS
 """Time for which a node may not know that an engine has restarted, and send to the new incarnation
@@ -107,12 +111,14 @@
         process: str = "",
         eligibility: EligibilityPolicy = NO_RESTRICTIONS,
         residency: DataResidency | None = None,
+        texts: RegionalTexts | None = None,
     ) -> None:
         """Serve in a zone.
 
         ``tolerance`` is what tenants may use beyond their limits. ``process`` identifies this
         process in the ids of ledger operations, so that no two requests share one. ``eligibility``
-        restricts the engines that requests may be sent to, among others by ``residency``.
+        restricts the engines that requests may be sent to, among others by ``residency``; ``texts``
+        stores the texts of turns that are bound to regions.
         """
         self.refusing = False
         self.lease_state: Callable[[float], LeaseState] = _always_valid
@@ -130,6 +136,9 @@
         self._traffic_split = TrafficSplit()
         turn_cache = TurnCache()
         settlements = Settlements(self._state, ledger)
+        self._regional_turns = RegionalTurns(
+            self._state, texts or RegionalTexts(NO_ADDRESS), settlements, turn_cache
+        )
         self._responder = Responder(self._state, settlements, dialect)
         self._sender = EngineSender(self._state, settlements, dialect)
         self._dispatcher = Dispatcher(self._state, self._sender, self._responder)
@@ -141,6 +150,7 @@
             self._responder,
             self._retries,
             turn_cache,
+            self._regional_turns,
             dialect,
         )
         self._tenant_limits = TenantLimits(
@@ -153,6 +163,7 @@
             histories,
             self._responder,
             turn_cache,
+            self._regional_turns,
             self._tenant_limits,
             self._enqueue_and_dispatch,
         )
@@ -481,7 +492,9 @@
         engines = self._state.engines.in_pool(exchange.pool, self._state.now)
         if not residency.has_engine(exchange, engines):
             reason = NO_ENGINE_IN_REGIONS
-        elif residency.must_keep_regionally(exchange):
+        elif residency.must_keep_regionally(exchange) and not self._regional_turns.can_keep(
+            exchange
+        ):
             reason = CANNOT_KEEP_IN_REGIONS
         else:
             return False
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -13,6 +13,7 @@
 from yokeline.forwarding.exchange import Exchange, HistorySource, Phase
 from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.regional_turns import RegionalTurns
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.tenant_limits import (
     LEDGER_RETRY_AFTER_SECONDS,
@@ -47,6 +48,7 @@
         histories: HistoryFetches,
         responder: Responder,
         turn_cache: TurnCache,
+        regional_turns: RegionalTurns,
         limits: TenantLimits,
         on_granted: Callable[[Exchange], None],
     ) -> None:
@@ -56,6 +58,7 @@
         self._histories = histories
         self._responder = responder
         self._turn_cache = turn_cache
+        self._regional_turns = regional_turns
         self._limits = limits
         self._on_granted = on_granted
 
@@ -79,7 +82,13 @@
 
         now = self._state.now
         give_up_at = min(exchange.deadline, now + LEDGER_TIMEOUT_SECONDS)
-        effects = self._ledger.ask(operation, reserved, now, give_up_at)
+        effects = self._ledger.ask(
+            operation,
+            reserved,
+            now,
+            give_up_at,
+            may_relay_texts=exchange.allowed_regions is None,
+        )
         self._state.outcomes.effects.extend(effects)
 
     def _fetch_history(self, exchange: Exchange, missing_from: str) -> bool:
@@ -178,9 +187,22 @@
             )
 
     def _proceed(self, exchange: Exchange) -> None:
+        """Read the regional texts of a chain that is cached, and go on."""
+        self._regional_turns.read(exchange, self._handle_whole_history)
+
+    def _handle_whole_history(
+        self, exchange: Exchange, history: bytes | None, refusal: str
+    ) -> None:
+        if history is None:
+            self._responder.refuse(
+                exchange,
+                UNAVAILABLE,
+                refusal,
+                retry_after=HISTORY_RETRY_AFTER_SECONDS,
+                regions=" ".join(sorted(exchange.allowed_regions or ())),
+            )
+            return
         previous = exchange.names.previous_turn
-        history = self._turn_cache.history(previous)
-        assert history is not None  # callers check that the whole chain is cached
         if previous:
             self._turn_cache.set_latest(exchange.names.session, previous)
         exchange.body = history + exchange.incoming.body
--- a/src/yokeline/forwarding/residency.py
+++ b/src/yokeline/forwarding/residency.py
@@ -34,12 +34,21 @@
         self.restriction = RegionRestriction(zone_regions or {})
         self._region = region
         self._regions = frozenset((zone_regions or {}).values())
+        self._storage_regions: frozenset[str] = frozenset()
 
     @property
     def is_active(self) -> bool:
         """Whether any request may be restricted."""
         return self.restriction.is_active
 
+    def activate(self) -> None:
+        """Check choices from now on, because a request continues a restricted turn."""
+        self.restriction.is_active = True
+
+    def set_storage_zones(self, zones: Iterable[str]) -> None:
+        """Set the zones of the storage nodes, to which the ledger may replicate."""
+        self._storage_regions = frozenset(self.restriction.region_of(zone) for zone in zones)
+
     def set_table(self, table: RoutingTable) -> None:
         """Activate the restriction if a route or tenant of a configuration has allowed regions."""
         tenants = table.tenants.tenants if table.tenants is not None else ()
@@ -89,7 +98,7 @@
         regions = exchange.allowed_regions
         if regions is None or not exchange.route.retain:
             return False
-        return not self._regions <= regions
+        return not (self._regions | self._storage_regions) <= regions - {""}
 
     def may_cache(self, regions: frozenset[str] | None) -> bool:
         """Return whether this node may cache texts that are bound to some regions."""
--- a/src/yokeline/forwarding/settlements.py
+++ b/src/yokeline/forwarding/settlements.py
@@ -50,7 +50,7 @@
 
     def settle_and_keep(self, exchange: Exchange, on_kept: KeepCallback) -> None:
         """Settle a completed turn and have it kept; ``on_kept`` is called once."""
-        turn: KeptTurn = kept_turn_of(exchange)
+        turn: KeptTurn = kept_turn_of(exchange, exchange.kept_mark)
         exchange.has_reservation = False
 
         def settled(result: OperationResult | None, now: float) -> list[Effect]:
--- a/src/yokeline/forwarding/stream_relay.py
+++ b/src/yokeline/forwarding/stream_relay.py
@@ -8,11 +8,11 @@
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.http_helpers import is_after
 from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.regional_turns import RegionalTurns
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.retries import RetryHandler
 from yokeline.forwarding.settlements import Settlements
 from yokeline.forwarding.turn_cache import TurnCache, event_data
-from yokeline.forwarding.turn_operations import kept_turn_of
 from yokeline.ledger.operations import OperationResult
 
 MAX_EVENT_GAP_SECONDS = 0.9
@@ -32,6 +32,7 @@
         responder: Responder,
         retries: RetryHandler,
         turn_cache: TurnCache,
+        regional_turns: RegionalTurns,
         dialect: Dialect,
     ) -> None:
         """Store completed turns in ``turn_cache`` as well as in the ledger."""
@@ -41,6 +42,7 @@
         self._responder = responder
         self._retries = retries
         self._turn_cache = turn_cache
+        self._regional_turns = regional_turns
         self._dialect = dialect
 
     def relay_event(self, exchange: Exchange, item: HttpStreamItem) -> None:
@@ -76,7 +78,10 @@
             self._responder.finish_stream(exchange)
             return
         exchange.phase = Phase.KEEPING
-        self._settlements.settle_and_keep(exchange, self._handle_kept)
+        if self._state.residency.must_keep_regionally(exchange):
+            self._regional_turns.keep(exchange, self._handle_kept)
+        else:
+            self._settlements.settle_and_keep(exchange, self._handle_kept)
 
     def _start_response(self, exchange: Exchange) -> None:
         assert exchange.response_head is not None
@@ -117,7 +122,7 @@
         if result is None:
             self._responder.fail(exchange, "turn_not_kept")
             return
-        self._turn_cache.put(kept_turn_of(exchange))
+        self._regional_turns.cache(exchange)
         self._turn_cache.set_latest(exchange.names.session, exchange.names.turn)
         self._responder.finish_stream(exchange)
 
--- a/src/yokeline/forwarding/turn_cache.py
+++ b/src/yokeline/forwarding/turn_cache.py
@@ -35,6 +35,24 @@
         latest = self._latest.get(session, "")
         return "" if latest and self.missing_from(latest) else latest
 
+    def put_regional(self, turn_id: str, text: bytes) -> None:
+        """Add the text of a turn that the cache and the ledger hold by its mark only."""
+        self.put(KeptTurn(turn_id=_regional(turn_id), previous="", text=text, retention=0.0))
+
+    def regional(self, turn_id: str) -> bytes | None:
+        """Return the text of a turn that is held by its mark; None if it is not cached."""
+        turn = self._turns.get(_regional(turn_id))
+        if turn is None:
+            return None
+        self._turns.move_to_end(turn.turn_id)
+        return turn.text
+
+    def remove(self, turn_id: str) -> None:
+        """Remove a turn."""
+        turn = self._turns.pop(turn_id, None)
+        if turn is not None:
+            self._bytes -= len(turn.text)
+
     def put(self, turn: KeptTurn) -> None:
         """Add a turn."""
         if turn.turn_id in self._turns:
@@ -57,17 +75,20 @@
             current = turn.previous
         return ""
 
-    def history(self, turn_id: str) -> bytes | None:
-        """Return the texts of a chain, oldest turn first; None if a turn is not cached."""
-        texts: list[bytes] = []
+    def chain(self, turn_id: str) -> list[KeptTurn]:
+        """Return the turns of a chain, the oldest first, as far back as they are cached."""
+        turns: list[KeptTurn] = []
         current = turn_id
-        while current:
-            turn = self._turns.get(current)
-            if turn is None:
-                return None
-            texts.append(turn.text)
+        while (turn := self._turns.get(current)) is not None:
+            turns.append(turn)
             current = turn.previous
-        return b"".join(reversed(texts))
+        turns.reverse()
+        return turns
+
+
+def _regional(turn_id: str) -> str:
+    """Return the name of a regional text, which no turn's id equals."""
+    return f"\0regional/{turn_id}"
 
 
 def event_data(block: bytes) -> bytes:
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -47,12 +47,12 @@
     )
 
 
-def kept_turn_of(exchange: Exchange) -> KeptTurn:
-    """Return the turn to keep from a completed request."""
+def kept_turn_of(exchange: Exchange, mark: bytes = b"") -> KeptTurn:
+    """Return the turn to keep from a completed request, with a mark in place of its text if any."""
     return KeptTurn(
         turn_id=exchange.names.turn,
         previous=exchange.names.previous_turn,
-        text=exchange.incoming.body + b"".join(exchange.kept_text),
+        text=mark or exchange.incoming.body + b"".join(exchange.kept_text),
         retention=exchange.route.retention,
     )
 
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -31,7 +31,7 @@
     PoolShares,
     TextCopy,
 )
-from yokeline.ledger.operations import Granted, Operation, OperationResult, Settle
+from yokeline.ledger.operations import Granted, Operation, OperationResult, Reserve, Settle
 from yokeline.ledger.own_turns import OwnTurns
 from yokeline.ledger.response_times import ResponseTimeEstimator
 from yokeline.ledger.text_copies import MIN_TEXT_BYTES
@@ -86,6 +86,7 @@
         retry_at: When it is due to be sent again.
         is_relayed: The operation is relayed for another node.
         relayed_turns: That node's report of turns.
+        may_relay_texts: Another node may relay the texts of earlier turns.
     """
 
     operation: Operation
@@ -98,6 +99,7 @@
     attempts: int = 0
     is_relayed: bool = False
     relayed_turns: PassedTurns | UnsetType = UNSET
+    may_relay_texts: bool = True
 
 
 class LedgerClient:
@@ -163,11 +165,25 @@
     # ------------------------------------------------------------ operations
 
     def ask(
-        self, operation: Operation, done: OperationDone, now: float, give_up_at: float
+        self,
+        operation: Operation,
+        done: OperationDone,
+        now: float,
+        give_up_at: float,
+        *,
+        may_relay_texts: bool = True,
     ) -> list[Effect]:
-        """Submit an operation; ``done`` is called once, unless the operation is forgotten."""
+        """Submit an operation; ``done`` is called once, unless the operation is forgotten.
+
+        Without ``may_relay_texts``, an answer through another forwarding node, which may be in any
+        region, brings no texts.
+        """
         pending = _PendingOperation(
-            operation=operation, done=done, give_up_at=give_up_at, submitted_at=now
+            operation=operation,
+            done=done,
+            give_up_at=give_up_at,
+            submitted_at=now,
+            may_relay_texts=may_relay_texts,
         )
         return self._add(pending, now)
 
@@ -499,10 +515,13 @@
         if pending.attempts > 1:
             self._next_peer += 1
         self.counts.through_peers += 1
+        operation = pending.operation
+        if not pending.may_relay_texts and isinstance(operation, Reserve):
+            operation = msgspec.structs.replace(operation, missing_from="")
         message = PassedOnRequest(
             number=number,
             asker=self._own_address,
-            operation=pending.operation,
+            operation=operation,
             turns=self.turns.report_for_peer(now),
             tenant_loads=self.turns.take_rows(now),
         )
--- a/src/yokeline/ledger/disk_records.py
+++ b/src/yokeline/ledger/disk_records.py
@@ -21,6 +21,8 @@
 from yokeline.identifiers import ReplicaId
 
 _PREFIX = struct.Struct(">II")
+FRAME_BYTES = _PREFIX.size
+"""Bytes of a record's length and checksum."""
 
 
 class IdentityRecord(msgspec.Struct, frozen=True, tag="identity"):
@@ -98,7 +100,11 @@
 def encode_record(record: DiskRecord) -> bytes:
     """Return the encoded record."""
     fields = msgspec.to_builtins(_RecordEnvelope(record), builtin_types=(bytes,))
-    payload = ormsgpack.packb(fields, option=ormsgpack.OPT_NON_STR_KEYS)
+    return framed(ormsgpack.packb(fields, option=ormsgpack.OPT_NON_STR_KEYS))
+
+
+def framed(payload: bytes) -> bytes:
+    """Return a payload as a record of a file, behind its length and checksum."""
     return _PREFIX.pack(len(payload), xxhash.xxh32_intdigest(payload)) + payload
 
 
@@ -110,21 +116,21 @@
     """
     log = RecoveredLog()
     offset = 0
-    while (payload := _payload_at(data, offset)) is not None:
+    while (payload := payload_at(data, offset)) is not None:
         try:
             fields = ormsgpack.unpackb(payload, option=ormsgpack.OPT_NON_STR_KEYS)
             envelope = msgspec.convert(fields, _RecordEnvelope, builtin_types=(bytes,))
         except (ormsgpack.MsgpackDecodeError, msgspec.ValidationError) as error:
             return Failure(_unreadable_log(offset, error))
         _apply_record(log, envelope.record)
-        offset += _PREFIX.size + len(payload)
+        offset += FRAME_BYTES + len(payload)
     log.valid_bytes = offset
     if log.replica is None and log.valid_bytes:
         return Failure(_unreadable_log(0, ValueError("the first record is not an identity record")))
     return Success(log)
 
 
-def _payload_at(data: bytes, offset: int) -> bytes | None:
+def payload_at(data: bytes, offset: int) -> bytes | None:
     """Return the payload of the record at ``offset``; None if no complete record starts there."""
     start = offset + _PREFIX.size
     if start > len(data):
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -273,6 +273,84 @@
     text: bytes
 
 
+class RegionalText(msgspec.Struct, frozen=True, array_like=True):
+    """The text of a retained turn that may be stored in some regions only.
+
+    Attributes:
+        turn_id: Request id of the turn.
+        previous: Request id of the turn that it continues; empty for none.
+        root: Request id of the first turn of its chain, which decides the nodes that store it.
+        text: Input of the turn followed by its output.
+        regions: Regions whose storage nodes may store it.
+    """
+
+    turn_id: str
+    previous: str
+    root: str
+    text: bytes
+    regions: tuple[str, ...]
+
+
+class StoreText(msgspec.Struct, frozen=True, kw_only=True, tag="store_text"):
+    """A request to a storage node to store a text; answered once it is synced to disk.
+
+    Attributes:
+        seconds_left: Seconds after which the text may be deleted.
+    """
+
+    number: int
+    asker: Address
+    text: RegionalText
+    seconds_left: float
+
+
+class TextStored(msgspec.Struct, frozen=True, kw_only=True, tag="text_stored"):
+    """Answer to :class:`StoreText`.
+
+    Attributes:
+        is_stored: False if the node does not store the text: it is in another region, is full or
+            retires.
+    """
+
+    number: int
+    is_stored: bool
+
+
+class TextAsk(msgspec.Struct, frozen=True, kw_only=True, tag="text_ask"):
+    """A request of a forwarding node to a storage node for regional texts."""
+
+    number: int
+    asker: Address
+    turn_ids: tuple[str, ...]
+
+
+class TextReply(msgspec.Struct, frozen=True, kw_only=True, tag="texts"):
+    """The requested texts that the storage node has."""
+
+    number: int
+    texts: tuple[RegionalText, ...] = ()
+
+
+class TextOffer(msgspec.Struct, frozen=True, kw_only=True, tag="text_offer"):
+    """A question of a storage node to another one: which of these texts do you lack?
+
+    Attributes:
+        seconds_left: Seconds for which each text is to be kept.
+    """
+
+    number: int
+    asker: Address
+    turn_ids: tuple[str, ...]
+    seconds_left: tuple[float, ...]
+
+
+class TextOfferReply(msgspec.Struct, frozen=True, kw_only=True, tag="text_offer_reply"):
+    """Answer to :class:`TextOffer`: texts that the node does not have, or deletes earlier."""
+
+    number: int
+    lacking: tuple[str, ...] = ()
+
+
 class TextSpan(msgspec.Struct, frozen=True, array_like=True):
     """Position of a turn's text in the command of a log entry."""
 
@@ -398,6 +476,12 @@
     | RegistryNews
     | ConfigurationAsk
     | ConfigurationProof
+    | StoreText
+    | TextStored
+    | TextAsk
+    | TextReply
+    | TextOffer
+    | TextOfferReply
 )
 
 
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
+import msgspec
 from returns.result import Success
 
 from yokeline.effects import (
@@ -42,15 +43,21 @@
     ReplicaMessage,
     TextCopy,
 )
+from yokeline.ledger.regional_text_store import RegionalTextStore
+from yokeline.ledger.regional_texts import TextNode
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.request_batches import RequestBatches
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
+    NODE_PREFIX,
     SURVIVOR_PREFIX,
     NodeRecord,
+    encode_node,
     node_key,
+    read_node,
     read_nodes,
+    storage_nodes,
 )
 from yokeline.start_phases import StartPhases
 from yokeline.status_service import NodeFigures
@@ -58,6 +65,7 @@
 MEMBERSHIP_PERIOD_SECONDS = 0.1
 SURVIVOR_TIMEOUT_SECONDS = 1.5
 """Silence of the other of two members after which this one tries to continue alone."""
+TEXT_NODES_PERIOD_SECONDS = 0.5
 HANDOVER_SECONDS = 0.5
 """Time for transferring leadership during a planned stop."""
 
@@ -75,9 +83,15 @@
         wall: Callable[[], float],
         phases: StartPhases,
         now: float,
+        texts: RegionalTextStore | None = None,
+        zone_regions: Mapping[str, str] | None = None,
     ) -> None:
         """Create the service; ``wall`` returns seconds since the epoch."""
         self.replica = replica
+        self.texts = texts
+        self._zone_regions = dict(zone_regions or {})
+        if texts is not None and texts.is_needed:
+            record = msgspec.structs.replace(record, holds_texts=True)
         self.phases = phases
         self._record = record
         self._registry = registry
@@ -91,6 +105,7 @@
         self._bootstrap = Bootstrap(record, replica, registry)
         self._join_requester = JoinRequester(record, replica, registry, now)
         self._reported_retirements: dict[NodeName, bool] = {}
+        self._next_text_nodes = now
         self._stop_at: float | None = None
         self.batches = RequestBatches(replica, wall, now)
         self._histories = HistoryService(replica)
@@ -112,6 +127,7 @@
             effects.extend(self.replica.tick(now))
         effects.extend(self.batches.tick(now))
         effects.extend(self._histories.tick(now))
+        effects.extend(self._tick_texts(now))
         effects.extend(self._tick_bootstrap(now))
         effects.extend(self._join_requester.tick(now))
         effects.extend(self._try_sole_survivor(now))
@@ -129,6 +145,9 @@
         for due in (self._registry.next_deadline(), self._histories.next_deadline()):
             if due is not None:
                 dues.append(due)
+        text_due = self.texts.next_deadline() if self.texts is not None else None
+        if text_due is not None:
+            dues.append(text_due)
         if self._stop_at is not None:
             dues.append(self._stop_at)
         return min(dues)
@@ -139,6 +158,8 @@
         if isinstance(event, PeerMessage):
             return self._handle_message(event, now)
         if isinstance(event, FileSynced):
+            if event.ticket < 0 and self.texts is not None:
+                return self.texts.synced(event.ticket)
             return self.replica.synced(event.ticket)
         if isinstance(event, StopRequested):
             return self._begin_shutdown(now)
@@ -166,6 +187,8 @@
             return []
         if isinstance(message, Join):
             return [*self._answer_join(message), *self._note_join_request(message, now)]
+        if self.texts is not None:
+            return self.texts.handle(event.sender, message, now) or []
         return []
 
     def _answer_join(self, request: Join) -> list[Effect]:
@@ -195,12 +218,43 @@
 
     # ------------------------------------------------------------ bootstrap, joining, sole survivor
 
+    def _tick_texts(self, now: float) -> list[Effect]:
+        """Check the copies of regional texts, and register whether this node is needed for them."""
+        texts = self.texts
+        if texts is None or texts.next_deadline() is None and not self._record.holds_texts:
+            return []
+        if now >= self._next_text_nodes:
+            self._next_text_nodes = now + TEXT_NODES_PERIOD_SECONDS
+            texts.set_nodes(self._text_nodes())
+        effects = texts.tick(now)
+        if texts.is_needed != self._record.holds_texts:
+            self._record = msgspec.structs.replace(self._record, holds_texts=texts.is_needed)
+            self._registry.write(node_key(self._record.name), encode_node(self._record), now)
+        return effects
+
+    def _text_nodes(self) -> list[TextNode]:
+        """Return the storage nodes as places of regional texts."""
+        retiring = self._retiring()
+        return [
+            TextNode(
+                name=record.name,
+                replica=record.replica,
+                address=record.address,
+                region=self._zone_regions.get(record.zone, ""),
+                is_retiring=record.name in retiring,
+            )
+            for record in storage_nodes(self._registry.items(NODE_PREFIX).values())
+        ]
+
     def _needs_no_watch(self, now: float) -> bool:
         """Return whether this node need not watch the key-value service.
 
-        The leader watches it for the operator's orders; other replicas watch it only while they
-        know no leader, because each call to the service is billed.
+        The leader watches it for the operator's orders, and nodes with regional texts for the nodes
+        that are to have copies; other replicas watch it only while they know no leader, because
+        each call to the service is billed.
         """
+        if self.texts is not None and not self.texts.is_empty:
+            return False
         return not self.replica.leads and self._join_requester.knows_leader(now)
 
     def _tick_bootstrap(self, now: float) -> list[Effect]:
@@ -365,12 +419,18 @@
                 nodes.add(NodeName(order.unwrap().node))
         return nodes
 
+    def _holds_texts(self, node: NodeName) -> bool:
+        """Return whether a node registers regional texts that need it."""
+        item = self._registry.item(node_key(node))
+        read = read_node(item) if item is not None else None
+        return isinstance(read, Success) and read.unwrap().holds_texts
+
     def _report_retirement(self, retiring: set[NodeName], now: float) -> list[Effect]:
         """Report the progress of each retirement, once for each change."""
         effects: list[Effect] = []
         members = {node_name_of(member) for member in self.replica.group.members}
         for node in sorted(retiring):
-            completed = node not in members
+            completed = node not in members and not self._holds_texts(node)
             if self._reported_retirements.get(node) is completed:
                 continue
             self._reported_retirements[node] = completed
@@ -412,11 +472,16 @@
     }
     gauges.update(node.phases.gauges())
     gauges.update(node.batches.places.gauges())
+    if node.texts is not None:
+        gauges.update(node.texts.gauges())
     counters = {
         "yokeline_ledger_operations_total": float(node.batches.operations),
         "yokeline_ledger_entries_restored_total": float(node.replica.entries_restored),
         "yokeline_ledger_texts_lacking_total": float(node.replica.messages_missing_texts),
     }
+    for outcome, count in sorted(node.texts.counts.items() if node.texts is not None else ()):
+        name = f'yokeline_ledger_regional_texts_total{{outcome="{outcome}"}}'
+        counters[name] = float(count)
     for cause in CAUSES:
         name = f'yokeline_ledger_programs_refused_total{{cause="{cause}"}}'
         counters[name] = float(node.batches.admission.refused[cause])
--- a/src/yokeline/registry/nodes.py
+++ b/src/yokeline/registry/nodes.py
@@ -42,6 +42,7 @@
     Attributes:
         replica: Replica id, which survives restarts: that of the disk for a storage node, the
             node's name for an edge node.
+        holds_texts: A storage node has regional texts that would have too few copies without it.
     """
 
     name: NodeName
@@ -49,6 +50,7 @@
     replica: ReplicaId
     address: Address
     zone: str = ""
+    holds_texts: bool = False
 
 
 def encode_founders(founders: tuple[ReplicaId, ...]) -> bytes:
@@ -87,7 +89,11 @@
 
 def encode_node(record: NodeRecord) -> bytes:
     """Return a record's document."""
-    return msgspec.json.encode(record)
+    fields = msgspec.to_builtins(record)
+    if not record.holds_texts:
+        # Without regional texts, records are the same as those of earlier releases.
+        del fields["holds_texts"]
+    return msgspec.json.encode(fields)
 
 
 def decode_node(value: bytes) -> Result[NodeRecord, YokelineError]:
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -130,9 +130,11 @@
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.metrics import edge_figures
     from yokeline.forwarding.residency import DataResidency
+    from yokeline.forwarding.residency_report import ResidencyReporter
     from yokeline.forwarding.tenant_limits import LimitTolerance
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
+    from yokeline.ledger.regional_texts import RegionalTexts
     from yokeline.scheduling.eligibility import EligibilityPolicy
 
     front = parse_address(settings.front, "front")
@@ -161,6 +163,7 @@
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
     residency = DataResidency(settings.region, settings.zone_regions)
+    texts = RegionalTexts(settings.peer_address, settings.region)
     forwarder = Forwarder(
         zone=settings.zone,
         dialect=adapter.dialect,
@@ -175,6 +178,7 @@
         process=process,
         eligibility=EligibilityPolicy((residency.restriction,)),
         residency=residency,
+        texts=texts,
     )
     lease = ConfigurationLease(
         store.unwrap(),
@@ -197,6 +201,7 @@
         engine_drain_seconds=settings.engine_drain_ms / 1000.0,
         phases=StartPhases(start.began_at),
         now=now,
+        residency=ResidencyReporter(residency, texts),
     )
     binding = ServiceBinding(
         http=front.unwrap(),
@@ -221,6 +226,11 @@
     settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     from yokeline.ledger.disk_records import recover
+    from yokeline.ledger.regional_text_store import (
+        TEXTS_FILE,
+        RegionalTextStore,
+        recover_texts,
+    )
     from yokeline.ledger.replica import LOG_FILE, LedgerReplica
     from yokeline.ledger.storage_node import StorageNode, storage_figures
 
@@ -234,6 +244,15 @@
         return recovered
     log = recovered.unwrap()
     cut = _cut_tail(folder / LOG_FILE, log.valid_bytes, len(data.unwrap()))
+    if isinstance(cut, Failure):
+        return cut
+    text_data = _read_log(folder, TEXTS_FILE)
+    if isinstance(text_data, Failure):
+        return text_data
+    texts = recover_texts(text_data.unwrap())
+    if isinstance(texts, Failure):
+        return texts
+    cut = _cut_tail(folder / TEXTS_FILE, texts.unwrap().valid_bytes, len(text_data.unwrap()))
     if isinstance(cut, Failure):
         return cut
     store = parse_address(settings.store, "store").map(adapter.store)
@@ -268,6 +287,15 @@
         wall=time.time,
         phases=StartPhases(start.began_at),
         now=now,
+        texts=RegionalTextStore(
+            replica=replica_id,
+            address=settings.peer_address,
+            region=settings.region,
+            recovered=texts.unwrap(),
+            wall=time.time,
+            now=now,
+        ),
+        zone_regions=settings.zone_regions,
     )
     binding = ServiceBinding(
         peer=settings.peer_address,
