Test restricted turns from choice to storage

The fake cluster gets zones and the file of regional texts.

A storage node that did not answer is asked each second whether it is back, since the turns of its regions are refused meanwhile.

--- a/src/yokeline/ledger/regional_texts.py
+++ b/src/yokeline/ledger/regional_texts.py
@@ -30,8 +30,10 @@
 """Time for a storage node to sync a text; includes a round trip between regions (24 ms)."""
 FETCH_TIMEOUT_SECONDS = 0.2
 """Time for a storage node to send texts before the next one is asked."""
-SILENT_SECONDS = 3.0
-"""Time for which a storage node that did not answer is asked last; about a machine's restart."""
+PROBE_SECONDS = 1.0
+"""Time between questions to a storage node that did not answer; it is asked last until it does."""
+REFUSED_SECONDS = 3.0
+"""Time for which a storage node that refused a text, because it is full, gets no other."""
 EXPIRY_SLACK_SECONDS = 60.0
 """Retention beyond the requested one, longer than that of the ledger's entry, so that an entry
 never outlives its text."""
@@ -176,7 +178,8 @@
         self._own_address = own_address
         self._region = region
         self._nodes: dict[NodeName, TextNode] = {}
-        self._silent_until: dict[NodeName, float] = {}
+        self._next_probe: dict[NodeName, float] = {}
+        self._refused_until: dict[NodeName, float] = {}
         self._stores: dict[int, _Store] = {}
         self._fetches: dict[int, _Fetch] = {}
         self._last_number = 0
@@ -184,8 +187,11 @@
     def set_nodes(self, nodes: Iterable[TextNode]) -> None:
         """Set the known storage nodes."""
         self._nodes = {node.name: node for node in nodes}
-        self._silent_until = {
-            name: until for name, until in self._silent_until.items() if name in self._nodes
+        self._next_probe = {
+            name: due for name, due in self._next_probe.items() if name in self._nodes
+        }
+        self._refused_until = {
+            name: until for name, until in self._refused_until.items() if name in self._nodes
         }
 
     def storage_nodes(self, regions: Iterable[str]) -> int:
@@ -212,16 +218,14 @@
     def take_stored(self, sender: ReplicaId, answer: TextStored, now: float) -> list[Effect]:
         """Handle a storage node's answer to a write."""
         item = self._stores.get(answer.number)
-        name = next((node.name for node in self._nodes.values() if node.replica == sender), None)
+        name = self._note_answer(sender)
         if item is None or name is None:
             return []
         item.waiting.pop(name, None)
         if answer.is_stored:
             item.stored.add(name)
-            item.failed.discard(name)
-            self._silent_until.pop(name, None)
         else:
-            self._note_silent(name, now)
+            self._refused_until[name] = now + REFUSED_SECONDS
             item.failed.add(name)
         return self._continue_store(answer.number, item, now)
 
@@ -278,6 +282,7 @@
 
     def take_texts(self, sender: ReplicaId, reply: TextReply, now: float) -> list[Effect]:
         """Handle a storage node's texts; those that do not match their digest are dropped."""
+        self._note_answer(sender)
         item = self._fetches.get(reply.number)
         if item is None:
             return []
@@ -292,7 +297,6 @@
             item.found[text.turn_id] = text.text
         if item.current is None or item.current.replica != sender:
             return self._continue_fetch(reply.number, item, now) if not item.wanted else []
-        self._silent_until.pop(item.current.name, None)
         item.current = None
         return self._continue_fetch(reply.number, item, now)
 
@@ -312,6 +316,7 @@
     def next_deadline(self) -> float | None:
         """Return when :meth:`tick` is due."""
         dues = [item.give_up_at for item in self._stores.values()]
+        dues.extend(self._next_probe.values())
         for store in self._stores.values():
             dues.extend(asked_at + STORE_TIMEOUT_SECONDS for asked_at in store.waiting.values())
         for fetch in self._fetches.values():
@@ -331,6 +336,18 @@
             if fetch.current is not None:
                 self._note_silent(fetch.current.name, now)
             effects.extend(self._continue_fetch(number, fetch, now))
+        effects.extend(self._probe(now))
+        return effects
+
+    def _probe(self, now: float) -> list[Effect]:
+        """Ask silent nodes whether they are back, so that turns are not refused any longer."""
+        effects: list[Effect] = []
+        for name, due in self._next_probe.items():
+            if now >= due:
+                self._next_probe[name] = now + PROBE_SECONDS
+                node = self._nodes[name]
+                ask = TextAsk(number=0, asker=self._own_address, turn_ids=())
+                effects.append(SendPeer(to=node.replica, address=node.address, message=ask))
         return effects
 
     def _tick_store(self, number: int, item: _Store, now: float) -> list[Effect]:
@@ -354,7 +371,16 @@
         return [node for node in nodes_in(self._nodes.values(), regions) if not node.is_retiring]
 
     def _is_silent(self, node: TextNode, now: float) -> bool:
-        return now < self._silent_until.get(node.name, now)
+        is_refusing = now < self._refused_until.get(node.name, now)
+        return node.name in self._next_probe or is_refusing
 
     def _note_silent(self, name: NodeName, now: float) -> None:
-        self._silent_until[name] = now + SILENT_SECONDS
+        if name in self._nodes:
+            self._next_probe.setdefault(name, now + PROBE_SECONDS)
+
+    def _note_answer(self, sender: ReplicaId) -> NodeName | None:
+        """Return which node has answered, and count it as present."""
+        name = next((node.name for node in self._nodes.values() if node.replica == sender), None)
+        if name is not None:
+            self._next_probe.pop(name, None)
+        return name
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -51,8 +51,11 @@
     NodeTurns,
     PoolLoad,
     PoolShares,
+    StoreText,
+    TextAsk,
 )
 from yokeline.ledger.operations import Operation, OperationResult
+from yokeline.ledger.regional_texts import RegionalTexts
 from yokeline.platform.headers import HeaderDialect
 from yokeline.scheduling.eligibility import EligibilityPolicy
 
@@ -105,6 +108,7 @@
         eligibility: EligibilityPolicy = NO_RESTRICTIONS,
         residency: DataResidency | None = None,
         zones: tuple[str, ...] = ("a",),
+        texts: RegionalTexts | None = None,
     ) -> None:
         """The engines of each pool stand in ``zones`` in turn."""
         self.now = 100.0
@@ -121,6 +125,7 @@
             engines=self.engines,
             eligibility=eligibility,
             residency=residency,
+            texts=texts,
         )
         self.forwarder.table = TABLE
         for pool in ("models", "apps"):
@@ -143,6 +148,8 @@
         self.logs: list[LogRecord] = []
         self.peers: list[SendPeer] = []
         """Questions for the texts of earlier turns."""
+        self.text_messages: list[SendPeer] = []
+        """Messages to storage nodes about regional texts."""
         self._numbers = itertools.count(1)
 
     # ------------------------------------------------------------ callers
@@ -272,6 +279,9 @@
         if isinstance(message, HistoryAsk):
             self.peers.append(effect)
             return
+        if isinstance(message, StoreText | TextAsk):
+            self.text_messages.append(effect)
+            return
         if isinstance(message, LeaderQuery):
             answer = LeaderAnswer(term=1, leader=STORAGE)
             self.take(self.ledger.take_leader(STORAGE.replica, answer, self.now))
--- a/tests/unit/ledger/cluster.py
+++ b/tests/unit/ledger/cluster.py
@@ -30,8 +30,16 @@
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.codec import LedgerCodec
 from yokeline.ledger.disk_records import recover
-from yokeline.ledger.messages import HistoryReply, Join, LeaderAnswer, LedgerReply, TextCopy
+from yokeline.ledger.messages import (
+    HistoryReply,
+    Join,
+    LeaderAnswer,
+    LedgerReply,
+    TextCopy,
+    TextStored,
+)
 from yokeline.ledger.operations import Operation, OperationResult
+from yokeline.ledger.regional_text_store import TEXTS_FILE, RegionalTextStore, recover_texts
 from yokeline.ledger.replica import LedgerReplica
 from yokeline.ledger.storage_node import StorageNode
 from yokeline.platform.documents import PlatformDocuments
@@ -139,6 +147,9 @@
         self.name = NodeName(name)
         self.address = Address(f"10.0.0.{number}", 7380)
         self.disk = b""
+        self.texts_disk = b""
+        """The file of regional texts."""
+        self.zone = ""
         self.node: StorageNode | None = None
         self.frozen = False
         self.is_isolated = False
@@ -176,6 +187,7 @@
     def __init__(self, count: int, seed: int, *, link_mbps: float = 0.0) -> None:
         self.random = random.Random(seed)
         self.link_mbps = link_mbps
+        self.zone_regions: dict[str, str] = {}
         self.now = 0.0
         self.store = MemoryStore()
         self.store_seconds = 0.004
@@ -192,6 +204,8 @@
         """Recipients of join requests, once per request."""
         self.text_copies_sent: list[str] = []
         """Turns whose texts were sent to a follower, once per message."""
+        self.texts_stored: list[ReplicaId] = []
+        """Storage nodes that have acknowledged a regional text."""
         self.undelivered: list[tuple[ReplicaId, LedgerReply]] = []
         """Replies to processes that are not simulated."""
         for machine in self.machines:
@@ -230,8 +244,14 @@
             link_mbps=self.link_mbps,
         )
         record = NodeRecord(
-            name=machine.name, role=NodeRole.STORAGE, replica=replica_id, address=machine.address
+            name=machine.name,
+            role=NodeRole.STORAGE,
+            replica=replica_id,
+            address=machine.address,
+            zone=machine.zone,
         )
+        texts = recover_texts(machine.texts_disk).unwrap()
+        machine.texts_disk = machine.texts_disk[: texts.valid_bytes]
         machine.view = StoreView(self.store)
         machine.node = StorageNode(
             record=record,
@@ -241,6 +261,15 @@
             wall=lambda: WALL_START + self.now,
             phases=StartPhases(self.now),
             now=self.now,
+            texts=RegionalTextStore(
+                replica=replica_id,
+                address=machine.address,
+                region=self.zone_regions.get(machine.zone, ""),
+                recovered=texts,
+                wall=lambda: WALL_START + self.now,
+                now=self.now,
+            ),
+            zone_regions=self.zone_regions,
         )
         machine.started_before = True
         self._tick_repeatedly(machine, machine.generation)
@@ -253,7 +282,7 @@
 
     def power_off(self, machine: Machine) -> None:
         """End the process; a random part of the unsynced writes stays, possibly truncated."""
-        for effect in machine.unsynced:
+        for effect in [item for item in machine.unsynced if item.name != TEXTS_FILE]:
             if effect.replace or self.random.random() < 0.4:
                 break
             written_bytes = self.random.randint(0, len(effect.data))
@@ -266,6 +295,7 @@
         """End the process and erase the disk."""
         self._end(machine)
         machine.disk = b""
+        machine.texts_disk = b""
 
     def _end(self, machine: Machine) -> None:
         machine.node = None
@@ -407,7 +437,7 @@
         if machine.disk_hangs:
             self._schedule(0.05, lambda: self._sync(machine, generation, effect))
             return
-        while machine.unsynced and machine.unsynced[0].ticket <= effect.ticket:
+        while effect in machine.unsynced:
             _write_to_disk(machine, machine.unsynced.pop(0))
         self._deliver(machine, generation, FileSynced(effect.ticket))
 
@@ -481,6 +511,9 @@
         if isinstance(message, LeaderAnswer):
             self.carry_out_edge(effect.to, client.take_leader(sender, message, self.now))
             return
+        if isinstance(message, TextStored):
+            self.texts_stored.append(sender)
+            return
         assert isinstance(message, LedgerReply)
         self.carry_out_edge(effect.to, client.take_reply(message, self.now))
 
@@ -491,4 +524,8 @@
 
 
 def _write_to_disk(machine: Machine, effect: SyncFile) -> None:
-    machine.disk = effect.data if effect.replace else machine.disk + effect.data
+    if effect.name == TEXTS_FILE:
+        before = b"" if effect.replace else machine.texts_disk
+        machine.texts_disk = before + effect.data
+    else:
+        machine.disk = effect.data if effect.replace else machine.disk + effect.data
--- a/tests/unit/ledger/text_site.py
+++ b/tests/unit/ledger/text_site.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from yokeline.effects import Address, Effect, SendPeer, SyncFile
@@ -62,6 +64,8 @@
         self.machines: dict[str, TextMachine] = {}
         self.delivered: list[tuple[NodeName | ReplicaId, msgspec.Struct]] = []
         self.texts = RegionalTexts(EDGE_ADDRESS, "east")
+        self.handle_edge_effects: Callable[[list[Effect]], None] | None = None
+        """Carries out the forwarding node's effects; by default, its messages are delivered."""
         for region, count in machines_by_region.items():
             for _ in range(count):
                 self.add(region)
@@ -130,13 +134,16 @@
                     self._sync(machine)
 
     def carry_out(self, sender: ReplicaId | TextMachine, effects: list[Effect]) -> None:
+        if sender == EDGE and self.handle_edge_effects is not None:
+            self.handle_edge_effects(effects)
+            return
         for effect in effects:
             if isinstance(effect, SyncFile):
                 assert isinstance(sender, TextMachine)
                 sender.unsynced.append(effect)
                 self._sync(sender)
             elif isinstance(effect, SendPeer):
-                self._deliver(sender, effect)
+                self.deliver(sender, effect)
 
     def _sync(self, machine: TextMachine) -> None:
         while machine.unsynced and not machine.disk_hangs and machine.store is not None:
@@ -144,7 +151,7 @@
             machine.disk = write.data if write.replace else machine.disk + write.data
             self.carry_out(machine, machine.store.synced(write.ticket))
 
-    def _deliver(self, sender: ReplicaId | TextMachine, effect: SendPeer) -> None:
+    def deliver(self, sender: ReplicaId | TextMachine, effect: SendPeer) -> None:
         name = sender.replica if isinstance(sender, TextMachine) else sender
         assert isinstance(effect.message, LedgerMessage)
         data = _CODEC.encode_peer(name, effect.to, effect.message)
