--- a/src/yokeline/ledger/regional_text_store.py
+++ b/src/yokeline/ledger/regional_text_store.py
@@ -279,16 +279,17 @@
         return is_allowed and has_space and not self._is_retiring
 
     def _extend_chain(self, turn_id: str, expires: float) -> tuple[str, ...]:
-        """Keep the earlier turns of a chain as long as the latest one; return those extended."""
+        """Keep the earlier turns of a chain as long as the latest one; return those extended.
+
+        The other nodes that are to store the chain do the same when they get the latest turn.
+        """
         extended: list[str] = []
         item = self._texts.get(turn_id)
         while item is not None:
             if item.record.expires < expires:
                 item.record = msgspec.structs.replace(item.record, expires=expires)
                 extended.append(item.record.text.turn_id)
-                item.confirmed.clear()
             item = self._texts.get(item.record.text.previous)
-        self._unchecked.update(extended)
         return tuple(extended)
 
     def _send_texts(self, sender: ReplicaId, message: TextAsk) -> list[Effect]:
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -136,6 +136,7 @@
 
     Attributes:
         tenants: Whose keys the configuration holds; without any no key is asked for.
+        allowed_regions: The regions to which routes are bound, by name.
     """
 
     def __init__(
@@ -150,6 +151,7 @@
     ) -> None:
         """Prepare; ``source`` is the folder of the release to begin with, if not this one."""
         self.tenants = list(tenants)
+        self.allowed_regions: dict[str, list[str]] = {}
         self._source = source
         self._storage_nodes = storage_nodes
         self._models = models
@@ -196,6 +198,14 @@
         """Return the port under which others reach ``port``; a soak puts a proxy there."""
         return port
 
+    def zone_of(self, name: str) -> str:
+        """Return the zone of a node or an engine."""
+        return "a"
+
+    def region_settings(self, name: str) -> list[str]:
+        """Return the lines of a node's settings that tell regions."""
+        return []
+
     def data_folder(self, process: RoleProcess) -> Path:
         """Return the disk of a storage node."""
         return Path(self._folder.name) / process.name
@@ -229,6 +239,9 @@
         ]
         for route in routes:
             route["max-attempts"] = MOST_ATTEMPTS.get(str(route["path-prefix"]), 1)
+            regions = self.allowed_regions.get(str(route["name"]))
+            if regions:
+                route["allowed-regions"] = regions
         engine = {"slots": 4, "kv-tokens": 100000, "stride": 10}
         services = [
             {"name": "models", "max-conns": 50, "engine": engine},
@@ -316,7 +329,7 @@
         document = {
             "service": pool,
             "address": f"{HOST}:{port}",
-            "zone": "a",
+            "zone": self.zone_of(engine.engine_id),
             "version": "v1",
             "slots": 4,
             "state": "ready",
@@ -332,7 +345,8 @@
         lines = [
             f'name = "{name}"',
             f'host = "{HOST}"',
-            'zone = "a"',
+            f'zone = "{self.zone_of(name)}"',
+            *self.region_settings(name),
             "first_start = true",
             f"peer_port = {next(self._ports)}",
             f'store = "{HOST}:{self._store_port}"',
--- a/tests/unit/forwarding/test_regional_turns.py
+++ b/tests/unit/forwarding/test_regional_turns.py
@@ -281,6 +281,10 @@
         self.assertEqual(self.played.sent[-1].body, QUESTION + ANSWER + b"more ")
         self.assertEqual(self.played.engine_of(), "models-0")
         self.assertIsNotNone(mark_of(self.kept[second].text))
+        self.reserve(previous=second)
+        reservation = self.played.operations()[-1]
+        assert isinstance(reservation, Reserve)
+        self.assertEqual(reservation.missing_from, first, "not cached outside of the regions")
 
     def test_a_turn_under_way_is_kept_by_the_newer_configuration(self) -> None:
         self.use(msgspec.structs.replace(TABLE, version=8))
--- a/tests/unit/ledger/test_regional_texts.py
+++ b/tests/unit/ledger/test_regional_texts.py
@@ -274,6 +274,18 @@
             self.assertEqual(site.store(f"t{number}", "east"), 3)
             self.assertNotIn("storage-0", site.holders(f"t{number}"))
 
+    def test_a_retiring_node_refuses_texts_of_a_node_that_does_not_know_yet(self) -> None:
+        """Guards against a text that arrives after the retirement was reported complete."""
+        site = TextSite(east=5)
+        site.store("t", "east")
+        name = sorted(site.holders("t"))[0]
+        machine = site.machines[name]
+        machine.is_retiring = True
+        assert machine.store is not None
+        machine.store.set_nodes([item.node for item in site.machines.values()])
+        self.assertEqual(site.store("u", "east", root="t"), 3)
+        self.assertNotIn(name, site.holders("u"))
+
     def test_the_last_storage_node_of_a_region_stays_needed_until_its_texts_expire(self) -> None:
         site = TextSite(east=1, west=4)
         self.assertEqual(site.store("t", "east", seconds=30.0), 1)
