Tell the operator of data residency

A node without the setting region takes that of its zone; texts use a quarter of a storage node's memory at most, and a replica that leads rewrites their file later.

A key binds a request on a public route to the regions of its tenant also while the node cannot prove that the key is valid.

--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -410,7 +410,7 @@
             if not (is_pending and may_hold and self._held.add(event, arrived_at)):
                 self._deny(event, admitted, table)
             return
-        exchange = self._open(event, call, route, admitted, arrived_at)
+        exchange = self._open(event, call, table, route, admitted, arrived_at)
         self._begin(exchange)
 
     def _refuse_unconfigured(self, event: HttpArrived) -> None:
@@ -456,6 +456,7 @@
         self,
         event: HttpArrived,
         call: Call,
+        table: RoutingTable,
         route: Route,
         admitted: Admitted,
         arrived_at: float,
@@ -472,7 +473,7 @@
             tenant=admitted.tenant,
             forwards_credential=admitted.forwards_credential,
             limit=limit_of(admitted.tenant, self._outcomes.configuration_version, self._tolerance),
-            allowed_regions=self._state.residency.regions_of(route, admitted.tenant),
+            allowed_regions=self._state.residency.regions_of(table, route, call, admitted.tenant),
             pool=self._traffic_split.choose_pool(route, call),
             body=event.body,
             last_event_id=call.last_event_id,
--- a/src/yokeline/forwarding/metrics.py
+++ b/src/yokeline/forwarding/metrics.py
@@ -15,6 +15,9 @@
     counters["yokeline_ledger_turn_ends_dropped_total"] = float(node.ledger.turns.dropped)
     for ending, count in node.histories.counts.items():
         counters[f'yokeline_ledger_history_fetches_total{{ending="{ending}"}}'] = float(count)
+    for outcome, count in sorted(node.residency.texts.counts.items()):
+        name = f'yokeline_forwarding_regional_texts_total{{outcome="{outcome}"}}'
+        counters[name] = float(count)
     counters["yokeline_ledger_texts_copied_total"] = float(node.ledger.counts.texts_copied)
     counters["yokeline_ledger_engine_asks_total"] = float(node.ledger.counts.engine_asks)
     counters["yokeline_ledger_late_answers_total"] = float(node.ledger.counts.late_answers)
--- a/src/yokeline/forwarding/residency.py
+++ b/src/yokeline/forwarding/residency.py
@@ -10,7 +10,7 @@
 
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.exchange import Exchange
-from yokeline.forwarding.model import Route, RoutingTable
+from yokeline.forwarding.model import Call, Route, RoutingTable
 from yokeline.forwarding.tenants import Tenant
 from yokeline.scheduling.data_residency import RegionRestriction, allowed_regions, both
 
@@ -57,10 +57,18 @@
         ):
             self.restriction.is_active = True
 
-    def regions_of(self, route: Route, tenant: Tenant | None) -> frozenset[str] | None:
-        """Return the regions that may serve a request; None for all regions."""
+    def regions_of(
+        self, table: RoutingTable, route: Route, call: Call, tenant: Tenant | None
+    ) -> frozenset[str] | None:
+        """Return the regions that may serve a request; None for all regions.
+
+        On a public route, a key binds the request to the regions of its tenant even if the node
+        cannot prove that the key is still valid and ``tenant`` is None.
+        """
         if not self.is_active:
             return None
+        if table.tenants is not None:
+            tenant = table.tenants.find(call.credential) or tenant
         of_tenant = tenant.allowed_regions if tenant is not None else ()
         return allowed_regions(route.allowed_regions, of_tenant)
 
@@ -73,10 +81,7 @@
         if not self.is_active:
             return
         route = next((item for item in table.routes if item.name == exchange.route.name), None)
-        tenant = exchange.tenant
-        if tenant is not None and table.tenants is not None:
-            tenant = table.tenants.find(exchange.call.credential) or tenant
-        regions = self.regions_of(route or exchange.route, tenant)
+        regions = self.regions_of(table, route or exchange.route, exchange.call, exchange.tenant)
         exchange.allowed_regions = both(exchange.allowed_regions, regions)
 
     def has_engine(self, exchange: Exchange, engines: Iterable[EngineState]) -> bool:
--- a/src/yokeline/ledger/regional_text_store.py
+++ b/src/yokeline/ledger/regional_text_store.py
@@ -30,8 +30,11 @@
 from yokeline.messages.structs import decode_struct, encode_struct
 
 TEXTS_FILE = "regional-texts.log"
-MAX_STORED_BYTES = 64 * 1024 * 1024
+MEBIBYTE = 1024 * 1024
+MAX_STORED_BYTES = 64 * MEBIBYTE
 """Bytes of texts that a node stores, in memory and on its disk; it takes no further ones."""
+MEMORY_SHARE = 0.25
+"""Share of a process's memory for texts, if that is less; the ledger's state needs the rest."""
 EXPIRY_PERIOD_SECONDS = 5.0
 REPAIR_PERIOD_SECONDS = 1.0
 REPAIR_DELAY_SECONDS = 2.0
@@ -47,9 +50,10 @@
 EXPIRY_TOLERANCE_SECONDS = 5.0
 """Difference between the expiries of two copies that is not worth a write."""
 MAX_OFFERED_TEXTS = 256
-MAX_REPAIR_BYTES = 1024 * 1024
+MAX_REPAIR_BYTES = MEBIBYTE
 """Bytes of texts sent to one node per repair, so that turns' writes are not delayed."""
-MIN_COMPACT_BYTES = 4 * 1024 * 1024
+MIN_COMPACT_BYTES = 4 * MEBIBYTE
+DEFER_FACTOR = 2.0
 MAX_DEAD_SECONDS = 600.0
 """Time for which an expired text may remain in the file; nothing reads it any more."""
 
@@ -146,6 +150,8 @@
 
     Attributes:
         counts: Texts by what happened to them.
+        defers_compaction: The file may grow to twice its usual limit, since rewriting it would
+            delay the log of a replica that leads.
     """
 
     def __init__(
@@ -157,9 +163,19 @@
         recovered: RecoveredTexts,
         wall: Callable[[], float],
         now: float,
+        memory_mb: float = 0.0,
     ) -> None:
-        """Start from a recovered file; ``wall`` returns seconds since the epoch."""
+        """Start from a recovered file.
+
+        ``wall`` returns seconds since the epoch; ``memory_mb`` is the memory of the process in
+        megabytes, 0 if not known.
+        """
         self.counts: Counter[str] = Counter()
+        self.defers_compaction = False
+        self._max_bytes = MAX_STORED_BYTES
+        if memory_mb:
+            own_share = int(MEMORY_SHARE * memory_mb * MEBIBYTE)
+            self._max_bytes = min(MAX_STORED_BYTES, own_share)
         self._replica = replica
         self._address = address
         self._region = region
@@ -275,7 +291,7 @@
     def _may_store(self, text: RegionalText, size: int) -> bool:
         """Return whether this node may take a text; the sender may know other regions of it."""
         is_allowed = bool(self._region) and self._region in text.regions
-        has_space = self._live_bytes + size <= MAX_STORED_BYTES
+        has_space = self._live_bytes + size <= self._max_bytes
         return is_allowed and has_space and not self._is_retiring
 
     def _extend_chain(self, turn_id: str, expires: float) -> tuple[str, ...]:
@@ -371,8 +387,10 @@
             self._dead_since = None
             return []
         self._dead_since = now if self._dead_since is None else self._dead_since
-        is_old = now - self._dead_since >= MAX_DEAD_SECONDS
-        if not is_old and not self.is_empty and dead < max(MIN_COMPACT_BYTES, self._live_bytes):
+        factor = DEFER_FACTOR if self.defers_compaction else 1.0
+        is_old = now - self._dead_since >= factor * MAX_DEAD_SECONDS
+        is_large = dead >= factor * max(MIN_COMPACT_BYTES, self._live_bytes)
+        if not is_old and not is_large and not self.is_empty:
             return []
         return [self._compact()]
 
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -226,6 +226,7 @@
         if now >= self._next_text_nodes:
             self._next_text_nodes = now + TEXT_NODES_PERIOD_SECONDS
             texts.set_nodes(self._text_nodes())
+        texts.defers_compaction = self.replica.leads
         effects = texts.tick(now)
         if texts.is_needed != self._record.holds_texts:
             self._record = msgspec.structs.replace(self._record, holds_texts=texts.is_needed)
--- a/src/yokeline/role_settings.py
+++ b/src/yokeline/role_settings.py
@@ -71,6 +71,11 @@
     cold_slack: float = 0.0
     log_level: str = "info"
 
+    @property
+    def own_region(self) -> str:
+        """Region of the node; that of its zone if the node's is not set."""
+        return self.region or self.zone_regions.get(self.zone, "")
+
     @property
     def peer_address(self) -> Address:
         """Where the node listens for other nodes."""
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -162,8 +162,8 @@
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
-    residency = DataResidency(settings.region, settings.zone_regions)
-    texts = RegionalTexts(settings.peer_address, settings.region)
+    residency = DataResidency(settings.own_region, settings.zone_regions)
+    texts = RegionalTexts(settings.peer_address, settings.own_region)
     forwarder = Forwarder(
         zone=settings.zone,
         dialect=adapter.dialect,
@@ -290,10 +290,11 @@
         texts=RegionalTextStore(
             replica=replica_id,
             address=settings.peer_address,
-            region=settings.region,
+            region=settings.own_region,
             recovered=texts.unwrap(),
             wall=time.time,
             now=now,
+            memory_mb=settings.memory_mb,
         ),
         zone_regions=settings.zone_regions,
     )
--- a/tests/unit/forwarding/test_residency.py
+++ b/tests/unit/forwarding/test_residency.py
@@ -8,6 +8,7 @@
 
 from tests.unit.forwarding.support import TABLE, Played
 from yokeline.bearer_tokens import token_digest
+from yokeline.forwarding.configuration_lease import LeaseState
 from yokeline.forwarding.model import Route, RoutingTable
 from yokeline.forwarding.residency import DataResidency
 from yokeline.forwarding.tenants import Credential, KeyHolder, Tenant, TenantDirectory
@@ -92,6 +93,17 @@
             self.played.request("/look/x", authorization=f"Bearer {KEY}")
         self.assertEqual({self.played.engine_of(i) for i in range(4)}, {EAST})
 
+    def test_a_key_binds_on_a_public_route_whether_or_not_it_is_proved(self) -> None:
+        """Without a proof of the key, the tenant of the request is not known otherwise."""
+        routes = tuple(msgspec.structs.replace(route, public=True) for route in TABLE.routes)
+        self.use(with_tenant(msgspec.structs.replace(TABLE, routes=routes), ("east",)))
+        self.played.forwarder.lease_state = lambda now: LeaseState.EXPIRED
+        for _ in range(4):
+            self.played.request("/look/x", authorization=f"Bearer {KEY}")
+        self.assertEqual({self.played.engine_of(i) for i in range(4)}, {EAST})
+        self.played.request("/look/x")
+        self.assertEqual(self.played.engine_of(), WEST)
+
     def test_an_empty_intersection_is_refused_at_once(self) -> None:
         self.use(with_tenant(restricted(TABLE, ("east",)), ("west",)))
         self.played.request("/look/x", authorization=f"Bearer {KEY}")
--- a/tests/unit/ledger/test_regional_texts.py
+++ b/tests/unit/ledger/test_regional_texts.py
@@ -7,9 +7,15 @@
 
 import msgspec
 
-from tests.unit.ledger.text_site import TextSite, stores, text_of
-from yokeline.ledger.messages import StoreText, TextAsk, TextOffer
-from yokeline.ledger.regional_text_store import MAX_DEAD_SECONDS, recover_texts
+from tests.unit.ledger.text_site import EDGE, EDGE_ADDRESS, TextSite, stores, text_of
+from yokeline.effects import Effect, SendPeer, SyncFile
+from yokeline.ledger.messages import RegionalText, StoreText, TextAsk, TextOffer, TextStored
+from yokeline.ledger.regional_text_store import (
+    MAX_DEAD_SECONDS,
+    RecoveredTexts,
+    RegionalTextStore,
+    recover_texts,
+)
 from yokeline.ledger.regional_texts import (
     EXPIRY_SLACK_SECONDS,
     RegionalMark,
@@ -299,6 +305,31 @@
         self.assertFalse(self.needed(site, "storage-0"))
 
 
+class Space(unittest.TestCase):
+    def test_a_node_takes_no_more_texts_than_its_memory_bears(self) -> None:
+        """Guards against a storage process that grows beyond its memory, and ends."""
+        machine = TextSite(east=1).machines["storage-0"]
+        store = RegionalTextStore(
+            replica=machine.replica,
+            address=machine.node.address,
+            region="east",
+            recovered=RecoveredTexts(),
+            wall=lambda: 0.0,
+            now=0.0,
+            memory_mb=4.0,
+        )
+        sizes = [600_000, 600_000]
+        written: list[Effect] = []
+        for number, size in enumerate(sizes):
+            text = RegionalText(f"t{number}", "", f"t{number}", b"x" * size, ("east",))
+            message = StoreText(number=number, asker=EDGE_ADDRESS, text=text, seconds_left=60.0)
+            written.extend(store.handle(EDGE, message, 0.0) or [])
+        first, second = written
+        self.assertIsInstance(first, SyncFile)
+        assert isinstance(second, SendPeer)
+        self.assertEqual(second.message, TextStored(number=1, is_stored=False))
+
+
 class Expiry(unittest.TestCase):
     def test_an_expired_text_is_not_read_and_leaves_the_disk(self) -> None:
         site = TextSite(east=3)
