--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -127,6 +127,15 @@
         "Seconds that requests waited for room which then got a place."
     ),
     "yokeline_forwarding_repeats_total": "Requests sent again after they may have run.",
+    "yokeline_forwarding_sends_restricted_total": (
+        "Sends for which restrictions left out engines, by cause."
+    ),
+    "yokeline_forwarding_restricted_sends_total": (
+        "Sends of requests with allowed regions, by route and region of the engine."
+    ),
+    "yokeline_forwarding_regional_texts_total": (
+        "Writes and reads of texts that are bound to regions, by outcome."
+    ),
     "yokeline_forwarding_configuration_version": "Version of the configuration in force here.",
     "yokeline_forwarding_added_seconds": (
         "Seconds from the arrival of a request to its first send to an engine."
@@ -169,6 +178,14 @@
     "yokeline_peer_bytes_total": "Bytes of messages between nodes, by direction and kind.",
     "yokeline_ledger_operations_total": "Operations that other nodes asked this replica for.",
     "yokeline_ledger_programs": "Programs whose budgets this replica keeps.",
+    "yokeline_ledger_regional_texts": "Texts bound to regions that this storage node keeps.",
+    "yokeline_ledger_regional_text_bytes": "Bytes of the texts that are bound to regions.",
+    "yokeline_ledger_regional_texts_unchecked": (
+        "Texts bound to regions whose other copies are not confirmed."
+    ),
+    "yokeline_ledger_regional_texts_total": (
+        "Texts bound to regions at this storage node, by what happened to them."
+    ),
     "yokeline_ledger_turns": "Turns that this replica keeps.",
     "yokeline_ledger_term": "Number of the ledger's current term.",
     "yokeline_ledger_commit_index": "Number of the last entry known to be committed.",
