--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -62,6 +62,7 @@
     storage_nodes,
 )
 from yokeline.registry.protocol import StoredItem
+from yokeline.scheduling.topology import Distance
 from yokeline.start_phases import StartPhases
 
 CLOSE_CONNECTIONS_AFTER_SECONDS = 2.2
@@ -297,6 +298,8 @@
         effects: list[Effect] = []
         for item in changed:
             effects.extend(self._apply_change(item, now))
+        if any(item.key.startswith((NODE_PREFIX, self._formats.retire_prefix)) for item in changed):
+            self._apply_storage_nodes()
         return effects
 
     def _apply_change(self, item: StoredItem, now: float) -> list[Effect]:
@@ -304,9 +307,6 @@
             return self._apply_configuration(item, now)
         if self._discovery.owns(item):
             return self._discovery.apply_change(item, now)
-        if item.key.startswith(self._formats.retire_prefix):
-            self._apply_storage_nodes()
-            return []
         if item.key.startswith(NODE_PREFIX):
             self._apply_nodes()
             return self._validate_node_record(item)
@@ -374,12 +374,8 @@
         records = read_nodes(self._registry.items(NODE_PREFIX).values())
         storage = [record for record in records if record.role is NodeRole.STORAGE]
         self.ledger.set_storage({record.replica: record.address for record in storage})
-        own_zone = self._record.zone
-        self.histories.set_replicas(
-            [NearReplica(item.replica, item.address, item.zone == own_zone) for item in storage]
-        )
+        self.histories.set_replicas([self._near_replica(record) for record in storage])
         edges = [record for record in records if record.role is NodeRole.EDGE]
-        self._apply_storage_nodes()
         self._load_reporter.set_nodes(edges, self._now)
         self._registry_sync.nodes_changed(self._now)
 
@@ -392,6 +388,15 @@
             storage_nodes(self._registry.items(NODE_PREFIX).values()), retiring
         )
 
+    def _near_replica(self, record: NodeRecord) -> NearReplica:
+        distance = self._engines.topology.distance(record.zone)
+        return NearReplica(
+            record.replica,
+            record.address,
+            is_near=record.zone == self._record.zone,
+            is_in_region=distance is not Distance.OTHER_REGION,
+        )
+
     # ------------------------------------------------------------ planned stops
 
     def _begin_stop(self, now: float) -> list[Effect]:
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -136,6 +136,7 @@
     from yokeline.ledger.history_fetches import HistoryFetches
     from yokeline.ledger.regional_texts import RegionalTexts
     from yokeline.scheduling.eligibility import EligibilityPolicy
+    from yokeline.scheduling.topology import Topology
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -157,7 +158,7 @@
         address=settings.peer_address,
         zone=settings.zone,
     )
-    engines = EngineTable(settings.name)
+    engines = EngineTable(settings.name, Topology(settings.zone, settings.zone_regions))
     ledger = LedgerClient(settings.peer_address)
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
