Keep no text of another region, and number questions anew per process

A storage machine that is moved to another region drops the texts that may not be there. Questions of a storage node begin at a number that no earlier process with the same disk has used, so that a late answer confirms no other text. A test compares everything that a node does with and without the restriction, without allowed regions.

--- a/src/yokeline/ledger/regional_text_store.py
+++ b/src/yokeline/ledger/regional_text_store.py
@@ -52,6 +52,8 @@
 MAX_OFFERED_TEXTS = 256
 MAX_REPAIR_BYTES = MEBIBYTE
 """Bytes of texts sent to one node per repair, so that turns' writes are not delayed."""
+NUMBERS_PER_SECOND = 1000
+"""Numbers of questions begin at the time of the start in milliseconds; more are never asked."""
 MIN_COMPACT_BYTES = 4 * MEBIBYTE
 DEFER_FACTOR = 2.0
 MAX_DEAD_SECONDS = 600.0
@@ -183,6 +185,8 @@
         self._texts = {
             turn_id: _Stored(record=record, since=now, bytes=len(encode_text_record(record)))
             for turn_id, record in recovered.texts.items()
+            # A machine that was moved to another region must not keep its texts.
+            if not region or region in record.text.regions
         }
         self._live_bytes = sum(item.bytes for item in self._texts.values())
         self._file_bytes = recovered.valid_bytes
@@ -196,7 +200,8 @@
         self._present: tuple[TextNode, ...] = ()
         self._unchecked: set[str] = set(self._texts)
         self._questions: dict[int, _Question] = {}
-        self._last_number = 0
+        # A late answer to an earlier process with this disk must not confirm another text.
+        self._last_number = int(wall() * NUMBERS_PER_SECOND)
         self._round = 0
         self._next_expiry = now
         self._next_repair = now
--- a/tests/unit/forwarding/test_regional_turns.py
+++ b/tests/unit/forwarding/test_regional_turns.py
@@ -306,6 +306,41 @@
         self.assertEqual(self.played.sent[-1].body, QUESTION + ANSWER + QUESTION)
 
 
+class Inactive(unittest.TestCase):
+    def play(self, played: Played) -> list[object]:
+        """Play calls, retries and a kept chain; return everything that the node did."""
+        first = played.turn(PATH, QUESTION)
+        played.ledger_answers(Granted())
+        played.engine_begins()
+        played.engine_sends(1, 2)
+        played.engine_ends()
+        played.ledger_answers(Settled())
+        played.turn(PATH, b"more ", previous_turn=first)
+        played.ledger_answers(Granted())
+        played.engine_breaks()
+        for number in range(6):
+            played.request("/look-twice/x", affinity_key=f"k{number % 2}")
+            if number % 3 == 0:
+                played.engine_breaks()
+        played.wait(1.0)
+        return [played.sent, played.replies, played.stream, played.asked, played.logs]
+
+    def test_without_allowed_regions_a_node_does_exactly_the_same(self) -> None:
+        """Guards against a cost or another order of effects in other deployments."""
+        plain = Played(zones=("east-1", "west-1"))
+        site = TextSite(east=4, west=4)
+        residency = DataResidency("west", ZONE_REGIONS)
+        residency.set_storage_zones(["east-1", "west-1", "elsewhere"])
+        regional = Played(
+            zones=("east-1", "west-1"),
+            eligibility=EligibilityPolicy((residency.restriction,)),
+            residency=residency,
+            texts=site.texts,
+        )
+        self.assertEqual(self.play(plain), self.play(regional))
+        self.assertIsNone(site.texts.next_deadline())
+
+
 class Unrestricted(RegionalCase):
     def begin_node(self) -> None:
         super().begin_node()
--- a/tests/unit/ledger/test_regional_texts.py
+++ b/tests/unit/ledger/test_regional_texts.py
@@ -305,6 +305,37 @@
         self.assertFalse(self.needed(site, "storage-0"))
 
 
+class Restarts(unittest.TestCase):
+    def test_a_machine_that_moves_to_another_region_loses_its_texts(self) -> None:
+        site = TextSite(east=3, west=1)
+        site.store("t", "east")
+        machine = site.machines["storage-0"]
+        self.assertIn(machine.name, site.holders("t"))
+        site.stop(machine)
+        machine.region = "west"
+        site.start(machine)
+        site.list_nodes()
+        site.run(REPAIR_SECONDS)
+        self.assertEqual(site.holders("t"), {"storage-1", "storage-2"})
+
+    def test_an_answer_to_an_earlier_process_confirms_nothing(self) -> None:
+        """Guards against a text that counts as copied because of an answer about another one."""
+        site = TextSite(east=4)
+        site.store("t", "east")
+        offers = [item for _, item in site.delivered if isinstance(item, TextOffer)]
+        site.run(REPAIR_SECONDS)
+        for machine in site.machines.values():
+            site.stop(machine)
+            site.start(machine)
+        site.list_nodes()
+        numbers = {item.number for _, item in site.delivered if isinstance(item, TextOffer)}
+        site.delivered.clear()
+        site.run(REPAIR_SECONDS)
+        later = {item.number for _, item in site.delivered if isinstance(item, TextOffer)}
+        self.assertTrue(numbers and later)
+        self.assertEqual((offers, numbers & later), ([], set()))
+
+
 class Space(unittest.TestCase):
     def test_a_node_takes_no_more_texts_than_its_memory_bears(self) -> None:
         """Guards against a storage process that grows beyond its memory, and ends."""
