--- a/src/yokeline/forwarding/residency_report.py
+++ b/src/yokeline/forwarding/residency_report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Iterable
 
 from yokeline.effects import Address, LogRecord
@@ -58,7 +59,7 @@
         if table.tenants is not None:
             tenants = sorted(table.tenants.tenants, key=lambda tenant: tenant.name)
             subjects += [("tenant", tenant.name, tenant.allowed_regions) for tenant in tenants]
-        zones = [state.engine.zone for state in engines]
+        zones: Counter[str] | None = None
         current: dict[tuple[str, str], tuple[tuple[str, ...], int]] = {}
         lines: list[LogRecord] = []
         for kind, name, regions in subjects:
@@ -68,9 +69,11 @@
             current[kind, name] = (regions, storage)
             if self._reported.get((kind, name)) == current[kind, name]:
                 continue
+            if zones is None:
+                zones = Counter(state.engine.zone for state in engines)
             allowed = frozenset(regions)
             is_allowed = self._residency.restriction.is_allowed
-            in_regions = sum(is_allowed(zone, allowed) for zone in zones)
+            in_regions = sum(count for zone, count in zones.items() if is_allowed(zone, allowed))
             lines.append(_line(kind, name, regions, in_regions, storage, table.version))
         self._reported = current
         return lines
