--- a/src/yokeline/forwarding/dispatcher.py
+++ b/src/yokeline/forwarding/dispatcher.py
@@ -14,7 +14,11 @@
 from yokeline.forwarding.residency import NO_ENGINE_IN_REGIONS
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.wait_queue import WaitQueue
-from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay
+from yokeline.scheduling.retry_delays import (
+    NO_ELIGIBLE_ENGINE_DELAY_SECONDS,
+    RefusedCaller,
+    retry_delay,
+)
 from yokeline.scheduling.room_waits import RoomRefusal
 
 
@@ -64,7 +68,7 @@
             exchange,
             UNAVAILABLE,
             self._refusal_reason(exchange, refusal),
-            retry_after=self._retry_after(exchange),
+            retry_after=self._retry_after(exchange, refusal),
             **fields,
         )
 
@@ -74,7 +78,7 @@
             exchange,
             UNAVAILABLE,
             reason,
-            retry_after=self._retry_after(exchange),
+            retry_after=self._retry_after(exchange, RoomRefusal.NO_ELIGIBLE_ENGINE),
             regions=" ".join(sorted(exchange.allowed_regions or ())),
         )
 
@@ -85,15 +89,34 @@
         has_engine = self._state.residency.has_engine(exchange, engines)
         return "no_engine" if has_engine else NO_ENGINE_IN_REGIONS
 
-    def _retry_after(self, exchange: Exchange) -> float:
+    def _retry_after(self, exchange: Exchange, refusal: RoomRefusal) -> float:
         caller = RefusedCaller(
             request_id=exchange.call.request_id,
             has_begun=would_lose_work(exchange),
             time_left=exchange.deadline - self._state.now,
         )
         expected = exchange.room_wait.expected if exchange.room_wait is not None else 0.0
+        if refusal is RoomRefusal.NO_ELIGIBLE_ENGINE:
+            expected = NO_ELIGIBLE_ENGINE_DELAY_SECONDS
         return retry_delay(caller, expected)
 
+    def refuse_without_eligible_engine(self, exchange: Exchange) -> bool:
+        """Refuse a new request that no engine of its pool can become eligible for.
+
+        Returns:
+            Whether it was refused. It has then neither a reservation nor a share of a limit.
+        """
+        pool = self._state.pool_of(exchange)
+        if not self._state.placement.has_no_eligible_engine(exchange, pool, self._state.now):
+            return False
+        exchange.waiting_since = self._state.now
+        self.refuse_for_capacity(exchange, RoomRefusal.NO_ELIGIBLE_ENGINE)
+        return True
+
+    def forget_capacity(self) -> None:
+        """Compute the capacity of the pools anew for the next decisions."""
+        self._admission.forget_capacity()
+
     def _end_revoked(self, exchange: Exchange) -> None:
         if exchange.possible_runs or exchange.relayed_events:
             self._responder.fail(exchange, UNKNOWN_KEY)
@@ -155,7 +178,7 @@
         placement = self._state.placement
         is_new_program = exchange.is_first_turn
         if full_engines.is_full_for(exchange, is_new_program=is_new_program):
-            return None
+            return placement.choose_cached(exchange, self._state.pool_of(exchange), self._state.now)
         choice = placement.choose(exchange, self._state.pool_of(exchange), self._state.now)
         if choice is None:
             full_engines.record_full(exchange, is_new_program=is_new_program)
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -82,6 +82,21 @@
             choice = self._choose(exchange, pool, now)
         return choice
 
+    def choose_cached(self, exchange: Exchange, pool: Pool, now: float) -> EngineChoice | None:
+        """Return the engine with a session's context while restrictions are active.
+
+        The restrictions may let the session use that engine although other requests may not; None
+        if they do not, or if the engine has no capacity.
+        """
+        context = exchange.cached_context
+        if context is None or not self.eligibility.is_active:
+            return None
+        state = self._engines.get(context.engine_id)
+        if state is None or state.engine.draining or state.engine.pool != exchange.pool:
+            return None
+        inputs = self._choice_inputs(exchange, pool, exchange.excluded_engine_ids)
+        return choose_engine([state], self.prefix_cache, inputs, now)
+
     def lacks_time(self, exchange: Exchange, now: float) -> bool:
         """Return whether too little time is left to serve a request before its deadline."""
         time_left = exchange.deadline - now
@@ -128,7 +143,9 @@
         """Return how many slots of a pool's engines count as capacity."""
         if not self.eligibility.is_active:
             return self._engines.slots_in_pool(pool)
-        return int(sum(self.usable_slots(state, now) for state in self._engines.in_pool(pool, now)))
+        return whole_slots(
+            self.usable_slots(state, now) for state in self._engines.in_pool(pool, now)
+        )
 
     def slot_seconds(self, pool: str) -> float | None:
         """Return the average time for which a request occupies a slot; None if not known."""
@@ -244,3 +261,9 @@
         self._affinities.move_to_end(subject)
         if len(self._affinities) > MAX_AFFINITIES:
             self._affinities.popitem(last=False)
+
+
+def whole_slots(usable: Iterable[float]) -> int:
+    """Return the whole slots in a sum; at least one for any capacity, since none means unknown."""
+    total = sum(usable)
+    return max(1, int(total)) if total > 0 else 0
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -120,6 +120,10 @@
     "yokeline_ledger_tenants": "Tenants whose requests this replica counts.",
     "yokeline_forwarding_refusals_total": "Requests refused, not run, by reason.",
     "yokeline_forwarding_room_refusals_total": "Requests refused for want of room, by cause.",
+    "yokeline_forwarding_zones_evacuated": "Zones that this node knows to be evacuated.",
+    "yokeline_forwarding_sends_restricted_total": (
+        "Requests sent while engines of their pool were not eligible, by cause."
+    ),
     "yokeline_forwarding_expected_wait_seconds": (
         "Seconds in which a place was likely to be free, of requests that found none."
     ),
@@ -127,9 +131,6 @@
         "Seconds that requests waited for room which then got a place."
     ),
     "yokeline_forwarding_repeats_total": "Requests sent again after they may have run.",
-    "yokeline_forwarding_sends_restricted_total": (
-        "Sends for which restrictions left out engines, by cause."
-    ),
     "yokeline_forwarding_restricted_sends_total": (
         "Sends of requests with allowed regions, by route and region of the engine."
     ),
@@ -161,6 +162,11 @@
     "yokeline_forwarding_sends_beyond_subset_total": (
         "Requests sent to engines that this node does not prefer."
     ),
+    "yokeline_forwarding_engines_cold": "Engines that count as cold at this node.",
+    "yokeline_forwarding_cold_sends_total": "Requests sent to cold engines.",
+    "yokeline_forwarding_cold_sends_withheld_total": (
+        "Choices of an engine that left out a cold engine, counted for each engine."
+    ),
     "yokeline_ledger_reached": "Number 1 while the ledger answers this node, otherwise 0.",
     "yokeline_ledger_sent_through_peers_total": (
         "Questions to the ledger sent through another forwarding node."
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -124,9 +124,11 @@
     settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     # Imported here, as the storage part below: a role loads only what it needs.
+    from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
     from yokeline.forwarding.configuration_lease import ConfigurationLease
     from yokeline.forwarding.edge_node import EdgeNode
     from yokeline.forwarding.engines import EngineTable
+    from yokeline.forwarding.evacuations import Evacuations
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.metrics import edge_figures
     from yokeline.forwarding.residency import DataResidency
@@ -135,8 +137,10 @@
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
     from yokeline.ledger.regional_texts import RegionalTexts
+    from yokeline.scheduling.cold_engines import ColdEngineRates
     from yokeline.scheduling.eligibility import EligibilityPolicy
     from yokeline.scheduling.topology import Topology
+    from yokeline.scheduling.zone_evacuation import ZoneEvacuations
 
     front = parse_address(settings.front, "front")
     ready = parse_address(settings.ready, "ready")
@@ -160,11 +164,15 @@
     )
     engines = EngineTable(settings.name, Topology(settings.zone, settings.zone_regions))
     ledger = LedgerClient(settings.peer_address)
+    evacuated_zones = ZoneEvacuations(settings.evacuation_ms / 1000.0)
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
     residency = DataResidency(settings.own_region, settings.zone_regions)
     texts = RegionalTexts(settings.peer_address, settings.own_region)
+    cold_rates = ColdEngineRates(
+        settings.name, settings.cold_overage, settings.cold_slack, start.began_at
+    )
     forwarder = Forwarder(
         zone=settings.zone,
         dialect=adapter.dialect,
@@ -177,7 +185,8 @@
             slack=settings.limit_slack,
         ),
         process=process,
-        eligibility=EligibilityPolicy((residency.restriction,)),
+        # What cannot pass by waiting is asked first, so that it is the cause.
+        eligibility=EligibilityPolicy((residency.restriction, evacuated_zones, cold_rates)),
         residency=residency,
         texts=texts,
     )
@@ -203,6 +212,8 @@
         phases=StartPhases(start.began_at),
         now=now,
         residency=ResidencyReporter(residency, texts),
+        cold_engines=ColdEngineTracker(cold_rates, first_start=settings.first_start),
+        evacuations=Evacuations(adapter.formats, evacuated_zones, engines),
     )
     binding = ServiceBinding(
         http=front.unwrap(),
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -137,6 +137,7 @@
     Attributes:
         tenants: Whose keys the configuration holds; without any no key is asked for.
         allowed_regions: The regions to which routes are bound, by name.
+        engine_zones: Zone of each engine, by its id.
     """
 
     def __init__(
@@ -148,8 +149,20 @@
         apps: int = 1,
         tenants: Sequence[TenantKeys] = (),
         source: Path | None = None,
+        cold_rate: float = 0.0,
+        zones: Sequence[str] = ("a",),
+        evacuation_seconds: float = 0.0,
     ) -> None:
-        """Prepare; ``source`` is the folder of the release to begin with, if not this one."""
+        """Prepare a deployment.
+
+        ``source`` is the folder of the release to begin with, if not this one. ``cold_rate`` is
+        what apps bear a second while they are cold; 0 for no bound. The engines of a pool are
+        spread over ``zones``.
+        """
+        self._cold_rate = cold_rate
+        self.engine_zones: dict[str, str] = {}
+        self._zones = zones
+        self._evacuation_seconds = evacuation_seconds
         self.tenants = list(tenants)
         self.allowed_regions: dict[str, list[str]] = {}
         self._source = source
@@ -170,11 +183,10 @@
         self.models = [EngineStandIn(f"model-{number}") for number in range(self._models)]
         self.apps = [EngineStandIn(f"app-{number}") for number in range(self._app_nodes)]
         self.app = self.apps[0]
-        for engine in self.models:
-            port = self.published(engine.engine_id, self._serve(engine))
-            self._register(engine, "models", port)
-        for app in self.apps:
-            self._register(app, "apps", self.published(app.engine_id, self._serve(app)))
+        for number, engine in enumerate(self.models):
+            self._register(engine, "models", number)
+        for number, app in enumerate(self.apps):
+            self._register(app, "apps", number)
         self.configure(1)
         self.storage = [self._role("storage", number) for number in range(self._storage_nodes)]
         self.edges = [self._role("edge", number) for number in range(self._edge_nodes)]
@@ -199,7 +211,7 @@
         return port
 
     def zone_of(self, name: str) -> str:
-        """Return the zone of a node or an engine."""
+        """Return the zone of a node."""
         return "a"
 
     def region_settings(self, name: str) -> list[str]:
@@ -243,21 +255,34 @@
             if regions:
                 route["allowed-regions"] = regions
         engine = {"slots": 4, "kv-tokens": 100000, "stride": 10}
-        services = [
+        services: list[dict[str, object]] = [
             {"name": "models", "max-conns": 50, "engine": engine},
             {"name": "apps", "max-conns": 50},
         ]
+        if self._cold_rate:
+            services[1].update({"cold-s": 3, "cold-per-s": self._cold_rate})
         document: dict[str, object] = {"version": version, "routes": routes, "services": services}
         if self.tenants:
             document["tenants"] = [tenant.document() for tenant in self.tenants]
         self.store.put("op/config", document)
 
+    def evacuate(self, zone: str) -> None:
+        """Order the evacuation of a zone."""
+        self.store.put_bytes(f"op/evacuate/{zone}", b"by the operator")
+
+    def end_evacuation(self, zone: str) -> None:
+        self.store.remove(f"op/evacuate/{zone}")
+
     def forget_engine(self, engine: EngineStandIn) -> None:
         self.store.remove(f"servers/{engine.engine_id}")
 
-    def list_engine(self, engine: EngineStandIn) -> None:
-        """Let an engine that was forgotten say again that it is there."""
-        document = {**self._documents[engine.engine_id], "born": engine.born}
+    def list_engine(self, engine: EngineStandIn, *, cold_left_ms: float = 0) -> None:
+        """Let an engine say (again) that it is there, and for how long it is cold."""
+        document = {
+            **self._documents[engine.engine_id],
+            "born": engine.born,
+            "cold-left-ms": cold_left_ms,
+        }
         self.store.put(f"servers/{engine.engine_id}", document)
 
     # ------------------------------------------------------------ callers
@@ -325,11 +350,14 @@
         assert address is not None
         return address.port
 
-    def _register(self, engine: EngineStandIn, pool: str, port: int) -> None:
+    def _register(self, engine: EngineStandIn, pool: str, number: int) -> None:
+        port = self.published(engine.engine_id, self._serve(engine))
+        zone = self._zones[number % len(self._zones)]
+        self.engine_zones[engine.engine_id] = zone
         document = {
             "service": pool,
             "address": f"{HOST}:{port}",
-            "zone": self.zone_of(engine.engine_id),
+            "zone": zone,
             "version": "v1",
             "slots": 4,
             "state": "ready",
@@ -352,12 +380,15 @@
             f'store = "{HOST}:{self._store_port}"',
             "grace_seconds = 6",
             f"revoke_ms = {REVOKE_SECONDS * 1000}",
+            f"evacuation_ms = {self._evacuation_seconds * 1000}",
             "a_field_of_later = 1",
         ]
         if role == "edge":
             front, ready = next(self._ports), next(self._ports)
             self.fronts.append(self.published(name, front))
             self._ready.append(ready)
+            if self._cold_rate:
+                lines += ["cold_overage = 1.5", "cold_slack = 5"]
             lines += [f'front = "{HOST}:{front}"', f'ready = "{HOST}:{ready}"']
         else:
             lines.append(f'data_folder = "{folder / name}"')
--- a/tests/processes/platform/test_residency.py
+++ b/tests/processes/platform/test_residency.py
@@ -7,12 +7,7 @@
 from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import WORDS, Deployment
 
-ZONES = {
-    "storage": ("e", "e", "e", "w", "w"),
-    "edge": ("w", "e"),
-    "model": ("e", "w"),
-    "app": ("e",),
-}
+ZONES = {"storage": ("e", "e", "e", "w", "w"), "edge": ("w", "e")}
 ZONE_REGIONS = {"e": "east", "w": "west"}
 TEXT = b"input-"
 
@@ -21,7 +16,7 @@
     """Two regions; the first edge is outside of the region that the kept route allows."""
 
     def __init__(self) -> None:
-        super().__init__(storage_nodes=5, edges=2, models=2)
+        super().__init__(storage_nodes=5, edges=2, models=2, zones=("e", "w"))
         self.allowed_regions = {"kept": ["east"]}
 
     def zone_of(self, name: str) -> str:
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -23,8 +23,10 @@
     StopRequested,
     Tick,
 )
+from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
 from yokeline.forwarding.configuration_lease import ConfigurationLease
 from yokeline.forwarding.edge_node import EdgeNode
+from yokeline.forwarding.evacuations import Evacuations
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
 from yokeline.ledger.messages import LoadReport, RegistryAsk, RegistryItem, RegistryNews
 from yokeline.ledger.operations import Granted
@@ -32,6 +34,8 @@
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.nodes import NodeRecord, NodeRole, encode_node, node_key
 from yokeline.registry.protocol import Page, StoredItem
+from yokeline.scheduling.eligibility import EligibilityPolicy
+from yokeline.scheduling.zone_evacuation import ZoneEvacuations
 from yokeline.start_phases import StartPhases
 
 GRACE_SECONDS = 8.0
@@ -42,9 +46,19 @@
 
     prefixes: tuple[str, ...] = ()
     revoke_seconds = 0.0
+    evacuation_seconds = 0.0
+
+    def make_forwarder(self, zones: ZoneEvacuations) -> Played:
+        """Return the forwarder of the node, which sends nothing to evacuated ``zones``."""
+        return Played(eligibility=EligibilityPolicy((zones,)))
+
+    def make_cold_engines(self) -> ColdEngineTracker | None:
+        """Return what bounds the requests to cold engines; None for no bound."""
+        return None
 
     def setUp(self) -> None:
-        self.played = Played()
+        zones = ZoneEvacuations(self.evacuation_seconds)
+        self.played = self.make_forwarder(zones)
         self.now = self.played.now
         record = NodeRecord(
             name=NodeName("edge-1"),
@@ -73,6 +87,8 @@
             engine_drain_seconds=2.0,
             phases=StartPhases(self.now),
             now=self.now,
+            cold_engines=self.make_cold_engines(),
+            evacuations=Evacuations(PlatformDocuments(), zones, self.played.engines),
         )
         self.effects: list[tuple[float, Effect]] = []
 
--- a/tests/unit/forwarding/test_residency.py
+++ b/tests/unit/forwarding/test_residency.py
@@ -7,13 +7,14 @@
 import msgspec
 
 from tests.unit.forwarding.support import TABLE, Played
+from tests.unit.scheduling.fake_restriction import FakeRestriction
 from yokeline.bearer_tokens import token_digest
 from yokeline.forwarding.configuration_lease import LeaseState
 from yokeline.forwarding.model import Route, RoutingTable
 from yokeline.forwarding.residency import DataResidency
 from yokeline.forwarding.tenants import Credential, KeyHolder, Tenant, TenantDirectory
 from yokeline.ledger.operations import Granted, Settle
-from yokeline.scheduling.eligibility import EligibilityPolicy
+from yokeline.scheduling.eligibility import EligibilityPolicy, Ineligibility
 
 EAST, WEST = "apps-0", "apps-1"
 ZONE_REGIONS = {"east-1": "east", "west-1": "west", "north-1": "north"}
@@ -214,6 +215,25 @@
         self.assertEqual(used, {"apps-0", "apps-2"})
 
 
+class OtherRestrictions(Restricted):
+    def test_a_request_does_not_wait_for_engines_outside_of_its_regions(self) -> None:
+        """Guards against a cause that may pass hiding one that does not."""
+        cold = FakeRestriction(Ineligibility.COLD_RATE)
+        self.played = Played(
+            engines_per_pool=2,
+            eligibility=EligibilityPolicy((self.residency.restriction, cold)),
+            residency=self.residency,
+            zones=("east-1", "west-1"),
+        )
+        self.use(restricted(TABLE, ("east",)))
+        self.played.turn(finish_ms="3000")
+        self.played.ledger_answers(Granted(spent=10))
+        self.assertEqual((self.played.sent, self.played.replies), ([], []), "it waits")
+        self.played.engines.remove("models-0")
+        self.played.take(self.played.forwarder.tick(self.played.now))
+        self.assert_refused(NO_ENGINE)
+
+
 class KeptTurns(Restricted):
     def test_a_turn_whose_text_would_leave_the_regions_is_refused_before_it_runs(self) -> None:
         """The ledger replicates texts over all regions."""
--- a/tests/unit/forwarding/test_residency_report.py
+++ b/tests/unit/forwarding/test_residency_report.py
@@ -122,7 +122,7 @@
         registry.items = lambda prefix: {  # type: ignore[method-assign]
             key: item for key, item in stored.items() if key.startswith(prefix)
         }
-        self.node._apply_changes(list(stored.values()), self.now)
+        self.node._apply_changes(list(stored.values()), self.now, 0.0)
 
     def test_storage_nodes_and_retirements_decide_where_texts_go(self) -> None:
         records = [storage_record(0, "east-1"), storage_record(1, "west-1")]
