--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from yokeline.effects import (
+    Address,
     Effect,
     HttpArrived,
     HttpFailed,
@@ -53,7 +54,13 @@
 from yokeline.forwarding.model import Call, Route, RouteKind, RoutingTable
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcome_recorder import OutcomeRecorder
+from yokeline.forwarding.regional_turns import RegionalTurns
 from yokeline.forwarding.reservations import Reservations
+from yokeline.forwarding.residency import (
+    CANNOT_KEEP_IN_REGIONS,
+    NO_ENGINE_IN_REGIONS,
+    DataResidency,
+)
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.retries import RetryHandler
 from yokeline.forwarding.settlements import Settlements
@@ -67,10 +74,12 @@
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
+from yokeline.ledger.regional_texts import RegionalTexts
 from yokeline.registry.watch import WATCH_SECONDS
 from yokeline.scheduling.eligibility import EligibilityPolicy
 from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay_after_outage
 
+NO_ADDRESS = Address("", 0)
 DEADLINE_RETRY_AFTER_SECONDS = 0.1
 RESTART_DETECTION_SECONDS = WATCH_SECONDS
 """Time for which a node may not know that an engine has restarted, and send to the new incarnation
@@ -101,12 +110,15 @@
         tolerance: LimitTolerance = NO_TOLERANCE,
         process: str = "",
         eligibility: EligibilityPolicy = NO_RESTRICTIONS,
+        residency: DataResidency | None = None,
+        texts: RegionalTexts | None = None,
     ) -> None:
         """Serve in a zone.
 
         ``tolerance`` is what tenants may use beyond their limits. ``process`` identifies this
         process in the ids of ledger operations, so that no two requests share one. ``eligibility``
-        restricts the engines that requests may be sent to.
+        restricts the engines that requests may be sent to, among others by ``residency``; ``texts``
+        stores the texts of turns that are bound to regions.
         """
         self.refusing = False
         self.lease_state: Callable[[float], LeaseState] = _always_valid
@@ -115,13 +127,18 @@
         self._tolerance = tolerance
         self._process = process
         self._outcomes = OutcomeRecorder(dialect)
-        self._state = NodeState(zone, engines, self._outcomes, eligibility)
+        self._state = NodeState(
+            zone, engines, self._outcomes, eligibility, residency or DataResidency()
+        )
         ledger.turns.tenants = TenantLoadReader(self._state)
         ledger.shares_told = self._state.fair_shares.apply_leader_report
         self._held = HeldRequests()
         self._traffic_split = TrafficSplit()
         turn_cache = TurnCache()
         settlements = Settlements(self._state, ledger)
+        self._regional_turns = RegionalTurns(
+            self._state, texts or RegionalTexts(NO_ADDRESS), settlements, turn_cache
+        )
         self._responder = Responder(self._state, settlements, dialect)
         self._sender = EngineSender(self._state, settlements, dialect)
         self._dispatcher = Dispatcher(self._state, self._sender, self._responder)
@@ -133,6 +150,7 @@
             self._responder,
             self._retries,
             turn_cache,
+            self._regional_turns,
             dialect,
         )
         self._tenant_limits = TenantLimits(
@@ -145,6 +163,7 @@
             histories,
             self._responder,
             turn_cache,
+            self._regional_turns,
             self._tenant_limits,
             self._enqueue_and_dispatch,
         )
@@ -161,7 +180,10 @@
         self._state.table = table
         self._outcomes.configuration_version = table.version if table is not None else 0
         if table is not None:
+            self._state.residency.set_table(table)
             self._revoke_keys(table)
+            for exchange in self._state.exchanges.values():
+                self._state.residency.rebind(exchange, table)
 
     def _revoke_keys(self, table: RoutingTable) -> None:
         """Refuse requests with revoked keys that were not run; exclude the others from retries."""
@@ -399,7 +421,7 @@
             if not (is_pending and may_hold and self._held.add(event, arrived_at)):
                 self._deny(event, admitted, table)
             return
-        exchange = self._open(event, call, route, admitted, arrived_at)
+        exchange = self._open(event, call, table, route, admitted, arrived_at)
         self._begin(exchange)
 
     def _refuse_unconfigured(self, event: HttpArrived) -> None:
@@ -420,6 +442,8 @@
 
     def _begin(self, exchange: Exchange) -> None:
         """Start the first step that a request needs: tenant limit, reservation or dispatch."""
+        if self._refuse_by_residency(exchange):
+            return
         if self._dispatcher.refuse_without_eligible_engine(exchange):
             return
         if not self._tenant_limits.may_ask(exchange, self._begin):
@@ -445,6 +469,7 @@
         self,
         event: HttpArrived,
         call: Call,
+        table: RoutingTable,
         route: Route,
         admitted: Admitted,
         arrived_at: float,
@@ -461,6 +486,7 @@
             tenant=admitted.tenant,
             forwards_credential=admitted.forwards_credential,
             limit=limit_of(admitted.tenant, self._outcomes.configuration_version, self._tolerance),
+            allowed_regions=self._state.residency.regions_of(table, route, call, admitted.tenant),
             pool=self._traffic_split.choose_pool(route, call),
             body=event.body,
             last_event_id=call.last_event_id,
@@ -469,7 +495,29 @@
         self._state.schedule(exchange, exchange.deadline, self._deadline_reached)
         return exchange
 
+    def _refuse_by_residency(self, exchange: Exchange) -> bool:
+        """Refuse a request that cannot be served or kept in its regions; return whether it is.
+
+        A turn that is to be kept is refused before it runs, since its work would be lost.
+        """
+        if exchange.allowed_regions is None or exchange.possible_runs or exchange.relayed_events:
+            return False
+        residency = self._state.residency
+        engines = self._state.engines.in_pool(exchange.pool, self._state.now)
+        if not residency.has_engine(exchange, engines):
+            reason = NO_ENGINE_IN_REGIONS
+        elif residency.must_keep_regionally(exchange) and not self._regional_turns.can_keep(
+            exchange
+        ):
+            reason = CANNOT_KEEP_IN_REGIONS
+        else:
+            return False
+        self._dispatcher.refuse_by_residency(exchange, reason)
+        return True
+
     def _enqueue_and_dispatch(self, exchange: Exchange) -> None:
+        if self._refuse_by_residency(exchange):
+            return
         self._dispatcher.enqueue(exchange)
         self._dispatcher.dispatch(exchange.pool)
 
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -142,9 +142,12 @@
     from yokeline.forwarding.evacuations import Evacuations
     from yokeline.forwarding.forwarder import Forwarder
     from yokeline.forwarding.metrics import edge_figures
+    from yokeline.forwarding.residency import DataResidency
+    from yokeline.forwarding.residency_report import ResidencyReporter
     from yokeline.forwarding.tenant_limits import LimitTolerance
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
+    from yokeline.ledger.regional_texts import RegionalTexts
     from yokeline.scheduling.cold_engines import ColdEngineRates
     from yokeline.scheduling.eligibility import EligibilityPolicy
     from yokeline.scheduling.topology import Topology
@@ -176,6 +179,8 @@
     histories = HistoryFetches(settings.name, settings.peer_address)
     # Of this process alone: an answer to an earlier one must not reach it.
     process = new_replica_id(settings.name, source)
+    residency = DataResidency(settings.own_region, settings.zone_regions)
+    texts = RegionalTexts(settings.peer_address, settings.own_region)
     cold_rates = ColdEngineRates(
         settings.name, settings.cold_overage, settings.cold_slack, start.began_at
     )
@@ -191,7 +196,10 @@
             slack=settings.limit_slack,
         ),
         process=process,
-        eligibility=EligibilityPolicy((evacuated_zones, cold_rates)),
+        # What cannot pass by waiting is asked first, so that it is the cause.
+        eligibility=EligibilityPolicy((residency.restriction, evacuated_zones, cold_rates)),
+        residency=residency,
+        texts=texts,
     )
     lease = ConfigurationLease(
         store.unwrap(),
@@ -214,6 +222,7 @@
         engine_drain_seconds=settings.engine_drain_ms / 1000.0,
         phases=StartPhases(start.began_at),
         now=now,
+        residency=ResidencyReporter(residency, texts),
         cold_engines=ColdEngineTracker(cold_rates, first_start=settings.first_start),
         evacuations=Evacuations(adapter.formats, evacuated_zones, engines),
     )
@@ -240,6 +249,11 @@
     settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
 ) -> Result[BoundServices, YokelineError]:
     from yokeline.ledger.disk_records import recover
+    from yokeline.ledger.regional_text_store import (
+        TEXTS_FILE,
+        RegionalTextStore,
+        recover_texts,
+    )
     from yokeline.ledger.replica import LOG_FILE, LedgerReplica
     from yokeline.ledger.storage_node import StorageNode, storage_figures
 
@@ -253,6 +267,15 @@
         return recovered
     log = recovered.unwrap()
     cut = _cut_tail(folder / LOG_FILE, log.valid_bytes, len(data.unwrap()))
+    if isinstance(cut, Failure):
+        return cut
+    text_data = _read_log(folder, TEXTS_FILE)
+    if isinstance(text_data, Failure):
+        return text_data
+    texts = recover_texts(text_data.unwrap())
+    if isinstance(texts, Failure):
+        return texts
+    cut = _cut_tail(folder / TEXTS_FILE, texts.unwrap().valid_bytes, len(text_data.unwrap()))
     if isinstance(cut, Failure):
         return cut
     store = parse_address(settings.store, "store").map(adapter.store)
@@ -287,6 +310,16 @@
         wall=time.time,
         phases=StartPhases(start.began_at),
         now=now,
+        texts=RegionalTextStore(
+            replica=replica_id,
+            address=settings.peer_address,
+            region=settings.own_region,
+            recovered=texts.unwrap(),
+            wall=time.time,
+            now=now,
+            memory_mb=settings.memory_mb,
+        ),
+        zone_regions=settings.zone_regions,
     )
     binding = ServiceBinding(
         peer=settings.peer_address,
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -36,6 +36,7 @@
     RouteKind,
     RoutingTable,
 )
+from yokeline.forwarding.residency import DataResidency
 from yokeline.identifiers import ExchangeId, ReplicaId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
@@ -50,8 +51,11 @@
     NodeTurns,
     PoolLoad,
     PoolShares,
+    StoreText,
+    TextAsk,
 )
 from yokeline.ledger.operations import Operation, OperationResult
+from yokeline.ledger.regional_texts import RegionalTexts
 from yokeline.platform.headers import HeaderDialect
 from yokeline.scheduling.eligibility import EligibilityPolicy
 
@@ -102,7 +106,11 @@
         engines_per_pool: int = 2,
         slots: int = 4,
         eligibility: EligibilityPolicy = NO_RESTRICTIONS,
+        residency: DataResidency | None = None,
+        zones: tuple[str, ...] = ("a",),
+        texts: RegionalTexts | None = None,
     ) -> None:
+        """The engines of each pool stand in ``zones`` in turn."""
         self.now = 100.0
         self.ledger = LedgerClient(Address("10.0.0.1", 1))
         self.ledger.engines_told = lambda told, now: self.engines.apply_leader_report(told, now)
@@ -116,6 +124,8 @@
             histories=self.histories,
             engines=self.engines,
             eligibility=eligibility,
+            residency=residency,
+            texts=texts,
         )
         self.forwarder.table = TABLE
         for pool in ("models", "apps"):
@@ -124,7 +134,7 @@
                     engine_id=f"{pool}-{number}",
                     pool=pool,
                     address=Address(f"10.1.0.{number}", 80),
-                    zone="a",
+                    zone=zones[number % len(zones)],
                     slots=slots,
                 )
                 self.engines.put(engine)
@@ -138,6 +148,8 @@
         self.logs: list[LogRecord] = []
         self.peers: list[SendPeer] = []
         """Questions for the texts of earlier turns."""
+        self.text_messages: list[SendPeer] = []
+        """Messages to storage nodes about regional texts."""
         self._numbers = itertools.count(1)
 
     # ------------------------------------------------------------ callers
@@ -267,6 +279,9 @@
         if isinstance(message, HistoryAsk):
             self.peers.append(effect)
             return
+        if isinstance(message, StoreText | TextAsk):
+            self.text_messages.append(effect)
+            return
         if isinstance(message, LeaderQuery):
             answer = LeaderAnswer(term=1, leader=STORAGE)
             self.take(self.ledger.take_leader(STORAGE.replica, answer, self.now))
--- a/tests/unit/platform/test_start_modules.py
+++ b/tests/unit/platform/test_start_modules.py
@@ -23,6 +23,7 @@
     "yokeline.ledger.messages",
     "yokeline.ledger.operations",
     "yokeline.ledger.own_turns",
+    "yokeline.ledger.regional_texts",
     "yokeline.ledger.response_times",
     "yokeline.ledger.text_copies",
 }
