--- a/src/yokeline/forwarding/cold_engine_tracker.py
+++ b/src/yokeline/forwarding/cold_engine_tracker.py
@@ -2,7 +2,7 @@
 
 An engine is cold for a while after a start, and may become cold again at any time. Its entry says
 for how long, but not when it was written. What a node cannot know to be warm counts as cold: a new
-incarnation, and an engine that returns from silence. A node that has just started believes the
+incarnation, and an engine that returns from silence. A node that has just started trusts the
 entries that it finds, as the other nodes do: if all nodes lose power together, the engines are
 still warm, and shares of their rates would delay the return of the service.
 """
@@ -39,6 +39,8 @@
 RESET_DOUBT_SECONDS = 0.5
 """Time after the reset of a kept connection in which the answer to an earlier request shows that
 only the connection failed: the process that had the request is still running."""
+ANSWER_RECENCY_SECONDS = 1.0
+"""Time after an answer in which a time-out of another request shows an overload, not a silence."""
 MAX_KNOWN_ENGINES = 32_768
 """Incarnations remembered; those not seen for the longest time are evicted."""
 _NO_RATE = Pool(name="", max_connections=1)
@@ -58,10 +60,16 @@
 
 
 class _SentRequest(msgspec.Struct):
-    """A request at an engine, and when it was sent (monotonic seconds)."""
+    """A request at an engine.
+
+    Attributes:
+        sent_at: When it was sent (monotonic seconds).
+        heard_at: When the latest part of its answer came; when it was sent if there was none.
+    """
 
     engine_id: str
     sent_at: float
+    heard_at: float
     is_answered: bool = False
 
 
@@ -73,6 +81,8 @@
         entry_until: When it is warm according to that entry, counted from when the entry was seen.
         uncertain_since: Since when it may be cold for reasons that the entry does not reflect.
         silent_since: Since when it has not answered; None for an engine that answers.
+        answered_at: When it answered any request of this node last.
+        entry_seen_at: When its latest entry was seen.
         only_reset: Whether kept connections were reset since then and nothing else failed.
         reason: Cause of the latest change.
         logged_reason: Cause that was logged; empty while it counts as warm.
@@ -84,6 +94,8 @@
     entry_until: float = -math.inf
     uncertain_since: float | None = None
     silent_since: float | None = None
+    answered_at: float = -math.inf
+    entry_seen_at: float = -math.inf
     only_reset: bool = False
     reason: str = ""
     logged_reason: str = ""
@@ -112,6 +124,11 @@
         """Whether any engine has a rate for the time in which it is cold."""
         return self.rates.has_rates
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the first batch of entries has begun."""
+        return self._is_new_deployment is not None
+
     # ------------------------------------------------------------ configuration and entries
 
     def set_pools(self, pools: Mapping[str, Pool], now: float) -> list[LogRecord]:
@@ -144,6 +161,7 @@
             known = self._add(engine, revision, now)
         elif known.revision != revision:
             known.revision = revision
+            known.entry_seen_at = now
             self._apply_time_left(known, engine.cold_seconds_left, now)
         known.pool, known.is_registered = engine.pool, True
         self._known.move_to_end(engine_id)
@@ -163,13 +181,12 @@
         return known
 
     def _apply_time_left(self, known: _Knowledge, seconds_left: float, now: float) -> None:
-        """Apply the cold time in an entry; one that may precede a silence does not end doubts."""
+        """Apply the cold time in an entry; an entry that may precede a silence does not end it."""
         known.entry_until = now + seconds_left
-        doubted_since = known.silent_since
-        if doubted_since is None:
-            doubted_since = known.uncertain_since
+        times = (known.silent_since, known.uncertain_since)
+        unknown_since = max((at for at in times if at is not None), default=-math.inf)
         is_of_start = known.reason == ColdReason.STARTED.value
-        if doubted_since is None or is_of_start or now - doubted_since >= ENTRY_LAG_SECONDS:
+        if is_of_start or now - unknown_since >= ENTRY_LAG_SECONDS:
             known.uncertain_since = known.silent_since = None
             known.reason = ColdReason.ENTRY.value
 
@@ -196,6 +213,7 @@
             self.rates.discard_send(sent.engine_id, sent.sent_at, now)
             sent.is_answered = True
             return []
+        sent.heard_at = now
         if not sent.is_answered:
             sent.is_answered = True
             self.rates.record_answer(sent.engine_id, sent.sent_at, now)
@@ -205,8 +223,8 @@
         self,
         event: Event,
         effects: Iterable[Effect],
-        find: Callable[[RequestId], tuple[str, float] | None],
-        is_suspect: Callable[[str], bool],
+        find_sent: Callable[[RequestId], tuple[str, float] | None],
+        failed_now: Callable[[str], bool],
         now: float,
     ) -> list[LogRecord]:
         """Observe the requests that the forwarder has sent, cancelled or finished.
@@ -214,17 +232,17 @@
         Args:
             event: The event that the forwarder has handled.
             effects: The effects.
-            find: Returns the engine of a request that is under way, and when it was sent.
-            is_suspect: Returns whether an engine failed or timed out a moment ago, which tells a
-                request that the forwarder gave up from one whose caller has gone.
+            find_sent: Returns the engine of a request that is under way, and when it was sent.
+            failed_now: Returns whether the event was recorded as a failure of an engine. It
+                distinguishes a request that the forwarder gave up from one whose caller has gone.
             now: Current time.
         """
         records: list[LogRecord] = []
         for effect in effects:
-            found = find(effect.request) if isinstance(effect, HttpRequest) else None
+            found = find_sent(effect.request) if isinstance(effect, HttpRequest) else None
             if isinstance(effect, HttpRequest) and found is not None:
                 self._is_new_deployment = False
-                self._sent[effect.request] = _SentRequest(*found)
+                self._sent[effect.request] = _SentRequest(*found, heard_at=found[1])
                 self.rates.record_warm_send(*found, now)
         for effect in effects:
             sent = self._sent.pop(effect.request, None) if isinstance(effect, HttpCancel) else None
@@ -232,10 +250,10 @@
                 continue
             if not sent.is_answered:
                 self.rates.record_lost(sent.engine_id, sent.sent_at, now)
-            if is_suspect(sent.engine_id):
-                records.extend(self.record_failure(sent.engine_id, now))
+            if failed_now(sent.engine_id) and not self._is_overload(sent, now):
+                records.extend(self.record_failure(sent.engine_id, now, since=sent.heard_at))
         if isinstance(event, HttpResponse | HttpStreamEnded | HttpFailed) and (
-            event.request in self._sent and find(event.request) is None
+            event.request in self._sent and find_sent(event.request) is None
         ):
             del self._sent[event.request]
         return records
@@ -254,21 +272,45 @@
         if failure.stale:
             # Engines close idle connections, so a closed one shows nothing.
             return []
-        only_reset = failure.sent and not failure.silent and not failure.fresh
+        if failure.silent and self._is_overload(sent, now):
+            return []
+        if failure.silent:
+            return self.record_failure(sent.engine_id, now, since=sent.heard_at)
+        only_reset = failure.sent and not failure.fresh
         return self.record_failure(sent.engine_id, now, only_reset=only_reset)
 
+    def _is_overload(self, sent: _SentRequest, now: float) -> bool:
+        """Return whether an engine that has not answered a request in time is known to run.
+
+        Under overload, many requests reach their deadlines at engines that are warm. Such an engine
+        has answered another request a moment ago, or written an entry since the request was sent or
+        partly answered.
+        """
+        known = self._known.get(sent.engine_id)
+        if known is None:
+            return False
+        if now - known.answered_at <= ANSWER_RECENCY_SECONDS:
+            return True
+        entry_age = now - known.entry_seen_at
+        return entry_age <= ENTRY_LAG_SECONDS <= known.entry_seen_at - sent.heard_at
+
     def record_failure(
-        self, engine_id: str, now: float, *, only_reset: bool = False
+        self, engine_id: str, now: float, *, since: float | None = None, only_reset: bool = False
     ) -> list[LogRecord]:
         """Record that an engine refused or reset a connection, or did not answer in time.
 
-        ``only_reset`` says that a kept connection was reset, perhaps by the network.
+        Args:
+            engine_id: The engine.
+            now: Current time.
+            since: When the request that timed out was sent or partly answered. An entry written
+                after that time shows that the engine was running.
+            only_reset: Whether a kept connection was reset, perhaps by the network.
         """
         known = self._known.get(engine_id)
         if known is None or not known.is_registered or not self._cold_seconds(known):
             return []
         if known.silent_since is None:
-            known.silent_since = now
+            known.silent_since = now if since is None else since
             known.only_reset = only_reset
             known.reason = ColdReason.SILENT.value
         known.only_reset = known.only_reset and only_reset
@@ -276,7 +318,10 @@
 
     def _record_answer(self, sent: _SentRequest, now: float) -> list[LogRecord]:
         known = self._known.get(sent.engine_id)
-        if known is None or known.silent_since is None:
+        if known is None or not known.is_registered:
+            return []
+        known.answered_at = now
+        if known.silent_since is None:
             return []
         was_running = (
             known.only_reset
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -133,7 +133,7 @@
         self._engines = engines
         self.residency = residency or ResidencyReporter()
         self._grace_seconds = grace_seconds
-        self.cold_engines = cold_engines or _unbounded_engines(record)
+        self.cold_engines = cold_engines or _tracker_without_restrictions(record)
         self.cold_engines.rates.view_age = lambda at: self._registry_sync.age(at)
         self._discovery = EngineDiscovery(
             formats, engines, forwarder, engine_drain_seconds, now, self.cold_engines
@@ -216,13 +216,14 @@
             effects.extend(self.residency.report(self.forwarder.table, self._engines.all()))
         if self.cold_engines.is_active:
             find = self.forwarder.sent_request
-            records = self.cold_engines.observe_effects(event, effects, find, self._is_suspect, now)
+            records = self.cold_engines.observe_effects(event, effects, find, self._failed_now, now)
             effects.extend(records)
         return effects
 
-    def _is_suspect(self, engine_id: str) -> bool:
+    def _failed_now(self, engine_id: str) -> bool:
+        """Return whether the current event was recorded as a failure of an engine."""
         state = self._engines.get(engine_id)
-        return state is not None and self._now < state.suspect_until
+        return state is not None and state.failed_at == self._now
 
     def _renew_lease(self, now: float) -> list[Effect]:
         due = self.lease.next_deadline()
@@ -354,7 +355,8 @@
 
         ``max_change_age`` is the greatest age that the changes can have.
         """
-        # Most events change nothing; the number counts for removals only.
+        if not changed and self.cold_engines.has_begun:
+            return []
         listed = len(self._registry.items(self._formats.engine_prefix)) if changed else 0
         self._discovery.begin_batch(changed, listed, now)
         if self._registry.complete:
@@ -511,6 +513,6 @@
         return [LogRecord(event="stopped", fields=fields), Exit()]
 
 
-def _unbounded_engines(record: NodeRecord) -> ColdEngineTracker:
+def _tracker_without_restrictions(record: NodeRecord) -> ColdEngineTracker:
     """Return a tracker whose rates restrict no request, since no forwarder asks them."""
     return ColdEngineTracker(ColdEngineRates(record.name, 1.0, 0.0, 0.0))
--- a/src/yokeline/scheduling/cold_engines.py
+++ b/src/yokeline/scheduling/cold_engines.py
@@ -1,4 +1,4 @@
-"""Keeps the requests to cold engines within the rate that the engines bear, over all nodes.
+"""Keeps the requests to cold engines within the rate that the engines sustain, over all nodes.
 
 A cold engine fails well above a rate, and its load then falls on the next engine. While an engine
 is cold, a node sends to it only within its share of the rate (:mod:`cold_rate_shares`).
@@ -54,12 +54,14 @@
         cold_from: When the engine turned cold, if ``next_at`` does not reflect it yet.
         next_at: When the next request is due at the average rate.
         probe_at: When a node without a share may probe the engine if it is silent.
+        probed_at: When this node probed it last.
     """
 
     window: SendWindow
     cold_from: float | None = None
     next_at: float = -math.inf
     probe_at: float = math.inf
+    probed_at: float = -math.inf
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -208,12 +210,12 @@
         cold = self._cold.get(query.engine_id)
         if cold is None or now >= cold.until:
             return None
-        allowed_at = self._allowed_at(query.engine_id, now)
-        if allowed_at is not None and allowed_at <= now:
+        next_send_at = self._next_send_at(query.engine_id, now)
+        if next_send_at is not None and next_send_at <= now:
             return None
         self.withheld += 1
         warm_soon = cold.until <= now + MAX_SHARE_WAIT_SECONDS
-        may_send_soon = allowed_at is None or allowed_at <= now + MAX_SHARE_WAIT_SECONDS
+        may_send_soon = next_send_at is None or next_send_at <= now + MAX_SHARE_WAIT_SECONDS
         if warm_soon or may_send_soon:
             return Ineligibility.COLD_RATE
         return Ineligibility.COLD_WITHOUT_SHARE
@@ -230,6 +232,7 @@
         if self._position(engine, plan, now) is not None:
             instance.next_at = max(instance.next_at, now) + plan.interval
         else:
+            instance.probed_at = now
             self._schedule_probe(engine, now)
 
     def record_warm_send(self, engine_id: str, sent_at: float, now: float) -> None:
@@ -248,9 +251,9 @@
             if now >= cold.until:
                 continue
             changes.append(cold.until)
-            allowed_at = self._allowed_at(engine_id, now)
-            if allowed_at is not None and allowed_at > now:
-                changes.append(allowed_at)
+            next_send_at = self._next_send_at(engine_id, now)
+            if next_send_at is not None and next_send_at > now:
+                changes.append(next_send_at)
         return min((at for at in changes if math.isfinite(at)), default=None)
 
     def usable_slots(
@@ -264,7 +267,7 @@
 
     # ------------------------------------------------------------ helpers
 
-    def _allowed_at(self, engine_id: str, now: float) -> float | None:
+    def _next_send_at(self, engine_id: str, now: float) -> float | None:
         """Return when this node may send to a cold engine next.
 
         Infinite without a share, None if it depends on the answer to a request.
@@ -285,7 +288,7 @@
         return max(due, leaving) if leaving is not None else None
 
     def _plan(self, engine: _Engine, now: float) -> SharePlan:
-        return plan_shares(engine.rate, self._overage, self._slack, self._views.count(now))
+        return plan_shares(engine.rate, self._overage, self._slack, self._views.largest_size(now))
 
     def _position(self, engine: _Engine, plan: SharePlan, now: float) -> int | None:
         if not plan.holders or self.view_age(now) > MAX_VIEW_AGE_SECONDS:
@@ -306,16 +309,25 @@
         instance.next_at = max(instance.next_at, first_at + burst_seconds)
         instance.cold_from = None
 
-    def _schedule_probe(self, engine: _Engine, after: float) -> None:
-        """Set the next probe of a silent engine, each node at its own time."""
+    def _schedule_probe(self, engine: _Engine, now: float) -> None:
+        """Set the next probe of a silent engine.
+
+        After a silence begins, each node starts at its own time. Two probes by one node are a
+        whole interval apart, since the interval bounds the probes of all nodes together.
+        """
         nodes = self._views.nodes
-        interval = probe_interval(engine.rate, self._overage, self._slack, max(1, len(nodes)))
+        count = max(1, len(nodes))
+        interval = probe_interval(engine.rate, self._overage, self._slack, count)
         order = share_holders(engine.instance, nodes, len(nodes))
         place = order.index(self._node) + 1 if self._node in order else len(order) + 1
         instance = self._instances[engine.instance]
-        is_first = math.isinf(instance.probe_at) or instance.probe_at < after
-        delay = interval * place / max(1, len(nodes)) if is_first else interval
-        instance.probe_at = after + delay if math.isfinite(interval) else math.inf
+        if math.isinf(interval):
+            instance.probe_at = math.inf
+            return
+        staggered_at = now + interval * place / count
+        is_probe = instance.probed_at == now
+        earliest_at = instance.probed_at + interval
+        instance.probe_at = earliest_at if is_probe else max(staggered_at, earliest_at)
 
 
 def _no_age(_now: float) -> float:
--- a/tests/unit/forwarding/test_cold_engine_tracker.py
+++ b/tests/unit/forwarding/test_cold_engine_tracker.py
@@ -71,7 +71,7 @@
         effects: list[Effect],
         *,
         under_way: bool = False,
-        is_suspect: bool = False,
+        failed_now: bool = False,
     ) -> list[LogRecord]:
         sent = (ENGINE, self.now) if under_way else None
         records = self.tracker.observe_event(event, self.now) if event is not None else []
@@ -79,14 +79,14 @@
             event or HttpStreamItem(request=RequestId("other"), data=b""),
             effects,
             lambda _request: sent,
-            lambda _engine: is_suspect,
+            lambda _engine: failed_now,
             self.now,
         )
 
     def answer(self, status: int = 200) -> list[LogRecord]:
         return self.observe(HttpResponse(request=REQUEST, status=status, body=b"ok"), [])
 
-    def fail(
+    def engine_fails(
         self, *, sent: bool = True, stale: bool = False, fresh: bool = False
     ) -> list[LogRecord]:
         event = HttpFailed(request=REQUEST, sent=sent, reason="reset", stale=stale, fresh=fresh)
@@ -190,7 +190,7 @@
         self.start(first_start=False)
         self.tracker.set_pools({"p": pool}, self.now)
         self.assertEqual(self.entry(2.0), [])
-        self.assertEqual(self.fail(), [])
+        self.assertEqual(self.engine_fails(), [])
         self.assertEqual(self.tracker.mark_cold([ENGINE], "evacuation_ended", self.now), [])
         self.assertFalse(self.tracker.is_active)
         self.assertIsNone(self.tracker.next_deadline())
@@ -212,7 +212,7 @@
         """Nobody can tell whether it has restarted; all nodes would send at once on its return."""
         for sent in (True, False):
             self.setUp()
-            records = self.fail(sent=sent)
+            records = self.engine_fails(sent=sent)
             self.assertEqual(
                 records[0].fields, {"engine": ENGINE, "reason": "silent", "seconds": None}
             )
@@ -233,7 +233,7 @@
 
     def test_a_reset_request_counts_for_a_second_and_one_that_timed_out_for_longer(self) -> None:
         window = self.rates._instances["e"].window
-        self.fail()
+        self.engine_fails()
         self.assertEqual(window.count(self.now + 0.9), 1)
         self.assertEqual(window.count(self.now + 1.0), 0)
         self.send()
@@ -247,11 +247,103 @@
         self.entry(3.0, engine_id="e@2")
         window = self.rates._instances["e"].window
         self.assertEqual(window.count(self.now), 1)
-        self.fail()
+        self.engine_fails()
         self.assertEqual(window.count(self.now + 1.0), 0)
 
     def test_a_request_that_timed_out_is_a_silence(self) -> None:
-        self.observe(None, [HttpCancel(REQUEST)], is_suspect=True)
+        self.observe(None, [HttpCancel(REQUEST)], failed_now=True)
+        self.assertEqual(self.seconds_cold(), math.inf)
+
+    def time_out(self) -> None:
+        self.observe(HttpFailed(request=REQUEST, sent=True, reason="silent", silent=True), [])
+
+    def test_a_time_out_at_an_engine_that_answers_others_is_no_silence(self) -> None:
+        """Deadlines under overload would otherwise make a node treat all its engines as cold."""
+        for is_cancelled in (False, True):
+            self.setUp()
+            other = RequestId("call/0")
+            self.send(other)
+            self.now += 5.0
+            self.observe(HttpResponse(request=other, status=200), [], under_way=True)
+            self.now += 1.0
+            if is_cancelled:
+                self.observe(None, [HttpCancel(REQUEST)], failed_now=True)
+            else:
+                self.time_out()
+            self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_a_time_out_a_while_after_the_last_answer_is_a_silence(self) -> None:
+        other = RequestId("call/0")
+        self.send(other)
+        self.observe(HttpResponse(request=other, status=200, body=b"ok"), [])
+        self.now += 1.1
+        self.time_out()
+        self.assertEqual(self.seconds_cold(), math.inf)
+
+    def test_a_time_out_at_an_engine_that_writes_entries_is_no_silence(self) -> None:
+        """A node has few requests at each engine, so others may not show that the engine runs."""
+        self.now += ENTRY_LAG_SECONDS
+        self.entry()
+        self.now += 1.2
+        self.time_out()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_entries_before_a_stream_falls_silent_do_not_show_that_the_engine_runs(self) -> None:
+        """A long stream was sent before these entries; its engine may have stopped after them."""
+        self.observe(HttpResponse(request=REQUEST, status=200), [], under_way=True)
+        self.now += 10.0
+        self.entry()
+        self.observe(HttpStreamItem(request=REQUEST, data=b"x"), [], under_way=True)
+        self.now += 1.5
+        self.time_out()
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += 0.4
+        self.entry()
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += 0.1
+        self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_a_time_out_of_an_earlier_request_does_not_shorten_a_mark(self) -> None:
+        """The entry may have been written before the evacuation ended."""
+        self.now += 5.0
+        self.tracker.mark_cold([ENGINE], "evacuated", self.now)
+        self.time_out()
+        self.now += 1.9
+        self.entry()
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += 0.1
+        self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_the_next_entry_ends_the_silence_after_a_time_out(self) -> None:
+        """The entry is later than the request that timed out, so the engine was running."""
+        self.now += 1.5
+        self.time_out()
+        self.now += 0.4
+        self.entry()
+        self.assertEqual(self.seconds_cold(), math.inf)
+        self.now += 0.1
+        self.entry()
+        self.assertEqual(self.seconds_cold(), 0.0)
+
+    def test_an_entry_that_may_precede_the_request_or_is_old_does_not_show_that_it_runs(
+        self,
+    ) -> None:
+        for seen_after, timed_out_after in ((1.9, 0.1), (2.0, 2.1)):
+            self.setUp()
+            self.now += seen_after
+            self.entry()
+            self.now += timed_out_after
+            self.time_out()
+            self.assertEqual(self.seconds_cold(), math.inf)
+
+    def test_a_refusal_is_a_silence_though_the_engine_answered_a_moment_ago(self) -> None:
+        """A process that has ended refuses connections at once."""
+        other = RequestId("call/0")
+        self.send(other)
+        self.observe(HttpResponse(request=other, status=200, body=b"ok"), [])
+        self.engine_fails(sent=False)
         self.assertEqual(self.seconds_cold(), math.inf)
 
     def test_a_caller_that_went_is_no_silence(self) -> None:
@@ -259,13 +351,13 @@
         self.assertEqual(self.seconds_cold(), 0.0)
 
     def test_a_closed_idle_connection_is_no_silence(self) -> None:
-        self.fail(stale=True)
+        self.engine_fails(stale=True)
         self.assertEqual(self.seconds_cold(), 0.0)
 
     def test_a_stream_that_breaks_off_is_a_silence(self) -> None:
         self.observe(HttpResponse(request=REQUEST, status=200), [], under_way=True)
         self.observe(HttpStreamItem(request=REQUEST, data=b"x"), [], under_way=True)
-        self.fail()
+        self.engine_fails()
         self.assertEqual(self.seconds_cold(), math.inf)
 
     def fail_and_answer_earlier_request(self, delay: float = 0.2, *, fresh: bool = False) -> None:
@@ -275,7 +367,7 @@
         self.now += 0.1
         self.send()
         self.now += 0.1
-        self.fail(fresh=fresh)
+        self.engine_fails(fresh=fresh)
         self.assertEqual(self.seconds_cold(), math.inf)
         self.now += delay
         self.observe(HttpResponse(request=first, status=200, body=b"ok"), [])
@@ -293,24 +385,33 @@
         self.assertEqual(self.seconds_cold(), COLD_SECONDS)
 
     def test_an_entry_that_may_precede_the_silence_ends_nothing(self) -> None:
-        self.fail()
+        self.engine_fails()
         self.now += 0.5
         self.entry()
         self.assertEqual(self.seconds_cold(), math.inf)
 
     def test_a_newer_entry_says_how_long_the_engine_is_cold(self) -> None:
-        self.fail()
+        self.engine_fails()
         self.now += ENTRY_LAG_SECONDS
         self.entry(1.5)
         self.assertEqual(self.seconds_cold(), 1.5)
-        self.fail()
+        self.engine_fails()
         self.entry()
         self.assertEqual(self.seconds_cold(), 0.0)
 
+    def test_an_answer_of_a_removed_engine_is_not_logged_as_a_return(self) -> None:
+        """Nothing would log its end, since a removed engine is no longer restricted."""
+        other = RequestId("call/0")
+        self.send(other)
+        self.engine_fails()
+        self.tracker.forget(ENGINE)
+        records = self.observe(HttpResponse(request=other, status=200, body=b"ok"), [])
+        self.assertEqual(records, [])
+
     def test_ended_requests_are_not_remembered(self) -> None:
         self.answer()
         self.send()
-        self.fail()
+        self.engine_fails()
         self.send()
         self.observe(None, [HttpCancel(REQUEST)])
         self.assertEqual(self.tracker._sent, {})
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from unittest import mock
+from unittest.mock import patch
 
 from tests.unit.forwarding.support import Played
 from tests.unit.registry.test_watch import ScriptedStore
@@ -195,6 +196,17 @@
         self.assertLess(ended, GRACE_SECONDS)
 
 
+class UnchangedRegistry(PlayedNode):
+    def test_an_event_without_registry_changes_does_not_scan_the_registry(self) -> None:
+        """Each event of a busy node would scan the records of all nodes and engines."""
+        self.hand(Tick())
+        registry = self.node._registry
+        with patch.object(registry, "items", wraps=registry.items) as items:
+            self.request("a")
+            self.hand(Tick())
+        items.assert_not_called()
+
+
 class LoadReports(PlayedNode):
     def reports(self) -> list[LoadReport]:
         return [
@@ -229,6 +241,31 @@
         self.assertLessEqual(len(self.reports()) - before, 4)
 
 
+class NodeRecords(PlayedNode):
+    prefixes = ("",)
+
+    def test_the_records_of_a_list_are_read_once(self) -> None:
+        """A starting node decoded all records of the fleet once for each of them."""
+        records = [
+            NodeRecord(
+                name=NodeName(f"edge-{number}"),
+                role=NodeRole.EDGE,
+                replica=ReplicaId(f"edge-{number}~1"),
+                address=Address("10.0.0.9", 1),
+            )
+            for number in range(2, 12)
+        ]
+        items = tuple(
+            RegistryItem(node_key(record.name), encode_node(record), 40 + number)
+            for number, record in enumerate(records)
+        )
+        news = RegistryNews(revision=60, items=items)
+        with patch("yokeline.forwarding.edge_node.read_nodes", wraps=read_nodes) as read:
+            self.hand(PeerMessage(sender=ReplicaId("edge-2~1"), message=news))
+        read.assert_called_once()
+        self.assertEqual(len(self.node._load_reporter._peers), len(records))
+
+
 class RefusedByTheStore(PlayedNode):
     """The key-value service refuses this node while it serves the operator and other nodes."""
 
