--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -357,7 +357,7 @@
         """
         if not changed and self.cold_engines.has_begun:
             return []
-        listed = len(self._registry.items(self._formats.engine_prefix))
+        listed = len(self._registry.items(self._formats.engine_prefix)) if changed else 0
         self._discovery.begin_batch(changed, listed, now)
         if self._registry.complete:
             own_record = self._registry.item(node_key(self._record.name))
