Play cold engines, regions and full disks in the fault soak

Cause: the soak knew evacuations, but no rate of cold engines, no allowed regions and no disk that refuses writes, so real processes were tested with these together with other faults nowhere.

Change: engines that start again are cold for 3 s and say so; nodes and engines stand in two regions, one tenant is bound to one of them; an operator with a plan of its own lowers RLIMIT_FSIZE of storage processes. Checks: arrivals at cold engines in any second, bound requests and texts at engines of the other region, on connections to them and to the key-value service and in files of storage nodes. The injectors draw what they drew before.

--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -33,6 +34,11 @@
 
 REVOKE_SECONDS = 5.0
 """Bound for keys that are taken away, in the settings of all forwarding nodes."""
+COLD_SECONDS = 3.0
+"""Time for which an engine is cold after a start."""
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5.0
+"""Bound for cold engines: in any second so many times their rate, and so many more."""
 
 
 @dataclass
@@ -42,6 +48,7 @@
     Attributes:
         keys: What its callers use.
         in_force: The keys in the configuration, if they are not the same.
+        allowed_regions: The regions to which its requests are bound; None for no bound.
     """
 
     name: str
@@ -49,6 +56,7 @@
     rate: float = 0.0
     burst: float = 0.0
     in_force: list[str] | None = None
+    allowed_regions: list[str] | None = None
 
     def document(self) -> dict[str, object]:
         """Return what the configuration says of it."""
@@ -58,6 +66,7 @@
             "priority": 0,
             "rate-per-s": self.rate,
             "burst": self.burst,
+            **({"allowed-regions": self.allowed_regions} if self.allowed_regions else {}),
         }
 
 
@@ -125,6 +134,18 @@
         if self.is_running:
             self.kill()
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the process's log."""
+        return self._log.stat().st_size
+
+    def limit_files(self, most_bytes: int | None) -> None:
+        """Refuse writes beyond a size of any file of the running process; None for no limit."""
+        assert self._process is not None
+        _, hard = resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE)
+        soft = hard if most_bytes is None else most_bytes
+        resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, (soft, hard))
+
     def lines(self, event: str) -> list[dict[str, object]]:
         """Return the log lines of an event."""
         rows = [json.loads(row) for row in self._log.read_text().splitlines() if row[:1] == "{"]
@@ -163,7 +184,7 @@
         """Prepare a deployment.
 
         ``source`` is the folder of the release to begin with, if not this one. ``cold_rate`` is
-        what apps bear a second while they are cold; 0 for no bound. The engines of a pool are
+        what engines bear a second while they are cold; 0 for no bound. The engines of a pool are
         spread over ``zones``.
         """
         self._cold_rate = cold_rate
@@ -267,7 +288,8 @@
             {"name": "apps", "max-conns": 50},
         ]
         if self._cold_rate:
-            services[1].update({"cold-s": 3, "cold-per-s": self._cold_rate})
+            for service in services:
+                service.update({"cold-s": COLD_SECONDS, "cold-per-s": self._cold_rate})
         document: dict[str, object] = {"version": version, "routes": routes, "services": services}
         if self.tenants:
             document["tenants"] = [tenant.document() for tenant in self.tenants]
@@ -283,8 +305,13 @@
     def forget_engine(self, engine: EngineStandIn) -> None:
         self.store.remove(f"servers/{engine.engine_id}")
 
-    def list_engine(self, engine: EngineStandIn, *, cold_left_ms: float = 0) -> None:
-        """Let an engine say (again) that it is there, and for how long it is cold."""
+    def list_engine(self, engine: EngineStandIn, *, cold_left_ms: float | None = None) -> None:
+        """Let an engine say (again) that it is there, and for how long it is cold.
+
+        Without ``cold_left_ms`` it says what is left of the cold time of its latest start.
+        """
+        if cold_left_ms is None:
+            cold_left_ms = max(0.0, engine.cold_until - time.monotonic()) * 1000
         document = {
             **self._documents[engine.engine_id],
             "born": engine.born,
@@ -395,7 +422,7 @@
             self.fronts.append(self.published(name, front))
             self._ready.append(ready)
             if self._cold_rate:
-                lines += ["cold_overage = 1.5", "cold_slack = 5"]
+                lines += [f"cold_overage = {COLD_OVERAGE}", f"cold_slack = {COLD_SLACK}"]
             lines += [f'front = "{HOST}:{front}"', f'ready = "{HOST}:{ready}"']
         else:
             lines.append(f'data_folder = "{folder / name}"')
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -166,6 +166,7 @@
         runs: Requests that it ran: id, body, and after which event it began.
         spans: The same with their times.
         seen: The same with their header fields.
+        cold_spans: When it was cold after starts (monotonic seconds), the latest last.
         break_after: Break the next stream off after that many events.
         breaks: How many streams are broken off one after the other.
     """
@@ -178,6 +179,7 @@
         self.run_times: dict[str, float] = {}
         self.spans: list[Span] = []
         self.seen: list[SeenRequest] = []
+        self.cold_spans: list[tuple[float, float]] = []
         self.break_after: int | None = None
         self.breaks = 1
         self.event_seconds = EVENT_SECONDS
@@ -189,6 +191,16 @@
         """Name of the present start."""
         return f"{self.engine_id} born {self.born}"
 
+    @property
+    def cold_until(self) -> float:
+        """When the cold time of the latest start ends; 0 without one."""
+        return self.cold_spans[-1][1] if self.cold_spans else 0.0
+
+    def start_again(self, now: float, *, down_seconds: float, cold_seconds: float) -> None:
+        """Be another start that is cold from now on, after a time without the engine."""
+        self.born += round(down_seconds * 1000)
+        self.cold_spans.append((now, now + cold_seconds))
+
     def handle(self, event: Event, now: float) -> list[Effect]:
         effects: list[Effect] = []
         if isinstance(event, StopRequested):
--- a/tests/processes/platform/test_soak.py
+++ b/tests/processes/platform/test_soak.py
@@ -11,7 +11,8 @@
 LEAST_FAULTS = 25
 LEAST_ANSWERS = 50
 """Far below what a machine with other work reaches (96 faults, 1,021 answers in 45 s): without
-faults or answers the run would show nothing. Orders to evacuate a zone count, ten at most."""
+faults or answers the run would show nothing. Orders to evacuate a zone and disks
+that refuse writes count, ten and twenty at most."""
 
 
 class ShortSoak(unittest.TestCase):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,10 +20,13 @@
 from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import Deployment
 from tests.soak.callers import Caller
+from tests.soak.cold_engines import COLD_RATE, beyond_cold_rate
 from tests.soak.evacuations import EVACUATION_SECONDS, ZONES, ZoneOperator, late_requests
 from tests.soak.faults import Injector, SharedFaults
+from tests.soak.full_disks import DiskOperator
 from tests.soak.proxy import Proxy
 from tests.soak.records import MOST_TOKENS, OK, Asked, Records, violations
+from tests.soak.regions import outside_regions, region_lines, zone_of_node
 from tests.soak.surges import surge_callers
 from tests.soak.tenants import KeyOperator, soak_tenants, tenant_violations
 
@@ -88,6 +91,7 @@
             models=max(MODELS, edges),
             apps=APPS,
             tenants=soak_tenants(),
+            cold_rate=COLD_RATE,
             zones=ZONES,
             evacuation_seconds=EVACUATION_SECONDS,
         )
@@ -98,6 +102,14 @@
         self.proxies[name] = Proxy(port)
         return self.proxies[name].port
 
+    def zone_of(self, name: str) -> str:
+        """Return the zone of a node."""
+        return zone_of_node(name)
+
+    def region_settings(self, name: str) -> list[str]:
+        """Return the lines of a node's settings that tell regions."""
+        return region_lines(name)
+
     def close_proxies(self) -> None:
         """End the proxies."""
         for proxy in self.proxies.values():
@@ -121,15 +133,18 @@
         callers.extend(surge_callers(deployment, records, plan.seed, limited))
         operator = KeyOperator(deployment, shared, plan.seed)
         zone_operator = ZoneOperator(deployment, shared, plan.seed)
+        disk_operator = DiskOperator(deployment, shared, plan.seed)
         # Callers come to machines that run; a ledger that is being founded is another test's.
         wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
         for caller in callers:
             caller.start()
         operator.start()
         zone_operator.start()
+        disk_operator.start()
         _inject(injectors, plan.seconds)
         operator.stop()
         zone_operator.stop()
+        disk_operator.stop()
         broken = _not_served(deployment, records)
         time.sleep(CALM_SECONDS)
         for caller in callers:
@@ -140,6 +155,8 @@
         seen = [request for engine in engines for request in engine.seen]
         broken.extend(tenant_violations(records.asked, seen, operator.taken, tenants))
         broken.extend(late_requests(engines, deployment.engine_zones, zone_operator.orders))
+        broken.extend(beyond_cold_rate(engines))
+        broken.extend(outside_regions(deployment, deployment.proxies, records.asked))
         broken.extend(_keys_in_logs(deployment))
         broken.extend(_repeated_lines(deployment, shared.foreign_writes))
         if broken and plan.logs:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
-from tests.processes.platform.deployment import Deployment, RoleProcess
+from tests.processes.platform.deployment import COLD_SECONDS, Deployment, RoleProcess
 from tests.soak.proxy import Proxy, ProxyFault
 
 DISK_REST_SECONDS = 6.0
@@ -206,7 +206,11 @@
                 self._shared.note(f"{engine.engine_id} crashes and starts again")
                 proxy.set_fault(ProxyFault.RESET)
                 time.sleep(ENGINE_START_SECONDS)
-                engine.born += round(ENGINE_START_SECONDS * 1000)
+                engine.start_again(
+                    time.monotonic(),
+                    down_seconds=ENGINE_START_SECONDS,
+                    cold_seconds=COLD_SECONDS,
+                )
                 if is_listed_first:
                     self._deployment.list_engine(engine)
                     time.sleep(seconds / 10)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import enum
+import re
 import socket
 import struct
 import threading
@@ -12,6 +13,8 @@
 HOST = "127.0.0.1"
 _READ_BYTES = 65536
 _POLL_SECONDS = 0.05
+TEXT_PATTERN = rb"input-[a-z]+[0-9]+-[0-9]+"
+"""Input of a request, as callers of the soak send it."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -30,12 +33,17 @@
 
 
 class Proxy:
-    """Forwards connections to one port; faults are set from another thread."""
+    """Forwards connections to one port; faults are set from another thread.
+
+    Attributes:
+        texts: Inputs of requests that were sent to the port.
+    """
 
     def __init__(self, target_port: int) -> None:
         """Listen on a free port and forward to ``target_port``."""
         self.fault = ProxyFault.NONE
         self.delay_seconds = 0.0
+        self.texts: set[bytes] = set()
         self._target_port = target_port
         self._sockets: set[socket.socket] = set()
         self._lock = threading.Lock()
@@ -92,6 +100,8 @@
             except OSError:
                 break
             self._hold_back(is_answer)
+            if not is_answer:
+                self.texts.update(re.findall(TEXT_PATTERN, data))
             try:
                 if not data:
                     target.shutdown(socket.SHUT_WR)
--- a/tests/soak/tenants.py
+++ b/tests/soak/tenants.py
@@ -12,6 +12,7 @@
 from tests.processes.platform.stand_ins import SeenRequest
 from tests.soak.faults import SharedFaults
 from tests.soak.records import Asked
+from tests.soak.regions import BOUND_REGIONS
 
 FORGED = "forged"
 FORGED_FIELDS = {
@@ -35,10 +36,10 @@
 
 
 def soak_tenants() -> list[TenantKeys]:
-    """Return two tenants without a limit, one with one, and one whose keys are taken away."""
+    """Return four tenants: free, bound to a region, limited, and with keys taken away."""
     return [
         TenantKeys("amber", ["key-of-amber"]),
-        TenantKeys("birch", ["key-of-birch", "other-key-of-birch"]),
+        TenantKeys("birch", ["key-of-birch", "other-key-of-birch"], allowed_regions=BOUND_REGIONS),
         TenantKeys("cedar", ["key-of-cedar"], rate=8.0, burst=4.0),
         TenantKeys("denim", ["key-of-denim-0"]),
     ]
