Report writes and refusals of the disk in their order

Cause: the event loop submitted all refusals before all finished writes. A write that was synced before a refusal, taken in the same turn of the loop, was then reported after it: the storage node took the disk for writable while it still refused, logged ledger_disk_accepts, and could claim the survivor key or ask for membership. The refusal is not repeated in a series.

Change: one queue for both kinds of reports, filled by the one thread that writes.

Result: the new test in test_synced_files failed with the refusal first and passes.

--- a/src/yokeline/node/synced_files.py
+++ b/src/yokeline/node/synced_files.py
@@ -39,8 +39,7 @@
         self._bridge = bridge
         self._poller = poller
         self._work: queue.SimpleQueue[SyncFile | None] = queue.SimpleQueue()
-        self._done: deque[int] = deque()
-        self._refusals: deque[str] = deque()
+        self._reports: deque[FileRefused | FileSynced] = deque()
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
@@ -54,10 +53,8 @@
         """Report what the thread has finished (called by the poller)."""
         with contextlib.suppress(BlockingIOError):
             self._wake_reader.recv(4096)
-        while self._refusals:
-            self._bridge.submit(FileRefused(self._refusals.popleft()))
-        while self._done:
-            self._bridge.submit(FileSynced(self._done.popleft()))
+        while self._reports:
+            self._bridge.submit(self._reports.popleft())
 
     def abandon(self) -> None:
         """Go on: what met the fault has been taken from the socket."""
@@ -74,7 +71,7 @@
             if not batch:
                 return
             self._write_until_done(batch)
-            self._done.extend(item.ticket for item in batch)
+            self._reports.extend(FileSynced(item.ticket) for item in batch)
             self._wake()
 
     def _wake(self) -> None:
@@ -107,7 +104,7 @@
                     if not complained:
                         complained = True
                         absl.logging.error({"event": "disk_refused", "reason": str(error)})
-                        self._refusals.append(str(error))
+                        self._reports.append(FileRefused(str(error)))
                         self._wake()
                     time.sleep(RETRY_SECONDS)
 
--- a/tests/processes/test_synced_files.py
+++ b/tests/processes/test_synced_files.py
@@ -2,15 +2,45 @@
 
 import errno
 import os
+import socket
 import tempfile
 import threading
 import unittest
 from pathlib import Path
+from typing import cast
 from unittest import mock
 
 from tests.processes.support import LOOPBACK, Running, ScriptedService, wait_for
-from yokeline.effects import FileRefused, FileSynced, SyncFile
+from yokeline.effects import Event, FileRefused, FileSynced, SyncFile
+from yokeline.node.bridge import Bridge
+from yokeline.node.poller import SocketPoller
 from yokeline.node.process import ServiceBinding
+from yokeline.node.synced_files import SyncedFiles
+
+
+class Reports:
+    """Bridge and poller of files whose reports wait until the test takes them."""
+
+    channel = "reports"
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def carry_out_with(self, kind: object, carry_out: object) -> None:
+        pass
+
+    def watch(self, reader: socket.socket, *_: object, **__: object) -> None:
+        self.reader = reader
+
+    def submit(self, event: Event) -> None:
+        self.events.append(event)
+
+    def waiting(self) -> int:
+        """Return how many reports wait."""
+        try:
+            return len(self.reader.recv(16, socket.MSG_PEEK))
+        except BlockingIOError:
+            return 0
 
 
 class FullDisk(unittest.TestCase):
@@ -59,6 +89,21 @@
         self.write(SyncFile(ticket=1, name="log", data=b"abc", replace=True))
         self.assertEqual((self.folder / "log").read_bytes(), b"abc")
 
+    def test_refusals_and_writes_are_told_in_their_order(self) -> None:
+        """A write before a refusal, told after it, made the disk look as if it took writes."""
+        reports = Reports()
+        files = SyncedFiles(cast(Bridge, reports), cast(SocketPoller, reports), self.folder)
+        files._work.put(SyncFile(ticket=1, name="log", data=b"abc"))
+        wait_for(lambda: reports.waiting() == 1, "the write")
+        self.is_full.set()
+        files._work.put(SyncFile(ticket=2, name="log", data=b"def"))
+        wait_for(lambda: reports.waiting() == 2, "the refusal")
+        files.socket_ready(readable=True, writable=False)
+        self.assertEqual([type(event) for event in reports.events], [FileSynced, FileRefused])
+        self.is_full.clear()
+        wait_for(lambda: reports.waiting() == 1, "the write that was refused")
+        files._work.put(None)
+
 
 if __name__ == "__main__":
     unittest.main()
