End a disk's refusal with the sync of any file

Cause: a replica whose disk refuses sends nothing until a write of its own log is synced. If only writes of regional texts were refused, none of its own followed: with a majority in this state no pre-vote was ever sent and the ledger stayed without a leader after the disks took writes again.

Change: the sync of a write of texts ends the refusal as well. The one thread writes in order, so nothing of the log that was refused is still ahead of it.

--- a/src/yokeline/ledger/replica.py
+++ b/src/yokeline/ledger/replica.py
@@ -364,9 +364,13 @@
         self._disk_refuses = True
         return self._take_effects()
 
+    def disk_accepts(self) -> None:
+        """Take part again; a write to any file of the disk was synced after the refusal."""
+        self._disk_refuses = False
+
     def synced(self, ticket: int) -> list[Effect]:
         """Carry out the effects that waited for a write, now synced."""
-        self._disk_refuses = False
+        self.disk_accepts()
         self._synced_ticket = max(self._synced_ticket, ticket)
         while self._deferred and self._deferred[0].ticket <= self._synced_ticket:
             self._carry_out(self._deferred.popleft().effects)
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -185,6 +185,9 @@
         if isinstance(event, FileSynced):
             effects = self._note_disk_accepts(now)
             if event.ticket < 0 and self.texts is not None:
+                # The refused write may have been one of texts only, so that none of the replica
+                # follows; it would stay silent and never write again.
+                self.replica.disk_accepts()
                 return [*effects, *self.texts.synced(event.ticket)]
             return [*effects, *self.replica.synced(event.ticket)]
         if isinstance(event, FileRefused):
--- a/tests/unit/ledger/test_full_disk.py
+++ b/tests/unit/ledger/test_full_disk.py
@@ -7,6 +7,7 @@
 
 from tests.unit.ledger.cluster import Cluster, Machine
 from tests.unit.ledger.test_storage_nodes import StorageCase, is_retired, turn
+from yokeline.effects import FileRefused, FileSynced
 from yokeline.ledger.operations import Settled
 from yokeline.ledger.storage_node import storage_figures
 
@@ -131,6 +132,22 @@
         self.free(standby)
         self.assertTrue(cluster.run_until(cluster.all_members, 5.0))
 
+    def test_refusals_of_texts_alone_end_with_their_sync(self) -> None:
+        """Replicas without a refused write of their own would never send again."""
+        cluster = self.cluster(3)
+        cluster.ask(turn("t1"))
+        cluster.run(1.0)
+        for event in (FileRefused("no space left on device"), FileSynced(-1)):
+            for machine in cluster.machines:
+                cluster._deliver(machine, machine.generation, event)
+        refusing = [
+            machine.name
+            for machine in cluster.machines
+            if machine.node is None or machine.node.replica.disk_refuses
+        ]
+        self.assertEqual(refusing, [])
+        self.served_within(cluster, "t2", 2.0)
+
     def test_a_full_disk_keeps_nothing_for_later(self) -> None:
         """Answers to heartbeats would otherwise add up as long as the disk is full."""
         cluster = self.cluster(3)
