Continue a log line of which the disk took a part

Cause: a log file on a disk that is nearly full takes a part of a line. The output counted the line as written, so its rest was lost and the next line went on behind the part: two lines that nothing can read.

Change: the rest is kept and written before anything else.

Result: the new test in test_log_output failed (the file held no four lines of JSON) and passes.

--- a/src/yokeline/log_output.py
+++ b/src/yokeline/log_output.py
@@ -35,6 +35,7 @@
         self._poll.register(descriptor, select.POLLOUT)
         self._waiting: deque[bytes] = deque()
         self._waiting_bytes = 0
+        self._rest = b""
         self._unreported: Counter[str] = Counter()
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -83,15 +84,28 @@
                 self._unreported.clear()
 
     def _write(self, line: bytes) -> bool:
-        """Write a line if that does not block; return whether it is written."""
+        """Write a line if that does not block; return whether at least its first part is written.
+
+        A file on a disk that is nearly full takes a part of a line; the rest goes before the next.
+        """
+        if self._rest:
+            self._rest = self._rest[self._write_part(self._rest) :]
+        if self._rest:
+            return False
+        written = self._write_part(line)
+        if written:
+            self._rest = line[written:]
+        return written > 0
+
+    def _write_part(self, data: bytes) -> int:
+        """Return how many bytes were written without blocking."""
         ready = self._poll.poll(0)
         if not ready or not ready[0][1] & select.POLLOUT:
-            return False
+            return 0
         try:
-            os.write(self._descriptor, line)
+            return os.write(self._descriptor, data)
         except OSError:
-            return False
-        return True
+            return 0
 
 
 def _line_of(record: logging.LogRecord) -> tuple[str, bytes]:
--- a/tests/unit/test_log_output.py
+++ b/tests/unit/test_log_output.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+import errno
 import fcntl
 import json
 import logging
 import os
+import tempfile
 import unittest
+from unittest import mock
 
 from yokeline.log_output import DROPPED_EVENT, MAX_WAITING_BYTES, BoundedLogOutput
 
@@ -68,3 +71,25 @@
         line = self.read_lines()[0]
         self.assertEqual(line["event"], "huge")
         self.assertGreater(line["truncated"], 10_000)  # type: ignore[operator]
+
+    def test_a_line_that_a_full_disk_takes_a_part_of_is_continued(self) -> None:
+        """The rest was lost, and the next line went on behind the part."""
+        write = os.write
+        outcomes: list[int | None] = [20, None, 15]
+
+        def write_on_full_disk(descriptor: int, data: bytes) -> int:
+            if not outcomes:
+                return write(descriptor, data)
+            most = outcomes.pop(0)
+            if most is None:
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return write(descriptor, data[:most])
+
+        with tempfile.TemporaryFile() as file:
+            output = BoundedLogOutput(file.fileno())
+            with mock.patch("yokeline.log_output.os.write", write_on_full_disk):
+                for event in ("first", "second", "third", "fourth"):
+                    output.emit(record(event))
+            file.seek(0)
+            events = [json.loads(line)["event"] for line in file.read().splitlines()]
+        self.assertEqual(events, ["first", "second", "third", "fourth"])
