Count only attempts as timed out when a connection ends

Cause: the timeout of connection attempts after a loss of power doubles with each attempt that timed out. A connection that ended after it had been up for longer than that counted as one, so the first attempt to a machine without power took .4 s and not .2 s.

Change: the schedule knows whether an attempt is under way.

Result: the new test in test_reconnects failed (0.4 for 0.2) and passes.

--- a/src/yokeline/node/reconnects.py
+++ b/src/yokeline/node/reconnects.py
@@ -28,10 +28,12 @@
         self._timeout = limits.connect_seconds
         self._failing_since: float | None = None
         self._attempted_at = float("-inf")
+        self._is_attempting = False
 
     def begin_attempt(self, now: float) -> float:
         """Note that an attempt begins; return the longest time that it may take."""
         self._attempted_at = now
+        self._is_attempting = True
         self._timeout = self._limits.connect_seconds
         if self._is_prompt(now):
             prompt = self._limits.prompt_connect_seconds * 2.0**self._timeouts
@@ -43,7 +45,8 @@
         if self._failing_since is None:
             self._failing_since = now
         # A path may be longer than the prompt timeout, so each attempt that timed out doubles it.
-        self._timeouts += now - self._attempted_at >= self._timeout
+        self._timeouts += self._is_attempting and now - self._attempted_at >= self._timeout
+        self._is_attempting = False
         longest = self._limits.max_backoff_seconds
         if self._is_prompt(now):
             longest = min(longest, self._limits.max_prompt_backoff_seconds)
@@ -53,6 +56,7 @@
 
     def connected(self) -> None:
         """Forget the failed attempts."""
+        self._is_attempting = False
         self._failures = 0
         self._timeouts = 0
         self._failing_since = None
--- a/tests/unit/node/test_reconnects.py
+++ b/tests/unit/node/test_reconnects.py
@@ -55,6 +55,14 @@
         schedule.connected()
         self.assertLessEqual(schedule.attempt_failed(20.0), LIMITS.backoff_seconds)
 
+    def test_a_connection_that_ends_is_no_attempt_that_timed_out(self) -> None:
+        """The first attempt after it waited twice as long for a machine without power."""
+        schedule = ReconnectSchedule(LIMITS, random.Random(1))
+        schedule.begin_attempt(0.0)
+        schedule.connected()
+        schedule.attempt_failed(60.0)
+        self.assertEqual(schedule.begin_attempt(60.1), LIMITS.prompt_connect_seconds)
+
     def test_a_peer_that_can_only_send_is_not_tried_with_each_message(self) -> None:
         schedule = ReconnectSchedule(LIMITS, random.Random(1))
         schedule.begin_attempt(1.0)
