Start all engines of a pool again at once in the soak

Change: an operator with a plan of its own lets all engines of a pool crash and start again together.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,7 +20,7 @@
 from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import Deployment
 from tests.soak.callers import Caller
-from tests.soak.cold_engines import COLD_RATE, beyond_cold_rate
+from tests.soak.cold_engines import COLD_RATE, PoolOperator, beyond_cold_rate
 from tests.soak.evacuations import EVACUATION_SECONDS, ZONES, ZoneOperator, late_requests
 from tests.soak.faults import Injector, SharedFaults
 from tests.soak.full_disks import DiskOperator
@@ -133,18 +133,20 @@
         callers.extend(surge_callers(deployment, records, plan.seed, limited))
         operator = KeyOperator(deployment, shared, plan.seed)
         zone_operator = ZoneOperator(deployment, shared, plan.seed)
-        disk_operator = DiskOperator(deployment, shared, plan.seed)
+        others = [kind(deployment, shared, plan.seed) for kind in (DiskOperator, PoolOperator)]
         # Callers come to machines that run; a ledger that is being founded is another test's.
         wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
         for caller in callers:
             caller.start()
         operator.start()
         zone_operator.start()
-        disk_operator.start()
+        for other in others:
+            other.start()
         _inject(injectors, plan.seconds)
         operator.stop()
         zone_operator.stop()
-        disk_operator.stop()
+        for other in others:
+            other.stop()
         broken = _not_served(deployment, records)
         time.sleep(CALM_SECONDS)
         for caller in callers:
