--- a/src/yokeline/commands/explain.py
+++ b/src/yokeline/commands/explain.py
@@ -40,13 +40,18 @@
 
 
 class LogLine(msgspec.Struct, frozen=True, order=True):
-    """One line of a node's log; lines sort by time."""
+    """One line of a node's log; lines sort by time.
+
+    Attributes:
+        resumes: The request whose stream the line's request resumes; empty for none.
+    """
 
     time: str
     source: str
     event: str
     request: str
     rest: str
+    resumes: str = ""
 
 
 def explain(request: str, *files: str) -> int:
@@ -62,13 +67,18 @@
         print(f"no line of request {request} in {len(files)} files", file=sys.stderr)
         return EXIT_FAILURE
     for line in story:
-        print(f"{line.time}  {line.source:24}  {line.event:22}  {line.rest}")
+        rest = line.rest if line.request in ("", request) else f"request={line.request} {line.rest}"
+        print(f"{line.time}  {line.source:24}  {line.event:22}  {rest}")
     return EXIT_OK
 
 
 def story_of(lines: list[LogLine], request: str) -> list[LogLine]:
-    """Return the lines of a request, with what its nodes came to believe meanwhile."""
-    own = [line for line in lines if line.request == request]
+    """Return the lines of a request, with what its nodes came to believe meanwhile.
+
+    The lines of all requests that began or resumed its stream belong to them.
+    """
+    requests = requests_of_stream(lines, request)
+    own = [line for line in lines if line.request in requests]
     if not own:
         return []
     sources = {line.source for line in own}
@@ -79,6 +89,13 @@
     return sorted([*own, *before, *during])
 
 
+def requests_of_stream(lines: list[LogLine], request: str) -> set[str]:
+    """Return a request, the one whose stream it resumes, and the others that resume it."""
+    origins = {line.resumes for line in lines if line.request == request and line.resumes}
+    origin = min(origins, default=request)
+    return {request, origin} | {line.request for line in lines if line.resumes == origin}
+
+
 def read_lines(name: str) -> Iterable[LogLine]:
     """Yield the JSON lines of a log file; other lines are passed over.
 
@@ -120,4 +137,5 @@
         event=str(fields["event"]),
         request=str(fields.get("request", "")),
         rest=" ".join(shown),
+        resumes=str(fields.get("resumes", "")),
     )
--- a/src/yokeline/forwarding/engine_discovery.py
+++ b/src/yokeline/forwarding/engine_discovery.py
@@ -98,7 +98,12 @@
         if not self._engines.put(msgspec.structs.replace(engine, cold_seconds_left=0.0)):
             return effects
         fields = _fields(engine.engine_id, item)
-        fields.update(pool=engine.pool, address=str(engine.address), draining=engine.draining)
+        fields.update(
+            pool=engine.pool,
+            address=str(engine.address),
+            draining=engine.draining,
+            version=engine.version,
+        )
         return [*effects, LogRecord(event="engine_changed", fields=fields)]
 
     def _replace(self, previous: EngineState, item: StoredItem, now: float) -> list[Effect]:
--- a/src/yokeline/forwarding/engine_sender.py
+++ b/src/yokeline/forwarding/engine_sender.py
@@ -94,6 +94,8 @@
             "waited": round(self._state.now - exchange.waiting_since, 4),
             "send": exchange.sends,
         }
+        if exchange.route.is_resumable_stream:
+            fields["version"] = choice.state.engine.version
         if exchange.allowed_regions is not None:
             fields["region"] = self._count_region(exchange, choice)
         for cause, count in choice.left_out.items():
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -159,6 +159,11 @@
         """The tenant's name; empty without a tenant."""
         return self.tenant.name if self.tenant is not None else ""
 
+    @property
+    def continues_stream(self) -> bool:
+        """Whether the caller resumes a stream that an earlier attempt of its own began."""
+        return self.route.is_resumable_stream and bool(self.call.last_event_id)
+
     @property
     def is_first_turn(self) -> bool:
         """Whether the request is the first turn of a program and no event of it was relayed."""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -422,6 +422,8 @@
                 self._deny(event, admitted, table)
             return
         exchange = self._open(event, call, table, route, admitted, arrived_at)
+        if exchange.continues_stream:
+            self._log_resumed_stream(exchange)
         self._begin(exchange)
 
     def _refuse_unconfigured(self, event: HttpArrived) -> None:
@@ -495,6 +497,16 @@
         self._state.schedule(exchange, exchange.deadline, self._deadline_reached)
         return exchange
 
+    def _log_resumed_stream(self, exchange: Exchange) -> None:
+        """Log that a caller resumes a stream, since the stream began under another request id."""
+        self._outcomes.counters["yokeline_forwarding_streams_resumed_total"] += 1
+        self._outcomes.log(
+            "stream_resumed",
+            exchange,
+            resumes=exchange.call.resumes,
+            after_event=exchange.call.last_event_id,
+        )
+
     def _refuse_by_residency(self, exchange: Exchange) -> bool:
         """Refuse a request that cannot be served or kept in its regions; return whether it is.
 
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -69,6 +69,11 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether responses are streams that another engine can continue."""
+        return self.kind is RouteKind.STREAMING and self.resumable
+
 
 class ModelTraits(msgspec.Struct, frozen=True, kw_only=True):
     """Common properties of a pool's model engines.
@@ -156,6 +161,7 @@
         started_ms: Start time (Unix milliseconds); None if the entry has none.
         draining: Whether the engine is shutting down and accepts no new requests.
         cold_seconds_left: Time for which the engine stays cold, from the writing of its entry.
+        version: Version of the engine's software, not of the weights it serves; empty if unknown.
     """
 
     engine_id: str
@@ -167,6 +173,7 @@
     started_ms: int | None = None
     draining: bool = False
     cold_seconds_left: float = 0.0
+    version: str = ""
 
     def __post_init__(self) -> None:
         """Use ``engine_id`` as the instance if none is given."""
@@ -197,6 +204,7 @@
             given.
         prompt_parts: Parts of the prompt, in order.
         last_event_id: The caller resumes a stream after this event; empty for a new stream.
+        resumes: Request id of the attempt that began the resumed stream; empty if not given.
         previous_turn: The turn that this one continues; empty for none.
         affinity_key: Key for engine affinity on sticky routes.
         credential: Digest of the caller's key; None without a key.
@@ -213,6 +221,7 @@
     hinted_tokens: int | None = None
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
     previous_turn: str = ""
     affinity_key: str = ""
     credential: Credential | None = None
--- a/src/yokeline/platform/engine_entries.py
+++ b/src/yokeline/platform/engine_entries.py
@@ -88,6 +88,7 @@
         slots=entry.slots,
         draining=entry.state is _State.DRAINING,
         cold_seconds_left=max(0.0, entry.cold_left_ms) / _MS_PER_SECOND,
+        version=entry.version,
     )
 
 
--- a/src/yokeline/platform/fields.py
+++ b/src/yokeline/platform/fields.py
@@ -20,6 +20,7 @@
 LENGTH_HINT = "x-yokeline-length-hint"
 TOKEN_BUDGET = "x-yokeline-token-budget"
 PREVIOUS_TURN = "x-yokeline-previous-turn"
+RESUMES = "resumes"
 
 
 class FieldRule(enum.Enum):
@@ -72,6 +73,7 @@
         LENGTH_HINT,
         TOKEN_BUDGET,
         PREVIOUS_TURN,
+        RESUMES,
     ),
     FieldRule.CREDENTIAL: (AUTHORIZATION,),
 }
--- a/src/yokeline/platform/headers.py
+++ b/src/yokeline/platform/headers.py
@@ -27,6 +27,7 @@
     PROMPT_PREFIX,
     REQUEST_ID,
     REQUEST_PRIORITY,
+    RESUMES,
     SESSION_ID,
     TENANT,
     TOKEN_BUDGET,
@@ -40,6 +41,8 @@
 _NOT_EXECUTED = "x-yokeline-not-executed"
 
 DEFAULT_DEADLINE_SECONDS = 30.0
+MAX_RESUMED_ID_CHARS = 256
+"""Length of a request id above which no stream can be resumed by it."""
 _MS_PER_SECOND = 1000.0
 _AFFINITY_PATTERN = re.compile(rf"(?:^|;\s*){re.escape(_AFFINITY_COOKIE)}=([^;]*)")
 
@@ -124,6 +127,7 @@
         hinted_tokens=_parse_length_hint(headers.get(LENGTH_HINT, "")),
         prompt_parts=_parse_prompt_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT_ID, ""),
+        resumes=_parse_resumed_id(headers.get(RESUMES, "")),
         previous_turn=headers.get(PREVIOUS_TURN, ""),
         affinity_key=affinity.group(1) if affinity else "",
         credential=_parse_credential(headers.get(AUTHORIZATION, "")),
@@ -136,6 +140,11 @@
     return Credential(token_digest(key)) if key else None
 
 
+def _parse_resumed_id(text: str) -> str:
+    """Return the request id that began a resumed stream; empty if it is too long for one."""
+    return text if len(text) <= MAX_RESUMED_ID_CHARS else ""
+
+
 def _parse_seconds(milliseconds: str) -> float:
     """Convert a time in milliseconds to seconds.
 
--- a/tests/unit/cli/test_explain.py
+++ b/tests/unit/cli/test_explain.py
@@ -17,6 +17,13 @@
     {"time": "10:00:01.300", "event": "request_repeated", "request": "9c41", "reason": "reset"},
     {"time": "10:00:02.000", "event": "request_ended", "request": "9c41", "outcome": "cut"},
 ]
+RESUMED = [
+    {"time": "10:00:01.000", "event": "engine_chosen", "request": "a", "version": "v1"},
+    {"time": "10:00:01.100", "event": "stream_resumed", "request": "b", "resumes": "a"},
+    {"time": "10:00:01.110", "event": "engine_chosen", "request": "b", "version": "v2"},
+    {"time": "10:00:01.200", "event": "stream_resumed", "request": "c", "resumes": "a"},
+    {"time": "10:00:01.300", "event": "stream_resumed", "request": "d", "resumes": "x"},
+]
 STORAGE = [{"time": "10:00:01.100", "event": "ledger_role_changed", "role": "leader"}]
 
 
@@ -53,6 +60,17 @@
         self.assertIn("edge-hall-a-1", out)
         self.assertIn("reason=reset", out)
 
+    def test_a_resumed_stream_is_shown_with_all_its_requests(self) -> None:
+        other = self.edge.with_name("edge-2.log")
+        other.write_text("\n".join(json.dumps(row) for row in RESUMED))
+        for request in ("a", "b", "c"):
+            _, out, _ = self.run_explain(request, str(other))
+            events = [row.split()[2] for row in out.splitlines()]
+            self.assertEqual(events.count("stream_resumed"), 2, request)
+            self.assertEqual(events.count("engine_chosen"), 2, request)
+        _, out, _ = self.run_explain("c", str(other))
+        self.assertIn("request=a version=v1", out)
+
     def test_an_unknown_request_or_file_is_said_in_one_line(self) -> None:
         code, _, err = self.run_explain("nobody", str(self.edge))
         self.assertEqual((code, len(err.splitlines())), (1, 1))
--- a/tests/unit/platform/test_engine_entries.py
+++ b/tests/unit/platform/test_engine_entries.py
@@ -43,6 +43,11 @@
         self.assertEqual((engine.pool, engine.zone, engine.slots), ("huvo11a", "hall-a", 16))
         self.assertFalse(engine.draining)
 
+    def test_the_software_version_is_decoded(self) -> None:
+        engine = read({**ENTRY, "version": "v1.2"})
+        assert engine is not None
+        self.assertEqual(engine.version, "v1.2")
+
     def test_each_start_of_an_instance_has_its_own_engine_id(self) -> None:
         first, second = read(ENTRY), read({**ENTRY, "born": START_MS + 1})
         assert first is not None
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -51,6 +51,13 @@
         self.assertEqual(call.hinted_tokens, 33)
         self.assertEqual((call.last_event_id, call.affinity_key), ("12", "17"))
 
+    def test_the_attempt_whose_stream_is_resumed_is_read_and_bounded(self) -> None:
+        for given, read in (("8e5ae2a8ca842e62", "8e5ae2a8ca842e62"), ("x" * 257, ""), ("", "")):
+            call = HeaderDialect().parse_call(arrived((*TURN, ("resumes", given)))).unwrap()
+            self.assertEqual(call.resumes, read)
+        twice = HeaderDialect().parse_call(arrived((*TURN, ("resumes", "a"), ("resumes", "b"))))
+        self.assertIsInstance(twice, Failure)
+
     def test_an_invalid_length_hint_is_ignored(self) -> None:
         for guess in ("", "many", "-3", "1e3"):
             fields = tuple((n, guess if n == "x-yokeline-length-hint" else v) for n, v in TURN)
