--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -20,7 +20,7 @@
 
 from tests.processes.child import ROOT
 from tests.processes.cluster import HOST, free_ports, wait_until
-from tests.processes.platform.stand_ins import EngineStandIn, StoreStandIn
+from tests.processes.platform.stand_ins import FIRST_VERSION, EngineStandIn, StoreStandIn
 from tests.processes.support import Running
 
 CALLER_HOST = "a.example"
@@ -180,16 +180,18 @@
         cold_rate: float = 0.0,
         zones: Sequence[str] = ("a",),
         evacuation_seconds: float = 0.0,
+        versions: Sequence[str] = (FIRST_VERSION,),
     ) -> None:
         """Prepare a deployment.
 
         ``source`` is the folder of the release to begin with, if not this one. ``cold_rate`` is
         what engines bear a second while they are cold; 0 for no bound. The engines of a pool are
-        spread over ``zones``.
+        spread over ``zones``, and run ``versions`` of their software in turn.
         """
         self._cold_rate = cold_rate
         self.engine_zones: dict[str, str] = {}
         self._zones = zones
+        self._versions = versions
         self._evacuation_seconds = evacuation_seconds
         self.tenants = list(tenants)
         self.allowed_regions: dict[str, list[str]] = {}
@@ -315,6 +317,7 @@
         document = {
             **self._documents[engine.engine_id],
             "born": engine.born,
+            "version": engine.version,
             "cold-left-ms": cold_left_ms,
         }
         self.store.put(f"servers/{engine.engine_id}", document)
@@ -388,11 +391,12 @@
         port = self.published(engine.engine_id, self._serve(engine))
         zone = self._zones[number % len(self._zones)]
         self.engine_zones[engine.engine_id] = zone
+        engine.version = self._versions[number % len(self._versions)]
         document = {
             "service": pool,
             "address": f"{HOST}:{port}",
             "zone": zone,
-            "version": "v1",
+            "version": engine.version,
             "slots": 4,
             "state": "ready",
             "cold-left-ms": 0,
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -23,6 +23,7 @@
 
 JSON = {"content-type": "application/json"}
 EVENT_SECONDS = 0.02
+FIRST_VERSION = "v1"
 FIRST_START_MS = 1_790_000_000_000
 """When engines started for the first time."""
 
@@ -150,12 +151,16 @@
     Attributes:
         engine_id: The start of the engine.
         how: How it ended, for the reader of a report.
+        version: Software version of the engine at that start.
+        events: Stream events that it sent.
     """
 
     engine_id: str
     request_id: str
     began: float
     how: str = "runs"
+    version: str = ""
+    events: int = 0
 
 
 class EngineStandIn:
@@ -169,6 +174,7 @@
         cold_spans: When it was cold after starts (monotonic seconds), the latest last.
         break_after: Break the next stream off after that many events.
         breaks: How many streams are broken off one after the other.
+        version: Version of its software.
     """
 
     def __init__(self, engine_id: str, events: int = 5) -> None:
@@ -183,6 +189,7 @@
         self.break_after: int | None = None
         self.breaks = 1
         self.event_seconds = EVENT_SECONDS
+        self.version = FIRST_VERSION
         self._streams: dict[ExchangeId, list[float]] = {}
         self._open_spans: dict[ExchangeId, Span] = {}
 
@@ -227,7 +234,7 @@
         self.runs.append((request_id, event.body, after))
         self.run_times[request_id] = now
         self.seen.append(SeenRequest(request_id, now, dict(event.headers)))
-        span = Span(self.start_id, request_id, now)
+        span = Span(self.start_id, request_id, now, version=self.version)
         self.spans.append(span)
         if "x-yokeline-token-usage" not in event.headers:
             span.how = "whole"
@@ -256,6 +263,7 @@
         state[0] += 1
         state[1] = now + self.event_seconds
         number = int(state[0])
+        self._open_spans[exchange].events += 1
         return [HttpStreamData(exchange, f"id: {number}\ndata: word{number}\n\n".encode())]
 
     def _end_span(self, exchange: ExchangeId, how: str) -> None:
