Continue streams only at engines of the version that began them

Callers saw streams with events of two software versions of an engine: the first events from one, the others, after a resumption or a break within the answer, from another.

Cause: all engines of a pool were taken for equal. The version in an engine's entry was checked and dropped, Resumes was not read, and nobody kept at which engine a stream began.

Change: a stream is bound at its first event to the version of its engine; every later choice of an engine is restricted to it, by the policy that also knows evacuations and regions. The node that began a stream remembers it. A caller that resumes elsewhere is answered from there, with the reservation that its turn makes anyway. If nobody knows, the request is refused at once as not run; so it is if no engine of the version is left. An entry with another version counts as another start of its engine.

--- a/src/yokeline/forwarding/admission.py
+++ b/src/yokeline/forwarding/admission.py
@@ -104,4 +104,5 @@
         program=scoped(tenant, call.program),
         session=scoped(tenant, call.session),
         previous_turn=scoped(tenant, call.previous_turn),
+        resumed_turn=scoped(tenant, call.resumes),
     )
--- a/src/yokeline/forwarding/dispatcher.py
+++ b/src/yokeline/forwarding/dispatcher.py
@@ -13,6 +13,7 @@
 from yokeline.forwarding.queue_admission import CapacitySnapshot, QueueAdmission, would_lose_work
 from yokeline.forwarding.residency import NO_ENGINE_IN_REGIONS
 from yokeline.forwarding.responder import Responder
+from yokeline.forwarding.stream_versions import NO_ENGINE_OF_VERSION
 from yokeline.forwarding.wait_queue import WaitQueue
 from yokeline.scheduling.retry_delays import (
     NO_ELIGIBLE_ENGINE_DELAY_SECONDS,
@@ -86,6 +87,9 @@
         if refusal is not RoomRefusal.NO_ELIGIBLE_ENGINE:
             return "no_engine"
         engines = self._state.engines.in_pool(exchange.pool, self._state.now)
+        versions = exchange.allowed_versions
+        if versions is not None and all(item.engine.version not in versions for item in engines):
+            return NO_ENGINE_OF_VERSION
         has_engine = self._state.residency.has_engine(exchange, engines)
         return "no_engine" if has_engine else NO_ENGINE_IN_REGIONS
 
@@ -210,8 +214,18 @@
             self.refuse_for_capacity(exchange, RoomRefusal.WAITED)
 
 
+_EngineSet = tuple[frozenset[str] | None, frozenset[str] | None]
+"""Allowed regions and versions of a request."""
+
+
+def _engine_set_of(exchange: Exchange) -> _EngineSet:
+    return (exchange.allowed_regions, exchange.allowed_versions)
+
+
 class _FullEngineCache:
-    """Remembers within one dispatch for which requests all engines are full, by allowed regions.
+    """Remembers within one dispatch for which requests all engines are full.
+
+    Requests are told apart by their allowed regions and versions.
 
     Without the cache, each dispatch would evaluate every engine for every queued request (``python
     -m benchmarks.dispatch``).
@@ -220,24 +234,25 @@
     def __init__(self, held_back: frozenset[str]) -> None:
         """Start empty; first turns of ``held_back`` tenants get no slot."""
         self.held_back = held_back
-        self._full_for_any: set[frozenset[str] | None] = set()
-        self._full_for_new_programs: set[frozenset[str] | None] = set()
+        self._full_for_any: set[_EngineSet] = set()
+        self._full_for_new_programs: set[_EngineSet] = set()
 
     def record_full(self, exchange: Exchange, *, is_new_program: bool) -> None:
         """Record that no engine had capacity for a request."""
         if exchange.attempts.are_exhausted:
             return
-        self._full_for_new_programs.add(exchange.allowed_regions)
+        engines = _engine_set_of(exchange)
+        self._full_for_new_programs.add(engines)
         if not is_new_program:
-            self._full_for_any.add(exchange.allowed_regions)
+            self._full_for_any.add(engines)
 
     def is_full_for(self, exchange: Exchange, *, is_new_program: bool) -> bool:
         """Return whether all engines are known to be full for a request."""
         if exchange.attempts.are_exhausted:
             return False
-        regions = exchange.allowed_regions
-        return regions in self._full_for_any or (
-            is_new_program and regions in self._full_for_new_programs
+        engines = _engine_set_of(exchange)
+        return engines in self._full_for_any or (
+            is_new_program and engines in self._full_for_new_programs
         )
 
 
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -127,6 +127,7 @@
             evacuations.on_ended = self._mark_returned_engines_cold
         forwarder.lease_state = lease.state
         forwarder.proof_age = lease.age
+        forwarder.set_engine_view_age(lambda at: self._registry_sync.age(at))
         self._record = record
         self._registry = registry
         self._formats = formats
--- a/src/yokeline/forwarding/engine_choice.py
+++ b/src/yokeline/forwarding/engine_choice.py
@@ -92,6 +92,7 @@
         topology: Zones and regions, seen from this node.
         eligibility: Restrictions on the engines.
         allowed_regions: Regions that may serve the request; None for all regions.
+        allowed_versions: Software versions that may continue the request's stream; None for all.
     """
 
     call: Call
@@ -106,6 +107,7 @@
     topology: Topology = ONE_REGION
     eligibility: EligibilityPolicy = NO_RESTRICTIONS
     allowed_regions: frozenset[str] | None = None
+    allowed_versions: frozenset[str] | None = None
 
 
 class PoolStatistics(msgspec.Struct, frozen=True):
@@ -159,6 +161,8 @@
         is_new_program=inputs.is_new_program,
         cached_tokens=_cached_tokens(state, prefix_cache, inputs),
         allowed_regions=inputs.allowed_regions,
+        version=state.engine.version,
+        allowed_versions=inputs.allowed_versions,
     )
     return inputs.eligibility.check(query, now)
 
--- a/src/yokeline/forwarding/engine_discovery.py
+++ b/src/yokeline/forwarding/engine_discovery.py
@@ -92,7 +92,8 @@
         effects: list[Effect] = []
         previous = self._engines.current_incarnation(engine.instance)
         if previous is not None and previous.engine.engine_id != engine.engine_id:
-            effects.extend(self._replace(previous, item, now))
+            changes_version = previous.engine.version != engine.version
+            effects.extend(self._replace(previous, item, now, changes_version=changes_version))
         effects.extend(self._cold_engines.apply_entry(engine, item.revision, now))
         # The time left changes with each heartbeat, and is not part of what is known of an engine.
         if not self._engines.put(msgspec.structs.replace(engine, cold_seconds_left=0.0)):
@@ -106,12 +107,16 @@
         )
         return [*effects, LogRecord(event="engine_changed", fields=fields)]
 
-    def _replace(self, previous: EngineState, item: StoredItem, now: float) -> list[Effect]:
+    def _replace(
+        self, previous: EngineState, item: StoredItem, now: float, *, changes_version: bool
+    ) -> list[Effect]:
         """Remove the previous incarnation of an engine that has restarted."""
         engine = previous.engine
         self._engines.remove(engine.engine_id)
         self._cold_engines.forget(engine.engine_id)
-        aborted = self._forwarder.engine_restarted(engine.engine_id, now)
+        aborted = self._forwarder.engine_restarted(
+            engine.engine_id, now, changes_version=changes_version
+        )
         fields = _fields(engine.engine_id, item)
         fields.update(running=previous.running, broken_off=aborted)
         return [
--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -9,7 +9,7 @@
 
 from yokeline.fading import FadingAverage
 from yokeline.forwarding.incarnations import IncarnationIndex
-from yokeline.forwarding.model import Engine
+from yokeline.forwarding.model import Engine, make_versioned_id
 from yokeline.identifiers import NodeName
 from yokeline.ledger.messages import (
     NOT_COUNTED,
@@ -180,6 +180,7 @@
         self.incarnations = IncarnationIndex()
         self._by_pool: dict[str, list[EngineState]] = {}
         self._slots_by_pool: dict[str, int] = {}
+        self._versions_by_pool: dict[str, frozenset[str]] = {}
         self._reports: dict[NodeName, tuple[float, LoadReport]] = {}
         self._remote_load_is_stale = False
         self._preferences_are_stale = False
@@ -233,15 +234,30 @@
         """Return an engine under the id of its incarnation.
 
         An entry without a start time is taken for the known incarnation, so an entry that loses and
-        regains the field changes nothing.
+        regains the field changes nothing. One with another software version is another incarnation.
         """
         known = self.current_incarnation(engine.instance)
-        if known is None or engine.started_ms is not None:
+        if known is None:
+            return engine
+        if known.engine.version != engine.version:
+            return self._as_other_start(engine, known.engine)
+        if engine.started_ms not in (None, known.engine.started_ms):
             return engine
         return msgspec.structs.replace(
             engine, engine_id=known.engine.engine_id, started_ms=known.engine.started_ms
         )
 
+    def _as_other_start(self, engine: Engine, known: Engine) -> Engine:
+        """Return an engine whose version differs from the known one under an id of its own.
+
+        A start has one version, so the engine has started again, whatever start time it states.
+        """
+        if engine.engine_id != known.engine_id:
+            return engine
+        return msgspec.structs.replace(
+            engine, engine_id=make_versioned_id(engine.engine_id, engine.version)
+        )
+
     def put(self, engine: Engine) -> bool:
         """Insert or update an engine; return whether anything changed.
 
@@ -350,6 +366,10 @@
         """Return the total slots of a pool's engines that accept new requests."""
         return self._slots_by_pool.get(pool, 0)
 
+    def versions_in_pool(self, pool: str) -> frozenset[str]:
+        """Return the software versions of all engines of a pool, draining ones too."""
+        return self._versions_by_pool.get(pool, frozenset())
+
     def all(self) -> Iterable[EngineState]:
         """Return all engines."""
         return self._engines.values()
@@ -441,12 +461,15 @@
 
     def _rebuild_pools(self) -> None:
         self._by_pool = {}
+        versions: dict[str, set[str]] = {}
         self._preferences_are_stale = True
         self._usual_paces.clear()
         for engine_id in sorted(self._engines):
             state = self._engines[engine_id]
+            versions.setdefault(state.engine.pool, set()).add(state.engine.version)
             if not state.engine.draining:
                 self._by_pool.setdefault(state.engine.pool, []).append(state)
+        self._versions_by_pool = {pool: frozenset(found) for pool, found in versions.items()}
         self._slots_by_pool = {
             pool: sum(state.engine.slots for state in states)
             for pool, states in self._by_pool.items()
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -47,6 +47,18 @@
     """The leader sends them with the reservation."""
 
 
+class StreamOrigin(enum.Enum):
+    """What is known of the version that began a resumed stream."""
+
+    UNRESOLVED = "unresolved"
+    """Nothing yet, or the request resumes no stream."""
+    ASKED = "asked"
+    """The ledger is asked."""
+    KNOWN = "known"
+    UNKNOWN = "unknown"
+    """It cannot be known: the stream is not continued."""
+
+
 class Exchange(msgspec.Struct, kw_only=True, eq=False):
     """One request of a caller and its response.
 
@@ -77,6 +89,10 @@
         uncached_tokens: Prompt tokens that the engine probably had to process.
         engine_request_id: Id of the request under way to the engine.
         response_head: Head of the response, held back until the first event.
+        allowed_versions: Software versions of engines that may continue the stream; None for a
+            stream without an event, and empty if it is not known which version began it.
+        stream_origin: Whether the version that began a resumed stream is known.
+        stream_lookups: How often the ledger was asked for it and had no record.
         last_event_id: Id of the last event sent to the caller.
         relayed_events: Number of events sent to the caller.
         kept_text: Data of the events, for a turn that is to be kept.
@@ -125,6 +141,9 @@
     uncached_tokens: int = 0
     engine_request_id: RequestId | None = None
     response_head: HttpResponse | None = None
+    allowed_versions: frozenset[str] | None = None
+    stream_origin: StreamOrigin = StreamOrigin.UNRESOLVED
+    stream_lookups: int = 0
     last_event_id: str = ""
     relayed_events: int = 0
     kept_text: list[bytes] = msgspec.field(default_factory=list)
@@ -167,7 +186,7 @@
     @property
     def is_first_turn(self) -> bool:
         """Whether the request is the first turn of a program and no event of it was relayed."""
-        if self.route.kind is not RouteKind.STREAMING:
+        if self.route.kind is not RouteKind.STREAMING or self.continues_stream:
             return False
         return bool(self.call.program) and not self.program_started and not self.relayed_events
 
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -38,7 +38,7 @@
 from yokeline.forwarding.engine_gauges import pace_gauges
 from yokeline.forwarding.engine_sender import EngineSender
 from yokeline.forwarding.engines import EngineTable
-from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.exchange import Exchange, Phase, StreamOrigin
 from yokeline.forwarding.held_requests import HeldRequests
 from yokeline.forwarding.http_helpers import host_of
 from yokeline.forwarding.http_statuses import (
@@ -65,11 +65,12 @@
 from yokeline.forwarding.retries import RetryHandler
 from yokeline.forwarding.settlements import Settlements
 from yokeline.forwarding.stream_relay import StreamRelay
+from yokeline.forwarding.stream_versions import StreamVersions
 from yokeline.forwarding.tenant_limits import NO_TOLERANCE, LimitTolerance, TenantLimits, limit_of
 from yokeline.forwarding.tenant_loads import TenantLoadReader
 from yokeline.forwarding.traffic_split import TrafficSplit
 from yokeline.forwarding.turn_cache import TurnCache
-from yokeline.forwarding.turn_operations import needs_ledger
+from yokeline.forwarding.turn_operations import needs_ledger, needs_reservation
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.client import LedgerClient
@@ -136,6 +137,7 @@
         self._traffic_split = TrafficSplit()
         turn_cache = TurnCache()
         settlements = Settlements(self._state, ledger)
+        self._streams = StreamVersions(self._state, ledger, process)
         self._regional_turns = RegionalTurns(
             self._state, texts or RegionalTexts(NO_ADDRESS), settlements, turn_cache
         )
@@ -151,6 +153,7 @@
             self._retries,
             turn_cache,
             self._regional_turns,
+            self._streams,
             dialect,
         )
         self._tenant_limits = TenantLimits(
@@ -165,7 +168,8 @@
             turn_cache,
             self._regional_turns,
             self._tenant_limits,
-            self._enqueue_and_dispatch,
+            self._streams,
+            self._handle_granted,
         )
 
     # ------------------------------------------------------------ interface of the node
@@ -256,9 +260,15 @@
         """Compute the capacity of the pools anew, since the usable engines have changed."""
         self._dispatcher.forget_capacity()
 
-    def engine_restarted(self, engine_id: str, now: float) -> int:
+    def set_engine_view_age(self, view_age: Callable[[float], float]) -> None:
+        """Set what returns the age of this node's view of the engines at a time (seconds)."""
+        self._streams.view_age = view_age
+
+    def engine_restarted(self, engine_id: str, now: float, *, changes_version: bool = False) -> int:
         """Handle the restart of an engine; return how many of its requests were aborted.
 
+        If it ``changes_version``, streams that may have begun at either start are not continued.
+
         A request without an event for :data:`RESTART_DETECTION_SECONDS` is aborted: the previous
         process had it and may have run it. A more recent one may be at the new incarnation, so it
         is left to finish. A request sent to the previous incarnation a second time is aborted at
@@ -273,10 +283,22 @@
             and exchange.engine.engine.engine_id == engine_id
             and (engine_id in exchange.attempts.engine_ids or self._is_silent(exchange))
         ]
+        if changes_version:
+            self._mark_uncertain_streams(engine_id)
         for exchange in lost:
             self._retries.abort_and_retry(exchange, "engine restarted")
         return len(lost)
 
+    def _mark_uncertain_streams(self, engine_id: str) -> None:
+        since = self._state.now - RESTART_DETECTION_SECONDS
+        self._streams.engine_restarted(engine_id, since)
+        for exchange in self._state.by_engine_request.values():
+            engine = exchange.engine
+            if engine is None or engine.engine.engine_id != engine_id:
+                continue
+            if exchange.first_event_at is not None and exchange.first_event_at >= since:
+                exchange.allowed_versions = frozenset()
+
     def _is_silent(self, exchange: Exchange) -> bool:
         """Return whether a request had no event for as long as restart detection may take."""
         return self._state.now - exchange.last_event_at >= RESTART_DETECTION_SECONDS
@@ -326,6 +348,7 @@
     def tick(self, now: float) -> list[Effect]:
         """Run due timers and dispatch queued requests."""
         self._state.now = now
+        self._streams.observe_pools()
         self._state.fair_shares.expire(now)
         self._state.timers.run_due(now)
         if len(self._held):
@@ -422,8 +445,6 @@
                 self._deny(event, admitted, table)
             return
         exchange = self._open(event, call, table, route, admitted, arrived_at)
-        if exchange.continues_stream:
-            self._log_resumed_stream(exchange)
         self._begin(exchange)
 
     def _refuse_unconfigured(self, event: HttpArrived) -> None:
@@ -446,13 +467,29 @@
         """Start the first step that a request needs: tenant limit, reservation or dispatch."""
         if self._refuse_by_residency(exchange):
             return
+        self._streams.resolve_locally(exchange)
+        if exchange.stream_origin is StreamOrigin.UNKNOWN:
+            self._reservations.refuse_unknown_stream(exchange)
+            return
         if self._dispatcher.refuse_without_eligible_engine(exchange):
             return
         if not self._tenant_limits.may_ask(exchange, self._begin):
             return
-        if needs_ledger(exchange):
+        if needs_reservation(exchange):
             self._reservations.reserve(exchange)
-        elif exchange.limit is not None:
+        else:
+            self._count_and_dispatch(exchange)
+
+    def _handle_granted(self, exchange: Exchange) -> None:
+        """Queue a request whose reservation is granted and whose stream is known."""
+        if needs_ledger(exchange):
+            self._enqueue_and_dispatch(exchange)
+        else:
+            self._count_and_dispatch(exchange)
+
+    def _count_and_dispatch(self, exchange: Exchange) -> None:
+        """Count a request without a reservation against its tenant's limit, and queue it."""
+        if exchange.limit is not None:
             self._tenant_limits.draw(exchange)
         else:
             self._enqueue_and_dispatch(exchange)
@@ -497,16 +534,6 @@
         self._state.schedule(exchange, exchange.deadline, self._deadline_reached)
         return exchange
 
-    def _log_resumed_stream(self, exchange: Exchange) -> None:
-        """Log that a caller resumes a stream, since the stream began under another request id."""
-        self._outcomes.counters["yokeline_forwarding_streams_resumed_total"] += 1
-        self._outcomes.log(
-            "stream_resumed",
-            exchange,
-            resumes=exchange.call.resumes,
-            after_event=exchange.call.last_event_id,
-        )
-
     def _refuse_by_residency(self, exchange: Exchange) -> bool:
         """Refuse a request that cannot be served or kept in its regions; return whether it is.
 
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -138,6 +138,7 @@
 
 
 _INCARNATION_SEPARATOR = "@"
+_VERSION_MARK = "version="
 
 
 def make_incarnation_id(instance: str, started_ms: int | None) -> str:
@@ -150,6 +151,11 @@
     return escaped if started_ms is None else f"{escaped}{_INCARNATION_SEPARATOR}{started_ms}"
 
 
+def make_versioned_id(incarnation_id: str, version: str) -> str:
+    """Return the id of an incarnation that shares its instance and start time with another one."""
+    return f"{incarnation_id}{_INCARNATION_SEPARATOR}{_VERSION_MARK}{version}"
+
+
 class Engine(msgspec.Struct, frozen=True, kw_only=True):
     """One incarnation of an engine process.
 
--- a/src/yokeline/forwarding/outage_delays.py
+++ b/src/yokeline/forwarding/outage_delays.py
@@ -1,20 +1,34 @@
-"""When callers return that were refused because the ledger did not answer."""
+"""When callers return that were refused for a reason other than a lack of capacity."""
 
 from __future__ import annotations
 
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.queue_admission import would_lose_work
-from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay_after_outage
+from yokeline.scheduling.retry_delays import (
+    NO_ELIGIBLE_ENGINE_DELAY_SECONDS,
+    RefusedCaller,
+    retry_delay,
+    retry_delay_after_outage,
+)
 
 
 def delay_after_outage(exchange: Exchange, now: float) -> float:
-    """Return the retry delay of a caller in seconds, shorter for programs that have begun.
+    """Return the delay after a refusal because the ledger did not answer (seconds).
 
-    The callers of all nodes are refused within a moment, so their delays are spread.
+    It is shorter for programs that have begun. The callers of all nodes are refused within a
+    moment, so their delays are spread.
     """
-    caller = RefusedCaller(
+    return retry_delay_after_outage(_refused_caller(exchange, now))
+
+
+def delay_without_engine(exchange: Exchange, now: float) -> float:
+    """Return the delay after a refusal because no engine may serve the request (seconds)."""
+    return retry_delay(_refused_caller(exchange, now), NO_ELIGIBLE_ENGINE_DELAY_SECONDS)
+
+
+def _refused_caller(exchange: Exchange, now: float) -> RefusedCaller:
+    return RefusedCaller(
         request_id=exchange.call.request_id,
         has_begun=would_lose_work(exchange),
         time_left=exchange.deadline - now,
     )
-    return retry_delay_after_outage(caller)
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -257,6 +257,7 @@
             is_retryable=exchange.route.kind is RouteKind.STREAMING or exchange.route.is_retryable,
             eligibility=self.eligibility,
             allowed_regions=exchange.allowed_regions,
+            allowed_versions=exchange.allowed_versions,
         )
 
     def _record_affinity(self, subject: tuple[str, str], engine_id: str) -> None:
--- a/src/yokeline/forwarding/queue_admission.py
+++ b/src/yokeline/forwarding/queue_admission.py
@@ -132,10 +132,25 @@
     ) -> PoolRoom:
         is_first_turn = exchange.is_first_turn
         capacity = view.capacity_for(ahead, waiting, is_first_turn=is_first_turn)
+        if exchange.allowed_versions is not None:
+            capacity = self._capacity_of_versions(exchange, capacity)
         if not is_first_turn:
             return capacity
         return msgspec.structs.replace(capacity, error_ratio=self._wait_errors.ratio(exchange.pool))
 
+    def _capacity_of_versions(self, exchange: Exchange, capacity: PoolRoom) -> PoolRoom:
+        """Return the part of a capacity that engines of the request's versions have.
+
+        Of the requests ahead, the same share is assumed to go there.
+        """
+        versions = exchange.allowed_versions or frozenset()
+        engines = self._state.engines.in_pool(exchange.pool, self._state.now)
+        slots = sum(item.engine.slots for item in engines if item.engine.version in versions)
+        share = slots / max(1, sum(item.engine.slots for item in engines))
+        return msgspec.structs.replace(
+            capacity, places=min(capacity.places, max(1, slots)), ahead=capacity.ahead * share
+        )
+
     def _need_of(self, exchange: Exchange) -> RoomNeed:
         now, program_time_left = self._state.now, exchange.call.program_time_left
         program_left = (
@@ -166,7 +181,9 @@
 
 def would_lose_work(exchange: Exchange) -> bool:
     """Return whether a refusal loses work that the request's program has done."""
-    return exchange.program_started or continues_program(exchange.route, exchange.call)
+    if exchange.program_started or exchange.continues_stream:
+        return True
+    return continues_program(exchange.route, exchange.call)
 
 
 def _rounded(seconds: float | None) -> float | None:
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -9,16 +9,23 @@
 
 from collections.abc import Callable
 
+from msgspec import UNSET
+
 from yokeline.effects import Effect
-from yokeline.forwarding.exchange import Exchange, HistorySource, Phase
+from yokeline.forwarding.exchange import Exchange, HistorySource, Phase, StreamOrigin
 from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.outage_delays import delay_after_outage
+from yokeline.forwarding.outage_delays import delay_after_outage, delay_without_engine
 from yokeline.forwarding.regional_turns import RegionalTurns
 from yokeline.forwarding.responder import Responder
+from yokeline.forwarding.stream_versions import (
+    LOOKUP_RETRY_SECONDS,
+    STREAM_VERSION_UNKNOWN,
+    StreamVersions,
+)
 from yokeline.forwarding.tenant_limits import LEDGER_TIMEOUT_SECONDS, TenantLimits
 from yokeline.forwarding.turn_cache import TurnCache
-from yokeline.forwarding.turn_operations import reservation_of
+from yokeline.forwarding.turn_operations import needs_ledger, reservation_of
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
 from yokeline.ledger.operations import (
@@ -31,6 +38,8 @@
     QuotaSpent,
 )
 
+LOOKUP_TIMEOUT_SECONDS = 0.4
+"""Time for which a request waits for the ledger that needs it only to resume a stream."""
 HISTORY_RETRY_AFTER_SECONDS = 0.1
 """Time after which callers may retry if the history is incomplete."""
 
@@ -47,6 +56,7 @@
         turn_cache: TurnCache,
         regional_turns: RegionalTurns,
         limits: TenantLimits,
+        streams: StreamVersions,
         on_granted: Callable[[Exchange], None],
     ) -> None:
         """Call ``on_granted`` with each turn whose reservation and history are complete."""
@@ -57,6 +67,7 @@
         self._turn_cache = turn_cache
         self._regional_turns = regional_turns
         self._limits = limits
+        self._streams = streams
         self._on_granted = on_granted
 
     def reserve(self, exchange: Exchange) -> None:
@@ -78,7 +89,8 @@
             return self._state.outcomes.drain_effects()
 
         now = self._state.now
-        give_up_at = min(exchange.deadline, now + LEDGER_TIMEOUT_SECONDS)
+        timeout = LEDGER_TIMEOUT_SECONDS if needs_ledger(exchange) else LOOKUP_TIMEOUT_SECONDS
+        give_up_at = min(exchange.deadline, now + timeout)
         effects = self._ledger.ask(
             operation,
             reserved,
@@ -136,7 +148,10 @@
             exchange.granted_at = exchange.granted_at or self._state.now
             exchange.spent_tokens = result.spent
             exchange.cached_context = result.context
-            self._add_history(exchange, result)
+            for turn in result.turns:
+                self._turn_cache.put(turn)
+            self._streams.resolve_by_record(exchange, result.stream, has_answered=True)
+            self._continue_granted(exchange)
         elif isinstance(result, BudgetSpent):
             self._responder.refuse(exchange, PAYMENT_REQUIRED, "budget_spent", spent=result.spent)
         elif isinstance(result, QuotaSpent) and not result.is_empty:
@@ -149,6 +164,9 @@
             self._responder.refuse(
                 exchange, NOT_FOUND, "no_such_turn", turn=exchange.call.previous_turn
             )
+        elif not needs_ledger(exchange):
+            self._streams.resolve_by_record(exchange, UNSET, has_answered=False)
+            self._continue_granted(exchange)
         else:
             exchange.has_reservation = exchange.call.budget is not None
             self._responder.refuse(
@@ -164,9 +182,34 @@
             exchange.ledger_operation = operation
             self._ask(exchange, operation)
 
-    def _add_history(self, exchange: Exchange, granted: Granted) -> None:
-        for turn in granted.turns:
-            self._turn_cache.put(turn)
+    def _continue_granted(self, exchange: Exchange) -> None:
+        """Go on once the version of a resumed stream is known; refuse it if it cannot be."""
+        if exchange.stream_origin is StreamOrigin.ASKED:
+            due = self._state.now + LOOKUP_RETRY_SECONDS
+            self._state.schedule(exchange, due, self._look_up_stream_again)
+        elif exchange.stream_origin is StreamOrigin.UNKNOWN:
+            self.refuse_unknown_stream(exchange)
+        else:
+            self._add_history(exchange)
+
+    def _look_up_stream_again(self, exchange: Exchange) -> None:
+        """Repeat a granted reservation, since the record of the stream may have arrived."""
+        if exchange.phase is not Phase.RESERVING:
+            return
+        exchange.ledger_operation = reservation_of(exchange, "")
+        self._ask(exchange, exchange.ledger_operation)
+
+    def refuse_unknown_stream(self, exchange: Exchange) -> None:
+        """Refuse to continue a stream of which it is not known which version began it."""
+        self._responder.refuse(
+            exchange,
+            UNAVAILABLE,
+            STREAM_VERSION_UNKNOWN,
+            retry_after=delay_without_engine(exchange, self._state.now),
+            resumes=exchange.call.resumes,
+        )
+
+    def _add_history(self, exchange: Exchange) -> None:
         missing_from = self._turn_cache.missing_from(exchange.names.previous_turn)
         if not missing_from:
             self._proceed(exchange)
--- a/src/yokeline/forwarding/stream_relay.py
+++ b/src/yokeline/forwarding/stream_relay.py
@@ -12,6 +12,7 @@
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.retries import RetryHandler
 from yokeline.forwarding.settlements import Settlements
+from yokeline.forwarding.stream_versions import StreamVersions
 from yokeline.forwarding.turn_cache import TurnCache, event_data
 from yokeline.ledger.operations import OperationResult
 
@@ -33,6 +34,7 @@
         retries: RetryHandler,
         turn_cache: TurnCache,
         regional_turns: RegionalTurns,
+        streams: StreamVersions,
         dialect: Dialect,
     ) -> None:
         """Store completed turns in ``turn_cache`` as well as in the ledger."""
@@ -43,6 +45,7 @@
         self._retries = retries
         self._turn_cache = turn_cache
         self._regional_turns = regional_turns
+        self._streams = streams
         self._dialect = dialect
 
     def relay_event(self, exchange: Exchange, item: HttpStreamItem) -> None:
@@ -89,6 +92,8 @@
         if exchange.first_event_at is not None:
             return
         exchange.first_event_at = self._state.now
+        if exchange.route.is_resumable_stream:
+            self._streams.begin(exchange)
         self._state.first_event_seconds.observe(self._state.now - exchange.arrived_at)
         if exchange.route.is_retryable:
             self._schedule_silence_check(exchange)
--- /dev/null
+++ b/src/yokeline/forwarding/stream_versions.py
@@ -0,0 +1,259 @@
+"""Remembers, records and looks up which software version of an engine began each stream.
+
+While all engines of a pool have one version, a stream is remembered at its node alone. When a
+second version comes, the node records the streams that it remembers in the ledger, and from then on
+each stream at its first event, so that any node can continue it.
+"""
+
+from __future__ import annotations
+
+import enum
+import itertools
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Iterator
+
+import msgspec
+from msgspec import UnsetType
+
+from yokeline.effects import Effect, LogRecord
+from yokeline.forwarding.exchange import Exchange, StreamOrigin
+from yokeline.forwarding.node_state import NodeState
+from yokeline.forwarding.turn_operations import needs_ledger
+from yokeline.ledger.client import LedgerClient
+from yokeline.ledger.operations import OperationResult, RecordedStream, Reserve, StreamVersion
+from yokeline.scheduling.engine_versions import PoolVersions
+
+NO_ENGINE_OF_VERSION = "no_engine_of_version"
+"""Refusal reason: no engine of the version that began the stream accepts requests."""
+STREAM_VERSION_UNKNOWN = "stream_version_unknown"
+"""Refusal reason: several versions serve, and it is not known which one began the stream."""
+MAX_REMEMBERED_STREAMS = 4096
+MAX_STREAMS_PER_OPERATION = 256
+MAX_STREAM_NAME_CHARS = 512
+"""Length of a name, with its tenant, above which a stream is not recorded."""
+RECORD_TIMEOUT_SECONDS = 5.0
+"""Time for which a record is repeated until the ledger has it."""
+MAX_LOOKUPS = 4
+LOOKUP_RETRY_SECONDS = 0.05
+"""Delay until the ledger is asked again for a stream whose record may be on its way."""
+MAX_VIEW_AGE_SECONDS = 2.0
+"""Age of the node's view of the engines above which another version may have come unnoticed."""
+
+
+class VersionSource(enum.Enum):
+    """Who knew the version of a resumed stream."""
+
+    NODE = "node"
+    """This node, which began the stream."""
+    LEDGER = "ledger"
+    """The record in the ledger."""
+    SOLE_VERSION = "sole_version"
+    """The pool has engines of this version only."""
+    UNKNOWN = "unknown"
+    """Nobody: the stream is not continued."""
+
+
+class BegunStream(msgspec.Struct):
+    """A stream that this node began.
+
+    Attributes:
+        version: Version of its engine; None if not known for certain.
+        engine_id: The engine that sent its first event.
+        began_at: Time of that event (monotonic seconds).
+        until: When its caller has no time left.
+        is_recorded: Whether its record was sent to the ledger.
+    """
+
+    version: str | None
+    pool: str
+    engine_id: str
+    began_at: float
+    until: float
+    is_recorded: bool = False
+
+
+class StreamVersions:
+    """Versions of the streams of one node.
+
+    Attributes:
+        view_age: Returns the age of the node's view of the engines at a time (seconds).
+    """
+
+    def __init__(self, state: NodeState, ledger: LedgerClient, process: str) -> None:
+        """Record in ``ledger``, with ids that begin with ``process``."""
+        self.view_age: Callable[[float], float] = _zero_age
+        self._state = state
+        self._ledger = ledger
+        self._process = process
+        self._numbers = itertools.count(1)
+        self._streams: OrderedDict[str, BegunStream] = OrderedDict()
+        self._pools: dict[str, PoolVersions] = {}
+
+    # ------------------------------------------------------------ streams that begin
+
+    def begin(self, exchange: Exchange) -> None:
+        """Bind a stream to the version of the engine that sent its first event."""
+        if exchange.allowed_versions is not None or exchange.engine is None:
+            return
+        engine = exchange.engine.engine
+        exchange.allowed_versions = frozenset((engine.version,))
+        stream = BegunStream(
+            version=engine.version,
+            pool=exchange.pool,
+            engine_id=engine.engine_id,
+            began_at=self._state.now,
+            until=exchange.arrived_at + exchange.call.deadline,
+        )
+        name = exchange.names.turn
+        self._streams[name] = stream
+        if len(self._streams) > MAX_REMEMBERED_STREAMS:
+            self._streams.popitem(last=False)
+        if self._observe(exchange.pool).are_several and not stream.is_recorded:
+            self._record([(name, stream)])
+
+    def engine_restarted(self, engine_id: str, since: float) -> None:
+        """Mark streams that an engine began after ``since`` as of unknown version.
+
+        The engine has restarted with another version, and either start may have sent the event.
+        """
+        uncertain = [
+            (name, stream)
+            for name, stream in self._streams.items()
+            if stream.engine_id == engine_id and stream.began_at >= since
+        ]
+        for _, stream in uncertain:
+            stream.version = None
+        self._record(uncertain)
+
+    def observe_pools(self) -> None:
+        """Record the remembered streams of each pool that has got a second version."""
+        for pool in self._pools:
+            self._observe(pool)
+
+    def _observe(self, pool: str) -> PoolVersions:
+        """Return the versions of a pool; record its streams if a second version has come."""
+        versions = self._pools.get(pool)
+        if versions is None:
+            versions = self._pools[pool] = PoolVersions(self._state.now)
+        had_several = versions.are_several
+        versions.observe(self._state.engines.versions_in_pool(pool), self._state.now)
+        if versions.are_several and not had_several:
+            self._state.version_restriction.is_active = True
+            self._record(self._unrecorded(pool))
+        return versions
+
+    def _unrecorded(self, pool: str) -> Iterator[tuple[str, BegunStream]]:
+        for name, stream in self._streams.items():
+            if stream.pool == pool and not stream.is_recorded and stream.until > self._state.now:
+                yield name, stream
+
+    def _record(self, streams: Iterable[tuple[str, BegunStream]]) -> None:
+        """Send records to the ledger."""
+        rows = []
+        for name, stream in streams:
+            if len(name) <= MAX_STREAM_NAME_CHARS:
+                stream.is_recorded = True
+                seconds = round(max(0.0, stream.until - self._state.now), 1)
+                rows.append(StreamVersion(name, stream.version, seconds))
+        for start in range(0, len(rows), MAX_STREAMS_PER_OPERATION):
+            self._send_records(tuple(rows[start : start + MAX_STREAMS_PER_OPERATION]))
+
+    def _send_records(self, rows: tuple[StreamVersion, ...]) -> None:
+        now = self._state.now
+
+        def recorded(result: OperationResult | None, ended_at: float) -> list[Effect]:
+            if result is not None:
+                return []
+            fields: dict[str, str | int | float | bool | None] = {
+                "streams": len(rows),
+                "first": rows[0].stream,
+                "seconds": round(ended_at - now, 3),
+            }
+            return [LogRecord(event="streams_unrecorded", fields=fields, level="warning")]
+
+        self._state.outcomes.counters["yokeline_forwarding_streams_recorded_total"] += len(rows)
+        operation = Reserve(
+            request_id=f"{self._process}/streams/{next(self._numbers)}", streams=rows
+        )
+        effects = self._ledger.ask(operation, recorded, now, now + RECORD_TIMEOUT_SECONDS)
+        self._state.outcomes.effects.extend(effects)
+
+    # ------------------------------------------------------------ streams that callers resume
+
+    def resolve_locally(self, exchange: Exchange) -> None:
+        """Bind a resumed stream if this node knows its version, or let the ledger be asked.
+
+        The question is part of a turn's reservation. A request without one is spared it if no other
+        version can have begun the stream.
+        """
+        if not exchange.continues_stream or exchange.stream_origin is not StreamOrigin.UNRESOLVED:
+            return
+        known = self._streams.get(exchange.names.resumed_turn)
+        if known is not None:
+            age = self._state.now - known.began_at
+            self._bind(exchange, known.version, VersionSource.NODE, age)
+            return
+        pool = self._observe(exchange.pool)
+        is_certain = pool.is_settled(self._state.now) and self._has_recent_view()
+        if pool.sole is not None and is_certain and not needs_ledger(exchange):
+            self._bind(exchange, pool.sole, VersionSource.SOLE_VERSION)
+            return
+        exchange.stream_origin = StreamOrigin.ASKED
+
+    def resolve_by_record(
+        self, exchange: Exchange, record: RecordedStream | UnsetType, *, has_answered: bool
+    ) -> None:
+        """Bind a resumed stream by the ledger's answer, unless it is to be asked again.
+
+        The record may be on its way. Without any answer, an outdated view of the engines does not
+        show that only one version serves.
+        """
+        if exchange.stream_origin is not StreamOrigin.ASKED:
+            return
+        if not isinstance(record, UnsetType):
+            self._bind(exchange, record.version, VersionSource.LEDGER, record.age)
+            return
+        sole = self._observe(exchange.pool).sole
+        if sole is not None and (has_answered or self._has_recent_view()):
+            self._bind(exchange, sole, VersionSource.SOLE_VERSION)
+            return
+        exchange.stream_lookups += 1
+        may_come = has_answered and bool(exchange.names.resumed_turn)
+        if not may_come or exchange.stream_lookups >= MAX_LOOKUPS:
+            self._bind(exchange, None, VersionSource.UNKNOWN)
+
+    def _has_recent_view(self) -> bool:
+        return self.view_age(self._state.now) <= MAX_VIEW_AGE_SECONDS
+
+    def _bind(
+        self,
+        exchange: Exchange,
+        version: str | None,
+        source: VersionSource,
+        age: float | None = None,
+    ) -> None:
+        """Bind a stream to a version, or to none if it is not known; log who knew it."""
+        is_known = version is not None
+        exchange.stream_origin = StreamOrigin.KNOWN if is_known else StreamOrigin.UNKNOWN
+        exchange.allowed_versions = frozenset((version,)) if version is not None else frozenset()
+        if source is not VersionSource.SOLE_VERSION:
+            self._state.version_restriction.is_active = True
+        outcomes = self._state.outcomes
+        labels = f'version_source="{source.value if is_known else VersionSource.UNKNOWN.value}"'
+        outcomes.counters[f"yokeline_forwarding_streams_resumed_total{{{labels}}}"] += 1
+        outcomes.log(
+            "stream_resumed",
+            exchange,
+            resumes=exchange.call.resumes,
+            after_event=exchange.call.last_event_id,
+            version=version,
+            version_source=source.value,
+            age=round(age, 3) if age is not None else None,
+            lookups=exchange.stream_lookups,
+            serving=" ".join(sorted(self._state.engines.versions_in_pool(exchange.pool))),
+        )
+
+
+def _zero_age(_now: float) -> float:
+    """Return the age of a view that is always current."""
+    return 0.0
--- a/src/yokeline/forwarding/tenants.py
+++ b/src/yokeline/forwarding/tenants.py
@@ -102,6 +102,7 @@
     program: str
     session: str
     previous_turn: str
+    resumed_turn: str = ""
 
 
 def scoped(tenant: str | None, name: str) -> str:
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from yokeline.forwarding.exchange import Exchange
+from msgspec import UNSET, UnsetType
+
+from yokeline.forwarding.exchange import Exchange, StreamOrigin
 from yokeline.forwarding.model import RouteKind
 from yokeline.ledger.operations import CachedContext, KeptTurn, Reserve, Settle
 
@@ -27,14 +29,26 @@
         retention=exchange.route.retention,
         previous=names.previous_turn,
         missing_from=missing_from,
-        limit=exchange.limit,
+        limit=exchange.limit if needs_ledger(exchange) else None,
         kind=exchange.route.name if exchange.limit is not None else "",
         left=call.program_time_left
         if exchange.limit is not None and not exchange.program_started
         else None,
+        resumes=_stream_lookup_of(exchange),
     )
 
 
+def needs_reservation(exchange: Exchange) -> bool:
+    """Return whether a request must not be sent before the ledger has answered."""
+    return needs_ledger(exchange) or exchange.stream_origin is StreamOrigin.ASKED
+
+
+def _stream_lookup_of(exchange: Exchange) -> str | UnsetType:
+    """Return the name of the stream whose version the ledger is asked for, if any."""
+    name = exchange.names.resumed_turn
+    return name if exchange.stream_origin is StreamOrigin.ASKED and name else UNSET
+
+
 def settlement_of(exchange: Exchange, tokens: int, turn: KeptTurn | None) -> Settle:
     """Return the operation that replaces the reservation by the tokens sent to the caller."""
     return Settle(
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 
 class CachedContext(msgspec.Struct, frozen=True, kw_only=True):
@@ -34,6 +35,32 @@
     version: int
 
 
+class StreamVersion(msgspec.Struct, frozen=True, array_like=True):
+    """The software version of the engine that began a stream.
+
+    Attributes:
+        stream: Name of the request that began it.
+        version: None if it is not known for certain: the stream must not be continued.
+        seconds: Seconds for which callers may resume the stream.
+    """
+
+    stream: str
+    version: str | None
+    seconds: float
+
+
+class RecordedStream(msgspec.Struct, frozen=True, array_like=True):
+    """What the ledger knows of the stream that a request resumes.
+
+    Attributes:
+        version: Version that began it; None if not known for certain.
+        age: Seconds since it was recorded.
+    """
+
+    version: str | None
+    age: float
+
+
 class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag="reserve"):
     """Reserve the maximum tokens of a turn, and fetch the turns that it continues.
 
@@ -51,6 +78,8 @@
         limit: The limit against which the turn counts as one request; None for none.
         kind: Kind of program: the name of the request's route; empty if unknown.
         left: Seconds until the program's deadline; None if it has none.
+        resumes: Name of the request whose stream this one resumes; unset for none.
+        streams: Streams to record, of this node; unset for none.
     """
 
     request_id: str
@@ -64,6 +93,8 @@
     limit: RateLimit | None = None
     kind: str = ""
     left: float | None = None
+    resumes: str | UnsetType = UNSET
+    streams: tuple[StreamVersion, ...] | UnsetType = UNSET
 
 
 class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -133,11 +164,13 @@
         spent: Tokens that count against the budget, without this reservation.
         turns: The turns requested with ``missing_from``, the oldest first.
         context: Where the session's last turn was generated, or else the program's last turn.
+        stream: The stream that the request resumes; unset if it has no record.
     """
 
     spent: int = 0
     turns: tuple[KeptTurn, ...] = ()
     context: CachedContext | None = None
+    stream: RecordedStream | UnsetType = UNSET
 
 
 class BudgetSpent(msgspec.Struct, frozen=True, kw_only=True, tag="budget_spent"):
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from yokeline.ledger.operations import (
     BudgetSpent,
@@ -20,9 +21,11 @@
     Operation,
     OperationResult,
     QuotaSpent,
+    RecordedStream,
     Reserve,
     Settle,
     Settled,
+    StreamVersion,
 )
 from yokeline.ledger.quotas import TenantQuotas
 
@@ -124,14 +127,34 @@
     expires: float
 
 
+class StoredStream(msgspec.Struct, kw_only=True):
+    """A stream and the engine version that began it.
+
+    Attributes:
+        version: None if it is not known for certain, or if two records differ.
+        recorded: Ledger time of its first record.
+        expires: Ledger time at which it may be deleted.
+    """
+
+    version: str | None
+    recorded: float
+    expires: float
+
+
 class LedgerState(msgspec.Struct, kw_only=True):
-    """The replicated state, also its snapshot form."""
+    """The replicated state, also its snapshot form.
+
+    Attributes:
+        streams: Versions that began streams, while a pool has engines of several versions. Replicas
+            of an earlier release do not have them, so no other state may depend on them.
+    """
 
     time: float = 0.0
     next_expiry: float = 0.0
     programs: dict[str, Program] = {}
     turns: dict[str, StoredTurn] = {}
     quotas: TenantQuotas = msgspec.field(default_factory=TenantQuotas)
+    streams: dict[str, StoredStream] = {}
 
     def transition_apply(self, command: LedgerCommand) -> tuple[OperationResult, ...]:
         """Apply a command and return a result for each of its operations."""
@@ -196,15 +219,40 @@
             spent=program.committed_tokens(),
             turns=self.chain(operation.missing_from),
             context=program.context_of(operation.session),
+            stream=self._recorded_stream(operation),
+        )
+
+    def _recorded_stream(self, operation: Reserve) -> RecordedStream | UnsetType:
+        """Return what is known of the stream that a request resumes."""
+        if isinstance(operation.resumes, UnsetType):
+            return UNSET
+        stored = self.streams.get(operation.resumes)
+        if stored is None:
+            return UNSET
+        return RecordedStream(stored.version, round(max(0.0, self.time - stored.recorded), 3))
+
+    def transition_record_stream(self, stream: StreamVersion) -> None:
+        """Record the version that began a stream; a second, different one makes it unknown."""
+        expires = self.time + stream.seconds + EXPIRY_SLACK_SECONDS
+        stored = self.streams.setdefault(
+            stream.stream, StoredStream(version=stream.version, recorded=self.time, expires=expires)
         )
+        stored.expires = max(stored.expires, expires)
+        if stored.version != stream.version:
+            stored.version = None
 
     def transition_reserve(self, operation: Reserve) -> OperationResult:
         """Reserve a turn's tokens, unless it exceeds the budget or continues an unknown turn."""
+        if not isinstance(operation.streams, UnsetType):
+            for begun in operation.streams:
+                self.transition_record_stream(begun)
         if operation.previous and operation.previous not in self.turns:
             return NoSuchTurn(turn_id=operation.previous)
         turns = self.chain(operation.missing_from)
         if not operation.program:
-            return self._draw(operation) or Granted(turns=turns)
+            return self._draw(operation) or Granted(
+                turns=turns, stream=self._recorded_stream(operation)
+            )
         program = self.programs.setdefault(operation.program, Program())
         self._extend_expiry(program, operation.retention)
         if program.has_turn(operation.request_id):
@@ -221,7 +269,8 @@
             program.kind = program.kind or operation.kind
             program.note_request(self.quotas.time)
         context = program.context_of(operation.session)
-        return Granted(spent=spent, turns=turns, context=context)
+        stream = self._recorded_stream(operation)
+        return Granted(spent=spent, turns=turns, context=context, stream=stream)
 
     def _draw(self, operation: Reserve) -> QuotaSpent | None:
         """Count a turn against its tenant's limit; return the refusal if it is exhausted."""
@@ -281,4 +330,6 @@
             del self.programs[name]
         for name in [name for name, item in self.turns.items() if item.expires < self.time]:
             del self.turns[name]
+        for name in [name for name, item in self.streams.items() if item.expires < self.time]:
+            del self.streams[name]
         self.quotas.transition_forget()
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -131,7 +131,12 @@
         "Seconds that requests waited for room which then got a place."
     ),
     "yokeline_forwarding_repeats_total": "Requests sent again after they may have run.",
-    "yokeline_forwarding_streams_resumed_total": "Streams that callers resumed at this node.",
+    "yokeline_forwarding_streams_resumed_total": (
+        "Streams that callers resumed at this node, by who knew the version that began them."
+    ),
+    "yokeline_forwarding_streams_recorded_total": (
+        "Versions of streams sent to the ledger, while several versions serve."
+    ),
     "yokeline_forwarding_restricted_sends_total": (
         "Sends of requests with allowed regions, by route and region of the engine."
     ),
