Test stream versions at a node, in the ledger and over starts of an engine

Unit tests of the binding, the record, the lookup and its repetition, refusals, waits for engines of one version, entries that are written anew, and messages of an earlier release. They found that a node which had not yet used a pool did not notice that a version had just left it; the versions of all pools are now watched from the first entry on.

--- a/src/yokeline/forwarding/engines.py
+++ b/src/yokeline/forwarding/engines.py
@@ -165,6 +165,7 @@
         topology: Zones and regions, seen from this node.
         incarnations: The current incarnation of each engine.
         local_changes: Counter that increases with each change of this node's load.
+        version_changes: Counter that increases when a pool gets or loses a software version.
         node_report_ttl: Age at which another node's report expires (seconds).
     """
 
@@ -190,6 +191,7 @@
         self._counted_by_leader: frozenset[str] = frozenset()
         self._usual_paces: dict[str, float] = {}
         self.local_changes = 0
+        self.version_changes = 0
         self.node_report_ttl = NODE_REPORT_TTL_SECONDS
 
     def record_sent(self, state: EngineState) -> None:
@@ -366,6 +368,10 @@
         """Return the total slots of a pool's engines that accept new requests."""
         return self._slots_by_pool.get(pool, 0)
 
+    def pools_with_versions(self) -> Iterable[str]:
+        """Return the pools that have engines."""
+        return self._versions_by_pool
+
     def versions_in_pool(self, pool: str) -> frozenset[str]:
         """Return the software versions of all engines of a pool, draining ones too."""
         return self._versions_by_pool.get(pool, frozenset())
@@ -469,7 +475,9 @@
             versions.setdefault(state.engine.pool, set()).add(state.engine.version)
             if not state.engine.draining:
                 self._by_pool.setdefault(state.engine.pool, []).append(state)
-        self._versions_by_pool = {pool: frozenset(found) for pool, found in versions.items()}
+        found = {pool: frozenset(names) for pool, names in versions.items()}
+        self.version_changes += found != self._versions_by_pool
+        self._versions_by_pool = found
         self._slots_by_pool = {
             pool: sum(state.engine.slots for state in states)
             for pool, states in self._by_pool.items()
--- a/src/yokeline/forwarding/stream_versions.py
+++ b/src/yokeline/forwarding/stream_versions.py
@@ -88,6 +88,7 @@
         self._numbers = itertools.count(1)
         self._streams: OrderedDict[str, BegunStream] = OrderedDict()
         self._pools: dict[str, PoolVersions] = {}
+        self._seen_changes = 0
 
     # ------------------------------------------------------------ streams that begin
 
@@ -127,7 +128,11 @@
 
     def observe_pools(self) -> None:
         """Record the remembered streams of each pool that has got a second version."""
-        for pool in self._pools:
+        engines = self._state.engines
+        if engines.version_changes == self._seen_changes:
+            return
+        self._seen_changes = engines.version_changes
+        for pool in {**self._pools, **dict.fromkeys(engines.pools_with_versions())}:
             self._observe(pool)
 
     def _observe(self, pool: str) -> PoolVersions:
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -151,6 +151,7 @@
         self.text_messages: list[SendPeer] = []
         """Messages to storage nodes about regional texts."""
         self._numbers = itertools.count(1)
+        self._plain_fields: dict[str, str] = {}
 
     # ------------------------------------------------------------ callers
 
@@ -162,6 +163,7 @@
             "x-yokeline-request-id": request_id,
             "x-yokeline-deadline-ms": "3000",
             **{_field_name(name): value for name, value in headers.items()},
+            **self._plain_fields,
         }
         event = HttpArrived(
             exchange=ExchangeId(request_id),
@@ -180,6 +182,14 @@
         usual = {"program_id": "p", "token_budget": "1000", "token_usage": "100,50"}
         return self.request(path, body, **{**usual, **headers})
 
+    def resume_turn(self, path: str, fields: dict[str, str], *, budget: bool = True) -> str:
+        """Let a caller resume a stream with plain header fields; return the request's id."""
+        self._plain_fields = fields
+        try:
+            return self.turn(path) if budget else self.request(path)
+        finally:
+            self._plain_fields = {}
+
     def leave(self, request_id: str) -> None:
         self.take(self.forwarder.handle_disconnect(ExchangeId(request_id), self.now))
 
--- /dev/null
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -0,0 +1,298 @@
+"""Streams of one node while engines of two versions serve, with a ledger played by the test."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+from msgspec import UNSET
+
+from tests.unit.forwarding.engine_entries_support import NodeWithEntries
+from tests.unit.forwarding.support import Played
+from yokeline.effects import HttpRequest
+from yokeline.forwarding.forwarder import RESTART_DETECTION_SECONDS
+from yokeline.forwarding.stream_versions import (
+    MAX_LOOKUPS,
+    NO_ENGINE_OF_VERSION,
+    STREAM_VERSION_UNKNOWN,
+)
+from yokeline.ledger.operations import Granted, RecordedStream, Reserve, StreamVersion
+from yokeline.scheduling.engine_versions import VERSION_MEMORY_SECONDS
+
+ENGINES = 4
+
+
+def set_version(played: Played, engine_id: str, version: str) -> None:
+    """Let an engine be known under its id with a version."""
+    state = played.engines.get(engine_id)
+    assert state is not None
+    played.engines.remove(engine_id)
+    played.engines.put(msgspec.structs.replace(state.engine, version=version))
+
+
+def versions(played: Played, *engine_versions: str) -> None:
+    """Give the model engines their versions."""
+    for number, version in enumerate(engine_versions):
+        set_version(played, f"models-{number}", version)
+    played.take(played.forwarder.tick(played.now))
+
+
+def version_at(played: Played, index: int = -1) -> str:
+    """Return the version of the engine that a request was sent to."""
+    state = played.engines.get(played.engine_of(index))
+    assert state is not None
+    return state.engine.version
+
+
+def records(played: Played) -> list[StreamVersion]:
+    """Return the records that were sent to the ledger."""
+    return [
+        row
+        for operation in played.operations()
+        if isinstance(operation, Reserve) and not isinstance(operation.streams, msgspec.UnsetType)
+        for row in operation.streams
+    ]
+
+
+def resume(played: Played, origin: str, path: str = "/turn/x", *, budget: bool = True) -> str:
+    """Let a caller resume a stream after its first event; return the new request's id."""
+    fields = {"last-event-id": "1", "resumes": origin}
+    return played.resume_turn(path, fields, budget=budget)
+
+
+class OneVersion(unittest.TestCase):
+    def setUp(self) -> None:
+        self.played = Played(engines_per_pool=ENGINES)
+        versions(self.played, *["v1"] * ENGINES)
+
+    def test_nothing_is_recorded_or_asked(self) -> None:
+        self.played.turn()
+        self.played.ledger_answers(Granted())
+        self.played.engine_begins()
+        self.played.engine_sends(1)
+        self.assertEqual(len(self.played.asked), 1)
+        reserve = self.played.operations()[0]
+        assert isinstance(reserve, Reserve)
+        self.assertEqual((reserve.streams, reserve.resumes), (UNSET, UNSET))
+        self.assertFalse(self.played.forwarder._state.eligibility.is_active)
+
+    def test_a_stream_without_a_record_goes_on(self) -> None:
+        resume(self.played, "elsewhere")
+        self.played.ledger_answers(Granted())
+        self.assertEqual(len(self.played.sent), 1)
+
+    def test_a_stream_without_a_budget_asks_only_while_the_view_is_new_or_old(self) -> None:
+        resume(self.played, "elsewhere", budget=False)
+        self.assertEqual(len(self.played.asked), 1)
+        self.played.wait(VERSION_MEMORY_SECONDS)
+        resume(self.played, "elsewhere", budget=False)
+        self.assertEqual(len(self.played.asked), 1)
+        self.played.forwarder.set_engine_view_age(lambda _now: 5.0)
+        resume(self.played, "elsewhere", budget=False)
+        self.assertEqual(len(self.played.asked), 2)
+
+    def test_streams_are_recorded_together_when_a_second_version_comes(self) -> None:
+        begun = []
+        for _ in range(3):
+            begun.append(self.played.request("/turn/x"))
+            self.played.engine_begins()
+            self.played.engine_sends(1)
+        versions(self.played, "v1", "v1", "v1", "v2")
+        self.assertEqual([row.stream for row in records(self.played)], begun)
+        self.assertEqual({row.version for row in records(self.played)}, {"v1"})
+        self.assertEqual(len(self.played.asked), 1)
+
+
+class TwoVersions(unittest.TestCase):
+    def setUp(self) -> None:
+        self.played = Played(engines_per_pool=ENGINES)
+        versions(self.played, "v1", "v1", "v2", "v2")
+
+    def begin(self) -> str:
+        request_id = self.played.turn()
+        self.played.ledger_answers(Granted())
+        self.played.engine_begins()
+        self.played.engine_sends(1)
+        return request_id
+
+    def test_a_stream_is_recorded_once_at_its_first_event(self) -> None:
+        request_id = self.begin()
+        self.played.engine_sends(2)
+        (row,) = records(self.played)
+        self.assertEqual((row.stream, row.version), (request_id, version_at(self.played)))
+        self.assertEqual(self.played.passed_on().count(b"id: "), 2)
+
+    def test_an_answer_goes_on_at_an_engine_of_its_version(self) -> None:
+        """Guards against the retry within one answer, which used to take any engine."""
+        for _ in range(ENGINES):
+            self.begin()
+            began_at = version_at(self.played)
+            self.played.engine_breaks(fresh=True)
+            self.assertEqual(version_at(self.played), began_at)
+
+    def test_an_attempt_without_an_event_binds_to_no_version(self) -> None:
+        self.played.turn()
+        self.played.ledger_answers(Granted())
+        for state in self.played.engines.in_pool("models", self.played.now):
+            if state.engine.version == version_at(self.played):
+                state.full_until = self.played.now + 9
+        began_at = version_at(self.played)
+        self.played.engine_breaks(fresh=True)
+        self.assertNotEqual(version_at(self.played), began_at)
+
+    def test_the_node_that_began_a_stream_continues_it_whoever_leads_the_ledger(self) -> None:
+        request_id = self.begin()
+        began_at = version_at(self.played)
+        self.played.leave(request_id)
+        for _ in range(3):
+            resume(self.played, request_id)
+            self.played.ledger_answers(Granted())
+            self.assertEqual(version_at(self.played), began_at)
+            self.played.engine_begins()
+            self.played.engine_sends(2)
+
+    def test_the_record_decides_at_another_node(self) -> None:
+        for version in ("v1", "v2"):
+            resume(self.played, "elsewhere")
+            self.played.ledger_answers(Granted(stream=RecordedStream(version, 0.02)))
+            self.assertEqual(version_at(self.played), version)
+            line = [item for item in self.played.logs if item.event == "stream_resumed"][-1]
+            self.assertEqual(line.fields["version_source"], "ledger")
+
+    def test_a_stream_without_a_budget_is_looked_up(self) -> None:
+        resume(self.played, "elsewhere", budget=False)
+        self.assertEqual(self.played.sent, [])
+        self.played.ledger_answers(Granted(stream=RecordedStream("v2", 0.02)))
+        self.assertEqual(version_at(self.played), "v2")
+
+    def test_a_record_that_arrives_after_the_caller_is_found(self) -> None:
+        resume(self.played, "elsewhere")
+        self.played.ledger_answers(Granted())
+        self.assertEqual((self.played.sent, self.played.replies), ([], []))
+        self.played.wait(0.06)
+        self.played.ledger_answers(Granted(stream=RecordedStream("v2", 0.01)))
+        self.assertEqual(version_at(self.played), "v2")
+
+    def test_an_unknown_stream_is_refused_soon_as_not_run(self) -> None:
+        resume(self.played, "elsewhere")
+        for _ in range(MAX_LOOKUPS):
+            self.played.ledger_answers(Granted())
+            self.played.wait(0.06)
+        self.assertEqual(self.played.sent, [])
+        self.assertEqual(self.played.replies[-1].status, 503)
+        self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
+
+    def test_a_stream_that_names_no_attempt_is_refused_after_one_question(self) -> None:
+        self.played.resume_turn("/turn/x", {"last-event-id": "1"})
+        self.played.ledger_answers(Granted())
+        self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
+
+    def test_conflicting_records_continue_nowhere(self) -> None:
+        resume(self.played, "elsewhere")
+        self.played.ledger_answers(Granted(stream=RecordedStream(None, 0.5)))
+        self.assertEqual(self.played.sent, [])
+        self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
+
+    def test_a_silent_ledger_refuses_a_stream_without_a_budget_within_half_a_second(self) -> None:
+        resume(self.played, "elsewhere", budget=False)
+        self.played.wait(0.5)
+        self.assertEqual(self.played.sent, [])
+        self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
+
+    def test_without_an_engine_of_the_version_a_stream_is_refused_at_once(self) -> None:
+        for version in ("v1", "v0"):
+            for number in (0, 1):
+                state = self.played.engines.get(f"models-{number}")
+                assert state is not None
+                state.engine = msgspec.structs.replace(state.engine, draining=True)
+            self.played.engines._rebuild_pools()
+            resume(self.played, "elsewhere")
+            self.played.ledger_answers(Granted(stream=RecordedStream(version, 0.02)))
+            self.assertEqual(self.played.sent, [])
+            self.assertEqual(self.played.refusal()["error"], NO_ENGINE_OF_VERSION)
+
+    def test_a_stream_waits_for_full_engines_of_its_version_while_others_pass(self) -> None:
+        for number in (0, 1):
+            state = self.played.engines.get(f"models-{number}")
+            assert state is not None
+            state.full_until = self.played.now + 0.1
+        resume(self.played, "elsewhere")
+        self.played.ledger_answers(Granted(stream=RecordedStream("v1", 0.02)))
+        self.assertEqual(self.played.sent, [])
+        self.begin()
+        self.assertEqual(version_at(self.played), "v2")
+        self.played.wait(0.2)
+        self.assertEqual(version_at(self.played), "v1")
+
+    def test_streams_are_still_bound_when_one_version_has_just_left(self) -> None:
+        for number in (2, 3):
+            self.played.engines.remove(f"models-{number}")
+        self.played.take(self.played.forwarder.tick(self.played.now))
+        resume(self.played, "elsewhere")
+        for _ in range(MAX_LOOKUPS):
+            self.played.ledger_answers(Granted())
+            self.played.wait(0.06)
+        self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
+
+    def test_a_route_without_resumption_is_bound_to_no_version(self) -> None:
+        self.played.turn("/once/x")
+        self.played.ledger_answers(Granted())
+        self.played.engine_begins()
+        self.played.engine_sends(1)
+        self.assertEqual(records(self.played), [])
+
+
+class VersionOfAStart(NodeWithEntries):
+    """A version belongs to one start of an engine."""
+
+    def hand(self, event: object) -> list[object]:
+        effects = super().hand(event)  # type: ignore[arg-type]
+        self.played.now = self.now
+        self.played.take(
+            [item for item in effects if not isinstance(item, HttpRequest) or item.header_items]
+        )
+        return list(effects)
+
+    def test_an_entry_with_another_version_is_another_start(self) -> None:
+        for fields in ({}, {"born": 1_790_000_000_000}):
+            with self.subTest(fields):
+                self.write("i-0", self.entry(**fields, version="v1"))
+                (first,) = self.known()
+                self.write("i-0", self.entry(**fields, version="v2", sequence=8))
+                (second,) = self.known()
+                self.assertNotEqual(first, second)
+                self.write("i-0", self.entry(**fields, version="v2", sequence=9))
+                self.assertEqual(self.known(), {second})
+                self.assertEqual(self.usable(), ["i-0"])
+                self.write("i-0", None)
+                for state in list(self.played.engines.all()):
+                    self.played.engines.remove(state.engine.engine_id)
+
+    def test_a_stream_that_either_start_may_have_begun_is_not_continued(self) -> None:
+        self.write("i-0", self.entry(version="v1"))
+        self.write("i-1", self.entry(1, version="v1"))
+        self.played.request("/turn/x")
+        self.played.engine_begins()
+        self.played.engine_sends(1)
+        instance = self.played.engine_of()
+        address = int(instance.removeprefix("i-"))
+        self.write(instance, self.entry(address, version="v2"))
+        rows = records(self.played)
+        self.assertEqual([row.version for row in rows][-1:], [None])
+        self.played.engine_breaks(fresh=True)
+        self.assertEqual(len(self.played.sent), 1)
+
+    def test_an_older_stream_stays_bound_to_the_earlier_start(self) -> None:
+        self.write("i-0", self.entry(version="v1"))
+        self.write("i-1", self.entry(1, version="v1"))
+        request_id = self.played.request("/turn/x")
+        self.played.engine_begins()
+        self.played.engine_sends(1)
+        self.played.leave(request_id)
+        self.played.wait(RESTART_DETECTION_SECONDS + 0.1)
+        self.now = self.played.now
+        instance = self.played.engine_of()
+        self.write(instance, self.entry(int(instance.removeprefix("i-")), version="v2"))
+        resume(self.played, request_id, budget=False)
+        self.assertEqual(version_at(self.played), "v1")
+        self.assertNotEqual(self.played.engine_of(), instance)
