Replace engines by another version in the soak, and resume streams there

Every model engine of the soak has a version of its own and marks its events with it. An operator replaces one engine after the other by either version, after a drain or a crash, under an id of its own, beside all other faults; four callers drop their streams after a few events and resume them at any node. Two new promises: no answer and no stream holds events of two versions; while two engines of its version are listed, a stream that is resumed goes on at least half as often as a new one begins.

--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -208,6 +208,7 @@
         self.fronts: list[int] = []
         self.store = StoreStandIn()
         self._documents: dict[str, dict[str, object]] = {}
+        self._listed: set[str] = set()
         self._running: list[Running] = []
         self._store_port = self.published("store", self._serve(self.store))
         self.models = [EngineStandIn(f"model-{number}") for number in range(self._models)]
@@ -305,9 +306,16 @@
         self.store.remove(f"op/evacuate/{zone}")
 
     def forget_engine(self, engine: EngineStandIn) -> None:
-        self.store.remove(f"servers/{engine.engine_id}")
+        self.store.remove(f"servers/{engine.instance_id}")
+        self._listed.discard(engine.instance_id)
 
-    def list_engine(self, engine: EngineStandIn, *, cold_left_ms: float | None = None) -> None:
+    def is_listed(self, engine: EngineStandIn) -> bool:
+        """Return whether an engine has an entry that says that it is ready."""
+        return engine.instance_id in self._listed
+
+    def list_engine(
+        self, engine: EngineStandIn, *, cold_left_ms: float | None = None, state: str = "ready"
+    ) -> None:
         """Let an engine say (again) that it is there, and for how long it is cold.
 
         Without ``cold_left_ms`` it says what is left of the cold time of its latest start.
@@ -318,9 +326,14 @@
             **self._documents[engine.engine_id],
             "born": engine.born,
             "version": engine.version,
+            "state": state,
             "cold-left-ms": cold_left_ms,
         }
-        self.store.put(f"servers/{engine.engine_id}", document)
+        self.store.put(f"servers/{engine.instance_id}", document)
+        if state == "ready":
+            self._listed.add(engine.instance_id)
+        else:
+            self._listed.discard(engine.instance_id)
 
     # ------------------------------------------------------------ callers
 
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -175,6 +175,8 @@
         break_after: Break the next stream off after that many events.
         breaks: How many streams are broken off one after the other.
         version: Version of its software.
+        marks_versions: Whether each event names the version, in a field of its own.
+        replacements: How often another engine has taken its place, under an id of its own.
     """
 
     def __init__(self, engine_id: str, events: int = 5) -> None:
@@ -190,13 +192,25 @@
         self.breaks = 1
         self.event_seconds = EVENT_SECONDS
         self.version = FIRST_VERSION
+        self.marks_versions = False
+        self.replacements = 0
         self._streams: dict[ExchangeId, list[float]] = {}
         self._open_spans: dict[ExchangeId, Span] = {}
 
+    @property
+    def instance_id(self) -> str:
+        """The id under which the present engine is listed and addressed."""
+        return f"{self.engine_id}-{self.replacements}" if self.replacements else self.engine_id
+
+    def be_replaced(self, version: str) -> None:
+        """Be another engine with an id of its own, at the same address."""
+        self.replacements += 1
+        self.version = version
+
     @property
     def start_id(self) -> str:
         """Name of the present start."""
-        return f"{self.engine_id} born {self.born}"
+        return f"{self.instance_id} born {self.born}"
 
     @property
     def cold_until(self) -> float:
@@ -227,7 +241,7 @@
     def _request(self, event: HttpArrived, now: float) -> list[Effect]:
         request_id = event.headers["x-yokeline-request-id"]
         headers = {"x-yokeline-request-id": request_id}
-        if event.headers.get("x-yokeline-expect-instance") != self.engine_id:
+        if event.headers.get("x-yokeline-expect-instance") != self.instance_id:
             return [HttpReply(exchange=event.exchange, status=421, headers=headers)]
         headers["x-yokeline-server-stamp"] = f"stamp-{self.engine_id}"
         after = int(event.headers.get("last-event-id", "0"))
@@ -264,7 +278,8 @@
         state[1] = now + self.event_seconds
         number = int(state[0])
         self._open_spans[exchange].events += 1
-        return [HttpStreamData(exchange, f"id: {number}\ndata: word{number}\n\n".encode())]
+        mark = f"event: {self.version}\n" if self.marks_versions else ""
+        return [HttpStreamData(exchange, f"{mark}id: {number}\ndata: word{number}\n\n".encode())]
 
     def _end_span(self, exchange: ExchangeId, how: str) -> None:
         span = self._open_spans.pop(exchange, None)
--- a/tests/processes/platform/streams.py
+++ b/tests/processes/platform/streams.py
@@ -13,6 +13,7 @@
 
 OK = 200
 EVENTS = 5
+STREAM_BUDGET = 100_000
 DEADLINE_SECONDS = 5.0
 REFUSAL_PAUSE_SECONDS = 0.1
 
@@ -22,6 +23,7 @@
     """What a caller got of one attempt.
 
     Attributes:
+        versions: Marks of its events, if the engines mark them.
         seconds: Until the answer ended, or until the caller dropped it.
     """
 
@@ -29,6 +31,7 @@
     event_ids: list[int]
     is_whole: bool
     seconds: float
+    versions: list[str] = field(default_factory=list)
 
 
 @dataclass
@@ -53,7 +56,7 @@
         """Begin the stream and drop it after some events; a refusal is repeated."""
         answer = Answer(None, [], is_whole=False, seconds=0.0)
         for _ in range(REFUSALS_BORNE):
-            answer = self._attempt(deployment, edge, events)
+            answer = self.attempt(deployment, edge, events)
             if answer.status != UNAVAILABLE:
                 break
             time.sleep(REFUSAL_PAUSE_SECONDS)
@@ -61,9 +64,10 @@
 
     def resume(self, deployment: Deployment, edge: int, *, events: int = EVENTS) -> Answer:
         """Resume the stream after the last event that the caller has."""
-        return self._attempt(deployment, edge, events)
+        return self.attempt(deployment, edge, events)
 
-    def _attempt(self, deployment: Deployment, edge: int, events: int) -> Answer:
+    def attempt(self, deployment: Deployment, edge: int, events: int) -> Answer:
+        """Begin the stream, or resume it, and drop it after some events."""
         request_id = f"{self.name}.{len(self.attempts)}"
         self.attempts.append(request_id)
         fields = {
@@ -74,7 +78,7 @@
         }
         if self.program:
             fields["X-Yokeline-Program-Id"] = self.program
-            fields["X-Yokeline-Token-Budget"] = "100000"
+            fields["X-Yokeline-Token-Budget"] = str(STREAM_BUDGET)
         if self.key:
             fields["Authorization"] = f"Bearer {self.key}"
         if self.event_ids:
@@ -94,6 +98,7 @@
     began = time.monotonic()
     status: int | None = None
     event_ids: list[int] = []
+    versions: list[str] = []
     is_whole = False
     connection = http.client.HTTPConnection(HOST, port, timeout=DEADLINE_SECONDS + 2)
     try:
@@ -105,13 +110,15 @@
             if not line:
                 is_whole = True
                 break
+            if line.startswith(b"event: "):
+                versions.append(line.removeprefix(b"event: ").decode().strip())
             if line.startswith(b"id: "):
                 event_ids.append(int(line.removeprefix(b"id: ")))
     except (OSError, http.client.HTTPException):
         is_whole = False
     finally:
         connection.close()
-    return Answer(status, event_ids, is_whole, time.monotonic() - began)
+    return Answer(status, event_ids, is_whole, time.monotonic() - began, versions)
 
 
 def versions_of(stream: CallerStream, engines: Iterable[EngineStandIn]) -> set[str]:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,12 +29,21 @@
 from tests.soak.regions import outside_regions, region_lines, zone_of_node
 from tests.soak.surges import surge_callers
 from tests.soak.tenants import KeyOperator, soak_tenants, tenant_violations
+from tests.soak.versions import (
+    VERSIONS,
+    ResumingCaller,
+    StreamRecords,
+    VersionOperator,
+    mark_versions,
+    without_marks,
+)
 
 CALLERS_PER_EDGE = 3
 LANES = 2
 """Sequences of faults that run beside each other, so that faults overlap."""
 PROCESSES_PER_LANE = 8
 """One more lane for each so many processes of a larger deployment."""
+RESUMING_CALLERS = 4
 CALM_SECONDS = 3.0
 MODELS = 3
 APPS = 3
@@ -94,6 +103,7 @@
             cold_rate=COLD_RATE,
             zones=ZONES,
             evacuation_seconds=EVACUATION_SECONDS,
+            versions=VERSIONS,
         )
         self.proxies: dict[str, Proxy] = {}
 
@@ -119,6 +129,7 @@
 def play(plan: SoakPlan) -> SoakResult:
     """Play a plan and return what was seen."""
     records = Records()
+    streams = StreamRecords()
     deployment = ProxiedDeployment(storage_nodes=plan.storage_nodes, edges=plan.edges)
     with deployment:
         shared = SharedFaults(deployment, deployment.proxies)
@@ -130,13 +141,21 @@
             for number in range(CALLERS_PER_EDGE * plan.edges)
         ]
         limited = next(tenant for tenant in tenants if tenant.rate)
+        mark_versions(deployment.models)
+        resuming = [
+            ResumingCaller(f"r{number}", deployment, records, streams, plan.seed, tenants[0])
+            for number in range(RESUMING_CALLERS)
+        ]
         callers.extend(surge_callers(deployment, records, plan.seed, limited))
         operator = KeyOperator(deployment, shared, plan.seed)
         zone_operator = ZoneOperator(deployment, shared, plan.seed)
-        others = [kind(deployment, shared, plan.seed) for kind in (DiskOperator, PoolOperator)]
+        others = [
+            kind(deployment, shared, plan.seed)
+            for kind in (DiskOperator, PoolOperator, VersionOperator)
+        ]
         # Callers come to machines that run; a ledger that is being founded is another test's.
         wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
-        for caller in callers:
+        for caller in (*callers, *resuming):
             caller.start()
         operator.start()
         zone_operator.start()
@@ -149,11 +168,12 @@
             other.stop()
         broken = _not_served(deployment, records)
         time.sleep(CALM_SECONDS)
-        for caller in callers:
+        for caller in (*callers, *resuming):
             caller.stop()
         time.sleep(CALM_SECONDS)
         engines = [*deployment.models, *deployment.apps]
         broken.extend(violations(records.asked, engines))
+        broken.extend(streams.violations())
         seen = [request for engine in engines for request in engine.seen]
         broken.extend(tenant_violations(records.asked, seen, operator.taken, tenants))
         broken.extend(late_requests(engines, deployment.engine_zones, zone_operator.orders))
@@ -164,7 +184,8 @@
         if broken and plan.logs:
             deployment.keep_logs(Path(plan.logs) / str(plan.seed))
         deployment.close_proxies()
-    return SoakResult(faults=shared.lines, outcomes=dict(records.outcomes()), broken=broken)
+    outcomes = records.outcomes() + streams.counts
+    return SoakResult(faults=shared.lines, outcomes=dict(outcomes), broken=broken)
 
 
 def _keys_in_logs(deployment: Deployment) -> list[str]:
@@ -297,7 +318,8 @@
     status: int | None = None
     body = b""
     try:
-        status, body = deployment.ask(edge, PROBED_PATH, name, key=probing.keys[0], **fields)
+        status, marked = deployment.ask(edge, PROBED_PATH, name, key=probing.keys[0], **fields)
+        body = without_marks(marked)
     finally:
         asked = Asked(
             request_id=name,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,6 +10,7 @@
 from tests.processes.platform.deployment import Deployment, TenantKeys
 from tests.soak.records import MOST_TOKENS, OK, STREAM, Asked, Records
 from tests.soak.tenants import FORGED_FIELDS
+from tests.soak.versions import versions_in, without_marks
 
 BUDGET = 200
 TURNS_PER_PROGRAM = 6
@@ -122,14 +123,15 @@
         key = self._forger.choice(self._tenant.keys)
         forged = FORGED_FIELDS if self._forger.random() < FORGED_SHARE else {}
         sent_at = time.monotonic()
-        status, body, is_whole = self._exchange(
+        status, marked, is_whole = self._exchange(
             edge, path, request_id, {**forged, **fields, "Authorization": f"Bearer {key}"}
         )
         asked = Asked(
             request_id=request_id,
             path=path,
             status=status,
-            body=body,
+            body=without_marks(marked),
+            versions=versions_in(marked),
             is_whole=is_whole,
             program=program,
             budget=BUDGET,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -227,7 +227,7 @@
             if is_free:
                 self._shared.note(f"foreign entry over {engine.engine_id} for {seconds:.2f} s")
                 self._shared.write_foreign(f"{prefix}foreign", value)
-                self._shared.write_foreign(f"servers/{engine.engine_id}", value)
+                self._shared.write_foreign(f"servers/{engine.instance_id}", value)
                 time.sleep(seconds)
                 self._deployment.list_engine(engine)
         return is_free
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -33,6 +33,7 @@
         tenant: Whose key it carried; empty without tenants.
         sent_at: When its caller sent it (monotonic seconds).
         is_theft: The turn that it continues is another tenant's.
+        versions: Engine versions that its events are marked with.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     key: str = ""
     sent_at: float = 0.0
     is_theft: bool = False
+    versions: list[str] = []
 
 
 class Records:
@@ -87,6 +89,7 @@
     return [
         *_repeated(asked, runs),
         *too_many_engines([span for engine in engines for span in engine.spans], asked),
+        *_mixed_answers(asked),
         *_false_refusals(asked, runs),
         *_spoilt_answers(asked),
         *_overspent(asked),
@@ -127,6 +130,15 @@
     return found
 
 
+def _mixed_answers(asked: list[Asked]) -> list[str]:
+    """Return the answers on resumable routes that hold events of two engine versions."""
+    return [
+        f"{item.request_id} holds events of {' '.join(item.versions)}"
+        for item in asked
+        if len(set(item.versions)) > 1 and not item.path.startswith("/kept/")
+    ]
+
+
 def _false_refusals(asked: list[Asked], runs: list[Run]) -> list[str]:
     ran = {request_id for request_id, _, _ in runs}
     return [
