--- a/tests/processes/platform/test_engine_versions.py
+++ b/tests/processes/platform/test_engine_versions.py
@@ -114,6 +114,28 @@
                     self.assert_not_run(stream.attempts[-1], deployment.models)
             self.check("no engine is left", streams, deployment, whole=1)
 
+    def test_a_stream_stays_at_its_version_while_its_engine_is_replaced(self) -> None:
+        """Guards against an address, or an id, that returns with another version."""
+        with two_versions() as deployment:
+            for keeps_id in (False, True):
+                streams = self.begin(deployment)
+                replaced = [model for model in deployment.models if model.version == "v1"][0]
+                began_there = {span.request_id for span in replaced.spans}
+                if keeps_id:
+                    replaced.start_again(time.monotonic(), down_seconds=1.0, cold_seconds=0.0)
+                    replaced.version = "v2"
+                else:
+                    deployment.forget_engine(replaced)
+                    replaced.be_replaced("v2")
+                deployment.list_engine(replaced)
+                time.sleep(NEWS_SECONDS)
+                together(_resume(deployment, 1), streams)
+                self.assertTrue(any(item.origin in began_there for item in streams))
+                self.check(f"keeps its id: {keeps_id}", streams, deployment, whole=STREAMS // 2)
+                replaced.version = "v1"
+                deployment.list_engine(replaced)
+                time.sleep(NEWS_SECONDS)
+
     def assert_not_run(self, request_id: str, engines: list[EngineStandIn]) -> None:
         self.assertNotIn(request_id, {run for engine in engines for run, _, _ in engine.runs})
 
--- a/tests/processes/platform/test_releases_beside.py
+++ b/tests/processes/platform/test_releases_beside.py
@@ -11,12 +11,14 @@
 import tempfile
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from tests.processes.child import ROOT
 from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import WORDS, Deployment, RoleProcess
 from tests.processes.platform.stand_ins import EngineStandIn
+from tests.processes.platform.streams import CallerStream, versions_of
 
 EARLIER_RELEASE = "b7f3a54ab5a880527ad485e05733e8d222f90791"
 """The last commit before engines' starts had names of their own."""
@@ -189,6 +191,26 @@
             self.serve()
             self.assertEqual(self.faults(), [])
 
+    def test_no_stream_crosses_versions_while_storage_nodes_keep_no_records(self) -> None:
+        """Guards against taking a missing record of an earlier leader for any version."""
+        with Deployment(source=self.earlier, models=4, versions=("v1", "v2")) as deployment:
+            self.begin(deployment)
+            for edge in deployment.edges:
+                self.replace(edge, None)
+            for model in deployment.models:
+                model.event_seconds = 0.12
+            streams = [CallerStream(f"s{number}", "/turn/x", f"p{number}") for number in range(8)]
+            with ThreadPoolExecutor(len(streams)) as callers:
+                list(callers.map(lambda stream: stream.begin(deployment, 0), streams))
+            elsewhere, here = streams[:4], streams[4:]
+            for stream in elsewhere:
+                self.assertEqual(stream.resume(deployment, 1).status, 503)
+            for stream in here:
+                self.assertEqual(stream.resume(deployment, 0).status, OK)
+            for stream in streams:
+                self.assertEqual(len(versions_of(stream, deployment.models)), 1, stream.name)
+            self.assertEqual(self.faults(), [])
+
     def depose_earlier(self) -> None:
         """Kill each storage node of the earlier release; those of the present one go on."""
         for process in self.deployment.storage:
