--- a/src/yokeline/forwarding/engine_sender.py
+++ b/src/yokeline/forwarding/engine_sender.py
@@ -31,6 +31,7 @@
         state, engine = self._state, choice.state
         exchange.phase = Phase.SENT
         exchange.engine = engine
+        exchange.is_version_uncertain = False
         exchange.sends += 1
         if not engine.is_preferred:
             state.outcomes.counters["yokeline_forwarding_sends_beyond_subset_total"] += 1
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -55,6 +55,9 @@
     ASKED = "asked"
     """The ledger is asked."""
     KNOWN = "known"
+    """This node or the ledger knows that the caller's tenant began the stream, and where."""
+    ASSUMED = "assumed"
+    """Only one version serves; the stream itself is not known."""
     UNKNOWN = "unknown"
     """It cannot be known: the stream is not continued."""
 
@@ -91,6 +94,8 @@
         response_head: Head of the response, held back until the first event.
         allowed_versions: Software versions of engines that may continue the stream; None for a
             stream without an event, and empty if it is not known which version began it.
+        is_version_uncertain: Whether the engine that has the request may have restarted with
+            another version before it got it.
         stream_origin: Whether the version that began a resumed stream is known.
         stream_lookups: How often the ledger was asked for it and had no record.
         last_event_id: Id of the last event sent to the caller.
@@ -142,6 +147,7 @@
     engine_request_id: RequestId | None = None
     response_head: HttpResponse | None = None
     allowed_versions: frozenset[str] | None = None
+    is_version_uncertain: bool = False
     stream_origin: StreamOrigin = StreamOrigin.UNRESOLVED
     stream_lookups: int = 0
     last_event_id: str = ""
@@ -180,13 +186,21 @@
 
     @property
     def continues_stream(self) -> bool:
-        """Whether the caller resumes a stream that an earlier attempt of its own began."""
+        """Whether the caller says that it resumes a stream."""
         return self.route.is_resumable_stream and bool(self.call.last_event_id)
 
+    @property
+    def continues_known_stream(self) -> bool:
+        """Whether the request resumes a stream that its tenant is known to have begun.
+
+        A caller's word alone must not exempt a first turn from its tenant's share.
+        """
+        return self.stream_origin is StreamOrigin.KNOWN
+
     @property
     def is_first_turn(self) -> bool:
         """Whether the request is the first turn of a program and no event of it was relayed."""
-        if self.route.kind is not RouteKind.STREAMING or self.continues_stream:
+        if self.route.kind is not RouteKind.STREAMING or self.continues_known_stream:
             return False
         return bool(self.call.program) and not self.program_started and not self.relayed_events
 
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -296,6 +296,7 @@
             engine = exchange.engine
             if engine is None or engine.engine.engine_id != engine_id:
                 continue
+            exchange.is_version_uncertain = exchange.sent_at >= since
             if exchange.first_event_at is not None and exchange.first_event_at >= since:
                 exchange.allowed_versions = frozenset()
 
--- a/src/yokeline/forwarding/queue_admission.py
+++ b/src/yokeline/forwarding/queue_admission.py
@@ -181,7 +181,7 @@
 
 def would_lose_work(exchange: Exchange) -> bool:
     """Return whether a refusal loses work that the request's program has done."""
-    if exchange.program_started or exchange.continues_stream:
+    if exchange.program_started or exchange.continues_known_stream:
         return True
     return continues_program(exchange.route, exchange.call)
 
--- a/src/yokeline/forwarding/stream_versions.py
+++ b/src/yokeline/forwarding/stream_versions.py
@@ -97,9 +97,10 @@
         if exchange.allowed_versions is not None or exchange.engine is None:
             return
         engine = exchange.engine.engine
-        exchange.allowed_versions = frozenset((engine.version,))
+        version = None if exchange.is_version_uncertain else engine.version
+        exchange.allowed_versions = _versions_of(version)
         stream = BegunStream(
-            version=engine.version,
+            version=version,
             pool=exchange.pool,
             engine_id=engine.engine_id,
             began_at=self._state.now,
@@ -238,13 +239,18 @@
         age: float | None = None,
     ) -> None:
         """Bind a stream to a version, or to none if it is not known; log who knew it."""
-        is_known = version is not None
-        exchange.stream_origin = StreamOrigin.KNOWN if is_known else StreamOrigin.UNKNOWN
-        exchange.allowed_versions = frozenset((version,)) if version is not None else frozenset()
+        exchange.allowed_versions = _versions_of(version)
+        if version is None:
+            exchange.stream_origin = StreamOrigin.UNKNOWN
+        elif source is VersionSource.SOLE_VERSION:
+            exchange.stream_origin = StreamOrigin.ASSUMED
+        else:
+            exchange.stream_origin = StreamOrigin.KNOWN
         if source is not VersionSource.SOLE_VERSION:
             self._state.version_restriction.is_active = True
         outcomes = self._state.outcomes
-        labels = f'version_source="{source.value if is_known else VersionSource.UNKNOWN.value}"'
+        counted = source if version is not None else VersionSource.UNKNOWN
+        labels = f'version_source="{counted.value}"'
         outcomes.counters[f"yokeline_forwarding_streams_resumed_total{{{labels}}}"] += 1
         outcomes.log(
             "stream_resumed",
@@ -259,6 +265,11 @@
         )
 
 
+def _versions_of(version: str | None) -> frozenset[str]:
+    """Return the versions that may continue a stream: none if its own is not known."""
+    return frozenset() if version is None else frozenset((version,))
+
+
 def _zero_age(_now: float) -> float:
     """Return the age of a view that is always current."""
     return 0.0
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -234,6 +234,18 @@
             self.played.wait(0.06)
         self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
 
+    def test_only_a_stream_that_is_known_is_exempt_from_the_rules_of_first_turns(self) -> None:
+        """Guards against callers that skip their tenant's share by naming a stream."""
+        resume(self.played, "elsewhere")
+        self.played.ledger_answers(Granted(stream=RecordedStream("v1", 0.02)))
+        (known,) = self.played.forwarder._state.exchanges.values()
+        self.assertFalse(known.is_first_turn)
+        one_version = Played(engines_per_pool=ENGINES)
+        resume(one_version, "invented")
+        one_version.ledger_answers(Granted())
+        (invented,) = one_version.forwarder._state.exchanges.values()
+        self.assertTrue(invented.is_first_turn)
+
     def test_a_route_without_resumption_is_bound_to_no_version(self) -> None:
         self.played.turn("/once/x")
         self.played.ledger_answers(Granted())
@@ -282,6 +294,15 @@
         self.played.engine_breaks(fresh=True)
         self.assertEqual(len(self.played.sent), 1)
 
+    def test_an_event_after_the_news_may_be_of_either_start(self) -> None:
+        """Guards against recording the version of the start that the request was meant for."""
+        self.write("i-0", self.entry(version="v1"))
+        self.played.request("/turn/x")
+        self.write("i-0", self.entry(version="v2"))
+        self.played.engine_begins()
+        self.played.engine_sends(1)
+        self.assertEqual([row.version for row in records(self.played)], [None])
+
     def test_an_older_stream_stays_bound_to_the_earlier_start(self) -> None:
         self.write("i-0", self.entry(version="v1"))
         self.write("i-1", self.entry(1, version="v1"))
