Refuse a stream without a record at a node that has just started, if versions were mixed

A node that restarted just after the last engines of a version had left saw one version only, took it for that of any stream without a record, and continued one whose record had died with the node that began it: two versions in one stream.

A reservation in a pool of several versions now says so, before its stream begins; the ledger answers a lookup without a record with that, and a node believes its single version only if it has known the pool for 10 s.

--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -94,6 +94,8 @@
         response_head: Head of the response, held back until the first event.
         allowed_versions: Software versions of engines that may continue the stream; None for a
             stream without an event, and empty if it is not known which version began it.
+        has_mixed_versions: Whether its stream may be resumed, and its pool had engines of several
+            versions when it arrived.
         is_version_uncertain: Whether the engine that has the request may have restarted with
             another version before it got it.
         stream_origin: Whether the version that began a resumed stream is known.
@@ -147,6 +149,7 @@
     engine_request_id: RequestId | None = None
     response_head: HttpResponse | None = None
     allowed_versions: frozenset[str] | None = None
+    has_mixed_versions: bool = False
     is_version_uncertain: bool = False
     stream_origin: StreamOrigin = StreamOrigin.UNRESOLVED
     stream_lookups: int = 0
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -9,8 +9,6 @@
 
 from collections.abc import Callable
 
-from msgspec import UNSET
-
 from yokeline.effects import Effect
 from yokeline.forwarding.exchange import Exchange, HistorySource, Phase, StreamOrigin
 from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
@@ -150,7 +148,7 @@
             exchange.cached_context = result.context
             for turn in result.turns:
                 self._turn_cache.put(turn)
-            self._streams.resolve_by_record(exchange, result.stream, has_answered=True)
+            self._streams.resolve_by_record(exchange, result)
             self._continue_granted(exchange)
         elif isinstance(result, BudgetSpent):
             self._responder.refuse(exchange, PAYMENT_REQUIRED, "budget_spent", spent=result.spent)
@@ -165,7 +163,7 @@
                 exchange, NOT_FOUND, "no_such_turn", turn=exchange.call.previous_turn
             )
         elif not needs_ledger(exchange):
-            self._streams.resolve_by_record(exchange, UNSET, has_answered=False)
+            self._streams.resolve_by_record(exchange, None)
             self._continue_granted(exchange)
         else:
             exchange.has_reservation = exchange.call.budget is not None
--- a/src/yokeline/forwarding/stream_versions.py
+++ b/src/yokeline/forwarding/stream_versions.py
@@ -20,7 +20,7 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.turn_operations import needs_ledger
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.operations import OperationResult, RecordedStream, Reserve, StreamVersion
+from yokeline.ledger.operations import Granted, OperationResult, Reserve, StreamVersion
 from yokeline.scheduling.engine_versions import PoolVersions
 
 NO_ENGINE_OF_VERSION = "no_engine_of_version"
@@ -189,9 +189,13 @@
     def resolve_locally(self, exchange: Exchange) -> None:
         """Bind a resumed stream if this node knows its version, or let the ledger be asked.
 
+        New streams are only marked if several versions may begin them.
+
         The question is part of a turn's reservation. A request without one is spared it if no other
         version can have begun the stream.
         """
+        if exchange.route.is_resumable_stream:
+            exchange.has_mixed_versions = self._observe(exchange.pool).are_several
         if not exchange.continues_stream or exchange.stream_origin is not StreamOrigin.UNRESOLVED:
             return
         known = self._streams.get(exchange.names.resumed_turn)
@@ -199,37 +203,41 @@
             age = self._state.now - known.began_at
             self._bind(exchange, known.version, VersionSource.NODE, age)
             return
-        pool = self._observe(exchange.pool)
-        is_certain = pool.is_settled(self._state.now) and self._has_recent_view()
-        if pool.sole is not None and is_certain and not needs_ledger(exchange):
-            self._bind(exchange, pool.sole, VersionSource.SOLE_VERSION)
+        sole = self._certain_sole_version(exchange.pool)
+        if sole is not None and not needs_ledger(exchange):
+            self._bind(exchange, sole, VersionSource.SOLE_VERSION)
             return
         exchange.stream_origin = StreamOrigin.ASKED
 
-    def resolve_by_record(
-        self, exchange: Exchange, record: RecordedStream | UnsetType, *, has_answered: bool
-    ) -> None:
+    def resolve_by_record(self, exchange: Exchange, answer: Granted | None) -> None:
         """Bind a resumed stream by the ledger's answer, unless it is to be asked again.
 
-        The record may be on its way. Without any answer, an outdated view of the engines does not
-        show that only one version serves.
+        The record may be on its way. If the ledger does not answer, or says that several versions
+        have served, the only version in a view that is new or old need not have begun the stream.
         """
         if exchange.stream_origin is not StreamOrigin.ASKED:
             return
-        if not isinstance(record, UnsetType):
+        if answer is not None and not isinstance(answer.stream, UnsetType):
+            record = answer.stream
             self._bind(exchange, record.version, VersionSource.LEDGER, record.age)
             return
-        sole = self._observe(exchange.pool).sole
-        if sole is not None and (has_answered or self._has_recent_view()):
+        sole = self._certain_sole_version(exchange.pool)
+        if answer is not None and answer.has_mixed_versions is not True:
+            sole = self._observe(exchange.pool).sole
+        if sole is not None:
             self._bind(exchange, sole, VersionSource.SOLE_VERSION)
             return
         exchange.stream_lookups += 1
-        may_come = has_answered and bool(exchange.names.resumed_turn)
+        may_come = answer is not None and bool(exchange.names.resumed_turn)
         if not may_come or exchange.stream_lookups >= MAX_LOOKUPS:
             self._bind(exchange, None, VersionSource.UNKNOWN)
 
-    def _has_recent_view(self) -> bool:
-        return self.view_age(self._state.now) <= MAX_VIEW_AGE_SECONDS
+    def _certain_sole_version(self, pool: str) -> str | None:
+        """Return the only version that can have begun a stream of late; None if not certain."""
+        versions = self._observe(pool)
+        has_recent_view = self.view_age(self._state.now) <= MAX_VIEW_AGE_SECONDS
+        is_certain = has_recent_view and versions.is_settled(self._state.now)
+        return versions.sole if is_certain else None
 
     def _bind(
         self,
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -35,6 +35,7 @@
         if exchange.limit is not None and not exchange.program_started
         else None,
         resumes=_stream_lookup_of(exchange),
+        streams=() if exchange.has_mixed_versions else UNSET,
     )
 
 
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -79,7 +79,8 @@
         kind: Kind of program: the name of the request's route; empty if unknown.
         left: Seconds until the program's deadline; None if it has none.
         resumes: Name of the request whose stream this one resumes; unset for none.
-        streams: Streams to record, of this node; unset for none.
+        streams: Streams to record, of this node; empty if there is none, but several versions serve
+            in the pool of the request, and unset otherwise.
     """
 
     request_id: str
@@ -165,12 +166,15 @@
         turns: The turns requested with ``missing_from``, the oldest first.
         context: Where the session's last turn was generated, or else the program's last turn.
         stream: The stream that the request resumes; unset if it has no record.
+        has_mixed_versions: Set if it has no record, and nodes have said of late that engines of
+            several versions serve.
     """
 
     spent: int = 0
     turns: tuple[KeptTurn, ...] = ()
     context: CachedContext | None = None
     stream: RecordedStream | UnsetType = UNSET
+    has_mixed_versions: bool | UnsetType = UNSET
 
 
 class BudgetSpent(msgspec.Struct, frozen=True, kw_only=True, tag="budget_spent"):
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -145,8 +145,11 @@
     """The replicated state, also its snapshot form.
 
     Attributes:
-        streams: Versions that began streams, while a pool has engines of several versions. Replicas
-            of an earlier release do not have them, so no other state may depend on them.
+        streams: Versions that began streams, while a pool has engines of several versions.
+        mixed_until: Ledger time until which several versions may have begun streams.
+
+    Replicas of an earlier release do not have the last two fields, so no other state may depend on
+    them.
     """
 
     time: float = 0.0
@@ -155,6 +158,7 @@
     turns: dict[str, StoredTurn] = {}
     quotas: TenantQuotas = msgspec.field(default_factory=TenantQuotas)
     streams: dict[str, StoredStream] = {}
+    mixed_until: float = 0.0
 
     def transition_apply(self, command: LedgerCommand) -> tuple[OperationResult, ...]:
         """Apply a command and return a result for each of its operations."""
@@ -220,8 +224,15 @@
             turns=self.chain(operation.missing_from),
             context=program.context_of(operation.session),
             stream=self._recorded_stream(operation),
+            has_mixed_versions=self._has_mixed_versions(operation),
         )
 
+    def _has_mixed_versions(self, operation: Reserve) -> bool | UnsetType:
+        """Return True if the stream that a request resumes may have begun at any of several."""
+        is_asked = not isinstance(operation.resumes, UnsetType)
+        is_found = is_asked and not isinstance(self._recorded_stream(operation), UnsetType)
+        return True if is_asked and not is_found and self.time <= self.mixed_until else UNSET
+
     def _recorded_stream(self, operation: Reserve) -> RecordedStream | UnsetType:
         """Return what is known of the stream that a request resumes."""
         if isinstance(operation.resumes, UnsetType):
@@ -231,9 +242,16 @@
             return UNSET
         return RecordedStream(stored.version, round(max(0.0, self.time - stored.recorded), 3))
 
-    def transition_record_stream(self, stream: StreamVersion) -> None:
+    def transition_record_streams(self, streams: tuple[StreamVersion, ...]) -> None:
+        """Record that several versions serve, and the versions that began streams."""
+        self.mixed_until = max(self.mixed_until, self.time + EXPIRY_SLACK_SECONDS)
+        for stream in streams:
+            self._record_stream(stream)
+
+    def _record_stream(self, stream: StreamVersion) -> None:
         """Record the version that began a stream; a second, different one makes it unknown."""
         expires = self.time + stream.seconds + EXPIRY_SLACK_SECONDS
+        self.mixed_until = max(self.mixed_until, expires)
         stored = self.streams.setdefault(
             stream.stream, StoredStream(version=stream.version, recorded=self.time, expires=expires)
         )
@@ -244,14 +262,15 @@
     def transition_reserve(self, operation: Reserve) -> OperationResult:
         """Reserve a turn's tokens, unless it exceeds the budget or continues an unknown turn."""
         if not isinstance(operation.streams, UnsetType):
-            for begun in operation.streams:
-                self.transition_record_stream(begun)
+            self.transition_record_streams(operation.streams)
         if operation.previous and operation.previous not in self.turns:
             return NoSuchTurn(turn_id=operation.previous)
         turns = self.chain(operation.missing_from)
         if not operation.program:
             return self._draw(operation) or Granted(
-                turns=turns, stream=self._recorded_stream(operation)
+                turns=turns,
+                stream=self._recorded_stream(operation),
+                has_mixed_versions=self._has_mixed_versions(operation),
             )
         program = self.programs.setdefault(operation.program, Program())
         self._extend_expiry(program, operation.retention)
@@ -268,9 +287,13 @@
             program.tenant = operation.limit.tenant
             program.kind = program.kind or operation.kind
             program.note_request(self.quotas.time)
-        context = program.context_of(operation.session)
-        stream = self._recorded_stream(operation)
-        return Granted(spent=spent, turns=turns, context=context, stream=stream)
+        return Granted(
+            spent=spent,
+            turns=turns,
+            context=program.context_of(operation.session),
+            stream=self._recorded_stream(operation),
+            has_mixed_versions=self._has_mixed_versions(operation),
+        )
 
     def _draw(self, operation: Reserve) -> QuotaSpent | None:
         """Count a turn against its tenant's limit; return the refusal if it is exhausted."""
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -155,9 +155,9 @@
 
     # ------------------------------------------------------------ callers
 
-    def request(self, path: str, body: bytes = b"", **headers: str) -> str:
+    def request(self, path: str, body: bytes = b"", *, request_id: str = "", **headers: str) -> str:
         """Let a request arrive; return its id."""
-        request_id = f"id{next(self._numbers)}"
+        request_id = request_id or f"id{next(self._numbers)}"
         fields = {
             "host": HOST,
             "x-yokeline-request-id": request_id,
@@ -182,11 +182,15 @@
         usual = {"program_id": "p", "token_budget": "1000", "token_usage": "100,50"}
         return self.request(path, body, **{**usual, **headers})
 
-    def resume_turn(self, path: str, fields: dict[str, str], *, budget: bool = True) -> str:
+    def resume_turn(
+        self, path: str, fields: dict[str, str], *, budget: bool = True, request_id: str = ""
+    ) -> str:
         """Let a caller resume a stream with plain header fields; return the request's id."""
         self._plain_fields = fields
         try:
-            return self.turn(path) if budget else self.request(path)
+            if budget:
+                return self.turn(path, request_id=request_id)
+            return self.request(path, request_id=request_id)
         finally:
             self._plain_fields = {}
 
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -81,6 +81,21 @@
         self.played.ledger_answers(Granted())
         self.assertEqual(len(self.played.sent), 1)
 
+    def test_a_node_that_has_just_started_believes_the_ledger_that_versions_were_mixed(
+        self,
+    ) -> None:
+        """Guards against a stream of a version that left while the node was down."""
+        resume(self.played, "elsewhere")
+        for _ in range(MAX_LOOKUPS):
+            self.played.ledger_answers(Granted(has_mixed_versions=True))
+            self.played.wait(0.06)
+        self.assertEqual(self.played.sent, [])
+        self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
+        self.played.wait(VERSION_MEMORY_SECONDS)
+        resume(self.played, "elsewhere")
+        self.played.ledger_answers(Granted(has_mixed_versions=True))
+        self.assertEqual(len(self.played.sent), 1)
+
     def test_a_stream_without_a_budget_asks_only_while_the_view_is_new_or_old(self) -> None:
         resume(self.played, "elsewhere", budget=False)
         self.assertEqual(len(self.played.asked), 1)
@@ -115,6 +130,12 @@
         self.played.engine_sends(1)
         return request_id
 
+    def test_a_reservation_says_that_several_versions_serve(self) -> None:
+        self.begin()
+        reserve = self.played.operations()[0]
+        assert isinstance(reserve, Reserve)
+        self.assertEqual(reserve.streams, ())
+
     def test_a_stream_is_recorded_once_at_its_first_event(self) -> None:
         request_id = self.begin()
         self.played.engine_sends(2)
--- a/tests/unit/ledger/test_recorded_streams.py
+++ b/tests/unit/ledger/test_recorded_streams.py
@@ -78,6 +78,20 @@
         self.record("v1")
         self.assertEqual(self.look_up(), RecordedStream("v1", 0.0))
 
+    def test_a_missing_record_tells_whether_several_versions_have_served(self) -> None:
+        lookup = Reserve(request_id="b", program="p", budget=10, tokens=5, resumes="a")
+        self.assertEqual(self.apply(lookup), Granted())
+        self.apply(Reserve(request_id="c", program="p", budget=10, tokens=5, streams=()))
+        known = self.state.known_result(lookup)
+        assert isinstance(known, Granted)
+        self.assertIs(known.has_mixed_versions, True)
+        self.record("v1")
+        found = self.state.known_result(lookup)
+        assert isinstance(found, Granted)
+        self.assertIs(found.has_mixed_versions, UNSET)
+        late = self.apply(Reserve(request_id="d", resumes="x"), after=60.0)
+        self.assertEqual(late, Granted())
+
     def test_a_record_lasts_as_long_as_its_caller_and_then_expires(self) -> None:
         self.record("v1")
         self.assertIsInstance(self.look_up(after=SECONDS + EXPIRY_SLACK_SECONDS), RecordedStream)
