Wait for the version of a resumed stream also after its history has come

A resumed turn whose history was fetched from a replica went on as soon as the history arrived, while the ledger was still being asked which version had begun its stream: it was sent to any engine.

A lookup without a name now asks as well whether versions are mixed.

--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -120,7 +120,7 @@
             return
         missing_from = self._turn_cache.missing_from(exchange.names.previous_turn)
         exchange.history_source = HistorySource.LEADER if missing_from else HistorySource.REPLICA
-        if not exchange.granted_at:
+        if not exchange.granted_at or exchange.stream_origin is StreamOrigin.ASKED:
             return
         if missing_from:
             self._ask_leader_for_history(exchange, missing_from)
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -45,9 +45,11 @@
 
 
 def _stream_lookup_of(exchange: Exchange) -> str | UnsetType:
-    """Return the name of the stream whose version the ledger is asked for, if any."""
-    name = exchange.names.resumed_turn
-    return name if exchange.stream_origin is StreamOrigin.ASKED and name else UNSET
+    """Return the name of the stream whose version the ledger is asked for, if it is asked.
+
+    Empty if the caller names none: the ledger then tells only whether versions are mixed.
+    """
+    return exchange.names.resumed_turn if exchange.stream_origin is StreamOrigin.ASKED else UNSET
 
 
 def settlement_of(exchange: Exchange, tokens: int, turn: KeptTurn | None) -> Settle:
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -78,9 +78,10 @@
         limit: The limit against which the turn counts as one request; None for none.
         kind: Kind of program: the name of the request's route; empty if unknown.
         left: Seconds until the program's deadline; None if it has none.
-        resumes: Name of the request whose stream this one resumes; unset for none.
-        streams: Streams to record, of this node; empty if there is none, but several versions serve
-            in the pool of the request, and unset otherwise.
+        resumes: Name of the request whose stream this one resumes; empty if the caller names none,
+            and unset if it resumes no stream.
+        streams: Streams to record. Empty if there is none but the pool has engines of several
+            versions; unset otherwise.
     """
 
     request_id: str
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -27,7 +27,7 @@
 UNAVAILABLE = 503
 REFUSALS_BORNE = 200
 REFUSAL_PAUSE_SECONDS = 0.1
-MOST_ATTEMPTS = {"/turn/": 1, "/pair/": 2, "/kept/": 1, "/fix/": 1, "/look/": 2}
+MOST_ATTEMPTS = {"/turn/": 1, "/pair/": 2, "/kept/": 1, "/line/": 1, "/fix/": 1, "/look/": 2}
 """Most engines that one request may be sent to, by the prefix of its route."""
 WORDS = "".join(f"word{number}\n" for number in range(1, 6)).encode()
 
@@ -277,6 +277,7 @@
             {**turn, "name": "turn", "path-prefix": "/turn/"},
             {**turn, "name": "pair", "path-prefix": "/pair/"},
             {**kept, "name": "kept", "path-prefix": "/kept/"},
+            {**kept, "name": "line", "path-prefix": "/line/", "resumable": True},
             {**fix, "name": "fix", "path-prefix": fix_prefix},
             {**look, "name": "look", "path-prefix": "/look/"},
         ]
--- a/tests/processes/platform/streams.py
+++ b/tests/processes/platform/streams.py
@@ -42,11 +42,13 @@
         attempts: Request ids, the oldest first.
         event_ids: Ids of the events that the caller has.
         program: Its program with a budget; empty for a stream without one.
+        previous: The turn that it continues; empty for none.
     """
 
     name: str
     path: str
     program: str = ""
+    previous: str = ""
     key: str = ""
     attempts: list[str] = field(default_factory=list)
     event_ids: list[int] = field(default_factory=list)
@@ -79,6 +81,8 @@
         if self.program:
             fields["X-Yokeline-Program-Id"] = self.program
             fields["X-Yokeline-Token-Budget"] = str(STREAM_BUDGET)
+        if self.previous:
+            fields["X-Yokeline-Previous-Turn"] = self.previous
         if self.key:
             fields["Authorization"] = f"Bearer {self.key}"
         if self.event_ids:
--- a/tests/processes/platform/test_engine_versions.py
+++ b/tests/processes/platform/test_engine_versions.py
@@ -84,6 +84,22 @@
             together(_resume(deployment, 1), streams)
             self.check("all nodes were killed", streams, deployment, whole=STREAMS // 2)
 
+    def test_a_turn_whose_history_is_fetched_stays_at_its_version(self) -> None:
+        """Guards against a resumed turn that was sent as soon as its history had come."""
+        with two_versions() as deployment:
+            programs = [f"p{number}" for number in range(STREAMS)]
+            first = [CallerStream(f"first-{name}", "/line/x", name) for name in programs]
+            together(lambda stream: stream.begin(deployment, 0, events=EVENTS + 1), first)
+            streams = [
+                CallerStream(f"next-{item.program}", "/line/x", item.program, item.attempts[-1])
+                for item in first
+            ]
+            for model in deployment.models:
+                model.event_seconds = EVENT_SECONDS
+            together(lambda stream: stream.begin(deployment, 0), streams)
+            together(_resume(deployment, 1), streams)
+            self.check("history fetched", streams, deployment, whole=STREAMS)
+
     def test_an_answer_that_goes_on_at_another_engine_keeps_its_version(self) -> None:
         with two_versions() as deployment:
             streams = []
--- a/tests/property/test_stream_versions.py
+++ b/tests/property/test_stream_versions.py
@@ -92,7 +92,7 @@
         self.nodes[node].resume_turn(
             ("/turn/x", "/single/x")[stream.number % 2],
             fields if stream.origin else {},
-            request_id=stream.attempt,
+            own_id=stream.attempt,
         )
 
     def sent(self, stream: Stream) -> HttpRequest | None:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -15,7 +15,7 @@
 MOST_TOKENS = 50
 OK = 200
 NOT_FOUND = 404
-REPEATABLE = ("/turn/", "/pair/", "/look/")
+REPEATABLE = ("/turn/", "/pair/", "/line/", "/look/")
 """Routes whose requests may run more than once."""
 CALLS = ("/fix/", "/look/")
 """Routes of the app, whose answers come whole."""
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -31,7 +31,7 @@
 
 
 class VersionOperator(Operator):
-    """Replaces the model engines one after the other, by one version and then back by the other."""
+    """Replaces one model engine after the other by an engine of either version."""
 
     name = "versions"
     longest_pause_seconds = 4.0
@@ -135,9 +135,10 @@
             self._stop.wait(self._random.uniform(0.0, 0.2))
 
     def _play_stream(self, name: str) -> None:
-        path = self._random.choice(("/turn/x", "/pair/x"))
-        program = f"{name}-p" if self._random.random() < 0.7 else ""
-        stream = CallerStream(name, path, program, self._tenant.keys[0])
+        path = self._random.choice(("/turn/x", "/pair/x", "/line/x"))
+        has_program = path == "/line/x" or self._random.random() < 0.7
+        program = f"{name}-p" if has_program else ""
+        stream = CallerStream(name, path, program, key=self._tenant.keys[0])
         answer = self._attempt(stream, self._random.randint(1, 3))
         seen = list(answer.versions)
         self._streams.count("begun")
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -83,6 +83,7 @@
         route("/single/", RouteKind.STREAMING, "models", resumable=True, max_attempts=1),
         route("/once/", RouteKind.STREAMING, "models"),
         route("/kept/", RouteKind.STREAMING, "models", retain=True),
+        route("/line/", RouteKind.STREAMING, "models", retain=True, resumable=True),
         route("/look/", RouteKind.IDEMPOTENT, "apps", timeout=1.2, max_attempts=1),
         route("/look-twice/", RouteKind.IDEMPOTENT, "apps", timeout=1.2, max_attempts=2),
         route("/fix/", RouteKind.NON_IDEMPOTENT, "apps", timeout=2.0),
@@ -155,9 +156,9 @@
 
     # ------------------------------------------------------------ callers
 
-    def request(self, path: str, body: bytes = b"", *, request_id: str = "", **headers: str) -> str:
+    def request(self, path: str, body: bytes = b"", *, own_id: str = "", **headers: str) -> str:
         """Let a request arrive; return its id."""
-        request_id = request_id or f"id{next(self._numbers)}"
+        request_id = own_id or f"id{next(self._numbers)}"
         fields = {
             "host": HOST,
             "x-yokeline-request-id": request_id,
@@ -183,14 +184,14 @@
         return self.request(path, body, **{**usual, **headers})
 
     def resume_turn(
-        self, path: str, fields: dict[str, str], *, budget: bool = True, request_id: str = ""
+        self, path: str, fields: dict[str, str], *, budget: bool = True, own_id: str = ""
     ) -> str:
         """Let a caller resume a stream with plain header fields; return the request's id."""
         self._plain_fields = fields
         try:
             if budget:
-                return self.turn(path, request_id=request_id)
-            return self.request(path, request_id=request_id)
+                return self.turn(path, own_id=own_id)
+            return self.request(path, own_id=own_id)
         finally:
             self._plain_fields = {}
 
