Check versions only for streams that have begun

The restriction became active with the first second version and stayed so: every later choice of an engine built a query for each engine although only begun streams are bound. It is now checked where the request itself is bound, and costs other requests nothing, also while versions are mixed.

--- a/src/yokeline/forwarding/engine_choice.py
+++ b/src/yokeline/forwarding/engine_choice.py
@@ -127,7 +127,7 @@
 ) -> EngineChoice | None:
     """Return the eligible engine with the least cost; None if none has capacity."""
     best: EngineChoice | None = None
-    is_restricted = inputs.eligibility.is_active
+    is_restricted = inputs.eligibility.is_active or inputs.allowed_versions is not None
     left_out: Counter[Ineligibility] = Counter()
     median_call_seconds = _median_call_seconds(engines) if inputs.model is None else 0.0
     registered_share = sum(not state.expires_at for state in engines) / max(1, len(engines))
@@ -154,6 +154,9 @@
     state: EngineState, prefix_cache: PrefixCacheIndex, inputs: ChoiceInputs, now: float
 ) -> Ineligibility | None:
     """Return why a request may not be sent to an engine now; None if it may."""
+    versions = inputs.allowed_versions
+    if versions is not None and state.engine.version not in versions:
+        return Ineligibility.OTHER_VERSION
     query = EngineQuery(
         engine_id=state.engine.engine_id,
         zone=state.engine.zone,
@@ -161,8 +164,6 @@
         is_new_program=inputs.is_new_program,
         cached_tokens=_cached_tokens(state, prefix_cache, inputs),
         allowed_regions=inputs.allowed_regions,
-        version=state.engine.version,
-        allowed_versions=inputs.allowed_versions,
     )
     return inputs.eligibility.check(query, now)
 
--- a/src/yokeline/forwarding/node_state.py
+++ b/src/yokeline/forwarding/node_state.py
@@ -15,7 +15,6 @@
 from yokeline.histogram import Histogram
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.scheduling.eligibility import EligibilityPolicy
-from yokeline.scheduling.engine_versions import VersionRestriction
 from yokeline.timers import TimerQueue
 
 PREDICTION_ERROR_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.7, 1.0, 2.0)
@@ -30,8 +29,7 @@
         table: The configuration in force; None before the first one.
         exchanges: Requests without a final answer, by exchange id.
         by_engine_request: Requests at an engine, by the id of the request sent to it.
-        version_restriction: Keeps begun streams at the software version that began them.
-        eligibility: That and the other restrictions on the engines that a request may be sent to.
+        eligibility: Restrictions on the engines that a request may be sent to.
         residency: The regions of requests.
         waiting: Queues of requests that wait for an engine, by pool.
         fair_shares: The tenants whose first turns are held back.
@@ -55,11 +53,9 @@
         self.table: RoutingTable | None = None
         self.engines = engines
         self.outcomes = outcomes
-        self.version_restriction = VersionRestriction()
-        # First, since no wait changes a version: it is then the cause.
-        self.eligibility = eligibility.including(self.version_restriction)
+        self.eligibility = eligibility
         self.residency = residency
-        self.placement = Placement(zone, engines, self.eligibility)
+        self.placement = Placement(zone, engines, eligibility)
         self.exchanges: dict[ExchangeId, Exchange] = {}
         self.by_engine_request: dict[RequestId, Exchange] = {}
         self.waiting: dict[str, WaitQueue] = {}
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -115,7 +115,7 @@
 
     def has_no_eligible_engine(self, exchange: Exchange, pool: Pool, now: float) -> bool:
         """Return whether no engine of a pool can become eligible for a request while it waits."""
-        if not self.eligibility.is_active:
+        if not self.eligibility.is_active and exchange.allowed_versions is None:
             return False
         if exchange.allowed_regions is not None and not exchange.allowed_regions:
             return True
--- a/src/yokeline/forwarding/stream_versions.py
+++ b/src/yokeline/forwarding/stream_versions.py
@@ -144,7 +144,6 @@
         had_several = versions.are_several
         versions.observe(self._state.engines.versions_in_pool(pool), self._state.now)
         if versions.are_several and not had_several:
-            self._state.version_restriction.is_active = True
             self._record(self._unrecorded(pool))
         return versions
 
@@ -254,8 +253,6 @@
             exchange.stream_origin = StreamOrigin.ASSUMED
         else:
             exchange.stream_origin = StreamOrigin.KNOWN
-        if source is not VersionSource.SOLE_VERSION:
-            self._state.version_restriction.is_active = True
         outcomes = self._state.outcomes
         counted = source if version is not None else VersionSource.UNKNOWN
         labels = f'version_source="{counted.value}"'
--- a/src/yokeline/scheduling/eligibility.py
+++ b/src/yokeline/scheduling/eligibility.py
@@ -1,9 +1,8 @@
 """Whether a request may be sent to an engine now, apart from the engine's load and cost.
 
 Each restriction answers one failure: an evacuated zone must get no new work, a cold engine fails
-above a rate, a request may be bound to regions, and a stream to the software version that began it.
-Every choice of an engine asks the policy of its node, so that retries and queued requests obey the
-same restrictions as first sends.
+above a rate, and a request may be bound to regions. Every choice of an engine asks the policy of
+its node, so that retries and queued requests obey the same restrictions as first sends.
 """
 
 from __future__ import annotations
@@ -44,8 +43,6 @@
         is_new_program: Whether the request is the first turn of a program.
         cached_tokens: Prompt tokens that the engine has probably cached.
         allowed_regions: Regions that may serve the request; None for all regions.
-        version: Software version of the engine.
-        allowed_versions: Versions that may continue the request's stream; None for all.
     """
 
     engine_id: str
@@ -54,8 +51,6 @@
     is_new_program: bool = False
     cached_tokens: int = 0
     allowed_regions: frozenset[str] | None = None
-    version: str = ""
-    allowed_versions: frozenset[str] | None = None
 
 
 class Restriction(Protocol):
@@ -100,10 +95,6 @@
         """Ask ``restrictions`` in order; the first that leaves an engine out is the cause."""
         self._restrictions = restrictions
 
-    def including(self, first: Restriction) -> EligibilityPolicy:
-        """Return a policy that asks ``first`` before the restrictions of this one."""
-        return EligibilityPolicy((first, *self._restrictions))
-
     @property
     def is_active(self) -> bool:
         """Whether any restriction can leave out an engine; choices skip the check otherwise."""
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -8,15 +8,23 @@
 from msgspec import UNSET
 
 from tests.unit.forwarding.engine_entries_support import NodeWithEntries
-from tests.unit.forwarding.support import Played
-from yokeline.effects import HttpRequest
+from tests.unit.forwarding.support import STORAGE, Played
+from tests.unit.forwarding.test_histories import FOLLOWER
+from yokeline.effects import Address, HttpRequest
+from yokeline.forwarding.engine_choice import ChoiceInputs, choose_engine, ineligibility
+from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.forwarder import RESTART_DETECTION_SECONDS
+from yokeline.forwarding.model import Call, Engine
+from yokeline.forwarding.prefix_cache import PrefixCacheIndex
 from yokeline.forwarding.stream_versions import (
     MAX_LOOKUPS,
     NO_ENGINE_OF_VERSION,
     STREAM_VERSION_UNKNOWN,
 )
-from yokeline.ledger.operations import Granted, RecordedStream, Reserve, StreamVersion
+from yokeline.ledger.history_fetches import NearReplica
+from yokeline.ledger.messages import HistoryAsk, HistoryReply
+from yokeline.ledger.operations import Granted, KeptTurn, RecordedStream, Reserve, StreamVersion
+from yokeline.scheduling.eligibility import Ineligibility
 from yokeline.scheduling.engine_versions import VERSION_MEMORY_SECONDS
 
 ENGINES = 4
@@ -60,6 +68,26 @@
     return played.resume_turn(path, fields, budget=budget)
 
 
+class EnginesOfAStream(unittest.TestCase):
+    def test_a_begun_stream_uses_engines_of_its_version_only(self) -> None:
+        engine = Engine(
+            engine_id="e", pool="models", address=Address("h", 1), zone="a", slots=1, version="v1"
+        )
+        call = Call(request_id="r", deadline=1.0)
+        for allowed, expected in (
+            (None, None),
+            (frozenset({"v1"}), None),
+            (frozenset({"v2"}), Ineligibility.OTHER_VERSION),
+            (frozenset[str](), Ineligibility.OTHER_VERSION),
+        ):
+            inputs = ChoiceInputs(call=call, traits=None, zone="a", allowed_versions=allowed)
+            state = EngineState(engine=engine)
+            self.assertIs(ineligibility(state, PrefixCacheIndex(), inputs, 0.0), expected)
+            choice = choose_engine([state], PrefixCacheIndex(), inputs, 0.0)
+            self.assertEqual(choice is None, expected is not None)
+        self.assertFalse(Ineligibility.OTHER_VERSION.is_temporary)
+
+
 class OneVersion(unittest.TestCase):
     def setUp(self) -> None:
         self.played = Played(engines_per_pool=ENGINES)
@@ -194,6 +222,26 @@
         self.played.ledger_answers(Granted(stream=RecordedStream("v2", 0.01)))
         self.assertEqual(version_at(self.played), "v2")
 
+    def test_a_history_that_arrives_first_does_not_send_a_stream_of_unknown_version(self) -> None:
+        """Guards against a turn that went to any engine while its stream was being looked up."""
+        leader = NearReplica(STORAGE.replica, STORAGE.address, is_near=True)
+        self.played.histories.set_replicas([leader, FOLLOWER])
+        self.begin()
+        turn = KeptTurn(turn_id="t", previous="", text=b"text", retention=60.0)
+        fields = {"last-event-id": "1", "resumes": "elsewhere", "x-yokeline-previous-turn": "t"}
+        self.played.resume_turn("/line/x", fields)
+        self.played.ledger_answers(Granted())
+        sent = len(self.played.sent)
+        question = self.played.peers[-1].message
+        assert isinstance(question, HistoryAsk)
+        reply = HistoryReply(number=question.number, turns=(turn,))
+        self.played.take(self.played.histories.take_reply(reply, self.played.now))
+        self.assertEqual(len(self.played.sent), sent)
+        self.played.wait(0.06)
+        self.played.ledger_answers(Granted(stream=RecordedStream("v2", 0.01)))
+        self.assertEqual(len(self.played.sent), sent + 1)
+        self.assertEqual(version_at(self.played), "v2")
+
     def test_an_unknown_stream_is_refused_soon_as_not_run(self) -> None:
         resume(self.played, "elsewhere")
         for _ in range(MAX_LOOKUPS):
--- a/tests/unit/scheduling/test_engine_versions.py
+++ b/tests/unit/scheduling/test_engine_versions.py
@@ -1,15 +1,10 @@
-"""Which versions a pool has had of late, and which engines a begun stream may use."""
+"""Which versions a pool has had of late."""
 
 from __future__ import annotations
 
 import unittest
 
-from yokeline.scheduling.eligibility import EngineQuery, Ineligibility
-from yokeline.scheduling.engine_versions import (
-    VERSION_MEMORY_SECONDS,
-    PoolVersions,
-    VersionRestriction,
-)
+from yokeline.scheduling.engine_versions import VERSION_MEMORY_SECONDS, PoolVersions
 
 NOW = 100.0
 
@@ -41,17 +36,3 @@
     def test_a_view_is_settled_once_it_is_as_old_as_the_memory(self) -> None:
         self.assertFalse(self.versions.is_settled(NOW + VERSION_MEMORY_SECONDS - 0.1))
         self.assertTrue(self.versions.is_settled(NOW + VERSION_MEMORY_SECONDS))
-
-
-class Engines(unittest.TestCase):
-    def test_a_begun_stream_uses_engines_of_its_version_only(self) -> None:
-        restriction = VersionRestriction()
-        for allowed, expected in (
-            (None, None),
-            (frozenset({"v1"}), None),
-            (frozenset({"v2"}), Ineligibility.OTHER_VERSION),
-            (frozenset(), Ineligibility.OTHER_VERSION),
-        ):
-            query = EngineQuery(engine_id="e", zone="a", version="v1", allowed_versions=allowed)
-            self.assertIs(restriction.check(query, NOW), expected)
-        self.assertFalse(Ineligibility.OTHER_VERSION.is_temporary)
