--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -284,22 +284,12 @@
             and (engine_id in exchange.attempts.engine_ids or self._is_silent(exchange))
         ]
         if changes_version:
-            self._mark_uncertain_streams(engine_id)
+            since = now - RESTART_DETECTION_SECONDS
+            self._streams.mark_uncertain(engine_id, since)
         for exchange in lost:
             self._retries.abort_and_retry(exchange, "engine restarted")
         return len(lost)
 
-    def _mark_uncertain_streams(self, engine_id: str) -> None:
-        since = self._state.now - RESTART_DETECTION_SECONDS
-        self._streams.engine_restarted(engine_id, since)
-        for exchange in self._state.by_engine_request.values():
-            engine = exchange.engine
-            if engine is None or engine.engine.engine_id != engine_id:
-                continue
-            exchange.is_version_uncertain = exchange.sent_at >= since
-            if exchange.first_event_at is not None and exchange.first_event_at >= since:
-                exchange.allowed_versions = frozenset()
-
     def _is_silent(self, exchange: Exchange) -> bool:
         """Return whether a request had no event for as long as restart detection may take."""
         return self._state.now - exchange.last_event_at >= RESTART_DETECTION_SECONDS
--- a/src/yokeline/forwarding/stream_versions.py
+++ b/src/yokeline/forwarding/stream_versions.py
@@ -113,10 +113,11 @@
         if self._observe(exchange.pool).are_several and not stream.is_recorded:
             self._record([(name, stream)])
 
-    def engine_restarted(self, engine_id: str, since: float) -> None:
+    def mark_uncertain(self, engine_id: str, since: float) -> None:
         """Mark streams that an engine began after ``since`` as of unknown version.
 
-        The engine has restarted with another version, and either start may have sent the event.
+        The engine has restarted with another version, and either start may have sent the event, or
+        may still send it.
         """
         uncertain = [
             (name, stream)
@@ -126,6 +127,12 @@
         for _, stream in uncertain:
             stream.version = None
         self._record(uncertain)
+        for exchange in self._state.by_engine_request.values():
+            if exchange.engine is None or exchange.engine.engine.engine_id != engine_id:
+                continue
+            exchange.is_version_uncertain = exchange.sent_at >= since
+            if exchange.first_event_at is not None and exchange.first_event_at >= since:
+                exchange.allowed_versions = frozenset()
 
     def observe_pools(self) -> None:
         """Record the remembered streams of each pool that has got a second version."""
