Let callers return soon when their stream cannot be continued

A stream of unknown version, or without an engine of its version, was refused with 1 to 2 s, as if an operator had to act first. The caller needs no engine of that version for a new stream; it is now told less than half a second. The two tests check it.

--- a/src/yokeline/forwarding/dispatcher.py
+++ b/src/yokeline/forwarding/dispatcher.py
@@ -100,7 +100,10 @@
             time_left=exchange.deadline - self._state.now,
         )
         expected = exchange.room_wait.expected if exchange.room_wait is not None else 0.0
-        if refusal is RoomRefusal.NO_ELIGIBLE_ENGINE:
+        if refusal is RoomRefusal.NO_ELIGIBLE_ENGINE and exchange.allowed_versions is not None:
+            # The caller may begin a new stream, for which other engines are eligible.
+            expected = 0.0
+        elif refusal is RoomRefusal.NO_ELIGIBLE_ENGINE:
             expected = NO_ELIGIBLE_ENGINE_DELAY_SECONDS
         return retry_delay(caller, expected)
 
--- a/src/yokeline/forwarding/outage_delays.py
+++ b/src/yokeline/forwarding/outage_delays.py
@@ -5,7 +5,6 @@
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.queue_admission import would_lose_work
 from yokeline.scheduling.retry_delays import (
-    NO_ELIGIBLE_ENGINE_DELAY_SECONDS,
     RefusedCaller,
     retry_delay,
     retry_delay_after_outage,
@@ -21,9 +20,12 @@
     return retry_delay_after_outage(_refused_caller(exchange, now))
 
 
-def delay_without_engine(exchange: Exchange, now: float) -> float:
-    """Return the delay after a refusal because no engine may serve the request (seconds)."""
-    return retry_delay(_refused_caller(exchange, now), NO_ELIGIBLE_ENGINE_DELAY_SECONDS)
+def delay_before_new_stream(exchange: Exchange, now: float) -> float:
+    """Return the delay after a refusal to continue a stream (seconds).
+
+    It is short: the caller may begin a new stream, for which it need not wait.
+    """
+    return retry_delay(_refused_caller(exchange, now), 0.0)
 
 
 def _refused_caller(exchange: Exchange, now: float) -> RefusedCaller:
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -13,7 +13,7 @@
 from yokeline.forwarding.exchange import Exchange, HistorySource, Phase, StreamOrigin
 from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.outage_delays import delay_after_outage, delay_without_engine
+from yokeline.forwarding.outage_delays import delay_after_outage, delay_before_new_stream
 from yokeline.forwarding.regional_turns import RegionalTurns
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.stream_versions import (
@@ -203,7 +203,7 @@
             exchange,
             UNAVAILABLE,
             STREAM_VERSION_UNKNOWN,
-            retry_after=delay_without_engine(exchange, self._state.now),
+            retry_after=delay_before_new_stream(exchange, self._state.now),
             resumes=exchange.call.resumes,
         )
 
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -249,6 +249,7 @@
             self.played.wait(0.06)
         self.assertEqual(self.played.sent, [])
         self.assertEqual(self.played.replies[-1].status, 503)
+        self.assertLess(float(self.played.replies[-1].headers["retry-after"]), 0.5)
         self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
 
     def test_a_stream_that_names_no_attempt_is_refused_after_one_question(self) -> None:
@@ -279,6 +280,7 @@
             self.played.ledger_answers(Granted(stream=RecordedStream(version, 0.02)))
             self.assertEqual(self.played.sent, [])
             self.assertEqual(self.played.refusal()["error"], NO_ENGINE_OF_VERSION)
+            self.assertLess(float(self.played.replies[-1].headers["retry-after"]), 0.5)
 
     def test_a_stream_waits_for_full_engines_of_its_version_while_others_pass(self) -> None:
         for number in (0, 1):
