Give resumed streams the room of begun work only while versions are mixed

A resumed stream counted as begun work also where one version serves, which changed who waits there. Where all engines are eligible it is now treated as before the change.

--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -194,11 +194,11 @@
 
     @property
     def continues_known_stream(self) -> bool:
-        """Whether the request resumes a stream that its tenant is known to have begun.
+        """Whether the request resumes a begun stream, for which only some engines are eligible.
 
         A caller's word alone must not exempt a first turn from its tenant's share.
         """
-        return self.stream_origin is StreamOrigin.KNOWN
+        return self.has_mixed_versions and self.stream_origin is StreamOrigin.KNOWN
 
     @property
     def is_first_turn(self) -> bool:
