Log how streams are framed and what is left over at their end

Neither logs nor metrics could tell a stream that ended inside an event from a whole one, nor an answer with chunks from one that ends with its connection. request_ended of a stream now has framing, unfinished_bytes and caller_framing, engine_connection_failed has framing, and a counter has both by framing and end. No decision changes.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -43,6 +43,17 @@
     response that is no event stream comes as one :class:`HttpResponse`."""
 
 
+class BodyFraming(enum.Enum):
+    """How the end of an HTTP body is marked (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    """By the Content-Length field."""
+    CHUNKED = "chunked"
+    """By the last chunk."""
+    CLOSE = "close"
+    """By the end of the connection, which does not show that the body is whole."""
+
+
 # ---------------------------------------------------------------- events in
 
 
@@ -60,6 +71,7 @@
         too_large: The body was over the limit and has been dropped.
         target: The request target exactly as it was received.
         header_items: All header fields in their order, names in lower case.
+        stream_framing: How a streamed answer to this caller ends.
     """
 
     exchange: ExchangeId
@@ -71,6 +83,7 @@
     too_large: bool = False
     target: str = ""
     header_items: tuple[tuple[str, str], ...] = ()
+    stream_framing: BodyFraming = BodyFraming.CHUNKED
 
 
 class HttpGone(msgspec.Struct, frozen=True):
@@ -87,6 +100,7 @@
 
     Attributes:
         connect_seconds: Time that the connection took to be established; 0 for a kept one.
+        body_framing: How the end of the body is marked.
     """
 
     request: RequestId
@@ -94,6 +108,7 @@
     headers: dict[str, str] = {}
     body: bytes = b""
     connect_seconds: float = 0.0
+    body_framing: BodyFraming = BodyFraming.LENGTH
 
 
 class HttpStreamItem(msgspec.Struct, frozen=True, kw_only=True):
@@ -105,9 +120,14 @@
 
 
 class HttpStreamEnded(msgspec.Struct, frozen=True):
-    """A streamed response ended in the orderly way (its last chunk arrived)."""
+    """The body of a streamed response ended in the orderly way.
+
+    Attributes:
+        unfinished_bytes: Length of an item that had not ended when the body did.
+    """
 
     request: RequestId
+    unfinished_bytes: int = 0
 
 
 class HttpFailed(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/forwarding/engine_sender.py
+++ b/src/yokeline/forwarding/engine_sender.py
@@ -32,6 +32,7 @@
         exchange.phase = Phase.SENT
         exchange.engine = engine
         exchange.is_version_uncertain = False
+        exchange.engine_framing = None
         exchange.sends += 1
         if not engine.is_preferred:
             state.outcomes.counters["yokeline_forwarding_sends_beyond_subset_total"] += 1
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from yokeline.effects import HttpArrived, HttpResponse
+from yokeline.effects import BodyFraming, HttpArrived, HttpResponse
 from yokeline.forwarding.attempts import Attempts
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.model import Call, Route, RouteKind
@@ -92,6 +92,8 @@
         uncached_tokens: Prompt tokens that the engine probably had to process.
         engine_request_id: Id of the request under way to the engine.
         response_head: Head of the response, held back until the first event.
+        engine_framing: How the end of the latest engine's stream is marked; None before its head.
+        unfinished_bytes: Length of an event that had not ended when the engine's stream did.
         allowed_versions: Software versions of engines that may continue the stream; None for a
             stream without an event, and empty if it is not known which version began it.
         has_mixed_versions: Whether its stream may be resumed, and its pool had engines of several
@@ -148,6 +150,8 @@
     uncached_tokens: int = 0
     engine_request_id: RequestId | None = None
     response_head: HttpResponse | None = None
+    engine_framing: BodyFraming | None = None
+    unfinished_bytes: int = 0
     allowed_versions: frozenset[str] | None = None
     has_mixed_versions: bool = False
     is_version_uncertain: bool = False
@@ -220,3 +224,8 @@
     def program_started(self) -> bool:
         """Whether the request belongs to a program that has had a turn before."""
         return self.spent_tokens > 0 or bool(self.call.previous_turn)
+
+
+def framing_label(exchange: Exchange) -> str:
+    """Return how the end of the engine's stream is marked, for logs; empty before its head."""
+    return exchange.engine_framing.value if exchange.engine_framing is not None else ""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -375,7 +375,7 @@
             elif isinstance(event, HttpStreamItem):
                 self._stream_relay.relay_event(exchange, event)
             elif isinstance(event, HttpStreamEnded):
-                self._stream_relay.finish(exchange)
+                self._stream_relay.finish(exchange, event.unfinished_bytes)
             else:
                 self._retries.handle_failure(exchange, event)
         return self._dispatch_and_drain()
@@ -565,6 +565,7 @@
         self._retries.record_accepted(exchange)
         is_stream = exchange.route.kind is RouteKind.STREAMING
         if is_stream and response.status in SUCCESS and not response.body:
+            exchange.engine_framing = response.body_framing
             if exchange.response_head is None:
                 exchange.response_head = response
             return
--- a/src/yokeline/forwarding/outcome_recorder.py
+++ b/src/yokeline/forwarding/outcome_recorder.py
@@ -56,6 +56,11 @@
         labels = f'class="{_class_of(tenant)}"' if tenant is not None else 'class="none"'
         self.counters[f"yokeline_forwarding_held_back_total{{{labels}}}"] += 1
 
+    def count_stream_end(self, framing: str, end: str) -> None:
+        """Count a stream of an engine by its framing and by how it ended."""
+        labels = f'framing="{framing}",end="{end}"'
+        self.counters[f"yokeline_forwarding_engine_streams_total{{{labels}}}"] += 1
+
     def count_refusal(self, status: int, reason: str) -> None:
         """Count a refused request by reason; all bad requests share one label."""
         label = "unreadable" if status == BAD_REQUEST else reason
--- a/src/yokeline/forwarding/responder.py
+++ b/src/yokeline/forwarding/responder.py
@@ -4,7 +4,7 @@
 
 from yokeline.effects import HttpReply, HttpResponse, HttpStreamEnd
 from yokeline.forwarding.dialect import Dialect
-from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.exchange import Exchange, Phase, framing_label
 from yokeline.forwarding.http_statuses import BAD_GATEWAY, GATEWAY_TIMEOUT, OK
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcome_recorder import LogField
@@ -46,6 +46,9 @@
             predicted=round(exchange.predicted_seconds, 4),
             at_engine=round(exchange.last_event_at - exchange.sent_at, 4),
             keeping=round(self._state.now - exchange.last_event_at, 4),
+            framing=framing_label(exchange),
+            unfinished_bytes=exchange.unfinished_bytes,
+            caller_framing=exchange.incoming.stream_framing.value,
         )
 
     def fail(self, exchange: Exchange, reason: str) -> None:
@@ -56,7 +59,13 @@
                 HttpStreamEnd(exchange=exchange.exchange_id, aborted=True)
             )
             self.finish(
-                exchange, "cut", reason=reason, events=exchange.relayed_events, level="warning"
+                exchange,
+                "cut",
+                reason=reason,
+                events=exchange.relayed_events,
+                framing=framing_label(exchange),
+                caller_framing=exchange.incoming.stream_framing.value,
+                level="warning",
             )
             return
         self._outcomes.reply_error(
--- a/src/yokeline/forwarding/retries.py
+++ b/src/yokeline/forwarding/retries.py
@@ -19,7 +19,7 @@
 )
 from yokeline.forwarding.engine_sender import EngineSender
 from yokeline.forwarding.engines import EngineState
-from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.exchange import Exchange, Phase, framing_label
 from yokeline.forwarding.http_statuses import MISDIRECTED
 from yokeline.forwarding.model import RouteKind
 from yokeline.forwarding.node_state import NodeState
@@ -200,6 +200,7 @@
             fresh=failure.fresh,
             at_engine=round(self._state.now - exchange.sent_at, 4),
             after_event=exchange.last_event_id,
+            framing=framing_label(exchange),
             send=exchange.sends,
             may_run_at=" ".join(exchange.attempts.engine_ids),
             attempts_allowed=exchange.route.max_attempts,
--- a/src/yokeline/forwarding/stream_relay.py
+++ b/src/yokeline/forwarding/stream_relay.py
@@ -5,7 +5,7 @@
 from yokeline.effects import HttpStreamData, HttpStreamItem, HttpStreamStart
 from yokeline.forwarding.dialect import Dialect
 from yokeline.forwarding.engine_sender import EngineSender
-from yokeline.forwarding.exchange import Exchange, Phase
+from yokeline.forwarding.exchange import Exchange, Phase, framing_label
 from yokeline.forwarding.http_helpers import is_after
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.regional_turns import RegionalTurns
@@ -65,9 +65,15 @@
         exchange.relayed_events += 1
         self._state.outcomes.effects.append(HttpStreamData(exchange.exchange_id, item.data))
 
-    def finish(self, exchange: Exchange) -> None:
-        """Relay the end of a stream; a turn to be kept is kept first."""
+    def finish(self, exchange: Exchange, unfinished_bytes: int) -> None:
+        """Relay the end of a stream; a turn to be kept is kept first.
+
+        ``unfinished_bytes`` is the length of an event that had not ended when the stream did.
+        """
         engine = exchange.engine
+        exchange.unfinished_bytes = unfinished_bytes
+        end = "inside_event" if unfinished_bytes else "whole"
+        self._state.outcomes.count_stream_end(framing_label(exchange), end)
         pace = self._state.placement.record_turn(exchange, self._state.now)
         self._sender.release(exchange, pace=pace)
         if engine is not None:
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -130,6 +130,9 @@
     "yokeline_forwarding_room_wait_seconds": (
         "Seconds that requests waited for room which then got a place."
     ),
+    "yokeline_forwarding_engine_streams_total": (
+        "Streams of engines, by their framing and how they ended."
+    ),
     "yokeline_forwarding_repeats_total": "Requests sent again after they may have run.",
     "yokeline_forwarding_streams_resumed_total": (
         "Streams that callers resumed at this node, by who knew the version that began them."
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -19,7 +19,12 @@
     HttpStreamItem,
 )
 from yokeline.node.deadlines import Deadline, DeadlineQueue
-from yokeline.node.http_heads import FRAMING_HEADERS, HEADER_ENCODING, joined_headers
+from yokeline.node.http_heads import (
+    FRAMING_HEADERS,
+    HEADER_ENCODING,
+    framing_of_response,
+    joined_headers,
+)
 from yokeline.node.http_pool import ClientConnection, ConnectionPool
 from yokeline.node.limits import ClientLimits
 from yokeline.node.stream_items import ItemReader, ItemTooLargeError, item_reader
@@ -284,18 +289,21 @@
         else:
             for item in self._reader.finish():
                 self._submit_item(item.data, item.event_id)
-            self._owner.submit(HttpStreamEnded(self.request.request))
+            unfinished = self._reader.unfinished_bytes
+            self._owner.submit(HttpStreamEnded(self.request.request, unfinished))
         self._end()
         self._pool.give_back(self._connection)
 
     def _response_event(self, body: bytes) -> HttpResponse:
         assert self._response is not None
+        headers = joined_headers(self._response.headers)
         return HttpResponse(
             request=self.request.request,
             status=self._response.status_code,
-            headers=joined_headers(self._response.headers),
+            headers=headers,
             body=body,
             connect_seconds=self._connect_seconds,
+            body_framing=framing_of_response(headers),
         )
 
     # ------------------------------------------------------------ ends
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -134,6 +134,7 @@
                 too_large=request.too_large,
                 target=request.target,
                 header_items=request.header_items,
+                stream_framing=request.stream_framing,
             )
         )
 
--- a/src/yokeline/node/http_heads.py
+++ b/src/yokeline/node/http_heads.py
@@ -7,6 +7,8 @@
 import time
 from collections.abc import Iterable
 
+from yokeline.effects import BodyFraming
+
 HEADER_ENCODING = "latin-1"
 FRAMING_HEADERS = ("content-length", "transfer-encoding")
 """Set by the transport, from what is really sent."""
@@ -27,6 +29,15 @@
     return joined
 
 
+def framing_of_response(headers: dict[str, str]) -> BodyFraming:
+    """Return how the end of a response's body is marked, by its joined header fields."""
+    if "transfer-encoding" in headers:
+        return BodyFraming.CHUNKED
+    if "content-length" in headers:
+        return BodyFraming.LENGTH
+    return BodyFraming.CLOSE
+
+
 def response_headers(given: dict[str, str]) -> RawHeaders:
     """Return the fields of a response and its date.
 
--- a/src/yokeline/node/http_requests.py
+++ b/src/yokeline/node/http_requests.py
@@ -5,6 +5,7 @@
 import h11
 import msgspec
 
+from yokeline.effects import BodyFraming
 from yokeline.errors import YokelineError
 from yokeline.gateway.problems import refusal
 from yokeline.node.http_heads import HEADER_ENCODING, joined_headers
@@ -16,6 +17,7 @@
 _IDEMPOTENCY_KEY = b"idempotency-key"
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
+_FIRST_CHUNKED_VERSION = b"1.1"
 _FIELD_EXTRA_BYTES = 4
 """Colon, space and line end of a header field."""
 _MAX_BODY_PIECES = 8192
@@ -33,6 +35,7 @@
     too_large: bool
     target: str
     header_items: tuple[tuple[str, str], ...]
+    stream_framing: BodyFraming
 
 
 class RequestRefusedError(Exception):
@@ -157,9 +160,15 @@
                 (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
                 for name, value in self._head.headers
             ),
+            stream_framing=_stream_framing(self._head),
         )
 
 
+def _stream_framing(head: h11.Request) -> BodyFraming:
+    """Return how a streamed answer ends: HTTP/1.0 has no chunks (RFC 9112, section 6.1)."""
+    return BodyFraming.CLOSE if head.http_version < _FIRST_CHUNKED_VERSION else BodyFraming.CHUNKED
+
+
 def _head_bytes(head: h11.Request) -> int:
     """Return the size of a request's head, white space around values not counted."""
     request_line = len(head.method) + len(head.target) + len(head.http_version)
--- a/src/yokeline/node/stream_items.py
+++ b/src/yokeline/node/stream_items.py
@@ -31,6 +31,11 @@
 class ItemReader(Protocol):
     """Takes pieces of a body and gives out the items that are complete."""
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Length of the item that has begun and not ended."""
+        ...
+
     def feed(self, data: bytes) -> list[StreamItem]:
         """Add a piece and return the items it completes.
 
@@ -61,6 +66,11 @@
         self._pieces: list[bytes] = []
         self._size = 0
 
+    @property
+    def size(self) -> int:
+        """Number of bytes kept."""
+        return self._size
+
     def add(self, data: bytes) -> None:
         """Keep bytes of an incomplete item."""
         if not data:
@@ -88,6 +98,11 @@
         """Refuse lines over ``max_item_bytes``."""
         self._tail = _Tail(max_item_bytes)
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Length of the line that has not ended."""
+        return self._tail.size
+
     def feed(self, data: bytes) -> list[StreamItem]:
         """Return the lines that ``data`` completes."""
         if b"\n" not in data:
@@ -114,6 +129,11 @@
         """Refuse events over ``max_item_bytes``."""
         self._tail = _Tail(max_item_bytes)
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Length of the event that has not ended."""
+        return self._tail.size
+
     def feed(self, data: bytes) -> list[StreamItem]:
         """Return the events that ``data`` completes."""
         *blocks, rest = _AFTER_BLANK_LINE.split(self._tail.take(data))
@@ -144,6 +164,11 @@
         self._held_return = False
         self._started = False
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Length of the event that has not ended."""
+        return self._tail.size + self._held_return
+
     def feed(self, data: bytes) -> list[StreamItem]:
         """Return the events that ``data`` completes."""
         data = self._with_plain_line_ends(data)
--- a/tests/processes/test_http_client.py
+++ b/tests/processes/test_http_client.py
@@ -6,6 +6,7 @@
 from tests.processes.support import ClientProbe, FakeBackend, read_request, wait_for
 from yokeline.effects import (
     Address,
+    BodyFraming,
     CloseIdleConnections,
     Framing,
     HttpCancel,
@@ -208,6 +209,25 @@
             self.assertIsInstance(probe.end_of(self.stream(probe, backend.address)), HttpFailed)
         self.assertEqual(self.items(probe), [(b"one", "")])
 
+    def test_the_head_tells_how_the_end_of_its_body_is_marked(self) -> None:
+        heads = {
+            BodyFraming.CHUNKED: b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            BodyFraming.LENGTH: b"content-length: 0\r\n\r\n",
+            BodyFraming.CLOSE: b"\r\n",
+        }
+        framings = list(heads)
+
+        def serve(sock: socket.socket, number: int) -> None:
+            read_request(sock)
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n")
+            sock.sendall(heads[framings[number - 1]])
+
+        with FakeBackend(serve) as backend, ClientProbe() as probe:
+            for name in ("a", "b", "c"):
+                probe.end_of(request(name, backend.address, framing=Framing.RAW_EVENTS))
+        seen = [event for event in probe.service.events if isinstance(event, HttpResponse)]
+        self.assertEqual([head.body_framing for head in seen], framings)
+
     def test_an_error_status_comes_whole(self) -> None:
         def serve(sock: socket.socket, number: int) -> None:
             read_request(sock)
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -9,6 +9,7 @@
 
 from yokeline.effects import (
     Address,
+    BodyFraming,
     Effect,
     HttpArrived,
     HttpCancel,
@@ -238,8 +239,14 @@
         response = HttpResponse(request=self.sent[-1].request, status=503, headers=NOT_RUN)
         self.take(self.forwarder.handle_engine_event(response, self.now))
 
-    def engine_begins(self) -> None:
-        self.engine_answers(body=b"", x_yokeline_server_stamp="s")
+    def engine_begins(self, framing: BodyFraming = BodyFraming.CHUNKED, stamp: str = "s") -> None:
+        head = HttpResponse(
+            request=self.sent[-1].request,
+            status=200,
+            headers={"x-yokeline-server-stamp": stamp},
+            body_framing=framing,
+        )
+        self.take(self.forwarder.handle_engine_event(head, self.now))
 
     def engine_sends(self, *numbers: int) -> None:
         for number in numbers:
