Show on real processes that answers broken off inside an event look whole

Engines were stood in for by the product's own HTTP server, which always writes a length or chunks and never half an event, so no test could express the incident. Engines and the store of the platform tests are now served by a server of the tests that writes any shape: framing, HTTP version, line ends, sizes of pieces, and how a stream ends.

The runner counts failed subtests as their test, so that such a test can be listed.

--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -21,7 +21,7 @@
 from tests.processes.child import ROOT
 from tests.processes.cluster import HOST, free_ports, wait_until
 from tests.processes.platform.stand_ins import FIRST_VERSION, EngineStandIn, StoreStandIn
-from tests.processes.support import Running
+from tests.processes.platform.wire import WireServer, WireService
 
 CALLER_HOST = "a.example"
 UNAVAILABLE = 503
@@ -209,7 +209,7 @@
         self.store = StoreStandIn()
         self._documents: dict[str, dict[str, object]] = {}
         self._listed: set[str] = set()
-        self._running: list[Running] = []
+        self._servers: list[WireServer] = []
         self._store_port = self.published("store", self._serve(self.store))
         self.models = [EngineStandIn(f"model-{number}") for number in range(self._models)]
         self.apps = [EngineStandIn(f"app-{number}") for number in range(self._app_nodes)]
@@ -233,8 +233,8 @@
     def __exit__(self, *error: object) -> None:
         for process in (*self.edges, *self.storage):
             process.end()
-        for running in self._running:
-            running.__exit__()
+        for server in self._servers:
+            server.close()
         self._folder.cleanup()
 
     def published(self, name: str, port: int) -> int:
@@ -393,13 +393,10 @@
 
     # ------------------------------------------------------------ parts
 
-    def _serve(self, service: object) -> int:
-        running = Running(service)  # type: ignore[arg-type]
-        running.__enter__()
-        self._running.append(running)
-        address = running.bound.http_address
-        assert address is not None
-        return address.port
+    def _serve(self, service: WireService) -> int:
+        server = WireServer(service)
+        self._servers.append(server)
+        return server.port
 
     def _register(self, engine: EngineStandIn, pool: str, number: int) -> None:
         port = self.published(engine.engine_id, self._serve(engine))
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -4,9 +4,19 @@
 
 import base64
 import json
+import random
 from dataclasses import dataclass
 from typing import Any
 
+from tests.processes.platform.wire import (
+    PLAIN,
+    AnswerEnd,
+    BreakOff,
+    BrokenStream,
+    WireEffect,
+    WireShape,
+    draw_shape,
+)
 from yokeline.effects import (
     Effect,
     Event,
@@ -29,13 +39,18 @@
 
 
 class StoreStandIn:
-    """The platform's key-value store; a watch is held until something changes."""
+    """The platform's key-value store; a watch is held until something changes.
+
+    Attributes:
+        shapes: Draws the shape of each answer; None for plain ones.
+    """
 
     def __init__(self) -> None:
         self.items: dict[str, dict[str, Any]] = {}
         self.changes: list[dict[str, Any]] = []
         self.revision = 0
         self.down = False
+        self.shapes: random.Random | None = None
         self._watches: dict[ExchangeId, tuple[str, int, float]] = {}
 
     def put(self, key: str, value: object) -> None:
@@ -51,8 +66,11 @@
         self.items.pop(key, None)
         self.changes.append({"private-key": key, "rev": self.revision, "gone": True})
 
-    def handle(self, event: Event, now: float) -> list[Effect]:
-        effects: list[Effect] = []
+    def wire_shape(self, event: HttpArrived) -> WireShape:
+        return PLAIN if self.shapes is None else draw_shape(self.shapes)
+
+    def handle(self, event: Event, now: float) -> list[WireEffect]:
+        effects: list[WireEffect] = []
         if isinstance(event, StopRequested):
             return [Exit()]
         if isinstance(event, HttpGone):
@@ -63,9 +81,9 @@
         return effects
 
     def next_deadline(self) -> float | None:
-        return min((0.0,), default=None) if self._watches else None
+        return min((until for _, _, until in self._watches.values()), default=None)
 
-    def _call(self, event: HttpArrived, now: float) -> list[Effect]:
+    def _call(self, event: HttpArrived, now: float) -> list[WireEffect]:
         if self.down:
             return [HttpReply(exchange=event.exchange, status=503)]
         if event.path == "/-/kv-range":
@@ -110,8 +128,8 @@
         self.items[key] = item
         self.changes.append(item)
 
-    def _answer_watches(self, now: float) -> list[Effect]:
-        effects: list[Effect] = []
+    def _answer_watches(self, now: float) -> list[WireEffect]:
+        effects: list[WireEffect] = []
         for exchange, (prefix, after, until) in list(self._watches.items()):
             found = [
                 item
@@ -153,6 +171,7 @@
         how: How it ended, for the reader of a report.
         version: Software version of the engine at that start.
         events: Stream events that it sent.
+        shape: How its answer was put on the wire.
     """
 
     engine_id: str
@@ -161,6 +180,7 @@
     how: str = "runs"
     version: str = ""
     events: int = 0
+    shape: WireShape = PLAIN
 
 
 class EngineStandIn:
@@ -173,8 +193,12 @@
         seen: The same with their header fields.
         cold_spans: When it was cold after starts (monotonic seconds), the latest last.
         break_after: Break the next stream off after that many events.
+        break_off: How.
+        reset_answers: Whether connections of whole answers are reset halfway.
         breaks: How many streams are broken off one after the other.
         version: Version of its software.
+        shape: How answers are put on the wire, unless ``shapes`` draws it.
+        shapes: Draws the shape of each answer; None for ``shape``.
         marks_versions: Whether each event names the version, in a field of its own.
         replacements: How often another engine has taken its place, under an id of its own.
     """
@@ -189,12 +213,17 @@
         self.seen: list[SeenRequest] = []
         self.cold_spans: list[tuple[float, float]] = []
         self.break_after: int | None = None
+        self.break_off = BreakOff()
+        self.reset_answers = False
         self.breaks = 1
+        self.shape = PLAIN
+        self.shapes: random.Random | None = None
         self.event_seconds = EVENT_SECONDS
         self.version = FIRST_VERSION
         self.marks_versions = False
         self.replacements = 0
         self._streams: dict[ExchangeId, list[float]] = {}
+        self._shapes: dict[ExchangeId, WireShape] = {}
         self._open_spans: dict[ExchangeId, Span] = {}
 
     @property
@@ -222,11 +251,17 @@
         self.born += round(down_seconds * 1000)
         self.cold_spans.append((now, now + cold_seconds))
 
-    def handle(self, event: Event, now: float) -> list[Effect]:
-        effects: list[Effect] = []
+    def wire_shape(self, event: HttpArrived) -> WireShape:
+        shape = self.shape if self.shapes is None else draw_shape(self.shapes)
+        self._shapes[event.exchange] = shape
+        return shape
+
+    def handle(self, event: Event, now: float) -> list[WireEffect]:
+        effects: list[WireEffect] = []
         if isinstance(event, StopRequested):
             return [Exit()]
         if isinstance(event, HttpGone):
+            self._shapes.pop(event.exchange, None)
             self._streams.pop(event.exchange, None)
             self._end_span(event.exchange, "its connection ended")
         if isinstance(event, HttpArrived):
@@ -238,7 +273,7 @@
     def next_deadline(self) -> float | None:
         return min((state[1] for state in self._streams.values()), default=None)
 
-    def _request(self, event: HttpArrived, now: float) -> list[Effect]:
+    def _request(self, event: HttpArrived, now: float) -> list[WireEffect]:
         request_id = event.headers["x-yokeline-request-id"]
         headers = {"x-yokeline-request-id": request_id}
         if event.headers.get("x-yokeline-expect-instance") != self.instance_id:
@@ -248,9 +283,16 @@
         self.runs.append((request_id, event.body, after))
         self.run_times[request_id] = now
         self.seen.append(SeenRequest(request_id, now, dict(event.headers)))
-        span = Span(self.start_id, request_id, now, version=self.version)
+        shape = self._shapes.get(event.exchange, PLAIN)
+        span = Span(self.start_id, request_id, now, version=self.version, shape=shape)
         self.spans.append(span)
         if "x-yokeline-token-usage" not in event.headers:
+            if self.reset_answers:
+                span.how = "broke off"
+                return [
+                    HttpStreamStart(exchange=event.exchange, headers=headers),
+                    BrokenStream(event.exchange, b"do", AnswerEnd.RESET),
+                ]
             span.how = "whole"
             return [HttpReply(exchange=event.exchange, status=200, headers=headers, body=b"done")]
         headers["content-type"] = "text/event-stream"
@@ -258,7 +300,7 @@
         self._streams[event.exchange] = [after, now + self.event_seconds]
         return [HttpStreamStart(exchange=event.exchange, headers=headers)]
 
-    def _continue(self, exchange: ExchangeId, now: float) -> list[Effect]:
+    def _continue(self, exchange: ExchangeId, now: float) -> list[WireEffect]:
         state = self._streams[exchange]
         if now < state[1]:
             return []
@@ -268,20 +310,27 @@
                 self.break_after = None
                 self.breaks = 1
             del self._streams[exchange]
+            part = self.break_off.part_of(self._event(exchange, int(state[0]) + 1))
             self._end_span(exchange, "broke off")
-            return [HttpStreamEnd(exchange=exchange, aborted=True)]
+            return [BrokenStream(exchange, part, self.break_off.end)]
         if state[0] >= self.events:
             del self._streams[exchange]
             self._end_span(exchange, "whole")
             return [HttpStreamEnd(exchange=exchange)]
         state[0] += 1
         state[1] = now + self.event_seconds
-        number = int(state[0])
         self._open_spans[exchange].events += 1
-        mark = f"event: {self.version}\n" if self.marks_versions else ""
-        return [HttpStreamData(exchange, f"{mark}id: {number}\ndata: word{number}\n\n".encode())]
+        return [HttpStreamData(exchange, self._event(exchange, int(state[0])))]
+
+    def _event(self, exchange: ExchangeId, number: int) -> bytes:
+        lines = [f"id: {number}", f"data: word{number}", "", ""]
+        if self.marks_versions:
+            lines.insert(0, f"event: {self.version}")
+        shape = self._shapes.get(exchange, PLAIN)
+        return shape.line_end.join(line.encode() for line in lines)
 
     def _end_span(self, exchange: ExchangeId, how: str) -> None:
+        self._shapes.pop(exchange, None)
         span = self._open_spans.pop(exchange, None)
         if span is not None:
             span.how = how
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -39,6 +39,11 @@
     return cases
 
 
+def test_id(case: unittest.TestCase) -> str:
+    """Return the id of a test; that of the whole test for one of its subtests."""
+    return str(getattr(case, "test_case", case).id())
+
+
 def main(patterns: list[str]) -> int:
     """Run the tests; return the exit code."""
     loaded = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
@@ -48,7 +53,7 @@
         if not patterns or any(pattern in case.id() for pattern in patterns)
     ]
     result = unittest.TextTestRunner(verbosity=1, buffer=True).run(unittest.TestSuite(cases))
-    failed = {case.id() for case, _ in [*result.failures, *result.errors]}
+    failed = {test_id(case) for case, _ in [*result.failures, *result.errors]}
     failed |= {case.id() for case in result.unexpectedSuccesses}
     listed = known_red()
     for test in sorted(failed & set(listed)):
