Treat a stream that ends inside an event, or before one that it has, as broken off

Cause: readers of streamed bodies dropped what was left over when the body ended, and the end of the body counted as the end of the stream. With chunks the last chunk usually shows a break; without a length or chunks a closed connection is an orderly end, and an engine may write the last chunk after half an event as well. Completeness was inferred from the framing, and nobody stated it.

Now ItemReader.finish returns a result: the items that the end completes, or IncompleteItem. The client turns the latter into HttpFailed, as it does for a lost connection, so that all that follows from a break is the same: going on after the last whole event within the route's attempts, settlement, no kept turn, the engine's failures, an answer that looks broken. The same holds in the simulation and for the lines of a watch, whose cut last line was given out as a whole one. A stream that ends without any event, or before an event of which bytes had arrived, is broken off too; under a 200 without an event nothing has gone to the caller, so it is tried again where the route allows it, else 502.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -120,14 +120,9 @@
 
 
 class HttpStreamEnded(msgspec.Struct, frozen=True):
-    """The body of a streamed response ended in the orderly way.
-
-    Attributes:
-        unfinished_bytes: Length of an item that had not ended when the body did.
-    """
+    """The body of a streamed response ended in the orderly way, behind a whole item."""
 
     request: RequestId
-    unfinished_bytes: int = 0
 
 
 class HttpFailed(msgspec.Struct, frozen=True, kw_only=True):
@@ -142,6 +137,8 @@
             together with others, and says nothing of the other end.
         is_outage: The other end refused, closed, reset or did not answer, or its answer was
             malformed; False if a limit of this process or an invalid request ended the call.
+        is_truncated: The body ended in the orderly way, but is not complete.
+        unfinished_bytes: Bytes that had arrived of an item which did not end.
     """
 
     request: RequestId
@@ -151,6 +148,8 @@
     silent: bool = False
     fresh: bool = False
     is_outage: bool = True
+    is_truncated: bool = False
+    unfinished_bytes: int = 0
 
 
 class PeerMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -93,7 +93,6 @@
         engine_request_id: Id of the request under way to the engine.
         response_head: Head of the response, held back until the first event.
         engine_framing: How the end of the latest engine's stream is marked; None before its head.
-        unfinished_bytes: Length of an event that had not ended when the engine's stream did.
         allowed_versions: Software versions of engines that may continue the stream; None for a
             stream without an event, and empty if it is not known which version began it.
         has_mixed_versions: Whether its stream may be resumed, and its pool had engines of several
@@ -104,6 +103,7 @@
         stream_lookups: How often the ledger was asked for it and had no record.
         last_event_id: Id of the last event sent to the caller.
         relayed_events: Number of events sent to the caller.
+        has_unfinished_event: Whether an engine broke off inside an event that the caller lacks.
         kept_text: Data of the events, for a turn that is to be kept.
         kept_event_id: Id of the last event in ``kept_text``.
         kept_mark: What the ledger keeps in place of the turn's text; empty for the text itself.
@@ -151,7 +151,6 @@
     engine_request_id: RequestId | None = None
     response_head: HttpResponse | None = None
     engine_framing: BodyFraming | None = None
-    unfinished_bytes: int = 0
     allowed_versions: frozenset[str] | None = None
     has_mixed_versions: bool = False
     is_version_uncertain: bool = False
@@ -159,6 +158,7 @@
     stream_lookups: int = 0
     last_event_id: str = ""
     relayed_events: int = 0
+    has_unfinished_event: bool = False
     kept_text: list[bytes] = msgspec.field(default_factory=list)
     kept_event_id: str = ""
     kept_mark: bytes = b""
@@ -204,6 +204,15 @@
         """
         return self.has_mixed_versions and self.stream_origin is StreamOrigin.KNOWN
 
+    @property
+    def lacks_event(self) -> bool:
+        """Whether the stream is known to have an event that no engine has sent whole.
+
+        A stream has at least one event, and an event that an engine began exists.
+        """
+        has_event = bool(self.relayed_events or self.call.last_event_id)
+        return not has_event or self.has_unfinished_event
+
     @property
     def is_first_turn(self) -> bool:
         """Whether the request is the first turn of a program and no event of it was relayed."""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -375,7 +375,7 @@
             elif isinstance(event, HttpStreamItem):
                 self._stream_relay.relay_event(exchange, event)
             elif isinstance(event, HttpStreamEnded):
-                self._stream_relay.finish(exchange, event.unfinished_bytes)
+                self._stream_relay.finish(exchange, event)
             else:
                 self._retries.handle_failure(exchange, event)
         return self._dispatch_and_drain()
--- a/src/yokeline/forwarding/responder.py
+++ b/src/yokeline/forwarding/responder.py
@@ -47,7 +47,6 @@
             at_engine=round(exchange.last_event_at - exchange.sent_at, 4),
             keeping=round(self._state.now - exchange.last_event_at, 4),
             framing=framing_label(exchange),
-            unfinished_bytes=exchange.unfinished_bytes,
             caller_framing=exchange.incoming.stream_framing.value,
         )
 
--- a/src/yokeline/forwarding/retries.py
+++ b/src/yokeline/forwarding/retries.py
@@ -37,6 +37,13 @@
 """Least time left for a request to be sent again."""
 
 
+def end_label(failure: HttpFailed) -> str:
+    """Return how a failed response ended, for logs and metrics."""
+    if failure.is_truncated:
+        return "inside_event" if failure.unfinished_bytes else "without_event"
+    return "silent" if failure.silent else "lost"
+
+
 class RetryHandler:
     """Decides what follows when an engine did not serve a request.
 
@@ -140,6 +147,10 @@
         """Retry or end a request whose connection failed or was not established."""
         engine = exchange.engine
         self._log_connection_failure(exchange, failure)
+        if exchange.engine_framing is not None:
+            self._outcomes.count_stream_end(framing_label(exchange), end_label(failure))
+        if failure.unfinished_bytes:
+            exchange.has_unfinished_event = True
         self._sender.release(exchange, failed=not failure.stale)
         if engine is not None:
             exchange.excluded_engine_ids.add(engine.engine.engine_id)
@@ -157,6 +168,8 @@
     def cancel_and_retry(self, exchange: Exchange, reason: str) -> None:
         """Cancel a stream at a silent engine and retry it; only its connection may have failed."""
         engine = exchange.engine
+        if exchange.engine_framing is not None:
+            self._outcomes.count_stream_end(framing_label(exchange), "cancelled")
         self._sender.cancel(exchange, failed=True)
         if engine is not None:
             engine_id = engine.engine.engine_id
@@ -201,6 +214,8 @@
             at_engine=round(self._state.now - exchange.sent_at, 4),
             after_event=exchange.last_event_id,
             framing=framing_label(exchange),
+            end=end_label(failure),
+            unfinished_bytes=failure.unfinished_bytes,
             send=exchange.sends,
             may_run_at=" ".join(exchange.attempts.engine_ids),
             attempts_allowed=exchange.route.max_attempts,
--- a/src/yokeline/forwarding/stream_relay.py
+++ b/src/yokeline/forwarding/stream_relay.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from yokeline.effects import HttpStreamData, HttpStreamItem, HttpStreamStart
+from yokeline.effects import (
+    HttpFailed,
+    HttpStreamData,
+    HttpStreamEnded,
+    HttpStreamItem,
+    HttpStreamStart,
+)
 from yokeline.forwarding.dialect import Dialect
 from yokeline.forwarding.engine_sender import EngineSender
 from yokeline.forwarding.exchange import Exchange, Phase, framing_label
@@ -20,6 +26,7 @@
 """Silence after which a resumable stream is cancelled at its engine."""
 MIN_SILENCE_CHECK_SECONDS = 0.05
 """Least time until the next check for silence."""
+MISSING_EVENT_REASON = "the body ended before an event that the stream has"
 
 
 class StreamRelay:
@@ -63,17 +70,22 @@
             return
         exchange.last_event_id = item.event_id or exchange.last_event_id
         exchange.relayed_events += 1
+        exchange.has_unfinished_event = False
         self._state.outcomes.effects.append(HttpStreamData(exchange.exchange_id, item.data))
 
-    def finish(self, exchange: Exchange, unfinished_bytes: int) -> None:
+    def finish(self, exchange: Exchange, ended: HttpStreamEnded) -> None:
         """Relay the end of a stream; a turn to be kept is kept first.
 
-        ``unfinished_bytes`` is the length of an event that had not ended when the stream did.
+        A stream that lacks an event was broken off, although its body ended in the orderly way.
         """
+        if exchange.lacks_event:
+            failure = HttpFailed(
+                request=ended.request, sent=True, reason=MISSING_EVENT_REASON, is_truncated=True
+            )
+            self._retries.handle_failure(exchange, failure)
+            return
         engine = exchange.engine
-        exchange.unfinished_bytes = unfinished_bytes
-        end = "inside_event" if unfinished_bytes else "whole"
-        self._state.outcomes.count_stream_end(framing_label(exchange), end)
+        self._state.outcomes.count_stream_end(framing_label(exchange), "whole")
         pace = self._state.placement.record_turn(exchange, self._state.now)
         self._sender.release(exchange, pace=pace)
         if engine is not None:
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -8,6 +8,7 @@
 from urllib.parse import quote
 
 import h11
+from returns.result import Failure
 
 from yokeline.effects import (
     Event,
@@ -286,14 +287,23 @@
         self._connection.keep_seconds = kept_seconds(joined_headers(self._response.headers))
         if self._reader is None:
             self._owner.submit(self._response_event(b"".join(self._body)))
-        else:
-            for item in self._reader.finish():
-                self._submit_item(item.data, item.event_id)
-            unfinished = self._reader.unfinished_bytes
-            self._owner.submit(HttpStreamEnded(self.request.request, unfinished))
+        elif not self._finish_stream(self._reader):
+            return
         self._end()
         self._pool.give_back(self._connection)
 
+    def _finish_stream(self, reader: ItemReader) -> bool:
+        """End a stream whose body has ended; return False if it failed inside an item."""
+        finished = reader.finish()
+        if isinstance(finished, Failure):
+            incomplete = finished.failure()
+            self._fail(str(incomplete), truncated_bytes=incomplete.received_bytes)
+            return False
+        for item in finished.unwrap():
+            self._submit_item(item.data, item.event_id)
+        self._owner.submit(HttpStreamEnded(self.request.request))
+        return True
+
     def _response_event(self, body: bytes) -> HttpResponse:
         assert self._response is not None
         headers = joined_headers(self._response.headers)
@@ -316,7 +326,13 @@
         return self._connection.link.bytes_sent > self._sent_at_start
 
     def _fail(
-        self, reason: str, *, stale: bool = False, silent: bool = False, is_outage: bool = True
+        self,
+        reason: str,
+        *,
+        stale: bool = False,
+        silent: bool = False,
+        is_outage: bool = True,
+        truncated_bytes: int = 0,
     ) -> None:
         if self._ended:
             return
@@ -332,9 +348,14 @@
             silent=silent,
             fresh=self._connection is not None and not self._connection.used_before,
             is_outage=is_outage,
+            is_truncated=truncated_bytes > 0,
+            unfinished_bytes=truncated_bytes or self._unfinished_bytes(),
         )
         self._owner.submit(failure)
 
+    def _unfinished_bytes(self) -> int:
+        return self._reader.unfinished_bytes if self._reader is not None else 0
+
     def _end(self) -> None:
         self._ended = True
         if self._deadline is not None:
--- a/src/yokeline/node/stream_items.py
+++ b/src/yokeline/node/stream_items.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 import msgspec
+from returns.result import Failure, Result, Success
 
 from yokeline.effects import Framing
 
@@ -28,6 +29,16 @@
     """An item of the stream is over the limit."""
 
 
+class IncompleteItem(msgspec.Struct, frozen=True):
+    """The body ended inside an item, of which ``received_bytes`` had arrived."""
+
+    received_bytes: int
+
+    def __str__(self) -> str:
+        """Return the reason for logs."""
+        return f"the body ended inside an item, after {self.received_bytes} bytes of it"
+
+
 class ItemReader(Protocol):
     """Takes pieces of a body and gives out the items that are complete."""
 
@@ -44,8 +55,11 @@
         """
         ...
 
-    def finish(self) -> list[StreamItem]:
-        """Return what is complete because the body ended in the orderly way."""
+    def finish(self) -> Result[list[StreamItem], IncompleteItem]:
+        """Return what is complete because the body ended in the orderly way.
+
+        A failure means that the stream is not complete, whatever its framing says.
+        """
         ...
 
 
@@ -112,17 +126,17 @@
         self._tail.add(rest)
         return [StreamItem(line.strip()) for line in lines if line.strip()]
 
-    def finish(self) -> list[StreamItem]:
-        """Return the last line if it has no line end."""
-        line = self._tail.take().strip()
-        return [StreamItem(line)] if line else []
+    def finish(self) -> Result[list[StreamItem], IncompleteItem]:
+        """Return no line, or a failure if the last line has no line end."""
+        size = self.unfinished_bytes
+        is_blank = not self._tail.take().strip()
+        return Success([]) if is_blank else Failure(IncompleteItem(size))
 
 
 class RawEventReader:
     """One item per block up to a blank line, its bytes unchanged (the blank line included).
 
-    Lines must end with a line feed, alone or after a return. What is incomplete when the
-    body ends is dropped.
+    Lines must end with a line feed, alone or after a return.
     """
 
     def __init__(self, max_item_bytes: int) -> None:
@@ -140,9 +154,10 @@
         self._tail.add(rest)
         return [StreamItem(block, _raw_event_id(block)) for block in blocks]
 
-    def finish(self) -> list[StreamItem]:
-        """Return nothing: an event without its blank line is not whole."""
-        return []
+    def finish(self) -> Result[list[StreamItem], IncompleteItem]:
+        """Return no event, or a failure if the last event has no blank line."""
+        size = self.unfinished_bytes
+        return Failure(IncompleteItem(size)) if size else Success([])
 
 
 def _raw_event_id(block: bytes) -> str:
@@ -155,7 +170,7 @@
     """One item per event with data (WHATWG HTML, section 9.2, server-sent events).
 
     ``event_id`` is the id field of that very event, not the last one of the stream. An
-    event that is incomplete when the body ends is dropped, as the standard says.
+    event that is incomplete when the body ends is not given out, as the standard says.
     """
 
     def __init__(self, max_item_bytes: int) -> None:
@@ -180,12 +195,14 @@
         items = (_event(block) for block in blocks)
         return [item for item in items if item is not None]
 
-    def finish(self) -> list[StreamItem]:
+    def finish(self) -> Result[list[StreamItem], IncompleteItem]:
         """Return the event whose blank line is a return that waited for a line feed."""
-        if not self._held_return:
-            return []
-        self._held_return = False
-        return self.feed(b"\n")
+        items: list[StreamItem] = []
+        if self._held_return:
+            self._held_return = False
+            items = self.feed(b"\n")
+        size = self.unfinished_bytes
+        return Failure(IncompleteItem(size)) if size else Success(items)
 
     def _with_plain_line_ends(self, data: bytes) -> bytes:
         """Turn all three kinds of line end into a line feed, also across pieces."""
--- a/src/yokeline/simulation/exchanges.py
+++ b/src/yokeline/simulation/exchanges.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl, urlsplit
 
+from returns.result import Failure
+
 from yokeline.effects import (
     Framing,
     HttpArrived,
@@ -169,7 +171,11 @@
             self.fail("connection closed before the end", sent=True)
             return
         if self._streams():
-            self._hand_over(self._reader.finish())
+            finished = self._reader.finish()
+            if isinstance(finished, Failure):
+                self.fail(str(finished.failure()), sent=True)
+                return
+            self._hand_over(finished.unwrap())
             if not self.closed:
                 self.close()
                 self.client.deliver(HttpStreamEnded(self.request.request))
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -258,6 +258,22 @@
         ended = HttpStreamEnded(self.sent[-1].request)
         self.take(self.forwarder.handle_engine_event(ended, self.now))
 
+    def engine_truncates(self, unfinished_bytes: int) -> None:
+        """Let the body end in the orderly way inside an event."""
+        failed = HttpFailed(
+            request=self.sent[-1].request,
+            sent=True,
+            reason="truncated",
+            is_truncated=True,
+            unfinished_bytes=unfinished_bytes,
+        )
+        self.take(self.forwarder.handle_engine_event(failed, self.now))
+
+    def is_whole(self) -> bool:
+        """Return whether the last streamed answer has ended as a whole one."""
+        last = self.stream[-1] if self.stream else None
+        return isinstance(last, HttpStreamEnd) and not last.aborted
+
     def engine_breaks(
         self, *, sent: bool = True, stale: bool = False, silent: bool = False, fresh: bool = False
     ) -> None:
