Reset the connection of a caller without chunks unless its stream is whole

To a caller of HTTP/1.0 a streamed answer ends with its connection, and a connection that is closed is a whole answer. A node that gave such an answer up closed it in the orderly way, and so did the kernel when the process was killed.

The connection of such an answer now has SO_LINGER 0 from its head on, so that it is reset however it ends; this is taken back once all of a whole answer is with the kernel. Aborted answers and those of a stopping process are reset after what was written.

test_a_broken_answer_does_not_look_whole_without_chunks failed in 12 of 14 cases before (also after lost connections), the killed node of test_an_answer_that_its_node_gives_up_does_not_look_whole once, and the server's test in 2 of 3.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -293,8 +293,8 @@
     """End a streamed body.
 
     Attributes:
-        aborted: Close the connection without the last chunk, so that the receiver sees
-            that the body is not whole.
+        aborted: Close the connection without the last chunk, or reset it if the body has no
+            chunks, so that the receiver sees that the body is not whole.
     """
 
     exchange: ExchangeId
--- a/src/yokeline/node/connection.py
+++ b/src/yokeline/node/connection.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import socket
+import struct
 from typing import Protocol
 
 from yokeline.effects import Address
@@ -15,6 +16,8 @@
 _PROBES = 4
 """Unanswered keep-alive probes after which the other machine counts as gone."""
 CLOSED_BY_PEER = "closed by the other end"
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_NO_LINGER = struct.pack("ii", 0, 0)
 
 
 class ConnectionOwner(Protocol):
@@ -65,6 +68,8 @@
         self._discarding = False
         self._sending_broken = False
         self._finish_after_output = False
+        self._resets_on_close = False
+        self._is_aborted = False
         self.closed = False
         poller.watch(sock, self, reading=self._reading, writing=self._writing)
 
@@ -145,12 +150,22 @@
             self.closed = True
             self._poller.retire(self._sock)
 
-    def finish_when_sent(self) -> None:
+    def reset_on_close(self) -> None:
+        """Reset the connection however it ends, the process's death included.
+
+        Only :meth:`finish_when_sent` ends it in the orderly way then.
+        """
+        self._resets_on_close = True
+        self._set_linger(_RESET_ON_CLOSE)
+
+    def finish_when_sent(self, *, aborted: bool = False) -> None:
         """Send all output, then no more, and throw away what still arrives.
 
         Closing with unread bytes would make the kernel reset the connection, and the other
         end lose the answer that says why. The owner hears of the end or closes by deadline.
+        If ``aborted``, a connection of :meth:`reset_on_close` is reset instead.
         """
+        self._is_aborted = aborted and self._resets_on_close
         self._discarding = True
         self._finish_after_output = True
         self.resume_reading()
@@ -246,10 +261,20 @@
         self._unsent = self._unsent[count:] if count < len(self._unsent) else memoryview(b"")
 
     def _output_sent(self) -> None:
-        if self._finish_after_output:
-            self._finish_after_output = False
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_WR)
+        if not self._finish_after_output:
+            return
+        self._finish_after_output = False
+        if self._is_aborted:
+            self._fail("aborted")
+            return
+        if self._resets_on_close:
+            self._set_linger(_NO_LINGER)
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def _set_linger(self, option: bytes) -> None:
+        with contextlib.suppress(OSError):  # it may be reset already; reading will tell
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
     def _set_interest(self, *, reading: bool, writing: bool) -> None:
         if self.closed or (reading, writing) == (self._reading, self._writing):
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -10,7 +10,7 @@
 import absl.logging
 import h11
 
-from yokeline.effects import HttpArrived, HttpGone, HttpReply, HttpStreamStart
+from yokeline.effects import BodyFraming, HttpArrived, HttpGone, HttpReply, HttpStreamStart
 from yokeline.identifiers import ExchangeId
 from yokeline.node.connection import Connection
 from yokeline.node.deadlines import Deadline
@@ -159,6 +159,8 @@
         written = self._write_head(effect.status, response_headers(effect.headers))
         if written and not self._connection.closed:
             self._phase = _Phase.STREAMING
+            if self._requests.stream_framing() is BodyFraming.CLOSE:
+                self._connection.reset_on_close()
 
     def stream_data(self, data: bytes) -> None:
         """Collect a piece; the pieces of one turn of the loop go out as one chunk."""
@@ -177,12 +179,12 @@
         self._connection.write(self._codec.send(chunk))
 
     def end_stream(self, *, aborted: bool) -> None:
-        """End a streamed answer; without its last chunk if it is not whole."""
+        """End a streamed answer; without its last chunk, or with a reset, if it is not whole."""
         self.flush_output()
         if self._phase is not _Phase.STREAMING:
             return
         if aborted:
-            self._finish()
+            self._finish(aborted=True)
         else:
             self._write_end(b"")
 
@@ -232,7 +234,7 @@
         """Send what is written, then close; an open exchange gets no (more) answer."""
         if self._phase is not _Phase.FINISHING:
             self.flush_output()
-            self._finish()
+            self._finish(aborted=self._phase is _Phase.STREAMING)
 
     def _refuse(self, refused: RequestRefusedError) -> None:
         """Answer a request that never reaches the service, and close."""
@@ -246,11 +248,14 @@
                 self._connection.write(self._end_of_answer(body))
         self._finish()
 
-    def _finish(self) -> None:
-        """Send what is written, read no more requests, and close within a bound."""
+    def _finish(self, *, aborted: bool = False) -> None:
+        """Send what is written, read no more requests, and close within a bound.
+
+        If ``aborted``, the answer under way is not whole and must not look so.
+        """
         self._close_exchange()
         self._phase = _Phase.FINISHING
-        self._connection.finish_when_sent()
+        self._connection.finish_when_sent(aborted=aborted)
         if not self._connection.closed:
             self._set_deadline(self._limits.linger_seconds)
 
--- a/src/yokeline/node/http_requests.py
+++ b/src/yokeline/node/http_requests.py
@@ -99,6 +99,11 @@
         """Return whether the answer must have no body (method HEAD)."""
         return self._head is not None and self._head.method == b"HEAD"
 
+    def stream_framing(self) -> BodyFraming:
+        """Return how a streamed answer ends: HTTP/1.0 has no chunks (RFC 9112, section 6.1)."""
+        is_old = self._head is not None and self._head.http_version < _FIRST_CHUNKED_VERSION
+        return BodyFraming.CLOSE if is_old else BodyFraming.CHUNKED
+
     def start_over(self) -> None:
         """Turn to the next request, after the answer to the last one."""
         self._codec.start_next_cycle()
@@ -160,15 +165,10 @@
                 (name.decode(HEADER_ENCODING), value.decode(HEADER_ENCODING))
                 for name, value in self._head.headers
             ),
-            stream_framing=_stream_framing(self._head),
+            stream_framing=self.stream_framing(),
         )
 
 
-def _stream_framing(head: h11.Request) -> BodyFraming:
-    """Return how a streamed answer ends: HTTP/1.0 has no chunks (RFC 9112, section 6.1)."""
-    return BodyFraming.CLOSE if head.http_version < _FIRST_CHUNKED_VERSION else BodyFraming.CHUNKED
-
-
 def _head_bytes(head: h11.Request) -> int:
     """Return the size of a request's head, white space around values not counted."""
     request_line = len(head.method) + len(head.target) + len(head.http_version)
--- a/tests/processes/platform/test_broken_answers.py
+++ b/tests/processes/platform/test_broken_answers.py
@@ -4,9 +4,14 @@
 
 import dataclasses
 import itertools
+import signal
+import time
 import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
+from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import WORDS, Deployment
 from tests.processes.platform.raw_callers import RawAnswer, ask_raw
 from tests.processes.platform.wire import AnswerEnd, BreakOff, WireShape
@@ -158,6 +163,65 @@
                     self.assertEqual(answer.event_ids, ALL_EVENTS)
 
 
+class CallersWithoutChunks(AnswersOfEngines):
+    """Callers of HTTP/1.0, to whom a closed connection is the end of a whole answer."""
+
+    def test_a_broken_answer_does_not_look_whole_without_chunks(self) -> None:
+        for how in (*INSIDE_EVENT, *LOST_CONNECTION):
+            with self.subTest(how.name):
+                self.break_streams(how, breaks=ALWAYS)
+                _, answer = self.ask("/kept/x", version="1.0")
+                self.assert_broken(answer, how)
+
+    def test_a_whole_answer_looks_whole_without_chunks(self) -> None:
+        for shape in WHOLE_SHAPES:
+            with self.subTest(f"{shape}"):
+                self.serve_whole(shape)
+                _, answer = self.ask("/kept/x", version="1.0")
+                self.assertTrue(answer.looks_whole)
+                self.assertEqual(answer.event_ids, ALL_EVENTS)
+
+    def test_an_answer_that_its_node_gives_up_does_not_look_whole(self) -> None:
+        """Guards against answers of a killed or stopped node, or one without its ledger."""
+        for model in self.deployment.models:
+            model.event_seconds = 0.3
+        edge, storage = self.deployment.edges[0], self.deployment.storage
+        faults: dict[str, Callable[[], None]] = {
+            "killed": edge.kill,
+            "stopped while its engine is silent": lambda: edge.send(signal.SIGTERM),
+            "its ledger is gone": lambda: [process.kill() for process in storage].clear(),
+        }
+        for name, fault in faults.items():
+            for version in ("1.0", "1.1"):
+                with self.subTest(f"HTTP/{version}: {name}"), ThreadPoolExecutor(1) as pool:
+                    if name.startswith("stopped"):
+                        for model in self.deployment.models:
+                            model.break_after = 2
+                            model.break_off = BreakOff(AnswerEnd.SILENT)
+                    asked = pool.submit(lambda: self.ask("/kept/x", version=version))  # noqa: B023
+                    time.sleep(1.0)
+                    fault()
+                    _, answer = asked.result()
+                    self.assertFalse(answer.looks_whole)
+                    if name.startswith("stopped"):
+                        edge.wait()
+                    self.start_again()
+
+    def start_again(self) -> None:
+        """Start the processes that have ended, and serve."""
+        for process in (*self.deployment.storage, *self.deployment.edges):
+            if not process.is_running:
+                process.start()
+        self.serve_whole(CHUNKED)
+        wait_until(self.is_served, "a turn is served")
+
+    def is_served(self) -> bool:
+        try:
+            return self.ask("/kept/x")[1].status == OK
+        except OSError:
+            return False
+
+
 class WholeAnswers(AnswersOfEngines):
     def test_a_whole_answer_looks_whole_in_every_shape(self) -> None:
         for shape in WHOLE_SHAPES:
--- a/tests/processes/test_http_server.py
+++ b/tests/processes/test_http_server.py
@@ -235,6 +235,32 @@
             sock.sendall(b"GET /next HTTP/1.1\r\n" + HOST + b"\r\n")
             self.assertTrue(read_until(sock, b"/next 0").startswith(b"HTTP/1.1 200 "))
 
+    def test_a_stream_without_chunks_is_reset_unless_it_is_whole(self) -> None:
+        for ending in ("whole", "aborted", "stopped"):
+            with self.subTest(ending):
+                service = ScriptedService(describe)
+                running = Running(service)
+                with running, running.connect() as sock:
+                    sock.sendall(b"GET /open HTTP/1.0\r\n" + HOST + b"\r\n")
+                    wait_for(lambda: service.seen(HttpArrived), "the request")  # noqa: B023
+                    arrived = service.seen(HttpArrived)[0]
+                    assert isinstance(arrived, HttpArrived)
+                    running.emit(
+                        HttpStreamStart(exchange=arrived.exchange),
+                        HttpStreamData(arrived.exchange, b"piece"),
+                    )
+                    self.assertTrue(read_until(sock, b"piece").endswith(b"\r\n\r\npiece"))
+                    if ending == "stopped":
+                        running.application.request_stop()
+                    else:
+                        is_aborted = ending == "aborted"
+                        running.emit(HttpStreamEnd(exchange=arrived.exchange, aborted=is_aborted))
+                    if ending == "whole":
+                        self.assertEqual(sock.recv(100), b"")
+                    else:
+                        with self.assertRaises(ConnectionResetError):
+                            sock.recv(100)
+
     def test_the_service_hears_that_the_caller_is_gone(self) -> None:
         service = ScriptedService(describe)
         with Running(service) as running:
