Answer a stream with the head of the engine that sent its first event

An engine that broke off after its head and before an event left its head behind: when another engine served the stream, the caller got the events of one engine under the signature of the other, and the second send was not counted among the possible runs if it failed before its head.

The head of an attempt without an event is now dropped with the attempt. The test failed before with the signature of the first engine.

--- a/src/yokeline/forwarding/engine_sender.py
+++ b/src/yokeline/forwarding/engine_sender.py
@@ -33,6 +33,8 @@
         exchange.engine = engine
         exchange.is_version_uncertain = False
         exchange.engine_framing = None
+        if exchange.first_event_at is None:
+            exchange.response_head = None
         exchange.sends += 1
         if not engine.is_preferred:
             state.outcomes.counters["yokeline_forwarding_sends_beyond_subset_total"] += 1
--- a/tests/unit/forwarding/test_stream_ends.py
+++ b/tests/unit/forwarding/test_stream_ends.py
@@ -3,7 +3,7 @@
 import unittest
 
 from tests.unit.forwarding.support import Played
-from yokeline.effects import BodyFraming
+from yokeline.effects import BodyFraming, HttpStreamStart
 from yokeline.ledger.operations import Granted
 
 
@@ -32,6 +32,24 @@
         self.assertEqual([line["framing"] for line in failed], ["chunked"])
 
 
+class HeadsOfStreams(unittest.TestCase):
+    def test_the_head_is_that_of_the_engine_that_sent_the_first_event(self) -> None:
+        played = Played()
+        played.request("/turn/x", token_usage="100,50")
+        played.engine_begins(stamp="first")
+        played.engine_breaks()
+        played.wait(0.01)
+        played.engine_begins(stamp="second")
+        played.engine_sends(1)
+        played.engine_breaks()
+        played.wait(0.2)
+        played.engine_begins(stamp="third")
+        played.engine_sends(2)
+        played.engine_ends()
+        heads = [item.headers for item in played.stream if isinstance(item, HttpStreamStart)]
+        self.assertEqual([head["x-yokeline-server-stamp"] for head in heads], ["second"])
+
+
 class StreamsWithoutTheirNextEvent(unittest.TestCase):
     def test_a_stream_without_an_event_is_no_complete_answer(self) -> None:
         played = Played()
