End an empty success on a streaming route instead of waiting for its events

A 200 without a content type and without a body was taken for the head of a stream, and its end was never reported: the request stayed under way until its deadline.

--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -234,10 +234,10 @@
     def _take_head(self, response: h11.Response) -> None:
         self._response = response
         self._passed_over = self._is_of_other_request(response)
-        streamed = self.request.framing is not Framing.WHOLE and not self._passed_over
+        streamed = self._may_stream() and not self._passed_over
         if self.request.framing is Framing.RAW_EVENTS and not _is_event_stream(response):
             streamed = False
-        if streamed and response.status_code in _SUCCESS:
+        if streamed:
             self._reader = item_reader(self.request.framing, self._limits.max_item_bytes)
             self._owner.submit(self._response_event(b""))
             self._await_silence(self.request.timeout)
@@ -286,12 +286,24 @@
             return
         self._connection.keep_seconds = kept_seconds(joined_headers(self._response.headers))
         if self._reader is None:
-            self._owner.submit(self._response_event(b"".join(self._body)))
+            self._submit_whole(b"".join(self._body))
         elif not self._finish_stream(self._reader):
             return
         self._end()
         self._pool.give_back(self._connection)
 
+    def _submit_whole(self, body: bytes) -> None:
+        """Hand a whole response over; an empty one that could be a stream is a stream's head."""
+        self._owner.submit(self._response_event(body))
+        if self._may_stream() and not body:
+            self._owner.submit(HttpStreamEnded(self.request.request))
+
+    def _may_stream(self) -> bool:
+        """Return whether the request asked for a stream and its response is a success."""
+        assert self._response is not None
+        is_success = self._response.status_code in _SUCCESS
+        return self.request.framing is not Framing.WHOLE and is_success
+
     def _finish_stream(self, reader: ItemReader) -> bool:
         """End a stream whose body has ended; return False if it failed inside an item."""
         finished = reader.finish()
--- a/tests/processes/test_http_client.py
+++ b/tests/processes/test_http_client.py
@@ -228,6 +228,17 @@
         seen = [event for event in probe.service.events if isinstance(event, HttpResponse)]
         self.assertEqual([head.body_framing for head in seen], framings)
 
+    def test_an_empty_success_without_a_content_type_ends(self) -> None:
+        def serve(sock: socket.socket, number: int) -> None:
+            read_request(sock)
+            sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+
+        with FakeBackend(serve) as backend, ClientProbe() as probe:
+            probe.running.emit(request("s", backend.address, framing=Framing.RAW_EVENTS))
+            wait_for(lambda: len(probe.service.events) > 1, "the end")
+        kinds = [type(event) for event in probe.service.events[:2]]
+        self.assertEqual(kinds, [HttpResponse, HttpStreamEnded])
+
     def test_an_error_status_comes_whole(self) -> None:
         def serve(sock: socket.socket, number: int) -> None:
             read_request(sock)
