Read events whose lines end with returns alone

The standard of server-sent events allows a return as a line end. Such a stream was never cut into events: callers got an empty answer, and now that an event without its end is an error, none of them would be served. The first line end of a stream decides how its events end, so that half of a line end of two characters is still no blank line.

The reader's property test and the shapes of the process tests failed before for this line end only.

--- a/src/yokeline/forwarding/turn_cache.py
+++ b/src/yokeline/forwarding/turn_cache.py
@@ -94,7 +94,7 @@
 def event_data(block: bytes) -> bytes:
     """Return the data of a server-sent event, with a line feed at the end."""
     values = []
-    for line in block.replace(b"\r\n", b"\n").split(b"\n"):
+    for line in block.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n"):
         name, colon, value = line.partition(b":")
         if colon and name == b"data":
             values.append(value.removeprefix(b" "))
--- a/src/yokeline/node/stream_items.py
+++ b/src/yokeline/node/stream_items.py
@@ -14,7 +14,9 @@
 from yokeline.effects import Framing
 
 _AFTER_BLANK_LINE = re.compile(rb"(?<=\n\n)|(?<=\n\r\n)")
-_ID_FIELD = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
+_AFTER_BLANK_LINE_OF_RETURNS = re.compile(rb"(?<=\r\r)")
+_LINE_FEED_OR_RETURN = re.compile(rb"\n|\r(?=[^\n])")
+_ID_FIELD = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -136,12 +138,13 @@
 class RawEventReader:
     """One item per block up to a blank line, its bytes unchanged (the blank line included).
 
-    Lines must end with a line feed, alone or after a return.
+    Lines end with a line feed, alone or after a return, or all of them with a return alone.
     """
 
     def __init__(self, max_item_bytes: int) -> None:
         """Refuse events over ``max_item_bytes``."""
         self._tail = _Tail(max_item_bytes)
+        self._separator: re.Pattern[bytes] | None = None
 
     @property
     def unfinished_bytes(self) -> int:
@@ -150,7 +153,10 @@
 
     def feed(self, data: bytes) -> list[StreamItem]:
         """Return the events that ``data`` completes."""
-        *blocks, rest = _AFTER_BLANK_LINE.split(self._tail.take(data))
+        data = self._tail.take(data)
+        if self._separator is None:
+            self._separator = _separator_of(data)
+        *blocks, rest = self._separator.split(data) if self._separator is not None else [data]
         self._tail.add(rest)
         return [StreamItem(block, _raw_event_id(block)) for block in blocks]
 
@@ -160,6 +166,14 @@
         return Failure(IncompleteItem(size)) if size else Success([])
 
 
+def _separator_of(data: bytes) -> re.Pattern[bytes] | None:
+    """Return what ends the events of a stream, by its first line end; None without one."""
+    found = _LINE_FEED_OR_RETURN.search(data)
+    if found is None:
+        return None
+    return _AFTER_BLANK_LINE if found.group() == b"\n" else _AFTER_BLANK_LINE_OF_RETURNS
+
+
 def _raw_event_id(block: bytes) -> str:
     """Return the id field of a raw event; empty if it has none."""
     found = _ID_FIELD.search(block)
--- a/tests/processes/platform/raw_callers.py
+++ b/tests/processes/platform/raw_callers.py
@@ -13,7 +13,7 @@
 ANSWER_SECONDS = 10.0
 _READ_BYTES = 65536
 _CHUNK_HEAD = re.compile(rb"([0-9a-f]+)\r\n")
-_EVENT_ID = re.compile(rb"(?m)^id: (\d+)")
+_EVENT_ID = re.compile(rb"(?:^|[\r\n])id: (\d+)")
 
 
 @dataclass(frozen=True)
--- a/tests/processes/platform/test_broken_answers.py
+++ b/tests/processes/platform/test_broken_answers.py
@@ -31,7 +31,8 @@
 UNFRAMED_KEPT = WireShape(framing=BodyFraming.CLOSE)
 OLD_VERSION = WireShape(framing=BodyFraming.CLOSE, version="1.0")
 UNFRAMED_CRLF = WireShape(framing=BodyFraming.CLOSE, line_end=b"\r\n")
-WHOLE_SHAPES = (CHUNKED, UNFRAMED, UNFRAMED_KEPT, OLD_VERSION, UNFRAMED_CRLF)
+UNFRAMED_CR = WireShape(framing=BodyFraming.CLOSE, line_end=b"\r")
+WHOLE_SHAPES = (CHUNKED, UNFRAMED, UNFRAMED_KEPT, OLD_VERSION, UNFRAMED_CRLF, UNFRAMED_CR)
 
 
 @dataclass(frozen=True)
@@ -55,6 +56,7 @@
     Break("unframed, closed without an event", UNFRAMED, 0, AnswerEnd.ORDERLY, 0),
     Break("unframed, last event without blank line", UNFRAMED, 4, AnswerEnd.ORDERLY, -1),
     Break("unframed, half of the last line end", UNFRAMED_CRLF, 4, AnswerEnd.ORDERLY, -1),
+    Break("unframed, CR line ends, closed inside an event", UNFRAMED_CR, 2, AnswerEnd.ORDERLY),
     Break("unframed, without Connection: close", UNFRAMED_KEPT, 2, AnswerEnd.ORDERLY),
     Break("HTTP/1.0, closed inside an event", OLD_VERSION, 2, AnswerEnd.ORDERLY),
     Break("last chunk inside an event", CHUNKED, 2, AnswerEnd.ORDERLY),
--- a/tests/property/test_stream_items.py
+++ b/tests/property/test_stream_items.py
@@ -61,7 +61,7 @@
     @settings(derandomize=True, deadline=None, max_examples=150)
     @given(
         st.lists(TEXT, min_size=1, max_size=5),
-        st.sampled_from(["\n", "\r\n"]),
+        LINE_ENDS,
         st.lists(st.integers(0, 2000), max_size=12),
         st.integers(0, 2000),
     )
