Let stand-ins and the soak draw framings, ends, line ends and sizes of pieces

Engines and the store of the soak now put each answer on the wire in a shape of its own, an operator lets engines break streams off in every way that a caller can tell, two callers speak HTTP/1.0, and callers continue turns that broke off at them. New checks: no node takes a stream for truncated that no engine broke off, and no broken turn is in a chain; that no caller gets a broken answer as a whole one was checked before.

The soak's proxy sent an orderly end before each reset (shutdown of both directions), which an answer without a length cannot be told from a whole one by; it now resets at once. It also kept its sockets for the whole run.

--- a/tests/processes/platform/raw_callers.py
+++ b/tests/processes/platform/raw_callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import re
 import socket
 from dataclasses import dataclass
@@ -41,7 +40,11 @@
 def ask_raw(
     port: int, path: str, request_id: str, fields: dict[str, str], *, version: str = "1.1"
 ) -> RawAnswer:
-    """Send a request on a connection of its own and read until that ends."""
+    """Send a request on a connection of its own and read until that ends.
+
+    Raises:
+        OSError: There is no connection, or it neither ends nor brings anything for a time.
+    """
     all_fields = {
         "Host": CALLER_HOST,
         "X-Yokeline-Request-Id": request_id,
@@ -63,16 +66,14 @@
 
 def _read_to_end(sock: socket.socket) -> tuple[bytes, bool]:
     data = b""
-    with contextlib.suppress(TimeoutError):
-        while True:
-            try:
-                piece = sock.recv(_READ_BYTES)
-            except ConnectionResetError:
-                return data, True
-            if not piece:
-                return data, False
-            data += piece
-    raise AssertionError(f"the connection stays open after {data[-200:]!r}")
+    while True:
+        try:
+            piece = sock.recv(_READ_BYTES)
+        except ConnectionResetError:
+            return data, True
+        if not piece:
+            return data, False
+        data += piece
 
 
 def _parsed(data: bytes, was_reset: bool) -> RawAnswer:
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from tests.processes.platform.wire import (
+    LONG_PIECES,
     PLAIN,
     AnswerEnd,
     BreakOff,
@@ -34,6 +35,7 @@
 JSON = {"content-type": "application/json"}
 EVENT_SECONDS = 0.02
 FIRST_VERSION = "v1"
+BROKE_OFF = "broke off"
 FIRST_START_MS = 1_790_000_000_000
 """When engines started for the first time."""
 
@@ -67,7 +69,7 @@
         self.changes.append({"private-key": key, "rev": self.revision, "gone": True})
 
     def wire_shape(self, event: HttpArrived) -> WireShape:
-        return PLAIN if self.shapes is None else draw_shape(self.shapes)
+        return PLAIN if self.shapes is None else draw_shape(self.shapes, LONG_PIECES)
 
     def handle(self, event: Event, now: float) -> list[WireEffect]:
         effects: list[WireEffect] = []
@@ -172,6 +174,7 @@
         version: Software version of the engine at that start.
         events: Stream events that it sent.
         shape: How its answer was put on the wire.
+        break_off: How its stream was broken off; None if it was not.
     """
 
     engine_id: str
@@ -181,6 +184,7 @@
     version: str = ""
     events: int = 0
     shape: WireShape = PLAIN
+    break_off: BreakOff | None = None
 
 
 class EngineStandIn:
@@ -288,7 +292,7 @@
         self.spans.append(span)
         if "x-yokeline-token-usage" not in event.headers:
             if self.reset_answers:
-                span.how = "broke off"
+                span.how = BROKE_OFF
                 return [
                     HttpStreamStart(exchange=event.exchange, headers=headers),
                     BrokenStream(event.exchange, b"do", AnswerEnd.RESET),
@@ -311,7 +315,8 @@
                 self.breaks = 1
             del self._streams[exchange]
             part = self.break_off.part_of(self._event(exchange, int(state[0]) + 1))
-            self._end_span(exchange, "broke off")
+            self._open_spans[exchange].break_off = self.break_off
+            self._end_span(exchange, BROKE_OFF)
             return [BrokenStream(exchange, part, self.break_off.end)]
         if state[0] >= self.events:
             del self._streams[exchange]
--- a/tests/processes/platform/streams.py
+++ b/tests/processes/platform/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import re
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -13,6 +14,8 @@
 
 OK = 200
 EVENTS = 5
+READ_BYTES = 65536
+LINE_END = re.compile(rb"\r\n|\n|\r")
 STREAM_BUDGET = 100_000
 DEADLINE_SECONDS = 5.0
 REFUSAL_PAUSE_SECONDS = 0.1
@@ -109,15 +112,16 @@
         connection.request("POST", path, body=f"input-{request_id}", headers=fields)
         response = connection.getresponse()
         status = response.status
+        pending = b""
         while len(event_ids) < events:
-            line = response.readline()
-            if not line:
+            piece = response.read1(READ_BYTES)
+            if not piece:
                 is_whole = True
                 break
-            if line.startswith(b"event: "):
-                versions.append(line.removeprefix(b"event: ").decode().strip())
-            if line.startswith(b"id: "):
-                event_ids.append(int(line.removeprefix(b"id: ")))
+            *lines, pending = LINE_END.split(pending + piece)
+            for line in lines:
+                if len(event_ids) < events:
+                    _read_line(line, event_ids, versions)
     except (OSError, http.client.HTTPException):
         is_whole = False
     finally:
@@ -125,6 +129,14 @@
     return Answer(status, event_ids, is_whole, time.monotonic() - began, versions)
 
 
+def _read_line(line: bytes, event_ids: list[int], versions: list[str]) -> None:
+    """Add what a line of an event tells."""
+    if line.startswith(b"event: "):
+        versions.append(line.removeprefix(b"event: ").decode())
+    if line.startswith(b"id: "):
+        event_ids.append(int(line.removeprefix(b"id: ")))
+
+
 def versions_of(stream: CallerStream, engines: Iterable[EngineStandIn]) -> set[str]:
     """Return the versions of the engines whose events the stream holds."""
     return versions_in(stream.attempts, (span for engine in engines for span in engine.spans))
--- a/tests/processes/platform/test_soak.py
+++ b/tests/processes/platform/test_soak.py
@@ -5,10 +5,12 @@
 import unittest
 
 from tests.soak.__main__ import SoakPlan, play
+from tests.soak.broken_streams import truncations
 
 SECONDS = 45.0
 SEED = 20261202
 LEAST_FAULTS = 25
+LEAST_TRUNCATIONS = 3
 LEAST_ANSWERS = 50
 """Far below what a machine with other work reaches (96 faults, 1,021 answers in 45 s): without
 faults or answers the run would show nothing. Orders to evacuate a zone and disks
@@ -22,3 +24,4 @@
         self.assertGreaterEqual(len(result.faults), LEAST_FAULTS)
         answered = sum(count for name, count in result.outcomes.items() if name.endswith(" 200"))
         self.assertGreaterEqual(answered, LEAST_ANSWERS)
+        self.assertGreaterEqual(truncations(result.outcomes), LEAST_TRUNCATIONS)
--- a/tests/processes/platform/wire.py
+++ b/tests/processes/platform/wire.py
@@ -16,6 +16,7 @@
 import struct
 import threading
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -42,8 +43,15 @@
 _LONGEST_WAIT_SECONDS = 0.5
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _PAUSE_BETWEEN_PIECES_SECONDS = 0.0002
-SURPLUS = b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus"
-"""An answer that nobody asked for, behind a whole one."""
+ID_FIELD = "x-yokeline-request-id"
+"""Field that each answer carries back."""
+
+
+def surplus_answer(request_id: str) -> bytes:
+    """Return another answer to a request, behind a whole one."""
+    return (
+        f"HTTP/1.1 200 OK\r\n{ID_FIELD}: {request_id}\r\nContent-Length: 7\r\n\r\nsurplus".encode()
+    )
 
 
 class AnswerEnd(enum.Enum):
@@ -52,7 +60,7 @@
     ORDERLY = "orderly"
     """As of a whole answer: with the last chunk, or by closing the connection if it has none."""
     CLOSED = "closed"
-    """The connection is closed without a last chunk."""
+    """The connection is closed without a last chunk; it is reset if the answer has no chunks."""
     RESET = "reset"
     SILENT = "silent"
     """Nothing more comes over an open connection."""
@@ -85,10 +93,17 @@
 
 
 PLAIN = WireShape()
+PLAIN_SHARE = 0.3
+"""Share of drawn answers that are plain."""
+STREAM_PIECES = (0, 0, 1, 2, 7)
+LONG_PIECES = (0, 512, 4096)
+"""Sizes of the pieces of an answer of many kilobytes."""
 
 
-def draw_shape(source: random.Random) -> WireShape:
-    """Return any shape that an answer may have."""
+def draw_shape(source: random.Random, pieces: Sequence[int] = STREAM_PIECES) -> WireShape:
+    """Return any shape that an answer may have, cut into one of some sizes of ``pieces``."""
+    if source.random() < PLAIN_SHARE:
+        return PLAIN
     version = source.choice(("1.1", "1.1", "1.1", "1.0"))
     framings = [BodyFraming.CHUNKED, BodyFraming.CLOSE, BodyFraming.CLOSE]
     framing = source.choice(framings) if version == "1.1" else BodyFraming.CLOSE
@@ -96,7 +111,7 @@
         framing=framing,
         version=version,
         line_end=source.choice((b"\n", b"\r\n", b"\r")),
-        piece_bytes=source.choice((0, 0, 1, 2, 7)),
+        piece_bytes=source.choice(pieces),
         says_close=source.random() < 0.3,
         surplus=framing is BodyFraming.CHUNKED and source.random() < 0.1,
     )
@@ -119,6 +134,15 @@
         return event[: self.partial]
 
 
+PARTS = (1, 3, 9, -1, -2)
+
+
+def draw_break_off(source: random.Random) -> BreakOff:
+    """Return any break that a caller can tell, in all framings, from the end of a whole stream."""
+    end = source.choice(tuple(AnswerEnd))
+    return BreakOff(end, source.choice(PARTS if end is AnswerEnd.ORDERLY else (0, *PARTS)))
+
+
 @dataclass(frozen=True)
 class BrokenStream:
     """An effect of a stand-in: send a piece that is no whole event, and end the answer."""
@@ -247,13 +271,18 @@
         self._server = server
         self._sock = sock
         self._rest = b""
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLIN)
 
     def run(self) -> None:
-        """Serve until either end closes."""
+        """Serve until either end closes; a fault of the stand-in must not look like an end."""
         try:
             with contextlib.suppress(OSError):
                 while self._serve():
                     pass
+        except BaseException:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            raise
         finally:
             self._server.forget(self._sock)
             self._sock.close()
@@ -264,7 +293,7 @@
         if request is None:
             return False
         shape, answers = self._server.arrive(request)
-        answer = _Answer(self._sock, shape)
+        answer = _Answer(self._sock, shape, request.headers.get(ID_FIELD, ""))
         try:
             while not answer.is_over:
                 self._write_next(request.exchange, answers, answer)
@@ -289,8 +318,7 @@
         answer.write(effect)
 
     def _is_gone(self) -> bool:
-        readable, _, _ = select.select([self._sock], [], [], 0)
-        return bool(readable) and not self._sock.recv(1, socket.MSG_PEEK)
+        return bool(self._poll.poll(0)) and not self._sock.recv(1, socket.MSG_PEEK)
 
     def _read_request(self) -> HttpArrived | None:
         """Read the next request; None if the connection ends first."""
@@ -343,11 +371,12 @@
         keeps_connection: The connection serves another request.
     """
 
-    def __init__(self, sock: socket.socket, shape: WireShape) -> None:
+    def __init__(self, sock: socket.socket, shape: WireShape, request_id: str) -> None:
         self.is_over = False
         self.keeps_connection = False
         self._sock = sock
         self._shape = shape
+        self._request_id = request_id
 
     def write(self, effect: WireEffect) -> None:
         """Carry out an effect of the stand-in."""
@@ -415,13 +444,16 @@
             self._send(b"0\r\n\r\n")
         self._finish(end)
 
+    def _has_no_chunks(self) -> bool:
+        return self._shape.framing is not BodyFraming.CHUNKED
+
     def _finish(self, end: AnswerEnd) -> None:
         self.is_over = True
         if end is AnswerEnd.ORDERLY:
             self.keeps_connection = not self._shape.ends_connection
             if self._shape.surplus:
-                self._send(SURPLUS)
-        elif end is AnswerEnd.RESET:
+                self._send(surplus_answer(self._request_id))
+        elif end is AnswerEnd.RESET or (end is AnswerEnd.CLOSED and self._has_no_chunks()):
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         elif end is AnswerEnd.SILENT:
             while self._sock.recv(_READ_BYTES):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import http.client
+import random
 import secrets
 import sys
 import threading
@@ -19,13 +20,14 @@
 
 from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import Deployment
-from tests.soak.callers import Caller
+from tests.soak.broken_streams import StreamBreaker, breaks_by_end
+from tests.soak.callers import Caller, CallerWithoutChunks
 from tests.soak.cold_engines import COLD_RATE, PoolOperator, beyond_cold_rate
 from tests.soak.evacuations import EVACUATION_SECONDS, ZONES, ZoneOperator, late_requests
 from tests.soak.faults import Injector, SharedFaults
 from tests.soak.full_disks import DiskOperator
 from tests.soak.proxy import Proxy
-from tests.soak.records import MOST_TOKENS, OK, Asked, Records, violations
+from tests.soak.records import MOST_TOKENS, OK, Asked, Records, called_broken, violations
 from tests.soak.regions import outside_regions, region_lines, zone_of_node
 from tests.soak.surges import surge_callers
 from tests.soak.tenants import KeyOperator, soak_tenants, tenant_violations
@@ -44,6 +46,7 @@
 PROCESSES_PER_LANE = 8
 """One more lane for each so many processes of a larger deployment."""
 RESUMING_CALLERS = 4
+CALLERS_WITHOUT_CHUNKS = 2
 CALM_SECONDS = 3.0
 MODELS = 3
 APPS = 3
@@ -142,16 +145,21 @@
         ]
         limited = next(tenant for tenant in tenants if tenant.rate)
         mark_versions(deployment.models)
+        _draw_shapes(deployment, plan.seed)
         resuming = [
             ResumingCaller(f"r{number}", deployment, records, streams, plan.seed, tenants[0])
             for number in range(RESUMING_CALLERS)
         ]
+        callers.extend(
+            CallerWithoutChunks(f"o{number}", deployment, records, plan.seed, tenants[0])
+            for number in range(CALLERS_WITHOUT_CHUNKS)
+        )
         callers.extend(surge_callers(deployment, records, plan.seed, limited))
         operator = KeyOperator(deployment, shared, plan.seed)
         zone_operator = ZoneOperator(deployment, shared, plan.seed)
         others = [
             kind(deployment, shared, plan.seed)
-            for kind in (DiskOperator, PoolOperator, VersionOperator)
+            for kind in (DiskOperator, PoolOperator, VersionOperator, StreamBreaker)
         ]
         # Callers come to machines that run; a ledger that is being founded is another test's.
         wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
@@ -174,6 +182,7 @@
         engines = [*deployment.models, *deployment.apps]
         broken.extend(violations(records.asked, engines))
         broken.extend(streams.violations())
+        broken.extend(called_broken(_failed_connections(deployment), engines))
         seen = [request for engine in engines for request in engine.seen]
         broken.extend(tenant_violations(records.asked, seen, operator.taken, tenants))
         broken.extend(late_requests(engines, deployment.engine_zones, zone_operator.orders))
@@ -184,10 +193,22 @@
         if broken and plan.logs:
             deployment.keep_logs(Path(plan.logs) / str(plan.seed))
         deployment.close_proxies()
-    outcomes = records.outcomes() + streams.counts
+    outcomes = records.outcomes() + streams.counts + breaks_by_end(deployment)
     return SoakResult(faults=shared.lines, outcomes=dict(outcomes), broken=broken)
 
 
+def _draw_shapes(deployment: ProxiedDeployment, seed: int) -> None:
+    """Let engines and the store put each answer on the wire in a shape of its own."""
+    for engine in (*deployment.models, *deployment.apps):
+        engine.shapes = random.Random(f"{seed}/{engine.engine_id}/shapes")
+    deployment.store.shapes = random.Random(f"{seed}/store/shapes")
+
+
+def _failed_connections(deployment: Deployment) -> list[dict[str, object]]:
+    """Return the log lines of connections to engines that failed."""
+    return [line for edge in deployment.edges for line in edge.lines("engine_connection_failed")]
+
+
 def _keys_in_logs(deployment: Deployment) -> list[str]:
     """Return the processes whose logs show a key."""
     return [
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,6 +8,7 @@
 import time
 
 from tests.processes.platform.deployment import Deployment, TenantKeys
+from tests.processes.platform.raw_callers import ask_raw
 from tests.soak.records import MOST_TOKENS, OK, STREAM, Asked, Records
 from tests.soak.tenants import FORGED_FIELDS
 from tests.soak.versions import versions_in, without_marks
@@ -19,6 +20,8 @@
 ANSWER_SECONDS = 8
 FORGED_SHARE = 0.5
 """Share of requests with fields that callers are not to set."""
+FOLLOWED_SHARE = 0.5
+"""Share of turns that broke off which a caller names as the one that is continued."""
 THEFT_SHARE = 0.3
 """Share of lines of turns after which a caller names a turn of another tenant."""
 
@@ -35,6 +38,7 @@
         self._tenant = tenant
         # Apart from the choice of what is asked, so that earlier seeds ask as they did.
         self._forger = random.Random(f"{seed}/{name}/forged")
+        self._follower = random.Random(f"{seed}/{name}/broken")
         self._deployment = deployment
         self._records = records
         self._random = random.Random(f"{seed}/{name}")
@@ -88,9 +92,17 @@
             if asked.status == OK and asked.is_whole and asked.body == STREAM:
                 previous = asked.request_id
                 self._records.note_kept(asked)
+            elif asked.status == OK and self._follower.random() < FOLLOWED_SHARE:
+                self._follow_broken_turn(asked)
         if self._forger.random() < THEFT_SHARE:
             self._continue_foreign_turn()
 
+    def _follow_broken_turn(self, broken: Asked) -> None:
+        """Continue a turn that broke off; it is unknown, or was whole until it left its node."""
+        fields = self._turn_fields(broken.program)
+        fields["X-Yokeline-Previous-Turn"] = broken.request_id
+        self._ask("/kept/x", fields, broken.program, broken.request_id, follows_broken=True)
+
     def _continue_foreign_turn(self) -> None:
         """Name a turn of another tenant as the one that is continued; it must not be found."""
         foreign = self._records.kept_of_others(self._tenant.name)
@@ -116,6 +128,7 @@
         previous: str = "",
         *,
         is_theft: bool = False,
+        follows_broken: bool = False,
     ) -> Asked:
         self._count += 1
         request_id = f"{self._name}-{self._count}"
@@ -140,6 +153,7 @@
             key=key,
             sent_at=sent_at,
             is_theft=is_theft,
+            follows_broken=follows_broken,
         )
         self._records.add(asked)
         self._rest(status)
@@ -187,3 +201,17 @@
 
     def _drop_connection(self, edge: int) -> None:
         self._connections.pop(edge).close()
+
+
+class CallerWithoutChunks(Caller):
+    """One that speaks HTTP/1.0 and judges by the bytes whether an answer is whole."""
+
+    def _exchange(
+        self, edge: int, path: str, request_id: str, fields: dict[str, str]
+    ) -> tuple[int | None, bytes, bool]:
+        port = self._deployment.fronts[edge]
+        try:
+            answer = ask_raw(port, path, request_id, fields, version="1.0")
+        except OSError:
+            return None, b"", False
+        return answer.status, answer.body, answer.looks_whole
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -46,6 +46,7 @@
         self.texts: set[bytes] = set()
         self._target_port = target_port
         self._sockets: set[socket.socket] = set()
+        self._reset_sockets: set[socket.socket] = set()
         self._lock = threading.Lock()
         self._closed = False
         self._listener = socket.create_server((HOST, 0))
@@ -87,6 +88,12 @@
         answers = threading.Thread(target=self._pump, args=(server, client, True), daemon=True)
         answers.start()
         self._pump(client, server, False)
+        answers.join()
+        with self._lock:
+            self._sockets.difference_update((client, server))
+            self._reset_sockets.difference_update((client, server))
+        client.close()
+        server.close()
 
     def _pump(self, source: socket.socket, target: socket.socket, is_answer: bool) -> None:
         """Pass the bytes of one direction on until an end closes."""
@@ -102,6 +109,8 @@
             self._hold_back(is_answer)
             if not is_answer:
                 self.texts.update(re.findall(TEXT_PATTERN, data))
+            if source in self._reset_sockets:
+                break
             try:
                 if not data:
                     target.shutdown(socket.SHUT_WR)
@@ -124,14 +133,15 @@
         with self._lock:
             sockets = list(self._sockets)
             self._sockets.clear()
+            self._reset_sockets.update(sockets)
         for item in sockets:
             _reset(item)
 
 
 def _reset(sock: socket.socket) -> None:
-    """Close a connection so that the other end sees a reset."""
+    """Close a connection so that the other end sees a reset, and no orderly end before it."""
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
+        sock.shutdown(socket.SHUT_RD)
     sock.close()
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from tests.processes.platform.deployment import MOST_ATTEMPTS, WORDS
-from tests.processes.platform.stand_ins import EngineStandIn, Span
+from tests.processes.platform.stand_ins import BROKE_OFF, EngineStandIn, Span
 
 STREAM = b"".join(f"id: {number}\ndata: word{number}\n\n".encode() for number in range(1, 6))
 TOKENS_PER_EVENT = 10
@@ -19,6 +19,7 @@
 """Routes whose requests may run more than once."""
 CALLS = ("/fix/", "/look/")
 """Routes of the app, whose answers come whole."""
+TRUNCATED_ENDS = ("inside_event", "without_event")
 PROMISES_NOT_RUN = frozenset((402, 408, 421, 429, 503))
 
 
@@ -33,6 +34,7 @@
         tenant: Whose key it carried; empty without tenants.
         sent_at: When its caller sent it (monotonic seconds).
         is_theft: The turn that it continues is another tenant's.
+        follows_broken: Its caller did not get the turn that it continues whole.
         versions: Engine versions that its events are marked with.
     """
 
@@ -48,6 +50,7 @@
     key: str = ""
     sent_at: float = 0.0
     is_theft: bool = False
+    follows_broken: bool = False
     versions: list[str] = []
 
 
@@ -157,6 +160,21 @@
     return found
 
 
+def called_broken(failures: list[dict[str, object]], engines: list[EngineStandIn]) -> list[str]:
+    """Return the streams that a node took for truncated although no engine broke them off.
+
+    ``failures`` are the lines of failed connections in the nodes' logs.
+    """
+    broken = {
+        span.request_id for engine in engines for span in engine.spans if span.how == BROKE_OFF
+    }
+    return [
+        f"{line['request']} was taken for broken off: {line['reason']}"
+        for line in failures
+        if line["end"] in TRUNCATED_ENDS and line["request"] not in broken
+    ]
+
+
 def _overspent(asked: list[Asked]) -> list[str]:
     handed: Counter[str] = Counter()
     budgets: dict[str, int] = {}
@@ -185,7 +203,8 @@
         if body != chain_of(item.previous, by_id) + input_of(request_id):
             found.append(f"{request_id} ran with {body[:120]!r} after {item.previous}")
     for item in asked:
-        if item.previous and not item.is_theft and item.status == NOT_FOUND:
+        is_known = item.previous and not item.is_theft and not item.follows_broken
+        if is_known and item.status == NOT_FOUND:
             found.append(f"{item.request_id} got 404 for the answered turn {item.previous}")
     return found
 
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -13,7 +13,14 @@
 
 from tests.processes.platform.deployment import Deployment, TenantKeys
 from tests.processes.platform.stand_ins import EngineStandIn
-from tests.processes.platform.streams import EVENTS, OK, STREAM_BUDGET, Answer, CallerStream
+from tests.processes.platform.streams import (
+    EVENTS,
+    LINE_END,
+    OK,
+    STREAM_BUDGET,
+    Answer,
+    CallerStream,
+)
 from tests.soak.faults import ENGINE_START_SECONDS
 from tests.soak.operators import Operator
 from tests.soak.proxy import ProxyFault
@@ -199,12 +206,17 @@
 
 def versions_in(body: bytes) -> list[str]:
     """Return the versions that the events of an answer are marked with."""
-    return [mark.decode() for mark in _MARK.findall(body)]
+    return [mark.decode() for mark in _MARK.findall(with_line_feeds(body))]
 
 
 def without_marks(body: bytes) -> bytes:
-    """Return an answer without the marks of versions."""
-    return _MARK.sub(b"", body)
+    """Return an answer without the marks of versions, its lines ended by line feeds."""
+    return _MARK.sub(b"", with_line_feeds(body))
+
+
+def with_line_feeds(body: bytes) -> bytes:
+    """Return an answer whose lines end with line feeds, whatever they ended with."""
+    return LINE_END.sub(b"\n", body)
 
 
 def mark_versions(models: list[EngineStandIn]) -> None:
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -8,15 +8,57 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from tests.processes.platform.deployment import TenantKeys
-from tests.processes.platform.stand_ins import EngineStandIn, SeenRequest
+from tests.processes.platform.deployment import WORDS, TenantKeys
+from tests.processes.platform.stand_ins import BROKE_OFF, EngineStandIn, SeenRequest, Span
 from tests.soak.cold_engines import MOST_ARRIVALS, beyond_cold_rate
-from tests.soak.records import Asked
+from tests.soak.records import Asked, called_broken, input_of, violations
 from tests.soak.regions import outside_regions
 
 ALLOWED = int(MOST_ARRIVALS)
 
 
+class BrokenStreams(unittest.TestCase):
+    """A whole stream that was called broken, or a chain with a broken turn, must not go unseen."""
+
+    def test_a_stream_that_no_engine_broke_off_is_reported(self) -> None:
+        engine = EngineStandIn("model-0")
+        engine.spans = [
+            Span("model-0", "broken", 1.0, how=BROKE_OFF),
+            Span("model-0", "whole", 2.0, how="whole"),
+        ]
+        failures: list[dict[str, object]] = [
+            {"request": name, "end": end, "reason": "r"}
+            for name in ("broken", "whole")
+            for end in ("inside_event", "without_event", "lost", "silent")
+        ]
+        found = called_broken(failures, [engine])
+        self.assertEqual([line.split(" ")[0] for line in found], ["whole", "whole"])
+
+    def test_a_turn_after_a_broken_one_runs_on_the_whole_chain_or_not_at_all(self) -> None:
+        broken = Asked(
+            request_id="a",
+            path="/kept/x",
+            status=200,
+            body=b"id: 1\ndata: word1\n\n",
+            is_whole=False,
+        )
+        following = Asked(
+            request_id="b",
+            path="/kept/x",
+            status=404,
+            body=b"",
+            is_whole=True,
+            previous="a",
+            follows_broken=True,
+        )
+        engine = EngineStandIn("model-0")
+        self.assertEqual(violations([broken, following], [engine]), [])
+        engine.runs = [("b", input_of("a") + WORDS + input_of("b"), 0)]
+        self.assertEqual(violations([broken, following], [engine]), [])
+        engine.runs = [("b", input_of("a") + b"word1\n" + input_of("b"), 0)]
+        self.assertEqual(len(violations([broken, following], [engine])), 1)
+
+
 class ColdRates(unittest.TestCase):
     """A cold engine that gets more than its bound must not go unseen."""
 
