Show a request's lines of one millisecond in the order of their log

yokeline explain sorted lines of the same time by the name of their event, so that a request seemed to be sent again before its connection failed. request_repeated tells the framing of the stream that broke, and the simulation has a test for streams that end inside an item.

--- a/src/yokeline/commands/explain.py
+++ b/src/yokeline/commands/explain.py
@@ -39,8 +39,8 @@
 _HIDDEN = ("time", "level", "event", "request")
 
 
-class LogLine(msgspec.Struct, frozen=True, order=True):
-    """One line of a node's log; lines sort by time.
+class LogLine(msgspec.Struct, frozen=True):
+    """One line of a node's log.
 
     Attributes:
         resumes: The request whose stream the line's request resumes; empty for none.
@@ -61,7 +61,7 @@
         request: The request's id.
         files: Log files of nodes (JSON lines; text before the JSON names the source).
     """
-    lines = sorted(line for name in files for line in read_lines(name))
+    lines = sorted((line for name in files for line in read_lines(name)), key=_time_of)
     story = story_of(lines, request)
     if not story:
         print(f"no line of request {request} in {len(files)} files", file=sys.stderr)
@@ -86,7 +86,7 @@
     beliefs = [line for line in lines if line.source in sources and line.event in BELIEF_EVENTS]
     before = [line for line in beliefs if line.time < first][-BELIEFS_SHOWN:]
     during = [line for line in beliefs if first <= line.time <= last]
-    return sorted([*own, *before, *during])
+    return sorted([*before, *own, *during], key=_time_of)
 
 
 def requests_of_stream(lines: list[LogLine], request: str) -> set[str]:
@@ -96,6 +96,11 @@
     return {request, origin} | {line.request for line in lines if line.resumes == origin}
 
 
+def _time_of(line: LogLine) -> str:
+    """Return the key by which lines are sorted; those of one time keep their order in a log."""
+    return line.time
+
+
 def read_lines(name: str) -> Iterable[LogLine]:
     """Yield the JSON lines of a log file; other lines are passed over.
 
--- a/src/yokeline/forwarding/retries.py
+++ b/src/yokeline/forwarding/retries.py
@@ -83,6 +83,7 @@
             reason=reason,
             runs=exchange.possible_runs,
             after_event=exchange.last_event_id,
+            framing=framing_label(exchange),
             back_to=exchange.attempts.latest_engine_id if exchange.attempts.are_exhausted else "",
             budget_left=round(self._retry_budget.balance, 1),
         )
--- a/tests/simulation/test_kernel.py
+++ b/tests/simulation/test_kernel.py
@@ -120,6 +120,16 @@
     return [HttpStreamStart(exchange=event.exchange), *data, end]
 
 
+def _stream_of(event: Event, data: bytes) -> list[Effect]:
+    if not isinstance(event, HttpArrived):
+        return []
+    return [
+        HttpStreamStart(exchange=event.exchange),
+        HttpStreamData(event.exchange, data),
+        HttpStreamEnd(exchange=event.exchange),
+    ]
+
+
 class HttpTest(unittest.TestCase):
     def test_whole_answer(self) -> None:
         pair = Pair(echo)
@@ -144,6 +154,20 @@
         ]
         self.assertEqual(events, expected)
 
+    def test_a_stream_that_ends_inside_an_item_fails(self) -> None:
+        for framing, data in (
+            (Framing.SERVER_SENT_EVENTS, b"data: one\n\ndata: tw"),
+            (Framing.RAW_EVENTS, b"data: one\n\ndata: two\n"),
+            (Framing.JSON_LINES, b'{"a": 1}\n{"a": 2'),
+        ):
+            with self.subTest(framing.value):
+                pair = Pair(lambda event, data=data: _stream_of(event, data))  # type: ignore[misc]
+                pair.request(framing=framing)
+                pair.run(1.0)
+                items = [e for _, e in pair.of(pair.client).seen if isinstance(e, HttpStreamItem)]
+                self.assertEqual(len(items), 1)
+                self.assertIsInstance(pair.answer(), HttpFailed)
+
     def test_aborted_stream_fails(self) -> None:
         pair = Pair(stream)
         pair.request("abort", framing=Framing.SERVER_SENT_EVENTS)
--- a/tests/unit/cli/test_explain.py
+++ b/tests/unit/cli/test_explain.py
@@ -60,6 +60,14 @@
         self.assertIn("edge-hall-a-1", out)
         self.assertIn("reason=reset", out)
 
+    def test_lines_of_one_millisecond_keep_the_order_of_their_log(self) -> None:
+        events = ["engine_connection_failed", "request_repeated", "engine_chosen"]
+        other = self.edge.with_name("edge-2.log")
+        rows = [{"time": "10:00:01.000", "event": event, "request": "a"} for event in events]
+        other.write_text("\n".join(json.dumps(row) for row in rows))
+        _, out, _ = self.run_explain("a", str(other))
+        self.assertEqual([row.split()[2] for row in out.splitlines()], events)
+
     def test_a_resumed_stream_is_shown_with_all_its_requests(self) -> None:
         other = self.edge.with_name("edge-2.log")
         other.write_text("\n".join(json.dumps(row) for row in RESUMED))
