--- a/tests/processes/platform/test_broken_answers.py
+++ b/tests/processes/platform/test_broken_answers.py
@@ -12,10 +12,17 @@
 from dataclasses import dataclass
 
 from tests.processes.cluster import wait_until
-from tests.processes.platform.deployment import WORDS, Deployment
+from tests.processes.platform.deployment import (
+    REFUSAL_PAUSE_SECONDS,
+    UNAVAILABLE,
+    WORDS,
+    Deployment,
+    RoleProcess,
+)
 from tests.processes.platform.raw_callers import RawAnswer, ask_raw
+from tests.processes.platform.stand_ins import EVENT_SECONDS
 from tests.processes.platform.wire import AnswerEnd, BreakOff, WireShape
-from tests.soak.records import CALLS, STREAM, input_of
+from tests.soak.records import CALLS, MOST_TOKENS, STREAM, TOKENS_PER_EVENT, input_of
 from yokeline.effects import BodyFraming
 
 EVENTS = 5
@@ -25,6 +32,9 @@
 ALWAYS = 1_000_000
 OK = 200
 NOT_FOUND = 404
+BUDGET_SPENT = 402
+SURE_SECONDS = 10.0
+"""Time within which a node is sure again whether there is a turn."""
 BAD_GATEWAY = 502
 CHUNKED = WireShape()
 UNFRAMED = WireShape(framing=BodyFraming.CLOSE, says_close=True)
@@ -96,16 +106,24 @@
             engine.break_after = None
 
     def ask(
-        self, path: str, *, version: str = "1.1", program: str = "", previous: str = ""
+        self,
+        path: str,
+        *,
+        version: str = "1.1",
+        program: str = "",
+        previous: str = "",
+        budget: int = 200,
+        edge: int = 0,
     ) -> tuple[str, RawAnswer]:
         """Ask for a turn, of a program of its own by default; return its id as well."""
         request_id = f"t{next(self.numbers)}"
         fields = {"X-Yokeline-Program-Id": program or f"p-{request_id}"}
         if not path.startswith(CALLS):
-            fields.update({"X-Yokeline-Token-Budget": "200", "X-Yokeline-Token-Usage": "100,50"})
+            fields["X-Yokeline-Token-Budget"] = str(budget)
+            fields["X-Yokeline-Token-Usage"] = f"100,{MOST_TOKENS}"
         if previous:
             fields["X-Yokeline-Previous-Turn"] = previous
-        front = self.deployment.fronts[0]
+        front = self.deployment.fronts[edge]
         return request_id, ask_raw(front, path, request_id, fields, version=version)
 
     def bodies_run(self, request_id: str) -> list[bytes]:
@@ -117,6 +135,20 @@
             if name == request_id
         ]
 
+    def start_again(self) -> None:
+        """Start the processes that have ended, and serve."""
+        for process in (*self.deployment.storage, *self.deployment.edges):
+            if not process.is_running:
+                process.start()
+        self.serve_whole(CHUNKED)
+        wait_until(self.is_served, "a turn is served")
+
+    def is_served(self) -> bool:
+        try:
+            return all(self.ask("/kept/x", edge=edge)[1].status == OK for edge in (0, 1))
+        except OSError:
+            return False
+
     def assert_broken(self, answer: RawAnswer, how: Break) -> None:
         """Check that an answer looks broken and holds whole events only."""
         if answer.status == OK:
@@ -165,6 +197,73 @@
                     self.assertEqual(answer.event_ids, ALL_EVENTS)
 
 
+class BrokenTurnsBesideFaults(AnswersOfEngines):
+    """Turns that are broken off in the moment of another fault."""
+
+    def leader(self) -> RoleProcess:
+        """Return the storage node that came to lead last."""
+        led = [
+            (str(line["time"]), number)
+            for number, process in enumerate(self.deployment.storage)
+            for line in process.lines("ledger_role_changed")
+            if line.get("role") == "leader"
+        ]
+        return self.deployment.storage[max(led)[1]]
+
+    def ask_until_sure(self, edge: int, program: str, previous: str) -> tuple[str, RawAnswer]:
+        """Continue a turn, again as long as the node cannot say whether there is one."""
+        end = time.monotonic() + SURE_SECONDS
+        while True:
+            name, answer = self.ask("/kept/x", program=program, previous=previous, edge=edge)
+            if answer.status not in (None, UNAVAILABLE) or time.monotonic() > end:
+                return name, answer
+            time.sleep(REFUSAL_PAUSE_SECONDS)
+
+    def test_a_turn_broken_off_beside_a_fault_is_in_no_chain(self) -> None:
+        store, edge = self.deployment.store, self.deployment.edges[0]
+        faults: dict[str, Callable[[], None]] = {
+            "the ledger's leader is killed": lambda: self.leader().kill(),
+            "its node is killed": edge.kill,
+            "the key-value service is down": lambda: setattr(store, "down", True),
+        }
+        for number, (name, fault) in enumerate(faults.items()):
+            with self.subTest(name), ThreadPoolExecutor(1) as pool:
+                program = f"line-{number}"
+                first, _ = self.ask("/kept/x", program=program)
+                for model in self.deployment.models:
+                    model.event_seconds = 0.1
+                self.break_streams(INSIDE_EVENT[0], breaks=ALWAYS)
+                asked = pool.submit(
+                    lambda: self.ask("/kept/x", program=program, previous=first)  # noqa: B023
+                )
+                time.sleep(0.25)
+                fault()
+                broken, answer = asked.result()
+                self.assertFalse(answer.status == OK and answer.looks_whole)
+                store.down = False
+                for model in self.deployment.models:
+                    model.event_seconds = EVENT_SECONDS
+                self.start_again()
+                for node in (0, 1):
+                    following, answer = self.ask_until_sure(node, program, broken)
+                    self.assertEqual((answer.status, self.bodies_run(following)), (NOT_FOUND, []))
+                    _, answer = self.ask_until_sure(node, program, first)
+                    self.assertEqual((answer.status, answer.looks_whole), (OK, True))
+
+    def test_a_broken_turn_is_settled_by_the_events_that_were_passed_on(self) -> None:
+        for number, how in enumerate(INSIDE_EVENT):
+            with self.subTest(how.name):
+                budget = TOKENS_PER_EVENT * how.after + 2 * MOST_TOKENS
+                program = f"budget-{number}"
+                self.break_streams(how, breaks=ALWAYS)
+                self.ask("/kept/x", program=program, budget=budget)
+                self.serve_whole(CHUNKED)
+                statuses = [
+                    self.ask("/kept/x", program=program, budget=budget)[1].status for _ in range(3)
+                ]
+                self.assertEqual(statuses, [OK, OK, BUDGET_SPENT])
+
+
 class CallersWithoutChunks(AnswersOfEngines):
     """Callers of HTTP/1.0, to whom a closed connection is the end of a whole answer."""
 
@@ -209,20 +308,6 @@
                         edge.wait()
                     self.start_again()
 
-    def start_again(self) -> None:
-        """Start the processes that have ended, and serve."""
-        for process in (*self.deployment.storage, *self.deployment.edges):
-            if not process.is_running:
-                process.start()
-        self.serve_whole(CHUNKED)
-        wait_until(self.is_served, "a turn is served")
-
-    def is_served(self) -> bool:
-        try:
-            return self.ask("/kept/x")[1].status == OK
-        except OSError:
-            return False
-
 
 class WholeAnswers(AnswersOfEngines):
     def test_a_whole_answer_looks_whole_in_every_shape(self) -> None:
@@ -252,8 +337,9 @@
                     self.assertEqual((answer.status, answer.body), (OK, b"done"))
                     self.assertTrue(answer.looks_whole)
         self.deployment.app.reset_answers = True
-        _, answer = self.ask("/fix/x")
-        self.assertEqual(answer.status, BAD_GATEWAY)
+        for path in ("/fix/x", "/look/x"):
+            _, answer = self.ask(path)
+            self.assertEqual(answer.status, BAD_GATEWAY)
 
 
 if __name__ == "__main__":
