Keep no turn without its events, and count an event of a kept turn as arrived

A caller that resumed after the last event made a stream without events complete, and an empty turn was kept. And an engine that broke off inside an event which only the kept turn lacked made the next engine's whole stream count as broken. Both tests failed before.

--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -103,7 +103,7 @@
         stream_lookups: How often the ledger was asked for it and had no record.
         last_event_id: Id of the last event sent to the caller.
         relayed_events: Number of events sent to the caller.
-        has_unfinished_event: Whether an engine broke off inside an event that the caller lacks.
+        has_unfinished_event: Whether an engine broke off inside an event, and none came since.
         kept_text: Data of the events, for a turn that is to be kept.
         kept_event_id: Id of the last event in ``kept_text``.
         kept_mark: What the ledger keeps in place of the turn's text; empty for the text itself.
@@ -208,9 +208,13 @@
     def lacks_event(self) -> bool:
         """Whether the stream is known to have an event that no engine has sent whole.
 
-        A stream has at least one event, and an event that an engine began exists.
+        A stream has at least one event, and an event that an engine began exists. A turn that is
+        to be kept needs the events that its caller has already, too.
         """
-        has_event = bool(self.relayed_events or self.call.last_event_id)
+        if self.route.retain:
+            has_event = bool(self.kept_text)
+        else:
+            has_event = bool(self.relayed_events or self.call.last_event_id)
         return not has_event or self.has_unfinished_event
 
     @property
--- a/src/yokeline/forwarding/stream_relay.py
+++ b/src/yokeline/forwarding/stream_relay.py
@@ -66,6 +66,7 @@
         if exchange.route.retain and is_after(item.event_id, exchange.kept_event_id):
             exchange.kept_text.append(event_data(item.data))
             exchange.kept_event_id = item.event_id
+            exchange.has_unfinished_event = False
         if not is_after(item.event_id, exchange.last_event_id):
             return
         exchange.last_event_id = item.event_id or exchange.last_event_id
--- a/tests/unit/forwarding/test_stream_ends.py
+++ b/tests/unit/forwarding/test_stream_ends.py
@@ -4,7 +4,7 @@
 
 from tests.unit.forwarding.support import Played
 from yokeline.effects import BodyFraming, HttpStreamStart
-from yokeline.ledger.operations import Granted
+from yokeline.ledger.operations import Granted, Settle
 
 
 class StreamEndsInLogs(unittest.TestCase):
@@ -88,6 +88,31 @@
         played.engine_ends()
         self.assertTrue(played.is_whole())
 
+    def resume_kept_turn(self) -> Played:
+        played = Played()
+        played.resume_turn("/line/x", {"last-event-id": "2"})
+        played.ledger_answers(Granted())
+        return played
+
+    def test_a_kept_turn_needs_its_events_although_the_caller_has_them(self) -> None:
+        played = self.resume_kept_turn()
+        played.engine_begins()
+        played.engine_ends()
+        self.assertFalse(played.is_whole())
+        self.assertEqual([item for item in played.operations() if isinstance(item, Settle)], [])
+
+    def test_an_event_that_only_the_kept_turn_lacked_is_not_missed_again(self) -> None:
+        played = self.resume_kept_turn()
+        played.engine_begins()
+        played.engine_sends(1)
+        played.engine_truncates(5)
+        played.wait(0.01)
+        played.engine_begins()
+        played.engine_sends(2)
+        played.engine_ends()
+        settled = [item for item in played.operations() if isinstance(item, Settle)]
+        self.assertEqual([item.turn.text for item in settled if item.turn], [b"word1\nword2\n"])
+
     def test_a_caller_that_has_all_events_gets_a_whole_answer_without_one(self) -> None:
         played = Played()
         played.resume_turn("/turn/x", {"last-event-id": "5"}, budget=False)
