Let engines of the soak pause and refuse, and its store cut answers

Three things that the protocol allows and that no stand-in on real processes played: pauses between events that are longer than any silence timeout, a full engine that refuses as not run, and answers of the key-value service that end in the orderly way halfway.

--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import random
+import time
 from dataclasses import dataclass
 from typing import Any
 
@@ -34,6 +35,9 @@
 
 JSON = {"content-type": "application/json"}
 EVENT_SECONDS = 0.02
+LONG_PAUSE_SECONDS = 1.2
+"""Longer than any silence after which a node gives a connection up."""
+LONG_PAUSE_SHARE = 0.01
 FIRST_VERSION = "v1"
 BROKE_OFF = "broke off"
 FIRST_START_MS = 1_790_000_000_000
@@ -45,6 +49,7 @@
 
     Attributes:
         shapes: Draws the shape of each answer; None for plain ones.
+        cut_share: Share of answers that end in the orderly way halfway through their body.
     """
 
     def __init__(self) -> None:
@@ -53,6 +58,7 @@
         self.revision = 0
         self.down = False
         self.shapes: random.Random | None = None
+        self.cut_share = 0.0
         self._watches: dict[ExchangeId, tuple[str, int, float]] = {}
 
     def put(self, key: str, value: object) -> None:
@@ -80,7 +86,18 @@
         if isinstance(event, HttpArrived):
             effects.extend(self._call(event, now))
         effects.extend(self._answer_watches(now))
-        return effects
+        return [part for effect in effects for part in self._cut(effect)]
+
+    def _cut(self, effect: WireEffect) -> list[WireEffect]:
+        """Return what is sent of an answer."""
+        is_whole = self.shapes is None or self.shapes.random() >= self.cut_share
+        if not isinstance(effect, HttpReply) or not effect.body or is_whole:
+            return [effect]
+        half = effect.body[: len(effect.body) // 2]
+        head = HttpStreamStart(
+            exchange=effect.exchange, status=effect.status, headers=effect.headers
+        )
+        return [head, BrokenStream(effect.exchange, half, AnswerEnd.ORDERLY)]
 
     def next_deadline(self) -> float | None:
         return min((until for _, _, until in self._watches.values()), default=None)
@@ -175,6 +192,7 @@
         events: Stream events that it sent.
         shape: How its answer was put on the wire.
         break_off: How its stream was broken off; None if it was not.
+        engine_gone_at: When another engine had taken its place; None if none has.
     """
 
     engine_id: str
@@ -185,6 +203,7 @@
     events: int = 0
     shape: WireShape = PLAIN
     break_off: BreakOff | None = None
+    engine_gone_at: float | None = None
 
 
 class EngineStandIn:
@@ -203,6 +222,8 @@
         version: Version of its software.
         shape: How answers are put on the wire, unless ``shapes`` draws it.
         shapes: Draws the shape of each answer; None for ``shape``.
+        pauses: Draws pauses between events that are too long; None for none.
+        most_running: Streams that run at once; more are refused. None for no bound.
         marks_versions: Whether each event names the version, in a field of its own.
         replacements: How often another engine has taken its place, under an id of its own.
     """
@@ -224,6 +245,8 @@
         self.shapes: random.Random | None = None
         self.event_seconds = EVENT_SECONDS
         self.version = FIRST_VERSION
+        self.pauses: random.Random | None = None
+        self.most_running: int | None = None
         self.marks_versions = False
         self.replacements = 0
         self._streams: dict[ExchangeId, list[float]] = {}
@@ -237,6 +260,10 @@
 
     def be_replaced(self, version: str) -> None:
         """Be another engine with an id of its own, at the same address."""
+        gone_at = time.monotonic()
+        for span in self.spans:
+            if span.engine_id == self.start_id:
+                span.engine_gone_at = gone_at
         self.replacements += 1
         self.version = version
 
@@ -282,6 +309,9 @@
         headers = {"x-yokeline-request-id": request_id}
         if event.headers.get("x-yokeline-expect-instance") != self.instance_id:
             return [HttpReply(exchange=event.exchange, status=421, headers=headers)]
+        if self._is_full(event):
+            headers["x-yokeline-not-executed"] = "1"
+            return [HttpReply(exchange=event.exchange, status=503, headers=headers)]
         headers["x-yokeline-server-stamp"] = f"stamp-{self.engine_id}"
         after = int(event.headers.get("last-event-id", "0"))
         self.runs.append((request_id, event.body, after))
@@ -323,10 +353,22 @@
             self._end_span(exchange, "whole")
             return [HttpStreamEnd(exchange=exchange)]
         state[0] += 1
-        state[1] = now + self.event_seconds
+        state[1] = now + self._pause()
         self._open_spans[exchange].events += 1
         return [HttpStreamData(exchange, self._event(exchange, int(state[0])))]
 
+    def _pause(self) -> float:
+        """Return the time to the next event (seconds)."""
+        if self.pauses is not None and self.pauses.random() < LONG_PAUSE_SHARE:
+            return LONG_PAUSE_SECONDS
+        return self.event_seconds
+
+    def _is_full(self, event: HttpArrived) -> bool:
+        """Return whether a turn would be one more than runs at once."""
+        is_turn = "x-yokeline-token-usage" in event.headers
+        bound = self.most_running
+        return is_turn and bound is not None and len(self._streams) >= bound
+
     def _event(self, exchange: ExchangeId, number: int) -> bytes:
         lines = [f"id: {number}", f"data: word{number}", "", ""]
         if self.marks_versions:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,6 +47,10 @@
 """One more lane for each so many processes of a larger deployment."""
 RESUMING_CALLERS = 4
 CALLERS_WITHOUT_CHUNKS = 2
+MOST_RUNNING = 6
+"""Turns that an engine runs at once: its slots, and a few that it queues."""
+CUT_SHARE = 0.03
+"""Share of the store's answers that end halfway."""
 CALM_SECONDS = 3.0
 MODELS = 3
 APPS = 3
@@ -198,10 +202,16 @@
 
 
 def _draw_shapes(deployment: ProxiedDeployment, seed: int) -> None:
-    """Let engines and the store put each answer on the wire in a shape of its own."""
+    """Let engines and the store put each answer on the wire in a shape of its own.
+
+    Engines also pause, and refuse what they have no place for; the store cuts some answers.
+    """
     for engine in (*deployment.models, *deployment.apps):
         engine.shapes = random.Random(f"{seed}/{engine.engine_id}/shapes")
+        engine.pauses = random.Random(f"{seed}/{engine.engine_id}/pauses")
+        engine.most_running = MOST_RUNNING
     deployment.store.shapes = random.Random(f"{seed}/store/shapes")
+    deployment.store.cut_share = CUT_SHARE
 
 
 def _failed_connections(deployment: Deployment) -> list[dict[str, object]]:
