Do not count an engine that was replaced against the attempts of a request in the soak

Its trace: model-0-2 crashed and model-0-3 came at its address (its entry at 42.619); the node went back and was told by 421 at 43.350 that another engine answers there, which gives the attempt back, since the engine is gone; then model-2-2 ran it. The rule leaves out engines that have ended, and the node had their successor's word. The check now leaves out an engine that had been replaced before the next one began, and still counts one that broke off, finished, was silent or is replaced later.

--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -11,7 +11,13 @@
 from tests.processes.platform.deployment import WORDS, TenantKeys
 from tests.processes.platform.stand_ins import BROKE_OFF, EngineStandIn, SeenRequest, Span
 from tests.soak.cold_engines import MOST_ARRIVALS, beyond_cold_rate
-from tests.soak.records import Asked, called_broken, input_of, violations
+from tests.soak.records import (
+    Asked,
+    called_broken,
+    input_of,
+    too_many_engines,
+    violations,
+)
 from tests.soak.regions import outside_regions
 
 ALLOWED = int(MOST_ARRIVALS)
@@ -59,6 +65,25 @@
         self.assertEqual(len(violations([broken, following], [engine])), 1)
 
 
+class EnginesOfARequest(unittest.TestCase):
+    """A request on more engines than its route allows must not go unseen."""
+
+    def found(self, *, gone_at: float | None) -> list[str]:
+        spans = [
+            Span("model-0", "r", 1.0, how=BROKE_OFF, engine_gone_at=gone_at),
+            Span("model-1", "r", 2.0),
+        ]
+        asked = Asked(request_id="r", path="/turn/x", status=200, body=b"", is_whole=True)
+        return too_many_engines(spans, [asked])
+
+    def test_an_engine_that_broke_off_counts_and_one_that_was_replaced_before_does_not(
+        self,
+    ) -> None:
+        self.assertEqual(len(self.found(gone_at=None)), 1)
+        self.assertEqual(len(self.found(gone_at=2.5)), 1)
+        self.assertEqual(self.found(gone_at=1.5), [])
+
+
 class ColdRates(unittest.TestCase):
     """A cold engine that gets more than its bound must not go unseen."""
 
