Reset connections that are being made when the soak's proxy resets all

The node saw the engine answer 4 ms after its failure, took it for returned then, and for warm 3 s after that. An engine that has crashed answers nothing. The proxy now resets a connection that missed a reset while it was being made.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -48,6 +48,7 @@
         self._sockets: set[socket.socket] = set()
         self._reset_sockets: set[socket.socket] = set()
         self._lock = threading.Lock()
+        self._resets = 0
         self._closed = False
         self._listener = socket.create_server((HOST, 0))
         self.port: int = self._listener.getsockname()[1]
@@ -72,9 +73,11 @@
                 client, _ = self._listener.accept()
             except OSError:
                 return
-            threading.Thread(target=self._connect, args=(client,), daemon=True).start()
+            arguments = (client, self._resets)
+            threading.Thread(target=self._connect, args=arguments, daemon=True).start()
 
-    def _connect(self, client: socket.socket) -> None:
+    def _connect(self, client: socket.socket, resets: int) -> None:
+        """Connect a client that was accepted after so many resets of all connections."""
         if self.fault is ProxyFault.RESET:
             _reset(client)
             return
@@ -85,6 +88,11 @@
             return
         with self._lock:
             self._sockets.update((client, server))
+            missed_reset = self._resets > resets
+        if missed_reset:
+            _reset(client)
+            _reset(server)
+            return
         answers = threading.Thread(target=self._pump, args=(server, client, True), daemon=True)
         answers.start()
         self._pump(client, server, False)
@@ -131,6 +139,7 @@
 
     def _reset_all(self) -> None:
         with self._lock:
+            self._resets += 1
             sockets = list(self._sockets)
             self._sockets.clear()
             self._reset_sockets.update(sockets)
