Keep retrying the key-value service in an outage of more than ten minutes

After 1,024 failed requests in a row the retry delay overflowed (OverflowError, 2 ** failures), the request was never made again, and the event loop spun: five processes of a deployment whose stand-ins had ended used a core each from ten minutes on (start 23:16:36, first fault 23:26:58) and wrote 6 GB of service_fault lines, until they were ended 34 minutes later. Each forwarding and storage node is affected when the service is away for that long, and none would have recovered without a restart.

The exponent is bounded. The test failed before with the OverflowError.

--- a/src/yokeline/registry/watch.py
+++ b/src/yokeline/registry/watch.py
@@ -34,6 +34,8 @@
 the meantime, and one response reports all of them instead of one response for each."""
 BASE_RETRY_DELAY_SECONDS = 0.15
 MAX_RETRY_DELAY_SECONDS = 0.8
+MAX_RETRY_DOUBLINGS = 8
+"""Bounds the power of two, which an outage of minutes would make too large for a float."""
 MAX_RETAINED_CHANGES = 512
 """Changes retained for nodes that read from this node, and removals remembered. A node that has
 missed more changes gets all items."""
@@ -248,7 +250,8 @@
 
     def _back_off(self, now: float) -> None:
         self.failures += 1
-        delay = min(BASE_RETRY_DELAY_SECONDS * 2 ** (self.failures - 1), MAX_RETRY_DELAY_SECONDS)
+        doublings = min(self.failures - 1, MAX_RETRY_DOUBLINGS)
+        delay = min(BASE_RETRY_DELAY_SECONDS * 2**doublings, MAX_RETRY_DELAY_SECONDS)
         self._next_request_at = now + delay * (0.5 + 0.5 * self._random.random())
 
     def _start_listing(self) -> None:
--- a/tests/processes/platform/wire.py
+++ b/tests/processes/platform/wire.py
@@ -135,6 +135,7 @@
 
 
 PARTS = (1, 3, 9, -1, -2)
+"""Bytes that are sent of an event that is broken off; if negative, that are left out."""
 
 
 def draw_break_off(source: random.Random) -> BreakOff:
--- a/tests/unit/registry/test_watch.py
+++ b/tests/unit/registry/test_watch.py
@@ -18,6 +18,7 @@
 from yokeline.registry.watch import (
     FIRST_WATCH_DELAY_SECONDS,
     MAX_RETAINED_CHANGES,
+    MAX_RETRY_DELAY_SECONDS,
     Changes,
     PrefixWatch,
     Whole,
@@ -194,6 +195,18 @@
         self.assertIn("p/a", self.watch.items)
         self.assertEqual(self.call().path, "watch p/ 10")
 
+    def test_a_watch_retries_after_an_outage_of_any_length(self) -> None:
+        self.answer(Page((item("p/a", 3),), False, 10))
+        for _ in range(5000):
+            made = self.call()
+            self.watch.on_failure(
+                HttpFailed(request=made.request, sent=True, reason="refused"), self.now
+            )
+            due = self.watch.next_deadline()
+            assert due is not None
+            self.assertLessEqual(due - self.now, MAX_RETRY_DELAY_SECONDS)
+            self.now = due
+
 
 class Writes(unittest.TestCase):
     def setUp(self) -> None:
