--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -111,6 +111,11 @@
         assert self._process is not None
         self._process.send_signal(number)
 
+    @property
+    def pid(self) -> int:
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def is_running(self) -> bool:
         return self._process is not None and self._process.poll() is None
@@ -188,18 +193,21 @@
         zones: Sequence[str] = ("a",),
         evacuation_seconds: float = 0.0,
         versions: Sequence[str] = (FIRST_VERSION,),
+        listed_versions: Sequence[str] | None = None,
     ) -> None:
         """Prepare a deployment.
 
         ``source`` is the folder of the release to begin with, if not this one. ``cold_rate`` is
         what engines bear a second while they are cold; 0 for no bound. The engines of a pool are
-        spread over ``zones``, and run ``versions`` of their software in turn.
+        spread over ``zones``, and run ``versions`` of their software in turn. Engines of other than
+        ``listed_versions`` have no entry until they are listed; by default all have one.
         """
         self._cold_rate = cold_rate
         self.engine_zones: dict[str, str] = {}
         self.keeps_ids = False
         self._zones = zones
         self._versions = versions
+        self._listed_versions = versions if listed_versions is None else listed_versions
         self._evacuation_seconds = evacuation_seconds
         self.tenants = list(tenants)
         self.allowed_regions: dict[str, list[str]] = {}
@@ -467,7 +475,8 @@
             "sequence": 1,
         }
         self._documents[engine.engine_id] = document
-        self.list_engine(engine)
+        if pool != "models" or engine.version in self._listed_versions:
+            self.list_engine(engine)
 
     def _role(self, role: str, number: int) -> RoleProcess:
         folder = Path(self._folder.name)
--- a/tests/processes/platform/lethal_requests.py
+++ b/tests/processes/platform/lethal_requests.py
@@ -9,6 +9,7 @@
 import http.client
 import time
 from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
 from tests.processes.cluster import HOST
@@ -20,6 +21,8 @@
 ATTEMPTS = 3
 TURNS = 3
 """How often a turn is sent: once, and twice again from its start."""
+LEFT_TOGETHER_SECONDS = 0.05
+"""Time after the first run within which attempts of several callers left at one moment."""
 PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 0.3
 ANSWER_SECONDS = 7.0
@@ -55,7 +58,8 @@
     Attributes:
         body: The same in each attempt.
         attempts: The oldest first.
-        budget: Tokens that its program may generate.
+        budget: Tokens that its program may generate; None for none.
+        leaves_after: Seconds of silence after which the caller gives an attempt up.
         before_attempt: Called with the number of each attempt, from 0 on.
     """
 
@@ -65,7 +69,8 @@
     program: str = ""
     key: str = ""
     deadline_ms: int = 5000
-    budget: int = 100_000
+    budget: int | None = 100_000
+    leaves_after: float = ANSWER_SECONDS
     attempts: list[Attempt] = field(default_factory=list)
     before_attempt: Callable[[int], None] = lambda _number: None
 
@@ -93,7 +98,7 @@
             for _ in range(ATTEMPTS):
                 edge = nodes[len(self.attempts) % len(nodes)]
                 self.before_attempt(len(self.attempts))
-                pause = self._attempt(deployment.fronts[edge])
+                pause = self._attempt(deployment.fronts[edge], len(self.attempts))
                 if self.is_served or self.statuses[-1] in FINAL:
                     return
                 if not self._may_retry():
@@ -101,14 +106,29 @@
                 time.sleep(pause)
             time.sleep(PAUSE_SECONDS)
 
+    def run_together(
+        self, deployment: Deployment, edges: Iterable[int], *, at_once: int, rounds: int
+    ) -> None:
+        """Ask with several attempts at a time, and once they have ended with as many again."""
+        nodes = list(edges)
+        with ThreadPoolExecutor(at_once) as pool:
+            for number in range(rounds):
+                first = len(self.attempts)
+                self.before_attempt(number)
+                attempts = [
+                    pool.submit(self._attempt, deployment.fronts[nodes[item % len(nodes)]], item)
+                    for item in range(first, first + at_once)
+                ]
+                time.sleep(max(attempt.result() for attempt in attempts))
+
     def _may_retry(self) -> bool:
         if self.statuses[-1] in PROMISES_NOT_RUN:
             return True
         return self.path.startswith(RETRIED_KINDS)
 
-    def _attempt(self, port: int) -> float:
+    def _attempt(self, port: int, number: int) -> float:
         """Send the request once; return the pause before the next attempt."""
-        request_id = f"{self.name}.{len(self.attempts)}"
+        request_id = f"{self.name}.{number}"
         fields = {
             "Host": CALLER_HOST,
             "X-Yokeline-Request-Id": request_id,
@@ -117,8 +137,9 @@
         if self.program:
             fields["X-Yokeline-Program-Id"] = self.program
             fields["X-Yokeline-Session-Id"] = f"{self.program}-line"
-        if self.is_turn:
+        if self.is_turn and self.budget is not None:
             fields["X-Yokeline-Token-Budget"] = str(self.budget)
+        if self.is_turn:
             fields["X-Yokeline-Token-Usage"] = "100,50"
         if self.key:
             fields["Authorization"] = f"Bearer {self.key}"
@@ -126,7 +147,7 @@
         body = b""
         is_whole = False
         sent_at = time.monotonic()
-        connection = http.client.HTTPConnection(HOST, port, timeout=ANSWER_SECONDS)
+        connection = http.client.HTTPConnection(HOST, port, timeout=self.leaves_after)
         pause = PAUSE_SECONDS
         try:
             connection.request("POST", self.path, body=self.body, headers=fields)
@@ -151,24 +172,39 @@
 
     Attributes:
         ended: Starts of engines that ended while they had it.
-        sends_after: Runs that began after :data:`MAX_ENDED_ENGINES` of them had ended.
+        sends_after: Runs that began after :data:`MAX_ENDED_ENGINES` of them had ended, without
+            those that left together.
+        left_together: First runs of attempts that left before any node could know of an end.
     """
 
     ended: int
     sends_after: int
+    left_together: int = field(default=1, compare=False)
+
+    @property
+    def allowed(self) -> int:
+        """Engines that may end."""
+        return max(MAX_ENDED_ENGINES, self.left_together)
 
 
 def engines_ended_under(body: bytes, engines: Iterable[EngineStandIn]) -> EnginesEnded:
     """Return how many engines ended under the request with a body, and its runs after the bound."""
     known = list(engines)
     ends = sorted(end.at for engine in known for end in engine.ended if body in end.bodies)
-    if len(ends) < MAX_ENDED_ENGINES:
-        return EnginesEnded(len(ends), 0)
-    bound = ends[MAX_ENDED_ENGINES - 1]
-    began = [
-        span.began
+    runs = sorted(
+        (span.began, request_id)
         for engine in known
-        for (_, run_body, _), span in zip(engine.runs, engine.spans, strict=False)
+        for (request_id, run_body, _), span in zip(engine.runs, engine.spans, strict=False)
         if run_body == body
-    ]
-    return EnginesEnded(len(ends), sum(at > bound for at in began))
+    )
+    first_runs = {request_id: began for began, request_id in reversed(runs)}
+    together = {
+        (began, request_id)
+        for request_id, began in first_runs.items()
+        if began <= runs[0][0] + LEFT_TOGETHER_SECONDS
+    }
+    if len(ends) < MAX_ENDED_ENGINES:
+        return EnginesEnded(len(ends), 0, len(together))
+    bound = ends[MAX_ENDED_ENGINES - 1]
+    after = sum(began > bound for began, request_id in runs if (began, request_id) not in together)
+    return EnginesEnded(len(ends), after, len(together))
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -15,6 +15,7 @@
     AnswerEnd,
     BreakOff,
     BrokenStream,
+    EndlessAnswer,
     EngineCrash,
     WireEffect,
     WireShape,
@@ -245,6 +246,9 @@
         ends_on: Ends the engine if it is in the body of a request; empty for no such request.
         ends_after: Events after which such a request ends the engine; None for before the head, as
             all calls do.
+        ends_in: Seconds for which such a request is worked on before it ends the engine, whether
+            its connection is still there or not.
+        endless: Head, piece and pause of an answer without end, by the body of its request.
         ended: The starts that ended under a request, the oldest first.
         ends: When each start ended, or its entry went (monotonic seconds), by the name that nodes
             give it.
@@ -273,6 +277,9 @@
         self.replacements = 0
         self.ends_on = b""
         self.ends_after: int | None = None
+        self.ends_in = 0.0
+        self.endless: dict[bytes, tuple[bytes, bytes, float]] = {}
+        self._lethal_work: list[tuple[float, bytes]] = []
         self.ended: list[EndedEngine] = []
         self.ends: dict[str, float] = {}
         self._bodies: dict[ExchangeId, bytes] = {}
@@ -315,7 +322,9 @@
     def crash(self, now: float) -> list[WireEffect]:
         """End the process with all requests in it; whoever serves it starts another one."""
         self._note_end(now)
-        self.ended.append(EndedEngine(self.start_id, now, list(self._bodies.values())))
+        bodies = [*self._bodies.values(), *(body for _, body in self._lethal_work)]
+        self.ended.append(EndedEngine(self.start_id, now, list(dict.fromkeys(bodies))))
+        self._lethal_work.clear()
         for exchange in list(self._open_spans):
             self._end_span(exchange, ENGINE_ENDED)
         for span in self.spans:
@@ -354,10 +363,20 @@
         for exchange in list(self._streams):
             if exchange in self._streams:
                 effects.extend(self._continue(exchange, now))
+        if any(at <= now for at, _ in self._lethal_work):
+            effects.extend(self.crash(now))
         return effects
 
     def next_deadline(self) -> float | None:
-        return min((state[1] for state in self._streams.values()), default=None)
+        streams = (state[1] for state in self._streams.values())
+        return min((*streams, *(at for at, _ in self._lethal_work)), default=None)
+
+    def _end_by(self, body: bytes, now: float) -> list[WireEffect]:
+        """End under a lethal request, at once or after some work."""
+        if not self.ends_in:
+            return self.crash(now)
+        self._lethal_work.append((now + self.ends_in, body))
+        return []
 
     def _request(self, event: HttpArrived, now: float) -> list[WireEffect]:
         if event.path == "/-/report":
@@ -381,10 +400,13 @@
         span = Span(self.start_id, request_id, now, version=self.version, shape=shape)
         self.spans.append(span)
         is_call = "x-yokeline-token-usage" not in event.headers
+        if event.body in self.endless:
+            head, piece, pause = self.endless[event.body]
+            return [EndlessAnswer(event.exchange, head, piece, pause)]
         if self._is_lethal(event.body) and (is_call or self.ends_after is None):
             self._bodies[event.exchange] = event.body
             span.how = ENGINE_ENDED
-            return self.crash(now)
+            return self._end_by(event.body, now)
         if is_call:
             if self.reset_answers:
                 span.how = BROKE_OFF
@@ -406,7 +428,8 @@
             return []
         is_lethal = self.ends_after is not None and self._is_lethal(self._bodies[exchange])
         if is_lethal and state[0] >= (self.ends_after or 0):
-            return self.crash(now)
+            del self._streams[exchange]
+            return self._end_by(self._bodies[exchange], now)
         if self.break_after is not None and state[0] >= self.break_after:
             self.breaks -= 1
             if self.breaks <= 0:
--- a/tests/processes/platform/wire.py
+++ b/tests/processes/platform/wire.py
@@ -158,7 +158,23 @@
     """An effect of a stand-in: its process ends, with its listener and all of its connections."""
 
 
-WireEffect = Effect | BrokenStream | EngineCrash
+@dataclass(frozen=True)
+class EndlessAnswer:
+    """An effect of a stand-in: write bytes until the other end closes.
+
+    Attributes:
+        head: Written once.
+        piece: Written again and again.
+        pause: Seconds between two pieces.
+    """
+
+    exchange: ExchangeId
+    head: bytes
+    piece: bytes
+    pause: float = 0.0
+
+
+WireEffect = Effect | BrokenStream | EngineCrash | EndlessAnswer
 
 
 class WireService(Protocol):
@@ -449,6 +465,16 @@
         elif isinstance(effect, BrokenStream):
             self._send_body(effect.data)
             self._end(effect.end)
+        elif isinstance(effect, EndlessAnswer):
+            self._write_endless(effect)
+
+    def _write_endless(self, answer: EndlessAnswer) -> None:
+        """Write until sending fails, since the other end has closed."""
+        self._send(answer.head)
+        while True:
+            self._send(answer.piece)
+            if answer.pause:
+                time.sleep(answer.pause)
 
     def _write_whole(self, reply: HttpReply) -> None:
         """Write a whole answer; in the plain shape it has a length."""
