Bound the engines that a request may end over all of its attempts under way

Callers saw: a request under which three engines had ended was sent to further ones, where its attempts overlapped, where callers left an attempt whose engine was still at work, and always without a program (4 to 5, 5 and 8 to 18 engines; test_lethal_attempts, four tests red before, python -m tests.runner test_lethal_attempts). Cause: the verdict counted losses that had happened, not attempts that are under way; an answer of an engine cleared a loss though the engine may still be at work on the request; requests without a program had no name. Change: while an end is possible, a send is claimed in the ledger, whose order decides between nodes, and ends and attempts under way count together. A node that learns of a loss tells of its own attempts, also of those that callers left. An engine that answers counts as a survivor only once its time for the request is over; one whose entry has gone is asked before it counts as ended. Requests without a program share a name with strangers: losses at a time count once, an answer clears them, and one attempt at a time is sent once two have lost engines.

--- a/src/yokeline/forwarding/dialect.py
+++ b/src/yokeline/forwarding/dialect.py
@@ -60,7 +60,7 @@
         """Return whether an engine's response guarantees that the request was not executed."""
         ...
 
-    def engine_state_headers(self, engine: Engine) -> tuple[tuple[str, str], ...]:
+    def engine_state_headers(self, instance: str) -> tuple[tuple[str, str], ...]:
         """Return the header fields of a request for an engine's state, without ``host``."""
         ...
 
--- a/src/yokeline/forwarding/engine_discovery.py
+++ b/src/yokeline/forwarding/engine_discovery.py
@@ -84,7 +84,7 @@
         for engine in self._engines.remove_expired(now):
             engine_id = engine.engine_id
             self._forwarder.forget_engine(engine_id)
-            self._forwarder.engine_ended(engine, now)
+            self._forwarder.engine_lapsed(engine, now)
             self._cold_engines.forget(engine_id)
             effects.append(LogRecord(event="engine_gone", fields={"engine": engine_id}))
         return effects
@@ -139,7 +139,7 @@
             fields["until_seconds"] = round(self._expires_at - now, 2)
             return [LogRecord(event="engine_lapsed", fields=fields)]
         self._forget(engine_id)
-        self._forwarder.engine_ended(known.engine, now)
+        self._forwarder.engine_lapsed(known.engine, now)
         return [LogRecord(event="engine_gone", fields=fields)]
 
     def _reject_entry(self, item: StoredItem, reason: str) -> list[Effect]:
--- a/src/yokeline/forwarding/engine_losses.py
+++ b/src/yokeline/forwarding/engine_losses.py
@@ -1,9 +1,11 @@
-"""Remembers the engines that each request was lost at, over its attempts and over all nodes.
+"""Remembers the attempts under which each request lost engines, or may lose them, over all nodes.
 
 A loss is recorded in the ledger and reported to the other nodes, so that a later attempt of the
-request is judged by the losses of all of them, whichever node it reaches. A reservation brings the
-losses of its turn; other requests ask the ledger only if a loss of them is known. Before each send
-of a request with losses, :mod:`yokeline.scheduling.engine_fates` decides whether it may be sent.
+request is judged by the losses of all of them, whichever node it reaches. Nodes that learn of a
+loss tell of their own attempts of the same request that are under way. Before an attempt is sent
+while an end is possible, it is claimed in the ledger, whose order decides between nodes. A
+reservation brings the records of its turn; other requests ask the ledger only if a loss of them is
+known. :mod:`yokeline.scheduling.engine_fates` judges by these records.
 """
 
 from __future__ import annotations
@@ -17,9 +19,9 @@
 
 from yokeline.effects import Effect, LogRecord
 from yokeline.forwarding.exchange import Exchange, LossKey
-from yokeline.forwarding.model import Engine
+from yokeline.forwarding.left_attempts import LeftAttempts
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.request_identity import request_digest
+from yokeline.forwarding.request_identity import is_shared, request_digest
 from yokeline.forwarding.turn_operations import line_of_request
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.operations import (
@@ -30,12 +32,17 @@
     OperationResult,
     Reserve,
 )
+from yokeline.scheduling.attempt_stages import AttemptStage
 from yokeline.scheduling.engine_fates import (
+    MAX_ENDED_ENGINES,
+    NEWS_SECONDS,
     EngineEnds,
     EngineView,
     Loss,
     LossFate,
     Verdict,
+    generations,
+    possible_ends,
     verdict_of,
 )
 
@@ -51,25 +58,61 @@
 REPORTED_SECONDS = 10.0
 """Time for which a loss is part of this node's reports to the others."""
 MAX_REPORTED = 6
-"""Losses in one report. The latest are told; the ledger has all of them."""
+"""Records in one report. The latest are told; the ledger has all of them."""
 MAX_VIEW_AGE_SECONDS = 2.0
 """Age of the node's view of the engines above which it shows nothing of their ends."""
+SETTLED_AT_ENGINE_SECONDS = 0.05
+"""Time after which a request is told to be at an engine that has not refused or rejected it."""
+MAX_CLAIMS_OF_SHARED_REQUEST = 1
+"""Attempts of a request without a program that are sent at a time once two engines have ended."""
 
 _Rows = tuple[EngineLoss, ...]
 
 
 class RequestLosses(msgspec.Struct, kw_only=True):
-    """Losses of one request, as far as this node knows.
+    """Attempts of one request that lost their engines or may lose them, as far as this node knows.
 
     Attributes:
-        losses: By their ids.
+        losses: By their ids, also those that are closed.
         answered_at: When the request was last answered; earlier losses do not count.
         expires: When the record may be deleted.
+        order: Places of the attempts in the ledger's latest answer, by their ids.
+        open_turns: Open reservations of the request's line in that answer; None if not told.
     """
 
     losses: dict[str, Loss] = {}
     answered_at: float = float("-inf")
     expires: float = 0.0
+    order: dict[str, int] = {}
+    open_turns: int | None = None
+
+    @property
+    def has_open(self) -> bool:
+        """Whether any attempt may have lost its engine, or may yet lose it."""
+        return any(loss.stage is not AttemptStage.CLOSED for loss in self.losses.values())
+
+    def others(self, loss_id: str) -> list[Loss]:
+        """Return the attempts that count against another one, which may be claimed.
+
+        Of two claims the one counts that the ledger recorded first; without the ledger, the one
+        with the lower id.
+        """
+        place = self.order.get(loss_id)
+
+        def comes_later(other: Loss) -> bool:
+            if other.stage is not AttemptStage.CLAIMED:
+                return False
+            if place is None:
+                return other.loss_id > loss_id
+            return self.order.get(other.loss_id, place + 1) > place
+
+        return [
+            loss
+            for loss in self.losses.values()
+            if loss.stage is not AttemptStage.CLOSED
+            and loss.loss_id != loss_id
+            and not comes_later(loss)
+        ]
 
 
 class _Reported(msgspec.Struct, frozen=True):
@@ -79,13 +122,6 @@
     at: float
 
 
-class _WatchedLoss(msgspec.Struct, frozen=True):
-    """A request that left its engine unanswered."""
-
-    key: LossKey
-    loss: Loss
-
-
 class EngineLosses:
     """Losses of the requests of one node.
 
@@ -95,6 +131,8 @@
         version: Counter that increases with each row for the reports.
         on_answer: Called with the digest of a request when the ledger has answered a record or a
             question of it; does nothing by default.
+        on_cleared: Called with the digest of a request whose losses no longer count, since an
+            engine has answered it; does nothing by default.
     """
 
     def __init__(self, state: NodeState, ledger: LedgerClient, process: str) -> None:
@@ -111,39 +149,92 @@
         self._requests: OrderedDict[str, RequestLosses] = OrderedDict()
         self._reported: list[_Reported] = []
         self._unanswered: Counter[str] = Counter()
-        self._watched: dict[str, list[_WatchedLoss]] = {}
-        self.on_answer: Callable[[str], None] = _ignore_answer
+        self._left = LeftAttempts()
+        self.on_answer: Callable[[str], None] = _ignore_digest
+        self.on_cleared: Callable[[str], None] = _ignore_digest
 
-    # ------------------------------------------------------------ losses of this node
+    # ------------------------------------------------------------ attempts of this node
 
     def record(self, exchange: Exchange) -> None:
         """Record that a request was lost at its engine, in the ledger and for the other nodes."""
-        key, loss = self.key_of(exchange), self._loss_at_engine(exchange)
-        if key.digest and loss is not None:
-            self._publish(key, loss)
+        loss = self._attempt_of(exchange, AttemptStage.LOST)
+        exchange.loss_id = ""
+        if loss is not None:
+            self._publish(self.key_of(exchange), loss)
+
+    def claim(self, exchange: Exchange) -> None:
+        """Claim the next send of a request, and ask the ledger which claims were made before."""
+        exchange.loss_id = self._new_id()
+        now = self._state.now
+        claim = Loss(
+            loss_id=exchange.loss_id,
+            engine_id="",
+            instance="",
+            sent_at=now,
+            lost_at=now,
+            stage=AttemptStage.CLAIMED,
+            work_until=exchange.deadline,
+        )
+        self._publish(self.key_of(exchange), claim)
 
-    def watch(self, exchange: Exchange) -> None:
-        """Remember a request that left its engine unanswered, in case the engine ends shortly.
+    def record_sent(self, exchange: Exchange) -> None:
+        """Tell at which engine a request is that has lost engines, if it stays there.
 
-        Its caller left or its time was over, which shows even less of the engine than a failed
-        connection; the loss counts only if the engine ends. One that has lost an engine before is
-        recorded at once, since its next attempt may come before the end is noticed.
+        Engines that are gone refuse or reject a request within milliseconds. Any other request is
+        told once a loss of it becomes known.
         """
-        if self.find(exchange) is not None:
-            self.record(exchange)
+        if not exchange.loss_id and self.find(exchange) is None:
             return
-        key, loss = self.key_of(exchange), self._loss_at_engine(exchange)
-        if not key.digest or loss is None:
+        sent_as = exchange.engine_request_id
+
+        def tell(current: Exchange) -> None:
+            if current.engine_request_id == sent_as:
+                self._tell_under_way(current)
+
+        self._state.schedule(exchange, self._state.now + SETTLED_AT_ENGINE_SECONDS, tell)
+
+    def holds_claim(self, exchange: Exchange) -> bool:
+        """Return whether the next send of a request is claimed, and none was told since."""
+        known = self._requests.get(self.key_of(exchange).digest)
+        attempt = known.losses.get(exchange.loss_id) if known is not None else None
+        return attempt is not None and attempt.stage is AttemptStage.CLAIMED
+
+    def close(self, exchange: Exchange) -> None:
+        """Record that a told attempt is over and has lost no engine."""
+        loss_id, exchange.loss_id = exchange.loss_id, ""
+        known = self._requests.get(self.key_of(exchange).digest) if loss_id else None
+        attempt = known.losses.get(loss_id) if known is not None else None
+        if attempt is not None:
+            closed = msgspec.structs.replace(
+                attempt, stage=AttemptStage.CLOSED, lost_at=self._state.now
+            )
+            self._publish(self.key_of(exchange), closed)
+
+    def leave(self, exchange: Exchange) -> None:
+        """Remember a request that leaves its engine unanswered, since its caller left.
+
+        That shows even less of the engine than a failed connection. The attempt is told if the
+        request has lost an engine, or once it does.
+        """
+        if exchange.loss_id:
+            exchange.loss_id = ""
+            return
+        attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
+        if attempt is None:
+            return
+        key = self.key_of(exchange)
+        if self.find(exchange) is not None:
+            exchange.loss_id = attempt.loss_id
+            self._publish(key, attempt)
+            exchange.loss_id = ""
             return
-        watched = self._watched.setdefault(loss.engine_id, [])
-        watched.append(_WatchedLoss(key, loss))
-        del watched[:-MAX_LOSSES_PER_REQUEST]
-        if len(self._watched) > MAX_REMEMBERED_REQUESTS:
-            del self._watched[next(iter(self._watched))]
+        self._left.expire(self._state.now - self.ends.detection_seconds)
+        self._left.add(key, attempt)
 
     def record_answered(self, exchange: Exchange) -> None:
         """Drop the losses of a request that an engine has answered."""
         key = exchange.loss_key
+        exchange.loss_id = ""
         known = self._requests.get(key.digest) if key is not None else None
         if key is None or known is None or not known.losses:
             return
@@ -152,6 +243,7 @@
         row = EngineLoss(key.digest)
         self._report(row)
         self._ask(key, (row,))
+        self.on_cleared(key.digest)
 
     def key_of(self, exchange: Exchange) -> LossKey:
         """Return what a request's losses are recorded under."""
@@ -163,35 +255,74 @@
             )
         return exchange.loss_key
 
-    def _loss_at_engine(self, exchange: Exchange) -> Loss | None:
+    def _new_id(self) -> str:
+        return f"{self._process}/{next(self._numbers)}"
+
+    def _attempt_of(self, exchange: Exchange, stage: AttemptStage) -> Loss | None:
+        """Return the present attempt of a request; None if no engine has it."""
         if exchange.engine is None:
             return None
         engine = exchange.engine.engine
         return Loss(
-            loss_id=f"{self._process}/{next(self._numbers)}",
+            loss_id=exchange.loss_id or self._new_id(),
             engine_id=engine.engine_id,
             instance=engine.instance,
             sent_at=exchange.sent_at,
             lost_at=self._state.now,
+            stage=stage,
+            work_until=exchange.deadline,
+            address=str(engine.address),
+            prior=exchange.prior_losses,
         )
 
     def _publish(self, key: LossKey, loss: Loss) -> None:
-        """Remember a loss, report it to the other nodes and record it in the ledger."""
-        self._remember(key.digest, loss, key.retention)
+        """Remember an attempt, report it to the other nodes and record it in the ledger."""
         row = _row_of(key.digest, loss, self._state.now)
         self._report(row)
         self._ask(key, (row,))
+        self._remember(key.digest, loss, key.retention)
 
     def _remember(self, digest: str, loss: Loss, retention: float) -> None:
         known = self._requests.setdefault(digest, RequestLosses())
         self._requests.move_to_end(digest)
         known.expires = max(known.expires, loss.lost_at + retention)
-        if loss.lost_at > known.answered_at:
-            known.losses.setdefault(loss.loss_id, loss)
+        stored = known.losses.get(loss.loss_id)
+        is_news = stored is None or loss.stage > stored.stage
+        if is_news and loss.lost_at > known.answered_at:
+            known.losses[loss.loss_id] = loss
         if len(known.losses) > MAX_LOSSES_PER_REQUEST:
-            del known.losses[next(iter(known.losses))]
+            del known.losses[min(known.losses, key=lambda name: _importance(known.losses[name]))]
         if len(self._requests) > MAX_REMEMBERED_REQUESTS:
             self._requests.popitem(last=False)
+        if is_news and loss.stage is not AttemptStage.CLOSED and not is_shared(digest):
+            self._tell_other_attempts(digest)
+
+    def _tell_other_attempts(self, digest: str) -> None:
+        """Tell of the attempts of a request that are at engines, or were left there."""
+        at_engines = [
+            exchange
+            for exchange in self._state.by_engine_request.values()
+            if not exchange.loss_id and self.key_of(exchange).digest == digest
+        ]
+        left = self._left.take_of(digest)
+        for exchange in at_engines:
+            self._tell_under_way(exchange)
+        for item in left:
+            self._publish(item.key, item.loss)
+        if not at_engines and not left:
+            return
+        fields: dict[str, str | int | float | bool | None] = {
+            "request_digest": digest,
+            "at_engines": len(at_engines),
+            "left": len(left),
+        }
+        self._state.outcomes.effects.append(LogRecord(event="attempts_told", fields=fields))
+
+    def _tell_under_way(self, exchange: Exchange) -> None:
+        attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
+        if attempt is not None:
+            exchange.loss_id = attempt.loss_id
+            self._publish(self.key_of(exchange), attempt)
 
     # ------------------------------------------------------------ ledger
 
@@ -241,6 +372,16 @@
         if not isinstance(answer.losses, UnsetType):
             self._merge(answer.losses, is_recorded=True)
 
+    def _note_order(self, digest: str, answer: Granted) -> None:
+        """Remember in which order the ledger has recorded the attempts of a request."""
+        known = self._requests.get(digest)
+        if known is None:
+            return
+        rows = () if isinstance(answer.losses, UnsetType) else answer.losses
+        known.order = {row.loss_id: place for place, row in enumerate(rows)}
+        told = answer.open_turns
+        known.open_turns = None if isinstance(told, UnsetType) else told
+
     def _ask(self, key: LossKey, rows: _Rows) -> None:
         """Record rows in the ledger, and ask what it knows of their line."""
 
@@ -265,6 +406,7 @@
             del self._unanswered[key.digest]
         if isinstance(result, Granted):
             self.apply_recorded(result)
+            self._note_order(key.digest, result)
         elif rows:
             fields: dict[str, str | int | float | bool | None] = {
                 "request_digest": key.digest,
@@ -307,17 +449,11 @@
             known = self._requests.get(row.request)
             if not row.loss_id:
                 self._merge_answer(row, known)
-            elif known is None or row.loss_id not in known.losses:
-                lost_at = self._state.now - row.age
-                loss = Loss(
-                    loss_id=row.loss_id,
-                    engine_id=row.engine_id,
-                    instance=row.instance,
-                    sent_at=lost_at - row.held,
-                    lost_at=lost_at,
-                )
+                continue
+            stored = known.losses.get(row.loss_id) if known is not None else None
+            if stored is None or row.stage > stored.stage:
                 retention = MIN_RETENTION_SECONDS + (row.age if is_recorded else 0.0)
-                self._remember(row.request, loss, retention)
+                self._remember(row.request, _loss_of(row, self._state.now), retention)
 
     def _merge_answer(self, row: EngineLoss, known: RequestLosses | None) -> None:
         """Drop the losses before an answer of which another node tells."""
@@ -327,6 +463,8 @@
         known.losses = {
             key: loss for key, loss in known.losses.items() if loss.lost_at > known.answered_at
         }
+        if not known.has_open:
+            self.on_cleared(row.request)
 
     # ------------------------------------------------------------ judgement
 
@@ -341,38 +479,44 @@
         if known.expires < self._state.now:
             del self._requests[digest]
             return None
-        return known if known.losses else None
-
-    def fates(self, known: RequestLosses) -> dict[str, LossFate]:
-        """Return the fate of each loss of a request."""
-        views = {loss.instance: self._view(loss.instance) for loss in known.losses.values()}
-        return self.ends.fates(known.losses.values(), views, self._state.now)
-
-    def verdict(self, known: RequestLosses) -> Verdict:
-        """Return whether a request may be sent to another engine."""
-        return verdict_of(tuple(self.fates(known).values()))
-
-    def engines_to_look_up(self, known: RequestLosses) -> list[str]:
-        """Return the listed incarnations of which it is not known whether they have ended."""
-        fates = self.fates(known)
-        unknown = {
-            loss.engine_id: None
-            for loss in known.losses.values()
-            if fates[loss.loss_id] is LossFate.UNKNOWN
-        }
-        return [name for name in unknown if self._state.engines.get(name) is not None]
+        return known if known.has_open else None
+
+    def judge(self, exchange: Exchange, known: RequestLosses) -> Judgement:
+        """Return whether a request may be sent to an engine, by its other attempts."""
+        others = known.others(exchange.loss_id)
+        views = {loss.instance: self._view(loss.instance) for loss in others}
+        fates = self.ends.fates(others, views, self._state.now)
+        if is_shared(self.key_of(exchange).digest):
+            return _judge_shared(others, fates)
+        counted = [loss for loss in others if fates[loss.loss_id] is not LossFate.SURVIVED]
+        return Judgement(
+            verdict=verdict_of(tuple(fates.values())),
+            needs_claim=possible_ends(fates.values()) > 0,
+            counted=counted,
+            fates=fates,
+        )
+
+    def news_due(self, exchange: Exchange, known: RequestLosses, judgement: Judgement) -> float:
+        """Return when other nodes have told of their attempts of a request under way.
+
+        The ledger knows the turns whose reservations are open; if this node knows as many attempts,
+        there is nothing to wait for.
+        """
+        if known.open_turns is not None and exchange.has_reservation:
+            under_way = sum(loss.stage is not AttemptStage.LOST for loss in judgement.counted)
+            if known.open_turns - 1 <= under_way:
+                return float("-inf")
+        return judgement.latest_loss + NEWS_SECONDS
 
-    def has_successor(self, engine: Engine) -> bool:
+    def has_successor(self, engine_id: str, address: str) -> bool:
         """Return whether another engine has been listed at an engine's address after it.
 
         The entry of its predecessor may not have lapsed yet.
         """
         listed = [item.engine for item in self._state.engines.all()]
         names = [item.engine_id for item in listed]
-        if engine.engine_id not in names:
-            return False
-        later = listed[names.index(engine.engine_id) + 1 :]
-        return any(item.address == engine.address for item in later)
+        later = listed[names.index(engine_id) + 1 :] if engine_id in names else listed
+        return any(str(item.address) == address for item in later)
 
     def _view(self, instance: str) -> EngineView:
         current = self._state.engines.current_incarnation(instance)
@@ -385,10 +529,97 @@
     # ------------------------------------------------------------ engines
 
     def engine_ended(self, engine_id: str, instance: str) -> None:
-        """Record that an incarnation of an engine has ended, with the requests that left it."""
+        """Record that an incarnation of an engine has ended, with the attempts left there."""
         if self.ends.record_end(engine_id, instance, self._state.now):
-            for watched in self._watched.pop(engine_id, ()):
-                self._publish(watched.key, watched.loss)
+            self._tell_left_at(engine_id)
+
+    def engine_lapsed(self, engine_id: str, instance: str) -> None:
+        """Record that the entry of an incarnation has gone; it may serve on."""
+        if self.ends.record_lapse(engine_id, instance, self._state.now):
+            self._tell_left_at(engine_id)
+
+    def confirm_end(self, loss: Loss) -> None:
+        """Record that the engine of an attempt was asked for its state and has ended.
+
+        One that is not listed ended at the latest when its entry went, or, if this node has started
+        since, at the time of the loss.
+        """
+        is_listed = self._state.engines.get(loss.engine_id) is not None
+        at = self._state.now if is_listed else min(self._state.now, loss.lost_at)
+        if self.ends.record_end(loss.engine_id, loss.instance, at):
+            self._tell_left_at(loss.engine_id)
+
+    def _tell_left_at(self, engine_id: str) -> None:
+        for left in self._left.take_at(engine_id):
+            self._publish(left.key, msgspec.structs.replace(left.loss, stage=AttemptStage.LOST))
+
+
+class Judgement(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether a request may be sent, and the attempts that decided it.
+
+    Attributes:
+        needs_claim: Whether the send must be claimed in the ledger first, since an end is possible.
+        counted: Other attempts under which an engine has ended, or may have, or may yet end.
+        fates: What became of the engines of all other attempts, by the ids of the attempts.
+        generations: Losses of a request without a program, those at a time counted once.
+    """
+
+    verdict: Verdict
+    needs_claim: bool
+    counted: list[Loss]
+    fates: dict[str, LossFate]
+    generations: int = 0
+
+    @property
+    def latest_loss(self) -> float:
+        """When the latest engine was lost, or may have been; minus infinity if none was."""
+        return max(
+            (
+                loss.lost_at
+                for loss in self.counted
+                if self.fates[loss.loss_id] in (LossFate.ENDED, LossFate.UNKNOWN)
+            ),
+            default=float("-inf"),
+        )
+
+    def count(self, fate: LossFate) -> int:
+        """Return how many of the counted attempts have a fate."""
+        return sum(self.fates[loss.loss_id] is fate for loss in self.counted)
+
+
+def _judge_shared(others: list[Loss], fates: dict[str, LossFate]) -> Judgement:
+    """Judge a request that several strangers may send, so that attempts at a time tell little.
+
+    Losses at a time count once, and attempts are limited once the next loss may be the last.
+    """
+
+    def of(*wanted: LossFate) -> list[Loss]:
+        return [loss for loss in others if fates[loss.loss_id] in wanted]
+
+    ended = generations(of(LossFate.ENDED))
+    possible = generations(of(LossFate.ENDED, LossFate.UNKNOWN))
+    claims = [loss for loss in others if loss.stage is not AttemptStage.LOST]
+    under_way = [loss for loss in claims if fates[loss.loss_id] is LossFate.UNDER_WAY]
+    is_suspect = len(possible) >= MAX_ENDED_ENGINES - MAX_CLAIMS_OF_SHARED_REQUEST
+    counted = [*possible, *under_way] if is_suspect else possible
+    if len(ended) >= MAX_ENDED_ENGINES:
+        verdict = Verdict.QUARANTINE
+    elif not is_suspect:
+        verdict = Verdict.RUN
+    else:
+        verdict = Verdict.LOOK_UP if len(counted) >= MAX_ENDED_ENGINES else Verdict.ISOLATE
+    return Judgement(
+        verdict=verdict,
+        needs_claim=is_suspect,
+        counted=counted,
+        fates=fates,
+        generations=len(possible),
+    )
+
+
+def _importance(loss: Loss) -> int:
+    """Return how much an attempt counts; the least important is forgotten first."""
+    return 0 if loss.stage is AttemptStage.CLOSED else loss.stage
 
 
 def _row_of(digest: str, loss: Loss, now: float) -> EngineLoss:
@@ -399,6 +630,25 @@
         instance=loss.instance,
         held=round(loss.lost_at - loss.sent_at, 3),
         age=round(now - loss.lost_at, 3),
+        stage=loss.stage,
+        work_left=round(max(0.0, loss.work_until - loss.lost_at), 3),
+        address=loss.address,
+        prior=loss.prior,
+    )
+
+
+def _loss_of(row: EngineLoss, now: float) -> Loss:
+    lost_at = now - row.age
+    return Loss(
+        loss_id=row.loss_id,
+        engine_id=row.engine_id,
+        instance=row.instance,
+        sent_at=lost_at - row.held,
+        lost_at=lost_at,
+        stage=row.stage,
+        work_until=lost_at + row.work_left,
+        address=row.address,
+        prior=row.prior,
     )
 
 
@@ -407,5 +657,5 @@
     return 0.0
 
 
-def _ignore_answer(_digest: str) -> None:
+def _ignore_digest(_digest: str) -> None:
     """Do nothing; the default callback."""
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -66,7 +66,7 @@
     """What the engines that a request was lost at are recorded under.
 
     Attributes:
-        digest: Shared by all attempts of the request; empty if they cannot be told.
+        digest: Shared by all attempts of the request.
         line: The place of the request in its session, under which the ledger keeps its losses.
         retention: Seconds for which a loss counts.
     """
@@ -132,6 +132,8 @@
         load_when_sent: Requests that the engine had under way at the send.
         predicted_seconds: Predicted time from the send to the end.
         loss_key: What its losses are recorded under; None before they are recorded or looked for.
+        loss_id: Id under which its present attempt was told to other nodes; empty if it was not.
+        prior_losses: Generations of losses that were known when it was last permitted.
         knows_losses: Whether the ledger was asked for losses of earlier attempts.
         is_isolated: Whether it is sent only to engines without another request that has lost as
             many engines.
@@ -194,6 +196,8 @@
     predicted_seconds: float = 0.0
     first_event_at: float | None = None
     loss_key: LossKey | None = None
+    loss_id: str = ""
+    prior_losses: int = 0
     knows_losses: bool = False
     is_isolated: bool = False
     timers: list[Timer] = msgspec.field(default_factory=list)
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -280,6 +280,11 @@
         self._state.now = now
         self._losses.engine_ended(engine.engine_id, engine.instance)
 
+    def engine_lapsed(self, engine: Engine, now: float) -> None:
+        """Record that the entry of an engine has gone, though it may serve on."""
+        self._state.now = now
+        self._losses.engine_lapsed(engine.engine_id, engine.instance)
+
     def engine_listed(self, engine: Engine) -> None:
         """Record that an incarnation is listed, also if it was taken for ended."""
         self._losses.ends.retract_end(engine.engine_id, engine.instance)
@@ -650,7 +655,7 @@
         """End a request at its deadline or the timeout of its route."""
         was_sent = exchange.engine_request_id is not None
         if was_sent:
-            self._losses.watch(exchange)
+            self._losses.leave(exchange)
             self._sender.cancel(exchange)
         if exchange.phase is Phase.ENDED:
             return
@@ -668,7 +673,7 @@
         if exchange.engine_request_id is not None:
             if not exchange.route.is_retryable and exchange.route.kind is not RouteKind.STREAMING:
                 return
-            self._losses.watch(exchange)
+            self._losses.leave(exchange)
             self._sender.cancel(exchange)
         if exchange.phase is Phase.KEEPING:
             return
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -166,6 +166,18 @@
             ``engine_id`` if not given.
         started_ms: Start time (Unix milliseconds); None if the entry has none.
         draining: Whether the engine is shutting down and accepts no new requests.
+def is_start_of(engine_id: str, instance: str, started_ms: int | None) -> bool | None:
+    """Return whether an incarnation of an instance started at a time; None if that cannot be told.
+
+    An engine that states no start has a name of its own for each start.
+    """
+    known_id = engine_id.partition(f"{_INCARNATION_SEPARATOR}{_VERSION_MARK}")[0]
+    unnamed_id = make_incarnation_id(instance, None)
+    if known_id == make_incarnation_id(instance, started_ms):
+        return True
+    return None if started_ms is None or known_id == unnamed_id else False
+
+
         cold_seconds_left: Time for which the engine stays cold, from the writing of its entry.
         version: Version of the engine's software, not of the weights it serves; empty if unknown.
     """
--- a/src/yokeline/forwarding/request_identity.py
+++ b/src/yokeline/forwarding/request_identity.py
@@ -1,9 +1,10 @@
 """Names the request that several attempts of a caller have in common.
 
 Each attempt of a caller has a request id of its own. Two attempts are the same request if the same
-program sends the same content from the same place of a session. A request without a program has no
-name, since strangers may send the same one. The digest is cryptographic, so that no tenant can make
-a request that is taken for another tenant's.
+program sends the same content from the same place of a session. Requests without a program are told
+apart by their tenant and content alone, and strangers may send the same one: such a name is shared,
+and less may be concluded from it. The digest is cryptographic, so that no tenant can make a request
+that is taken for another tenant's.
 """
 
 from __future__ import annotations
@@ -15,23 +16,23 @@
 
 _SEPARATOR = b"\x00"
 _DIGEST_BYTES = 12
+_SHARED_MARK = "~"
 
 
 def request_digest(exchange: Exchange) -> str:
-    """Return the name of a request over its attempts; empty if it belongs to no program.
+    """Return the name of a request over its attempts.
 
     The event after which a stream is resumed and what is left of the deadline differ between
     attempts, and are left out.
     """
     names = exchange.names
-    if not exchange.call.program:
-        return ""
     incoming = exchange.incoming
     target = incoming.target or incoming.path
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    has_program = bool(exchange.call.program)
+    owner = exchange.tenant_name or exchange.call.credential or ""
     for part in (
-        names.program,
-        names.session,
+        *((names.program, names.session) if has_program else ("", owner)),
         names.previous_turn,
         incoming.method,
         host_of(incoming),
@@ -40,4 +41,9 @@
         digest.update(part.encode())
         digest.update(_SEPARATOR)
     digest.update(incoming.body)
-    return digest.hexdigest()
+    return digest.hexdigest() + ("" if has_program else _SHARED_MARK)
+
+
+def is_shared(digest: str) -> bool:
+    """Return whether requests of several programs may have a name."""
+    return digest.endswith(_SHARED_MARK)
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -24,7 +24,11 @@
 )
 from yokeline.forwarding.tenant_limits import LEDGER_TIMEOUT_SECONDS, TenantLimits
 from yokeline.forwarding.turn_cache import TurnCache
-from yokeline.forwarding.turn_operations import needs_ledger, reservation_of
+from yokeline.forwarding.turn_operations import (
+    needs_ledger,
+    reservation_of,
+    reservation_tells_losses,
+)
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
 from yokeline.ledger.operations import (
@@ -152,7 +156,7 @@
             for turn in result.turns:
                 self._turn_cache.put(turn)
             self._losses.apply_recorded(result)
-            exchange.knows_losses = needs_ledger(exchange)
+            exchange.knows_losses = reservation_tells_losses(exchange)
             self._streams.resolve_by_record(exchange, result)
             self._continue_granted(exchange)
         elif isinstance(result, BudgetSpent):
--- a/src/yokeline/forwarding/retries.py
+++ b/src/yokeline/forwarding/retries.py
@@ -296,6 +296,7 @@
     def _call_timeout(self, exchange: Exchange) -> float | None:
         """Return the timeout of a call at its engine; None if it is not known."""
         slots = exchange.engine.engine.slots if exchange.engine is not None else 1
+        self._losses.record_sent(exchange)
         rounds_before = queue_rounds(exchange.load_when_sent, max(1, slots))
         return self._call_timeouts.timeout(exchange.route.name, exchange.sends, rounds_before)
 
@@ -319,8 +320,8 @@
         exchange.possible_runs += 1
         exchange.excluded_engine_ids.add(engine_id)
         exchange.attempts.record_attempt(engine_id)
-        self._losses.record(exchange)
         engine.record_outcome(self._state.now, failed=True)
         self._sender.cancel(exchange, failed=True)
         self.retry(exchange, "late engine")
         self._dispatcher.dispatch(exchange.pool)
+        self._losses.record(exchange)
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -6,6 +6,7 @@
 
 from yokeline.forwarding.exchange import Exchange, StreamOrigin
 from yokeline.forwarding.model import RouteKind
+from yokeline.forwarding.request_identity import request_digest
 from yokeline.ledger.operations import (
     CachedContext,
     KeptTurn,
@@ -52,12 +53,19 @@
     The reservation of a turn concerns the same line, so its answer brings them.
     """
     names = exchange.names
-    if needs_ledger(exchange):
+    if reservation_tells_losses(exchange):
         return line_of_turn(_charged_program(exchange), names.session, names.previous_turn)
     return line_of_call(names.program, names.session)
+    if not exchange.call.program:
+        return line_of_call(request_digest(exchange), "")
 
 
 def needs_reservation(exchange: Exchange) -> bool:
+def reservation_tells_losses(exchange: Exchange) -> bool:
+    """Return whether the answer to a request's reservation brings the records of its line."""
+    return needs_ledger(exchange) and bool(exchange.call.program)
+
+
     """Return whether a request must not be sent before the ledger has answered."""
     return needs_ledger(exchange) or exchange.stream_origin is StreamOrigin.ASKED
 
--- a/src/yokeline/ledger/loss_records.py
+++ b/src/yokeline/ledger/loss_records.py
@@ -1,7 +1,8 @@
-"""Engines that were lost under requests, as the ledger's state machine keeps them.
+"""Attempts under which engines were lost or may be lost, as the ledger's state machine keeps them.
 
-Losses are kept by line: the place of a request in its session, which a reservation tells without
-further fields. An answered request is no longer suspected, so its losses are dropped.
+They are kept by line: the place of a request in its session, which a reservation tells without
+further fields. An answered request is no longer suspected, so its records are dropped. The order of
+the first records decides which of several nodes may send a request again.
 """
 
 from __future__ import annotations
@@ -11,11 +12,12 @@
 import msgspec
 
 from yokeline.ledger.operations import ALL_CALL_LINES, CALL_LINE_PREFIX, EngineLoss
+from yokeline.scheduling.attempt_stages import AttemptStage
 
 MAX_LINES = 4096
 """Lines with losses; the one that expires first is evicted."""
 MAX_LOSSES_PER_LINE = 32
-"""Losses of all requests of one line; the oldest is evicted."""
+"""Attempts of all requests of one line; of those that count least, the oldest is evicted."""
 
 MAX_LISTED_LOSSES = 512
 """Losses of requests without a reservation that a node is told when it starts."""
@@ -52,6 +54,10 @@
         known = self.lines.get(line)
         return _with_ages(known.losses.values(), time) if known is not None else ()
 
+    def has_line(self, line: str) -> bool:
+        """Return whether any attempt of a line is recorded."""
+        return line in self.lines
+
     def _of_calls(self, time: float) -> tuple[EngineLoss, ...]:
         """Return the latest losses of all requests without a reservation."""
         found = [
@@ -66,7 +72,10 @@
     def transition_record(
         self, line: str, losses: tuple[EngineLoss, ...], time: float, retention: float
     ) -> None:
-        """Record losses, or that their request was answered; a known loss changes nothing."""
+        """Record attempts, or that their request was answered.
+
+        A known attempt keeps its place, and changes only if it has come further.
+        """
         for loss in losses:
             if not loss.loss_id:
                 self._drop(line, loss.request)
@@ -76,9 +85,11 @@
                 known = self.lines[line] = LineLosses()
                 self._evict(line)
             known.expires = max(known.expires, time + retention)
-            known.losses.setdefault(loss.loss_id, StoredLoss(loss, time - loss.age))
+            stored = known.losses.get(loss.loss_id)
+            if stored is None or loss.stage > stored.loss.stage:
+                known.losses[loss.loss_id] = StoredLoss(loss, time - loss.age)
             if len(known.losses) > MAX_LOSSES_PER_LINE:
-                del known.losses[next(iter(known.losses))]
+                del known.losses[_least_important(known.losses)]
 
     def transition_expire(self, time: float) -> None:
         """Delete the lines that have expired."""
@@ -101,6 +112,12 @@
             del self.lines[min(others, key=lambda line: (self.lines[line].expires, line))]
 
 
+def _least_important(losses: dict[str, StoredLoss]) -> str:
+    """Return the id of the oldest attempt that is over, or else under way, or else lost."""
+    order = (AttemptStage.CLOSED, AttemptStage.CLAIMED, AttemptStage.AT_ENGINE, AttemptStage.LOST)
+    return min(losses, key=lambda loss_id: order.index(losses[loss_id].loss.stage))
+
+
 def _with_ages(stored: Iterable[StoredLoss], time: float) -> tuple[EngineLoss, ...]:
     return tuple(
         msgspec.structs.replace(item.loss, age=round(max(0.0, time - item.at), 3))
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -8,6 +8,8 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
+from yokeline.scheduling.attempt_stages import AttemptStage
+
 
 class CachedContext(msgspec.Struct, frozen=True, kw_only=True):
     """The engine that probably has a session's prompt in its cache.
@@ -62,18 +64,24 @@
 
 
 class EngineLoss(msgspec.Struct, frozen=True, array_like=True):
-    """A request was at an engine when its connection failed or was given up.
+    """An attempt of a request under which engines were lost, or may be lost.
 
-    The engine may have ended or not: each node judges by what it knows of the engine.
+    An engine that lost a request may have ended or not: each node judges by what it knows of the
+    engine.
 
     Attributes:
         request: Digest that all attempts of the request share.
-        loss_id: Identifies the loss; empty if the request was answered, so that earlier losses no
-            longer count.
-        engine_id: The incarnation to which the request was sent, as far as its node knew.
+        loss_id: Identifies the attempt; empty if the request was answered, so that earlier attempts
+            no longer count.
+        engine_id: The incarnation to which the request was sent, as far as its node knew; empty
+            before it is sent.
         instance: Name of the engine, the same for each incarnation.
-        held: Seconds from the send to the loss.
-        age: Seconds since the loss.
+        held: Seconds from the send to the record.
+        age: Seconds since the record was made.
+        stage: How far the attempt had come; releases that do not tell it report losses only.
+        work_left: Seconds, from the record on, for which the engine may be at work on the request.
+        address: ``host:port`` of the engine; empty if not told.
+        prior: Generations of losses that the node knew of when it sent a request without a program.
     """
 
     request: str
@@ -95,6 +103,10 @@
     line: str
     losses: tuple[EngineLoss, ...] = ()
 
+    stage: AttemptStage = AttemptStage.LOST
+    work_left: float = 0.0
+    address: str = ""
+    prior: int = 0
 
 class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag="reserve"):
     """Reserve the maximum tokens of a turn, and fetch the turns that it continues.
@@ -154,7 +166,17 @@
     It is made of fields that a reservation has anyway, so that looking a turn's losses up needs no
     further field. Requests of one line are told apart by their digests.
     """
-    return "\n".join(("turn", program, session, previous))
+_TURN_LINE_KIND = "turn"
+    return "\n".join((_TURN_LINE_KIND, program, session, previous))
+
+
+def program_of_line(line: str) -> str:
+    """Return the program of a turn's line; empty for lines of other requests.
+
+    Header fields cannot contain a line feed, so the parts of a line are not ambiguous.
+    """
+    kind, _, rest = line.partition("\n")
+    return rest.partition("\n")[0] if kind == _TURN_LINE_KIND else ""
 
 
 class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -29,6 +29,7 @@
     Settled,
     StreamVersion,
     line_of_turn,
+    program_of_line,
 )
 from yokeline.ledger.quotas import TenantQuotas
 
@@ -72,6 +73,7 @@
         began_at: Leadership time of the first counted request, in seconds.
         active_at: Leadership time of the latest counted request or settled turn, in seconds.
     """
+        lines: Lines of the open turns, by request id.
 
     spent: int = 0
     reserved: dict[str, int] = {}
@@ -85,6 +87,7 @@
     began_at: float = 0.0
     active_at: float = 0.0
 
+    lines: dict[str, str] = {}
     def note_request(self, at: float) -> None:
         """Count a request against the tenant's limit."""
         if not self.requests:
@@ -322,6 +325,7 @@
     def transition_settle(self, operation: Settle) -> OperationResult:
         """Count the generated tokens instead of the reservation, and retain the turn, if given."""
         if operation.program:
+        program.lines[operation.request_id] = _line_of(operation)
             program = self.programs.setdefault(operation.program, Program())
             self._extend_expiry(program, program.retention)
             if operation.request_id not in program.settled:
@@ -351,6 +355,7 @@
                 return
             stored.expires = max(stored.expires, expires)
             current = stored.turn.previous
+                program.lines.pop(operation.request_id, None)
 
     def chain(self, last: str, known: str = "") -> tuple[KeptTurn, ...]:
         """Return the turns after ``known`` up to ``last``, the oldest first."""
--- a/src/yokeline/scheduling/engine_fates.py
+++ b/src/yokeline/scheduling/engine_fates.py
@@ -5,6 +5,10 @@
 had the request or shortly after. Until that is known, the loss counts neither for nor against the
 request: it is not sent where one more end could exceed the bound, and not condemned either.
 
+An engine may be at work on an attempt whose connection is gone, and several attempts may be under
+way at a time. Once an end is possible, the bound holds for the ends and the attempts under way
+together.
+
 All times are monotonic seconds of the process.
 """
 
@@ -16,6 +20,8 @@
 
 import msgspec
 
+from yokeline.scheduling.attempt_stages import AttemptStage
+
 MAX_ENDED_ENGINES = 3
 """Engines that may end under one request, over all attempts and nodes."""
 HEARTBEATS_TO_LAPSE = 3
@@ -30,6 +36,10 @@
 ISOLATION_SPREAD_SECONDS = 0.5
 """Time over which the next sends of several such requests are spread, so that each node knows where
 the others run."""
+NEWS_SECONDS = 0.1
+"""Time after a loss within which other nodes tell of their attempts of the same request."""
+OWNER_TELLS_SECONDS = 1.0
+"""Time after the end of an engine within which the node of an attempt tells what became of it."""
 MAX_REMEMBERED_ENDS = 2048
 MAX_ENDS_PER_INSTANCE = 16
 
@@ -40,6 +50,8 @@
     UNKNOWN = "unknown"
     ENDED = "ended"
     SURVIVED = "survived"
+    UNDER_WAY = "under_way"
+    """The engine runs as far as is known, and may still be at work on the request."""
 
 
 class Verdict(enum.Enum):
@@ -55,13 +67,18 @@
 
 
 class Loss(msgspec.Struct, frozen=True, kw_only=True):
-    """A loss of a request at an engine.
+    """An attempt of a request at an engine that was lost, or may be lost.
 
     Attributes:
-        engine_id: The incarnation to which the request was sent, as far as its node knew.
+        engine_id: The incarnation to which the request was sent, as far as its node knew; empty if
+            no engine is chosen yet.
         instance: Name of the engine, the same for each incarnation.
         sent_at: When the request was sent.
-        lost_at: When it was lost.
+        lost_at: When it was lost; when the record was made, if it is not lost.
+        stage: How far the attempt has come.
+        work_until: Until when the engine may be at work on the request.
+        address: ``host:port`` of the engine; empty if not known.
+        prior: Generations of losses that the node knew of when it sent a request without a program.
     """
 
     loss_id: str
@@ -69,13 +86,27 @@
     instance: str
     sent_at: float
     lost_at: float
+    stage: AttemptStage = AttemptStage.LOST
+    work_until: float = float("-inf")
+    address: str = ""
+    prior: int = 0
+
+    @property
+    def over_at(self) -> float:
+        """When the engine can no longer end under the request."""
+        return max(self.lost_at, self.work_until)
 
 
 class _End(msgspec.Struct):
-    """The end of one incarnation and when it was noticed."""
+    """The end of one incarnation and when it was noticed.
+
+    Attributes:
+        is_confirmed: Whether it is more than that its entry has gone; the engine may run on.
+    """
 
     engine_id: str
     at: float
+    is_confirmed: bool = True
 
 
 class EngineView(msgspec.Struct, frozen=True, kw_only=True):
@@ -109,15 +140,27 @@
         """Record that an incarnation is not listed any more, though it may run on."""
         self.record_end(engine_id, instance, float("-inf"))
 
+    def record_lapse(self, engine_id: str, instance: str, now: float) -> bool:
+        """Record that the entry of an incarnation has gone; return whether that is new.
+
+        Some engines serve on without an entry, so it is asked for its state before it counts.
+        """
+        return self._record(engine_id, instance, now, is_confirmed=False)
+
     def record_end(self, engine_id: str, instance: str, now: float) -> bool:
         """Record the end of an incarnation; return whether it is new."""
+        return self._record(engine_id, instance, now, is_confirmed=True)
+
+    def _record(self, engine_id: str, instance: str, now: float, *, is_confirmed: bool) -> bool:
         ends = self._ends.setdefault(instance, [])
         known = next((end for end in ends if end.engine_id == engine_id), None)
         if known is not None:
-            is_new = known.at == float("-inf") != now
-            known.at = max(known.at, now)
+            is_new = known.at == float("-inf") != now or (is_confirmed and not known.is_confirmed)
+            if known.is_confirmed or known.at == float("-inf"):
+                known.at = max(known.at, now)
+            known.is_confirmed = known.is_confirmed or is_confirmed
             return is_new
-        ends.append(_End(engine_id, now))
+        ends.append(_End(engine_id, now, is_confirmed))
         del ends[:-MAX_ENDS_PER_INSTANCE]
         self._ends.move_to_end(instance)
         if len(self._ends) > MAX_REMEMBERED_ENDS:
@@ -156,41 +199,66 @@
     def _fates_at(
         self, instance: str, losses: list[Loss], view: EngineView, now: float
     ) -> dict[str, LossFate]:
-        open_losses = [loss for loss in losses if not self._was_alive_after(loss)]
-        found = {loss.loss_id: LossFate.SURVIVED for loss in losses if loss not in open_losses}
-        for at in self._end_times(instance, open_losses, view, now):
-            explained = next((loss for loss in open_losses if self._explains(at, loss)), None)
+        found: dict[str, LossFate] = {}
+        open_losses = []
+        for loss in losses:
+            if self._was_alive_after(loss):
+                found[loss.loss_id] = LossFate.SURVIVED
+            else:
+                open_losses.append(loss)
+        for end in self._end_times(instance, open_losses, view, now):
+            explained = next((loss for loss in open_losses if self._explains(end.at, loss)), None)
             if explained is not None:
-                found[explained.loss_id] = LossFate.ENDED
+                is_shown = end.is_confirmed or not explained.address
+                has_ended = is_shown and _is_known_lost(explained, end.at, now)
+                found[explained.loss_id] = LossFate.ENDED if has_ended else LossFate.UNKNOWN
                 open_losses.remove(explained)
         for loss in open_losses:
-            is_late = now - loss.lost_at > self.detection_seconds
-            is_settled = is_late and view.is_current and (view.is_registered or not view.current_id)
-            found[loss.loss_id] = LossFate.SURVIVED if is_settled else LossFate.UNKNOWN
+            found[loss.loss_id] = self._open_fate(loss, view, now)
         return found
 
+    def _open_fate(self, loss: Loss, view: EngineView, now: float) -> LossFate:
+        """Return the fate of an attempt that no known end explains."""
+        is_lost = loss.stage is AttemptStage.LOST
+        runs_on = not is_lost or self._alive_at.get(loss.engine_id, -1.0) >= loss.lost_at
+        if runs_on and now < loss.over_at:
+            return LossFate.UNDER_WAY
+        if not loss.engine_id:
+            return LossFate.SURVIVED
+        is_late = now - loss.over_at > self.detection_seconds
+        is_settled = is_late and view.is_current and (view.is_registered or not view.current_id)
+        return LossFate.SURVIVED if is_settled else LossFate.UNKNOWN
+
     def _explains(self, end_at: float, loss: Loss) -> bool:
-        return loss.sent_at <= end_at <= loss.lost_at + self.detection_seconds
+        return loss.sent_at <= end_at <= loss.over_at + self.detection_seconds
 
     def _was_alive_after(self, loss: Loss) -> bool:
-        return self._alive_at.get(loss.engine_id, -1.0) >= loss.lost_at
+        return self._alive_at.get(loss.engine_id, -1.0) >= loss.over_at
 
     def _end_times(
         self, instance: str, losses: list[Loss], view: EngineView, now: float
-    ) -> list[float]:
+    ) -> list[_End]:
         """Return when ends of an instance were noticed, in order.
 
         An incarnation that is not the current one, and whose end this node has not noticed, ended
         before the node started; that counts from the loss on.
         """
         known = self._ends.get(instance, [])
-        times = [end.at for end in known]
+        found = list(known)
         named = {end.engine_id for end in known}
-        for engine_id in dict.fromkeys(loss.engine_id for loss in losses):
+        for engine_id in dict.fromkeys(loss.engine_id for loss in losses if loss.engine_id):
             if view.is_current and engine_id != view.current_id and engine_id not in named:
                 first = min(loss.lost_at for loss in losses if loss.engine_id == engine_id)
-                times.append(min(now, first))
-        return sorted(times)
+                found.append(_End(engine_id, min(now, first), is_confirmed=bool(view.current_id)))
+        return sorted(found, key=lambda end: end.at)
+
+
+def _is_known_lost(loss: Loss, end_at: float, now: float) -> bool:
+    """Return whether an attempt was lost with an engine that has ended.
+
+    The node that sent it may tell yet that the engine did not take it.
+    """
+    return loss.stage is AttemptStage.LOST or now >= end_at + OWNER_TELLS_SECONDS
 
 
 def end_detection_seconds(heartbeat: float) -> float:
@@ -202,15 +270,30 @@
     return HEARTBEATS_TO_LAPSE * heartbeat + RETURN_SECONDS
 
 
+def possible_ends(fates: Iterable[LossFate]) -> int:
+    """Return how many engines have ended, or may have."""
+    return sum(fate in (LossFate.ENDED, LossFate.UNKNOWN) for fate in fates)
+
+
 def verdict_of(fates: Sequence[LossFate]) -> Verdict:
-    """Return whether a request with losses of these fates may be sent to another engine."""
-    ended = sum(fate is LossFate.ENDED for fate in fates)
-    possible = sum(fate is not LossFate.SURVIVED for fate in fates)
-    if ended >= MAX_ENDED_ENGINES:
+    """Return whether a request with other attempts of these fates may be sent to an engine."""
+    if sum(fate is LossFate.ENDED for fate in fates) >= MAX_ENDED_ENGINES:
         return Verdict.QUARANTINE
-    if possible >= MAX_ENDED_ENGINES:
+    if not possible_ends(fates):
+        return Verdict.RUN
+    exposed = sum(fate is not LossFate.SURVIVED for fate in fates)
+    if exposed >= MAX_ENDED_ENGINES:
         return Verdict.LOOK_UP
-    return Verdict.ISOLATE if possible == MAX_ENDED_ENGINES - 1 else Verdict.RUN
+    return Verdict.ISOLATE if exposed == MAX_ENDED_ENGINES - 1 else Verdict.RUN
+
+
+def generations(losses: Iterable[Loss]) -> list[Loss]:
+    """Return the latest of the losses whose nodes knew of equally many before.
+
+    Attempts of strangers with the same content lose engines that end at one moment together.
+    """
+    ordered = sorted(losses, key=lambda loss: (loss.lost_at, loss.loss_id))
+    return list({loss.prior: loss for loss in ordered}.values())
 
 
 def spread_of(digest: str) -> float:
@@ -226,6 +309,7 @@
     """
     if len({loss.instance for loss in losses}) < MAX_ENDED_ENGINES - 1:
         return 0.0
-    latest = max(loss.lost_at for loss in losses)
+    lost = (loss.lost_at for loss in losses if loss.stage is AttemptStage.LOST)
+    latest = max(lost, default=float("-inf"))
     due = latest + ISOLATION_DELAY_SECONDS + spread * ISOLATION_SPREAD_SECONDS
     return max(0.0, due - now)
--- a/tests/processes/platform/test_lethal_attempts.py
+++ b/tests/processes/platform/test_lethal_attempts.py
@@ -22,6 +22,8 @@
 ROUNDS = 5
 REPETITIONS = 2
 LEAVES_AFTER_SECONDS = 0.6
+REPORTS_SECONDS = 1.0
+"""Time after the start of nodes until they hear each other's reports."""
 ENDS_IN_SECONDS = 1.0
 """Time for which an engine works on a request that its caller has left by then."""
 
@@ -89,6 +91,7 @@
     def test_calls_without_a_program_end_no_more_engines(self) -> None:
         with Deployment(models=MODELS, apps=APPS) as deployment:
             be_ended_by_requests(deployment)
+            time.sleep(REPORTS_SECONDS)
             for path in ("/look/x", "/pair/x"):
                 for run in range(REPETITIONS):
                     story = f"{path} without a program, run {run}"
