Record the versions of a pool before a stream is sent to them

Cause: a version was recorded for a stream only once its node had seen two, and a node that starts takes the only version in its view for the one that began the stream: not known was taken for known. Change: the ledger records which versions a pool has before a stream that can be resumed is sent to an engine of them, one operation a change and node, none a stream; a version is deleted once it has been absent for ten seconds. A resumed stream without a record goes on only if the ledger knows one version. The node's own view decides nothing, except beside a leader of an earlier release. Tests of nodes whose ledger is not played answer the new operation or leave it out.

--- a/src/yokeline/forwarding/engine_choice.py
+++ b/src/yokeline/forwarding/engine_choice.py
@@ -101,6 +101,7 @@
         eligibility: Restrictions on the engines.
         allowed_regions: Regions that may serve the request; None for all regions.
         allowed_versions: Software versions that may continue the request's stream; None for all.
+        usable_versions: Software versions to which a new stream may be sent; None for all.
         avoided_instances: Names of engines with isolated requests.
         isolation_key: Set if the request is to endanger as few others as possible: names it, so
             that several such requests prefer different engines.
@@ -119,9 +120,15 @@
     eligibility: EligibilityPolicy = NO_RESTRICTIONS
     allowed_regions: frozenset[str] | None = None
     allowed_versions: frozenset[str] | None = None
+    usable_versions: frozenset[str] | None = None
     avoided_instances: frozenset[str] = frozenset()
     isolation_key: str = ""
 
+    @property
+    def is_bound_to_versions(self) -> bool:
+        """Whether engines of some versions may not be chosen."""
+        return self.allowed_versions is not None or self.usable_versions is not None
+
 
 class PoolStatistics(msgspec.Struct, frozen=True):
     """Statistics over the engines of a pool.
@@ -140,7 +147,7 @@
 ) -> EngineChoice | None:
     """Return the eligible engine with the least cost; None if none has capacity."""
     best: EngineChoice | None = None
-    is_restricted = inputs.eligibility.is_active or inputs.allowed_versions is not None
+    is_restricted = inputs.eligibility.is_active or inputs.is_bound_to_versions
     left_out: Counter[Ineligibility] = Counter()
     median_call_seconds = _median_call_seconds(engines) if inputs.model is None else 0.0
     registered_share = sum(not state.expires_at for state in engines) / max(1, len(engines))
@@ -178,7 +185,11 @@
         cached_tokens=_cached_tokens(state, prefix_cache, inputs),
         allowed_regions=inputs.allowed_regions,
     )
-    return inputs.eligibility.check(query, now)
+    cause = inputs.eligibility.check(query, now)
+    usable = inputs.usable_versions
+    if cause is None and usable is not None and state.engine.version not in usable:
+        return Ineligibility.VERSION_UNRECORDED
+    return cause
 
 
 def max_load(state: EngineState, inputs: ChoiceInputs) -> int:
--- a/src/yokeline/forwarding/model.py
+++ b/src/yokeline/forwarding/model.py
@@ -126,6 +126,16 @@
     limits: CallerLimits = CallerLimits()
     tenants: TenantDirectory | None = None
 
+    @property
+    def pools_of_resumable_streams(self) -> frozenset[str]:
+        """Names of the pools that serve streams which can be resumed."""
+        return frozenset(
+            weight.pool
+            for route in self.routes
+            if route.is_resumable_stream
+            for weight in route.pools
+        )
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest matching prefix of ``path``, if any."""
         best: Route | None = None
@@ -156,16 +166,6 @@
     return f"{incarnation_id}{_INCARNATION_SEPARATOR}{_VERSION_MARK}{version}"
 
 
-class Engine(msgspec.Struct, frozen=True, kw_only=True):
-    """One incarnation of an engine process.
-
-    Attributes:
-        engine_id: Id of this incarnation. State estimated for an engine is stored under this id,
-            since a restarted engine has none of it.
-        instance: Name of the engine, the same for each incarnation, by which requests address it;
-            ``engine_id`` if not given.
-        started_ms: Start time (Unix milliseconds); None if the entry has none.
-        draining: Whether the engine is shutting down and accepts no new requests.
 def is_start_of(engine_id: str, instance: str, started_ms: int | None) -> bool | None:
     """Return whether an incarnation of an instance started at a time; None if that cannot be told.
 
@@ -178,6 +178,16 @@
     return None if started_ms is None or known_id == unnamed_id else False
 
 
+class Engine(msgspec.Struct, frozen=True, kw_only=True):
+    """One incarnation of an engine process.
+
+    Attributes:
+        engine_id: Id of this incarnation. State estimated for an engine is stored under this id,
+            since a restarted engine has none of it.
+        instance: Name of the engine, the same for each incarnation, by which requests address it;
+            ``engine_id`` if not given.
+        started_ms: Start time (Unix milliseconds); None if the entry has none.
+        draining: Whether the engine is shutting down and accepts no new requests.
         cold_seconds_left: Time for which the engine stays cold, from the writing of its entry.
         version: Version of the engine's software, not of the weights it serves; empty if unknown.
     """
--- a/src/yokeline/forwarding/placement.py
+++ b/src/yokeline/forwarding/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from yokeline.forwarding.engine_choice import (
     NO_RESTRICTIONS,
@@ -46,6 +46,8 @@
         program_times: Share of their allowed time that programs take.
         eligibility: Restrictions on the engines that a request may be sent to.
         isolation_changes: Counter that increases when an isolated request is sent or leaves.
+        usable_versions: Returns the software versions to which new streams of a pool may be sent
+            that can be resumed; None for all.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self._models: dict[str, EngineLatencyModel] = {}
         self._isolated: dict[ExchangeId, str] = {}
         self.isolation_changes = 0
+        self.usable_versions: Callable[[str], frozenset[str] | None] = _all_versions
 
     def choose(self, exchange: Exchange, pool: Pool, now: float) -> EngineChoice | None:
         """Return the engine for a request; None if no engine has capacity.
@@ -274,10 +277,15 @@
             eligibility=self.eligibility,
             allowed_regions=exchange.allowed_regions,
             allowed_versions=exchange.allowed_versions,
+            usable_versions=self._usable_versions(exchange),
             avoided_instances=self._avoided_instances(now),
             isolation_key=_isolation_key(exchange),
         )
 
+    def _usable_versions(self, exchange: Exchange) -> frozenset[str] | None:
+        is_new_stream = exchange.route.is_resumable_stream and exchange.allowed_versions is None
+        return self.usable_versions(exchange.pool) if is_new_stream else None
+
     def _avoided_instances(self, now: float) -> frozenset[str]:
         elsewhere = self._engines.isolated_elsewhere(now)
         return elsewhere.union(self._isolated.values()) if self._isolated else elsewhere
@@ -295,6 +303,10 @@
     return exchange.loss_key.digest
 
 
+def _all_versions(_pool: str) -> None:
+    """Restrict no stream; the default."""
+
+
 def whole_slots(usable: Iterable[float]) -> int:
     """Return the whole slots in a sum; at least one for any capacity, since none means unknown."""
     total = sum(usable)
--- a/src/yokeline/forwarding/stream_versions.py
+++ b/src/yokeline/forwarding/stream_versions.py
@@ -1,8 +1,12 @@
 """Remembers, records and looks up which software version of an engine began each stream.
 
-While all engines of a pool have one version, a stream is remembered at its node alone. When a
-second version comes, the node records the streams that it remembers in the ledger, and from then on
-each stream at its first event, so that any node can continue it.
+The versions of a pool are recorded in the ledger before a stream is sent to an engine of them
+(:mod:`yokeline.forwarding.pool_versions`). While there is one, a stream is remembered at its node
+alone: any node that asks the ledger is told that no other version can have begun it. When a second
+version comes, the node records the streams that it remembers in the ledger, and from then on each
+stream at its first event.
+
+What a node sees itself is no proof, since its view may have begun after the stream, and may lag.
 """
 
 from __future__ import annotations
@@ -18,10 +22,10 @@
 from yokeline.effects import Effect, LogRecord
 from yokeline.forwarding.exchange import Exchange, StreamOrigin
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.turn_operations import needs_ledger
+from yokeline.forwarding.pool_versions import RecordedVersions
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.operations import Granted, OperationResult, Reserve, StreamVersion
-from yokeline.scheduling.engine_versions import PoolVersions
+from yokeline.scheduling.engine_versions import VERSION_MEMORY_SECONDS, PoolVersions
 
 NO_ENGINE_OF_VERSION = "no_engine_of_version"
 """Refusal reason: no engine of the version that began the stream accepts requests."""
@@ -48,7 +52,7 @@
     LEDGER = "ledger"
     """The record in the ledger."""
     SOLE_VERSION = "sole_version"
-    """The pool has engines of this version only."""
+    """No other version of the pool is recorded."""
     UNKNOWN = "unknown"
     """Nobody: the stream is not continued."""
 
@@ -87,6 +91,9 @@
         self._process = process
         self._numbers = itertools.count(1)
         self._streams: OrderedDict[str, BegunStream] = OrderedDict()
+        self._recorded = RecordedVersions(state, ledger, process)
+        self._recorded.on_told = self._observe
+        state.placement.usable_versions = self._recorded.usable
         self._pools: dict[str, PoolVersions] = {}
         self._seen_changes = 0
 
@@ -110,7 +117,8 @@
         self._streams[name] = stream
         if len(self._streams) > MAX_REMEMBERED_STREAMS:
             self._streams.popitem(last=False)
-        if self._observe(exchange.pool).are_several and not stream.is_recorded:
+        may_be_several = self._observe(exchange.pool).are_several or self._view_is_outdated()
+        if may_be_several and not stream.is_recorded:
             self._record([(name, stream)])
 
     def mark_uncertain(self, engine_id: str, since: float) -> None:
@@ -135,9 +143,13 @@
                 exchange.allowed_versions = frozenset()
 
     def observe_pools(self) -> None:
-        """Record the remembered streams of each pool that has got a second version."""
+        """Record the versions of pools whose streams can be resumed.
+
+        The remembered streams of each pool that has got a second version are recorded, too.
+        """
+        self._recorded.note_view_age(self.view_age(self._state.now))
         engines = self._state.engines
-        if engines.version_changes == self._seen_changes:
+        if engines.version_changes == self._seen_changes and not self._recorded.is_due():
             return
         self._seen_changes = engines.version_changes
         for pool in {**self._pools, **dict.fromkeys(engines.pools_with_versions())}:
@@ -149,11 +161,22 @@
         if versions is None:
             versions = self._pools[pool] = PoolVersions(self._state.now)
         had_several = versions.are_several
-        versions.observe(self._state.engines.versions_in_pool(pool), self._state.now)
+        now = self._state.now
+        is_current = self.view_age(now) <= MAX_VIEW_AGE_SECONDS
+        versions.note_recorded(self._recorded.take_told(pool), now)
+        present = self._state.engines.versions_in_pool(pool)
+        gone = versions.observe(present, now, is_current=is_current)
+        if pool in self._recorded.pools():
+            self._recorded.ensure(pool, present)
+            self._recorded.delete(pool, gone)
         if versions.are_several and not had_several:
             self._record(self._unrecorded(pool))
         return versions
 
+    def _view_is_outdated(self) -> bool:
+        """Return whether other nodes may have deleted a version that this node still uses."""
+        return self.view_age(self._state.now) > VERSION_MEMORY_SECONDS
+
     def _unrecorded(self, pool: str) -> Iterator[tuple[str, BegunStream]]:
         for name, stream in self._streams.items():
             if stream.pool == pool and not stream.is_recorded and stream.until > self._state.now:
@@ -197,8 +220,7 @@
 
         New streams are only marked if several versions may begin them.
 
-        The question is part of a turn's reservation. A request without one is spared it if no other
-        version can have begun the stream.
+        The question is part of a turn's reservation.
         """
         if exchange.route.is_resumable_stream:
             exchange.has_mixed_versions = self._observe(exchange.pool).are_several
@@ -209,17 +231,13 @@
             age = self._state.now - known.began_at
             self._bind(exchange, known.version, VersionSource.NODE, age)
             return
-        sole = self._certain_sole_version(exchange.pool)
-        if sole is not None and not needs_ledger(exchange):
-            self._bind(exchange, sole, VersionSource.SOLE_VERSION)
-            return
         exchange.stream_origin = StreamOrigin.ASKED
 
     def resolve_by_record(self, exchange: Exchange, answer: Granted | None) -> None:
         """Bind a resumed stream by the ledger's answer, unless it is to be asked again.
 
-        The record may be on its way. If the ledger does not answer, or says that several versions
-        have served, the only version in a view that is new or old need not have begun the stream.
+        The record may be on its way. Without one, a version has begun the stream only if no other
+        is recorded for the pool.
         """
         if exchange.stream_origin is not StreamOrigin.ASKED:
             return
@@ -227,9 +245,7 @@
             record = answer.stream
             self._bind(exchange, record.version, VersionSource.LEDGER, record.age)
             return
-        sole = self._certain_sole_version(exchange.pool)
-        if answer is not None and answer.has_mixed_versions is not True:
-            sole = self._observe(exchange.pool).sole
+        sole = self._sole_version(exchange.pool, answer) if answer is not None else None
         if sole is not None:
             self._bind(exchange, sole, VersionSource.SOLE_VERSION)
             return
@@ -238,12 +254,17 @@
         if not may_come or exchange.stream_lookups >= MAX_LOOKUPS:
             self._bind(exchange, None, VersionSource.UNKNOWN)
 
-    def _certain_sole_version(self, pool: str) -> str | None:
-        """Return the only version that can have begun a stream of late; None if not certain."""
+    def _sole_version(self, pool: str, answer: Granted) -> str | None:
+        """Return the only version that can have begun a stream; None if there may be several.
+
+        A leader of an earlier release does not tell the recorded versions, so that the node's own
+        view has to decide.
+        """
+        if not isinstance(answer.versions, UnsetType):
+            return answer.versions[0] if len(answer.versions) == 1 else None
         versions = self._observe(pool)
-        has_recent_view = self.view_age(self._state.now) <= MAX_VIEW_AGE_SECONDS
-        is_certain = has_recent_view and versions.is_settled(self._state.now)
-        return versions.sole if is_certain else None
+        is_certain = not self._view_is_outdated() and versions.is_settled(self._state.now)
+        return versions.sole if is_certain or answer.has_mixed_versions is not True else None
 
     def _bind(
         self,
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -44,6 +44,7 @@
         else None,
         resumes=_stream_lookup_of(exchange),
         streams=() if exchange.has_mixed_versions else UNSET,
+        pool=exchange.pool if exchange.stream_origin is StreamOrigin.ASKED else UNSET,
     )
 
 
@@ -55,17 +56,17 @@
     names = exchange.names
     if reservation_tells_losses(exchange):
         return line_of_turn(_charged_program(exchange), names.session, names.previous_turn)
-    return line_of_call(names.program, names.session)
     if not exchange.call.program:
         return line_of_call(request_digest(exchange), "")
+    return line_of_call(names.program, names.session)
 
 
-def needs_reservation(exchange: Exchange) -> bool:
 def reservation_tells_losses(exchange: Exchange) -> bool:
     """Return whether the answer to a request's reservation brings the records of its line."""
     return needs_ledger(exchange) and bool(exchange.call.program)
 
 
+def needs_reservation(exchange: Exchange) -> bool:
     """Return whether a request must not be sent before the ledger has answered."""
     return needs_ledger(exchange) or exchange.stream_origin is StreamOrigin.ASKED
 
--- a/src/yokeline/ledger/client.py
+++ b/src/yokeline/ledger/client.py
@@ -93,6 +93,7 @@
         is_relayed: The operation is relayed for another node.
         relayed_turns: That node's report of turns.
         may_relay_texts: Another node may relay the texts of earlier turns.
+        is_background: No request waits for it.
     """
 
     operation: Operation
@@ -106,6 +107,7 @@
     is_relayed: bool = False
     relayed_turns: PassedTurns | UnsetType = UNSET
     may_relay_texts: bool = True
+    is_background: bool = False
 
 
 class LedgerClient:
@@ -172,8 +174,8 @@
 
     @property
     def under_way(self) -> int:
-        """Number of operations without a result; unrelated to running turns."""
-        return len(self._pending)
+        """Number of operations without a result that requests wait for."""
+        return sum(not pending.is_background for pending in self._pending.values())
 
     # ------------------------------------------------------------ operations
 
@@ -185,11 +187,12 @@
         give_up_at: float,
         *,
         may_relay_texts: bool = True,
+        is_background: bool = False,
     ) -> list[Effect]:
         """Submit an operation; ``done`` is called once, unless the operation is forgotten.
 
         Without ``may_relay_texts``, an answer through another forwarding node, which may be in any
-        region, brings no texts.
+        region, brings no texts. A stop of the node does not wait for one in the background.
         """
         pending = _PendingOperation(
             operation=operation,
@@ -197,6 +200,7 @@
             give_up_at=give_up_at,
             submitted_at=now,
             may_relay_texts=may_relay_texts,
+            is_background=is_background,
         )
         return self._add(pending, now)
 
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -51,6 +51,19 @@
     seconds: float
 
 
+class PoolVersion(msgspec.Struct, frozen=True, array_like=True):
+    """A software version of a pool's engines, which may begin streams once it is recorded.
+
+    Attributes:
+        absent: Seconds for which the pool has had no engine of the version: it can have begun no
+            stream that may still be resumed. None if it has one.
+    """
+
+    pool: str
+    version: str
+    absent: float | None = None
+
+
 class RecordedStream(msgspec.Struct, frozen=True, array_like=True):
     """What the ledger knows of the stream that a request resumes.
 
@@ -90,6 +103,10 @@
     instance: str = ""
     held: float = 0.0
     age: float = 0.0
+    stage: AttemptStage = AttemptStage.LOST
+    work_left: float = 0.0
+    address: str = ""
+    prior: int = 0
 
 
 class LineLossReport(msgspec.Struct, frozen=True, array_like=True):
@@ -103,10 +120,6 @@
     line: str
     losses: tuple[EngineLoss, ...] = ()
 
-    stage: AttemptStage = AttemptStage.LOST
-    work_left: float = 0.0
-    address: str = ""
-    prior: int = 0
 
 class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag="reserve"):
     """Reserve the maximum tokens of a turn, and fetch the turns that it continues.
@@ -131,6 +144,8 @@
             versions; unset otherwise.
         losses: Losses to record, and the line whose losses are asked for; unset for those of the
             reserved turn's line.
+        pool: The pool whose recorded versions are asked for; unset if they are not.
+        versions: Versions of pools to record, or to delete; unset if there is none.
     """
 
     request_id: str
@@ -147,8 +162,11 @@
     resumes: str | UnsetType = UNSET
     streams: tuple[StreamVersion, ...] | UnsetType = UNSET
     losses: LineLossReport | UnsetType = UNSET
+    pool: str | UnsetType = UNSET
+    versions: tuple[PoolVersion, ...] | UnsetType = UNSET
 
 
+_TURN_LINE_KIND = "turn"
 CALL_LINE_PREFIX = "call\n"
 """Begins the lines of requests without a reservation."""
 ALL_CALL_LINES = "calls"
@@ -166,7 +184,6 @@
     It is made of fields that a reservation has anyway, so that looking a turn's losses up needs no
     further field. Requests of one line are told apart by their digests.
     """
-_TURN_LINE_KIND = "turn"
     return "\n".join((_TURN_LINE_KIND, program, session, previous))
 
 
@@ -249,7 +266,10 @@
         stream: The stream that the request resumes; unset if it has no record.
         has_mixed_versions: Set if it has no record, and nodes have said of late that engines of
             several versions serve.
-        losses: The recorded losses of the line; unset if there are none.
+        losses: The recorded attempts of the line, in the order of their first records; unset if
+            there are none.
+        open_turns: Turns of the line whose reservations are open, set with ``losses``.
+        versions: The recorded versions of the pool that was asked for; unset if none was.
     """
 
     spent: int = 0
@@ -258,6 +278,8 @@
     stream: RecordedStream | UnsetType = UNSET
     has_mixed_versions: bool | UnsetType = UNSET
     losses: tuple[EngineLoss, ...] | UnsetType = UNSET
+    open_turns: int | UnsetType = UNSET
+    versions: tuple[str, ...] | UnsetType = UNSET
 
 
 class BudgetSpent(msgspec.Struct, frozen=True, kw_only=True, tag="budget_spent"):
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -32,6 +32,7 @@
     program_of_line,
 )
 from yokeline.ledger.quotas import TenantQuotas
+from yokeline.ledger.version_records import VersionRecords
 
 EXPIRY_SLACK_SECONDS = 20.0
 """Retention beyond the requested one, to cover clock differences and leader changes."""
@@ -72,8 +73,8 @@
         requests: Requests that were counted against the limit.
         began_at: Leadership time of the first counted request, in seconds.
         active_at: Leadership time of the latest counted request or settled turn, in seconds.
-    """
         lines: Lines of the open turns, by request id.
+    """
 
     spent: int = 0
     reserved: dict[str, int] = {}
@@ -86,8 +87,8 @@
     requests: int = 0
     began_at: float = 0.0
     active_at: float = 0.0
-
     lines: dict[str, str] = {}
+
     def note_request(self, at: float) -> None:
         """Count a request against the tenant's limit."""
         if not self.requests:
@@ -154,8 +155,9 @@
         streams: Versions that began streams, while a pool has engines of several versions.
         mixed_until: Ledger time until which several versions may have begun streams.
         losses: Engines that were lost under requests.
+        versions: Software versions that the engines of each pool have had.
 
-    Replicas of an earlier release do not have the last three fields, so no other state may depend
+    Replicas of an earlier release do not have the last four fields, so no other state may depend
     on them.
     """
 
@@ -167,6 +169,7 @@
     streams: dict[str, StoredStream] = {}
     mixed_until: float = 0.0
     losses: LossRecords = msgspec.field(default_factory=LossRecords)
+    versions: VersionRecords = msgspec.field(default_factory=VersionRecords)
 
     def transition_apply(self, command: LedgerCommand) -> tuple[OperationResult, ...]:
         """Apply a command and return a result for each of its operations."""
@@ -234,6 +237,8 @@
             stream=self._recorded_stream(operation),
             has_mixed_versions=self._has_mixed_versions(operation),
             losses=self._recorded_losses(operation),
+            open_turns=self._open_turns(operation),
+            versions=self._recorded_versions(operation),
         )
 
     def _has_mixed_versions(self, operation: Reserve) -> bool | UnsetType:
@@ -255,6 +260,20 @@
         """Return the losses of the line that an operation concerns."""
         return self.losses.of_line(_line_of(operation), self.time) or UNSET
 
+    def _recorded_versions(self, operation: Reserve) -> tuple[str, ...] | UnsetType:
+        """Return the versions of the pool that an operation asks for."""
+        if isinstance(operation.pool, UnsetType):
+            return UNSET
+        return self.versions.of_pool(operation.pool)
+
+    def _open_turns(self, operation: Reserve) -> int | UnsetType:
+        """Return how many turns of a line with recorded attempts have open reservations."""
+        line = _line_of(operation)
+        program = self.programs.get(program_of_line(line))
+        if program is None or not self.losses.has_line(line):
+            return UNSET
+        return sum(other == line for other in program.lines.values())
+
     def transition_record_streams(self, streams: tuple[StreamVersion, ...]) -> None:
         """Record that several versions serve, and the versions that began streams."""
         self.mixed_until = max(self.mixed_until, self.time + EXPIRY_SLACK_SECONDS)
@@ -276,6 +295,8 @@
         """Reserve a turn's tokens, unless it exceeds the budget or continues an unknown turn."""
         if not isinstance(operation.streams, UnsetType):
             self.transition_record_streams(operation.streams)
+        if not isinstance(operation.versions, UnsetType):
+            self.versions.transition_record(operation.versions, self.time)
         if not isinstance(operation.losses, UnsetType):
             report = operation.losses
             self.losses.transition_record(
@@ -290,6 +311,8 @@
                 stream=self._recorded_stream(operation),
                 has_mixed_versions=self._has_mixed_versions(operation),
                 losses=self._recorded_losses(operation),
+                open_turns=self._open_turns(operation),
+                versions=self._recorded_versions(operation),
             )
         program = self.programs.setdefault(operation.program, Program())
         self._extend_expiry(program, operation.retention)
@@ -302,6 +325,7 @@
         if refusal is not None:
             return refusal
         program.reserved[operation.request_id] = operation.tokens
+        program.lines[operation.request_id] = _line_of(operation)
         if operation.limit is not None:
             program.tenant = operation.limit.tenant
             program.kind = program.kind or operation.kind
@@ -313,6 +337,8 @@
             stream=self._recorded_stream(operation),
             has_mixed_versions=self._has_mixed_versions(operation),
             losses=self._recorded_losses(operation),
+            open_turns=self._open_turns(operation),
+            versions=self._recorded_versions(operation),
         )
 
     def _draw(self, operation: Reserve) -> QuotaSpent | None:
@@ -325,11 +351,11 @@
     def transition_settle(self, operation: Settle) -> OperationResult:
         """Count the generated tokens instead of the reservation, and retain the turn, if given."""
         if operation.program:
-        program.lines[operation.request_id] = _line_of(operation)
             program = self.programs.setdefault(operation.program, Program())
             self._extend_expiry(program, program.retention)
             if operation.request_id not in program.settled:
                 program.reserved.pop(operation.request_id, None)
+                program.lines.pop(operation.request_id, None)
                 program.settled.append(operation.request_id)
                 program.spent += operation.tokens
                 program.active_at = self.quotas.time
@@ -355,7 +381,6 @@
                 return
             stored.expires = max(stored.expires, expires)
             current = stored.turn.previous
-                program.lines.pop(operation.request_id, None)
 
     def chain(self, last: str, known: str = "") -> tuple[KeptTurn, ...]:
         """Return the turns after ``known`` up to ``last``, the oldest first."""
--- a/src/yokeline/scheduling/eligibility.py
+++ b/src/yokeline/scheduling/eligibility.py
@@ -26,11 +26,13 @@
     """The route or the tenant is bound to other regions."""
     OTHER_VERSION = "other_version"
     """The stream was begun by an engine of another software version."""
+    VERSION_UNRECORDED = "version_unrecorded"
+    """The ledger has not recorded yet that the pool has engines of the version."""
 
     @property
     def is_temporary(self) -> bool:
         """Whether the request may become eligible while it waits in a queue."""
-        return self is Ineligibility.COLD_RATE
+        return self in (Ineligibility.COLD_RATE, Ineligibility.VERSION_UNRECORDED)
 
 
 class EngineQuery(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/scheduling/engine_versions.py
+++ b/src/yokeline/scheduling/engine_versions.py
@@ -9,13 +9,12 @@
 from collections.abc import Collection
 
 VERSION_MEMORY_SECONDS = 10.0
-"""Time for which a version counts after its last engine has left a pool, and for which a node must
-have known a pool before it takes the only version there for the only one of late. Longer than
-callers usually wait for a stream."""
+"""Time for which a version counts after its last engine has left a pool. Longer than callers wait
+for a stream, as a rule."""
 
 
 class PoolVersions:
-    """Versions of the engines of one pool that one node has seen of late."""
+    """Versions of the engines of one pool that a node has seen of late, or was told of."""
 
     def __init__(self, now: float) -> None:
         """Start without a version."""
@@ -23,15 +22,34 @@
         self._present: frozenset[str] = frozenset()
         self._left_at: dict[str, float] = {}
 
-    def observe(self, present: Collection[str], now: float) -> None:
-        """Set the versions that the pool's engines have now."""
+    def observe(self, present: Collection[str], now: float, *, is_current: bool = True) -> set[str]:
+        """Set the versions that the pool's engines have now; return those that count no longer.
+
+        While the view is not current, a version that is absent may have come unnoticed.
+        """
         for version in self._present.difference(present):
             self._left_at[version] = now
         self._present = frozenset(present)
+        gone: set[str] = set()
         for version in list(self._left_at):
-            is_expired = now - self._left_at[version] >= VERSION_MEMORY_SECONDS
-            if is_expired or version in self._present:
+            is_expired = is_current and now - self._left_at[version] >= VERSION_MEMORY_SECONDS
+            if version in self._present:
+                del self._left_at[version]
+            elif is_expired:
                 del self._left_at[version]
+                gone.add(version)
+        return gone
+
+    def note_recorded(self, versions: Collection[str], now: float) -> None:
+        """Count versions that were recorded by other nodes, as if they had just left."""
+        for version in versions:
+            if version not in self._present:
+                self._left_at.setdefault(version, now)
+
+    @property
+    def present(self) -> frozenset[str]:
+        """The versions of the pool's engines."""
+        return self._present
 
     @property
     def are_several(self) -> bool:
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -377,6 +377,9 @@
         if isinstance(operation, Reserve) and not isinstance(operation.losses, UnsetType):
             self._record_losses(message.number, operation)
             return
+        if isinstance(operation, Reserve) and not isinstance(operation.versions, UnsetType):
+            self._record_versions(message.number, operation)
+            return
         if all(number != message.number for number, _ in self.asked):
             self.asked.append((message.number, message.operations[0]))
 
@@ -388,6 +391,23 @@
         result = self.ledger_state.transition_apply(
             LedgerCommand(time=self.now, operations=(operation,))
         )
+        told = tuple(
+            msgspec.structs.replace(item, open_turns=self.open_turns)
+            if isinstance(item, Granted)
+            else item
+            for item in result
+        )
+        reply = LedgerReply(number=number, results=told, leader=STORAGE)
+        self.take(self.ledger.take_reply(reply, self.now))
+        self.take(self.forwarder.tick(self.now))
+
+    def _record_versions(self, number: int, operation: Reserve) -> None:
+        """Record the versions of a pool as the ledger does, and answer unless it is silent."""
+        if self.is_ledger_silent:
+            return
+        result = self.ledger_state.transition_apply(
+            LedgerCommand(time=self.now, operations=(operation,))
+        )
         reply = LedgerReply(number=number, results=result, leader=STORAGE)
         self.take(self.ledger.take_reply(reply, self.now))
         self.take(self.forwarder.tick(self.now))
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -6,7 +6,7 @@
 from unittest import mock
 from unittest.mock import patch
 
-from tests.unit.forwarding.support import Played
+from tests.unit.forwarding.support import STORAGE, Played
 from tests.unit.registry.test_watch import ScriptedStore
 from yokeline.effects import (
     Address,
@@ -30,7 +30,16 @@
 from yokeline.forwarding.edge_node import EdgeNode
 from yokeline.forwarding.evacuations import Evacuations
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
-from yokeline.ledger.messages import LoadReport, RegistryAsk, RegistryItem, RegistryNews
+from yokeline.ledger.messages import (
+    LeaderAnswer,
+    LeaderQuery,
+    LedgerReply,
+    LedgerRequest,
+    LoadReport,
+    RegistryAsk,
+    RegistryItem,
+    RegistryNews,
+)
 from yokeline.ledger.operations import Granted
 from yokeline.platform.documents import PlatformDocuments
 from yokeline.registry.client import RegistryClient
@@ -122,6 +131,15 @@
         )
         return [effect for effect in self.hand(event) if isinstance(effect, HttpRequest)]
 
+    def record_versions(self) -> None:
+        """Let the ledger have a leader, which records the versions of the pools."""
+        answer = LeaderAnswer(term=1, leader=STORAGE)
+        effects = self.hand(PeerMessage(sender=STORAGE.replica, message=answer))
+        for effect in effects:
+            if isinstance(effect, SendPeer) and isinstance(effect.message, LedgerRequest):
+                reply = LedgerReply(number=effect.message.number, results=(Granted(),))
+                self.hand(PeerMessage(sender=STORAGE.replica, message=reply))
+
 
 class FirstList(PlayedNode):
     prefixes = ("",)
@@ -285,7 +303,11 @@
     def test_it_takes_the_configuration_from_a_node_that_has_read_it(self) -> None:
         self.hear(50)
         self.now += 0.5
-        asked = [effect for effect in self.hear(50) if isinstance(effect, SendPeer)]
+        asked = [
+            effect
+            for effect in self.hear(50)
+            if isinstance(effect, SendPeer) and isinstance(effect.message, RegistryAsk)
+        ]
         self.assertEqual([effect.to for effect in asked], [ReplicaId("edge-2~7")])
         document = b'{"version": 9, "routes": [], "services": []}'
         news = RegistryNews(revision=50, items=(RegistryItem("op/config", document, 50),))
@@ -299,7 +321,12 @@
         question = PeerMessage(
             sender=ReplicaId("edge-3~1"), message=RegistryAsk(asker=Address("10.0.0.3", 1))
         )
-        self.assertEqual([item for item in self.hand(question) if isinstance(item, SendPeer)], [])
+        answers = [
+            item
+            for item in self.hand(question)
+            if isinstance(item, SendPeer) and not isinstance(item.message, LeaderQuery)
+        ]
+        self.assertEqual(answers, [])
         news = RegistryNews(revision=50, items=(RegistryItem("k", b"v", 50),))
         self.hand(PeerMessage(sender=ReplicaId("edge-2~7"), message=news))
         answers = [item.message for item in self.hand(question) if isinstance(item, SendPeer)]
@@ -504,6 +531,7 @@
         lapsed = self.played.engines.get("models-0")
         assert lapsed is not None
         lapsed.expires_at = self.now + 100
+        self.record_versions()
         for _ in range(4):
             self.played.turn("/turn/x")
             self.played.ledger_answers(Granted())
--- a/tests/unit/forwarding/test_engine_news.py
+++ b/tests/unit/forwarding/test_engine_news.py
@@ -37,6 +37,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.hand(PeerMessage(sender=STORAGE.replica, message=LeaderAnswer(term=1, leader=STORAGE)))
+        self.answer(self.asked("/versions/1"), Granted(), engines=())
 
     def answer(self, number: int, *results: Granted, engines: tuple[EngineTurns, ...]) -> list:
         reply = LedgerReply(number=number, results=results, leader=STORAGE, term=1, engines=engines)
@@ -62,12 +63,18 @@
             header_items=tuple(fields.items()),
         )
         self.hand(event)
-        asked = [
-            effect.message
+        return self.answer(self.asked("turn"), Granted(spent=10), engines=engines)
+
+    def asked(self, name: str) -> int:
+        """Return the number of the operation whose id ends with a name."""
+        return next(
+            effect.message.number
             for _, effect in self.effects
-            if isinstance(effect, SendPeer) and isinstance(effect.message, LedgerRequest)
-        ]
-        return self.answer(asked[-1].number, Granted(spent=10), engines=engines)
+            if isinstance(effect, SendPeer)
+            and isinstance(effect.message, LedgerRequest)
+            and effect.message.operations
+            and effect.message.operations[0].request_id.endswith(name)
+        )
 
     def test_a_turn_that_waits_is_sent_once_the_leader_tells_of_a_free_place(self) -> None:
         self.begin_turn(FULL)
--- a/tests/unit/forwarding/test_evacuations.py
+++ b/tests/unit/forwarding/test_evacuations.py
@@ -25,7 +25,7 @@
 from yokeline.forwarding.metrics import edge_figures
 from yokeline.forwarding.model import Engine
 from yokeline.identifiers import NodeName, ReplicaId
-from yokeline.ledger.messages import LoadReport, RegistryItem, RegistryNews
+from yokeline.ledger.messages import LoadReport, RegistryAsk, RegistryItem, RegistryNews
 from yokeline.ledger.operations import CachedContext, Granted
 from yokeline.registry.protocol import HistoryLost, Page, RegistryAnswer, StoredItem, WatchEvents
 from yokeline.scheduling.eligibility import EligibilityPolicy
@@ -248,7 +248,11 @@
         self.hear(11)
         self.assertEqual(self.engine(), "apps-0")
         self.now += 0.5
-        asked = [item for item in self.hear(11) if isinstance(item, SendPeer)]
+        asked = [
+            item
+            for item in self.hear(11)
+            if isinstance(item, SendPeer) and isinstance(item.message, RegistryAsk)
+        ]
         self.assertEqual([item.to for item in asked], [WATCHER])
         self.news(put(ORDER_A, 11), since=10)
         self.assertEqual(self.engines(), {"apps-b"})
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -115,24 +115,54 @@
         """Guards against a stream of a version that left while the node was down."""
         resume(self.played, "elsewhere")
         for _ in range(MAX_LOOKUPS):
-            self.played.ledger_answers(Granted(has_mixed_versions=True))
+            self.played.ledger_answers(Granted(versions=("v0", "v1")))
             self.played.wait(0.06)
         self.assertEqual(self.played.sent, [])
         self.assertEqual(self.played.refusal()["error"], STREAM_VERSION_UNKNOWN)
+        resume(self.played, "elsewhere")
+        self.played.ledger_answers(Granted(versions=("v1",)))
+        self.assertEqual(len(self.played.sent), 1)
+
+    def test_the_only_version_in_view_is_not_taken_for_the_one_that_is_recorded(self) -> None:
+        resume(self.played, "elsewhere")
+        self.played.ledger_answers(Granted(versions=("v0",)))
+        self.assertEqual(self.played.sent, [])
+        self.assertEqual(self.played.refusal()["error"], NO_ENGINE_OF_VERSION)
+
+    def test_an_earlier_leader_lets_the_view_decide(self) -> None:
+        resume(self.played, "elsewhere")
+        for _ in range(MAX_LOOKUPS):
+            self.played.ledger_answers(Granted(has_mixed_versions=True))
+            self.played.wait(0.06)
+        self.assertEqual(self.played.sent, [])
         self.played.wait(VERSION_MEMORY_SECONDS)
         resume(self.played, "elsewhere")
         self.played.ledger_answers(Granted(has_mixed_versions=True))
         self.assertEqual(len(self.played.sent), 1)
 
-    def test_a_stream_without_a_budget_asks_only_while_the_view_is_new_or_old(self) -> None:
-        resume(self.played, "elsewhere", budget=False)
-        self.assertEqual(len(self.played.asked), 1)
-        self.played.wait(VERSION_MEMORY_SECONDS)
-        resume(self.played, "elsewhere", budget=False)
-        self.assertEqual(len(self.played.asked), 1)
-        self.played.forwarder.set_engine_view_age(lambda _now: 5.0)
-        resume(self.played, "elsewhere", budget=False)
-        self.assertEqual(len(self.played.asked), 2)
+    def test_a_stream_that_began_elsewhere_is_always_asked_for(self) -> None:
+        """Guards against a view that lags behind the node that began the stream."""
+        for _ in range(2):
+            before = len(self.played.asked)
+            resume(self.played, "elsewhere", budget=False)
+            self.assertEqual(len(self.played.asked), before + 1)
+            self.played.wait(VERSION_MEMORY_SECONDS)
+
+    def test_no_stream_is_sent_to_a_version_before_it_is_recorded(self) -> None:
+        self.played.is_ledger_silent = True
+        set_version(self.played, "models-0", "v2")
+        self.played.take(self.played.forwarder.tick(self.played.now))
+        for _ in range(6):
+            self.played.request("/turn/x", token_usage="100,50")
+            self.assertNotEqual(version_at(self.played), "v2")
+        self.assertEqual(self.played.ledger_state.versions.of_pool("models"), ("v1",))
+
+    def test_a_version_is_deleted_once_it_has_been_absent_for_its_memory(self) -> None:
+        versions(self.played, "v2", "v2", "v2", "v2")
+        self.assertEqual(self.played.ledger_state.versions.of_pool("models"), ("v1", "v2"))
+        self.played.wait(VERSION_MEMORY_SECONDS + 0.1)
+        self.played.request("/turn/x", token_usage="100,50")
+        self.assertEqual(self.played.ledger_state.versions.of_pool("models"), ("v2",))
 
     def test_streams_are_recorded_together_when_a_second_version_comes(self) -> None:
         begun = []
