Bound answers that do not end, over all of them

Before: 1xx heads, junk, comments and blank lines in a stream were read to the deadline; ten of them stopped a node's loop for up to 8 s, so that 2 of 4 requests beside them were not served; ten bodies took 131 MiB (test_endless_answers, red before). Cause: limits held for one answer; interim heads, blank lines and blocks without data counted against none; one piece was cut into as many events as it had blank lines; each piece of an unfinished event was searched from the beginning. Change: a bound over all arriving messages, of servers and of callers, that gives up the largest; limits on interim heads and on bytes without an event; events are found in one pass; connections whose pieces are costly read small ones, in turns. A block without data is no event, its bytes are passed on with the next one. engine_answer_malformed tells engine, part and bytes. Answers in tiny chunks and endless events reach no limit and end at the deadline, beside served requests.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -112,11 +112,16 @@
 
 
 class HttpStreamItem(msgspec.Struct, frozen=True, kw_only=True):
-    """One item of a streamed response."""
+    """One item of a streamed response.
+
+    Attributes:
+        is_event: False for bytes behind the last event that are none, such as comments.
+    """
 
     request: RequestId
     data: bytes
     event_id: str = ""
+    is_event: bool = True
 
 
 class HttpStreamEnded(msgspec.Struct, frozen=True):
@@ -140,6 +145,8 @@
         refused: No process listens at the address.
         is_truncated: The body ended in the orderly way, but is not complete.
         unfinished_bytes: Bytes that had arrived of an item which did not end.
+        malformation: What of the answer was malformed or beyond a limit; empty if nothing was.
+        received_bytes: Bytes of the answer that had arrived.
     """
 
     request: RequestId
@@ -152,6 +159,8 @@
     refused: bool = False
     is_truncated: bool = False
     unfinished_bytes: int = 0
+    malformation: str = ""
+    received_bytes: int = 0
 
 
 class PeerMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/forwarding/retries.py
+++ b/src/yokeline/forwarding/retries.py
@@ -157,6 +157,8 @@
         """Retry or end a request whose connection failed or was not established."""
         engine = exchange.engine
         self._log_connection_failure(exchange, failure)
+        if failure.malformation:
+            self._log_malformed(exchange, failure)
         if exchange.engine_framing is not None:
             self._outcomes.count_stream_end(framing_label(exchange), end_label(failure))
         if failure.unfinished_bytes:
@@ -234,6 +236,21 @@
             attempts_allowed=exchange.route.max_attempts,
         )
 
+    def _log_malformed(self, exchange: Exchange, failure: HttpFailed) -> None:
+        """Log and count an answer that was malformed or beyond a limit."""
+        name = f'yokeline_forwarding_answers_malformed_total{{part="{failure.malformation}"}}'
+        self._outcomes.counters[name] += 1
+        engine = exchange.engine
+        self._outcomes.log(
+            "engine_answer_malformed",
+            exchange,
+            level="warning",
+            engine=engine.engine.engine_id if engine else "",
+            part=failure.malformation,
+            bytes=failure.received_bytes,
+            reason=failure.reason,
+        )
+
     def _may_retry(self, exchange: Exchange) -> bool:
         """Return whether the route, the time left and the retry budget allow another send."""
         if not exchange.route.is_retryable:
@@ -279,6 +296,7 @@
         self._dispatcher.enqueue(exchange)
 
     def _handle_sent(self, exchange: Exchange) -> None:
+        self._losses.record_sent(exchange)
         if exchange.sends == 1:
             self._retry_budget.deposit()
         if exchange.possible_runs or exchange.relayed_events:
@@ -296,7 +314,6 @@
     def _call_timeout(self, exchange: Exchange) -> float | None:
         """Return the timeout of a call at its engine; None if it is not known."""
         slots = exchange.engine.engine.slots if exchange.engine is not None else 1
-        self._losses.record_sent(exchange)
         rounds_before = queue_rounds(exchange.load_when_sent, max(1, slots))
         return self._call_timeouts.timeout(exchange.route.name, exchange.sends, rounds_before)
 
@@ -322,6 +339,6 @@
         exchange.attempts.record_attempt(engine_id)
         engine.record_outcome(self._state.now, failed=True)
         self._sender.cancel(exchange, failed=True)
+        self._losses.record(exchange)
         self.retry(exchange, "late engine")
         self._dispatcher.dispatch(exchange.pool)
-        self._losses.record(exchange)
--- a/src/yokeline/forwarding/stream_relay.py
+++ b/src/yokeline/forwarding/stream_relay.py
@@ -60,6 +60,9 @@
 
     def relay_event(self, exchange: Exchange, item: HttpStreamItem) -> None:
         """Relay an event that the caller does not have."""
+        if not item.is_event:
+            self._relay_filler(exchange, item)
+            return
         if exchange.phase is Phase.SENT:
             self._start_response(exchange)
         if exchange.phase is not Phase.STREAMING:
@@ -77,6 +80,11 @@
         exchange.has_unfinished_event = False
         self._state.outcomes.effects.append(HttpStreamData(exchange.exchange_id, item.data))
 
+    def _relay_filler(self, exchange: Exchange, item: HttpStreamItem) -> None:
+        """Relay bytes that are no event, and begin no answer."""
+        if exchange.phase is Phase.STREAMING:
+            self._state.outcomes.effects.append(HttpStreamData(exchange.exchange_id, item.data))
+
     def finish(self, exchange: Exchange, ended: HttpStreamEnded) -> None:
         """Relay the end of a stream; a turn to be kept is kept first.
 
--- a/src/yokeline/node/connection.py
+++ b/src/yokeline/node/connection.py
@@ -44,6 +44,7 @@
 
     Attributes:
         bytes_sent: Bytes that the kernel took so far.
+        read_bytes: Largest piece that is read at a time.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
     ) -> None:
         """Watch an accepted socket, or one whose connection is being made."""
         self.bytes_sent = 0
+        self.read_bytes = READ_BYTES
         self._poller = poller
         self._sock = sock
         self._owner: ConnectionOwner = owner
@@ -217,7 +219,7 @@
 
     def _receive(self) -> None:
         try:
-            data = self._sock.recv(READ_BYTES)
+            data = self._sock.recv(self.read_bytes)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -29,7 +29,15 @@
 )
 from yokeline.node.http_pool import ClientConnection, ConnectionPool
 from yokeline.node.limits import ClientLimits
-from yokeline.node.stream_items import ItemReader, ItemTooLargeError, item_reader
+from yokeline.node.stream_items import ItemReader, ItemTooLargeError, StreamItem, item_reader
+
+HEAD = "head"
+BODY_FRAMING = "body framing"
+BODY = "body"
+STREAM_ITEM = "stream item"
+INTERIM_RESPONSES = "interim responses"
+ALL_RESPONSES = "all responses"
+"""What of a response was malformed or beyond a limit, in failures."""
 
 _SUCCESS = range(200, 300)
 _OWN_HEADERS = ("host", "connection", *FRAMING_HEADERS)
@@ -58,6 +66,10 @@
         """Hand an event to the service."""
         ...
 
+    def held(self, call: HttpCall, size: int) -> None:
+        """Note how many bytes of its response a call holds."""
+        ...
+
     def call_ended(self, call: HttpCall) -> None:
         """Forget a call that gives no further event."""
         ...
@@ -95,6 +107,8 @@
         self._reader: ItemReader | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._received_bytes = 0
+        self._informational_heads = 0
         self._due = 0.0
         self._deadline: Deadline | None = None
         self._ended = False
@@ -185,8 +199,16 @@
     def data_received(self, data: bytes) -> None:
         """Take bytes of the response."""
         assert self._connection is not None
+        self._received_bytes += len(data)
         self._connection.codec.receive_data(data)
         self._parse()
+        if not self._ended:
+            held = self._reader.held_bytes if self._reader is not None else self._body_bytes
+            self._owner.held(self, held)
+
+    def give_up(self, reason: str) -> None:
+        """Fail, since all responses together hold too much."""
+        self._fail(reason, is_outage=False, malformation=ALL_RESPONSES)
 
     def connection_lost(self, reason: str) -> None:
         """Finish a body that ends with the connection; else repeat if allowed, or fail."""
@@ -218,12 +240,15 @@
                     return
                 self._take(event)
         except h11.RemoteProtocolError as error:
-            self._fail(f"malformed response: {error}")
+            part = HEAD if self._response is None else BODY_FRAMING
+            self._fail(f"malformed response: {error}", malformation=part)
         except ItemTooLargeError as error:
-            self._fail(str(error), is_outage=False)
+            self._fail(str(error), is_outage=False, malformation=STREAM_ITEM)
 
     def _take(self, event: object) -> None:
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._count_informational()
+        elif isinstance(event, h11.Response):
             self._take_head(event)
         elif isinstance(event, h11.Data):
             self._take_body(bytes(event.data))
@@ -232,6 +257,12 @@
         elif isinstance(event, h11.ConnectionClosed):
             self._fail("closed by the other end")
 
+    def _count_informational(self) -> None:
+        self._informational_heads += 1
+        if self._informational_heads > self._limits.max_informational_heads:
+            reason = f"over {self._limits.max_informational_heads} interim responses"
+            self._fail(reason, malformation=INTERIM_RESPONSES)
+
     def _take_head(self, response: h11.Response) -> None:
         self._response = response
         self._passed_over = self._is_of_other_request(response)
@@ -266,17 +297,24 @@
             self._body_bytes += len(data)
             if self._body_bytes > self._limits.max_body_bytes:
                 reason = f"the response is over {self._limits.max_body_bytes} bytes"
-                self._fail(reason, is_outage=False)
+                self._fail(reason, is_outage=False, malformation=BODY)
                 return
             self._body.append(data)
             return
         for item in self._reader.feed(data):
-            self._submit_item(item.data, item.event_id)
+            self._submit_item(item)
 
-    def _submit_item(self, data: bytes, event_id: str) -> None:
+    def _submit_item(self, item: StreamItem) -> None:
+        assert self._connection is not None
+        self._connection.items_read += 1
         self._due = time.monotonic() + self.request.timeout
         self._owner.submit(
-            HttpStreamItem(request=self.request.request, data=data, event_id=event_id)
+            HttpStreamItem(
+                request=self.request.request,
+                data=item.data,
+                event_id=item.event_id,
+                is_event=item.is_event,
+            )
         )
 
     def _complete(self) -> None:
@@ -313,7 +351,7 @@
             self._fail(str(incomplete), truncated_bytes=incomplete.received_bytes)
             return False
         for item in finished.unwrap():
-            self._submit_item(item.data, item.event_id)
+            self._submit_item(item)
         self._owner.submit(HttpStreamEnded(self.request.request))
         return True
 
@@ -346,6 +384,7 @@
         silent: bool = False,
         is_outage: bool = True,
         truncated_bytes: int = 0,
+        malformation: str = "",
     ) -> None:
         if self._ended:
             return
@@ -364,6 +403,8 @@
             refused=reason.startswith(CONNECTION_REFUSED),
             is_truncated=truncated_bytes > 0,
             unfinished_bytes=truncated_bytes or self._unfinished_bytes(),
+            malformation=malformation,
+            received_bytes=self._received_bytes,
         )
         self._owner.submit(failure)
 
--- a/src/yokeline/node/http_client.py
+++ b/src/yokeline/node/http_client.py
@@ -18,6 +18,7 @@
 from yokeline.node.http_pool import ConnectionPool
 from yokeline.node.limits import ClientLimits
 from yokeline.node.poller import SocketPoller
+from yokeline.node.received_bound import ReceivedBound
 
 
 class HttpClient(BaseComponent):
@@ -37,6 +38,7 @@
         self._bridge = bridge
         self._deadlines = deadlines
         self._limits = limits
+        self.received_bound = ReceivedBound(limits.max_received_bytes_of_all)
         self._calls: dict[RequestId, HttpCall] = {}
         self._pool = ConnectionPool(poller, deadlines, limits)
         bridge.carry_out_with(HttpRequest, self.send_request)
@@ -65,8 +67,13 @@
 
     def call_ended(self, call: HttpCall) -> None:
         """Forget a call that gives no further event."""
+        self.received_bound.note_held(call, 0)
         self._calls.pop(call.request.request, None)
 
+    def held(self, call: HttpCall, size: int) -> None:
+        """Note how many bytes of its response a call holds."""
+        self.received_bound.note_held(call, size)
+
     def pool(self) -> ConnectionPool:
         """Return the connections (for metrics and tests)."""
         return self._pool
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -16,6 +16,7 @@
 from yokeline.node.deadlines import Deadline
 from yokeline.node.http_heads import RawHeaders, reason_phrase, response_headers
 from yokeline.node.http_requests import IncomingRequest, RequestReader, RequestRefusedError
+from yokeline.node.read_pacing import ReadPacer
 from yokeline.node.refusals import NOT_WHOLE_IN_TIME, REQUEST_TIMEOUT, refusal_of
 
 if TYPE_CHECKING:
@@ -67,6 +68,7 @@
             server.poller, sock, self, max_unsent_bytes=server.limits.max_unsent_bytes
         )
         self._connection.set_silent_limit(self._limits.silent_seconds)
+        self._pacer = ReadPacer(self._connection, server.costly_reads)
         self._rest()
 
     def unsent_bytes(self) -> int:
@@ -77,6 +79,13 @@
         """Close the connection; its caller is gone for the service."""
         self._connection.cut_off(reason)
 
+    def give_up(self, reason: str) -> None:
+        """Close the connection, since all requests that are arriving hold too much together."""
+        absl.logging.warning(
+            {"event": "large_request_cut_off", "bytes": self._requests.held_bytes, "reason": reason}
+        )
+        self._connection.cut_off(reason)
+
     # ------------------------------------------------------------ requests in
 
     def connection_made(self) -> None:
@@ -86,15 +95,21 @@
         """Take bytes of the caller."""
         if self._phase is _Phase.FINISHING or self._requests.too_large:
             return
+        began_at = time.monotonic()
         self._codec.receive_data(data)
         if self._phase in (_Phase.IDLE, _Phase.RECEIVING):
             self._read_request()
+            self._pacer.note_read(began_at)
+            is_arriving = self._phase is _Phase.RECEIVING
+            held = self._requests.held_bytes if is_arriving else 0
+            self._server.received_bound.note_held(self, held)
         elif len(self._codec.trailing_data[0]) > self._limits.max_header_bytes:
             self._connection.pause_reading()
 
     def connection_lost(self, reason: str) -> None:
         """Tell the service that the caller of an open exchange is gone."""
         self._clear_deadline()
+        self._pacer.stop()
         self._server.forget(self)
         self._phase = _Phase.FINISHING
         exchange = self._exchange
--- a/src/yokeline/node/http_pool.py
+++ b/src/yokeline/node/http_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 
@@ -12,13 +13,18 @@
 from yokeline.node.deadlines import Deadline, DeadlineQueue
 from yokeline.node.limits import ClientLimits
 from yokeline.node.poller import SocketPoller
+from yokeline.node.read_pacing import CostlyReads, ReadPacer
 
 _KEEP_MARGIN_SECONDS = 0.8
 """A kept connection is closed this much before its server would close it."""
 
 
 class ClientConnection:
-    """A connection to a back end with its codec; used by one call at a time."""
+    """A connection to a back end with its codec; used by one call at a time.
+
+    Attributes:
+        items_read: Items of a stream that the latest piece has brought.
+    """
 
     def __init__(
         self, poller: SocketPoller, address: Address, limits: ClientLimits, pool: ConnectionPool
@@ -38,6 +44,8 @@
         self._pool = pool
         self.link = Connection.open(poller, address, self, max_unsent_bytes=limits.max_unsent_bytes)
         self.link.set_silent_limit(limits.silent_seconds)
+        self._pacer = ReadPacer(self.link, pool.costly_reads)
+        self.items_read = 0
 
     def fresh_codec(self) -> h11.Connection:
         """Follow the connection with a codec that has seen nothing yet, and return it."""
@@ -51,10 +59,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes on to the call; bytes that nobody asked for end the connection."""
-        if self.user is not None:
-            self.user.data_received(data)
-        else:
+        if self.user is None:
             self._pool.discard(self)
+            return
+        began_at = time.monotonic()
+        self.items_read = 0
+        self.user.data_received(data)
+        self._pacer.note_read(began_at, self.items_read)
 
     def connection_lost(self, reason: str) -> None:
         """Pass the end on to the call, or leave the pool."""
@@ -64,6 +75,10 @@
         if user is not None:
             user.connection_lost(reason)
 
+    def read_without_pause(self) -> None:
+        """Do not wait with the next read, since the connection has no response to read."""
+        self._pacer.stop()
+
     def peer_closed(self, reason: str) -> bool:
         """Return whether the other end closed in the orderly way (TCP FIN)."""
         return reason == CLOSED_BY_PEER
@@ -85,6 +100,7 @@
         self._limits = limits
         self._idle: OrderedDict[ClientConnection, None] = OrderedDict()
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
+        self.costly_reads = CostlyReads(deadlines)
         self._open: set[ClientConnection] = set()
         self._open_by_address: Counter[Address] = Counter()
 
@@ -123,6 +139,7 @@
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection whose call is complete, if it can serve another one."""
         connection.user = None
+        connection.read_without_pause()
         if not self._reusable(connection):
             self.discard(connection)
             return
@@ -144,6 +161,7 @@
         """Close a connection and forget it."""
         connection.user = None
         connection.link.close()
+        connection.read_without_pause()
         self._leave_idle(connection)
         if connection in self._open:
             self._open.remove(connection)
--- a/src/yokeline/node/http_requests.py
+++ b/src/yokeline/node/http_requests.py
@@ -91,6 +91,11 @@
             has_key = any(name == _IDEMPOTENCY_KEY for name, _ in self._head.headers)
         return RequestRefusedError(refusal(error, has_key=has_key), status)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held of the body of a request that is not whole."""
+        return self._size
+
     def has_begun(self) -> bool:
         """Return whether a request has begun to arrive."""
         return self._head is not None or bool(self._codec.trailing_data[0])
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -35,6 +35,8 @@
 from yokeline.node.limits import ServerLimits
 from yokeline.node.listener import Listener
 from yokeline.node.poller import SocketPoller
+from yokeline.node.read_pacing import CostlyReads
+from yokeline.node.received_bound import ReceivedBound
 from yokeline.node.unsent_bound import UnsentBound
 
 
@@ -63,6 +65,8 @@
         self._listener = Listener(poller, deadlines, sock, self._accept)
         self.refused_connections = 0
         self.unsent_bound = UnsentBound(limits.max_unsent_bytes_of_all)
+        self.received_bound = ReceivedBound(limits.max_received_bytes_of_all)
+        self.costly_reads = CostlyReads(deadlines)
         bridge.carry_out_with(HttpReply, self._reply)
         bridge.carry_out_with(HttpStreamStart, self._start_stream)
         bridge.carry_out_with(HttpStreamData, self._stream_data)
@@ -82,6 +86,7 @@
 
     def forget(self, connection: ServerConnection) -> None:
         """Forget a closed connection."""
+        self.received_bound.note_held(connection, 0)
         self._connections.discard(connection)
 
     def submit(self, event: Event) -> None:
--- a/src/yokeline/node/limits.py
+++ b/src/yokeline/node/limits.py
@@ -22,6 +22,8 @@
         max_unsent_bytes: Bytes that a slow reader may leave unread before it is cut off.
         max_unsent_bytes_of_all: Bytes that all readers together may leave unread; then the slowest
             are cut off.
+        max_received_bytes_of_all: Bytes held of all requests that are not whole yet; then the
+            largest are cut off.
         linger_seconds: Time for a refused caller to read its answer while it still sends.
         silent_seconds: Time that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT).
     """
@@ -33,6 +35,7 @@
     max_connections: int = 8192
     max_unsent_bytes: int = 16 * MEBIBYTE
     max_unsent_bytes_of_all: int = 256 * MEBIBYTE
+    max_received_bytes_of_all: int = 64 * MEBIBYTE
     linger_seconds: float = 2.0
     silent_seconds: float = 60.0
 
@@ -50,6 +53,9 @@
         max_header_bytes: Largest response head taken.
         max_body_bytes: Largest whole response body taken.
         max_item_bytes: Largest item of a streamed response taken.
+        max_received_bytes_of_all: Bytes held of all responses that are not whole yet; then the
+            largest are given up.
+        max_informational_heads: Interim (1xx) responses taken before the final one.
         max_unsent_bytes: Largest request sent, and the most a slow server may leave unread.
         silent_seconds: Time that the other machine may be silent (TCP_USER_TIMEOUT, probes).
     """
@@ -63,6 +69,8 @@
     max_header_bytes: int = 64 * KIBIBYTE
     max_body_bytes: int = 16 * MEBIBYTE
     max_item_bytes: int = 4 * MEBIBYTE
+    max_received_bytes_of_all: int = 32 * MEBIBYTE
+    max_informational_heads: int = 16
     max_unsent_bytes: int = 32 * MEBIBYTE
     silent_seconds: float = 60.0
 
--- a/src/yokeline/node/stream_items.py
+++ b/src/yokeline/node/stream_items.py
@@ -13,22 +13,48 @@
 
 from yokeline.effects import Framing
 
-_AFTER_BLANK_LINE = re.compile(rb"(?<=\n\n)|(?<=\n\r\n)")
-_AFTER_BLANK_LINE_OF_RETURNS = re.compile(rb"(?<=\r\r)")
+_BLANK_LINE = re.compile(rb"\n\r?\n")
+_BLANK_LINE_OF_RETURNS = re.compile(rb"\r\r")
+_LONGEST_BLANK_LINE_BYTES = 3
+_DATA_FIELD = re.compile(rb"(?:^|[\r\n])data(?=[:\r\n])")
 _LINE_FEED_OR_RETURN = re.compile(rb"\n|\r(?=[^\n])")
 _ID_FIELD = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+MAX_FILLER_BYTES = 65_536
+"""Bytes without an item, such as comments, that may come before the next one."""
 
 
 class StreamItem(msgspec.Struct, frozen=True):
-    """One server-sent event, or one line."""
+    """One server-sent event, or one line.
+
+    Attributes:
+        is_event: False for bytes behind the last event that are none, such as comments.
+    """
 
     data: bytes
     event_id: str = ""
+    is_event: bool = True
 
 
 class ItemTooLargeError(Exception):
-    """An item of the stream is over the limit."""
+    """An item of the stream is over the limit, or too many bytes came without one."""
+
+
+class _Filler:
+    """Counts the bytes since the last item."""
+
+    def __init__(self) -> None:
+        self._size = 0
+
+    def count(self, size: int, *, has_item: bool) -> None:
+        """Count bytes that are no item.
+
+        Raises:
+            ItemTooLargeError: There are too many since the last item.
+        """
+        self._size = size if has_item else self._size + size
+        if self._size > MAX_FILLER_BYTES:
+            raise ItemTooLargeError(f"over {MAX_FILLER_BYTES} bytes of the stream hold no item")
 
 
 class IncompleteItem(msgspec.Struct, frozen=True):
@@ -49,6 +75,11 @@
         """Length of the item that has begun and not ended."""
         ...
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are kept until an item is complete."""
+        ...
+
     def feed(self, data: bytes) -> list[StreamItem]:
         """Add a piece and return the items it completes.
 
@@ -113,12 +144,18 @@
     def __init__(self, max_item_bytes: int) -> None:
         """Refuse lines over ``max_item_bytes``."""
         self._tail = _Tail(max_item_bytes)
+        self._filler = _Filler()
 
     @property
     def unfinished_bytes(self) -> int:
         """Length of the line that has not ended."""
         return self._tail.size
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of that line."""
+        return self._tail.size
+
     def feed(self, data: bytes) -> list[StreamItem]:
         """Return the lines that ``data`` completes."""
         if b"\n" not in data:
@@ -126,7 +163,9 @@
             return []
         *lines, rest = self._tail.take(data).split(b"\n")
         self._tail.add(rest)
-        return [StreamItem(line.strip()) for line in lines if line.strip()]
+        items = [StreamItem(line.strip()) for line in lines if line.strip()]
+        self._filler.count(0 if items else len(data), has_item=bool(items))
+        return items
 
     def finish(self) -> Result[list[StreamItem], IncompleteItem]:
         """Return no line, or a failure if the last line has no line end."""
@@ -136,34 +175,74 @@
 
 
 class RawEventReader:
-    """One item per block up to a blank line, its bytes unchanged (the blank line included).
+    """One item per event, its bytes unchanged: from the end of the one before to its blank line.
 
-    Lines end with a line feed, alone or after a return, or all of them with a return alone.
+    Lines end with a line feed, alone or after a return, or all of them with a return alone. A block
+    without data is no event, and its bytes are passed on with the next one.
     """
 
     def __init__(self, max_item_bytes: int) -> None:
         """Refuse events over ``max_item_bytes``."""
-        self._tail = _Tail(max_item_bytes)
+        self._max_item_bytes = max_item_bytes
+        self._buffer = bytearray()
+        self._block_start = 0
+        self._searched = 0
         self._separator: re.Pattern[bytes] | None = None
 
     @property
     def unfinished_bytes(self) -> int:
         """Length of the event that has not ended."""
-        return self._tail.size
+        return len(self._buffer) - self._block_start
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes since the last event."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamItem]:
         """Return the events that ``data`` completes."""
-        data = self._tail.take(data)
+        before = len(self._buffer)
+        self._buffer += data
         if self._separator is None:
-            self._separator = _separator_of(data)
-        *blocks, rest = self._separator.split(data) if self._separator is not None else [data]
-        self._tail.add(rest)
-        return [StreamItem(block, _raw_event_id(block)) for block in blocks]
+            self._separator = _separator_of(bytes(self._buffer[max(0, before - 1) :]))
+        items = self._complete(self._separator) if self._separator is not None else []
+        if self._block_start > MAX_FILLER_BYTES:
+            raise ItemTooLargeError(f"over {MAX_FILLER_BYTES} bytes of the stream hold no event")
+        if self.unfinished_bytes > self._max_item_bytes:
+            raise ItemTooLargeError(f"an event of the stream is over {self._max_item_bytes} bytes")
+        return items
+
+    def _complete(self, separator: re.Pattern[bytes]) -> list[StreamItem]:
+        """Cut the complete events off the buffer; only bytes that are new are searched."""
+        buffer = self._buffer
+        items: list[StreamItem] = []
+        item_start = 0
+        start = max(self._block_start, self._searched - _LONGEST_BLANK_LINE_BYTES + 1)
+        for found in separator.finditer(buffer, start):
+            block = bytes(buffer[self._block_start : found.end()])
+            self._block_start = found.end()
+            if _DATA_FIELD.search(block):
+                data = bytes(buffer[item_start : found.end()])
+                items.append(StreamItem(data, _raw_event_id(block)))
+                item_start = found.end()
+            elif self._block_start - item_start > MAX_FILLER_BYTES:
+                break
+        del buffer[:item_start]
+        self._block_start -= item_start
+        self._searched = len(buffer)
+        return items
 
     def finish(self) -> Result[list[StreamItem], IncompleteItem]:
-        """Return no event, or a failure if the last event has no blank line."""
+        """Return what is no event, or a failure if the last event has no blank line."""
         size = self.unfinished_bytes
-        return Failure(IncompleteItem(size)) if size else Success([])
+        if size and bytes(self._buffer[self._block_start :]).strip(b"\r\n"):
+            return Failure(IncompleteItem(size))
+        if not self._buffer:
+            return Success([])
+        filler = bytes(self._buffer)
+        self._buffer.clear()
+        self._block_start = 0
+        return Success([StreamItem(filler, is_event=False)])
 
 
 def _separator_of(data: bytes) -> re.Pattern[bytes] | None:
@@ -171,7 +250,7 @@
     found = _LINE_FEED_OR_RETURN.search(data)
     if found is None:
         return None
-    return _AFTER_BLANK_LINE if found.group() == b"\n" else _AFTER_BLANK_LINE_OF_RETURNS
+    return _BLANK_LINE if found.group() == b"\n" else _BLANK_LINE_OF_RETURNS
 
 
 def _raw_event_id(block: bytes) -> str:
@@ -190,6 +269,7 @@
     def __init__(self, max_item_bytes: int) -> None:
         """Refuse events over ``max_item_bytes``."""
         self._tail = _Tail(max_item_bytes)
+        self._filler = _Filler()
         self._held_return = False
         self._started = False
 
@@ -198,6 +278,11 @@
         """Length of the event that has not ended."""
         return self._tail.size + self._held_return
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of that event."""
+        return self.unfinished_bytes
+
     def feed(self, data: bytes) -> list[StreamItem]:
         """Return the events that ``data`` completes."""
         data = self._with_plain_line_ends(data)
@@ -206,8 +291,9 @@
             return []
         *blocks, rest = self._tail.take(data).split(b"\n\n")
         self._tail.add(rest)
-        items = (_event(block) for block in blocks)
-        return [item for item in items if item is not None]
+        found = [item for item in map(_event, blocks) if item is not None]
+        self._filler.count(0 if found else len(data), has_item=bool(found))
+        return found
 
     def finish(self) -> Result[list[StreamItem], IncompleteItem]:
         """Return the event whose blank line is a return that waited for a line feed."""
--- a/src/yokeline/simulation/exchanges.py
+++ b/src/yokeline/simulation/exchanges.py
@@ -160,7 +160,10 @@
             if self.closed:
                 return
             event = HttpStreamItem(
-                request=self.request.request, data=item.data, event_id=item.event_id
+                request=self.request.request,
+                data=item.data,
+                event_id=item.event_id,
+                is_event=item.is_event,
             )
             self.client.deliver(event)
 
--- a/tests/processes/platform/endless_answers.py
+++ b/tests/processes/platform/endless_answers.py
@@ -1,4 +1,7 @@
-"""Answers without end, by the body of the request that gets them: head, piece, pause in seconds."""
+"""Answers without end, by the body of the request that gets them: head, piece, pause in seconds.
+
+Slow ones reach no limit before the deadline: they may be answers, as far as they have come.
+"""
 
 from __future__ import annotations
 
@@ -40,7 +43,16 @@
     b"stream-blank-lines": (_STREAM, b"\n" * _PIECE_BYTES, 0.0),
     b"stream-returns": (_STREAM, b"\r" * _PIECE_BYTES, 0.0),
 }
-TRICKLES: dict[bytes, Endless] = {
+SLOW_CALLS: dict[bytes, Endless] = {
+    b"body-in-small-chunks": (_CHUNKED, _many(b"1\r\nz\r\n"), 0.0),
     b"trickle-head": (_STATUS + b"X-Field: ", b"v", 0.05),
     b"trickle-body": (_STATUS + b"\r\n", b"z", 0.05),
 }
+SLOW_STREAMS: dict[bytes, Endless] = {
+    b"stream-in-small-chunks": (
+        _STATUS + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        _many(b"3\r\n:c\n\r\n"),
+        0.0,
+    ),
+    b"stream-of-events": (_STREAM, _many(b"id: 7\ndata: x\n\n"), 0.0),
+}
--- a/tests/processes/platform/test_endless_answers.py
+++ b/tests/processes/platform/test_endless_answers.py
@@ -12,7 +12,12 @@
 
 from tests.processes.cluster import HOST
 from tests.processes.platform.deployment import CALLER_HOST, Deployment
-from tests.processes.platform.endless_answers import ENDLESS_CALLS, ENDLESS_STREAMS, TRICKLES
+from tests.processes.platform.endless_answers import (
+    ENDLESS_CALLS,
+    ENDLESS_STREAMS,
+    SLOW_CALLS,
+    SLOW_STREAMS,
+)
 
 AT_ONCE = 10
 DEADLINE_SECONDS = 5.0
@@ -77,20 +82,21 @@
                     with self.subTest(name):
                         outcome = self.play(deployment, path, name)
                         self.check(name, outcome, deployment, MAX_HELD_SECONDS)
-                        lines = deployment.edges[0].lines("engine_answer_excessive")
+                        lines = deployment.edges[0].lines("engine_answer_malformed")
                         own = [line for line in lines if str(line["request"]).startswith(name)]
                         self.assertTrue(own, f"{name}: no log line")
-                        self.assertLessEqual({"engine", "shape", "bytes"}, own[0].keys())
+                        self.assertLessEqual({"engine", "part", "bytes"}, own[0].keys())
 
-    def test_trickles_end_at_the_deadline_beside_served_requests(self) -> None:
+    def test_slow_answers_end_at_the_deadline_beside_served_requests(self) -> None:
         with Deployment(models=2, apps=4) as deployment:
             for engine in (*deployment.models, *deployment.apps):
-                engine.endless = TRICKLES
-            for body in TRICKLES:
-                name = body.decode()
-                with self.subTest(name):
-                    outcome = self.play(deployment, "/look/x", name)
-                    self.check(name, outcome, deployment, DEADLINE_SECONDS + 0.5)
+                engine.endless = {**SLOW_CALLS, **SLOW_STREAMS}
+            for shapes, path in ((SLOW_CALLS, "/look/x"), (SLOW_STREAMS, "/turn/x")):
+                for body in shapes:
+                    name = body.decode()
+                    with self.subTest(name):
+                        outcome = self.play(deployment, path, name)
+                        self.check(name, outcome, deployment, DEADLINE_SECONDS + 0.5)
 
 
 class _Outcome:
--- a/tests/property/test_stream_items.py
+++ b/tests/property/test_stream_items.py
@@ -7,7 +7,12 @@
 from returns.result import Failure
 
 from yokeline.effects import Framing
-from yokeline.node.stream_items import ItemTooLargeError, StreamItem, item_reader
+from yokeline.node.stream_items import (
+    MAX_FILLER_BYTES,
+    ItemTooLargeError,
+    StreamItem,
+    item_reader,
+)
 
 LIMIT = 1000
 LINE_ENDS = st.sampled_from(["\n", "\r\n", "\r"])
@@ -82,8 +87,42 @@
         if len(whole) < len(blocks):
             self.assertLess(unfinished, len(blocks[len(whole)]))
 
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(
+        st.lists(st.sampled_from(["", ": c", "id: 9"]), min_size=1, max_size=5),
+        LINE_ENDS,
+        st.lists(st.integers(0, 2000), max_size=12),
+    )
+    def test_raw_blocks_without_data_are_no_events_and_keep_their_bytes(
+        self, fillers: list[str], end: str, cuts: list[int]
+    ) -> None:
+        event = f"id: 1{end}data: x{end}{end}"
+        filler = "".join(f"{line}{end}{end}" for line in fillers)
+        body = (event + filler + event.replace("1", "2") + filler).encode()
+        items, unfinished = read_in_pieces(Framing.RAW_EVENTS, body, cuts)
+        events = [item for item in items if item.is_event]
+        self.assertEqual(b"".join(item.data for item in items), body)
+        self.assertEqual([item.event_id for item in events], ["1", "2"])
+        self.assertEqual(unfinished, 0)
+
+    def test_endless_bytes_without_an_item_are_refused(self) -> None:
+        for framing, piece in (
+            (Framing.RAW_EVENTS, b"\n"),
+            (Framing.RAW_EVENTS, b"\r"),
+            (Framing.RAW_EVENTS, b": c\n\n"),
+            (Framing.RAW_EVENTS, b"id: 7\n\n"),
+            (Framing.SERVER_SENT_EVENTS, b"\n"),
+            (Framing.SERVER_SENT_EVENTS, b": c\n\n"),
+            (Framing.JSON_LINES, b"\n"),
+        ):
+            with self.subTest(framing=framing, piece=piece):
+                reader = item_reader(framing, LIMIT)
+                with self.assertRaises(ItemTooLargeError):
+                    for _ in range(3):
+                        reader.feed(piece * MAX_FILLER_BYTES)
+
     def test_an_endless_item_is_refused(self) -> None:
-        for framing in (Framing.SERVER_SENT_EVENTS, Framing.JSON_LINES):
+        for framing in (Framing.SERVER_SENT_EVENTS, Framing.JSON_LINES, Framing.RAW_EVENTS):
             reader = item_reader(framing, LIMIT)
             with self.assertRaises(ItemTooLargeError):
                 for _ in range(LIMIT + 1):
