--- a/src/yokeline/forwarding/engine_losses.py
+++ b/src/yokeline/forwarding/engine_losses.py
@@ -28,9 +28,9 @@
     ALL_CALL_LINES,
     EngineLoss,
     Granted,
-    LineLossReport,
     OperationResult,
     Reserve,
+    SideReport,
 )
 from yokeline.scheduling.attempt_stages import AttemptStage
 from yokeline.scheduling.engine_fates import (
@@ -347,7 +347,7 @@
 
         operation = Reserve(
             request_id=f"{self._process}/losses/{next(self._numbers)}",
-            losses=LineLossReport(ALL_CALL_LINES),
+            side=SideReport(ALL_CALL_LINES),
         )
         effects = self._ledger.ask(operation, answered, now, self._synchronized_by)
         self._state.outcomes.effects.extend(effects)
@@ -394,7 +394,7 @@
         operation = Reserve(
             request_id=f"{self._process}/losses/{next(self._numbers)}",
             retention=key.retention,
-            losses=LineLossReport(key.line, rows),
+            side=SideReport(key.line, rows),
         )
         self._unanswered[key.digest] += 1
         effects = self._ledger.ask(operation, answered, now, now + RECORD_TIMEOUT_SECONDS)
--- a/src/yokeline/forwarding/pool_versions.py
+++ b/src/yokeline/forwarding/pool_versions.py
@@ -14,7 +14,13 @@
 from yokeline.effects import Effect, LogRecord
 from yokeline.forwarding.node_state import NodeState
 from yokeline.ledger.client import LedgerClient
-from yokeline.ledger.operations import Granted, OperationResult, PoolVersion, Reserve
+from yokeline.ledger.operations import (
+    Granted,
+    OperationResult,
+    PoolVersion,
+    Reserve,
+    SideReport,
+)
 from yokeline.scheduling.engine_versions import VERSION_MEMORY_SECONDS
 
 RECORD_TIMEOUT_SECONDS = 5.0
@@ -99,8 +105,7 @@
 
         operation = Reserve(
             request_id=f"{self._process}/versions/{next(self._numbers)}",
-            pool=row.pool,
-            versions=(row,),
+            side=SideReport(pool=row.pool, versions=(row,)),
         )
         now = self._state.now
         effects = self._ledger.ask(
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -12,6 +12,7 @@
     KeptTurn,
     Reserve,
     Settle,
+    SideReport,
     line_of_call,
     line_of_turn,
 )
@@ -44,7 +45,7 @@
         else None,
         resumes=_stream_lookup_of(exchange),
         streams=() if exchange.has_mixed_versions else UNSET,
-        pool=exchange.pool if exchange.stream_origin is StreamOrigin.ASKED else UNSET,
+        side=_side_report_of(exchange),
     )
 
 
@@ -79,6 +80,13 @@
     return exchange.names.resumed_turn if exchange.stream_origin is StreamOrigin.ASKED else UNSET
 
 
+def _side_report_of(exchange: Exchange) -> SideReport | UnsetType:
+    """Return the question for the versions of the pool whose stream a request resumes."""
+    if exchange.stream_origin is not StreamOrigin.ASKED:
+        return UNSET
+    return SideReport(line=line_of_request(exchange), pool=exchange.pool)
+
+
 def settlement_of(exchange: Exchange, tokens: int, turn: KeptTurn | None) -> Settle:
     """Return the operation that replaces the reservation by the tokens sent to the caller."""
     return Settle(
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -109,16 +109,23 @@
     prior: int = 0
 
 
-class LineLossReport(msgspec.Struct, frozen=True, array_like=True):
-    """Losses to record under a line of requests, whose recorded losses are asked for.
+class SideReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a node records and asks for beside a reservation, or without one.
+
+    Releases that know fewer of the fields leave the others out.
 
     Attributes:
-        line: :func:`line_of_turn`, :func:`line_of_call` or :data:`ALL_CALL_LINES`.
-        losses: Empty to ask only.
+        line: The line whose recorded attempts are asked for: :func:`line_of_turn`,
+            :func:`line_of_call` or :data:`ALL_CALL_LINES`; empty for none.
+        losses: Attempts to record under the line.
+        pool: The pool whose recorded versions are asked for; empty for none.
+        versions: Versions of pools to record, or to delete.
     """
 
-    line: str
+    line: str = ""
     losses: tuple[EngineLoss, ...] = ()
+    pool: str = ""
+    versions: tuple[PoolVersion, ...] = ()
 
 
 class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag="reserve"):
@@ -142,10 +149,7 @@
             and unset if it resumes no stream.
         streams: Streams to record. Empty if there is none but the pool has engines of several
             versions; unset otherwise.
-        losses: Losses to record, and the line whose losses are asked for; unset for those of the
-            reserved turn's line.
-        pool: The pool whose recorded versions are asked for; unset if they are not.
-        versions: Versions of pools to record, or to delete; unset if there is none.
+        side: What else is recorded and asked for; unset if only the turn's line is asked for.
     """
 
     request_id: str
@@ -161,9 +165,7 @@
     left: float | None = None
     resumes: str | UnsetType = UNSET
     streams: tuple[StreamVersion, ...] | UnsetType = UNSET
-    losses: LineLossReport | UnsetType = UNSET
-    pool: str | UnsetType = UNSET
-    versions: tuple[PoolVersion, ...] | UnsetType = UNSET
+    side: SideReport | UnsetType = msgspec.field(default=UNSET, name="losses")
 
 
 _TURN_LINE_KIND = "turn"
--- a/src/yokeline/ledger/state.py
+++ b/src/yokeline/ledger/state.py
@@ -262,9 +262,9 @@
 
     def _recorded_versions(self, operation: Reserve) -> tuple[str, ...] | UnsetType:
         """Return the versions of the pool that an operation asks for."""
-        if isinstance(operation.pool, UnsetType):
+        if isinstance(operation.side, UnsetType) or not operation.side.pool:
             return UNSET
-        return self.versions.of_pool(operation.pool)
+        return self.versions.of_pool(operation.side.pool)
 
     def _open_turns(self, operation: Reserve) -> int | UnsetType:
         """Return how many turns of a line with recorded attempts have open reservations."""
@@ -295,13 +295,10 @@
         """Reserve a turn's tokens, unless it exceeds the budget or continues an unknown turn."""
         if not isinstance(operation.streams, UnsetType):
             self.transition_record_streams(operation.streams)
-        if not isinstance(operation.versions, UnsetType):
-            self.versions.transition_record(operation.versions, self.time)
-        if not isinstance(operation.losses, UnsetType):
-            report = operation.losses
-            self.losses.transition_record(
-                report.line, report.losses, self.time, operation.retention
-            )
+        if not isinstance(operation.side, UnsetType):
+            side = operation.side
+            self.versions.transition_record(side.versions, self.time)
+            self.losses.transition_record(side.line, side.losses, self.time, operation.retention)
         if operation.previous and operation.previous not in self.turns:
             return NoSuchTurn(turn_id=operation.previous)
         turns = self.chain(operation.missing_from)
@@ -408,6 +405,6 @@
 
 def _line_of(operation: Reserve) -> str:
     """Return the line of requests that an operation concerns."""
-    if not isinstance(operation.losses, UnsetType):
-        return operation.losses.line
+    if not isinstance(operation.side, UnsetType):
+        return operation.side.line
     return line_of_turn(operation.program, operation.session, operation.previous)
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -137,6 +137,9 @@
     "yokeline_forwarding_requests_quarantined_total": (
         "Sends that were not made because of the engines that the request was lost at, by reason."
     ),
+    "yokeline_forwarding_answers_malformed_total": (
+        "Answers of engines that were malformed or beyond a limit, by part."
+    ),
     "yokeline_forwarding_engine_state_requests_total": (
         "Engines asked for their state because a request was lost at them."
     ),
--- a/tests/property/test_chunked_streams.py
+++ b/tests/property/test_chunked_streams.py
@@ -32,6 +32,7 @@
         self.codec = h11.Connection(h11.CLIENT)
         self.link = Link()
         self.used_before = False
+        self.items_read = 0
         self.user: object = None
 
 
@@ -60,6 +61,9 @@
     def submit(self, event: Event) -> None:
         self.events.append(event)
 
+    def held(self, call: HttpCall, size: int) -> None:
+        """Hold any number of bytes."""
+
     def call_ended(self, call: HttpCall) -> None:
         self.ended = True
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -128,6 +128,7 @@
             self._kill_process,
             self._kill_process,
             self._kill_all_storage,
+            self._kill_all_edges,
             self._tear_log,
             self._lose_disk,
             self._stop_platform_store,
@@ -302,6 +303,44 @@
                 self._shared.note(f"{process.name} was ended by a reload as it started")
                 process.start()
 
+    def _kill_all_edges(self, seconds: float) -> bool:
+        """Kill all edges; at times the software versions of all engines change meanwhile."""
+        edges = self._deployment.edges
+        models = self._deployment.models
+        changes = self._random.random() < 0.7
+        version = self._random.choice(sorted({model.version for model in models}))
+        names = [process.name for process in edges]
+        if changes:
+            names += [
+                f"{kind} {model.engine_id}" for model in models for kind in ("proxy", "entry")
+            ]
+        with self._shared.holding(*names) as is_free:
+            if is_free:
+                self._shared.note(
+                    f"kill all edges for {seconds:.2f} s"
+                    + (f", all engines become {version}" if changes else "")
+                )
+                for process in edges:
+                    process.kill()
+                if changes:
+                    self._replace_all(version)
+                time.sleep(seconds)
+                for process in edges:
+                    process.start()
+        return is_free
+
+    def _replace_all(self, version: str) -> None:
+        """Replace each model engine that has another version by one of a version."""
+        for model in self._deployment.models:
+            if model.version == version:
+                continue
+            proxy = self._shared.proxies[model.engine_id]
+            proxy.set_fault(ProxyFault.RESET)
+            self._deployment.forget_engine(model)
+            model.be_replaced(version)
+            proxy.set_fault(ProxyFault.NONE)
+            self._deployment.list_engine(model)
+
     # ------------------------------------------------------------ storage
 
     def _kill_all_storage(self, seconds: float) -> bool:
