--- a/tests/unit/scheduling/test_engine_fates.py
+++ b/tests/unit/scheduling/test_engine_fates.py
@@ -5,9 +5,13 @@
 import itertools
 import unittest
 
+import msgspec
+
+from yokeline.scheduling.attempt_stages import AttemptStage
 from yokeline.scheduling.engine_fates import (
     END_DETECTION_SECONDS,
     ISOLATION_DELAY_SECONDS,
+    OWNER_TELLS_SECONDS,
     EngineEnds,
     EngineView,
     Loss,
@@ -21,6 +25,7 @@
 GONE = EngineView(current_id="", is_registered=False, is_current=True)
 STALE = EngineView(current_id="e@1", is_registered=True, is_current=False)
 ENDED, SURVIVED, UNKNOWN = LossFate.ENDED, LossFate.SURVIVED, LossFate.UNKNOWN
+UNDER_WAY = LossFate.UNDER_WAY
 
 
 class Fates(unittest.TestCase):
@@ -107,6 +112,65 @@
         self.assertEqual(self.fates(losses, GONE, 12.0), [ENDED])
 
 
+class AttemptsUnderWay(unittest.TestCase):
+    """Attempts that engines may be at work on, whether their connections are there or not."""
+
+    def setUp(self) -> None:
+        self.ends = EngineEnds()
+
+    def fate(self, attempt: Loss, now: float, view: EngineView = LISTED) -> LossFate:
+        return self.ends.fates([attempt], {"e": view}, now)[attempt.loss_id]
+
+    def attempt(self, stage: AttemptStage, *, address: str = "") -> Loss:
+        return Loss(
+            loss_id="a",
+            engine_id="e@1",
+            instance="e",
+            sent_at=10.0,
+            lost_at=10.5,
+            stage=stage,
+            work_until=13.0,
+            address=address,
+        )
+
+    def test_an_engine_that_answers_may_still_end_until_its_time_is_over(self) -> None:
+        """Guards against an engine that ends after its caller has left."""
+        lost = self.attempt(AttemptStage.LOST)
+        self.ends.record_alive("e@1", 11.0)
+        self.assertEqual(self.fate(lost, 11.0), UNDER_WAY)
+        self.assertEqual(self.fate(lost, 13.5), UNKNOWN)
+        self.ends.record_alive("e@1", 13.5)
+        self.assertEqual(self.fate(lost, 13.5), SURVIVED)
+
+    def test_an_end_counts_until_it_is_noticed_after_the_work(self) -> None:
+        lost = self.attempt(AttemptStage.LOST)
+        self.ends.record_end("e@1", "e", 13.0 + END_DETECTION_SECONDS)
+        self.assertEqual(self.fate(lost, 20.0, GONE), ENDED)
+
+    def test_an_attempt_at_an_engine_counts_as_lost_once_its_node_has_had_time(self) -> None:
+        """Guards against a send that the engine refused since it had ended already."""
+        sent = self.attempt(AttemptStage.AT_ENGINE)
+        self.ends.record_end("e@1", "e", 11.0)
+        self.assertEqual(self.fate(sent, 11.1, GONE), UNKNOWN)
+        self.assertEqual(self.fate(sent, 11.0 + OWNER_TELLS_SECONDS, GONE), ENDED)
+
+    def test_a_claim_counts_until_its_time_is_over(self) -> None:
+        claim = msgspec.structs.replace(
+            self.attempt(AttemptStage.CLAIMED), engine_id="", instance=""
+        )
+        view = {"": EngineView(current_id="", is_registered=False, is_current=True)}
+        self.assertEqual(self.ends.fates([claim], view, 12.0), {"a": UNDER_WAY})
+        self.assertEqual(self.ends.fates([claim], view, 13.1), {"a": SURVIVED})
+
+    def test_an_entry_that_has_gone_is_no_end_until_the_engine_was_asked(self) -> None:
+        """Guards against an engine that serves on without an entry (soak seed 236538091)."""
+        lost = self.attempt(AttemptStage.LOST, address="127.0.0.1:80")
+        self.ends.record_lapse("e@1", "e", 12.0)
+        self.assertEqual(self.fate(lost, 30.0, GONE), UNKNOWN)
+        self.ends.record_end("e@1", "e", 30.0)
+        self.assertEqual(self.fate(lost, 30.0, GONE), ENDED)
+
+
 class Verdicts(unittest.TestCase):
     def test_three_ends_are_the_bound(self) -> None:
         for fates, verdict in (
@@ -116,6 +180,11 @@
             ([ENDED, ENDED, UNKNOWN], Verdict.LOOK_UP),
             ([UNKNOWN] * 4, Verdict.LOOK_UP),
             ([ENDED, ENDED, ENDED, UNKNOWN], Verdict.QUARANTINE),
+            ([UNDER_WAY] * 5, Verdict.RUN),
+            ([ENDED, UNDER_WAY], Verdict.ISOLATE),
+            ([ENDED, UNDER_WAY, UNDER_WAY], Verdict.LOOK_UP),
+            ([ENDED, ENDED, UNDER_WAY], Verdict.LOOK_UP),
+            ([ENDED, SURVIVED, SURVIVED], Verdict.RUN),
         ):
             with self.subTest(fates=fates):
                 self.assertIs(verdict_of(fates), verdict)
