--- a/src/yokeline/forwarding/engine_losses.py
+++ b/src/yokeline/forwarding/engine_losses.py
@@ -22,6 +22,15 @@
 from yokeline.forwarding.left_attempts import LeftAttempts
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.request_identity import is_shared, request_digest
+from yokeline.forwarding.request_losses import (
+    Judgement,
+    RequestLosses,
+    importance,
+    judge_named,
+    judge_shared,
+    loss_of,
+    row_of,
+)
 from yokeline.forwarding.turn_operations import line_of_request
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.operations import (
@@ -34,16 +43,10 @@
 )
 from yokeline.scheduling.attempt_stages import AttemptStage
 from yokeline.scheduling.engine_fates import (
-    MAX_ENDED_ENGINES,
     NEWS_SECONDS,
     EngineEnds,
     EngineView,
     Loss,
-    LossFate,
-    Verdict,
-    generations,
-    possible_ends,
-    verdict_of,
 )
 
 MAX_REMEMBERED_REQUESTS = 4096
@@ -63,58 +66,10 @@
 """Age of the node's view of the engines above which it shows nothing of their ends."""
 SETTLED_AT_ENGINE_SECONDS = 0.05
 """Time after which a request is told to be at an engine that has not refused or rejected it."""
-MAX_CLAIMS_OF_SHARED_REQUEST = 1
-"""Attempts of a request without a program that are sent at a time once two engines have ended."""
 
 _Rows = tuple[EngineLoss, ...]
 
 
-class RequestLosses(msgspec.Struct, kw_only=True):
-    """Attempts of one request that lost their engines or may lose them, as far as this node knows.
-
-    Attributes:
-        losses: By their ids, also those that are closed.
-        answered_at: When the request was last answered; earlier losses do not count.
-        expires: When the record may be deleted.
-        order: Places of the attempts in the ledger's latest answer, by their ids.
-        open_turns: Open reservations of the request's line in that answer; None if not told.
-    """
-
-    losses: dict[str, Loss] = {}
-    answered_at: float = float("-inf")
-    expires: float = 0.0
-    order: dict[str, int] = {}
-    open_turns: int | None = None
-
-    @property
-    def has_open(self) -> bool:
-        """Whether any attempt may have lost its engine, or may yet lose it."""
-        return any(loss.stage is not AttemptStage.CLOSED for loss in self.losses.values())
-
-    def others(self, loss_id: str) -> list[Loss]:
-        """Return the attempts that count against another one, which may be claimed.
-
-        Of two claims the one counts that the ledger recorded first; without the ledger, the one
-        with the lower id.
-        """
-        place = self.order.get(loss_id)
-
-        def comes_later(other: Loss) -> bool:
-            if other.stage is not AttemptStage.CLAIMED:
-                return False
-            if place is None:
-                return other.loss_id > loss_id
-            return self.order.get(other.loss_id, place + 1) > place
-
-        return [
-            loss
-            for loss in self.losses.values()
-            if loss.stage is not AttemptStage.CLOSED
-            and loss.loss_id != loss_id
-            and not comes_later(loss)
-        ]
-
-
 class _Reported(msgspec.Struct, frozen=True):
     """A row for the reports to other nodes, and when it became known."""
 
@@ -277,7 +232,7 @@
 
     def _publish(self, key: LossKey, loss: Loss) -> None:
         """Remember an attempt, report it to the other nodes and record it in the ledger."""
-        row = _row_of(key.digest, loss, self._state.now)
+        row = row_of(key.digest, loss, self._state.now)
         self._report(row)
         self._ask(key, (row,))
         self._remember(key.digest, loss, key.retention)
@@ -291,7 +246,7 @@
         if is_news and loss.lost_at > known.answered_at:
             known.losses[loss.loss_id] = loss
         if len(known.losses) > MAX_LOSSES_PER_REQUEST:
-            del known.losses[min(known.losses, key=lambda name: _importance(known.losses[name]))]
+            del known.losses[min(known.losses, key=lambda name: importance(known.losses[name]))]
         if len(self._requests) > MAX_REMEMBERED_REQUESTS:
             self._requests.popitem(last=False)
         if is_news and loss.stage is not AttemptStage.CLOSED and not is_shared(digest):
@@ -453,7 +408,7 @@
             stored = known.losses.get(row.loss_id) if known is not None else None
             if stored is None or row.stage > stored.stage:
                 retention = MIN_RETENTION_SECONDS + (row.age if is_recorded else 0.0)
-                self._remember(row.request, _loss_of(row, self._state.now), retention)
+                self._remember(row.request, loss_of(row, self._state.now), retention)
 
     def _merge_answer(self, row: EngineLoss, known: RequestLosses | None) -> None:
         """Drop the losses before an answer of which another node tells."""
@@ -487,14 +442,8 @@
         views = {loss.instance: self._view(loss.instance) for loss in others}
         fates = self.ends.fates(others, views, self._state.now)
         if is_shared(self.key_of(exchange).digest):
-            return _judge_shared(others, fates)
-        counted = [loss for loss in others if fates[loss.loss_id] is not LossFate.SURVIVED]
-        return Judgement(
-            verdict=verdict_of(tuple(fates.values())),
-            needs_claim=possible_ends(fates.values()) > 0,
-            counted=counted,
-            fates=fates,
-        )
+            return judge_shared(others, fates)
+        return judge_named(others, fates)
 
     def news_due(self, exchange: Exchange, known: RequestLosses, judgement: Judgement) -> float:
         """Return when other nodes have told of their attempts of a request under way.
@@ -554,104 +503,6 @@
             self._publish(left.key, msgspec.structs.replace(left.loss, stage=AttemptStage.LOST))
 
 
-class Judgement(msgspec.Struct, frozen=True, kw_only=True):
-    """Whether a request may be sent, and the attempts that decided it.
-
-    Attributes:
-        needs_claim: Whether the send must be claimed in the ledger first, since an end is possible.
-        counted: Other attempts under which an engine has ended, or may have, or may yet end.
-        fates: What became of the engines of all other attempts, by the ids of the attempts.
-        generations: Losses of a request without a program, those at a time counted once.
-    """
-
-    verdict: Verdict
-    needs_claim: bool
-    counted: list[Loss]
-    fates: dict[str, LossFate]
-    generations: int = 0
-
-    @property
-    def latest_loss(self) -> float:
-        """When the latest engine was lost, or may have been; minus infinity if none was."""
-        return max(
-            (
-                loss.lost_at
-                for loss in self.counted
-                if self.fates[loss.loss_id] in (LossFate.ENDED, LossFate.UNKNOWN)
-            ),
-            default=float("-inf"),
-        )
-
-    def count(self, fate: LossFate) -> int:
-        """Return how many of the counted attempts have a fate."""
-        return sum(self.fates[loss.loss_id] is fate for loss in self.counted)
-
-
-def _judge_shared(others: list[Loss], fates: dict[str, LossFate]) -> Judgement:
-    """Judge a request that several strangers may send, so that attempts at a time tell little.
-
-    Losses at a time count once, and attempts are limited once the next loss may be the last.
-    """
-
-    def of(*wanted: LossFate) -> list[Loss]:
-        return [loss for loss in others if fates[loss.loss_id] in wanted]
-
-    ended = generations(of(LossFate.ENDED))
-    possible = generations(of(LossFate.ENDED, LossFate.UNKNOWN))
-    claims = [loss for loss in others if loss.stage is not AttemptStage.LOST]
-    under_way = [loss for loss in claims if fates[loss.loss_id] is LossFate.UNDER_WAY]
-    is_suspect = len(possible) >= MAX_ENDED_ENGINES - MAX_CLAIMS_OF_SHARED_REQUEST
-    counted = [*possible, *under_way] if is_suspect else possible
-    if len(ended) >= MAX_ENDED_ENGINES:
-        verdict = Verdict.QUARANTINE
-    elif not is_suspect:
-        verdict = Verdict.RUN
-    else:
-        verdict = Verdict.LOOK_UP if len(counted) >= MAX_ENDED_ENGINES else Verdict.ISOLATE
-    return Judgement(
-        verdict=verdict,
-        needs_claim=is_suspect,
-        counted=counted,
-        fates=fates,
-        generations=len(possible),
-    )
-
-
-def _importance(loss: Loss) -> int:
-    """Return how much an attempt counts; the least important is forgotten first."""
-    return 0 if loss.stage is AttemptStage.CLOSED else loss.stage
-
-
-def _row_of(digest: str, loss: Loss, now: float) -> EngineLoss:
-    return EngineLoss(
-        request=digest,
-        loss_id=loss.loss_id,
-        engine_id=loss.engine_id,
-        instance=loss.instance,
-        held=round(loss.lost_at - loss.sent_at, 3),
-        age=round(now - loss.lost_at, 3),
-        stage=loss.stage,
-        work_left=round(max(0.0, loss.work_until - loss.lost_at), 3),
-        address=loss.address,
-        prior=loss.prior,
-    )
-
-
-def _loss_of(row: EngineLoss, now: float) -> Loss:
-    lost_at = now - row.age
-    return Loss(
-        loss_id=row.loss_id,
-        engine_id=row.engine_id,
-        instance=row.instance,
-        sent_at=lost_at - row.held,
-        lost_at=lost_at,
-        stage=row.stage,
-        work_until=lost_at + row.work_left,
-        address=row.address,
-        prior=row.prior,
-    )
-
-
 def _zero_age(_now: float) -> float:
     """Return the age of a view that is always current."""
     return 0.0
--- a/src/yokeline/forwarding/quarantine.py
+++ b/src/yokeline/forwarding/quarantine.py
@@ -16,12 +16,13 @@
 
 from yokeline.effects import Address, HttpFailed, HttpRequest, HttpResponse, LogRecord
 from yokeline.forwarding.dialect import Dialect
-from yokeline.forwarding.engine_losses import EngineLosses, Judgement, RequestLosses
+from yokeline.forwarding.engine_losses import EngineLosses
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.http_statuses import MISDIRECTED, SUCCESS, UNAVAILABLE
 from yokeline.forwarding.model import is_start_of
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.request_identity import is_shared
+from yokeline.forwarding.request_losses import Judgement, RequestLosses
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.turn_operations import reservation_tells_losses
 from yokeline.identifiers import ExchangeId, RequestId
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -444,6 +444,14 @@
         """Return when an engine ran a request."""
         return max(model.run_times.get(request_id, 0.0) for model in self.models)
 
+    def start_killed(self) -> None:
+        """Start the processes that were killed, and wait until the edges are ready."""
+        for process in (*self.storage, *self.edges):
+            if not process.is_running:
+                process.start(first_start=False)
+        for number in range(len(self.edges)):
+            wait_until(lambda number=number: self.is_ready(number), f"edge-{number} is ready")  # type: ignore[misc]
+
     def is_ready(self, edge: int) -> bool:
         try:
             connection = http.client.HTTPConnection(HOST, self._ready[edge], timeout=5)
--- a/tests/processes/platform/test_lethal_attempts.py
+++ b/tests/processes/platform/test_lethal_attempts.py
@@ -6,7 +6,6 @@
 import unittest
 from collections.abc import Callable
 
-from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import LAPSE_SECONDS, Deployment
 from tests.processes.platform.lethal_requests import (
     MAX_ENDED_ENGINES,
@@ -120,20 +119,11 @@
                         )
                         caller.run_together(deployment, (0, 1), at_once=2, rounds=2)
                         deployment.store.down = False
-                        _start_again(deployment)
+                        deployment.start_killed()
                         caller.before_attempt = lambda _attempt: None
                         caller.run_together(deployment, (1, 0), at_once=2, rounds=2)
                         self.check(story, caller, deployment)
 
 
-def _start_again(deployment: Deployment) -> None:
-    """Start the processes that were killed, and wait until they are ready."""
-    for process in (*deployment.storage, *deployment.edges):
-        if not process.is_running:
-            process.start(first_start=False)
-    for number in range(len(deployment.edges)):
-        wait_until(lambda number=number: deployment.is_ready(number), f"edge-{number} is ready")  # type: ignore[misc]
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/processes/platform/test_lethal_requests.py
+++ b/tests/processes/platform/test_lethal_requests.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import (
     LAPSE_SECONDS,
     UNAVAILABLE,
@@ -230,11 +229,7 @@
 
 def _start_again(deployment: Deployment) -> None:
     """Start the processes that were killed, and wait until the deployment serves."""
-    for process in (*deployment.storage, *deployment.edges):
-        if not process.is_running:
-            process.start(first_start=False)
-    for number in range(len(deployment.edges)):
-        wait_until(lambda number=number: deployment.is_ready(number), f"edge-{number} is ready")  # type: ignore[misc]
+    deployment.start_killed()
     deployment.turn(0, "/turn/x", f"served-{time.monotonic_ns()}", program_id="served")
 
 
--- a/tests/processes/platform/test_rejoined_streams.py
+++ b/tests/processes/platform/test_rejoined_streams.py
@@ -6,7 +6,6 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from tests.processes.cluster import wait_until
 from tests.processes.platform.deployment import Deployment
 from tests.processes.platform.streams import EVENTS, OK, CallerStream, versions_of
 
@@ -64,12 +63,6 @@
             if model.version == version:
                 deployment.forget_engine(model)
 
-    def restart_edges(self, deployment: Deployment) -> None:
-        for edge in deployment.edges:
-            edge.start(first_start=False)
-        for number in range(len(deployment.edges)):
-            wait_until(lambda number=number: deployment.is_ready(number), f"edge-{number} is ready")  # type: ignore[misc]
-
     def kill(self, deployment: Deployment, *, storage: bool = False) -> None:
         for process in (*deployment.edges, *(deployment.storage if storage else ())):
             process.kill()
@@ -99,7 +92,7 @@
                     self.kill(deployment)
                     self.list_version(deployment, "v2")
                     self.forget_version(deployment, "v1")
-                    self.restart_edges(deployment)
+                    deployment.start_killed()
                     self.resume(deployment, streams)
                     self.check(story, streams, deployment)
 
@@ -110,7 +103,7 @@
                 self.kill(deployment, storage=True)
                 self.list_version(deployment, "v2")
                 self.forget_version(deployment, "v1")
-                self.restart_edges(deployment)
+                deployment.start_killed()
                 self.resume(deployment, streams)
                 self.check("storage nodes killed too", streams, deployment)
                 self.list_version(deployment, "v1")
@@ -124,7 +117,7 @@
                     name = f"s{has_budget}{storage}"
                     streams = self.begin(deployment, name, has_budget=has_budget)
                     self.kill(deployment, storage=storage)
-                    self.restart_edges(deployment)
+                    deployment.start_killed()
                     deployment.turn(0, "/pair/x", f"warm-{name}")
                     statuses = self.resume(deployment, streams)
                     self.assertEqual(statuses, [OK] * STREAMS, name)
