Ask the ledger for losses of calls while no reports arrive, and judge queued sends again

Soak: a lethal call was sent to a fourth engine. Trace: edge-1 had started a few seconds before and was told of no loss (no report of the only other node arrived), so it sent an attempt to a third engine; at edge-0 another attempt, permitted while two ends were possible, waited 0.6 s for room and was sent after the third had become known. Change: a node that hears no other node's report asks the ledger for losses of a program's calls (0.25 s at most); a queued send of a suspect is judged again when it is made.

--- a/src/yokeline/forwarding/dispatcher.py
+++ b/src/yokeline/forwarding/dispatcher.py
@@ -30,6 +30,7 @@
         on_sent: Called with each request that was sent; does nothing by default.
         permit: Called with each request that is to be queued, and what queues it; queues it at once
             by default.
+        is_still_permitted: Returns whether a queued request may still be sent; always by default.
     """
 
     def __init__(self, state: NodeState, sender: EngineSender, responder: Responder) -> None:
@@ -40,6 +41,7 @@
         self._admission = QueueAdmission(state)
         self.on_sent: Callable[[Exchange], None] = ignore_exchange
         self.permit: Callable[[Exchange, Callable[[Exchange], None]], None] = _permit_at_once
+        self.is_still_permitted: Callable[[Exchange], bool] = _always_permitted
 
     def enqueue(self, exchange: Exchange) -> None:
         """Queue a request until an engine has capacity, once it may be sent.
@@ -165,7 +167,10 @@
                 choice = self._choose(exchange, full_engines)
                 if choice is not None:
                     queue.remove(exchange)
-                    self._send(exchange, choice)
+                    if self.is_still_permitted(exchange):
+                        self._send(exchange, choice)
+                    else:
+                        self.enqueue(exchange)
                     continue
                 snapshot = snapshot or self._admission.snapshot(pool)
                 refusal = self._check_wait(exchange, snapshot, ahead=ahead, waiting=len(queue))
@@ -274,5 +279,10 @@
     send(exchange)
 
 
+def _always_permitted(_exchange: Exchange) -> bool:
+    """Permit all sends; the default without restrictions."""
+    return True
+
+
 def ignore_exchange(exchange: Exchange) -> None:
     """Do nothing; the default callback."""
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -158,6 +158,7 @@
             "first_send": lambda: forwarder.has_sent,
         }
         forwarder.losses.start(now)
+        forwarder.losses.hears_others = self._load_reporter.hears_others
         registry.ensure(node_key(record.name), encode_node(record))
 
     @property
--- a/src/yokeline/forwarding/engine_losses.py
+++ b/src/yokeline/forwarding/engine_losses.py
@@ -83,6 +83,8 @@
     Attributes:
         ends: Ends of engines that this node has noticed.
         view_age: Returns the age of the node's view of the engines at a time (seconds).
+        hears_others: Returns whether the reports of other nodes reach this node at a time; a node
+            that hears none asks the ledger.
         version: Counter that increases with each row for the reports.
         on_answer: Called with the digest of a request when the ledger has answered a record or a
             question of it; does nothing by default.
@@ -94,6 +96,7 @@
         """Record in ``ledger``, with ids that begin with ``process``."""
         self.ends = EngineEnds()
         self.view_age: Callable[[float], float] = _zero_age
+        self.hears_others: Callable[[float], bool] = _always_heard
         self.version = 0
         self._state = state
         self._ledger = ledger
@@ -508,5 +511,10 @@
     return 0.0
 
 
+def _always_heard(_now: float) -> bool:
+    """Return that reports arrive; the default."""
+    return True
+
+
 def _ignore_digest(_digest: str) -> None:
     """Do nothing; the default callback."""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -149,6 +149,7 @@
         self._losses = EngineLosses(self._state, ledger, process)
         self._quarantine = Quarantine(self._state, self._losses, self._responder, dialect)
         self._dispatcher.permit = self._quarantine.permit
+        self._dispatcher.is_still_permitted = self._quarantine.is_still_permitted
         self._responder.on_finished = self._quarantine.forget
         self._retries = RetryHandler(
             self._state, self._sender, self._dispatcher, self._responder, self._losses
--- a/src/yokeline/forwarding/load_reporting.py
+++ b/src/yokeline/forwarding/load_reporting.py
@@ -190,6 +190,10 @@
         doublings = min(MAX_WATCHER_DOUBLINGS, seconds_without_watcher / WATCHER_DOUBLING_SECONDS)
         return len(before) < per_zone * 2.0**doublings
 
+    def hears_others(self, now: float) -> bool:
+        """Return whether a report of another node is fresh, if there are other nodes."""
+        return not self._peers or bool(self._engines.fresh_reports(now))
+
     def has_other_watcher(self, now: float) -> bool:
         """Return whether another node reports that it watches the key-value service."""
         return any(report.watches for report in self._engines.fresh_reports(now))
--- a/src/yokeline/forwarding/quarantine.py
+++ b/src/yokeline/forwarding/quarantine.py
@@ -101,6 +101,16 @@
         )
         self._judge(waiting)
 
+    def is_still_permitted(self, exchange: Exchange) -> bool:
+        """Return whether a claimed send may be made, after losses that became known meanwhile."""
+        if not exchange.loss_id or exchange.attempts.are_exhausted:
+            return True
+        known = self._losses.find(exchange)
+        if known is None:
+            return True
+        verdict = self._losses.judge(exchange, known).verdict
+        return verdict in (Verdict.RUN, Verdict.ISOLATE)
+
     def _must_look_up(self, exchange: Exchange) -> bool:
         """Return whether the ledger may have losses of a request that nodes did not tell.
 
@@ -109,8 +119,9 @@
         return bool(exchange.call.program) and not exchange.knows_losses
 
     def _may_be_recorded(self, exchange: Exchange) -> bool:
-        """Return whether this node has just started and may not know the losses of a request."""
-        if self._state.now >= self._losses.synchronized_by:
+        """Return whether other nodes may have recorded losses of which this node was not told."""
+        was_told = self._state.now >= self._losses.synchronized_by
+        if was_told and self._losses.hears_others(self._state.now):
             return False
         return bool(exchange.call.program) and not reservation_tells_losses(exchange)
 
--- a/tests/unit/forwarding/test_quarantine.py
+++ b/tests/unit/forwarding/test_quarantine.py
@@ -171,6 +171,49 @@
         other.call(body=b"another")
         self.assertEqual(len(other.loss_records), before)
 
+    def test_a_node_that_hears_no_others_asks_the_ledger_for_calls(self) -> None:
+        """Guards against a fourth engine at a node that was told of no loss (soak 458570857)."""
+        other = Node(self.node.ledger_state)
+        other.now = self.node.now
+        self.node.call()
+        self.node.lose_engine()
+        other.call(body=b"another")
+        self.assertEqual(other.loss_records, [])
+        other.forwarder.losses.hears_others = lambda _now: False
+        other.call()
+        self.assertEqual(len(other.loss_records), 2)
+        self.assertEqual(len(other.sent), 1)
+        other.wait(1.1)
+        self.assertEqual(len(other.sent), 2)
+
+    def test_a_send_that_waits_for_room_is_judged_again(self) -> None:
+        """Guards against a loss that becomes known while the send is queued (soak 458570857)."""
+        other = Node(self.node.ledger_state)
+        for node in (self.node, other):
+            node.now = 100.0
+        for index in range(2):
+            self.node.begin("/once/x")
+            self.node.wait(0.1)
+            self.node.end_engine()
+            self.assertEqual(len(self.node.sent), index + 1)
+        self.node.wait(1.2)
+        full = [state for state in self.node.engines.all() if state.engine.pool == "models"]
+        for state in full:
+            state.running += 100
+        self.node.begin("/once/x")
+        self.node.wait(0.02)
+        self.assertEqual(len(self.node.sent), 2)
+        self.assertEqual(self.node.forwarder.waiting(), {"models": 1})
+        digest = next(iter(self.node.forwarder.losses._requests))
+        row = EngineLoss(digest, "elsewhere/1", "models-9", "models-9", 0.1, 0.0)
+        self.node.forwarder.losses.ends.record_end("models-9", "models-9", self.node.now)
+        self.node.forwarder.losses.apply_report((row,), self.node.now)
+        for state in full:
+            state.running -= 100
+        self.node.wait(0.5)
+        self.assertEqual(len(self.node.sent), 2)
+        self.assertEqual(self.node.refusal, (NOT_RUN, QUARANTINED))
+
     def test_calls_are_bounded_over_nodes(self) -> None:
         nodes = [Node(self.node.ledger_state) for _ in range(3)]
         ended: set[str] = set()
