Clear shared losses by any answer, and tell attempts that are left at once

Found by reading the change: a stranger's answer cleared the losses of a common request only if its own name had been worked out; an attempt of a suspect that its caller left within 50 ms stayed a claim without an engine, so that the end of its engine would not have counted; a request for an engine's state that a limit of this node ended counted as silence of the engine. The two tests in test_quarantine fail without the first two changes (0 passed, 2 failed) and pass with them.

--- a/src/yokeline/forwarding/engine_losses.py
+++ b/src/yokeline/forwarding/engine_losses.py
@@ -175,6 +175,8 @@
         request has lost an engine, or once it does.
         """
         if exchange.loss_id:
+            if self.holds_claim(exchange):
+                self._tell_under_way(exchange)
             exchange.loss_id = ""
             return
         attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
@@ -191,10 +193,12 @@
 
     def record_answered(self, exchange: Exchange) -> None:
         """Drop the losses of a request that an engine has answered."""
-        key = exchange.loss_key
         exchange.loss_id = ""
-        known = self._requests.get(key.digest) if key is not None else None
-        if key is None or known is None or not known.losses:
+        if not self._requests:
+            return
+        key = self.key_of(exchange)
+        known = self._requests.get(key.digest)
+        if known is None or not known.losses:
             return
         known.losses.clear()
         known.answered_at = self._state.now
--- a/src/yokeline/forwarding/quarantine.py
+++ b/src/yokeline/forwarding/quarantine.py
@@ -267,7 +267,7 @@
         """
         is_listed = self._state.engines.get(loss.engine_id) is not None
         if isinstance(event, HttpFailed):
-            has_ended = event.refused or not is_listed
+            has_ended = event.refused or (event.is_outage and not is_listed)
             fate = LossFate.ENDED if has_ended else LossFate.UNKNOWN
             reason = event.reason
         else:
--- a/tests/unit/forwarding/test_quarantine.py
+++ b/tests/unit/forwarding/test_quarantine.py
@@ -442,6 +442,26 @@
         self.node.wait(0.02)
         self.assertEqual(len(self.node.sent), sent + 3)
 
+    def test_an_answer_to_a_stranger_that_was_sent_before_the_losses_clears_them(self) -> None:
+        self.call_as_stranger()
+        for _ in range(2):
+            self.call_as_stranger()
+            self.node.wait(0.1)
+            self.end_under_stranger()
+        self.node.engine_answers(index=0)
+        sent = len(self.node.sent)
+        self.call_as_stranger()
+        self.assertEqual(len(self.node.sent), sent + 1)
+
+    def test_a_suspect_that_is_left_at_once_is_told_with_its_engine(self) -> None:
+        self.end_engines(self.node, 1)
+        self.node.wait(3.0)
+        request = self.node.begin()
+        before = len(self.node.loss_records)
+        self.node.leave(request)
+        told = self.node.loss_rows()[before:]
+        self.assertEqual([row.engine_id for row in told], [self.node.engine_of()])
+
     def test_attempts_in_turn_of_a_request_without_a_program_are_bounded(self) -> None:
         for _ in range(3 * MAX_ENDED_ENGINES):
             sent = len(self.node.sent)
