--- a/src/yokeline/node/stream_items.py
+++ b/src/yokeline/node/stream_items.py
@@ -13,8 +13,8 @@
 
 from yokeline.effects import Framing
 
-_BLANK_LINE = re.compile(rb"\n\r?\n")
-_BLANK_LINE_OF_RETURNS = re.compile(rb"\r\r")
+_BLANK_LINES = re.compile(rb"\n\r?\n(?:\r?\n)*")
+_BLANK_LINES_OF_RETURNS = re.compile(rb"\r\r+")
 _LONGEST_BLANK_LINE_BYTES = 3
 _DATA_FIELD = re.compile(rb"(?:^|[\r\n])data(?=[:\r\n])")
 _LINE_FEED_OR_RETURN = re.compile(rb"\n|\r(?=[^\n])")
@@ -175,7 +175,7 @@
 
 
 class RawEventReader:
-    """One item per event, its bytes unchanged: from the end of the one before to its blank line.
+    """One item per event, its bytes unchanged: from the end of the one before to its blank lines.
 
     Lines end with a line feed, alone or after a return, or all of them with a return alone. A block
     without data is no event, and its bytes are passed on with the next one.
@@ -250,7 +250,7 @@
     found = _LINE_FEED_OR_RETURN.search(data)
     if found is None:
         return None
-    return _BLANK_LINE if found.group() == b"\n" else _BLANK_LINE_OF_RETURNS
+    return _BLANK_LINES if found.group() == b"\n" else _BLANK_LINES_OF_RETURNS
 
 
 def _raw_event_id(block: bytes) -> str:
