Wait for the recorded losses of all calls at a node that starts

All that reserve nothing wait now until the ledger has told them, for 0.25 s at most, in the first 2 s of a node. The new test of test_quarantine sends the request without the change. Nodes played by unit tests have started long ago, unless a test says so.

--- a/src/yokeline/forwarding/engine_losses.py
+++ b/src/yokeline/forwarding/engine_losses.py
@@ -88,6 +88,8 @@
         version: Counter that increases with each row for the reports.
         on_answer: Called with the digest of a request when the ledger has answered a record or a
             question of it; does nothing by default.
+        on_synchronized: Called when the ledger has told the recorded losses after a start; does
+            nothing by default.
         on_cleared: Called with the digest of a request whose losses no longer count, since an
             engine has answered it; does nothing by default.
     """
@@ -110,6 +112,7 @@
         self._left = LeftAttempts()
         self.on_answer: Callable[[str], None] = _ignore_digest
         self.on_cleared: Callable[[str], None] = _ignore_digest
+        self.on_synchronized: Callable[[], None] = _do_nothing
 
     # ------------------------------------------------------------ attempts of this node
 
@@ -305,6 +308,7 @@
             if isinstance(result, Granted):
                 self._synchronized_by = float("-inf")
                 self.apply_recorded(result)
+                self.on_synchronized()
             return self._state.outcomes.drain_effects()
 
         operation = Reserve(
@@ -520,5 +524,9 @@
     return True
 
 
+def _do_nothing() -> None:
+    """Do nothing; the default callback."""
+
+
 def _ignore_digest(_digest: str) -> None:
     """Do nothing; the default callback."""
--- a/src/yokeline/forwarding/quarantine.py
+++ b/src/yokeline/forwarding/quarantine.py
@@ -88,6 +88,7 @@
         self._numbers = itertools.count(1)
         losses.on_answer = self._handle_ledger_answer
         losses.on_cleared = self._resume_cleared
+        losses.on_synchronized = self._resume_all
 
     def permit(self, exchange: Exchange, send: Callable[[Exchange], None]) -> None:
         """Call ``send`` once the request may be sent, or end the request if it may not."""
@@ -120,10 +121,11 @@
 
     def _may_be_recorded(self, exchange: Exchange) -> bool:
         """Return whether other nodes may have recorded losses of which this node was not told."""
-        was_told = self._state.now >= self._losses.synchronized_by
-        if was_told and self._losses.hears_others(self._state.now):
+        if reservation_tells_losses(exchange):
             return False
-        return bool(exchange.call.program) and not reservation_tells_losses(exchange)
+        if self._state.now < self._losses.synchronized_by:
+            return True
+        return bool(exchange.call.program) and not self._losses.hears_others(self._state.now)
 
     def owns(self, request: RequestId) -> bool:
         """Return whether a request asks an engine for its state."""
@@ -182,7 +184,9 @@
             waiting.has_asked_ledger = True
             self._losses.look_up(waiting.exchange)
         key = self._losses.key_of(waiting.exchange)
-        return self._losses.awaits_ledger(key) and self._state.now < waiting.ledger_until
+        is_starting = self._state.now < self._losses.synchronized_by
+        is_due = is_starting or self._losses.awaits_ledger(key)
+        return is_due and self._state.now < waiting.ledger_until
 
     def _send_later(
         self, waiting: _WaitingSend, known: RequestLosses, judgement: Judgement
@@ -331,6 +335,11 @@
                 waiting.exchange.knows_losses = True
                 self._resume(waiting)
 
+    def _resume_all(self) -> None:
+        """Judge all sends again, since the losses recorded before this node's start are known."""
+        for waiting in list(self._waiting.values()):
+            self._resume(waiting)
+
     def _resume_cleared(self, digest: str) -> None:
         """Judge the sends of a request again that an engine has answered."""
         for waiting in list(self._waiting.values()):
--- a/tests/unit/forwarding/test_edge_node.py
+++ b/tests/unit/forwarding/test_edge_node.py
@@ -28,6 +28,7 @@
 from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
 from yokeline.forwarding.configuration_lease import ConfigurationLease
 from yokeline.forwarding.edge_node import EdgeNode
+from yokeline.forwarding.engine_losses import SYNCHRONIZATION_SECONDS
 from yokeline.forwarding.evacuations import Evacuations
 from yokeline.identifiers import ExchangeId, NodeName, ReplicaId
 from yokeline.ledger.messages import (
@@ -101,6 +102,8 @@
             cold_engines=self.make_cold_engines(),
             evacuations=Evacuations(PlatformDocuments(), zones, self.played.engines),
         )
+        # It has started long ago, and was told of all recorded losses.
+        self.played.forwarder.losses.start(-SYNCHRONIZATION_SECONDS)
         self.effects: list[tuple[float, Effect]] = []
 
     def hand(self, event: object) -> list[Effect]:
--- a/tests/unit/forwarding/test_quarantine.py
+++ b/tests/unit/forwarding/test_quarantine.py
@@ -13,9 +13,10 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-from tests.unit.forwarding.support import Played
+from tests.unit.forwarding.support import STORAGE, Played
 from yokeline.effects import HttpReply
 from yokeline.forwarding.quarantine import FATES_UNKNOWN, LEDGER_WAIT_SECONDS, QUARANTINED
+from yokeline.ledger.messages import LeaderAnswer
 from yokeline.ledger.operations import EngineLoss, Granted, Reserve, line_of_turn
 from yokeline.ledger.state import LedgerState
 from yokeline.scheduling.attempt_stages import AttemptStage
@@ -25,6 +26,7 @@
 )
 
 NOT_RUN = 503
+LEADER = LeaderAnswer(term=1, leader=STORAGE)
 FAILED = 502
 STARTED_MS = 1_790_000_000_000
 BODY = b"the same in each attempt"
@@ -442,6 +444,27 @@
         self.node.wait(0.02)
         self.assertEqual(len(self.node.sent), sent + 3)
 
+    def test_a_node_that_starts_waits_for_the_losses_of_strangers(self) -> None:
+        """Guards against a fourth engine at a node that was told of no loss (soak 954866692)."""
+        for _ in range(MAX_ENDED_ENGINES):
+            self.call_as_stranger()
+            self.node.wait(1.1)
+            self.end_under_stranger()
+        other = Node(self.node.ledger_state)
+        other.now = self.node.now
+        for state in list(other.engines.all()):
+            if self.node.engines.get(state.engine.engine_id) is None:
+                other.engines.remove(state.engine.engine_id)
+                other.forwarder.engine_ended(state.engine, other.now)
+        other.forwarder.losses.start(other.now)
+        other.call("/look/x", program_id="", session_id="")
+        self.assertEqual(other.sent, [])
+        other.take(other.ledger.take_leader(STORAGE.replica, LEADER, other.now))
+        other.forwarder.losses.synchronize(other.now)
+        other.take(other.forwarder.tick(other.now))
+        self.assertEqual(other.sent, [])
+        self.assertEqual(other.refusal, (NOT_RUN, QUARANTINED))
+
     def test_an_answer_to_a_stranger_that_was_sent_before_the_losses_clears_them(self) -> None:
         self.call_as_stranger()
         for _ in range(2):
