Wait until a node has taken engines off instead of for a time

Traced, 4 of 14 runs beside each other: the stream went on at its own version, at an engine that ran. Two entries that go together count as an outage of the key-value service for 2.2 s, and the news of it takes up to 1.3 s, more than the 3 s of the test. It waits for engine_gone of both engines now, and checks the same then: 5 of 5 runs beside each other pass.

--- a/tests/processes/platform/test_engine_versions.py
+++ b/tests/processes/platform/test_engine_versions.py
@@ -120,7 +120,10 @@
             gone = [model for model in deployment.models if model.version == "v1"]
             for model in gone:
                 deployment.forget_engine(model)
-            time.sleep(NEWS_SECONDS)
+            wait_until(
+                lambda: len(deployment.edges[1].lines("engine_gone")) == len(gone),
+                "edge-1 has taken the engines off",
+            )
             began = [versions_of(stream, deployment.models) for stream in streams]
             answers = together(_resume(deployment, 1), streams)
             for stream, began_at, answer in zip(streams, began, answers, strict=True):
