--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -43,6 +43,8 @@
 """Time after a crash until another engine answers at the address."""
 LAPSE_SECONDS = 1.5
 """Time after a crash until the entry of the engine goes."""
+SILENCE_SECONDS = 4.4
+"""Time for which nothing passes to or from the machine of an engine that fell silent."""
 COLD_OVERAGE = 1.5
 COLD_SLACK = 5.0
 """Bound for cold engines: in any second so many times their rate, and so many more."""
@@ -187,6 +189,8 @@
         allowed_regions: The regions to which routes are bound, by name.
         engine_zones: Zone of each engine, by its id.
         keeps_ids: Whether engines that crash start again under their ids.
+        restart_seconds: Time after a crash until another engine is listed at the address.
+        lapse_seconds: Time after a crash until the entry of the engine goes.
     """
 
     def __init__(
@@ -220,6 +224,8 @@
         self._cold_rate = cold_rate
         self.engine_zones: dict[str, str] = {}
         self.keeps_ids = False
+        self.restart_seconds = RESTART_SECONDS
+        self.lapse_seconds = LAPSE_SECONDS
         self._zones = zones
         self._versions = versions
         self._listed_versions = versions if listed_versions is None else listed_versions
@@ -381,16 +387,17 @@
 
         def restart() -> None:
             if self.keeps_ids:
-                engine.start_again(time.monotonic(), down_seconds=RESTART_SECONDS, cold_seconds=0.0)
+                seconds = self.restart_seconds
+                engine.start_again(time.monotonic(), down_seconds=seconds, cold_seconds=0.0)
             else:
                 engine.be_replaced(engine.version)
             with contextlib.suppress(OSError):
                 server.listen_again()
             self.list_engine(engine)
 
-        self._later(RESTART_SECONDS, restart)
+        self._later(self.restart_seconds, restart)
         if not self.keeps_ids:
-            self._later(LAPSE_SECONDS, lambda: self._lapse(gone))
+            self._later(self.lapse_seconds, lambda: self._lapse(gone))
 
     def crash(self, engine: EngineStandIn) -> None:
         """Let an engine end for no reason of a request."""
@@ -499,6 +506,7 @@
         server = self._serve(engine)
         self._engine_servers[engine.engine_id] = server
         server.on_crash = lambda: self._restart_after_crash(engine, server)
+        server.on_silence = lambda: self._later(SILENCE_SECONDS, server.be_heard)
         port = self.published(engine.engine_id, server.port)
         zone = self._zones[number % len(self._zones)]
         self.engine_zones[engine.engine_id] = zone
--- a/tests/processes/platform/lethal_requests.py
+++ b/tests/processes/platform/lethal_requests.py
@@ -59,6 +59,7 @@
         body: The same in each attempt.
         attempts: The oldest first.
         budget: Tokens that its program may generate; None for none.
+        finish_ms: Time that its program states until it is to end; None for none.
         leaves_after: Seconds of silence after which the caller gives an attempt up.
         before_attempt: Called with the number of each attempt, from 0 on.
     """
@@ -70,6 +71,7 @@
     key: str = ""
     deadline_ms: int = 5000
     budget: int | None = 100_000
+    finish_ms: int | None = None
     leaves_after: float = ANSWER_SECONDS
     attempts: list[Attempt] = field(default_factory=list)
     before_attempt: Callable[[int], None] = lambda _number: None
@@ -121,9 +123,9 @@
                 ]
                 time.sleep(max(attempt.result() for attempt in attempts))
 
-    def attempt(self, deployment: Deployment, edge: int) -> None:
-        """Ask once, at one node."""
-        self._attempt(deployment.fronts[edge], len(self.attempts))
+    def attempt(self, deployment: Deployment, edge: int) -> float:
+        """Ask once, at one node; return the pause before the next attempt."""
+        return self._attempt(deployment.fronts[edge], len(self.attempts))
 
     def _may_retry(self) -> bool:
         if self.statuses[-1] in PROMISES_NOT_RUN:
@@ -141,6 +143,8 @@
         if self.program:
             fields["X-Yokeline-Program-Id"] = self.program
             fields["X-Yokeline-Session-Id"] = f"{self.program}-line"
+        if self.finish_ms is not None:
+            fields["X-Yokeline-Finish-Ms"] = str(self.finish_ms)
         if self.is_turn and self.budget is not None:
             fields["X-Yokeline-Token-Budget"] = str(self.budget)
         if self.is_turn:
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -19,6 +19,7 @@
     BrokenStream,
     EndlessAnswer,
     EngineCrash,
+    EngineSilence,
     WireEffect,
     WireShape,
     draw_shape,
@@ -298,6 +299,7 @@
             all calls do.
         ends_in: Seconds for which such a request is worked on before it ends the engine, whether
             its connection is still there or not.
+        is_silenced: Whether such a request also lets nothing pass to or from it, from its arrival on.
         loses_one_in: Of so many requests that run, one gets no answer; 0 for none.
         leaves_half: Whether half of such an answer comes before the silence.
         call_seconds: Bounds between which the work of a call is drawn; None for no time.
@@ -331,6 +333,7 @@
         self.ends_on = b""
         self.ends_after: int | None = None
         self.ends_in = 0.0
+        self.is_silenced = False
         self.loses_one_in = 0
         self.leaves_half = False
         self.call_seconds: tuple[float, float] | None = None
@@ -450,7 +453,7 @@
         if not self.ends_in:
             return self.crash(now)
         self._lethal_work.append((now + self.ends_in, body))
-        return []
+        return [EngineSilence()] if self.is_silenced else []
 
     def _request(self, event: HttpArrived, now: float) -> list[WireEffect]:
         if event.path == "/-/report":
--- a/tests/processes/platform/wire.py
+++ b/tests/processes/platform/wire.py
@@ -40,6 +40,8 @@
 HOST = "127.0.0.1"
 _READ_BYTES = 65536
 _GONE_CHECK_SECONDS = 0.01
+NO_START = -1
+"""Start of a connection that no process has accepted."""
 _LONGEST_WAIT_SECONDS = 0.5
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _PAUSE_BETWEEN_PIECES_SECONDS = 0.0002
@@ -174,7 +176,12 @@
     pause: float = 0.0
 
 
-WireEffect = Effect | BrokenStream | EngineCrash | EndlessAnswer
+@dataclass(frozen=True)
+class EngineSilence:
+    """An effect of a stand-in: nothing passes to or from its process until its server is heard."""
+
+
+WireEffect = Effect | BrokenStream | EngineCrash | EngineSilence | EndlessAnswer
 
 
 class WireService(Protocol):
@@ -199,9 +206,11 @@
     def __init__(self, service: WireService) -> None:
         """Listen on a free port.
 
-        ``on_crash`` is called in a thread of the server after a crash of the stand-in.
+        ``on_crash`` is called in a thread of the server after a crash of the stand-in, and
+        ``on_silence`` when nothing passes to or from it any more.
         """
         self.on_crash: Callable[[], None] = _ignore_crash
+        self.on_silence: Callable[[], None] = _do_nothing
         self._wake: Callable[[], None] = _do_nothing
         self._service = service
         self._lock = threading.Condition()
@@ -210,6 +219,10 @@
         self._numbers = 0
         self.starts = 0
         self._closed = False
+        self._heard = threading.Event()
+        self._heard.set()
+        self._cut_sockets: set[socket.socket] = set()
+        self._is_running = True
         self._listener = socket.create_server((HOST, 0), backlog=256)
         self.port: int = self._listener.getsockname()[1]
         for work in (self._accept, self._tick):
@@ -253,14 +266,43 @@
         with self._lock:
             sockets = list(self._sockets)
             self.starts += 1
+            self._is_running = False
             self._answers.clear()
-            with contextlib.suppress(OSError):
-                self._listener.shutdown(socket.SHUT_RDWR)
-            self._listener.close()
-        for sock in sockets:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-                sock.shutdown(socket.SHUT_RD)  # Its thread wakes up and closes it, with a reset.
+            if self.is_silent:
+                self._cut_sockets.update(sockets)
+                return  # Nothing of it is seen from outside.
+            self._close_listener()
+        _reset_all(sockets)
+
+    def _close_listener(self) -> None:
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether nothing passes to or from the stand-in."""
+        return not self._heard.is_set()
+
+    def fall_silent(self) -> None:
+        """Let nothing pass; connections stay open, and new ones are accepted and not served."""
+        with self._lock:
+            self._heard.clear()
+        self.on_silence()
+
+    def be_heard(self) -> None:
+        """Let all pass again; connections of a process that has ended meanwhile are reset."""
+        with self._lock:
+            sockets, self._cut_sockets = list(self._cut_sockets), set()
+            self._heard.set()
+            if not self._is_running:
+                self._close_listener()
+        _reset_all(sockets)
+
+    def wait_until_heard(self) -> None:
+        """Wait while nothing passes."""
+        while not self._closed and not self._heard.wait(_LONGEST_WAIT_SECONDS):
+            pass
 
     def crash_stand_in(self, end: Callable[[float], list[WireEffect]]) -> None:
         """Let the stand-in end by ``end``, which is called with the time."""
@@ -272,7 +314,8 @@
     def listen_again(self) -> None:
         """Serve the present stand-in at the same port, as another process does after a crash."""
         with self._lock:
-            if self._closed:
+            self._is_running = True
+            if self._closed or self._listener.fileno() >= 0:
                 return
             self._listener = socket.create_server((HOST, self.port), backlog=256)
         threading.Thread(target=self._accept, daemon=True).start()
@@ -288,8 +331,9 @@
             ConnectionResetError: The process that accepted the connection has crashed.
         """
         answers: queue.SimpleQueue[WireEffect] = queue.SimpleQueue()
+        self.wait_until_heard()
         with self._lock:
-            if start != self.starts:
+            if start != self.starts or not self._is_running:
                 raise ConnectionResetError
             self._answers[event.exchange] = answers
             shape = self._service.wire_shape(event)
@@ -324,6 +368,9 @@
                 self.crash()
                 self.on_crash()
                 break
+            if isinstance(effect, EngineSilence):
+                self.fall_silent()
+                continue
             exchange = getattr(effect, "exchange", None)
             answers = self._answers.get(exchange) if exchange is not None else None
             if answers is not None:
@@ -351,7 +398,19 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self._lock:
                 self._sockets.add(sock)
-            threading.Thread(target=_Connection(self, sock).run, daemon=True).start()
+                connection = _Connection(self, sock)
+                if self.is_silent:
+                    self._cut_sockets.add(sock)
+                    connection.be_unserved()
+            threading.Thread(target=connection.run, daemon=True).start()
+
+
+def _reset_all(sockets: Sequence[socket.socket]) -> None:
+    """Reset connections; the thread of each wakes up and closes it."""
+    for sock in sockets:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            sock.shutdown(socket.SHUT_RD)
 
 
 def _ignore_crash() -> None:
@@ -373,6 +432,10 @@
         self._poll = select.poll()
         self._poll.register(sock, select.POLLIN)
 
+    def be_unserved(self) -> None:
+        """Serve nothing on this connection, which no process has accepted."""
+        self._start = NO_START
+
     def run(self) -> None:
         """Serve until either end closes; a fault of the stand-in must not look like an end."""
         try:
@@ -411,9 +474,10 @@
         try:
             effect = answers.get(timeout=_GONE_CHECK_SECONDS)
         except queue.Empty:
-            if self._is_gone():
+            if not self._server.is_silent and self._is_gone():
                 raise ConnectionResetError from None
             return
+        self._server.wait_until_heard()
         answer.write(effect)
 
     def _is_gone(self) -> bool:
