--- a/src/yokeline/forwarding/engine_losses.py
+++ b/src/yokeline/forwarding/engine_losses.py
@@ -182,14 +182,21 @@
         That shows even less of the engine than a failed connection. The attempt is told if the
         request has lost an engine, or once it does.
         """
+        attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
+        if attempt is None:
+            return
+        self._state.outcomes.log(
+            "attempt_left",
+            exchange,
+            engine=attempt.engine_id,
+            is_told=bool(exchange.loss_id),
+            at_engine=round(self._state.now - exchange.sent_at, 4),
+        )
         if exchange.loss_id:
             if self.holds_claim(exchange):
                 self._tell_under_way(exchange)
             exchange.loss_id = ""
             return
-        attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
-        if attempt is None:
-            return
         key = self.key_of(exchange)
         if self.find(exchange) is not None:
             exchange.loss_id = attempt.loss_id
@@ -511,7 +518,7 @@
         now = self._state.now
         unseen_since = self._removed_after.pop(engine_id, self.viewed_until)
         if self.ends.record_end(engine_id, instance, now, unseen_since=unseen_since):
-            self._tell_left_at(engine_id)
+            self._handle_end(engine_id, is_confirmed=True)
 
     def entry_removed(self, engine_id: str) -> None:
         """Note that an entry is not there any more; it may return before it counts as gone."""
@@ -532,7 +539,7 @@
         now = self._state.now
         unseen_since = self._removed_after.pop(engine_id, self.viewed_until)
         if self.ends.record_lapse(engine_id, instance, now, unseen_since=unseen_since):
-            self._tell_left_at(engine_id)
+            self._handle_end(engine_id, is_confirmed=False)
 
     def confirm_end(self, loss: Loss) -> None:
         """Record that the engine of an attempt was asked for its state and has ended.
@@ -544,11 +551,24 @@
         at = self._state.now if is_listed else min(self._state.now, loss.lost_at)
         since = min(at, loss.lost_at)
         if self.ends.record_end(loss.engine_id, loss.instance, at, unseen_since=since):
-            self._tell_left_at(loss.engine_id)
+            self._handle_end(loss.engine_id, is_confirmed=True)
 
-    def _tell_left_at(self, engine_id: str) -> None:
-        for left in self._left.take_at(engine_id):
-            self._publish(left.key, msgspec.structs.replace(left.loss, stage=AttemptStage.LOST))
+    def _handle_end(self, engine_id: str, *, is_confirmed: bool) -> None:
+        """Tell of the attempts that were left at an engine that has ended, or may have."""
+        left = self._left.take_at(engine_id)
+        for item in left:
+            self._publish(item.key, msgspec.structs.replace(item.loss, stage=AttemptStage.LOST))
+        at_engine = sum(
+            exchange.engine is not None and exchange.engine.engine.engine_id == engine_id
+            for exchange in self._state.by_engine_request.values()
+        )
+        fields: dict[str, str | int | float | bool | None] = {
+            "engine": engine_id,
+            "is_confirmed": is_confirmed,
+            "left": len(left),
+            "at_engine": at_engine,
+        }
+        self._state.outcomes.effects.append(LogRecord(event="engine_end_noticed", fields=fields))
 
 
 def _retention_of(route: Route) -> float:
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -299,7 +299,7 @@
             all calls do.
         ends_in: Seconds for which such a request is worked on before it ends the engine, whether
             its connection is still there or not.
-        is_silenced: Whether such a request also lets nothing pass to or from it, from its arrival on.
+        is_silenced: Whether nothing passes to or from it once it has such a request.
         loses_one_in: Of so many requests that run, one gets no answer; 0 for none.
         leaves_half: Whether half of such an answer comes before the silence.
         call_seconds: Bounds between which the work of a call is drawn; None for no time.
--- a/tests/processes/platform/test_unnamed_lethal_requests.py
+++ b/tests/processes/platform/test_unnamed_lethal_requests.py
@@ -17,7 +17,6 @@
     LethalCaller,
     engines_ended_under,
 )
-from tests.processes.platform.stand_ins import EngineStandIn
 
 EDGES = 6
 APPS = 12
