--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -37,7 +37,6 @@
 from yokeline.forwarding.dispatcher import Dispatcher
 from yokeline.forwarding.engine_choice import NO_RESTRICTIONS
 from yokeline.forwarding.engine_gauges import pace_gauges
-from yokeline.forwarding.engine_losses import EngineLosses
 from yokeline.forwarding.engine_sender import EngineSender
 from yokeline.forwarding.engines import EngineTable
 from yokeline.forwarding.exchange import Exchange, Phase, StreamOrigin
@@ -54,12 +53,10 @@
     UNAUTHORIZED,
     UNAVAILABLE,
 )
-from yokeline.forwarding.loss_synchronization import LossSynchronization
 from yokeline.forwarding.model import Call, Engine, Route, RouteKind, RoutingTable
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcome_recorder import OutcomeRecorder
 from yokeline.forwarding.planned_stop import PlannedStop, RequestTimes, stream_patience
-from yokeline.forwarding.quarantine import Quarantine
 from yokeline.forwarding.regional_turns import RegionalTurns
 from yokeline.forwarding.reservations import Reservations
 from yokeline.forwarding.residency import (
@@ -82,6 +79,9 @@
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
 from yokeline.ledger.regional_texts import RegionalTexts
+from yokeline.losses.engine_losses import EngineLosses
+from yokeline.losses.loss_synchronization import LossSynchronization
+from yokeline.losses.quarantine import Quarantine
 from yokeline.registry.watch import WATCH_SECONDS
 from yokeline.scheduling.eligibility import EligibilityPolicy
 from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay_after_outage
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 from yokeline.effects import Effect
-from yokeline.forwarding.engine_losses import EngineLosses
 from yokeline.forwarding.exchange import Exchange, HistorySource, Phase, StreamOrigin
 from yokeline.forwarding.http_statuses import NOT_FOUND, PAYMENT_REQUIRED, UNAVAILABLE
 from yokeline.forwarding.node_state import NodeState
@@ -40,6 +39,7 @@
     OperationResult,
     QuotaSpent,
 )
+from yokeline.losses.engine_losses import EngineLosses
 
 LOOKUP_TIMEOUT_SECONDS = 0.4
 """Time for which a request waits for the ledger that needs it only to resume a stream."""
--- a/src/yokeline/forwarding/retries.py
+++ b/src/yokeline/forwarding/retries.py
@@ -12,7 +12,6 @@
 from yokeline.effects import HttpFailed, HttpResponse
 from yokeline.forwarding.call_timeouts import CallTimeouts, queue_rounds
 from yokeline.forwarding.dispatcher import Dispatcher, ignore_exchange
-from yokeline.forwarding.engine_losses import EngineLosses
 from yokeline.forwarding.engine_rejections import (
     RejectionCause,
     RejectionClassifier,
@@ -26,6 +25,7 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.retry_budget import RetryBudget
+from yokeline.losses.engine_losses import EngineLosses
 
 MAX_REJECTIONS = 4
 """Engines that one request tries while all of them are full or unreachable."""
--- a/src/yokeline/forwarding/stream_relay.py
+++ b/src/yokeline/forwarding/stream_relay.py
@@ -10,7 +10,6 @@
     HttpStreamStart,
 )
 from yokeline.forwarding.dialect import Dialect
-from yokeline.forwarding.engine_losses import EngineLosses
 from yokeline.forwarding.engine_sender import EngineSender
 from yokeline.forwarding.exchange import Exchange, Phase, framing_label
 from yokeline.forwarding.http_helpers import is_after
@@ -22,6 +21,7 @@
 from yokeline.forwarding.stream_versions import StreamVersions
 from yokeline.forwarding.turn_cache import TurnCache, event_data
 from yokeline.ledger.operations import OperationResult
+from yokeline.losses.engine_losses import EngineLosses
 
 MAX_EVENT_GAP_SECONDS = 0.9
 """Silence after which a resumable stream is cancelled at its engine."""
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -6,7 +6,6 @@
 
 from yokeline.forwarding.exchange import Exchange, StreamOrigin
 from yokeline.forwarding.model import RouteKind
-from yokeline.forwarding.request_identity import request_digest
 from yokeline.ledger.operations import (
     CachedContext,
     KeptTurn,
@@ -16,6 +15,7 @@
     line_of_call,
     line_of_turn,
 )
+from yokeline.losses.request_identity import request_digest
 
 
 def needs_ledger(exchange: Exchange) -> bool:
--- a/src/yokeline/ledger/loss_records.py
+++ b/src/yokeline/ledger/loss_records.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from yokeline.ledger.operations import ALL_CALL_LINES, CALL_LINE_PREFIX, EngineLoss
-from yokeline.scheduling.attempt_stages import AttemptStage
+from yokeline.losses.attempt_stages import AttemptStage
 
 MAX_LINES = 4096
 """Lines with losses; the one that expires first is evicted."""
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-from yokeline.scheduling.attempt_stages import AttemptStage
+from yokeline.losses.attempt_stages import AttemptStage
 
 
 class CachedContext(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/yokeline/scheduling/engine_fates.py
+++ b/src/yokeline/losses/engine_fates.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from yokeline.scheduling.attempt_stages import AttemptStage
+from yokeline.losses.attempt_stages import AttemptStage
 
 MAX_ENDED_ENGINES = 3
 """Engines that may end under one request, over all attempts and nodes."""
--- a/src/yokeline/forwarding/engine_losses.py
+++ b/src/yokeline/losses/engine_losses.py
@@ -5,7 +5,7 @@
 loss tell of their own attempts of the same request that are under way. Before an attempt is sent
 while an end is possible, it is claimed in the ledger, whose order decides between nodes. A
 reservation brings the records of its turn; other requests ask the ledger only if a loss of them is
-known. :mod:`yokeline.scheduling.engine_fates` judges by these records.
+known. :mod:`yokeline.losses.engine_fates` judges by these records.
 """
 
 from __future__ import annotations
@@ -19,20 +19,8 @@
 
 from yokeline.effects import Effect, LogRecord
 from yokeline.forwarding.exchange import Exchange, LossKey
-from yokeline.forwarding.left_attempts import LeftAttempts
 from yokeline.forwarding.model import Route, start_of
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.request_identity import is_shared, request_digest
-from yokeline.forwarding.request_losses import (
-    Judgement,
-    RequestLosses,
-    importance,
-    judge_named,
-    judge_shared,
-    judge_uninformed,
-    loss_of,
-    row_of,
-)
 from yokeline.forwarding.turn_operations import line_of_request
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.operations import (
@@ -42,13 +30,25 @@
     Reserve,
     SideReport,
 )
-from yokeline.scheduling.attempt_stages import AttemptStage
-from yokeline.scheduling.engine_fates import (
+from yokeline.losses.attempt_stages import AttemptStage
+from yokeline.losses.engine_fates import (
     NEWS_SECONDS,
     EngineEnds,
     EngineView,
     Loss,
 )
+from yokeline.losses.left_attempts import LeftAttempts
+from yokeline.losses.request_identity import is_shared, request_digest
+from yokeline.losses.request_losses import (
+    Judgement,
+    RequestLosses,
+    importance,
+    judge_named,
+    judge_shared,
+    judge_uninformed,
+    loss_of,
+    row_of,
+)
 
 MAX_REMEMBERED_REQUESTS = 4096
 MAX_LOSSES_PER_REQUEST = 32
--- a/src/yokeline/forwarding/left_attempts.py
+++ b/src/yokeline/losses/left_attempts.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from yokeline.forwarding.exchange import LossKey
-from yokeline.scheduling.engine_fates import Loss
+from yokeline.losses.engine_fates import Loss
 
 MAX_REMEMBERED_ATTEMPTS = 4096
 
--- a/src/yokeline/forwarding/loss_synchronization.py
+++ b/src/yokeline/losses/loss_synchronization.py
@@ -15,7 +15,6 @@
 from msgspec import UnsetType
 
 from yokeline.effects import Address, Effect, LogRecord, SendPeer
-from yokeline.forwarding.engine_losses import REPORTED_SECONDS, EngineLosses
 from yokeline.forwarding.node_state import NodeState
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import LedgerClient
@@ -27,6 +26,7 @@
     Reserve,
     SideReport,
 )
+from yokeline.losses.engine_losses import REPORTED_SECONDS, EngineLosses
 
 START_WAIT_SECONDS = 2.0
 """Time after a start within which sends wait for the losses that others know; the ledger may have
--- a/src/yokeline/forwarding/quarantine.py
+++ b/src/yokeline/losses/quarantine.py
@@ -1,6 +1,6 @@
 """Decides before each send of a request with losses whether it may be sent to another engine.
 
-A request under which :data:`~yokeline.scheduling.engine_fates.MAX_ENDED_ENGINES` engines have ended
+A request under which :data:`~yokeline.losses.engine_fates.MAX_ENDED_ENGINES` engines have ended
 is quarantined: no node sends it until its record expires. While an end is possible, a send is
 claimed in the ledger first, and waits until other nodes have told of their attempts under way. One
 that may have reached the bound waits until the engines it was lost at were asked for their state,
@@ -16,24 +16,24 @@
 
 from yokeline.effects import Address, HttpFailed, HttpRequest, HttpResponse, LogRecord
 from yokeline.forwarding.dialect import Dialect
-from yokeline.forwarding.engine_losses import EngineLosses
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.http_statuses import MISDIRECTED, SUCCESS, UNAVAILABLE
-from yokeline.forwarding.loss_synchronization import LossSynchronization
 from yokeline.forwarding.model import is_start_of
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.request_identity import is_shared
-from yokeline.forwarding.request_losses import Judgement, RequestLosses
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.turn_operations import reservation_tells_losses
 from yokeline.identifiers import ExchangeId, RequestId
-from yokeline.scheduling.engine_fates import (
+from yokeline.losses.engine_fates import (
     Loss,
     LossFate,
     Verdict,
     isolation_delay,
     spread_of,
 )
+from yokeline.losses.engine_losses import EngineLosses
+from yokeline.losses.loss_synchronization import LossSynchronization
+from yokeline.losses.request_identity import is_shared
+from yokeline.losses.request_losses import Judgement, RequestLosses
 
 QUARANTINED = "engines_ended_under_request"
 """Refusal reason: as many engines as are allowed have ended under the request."""
--- a/src/yokeline/forwarding/request_losses.py
+++ b/src/yokeline/losses/request_losses.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from yokeline.ledger.operations import EngineLoss
-from yokeline.scheduling.attempt_stages import AttemptStage
-from yokeline.scheduling.engine_fates import (
+from yokeline.losses.attempt_stages import AttemptStage
+from yokeline.losses.engine_fates import (
     MAX_ENDED_ENGINES,
     Loss,
     LossFate,
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -154,9 +154,9 @@
     from yokeline.ledger.client import LedgerClient
     from yokeline.ledger.history_fetches import HistoryFetches
     from yokeline.ledger.regional_texts import RegionalTexts
+    from yokeline.losses.engine_fates import end_detection_seconds
     from yokeline.scheduling.cold_engines import ColdEngineRates
     from yokeline.scheduling.eligibility import EligibilityPolicy
-    from yokeline.scheduling.engine_fates import end_detection_seconds
     from yokeline.scheduling.topology import Topology
     from yokeline.scheduling.zone_evacuation import ZoneEvacuations
 
--- a/tests/processes/platform/test_lethal_requests.py
+++ b/tests/processes/platform/test_lethal_requests.py
@@ -21,7 +21,7 @@
     engines_ended_under,
 )
 from tests.processes.platform.stand_ins import EngineStandIn
-from yokeline.forwarding.quarantine import QUARANTINED
+from yokeline.losses.quarantine import QUARANTINED
 
 MODELS = 6
 APPS = 4
--- a/tests/processes/platform/test_silent_ledger.py
+++ b/tests/processes/platform/test_silent_ledger.py
@@ -16,7 +16,7 @@
     engines_ended_under,
 )
 from tests.processes.platform.test_lethal_attempts import be_ended_by_requests, engines_of
-from yokeline.forwarding.quarantine import FATES_UNKNOWN, QUARANTINED
+from yokeline.losses.quarantine import FATES_UNKNOWN, QUARANTINED
 
 MODELS = 8
 APPS = 8
--- a/tests/property/test_engine_losses.py
+++ b/tests/property/test_engine_losses.py
@@ -11,11 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.unit.forwarding.test_quarantine import STARTED_MS, Node
-from yokeline.forwarding.quarantine import QUARANTINED
+from tests.unit.losses.test_quarantine import STARTED_MS, Node
 from yokeline.ledger.operations import EngineLoss
 from yokeline.ledger.state import LedgerState
-from yokeline.scheduling.engine_fates import MAX_ENDED_ENGINES
+from yokeline.losses.engine_fates import MAX_ENDED_ENGINES
+from yokeline.losses.quarantine import QUARANTINED
 
 NODES = 3
 ENGINES = 12
--- a/tests/unit/forwarding/test_cut_states.py
+++ b/tests/unit/forwarding/test_cut_states.py
@@ -4,10 +4,10 @@
 
 import unittest
 
-from tests.unit.forwarding.test_quarantine import NOT_RUN, STARTED_MS, Node
+from tests.unit.losses.test_quarantine import NOT_RUN, STARTED_MS, Node
 from yokeline.effects import HttpFailed, HttpResponse
-from yokeline.forwarding.quarantine import FATES_UNKNOWN, QUARANTINED
-from yokeline.scheduling.engine_fates import MAX_ENDED_ENGINES, LossFate
+from yokeline.losses.engine_fates import MAX_ENDED_ENGINES, LossFate
+from yokeline.losses.quarantine import FATES_UNKNOWN, QUARANTINED
 
 
 class CutStates(unittest.TestCase):
--- a/tests/unit/forwarding/test_engine_successors.py
+++ b/tests/unit/forwarding/test_engine_successors.py
@@ -16,7 +16,7 @@
 from yokeline.forwarding.model import make_incarnation_id
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import RegistryItem, RegistryNews
-from yokeline.scheduling.attempt_stages import AttemptStage
+from yokeline.losses.attempt_stages import AttemptStage
 
 ADDRESS = "10.5.0.0:80"
 FIRST = make_incarnation_id("i-0", FIRST_START_MS)
--- a/tests/unit/scheduling/test_engine_fates.py
+++ b/tests/unit/losses/test_engine_fates.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from yokeline.forwarding.model import start_of
-from yokeline.scheduling.attempt_stages import AttemptStage
-from yokeline.scheduling.engine_fates import (
+from yokeline.losses.attempt_stages import AttemptStage
+from yokeline.losses.engine_fates import (
     END_DETECTION_SECONDS,
     ISOLATION_DELAY_SECONDS,
     OWNER_TELLS_SECONDS,
--- a/tests/unit/forwarding/test_left_attempts.py
+++ b/tests/unit/losses/test_left_attempts.py
@@ -5,8 +5,8 @@
 import unittest
 
 from yokeline.forwarding.exchange import LossKey
-from yokeline.forwarding.left_attempts import MAX_REMEMBERED_ATTEMPTS, LeftAttempts
-from yokeline.scheduling.engine_fates import Loss
+from yokeline.losses.engine_fates import Loss
+from yokeline.losses.left_attempts import MAX_REMEMBERED_ATTEMPTS, LeftAttempts
 
 
 def add(left: LeftAttempts, name: str, engine: str, digest: str, at: float = 0.0) -> None:
--- a/tests/unit/forwarding/test_loss_synchronization.py
+++ b/tests/unit/losses/test_loss_synchronization.py
@@ -7,27 +7,27 @@
 import msgspec
 
 from tests.unit.forwarding.test_edge_node import PlayedNode
-from tests.unit.forwarding.test_quarantine import NOT_RUN, Node
+from tests.unit.losses.test_quarantine import NOT_RUN, Node
 from yokeline.effects import Address, DatagramArrived, LogRecord, PeerMessage, SendPeer
-from yokeline.forwarding.engine_losses import (
+from yokeline.identifiers import NodeName, ReplicaId
+from yokeline.ledger.messages import LoadReport, LossesQuery, LossesReply
+from yokeline.losses.engine_fates import MAX_ENDED_ENGINES
+from yokeline.losses.engine_losses import (
     MIN_RETENTION_SECONDS,
     RECORD_TIMEOUT_SECONDS,
     REPORTED_SECONDS,
 )
-from yokeline.forwarding.loss_synchronization import (
+from yokeline.losses.loss_synchronization import (
     MAX_ASKED_NODES,
     ROUND_SECONDS,
     START_WAIT_SECONDS,
     LossSynchronization,
 )
-from yokeline.forwarding.quarantine import (
+from yokeline.losses.quarantine import (
     FATES_UNKNOWN,
     QUARANTINED,
     SYNCHRONIZATION_WAIT_SECONDS,
 )
-from yokeline.identifiers import NodeName, ReplicaId
-from yokeline.ledger.messages import LoadReport, LossesQuery, LossesReply
-from yokeline.scheduling.engine_fates import MAX_ENDED_ENGINES
 
 OWN = Address("10.0.0.1", 1)
 OTHER = Address("10.0.0.2", 1)
--- a/tests/unit/forwarding/test_quarantine.py
+++ b/tests/unit/losses/test_quarantine.py
@@ -15,15 +15,15 @@
 
 from tests.unit.forwarding.support import STORAGE, Played
 from yokeline.effects import HttpReply
-from yokeline.forwarding.quarantine import FATES_UNKNOWN, LEDGER_WAIT_SECONDS, QUARANTINED
 from yokeline.ledger.messages import LeaderAnswer
 from yokeline.ledger.operations import EngineLoss, Granted, Reserve, line_of_turn
 from yokeline.ledger.state import LedgerState
-from yokeline.scheduling.attempt_stages import AttemptStage
-from yokeline.scheduling.engine_fates import (
+from yokeline.losses.attempt_stages import AttemptStage
+from yokeline.losses.engine_fates import (
     END_DETECTION_SECONDS,
     MAX_ENDED_ENGINES,
 )
+from yokeline.losses.quarantine import FATES_UNKNOWN, LEDGER_WAIT_SECONDS, QUARANTINED
 
 NOT_RUN = 503
 LEADER = LeaderAnswer(term=1, leader=STORAGE)
--- a/tests/unit/forwarding/test_request_losses.py
+++ b/tests/unit/losses/test_request_losses.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from yokeline.forwarding.request_losses import judge_shared
-from yokeline.scheduling.attempt_stages import AttemptStage
-from yokeline.scheduling.engine_fates import Loss, LossFate, Verdict
+from yokeline.losses.attempt_stages import AttemptStage
+from yokeline.losses.engine_fates import Loss, LossFate, Verdict
+from yokeline.losses.request_losses import judge_shared
 
 
 def loss(prior: int, stage: AttemptStage = AttemptStage.LOST) -> Loss:
