Decide the fate of an attempt by what happened, not by the order in which it is heard

Callers saw up to 12 engines of a program's request end, one after the other, where engines fell silent, ended behind the silence and came back: 9 runs after the third end, each answered 504.

Cause: an attempt that was left after the end of its engine had been noticed was remembered as left at an engine whose end nobody would notice again, so it was never told. And the end changed nothing for the attempts there, which waited on silent connections for their deadlines.

Change: the attempts and ends of a node are in one book without timers and messages. An attempt that is left is held against the ends that are known, as an end is against the attempts that were left. A request at an engine whose successor is listed at its address is aborted 0.1 s later if nothing came: it goes on at another engine, or gets its answer. An answer that another node tells before the loss that it clears is kept for it.

--- a/src/yokeline/forwarding/engine_discovery.py
+++ b/src/yokeline/forwarding/engine_discovery.py
@@ -132,7 +132,7 @@
             if predecessor is not None:
                 if not self._is_successor(engine, predecessor.engine):
                     return
-                self._forwarder.engine_ended(predecessor.engine, now)
+                self._forwarder.engine_succeeded(predecessor.engine, now)
         self._listed_at[engine.address] = engine.engine_id
 
     def _is_successor(self, engine: Engine, other: Engine) -> bool:
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -14,6 +14,7 @@
 from yokeline.forwarding.tenants import ScopedNames, Tenant
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.operations import CachedContext, Operation, RateLimit
+from yokeline.losses.loss_keys import LossKey
 from yokeline.scheduling.room_waits import RoomWait
 from yokeline.timers import Timer
 
@@ -62,20 +63,6 @@
     """It cannot be known: the stream is not continued."""
 
 
-class LossKey(msgspec.Struct, frozen=True, kw_only=True):
-    """What the engines that a request was lost at are recorded under.
-
-    Attributes:
-        digest: Shared by all attempts of the request.
-        line: The place of the request in its session, under which the ledger keeps its losses.
-        retention: Seconds for which a loss counts.
-    """
-
-    digest: str
-    line: str
-    retention: float
-
-
 class Exchange(msgspec.Struct, kw_only=True, eq=False):
     """One request of a caller and its response.
 
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -296,6 +296,14 @@
         self._state.now = now
         self._losses.engine_ended(engine.engine_id, engine.instance)
 
+    def engine_succeeded(self, engine: Engine, now: float) -> None:
+        """Record that an engine has ended, since another one is listed at its address.
+
+        The other one refuses what was meant for it, so its requests are not at an engine any more.
+        """
+        self.engine_ended(engine, now)
+        self._retries.abort_at_ended_engine(engine.engine_id)
+
     def engine_lapsed(self, engine: Engine, now: float) -> None:
         """Record that the entry of an engine has gone, though it may serve on."""
         self._state.now = now
--- a/src/yokeline/forwarding/retries.py
+++ b/src/yokeline/forwarding/retries.py
@@ -25,6 +25,7 @@
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.retry_budget import RetryBudget
+from yokeline.identifiers import RequestId
 from yokeline.losses.engine_losses import EngineLosses
 
 MAX_REJECTIONS = 4
@@ -34,6 +35,8 @@
 SAME_ENGINE_RETRY_DELAYS_SECONDS = (0.0, 0.05, 0.15)
 """Delays before a request is sent again to an engine that had it: at once, since often a single
 connection has failed, and twice more within the 0.3 s that callers accept between events."""
+ENDED_ENGINE_SECONDS = 0.1
+"""Time after the end of an engine is noticed within which its connections show it too."""
 MIN_RETRY_TIME_LEFT_SECONDS = 0.02
 """Least time left for a request to be sent again."""
 
@@ -198,6 +201,29 @@
             exchange.possible_runs += 1
         self.cancel_and_retry(exchange, reason)
 
+    def abort_at_ended_engine(self, engine_id: str) -> None:
+        """Abort the requests at an engine that has ended and whose connections do not show it.
+
+        The end of a process reaches its connections first, and so do answers that it has sent,
+        unless the machine cannot be reached.
+        """
+        for exchange in list(self._state.by_engine_request.values()):
+            if exchange.engine is None or exchange.engine.engine.engine_id != engine_id:
+                continue
+            sent_as, last_event_at = exchange.engine_request_id, exchange.last_event_at
+
+            def abort(
+                current: Exchange,
+                sent_as: RequestId | None = sent_as,
+                last_event_at: float = last_event_at,
+            ) -> None:
+                is_same = current.engine_request_id == sent_as
+                if is_same and current.last_event_at == last_event_at:
+                    self.abort_and_retry(current, "engine ended")
+
+            due = self._state.now + ENDED_ENGINE_SECONDS
+            self._state.schedule(exchange, due, abort)
+
     def record_answered(self, exchange: Exchange) -> None:
         """Record the duration of an answered call."""
         seconds = self._state.now - exchange.sent_at
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -95,6 +95,7 @@
         work_left: Seconds, from the record on, for which the engine may be at work on the request.
         address: ``host:port`` of the engine; empty if not told.
         prior: Generations of losses that the node knew of when it sent a request without a program.
+        answered: Whether engines had answered such a request shortly before.
     """
 
     request: str
@@ -107,6 +108,7 @@
     work_left: float = 0.0
     address: str = ""
     prior: int = 0
+    answered: bool = False
 
 
 class SideReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/yokeline/losses/engine_fates.py
+++ b/src/yokeline/losses/engine_fates.py
@@ -79,6 +79,7 @@
         work_until: Until when the engine may be at work on the request.
         address: ``host:port`` of the engine; empty if not known.
         prior: Generations of losses that the node knew of when it sent a request without a program.
+        answered: Whether engines had answered such a request shortly before the send.
     """
 
     loss_id: str
@@ -90,6 +91,7 @@
     work_until: float = float("-inf")
     address: str = ""
     prior: int = 0
+    answered: bool = False
 
     @property
     def over_at(self) -> float:
@@ -205,6 +207,14 @@
         if len(self._alive_at) > MAX_REMEMBERED_ENDS:
             self._alive_at.popitem(last=False)
 
+    def explain(self, attempt: Loss, view: EngineView, now: float) -> bool:
+        """Return whether the engine of an attempt has ended under it, or may have.
+
+        That holds whether the end or the attempt became known first.
+        """
+        ends = self._end_times(attempt.instance, [attempt], view, now)
+        return any(self._explains(end, attempt) for end in ends)
+
     def fates(
         self, losses: Iterable[Loss], views: dict[str, EngineView], now: float
     ) -> dict[str, LossFate]:
--- a/src/yokeline/losses/engine_losses.py
+++ b/src/yokeline/losses/engine_losses.py
@@ -1,24 +1,24 @@
-"""Remembers the attempts under which each request lost engines, or may lose them, over all nodes.
+"""Tells other nodes and the ledger of attempts under which engines are lost, and hears from them.
 
 A loss is recorded in the ledger and reported to the other nodes, so that a later attempt of the
 request is judged by the losses of all of them, whichever node it reaches. Nodes that learn of a
 loss tell of their own attempts of the same request that are under way. Before an attempt is sent
 while an end is possible, it is claimed in the ledger, whose order decides between nodes. A
 reservation brings the records of its turn; other requests ask the ledger only if a loss of them is
-known. :mod:`yokeline.losses.engine_fates` judges by these records.
+known. :mod:`yokeline.losses.attempt_book` holds the attempts and judges by them.
 """
 
 from __future__ import annotations
 
 import itertools
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 from msgspec import UnsetType
 
 from yokeline.effects import Effect, LogRecord
-from yokeline.forwarding.exchange import Exchange, LossKey
+from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.model import Route, start_of
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.turn_operations import line_of_request
@@ -30,6 +30,7 @@
     Reserve,
     SideReport,
 )
+from yokeline.losses.attempt_book import MAX_REMEMBERED_REQUESTS, AttemptBook
 from yokeline.losses.attempt_stages import AttemptStage
 from yokeline.losses.engine_fates import (
     NEWS_SECONDS,
@@ -37,21 +38,11 @@
     EngineView,
     Loss,
 )
-from yokeline.losses.left_attempts import LeftAttempts
-from yokeline.losses.request_identity import is_shared, request_digest
-from yokeline.losses.request_losses import (
-    Judgement,
-    RequestLosses,
-    importance,
-    judge_named,
-    judge_shared,
-    judge_uninformed,
-    loss_of,
-    row_of,
-)
+from yokeline.losses.left_attempts import LeftAttempt
+from yokeline.losses.loss_keys import LossKey
+from yokeline.losses.request_identity import request_digest
+from yokeline.losses.request_losses import Judgement, RequestLosses, row_of
 
-MAX_REMEMBERED_REQUESTS = 4096
-MAX_LOSSES_PER_REQUEST = 32
 MIN_RETENTION_SECONDS = 60.0
 """Least time for which a loss counts; a program that was stopped may return so late."""
 TIMEOUTS_TO_RETURN = 2.0
@@ -73,6 +64,7 @@
 """Time after which a request is told to be at an engine that has not refused or rejected it."""
 
 _Rows = tuple[EngineLoss, ...]
+_LogFields = dict[str, str | int | float | bool | None]
 
 
 class _Reported(msgspec.Struct, frozen=True):
@@ -83,7 +75,7 @@
 
 
 class EngineLosses:
-    """Losses of the requests of one node.
+    """Losses of the requests of one node; the owner of its :class:`AttemptBook`.
 
     Attributes:
         ends: Ends of engines that this node has noticed.
@@ -94,8 +86,6 @@
         on_answer: Called with the digest of a request when a record or a question of it has ended,
             and whether the ledger has answered; does nothing by default.
         on_synchronized: Called when the losses that others know were told; does nothing by default.
-        on_cleared: Called with the digest of a request whose losses no longer count, since an
-            engine has answered it; does nothing by default.
     """
 
     def __init__(self, state: NodeState, ledger: LedgerClient, process: str) -> None:
@@ -109,16 +99,23 @@
         self._ledger = ledger
         self._process = process
         self._numbers = itertools.count(1)
-        self._requests: OrderedDict[str, RequestLosses] = OrderedDict()
+        self._book = AttemptBook(self.ends, self)
         self._reported: list[_Reported] = []
         self._unanswered: Counter[str] = Counter()
         self._unrecorded: OrderedDict[str, LossKey] = OrderedDict()
-        self._left = LeftAttempts()
         self._removed_after: dict[str, float] = {}
         self.on_answer: Callable[[str, bool], None] = _ignore_answer
-        self.on_cleared: Callable[[str], None] = _ignore_digest
         self.on_synchronized: Callable[[], None] = _do_nothing
 
+    @property
+    def on_cleared(self) -> Callable[[str], None]:
+        """Called with the digest of a request whose losses no longer count."""
+        return self._book.on_cleared
+
+    @on_cleared.setter
+    def on_cleared(self, on_cleared: Callable[[str], None]) -> None:
+        self._book.on_cleared = on_cleared
+
     # ------------------------------------------------------------ attempts of this node
 
     def record(self, exchange: Exchange) -> None:
@@ -126,7 +123,7 @@
         loss = self._attempt_of(exchange, AttemptStage.LOST)
         exchange.loss_id = ""
         if loss is not None:
-            self._publish(self.key_of(exchange), loss)
+            self._book.publish(self.key_of(exchange), loss)
 
     def claim(self, exchange: Exchange) -> None:
         """Claim the next send of a request, and ask the ledger which claims were made before."""
@@ -141,7 +138,7 @@
             stage=AttemptStage.CLAIMED,
             work_until=exchange.deadline,
         )
-        self._publish(self.key_of(exchange), claim)
+        self._book.publish(self.key_of(exchange), claim)
 
     def record_sent(self, exchange: Exchange) -> None:
         """Tell at which engine a request is that has lost engines, if it stays there.
@@ -161,66 +158,47 @@
 
     def holds_claim(self, exchange: Exchange) -> bool:
         """Return whether the next send of a request is claimed, and none was told since."""
-        known = self._requests.get(self.key_of(exchange).digest)
-        attempt = known.losses.get(exchange.loss_id) if known is not None else None
+        attempt = self._book.told(self.key_of(exchange).digest, exchange.loss_id)
         return attempt is not None and attempt.stage is AttemptStage.CLAIMED
 
     def close(self, exchange: Exchange) -> None:
         """Record that a told attempt is over and has lost no engine."""
         loss_id, exchange.loss_id = exchange.loss_id, ""
-        known = self._requests.get(self.key_of(exchange).digest) if loss_id else None
-        attempt = known.losses.get(loss_id) if known is not None else None
-        if attempt is not None:
-            closed = msgspec.structs.replace(
-                attempt, stage=AttemptStage.CLOSED, lost_at=self._state.now
-            )
-            self._publish(self.key_of(exchange), closed)
+        self._book.closed(self.key_of(exchange), loss_id, self._state.now)
 
     def leave(self, exchange: Exchange) -> None:
-        """Remember a request that leaves its engine unanswered, since its caller left.
+        """Record that a request leaves its engine unanswered; its time is over, or its caller left.
 
-        That shows even less of the engine than a failed connection. The attempt is told if the
-        request has lost an engine, or once it does.
+        The attempt is told if its engine has ended, if the request has lost another one, or once
+        either becomes known.
         """
         attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
         if attempt is None:
             return
+        is_told = bool(exchange.loss_id)
+        exchange.loss_id = attempt.loss_id
+        has_ended = self._book.left(self.key_of(exchange), attempt, self._state.now)
+        exchange.loss_id = ""
         self._state.outcomes.log(
             "attempt_left",
             exchange,
             engine=attempt.engine_id,
-            is_told=bool(exchange.loss_id),
+            is_told=is_told,
+            has_ended=has_ended,
             at_engine=round(self._state.now - exchange.sent_at, 4),
         )
-        if exchange.loss_id:
-            if self.holds_claim(exchange):
-                self._tell_under_way(exchange)
-            exchange.loss_id = ""
-            return
-        key = self.key_of(exchange)
-        if self.find(exchange) is not None:
-            exchange.loss_id = attempt.loss_id
-            self._publish(key, attempt)
-            exchange.loss_id = ""
-            return
-        self._left.expire(self._state.now - self.ends.detection_seconds)
-        self._left.add(key, attempt)
 
     def record_answered(self, exchange: Exchange) -> None:
         """Drop the losses of a request that an engine has answered."""
         exchange.loss_id = ""
-        if not self._requests:
+        if exchange.call.program and self._book.is_empty:
             return
         key = self.key_of(exchange)
-        known = self._requests.get(key.digest)
-        if known is None or not known.losses:
-            return
-        known.losses.clear()
-        known.answered_at = self._state.now
-        row = EngineLoss(key.digest)
-        self._report(row)
-        self._ask(key, (row,))
-        self.on_cleared(key.digest)
+        if self._book.answered(key, self._state.now):
+            row = EngineLoss(key.digest)
+            self._report(row)
+            self._ask(key, (row,))
+            self.on_cleared(key.digest)
 
     def key_of(self, exchange: Exchange) -> LossKey:
         """Return what a request's losses are recorded under."""
@@ -240,6 +218,7 @@
         if exchange.engine is None:
             return None
         engine = exchange.engine.engine
+        digest = self.key_of(exchange).digest
         return Loss(
             loss_id=exchange.loss_id or self._new_id(),
             engine_id=engine.engine_id,
@@ -250,56 +229,52 @@
             work_until=exchange.deadline,
             address=str(engine.address),
             prior=exchange.prior_losses,
+            answered=self._book.was_answered_before(digest, exchange.sent_at),
         )
 
-    def _publish(self, key: LossKey, loss: Loss) -> None:
-        """Remember an attempt, report it to the other nodes and record it in the ledger."""
-        row = row_of(key.digest, loss, self._state.now)
-        self._report(row)
-        self._ask(key, (row,))
-        self._remember(key.digest, loss, key.retention)
-
-    def _remember(self, digest: str, loss: Loss, retention: float) -> None:
-        known = self._requests.setdefault(digest, RequestLosses())
-        self._requests.move_to_end(digest)
-        known.expires = max(known.expires, loss.lost_at + retention)
-        stored = known.losses.get(loss.loss_id)
-        is_news = stored is None or loss.stage > stored.stage
-        if is_news and loss.lost_at > known.answered_at:
-            known.losses[loss.loss_id] = loss
-        if len(known.losses) > MAX_LOSSES_PER_REQUEST:
-            del known.losses[min(known.losses, key=lambda name: importance(known.losses[name]))]
-        if len(self._requests) > MAX_REMEMBERED_REQUESTS:
-            self._requests.popitem(last=False)
-        if is_news and loss.stage is not AttemptStage.CLOSED and not is_shared(digest):
-            self._tell_other_attempts(digest)
-
-    def _tell_other_attempts(self, digest: str) -> None:
-        """Tell of the attempts of a request that are at engines, or were left there."""
-        at_engines = [
-            exchange
-            for exchange in self._state.by_engine_request.values()
-            if not exchange.loss_id and self.key_of(exchange).digest == digest
-        ]
-        left = self._left.take_of(digest)
-        for exchange in at_engines:
-            self._tell_under_way(exchange)
-        for item in left:
-            self._publish(item.key, item.loss)
-        if not at_engines and not left:
-            return
-        fields: dict[str, str | int | float | bool | None] = {
-            "request_digest": digest,
-            "at_engines": len(at_engines),
-            "left": len(left),
-        }
-        self._state.outcomes.effects.append(LogRecord(event="attempts_told", fields=fields))
-
     def _tell_under_way(self, exchange: Exchange) -> None:
         attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
         if attempt is not None:
             exchange.loss_id = attempt.loss_id
-            self._publish(self.key_of(exchange), attempt)
+            self._book.publish(self.key_of(exchange), attempt)
+
+    # ------------------------------------------------------------ what the book asks for
+
+    def tell(self, key: LossKey, loss: Loss) -> None:
+        """Report an attempt to the other nodes and record it in the ledger."""
+        row = row_of(key.digest, loss, self._state.now)
+        self._report(row)
+        self._ask(key, (row,))
+
+    def tell_answer(self, digest: str, answered_at: float) -> None:
+        """Report to the other nodes that a request was answered at a time."""
+        self._report(EngineLoss(digest, age=round(self._state.now - answered_at, 3)))
+
+    def untold_attempts(self, digest: str) -> list[LeftAttempt]:
+        """Return the attempts of a request that are at engines, and count them as told."""
+        found = []
+        for exchange in self._state.by_engine_request.values():
+            if exchange.loss_id or self.key_of(exchange).digest != digest:
+                continue
+            attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
+            if attempt is not None:
+                exchange.loss_id = attempt.loss_id
+                found.append(LeftAttempt(self.key_of(exchange), attempt))
+        return found
+
+    def note_told(self, digest: str, at_engines: int, left: int) -> None:
+        """Log that attempts of a request are told."""
+        fields: _LogFields = {"request_digest": digest, "at_engines": at_engines, "left": left}
+        self._log("attempts_told", fields)
+
+    def view(self, instance: str) -> EngineView:
+        """Return what the registry shows of an engine."""
+        current = self._state.engines.current_incarnation(instance)
+        return EngineView(
+            current_id=current.engine.engine_id if current is not None else "",
+            is_registered=current is not None and not current.expires_at,
+            is_current=self.view_age(self._state.now) <= MAX_VIEW_AGE_SECONDS,
+        )
 
     # ------------------------------------------------------------ ledger
 
@@ -315,18 +290,10 @@
 
     def apply_recorded(self, answer: Granted) -> None:
         """Merge the losses that the ledger has; they count as long as it has them."""
-        if not isinstance(answer.losses, UnsetType):
-            self._merge(answer.losses, is_recorded=True)
-
-    def _note_order(self, digest: str, answer: Granted) -> None:
-        """Remember in which order the ledger has recorded the attempts of a request."""
-        known = self._requests.get(digest)
-        if known is None:
+        if isinstance(answer.losses, UnsetType):
             return
-        rows = () if isinstance(answer.losses, UnsetType) else answer.losses
-        known.order = {row.loss_id: place for place, row in enumerate(rows)}
-        told = answer.open_turns
-        known.open_turns = None if isinstance(told, UnsetType) else told
+        for row in answer.losses:
+            self._book.merge((row,), self._state.now, retention=self.retention + row.age)
 
     def _ask(self, key: LossKey, rows: _Rows) -> None:
         """Record rows in the ledger, and ask what it knows of their line."""
@@ -353,17 +320,18 @@
         is_answered = isinstance(result, Granted)
         if isinstance(result, Granted):
             self.apply_recorded(result)
-            self._note_order(key.digest, result)
+            recorded = () if isinstance(result.losses, UnsetType) else result.losses
+            turns = result.open_turns
+            open_turns = None if isinstance(turns, UnsetType) else turns
+            self._book.note_order(key.digest, recorded, open_turns)
         elif rows:
             self._note_unrecorded(key)
-            fields: dict[str, str | int | float | bool | None] = {
+            fields: _LogFields = {
                 "request_digest": key.digest,
                 "engine": rows[0].engine_id,
                 "losses": len(rows),
             }
-            self._state.outcomes.effects.append(
-                LogRecord(event="engine_loss_unrecorded", fields=fields, level="warning")
-            )
+            self._log("engine_loss_unrecorded", fields, level="warning")
         self.on_answer(key.digest, is_answered)
 
     def _note_unrecorded(self, key: LossKey) -> None:
@@ -381,9 +349,9 @@
         self._state.now = now
         while self._unrecorded and len(self._unanswered) < MAX_RECORDED_AT_A_TIME:
             digest, key = self._unrecorded.popitem(last=False)
-            known = self._requests.get(digest)
-            if known is not None and known.expires >= self._state.now:
-                self._ask(key, self._rows_of(digest, known))
+            rows = self._book.rows(digest, now)
+            if rows:
+                self._ask(key, rows)
 
     # ------------------------------------------------------------ other nodes
 
@@ -404,23 +372,11 @@
     def apply_report(self, rows: _Rows, now: float) -> None:
         """Merge the rows that another node tells."""
         self._state.now = now
-        self._merge(rows)
+        self._book.merge(rows, now, retention=self.retention)
 
     def all_rows(self) -> _Rows:
         """Return all rows that this node knows, its own and those of others, the latest last."""
-        rows: list[EngineLoss] = []
-        for digest, known in self._requests.items():
-            if known.expires >= self._state.now:
-                rows.extend(self._rows_of(digest, known))
-        return tuple(rows[-MAX_TOLD:])
-
-    def _rows_of(self, digest: str, known: RequestLosses) -> _Rows:
-        """Return the rows of a request; the first one tells when it was answered, if it was."""
-        now = self._state.now
-        rows = [row_of(digest, loss, now) for loss in known.losses.values()]
-        if known.answered_at > float("-inf"):
-            rows.insert(0, EngineLoss(digest, age=round(now - known.answered_at, 3)))
-        return tuple(rows)
+        return tuple(self._book.all_rows(self._state.now)[-MAX_TOLD:])
 
     @property
     def retention(self) -> float:
@@ -434,52 +390,28 @@
         del self._reported[:-MAX_REPORTED]
         self.version += 1
 
-    def _merge(self, rows: Iterable[EngineLoss], *, is_recorded: bool = False) -> None:
-        for row in rows:
-            known = self._requests.get(row.request)
-            if not row.loss_id:
-                self._merge_answer(row, known)
-                continue
-            stored = known.losses.get(row.loss_id) if known is not None else None
-            if stored is None or row.stage > stored.stage:
-                retention = self.retention + (row.age if is_recorded else 0.0)
-                self._remember(row.request, loss_of(row, self._state.now), retention)
-
-    def _merge_answer(self, row: EngineLoss, known: RequestLosses | None) -> None:
-        """Drop the losses before an answer of which another node tells."""
-        if known is None:
-            return
-        known.answered_at = max(known.answered_at, self._state.now - row.age)
-        known.losses = {
-            key: loss for key, loss in known.losses.items() if loss.lost_at > known.answered_at
-        }
-        if not known.has_open:
-            self.on_cleared(row.request)
-
     # ------------------------------------------------------------ judgement
 
     def find(self, exchange: Exchange) -> RequestLosses | None:
         """Return what is known of a request's losses; None, at no cost, if no loss is known."""
-        if not self._requests:
+        if self._book.is_empty:
             return None
-        digest = self.key_of(exchange).digest
-        known = self._requests.get(digest)
-        if known is None:
-            return None
-        if known.expires < self._state.now:
-            del self._requests[digest]
-            return None
-        return known if known.has_open else None
+        return self._book.find(self.key_of(exchange).digest, self._state.now)
 
     def judge(self, exchange: Exchange, known: RequestLosses) -> Judgement:
         """Return whether a request may be sent to an engine, by its other attempts."""
-        others = known.others(exchange.loss_id)
-        views = {loss.instance: self._view(loss.instance) for loss in others}
-        fates = self.ends.fates(others, views, self._state.now)
-        is_unnamed = is_shared(self.key_of(exchange).digest)
-        judgement = judge_shared(others, fates) if is_unnamed else judge_named(others, fates)
-        is_informed = exchange.knows_losses or self.is_informed(self._state.now)
-        return judgement if is_informed else judge_uninformed(judgement)
+        now = self._state.now
+        return self._book.judge(
+            self.key_of(exchange).digest,
+            exchange.loss_id,
+            known,
+            now,
+            is_informed=exchange.knows_losses or self.is_informed(now),
+        )
+
+    def is_commonly_answered(self, exchange: Exchange) -> bool:
+        """Return whether strangers send a request that engines answered before it lost any."""
+        return self._book.is_commonly_answered(self.key_of(exchange).digest)
 
     def news_due(self, exchange: Exchange, known: RequestLosses, judgement: Judgement) -> float:
         """Return when other nodes have told of their attempts of a request under way.
@@ -503,22 +435,26 @@
         later = listed[names.index(engine_id) + 1 :] if engine_id in names else listed
         return any(str(item.address) == address for item in later)
 
-    def _view(self, instance: str) -> EngineView:
-        current = self._state.engines.current_incarnation(instance)
-        return EngineView(
-            current_id=current.engine.engine_id if current is not None else "",
-            is_registered=current is not None and not current.expires_at,
-            is_current=self.view_age(self._state.now) <= MAX_VIEW_AGE_SECONDS,
-        )
-
     # ------------------------------------------------------------ engines
 
     def engine_ended(self, engine_id: str, instance: str) -> None:
         """Record that an incarnation of an engine has ended, with the attempts left there."""
-        now = self._state.now
+        self._note_end(engine_id, instance, is_confirmed=True)
+
+    def engine_lapsed(self, engine_id: str, instance: str) -> None:
+        """Record that the entry of an incarnation has gone; it may serve on."""
+        self._note_end(engine_id, instance, is_confirmed=False)
+
+    def _note_end(self, engine_id: str, instance: str, *, is_confirmed: bool) -> None:
         unseen_since = self._removed_after.pop(engine_id, self.viewed_until)
-        if self.ends.record_end(engine_id, instance, now, unseen_since=unseen_since):
-            self._handle_end(engine_id, is_confirmed=True)
+        left = self._book.ended(
+            engine_id,
+            instance,
+            self._state.now,
+            is_confirmed=is_confirmed,
+            unseen_since=unseen_since,
+        )
+        self._log_end(engine_id, left, is_confirmed=is_confirmed)
 
     def entry_removed(self, engine_id: str) -> None:
         """Note that an entry is not there any more; it may return before it counts as gone."""
@@ -534,41 +470,36 @@
         self._removed_after.pop(engine_id, None)
         self.ends.retract_end(engine_id, instance)
 
-    def engine_lapsed(self, engine_id: str, instance: str) -> None:
-        """Record that the entry of an incarnation has gone; it may serve on."""
-        now = self._state.now
-        unseen_since = self._removed_after.pop(engine_id, self.viewed_until)
-        if self.ends.record_lapse(engine_id, instance, now, unseen_since=unseen_since):
-            self._handle_end(engine_id, is_confirmed=False)
-
     def confirm_end(self, loss: Loss) -> None:
         """Record that the engine of an attempt was asked for its state and has ended.
 
         One that is not listed ended at the latest when its entry went, or, if this node has started
         since, at the time of the loss. One that is listed ended at some time since the loss.
         """
+        now = self._state.now
         is_listed = self._state.engines.get(loss.engine_id) is not None
-        at = self._state.now if is_listed else min(self._state.now, loss.lost_at)
+        at = now if is_listed else min(now, loss.lost_at)
         since = min(at, loss.lost_at)
-        if self.ends.record_end(loss.engine_id, loss.instance, at, unseen_since=since):
-            self._handle_end(loss.engine_id, is_confirmed=True)
-
-    def _handle_end(self, engine_id: str, *, is_confirmed: bool) -> None:
-        """Tell of the attempts that were left at an engine that has ended, or may have."""
-        left = self._left.take_at(engine_id)
-        for item in left:
-            self._publish(item.key, msgspec.structs.replace(item.loss, stage=AttemptStage.LOST))
-        at_engine = sum(
-            exchange.engine is not None and exchange.engine.engine.engine_id == engine_id
-            for exchange in self._state.by_engine_request.values()
-        )
-        fields: dict[str, str | int | float | bool | None] = {
+        left = self._book.ended(loss.engine_id, loss.instance, at, unseen_since=since)
+        self._log_end(loss.engine_id, left, is_confirmed=True)
+
+    def _log_end(self, engine_id: str, left: int | None, *, is_confirmed: bool) -> None:
+        """Log an end that was not known, with the attempts that were left at the engine."""
+        if left is None:
+            return
+        fields: _LogFields = {
             "engine": engine_id,
             "is_confirmed": is_confirmed,
-            "left": len(left),
-            "at_engine": at_engine,
+            "left": left,
+            "at_engine": sum(
+                exchange.engine is not None and exchange.engine.engine.engine_id == engine_id
+                for exchange in self._state.by_engine_request.values()
+            ),
         }
-        self._state.outcomes.effects.append(LogRecord(event="engine_end_noticed", fields=fields))
+        self._log("engine_end_noticed", fields)
+
+    def _log(self, event: str, fields: _LogFields, *, level: str = "info") -> None:
+        self._state.outcomes.effects.append(LogRecord(event=event, fields=fields, level=level))
 
 
 def _retention_of(route: Route) -> float:
@@ -592,7 +523,3 @@
 
 def _ignore_answer(_digest: str, _is_answered: bool) -> None:
     """Do nothing; the default callback."""
-
-
-def _ignore_digest(_digest: str) -> None:
-    """Do nothing; the default callback."""
--- a/src/yokeline/losses/left_attempts.py
+++ b/src/yokeline/losses/left_attempts.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from yokeline.forwarding.exchange import LossKey
 from yokeline.losses.engine_fates import Loss
+from yokeline.losses.loss_keys import LossKey
 
 MAX_REMEMBERED_ATTEMPTS = 4096
 
--- a/src/yokeline/losses/quarantine.py
+++ b/src/yokeline/losses/quarantine.py
@@ -31,8 +31,8 @@
     spread_of,
 )
 from yokeline.losses.engine_losses import EngineLosses
+from yokeline.losses.loss_keys import is_shared
 from yokeline.losses.loss_synchronization import LossSynchronization
-from yokeline.losses.request_identity import is_shared
 from yokeline.losses.request_losses import Judgement, RequestLosses
 
 QUARANTINED = "engines_ended_under_request"
@@ -126,9 +126,9 @@
     def _must_look_up(self, exchange: Exchange) -> bool:
         """Return whether the ledger may have losses of a request that nodes did not tell.
 
-        Most requests without a program are sent by many, and are not held up for one loss.
+        Requests that strangers send and engines answer are not held up for one loss.
         """
-        return bool(exchange.call.program) and not exchange.knows_losses
+        return not exchange.knows_losses and not self._losses.is_commonly_answered(exchange)
 
     def _may_be_recorded(self, exchange: Exchange) -> bool:
         """Return whether other nodes may have recorded losses of which this node was not told."""
@@ -180,7 +180,9 @@
             self._losses.claim(exchange)
             judgement = self._losses.judge(exchange, known)
         has_lost = exchange.possible_runs > 0
+        is_alone = is_unnamed and not self._synchronization.has_others()
         needs_answer = judgement.needs_claim or has_lost or self._must_look_up(exchange)
+        needs_answer = needs_answer and not is_alone
         if needs_answer and self._awaits_answer(waiting):
             self._park(waiting, waiting.ledger_until)
         elif judgement.verdict is Verdict.QUARANTINE:
@@ -206,7 +208,8 @@
         """Send a request once all attempts are known that count with it."""
         exchange = waiting.exchange
         due = float("-inf")
-        if judgement.needs_claim and not exchange.attempts.are_exhausted:
+        is_alone = not self._synchronization.has_others()
+        if judgement.needs_claim and not is_alone and not exchange.attempts.are_exhausted:
             due = self._losses.news_due(exchange, known, judgement)
         if judgement.verdict is Verdict.ISOLATE:
             spread = spread_of(self._losses.key_of(exchange).digest)
--- a/src/yokeline/losses/request_identity.py
+++ b/src/yokeline/losses/request_identity.py
@@ -13,10 +13,10 @@
 
 from yokeline.forwarding.exchange import Exchange
 from yokeline.forwarding.http_helpers import host_of
+from yokeline.losses.loss_keys import SHARED_MARK
 
 _SEPARATOR = b"\x00"
 _DIGEST_BYTES = 12
-_SHARED_MARK = "~"
 
 
 def request_digest(exchange: Exchange) -> str:
@@ -41,9 +41,4 @@
         digest.update(part.encode())
         digest.update(_SEPARATOR)
     digest.update(incoming.body)
-    return digest.hexdigest() + ("" if has_program else _SHARED_MARK)
-
-
-def is_shared(digest: str) -> bool:
-    """Return whether requests of several programs may have a name."""
-    return digest.endswith(_SHARED_MARK)
+    return digest.hexdigest() + ("" if has_program else SHARED_MARK)
--- a/src/yokeline/losses/request_losses.py
+++ b/src/yokeline/losses/request_losses.py
@@ -100,7 +100,7 @@
 
 
 def judge_named(others: list[Loss], fates: dict[str, LossFate]) -> Judgement:
-    """Judge a request of a program, whose attempts are all its own."""
+    """Judge a request whose attempts all count: of a program, or never answered."""
     return Judgement(
         verdict=verdict_of(tuple(fates.values())),
         needs_claim=possible_ends(fates.values()) > 0,
@@ -110,7 +110,7 @@
 
 
 def judge_shared(others: list[Loss], fates: dict[str, LossFate]) -> Judgement:
-    """Judge a request that several strangers may send, so that attempts at a time tell little.
+    """Judge a request that strangers send and engines answer: attempts at a time tell little.
 
     Losses at a time count once, and attempts are limited once the next loss may be the last.
     """
@@ -169,6 +169,7 @@
         work_left=round(max(0.0, loss.work_until - loss.lost_at), 3),
         address=loss.address,
         prior=loss.prior,
+        answered=loss.answered,
     )
 
 
@@ -185,4 +186,5 @@
         work_until=lost_at + row.work_left,
         address=row.address,
         prior=row.prior,
+        answered=row.answered,
     )
--- a/tests/unit/losses/test_left_attempts.py
+++ b/tests/unit/losses/test_left_attempts.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from yokeline.forwarding.exchange import LossKey
 from yokeline.losses.engine_fates import Loss
 from yokeline.losses.left_attempts import MAX_REMEMBERED_ATTEMPTS, LeftAttempts
+from yokeline.losses.loss_keys import LossKey
 
 
 def add(left: LeftAttempts, name: str, engine: str, digest: str, at: float = 0.0) -> None:
--- a/tests/unit/losses/test_quarantine.py
+++ b/tests/unit/losses/test_quarantine.py
@@ -206,7 +206,7 @@
         self.node.wait(0.02)
         self.assertEqual(len(self.node.sent), 2)
         self.assertEqual(self.node.forwarder.waiting(), {"models": 1})
-        digest = next(iter(self.node.forwarder.losses._requests))
+        digest = self.node.forwarder.losses.all_rows()[0].request
         row = EngineLoss(digest, "elsewhere/1", "models-9", "models-9", 0.1, 0.0)
         self.node.forwarder.losses.ends.record_end("models-9", "models-9", self.node.now)
         self.node.forwarder.losses.apply_report((row,), self.node.now)
@@ -366,7 +366,7 @@
         sent = len(self.node.sent)
         self.node.begin("/once/x")
         self.assertEqual(len(self.node.state_requests), MAX_ENDED_ENGINES)
-        digest = next(iter(self.node.forwarder.losses._requests))
+        digest = self.node.forwarder.losses.all_rows()[0].request
         self.node.forwarder.losses.apply_report((EngineLoss(digest),), self.node.now)
         self.node.wait(0.3)
         self.assertEqual(len(self.node.sent), sent + 1)
--- a/tests/unit/losses/test_request_identity.py
+++ b/tests/unit/losses/test_request_identity.py
@@ -5,7 +5,7 @@
 import unittest
 
 from tests.unit.forwarding.support import Played
-from yokeline.losses.request_identity import is_shared
+from yokeline.losses.loss_keys import is_shared
 
 
 class RequestIdentity(unittest.TestCase):
