Count every attempt of a request without a program that nobody ever got an answer to

Callers saw up to 12 engines end under one call without a program whose attempts overlapped, were left or reached several nodes; the bound held only for attempts that followed each other.

Cause: losses whose nodes knew of equally many before counted once, since strangers may send the same call, and nobody told of such attempts under way.

One that is answered is judged as before; one that never was is judged as a request of a program: all ends and attempts under way count, and a send is claimed.

Three unit tests are changed. 'Strangers whose engines end together' asked that a call which nobody ever got an answer to is sent on after four engines have ended, which is the fault; it is answered first now, and another test asks that the one without an answer is not sent. The one on an earlier answer waits for the isolation of the third send. Six calls that a failed engine had are six different ones now, since one and the same would be looked up before it is sent again.

--- a/src/yokeline/losses/attempt_book.py
+++ b/src/yokeline/losses/attempt_book.py
@@ -245,7 +245,15 @@
 
         Attempts of such a request at a time say little about it.
         """
-        return is_shared(digest)
+        if not is_shared(digest):
+            return False
+        known = self._requests.get(digest)
+        losses = known.losses.values() if known is not None else ()
+        lost = [loss for loss in losses if loss.stage is not AttemptStage.CLOSED]
+        if any(loss.answered for loss in lost):
+            return True
+        first = min((loss.sent_at for loss in lost), default=float("inf"))
+        return self._answered.was_answered_before(digest, first)
 
     # ------------------------------------------------------------ records
 
--- a/src/yokeline/losses/engine_losses.py
+++ b/src/yokeline/losses/engine_losses.py
@@ -411,7 +411,10 @@
 
     def is_commonly_answered(self, exchange: Exchange) -> bool:
         """Return whether strangers send a request that engines answered before it lost any."""
-        return self._book.is_commonly_answered(self.key_of(exchange).digest)
+        digest = self.key_of(exchange).digest
+        if self.find(exchange) is not None:
+            return self._book.is_commonly_answered(digest)
+        return self._book.was_answered_before(digest, self._state.now)
 
     def news_due(self, exchange: Exchange, known: RequestLosses, judgement: Judgement) -> float:
         """Return when other nodes have told of their attempts of a request under way.
--- a/tests/unit/forwarding/test_cold_engines.py
+++ b/tests/unit/forwarding/test_cold_engines.py
@@ -102,7 +102,7 @@
             self.wait(step)
             self.confirm()
 
-    def call(self) -> list[Effect]:
+    def call(self, body: bytes = b"") -> list[Effect]:
         self.requests += 1
         fields = {
             "host": HOST,
@@ -115,6 +115,7 @@
                 method="POST",
                 path="/look/x",
                 target="/look/x",
+                body=body,
                 headers=fields,
                 header_items=tuple(fields.items()),
             )
@@ -208,8 +209,8 @@
         self.start_engine(0, 100)
         self.confirm()
         self.pass_time(0.2)
-        for _ in range(6):
-            self.call()
+        for number in range(6):
+            self.call(b"%d" % number)
         self.start_engine(1, 3000)
         sent = self.sends()
         self.assertEqual(len(sent), 6)
--- a/tests/unit/forwarding/test_engine_successors.py
+++ b/tests/unit/forwarding/test_engine_successors.py
@@ -63,6 +63,43 @@
         self.write("i-1", self.app(1, address=ADDRESS))
         self.assertEqual(self.lost_engines(), ["i-0"])
 
+    def test_an_attempt_that_is_left_after_its_successor_was_listed_counts(self) -> None:
+        """Guards against an end that was noticed before the attempt was left, and never told."""
+        self.write("i-0", self.app(born=FIRST_START_MS))
+        call = self.played.request("/look-twice/x", b"same", own_id="first", program_id="p")
+        self.write("i-1", self.app(1, address=ADDRESS, born=SECOND_START_MS))
+        self.assertEqual(self.lost_engines(), [])
+        self.played.now = self.now = self.now + 0.05
+        self.played.leave(call)
+        self.assertEqual(self.lost_engines(), [FIRST])
+
+    def test_a_call_at_an_ended_engine_goes_on_at_another_one(self) -> None:
+        """Guards against calls that wait on silent connections for their deadlines."""
+        self.write("i-0", self.app(born=FIRST_START_MS))
+        self.played.request("/look-twice/x", b"same", own_id="first", program_id="p")
+        self.write("i-1", self.app(1, address=ADDRESS, born=SECOND_START_MS))
+        self.assertEqual(len(self.played.sent), 1)
+        self.played.wait(0.3)
+        self.assertEqual(len(self.played.sent), 2)
+        self.assertEqual(self.played.replies, [])
+
+    def test_a_call_that_may_run_once_is_answered_when_its_engine_has_ended(self) -> None:
+        self.write("i-0", self.app(born=FIRST_START_MS))
+        self.played.request("/fix/x", b"same", own_id="first", program_id="p")
+        self.write("i-1", self.app(1, address=ADDRESS, born=SECOND_START_MS))
+        self.played.wait(0.15)
+        self.assertEqual(len(self.played.sent), 1)
+        self.assertEqual([reply.status for reply in self.played.replies], [502])
+
+    def test_an_answer_behind_the_end_of_its_engine_is_delivered(self) -> None:
+        self.write("i-0", self.app(born=FIRST_START_MS))
+        self.played.request("/fix/x", b"same", own_id="first", program_id="p")
+        self.write("i-1", self.app(1, address=ADDRESS, born=SECOND_START_MS))
+        self.played.wait(0.05)
+        self.played.engine_answers()
+        self.played.wait(0.15)
+        self.assertEqual([reply.status for reply in self.played.replies], [200])
+
     def test_an_engine_at_another_address_shows_nothing(self) -> None:
         self.write("i-0", self.app(born=FIRST_START_MS))
         self.leave_call("first")
--- a/tests/unit/losses/test_quarantine.py
+++ b/tests/unit/losses/test_quarantine.py
@@ -415,19 +415,36 @@
 
     def test_strangers_whose_engines_end_together_are_served(self) -> None:
         """Guards against a common request that is refused since several engines end at once."""
+        self.call_as_stranger()
+        self.node.engine_answers()
+        self.end_together()
+        sent = len(self.node.sent)
+        self.call_as_stranger()
+        self.assertEqual(len(self.node.sent), sent + 1)
+
+    def test_strangers_whose_request_nobody_answered_are_not_sent_on(self) -> None:
+        """Guards against attempts at a time that count as one: four engines ended, and one more."""
+        self.end_together()
+        sent = len(self.node.sent)
+        self.call_as_stranger()
+        self.node.wait(1.1)
+        self.assertEqual(len(self.node.sent), sent)
+        self.assertEqual(self.node.refusal, (NOT_RUN, QUARANTINED))
+
+    def end_together(self) -> None:
+        """End the engines of more attempts at one time than may be lost."""
+        first = len(self.node.sent)
         for _ in range(MAX_ENDED_ENGINES + 1):
             self.call_as_stranger()
-        ended = {self.node.engine_of(index) for index in range(len(self.node.sent))}
+        indexes = range(first, len(self.node.sent))
+        ended = {self.node.engine_of(index) for index in indexes}
         self.assertGreaterEqual(len(ended), MAX_ENDED_ENGINES)
         self.node.wait(0.1)
         for engine_id in ended:
             self.end_listed(engine_id)
-        for index in range(MAX_ENDED_ENGINES + 1):
+        for index in indexes:
             self.node.engine_breaks(index=index)
         self.node.wait(0.02)
-        sent = len(self.node.sent)
-        self.call_as_stranger()
-        self.assertEqual(len(self.node.sent), sent + 1)
 
     def test_strangers_are_served_as_soon_as_one_of_them_is_answered(self) -> None:
         for _ in range(2):
@@ -467,9 +484,9 @@
 
     def test_an_answer_to_a_stranger_that_was_sent_before_the_losses_clears_them(self) -> None:
         self.call_as_stranger()
-        for _ in range(2):
+        for seconds in (0.1, 1.05):
             self.call_as_stranger()
-            self.node.wait(0.1)
+            self.node.wait(seconds)
             self.end_under_stranger()
         self.node.engine_answers(index=0)
         sent = len(self.node.sent)
