Let other nodes keep the silent attempts of a node, and tell of them once it has gone

Callers saw one engine end under each of seven attempts whose nodes went while the engine was at work: killed (with and without a program), or as planned (5 with a program, 7 without).

Cause: an attempt is known to its node alone until a loss of its request is known, so a node that goes takes its attempts with it.

Change: every 0.25 s a node tells two others, one of its zone and one of another, of the attempts whose engine has been silent for 0.25 s and of those that were left. A node that is not heard for as long as a report counts has gone; its attempts are then treated as if the trustee had left them. Nothing is sent without such attempts. Generations of losses that an answer has cleared no longer count for attempts that were under way then, so that a call of strangers is not condemned after a second crash of all engines.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -43,6 +43,7 @@
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches, NearReplica
 from yokeline.ledger.messages import (
+    AttemptsEntrusted,
     ConfigurationAsk,
     ConfigurationProof,
     HistoryReply,
@@ -59,6 +60,7 @@
     TextStored,
 )
 from yokeline.ledger.operations import OperationResult
+from yokeline.losses.attempt_entrusting import AttemptEntrusting
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import (
@@ -156,6 +158,10 @@
         }
         self._loss_synchronization = forwarder.loss_synchronization
         self._loss_synchronization.start(now)
+        self._entrusting = AttemptEntrusting(forwarder.losses)
+        self._entrusting.trustees = self._load_reporter.trustees
+        self._entrusting.heard = self._load_reporter.heard_processes
+        self._entrusting.silent_seconds = lambda: engines.node_report_ttl
         self._loss_synchronization.has_others = lambda: self._load_reporter.has_peers
         self._loss_synchronization.hears_others = self._load_reporter.hears_others
         registry.ensure(node_key(record.name), encode_node(record))
@@ -225,6 +231,7 @@
                 now,
             )
         )
+        effects.extend(self._entrusting.tick(now))
         self._steps_begun = 2
         effects.extend(self._continue_stop(now))
         effects.extend(self._log_start_phases(now))
@@ -343,6 +350,8 @@
             return self._loss_synchronization.answer_query(event.sender, message, now)
         if isinstance(message, LossesReply):
             return self._loss_synchronization.apply_reply(event.sender, message, now)
+        if isinstance(message, AttemptsEntrusted):
+            return self._entrusting.take(event.sender, message, now)
         if isinstance(message, RegistryNews):
             changed, effects = self._registry_sync.apply_news(event.sender, message, now)
             max_change_age = self._max_change_age()
--- a/src/yokeline/forwarding/load_reporting.py
+++ b/src/yokeline/forwarding/load_reporting.py
@@ -219,6 +219,28 @@
         reports = self._engines.fresh_reports(now)
         return self._sort_by_distance([report for report in reports if report.watches])
 
+    def trustees(self, now: float) -> list[PeerNode]:
+        """Return the nodes that keep attempts of this one: the next of its zone, and of another.
+
+        The names of nodes decide, so that no node keeps those of many others.
+        """
+        zones = {record.name: record.zone for record in self._peers}
+        own = self._record.name
+        reports = sorted(
+            (item for item in self._engines.fresh_reports(now) if item.address is not None),
+            key=lambda item: (item.node < own, item.node),
+        )
+        by_zone: dict[bool, PeerNode] = {}
+        for report in reports:
+            is_near = zones.get(report.node) == self._record.zone
+            if is_near not in by_zone and report.address is not None:
+                by_zone[is_near] = PeerNode(report.process, report.address)
+        return list(by_zone.values())
+
+    def heard_processes(self, now: float) -> set[ReplicaId]:
+        """Return the processes of other nodes whose reports are fresh."""
+        return {report.process for report in self._engines.fresh_reports(now)}
+
     def _sort_by_distance(self, reports: list[LoadReport]) -> list[PeerNode]:
         zones = {record.name: record.zone for record in self._peers}
         reachable = [report for report in reports if report.address is not None]
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -8,7 +8,13 @@
 from yokeline.consensus.messages import RaftMessage
 from yokeline.effects import Address
 from yokeline.identifiers import NodeName, ReplicaId
-from yokeline.ledger.operations import EngineLoss, KeptTurn, Operation, OperationResult
+from yokeline.ledger.operations import (
+    EngineLoss,
+    EntrustedAttempt,
+    KeptTurn,
+    Operation,
+    OperationResult,
+)
 
 # ---------------------------------------------------------------- turns at engines
 
@@ -484,6 +490,12 @@
     is_informed: bool = False
 
 
+class AttemptsEntrusted(msgspec.Struct, frozen=True, kw_only=True, tag="attempts_entrusted"):
+    """The silent attempts of a forwarding node, in place of those that it told before."""
+
+    attempts: tuple[EntrustedAttempt, ...] = ()
+
+
 LedgerMessage = (
     LedgerRequest
     | PassedOnRequest
@@ -508,6 +520,7 @@
     | TextOfferReply
     | LossesQuery
     | LossesReply
+    | AttemptsEntrusted
 )
 
 
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -111,6 +111,19 @@
     answered: bool = False
 
 
+class EntrustedAttempt(msgspec.Struct, frozen=True, array_like=True):
+    """An attempt at an engine that another node keeps, in case that its own node goes.
+
+    Attributes:
+        line: The line under which a loss of the request is recorded.
+        retention: Seconds for which such a loss counts.
+    """
+
+    line: str
+    retention: float
+    attempt: EngineLoss
+
+
 class SideReport(msgspec.Struct, frozen=True, array_like=True):
     """What a node records and asks for beside a reservation, or without one.
 
--- a/src/yokeline/losses/attempt_book.py
+++ b/src/yokeline/losses/attempt_book.py
@@ -96,6 +96,19 @@
             self.publish(key, msgspec.structs.replace(attempt, stage=stage))
         return has_ended
 
+    def adopt(self, key: LossKey, attempt: Loss, now: float) -> None:
+        """Record an attempt that a node has left behind that has gone.
+
+        That node has told it already if it has the same id among the losses.
+        """
+        if self.told(key.digest, attempt.loss_id) is None:
+            self.left(key, attempt, now)
+
+    def left_attempts(self, now: float) -> list[LeftAttempt]:
+        """Return the attempts that were left at engines which may still end under them."""
+        self._left.expire(now - self.ends.detection_seconds)
+        return self._left.all()
+
     def closed(self, key: LossKey, loss_id: str, now: float) -> None:
         """Record that a told attempt is over and has lost no engine."""
         attempt = self.told(key.digest, loss_id)
@@ -229,10 +242,12 @@
 
         ``loss_id`` names the attempt that is to be sent; empty if it is not claimed.
         """
+        is_common = self.is_commonly_answered(digest)
         others = known.others(loss_id)
+        if is_common:
+            others = [_since_answer(loss, known.answered_at) for loss in others]
         views = {loss.instance: self._owner.view(loss.instance) for loss in others}
         fates = self.ends.fates(others, views, now)
-        is_common = self.is_commonly_answered(digest)
         judgement = judge_shared(others, fates) if is_common else judge_named(others, fates)
         return judgement if is_informed else judge_uninformed(judgement)
 
@@ -287,5 +302,10 @@
             self.publish(item.key, item.loss)
 
 
+def _since_answer(loss: Loss, answered_at: float) -> Loss:
+    """Return a loss without the generations before it that an answer has cleared since its send."""
+    return loss if loss.sent_at > answered_at else msgspec.structs.replace(loss, prior=0)
+
+
 def _ignore_digest(_digest: str) -> None:
     """Do nothing; the default callback."""
--- a/src/yokeline/losses/engine_losses.py
+++ b/src/yokeline/losses/engine_losses.py
@@ -31,6 +31,7 @@
     SideReport,
 )
 from yokeline.losses.attempt_book import MAX_REMEMBERED_REQUESTS, AttemptBook
+from yokeline.losses.attempt_custody import MAX_ENTRUSTED, SILENT_SECONDS
 from yokeline.losses.attempt_stages import AttemptStage
 from yokeline.losses.engine_fates import (
     NEWS_SECONDS,
@@ -210,6 +211,24 @@
             )
         return exchange.loss_key
 
+    def silent_attempts(self, now: float) -> list[LeftAttempt]:
+        """Return the attempts whose engines are silent for a while, and those that were left."""
+        self._state.now = now
+        found = self._book.left_attempts(now)
+        for exchange in self._state.by_engine_request.values():
+            if now - exchange.last_event_at >= SILENT_SECONDS:
+                attempt = self._attempt_of(exchange, AttemptStage.AT_ENGINE)
+                if attempt is not None:
+                    found.append(LeftAttempt(self.key_of(exchange), attempt))
+        return found[-MAX_ENTRUSTED:]
+
+    def adopt(self, attempts: list[LeftAttempt], now: float) -> list[Effect]:
+        """Record the attempts of a node that has gone, as if this node had left them."""
+        self._state.now = now
+        for item in attempts:
+            self._book.adopt(item.key, item.loss, now)
+        return self._state.outcomes.drain_effects()
+
     def _new_id(self) -> str:
         return f"{self._process}/{next(self._numbers)}"
 
@@ -220,7 +239,7 @@
         engine = exchange.engine.engine
         digest = self.key_of(exchange).digest
         return Loss(
-            loss_id=exchange.loss_id or self._new_id(),
+            loss_id=exchange.loss_id or f"{self._process}/{exchange.exchange_id}/{exchange.sends}",
             engine_id=engine.engine_id,
             instance=engine.instance,
             sent_at=exchange.sent_at,
--- a/src/yokeline/losses/left_attempts.py
+++ b/src/yokeline/losses/left_attempts.py
@@ -49,6 +49,10 @@
         """Remove and return the attempts of a request."""
         return [self._take(loss_id) for loss_id in list(self._by_digest.get(digest, ()))]
 
+    def all(self) -> list[LeftAttempt]:
+        """Return all attempts, the oldest first."""
+        return list(self._attempts.values())
+
     def expire(self, before: float) -> None:
         """Forget the attempts that were over before a time."""
         while self._attempts:
