Take the ends of requests and the admission before an exit out of the forwarder

request_ends.py ends requests at deadlines, as callers leave and before the exit; exit_admission.py refuses those that a planned stop would cut.

--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-import traceback
 from collections import Counter
 from collections.abc import Callable
 
@@ -39,11 +38,11 @@
 from yokeline.forwarding.engine_gauges import pace_gauges
 from yokeline.forwarding.engine_sender import EngineSender
 from yokeline.forwarding.engines import EngineTable
-from yokeline.forwarding.exchange import Exchange, Phase, StreamOrigin
+from yokeline.forwarding.exchange import Exchange, StreamOrigin
+from yokeline.forwarding.exit_admission import STOPPING, ExitAdmission
 from yokeline.forwarding.held_requests import HeldRequests
 from yokeline.forwarding.http_helpers import host_of
 from yokeline.forwarding.http_statuses import (
-    BAD_GATEWAY,
     BAD_REQUEST,
     GATEWAY_TIMEOUT,
     NOT_FOUND,
@@ -56,8 +55,9 @@
 from yokeline.forwarding.model import Call, Engine, Route, RouteKind, RoutingTable
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcome_recorder import OutcomeRecorder
-from yokeline.forwarding.planned_stop import PlannedStop, RequestTimes, stream_patience
+from yokeline.forwarding.planned_stop import PlannedStop
 from yokeline.forwarding.regional_turns import RegionalTurns
+from yokeline.forwarding.request_ends import RequestEnds
 from yokeline.forwarding.reservations import Reservations
 from yokeline.forwarding.residency import (
     CANNOT_KEEP_IN_REGIONS,
@@ -87,11 +87,6 @@
 from yokeline.scheduling.retry_delays import RefusedCaller, retry_delay_after_outage
 
 NO_ADDRESS = Address("", 0)
-DEADLINE_RETRY_AFTER_SECONDS = 0.1
-STOPPING = "stopping"
-"""Why a request is refused or ended by a planned stop."""
-MAX_OPEN_REQUEST_LINES = 100
-"""Requests that are logged one by one when the process exits."""
 RESTART_DETECTION_SECONDS = WATCH_SECONDS
 """Time for which a node may not know that an engine has restarted, and send to the new incarnation
 under the id of the previous one."""
@@ -180,6 +175,8 @@
             self._losses,
             dialect,
         )
+        self._ends = RequestEnds(self._state, self._sender, self._responder, self._losses)
+        self._exit_admission = ExitAdmission(self._state)
         self._tenant_limits = TenantLimits(
             self._state, ledger, self._responder, self._enqueue_and_dispatch
         )
@@ -267,6 +264,13 @@
         """Actual waits of requests that were served after waiting for capacity."""
         return self._state.room_waits
 
+    def answer_all(self, now: float) -> list[Effect]:
+        """Give each open request its final answer, since the process is about to exit."""
+        self._state.now = now
+        self.refusing = True
+        self._process_held()
+        return self._ends.answer_all()
+
     def engine_gauges(self) -> dict[str, float]:
         """Return the gauges of the engines whose pace deviates most from their pool's."""
         return pace_gauges(self._state.engines, self._state.now)
@@ -378,21 +382,7 @@
 
     def log_open_requests(self, event: str) -> list[Effect]:
         """Return a log line for each request without a final answer, up to a bound."""
-        for exchange in list(self._state.exchanges.values())[:MAX_OPEN_REQUEST_LINES]:
-            self._outcomes.log(
-                event,
-                exchange,
-                level="warning",
-                connection_exchange=exchange.exchange_id,
-                phase=exchange.phase.value,
-                engine=exchange.engine.engine.engine_id if exchange.engine else "",
-                sends=exchange.sends,
-                runs=exchange.possible_runs,
-                events=exchange.relayed_events,
-                seconds=round(self._state.now - exchange.arrived_at, 4),
-                deadline_in=round(exchange.deadline - self._state.now, 4),
-            )
-        return self._outcomes.drain_effects()
+        return self._ends.log_open_requests(event)
 
     def share_levels(self) -> dict[str, float]:
         """Return the slots per unit of weight of pools short of slots, from the leader."""
@@ -450,7 +440,7 @@
         self._held.remove(exchange_id)
         exchange = self._state.exchanges.get(exchange_id)
         if exchange is not None:
-            self._abandon(exchange)
+            self._ends.abandon(exchange)
         return self._dispatch_and_drain()
 
     def handle_engine_event(
@@ -518,7 +508,7 @@
             self._outcomes.refuse_unadmitted(event, BAD_REQUEST, parsed.failure().message)
             return
         call = parsed.unwrap()
-        if self._refuse_before_exit(event, route, call, arrived_at):
+        if self._exit_admission.refuse(self.planned_stop, event, route, call, arrived_at):
             return
         lease_state = self.lease_state(self._state.now)
         admitted = admit(
@@ -538,39 +528,6 @@
         exchange = self._open(event, call, table, route, admitted, arrived_at)
         self._begin(exchange)
 
-    def _refuse_before_exit(
-        self, event: HttpArrived, route: Route, call: Call, arrived_at: float
-    ) -> bool:
-        """Refuse a request that cannot be expected to end before a planned stop does.
-
-        Returns:
-            Whether it was refused.
-        """
-        stop, now = self.planned_stop, self._state.now
-        if stop is None or not stop.is_requested:
-            return False
-        known = self._state.route_durations.find(route.name)
-        is_stream = route.kind is RouteKind.STREAMING
-        times = RequestTimes(
-            longest=arrived_at + min(call.deadline, route.timeout) - now,
-            typical=known.mean if known is not None else None,
-            high=known.high if known is not None else None,
-            patience=stream_patience(route.target_latency) if is_stream else 0.0,
-        )
-        if stop.may_begin(times, now):
-            return False
-        self._outcomes.refuse_unadmitted(
-            event,
-            UNAVAILABLE,
-            STOPPING,
-            retry_after=stop.retry_after(now),
-            stopping_for=round(stop.elapsed(now), 3),
-            longest=round(times.longest, 3),
-            typical=_rounded(times.typical),
-            high=_rounded(times.high),
-        )
-        return True
-
     def _refuse_unconfigured(self, event: HttpArrived) -> None:
         """Refuse a request that arrived before the node had a configuration."""
         parsed = self._dialect.parse_call(event)
@@ -655,7 +612,7 @@
             last_event_id=call.last_event_id,
         )
         self._state.exchanges[event.exchange] = exchange
-        self._state.schedule(exchange, exchange.deadline, self._deadline_reached)
+        self._ends.schedule_deadline(exchange)
         return exchange
 
     def _refuse_by_residency(self, exchange: Exchange) -> bool:
@@ -735,68 +692,6 @@
     def _is_at_deadline(self, exchange: Exchange) -> bool:
         return self._state.now >= exchange.deadline - DEADLINE_TOLERANCE_SECONDS
 
-    # ------------------------------------------------------------ deadlines and disconnects
-
-    def _deadline_reached(self, exchange: Exchange) -> None:
-        """End a request at its deadline or the timeout of its route."""
-        try:
-            if self._leave_engine(exchange):
-                self._responder.time_out(exchange)
-            elif not exchange.has_ended:
-                self._responder.refuse(
-                    exchange, UNAVAILABLE, "deadline", retry_after=DEADLINE_RETRY_AFTER_SECONDS
-                )
-        finally:
-            # After a fault nothing else ends it; the process answers what is not known here.
-            self._state.exchanges.pop(exchange.exchange_id, None)
-
-    def answer_all(self, now: float) -> list[Effect]:
-        """Give each open request its final answer, since the process is about to exit.
-
-        A request that no engine can have run is refused, any other one fails, and a stream that
-        has begun is aborted.
-        """
-        self._state.now = now
-        self.refusing = True
-        self._process_held()
-        for exchange in list(self._state.exchanges.values()):
-            try:
-                self._answer_finally(exchange)
-            except Exception:  # a fault at one request must not leave the others without an answer
-                self._state.exchanges.pop(exchange.exchange_id, None)
-                trace = traceback.format_exc()
-                self._outcomes.log("final_answer_fault", exchange, level="error", trace=trace)
-                self._outcomes.reply_error(
-                    exchange.exchange_id, exchange.call.request_id, BAD_GATEWAY, STOPPING
-                )
-        return self._outcomes.drain_effects()
-
-    def _answer_finally(self, exchange: Exchange) -> None:
-        if self._leave_engine(exchange):
-            self._responder.fail(exchange, STOPPING)
-        elif not exchange.has_ended:
-            self._responder.refuse(exchange, UNAVAILABLE, STOPPING, retry_after=0.0)
-
-    def _leave_engine(self, exchange: Exchange) -> bool:
-        """Cancel a request that is to end; return whether it is open and may have been run."""
-        was_sent = exchange.engine_request_id is not None
-        if was_sent:
-            self._losses.leave(exchange)
-            self._sender.cancel(exchange)
-        may_have_run = was_sent or exchange.possible_runs or exchange.first_event_at is not None
-        return bool(may_have_run) and not exchange.has_ended
-
-    def _abandon(self, exchange: Exchange) -> None:
-        """Cancel the request of a disconnected caller; a non-retryable call runs to its end."""
-        if exchange.engine_request_id is not None:
-            if not exchange.route.is_retryable and exchange.route.kind is not RouteKind.STREAMING:
-                return
-            self._losses.leave(exchange)
-            self._sender.cancel(exchange)
-        if exchange.phase is Phase.KEEPING:
-            return
-        self._responder.abandon(exchange)
-
 
 def _always_valid(_now: float) -> LeaseState:
     """Return a valid lease; the default if no lease is needed."""
@@ -808,10 +703,6 @@
     return 0.0
 
 
-def _rounded(seconds: float | None) -> float | None:
-    return round(seconds, 3) if seconds is not None else None
-
-
 def _rounded_age(seconds: float) -> float | None:
     """Return an age for the log; None if it is infinite."""
     return round(seconds, 3) if math.isfinite(seconds) else None
