--- a/src/yokeline/losses/request_losses.py
+++ b/src/yokeline/losses/request_losses.py
@@ -120,10 +120,12 @@
 
     ended = generations(of(LossFate.ENDED))
     at_work = of(LossFate.UNDER_WAY)
-    # An engine that runs on after a loss may still end under it.
     lost_at_work = [loss for loss in at_work if loss.stage is AttemptStage.LOST]
     under_way = [loss for loss in at_work if loss.stage is not AttemptStage.LOST]
-    possible = generations([*of(LossFate.ENDED, LossFate.UNKNOWN), *lost_at_work])
+    # An engine that runs on after a loss may still end under it. Without any possible end they are
+    # engines that are late, and a common request is served beside them.
+    possible_ends = of(LossFate.ENDED, LossFate.UNKNOWN)
+    possible = generations([*possible_ends, *lost_at_work]) if possible_ends else []
     is_suspect = len(possible) >= MAX_ENDED_ENGINES - MAX_CLAIMS_OF_SHARED_REQUEST
     counted = [*possible, *under_way] if is_suspect else possible
     if len(ended) >= MAX_ENDED_ENGINES:
--- a/tests/unit/losses/test_request_losses.py
+++ b/tests/unit/losses/test_request_losses.py
@@ -33,6 +33,10 @@
         verdict = self.judge(LossFate.UNDER_WAY, LossFate.ENDED, LossFate.UNKNOWN)
         self.assertIs(verdict, Verdict.LOOK_UP)
 
+    def test_late_engines_that_all_run_on_hold_nobody_up(self) -> None:
+        """Guards against refusals of a call that engines answer, beside calls that are late."""
+        self.assertIs(self.judge(*[LossFate.UNDER_WAY] * 3), Verdict.RUN)
+
     def test_engines_that_have_survived_do_not_count(self) -> None:
         self.assertIs(
             self.judge(LossFate.SURVIVED, LossFate.ENDED, LossFate.UNKNOWN), Verdict.ISOLATE
