--- a/src/yokeline/losses/attempt_custody.py
+++ b/src/yokeline/losses/attempt_custody.py
@@ -18,6 +18,8 @@
 from yokeline.losses.request_losses import loss_of, row_of
 
 ENTRUST_INTERVAL_SECONDS = 0.25
+REPEAT_SECONDS = 1.0
+"""Time after which the same attempts are told again, since a message may have been lost."""
 SILENT_SECONDS = 0.25
 """Silence of its engine after which an attempt is entrusted to other nodes. Most engines answer or
 send their next event sooner."""
--- a/src/yokeline/losses/attempt_entrusting.py
+++ b/src/yokeline/losses/attempt_entrusting.py
@@ -8,8 +8,10 @@
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.client import PeerNode
 from yokeline.ledger.messages import AttemptsEntrusted
+from yokeline.ledger.operations import EntrustedAttempt
 from yokeline.losses.attempt_custody import (
     ENTRUST_INTERVAL_SECONDS,
+    REPEAT_SECONDS,
     AttemptCustody,
     entrusted_attempt,
 )
@@ -34,6 +36,8 @@
         self._custody = AttemptCustody()
         self._next = float("-inf")
         self._trustees: tuple[PeerNode, ...] = ()
+        self._told: frozenset[str] = frozenset()
+        self._told_at = float("-inf")
 
     def tick(self, now: float) -> list[Effect]:
         """Tell other nodes of the silent attempts, and adopt those of nodes that have gone."""
@@ -44,12 +48,21 @@
         attempts = tuple(entrusted_attempt(item, now) for item in self._losses.silent_attempts(now))
         trustees = tuple(self.trustees(now)) if attempts else ()
         released = [node for node in self._trustees if node not in trustees]
-        self._trustees = trustees
-        return [
-            *effects,
-            *_tell(trustees, AttemptsEntrusted(attempts=attempts)),
-            *_tell(released, AttemptsEntrusted()),
-        ]
+        effects.extend(_tell(released, AttemptsEntrusted()))
+        if self._is_news(attempts, trustees, now):
+            effects.extend(_tell(trustees, AttemptsEntrusted(attempts=attempts)))
+        return effects
+
+    def _is_news(
+        self, attempts: Sequence[EntrustedAttempt], trustees: tuple[PeerNode, ...], now: float
+    ) -> bool:
+        """Return whether there is more to tell than lately; note that it is told."""
+        told = frozenset(item.attempt.loss_id for item in attempts)
+        is_same = told == self._told and trustees == self._trustees
+        if is_same and now - self._told_at < REPEAT_SECONDS:
+            return False
+        self._told, self._trustees, self._told_at = told, trustees, now
+        return True
 
     def take(self, sender: ReplicaId, message: AttemptsEntrusted, now: float) -> list[Effect]:
         """Keep the attempts of another node."""
