Let an end of an assumed time explain later attempts at the same start of an engine

Cause: a node that has started since the end asks the engine for its state, and took the time of the loss that it asked for as that of the end. An attempt of another request that had been sent there later was not explained by it, and counted as survived once its time was over.

Change: the time is assumed for the loss that was asked for; the start of the engine may have run until then for any other one. A unit test fails without the change.

--- a/src/yokeline/losses/engine_fates.py
+++ b/src/yokeline/losses/engine_fates.py
@@ -106,12 +106,14 @@
         is_confirmed: Whether it is more than that its entry has gone; the engine may run on.
         unseen_since: From when on the node could not have noticed it earlier, since its view of
             the engines stood still.
+        latest: Until when the incarnation may have run, if ``at`` is only assumed.
     """
 
     engine_id: str
     at: float
     is_confirmed: bool = True
     unseen_since: float = float("inf")
+    latest: float = float("-inf")
 
     @property
     def earliest(self) -> float:
@@ -169,6 +171,12 @@
         """
         return self._record(engine_id, instance, now, is_confirmed=True, unseen_since=unseen_since)
 
+    def record_latest(self, engine_id: str, instance: str, latest: float) -> None:
+        """Record until when an incarnation may have run whose time of end is only assumed."""
+        for end in self._ends.get(instance, ()):
+            if end.engine_id == engine_id:
+                end.latest = max(end.latest, latest)
+
     def _record(
         self,
         engine_id: str,
@@ -269,7 +277,9 @@
         """Return whether an engine may have ended under an attempt, or shortly after."""
         if self._is_earlier(end.engine_id, loss.engine_id, loss.instance):
             return False
-        return loss.sent_at <= end.at and end.earliest <= self._noticed_by(loss)
+        may_have_run = end.engine_id == loss.engine_id and loss.sent_at <= end.latest
+        is_before = loss.sent_at <= end.at or may_have_run
+        return is_before and end.earliest <= self._noticed_by(loss)
 
     def _is_earlier(self, engine_id: str, other_id: str, instance: str) -> bool:
         """Return whether an incarnation started before another one; false if that is not known."""
--- a/src/yokeline/losses/engine_losses.py
+++ b/src/yokeline/losses/engine_losses.py
@@ -503,6 +503,8 @@
         at = now if is_listed else min(now, loss.lost_at)
         since = min(at, loss.lost_at)
         left = self._book.ended(loss.engine_id, loss.instance, at, unseen_since=since)
+        # Attempts of other requests may have been sent there after this loss.
+        self.ends.record_latest(loss.engine_id, loss.instance, now)
         self._log_end(loss.engine_id, left, is_confirmed=True)
 
     def _log_end(self, engine_id: str, left: int | None, *, is_confirmed: bool) -> None:
--- a/tests/unit/losses/test_engine_fates.py
+++ b/tests/unit/losses/test_engine_fates.py
@@ -125,6 +125,19 @@
         other = EngineView(current_id="e@2", is_registered=True, is_current=True)
         self.assertEqual(self.fates(losses, other, 12.0), [ENDED])
 
+    def test_an_end_whose_time_is_assumed_explains_a_later_attempt_there(self) -> None:
+        """Guards against a survivor by the loss of another request (soak of stopping nodes).
+
+        A node that started since asked an engine for its state, and took the time of an earlier
+        loss for that of the end.
+        """
+        self.ends.record_end("e@1", "e", 100.0, unseen_since=100.0)
+        late = self.loss(103.0)
+        view = EngineView(current_id="", is_registered=False, is_current=True)
+        self.assertEqual(self.fates([late], view, 120.0), [LossFate.SURVIVED])
+        self.ends.record_latest("e@1", "e", 120.0)
+        self.assertEqual(self.fates([late], view, 120.0), [LossFate.ENDED])
+
     def test_an_engine_that_answers_as_itself_has_survived(self) -> None:
         losses = [self.loss(10.0), self.loss(10.2)]
         self.ends.record_alive("e@1", 10.1)
