--- a/review/7/case.py
+++ b/review/7/case.py
@@ -145,4 +145,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, play))
+    sys.exit(run_case(Path(sys.argv[1]), play))
--- a/review/support_2.py
+++ b/review/support_2.py
@@ -24,7 +24,8 @@
 from tests.processes.platform import deployment
 from tests.processes.platform.deployment import CALLER_HOST, Deployment, RoleProcess
 
-BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
+BROKEN, HELD, COULD_NOT_RUN = 3, 0, 2
+"""Exit codes of a case; its run.sh turns the first into 1, with which Python ends at an error."""
 LONGEST_SECONDS = 116
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMITS = {
@@ -43,8 +44,8 @@
 class Record:
     """Writes what was sent, answered and run, with the seconds since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w")
         self._lock = threading.Lock()
         self._began = time.monotonic()
 
@@ -80,10 +81,10 @@
 
 
 class SmallDeployment(Deployment):
-    """Three storage nodes and two edges, with the settings of a small site."""
+    """Three storage nodes and two edges, with the settings of condor-yokeline."""
 
-    edge_memory_mb = 260
-    storage_memory_mb = 260
+    edge_memory_mb = 150
+    storage_memory_mb = 160
 
     def region_settings(self, name: str) -> list[str]:
         """Return further lines of a node's settings."""
@@ -156,6 +157,14 @@
     return 0.0
 
 
+def peak_mb(process: RoleProcess) -> int:
+    """Return the most memory that a process has had resident."""
+    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) // 1024
+    return 0
+
+
 @contextmanager
 def bounded() -> Iterator[None]:
     """Raise CaseTimeout before the time of a case is over, so that its processes are ended."""
@@ -172,10 +181,10 @@
         signal.alarm(0)
 
 
-def run_case(folder: Path, play: Callable[[Record], bool]) -> int:
-    """Play a case, which returns whether the rule held; return the exit code."""
+def run_case(path: Path, play: Callable[[Record], bool]) -> int:
+    """Play a case, which returns whether the rule held, with its record at ``path``."""
     deployment.RoleProcess = DeployedRole  # type: ignore[misc]
-    record = Record(folder)
+    record = Record(path)
     record("with the disruption" if HAS_TROUBLE else "without the disruption")
     try:
         with bounded():
