--- a/review/support_2.py
+++ b/review/support_2.py
@@ -25,7 +25,7 @@
 from tests.processes.platform.deployment import CALLER_HOST, Deployment, RoleProcess
 
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
-LONGEST_SECONDS = 115
+LONGEST_SECONDS = 116
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMITS = {
     "max-header-bytes": 16384,
@@ -36,6 +36,10 @@
 """Limits as in the example of a configuration that ``fleetbench wire`` prints."""
 
 
+class CaseTimeout(BaseException):
+    """The time of a case is over, or it was asked to end."""
+
+
 class Record:
     """Writes what was sent, answered and run, with the seconds since the start."""
 
@@ -154,12 +158,13 @@
 
 @contextmanager
 def bounded() -> Iterator[None]:
-    """Raise TimeoutError before the time of a case is over."""
+    """Raise CaseTimeout before the time of a case is over, so that its processes are ended."""
 
-    def expire(_number: int, _frame: FrameType | None) -> None:
-        raise TimeoutError("the case takes too long")
+    def expire(number: int, _frame: FrameType | None) -> None:
+        raise CaseTimeout(f"signal {number}")
 
     signal.signal(signal.SIGALRM, expire)
+    signal.signal(signal.SIGTERM, expire)
     signal.alarm(LONGEST_SECONDS)
     try:
         yield
@@ -175,7 +180,7 @@
     try:
         with bounded():
             has_held = play(record)
-    except Exception as error:  # whatever stopped the case, the rule was not judged
+    except (Exception, CaseTimeout) as error:  # whatever stopped the case, the rule was not judged
         record(f"could not run: {error!r}")
         return COULD_NOT_RUN
     record("the rule held" if has_held else "the rule is broken")
