--- a/tests/processes/platform/cut_connections.py
+++ b/tests/processes/platform/cut_connections.py
@@ -42,7 +42,7 @@
     sock.close()
 
 
-class _Listener:
+class Listener:
     """Serves each connection in a thread until it is closed."""
 
     def __init__(self, serve: Callable[[socket.socket], None]) -> None:
@@ -84,7 +84,7 @@
         self.answer = b""
         self.cut = Cut(0)
         self.requests: list[bytes] = []
-        self._listener = _Listener(self._serve)
+        self._listener = Listener(self._serve)
         self.port = self._listener.port
 
     def close(self) -> None:
@@ -113,7 +113,7 @@
         self.cut: Callable[[], Cut] | None = None
         self.cuts = 0
         self._target_port = target_port
-        self._listener = _Listener(self._serve)
+        self._listener = Listener(self._serve)
         self.port = self._listener.port
 
     def close(self) -> None:
--- a/tests/processes/platform/deployment.py
+++ b/tests/processes/platform/deployment.py
@@ -209,6 +209,9 @@
         listed_versions: Sequence[str] | None = None,
         has_links: bool = False,
         grace_seconds: float = 6,
+        edge_memory_mb: int = 0,
+        storage_memory_mb: int = 0,
+        edge_descriptors: int = 0,
     ) -> None:
         """Prepare a deployment.
 
@@ -217,8 +220,11 @@
         spread over ``zones``, and run ``versions`` of their software in turn. Engines of other than
         ``listed_versions`` have no entry until they are listed; by default all have one. With
         ``has_links`` each link between two nodes can be cut. ``grace_seconds`` is the time that a
-        node has to stop.
+        node has to stop. Nodes are told the memory and the descriptors that they may use, unless
+        these are 0.
         """
+        self._memory_mb = {"edge": edge_memory_mb, "storage": storage_memory_mb}
+        self._edge_descriptors = edge_descriptors
         self._has_links = has_links
         self.grace_seconds = grace_seconds
         self._cold_rate = cold_rate
@@ -545,6 +551,10 @@
             f"evacuation_ms = {self._evacuation_seconds * 1000}",
             "a_field_of_later = 1",
         ]
+        if self._memory_mb[role]:
+            lines.append(f"memory_mb = {self._memory_mb[role]}")
+        if role == "edge" and self._edge_descriptors:
+            lines.append(f"max_descriptors = {self._edge_descriptors}")
         if role == "edge":
             front, ready = next(self._ports), next(self._ports)
             self.fronts.append(self.published(name, front))
--- a/tests/processes/platform/raw_callers.py
+++ b/tests/processes/platform/raw_callers.py
@@ -38,10 +38,18 @@
 
 
 def ask_raw(
-    port: int, path: str, request_id: str, fields: dict[str, str], *, version: str = "1.1"
+    port: int,
+    path: str,
+    request_id: str,
+    fields: dict[str, str],
+    *,
+    version: str = "1.1",
+    body: bytes = b"",
 ) -> RawAnswer:
     """Send a request on a connection of its own and read until that ends.
 
+    Without a ``body`` the request has a short one that names its id.
+
     Raises:
         OSError: There is no connection, or it neither ends nor brings anything for a time.
     """
@@ -52,7 +60,7 @@
         **fields,
         "Connection": "close",
     }
-    body = f"input-{request_id}".encode()
+    body = body or f"input-{request_id}".encode()
     head = [
         f"POST {path} HTTP/{version}",
         *(f"{name}: {value}" for name, value in all_fields.items()),
