Take an answer for whole only if its connection ended in the orderly way

Callers got a part of an answer as a whole 200: an engine answered a long upload at once, without a length, sent two bytes of four and reset the connection (or closed it with the upload unread, which resets it too) while the upload was still being written.

Cause: the write that met the reset took the error of the socket and swallowed it. The kernel tells it once, so the next read returned no bytes and looked like an orderly end, which is the end of a body without a length. An end that comes while bytes of the request are unsent looked orderly too.

The connection now remembers that a write failed, and gives that as the reason of the end; only an end after all that was written had been taken counts as orderly. Answers that are whole by their length or their last chunk are passed on as before.

--- a/src/yokeline/node/connection.py
+++ b/src/yokeline/node/connection.py
@@ -20,6 +20,7 @@
 CONNECTION_REFUSED = f"{CANNOT_CONNECT}: ECONNREFUSED"
 """Reason of a failure: no process listens at the address."""
 CLOSED_BY_PEER = "closed by the other end"
+"""Reason of an orderly end: all that was written had been taken before the other end closed."""
 _INT_BYTES = struct.calcsize("i")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _NO_LINGER = struct.pack("ii", 0, 0)
@@ -85,7 +86,7 @@
         self._reading = not connecting
         self._writing = connecting
         self._discarding = False
-        self._sending_broken = False
+        self._send_error = ""
         self._finish_after_output = False
         self._resets_on_close = False
         self._is_aborted = False
@@ -142,7 +143,7 @@
         """Send bytes at the end of this turn of the loop."""
         if self.closed or not data:
             return
-        if self._sending_broken:
+        if self._send_error:
             return
         self._pending.append(data)
         self._pending_bytes += len(data)
@@ -255,10 +256,18 @@
             self._fail(f"receive failed: {_name(error)}")
             return
         if not data:
-            self._fail(CLOSED_BY_PEER)
+            self._fail(self._end_of_input())
         elif not self._discarding:
             self._owner.data_received(data)
 
+    def _end_of_input(self) -> str:
+        """Return why nothing more can be read."""
+        if self._send_error:
+            return f"send failed: {self._send_error}"
+        if self._pending_bytes:
+            return "closed by the other end before it had taken all that was sent"
+        return CLOSED_BY_PEER
+
     def _send(self) -> None:
         if len(self._pending) == 1 and not self._unsent:
             self._unsent = memoryview(self._pending[0])
@@ -269,8 +278,8 @@
             self._send_some()
         except (BlockingIOError, InterruptedError):
             pass
-        except OSError:
-            self._stop_sending()
+        except OSError as error:
+            self._stop_sending(_name(error))
             return
         if self._unsent:
             self._set_interest(reading=self._reading, writing=True)
@@ -278,12 +287,16 @@
         self._set_interest(reading=self._reading, writing=False)
         self._output_sent()
 
-    def _stop_sending(self) -> None:
-        """Drop all output; the end, or an answer sent before it, is still to be read."""
+    def _stop_sending(self, error: str) -> None:
+        """Drop all output; the end, or an answer sent before it, is still to be read.
+
+        The kernel tells the error of a reset connection once, here. What is read afterwards ends as
+        if the other end had closed in the orderly way.
+        """
         self._pending.clear()
         self._unsent = memoryview(b"")
         self._pending_bytes = 0
-        self._sending_broken = True
+        self._send_error = error
         self._set_interest(reading=True, writing=False)
 
     def _send_some(self) -> None:
--- a/tests/processes/platform/test_early_answers.py
+++ b/tests/processes/platform/test_early_answers.py
@@ -88,7 +88,8 @@
 
     def ask(self, path: str) -> RawAnswer:
         name = f"r{next(self.numbers)}"
-        return ask_raw(self.deployment.fronts[0], path, name, {}, body=UPLOAD)
+        fields = {"X-Yokeline-Program-Id": f"p-{name}", "X-Yokeline-Session-Id": name}
+        return ask_raw(self.deployment.fronts[0], path, name, fields, body=name.encode() + UPLOAD)
 
     def assert_none_looks_whole(self, answer: bytes, *, resets: bool) -> None:
         for engine in self.engines:
