Report answers that are cut to users of the command line

Users got a part of an answer as a whole one where the connection ended inside its body: a list of a length that had not come, or a stream of events without its last chunk.

Cause: http.client tells a missing rest only to who reads the whole body. Reading at most some bytes, or line by line, ends as if the body had. After the last bytes the client now reads once more, which raises if the body is not complete; the following of a run reconnects then, as for any broken stream.

--- a/src/yokeline/commands/client.py
+++ b/src/yokeline/commands/client.py
@@ -82,6 +82,8 @@
         try:
             response = self._send(connection, method, path, query, body, headers)
             data = response.read(MAX_ANSWER_BYTES)
+            if len(data) < MAX_ANSWER_BYTES:
+                _check_whole(response)
             fields = {name.lower(): value for name, value in response.getheaders()}
             return Reply(status=response.status, headers=fields, body=data)
         except (OSError, http.client.HTTPException) as error:
@@ -125,6 +127,7 @@
                 reply = Reply(status=response.status, headers={}, body=response.read())
                 raise YokelineException(error_of(reply))
             yield from parse_events(response)
+            _check_whole(response)
         except (OSError, http.client.HTTPException) as error:
             raise YokelineException(_lost(self.url, error)) from error
         finally:
@@ -167,6 +170,17 @@
         return connection.getresponse()
 
 
+def _check_whole(response: http.client.HTTPResponse) -> None:
+    """Check that a response that gives no more bytes has come whole.
+
+    Reading a part or a line tells the end of the connection as it tells the end of the body.
+
+    Raises:
+        http.client.IncompleteRead: The connection ended inside the body.
+    """
+    response.read()
+
+
 def path_of(*segments: str) -> str:
     """Return a path of segments, each percent-encoded."""
     return "/" + "/".join(quote(segment, safe="") for segment in segments)
