Tell users of the command line when a stream of events is cut

After the lines of a response have ended, http.client has closed it and reads no more, so a second read told nothing. The client now reads pieces, which raise for a missing last chunk, and compares the rest of the length.

--- a/src/yokeline/commands/client.py
+++ b/src/yokeline/commands/client.py
@@ -126,8 +126,7 @@
             if response.status >= ERROR_STATUS:
                 reply = Reply(status=response.status, headers={}, body=response.read())
                 raise YokelineException(error_of(reply))
-            yield from parse_events(response)
-            _check_whole(response)
+            yield from parse_events(_lines(response))
         except (OSError, http.client.HTTPException) as error:
             raise YokelineException(_lost(self.url, error)) from error
         finally:
@@ -170,15 +169,28 @@
         return connection.getresponse()
 
 
+def _lines(response: http.client.HTTPResponse) -> Iterator[bytes]:
+    """Yield the lines of a response's body as they come.
+
+    Raises:
+        http.client.IncompleteRead: The connection ended inside the body.
+    """
+    rest = b""
+    # Iterating over the response, or readline, would end silently where its last chunk is missing.
+    while piece := response.read1():
+        *lines, rest = (rest + piece).split(b"\n")
+        yield from lines
+    _check_whole(response)
+
+
 def _check_whole(response: http.client.HTTPResponse) -> None:
     """Check that a response that gives no more bytes has come whole.
 
-    Reading a part or a line tells the end of the connection as it tells the end of the body.
-
     Raises:
-        http.client.IncompleteRead: The connection ended inside the body.
+        http.client.IncompleteRead: The connection ended before the body had its length.
     """
-    response.read()
+    if response.length:
+        raise http.client.IncompleteRead(b"", response.length)
 
 
 def path_of(*segments: str) -> str:
@@ -186,7 +198,7 @@
     return "/" + "/".join(quote(segment, safe="") for segment in segments)
 
 
-def parse_events(lines: Iterator[bytes] | http.client.HTTPResponse) -> Iterator[ServerSentEvent]:
+def parse_events(lines: Iterator[bytes]) -> Iterator[ServerSentEvent]:
     """Yield server-sent events from the lines of a stream; comments are skipped."""
     identity = ""
     kind = ""
