Free what a connection held as soon as it ends

The memory of a forwarding node grew with the number of requests that had been cut off, not with what was open: 240 requests of 4 MiB that were held just short of their end, a quarter of them at a time, took 484 MB, and none was given back after all had closed.

Cause: a connection and its owner refer to each other, so both, with the pieces of the body and the unsent output, lived until a full garbage collection, which counts objects and not bytes. The connection now drops its output and its owner when it closes; a request that is not read any further drops its pieces, also while its refusal is being sent.

What is left is a bound of 64 MiB that knows no memory_mb.

--- a/src/yokeline/node/connection.py
+++ b/src/yokeline/node/connection.py
@@ -54,6 +54,22 @@
         ...
 
 
+class _NoOwner:
+    """Owner of a closed connection: nobody is told anything."""
+
+    def connection_made(self) -> None:
+        """Do nothing."""
+
+    def data_received(self, data: bytes) -> None:
+        """Do nothing."""
+
+    def connection_lost(self, reason: str) -> None:
+        """Do nothing."""
+
+
+_NO_OWNER = _NoOwner()
+
+
 class Connection:
     """A TCP connection that sends all output of a loop turn with one call.
 
@@ -180,10 +196,16 @@
         self._set_interest(reading=True, writing=self._writing)
 
     def close(self) -> None:
-        """Close at once; unsent output is lost and the owner is not told."""
+        """Close at once; unsent output is lost and the owner is not told.
+
+        What the connection holds is freed here: a cycle of references to its owner would keep the
+        buffers of both until a full garbage collection.
+        """
         if not self.closed:
             self.closed = True
             self._poller.retire(self._sock)
+            self._drop_output()
+            self._owner = _NO_OWNER
 
     def reset_on_close(self) -> None:
         """Reset the connection however it ends, the process's death included.
@@ -293,11 +315,14 @@
         The kernel tells the error of a reset connection once, here. What is read afterwards ends as
         if the other end had closed in the orderly way.
         """
+        self._drop_output()
+        self._send_error = error
+        self._set_interest(reading=True, writing=False)
+
+    def _drop_output(self) -> None:
         self._pending.clear()
         self._unsent = memoryview(b"")
         self._pending_bytes = 0
-        self._send_error = error
-        self._set_interest(reading=True, writing=False)
 
     def _send_some(self) -> None:
         if not self._unsent:
@@ -332,8 +357,9 @@
 
     def _fail(self, reason: str) -> None:
         if not self.closed:
+            owner = self._owner
             self.close()
-            self._owner.connection_lost(reason)
+            owner.connection_lost(reason)
 
 
 def _name(error: OSError) -> str:
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -120,6 +120,7 @@
         self._pacer.stop()
         self._server.forget(self)
         self._phase = _Phase.FINISHING
+        self._requests.drop()
         exchange = self._exchange
         self._close_exchange()
         if exchange is not None:
@@ -314,6 +315,8 @@
         """
         self._close_exchange()
         self._phase = _Phase.FINISHING
+        self._requests.drop()
+        self._server.received_bound.note_held(self, 0)
         self._connection.finish_when_sent(aborted=aborted)
         if not self._connection.closed:
             self._set_deadline(self._closing_seconds())
--- a/src/yokeline/node/http_requests.py
+++ b/src/yokeline/node/http_requests.py
@@ -96,6 +96,11 @@
         """Bytes held of the body of a request that is not whole."""
         return self._size
 
+    def drop(self) -> None:
+        """Free what has arrived of a request that will not be read any further."""
+        self._pieces.clear()
+        self._size = 0
+
     def has_begun(self) -> bool:
         """Return whether a request has begun to arrive."""
         return self._head is not None or bool(self._codec.trailing_data[0])
