Bound all buffers of a process by its memory

A crowd of legal requests ended a forwarding node of 88 MB: 60 bodies of 4 MiB held just short of their end took 184 MB, 60 whole ones 253 to 324, 100 connections with small requests pipelined behind a call 116, 300 with chunks of 60 bytes 118, and so on for each way on which a node holds bytes.

Cause: a bound of 64 MiB that knew no memory_mb counted the bytes of bodies until a request was whole, another one unsent bytes, a third responses; nothing counted whole requests, heads, pieces as objects, what was read ahead, second copies of the codec, or responses on their way to the service. What is pipelined grew by a read with each answer.

Change: one budget (node/memory_budget.py), 45% of memory_mb or buffer_mb. Its sources (server, client, bridge) are asked for what they hold, as it takes memory, so nothing has to be given back. Beyond it buffers give way: stalled requests, stalled readers, other requests, then answers and responses, the largest first. Whole requests are never freed, but refused with 503 before they are sent anywhere if the budget is taken, large ones at three quarters of it and already at their head. Bodies are collected in one array, large output is sent without a copy, reads behind a request under way stop at 4 KiB, and large blocks get mappings of their own, which go back when they are freed. The roles' metrics address now tells the counters of the transports.

--- a/src/yokeline/commands/node.py
+++ b/src/yokeline/commands/node.py
@@ -66,7 +66,7 @@
     )
 
     def show_transport_counters(bound: BoundService) -> None:
-        built.admin.transport_counters = bound.transport_counters
+        built.admin.transport_counters = bound.all_counters
 
     binding = _binding(settings, built.replica)
     return run_service(built, binding, on_bound=show_transport_counters)
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -15,6 +15,9 @@
     "yokeline_http_requests_waiting": "HTTP requests under way at this node.",
     "yokeline_http_callers_gone_total": "Callers that closed before their answer ended.",
     "yokeline_http_slow_readers_cut_off_total": "Callers cut off since all read too slowly.",
+    "yokeline_requests_refused_for_memory_total": "Whole requests refused for want of memory.",
+    "yokeline_buffers_freed_total": "Buffers freed beyond the memory bound, by what they held.",
+    "yokeline_buffer_bytes": "Bytes that buffers took when the process last looked.",
     "yokeline_http_connections_refused_total": (
         "Connections of callers refused because this node had as many as it takes."
     ),
--- a/src/yokeline/node/bridge.py
+++ b/src/yokeline/node/bridge.py
@@ -33,6 +33,7 @@
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.logs import write_record
 from yokeline.node.deadlines import DeadlineQueue
+from yokeline.node.memory_budget import Buffer
 from yokeline.node.refusals import INTERNAL_ERROR, OWN_FAULT, refusal_of
 
 MINIMUM_TICK_SECONDS = 0.001
@@ -93,6 +94,14 @@
         self._inbox.append(event)
         self._announce()
 
+    def fixed_bytes(self) -> int:
+        """Return the memory of the responses that the service has not taken yet."""
+        return sum(len(event.body) for event in self._inbox if isinstance(event, HttpResponse))
+
+    def buffers(self) -> Iterable[Buffer]:
+        """Return nothing: what waits for the service is handed over in any case."""
+        return ()
+
     def withdraw(self, request: RequestId) -> None:
         """Forget queued answers to a request that was cancelled."""
         if any(_answers(event, request) for event in self._inbox):
--- a/src/yokeline/node/connection.py
+++ b/src/yokeline/node/connection.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import sys
+from collections import deque
 from typing import NamedTuple, Protocol
 
 from yokeline.effects import Address
@@ -14,6 +15,8 @@
 from yokeline.node.poller import SocketPoller
 
 READ_BYTES = 65_536
+_JOINED_BYTES = 65_536
+"""Pieces of output are joined up to that size; larger ones are sent without a copy."""
 _PROBES = 4
 """Unanswered keep-alive probes after which the other machine counts as gone."""
 CANNOT_CONNECT = "cannot connect"
@@ -71,7 +74,7 @@
 
 
 class Connection:
-    """A TCP connection that sends all output of a loop turn with one call.
+    """A TCP connection that sends the output of a loop turn with as few calls as its size allows.
 
     Attributes:
         bytes_sent: Bytes that the kernel took so far.
@@ -95,9 +98,10 @@
         self._owner: ConnectionOwner = owner
         self._connecting = connecting
         self._max_unsent = max_unsent_bytes
-        self._pending: list[bytes] = []
+        self._pending: deque[bytes] = deque()
         self._unsent = memoryview(b"")
         self._pending_bytes = 0
+        self._sent_of_piece = 0
         self._flush_due = False
         self._reading = not connecting
         self._writing = connecting
@@ -172,6 +176,13 @@
         """Return how many bytes the kernel has not taken yet."""
         return self._pending_bytes
 
+    def output_memory(self) -> int:
+        """Return the memory of the output that the kernel has not taken.
+
+        A piece that is partly sent is held whole.
+        """
+        return self._pending_bytes + self._sent_of_piece
+
     def kernel_bytes(self) -> KernelBytes:
         """Return what the kernel holds of the connection."""
         import fcntl  # Imported by the processes that exit with open connections only.
@@ -291,19 +302,15 @@
         return CLOSED_BY_PEER
 
     def _send(self) -> None:
-        if len(self._pending) == 1 and not self._unsent:
-            self._unsent = memoryview(self._pending[0])
-        elif self._pending:
-            self._unsent = memoryview(b"".join([self._unsent, *self._pending]))
-        self._pending.clear()
         try:
-            self._send_some()
+            while self._take_pending() and self._send_some():
+                pass
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as error:
             self._stop_sending(_name(error))
             return
-        if self._unsent:
+        if self._pending_bytes:
             self._set_interest(reading=self._reading, writing=True)
             return
         self._set_interest(reading=self._reading, writing=False)
@@ -323,14 +330,35 @@
         self._pending.clear()
         self._unsent = memoryview(b"")
         self._pending_bytes = 0
+        self._sent_of_piece = 0
 
-    def _send_some(self) -> None:
-        if not self._unsent:
-            return
+    def _take_pending(self) -> bool:
+        """Choose what is sent next; return False if there is nothing."""
+        if self._unsent:
+            return True
+        if not self._pending:
+            return False
+        pieces = [self._pending.popleft()]
+        size = len(pieces[0])
+        while self._pending and size + len(self._pending[0]) <= _JOINED_BYTES:
+            pieces.append(self._pending.popleft())
+            size += len(pieces[-1])
+        self._unsent = memoryview(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+        self._sent_of_piece = 0
+        return True
+
+    def _send_some(self) -> bool:
+        """Send; return whether the kernel took all of it."""
         count = self._sock.send(self._unsent)
         self.bytes_sent += count
         self._pending_bytes -= count
-        self._unsent = self._unsent[count:] if count < len(self._unsent) else memoryview(b"")
+        if count < len(self._unsent):
+            self._unsent = self._unsent[count:]
+            self._sent_of_piece += count
+        else:
+            self._unsent = memoryview(b"")
+            self._sent_of_piece = 0
+        return not self._unsent
 
     def _output_sent(self) -> None:
         if not self._finish_after_output:
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 import time
 from typing import Protocol
 from urllib.parse import quote
@@ -19,6 +20,7 @@
     HttpStreamEnded,
     HttpStreamItem,
 )
+from yokeline.node.allocator import LARGE_BLOCK_BYTES, map_large_blocks
 from yokeline.node.connection import CONNECTION_REFUSED
 from yokeline.node.deadlines import Deadline, DeadlineQueue
 from yokeline.node.http_heads import (
@@ -29,6 +31,7 @@
 )
 from yokeline.node.http_pool import ClientConnection, ConnectionPool
 from yokeline.node.limits import ClientLimits
+from yokeline.node.memory_budget import Buffer, BufferKind
 from yokeline.node.stream_items import ItemReader, ItemTooLargeError, StreamItem, item_reader
 
 HEAD = "head"
@@ -66,8 +69,8 @@
         """Hand an event to the service."""
         ...
 
-    def held(self, call: HttpCall, size: int) -> None:
-        """Note how many bytes of its response a call holds."""
+    def note_received(self, size: int) -> None:
+        """Note that a piece of a response has arrived."""
         ...
 
     def call_ended(self, call: HttpCall) -> None:
@@ -105,8 +108,8 @@
         self._response: h11.Response | None = None
         self._passed_over = False
         self._reader: ItemReader | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._received_at = 0.0
         self._received_bytes = 0
         self._informational_heads = 0
         self._due = 0.0
@@ -164,14 +167,15 @@
         except (h11.LocalProtocolError, UnicodeError) as error:
             self._fail(f"the request is not valid HTTP: {error}", is_outage=False)
             return
-        self._connection.link.write(output)
+        for piece in output:
+            self._connection.link.write(piece)
 
-    def _encoded(self, codec: h11.Connection) -> bytes:
-        """Return the request's bytes as ``codec`` sends them."""
-        output: bytes = codec.send(self._head())
+    def _encoded(self, codec: h11.Connection) -> list[bytes]:
+        """Return the request's bytes as ``codec`` sends them; its body is not copied."""
+        output = [codec.send(self._head())]
         if self.request.body:
-            output += codec.send(h11.Data(data=self.request.body))
-        return output + codec.send(h11.EndOfMessage())
+            output += codec.send_with_data_passthrough(h11.Data(data=self.request.body)) or ()
+        return [*output, codec.send(h11.EndOfMessage())]
 
     def _head(self) -> h11.Request:
         request = self.request
@@ -200,14 +204,24 @@
         """Take bytes of the response."""
         assert self._connection is not None
         self._received_bytes += len(data)
+        self._received_at = time.monotonic()
         self._connection.codec.receive_data(data)
         self._parse()
-        if not self._ended:
-            held = self._reader.held_bytes if self._reader is not None else self._body_bytes
-            self._owner.held(self, held)
+        self._owner.note_received(len(data))
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held of a response that is not whole."""
+        if self._reader is not None:
+            return self._reader.held_bytes
+        return sys.getsizeof(self._body) if self._body else 0
+
+    def buffer(self) -> Buffer:
+        """Return what the call holds of its response."""
+        return Buffer(BufferKind.RESPONSE, self.held_bytes, self._received_at, self.give_up)
 
     def give_up(self, reason: str) -> None:
-        """Fail, since all responses together hold too much."""
+        """Fail, since all buffers together hold too much."""
         self._fail(reason, is_outage=False, malformation=ALL_RESPONSES)
 
     def connection_lost(self, reason: str) -> None:
@@ -290,17 +304,17 @@
         self._encoded(codec)
         codec.receive_data(rest)
         self._response = None
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     def _take_body(self, data: bytes) -> None:
         if self._reader is None:
-            self._body_bytes += len(data)
-            if self._body_bytes > self._limits.max_body_bytes:
+            if len(self._body) + len(data) > self._limits.max_body_bytes:
                 reason = f"the response is over {self._limits.max_body_bytes} bytes"
                 self._fail(reason, is_outage=False, malformation=BODY)
                 return
-            self._body.append(data)
+            self._body += data
+            if len(self._body) > LARGE_BLOCK_BYTES:
+                map_large_blocks()
             return
         for item in self._reader.feed(data):
             self._submit_item(item)
@@ -326,7 +340,9 @@
             return
         self._connection.keep_seconds = kept_seconds(joined_headers(self._response.headers))
         if self._reader is None:
-            self._submit_whole(b"".join(self._body))
+            body = bytes(self._body)
+            self._body = bytearray()
+            self._submit_whole(body)
         elif not self._finish_stream(self._reader):
             return
         self._end()
--- a/src/yokeline/node/http_client.py
+++ b/src/yokeline/node/http_client.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from circuits.core.components import BaseComponent
 from circuits.core.handlers import handler
 
@@ -16,9 +18,12 @@
 from yokeline.node.deadlines import DeadlineQueue
 from yokeline.node.http_call import HttpCall
 from yokeline.node.http_pool import ConnectionPool
-from yokeline.node.limits import ClientLimits
+from yokeline.node.limits import KIBIBYTE, ClientLimits
+from yokeline.node.memory_budget import Buffer, MemoryBudget
 from yokeline.node.poller import SocketPoller
-from yokeline.node.received_bound import ReceivedBound
+
+CONNECTION_BYTES = 4 * KIBIBYTE
+"""Objects that stand for a connection to a back end."""
 
 
 class HttpClient(BaseComponent):
@@ -32,18 +37,20 @@
         poller: SocketPoller,
         deadlines: DeadlineQueue,
         limits: ClientLimits,
+        budget: MemoryBudget,
     ) -> None:
-        """Take the outgoing requests of a service."""
+        """Take the outgoing requests of a service; buffers draw on ``budget``."""
         super().__init__(channel=bridge.channel)
+        self._budget = budget
         self._bridge = bridge
         self._deadlines = deadlines
         self._limits = limits
-        self.received_bound = ReceivedBound(limits.max_received_bytes_of_all)
         self._calls: dict[RequestId, HttpCall] = {}
         self._pool = ConnectionPool(poller, deadlines, limits)
         bridge.carry_out_with(HttpRequest, self.send_request)
         bridge.carry_out_with(HttpCancel, self.cancel_request)
         bridge.carry_out_with(CloseIdleConnections, self.close_idle)
+        budget.add_source(self)
 
     def send_request(self, request: HttpRequest) -> None:
         """Begin a request."""
@@ -67,12 +74,21 @@
 
     def call_ended(self, call: HttpCall) -> None:
         """Forget a call that gives no further event."""
-        self.received_bound.note_held(call, 0)
         self._calls.pop(call.request.request, None)
 
-    def held(self, call: HttpCall, size: int) -> None:
-        """Note how many bytes of its response a call holds."""
-        self.received_bound.note_held(call, size)
+    def note_received(self, size: int) -> None:
+        """Note that a piece of a response has arrived."""
+        self._budget.note_growth(size)
+
+    def fixed_bytes(self) -> int:
+        """Return the memory of the connections."""
+        return CONNECTION_BYTES * self._pool.open_count()
+
+    def buffers(self) -> Iterator[Buffer]:
+        """Return the responses that are arriving."""
+        for call in self._calls.values():
+            if call.held_bytes:
+                yield call.buffer()
 
     def pool(self) -> ConnectionPool:
         """Return the connections (for metrics and tests)."""
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -5,6 +5,7 @@
 import enum
 import socket
 import time
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 import absl.logging
@@ -16,14 +17,18 @@
 from yokeline.node.deadlines import Deadline
 from yokeline.node.http_heads import RawHeaders, reason_phrase, response_headers
 from yokeline.node.http_requests import IncomingRequest, RequestReader, RequestRefusedError
-from yokeline.node.read_pacing import ReadPacer
+from yokeline.node.limits import KIBIBYTE
+from yokeline.node.memory_budget import Buffer, BufferKind
+from yokeline.node.read_pacing import FIRST_READ_BYTES, MIN_READ_BYTES, ReadPacer
 from yokeline.node.refusals import (
     BAD_GATEWAY,
     ENDED,
     INTERNAL_ERROR,
+    NO_ROOM,
     NOT_WHOLE_IN_TIME,
     OWN_FAULT,
     REQUEST_TIMEOUT,
+    UNAVAILABLE,
     refusal_of,
 )
 
@@ -32,6 +37,8 @@
 
 _BODILESS_STATUSES = (204, 304)
 _CONTINUE = 100
+PIPELINED_BYTES = 4 * KIBIBYTE
+"""Bytes behind a request under way after which no more are read until it is answered."""
 
 
 class _Phase(enum.Enum):
@@ -63,7 +70,11 @@
         self._codec = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.max_header_bytes
         )
-        self._requests = RequestReader(self._codec, server.limits)
+        self._requests = RequestReader(self._codec, server.limits, server.budget.has_room_for)
+        self._request_bytes = 0
+        self._received_at = 0.0
+        self._progress = 0
+        self._progress_at = time.monotonic()
         self._phase = _Phase.IDLE
         self._exchange: ExchangeId | None = None
         self._closes_after_answer = False
@@ -87,13 +98,43 @@
         """Close the connection; its caller is gone for the service."""
         self._connection.cut_off(reason)
 
-    def give_up(self, reason: str) -> None:
-        """Close the connection, since all requests that are arriving hold too much together."""
-        absl.logging.warning(
-            {"event": "large_request_cut_off", "bytes": self._requests.held_bytes, "reason": reason}
-        )
+    # ------------------------------------------------------------ memory
+
+    @property
+    def request_bytes(self) -> int:
+        """Memory that the request under way takes until its answer is written; 0 without one."""
+        return self._request_bytes
+
+    def buffers(self) -> Iterator[Buffer]:
+        """Return what the connection holds that can be freed."""
+        output = self._connection.output_memory() + sum(len(piece) for piece in self._pieces)
+        if output:
+            yield self._buffer(BufferKind.ANSWER, output, self._connection.bytes_sent)
+        if self._phase is _Phase.RECEIVING:
+            size = self._requests.held_bytes + self._requests.buffered_bytes
+            yield Buffer(BufferKind.REQUEST, size, self._received_at, self._refuse_for_memory)
+        elif self._phase in (_Phase.ANSWERING, _Phase.STREAMING):
+            pipelined = self._requests.buffered_bytes
+            if pipelined > PIPELINED_BYTES:
+                yield Buffer(BufferKind.PIPELINED, pipelined, self._received_at, self._cut_pipeline)
+
+    def _buffer(self, kind: BufferKind, size: int, progress: int) -> Buffer:
+        """Return a buffer whose other end shows progress by a count that rises."""
+        if progress != self._progress:
+            self._progress = progress
+            self._progress_at = time.monotonic()
+        return Buffer(kind, size, self._progress_at, self._cut_reader)
+
+    def _refuse_for_memory(self, reason: str) -> None:
+        """Refuse a request that is not whole, since all buffers together hold too much."""
+        self._refuse(self._requests.refused(NO_ROOM, UNAVAILABLE))
+
+    def _cut_pipeline(self, reason: str) -> None:
         self._connection.cut_off(reason)
 
+    def _cut_reader(self, reason: str) -> None:
+        self._connection.cut_off("all callers together read too slowly")
+
     # ------------------------------------------------------------ requests in
 
     def connection_made(self) -> None:
@@ -104,15 +145,14 @@
         if self._phase is _Phase.FINISHING or self._requests.too_large:
             return
         self._pacer.begin_read()
+        self._received_at = time.monotonic()
         self._codec.receive_data(data)
         if self._phase in (_Phase.IDLE, _Phase.RECEIVING):
             self._read_request()
             self._pacer.note_read()
-            is_arriving = self._phase is _Phase.RECEIVING
-            held = self._requests.held_bytes if is_arriving else 0
-            self._server.received_bound.note_held(self, held)
-        elif len(self._codec.trailing_data[0]) > self._limits.max_header_bytes:
+        elif self._requests.buffered_bytes > PIPELINED_BYTES:
             self._connection.pause_reading()
+        self._server.budget.note_growth(len(data))
 
     def connection_lost(self, reason: str) -> None:
         """Tell the service that the caller of an open exchange is gone."""
@@ -146,6 +186,14 @@
         self._clear_deadline()
         self._phase = _Phase.ANSWERING
         self._closes_after_answer = request.too_large
+        self._request_bytes = request.memory_bytes
+        if not self._server.budget.admits(self._request_bytes):
+            self._server.budget.note_refused(self._request_bytes)
+            self._refuse(self._requests.refused(NO_ROOM, UNAVAILABLE))
+            return
+        if self._connection.closed:
+            return
+        self._connection.read_bytes = MIN_READ_BYTES
         self._exchange = self._server.open_exchange(self)
         self._server.submit(
             HttpArrived(
@@ -263,8 +311,10 @@
         self._requests.start_over()
         self._phase = _Phase.IDLE
         self._rest()
-        self._connection.resume_reading()
+        self._connection.read_bytes = FIRST_READ_BYTES
         self._read_request()
+        if self._phase in (_Phase.IDLE, _Phase.RECEIVING):
+            self._connection.resume_reading()
 
     # ------------------------------------------------------------ ends
 
@@ -316,7 +366,6 @@
         self._close_exchange()
         self._phase = _Phase.FINISHING
         self._requests.drop()
-        self._server.received_bound.note_held(self, 0)
         self._connection.finish_when_sent(aborted=aborted)
         if not self._connection.closed:
             self._set_deadline(self._closing_seconds())
@@ -327,6 +376,7 @@
         return self._limits.idle_seconds if unsent else self._limits.linger_seconds
 
     def _close_exchange(self) -> None:
+        self._request_bytes = 0
         if self._exchange is not None:
             self._server.close_exchange(self._exchange)
             self._exchange = None
--- a/src/yokeline/node/http_requests.py
+++ b/src/yokeline/node/http_requests.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import sys
+from collections.abc import Callable
+
 import h11
 import msgspec
 
 from yokeline.effects import BodyFraming
 from yokeline.errors import YokelineError
 from yokeline.gateway.problems import refusal
+from yokeline.node.allocator import LARGE_BLOCK_BYTES, map_large_blocks
 from yokeline.node.http_heads import HEADER_ENCODING, joined_headers
 from yokeline.node.http_target import split_target
-from yokeline.node.limits import ServerLimits
-from yokeline.node.refusals import BAD_REQUEST, HEAD_OVER_LIMIT, HEAD_TOO_LARGE, malformed
+from yokeline.node.limits import KIBIBYTE, ServerLimits
+from yokeline.node.refusals import (
+    BAD_REQUEST,
+    HEAD_OVER_LIMIT,
+    HEAD_TOO_LARGE,
+    NO_ROOM,
+    UNAVAILABLE,
+    malformed,
+)
 
 _CONNECT = b"CONNECT"
 _IDEMPOTENCY_KEY = b"idempotency-key"
@@ -22,10 +33,23 @@
 """Colon, space and line end of a header field."""
 _MAX_BODY_PIECES = 8192
 """Chunks of one request body; each costs time, however small it is."""
+REQUEST_OBJECTS_BYTES = 8 * KIBIBYTE
+"""Objects that stand for a request while it is served, besides its bytes."""
+HEAD_COPIES = 4
+"""Forms in which the head of a request is kept while it is served: of the codec, as fields by name,
+as items in order, and for the back end."""
+
+
+def _always(_size: int) -> bool:
+    return True
 
 
 class IncomingRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A whole request, or one whose body is over the limit (and not read)."""
+    """A whole request, or one whose body is over the limit (and not read).
+
+    Attributes:
+        memory_bytes: Memory that it takes while it is served.
+    """
 
     method: str
     path: str
@@ -36,6 +60,7 @@
     target: str
     header_items: tuple[tuple[str, str], ...]
     stream_framing: BodyFraming
+    memory_bytes: int
 
 
 class RequestRefusedError(Exception):
@@ -56,14 +81,21 @@
         limits: Limits for what is read from now on.
     """
 
-    def __init__(self, codec: h11.Connection, limits: ServerLimits) -> None:
-        """Read from the codec of a connection."""
+    def __init__(
+        self,
+        codec: h11.Connection,
+        limits: ServerLimits,
+        has_room_for: Callable[[int], bool] = _always,
+    ) -> None:
+        """Read from the codec of a connection; ``has_room_for`` is asked before a body is read."""
+        self._has_room_for = has_room_for
         self.too_large = False
         self._codec = codec
         self.limits = limits
         self._head: h11.Request | None = None
-        self._pieces: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self._pieces = 0
+        self._head_size = 0
 
     def next_request(self) -> IncomingRequest | None:
         """Return the next request; None while it has not arrived whole.
@@ -93,17 +125,22 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes held of the body of a request that is not whole."""
-        return self._size
+        """Memory that a request which is not whole takes, but for what its codec holds."""
+        return sys.getsizeof(self._body) + HEAD_COPIES * self._head_size
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that have arrived and are not read."""
+        return len(self._codec.trailing_data[0])
 
     def drop(self) -> None:
         """Free what has arrived of a request that will not be read any further."""
-        self._pieces.clear()
-        self._size = 0
+        self._body = bytearray()
+        self._pieces = 0
 
     def has_begun(self) -> bool:
         """Return whether a request has begun to arrive."""
-        return self._head is not None or bool(self._codec.trailing_data[0])
+        return self._head is not None or self.buffered_bytes > 0
 
     def is_head_request(self) -> bool:
         """Return whether the answer must have no body (method HEAD)."""
@@ -118,6 +155,7 @@
         """Turn to the next request, after the answer to the last one."""
         self._codec.start_next_cycle()
         self._head = None
+        self._head_size = 0
 
     def _read(self) -> IncomingRequest | None:
         while True:
@@ -125,7 +163,7 @@
             if isinstance(event, h11.Request):
                 self._take_head(event)
             elif isinstance(event, h11.Data):
-                self._take_piece(bytes(event.data))
+                self._take_piece(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return self._whole_request()
             else:
@@ -136,7 +174,8 @@
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
         # The codec limits only a head that comes in pieces.
-        if _head_bytes(head) > self.limits.max_header_bytes:
+        self._head_size = _head_bytes(head)
+        if self._head_size > self.limits.max_header_bytes:
             raise self.refused(HEAD_OVER_LIMIT, HEAD_TOO_LARGE)
         if head.method == _CONNECT:
             raise ValueError("CONNECT makes a tunnel, and this is no proxy")
@@ -145,24 +184,27 @@
             raise ValueError("it has both Content-Length and Transfer-Encoding")
         length = int(fields.get(_CONTENT_LENGTH, b"0"))
         self.too_large = length > self.limits.max_body_bytes
+        if not self.too_large and not self._has_room_for(length):
+            raise self.refused(NO_ROOM, UNAVAILABLE)
 
-    def _take_piece(self, piece: bytes) -> None:
-        self._size += len(piece)
-        if self._size > self.limits.max_body_bytes:
-            self._pieces.clear()
+    def _take_piece(self, piece: bytes | bytearray) -> None:
+        if len(self._body) + len(piece) > self.limits.max_body_bytes:
+            self.drop()
             self.too_large = True
             return
-        if len(self._pieces) >= _MAX_BODY_PIECES:
+        if self._pieces >= _MAX_BODY_PIECES:
             raise ValueError(f"its body comes in more than {_MAX_BODY_PIECES} chunks")
-        self._pieces.append(piece)
+        self._pieces += 1
+        self._body += piece
+        if len(self._body) > LARGE_BLOCK_BYTES:
+            map_large_blocks()
 
     def _whole_request(self) -> IncomingRequest:
         assert self._head is not None
         target = self._head.target.decode(HEADER_ENCODING)
         path, query = split_target(target)
-        body = b"".join(self._pieces)
-        self._pieces.clear()
-        self._size = 0
+        body = bytes(self._body)
+        self.drop()
         return IncomingRequest(
             method=self._head.method.decode(HEADER_ENCODING),
             path=path,
@@ -176,6 +218,7 @@
                 for name, value in self._head.headers
             ),
             stream_framing=self.stream_framing(),
+            memory_bytes=len(body) + HEAD_COPIES * self._head_size + REQUEST_OBJECTS_BYTES,
         )
 
 
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -34,12 +34,14 @@
 from yokeline.node.bridge import Bridge
 from yokeline.node.deadlines import DeadlineQueue
 from yokeline.node.http_exchange import ServerConnection
-from yokeline.node.limits import ServerLimits
+from yokeline.node.limits import KIBIBYTE, ServerLimits
 from yokeline.node.listener import Listener
+from yokeline.node.memory_budget import Buffer, MemoryBudget
 from yokeline.node.poller import SocketPoller
 from yokeline.node.read_pacing import CostlyReads
-from yokeline.node.received_bound import ReceivedBound
-from yokeline.node.unsent_bound import UnsentBound
+
+CONNECTION_BYTES = 4 * KIBIBYTE
+"""Objects that stand for a connection of a caller."""
 
 
 class HttpServer(BaseComponent):
@@ -54,9 +56,11 @@
         deadlines: DeadlineQueue,
         sock: socket.socket,
         limits: ServerLimits,
+        budget: MemoryBudget,
     ) -> None:
-        """Serve on a listening socket."""
+        """Serve on a listening socket; buffers draw on ``budget``."""
         super().__init__(channel=bridge.channel)
+        self.budget = budget
         self.limits = limits
         self.deadlines = deadlines
         self.poller = poller
@@ -66,8 +70,6 @@
         self._numbers = itertools.count(1)
         self._listener = Listener(poller, deadlines, sock, self._accept)
         self.refused_connections = 0
-        self.unsent_bound = UnsentBound(limits.max_unsent_bytes_of_all)
-        self.received_bound = ReceivedBound(limits.max_received_bytes_of_all)
         self.costly_reads = CostlyReads(deadlines)
         bridge.carry_out_with(HttpReply, self._reply)
         bridge.carry_out_with(HttpStreamStart, self._start_stream)
@@ -76,6 +78,7 @@
         bridge.carry_out_with(SetServerLimits, self._set_limits)
         bridge.carry_out_with(StopListening, self._stop_listening)
         bridge.open_exchanges = lambda: self._exchanges
+        budget.add_source(self)
 
     def open_exchange(self, connection: ServerConnection) -> ExchangeId:
         """Name a new exchange."""
@@ -89,9 +92,18 @@
 
     def forget(self, connection: ServerConnection) -> None:
         """Forget a closed connection."""
-        self.received_bound.note_held(connection, 0)
         self._connections.discard(connection)
 
+    def fixed_bytes(self) -> int:
+        """Return the memory of the connections, and of the requests that are being served."""
+        requests = sum(connection.request_bytes for connection in self._connections)
+        return CONNECTION_BYTES * len(self._connections) + requests
+
+    def buffers(self) -> Iterator[Buffer]:
+        """Return what connections hold that can be freed."""
+        for connection in self._connections:
+            yield from connection.buffers()
+
     def submit(self, event: Event) -> None:
         """Hand an event to the service."""
         self._bridge.submit(event)
@@ -102,13 +114,14 @@
             sock.close()
             return
         self._connections.add(ServerConnection(self, sock))
+        self.budget.note_growth(CONNECTION_BYTES)
 
     def _reply(self, effect: HttpReply) -> None:
         connection = self._exchanges.get(effect.exchange)
         if connection is not None:
-            self.unsent_bound.note_written(len(effect.body), self._connections)
             with _answered_fault(connection):
                 connection.reply(effect)
+            self.budget.note_growth(len(effect.body))
 
     def _start_stream(self, effect: HttpStreamStart) -> None:
         connection = self._exchanges.get(effect.exchange)
@@ -119,9 +132,9 @@
     def _stream_data(self, effect: HttpStreamData) -> None:
         connection = self._exchanges.get(effect.exchange)
         if connection is not None:
-            self.unsent_bound.note_written(len(effect.data), self._connections)
             with _answered_fault(connection):
                 connection.stream_data(effect.data)
+            self.budget.note_growth(len(effect.data))
 
     def _end_stream(self, effect: HttpStreamEnd) -> None:
         connection = self._exchanges.get(effect.exchange)
--- a/src/yokeline/node/limits.py
+++ b/src/yokeline/node/limits.py
@@ -21,10 +21,6 @@
         max_connections: Connections open at once; more are closed when accepted.
         max_unsent_bytes: Bytes that a slow reader may leave unread before it is cut off. The
             largest answer of a back end (``ClientLimits.max_body_bytes``) fits with its head.
-        max_unsent_bytes_of_all: Bytes that all readers together may leave unread; then the slowest
-            are cut off.
-        max_received_bytes_of_all: Bytes held of all requests that are not whole yet; then the
-            largest are cut off.
         linger_seconds: Time for a refused caller to read its answer while it still sends.
         silent_seconds: Time that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT).
     """
@@ -35,8 +31,6 @@
     idle_seconds: float = 75.0
     max_connections: int = 8192
     max_unsent_bytes: int = 17 * MEBIBYTE
-    max_unsent_bytes_of_all: int = 256 * MEBIBYTE
-    max_received_bytes_of_all: int = 64 * MEBIBYTE
     linger_seconds: float = 2.0
     silent_seconds: float = 60.0
 
@@ -54,8 +48,6 @@
         max_header_bytes: Largest response head taken.
         max_body_bytes: Largest whole response body taken.
         max_item_bytes: Largest item of a streamed response taken.
-        max_received_bytes_of_all: Bytes held of all responses that are not whole yet; then the
-            largest are given up.
         max_informational_heads: Interim (1xx) responses taken before the final one.
         max_unsent_bytes: Largest request sent, and the most a slow server may leave unread.
         silent_seconds: Time that the other machine may be silent (TCP_USER_TIMEOUT, probes).
@@ -70,7 +62,6 @@
     max_header_bytes: int = 64 * KIBIBYTE
     max_body_bytes: int = 16 * MEBIBYTE
     max_item_bytes: int = 4 * MEBIBYTE
-    max_received_bytes_of_all: int = 32 * MEBIBYTE
     max_informational_heads: int = 16
     max_unsent_bytes: int = 32 * MEBIBYTE
     silent_seconds: float = 60.0
@@ -115,8 +106,14 @@
 
 
 class TransportLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits of all transports of one service."""
+    """Limits of all transports of one service.
+
+    Attributes:
+        buffer_bytes: Memory that all buffers of the process may take together; what its first
+            service says holds.
+    """
 
     server: ServerLimits = ServerLimits()
     client: ClientLimits = ClientLimits()
     peers: PeerLimits = PeerLimits()
+    buffer_bytes: int = 320 * MEBIBYTE
--- a/src/yokeline/node/process.py
+++ b/src/yokeline/node/process.py
@@ -25,6 +25,7 @@
 from yokeline.node.http_client import HttpClient
 from yokeline.node.http_server import HttpServer
 from yokeline.node.limits import ServerLimits, TransportLimits
+from yokeline.node.memory_budget import BufferKind, MemoryBudget
 from yokeline.node.peer_transport import PeerTransport
 from yokeline.node.poller import SocketPoller
 from yokeline.node.sockets import OpenSockets, open_sockets
@@ -37,6 +38,9 @@
 PEERS_REFUSED = "yokeline_peer_connections_refused_total"
 FRAMES_DROPPED = "yokeline_peer_frames_dropped_total"
 PEER_BYTES = "yokeline_peer_bytes_total"
+REFUSED_FOR_MEMORY = "yokeline_requests_refused_for_memory_total"
+BUFFERS_FREED = "yokeline_buffers_freed_total"
+BUFFER_BYTES = "yokeline_buffer_bytes"
 DATAGRAMS_DROPPED = "yokeline_datagrams_dropped_total"
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -83,6 +87,7 @@
         self._timer = DeadlineTimer().register(self)
         self._services: list[BoundService] = []
         self._running_services = 0
+        self._budget: MemoryBudget | None = None
         self.exit_code = 0
         self.started_running = threading.Event()
 
@@ -118,12 +123,19 @@
             folder,
             self._poller,
             self._timer,
+            self._shared_budget(binding.limits),
         )
         bound.bridge.register(self)
         self._services.append(bound)
         self._running_services += 0 if binding.auxiliary else 1
         return Success(bound)
 
+    def _shared_budget(self, limits: TransportLimits) -> MemoryBudget:
+        """Return the budget of the process, which the limits of its first service determine."""
+        if self._budget is None:
+            self._budget = MemoryBudget(limits.buffer_bytes)
+        return self._budget
+
     def request_stop(self) -> None:
         """Ask all services for a planned stop; may be called from any thread."""
         self.fire(stop_wanted())
@@ -187,6 +199,7 @@
         folder: Path | None,
         poller: SocketPoller,
         timer: DeadlineTimer,
+        budget: MemoryBudget,
     ) -> None:
         """Create the components that the binding asks for."""
         deadlines = timer.deadlines
@@ -194,14 +207,21 @@
         self.http_address = sockets.http_address()
         self.peer_address = sockets.peer_address()
         self.bridge = Bridge(service, channel)
-        self.client = HttpClient(self.bridge, poller, deadlines, limits.client)
+        budget.add_source(self.bridge)
+        self.budget = budget
+        self.client = HttpClient(self.bridge, poller, deadlines, limits.client, budget)
         self.client.register(self.bridge)
         self.server: HttpServer | None = None
         self.peers: PeerTransport | None = None
         self.datagrams: DatagramEndpoint | None = None
         if sockets.http is not None:
             self.server = HttpServer(
-                self.bridge, poller, deadlines, sockets.http, _within_descriptors(limits.server)
+                self.bridge,
+                poller,
+                deadlines,
+                sockets.http,
+                _within_descriptors(limits.server),
+                budget,
             ).register(self.bridge)
         if sockets.peer is not None and sockets.datagrams is not None:
             self.peers = PeerTransport(
@@ -231,7 +251,6 @@
         counters: dict[str, float] = {}
         if self.server is not None:
             counters[HTTP_REFUSED] = self.server.refused_connections
-            counters[SLOW_READERS] = self.server.unsent_bound.cut_off
         if self.peers is not None:
             counters[PEERS_REFUSED] = self.peers.refused_connections
             dropped = {**self.peers.counters, "queue_limit": self.peers.dropped_frames()}
@@ -246,6 +265,19 @@
             counters.update(_by_reason(DATAGRAMS_DROPPED, self.datagrams.counters))
         return counters
 
+    def all_counters(self) -> dict[str, float]:
+        """Return the counters of the transports and of the memory of the process."""
+        return {**self.transport_counters(), **self.memory_counters()}
+
+    def memory_counters(self) -> dict[str, float]:
+        """Return what was refused or freed for the memory of the whole process, by metric name."""
+        freed = self.budget.freed
+        return {
+            SLOW_READERS: freed[BufferKind.ANSWER],
+            REFUSED_FOR_MEMORY: self.budget.refused_requests,
+            **{f'{BUFFERS_FREED}{{kind="{kind.value}"}}': freed[kind] for kind in list(BufferKind)},
+        }
+
     def unsent_bytes(self) -> int:
         """Return how many bytes of answers and messages the kernel has not taken yet."""
         outputs = (self.server, self.peers)
--- a/src/yokeline/node/refusals.py
+++ b/src/yokeline/node/refusals.py
@@ -12,6 +12,7 @@
 HEAD_TOO_LARGE = 431
 INTERNAL_ERROR = 500
 BAD_GATEWAY = 502
+UNAVAILABLE = 503
 
 NOT_WHOLE_IN_TIME = YokelineError(
     kind=ErrorKind.DEADLINE_EXCEEDED,
@@ -38,6 +39,15 @@
 )
 
 
+NO_ROOM = YokelineError(
+    kind=ErrorKind.UNAVAILABLE,
+    message="this node has no memory left for the request, which was sent nowhere",
+    remedy="send it again later",
+    execution=Execution.NOT_RUN,
+    retry_after=1.0,
+)
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """A whole answer to a request that the service does not answer."""
 
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -28,7 +28,7 @@
     ServerLimits,
     TransportLimits,
 )
-from yokeline.node.process import ServiceBinding, run_services
+from yokeline.node.process import BUFFER_BYTES, BoundService, ServiceBinding, run_services
 from yokeline.node.sockets import OpenSockets
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
@@ -54,9 +54,9 @@
 _STORAGE_WATCH_PAUSE_SECONDS = 0.3
 """Its pause after a change, so that one call brings several."""
 
-_UNSENT_MEMORY_SHARE = 0.25
-"""Share of a process's memory for answers that callers have not read yet; the most of it is for
-what the process needs at rest, and for requests under way."""
+_BUFFER_MEMORY_SHARE = 0.45
+"""Share of a process's memory for all its buffers; the rest is for what it needs at rest, and for
+copies of the buffer that is being worked on."""
 
 BoundServices = list[tuple[Service, ServiceBinding, OpenSockets | None]]
 
@@ -114,7 +114,8 @@
     if builder is None:
         print(f"bad_setting: no role {role!r}; use edge or storage", file=sys.stderr)
         return EXIT_USAGE
-    built = builder(settings, adapter, start, logs.dropped)
+    process = ProcessFigures(logs.dropped)
+    built = builder(settings, adapter, start, process)
     if isinstance(built, Failure):
         print(built.failure().line(), file=sys.stderr)
         return EXIT_USAGE
@@ -122,7 +123,8 @@
     # Modules and the recovered log stay: collections need not look at them.
     gc.freeze()
     gc.enable()
-    exit_code = run_services(_with_sockets(built.unwrap(), start))
+    services = _with_sockets(built.unwrap(), start)
+    exit_code = run_services(services, on_bound=process.bound.append)
     logs.drain(LOG_DRAIN_SECONDS)
     return exit_code
 
@@ -138,7 +140,7 @@
 
 
 def _edge_services(
-    settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
+    settings: RoleSettings, adapter: Adapter, start: ProcessStart, process_figures: ProcessFigures
 ) -> Result[BoundServices, YokelineError]:
     # Imported here, as the storage part below: a role loads only what it needs.
     from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
@@ -246,7 +248,7 @@
     status = StatusService(
         ready=lambda: node.ready,
         ready_path=adapter.ready_path,
-        figures=lambda: _with_dropped(edge_figures(node), dropped),
+        figures=lambda: process_figures.add_to(edge_figures(node)),
     )
     services: BoundServices = [
         (node, binding, None),
@@ -256,7 +258,7 @@
 
 
 def _storage_services(
-    settings: RoleSettings, adapter: Adapter, start: ProcessStart, dropped: Counter[str]
+    settings: RoleSettings, adapter: Adapter, start: ProcessStart, process_figures: ProcessFigures
 ) -> Result[BoundServices, YokelineError]:
     from yokeline.ledger.disk_records import recover
     from yokeline.ledger.regional_text_store import (
@@ -339,17 +341,36 @@
         synced_folder=settings.data_folder,
     )
     status = StatusService(
-        ready=lambda: True, figures=lambda: _with_dropped(storage_figures(node), dropped)
+        ready=lambda: True, figures=lambda: process_figures.add_to(storage_figures(node))
     )
     return Success(_with_metrics([(node, binding, None)], status, settings))
 
 
-def _with_dropped(figures: NodeFigures, dropped: Counter[str]) -> NodeFigures:
-    """Add the log lines dropped, by event."""
-    for event, count in sorted(dropped.items()):
-        series = f'yokeline_log_lines_dropped_total{{event="{event}"}}'
-        figures.counters[series] = float(count)
-    return figures
+class ProcessFigures:
+    """Figures of the process that its services do not know.
+
+    Attributes:
+        bound: The services with their transports, once they are bound.
+    """
+
+    def __init__(self, dropped: Counter[str]) -> None:
+        """Tell of the log lines that were ``dropped``, by event."""
+        self.bound: list[BoundService] = []
+        self._dropped = dropped
+
+    def add_to(self, figures: NodeFigures) -> NodeFigures:
+        """Add the log lines dropped, and what the transports refused, freed and dropped."""
+        for event, count in sorted(self._dropped.items()):
+            series = f'yokeline_log_lines_dropped_total{{event="{event}"}}'
+            figures.counters[series] = float(count)
+        for bound in self.bound:
+            for name, value in bound.transport_counters().items():
+                figures.counters[name] = figures.counters.get(name, 0.0) + value
+        if self.bound:
+            for name, value in self.bound[0].memory_counters().items():
+                figures.counters[name] = value
+            figures.gauges[BUFFER_BYTES] = self.bound[0].budget.held_bytes
+        return figures
 
 
 def _with_metrics(
@@ -364,7 +385,9 @@
 def _limits(settings: RoleSettings) -> TransportLimits:
     for_callers = int(settings.max_descriptors * _DESCRIPTORS_FOR_CALLERS)
     return TransportLimits(
-        server=_server_limits(for_callers, settings.memory_mb),
+        server=ServerLimits(
+            max_connections=for_callers, silent_seconds=10.0, max_body_bytes=8 * MEBIBYTE
+        ),
         client=ClientLimits(
             connect_seconds=0.6,
             max_connections=max(64, settings.max_descriptors - for_callers - 256),
@@ -379,17 +402,17 @@
             silent_seconds=1.0,
             max_queue_seconds=1.0,
         ),
+        buffer_bytes=_buffer_bytes(settings),
     )
 
 
-def _server_limits(max_connections: int, memory_mb: float) -> ServerLimits:
-    limits = ServerLimits(
-        max_connections=max_connections, silent_seconds=10.0, max_body_bytes=8 * MEBIBYTE
-    )
-    if not memory_mb:
-        return limits
-    of_all = int(_UNSENT_MEMORY_SHARE * memory_mb * MEBIBYTE)
-    return msgspec.structs.replace(limits, max_unsent_bytes_of_all=of_all)
+def _buffer_bytes(settings: RoleSettings) -> int:
+    """Return the memory that all buffers of the process may take together."""
+    if settings.buffer_mb:
+        return int(settings.buffer_mb * MEBIBYTE)
+    if settings.memory_mb:
+        return int(_BUFFER_MEMORY_SHARE * settings.memory_mb * MEBIBYTE)
+    return TransportLimits().buffer_bytes
 
 
 def _read_log(folder: Path, name: str) -> Result[bytes, YokelineError]:
--- a/src/yokeline/settings_docs.py
+++ b/src/yokeline/settings_docs.py
@@ -13,6 +13,7 @@
 
 from yokeline.field_checks import allowed_text
 from yokeline.labels.objects import OBJECT_TYPES
+from yokeline.role_settings import RoleSettings
 from yokeline.settings import Settings
 
 NO_DEFAULT = "required"
@@ -22,6 +23,12 @@
 _CONTINUATION = re.compile(r"^ {8}(.*)$")
 
 
+_ROLES_INTRODUCTION = (
+    "A process of a role (`edge`, `storage`) reads one TOML file without sections;\n"
+    "`deploy/node.toml` is its template."
+)
+
+
 class SettingRow(msgspec.Struct, frozen=True, kw_only=True):
     """One field of a settings table or configuration object, described for people.
 
@@ -61,11 +68,23 @@
     return rows
 
 
+def describe_role_settings() -> list[SettingRow]:
+    """Return a row for each setting of a process that runs a role."""
+    described = inspect.type_info(RoleSettings)
+    assert isinstance(described, inspect.StructType)
+    return _rows("role", described)
+
+
 def render_configuration_page() -> str:
-    """Return the two tables of ``docs/CONFIGURATION.md`` as Markdown."""
+    """Return the three tables of ``docs/CONFIGURATION.md`` as Markdown."""
     settings = render_table(describe_settings(), "section")
     objects = render_table(describe_objects(), "kind")
-    return f"## Settings\n\n{settings}\n\n## Configuration objects\n\n{objects}\n"
+    roles = render_table(describe_role_settings(), "section")
+    return (
+        f"## Settings\n\n{settings}\n\n"
+        f"## Settings of the roles\n\n{_ROLES_INTRODUCTION}\n\n{roles}\n\n"
+        f"## Configuration objects\n\n{objects}\n"
+    )
 
 
 def render_table(rows: list[SettingRow], first_column: str) -> str:
--- a/tests/processes/test_http_server.py
+++ b/tests/processes/test_http_server.py
@@ -36,16 +36,17 @@
     return [HttpReply(exchange=event.exchange, status=status, body=body)]
 
 
-def limited(**limits: float) -> ServiceBinding:
+def limited(*, buffer_bytes: int = 320 * MEGABYTE, **limits: float) -> ServiceBinding:
     server = ServerLimits(**limits)  # type: ignore[arg-type]
-    return ServiceBinding(http=LOOPBACK, limits=TransportLimits(server=server))
+    transports = TransportLimits(server=server, buffer_bytes=buffer_bytes)
+    return ServiceBinding(http=LOOPBACK, limits=transports)
 
 
 class SlowReaders(unittest.TestCase):
     def test_callers_that_together_read_too_slowly_are_cut_off_and_others_served(self) -> None:
         """Each of them stays below its own limit; all together would fill the memory."""
         service = ScriptedService(describe)
-        binding = limited(max_unsent_bytes=MEGABYTE * 16, max_unsent_bytes_of_all=MEGABYTE * 8)
+        binding = limited(buffer_bytes=MEGABYTE * 8, max_unsent_bytes=MEGABYTE * 16)
         piece = b"x" * 65_536
         with Running(service, binding) as running, contextlib.ExitStack() as stack:
             for _ in range(4):
--- a/tests/property/test_chunked_streams.py
+++ b/tests/property/test_chunked_streams.py
@@ -61,8 +61,8 @@
     def submit(self, event: Event) -> None:
         self.events.append(event)
 
-    def held(self, call: HttpCall, size: int) -> None:
-        """Hold any number of bytes."""
+    def note_received(self, size: int) -> None:
+        """Take any number of bytes."""
 
     def call_ended(self, call: HttpCall) -> None:
         self.ended = True
