Keep the bounds on requests and responses that are arriving

The budget now has bounds of kinds as well: 64 MiB for requests and 32 for responses that are not whole, as before.

--- a/src/yokeline/node/limits.py
+++ b/src/yokeline/node/limits.py
@@ -111,9 +111,13 @@
     Attributes:
         buffer_bytes: Memory that all buffers of the process may take together; what its first
             service says holds.
+        arriving_request_bytes: Memory of it for requests that are not whole.
+        arriving_response_bytes: Memory of it for responses that are not whole.
     """
 
     server: ServerLimits = ServerLimits()
     client: ClientLimits = ClientLimits()
     peers: PeerLimits = PeerLimits()
     buffer_bytes: int = 320 * MEBIBYTE
+    arriving_request_bytes: int = 64 * MEBIBYTE
+    arriving_response_bytes: int = 32 * MEBIBYTE
--- a/src/yokeline/node/memory_budget.py
+++ b/src/yokeline/node/memory_budget.py
@@ -10,7 +10,7 @@
 import enum
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple, Protocol
 
 import absl.logging
@@ -80,9 +80,13 @@
         refused_requests: Whole requests, or heads of large ones, for which there was no room.
     """
 
-    def __init__(self, total_bytes: int) -> None:
-        """Let all buffers take ``total_bytes``."""
+    def __init__(
+        self, total_bytes: int, bytes_by_kind: Mapping[BufferKind, int] | None = None
+    ) -> None:
+        """Let all buffers take ``total_bytes``, and those of some kinds so much of it."""
         self.total_bytes = total_bytes
+        self._bytes_by_kind = dict(bytes_by_kind or {})
+        self._free_of_kinds = min(self._bytes_by_kind.values(), default=total_bytes)
         self.held_bytes = 0
         self.freed: Counter[BufferKind] = Counter()
         self.refused_requests = 0
@@ -137,8 +141,15 @@
         buffers = [buffer for source in self._sources for buffer in source.buffers()]
         self.held_bytes = self._fixed_bytes + sum(buffer.size for buffer in buffers)
         self._growth = 0
-        if self.held_bytes > self.total_bytes:
-            self._free(buffers)
+        self._free_of_kinds = self.total_bytes
+        for kind, bound in self._bytes_by_kind.items():
+            of_kind = [buffer for buffer in buffers if buffer.kind is kind]
+            buffers = [buffer for buffer in buffers if buffer.kind is not kind]
+            kept = self._free(of_kind, sum(buffer.size for buffer in of_kind), bound)
+            buffers += kept
+            free = bound - sum(buffer.size for buffer in kept)
+            self._free_of_kinds = min(self._free_of_kinds, free)
+        self._free(buffers, self.held_bytes, self.total_bytes)
         self._look_after = self._growth_until_look()
 
     def _fits(self, share: float) -> bool:
@@ -146,16 +157,23 @@
         return self._fixed_bytes <= share * self.total_bytes
 
     def _growth_until_look(self) -> int:
-        free = self.total_bytes - self.held_bytes
+        free = min(self.total_bytes - self.held_bytes, self._free_of_kinds)
         return max(free // 2, int(_MIN_GROWTH_SHARE * self.total_bytes))
 
-    def _free(self, buffers: list[Buffer]) -> None:
-        """Free buffers, the first in the order of :func:`_order`, down to the bound."""
+    def _free(self, buffers: list[Buffer], held: int, bound: int) -> list[Buffer]:
+        """Free buffers, in the order of :func:`_order`, while more than ``bound`` is held.
+
+        Return those that are kept.
+        """
+        if held <= bound:
+            return buffers
         stalled_before = time.monotonic() - STALLED_SECONDS
-        before = self.held_bytes
-        for buffer in sorted(buffers, key=lambda item: _order(item, stalled_before)):
-            if self.held_bytes <= self.total_bytes:
-                return
+        before = held
+        ordered = sorted(buffers, key=lambda item: _order(item, stalled_before))
+        for number, buffer in enumerate(ordered):
+            if held <= bound:
+                return ordered[number:]
+            held -= buffer.size
             self.held_bytes -= buffer.size
             self.freed[buffer.kind] += 1
             absl.logging.log_every_n_seconds(
@@ -166,12 +184,13 @@
                     "bytes": buffer.size,
                     "is_stalled": buffer.moved_at < stalled_before,
                     "held": before,
-                    "bound": self.total_bytes,
+                    "bound": bound,
                     "freed": self.freed[buffer.kind],
                 },
                 _LOG_SECONDS,
             )
             buffer.give_way(OVER_BUDGET)
+        return []
 
 
 def _order(buffer: Buffer, stalled_before: float) -> tuple[int, int]:
--- a/src/yokeline/node/process.py
+++ b/src/yokeline/node/process.py
@@ -133,7 +133,11 @@
     def _shared_budget(self, limits: TransportLimits) -> MemoryBudget:
         """Return the budget of the process, which the limits of its first service determine."""
         if self._budget is None:
-            self._budget = MemoryBudget(limits.buffer_bytes)
+            by_kind = {
+                BufferKind.REQUEST: limits.arriving_request_bytes,
+                BufferKind.RESPONSE: limits.arriving_response_bytes,
+            }
+            self._budget = MemoryBudget(limits.buffer_bytes, by_kind)
         return self._budget
 
     def request_stop(self) -> None:
--- a/tests/unit/node/test_memory_budget.py
+++ b/tests/unit/node/test_memory_budget.py
@@ -123,6 +123,18 @@
         self.assertEqual(holder.freed[0], BufferKind.REQUEST.value)
         self.assertIn(BufferKind.FRAME.value, holder.sizes)
 
+    def test_buffers_of_one_kind_stay_within_a_bound_of_their_own(self) -> None:
+        holder = Holder()
+        holder.sizes = {"a": 60, "b": 80, "answer": 500}
+        holder.kinds = {"a": BufferKind.RESPONSE, "b": BufferKind.RESPONSE}
+        budget = MemoryBudget(BOUND, {BufferKind.RESPONSE: 100})
+        budget.add_source(holder)
+        budget.note_growth(49)
+        self.assertEqual(holder.freed, [])
+        budget.note_growth(1)
+        self.assertEqual(holder.freed, ["b"])
+        self.assertEqual(budget.held_bytes, 560)
+
     def test_small_requests_are_admitted_beside_large_ones(self) -> None:
         holder = Holder()
         bound = 100 * SMALL_REQUEST_BYTES
--- a/tests/unit/platform/test_start.py
+++ b/tests/unit/platform/test_start.py
@@ -40,7 +40,10 @@
     return built
 
 roles._storage_services = note_build
-roles.run_services = lambda services, **options: serving.append((gc.isenabled(), gc.get_freeze_count() > 0))
+def note_run(services, **options):
+    serving.append((gc.isenabled(), gc.get_freeze_count() > 0))
+
+roles.run_services = note_run
 with tempfile.TemporaryDirectory() as folder:
     path = os.path.join(folder, "node.toml")
     with open(path, "w") as file:
