Close connections that rest when there are as many as allowed

With 1,500 connections that sent nothing, or that stopped inside a head, ordinary callers got no answer in 40 tries while they stayed: a node closed each new connection as it was accepted.

Cause: a connection counted whatever it did, until its idle or request limit. Now the new one is taken, and others are closed for it, a 64th of all at a time: those that never had a request, then requests that made no progress for a second (503, not run) and closing ones, then those that rest between requests, the longest first. Refused are new ones only if all others have work. A counter and a log line tell of it.

--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -21,6 +21,9 @@
     "yokeline_http_connections_refused_total": (
         "Connections of callers refused because this node had as many as it takes."
     ),
+    "yokeline_http_idle_connections_closed_total": (
+        "Connections of callers closed while they had no request, to make room for new ones."
+    ),
     "yokeline_requests_shed_total": "Requests refused by a limit of this node, by reason.",
     "yokeline_event_stream_gaps_total": "Gaps in event streams to callers, each fetched again.",
     "yokeline_internal_errors_total": "HTTP requests that met a fault of the code.",
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -18,7 +18,7 @@
 from yokeline.node.http_heads import RawHeaders, reason_phrase, response_headers
 from yokeline.node.http_requests import IncomingRequest, RequestReader, RequestRefusedError
 from yokeline.node.limits import KIBIBYTE
-from yokeline.node.memory_budget import Buffer, BufferKind
+from yokeline.node.memory_budget import STALLED_SECONDS, Buffer, BufferKind
 from yokeline.node.read_pacing import FIRST_READ_BYTES, MIN_READ_BYTES, ReadPacer
 from yokeline.node.refusals import (
     BAD_GATEWAY,
@@ -72,6 +72,7 @@
         )
         self._requests = RequestReader(self._codec, server.limits, server.budget.has_room_for)
         self._request_bytes = 0
+        self._has_been_used = False
         self._received_at = 0.0
         self._progress = 0
         self._progress_at = time.monotonic()
@@ -135,6 +136,36 @@
     def _cut_reader(self, reason: str) -> None:
         self._connection.cut_off("all callers together read too slowly")
 
+    # ------------------------------------------------------------ connections beyond the bound
+
+    def idle_rank(self) -> tuple[int, float] | None:
+        """Return the place among the connections that are closed for new ones; None for no place.
+
+        First those that have never had a request, then requests that have stalled and closing
+        connections, then those that rest between two requests; the longest first.
+        """
+        if self._phase is _Phase.IDLE:
+            is_unused = not self._has_been_used
+            if self._connection.unsent_bytes():
+                return None
+            return (0 if is_unused else 2), self._resting_since
+        if self._phase is _Phase.RECEIVING:
+            is_stalled = self._received_at < time.monotonic() - STALLED_SECONDS
+            return (1, self._received_at) if is_stalled else None
+        if self._phase is _Phase.FINISHING and not self._connection.unsent_bytes():
+            return 1, self._received_at
+        return None
+
+    def close_idle(self) -> None:
+        """Close for a new connection; a request that is not whole is refused as far as it goes."""
+        if self._phase is _Phase.RECEIVING:
+            self._refuse(self._requests.refused(NO_ROOM, UNAVAILABLE))
+            self._connection.flush_output()
+        self._clear_deadline()
+        self._pacer.stop()
+        self._connection.close()
+        self._server.forget(self)
+
     # ------------------------------------------------------------ requests in
 
     def connection_made(self) -> None:
@@ -186,6 +217,7 @@
         self._clear_deadline()
         self._phase = _Phase.ANSWERING
         self._closes_after_answer = request.too_large
+        self._has_been_used = True
         self._request_bytes = request.memory_bytes
         if not self._server.budget.admits(self._request_bytes):
             self._server.budget.note_refused(self._request_bytes)
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -17,6 +17,7 @@
 import socket
 from collections.abc import Iterator
 
+import absl.logging
 import msgspec
 from circuits.core.components import BaseComponent
 from circuits.core.handlers import handler
@@ -44,6 +45,11 @@
 """Objects that stand for a connection of a caller."""
 
 
+_CLOSED_SHARE = 1 / 64
+"""Share of the connections that is closed at a time when there are as many as allowed."""
+_LOG_SECONDS = 1.0
+
+
 class HttpServer(BaseComponent):
     """Listens for callers and keeps their connections."""
 
@@ -70,6 +76,7 @@
         self._numbers = itertools.count(1)
         self._listener = Listener(poller, deadlines, sock, self._accept)
         self.refused_connections = 0
+        self.closed_idle_connections = 0
         self.costly_reads = CostlyReads(deadlines)
         bridge.carry_out_with(HttpReply, self._reply)
         bridge.carry_out_with(HttpStreamStart, self._start_stream)
@@ -109,13 +116,41 @@
         self._bridge.submit(event)
 
     def _accept(self, sock: socket.socket) -> None:
-        if len(self._connections) >= self.limits.max_connections:
+        if len(self._connections) >= self.limits.max_connections and not self._close_idle():
             self.refused_connections += 1
             sock.close()
             return
         self._connections.add(ServerConnection(self, sock))
         self.budget.note_growth(CONNECTION_BYTES)
 
+    def _close_idle(self) -> bool:
+        """Close connections that are least likely to be missed; return whether there were any.
+
+        Several at a time, since the choice looks at all connections.
+        """
+        ranked = [
+            (rank, connection)
+            for connection in self._connections
+            if (rank := connection.idle_rank()) is not None
+        ]
+        ranked.sort(key=lambda item: item[0])
+        most = max(1, int(_CLOSED_SHARE * self.limits.max_connections))
+        for _, connection in ranked[:most]:
+            self.closed_idle_connections += 1
+            connection.close_idle()
+        if ranked:
+            absl.logging.log_every_n_seconds(
+                absl.logging.WARNING,
+                {
+                    "event": "idle_connections_closed",
+                    "closed": min(most, len(ranked)),
+                    "closed_so_far": self.closed_idle_connections,
+                    "bound": self.limits.max_connections,
+                },
+                _LOG_SECONDS,
+            )
+        return bool(ranked)
+
     def _reply(self, effect: HttpReply) -> None:
         connection = self._exchanges.get(effect.exchange)
         if connection is not None:
--- a/src/yokeline/node/process.py
+++ b/src/yokeline/node/process.py
@@ -34,6 +34,7 @@
 _DRAIN_CHECK_SECONDS = 0.01
 
 HTTP_REFUSED = "yokeline_http_connections_refused_total"
+HTTP_IDLE_CLOSED = "yokeline_http_idle_connections_closed_total"
 SLOW_READERS = "yokeline_http_slow_readers_cut_off_total"
 PEERS_REFUSED = "yokeline_peer_connections_refused_total"
 FRAMES_DROPPED = "yokeline_peer_frames_dropped_total"
@@ -255,6 +256,7 @@
         counters: dict[str, float] = {}
         if self.server is not None:
             counters[HTTP_REFUSED] = self.server.refused_connections
+            counters[HTTP_IDLE_CLOSED] = self.server.closed_idle_connections
         if self.peers is not None:
             counters[PEERS_REFUSED] = self.peers.refused_connections
             dropped = {**self.peers.counters, "queue_limit": self.peers.dropped_frames()}
