Bound what an address of readiness or metrics holds

5,000 connections to the address of readiness opened 5,015 descriptors in a process that may have 4,100; its requests could have bodies of 1 MiB each.

Cause: the status services were bound with the default limits, which are made for callers of runs. They now have 128 connections, of which those that rest are closed for new ones, and no bodies.

--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -58,6 +58,9 @@
 """Share of a process's memory for all its buffers; the rest is for what it needs at rest, and for
 copies of the buffer that is being worked on."""
 
+_STATUS_CONNECTIONS = 128
+"""Connections to an address of readiness or metrics; beyond it those that rest are closed."""
+
 BoundServices = list[tuple[Service, ServiceBinding, OpenSockets | None]]
 
 
@@ -252,7 +255,7 @@
     )
     services: BoundServices = [
         (node, binding, None),
-        (status, ServiceBinding(http=ready.unwrap(), auxiliary=True), None),
+        (status, _status_binding(ready.unwrap()), None),
     ]
     return Success(_with_metrics(services, status, settings))
 
@@ -378,10 +381,16 @@
 ) -> BoundServices:
     if settings.metrics_port:
         address = Address(settings.host, settings.metrics_port)
-        services.append((status.twin(), ServiceBinding(http=address, auxiliary=True), None))
+        services.append((status.twin(), _status_binding(address), None))
     return services
 
 
+def _status_binding(address: Address) -> ServiceBinding:
+    """Return what a status service is bound to; its requests have no body."""
+    server = ServerLimits(max_connections=_STATUS_CONNECTIONS, max_body_bytes=0)
+    return ServiceBinding(http=address, limits=TransportLimits(server=server), auxiliary=True)
+
+
 def _limits(settings: RoleSettings) -> TransportLimits:
     for_callers = int(settings.max_descriptors * _DESCRIPTORS_FOR_CALLERS)
     return TransportLimits(
