Let frames between nodes draw on the memory budget

40 connections to the port of the peers, each with 8 MiB of a frame that never ends, took 363 MB at a forwarding node of 88 MB, and 359 at a storage node of 120.

Cause: each connection could hold a frame of 16 MiB, and each link queue 64 MiB, whatever the memory. Frames that are not whole and frames that wait for other nodes are buffers of the budget now, the last ones to give way: their connection is closed, and peers connect again. A payload is copied once in place of twice. Incoming connections take a fifth of the descriptors at most.

Evidence: two tests of test_client_crowds failed before and pass.

--- a/src/yokeline/messages/framing.py
+++ b/src/yokeline/messages/framing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+import sys
 
 from yokeline.errors import ErrorKind, YokelineError, YokelineException
 
@@ -34,6 +35,11 @@
         self._limit = limit
         self._buffer = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the frame that is not whole."""
+        return sys.getsizeof(self._buffer) if self._buffer else 0
+
     def feed(self, data: bytes) -> list[bytes]:
         """Add bytes that arrived and return the payloads that are complete now.
 
@@ -44,7 +50,8 @@
         payloads: list[bytes] = []
         position = 0
         while (end := self._frame_end(position)) is not None:
-            payloads.append(bytes(self._buffer[position + _PREFIX.size : end]))
+            with memoryview(self._buffer) as view:
+                payloads.append(bytes(view[position + _PREFIX.size : end]))
             position = end
         del self._buffer[:position]
         return payloads
--- a/src/yokeline/node/peer_link.py
+++ b/src/yokeline/node/peer_link.py
@@ -14,6 +14,7 @@
 from yokeline.node.connection import Connection
 from yokeline.node.deadlines import Deadline, DeadlineQueue
 from yokeline.node.limits import PeerLimits
+from yokeline.node.memory_budget import Buffer, BufferKind
 from yokeline.node.poller import SocketPoller
 from yokeline.node.reconnects import ReconnectSchedule
 
@@ -96,6 +97,20 @@
         connection = self._connection
         return self._waiting_bytes + (connection.unsent_bytes() if connection else 0)
 
+    def buffer(self) -> Buffer:
+        """Return the frames that the kernel has not taken."""
+        memory = self._connection.output_memory() if self._connection is not None else 0
+        size = self._waiting_bytes + memory
+        return Buffer(BufferKind.FRAME, size, self._last_use, self._drop_frames)
+
+    def _drop_frames(self, reason: str) -> None:
+        """Drop what waits; a frame that is partly out cannot be taken back, so reconnect."""
+        self._count_dropped(max(1, len(self._waiting)))
+        self._waiting.clear()
+        self._waiting_bytes = 0
+        if self._connected and self._connection is not None:
+            self._connection.cut_off(reason)
+
     # ------------------------------------------------------------ from the connection
 
     def connection_made(self) -> None:
@@ -187,8 +202,8 @@
             self._waiting_bytes -= len(frame)
             self._count_dropped()
 
-    def _count_dropped(self) -> None:
-        self.dropped_frames += 1
+    def _count_dropped(self, count: int = 1) -> None:
+        self.dropped_frames += count
         now = time.monotonic()
         if now - self._last_report >= _REPORT_SECONDS:
             self._last_report = now
--- a/src/yokeline/node/peer_transport.py
+++ b/src/yokeline/node/peer_transport.py
@@ -4,7 +4,9 @@
 
 import random
 import socket
+import time
 from collections import Counter
+from collections.abc import Iterator
 
 import absl.logging
 from circuits.core.components import BaseComponent
@@ -15,16 +17,20 @@
 from yokeline.errors import YokelineException
 from yokeline.identifiers import ReplicaId
 from yokeline.messages.framing import FrameReader, encode_frame
+from yokeline.node.allocator import LARGE_BLOCK_BYTES, map_large_blocks
 from yokeline.node.bridge import Bridge
 from yokeline.node.connection import Connection
 from yokeline.node.deadlines import DeadlineQueue
-from yokeline.node.limits import PeerLimits
+from yokeline.node.limits import KIBIBYTE, PeerLimits
 from yokeline.node.listener import Listener
+from yokeline.node.memory_budget import Buffer, BufferKind, MemoryBudget
 from yokeline.node.peer_link import PeerLink
 from yokeline.node.poller import SocketPoller
 from yokeline.node.traffic import TrafficCount
 from yokeline.node.wire_codec import WireCodec, default_codec
 
+CONNECTION_BYTES = 4 * KIBIBYTE
+"""Objects that stand for a connection to or from another node."""
 LAST_SEND_SECONDS = 2.0
 """Time for the last messages of a stopped service to leave."""
 
@@ -49,10 +55,13 @@
         sock: socket.socket,
         replica: ReplicaId,
         limits: PeerLimits,
+        budget: MemoryBudget,
         codec: WireCodec | None = None,
     ) -> None:
-        """Listen for other nodes on a listening socket."""
+        """Listen for other nodes on a listening socket; frames draw on ``budget``."""
         super().__init__(channel=bridge.channel)
+        self.budget = budget
+        budget.add_source(self)
         self.replica = replica
         self.limits = limits
         self.poller = poller
@@ -82,6 +91,7 @@
         link = self._link(effect.address)
         self._name_link(effect.to, link)
         link.send(frame)
+        self.budget.note_growth(len(frame))
         self.traffic.note_sent(effect.message, len(frame), link.unsent_bytes())
 
     def take_payload(self, payload: bytes) -> None:
@@ -114,6 +124,19 @@
         open_links = sum(link.dropped_frames for link in self._links.values())
         return self._dropped_by_closed_links + open_links
 
+    def fixed_bytes(self) -> int:
+        """Return the memory of the connections."""
+        return CONNECTION_BYTES * (len(self._incoming) + len(self._links))
+
+    def buffers(self) -> Iterator[Buffer]:
+        """Return the frames that arrive, and those that wait for other nodes."""
+        for peer in self._incoming:
+            if peer.held_bytes:
+                yield peer.buffer()
+        for link in self._links.values():
+            if link.unsent_bytes():
+                yield link.buffer()
+
     def unsent_bytes(self) -> int:
         """Return how many bytes of messages the kernel has not taken yet."""
         return sum(link.unsent_bytes() for link in self._links.values())
@@ -177,12 +200,27 @@
             transport.poller, sock, self, max_unsent_bytes=transport.limits.max_frame_bytes
         )
         self._connection.set_silent_limit(transport.limits.silent_seconds)
+        self._received_at = time.monotonic()
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the frame that is not whole."""
+        return self._reader.held_bytes
+
+    def buffer(self) -> Buffer:
+        """Return what the connection holds of a frame."""
+        return Buffer(BufferKind.FRAME, self.held_bytes, self._received_at, self._give_way)
+
+    def _give_way(self, reason: str) -> None:
+        self._transport.counters["memory"] += 1
+        self._connection.cut_off(reason)
 
     def connection_made(self) -> None:
         """Unused: accepted connections are there from the start."""
 
     def data_received(self, data: bytes) -> None:
         """Take frames; a stream that is no yokeline peer's is closed."""
+        self._received_at = time.monotonic()
         try:
             payloads = self._reader.feed(data)
         except YokelineException as error:
@@ -195,9 +233,13 @@
             return
         for payload in payloads:
             self._transport.take_payload(payload)
+        if self.held_bytes > LARGE_BLOCK_BYTES:
+            map_large_blocks()
+        self._transport.budget.note_growth(len(data))
 
     def connection_lost(self, reason: str) -> None:
         """Forget the connection."""
+        self._reader = FrameReader(self._transport.limits.max_frame_bytes)
         self._transport.forget(self)
 
     def close(self) -> None:
--- a/src/yokeline/node/process.py
+++ b/src/yokeline/node/process.py
@@ -236,6 +236,7 @@
                 sockets.peer,
                 binding.replica,
                 limits.peers,
+                budget,
                 binding.codec,
             ).register(self.bridge)
             self.datagrams = DatagramEndpoint(
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -44,6 +44,7 @@
 
 SEED_BITS = 128
 _DESCRIPTORS_FOR_CALLERS = 0.6
+_DESCRIPTORS_FOR_PEERS = 0.2
 _EDGE_WATCH_PAUSE_SECONDS = 0.1
 """Pause of a forwarding node after a change, so that one call brings several; the next change is
 known that much later at most, a twentieth of the shortest time for a configuration (2 s)."""
@@ -410,6 +411,7 @@
             prompt_seconds=1.5,
             silent_seconds=1.0,
             max_queue_seconds=1.0,
+            max_connections=int(settings.max_descriptors * _DESCRIPTORS_FOR_PEERS),
         ),
         buffer_bytes=_buffer_bytes(settings),
     )
