Close connections to the port of the peers that bring nothing when there are as many as allowed

Beside 1,000 idle connections to the port of its peers a storage node refused the link of a forwarding node that had started again: ten turns in a row were answered 503 (ledger_unavailable).

Cause: connections were refused at the bound whatever the open ones did. The oldest that has brought no whole frame is closed for a new one now.

--- a/src/yokeline/node/peer_transport.py
+++ b/src/yokeline/node/peer_transport.py
@@ -75,7 +75,7 @@
         self._random = random.Random(replica)
         self._links: dict[Address, PeerLink] = {}
         self._links_by_replica: dict[ReplicaId, PeerLink] = {}
-        self._incoming: set[IncomingPeer] = set()
+        self._incoming: dict[IncomingPeer, None] = {}
         self._listener = Listener(poller, deadlines, sock, self._accept)
         bridge.carry_out_with(SendPeer, self.send_message)
 
@@ -117,7 +117,7 @@
 
     def forget(self, peer: IncomingPeer) -> None:
         """Forget a closed incoming connection."""
-        self._incoming.discard(peer)
+        self._incoming.pop(peer, None)
 
     def dropped_frames(self) -> int:
         """Return how many outgoing frames were dropped for age or size of the queue."""
@@ -169,11 +169,21 @@
             self._dropped_by_closed_links += link.dropped_frames
 
     def _accept(self, sock: socket.socket) -> None:
-        if len(self._incoming) >= self.limits.max_connections:
+        if len(self._incoming) >= self.limits.max_connections and not self._close_unused():
             self.refused_connections += 1
             sock.close()
             return
-        self._incoming.add(IncomingPeer(self, sock))
+        self._incoming[IncomingPeer(self, sock)] = None
+
+    def _close_unused(self) -> bool:
+        """Close the oldest connection that has brought no message; return whether there is one."""
+        unused = next((peer for peer in self._incoming if not peer.has_sent), None)
+        if unused is None:
+            return False
+        self.counters["unused_connection"] += 1
+        unused.close()
+        self.forget(unused)
+        return True
 
     @handler("service_stopped")
     def _on_service_stopped(self, exit_code: int, output_seconds: float) -> None:
@@ -190,7 +200,11 @@
 
 
 class IncomingPeer:
-    """A connection that another node opened to send us messages."""
+    """A connection that another node opened to send us messages.
+
+    Attributes:
+        has_sent: Whether it has brought a whole frame.
+    """
 
     def __init__(self, transport: PeerTransport, sock: socket.socket) -> None:
         """Read frames from an accepted socket."""
@@ -201,6 +215,7 @@
         )
         self._connection.set_silent_limit(transport.limits.silent_seconds)
         self._received_at = time.monotonic()
+        self.has_sent = False
 
     @property
     def held_bytes(self) -> int:
@@ -231,6 +246,7 @@
             self.close()
             self._transport.forget(self)
             return
+        self.has_sent = self.has_sent or bool(payloads)
         for payload in payloads:
             self._transport.take_payload(payload)
         if self.held_bytes > LARGE_BLOCK_BYTES:
--- a/tests/processes/platform/test_client_crowds.py
+++ b/tests/processes/platform/test_client_crowds.py
@@ -274,6 +274,19 @@
         storage = self.deployment.storage[0]
         self.check_port(self.peer_port(storage), UNFINISHED_FRAME, 40, storage)
 
+    def test_connections_to_the_port_of_peers_that_send_nothing(self) -> None:
+        with Crowd(self.peer_port(self.deployment.storage[0])) as crowd:
+            crowd.open(1000)
+            self.edge.kill()
+            crowd.open(100)
+            self.edge.start(first_start=False)
+            wait_until(lambda: self.deployment.is_ready(0), "the forwarding node is ready")
+            fields = {"program_id": "p", "token_budget": "200", "token_usage": "100,50"}
+            asked = (self.deployment.ask(0, "/kept/x", f"t{n}", **fields)[0] for n in range(10))
+            self.assertIn(OK, asked)
+            self.assert_all_within_memory()
+        self.assert_recovered()
+
     def peer_port(self, process: RoleProcess) -> int:
         return int(tomllib.loads(process._settings.read_text())["peer_port"])
 
