Refuse turns whose texts the ledger's memory cannot keep

Large turns of a retained route took a storage node of 120 MB to 151 MB within seconds: 240 turns of 4 MiB, of which those that ran are kept for a minute.

Cause: the ledger's state had no bound on the texts of kept turns, and its log was compacted at 48 to 72 MiB whatever memory_mb. A text that has run must be kept, so the bound has to hold before.

Change: a reservation tells the size of a turn's input beyond 4 KiB (a field behind those that earlier releases read), and the leader refuses it, before it runs, if what is kept and what it has admitted would go beyond a sixth of memory_mb (an eighth for texts over 256 KiB). The caller gets 503 with Retry-After; the new result is sent only to nodes that tell sizes. Kept turns without a budget reserve as well if they are larger than that. The log is compacted at an eighth of memory_mb, 48 MiB at most.

--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -34,6 +34,7 @@
     BudgetSpent,
     Granted,
     KeptTurn,
+    NoRoom,
     NoSuchTurn,
     Operation,
     OperationResult,
@@ -167,6 +168,10 @@
             self._limits.handle_quota_spent(
                 exchange, result, lambda item: self._ask_again(item, operation)
             )
+        elif isinstance(result, NoRoom):
+            self._responder.refuse(
+                exchange, UNAVAILABLE, "no_room_for_turn", retry_after=result.retry_after
+            )
         elif isinstance(result, NoSuchTurn):
             self._responder.refuse(
                 exchange, NOT_FOUND, "no_such_turn", turn=exchange.call.previous_turn
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -17,6 +17,9 @@
 )
 from yokeline.losses.request_identity import request_digest
 
+REPORTED_TEXT_BYTES = 4096
+"""Input of a turn beyond which the ledger is told its size before the turn runs."""
+
 
 def needs_ledger(exchange: Exchange) -> bool:
     """Return whether a request counts against a budget or continues a kept turn."""
@@ -69,7 +72,19 @@
 
 def needs_reservation(exchange: Exchange) -> bool:
     """Return whether a request must not be sent before the ledger has answered."""
-    return needs_ledger(exchange) or exchange.stream_origin is StreamOrigin.ASKED
+    if needs_ledger(exchange) or exchange.stream_origin is StreamOrigin.ASKED:
+        return True
+    return _kept_text_bytes(exchange) > 0
+
+
+def _kept_text_bytes(exchange: Exchange) -> int:
+    """Return what the ledger will keep of a turn at least; 0 for few bytes.
+
+    Texts that are kept in regions are not in the ledger.
+    """
+    size = len(exchange.incoming.body)
+    is_kept = exchange.route.retain and exchange.allowed_regions is None
+    return size if is_kept and size > REPORTED_TEXT_BYTES else 0
 
 
 def _stream_lookup_of(exchange: Exchange) -> str | UnsetType:
@@ -81,10 +96,16 @@
 
 
 def _side_report_of(exchange: Exchange) -> SideReport | UnsetType:
-    """Return the question for the versions of the pool whose stream a request resumes."""
-    if exchange.stream_origin is not StreamOrigin.ASKED:
+    """Return what a reservation tells and asks for besides the turn; unset for nothing."""
+    text_bytes = _kept_text_bytes(exchange)
+    if exchange.stream_origin is StreamOrigin.ASKED:
+        line = line_of_request(exchange)
+        return SideReport(line=line, pool=exchange.pool, text_bytes=text_bytes)
+    if not text_bytes:
         return UNSET
-    return SideReport(line=line_of_request(exchange), pool=exchange.pool)
+    names = exchange.names
+    line = line_of_turn(_charged_program(exchange), names.session, names.previous_turn)
+    return SideReport(line=line, text_bytes=text_bytes)
 
 
 def settlement_of(exchange: Exchange, tokens: int, turn: KeptTurn | None) -> Settle:
--- a/src/yokeline/ledger/operations.py
+++ b/src/yokeline/ledger/operations.py
@@ -135,12 +135,15 @@
         losses: Attempts to record under the line.
         pool: The pool whose recorded versions are asked for; empty for none.
         versions: Versions of pools to record, or to delete.
+        text_bytes: Bytes of text that the ledger will keep of the turn, as far as known before it
+            runs; 0 for few, or for none.
     """
 
     line: str = ""
     losses: tuple[EngineLoss, ...] = ()
     pool: str = ""
     versions: tuple[PoolVersion, ...] = ()
+    text_bytes: int = 0
 
 
 class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag="reserve"):
@@ -182,6 +185,11 @@
     streams: tuple[StreamVersion, ...] | UnsetType = UNSET
     side: SideReport | UnsetType = msgspec.field(default=UNSET, name="losses")
 
+    @property
+    def text_bytes(self) -> int:
+        """Bytes that the ledger will keep of the turn; 0 for few, or for none."""
+        return 0 if isinstance(self.side, UnsetType) else self.side.text_bytes
+
 
 _TURN_LINE_KIND = "turn"
 CALL_LINE_PREFIX = "call\n"
@@ -332,4 +340,16 @@
     is_empty: bool
 
 
-OperationResult = Granted | BudgetSpent | NoSuchTurn | Settled | Drawn | QuotaSpent
+class NoRoom(msgspec.Struct, frozen=True, kw_only=True, tag="no_room"):
+    """The ledger has no memory for the turn's text; nothing was reserved.
+
+    Sent only to nodes that tell the size of the text.
+
+    Attributes:
+        retry_after: Seconds after which a retry may succeed.
+    """
+
+    retry_after: float
+
+
+OperationResult = Granted | BudgetSpent | NoSuchTurn | Settled | Drawn | QuotaSpent | NoRoom
--- a/src/yokeline/ledger/request_batches.py
+++ b/src/yokeline/ledger/request_batches.py
@@ -15,6 +15,7 @@
 from yokeline.effects import Address, Effect, LogRecord, SendPeer
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.admission_controller import AdmissionController
+from yokeline.ledger.kept_text_budget import KeptTextBudget
 from yokeline.ledger.leader_load import LeaderLoad
 from yokeline.ledger.messages import EngineTurns, LedgerReply, LedgerRequest, PoolShares
 from yokeline.ledger.operations import (
@@ -86,10 +87,22 @@
         operations: Operations received so far.
         load: Counters of the leader's load, for the log.
         admission: Refuses new programs that their tenants' limits cannot carry.
+        kept_texts: Refuses turns whose texts do not fit into the memory.
     """
 
-    def __init__(self, replica: LedgerReplica, wall: Callable[[], float], now: float) -> None:
-        """Propose to ``replica``; ``wall`` returns seconds since the epoch."""
+    def __init__(
+        self,
+        replica: LedgerReplica,
+        wall: Callable[[], float],
+        now: float,
+        memory_bytes: float = 0.0,
+    ) -> None:
+        """Propose to ``replica``.
+
+        ``wall`` returns seconds since the epoch, ``memory_bytes`` is what the process may use; 0 if
+        not known.
+        """
+        self.kept_texts = KeptTextBudget(memory_bytes)
         self.turns = TurnsUnderWay()
         self.places = TenantPlaces()
         self.operations = 0
@@ -201,6 +214,11 @@
             spent, lines = self._refusal(operation)
             if spent is not None:
                 return [*lines, self._reply(requester, spent)]
+            self.kept_texts.note_ended(operation)
+            no_room, lines = self.kept_texts.refusal(operation, self._replica.state(), self._now)
+            if no_room is not None:
+                self.admission.cancel(operation)
+                return [*lines, self._reply(requester, no_room)]
         self._queued[key] = _QueuedOperation(operation, self._now, [requester], is_copied)
         if len(self._queued) > MAX_QUEUED_OPERATIONS:
             oldest = self._queued.pop(next(iter(self._queued)))
--- a/src/yokeline/ledger/storage_node.py
+++ b/src/yokeline/ledger/storage_node.py
@@ -93,8 +93,13 @@
         now: float,
         texts: RegionalTextStore | None = None,
         zone_regions: Mapping[str, str] | None = None,
+        memory_bytes: float = 0.0,
     ) -> None:
-        """Create the service; ``wall`` returns seconds since the epoch."""
+        """Create the service.
+
+        ``wall`` returns seconds since the epoch, ``memory_bytes`` is what the process may use; 0 if
+        not known.
+        """
         self.replica = replica
         self.texts = texts
         self._zone_regions = dict(zone_regions or {})
@@ -122,7 +127,7 @@
         self._next_text_nodes = now
         self._stop_at: float | None = None
         self._effects: list[Effect] = []
-        self.batches = RequestBatches(replica, wall, now)
+        self.batches = RequestBatches(replica, wall, now, memory_bytes)
         self._histories = HistoryService(replica)
         self.disk_refusals = 0
         self._refused_since: float | None = None
@@ -637,6 +642,9 @@
         "yokeline_ledger_programs": float(len(state.programs)),
         "yokeline_ledger_tenants": float(len(state.quotas.accounts)),
         "yokeline_ledger_turns": float(len(state.turns)),
+        "yokeline_ledger_kept_text_bytes": float(
+            sum(len(stored.turn.text) for stored in state.turns.values())
+        ),
         "yokeline_ledger_term": float(node.replica.group.term),
         "yokeline_ledger_commit_index": float(node.replica.group.commit_index),
         "yokeline_ledger_leads": float(node.replica.leads),
@@ -652,6 +660,7 @@
         gauges.update(node.texts.gauges())
     counters = {
         "yokeline_ledger_operations_total": float(node.batches.operations),
+        "yokeline_ledger_kept_texts_refused_total": float(node.batches.kept_texts.refused),
         "yokeline_ledger_entries_restored_total": float(node.replica.entries_restored),
         "yokeline_ledger_disk_refusals_total": float(node.disk_refusals),
         "yokeline_ledger_texts_lacking_total": float(node.replica.messages_missing_texts),
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -216,6 +216,10 @@
     "yokeline_ledger_regional_texts_total": (
         "Texts bound to regions at this storage node, by what happened to them."
     ),
+    "yokeline_ledger_kept_text_bytes": "Bytes of the texts of kept turns in this replica's state.",
+    "yokeline_ledger_kept_texts_refused_total": (
+        "Turns refused by this leader since their texts would not fit into its memory."
+    ),
     "yokeline_ledger_turns": "Turns that this replica keeps.",
     "yokeline_ledger_term": "Number of the ledger's current term.",
     "yokeline_ledger_commit_index": "Number of the last entry known to be committed.",
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -59,6 +59,8 @@
 """Share of a process's memory for all its buffers; the rest is for what it needs at rest, and for
 copies of the buffer that is being worked on."""
 
+_LOG_MEMORY_SHARE = 1 / 8
+"""Share of a storage node's memory for the entries of the ledger's log."""
 _STATUS_CONNECTIONS = 128
 """Connections to an address of readiness or metrics; beyond it those that rest are closed."""
 
@@ -310,6 +312,7 @@
         now=now,
         first_start=settings.first_start,
         link_mbps=settings.link_mbps,
+        compact_bytes=_compact_bytes(settings),
     )
     record = NodeRecord(
         name=settings.name,
@@ -336,6 +339,7 @@
             memory_mb=settings.memory_mb,
         ),
         zone_regions=settings.zone_regions,
+        memory_bytes=settings.memory_mb * MEBIBYTE,
     )
     binding = ServiceBinding(
         peer=settings.peer_address,
@@ -417,6 +421,15 @@
     )
 
 
+def _compact_bytes(settings: RoleSettings) -> int:
+    """Return the size of the ledger's log from which it is compacted; the memory holds it too."""
+    from yokeline.ledger.replica import MIN_COMPACT_BYTES
+
+    if not settings.memory_mb:
+        return MIN_COMPACT_BYTES
+    return min(MIN_COMPACT_BYTES, int(_LOG_MEMORY_SHARE * settings.memory_mb * MEBIBYTE))
+
+
 def _buffer_bytes(settings: RoleSettings) -> int:
     """Return the memory that all buffers of the process may take together."""
     if settings.buffer_mb:
