Let histories, cached texts and kept outputs draw on the memory budget

40 turns of one byte that continued a chain of 9 MiB took a forwarding node of 88 MB to 425 MB: each got a body of its own with the whole history while it waited for an engine.

Cause: what a service makes of a request was in no bound. The service now tells what its open requests hold beside what they brought, and what it has cached; caches give way first, replicas have the texts as well. A history is added only if there is room for the body (503, no_room_for_history, not run). Requests that are refused at their head are counted and logged like the others.

Evidence: test_turns_that_continue_a_long_chain, 425 MB before, passes.

--- a/src/yokeline/effects.py
+++ b/src/yokeline/effects.py
@@ -444,6 +444,23 @@
     is_handled: bool
 
 
+@runtime_checkable
+class MemoryHolder(Protocol):
+    """A service that holds large texts beside the requests that it was handed."""
+
+    def held_bytes(self) -> int:
+        """Return the memory of what its open requests need."""
+        ...
+
+    def cached_bytes(self) -> int:
+        """Return the memory of what it can obtain again."""
+        ...
+
+    def drop_caches(self) -> None:
+        """Free what it can obtain again."""
+        ...
+
+
 @runtime_checkable
 class InterruptibleService(Service, Protocol):
     """A service whose callers are answered also if one of its steps raises.
--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -253,6 +253,18 @@
             self._effects.extend(step(self._now))
         return Interruption(effects=self._effects, is_handled=self._is_handled)
 
+    def held_bytes(self) -> int:
+        """Return the memory of what open requests need beside what they brought."""
+        return self.forwarder.held_bytes()
+
+    def cached_bytes(self) -> int:
+        """Return the memory of texts that replicas have as well."""
+        return self.forwarder.cached_bytes()
+
+    def drop_caches(self) -> None:
+        """Free texts that replicas have as well."""
+        self.forwarder.drop_caches()
+
     def has_open(self, exchange: ExchangeId) -> bool:
         """Return whether an exchange has no final answer yet."""
         return self.forwarder.has_open(exchange)
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -191,6 +191,12 @@
     is_isolated: bool = False
     timers: list[Timer] = msgspec.field(default_factory=list)
 
+    @property
+    def text_bytes(self) -> int:
+        """Memory of the body with its history, and of the output that is to be kept."""
+        body = 0 if self.body is self.incoming.body else len(self.body)
+        return body + sum(len(text) for text in self.kept_text)
+
     @property
     def has_ended(self) -> bool:
         """Whether the caller has the final answer, or has left."""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -95,6 +95,11 @@
 engine measures from when it received the request, and its response takes a few milliseconds."""
 
 
+def _always(_size: int) -> bool:
+    """Return that there is room; the default if the memory is not known."""
+    return True
+
+
 class Forwarder:
     """Requests under way at one node.
 
@@ -120,13 +125,15 @@
         eligibility: EligibilityPolicy = NO_RESTRICTIONS,
         residency: DataResidency | None = None,
         texts: RegionalTexts | None = None,
+        has_room: Callable[[int], bool] = _always,
     ) -> None:
         """Serve in a zone.
 
         ``tolerance`` is what tenants may use beyond their limits. ``process`` identifies this
         process in the ids of ledger operations, so that no two requests share one. ``eligibility``
         restricts the engines that requests may be sent to, among others by ``residency``; ``texts``
-        stores the texts of turns that are bound to regions.
+        stores the texts of turns that are bound to regions. ``has_room`` says whether this node has
+        memory for the body of a request.
         """
         self.refusing = False
         self.planned_stop: PlannedStop | None = None
@@ -143,7 +150,7 @@
         ledger.shares_told = self._state.fair_shares.apply_leader_report
         self._held = HeldRequests()
         self._traffic_split = TrafficSplit()
-        turn_cache = TurnCache()
+        turn_cache = self._turn_cache = TurnCache()
         settlements = Settlements(self._state, ledger)
         self._streams = StreamVersions(self._state, ledger, process)
         self._regional_turns = RegionalTurns(
@@ -192,8 +199,23 @@
             self._streams,
             self._losses,
             self._handle_granted,
+            has_room,
         )
 
+    # ------------------------------------------------------------ memory
+
+    def held_bytes(self) -> int:
+        """Return the memory of bodies with a history, and of outputs that are to be kept."""
+        return sum(exchange.text_bytes for exchange in self._state.exchanges.values())
+
+    def cached_bytes(self) -> int:
+        """Return the memory of the cached turns."""
+        return self._turn_cache.held_bytes
+
+    def drop_caches(self) -> None:
+        """Evict the cached turns; replicas have them."""
+        self._turn_cache.clear()
+
     # ------------------------------------------------------------ interface of the node
 
     @property
--- a/src/yokeline/forwarding/reservations.py
+++ b/src/yokeline/forwarding/reservations.py
@@ -63,8 +63,13 @@
         streams: StreamVersions,
         losses: EngineLosses,
         on_granted: Callable[[Exchange], None],
+        has_room: Callable[[int], bool],
     ) -> None:
-        """Call ``on_granted`` with each turn whose reservation and history are complete."""
+        """Call ``on_granted`` with each turn whose reservation and history are complete.
+
+        ``has_room`` says whether this node has memory for a body of some bytes.
+        """
+        self._has_room = has_room
         self._state = state
         self._ledger = ledger
         self._histories = histories
@@ -254,6 +259,15 @@
                 regions=" ".join(sorted(exchange.allowed_regions or ())),
             )
             return
+        if history and not self._has_room(len(history) + len(exchange.incoming.body)):
+            self._responder.refuse(
+                exchange,
+                UNAVAILABLE,
+                "no_room_for_history",
+                retry_after=HISTORY_RETRY_AFTER_SECONDS,
+                history_bytes=len(history),
+            )
+            return
         previous = exchange.names.previous_turn
         if previous:
             self._turn_cache.set_latest(exchange.names.session, previous)
--- a/src/yokeline/forwarding/turn_cache.py
+++ b/src/yokeline/forwarding/turn_cache.py
@@ -23,6 +23,16 @@
         self._bytes = 0
         self._latest: OrderedDict[str, str] = OrderedDict()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the texts."""
+        return self._bytes
+
+    def clear(self) -> None:
+        """Evict all turns."""
+        self._turns.clear()
+        self._bytes = 0
+
     def set_latest(self, session: str, turn_id: str) -> None:
         """Record that a session's chain is cached up to a turn."""
         self._latest[session] = turn_id
--- a/src/yokeline/node/bridge.py
+++ b/src/yokeline/node/bridge.py
@@ -26,6 +26,7 @@
     HttpStreamItem,
     InterruptibleService,
     LogRecord,
+    MemoryHolder,
     Service,
     StopRequested,
     Tick,
@@ -33,7 +34,7 @@
 from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.logs import write_record
 from yokeline.node.deadlines import DeadlineQueue
-from yokeline.node.memory_budget import Buffer
+from yokeline.node.memory_budget import Buffer, BufferKind
 from yokeline.node.refusals import INTERNAL_ERROR, OWN_FAULT, refusal_of
 
 MINIMUM_TICK_SECONDS = 0.001
@@ -74,6 +75,7 @@
         """Run ``service`` on a channel of its own."""
         super().__init__(channel=channel)
         self._service = service
+        self._holder = service if isinstance(service, MemoryHolder) else None
         self._inbox: deque[Event] = deque()
         self._announced = False
         self._earliest_tick = 0.0
@@ -95,12 +97,19 @@
         self._announce()
 
     def fixed_bytes(self) -> int:
-        """Return the memory of the responses that the service has not taken yet."""
-        return sum(len(event.body) for event in self._inbox if isinstance(event, HttpResponse))
+        """Return the memory of the responses that wait for the service, and of its own texts."""
+        waiting = sum(len(event.body) for event in self._inbox if isinstance(event, HttpResponse))
+        return waiting + (self._holder.held_bytes() if self._holder is not None else 0)
 
     def buffers(self) -> Iterable[Buffer]:
-        """Return nothing: what waits for the service is handed over in any case."""
-        return ()
+        """Return the caches of the service; what waits for it is handed over in any case."""
+        cached = self._holder.cached_bytes() if self._holder is not None else 0
+        if cached:
+            yield Buffer(BufferKind.CACHE, cached, 0.0, self._drop_caches)
+
+    def _drop_caches(self, reason: str) -> None:
+        if self._holder is not None:
+            self._holder.drop_caches()
 
     def withdraw(self, request: RequestId) -> None:
         """Forget queued answers to a request that was cancelled."""
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -70,7 +70,7 @@
         self._codec = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.max_header_bytes
         )
-        self._requests = RequestReader(self._codec, server.limits, server.budget.has_room_for)
+        self._requests = RequestReader(self._codec, server.limits, server.has_room_for)
         self._request_bytes = 0
         self._has_been_used = False
         self._received_at = 0.0
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -101,6 +101,13 @@
         """Forget a closed connection."""
         self._connections.discard(connection)
 
+    def has_room_for(self, size: int) -> bool:
+        """Return whether a body of that size may be read; count and log it if not."""
+        if self.budget.has_room_for(size):
+            return True
+        self.budget.note_refused(size)
+        return False
+
     def fixed_bytes(self) -> int:
         """Return the memory of the connections, and of the requests that are being served."""
         requests = sum(connection.request_bytes for connection in self._connections)
--- a/src/yokeline/node/memory_budget.py
+++ b/src/yokeline/node/memory_budget.py
@@ -40,6 +40,8 @@
     """A part of a response of a back end that is still arriving."""
     FRAME = "frame"
     """Messages from or to another node."""
+    CACHE = "cache"
+    """What the service can obtain again."""
 
 
 class Buffer(NamedTuple):
@@ -196,11 +198,14 @@
 def _order(buffer: Buffer, stalled_before: float) -> tuple[int, int]:
     """Return the place of a buffer among those that give way.
 
-    What has stalled goes first, and requests before answers, since a request that was sent nowhere
-    can be repeated. Messages of other nodes go last. Among equals the largest goes first.
+    Caches go first, then what has stalled, and requests before answers, since a request that was
+    sent nowhere can be repeated. Messages of other nodes go last. Among equals the largest goes
+    first.
     """
     is_stalled = buffer.moved_at < stalled_before
-    if buffer.kind is BufferKind.REQUEST:
+    if buffer.kind is BufferKind.CACHE:
+        rank = -1
+    elif buffer.kind is BufferKind.REQUEST:
         rank = 0 if is_stalled else 2
     elif buffer.kind is BufferKind.FRAME:
         rank = 4
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -120,8 +120,8 @@
     if builder is None:
         print(f"bad_setting: no role {role!r}; use edge or storage", file=sys.stderr)
         return EXIT_USAGE
-    process = ProcessFigures(logs.dropped)
-    built = builder(settings, adapter, start, process)
+    transports = ProcessTransports(logs.dropped)
+    built = builder(settings, adapter, start, transports)
     if isinstance(built, Failure):
         print(built.failure().line(), file=sys.stderr)
         return EXIT_USAGE
@@ -130,7 +130,7 @@
     gc.freeze()
     gc.enable()
     services = _with_sockets(built.unwrap(), start)
-    exit_code = run_services(services, on_bound=process.bound.append)
+    exit_code = run_services(services, on_bound=transports.bound.append)
     logs.drain(LOG_DRAIN_SECONDS)
     return exit_code
 
@@ -146,7 +146,7 @@
 
 
 def _edge_services(
-    settings: RoleSettings, adapter: Adapter, start: ProcessStart, process_figures: ProcessFigures
+    settings: RoleSettings, adapter: Adapter, start: ProcessStart, transports: ProcessTransports
 ) -> Result[BoundServices, YokelineError]:
     # Imported here, as the storage part below: a role loads only what it needs.
     from yokeline.forwarding.cold_engine_tracker import ColdEngineTracker
@@ -215,6 +215,7 @@
         eligibility=EligibilityPolicy((residency.restriction, evacuated_zones, cold_rates)),
         residency=residency,
         texts=texts,
+        has_room=transports.has_room,
     )
     forwarder.losses.ends.detection_seconds = end_detection_seconds(
         settings.engine_heartbeat_ms / 1000.0
@@ -254,7 +255,7 @@
     status = StatusService(
         ready=lambda: node.ready,
         ready_path=adapter.ready_path,
-        figures=lambda: process_figures.add_to(edge_figures(node)),
+        figures=lambda: transports.add_to(edge_figures(node)),
     )
     services: BoundServices = [
         (node, binding, None),
@@ -264,7 +265,7 @@
 
 
 def _storage_services(
-    settings: RoleSettings, adapter: Adapter, start: ProcessStart, process_figures: ProcessFigures
+    settings: RoleSettings, adapter: Adapter, start: ProcessStart, transports: ProcessTransports
 ) -> Result[BoundServices, YokelineError]:
     from yokeline.ledger.disk_records import recover
     from yokeline.ledger.regional_text_store import (
@@ -349,13 +350,13 @@
         synced_folder=settings.data_folder,
     )
     status = StatusService(
-        ready=lambda: True, figures=lambda: process_figures.add_to(storage_figures(node))
+        ready=lambda: True, figures=lambda: transports.add_to(storage_figures(node))
     )
     return Success(_with_metrics([(node, binding, None)], status, settings))
 
 
-class ProcessFigures:
-    """Figures of the process that its services do not know.
+class ProcessTransports:
+    """The transports of the process, of which its services know nothing.
 
     Attributes:
         bound: The services with their transports, once they are bound.
@@ -366,6 +367,10 @@
         self.bound: list[BoundService] = []
         self._dropped = dropped
 
+    def has_room(self, size: int) -> bool:
+        """Return whether the process has memory for a body of some bytes."""
+        return not self.bound or self.bound[0].budget.has_room_for(size)
+
     def add_to(self, figures: NodeFigures) -> NodeFigures:
         """Add the log lines dropped, and what the transports refused, freed and dropped."""
         for event, count in sorted(self._dropped.items()):
--- a/tests/processes/platform/test_client_crowds.py
+++ b/tests/processes/platform/test_client_crowds.py
@@ -26,7 +26,13 @@
     request_head,
     sized_request,
 )
-from tests.processes.platform.deployment import CALLER_HOST, Deployment, RoleProcess
+from tests.processes.platform.deployment import (
+    CALLER_HOST,
+    UNAVAILABLE,
+    Deployment,
+    RoleProcess,
+)
+from tests.processes.platform.raw_callers import ask_raw
 
 OK = 200
 MEGABYTE = 1_000_000
@@ -241,6 +247,35 @@
                 return
         self.fail("no ordinary turn is served")
 
+    def test_turns_that_continue_a_long_chain(self) -> None:
+        previous = ""
+        for number in range(3):
+            chain = {"Program_Id": "chain", "Token_Budget": "2000", "Token_Usage": "100,50"}
+            chain.update({"Previous_Turn": previous} if previous else {})
+            previous = f"chain-{number}"
+            status = self.turn(previous, BODY[: 3 * 1024 * 1024], chain)
+            self.assertEqual(status, OK)
+        fields = {"Token_Budget": "200", "Token_Usage": "100,50", "Previous_Turn": previous}
+        requests = []
+        for number in range(40):
+            head = request_head(
+                "/kept/x", "Content-Length: 1", Program_Id=f"branch-{number}", **fields
+            )
+            requests.append([memoryview(head + b"x")])
+        self.check(requests)
+
+    def turn(self, request_id: str, body: bytes, fields: dict[str, str]) -> int:
+        """Send a turn of an ordinary program, again after each refusal; return the last status."""
+        status = 0
+        for _ in range(MOST_TRIES):
+            headers = {f"X-Yokeline-{k.replace('_', '-')}": v for k, v in fields.items()}
+            answer = ask_raw(self.port, "/kept/x", request_id, headers, body=body)
+            status = answer.status or 0
+            if status != UNAVAILABLE:
+                return status
+            time.sleep(TRY_PAUSE_SECONDS)
+        return status
+
 
 class OtherPorts(CrowdCase):
     def check_port(self, port: int, data: bytes, count: int, process: RoleProcess) -> None:
--- a/tests/processes/platform/test_soak.py
+++ b/tests/processes/platform/test_soak.py
@@ -6,9 +6,13 @@
 
 from tests.soak.__main__ import SoakPlan, play
 from tests.soak.broken_streams import truncations
+from tests.soak.client_crowds import CROWDS
 
 SECONDS = 45.0
 SEED = 20261202
+CROWD_SECONDS = 20.0
+CROWD_SEED = 20261205
+LEAST_CROWDS = 3
 LEAST_FAULTS = 25
 LEAST_TRUNCATIONS = 3
 LEAST_ANSWERS = 50
@@ -33,3 +37,8 @@
         around = result.outcomes.get("around a stop", 0)
         self.assertGreaterEqual(around, LEAST_CALLS_AROUND_STOPS)
         self.assertGreater(result.outcomes.get("open at a silent engine at a stop", 0), 0)
+
+    def test_promises_hold_beside_clients_that_misuse_legal_requests(self) -> None:
+        result = play(SoakPlan(seed=CROWD_SEED, seconds=CROWD_SECONDS))
+        self.assertEqual(result.broken, [], "\n".join(result.faults))
+        self.assertGreaterEqual(result.outcomes.get(CROWDS, 0), LEAST_CROWDS)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,15 @@
 from tests.processes.platform.deployment import Deployment
 from tests.soak.broken_streams import StreamBreaker, breaks_by_end
 from tests.soak.callers import Caller, CallerWithoutChunks
+from tests.soak.client_crowds import (
+    CROWDS,
+    EDGE_DESCRIPTORS,
+    EDGE_MEMORY_MB,
+    STORAGE_MEMORY_MB,
+    CrowdCaller,
+    has_crowd,
+)
+from tests.soak.client_crowds import violations as crowd_violations
 from tests.soak.cold_engines import COLD_RATE, PoolOperator, beyond_cold_rate
 from tests.soak.endless_answers import CALLS as ENDLESS_CALLS
 from tests.soak.endless_answers import STREAMS as ENDLESS_STREAMS
@@ -106,6 +115,11 @@
     edges: int = 2
     logs: str = ""
 
+    @property
+    def has_crowd(self) -> bool:
+        """Whether clients that misuse legal requests come as well."""
+        return has_crowd(self.seed)
+
     @property
     def lanes(self) -> int:
         """Sequences of faults beside each other."""
@@ -132,8 +146,10 @@
     def __init__(self, *, storage_nodes: int, edges: int, seed: int) -> None:
         """Prepare; the proxies are named by what lies behind them.
 
-        ``seed`` decides the grace period and the timeout of routes.
+        ``seed`` decides the grace period and the timeout of routes, and whether the nodes are told
+        their memory, since a crowd comes.
         """
+        is_crowded = has_crowd(seed)
         times = random.Random(f"{seed}/times")
         self.grace_seconds = times.choice(GRACE_PERIODS)
         self.route_timeout_ms = times.choice(ROUTE_TIMEOUTS_MS)
@@ -151,6 +167,9 @@
             versions=VERSIONS,
             has_links=True,
             grace_seconds=self.grace_seconds,
+            edge_memory_mb=EDGE_MEMORY_MB if is_crowded else 0,
+            storage_memory_mb=STORAGE_MEMORY_MB if is_crowded else 0,
+            edge_descriptors=EDGE_DESCRIPTORS if is_crowded else 0,
         )
         self.proxies: dict[str, Proxy] = {}
 
@@ -234,18 +253,20 @@
         wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
         lose_answers(deployment, plan.seed)
         kept = kept_callers(deployment, records, plan.seed, tenants[0], deployment.direct_fronts)
+        crowds = [CrowdCaller(deployment, deployment.direct_fronts, plan.seed)]
+        crowds = crowds if plan.has_crowd else []
         watch = LatenessWatch()
         watch.start()
         for caller in (*callers, *resuming, *returning, *endless, *kept):
             caller.start()
         operator.start()
         zone_operator.start()
-        for other in others:
+        for other in (*others, *crowds):
             other.start()
         _inject(injectors, plan.seconds)
         operator.stop()
         zone_operator.stop()
-        for other in others:
+        for other in (*others, *crowds):
             other.stop()
         lose_no_more(deployment)
         broken = _not_served(deployment, records)
@@ -262,6 +283,7 @@
         broken.extend(beyond_bound(returning, engines, isolation.isolations))
         broken.extend(falsely_ended(deployment, engines))
         broken.extend(endless_violations(endless, deployment))
+        broken.extend(crowd_violations(deployment) if crowds else [])
         broken.extend(called_broken(_failed_connections(deployment), engines))
         seen = [request for engine in engines for request in engine.seen]
         broken.extend(tenant_violations(records.asked, seen, operator.taken, tenants))
@@ -281,6 +303,7 @@
         deployment.close_proxies()
     outcomes = records.outcomes() + streams.counts + breaks_by_end(deployment)
     outcomes += kinds_condemned(returning) + stop_counts
+    outcomes[CROWDS] += sum(crowd.crowds for crowd in crowds)
     return SoakResult(faults=shared.lines, outcomes=dict(outcomes), broken=broken)
 
 
--- a/tests/unit/node/test_memory_budget.py
+++ b/tests/unit/node/test_memory_budget.py
@@ -120,7 +120,7 @@
         holder.kinds = {kind.value: kind for kind in BufferKind}
         budget = budget_of(holder, bound=650)
         budget.note_growth(BOUND)
-        self.assertEqual(holder.freed[0], BufferKind.REQUEST.value)
+        self.assertEqual(holder.freed[:2], [BufferKind.CACHE.value, BufferKind.REQUEST.value])
         self.assertIn(BufferKind.FRAME.value, holder.sizes)
 
     def test_buffers_of_one_kind_stay_within_a_bound_of_their_own(self) -> None:
