Read on behind a pipelined request, and split figures from their nodes

A caller that left after two requests of which the second had waited behind the first was not noticed until the second was answered: reading stayed paused. It goes on once little is buffered; found by reading, a test in test_http_server shows it.

--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import sys
 import time
 from typing import Protocol
@@ -28,6 +27,7 @@
     HEADER_ENCODING,
     framing_of_response,
     joined_headers,
+    kept_seconds,
 )
 from yokeline.node.http_pool import ClientConnection, ConnectionPool
 from yokeline.node.limits import ClientLimits
@@ -48,15 +48,6 @@
 _BODILESS_METHODS = ("GET", "HEAD", "DELETE", "OPTIONS")
 
 
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
-
-
-def kept_seconds(headers: dict[str, str]) -> float | None:
-    """Return how long a server keeps an idle connection, if it says so (RFC 2068, 19.7.1)."""
-    found = _KEEP_ALIVE_TIMEOUT.search(headers.get("keep-alive", "").lower())
-    return float(found.group(1)) if found else None
-
-
 def _is_event_stream(response: h11.Response) -> bool:
     content_type = joined_headers(response.headers).get("content-type", "")
     return content_type.startswith("text/event-stream")
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -15,7 +15,12 @@
 from yokeline.identifiers import ExchangeId
 from yokeline.node.connection import Connection
 from yokeline.node.deadlines import Deadline
-from yokeline.node.http_heads import RawHeaders, reason_phrase, response_headers
+from yokeline.node.http_heads import (
+    RawHeaders,
+    content_length,
+    reason_phrase,
+    response_headers,
+)
 from yokeline.node.http_requests import IncomingRequest, RequestReader, RequestRefusedError
 from yokeline.node.limits import KIBIBYTE
 from yokeline.node.memory_budget import STALLED_SECONDS, Buffer, BufferKind
@@ -117,7 +122,7 @@
         elif self._phase in (_Phase.ANSWERING, _Phase.STREAMING):
             pipelined = self._requests.buffered_bytes
             if pipelined > PIPELINED_BYTES:
-                yield Buffer(BufferKind.PIPELINED, pipelined, self._received_at, self._cut_pipeline)
+                yield Buffer(BufferKind.PIPELINED, pipelined, self._received_at, self.cut_off)
 
     def _buffer(self, kind: BufferKind, size: int, progress: int) -> Buffer:
         """Return a buffer whose other end shows progress by a count that rises."""
@@ -130,9 +135,6 @@
         """Refuse a request that is not whole, since all buffers together hold too much."""
         self._refuse(self._requests.refused(NO_ROOM, UNAVAILABLE))
 
-    def _cut_pipeline(self, reason: str) -> None:
-        self._connection.cut_off(reason)
-
     def _cut_reader(self, reason: str) -> None:
         self._connection.cut_off("all callers together read too slowly")
 
@@ -254,7 +256,7 @@
         self._closes_after_answer = self._closes_after_answer or effect.last
         headers = response_headers(effect.headers)
         if effect.status not in _BODILESS_STATUSES:
-            headers.append(_content_length(effect.body))
+            headers.append(content_length(effect.body))
         if self._write_head(effect.status, headers):
             self._write_end(effect.body if self._sends_body else b"")
 
@@ -345,7 +347,7 @@
         self._rest()
         self._connection.read_bytes = FIRST_READ_BYTES
         self._read_request()
-        if self._phase in (_Phase.IDLE, _Phase.RECEIVING):
+        if self._requests.buffered_bytes <= PIPELINED_BYTES:
             self._connection.resume_reading()
 
     # ------------------------------------------------------------ ends
@@ -383,7 +385,7 @@
         if self._codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             answer = refusal_of(refused.error, refused.status)
             headers = response_headers(answer.headers)
-            headers.append(_content_length(answer.body))
+            headers.append(content_length(answer.body))
             self._closes_after_answer = True
             if self._write_head(answer.status, headers):
                 body = answer.body if self._sends_body else b""
@@ -448,7 +450,3 @@
             return
         self._connection.close()
         self._server.forget(self)
-
-
-def _content_length(body: bytes) -> tuple[bytes, bytes]:
-    return b"content-length", str(len(body)).encode()
--- a/src/yokeline/node/http_heads.py
+++ b/src/yokeline/node/http_heads.py
@@ -53,6 +53,20 @@
     return headers
 
 
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+
+
+def kept_seconds(headers: dict[str, str]) -> float | None:
+    """Return how long a server keeps an idle connection, if it says so (RFC 2068, 19.7.1)."""
+    found = _KEEP_ALIVE_TIMEOUT.search(headers.get("keep-alive", "").lower())
+    return float(found.group(1)) if found else None
+
+
+def content_length(body: bytes) -> tuple[bytes, bytes]:
+    """Return the field that frames a body."""
+    return b"content-length", str(len(body)).encode()
+
+
 def reason_phrase(status: int) -> bytes:
     """Return the usual phrase of a status; empty for an unusual one."""
     try:
--- a/src/yokeline/roles.py
+++ b/src/yokeline/roles.py
@@ -7,7 +7,6 @@
 import resource
 import sys
 import time
-from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -28,8 +27,9 @@
     ServerLimits,
     TransportLimits,
 )
-from yokeline.node.process import BUFFER_BYTES, BoundService, ServiceBinding, run_services
+from yokeline.node.process import ServiceBinding, run_services
 from yokeline.node.sockets import OpenSockets
+from yokeline.process_transports import ProcessTransports
 from yokeline.registry.client import RegistryClient
 from yokeline.registry.formats import DeploymentFormats
 from yokeline.registry.nodes import OWN_PREFIX, NodeRecord, NodeRole
@@ -37,7 +37,7 @@
 from yokeline.registry.watch import WATCH_SECONDS
 from yokeline.role_settings import RoleSettings, parse_address
 from yokeline.start_phases import StartPhases
-from yokeline.status_service import NodeFigures, StatusService
+from yokeline.status_service import StatusService
 
 if TYPE_CHECKING:
     from yokeline.forwarding.dialect import Dialect
@@ -274,7 +274,8 @@
         recover_texts,
     )
     from yokeline.ledger.replica import LOG_FILE, LedgerReplica
-    from yokeline.ledger.storage_node import StorageNode, storage_figures
+    from yokeline.ledger.storage_figures import storage_figures
+    from yokeline.ledger.storage_node import StorageNode
 
     source = random.Random(random.SystemRandom().getrandbits(SEED_BITS))
     folder = Path(settings.data_folder)
@@ -355,37 +356,6 @@
     return Success(_with_metrics([(node, binding, None)], status, settings))
 
 
-class ProcessTransports:
-    """The transports of the process, of which its services know nothing.
-
-    Attributes:
-        bound: The services with their transports, once they are bound.
-    """
-
-    def __init__(self, dropped: Counter[str]) -> None:
-        """Tell of the log lines that were ``dropped``, by event."""
-        self.bound: list[BoundService] = []
-        self._dropped = dropped
-
-    def has_room(self, size: int) -> bool:
-        """Return whether the process has memory for a body of some bytes."""
-        return not self.bound or self.bound[0].budget.has_room_for(size)
-
-    def add_to(self, figures: NodeFigures) -> NodeFigures:
-        """Add the log lines dropped, and what the transports refused, freed and dropped."""
-        for event, count in sorted(self._dropped.items()):
-            series = f'yokeline_log_lines_dropped_total{{event="{event}"}}'
-            figures.counters[series] = float(count)
-        for bound in self.bound:
-            for name, value in bound.transport_counters().items():
-                figures.counters[name] = figures.counters.get(name, 0.0) + value
-        if self.bound:
-            for name, value in self.bound[0].memory_counters().items():
-                figures.counters[name] = value
-            figures.gauges[BUFFER_BYTES] = self.bound[0].budget.held_bytes
-        return figures
-
-
 def _with_metrics(
     services: BoundServices, status: StatusService, settings: RoleSettings
 ) -> BoundServices:
--- a/tests/processes/test_http_server.py
+++ b/tests/processes/test_http_server.py
@@ -93,6 +93,20 @@
                 sock.sendall(head + body)
                 self.assertIn(b"POST /big 900000", read_until(sock, b"900000"))
 
+    def test_a_caller_that_leaves_after_pipelined_requests_is_noticed(self) -> None:
+        service = ScriptedService(describe)
+        padding = b"x-padding: " + b"p" * 6000 + b"\r\n\r\n"
+        with Running(service) as running:
+            with running.connect() as sock:
+                sock.sendall(b"GET /open1 HTTP/1.1\r\n" + HOST + b"\r\n")
+                wait_for(lambda: len(service.seen(HttpArrived)) == 1, "the first request")
+                sock.sendall(b"GET /open2 HTTP/1.1\r\n" + HOST + padding)
+                first = service.seen(HttpArrived)[0]
+                assert isinstance(first, HttpArrived)
+                running.emit(HttpReply(exchange=first.exchange, status=200))
+                wait_for(lambda: len(service.seen(HttpArrived)) == 2, "the second request")
+            wait_for(lambda: bool(service.seen(HttpGone)), "the caller has left")
+
     def test_a_second_request_waits_for_the_answer_to_the_first(self) -> None:
         service = ScriptedService(describe)
         with Running(service) as running, running.connect() as sock:
--- a/tests/unit/ledger/test_admission_controller.py
+++ b/tests/unit/ledger/test_admission_controller.py
@@ -32,7 +32,7 @@
 )
 from yokeline.ledger.quotas import TenantQuotas
 from yokeline.ledger.state import LedgerCommand, LedgerState, Program, StoredTurn
-from yokeline.ledger.storage_node import storage_figures
+from yokeline.ledger.storage_figures import storage_figures
 from yokeline.messages.structs import decode_struct, encode_struct
 from yokeline.scheduling.program_sizes import MIN_PROGRAMS
 
--- a/tests/unit/ledger/test_full_disk.py
+++ b/tests/unit/ledger/test_full_disk.py
@@ -9,7 +9,7 @@
 from tests.unit.ledger.test_storage_nodes import StorageCase, is_retired, turn
 from yokeline.effects import FileRefused, FileSynced
 from yokeline.ledger.operations import Settled
-from yokeline.ledger.storage_node import storage_figures
+from yokeline.ledger.storage_figures import storage_figures
 
 SERVED_WITHIN_SECONDS = 0.5
 """Below the time after which followers elect another leader, and callers give a turn up."""
