--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -66,6 +66,9 @@
 
     h11 follows both directions: it refuses what breaks the protocol, and does not give out
     a next request before the answer to the last one is complete.
+
+    Attributes:
+        request_bytes: Memory of the request under way until its answer is written; 0 without one.
     """
 
     def __init__(self, server: HttpServer, sock: socket.socket) -> None:
@@ -76,7 +79,7 @@
             h11.SERVER, max_incomplete_event_size=server.limits.max_header_bytes
         )
         self._requests = RequestReader(self._codec, server.limits, server.has_room_for)
-        self._request_bytes = 0
+        self.request_bytes = 0
         self._has_been_used = False
         self._received_at = 0.0
         self._progress = 0
@@ -106,11 +109,6 @@
 
     # ------------------------------------------------------------ memory
 
-    @property
-    def request_bytes(self) -> int:
-        """Memory that the request under way takes until its answer is written; 0 without one."""
-        return self._request_bytes
-
     def buffers(self) -> Iterator[Buffer]:
         """Return what the connection holds that can be freed."""
         output = self._connection.output_memory() + sum(len(piece) for piece in self._pieces)
@@ -220,9 +218,9 @@
         self._phase = _Phase.ANSWERING
         self._closes_after_answer = request.too_large
         self._has_been_used = True
-        self._request_bytes = request.memory_bytes
-        if not self._server.budget.admits(self._request_bytes):
-            self._server.budget.note_refused(self._request_bytes)
+        self.request_bytes = request.memory_bytes
+        if not self._server.budget.admits(self.request_bytes):
+            self._server.budget.note_refused(self.request_bytes)
             self._refuse(self._requests.refused(NO_ROOM, UNAVAILABLE))
             return
         if self._connection.closed:
@@ -410,7 +408,7 @@
         return self._limits.idle_seconds if unsent else self._limits.linger_seconds
 
     def _close_exchange(self) -> None:
-        self._request_bytes = 0
+        self.request_bytes = 0
         if self._exchange is not None:
             self._server.close_exchange(self._exchange)
             self._exchange = None
