Look for resting connections at most ten times a second if none rests

With as many connections as allowed, all with a request under way, each new connection made the node look at all of them: found by reading.

--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -15,6 +15,7 @@
 import contextlib
 import itertools
 import socket
+import time
 from collections.abc import Iterator
 
 import absl.logging
@@ -47,6 +48,7 @@
 
 _CLOSED_SHARE = 1 / 64
 """Share of the connections that is closed at a time when there are as many as allowed."""
+_IDLE_LOOK_PAUSE_SECONDS = 0.1
 _LOG_SECONDS = 1.0
 
 
@@ -77,6 +79,7 @@
         self._listener = Listener(poller, deadlines, sock, self._accept)
         self.refused_connections = 0
         self.closed_idle_connections = 0
+        self._next_idle_look = 0.0
         self.costly_reads = CostlyReads(deadlines)
         bridge.carry_out_with(HttpReply, self._reply)
         bridge.carry_out_with(HttpStreamStart, self._start_stream)
@@ -133,8 +136,12 @@
     def _close_idle(self) -> bool:
         """Close connections that are least likely to be missed; return whether there were any.
 
-        Several at a time, since the choice looks at all connections.
+        Several at a time, and after a look in vain none for a while, since the choice looks at all
+        connections.
         """
+        now = time.monotonic()
+        if now < self._next_idle_look:
+            return False
         ranked = [
             (rank, connection)
             for connection in self._connections
@@ -145,7 +152,9 @@
         for _, connection in ranked[:most]:
             self.closed_idle_connections += 1
             connection.close_idle()
-        if ranked:
+        if not ranked:
+            self._next_idle_look = now + _IDLE_LOOK_PAUSE_SECONDS
+        else:
             absl.logging.log_every_n_seconds(
                 absl.logging.WARNING,
                 {
