Keep large bodies in blocks, and give free memory back when much less is held

Crowds of different kinds one after the other took a forwarding node of 88 MB to 112: thousands of unfinished heads, then held bodies, and again. Each crowd alone stayed within the memory.

Cause: what the first crowd had taken was free, but in the heap of the C library, between objects that lived on; an array that grew in place stayed there as well, whatever its size. A refused request that was malformed no longer lives on with the traceback of its error.

--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 import time
 from typing import Protocol
 from urllib.parse import quote
@@ -19,7 +18,7 @@
     HttpStreamEnded,
     HttpStreamItem,
 )
-from yokeline.node.allocator import LARGE_BLOCK_BYTES, map_large_blocks
+from yokeline.node.body_buffer import BodyBuffer
 from yokeline.node.connection import CONNECTION_REFUSED
 from yokeline.node.deadlines import Deadline, DeadlineQueue
 from yokeline.node.http_heads import (
@@ -99,7 +98,7 @@
         self._response: h11.Response | None = None
         self._passed_over = False
         self._reader: ItemReader | None = None
-        self._body = bytearray()
+        self._body = BodyBuffer()
         self._received_at = 0.0
         self._received_bytes = 0
         self._informational_heads = 0
@@ -205,7 +204,7 @@
         """Bytes held of a response that is not whole."""
         if self._reader is not None:
             return self._reader.held_bytes
-        return sys.getsizeof(self._body) if self._body else 0
+        return self._body.memory
 
     def buffer(self) -> Buffer:
         """Return what the call holds of its response."""
@@ -295,7 +294,7 @@
         self._encoded(codec)
         codec.receive_data(rest)
         self._response = None
-        self._body = bytearray()
+        self._body.clear()
 
     def _take_body(self, data: bytes) -> None:
         if self._reader is None:
@@ -303,9 +302,7 @@
                 reason = f"the response is over {self._limits.max_body_bytes} bytes"
                 self._fail(reason, is_outage=False, malformation=BODY)
                 return
-            self._body += data
-            if len(self._body) > LARGE_BLOCK_BYTES:
-                map_large_blocks()
+            self._body.append(data)
             return
         for item in self._reader.feed(data):
             self._submit_item(item)
@@ -331,9 +328,7 @@
             return
         self._connection.keep_seconds = kept_seconds(joined_headers(self._response.headers))
         if self._reader is None:
-            body = bytes(self._body)
-            self._body = bytearray()
-            self._submit_whole(body)
+            self._submit_whole(self._body.take())
         elif not self._finish_stream(self._reader):
             return
         self._end()
--- a/src/yokeline/node/http_requests.py
+++ b/src/yokeline/node/http_requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 from collections.abc import Callable
 
 import h11
@@ -11,7 +10,7 @@
 from yokeline.effects import BodyFraming
 from yokeline.errors import YokelineError
 from yokeline.gateway.problems import refusal
-from yokeline.node.allocator import LARGE_BLOCK_BYTES, map_large_blocks
+from yokeline.node.body_buffer import BodyBuffer
 from yokeline.node.http_heads import HEADER_ENCODING, joined_headers
 from yokeline.node.http_target import split_target
 from yokeline.node.limits import KIBIBYTE, ServerLimits
@@ -93,7 +92,7 @@
         self._codec = codec
         self.limits = limits
         self._head: h11.Request | None = None
-        self._body = bytearray()
+        self._body = BodyBuffer()
         self._pieces = 0
         self._head_size = 0
 
@@ -106,6 +105,7 @@
         try:
             return self._read()
         except h11.RemoteProtocolError as error:
+            error.__traceback__ = None  # refers to the error again, and to this request
             if error.error_status_hint == HEAD_TOO_LARGE:
                 raise self.refused(HEAD_OVER_LIMIT, HEAD_TOO_LARGE) from error
             raise self.refused(malformed(str(error)), BAD_REQUEST) from error
@@ -126,7 +126,7 @@
     @property
     def held_bytes(self) -> int:
         """Memory that a request which is not whole takes, but for what its codec holds."""
-        return sys.getsizeof(self._body) + HEAD_COPIES * self._head_size
+        return self._body.memory + HEAD_COPIES * self._head_size
 
     @property
     def buffered_bytes(self) -> int:
@@ -135,7 +135,7 @@
 
     def drop(self) -> None:
         """Free what has arrived of a request that will not be read any further."""
-        self._body = bytearray()
+        self._body.clear()
         self._pieces = 0
 
     def has_begun(self) -> bool:
@@ -195,15 +195,13 @@
         if self._pieces >= _MAX_BODY_PIECES:
             raise ValueError(f"its body comes in more than {_MAX_BODY_PIECES} chunks")
         self._pieces += 1
-        self._body += piece
-        if len(self._body) > LARGE_BLOCK_BYTES:
-            map_large_blocks()
+        self._body.append(piece)
 
     def _whole_request(self) -> IncomingRequest:
         assert self._head is not None
         target = self._head.target.decode(HEADER_ENCODING)
         path, query = split_target(target)
-        body = bytes(self._body)
+        body = self._body.take()
         self.drop()
         return IncomingRequest(
             method=self._head.method.decode(HEADER_ENCODING),
--- a/src/yokeline/node/memory_budget.py
+++ b/src/yokeline/node/memory_budget.py
@@ -15,6 +15,7 @@
 
 import absl.logging
 
+from yokeline.node.allocator import return_free_memory
 from yokeline.node.limits import KIBIBYTE
 
 OVER_BUDGET = "the buffers of this node are full"
@@ -24,6 +25,9 @@
 LARGE_REQUESTS_SHARE = 0.75
 """Share that requests may fill before larger ones than :data:`SMALL_REQUEST_BYTES` are refused."""
 _MIN_GROWTH_SHARE = 1 / 64
+RETURN_SHARE = 1 / 8
+"""Share of the bound by which what is held has to fall before free memory is given back."""
+RETURN_PAUSE_SECONDS = 0.5
 _LOG_SECONDS = 1.0
 
 
@@ -83,9 +87,18 @@
     """
 
     def __init__(
-        self, total_bytes: int, bytes_by_kind: Mapping[BufferKind, int] | None = None
+        self,
+        total_bytes: int,
+        bytes_by_kind: Mapping[BufferKind, int] | None = None,
+        return_memory: Callable[[], None] = return_free_memory,
     ) -> None:
-        """Let all buffers take ``total_bytes``, and those of some kinds so much of it."""
+        """Let all buffers take ``total_bytes``, and those of some kinds so much of it.
+
+        ``return_memory`` is called when much less is held than before.
+        """
+        self._return_memory = return_memory
+        self._highest = 0
+        self._next_return = float("-inf")
         self.total_bytes = total_bytes
         self._bytes_by_kind = dict(bytes_by_kind or {})
         self._free_of_kinds = min(self._bytes_by_kind.values(), default=total_bytes)
@@ -143,6 +156,7 @@
         buffers = [buffer for source in self._sources for buffer in source.buffers()]
         self.held_bytes = self._fixed_bytes + sum(buffer.size for buffer in buffers)
         self._growth = 0
+        self._highest = max(self._highest, self.held_bytes)
         self._free_of_kinds = self.total_bytes
         for kind, bound in self._bytes_by_kind.items():
             of_kind = [buffer for buffer in buffers if buffer.kind is kind]
@@ -152,8 +166,19 @@
             free = bound - sum(buffer.size for buffer in kept)
             self._free_of_kinds = min(self._free_of_kinds, free)
         self._free(buffers, self.held_bytes, self.total_bytes)
+        self._return_freed()
         self._look_after = self._growth_until_look()
 
+    def _return_freed(self) -> None:
+        """Give free memory back once much less is held than at the highest."""
+        if self._highest - self.held_bytes < RETURN_SHARE * self.total_bytes:
+            return
+        now = time.monotonic()
+        if now >= self._next_return:
+            self._next_return = now + RETURN_PAUSE_SECONDS
+            self._highest = self.held_bytes
+            self._return_memory()
+
     def _fits(self, share: float) -> bool:
         self.look()
         return self._fixed_bytes <= share * self.total_bytes
--- a/tests/processes/platform/test_client_crowds.py
+++ b/tests/processes/platform/test_client_crowds.py
@@ -200,6 +200,26 @@
             self.assert_all_within_memory()
         self.assert_recovered()
 
+    def test_crowds_of_different_kinds_one_after_the_other(self) -> None:
+        head = request_head("/look/x", "")[:-2] + b"X-Long: " + b"h" * 15_000
+        middle = [
+            memoryview(request_head("/look/x", "Content-Length: 200000")),
+            memoryview(BODY)[:199_999],
+        ]
+        crowds: list[list[list[memoryview]]] = [
+            [[memoryview(head)] for _ in range(2400)],
+            [sized_request("/look/x", lacking=1) for _ in range(60)],
+            [chunked_request("/look/x", chunks_of(60, 8000)) for _ in range(200)],
+            [middle for _ in range(300)],
+            [sized_request("/look/x", lacking=1) for _ in range(60)],
+        ]
+        for requests in crowds:
+            with Crowd(self.port) as crowd:
+                crowd.send(requests)
+                self.assert_served(b"small")
+                self.assert_all_within_memory()
+        self.assert_recovered()
+
 
 class RequestsUnderWay(CrowdCase):
     def test_small_requests_pipelined_behind_a_call(self) -> None:
--- a/tests/unit/node/test_memory_budget.py
+++ b/tests/unit/node/test_memory_budget.py
@@ -135,6 +135,22 @@
         self.assertEqual(holder.freed, ["b"])
         self.assertEqual(budget.held_bytes, 560)
 
+    def test_free_memory_is_given_back_once_much_less_is_held(self) -> None:
+        returned: list[int] = []
+        holder = Holder()
+        budget = MemoryBudget(BOUND, return_memory=lambda: returned.append(budget.held_bytes))
+        budget.add_source(holder)
+        for size in (800, 760, 700):
+            holder.sizes = {"a": size}
+            budget.look()
+        self.assertEqual(returned, [])
+        holder.sizes = {"a": 600}
+        budget.look()
+        self.assertEqual(returned, [600])
+        holder.sizes = {"a": 550}
+        budget.look()
+        self.assertEqual(returned, [600])
+
     def test_small_requests_are_admitted_beside_large_ones(self) -> None:
         holder = Holder()
         bound = 100 * SMALL_REQUEST_BYTES
