Bound the time that ready sockets take in one turn of the event loop

Cause (by the log and the code): each connection paces its reads by their cost, but not before its first one, and all ready sockets were served in one turn. A hundred connections with 2,700 chunks in their first 16 KiB take seconds in which no timer, signal or service runs. A turn now serves sockets for 50 ms at most; the others come first in the next one, before any is served again. Readiness that is left over is dropped when its number is given to another socket.

--- a/src/yokeline/node/poller.py
+++ b/src/yokeline/node/poller.py
@@ -13,7 +13,9 @@
 import contextlib
 import select
 import socket
+import time
 import traceback
+from collections import deque
 from typing import Any, Protocol
 
 import absl.logging
@@ -23,6 +25,9 @@
 _WRITING = select.EPOLLOUT
 _BROKEN = select.EPOLLHUP | select.EPOLLERR | select.EPOLLRDHUP
 _NO_WAIT = 0.0
+MAX_TURN_SECONDS = 0.05
+"""Time for ready sockets in one turn of the loop; the others come before new ones in the next turn,
+after timers, signals and the services."""
 
 
 class Watcher(Protocol):
@@ -57,10 +62,14 @@
         self._unflushed: list[Flushable] = []
         self._retired: list[socket.socket] = []
         self.turns = 0
+        self._ready: deque[tuple[int, int]] = deque()
 
     def watch(self, sock: socket.socket, watcher: Watcher, *, reading: bool, writing: bool) -> None:
         """Watch a socket until :meth:`retire`."""
-        self._watchers[sock.fileno()] = watcher
+        number = sock.fileno()
+        if self._ready:  # readiness of an earlier socket with the same number
+            self._ready = deque(item for item in self._ready if item[0] != number)
+        self._watchers[number] = watcher
         self._poller.register(sock.fileno(), _mask(reading, writing))
 
     def change(self, sock: socket.socket, *, reading: bool, writing: bool) -> None:
@@ -98,9 +107,12 @@
         """Wait for sockets (called by circuits once per turn of the loop)."""
         self.settle()
         self.turns += 1
-        timeout = _NO_WAIT if len(self.root) else event.time_left
-        ready = self._poller.poll() if timeout < 0 else self._poller.poll(timeout)
-        for number, mask in ready:
+        if not self._ready:
+            timeout = _NO_WAIT if len(self.root) else event.time_left
+            self._ready.extend(self._poller.poll() if timeout < 0 else self._poller.poll(timeout))
+        ends_at = time.monotonic() + MAX_TURN_SECONDS
+        while self._ready and time.monotonic() < ends_at:
+            number, mask = self._ready.popleft()
             watcher = self._watchers.get(number)
             if watcher is None:
                 self._process(number, mask)
