--- a/tests/processes/test_http_server.py
+++ b/tests/processes/test_http_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 import unittest
 from collections.abc import Callable
 from unittest import mock
@@ -101,9 +102,13 @@
                 sock.sendall(b"GET /open1 HTTP/1.1\r\n" + HOST + b"\r\n")
                 wait_for(lambda: len(service.seen(HttpArrived)) == 1, "the first request")
                 sock.sendall(b"GET /open2 HTTP/1.1\r\n" + HOST + padding)
+                time.sleep(0.3)  # until it is read as far as it will be before the answer
                 first = service.seen(HttpArrived)[0]
                 assert isinstance(first, HttpArrived)
                 running.emit(HttpReply(exchange=first.exchange, status=200))
+                read_until(
+                    sock, b"content-length: 0\r\n\r\n"
+                )  # unread, it would reset the connection
                 wait_for(lambda: len(service.seen(HttpArrived)) == 2, "the second request")
             wait_for(lambda: bool(service.seen(HttpGone)), "the caller has left")
 
