--- a/src/yokeline/forwarding/engine_request.py
+++ b/src/yokeline/forwarding/engine_request.py
@@ -27,7 +27,7 @@
         engine=state.engine,
         remaining_seconds=remaining,
         priority=ENGINE_PRIORITY,
-        last_event_id=_resume_event_id(exchange),
+        last_event_id=resume_event_id(exchange),
         tenant=exchange.tenant.name if exchange.tenant is not None else "",
         forwards_credential=exchange.forwards_credential,
     )
@@ -56,7 +56,7 @@
     )
 
 
-def _resume_event_id(exchange: Exchange) -> str:
+def resume_event_id(exchange: Exchange) -> str:
     """Return the id of the event after which an engine is to resume.
 
     Keeping a turn needs the data of all of its events, so a turn to be kept is generated again from
