Continue resumed streams of kept turns where their callers are

On a route with retain and resumable, a caller that resumed its stream got the rest of another run. The turn was kept with that run's words, so the bodies of all later turns had words that nobody was given. It took no fault: leaving the stream and coming back to the same node was enough (all streams of all ways but a planned stop and a resumption within one answer).

Cause: an engine was asked to go on after the last event that this node had kept, which is none for a new attempt, so it began a new run; the relay then left out what the caller had. What is kept did not follow from what was given.

An engine now gets the event that the caller named, and the kept text is what was relayed, behind the events that the caller had from earlier attempts. The events are held by attempt: an earlier event cuts them back, and two attempts at the same time are kept apart. A beginning that nobody knows is refused at once as not run, since its turn could not be kept. On routes that keep turns and are not resumable, Last-Event-Id has no effect; the head of the answer was dropped there.

Two tests of test_stream_ends stated the fault (a resumed turn is generated from its first event again); they are replaced by ones that hold an engine to the event named, and keep nothing whose beginning is not known. One of test_stream_versions gets a beginning for its stream.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -56,6 +56,10 @@
     PassedOnRequest,
     RegistryAsk,
     RegistryNews,
+    StreamAsk,
+    StreamCopy,
+    StreamCopyEvents,
+    StreamReply,
     TextReply,
     TextStored,
 )
@@ -156,6 +160,8 @@
             "ledger": lambda: ledger.has_answered,
             "first_send": lambda: forwarder.has_sent,
         }
+        forwarder.stream_beginnings.own_address = record.address
+        forwarder.stream_beginnings.peers = self._load_reporter.stream_peers
         self._loss_synchronization = forwarder.loss_synchronization
         self._loss_synchronization.start(now)
         self._entrusting = AttemptEntrusting(forwarder.losses)
@@ -193,6 +199,12 @@
         effects = self._effects = []
         self._is_handled = False
         self._steps_begun = 0
+        if isinstance(event, PeerMessage) and isinstance(
+            event.message, StreamCopy | StreamCopyEvents
+        ):
+            # Many, and nothing follows from them: the steps below wait for the next event.
+            self._is_handled = True
+            return self.forwarder.handle_stream_message(event.sender, event.message, now)
         effects.extend(self._note_standstill(now))
         self._stop.observe_event(now)
         self._now = now
@@ -364,6 +376,8 @@
             return self._loss_synchronization.apply_reply(event.sender, message, now)
         if isinstance(message, AttemptsEntrusted):
             return self._entrusting.take(event.sender, message, now)
+        if isinstance(message, StreamAsk | StreamReply):
+            return self.forwarder.handle_stream_message(event.sender, message, now)
         if isinstance(message, RegistryNews):
             changed, effects = self._registry_sync.apply_news(event.sender, message, now)
             max_change_age = self._max_change_age()
--- a/src/yokeline/forwarding/engine_request.py
+++ b/src/yokeline/forwarding/engine_request.py
@@ -27,7 +27,7 @@
         engine=state.engine,
         remaining_seconds=remaining,
         priority=ENGINE_PRIORITY,
-        last_event_id=resume_event_id(exchange),
+        last_event_id=exchange.last_event_id,
         tenant=exchange.tenant.name if exchange.tenant is not None else "",
         forwards_credential=exchange.forwards_credential,
     )
@@ -54,12 +54,3 @@
         echo_header=dialect.echo_header,
         echo_value=exchange.call.request_id,
     )
-
-
-def resume_event_id(exchange: Exchange) -> str:
-    """Return the id of the event after which an engine is to resume.
-
-    Keeping a turn needs the data of all of its events, so a turn to be kept is generated again from
-    the first event that this node lacks. Events that the caller has already are not relayed again.
-    """
-    return exchange.kept_event_id if exchange.route.retain else exchange.last_event_id
--- a/src/yokeline/forwarding/engine_sender.py
+++ b/src/yokeline/forwarding/engine_sender.py
@@ -7,7 +7,7 @@
 from yokeline.effects import HttpCancel
 from yokeline.forwarding.dialect import Dialect
 from yokeline.forwarding.engine_choice import EngineChoice
-from yokeline.forwarding.engine_request import build_engine_request, resume_event_id
+from yokeline.forwarding.engine_request import build_engine_request
 from yokeline.forwarding.exchange import Exchange, Phase
 from yokeline.forwarding.node_state import NodeState
 from yokeline.forwarding.outcome_recorder import LogField
@@ -101,7 +101,9 @@
         }
         if exchange.route.is_resumable_stream:
             fields["version"] = choice.state.engine.version
-            fields["after_event"] = resume_event_id(exchange)
+            fields["after_event"] = exchange.last_event_id
+            if exchange.route.retain:
+                fields["kept_events"] = len(exchange.kept_events)
         if exchange.allowed_regions is not None:
             fields["region"] = self._count_region(exchange, choice)
         for cause, count in choice.left_out.items():
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -11,8 +11,10 @@
 from yokeline.forwarding.attempts import Attempts
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.model import Call, Route, RouteKind
+from yokeline.forwarding.stream_copies import AttemptText, memory_of
 from yokeline.forwarding.tenants import ScopedNames, Tenant
-from yokeline.identifiers import ExchangeId, RequestId
+from yokeline.identifiers import ExchangeId, ReplicaId, RequestId
+from yokeline.ledger.messages import StreamEvent
 from yokeline.ledger.operations import CachedContext, Operation, RateLimit
 from yokeline.losses.loss_keys import LossKey
 from yokeline.scheduling.room_waits import RoomWait
@@ -107,8 +109,16 @@
         relayed_events: Number of events sent to the caller.
         tokens_per_event: Generated tokens per event, by its pool at the latest send.
         has_unfinished_event: Whether an engine broke off inside an event, and none came since.
-        kept_text: Data of the events, for a turn that is to be kept.
-        kept_event_id: Id of the last event in ``kept_text``.
+        kept_events: Events that the caller has, those of earlier attempts included, for a turn that
+            is to be kept.
+        attempt_text: The same with their times, for other attempts of the caller; None before the
+            first event, and on routes whose turns are not kept or whose streams are not resumable.
+        stream_name: Name under which nodes hold them.
+        copy_number: Identifies this attempt's copies at other nodes; 0 without copies.
+        copy_holders: Nodes that have a copy of them.
+        copy_holders_checked_at: When these nodes were chosen.
+        has_beginning: Whether ``kept_events`` holds what the caller had of the resumed stream.
+        given_tokens: Tokens that the caller had of it.
         kept_mark: What the ledger keeps in place of the turn's text; empty for the text itself.
         history_root: First turn of its chain; empty without earlier turns.
         room_wait: Its wait for an engine with capacity; None before the wait was decided.
@@ -170,8 +180,14 @@
     relayed_events: int = 0
     tokens_per_event: int = 1
     has_unfinished_event: bool = False
-    kept_text: list[bytes] = msgspec.field(default_factory=list)
-    kept_event_id: str = ""
+    kept_events: list[StreamEvent] = msgspec.field(default_factory=list)
+    attempt_text: AttemptText | None = None
+    stream_name: str = ""
+    copy_number: int = 0
+    copy_holders: dict[ReplicaId, Address] = msgspec.field(default_factory=dict)
+    copy_holders_checked_at: float = 0.0
+    has_beginning: bool = False
+    given_tokens: int = 0
     kept_mark: bytes = b""
     history_root: str = ""
     waiting_since: float = 0.0
@@ -195,7 +211,7 @@
     def text_bytes(self) -> int:
         """Memory of the body with its history, and of the output that is to be kept."""
         body = 0 if self.body is self.incoming.body else len(self.body)
-        return body + sum(len(text) for text in self.kept_text)
+        return body + memory_of(self.kept_events)
 
     @property
     def has_ended(self) -> bool:
@@ -218,6 +234,11 @@
         """Whether the caller says that it resumes a stream."""
         return self.route.is_resumable_stream and bool(self.call.last_event_id)
 
+    @property
+    def lacks_beginning(self) -> bool:
+        """Whether the turn is to be kept, and events that its caller has are not known yet."""
+        return self.route.retain and self.continues_stream and not self.has_beginning
+
     @property
     def continues_known_stream(self) -> bool:
         """Whether the request resumes a begun stream, for which only some engines are eligible.
@@ -231,10 +252,10 @@
         """Whether the stream is known to have an event that no engine has sent whole.
 
         A stream has at least one event, and an event that an engine began exists. A turn that is
-        to be kept needs the events that its caller has already, too.
+        to be kept has the events of its caller's earlier attempts, too.
         """
         if self.route.retain:
-            has_event = bool(self.kept_text)
+            has_event = bool(self.kept_events)
         else:
             has_event = bool(self.relayed_events or self.call.last_event_id)
         return not has_event or self.has_unfinished_event
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -67,6 +67,7 @@
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.retries import RetryHandler
 from yokeline.forwarding.settlements import Settlements
+from yokeline.forwarding.stream_beginnings import StreamBeginnings
 from yokeline.forwarding.stream_relay import StreamRelay
 from yokeline.forwarding.stream_versions import StreamVersions
 from yokeline.forwarding.tenant_limits import NO_TOLERANCE, LimitTolerance, TenantLimits, limit_of
@@ -75,9 +76,10 @@
 from yokeline.forwarding.turn_cache import TurnCache
 from yokeline.forwarding.turn_operations import needs_ledger, needs_reservation
 from yokeline.histogram import Histogram
-from yokeline.identifiers import ExchangeId, RequestId
+from yokeline.identifiers import ExchangeId, ReplicaId, RequestId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
+from yokeline.ledger.messages import StreamAsk, StreamCopy, StreamCopyEvents, StreamReply
 from yokeline.ledger.regional_texts import RegionalTexts
 from yokeline.losses.engine_losses import EngineLosses
 from yokeline.losses.loss_synchronization import LossSynchronization
@@ -105,6 +107,7 @@
 
     Attributes:
         refusing: Whether new requests are refused, since the process is about to exit.
+        stream_beginnings: The events of streams that callers may resume.
         planned_stop: Decides which requests may begin once the node was asked to stop; None for
             all.
         lease_state: Returns the state of the configuration's lease at a time (monotonic seconds);
@@ -170,6 +173,7 @@
         self._retries = RetryHandler(
             self._state, self._sender, self._dispatcher, self._responder, self._losses
         )
+        self.stream_beginnings = StreamBeginnings(self._state, self._responder)
         self._stream_relay = StreamRelay(
             self._state,
             self._sender,
@@ -179,6 +183,7 @@
             turn_cache,
             self._regional_turns,
             self._streams,
+            self.stream_beginnings,
             self._losses,
             dialect,
         )
@@ -209,12 +214,13 @@
         return sum(exchange.text_bytes for exchange in self._state.exchanges.values())
 
     def cached_bytes(self) -> int:
-        """Return the memory of the cached turns."""
-        return self._turn_cache.held_bytes
+        """Return the memory of the cached turns, and of the events of streams held for others."""
+        return self._turn_cache.held_bytes + self.stream_beginnings.held_bytes
 
     def drop_caches(self) -> None:
-        """Evict the cached turns; replicas have them."""
+        """Evict the cached turns, which replicas have, and the events of streams."""
         self._turn_cache.clear()
+        self.stream_beginnings.clear()
 
     # ------------------------------------------------------------ interface of the node
 
@@ -442,6 +448,7 @@
         """Run due timers and dispatch queued requests."""
         self._state.now = now
         self._streams.observe_pools()
+        self.stream_beginnings.expire()
         self._state.fair_shares.expire(now)
         self._state.timers.run_due(now)
         if len(self._held):
@@ -487,6 +494,22 @@
                 self._retries.handle_failure(exchange, event)
         return self._dispatch_and_drain()
 
+    def handle_stream_message(
+        self,
+        sender: ReplicaId,
+        message: StreamCopy | StreamCopyEvents | StreamAsk | StreamReply,
+        now: float,
+    ) -> list[Effect]:
+        """Handle a message of another node about streams whose turns are to be kept."""
+        self._state.now = now
+        if isinstance(message, StreamCopy):
+            return self.stream_beginnings.take_copy(sender, message)
+        if isinstance(message, StreamCopyEvents):
+            return self.stream_beginnings.take_events(sender, message)
+        if isinstance(message, StreamAsk):
+            return self.stream_beginnings.answer(sender, message)
+        return self.stream_beginnings.take_reply(sender, message)
+
     def _dispatch_and_drain(self) -> list[Effect]:
         self._dispatcher.dispatch_all()
         return self._outcomes.drain_effects()
@@ -576,6 +599,9 @@
             return
         if self._dispatcher.refuse_without_eligible_engine(exchange):
             return
+        if exchange.lacks_beginning:
+            self.stream_beginnings.find(exchange, self._begin)
+            return
         if not self._tenant_limits.may_ask(exchange, self._begin):
             return
         if needs_reservation(exchange):
@@ -631,7 +657,8 @@
             allowed_regions=self._state.residency.regions_of(table, route, call, admitted.tenant),
             pool=self._traffic_split.choose_pool(route, call),
             body=event.body,
-            last_event_id=call.last_event_id,
+            # An engine would resume after events that the kept turn then lacks.
+            last_event_id=call.last_event_id if route.resumable or not route.retain else "",
         )
         self._state.exchanges[event.exchange] = exchange
         self._ends.schedule_deadline(exchange)
--- a/src/yokeline/forwarding/load_reporting.py
+++ b/src/yokeline/forwarding/load_reporting.py
@@ -17,6 +17,7 @@
 
 from yokeline.effects import Effect, SendDatagram
 from yokeline.forwarding.engines import NODE_REPORT_TTL_SECONDS, EngineTable
+from yokeline.forwarding.stream_beginnings import StreamPeer
 from yokeline.identifiers import NodeName, ReplicaId
 from yokeline.ledger.client import PeerNode
 from yokeline.ledger.messages import LoadDigest, LoadReport
@@ -237,6 +238,20 @@
                 by_zone[is_near] = PeerNode(report.process, report.address)
         return list(by_zone.values())
 
+    def stream_peers(self, now: float) -> list[StreamPeer]:
+        """Return the other nodes that were heard lately, as holders of streams' events."""
+        zones = {record.name: record.zone for record in self._peers}
+        return [
+            StreamPeer(
+                name=report.node,
+                process=report.process,
+                address=report.address,
+                region=self._topology.region_of(zones[report.node]),
+            )
+            for report in self._engines.fresh_reports(now)
+            if report.address is not None and report.node in zones
+        ]
+
     def heard_processes(self, now: float) -> set[ReplicaId]:
         """Return the processes of other nodes whose reports are fresh."""
         return {report.process for report in self._engines.fresh_reports(now)}
--- a/src/yokeline/forwarding/stream_relay.py
+++ b/src/yokeline/forwarding/stream_relay.py
@@ -18,8 +18,10 @@
 from yokeline.forwarding.responder import Responder
 from yokeline.forwarding.retries import RetryHandler
 from yokeline.forwarding.settlements import Settlements
+from yokeline.forwarding.stream_beginnings import StreamBeginnings
 from yokeline.forwarding.stream_versions import StreamVersions
 from yokeline.forwarding.turn_cache import TurnCache, event_data
+from yokeline.ledger.messages import StreamEvent
 from yokeline.ledger.operations import OperationResult
 from yokeline.losses.engine_losses import EngineLosses
 
@@ -43,6 +45,7 @@
         turn_cache: TurnCache,
         regional_turns: RegionalTurns,
         streams: StreamVersions,
+        beginnings: StreamBeginnings,
         losses: EngineLosses,
         dialect: Dialect,
     ) -> None:
@@ -55,6 +58,7 @@
         self._turn_cache = turn_cache
         self._regional_turns = regional_turns
         self._streams = streams
+        self._beginnings = beginnings
         self._losses = losses
         self._dialect = dialect
 
@@ -67,17 +71,15 @@
             self._start_response(exchange)
         if exchange.phase is not Phase.STREAMING:
             return
-        now = self._state.now
-        exchange.last_event_at = now
-        if exchange.route.retain and is_after(item.event_id, exchange.kept_event_id):
-            exchange.kept_text.append(event_data(item.data))
-            exchange.kept_event_id = item.event_id
-            exchange.has_unfinished_event = False
+        exchange.last_event_at = self._state.now
         if not is_after(item.event_id, exchange.last_event_id):
             return
         exchange.last_event_id = item.event_id or exchange.last_event_id
         exchange.relayed_events += 1
         exchange.has_unfinished_event = False
+        if exchange.route.retain:
+            # Before the caller has it, so that no event is missed when it resumes the stream.
+            self._beginnings.record(exchange, StreamEvent(item.event_id, event_data(item.data)))
         self._state.outcomes.effects.append(HttpStreamData(exchange.exchange_id, item.data))
 
     def _relay_filler(self, exchange: Exchange, item: HttpStreamItem) -> None:
@@ -159,6 +161,7 @@
             self._responder.fail(exchange, "turn_not_kept")
             return
         self._regional_turns.cache(exchange)
+        self._beginnings.note_kept(exchange)
         self._turn_cache.set_latest(exchange.names.session, exchange.names.turn)
         self._responder.finish_stream(exchange)
 
--- a/src/yokeline/forwarding/turn_operations.py
+++ b/src/yokeline/forwarding/turn_operations.py
@@ -30,14 +30,17 @@
 
 
 def reservation_of(exchange: Exchange, missing_from: str) -> Reserve:
-    """Return the operation that reserves a turn's maximum tokens; see :class:`Reserve`."""
+    """Return the operation that reserves a turn's maximum tokens; see :class:`Reserve`.
+
+    Those that its caller was given in an earlier attempt are counted there.
+    """
     call, names = exchange.call, exchange.names
     return Reserve(
         request_id=names.operation,
         program=_charged_program(exchange),
         session=names.session,
         budget=call.budget or 0,
-        tokens=call.max_tokens,
+        tokens=max(0, call.max_tokens - exchange.given_tokens),
         retention=exchange.route.retention,
         previous=names.previous_turn,
         missing_from=missing_from,
@@ -125,7 +128,8 @@
     return KeptTurn(
         turn_id=exchange.names.turn,
         previous=exchange.names.previous_turn,
-        text=mark or exchange.incoming.body + b"".join(exchange.kept_text),
+        text=mark
+        or exchange.incoming.body + b"".join(event.data for event in exchange.kept_events),
         retention=exchange.route.retention,
     )
 
@@ -135,7 +139,8 @@
     if not exchange.is_complete or exchange.engine is None:
         return None
     engine_id = exchange.engine.engine.engine_id
-    return CachedContext(engine_id=engine_id, tokens=exchange.call.prompt_tokens + tokens)
+    in_context = exchange.call.prompt_tokens + exchange.given_tokens + tokens
+    return CachedContext(engine_id=engine_id, tokens=in_context)
 
 
 def _charged_program(exchange: Exchange) -> str:
--- a/src/yokeline/ledger/messages.py
+++ b/src/yokeline/ledger/messages.py
@@ -496,6 +496,90 @@
     attempts: tuple[EntrustedAttempt, ...] = ()
 
 
+# ---------------------------------------------------------------- streams of turns to keep
+
+
+class StreamEvent(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """An event of a stream that was relayed to its caller.
+
+    Attributes:
+        data: Data of the event, with a line feed at the end.
+    """
+
+    event_id: str
+    data: bytes
+
+
+class StreamCopy(msgspec.Struct, frozen=True, kw_only=True, tag="stream_copy"):
+    """The events that an attempt to answer a stream has relayed so far, for another node to hold.
+
+    Attributes:
+        number: Identifies the copy at its sender.
+        stream: Name of the stream, the same for all attempts of its caller.
+        attempt: Name of the caller's attempt.
+        resumed_after: Event after which the attempt resumed the stream; empty for its beginning.
+        seconds: Time for which the caller may resume the stream.
+        events: All events of the stream up to now, those of earlier attempts included.
+    """
+
+    number: int
+    stream: str
+    attempt: str
+    resumed_after: str
+    seconds: float
+    events: tuple[StreamEvent, ...]
+
+
+class StreamCopyEvents(msgspec.Struct, frozen=True, kw_only=True, tag="stream_copy_events"):
+    """Further events of a copy that the sender has sent before.
+
+    Attributes:
+        after: Id of the event before these.
+        seconds: Time for which the copy is still needed, since its turn is kept; unset before that.
+    """
+
+    number: int
+    after: str
+    events: tuple[StreamEvent, ...] = ()
+    seconds: float | UnsetType = UNSET
+
+
+class CopiedAttempt(msgspec.Struct, frozen=True, array_like=True):
+    """What a node holds of one attempt to answer a stream.
+
+    Attributes:
+        age: Seconds since the attempt's first event.
+        idle: Seconds since its last event.
+    """
+
+    attempt: str
+    resumed_after: str
+    age: float
+    idle: float
+    events: tuple[StreamEvent, ...]
+
+
+class StreamAsk(msgspec.Struct, frozen=True, kw_only=True, tag="stream_ask"):
+    """A request of a forwarding node for the events of a stream that its caller resumes.
+
+    Attributes:
+        number: Repeated in the reply.
+        event_id: The last event that the caller has.
+    """
+
+    number: int
+    asker: Address
+    stream: str
+    event_id: str
+
+
+class StreamReply(msgspec.Struct, frozen=True, kw_only=True, tag="stream_reply"):
+    """The attempts of a stream that a node holds, with their events up to the named one."""
+
+    number: int
+    attempts: tuple[CopiedAttempt, ...] = ()
+
+
 LedgerMessage = (
     LedgerRequest
     | PassedOnRequest
@@ -521,6 +605,10 @@
     | LossesQuery
     | LossesReply
     | AttemptsEntrusted
+    | StreamCopy
+    | StreamCopyEvents
+    | StreamAsk
+    | StreamReply
 )
 
 
--- a/src/yokeline/metric_help.py
+++ b/src/yokeline/metric_help.py
@@ -152,6 +152,13 @@
     "yokeline_forwarding_streams_resumed_total": (
         "Streams that callers resumed at this node, by who knew the version that began them."
     ),
+    "yokeline_forwarding_stream_beginnings_total": (
+        "Resumed streams of turns to be kept, by whether the events that their callers had are"
+        " known."
+    ),
+    "yokeline_forwarding_stream_copies_total": (
+        "Messages to other nodes with events of streams whose turns are to be kept."
+    ),
     "yokeline_forwarding_streams_recorded_total": (
         "Versions of streams sent to the ledger, while several versions serve."
     ),
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -247,6 +247,8 @@
         shape: How its answer was put on the wire.
         break_off: How its stream was broken off; None if it was not.
         engine_gone_at: When another engine had taken its place; None if none has.
+        after: Event after which it began; 0 for the first one.
+        run: Name of the run, which no other one has.
     """
 
     engine_id: str
@@ -258,6 +260,8 @@
     shape: WireShape = PLAIN
     break_off: BreakOff | None = None
     engine_gone_at: float | None = None
+    after: int = 0
+    run: str = ""
 
 
 @dataclass
@@ -293,6 +297,7 @@
         pauses: Draws pauses between events that are too long; None for none.
         most_running: Streams that run at once; more are refused. None for no bound.
         marks_versions: Whether each event names the version, in a field of its own.
+        samples_words: Whether the words of each run are its own, as those of a sampled model.
         replacements: How often another engine has taken its place, under an id of its own.
         ends_on: Ends the engine if it is in the body of a request; empty for no such request.
         ends_after: Events after which such a request ends the engine; None for before the head, as
@@ -329,6 +334,7 @@
         self.pauses: random.Random | None = None
         self.most_running: int | None = None
         self.marks_versions = False
+        self.samples_words = False
         self.replacements = 0
         self.ends_on = b""
         self.ends_after: int | None = None
@@ -474,7 +480,16 @@
         self.run_times[request_id] = now
         self.seen.append(SeenRequest(request_id, now, dict(event.headers)))
         shape = self._shapes.get(event.exchange, PLAIN)
-        span = Span(self.start_id, request_id, now, version=self.version, shape=shape)
+        run = f"{request_id}@{self.engine_id}.{len(self.runs)}"
+        span = Span(
+            self.start_id,
+            request_id,
+            now,
+            version=self.version,
+            shape=shape,
+            after=after,
+            run=run,
+        )
         self.spans.append(span)
         is_call = "x-yokeline-token-usage" not in event.headers
         if event.body in self.endless:
@@ -566,7 +581,9 @@
         return is_turn and bound is not None and len(self._streams) >= bound
 
     def _event(self, exchange: ExchangeId, number: int) -> bytes:
-        lines = [f"id: {number}", f"data: word{number}", "", ""]
+        span = self._open_spans[exchange]
+        word = f"{span.run}/{number}" if self.samples_words else f"word{number}"
+        lines = [f"id: {number}", f"data: {word}", "", ""]
         if self.marks_versions:
             lines.insert(0, f"event: {self.version}")
         shape = self._shapes.get(exchange, PLAIN)
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -54,6 +54,11 @@
     PoolLoad,
     PoolShares,
     StoreText,
+    StreamAsk,
+    StreamCopy,
+    StreamCopyEvents,
+    StreamEvent,
+    StreamReply,
     TextAsk,
 )
 from yokeline.ledger.operations import Granted, Operation, OperationResult, Reserve
@@ -158,6 +163,8 @@
         """Questions for the texts of earlier turns."""
         self.text_messages: list[SendPeer] = []
         """Messages to storage nodes about regional texts."""
+        self.stream_messages: list[SendPeer] = []
+        """Messages to other nodes about streams whose turns are to be kept."""
         self.ledger_state = LedgerState()
         """Has the losses of requests; the test answers all other operations."""
         self.loss_records: list[Reserve] = []
@@ -208,6 +215,23 @@
         finally:
             self._plain_fields = {}
 
+    def hold_stream(self, route: str, program: str, origin: str, *words: str) -> None:
+        """Hold the events of a stream that another node has begun."""
+        events = tuple(
+            StreamEvent(str(number), f"{word}\n".encode())
+            for number, word in enumerate(words, start=1)
+        )
+        copy = StreamCopy(
+            number=1,
+            stream=f"{route}\n{program}\n{origin}",
+            attempt=origin,
+            resumed_after="",
+            seconds=60.0,
+            events=events,
+        )
+        sender = ReplicaId("edge-9~1")
+        self.take(self.forwarder.handle_stream_message(sender, copy, self.now))
+
     def leave(self, request_id: str) -> None:
         self.take(self.forwarder.handle_disconnect(ExchangeId(request_id), self.now))
 
@@ -363,6 +387,9 @@
         if isinstance(message, StoreText | TextAsk):
             self.text_messages.append(effect)
             return
+        if isinstance(message, StreamCopy | StreamCopyEvents | StreamAsk | StreamReply):
+            self.stream_messages.append(effect)
+            return
         if isinstance(message, LeaderQuery):
             answer = LeaderAnswer(term=1, leader=STORAGE)
             self.take(self.ledger.take_leader(STORAGE.replica, answer, self.now))
--- a/tests/unit/forwarding/test_stream_ends.py
+++ b/tests/unit/forwarding/test_stream_ends.py
@@ -146,30 +146,41 @@
         played.engine_ends()
         self.assertTrue(played.is_whole())
 
-    def resume_kept_turn(self) -> Played:
+    def leave_kept_turn(self) -> tuple[Played, str]:
+        """Return a turn whose caller has left after its first event, and its id."""
         played = Played()
-        played.resume_turn("/line/x", {"last-event-id": "2"})
+        first = played.turn("/line/x")
         played.ledger_answers(Granted())
-        return played
+        played.engine_begins()
+        played.engine_sends(1)
+        played.leave(first)
+        return played, first
 
     def test_a_kept_turn_needs_its_events_although_the_caller_has_them(self) -> None:
-        played = self.resume_kept_turn()
-        played.engine_begins()
-        played.engine_ends()
-        self.assertFalse(played.is_whole())
-        self.assertEqual([item for item in played.operations() if isinstance(item, Settle)], [])
+        played, _ = self.leave_kept_turn()
+        played.resume_turn("/line/x", {"last-event-id": "1", "resumes": "elsewhere"})
+        played.wait(0.1)
+        self.assertEqual((len(played.sent), played.replies[-1].status), (1, 503))
+        settled = [item for item in played.operations() if isinstance(item, Settle)]
+        self.assertEqual([item.turn for item in settled if item.turn], [])
 
-    def test_an_event_that_only_the_kept_turn_lacked_is_not_missed_again(self) -> None:
-        played = self.resume_kept_turn()
+    def test_an_event_that_a_resumed_turn_lacked_is_not_missed_again(self) -> None:
+        played, first = self.leave_kept_turn()
+        played.resume_turn("/line/x", {"last-event-id": "1", "resumes": first})
+        played.wait(0.05)
+        played.ledger_answers(Granted())
         played.engine_begins()
-        played.engine_sends(1)
         played.engine_truncates(5)
+        self.assertFalse(played.is_whole())
         played.wait(0.01)
         played.engine_begins()
         played.engine_sends(2)
         played.engine_ends()
         settled = [item for item in played.operations() if isinstance(item, Settle)]
         self.assertEqual([item.turn.text for item in settled if item.turn], [b"word1\nword2\n"])
+        after = [dict(item.header_items).get("last-event-id", "") for item in played.sent]
+        self.assertEqual(after[0], "")
+        self.assertEqual(set(after[1:]), {"1"})
 
     def test_a_caller_that_has_all_events_gets_a_whole_answer_without_one(self) -> None:
         played = Played()
--- a/tests/unit/forwarding/test_stream_versions.py
+++ b/tests/unit/forwarding/test_stream_versions.py
@@ -259,6 +259,7 @@
         self.begin()
         turn = KeptTurn(turn_id="t", previous="", text=b"text", retention=60.0)
         fields = {"last-event-id": "1", "resumes": "elsewhere", "x-yokeline-previous-turn": "t"}
+        self.played.hold_stream("/line/", "p", "elsewhere", "word1")
         self.played.resume_turn("/line/x", fields)
         self.played.ledger_answers(Granted())
         sent = len(self.played.sent)
