Begin late in a planned stop only what must end before it

In a planned stop, requests that came 2.2 s after SIGTERM or later were passed on and cut at the end of the grace period, if engines had become slower since the signal: with 12 s, nine of nine streams were aborted; with 6 and 8 s, three of three calls that may run once got 502.

Cause: such a request began if the durations of its route fitted into what was left. These are of answers that have ended, so of before the stop.

By then the load balancer has seen that the node leaves, so a refused caller reaches another one. A stream, and a call that may run once, now begin only if their deadline is before the last moment. A call that may be repeated begins by the durations as before. The time after which callers leave a silent stream decides nothing any more.

Two tests of test_planned_stop let streams and calls begin by the durations of before: they are replaced by ones that refuse these, and hold the rule to calls that may be repeated.

--- a/benchmarks/planned_stops.py
+++ b/benchmarks/planned_stops.py
@@ -12,6 +12,7 @@
 import json
 import signal
 import sys
+import threading
 import time
 
 import msgspec
@@ -24,6 +25,7 @@
     cut_calls,
     falsely_refused,
 )
+from tests.processes.platform.stand_ins import EngineStandIn
 
 BEFORE_STOP_SECONDS = 1.0
 ONE_ANSWER_IN = 17
@@ -43,6 +45,8 @@
         event_seconds: Time between two of the five events of a stream.
         signals: SIGTERM and SIGHUP in turn.
         freezes_ledger: Whether the storage nodes stand still from the stop on.
+        slower: Factor by which the engines become slower some time after the stop request.
+        slower_after_seconds: That time.
     """
 
     callers: dict[str, int]
@@ -54,6 +58,8 @@
     event_seconds: float = 0.1
     signals: int = 1
     freezes_ledger: bool = False
+    slower: float = 1.0
+    slower_after_seconds: float = 2.3
 
 
 CALLS = {"/fix/x": 24}
@@ -74,6 +80,12 @@
     "streams-0.5": Scenario(callers=STREAMS),
     "streams-1.5": Scenario(callers=STREAMS, event_seconds=0.3),
     "streams-4": Scenario(callers=STREAMS, event_seconds=0.75, timeout_ms=LONG_ROUTE_MS),
+    "slower-streams-8": Scenario(
+        callers=STREAMS, event_seconds=0.1, timeout_ms=LONG_ROUTE_MS, slower=20.0
+    ),
+    "slower-calls-8": Scenario(
+        callers={"/fix/x": 24}, timeout_ms=LONG_ROUTE_MS, call_seconds=(0.02, 0.3), slower=40.0
+    ),
     "streams-half": Scenario(callers=STREAMS, loses_one_in=LOST, leaves_half=True),
     "streams-lost": Scenario(callers=STREAMS, loses_one_in=LOST),
     "frozen-ledger": Scenario(callers={**CALLS, **STREAMS}, loses_one_in=LOST, freezes_ledger=True),
@@ -123,6 +135,8 @@
             callers.start(path, count, STREAM_FIELDS if is_stream else CALL_FIELDS)
         time.sleep(BEFORE_STOP_SECONDS)
         stopped_at = time.monotonic()
+        slower = threading.Timer(scenario.slower_after_seconds, _slow_down, (engines, scenario))
+        slower.start()
         _stop(deployment, scenario)
         exit_seconds = time.monotonic() - stopped_at
         callers.wait()
@@ -142,6 +156,14 @@
         )
 
 
+def _slow_down(engines: list[EngineStandIn], scenario: Scenario) -> None:
+    """Let engines take longer for what arrives from now on, and between their events."""
+    low, high = scenario.call_seconds
+    for engine in engines:
+        engine.call_seconds = (low * scenario.slower, high * scenario.slower)
+        engine.event_seconds = scenario.event_seconds * scenario.slower
+
+
 def _stop(deployment: Deployment, scenario: Scenario) -> None:
     edge = deployment.edges[0]
     for number in range(scenario.signals):
--- a/src/yokeline/forwarding/exit_admission.py
+++ b/src/yokeline/forwarding/exit_admission.py
@@ -1,4 +1,4 @@
-"""Refuses new requests that cannot be expected to end before a planned stop does."""
+"""Refuses new requests that may not end before a planned stop does."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from yokeline.forwarding.http_statuses import UNAVAILABLE
 from yokeline.forwarding.model import Call, Route, RouteKind
 from yokeline.forwarding.node_state import NodeState
-from yokeline.forwarding.planned_stop import PlannedStop, RequestTimes, stream_patience
+from yokeline.forwarding.planned_stop import PlannedStop, RequestTimes
 
 STOPPING = "stopping"
 """Why a request is refused or ended by a planned stop."""
@@ -27,7 +27,7 @@
         call: Call,
         arrived_at: float,
     ) -> bool:
-        """Refuse a request that cannot be expected to end in time; return whether it was refused.
+        """Refuse a request that may not end in time; return whether it was refused.
 
         Nothing is refused before a stop is requested.
         """
@@ -51,12 +51,11 @@
 
     def _times_of(self, route: Route, call: Call, arrived_at: float) -> RequestTimes:
         known = self._state.route_durations.find(route.name)
-        is_stream = route.kind is RouteKind.STREAMING
         return RequestTimes(
             longest=arrived_at + min(call.deadline, route.timeout) - self._state.now,
             typical=known.mean if known is not None else None,
             high=known.high if known is not None else None,
-            patience=stream_patience(route.target_latency) if is_stream else 0.0,
+            may_repeat=route.kind is RouteKind.IDEMPOTENT,
         )
 
 
--- a/src/yokeline/forwarding/planned_stop.py
+++ b/src/yokeline/forwarding/planned_stop.py
@@ -40,9 +40,6 @@
 OUTPUT_MARGIN_SECONDS = 0.15
 """Time before the end of the grace period up to which output may be sent after the exit; the
 interpreter needs the rest to end, and more on a busy machine."""
-MIN_STREAM_PATIENCE_SECONDS = 2.0
-STREAM_PATIENCE_TARGETS = 4
-"""Callers give up a stream after a silence of two seconds or four target latencies."""
 
 
 class RequestTimes(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,19 +49,14 @@
         longest: Time until its deadline (seconds).
         typical: Mean duration of recent requests of its route (seconds); None if unknown.
         high: Duration that few recent requests of its route exceeded (seconds); None if unknown.
-        patience: Silence of a stream after which its caller leaves (seconds); 0 for a call, which
-            can still be answered as failed at the exit.
+        may_repeat: Whether its caller can repeat it without harm if the exit ends it: an idempotent
+            call. A stream is cut then, and any other call is of unknown fate.
     """
 
     longest: float
     typical: float | None = None
     high: float | None = None
-    patience: float = 0.0
-
-
-def stream_patience(target_latency: float) -> float:
-    """Return the silence after which the caller of a stream leaves (seconds)."""
-    return max(MIN_STREAM_PATIENCE_SECONDS, STREAM_PATIENCE_TARGETS * target_latency)
+    may_repeat: bool = False
 
 
 class PlannedStop:
@@ -136,10 +128,12 @@
         return self.has_answered or (self.is_requested and self.elapsed(now) >= share)
 
     def may_begin(self, times: RequestTimes, now: float) -> bool:
-        """Return whether a new request can be expected to end before the exit.
+        """Return whether a new request is to begin although the node stops.
 
         Before the load balancer has seen that the node is not ready, a refused caller would come
-        back here: only what is known to take too long is refused then.
+        back here: only what is known to take too long is refused then. After that, other nodes
+        serve it for the price of a refusal: what the exit would harm begins only if its deadline is
+        sooner, since engines may be slower than they were.
         """
         if not self.is_requested:
             return True
@@ -148,7 +142,7 @@
             return True
         if not self.closes_connections(now):
             return times.typical is None or times.typical <= left
-        return times.high is not None and times.high + times.patience <= left
+        return times.may_repeat and times.high is not None and times.high <= left
 
     def retry_after(self, now: float) -> float:
         """Return when a refused caller reaches another node (seconds)."""
--- a/tests/processes/platform/planned_stops.py
+++ b/tests/processes/platform/planned_stops.py
@@ -64,12 +64,14 @@
     """Threads that ask one edge without a pause, each over connections that it keeps.
 
     Attributes:
+        name: Begins the ids of their requests, for several groups at one edge.
         calls: What was asked, in the order of its end.
     """
 
     deployment: Deployment
     edge: int
     deadline_ms: int = 6000
+    name: str = "s"
     calls: list[KeptCall] = field(default_factory=list)
     _threads: list[threading.Thread] = field(default_factory=list)
     _numbers: itertools.count[int] = field(default_factory=itertools.count)
@@ -110,7 +112,7 @@
         self, connection: http.client.HTTPConnection, path: str, fields: dict[str, str]
     ) -> bool:
         """Make a call; return whether its connection is kept."""
-        request_id = f"s{self.edge}-{next(self._numbers)}"
+        request_id = f"{self.name}{self.edge}-{next(self._numbers)}"
         headers = {
             "Host": CALLER_HOST,
             "X-Yokeline-Request-Id": request_id,
--- a/tests/processes/platform/test_planned_stops.py
+++ b/tests/processes/platform/test_planned_stops.py
@@ -14,6 +14,7 @@
 from tests.processes.platform.planned_stops import (
     CALL_FIELDS,
     STREAM_FIELDS,
+    KeptCall,
     KeptCallers,
     cut_calls,
     falsely_refused,
@@ -29,6 +30,16 @@
 CALLERS = 24
 SIGNALS = (signal.SIGTERM, signal.SIGHUP) * 4
 PAUSE_BETWEEN_SIGNALS_SECONDS = 0.3
+LATE_SINCE_SECONDS = 2.4
+"""Time after SIGTERM from which on no load balancer takes the edge for ready."""
+STREAM_EVENTS = 5
+LATE_PATHS: dict[str, dict[str, str]] = {
+    "/fix/x": CALL_FIELDS,
+    "/kept/x": STREAM_FIELDS,
+    "/turn/x": STREAM_FIELDS,
+    "/line/x": STREAM_FIELDS,
+}
+"""Routes of calls and of streams that may run once, and of streams that may be resumed."""
 HELD_AFTER_SECONDS = 1.9
 """An idle node exits 2.8 s after SIGTERM, and a request is held for 1.5 s."""
 
@@ -193,6 +204,66 @@
             self.assertEqual(status, 503)
             self.assertEqual(edge.wait(), 0)
 
+    def test_requests_late_in_the_grace_period_are_not_cut_at_its_end(self) -> None:
+        """Guards against requests that began on durations of before the stop and were cut.
+
+        Engines are quick until the signal and slow after it. Once the load balancer knows of the
+        stop, a request that may outlast it is served elsewhere.
+        """
+        for grace_seconds in (6, 8, 12):
+            with (
+                self.subTest(grace=grace_seconds),
+                self.deployment(grace_seconds, timeout_ms=LONG_ROUTE_MS) as deployment,
+            ):
+                self.serve_quickly(deployment)
+                late = self.ask_late(deployment)
+                engines = [*deployment.models, *deployment.apps]
+                run = {request_id for engine in engines for request_id, _, _ in engine.runs}
+                lost = [call for call in late if not call.is_whole and call.request_id in run]
+                self.assertEqual([line(call, 0.0) for call in lost], [], "cut")
+                unknown = [call for call in late if call.is_whole and call.status in (502, 504)]
+                self.assertEqual([line(call, 0.0) for call in unknown], [], "of unknown fate")
+                self.assertEqual(falsely_refused(late, engines), [])
+                self.assertTrue({call.path for call in late if call.is_refused} >= set(LATE_PATHS))
+
+    def serve_quickly(self, deployment: Deployment) -> None:
+        """Let the edge learn that its routes are quick."""
+        self.set_pace(deployment, call_seconds=0.02, event_seconds=0.02)
+        callers = KeptCallers(deployment, 0, LONG_ROUTE_MS, "early")
+        for path, fields in LATE_PATHS.items():
+            callers.start(path, 2, fields)
+        time.sleep(BEFORE_STOP_SECONDS)
+        callers.leave()
+        served = {call.path for call in callers.calls if call.is_served}
+        self.assertEqual(served, set(LATE_PATHS))
+
+    def ask_late(self, deployment: Deployment) -> list[KeptCall]:
+        """Stop the edge, and return what callers of the last part of its service get."""
+        edge = deployment.edges[0]
+        grace = deployment.grace_seconds
+        self.set_pace(deployment, call_seconds=LATE_SINCE_SECONDS + 0.6, event_seconds=grace)
+        last = KeptCallers(deployment, 0, LONG_ROUTE_MS, "last")
+        late = KeptCallers(deployment, 0, LONG_ROUTE_MS, "late")
+        stopped_at = time.monotonic()
+        edge.send(signal.SIGTERM)
+        last.start("/look/x", 1)  # An edge without a request exits before the late ones come.
+        time.sleep(LATE_SINCE_SECONDS)
+        self.set_pace(deployment, call_seconds=2 * grace, event_seconds=grace / STREAM_EVENTS)
+        for path, fields in LATE_PATHS.items():
+            late.start(path, 3, fields)
+        self.assertEqual(edge.wait(), 0)
+        self.assertLess(time.monotonic() - stopped_at, grace)
+        late.wait()
+        last.leave()
+        return late.calls
+
+    def set_pace(
+        self, deployment: Deployment, *, call_seconds: float, event_seconds: float
+    ) -> None:
+        for engine in (*deployment.models, *deployment.apps):
+            engine.call_seconds = (call_seconds, call_seconds)
+            engine.event_seconds = event_seconds
+
 
 def runs_of(deployment: Deployment) -> list[str]:
     """Return the ids of the turns that engines ran."""
--- a/tests/unit/forwarding/test_planned_stop.py
+++ b/tests/unit/forwarding/test_planned_stop.py
@@ -13,7 +13,6 @@
     CLOSE_CONNECTIONS_AFTER_SECONDS,
     PlannedStop,
     RequestTimes,
-    stream_patience,
 )
 from yokeline.ledger.operations import Granted, Settle
 
@@ -201,9 +200,9 @@
         *,
         typical: float | None = None,
         high: float | None = None,
-        patience: float = 0.0,
+        may_repeat: bool = False,
     ) -> bool:
-        times = RequestTimes(longest=longest, typical=typical, high=high, patience=patience)
+        times = RequestTimes(longest=longest, typical=typical, high=high, may_repeat=may_repeat)
         return begun().may_begin(times, START + after)
 
     def test_everything_begins_without_a_stop(self) -> None:
@@ -214,15 +213,20 @@
         self.assertTrue(self.may_begin(3.0, 4.4))
         self.assertFalse(self.may_begin(3.0, 4.6))
 
-    def test_the_usual_time_decides_once_callers_go_elsewhere(self) -> None:
-        self.assertTrue(self.may_begin(3.0, 20.0, typical=0.2, high=1.0))
-        self.assertFalse(self.may_begin(3.0, 20.0, typical=3.0, high=5.0))
-        self.assertFalse(self.may_begin(3.0, 20.0))
-
-    def test_a_stream_begins_if_its_caller_would_leave_a_silent_one_before_the_exit(self) -> None:
-        self.assertTrue(self.may_begin(3.0, 20.0, typical=0.2, high=1.0, patience=2.0))
-        self.assertFalse(self.may_begin(3.9, 20.0, typical=0.2, high=1.0, patience=3.0))
-        self.assertEqual((stream_patience(0.2), stream_patience(1.0)), (2.0, 4.0))
+    def test_the_usual_time_decides_on_calls_that_may_be_repeated(self) -> None:
+        for after in (2.2, 3.0):
+            quick = self.may_begin(after, 20.0, typical=0.2, high=1.0, may_repeat=True)
+            self.assertTrue(quick)
+            slow = self.may_begin(after, 20.0, typical=3.0, high=5.4, may_repeat=True)
+            self.assertFalse(slow)
+            self.assertFalse(self.may_begin(after, 20.0, may_repeat=True))
+
+    def test_what_the_exit_would_harm_begins_elsewhere_however_short_it_was_before(self) -> None:
+        """Guards against streams and calls of unknown fate at engines that became slower."""
+        for after in (2.2, 3.0, 3.9):
+            self.assertFalse(self.may_begin(after, 20.0, typical=0.01, high=0.02))
+            self.assertFalse(self.may_begin(after, 7.6 - after, typical=0.01, high=0.02))
+            self.assertTrue(self.may_begin(after, 7.4 - after, typical=0.01, high=0.02))
 
     def test_only_what_takes_too_long_is_refused_while_callers_come_back_here(self) -> None:
         self.assertTrue(self.may_begin(1.0, 20.0))
@@ -233,18 +237,24 @@
 
     def test_the_forwarder_learns_how_long_a_route_takes(self) -> None:
         played = Played()
-        for _ in range(10):
-            played.request("/fix/x", deadline_ms="60000")
-            played.wait(0.1)
+        for path in ("/fix/x", "/look/x") * 5:
+            played.request(path, deadline_ms="60000")
+            played.wait(0.05)
             played.engine_answers()
-        stop = begun(start=played.now - 6.0)
-        played.forwarder.planned_stop = stop
-        for path in ("/fix/x", "/look/x", "/once/x"):
+        played.forwarder.planned_stop = begun(start=played.now - 6.8)
+        sent = len(played.sent)
+        for path in ("/look/x", "/look-twice/x", "/fix/x", "/once/x"):
             played.request(path, deadline_ms="60000", token_usage="100,50")
-        self.assertEqual(len(played.sent), 12)
-        self.assertEqual([reply.status for reply in played.replies[-1:]], [503])
-        reason = next(item.fields for item in played.logs if item.event == "request_refused")
-        self.assertEqual((reason["path"], reason["reason"]), ("/once/x", "stopping"))
+        self.assertEqual(len(played.sent), sent + 1)
+        refused = [item.fields for item in played.logs if item.event == "request_refused"]
+        self.assertEqual(
+            [(item["path"], item["reason"], item["high"] is None) for item in refused],
+            [
+                ("/look-twice/x", "stopping", True),
+                ("/fix/x", "stopping", False),
+                ("/once/x", "stopping", True),
+            ],
+        )
 
 
 if __name__ == "__main__":
