Keep streams of large events within the memory of a node

A sound stream without end whose events have nearly the largest size, asked for by 40 callers, took a forwarding node of 64 MB to 68 to 74 MB (six of six cases: routes that keep turns or not, callers that read or not).

Cause: events between the call that read them and the service did not count in the memory budget, though several streams may complete theirs in one turn of the loop; an event was copied five times on its way, ten times if its turn is kept; and the reader's array lay in the heap, where freed memory stays with the process, since streams did not ask the allocator for mappings.

Events in the queue count now, as whole responses did. The reader copies an event once, the server sends it without a copy, the data of an event is copied once, and a large buffer of a stream asks for mappings.

test_endless_bytes: LargeEvents failed in all six cases before.

--- a/src/yokeline/forwarding/turn_cache.py
+++ b/src/yokeline/forwarding/turn_cache.py
@@ -101,11 +101,26 @@
     return f"\0regional/{turn_id}"
 
 
+_DATA = b"data:"
+
+
 def event_data(block: bytes) -> bytes:
-    """Return the data of a server-sent event, with a line feed at the end."""
-    values = []
-    for line in block.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n"):
-        name, colon, value = line.partition(b":")
-        if colon and name == b"data":
-            values.append(value.removeprefix(b" "))
-    return b"\n".join(values) + b"\n"
+    """Return the data of a server-sent event, with a line feed at the end.
+
+    A large value is copied once.
+    """
+    block = block.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+    parts: list[bytes | memoryview] = []
+    start = 0
+    with memoryview(block) as view:
+        while start <= len(block):
+            end = block.find(b"\n", start)
+            end = len(block) if end < 0 else end
+            if block.startswith(_DATA, start, end):
+                value = start + len(_DATA)
+                value += block.startswith(b" ", value, end)
+                parts += (view[value:end], b"\n")
+            start = end + 1
+        data = b"".join(parts) if parts else b"\n"
+        parts.clear()
+    return data
--- a/src/yokeline/node/bridge.py
+++ b/src/yokeline/node/bridge.py
@@ -98,7 +98,7 @@
 
     def fixed_bytes(self) -> int:
         """Return the memory of the responses that wait for the service, and of its own texts."""
-        waiting = sum(len(event.body) for event in self._inbox if isinstance(event, HttpResponse))
+        waiting = sum(_response_bytes(event) for event in self._inbox)
         return waiting + (self._holder.held_bytes() if self._holder is not None else 0)
 
     def buffers(self) -> Iterable[Buffer]:
@@ -289,5 +289,12 @@
             event.reduce_time_left(max(0.0, due - now))
 
 
+def _response_bytes(event: Event) -> int:
+    """Return the memory of the part of a response that an event brings."""
+    if isinstance(event, HttpResponse):
+        return len(event.body)
+    return len(event.data) if isinstance(event, HttpStreamItem) else 0
+
+
 def _answers(event: Event, request: RequestId) -> bool:
     return isinstance(event, _ANSWERS) and event.request == request
--- a/src/yokeline/node/http_call.py
+++ b/src/yokeline/node/http_call.py
@@ -18,6 +18,7 @@
     HttpStreamEnded,
     HttpStreamItem,
 )
+from yokeline.node.allocator import LARGE_BLOCK_BYTES, map_large_blocks
 from yokeline.node.body_buffer import BodyBuffer
 from yokeline.node.connection import CONNECTION_REFUSED
 from yokeline.node.deadlines import Deadline, DeadlineQueue
@@ -197,6 +198,8 @@
         self._received_at = time.monotonic()
         self._connection.codec.receive_data(data)
         self._parse()
+        if self.held_bytes > LARGE_BLOCK_BYTES:
+            map_large_blocks()
         self._owner.note_received(len(data))
 
     @property
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -283,7 +283,8 @@
             return
         chunk = h11.Data(data=b"".join(self._pieces))
         self._pieces.clear()
-        self._connection.write(self._codec.send(chunk))
+        for piece in self._codec.send_with_data_passthrough(chunk) or ():
+            self._connection.write(piece)
 
     def end_stream(self, *, aborted: bool) -> None:
         """End a streamed answer; without its last chunk, or with a reset, if it is not whole."""
--- a/src/yokeline/node/stream_items.py
+++ b/src/yokeline/node/stream_items.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from typing import Protocol
 
 import msgspec
@@ -196,8 +197,8 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes since the last event."""
-        return len(self._buffer)
+        """Memory of the bytes since the last event."""
+        return sys.getsizeof(self._buffer) if self._buffer else 0
 
     def feed(self, data: bytes) -> list[StreamItem]:
         """Return the events that ``data`` completes."""
@@ -219,10 +220,11 @@
         item_start = 0
         start = max(self._block_start, self._searched - _LONGEST_BLANK_LINE_BYTES + 1)
         for found in separator.finditer(buffer, start):
-            block = bytes(buffer[self._block_start : found.end()])
+            block = _copy(buffer, self._block_start, found.end())
+            has_filler = item_start != self._block_start
             self._block_start = found.end()
             if _DATA_FIELD.search(block):
-                data = bytes(buffer[item_start : found.end()])
+                data = _copy(buffer, item_start, found.end()) if has_filler else block
                 items.append(StreamItem(data, _raw_event_id(block)))
                 item_start = found.end()
             elif self._block_start - item_start > MAX_FILLER_BYTES:
@@ -245,6 +247,12 @@
         return Success([StreamItem(filler, is_event=False)])
 
 
+def _copy(buffer: bytearray, start: int, end: int) -> bytes:
+    """Return a part of a buffer, copied once."""
+    with memoryview(buffer) as view:
+        return bytes(view[start:end])
+
+
 def _separator_of(data: bytes) -> re.Pattern[bytes] | None:
     """Return what ends the events of a stream, by its first line end; None without one."""
     found = _LINE_FEED_OR_RETURN.search(data)
--- a/tests/processes/platform/endless_answers.py
+++ b/tests/processes/platform/endless_answers.py
@@ -56,3 +56,17 @@
     ),
     b"stream-of-events": (_STREAM, _many(b"id: 7\ndata: x\n\n"), 0.0),
 }
+ENDLESS_DOCUMENTS: dict[bytes, Endless] = {
+    b"items": (
+        _CHUNKED + b'A\r\n{"items":[\r\n',
+        b"10000\r\n" + b"[" * _PIECE_BYTES + b"\r\n",
+        0.0,
+    ),
+    b"length": (_STATUS + b"Content-Length: 99999999999\r\n\r\n", b" " * _PIECE_BYTES, 0.0),
+}
+"""Answers without end to calls that are answered with a document."""
+LARGE_EVENT_BYTES = 4 * 1024 * 1024 - 64
+"""Nearly the largest event that is taken."""
+LARGE_EVENTS: dict[bytes, Endless] = {
+    b"stream-of-large-events": (_STREAM, b"data: " + b"z" * LARGE_EVENT_BYTES + b"\n\n", 0.0),
+}
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -81,6 +81,7 @@
         contents: What is stored; views of several readers may share it.
         shapes: Draws the shape of each answer; None for plain ones.
         cut_share: Share of answers that end in the orderly way halfway through their body.
+        endless: Head, piece and pause of an answer without end that each call gets; None for none.
     """
 
     def __init__(self) -> None:
@@ -88,6 +89,7 @@
         self.down = False
         self.shapes: random.Random | None = None
         self.cut_share = 0.0
+        self.endless: tuple[bytes, bytes, float] | None = None
         self._watches: dict[ExchangeId, tuple[str, int, float]] = {}
 
     @property
@@ -144,8 +146,11 @@
         return min((until for _, _, until in self._watches.values()), default=None)
 
     def _call(self, event: HttpArrived, now: float) -> list[WireEffect]:
+        """Return the answer to a call."""
         if self.down:
             return [HttpReply(exchange=event.exchange, status=503)]
+        if self.endless is not None:
+            return [EndlessAnswer(event.exchange, *self.endless)]
         if event.path == "/-/kv-range":
             prefix = event.query.get("path-prefix", "")
             found = [
