Soak: resumed kept turns of sampled words, and a key-value service without end

Two callers of a run leave streams of kept turns after a few events and resume them at any node, also from an earlier event. Engines draw words of their own for each run, so that a joint of two runs shows; the turn after a whole stream has to run with exactly the words that its caller was given. The key-value service answers with bytes without end for a while now and then; engines did so already, and planned stops come as before.

--- a/tests/processes/platform/node_links.py
+++ b/tests/processes/platform/node_links.py
@@ -122,6 +122,7 @@
 
     def wire_shape(self, event: HttpArrived) -> WireShape:
         self.shapes = self._store.shapes
+        self.endless = self._store.endless
         return super().wire_shape(event)
 
     def handle(self, event: Event, now: float) -> list[WireEffect]:
--- a/tests/processes/platform/sampled_streams.py
+++ b/tests/processes/platform/sampled_streams.py
@@ -10,7 +10,8 @@
 
 from tests.processes.cluster import HOST
 from tests.processes.platform.deployment import CALLER_HOST, Deployment
-from tests.processes.platform.stand_ins import EngineStandIn
+from tests.processes.platform.stand_ins import SAMPLED_INPUT, EngineStandIn
+from tests.processes.platform.streams import LINE_END
 
 OK = 200
 UNAVAILABLE = 503
@@ -58,7 +59,7 @@
 
     @property
     def body(self) -> bytes:
-        return b"input of " + self.name.encode()
+        return SAMPLED_INPUT + self.name.encode()
 
     def copied(self) -> SampledStream:
         """Return the stream as a second caller that has the same of it."""
@@ -108,16 +109,18 @@
         return self
 
     def _read(self, response: http.client.HTTPResponse, events: int) -> None:
-        pending = b""
+        data = b""
+        before = len(self.words)
         while len(self.words) < events:
             piece = response.read1(READ_BYTES)
             if not piece:
                 self.is_whole = True
                 return
-            pending += piece
-            while len(self.words) < events and (found := EVENT.search(pending)) is not None:
-                pending = pending[found.end() :]
-                self.words.append(Word(int(found[1]), found[2].decode()))
+            data += piece
+            found = EVENT.findall(LINE_END.sub(b"\n", data))
+            for number, text in found[len(self.words) - before :]:
+                if len(self.words) < events:
+                    self.words.append(Word(int(number), text.decode()))
 
 
 def program_fields(program: str, previous: str = "") -> dict[str, str]:
@@ -153,9 +156,17 @@
 
 
 def next_body(
-    deployment: Deployment, stream: SampledStream, edge: int, *, tries: int = 50
+    deployment: Deployment,
+    stream: SampledStream,
+    edge: int,
+    *,
+    tries: int = 50,
+    asked: list[tuple[str, int | None]] | None = None,
 ) -> bytes | int | None:
-    """Return the body with which an engine ran the turn after a stream, or the last status."""
+    """Return the body with which an engine ran the turn after a stream, or the last status.
+
+    The ids of the requests and their statuses are added to ``asked``.
+    """
     status: int | None = None
     for number in range(tries):
         turn = f"{stream.attempts[-1]}.next{number}"
@@ -176,6 +187,8 @@
             status = None
         finally:
             connection.close()
+        if asked is not None:
+            asked.append((turn, status))
         for engine in deployment.models:
             for request_id, body, _ in list(engine.runs):
                 if request_id == turn:
--- a/tests/processes/platform/stand_ins.py
+++ b/tests/processes/platform/stand_ins.py
@@ -253,7 +253,7 @@
         break_off: How its stream was broken off; None if it was not.
         engine_gone_at: When another engine had taken its place; None if none has.
         after: Event after which it began; 0 for the first one.
-        run: Name of the run, which no other one has.
+        run: Name of the run if its words are its own; empty otherwise.
     """
 
     engine_id: str
@@ -283,6 +283,9 @@
     bodies: list[bytes]
 
 
+SAMPLED_INPUT = b"sampled input of "
+
+
 class EngineStandIn:
     """An engine: a model's streams of ``events`` words, or an app's whole answers.
 
@@ -302,7 +305,8 @@
         pauses: Draws pauses between events that are too long; None for none.
         most_running: Streams that run at once; more are refused. None for no bound.
         marks_versions: Whether each event names the version, in a field of its own.
-        samples_words: Whether the words of each run are its own, as those of a sampled model.
+        samples_words: Whether the words of each run are its own, as those of a sampled model; those
+            of a request whose body begins with :data:`SAMPLED_INPUT` are so in any case.
         replacements: How often another engine has taken its place, under an id of its own.
         ends_on: Ends the engine if it is in the body of a request; empty for no such request.
         ends_after: Events after which such a request ends the engine; None for before the head, as
@@ -485,7 +489,8 @@
         self.run_times[request_id] = now
         self.seen.append(SeenRequest(request_id, now, dict(event.headers)))
         shape = self._shapes.get(event.exchange, PLAIN)
-        run = f"{request_id}@{self.engine_id}.{len(self.runs)}"
+        is_sampled = self.samples_words or event.body.startswith(SAMPLED_INPUT)
+        run = f"{request_id}@{self.engine_id}.{len(self.runs)}" if is_sampled else ""
         span = Span(
             self.start_id,
             request_id,
@@ -587,7 +592,7 @@
 
     def _event(self, exchange: ExchangeId, number: int) -> bytes:
         span = self._open_spans[exchange]
-        word = f"{span.run}/{number}" if self.samples_words else f"word{number}"
+        word = f"{span.run}/{number}" if span.run else f"word{number}"
         lines = [f"id: {number}", f"data: {word}", "", ""]
         if self.marks_versions:
             lines.insert(0, f"event: {self.version}")
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,6 +13,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 from pathlib import Path
 
 import defopt
@@ -64,6 +65,8 @@
 from tests.soak.proxy import Proxy, ProxyGroup
 from tests.soak.records import MOST_TOKENS, OK, Asked, Records, called_broken, violations
 from tests.soak.regions import outside_regions, region_lines, zone_of_node
+from tests.soak.resumed_turns import FloodOperator, SamplingCaller
+from tests.soak.resumed_turns import violations as sampled_violations
 from tests.soak.surges import surge_callers
 from tests.soak.tenants import KeyOperator, soak_tenants, tenant_violations
 from tests.soak.versions import (
@@ -82,6 +85,7 @@
 """One more lane for each so many processes of a larger deployment."""
 RESUMING_CALLERS = 4
 RETURNING_CALLERS = 3
+SAMPLING_CALLERS = 2
 CALLERS_WITHOUT_CHUNKS = 2
 MOST_RUNNING = 6
 """Turns that an engine runs at once: its slots, and a few that it queues."""
@@ -236,6 +240,10 @@
             ReturningCaller(f"l{number}", deployment, records, plan.seed, tenants[0])
             for number in range(RETURNING_CALLERS)
         ]
+        sampling = [
+            SamplingCaller(f"w{number}", deployment, records, plan.seed, tenants[0])
+            for number in range(SAMPLING_CALLERS)
+        ]
         be_ended_by_requests([*deployment.models, *deployment.apps], plan.seed)
         endless = [EndlessCaller("e0", deployment, records, plan.seed, tenants[0])]
         for engine in (*deployment.models, *deployment.apps):
@@ -249,6 +257,7 @@
         ]
         isolation = IsolationOperator(deployment, shared, plan.seed)
         others.append(isolation)
+        others.append(FloodOperator(deployment, shared, plan.seed))
         # Callers come to machines that run; a ledger that is being founded is another test's.
         wait_until(lambda: _is_served(deployment, records), "a turn is served before any fault")
         lose_answers(deployment, plan.seed)
@@ -257,7 +266,7 @@
         crowds = crowds if plan.has_crowd else []
         watch = LatenessWatch()
         watch.start()
-        for caller in (*callers, *resuming, *returning, *endless, *kept):
+        for caller in (*callers, *resuming, *returning, *sampling, *endless, *kept):
             caller.start()
         operator.start()
         zone_operator.start()
@@ -273,13 +282,14 @@
         time.sleep(CALM_SECONDS)
         for keeper in kept:
             keeper.ask_to_stop()
-        for caller in (*callers, *resuming, *returning, *endless, *kept):
+        for caller in (*callers, *resuming, *returning, *sampling, *endless, *kept):
             caller.stop()
         watch.stop()
         time.sleep(CALM_SECONDS)
         engines = [*deployment.models, *deployment.apps]
         broken.extend(violations(records.asked, engines))
         broken.extend(streams.violations())
+        broken.extend(sampled_violations(sampling, deployment))
         broken.extend(beyond_bound(returning, engines, isolation.isolations))
         broken.extend(falsely_ended(deployment, engines))
         broken.extend(endless_violations(endless, deployment))
@@ -303,6 +313,7 @@
         deployment.close_proxies()
     outcomes = records.outcomes() + streams.counts + breaks_by_end(deployment)
     outcomes += kinds_condemned(returning) + stop_counts
+    outcomes += sum((caller.counts for caller in sampling), Counter())
     outcomes[CROWDS] += sum(crowd.crowds for crowd in crowds)
     return SoakResult(faults=shared.lines, outcomes=dict(outcomes), broken=broken)
 
