Keep what an attempt has relayed and its copies in one place

Five fields of an exchange described the copies of its stream. RelayedStream holds them, and the messages of other nodes are handled where they belong. No change of behaviour; the unit tests of forwarding/ pass.

--- a/src/yokeline/forwarding/edge_node.py
+++ b/src/yokeline/forwarding/edge_node.py
@@ -204,7 +204,7 @@
         ):
             # Many, and nothing follows from them: the steps below wait for the next event.
             self._is_handled = True
-            return self.forwarder.handle_stream_message(event.sender, event.message, now)
+            return self.forwarder.stream_beginnings.handle(event.sender, event.message, now)
         effects.extend(self._note_standstill(now))
         self._stop.observe_event(now)
         self._now = now
@@ -377,7 +377,7 @@
         if isinstance(message, AttemptsEntrusted):
             return self._entrusting.take(event.sender, message, now)
         if isinstance(message, StreamAsk | StreamReply):
-            return self.forwarder.handle_stream_message(event.sender, message, now)
+            return self.forwarder.stream_beginnings.handle(event.sender, message, now)
         if isinstance(message, RegistryNews):
             changed, effects = self._registry_sync.apply_news(event.sender, message, now)
             max_change_age = self._max_change_age()
--- a/src/yokeline/forwarding/exchange.py
+++ b/src/yokeline/forwarding/exchange.py
@@ -11,9 +11,9 @@
 from yokeline.forwarding.attempts import Attempts
 from yokeline.forwarding.engines import EngineState
 from yokeline.forwarding.model import Call, Route, RouteKind
-from yokeline.forwarding.stream_copies import AttemptText, memory_of
+from yokeline.forwarding.stream_copies import RelayedStream, memory_of
 from yokeline.forwarding.tenants import ScopedNames, Tenant
-from yokeline.identifiers import ExchangeId, ReplicaId, RequestId
+from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.messages import StreamEvent
 from yokeline.ledger.operations import CachedContext, Operation, RateLimit
 from yokeline.losses.loss_keys import LossKey
@@ -111,12 +111,8 @@
         has_unfinished_event: Whether an engine broke off inside an event, and none came since.
         kept_events: Events that the caller has, those of earlier attempts included, for a turn that
             is to be kept.
-        attempt_text: The same with their times, for other attempts of the caller; None before the
-            first event, and on routes whose turns are not kept or whose streams are not resumable.
-        stream_name: Name under which nodes hold them.
-        copy_number: Identifies this attempt's copies at other nodes; 0 without copies.
-        copy_holders: Nodes that have a copy of them.
-        copy_holders_checked_at: When these nodes were chosen.
+        relayed: The stream, for other attempts of its caller; None before the first event, and on
+            routes whose turns are not kept or whose streams are not resumable.
         has_beginning: Whether ``kept_events`` holds what the caller had of the resumed stream.
         given_tokens: Tokens that the caller had of it.
         kept_mark: What the ledger keeps in place of the turn's text; empty for the text itself.
@@ -181,11 +177,7 @@
     tokens_per_event: int = 1
     has_unfinished_event: bool = False
     kept_events: list[StreamEvent] = msgspec.field(default_factory=list)
-    attempt_text: AttemptText | None = None
-    stream_name: str = ""
-    copy_number: int = 0
-    copy_holders: dict[ReplicaId, Address] = msgspec.field(default_factory=dict)
-    copy_holders_checked_at: float = 0.0
+    relayed: RelayedStream | None = None
     has_beginning: bool = False
     given_tokens: int = 0
     kept_mark: bytes = b""
--- a/src/yokeline/forwarding/forwarder.py
+++ b/src/yokeline/forwarding/forwarder.py
@@ -76,10 +76,9 @@
 from yokeline.forwarding.turn_cache import TurnCache
 from yokeline.forwarding.turn_operations import needs_ledger, needs_reservation
 from yokeline.histogram import Histogram
-from yokeline.identifiers import ExchangeId, ReplicaId, RequestId
+from yokeline.identifiers import ExchangeId, RequestId
 from yokeline.ledger.client import LedgerClient
 from yokeline.ledger.history_fetches import HistoryFetches
-from yokeline.ledger.messages import StreamAsk, StreamCopy, StreamCopyEvents, StreamReply
 from yokeline.ledger.regional_texts import RegionalTexts
 from yokeline.losses.engine_losses import EngineLosses
 from yokeline.losses.loss_synchronization import LossSynchronization
@@ -494,22 +493,6 @@
                 self._retries.handle_failure(exchange, event)
         return self._dispatch_and_drain()
 
-    def handle_stream_message(
-        self,
-        sender: ReplicaId,
-        message: StreamCopy | StreamCopyEvents | StreamAsk | StreamReply,
-        now: float,
-    ) -> list[Effect]:
-        """Handle a message of another node about streams whose turns are to be kept."""
-        self._state.now = now
-        if isinstance(message, StreamCopy):
-            return self.stream_beginnings.take_copy(sender, message)
-        if isinstance(message, StreamCopyEvents):
-            return self.stream_beginnings.take_events(sender, message)
-        if isinstance(message, StreamAsk):
-            return self.stream_beginnings.answer(sender, message)
-        return self.stream_beginnings.take_reply(sender, message)
-
     def _dispatch_and_drain(self) -> list[Effect]:
         self._dispatcher.dispatch_all()
         return self._outcomes.drain_effects()
--- a/src/yokeline/forwarding/stream_beginnings.py
+++ b/src/yokeline/forwarding/stream_beginnings.py
@@ -24,6 +24,7 @@
     MAX_STREAM_BYTES,
     AttemptText,
     Beginning,
+    RelayedStream,
     StreamCopies,
     beginning_of,
     memory_of,
@@ -39,6 +40,8 @@
     StreamReply,
 )
 
+StreamMessage = StreamCopy | StreamCopyEvents | StreamAsk | StreamReply
+
 STREAM_BEGINNING_UNKNOWN = "stream_beginning_unknown"
 """Refusal reason: no node knows the events that the caller has of a turn that is to be kept."""
 STREAM_BEGINNING_AMBIGUOUS = "stream_beginning_ambiguous"
@@ -140,41 +143,37 @@
         if not exchange.route.resumable:
             exchange.kept_events.append(event)
             return
-        now = self._state.now
-        text = exchange.attempt_text
-        if text is None:
-            text = exchange.attempt_text = self._begin_attempt(exchange)
-        stream = exchange.stream_name
-        after = text.last_event_id
-        self._copies.append(stream, text, (event,), now)
-        if text.size > MAX_STREAM_BYTES:
+        relayed = exchange.relayed
+        if relayed is None:
+            relayed = exchange.relayed = self._begin(exchange)
+        after = relayed.text.last_event_id
+        self._copies.append(relayed.name, relayed.text, (event,), self._state.now)
+        if relayed.text.size > MAX_STREAM_BYTES:
             return
-        known = exchange.copy_holders
-        if not known or now - exchange.copy_holders_checked_at >= HOLDERS_CHECK_SECONDS:
-            exchange.copy_holders_checked_at = now
-            exchange.copy_holders = self._choose_holders(exchange, stream)
-        more = StreamCopyEvents(number=exchange.copy_number, after=after, events=(event,))
-        for process, address in exchange.copy_holders.items():
-            message = more if process in known else self._whole_copy(exchange, text)
+        known = relayed.holders
+        self._choose_holders(exchange, relayed)
+        more = StreamCopyEvents(number=relayed.number, after=after, events=(event,))
+        for process, address in relayed.holders.items():
+            message = more if process in known else self._whole_copy(relayed)
             self._emit(SendPeer(to=process, address=address, message=message))
             self._state.outcomes.counters["yokeline_forwarding_stream_copies_total"] += 1
 
     def note_kept(self, exchange: Exchange) -> None:
         """Let the events of a stream whose turn is kept be freed soon, here and at other nodes."""
-        text = exchange.attempt_text
-        if text is None:
+        relayed = exchange.relayed
+        if relayed is None:
             return
+        text = relayed.text
         text.until = min(text.until, self._state.now + KEPT_SECONDS)
         message = StreamCopyEvents(
-            number=exchange.copy_number, after=text.last_event_id, seconds=KEPT_SECONDS
+            number=relayed.number, after=text.last_event_id, seconds=KEPT_SECONDS
         )
-        for process, address in exchange.copy_holders.items():
+        for process, address in relayed.holders.items():
             self._emit(SendPeer(to=process, address=address, message=message))
 
-    def _begin_attempt(self, exchange: Exchange) -> AttemptText:
+    def _begin(self, exchange: Exchange) -> RelayedStream:
+        """Return the stream of an attempt before its first event; it shares the kept events."""
         now = self._state.now
-        exchange.copy_number = next(self._numbers)
-        exchange.stream_name = exchange.stream_name or _name(exchange, exchange.names.turn)
         text = AttemptText(
             attempt=exchange.names.turn,
             resumed_after=exchange.call.last_event_id,
@@ -184,37 +183,46 @@
             until=now + max(RESUMPTION_SECONDS, exchange.call.deadline),
             size=memory_of(exchange.kept_events),
         )
+        relayed = RelayedStream(name=_stream_name(exchange), text=text, number=next(self._numbers))
         if self._state.residency.may_cache(exchange.allowed_regions):
-            self._copies.put(exchange.stream_name, text)
-        return text
+            self._copies.put(relayed.name, text)
+        return relayed
 
-    def _whole_copy(self, exchange: Exchange, text: AttemptText) -> StreamCopy:
+    def _whole_copy(self, relayed: RelayedStream) -> StreamCopy:
         return StreamCopy(
-            number=exchange.copy_number,
-            stream=exchange.stream_name,
-            attempt=text.attempt,
-            resumed_after=text.resumed_after,
-            seconds=max(0.0, text.until - self._state.now),
-            events=tuple(text.events),
+            number=relayed.number,
+            stream=relayed.name,
+            attempt=relayed.text.attempt,
+            resumed_after=relayed.text.resumed_after,
+            seconds=max(0.0, relayed.text.until - self._state.now),
+            events=tuple(relayed.text.events),
         )
 
-    def _choose_holders(self, exchange: Exchange, stream: str) -> dict[ReplicaId, Address]:
-        ranked = self._ranked(stream, exchange.allowed_regions)
-        return {peer.process: peer.address for peer in ranked[:COPIES]}
+    def _choose_holders(self, exchange: Exchange, relayed: RelayedStream) -> None:
+        """Choose the nodes with copies, now and then, since nodes come and go."""
+        now = self._state.now
+        if now - relayed.chosen_at < HOLDERS_CHECK_SECONDS:
+            return
+        ranked = self._ranked(relayed.name, exchange.allowed_regions)
+        relayed.chosen_at = now
+        relayed.holders = {peer.process: peer.address for peer in ranked[:COPIES]}
 
     # ------------------------------------------------------------ events of other nodes
 
-    def take_copy(self, sender: ReplicaId, message: StreamCopy) -> list[Effect]:
-        """Hold the events of another node's stream."""
-        self._copies.take(sender, message, self._state.now)
-        return []
-
-    def take_events(self, sender: ReplicaId, message: StreamCopyEvents) -> list[Effect]:
-        """Hold further events of another node's stream."""
-        self._copies.take_events(sender, message, self._state.now)
-        return []
+    def handle(self, sender: ReplicaId, message: StreamMessage, now: float) -> list[Effect]:
+        """Handle a message of another node."""
+        self._state.now = now
+        if isinstance(message, StreamCopy):
+            self._copies.take(sender, message, now)
+        elif isinstance(message, StreamCopyEvents):
+            self._copies.take_events(sender, message, now)
+        elif isinstance(message, StreamAsk):
+            return self._answer(sender, message)
+        else:
+            self._take_reply(sender, message)
+        return self._state.outcomes.drain_effects()
 
-    def answer(self, sender: ReplicaId, ask: StreamAsk) -> list[Effect]:
+    def _answer(self, sender: ReplicaId, ask: StreamAsk) -> list[Effect]:
         """Tell another node what this one holds of a stream."""
         attempts = self._copies.told(ask.stream, ask.event_id, self._state.now)
         reply = StreamReply(number=ask.number, attempts=attempts)
@@ -229,7 +237,7 @@
             self._refuse(exchange, STREAM_BEGINNING_UNKNOWN, 0)
             return
         now = self._state.now
-        stream = exchange.stream_name = _name(exchange, exchange.names.resumed_turn)
+        stream = _stream_name(exchange)
         ranked = self._ranked(stream, None)
         number = next(self._numbers)
         search = _Search(
@@ -241,15 +249,12 @@
         else:
             self._continue(number, search)
 
-    def take_reply(self, sender: ReplicaId, reply: StreamReply) -> list[Effect]:
-        """Handle what another node holds of a stream."""
+    def _take_reply(self, sender: ReplicaId, reply: StreamReply) -> None:
         search = self._searches.get(reply.number)
-        if search is None or sender not in search.awaited:
-            return []
-        search.awaited.discard(sender)
-        search.told.extend(text_of(told, self._state.now) for told in reply.attempts)
-        self._continue(reply.number, search)
-        return self._state.outcomes.drain_effects()
+        if search is not None and sender in search.awaited:
+            search.awaited.discard(sender)
+            search.told.extend(text_of(told, self._state.now) for told in reply.attempts)
+            self._continue(reply.number, search)
 
     def _ask(self, number: int, search: _Search, count: int) -> None:
         """Ask the next nodes, and wait for them; also alone, since copies may be on their way."""
@@ -354,8 +359,10 @@
         self._state.outcomes.effects.append(effect)
 
 
-def _name(exchange: Exchange, first_attempt: str) -> str:
+def _stream_name(exchange: Exchange) -> str:
     """Return the name of a stream, which no other route, tenant or program shares."""
+    is_resumed = bool(exchange.call.last_event_id)
+    first_attempt = exchange.names.resumed_turn if is_resumed else exchange.names.turn
     return f"{exchange.route.name}\n{exchange.names.program}\n{first_attempt}"
 
 
--- a/src/yokeline/forwarding/stream_copies.py
+++ b/src/yokeline/forwarding/stream_copies.py
@@ -13,6 +13,7 @@
 import msgspec
 from msgspec import UnsetType
 
+from yokeline.effects import Address
 from yokeline.forwarding.http_helpers import is_after
 from yokeline.identifiers import ReplicaId
 from yokeline.ledger.messages import CopiedAttempt, StreamCopy, StreamCopyEvents, StreamEvent
@@ -61,6 +62,23 @@
         return growth
 
 
+class RelayedStream(msgspec.Struct, kw_only=True, eq=False):
+    """The stream that one attempt of a caller gets, and the copies that other nodes have of it.
+
+    Attributes:
+        name: Name of the stream, the same for all attempts of its caller.
+        number: Identifies the copies at the nodes that hold them.
+        holders: These nodes.
+        chosen_at: When they were chosen (monotonic seconds).
+    """
+
+    name: str
+    text: AttemptText
+    number: int
+    holders: dict[ReplicaId, Address] = msgspec.field(default_factory=dict)
+    chosen_at: float = float("-inf")
+
+
 def memory_of(events: Iterable[StreamEvent]) -> int:
     """Return the memory that events take (bytes)."""
     return sum(len(event.data) + EVENT_OVERHEAD_BYTES for event in events)
--- a/tests/unit/forwarding/support.py
+++ b/tests/unit/forwarding/support.py
@@ -230,7 +230,7 @@
             events=events,
         )
         sender = ReplicaId("edge-9~1")
-        self.take(self.forwarder.handle_stream_message(sender, copy, self.now))
+        self.take(self.forwarder.stream_beginnings.handle(sender, copy, self.now))
 
     def leave(self, request_id: str) -> None:
         self.take(self.forwarder.handle_disconnect(ExchangeId(request_id), self.now))
--- a/tests/unit/forwarding/test_stream_beginnings.py
+++ b/tests/unit/forwarding/test_stream_beginnings.py
@@ -60,7 +60,7 @@
             return
         node = self.played[recipient]
         process = ReplicaId(f"edge-{sender}~1")
-        node.take(node.forwarder.handle_stream_message(process, message, node.now))
+        node.take(node.forwarder.stream_beginnings.handle(process, message, node.now))
         node.take(node.forwarder.tick(node.now))
 
     def wait(self, seconds: float) -> None:
