Read what has arrived before the exit of a planned stop

At the end of a planned stop the connections of calls that had been sent up to 2.6 s before were closed without an answer; no engine ran these calls.

Cause: the process exits once nothing is under way. The calls lay unread behind a crowd of connections whose bytes take long to read, and closing a connection with unread bytes resets it.

At its exit a process accepts what waits and reads what has arrived, for 0.2 s at most and the smallest first; the service refuses whole requests as not run.

--- a/src/yokeline/node/connection.py
+++ b/src/yokeline/node/connection.py
@@ -78,6 +78,7 @@
 
     Attributes:
         bytes_sent: Bytes that the kernel took so far.
+        bytes_received: Bytes that were read so far.
         read_bytes: Largest piece that is read at a time.
     """
 
@@ -92,6 +93,7 @@
     ) -> None:
         """Watch an accepted socket, or one whose connection is being made."""
         self.bytes_sent = 0
+        self.bytes_received = 0
         self.read_bytes = READ_BYTES
         self._poller = poller
         self._sock = sock
@@ -290,7 +292,9 @@
             return
         if not data:
             self._fail(self._end_of_input())
-        elif not self._discarding:
+            return
+        self.bytes_received += len(data)
+        if not self._discarding:
             self._owner.data_received(data)
 
     def _end_of_input(self) -> str:
--- a/src/yokeline/node/http_exchange.py
+++ b/src/yokeline/node/http_exchange.py
@@ -168,6 +168,21 @@
 
     # ------------------------------------------------------------ requests in
 
+    def unread(self) -> int:
+        """Return how many bytes of a request that is due have arrived and were not read."""
+        if self._phase not in (_Phase.IDLE, _Phase.RECEIVING) or self._connection.closed:
+            return 0
+        return self._connection.kernel_bytes().unread
+
+    def read_more(self) -> bool:
+        """Read a piece of a request, if one is due; return whether there may be more."""
+        if self._phase not in (_Phase.IDLE, _Phase.RECEIVING) or self._connection.closed:
+            return False
+        before = self._connection.bytes_received
+        self._connection.socket_ready(readable=True, writable=False)
+        has_read = self._connection.bytes_received > before
+        return has_read and self._phase in (_Phase.IDLE, _Phase.RECEIVING)
+
     def connection_made(self) -> None:
         """Unused: accepted connections are there from the start."""
 
--- a/src/yokeline/node/http_server.py
+++ b/src/yokeline/node/http_server.py
@@ -49,6 +49,8 @@
 _CLOSED_SHARE = 1 / 64
 """Share of the connections that is closed at a time when there are as many as allowed."""
 _IDLE_LOOK_PAUSE_SECONDS = 0.1
+LAST_READS_SECONDS = 0.2
+"""Time at the exit to read requests that have arrived."""
 _LOG_SECONDS = 1.0
 
 
@@ -211,6 +213,28 @@
         """Return how many bytes of answers the kernel has not taken yet."""
         return sum(connection.unsent_bytes() for connection in self._connections)
 
+    @handler("service_stopped", priority=2)
+    def _read_last_requests(self, exit_code: int, output_seconds: float) -> None:
+        """Read what callers have sent already, so that the service can refuse it.
+
+        Closing with unread bytes would reset these connections, and their callers could not tell
+        whether their requests were run. A crowd may have kept the loop from reading them.
+        """
+        self._listener.finish()
+        ends_at = time.monotonic() + min(LAST_READS_SECONDS, output_seconds / 2)
+        # The smallest first: a whole request of an ordinary caller waits behind no crowd's.
+        unread = sorted(
+            (
+                (size, connection)
+                for connection in self._connections
+                if (size := connection.unread())
+            ),
+            key=lambda item: item[0],
+        )
+        for _, connection in unread:
+            while time.monotonic() < ends_at and connection.read_more():
+                pass
+
     @handler("service_stopped")
     def _on_service_stopped(self, exit_code: int, output_seconds: float) -> None:
         """Take no more connections; what is written is sent before the process ends."""
--- a/tests/processes/platform/test_planned_stops.py
+++ b/tests/processes/platform/test_planned_stops.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator, Mapping
 
 from tests.processes.cluster import wait_until
+from tests.processes.platform.crowds import Crowd, chunked_request, chunks_of
 from tests.processes.platform.deployment import Deployment
 from tests.processes.platform.planned_stops import (
     CALL_FIELDS,
@@ -33,6 +34,11 @@
 LATE_SINCE_SECONDS = 2.4
 """Time after SIGTERM from which on no load balancer takes the edge for ready."""
 STREAM_EVENTS = 5
+CROWD = 120
+CROWD_AFTER_SECONDS = 1.9
+"""Time after SIGTERM; an idle edge exits 2.2 s after it."""
+CROWD_CHUNKS = 10_000
+"""Chunks of one byte that each connection of a crowd sends; they take long to read."""
 LATE_PATHS: dict[str, dict[str, str]] = {
     "/fix/x": CALL_FIELDS,
     "/kept/x": STREAM_FIELDS,
@@ -226,6 +232,25 @@
                 self.assertEqual(falsely_refused(late, engines), [])
                 self.assertTrue({call.path for call in late if call.is_refused} >= set(LATE_PATHS))
 
+    def test_a_crowd_keeps_no_call_from_its_refusal_at_the_exit(self) -> None:
+        """Guards against requests that lay unread behind those of a crowd, and were reset."""
+        for _ in range(3):
+            with self.deployment(8) as deployment, Crowd(deployment.fronts[0]) as crowd:
+                edge = deployment.edges[0]
+                crowd.open(CROWD)
+                costly = chunked_request("/look/x", chunks_of(1, CROWD_CHUNKS))
+                edge.send(signal.SIGTERM)
+                time.sleep(CROWD_AFTER_SECONDS)
+                for sock in crowd.sockets:
+                    for part in costly:
+                        sock.send(part)
+                late = KeptCallers(deployment, 0, ROUTE_MS, "late")
+                late.start("/fix/x", CALLERS)
+                self.assertEqual(edge.wait(), 0)
+                late.wait()
+                cut = cut_calls(late.calls, deployment.apps, ROUTE_MS / 1000)
+                self.assertEqual([line(call, 0.0) for call in cut], [])
+
     def serve_quickly(self, deployment: Deployment) -> None:
         """Let the edge learn that its routes are quick."""
         self.set_pace(deployment, call_seconds=0.02, event_seconds=0.02)
