--- a/tests/processes/platform/test_soak.py
+++ b/tests/processes/platform/test_soak.py
@@ -37,6 +37,8 @@
         around = result.outcomes.get("around a stop", 0)
         self.assertGreaterEqual(around, LEAST_CALLS_AROUND_STOPS)
         self.assertGreater(result.outcomes.get("open at a silent engine at a stop", 0), 0)
+        self.assertGreater(result.outcomes.get("sampled resumed on", 0), 0)
+        self.assertGreater(result.outcomes.get("sampled continued on", 0), 0)
 
     def test_promises_hold_beside_clients_that_misuse_legal_requests(self) -> None:
         result = play(SoakPlan(seed=CROWD_SEED, seconds=CROWD_SECONDS))
